Add a builder of process fleets for tests

Cause: promises under failure must be shown on separate processes. Change: tests/fleet.py gives each process its own loopback address with fixed ports, writes its settings, starts, kills, freezes and thaws it by id. Ruled out: port 0 everywhere, since a restarted process must come back under its address and settings name each other's addresses. Conclusion: not used yet.

--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of gooseberrydale and the builders that they share."""
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,325 @@
+"""Builds fleets of separate processes for tests that need the real thing.
+
+Each process gets an address of its own inside the loopback range, as instances
+have in production, so fixed ports never collide and a restarted process comes
+back under its address.  A fleet ends only processes that it started itself.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+FLEET_TOKEN = "fleet-token-of-the-tests"
+OPERATOR_TOKEN = "operator-token-of-the-tests"
+START_BOUND_S = 60.0
+STOP_BOUND_S = 60.0
+POLL_S = 0.02
+
+ENTRY_HTTP, ENTRY_RPC = 8080, 8081
+SIDECAR_RPC = 8090
+CONTROL_RPC, CONTROL_HTTP = 8070, 8071
+UPSTREAM_HTTP = 9000
+
+
+class Process:
+    """One operating-system process of a fleet."""
+
+    def __init__(self, name: str, argv: list[str], log: pathlib.Path) -> None:
+        self.name = name
+        self._argv = argv
+        self._log = log
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id of the running process."""
+        assert self._popen is not None, f"{self.name} was never started"
+        return self._popen.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process is there, frozen or not."""
+        return self._popen is not None and self._popen.poll() is None
+
+    def start(self) -> None:
+        """Start the process; its output is appended to its log."""
+        env = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+        with open(self._log, "ab") as log:
+            self._popen = subprocess.Popen(
+                self._argv, stdout=log, stderr=log, cwd=ROOT, env=env
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this process alone."""
+        os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """End the process at once, as a crash does."""
+        if self.running:
+            self.signal(signal.SIGKILL)
+            self.wait()
+
+    def freeze(self) -> None:
+        """Stop the process in its tracks."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask for a graceful shutdown."""
+        self.signal(signal.SIGTERM)
+
+    def wait(self, bound_s: float = STOP_BOUND_S) -> int:
+        """Return the exit code once the process has ended."""
+        assert self._popen is not None
+        return self._popen.wait(bound_s)
+
+    def output(self) -> str:
+        """All that the process has written."""
+        return self._log.read_text(errors="replace") if self._log.exists() else ""
+
+
+@dataclass
+class UpstreamSpec:
+    """One upstream to start with its sidecar."""
+
+    name: str
+    pool: str
+    zone: str = "zone-1"
+    kind: str = "completion"
+    model: str = "model-a"
+    flags: tuple[str, ...] = ()
+    settings: dict[str, object] = field(default_factory=dict)
+
+
+class Fleet:
+    """Entries, control replicas, and upstreams with their sidecars."""
+
+    def __init__(self, folder: pathlib.Path, zones: tuple[str, ...]) -> None:
+        self.folder = folder
+        self.zones = zones
+        self._net = _free_net()
+        self._hosts: dict[str, str] = {}
+        self.processes: dict[str, Process] = {}
+        self.controls: list[str] = []
+        self.entries: list[str] = []
+        self.upstreams: dict[str, UpstreamSpec] = {}
+        self.rpc_override: dict[str, str] = {}
+        self._write_secrets()
+
+    # Addresses.
+
+    def host(self, name: str) -> str:
+        """The loopback address that belongs to ``name``."""
+        if name not in self._hosts:
+            self._hosts[name] = f"{self._net}.{len(self._hosts) + 1}"
+        return self._hosts[name]
+
+    def entry_url(self, name: str) -> str:
+        """Base address of an entry's HTTP interface."""
+        return f"http://{self.host(name)}:{ENTRY_HTTP}"
+
+    def operator_url(self, name: str) -> str:
+        """Base address of a control replica's operator interface."""
+        return f"http://{self.host(name)}:{CONTROL_HTTP}"
+
+    def upstream_url(self, name: str) -> str:
+        """Base address of the upstream itself, past its sidecar."""
+        return f"http://{self.host('upstream-' + name)}:{UPSTREAM_HTTP}"
+
+    # Building.
+
+    def add_controls(self, count: int, **settings: object) -> None:
+        """Declare ``count`` control replicas, spread over the zones."""
+        self.controls = [f"control-{i + 1}" for i in range(count)]
+        replicas = {n: f"{self.host(n)}:{CONTROL_RPC}" for n in self.controls}
+        for i, name in enumerate(self.controls):
+            table = {
+                "data_dir": str(self.folder / name),
+                "rpc": f"{self.host(name)}:{CONTROL_RPC}",
+                "http": f"{self.host(name)}:{CONTROL_HTTP}",
+                "operators_file": str(self.folder / "operators.toml"),
+                "check_invariants": True,
+                "replicas": replicas,
+                **settings,
+            }
+            self._write_cfg(name, self.zones[i % len(self.zones)], "control", table)
+            self._add_role(name, "control")
+
+    def add_entries(self, count: int, **settings: object) -> None:
+        """Declare ``count`` entries, spread over the zones."""
+        self.entries = [f"entry-{i + 1}" for i in range(count)]
+        for i, name in enumerate(self.entries):
+            table = {
+                "http": f"{self.host(name)}:{ENTRY_HTTP}",
+                "rpc": f"{self.host(name)}:{ENTRY_RPC}",
+                "check_invariants": True,
+                **settings,
+            }
+            self._write_cfg(name, self.zones[i % len(self.zones)], "entry", table)
+            self._add_role(name, "entry")
+
+    def add_upstream(self, spec: UpstreamSpec) -> None:
+        """Declare an upstream and its sidecar."""
+        self.upstreams[spec.name] = spec
+        host = self.host("upstream-" + spec.name)
+        app = "engine" if spec.kind == "completion" else "service"
+        self._add_process(
+            "upstream-" + spec.name,
+            [sys.executable, "-m", "gooseberrydale.example", app]
+            + ["--host", host, "--port", str(UPSTREAM_HTTP), *spec.flags],
+        )
+        sidecar = "sidecar-" + spec.name
+        table = {
+            "upstream": self.upstream_url(spec.name),
+            "pool": spec.pool,
+            "kind": spec.kind,
+            "model": spec.model if spec.kind == "completion" else "",
+            "rpc": f"{self.host(sidecar)}:{SIDECAR_RPC}",
+            "check_invariants": True,
+            **spec.settings,
+        }
+        self._write_cfg(sidecar, spec.zone, "sidecar", table, node=spec.name)
+        self._add_role(sidecar, "sidecar")
+
+    def start(self) -> None:
+        """First start: initialise control, then start everything."""
+        self.init_control()
+        for process in self.processes.values():
+            process.start()
+
+    def init_control(self) -> None:
+        """Run the explicit first start of the control replicas."""
+        for name in self.controls:
+            self.cli("control", "init", "--cfg", str(self._cfg_path(name)))
+
+    def close(self) -> None:
+        """End every process that is still there."""
+        for process in self.processes.values():
+            if process.running:
+                process.thaw()
+                process.kill()
+
+    # Running commands.
+
+    def cli(self, *args: str) -> str:
+        """Run the product's command and return what it prints; fail if it fails."""
+        done = self.try_cli(*args)
+        if done.returncode != 0:
+            raise AssertionError(f"{args} ended with {done.returncode}: {done.stderr}")
+        return done.stdout
+
+    def try_cli(self, *args: str) -> subprocess.CompletedProcess[str]:
+        """Run the product's command."""
+        return subprocess.run(
+            [sys.executable, "-m", "gooseberrydale", *args],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            capture_output=True,
+            text=True,
+            timeout=START_BOUND_S,
+        )
+
+    def operator_args(self) -> tuple[str, ...]:
+        """Flags that point an operators' command at this fleet."""
+        urls = ",".join(self.operator_url(name) for name in self.controls)
+        token_file = str(self.folder / "operator-token")
+        return ("--control", urls, "--token-file", token_file)
+
+    # Details.
+
+    def _write_secrets(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        (self.folder / "fleet-token").write_text(FLEET_TOKEN)
+        (self.folder / "operator-token").write_text(OPERATOR_TOKEN)
+        digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+        (self.folder / "operators.toml").write_text(f'tester = "{digest}"\n')
+
+    def _cfg_path(self, name: str) -> pathlib.Path:
+        return self.folder / f"{name}.toml"
+
+    def _write_cfg(
+        self,
+        name: str,
+        zone: str,
+        role: str,
+        table: dict[str, object],
+        node: str = "",
+    ) -> None:
+        fleet = {
+            "token_file": str(self.folder / "fleet-token"),
+            "controls": [self._rpc(n, CONTROL_RPC) for n in self.controls],
+            "entries": [self._rpc(n, ENTRY_RPC) for n in self.entries],
+        }
+        self._cfg_path(name).write_text(
+            _toml("node", {"name": node or name, "zone": zone})
+            + _toml("fleet", fleet)
+            + _toml(role, table)
+        )
+
+    def _rpc(self, name: str, port: int) -> str:
+        return self.rpc_override.get(name, f"{self.host(name)}:{port}")
+
+    def _add_role(self, name: str, role: str) -> None:
+        argv = [sys.executable, "-m", "gooseberrydale", role]
+        self._add_process(name, [*argv, "--cfg", str(self._cfg_path(name))])
+
+    def _add_process(self, name: str, argv: list[str]) -> None:
+        self.processes[name] = Process(name, argv, self.folder / f"{name}.log")
+
+
+def wait_for_port(host: str, port: int, bound_s: float = START_BOUND_S) -> None:
+    """Return once something listens there."""
+    end = time.monotonic() + bound_s
+    while True:
+        try:
+            socket.create_connection((host, port), timeout=1.0).close()
+            return
+        except OSError:
+            if time.monotonic() > end:
+                raise
+            time.sleep(POLL_S)
+
+
+def _free_net() -> str:
+    """First three numbers of a loopback network that no other fleet uses."""
+    for attempt in range(250):
+        net = f"127.{1 + os.getpid() % 250}.{(time.time_ns() // 1000 + attempt) % 250}"
+        try:
+            with socket.socket() as probe:
+                probe.bind((f"{net}.254", CONTROL_RPC))
+            return net
+        except OSError:
+            continue
+    raise RuntimeError("no free loopback network; end stray test processes")
+
+
+def _toml(table: str, values: dict[str, object]) -> str:
+    lines = [f"[{table}]"]
+    for key, value in values.items():
+        if not isinstance(value, dict):
+            lines.append(f"{key} = {_toml_value(value)}")
+    text = "\n".join(lines) + "\n"
+    for key, value in values.items():
+        if isinstance(value, dict):
+            text += _toml(f"{table}.{key}", value)
+    return text
+
+
+def _toml_value(value: object) -> str:
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, (list, tuple)):
+        return "[" + ", ".join(_toml_value(item) for item in value) + "]"
+    return f'"{value}"' if isinstance(value, str) else str(value)
