Open mesh sessions, carry records and configurations

Cause: upstreams are in no list, and a restarted entry must learn of them and of the configuration from whoever is there. Ruled out: queues of messages per session (they grow with a slow peer; looking at what the other side lacks needs none); sending each new configuration on every session (a process with eight sessions would get eight copies; it asks one peer that told of the revision); trusting the lease of a message that was under way for long (stamps and echoes of the loop clocks bound its age). Change: directory, sessions, server, client, targets by rendezvous hash, facade.

--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -3,6 +3,11 @@
 Entries and control replicas serve sessions; sidecars and entries open them.  A
 session is one long-lived gRPC stream in each direction.  Both sides send what the
 other lacks: announcements of upstreams, and configurations of higher revision.
+
+``sent_at`` is the sender's loop clock when the message was made.  ``echo_at`` is
+what the receiver's loop clock showed then at least: the last ``sent_at`` that the
+sender has heard in this session, plus the time since (None before the first).
+Together they bound how long a message was under way.
 """
 
 from __future__ import annotations
@@ -12,6 +17,10 @@
 from gooseberrydale.connection.codec import message
 from gooseberrydale.version.declarations import Config
 
+CONTROL_ROLE = "control"
+ENTRY_ROLE = "entry"
+SIDECAR_ROLE = "sidecar"
+
 
 @message
 @dataclass(frozen=True, slots=True)
@@ -50,6 +59,8 @@
     incarnation: str
     zone: str
     cfg_revision: int
+    sent_at: float = 0.0
+    echo_at: float | None = None
 
 
 @message
@@ -58,6 +69,16 @@
     """Records that are new or renewed."""
 
     records: tuple[UpstreamRecord, ...]
+    sent_at: float = 0.0
+    echo_at: float | None = None
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class ConfigWanted:
+    """Asks for the configuration, since the other side told a higher revision."""
+
+    above_revision: int
 
 
 @message
@@ -75,6 +96,8 @@
 
     name: str
     revision: int
+    sent_at: float = 0.0
+    echo_at: float | None = None
 
 
-MeshMessage = Hello | Announce | ConfigOffer | RevisionAck
+MeshMessage = Hello | Announce | ConfigWanted | ConfigOffer | RevisionAck
--- /dev/null
+++ b/gooseberrydale/connection/mesh_session.py
@@ -0,0 +1,263 @@
+"""One mesh session: what to send, and what to do with what was heard.
+
+Lives as long as one gRPC stream.  Both ends run the same code.  Nothing is
+queued: the sender looks, whenever it may send, at what the other side lacks, so a
+slow peer gets fewer and larger messages instead of a longer queue.  A side that
+hears of a higher revision asks for the configuration on one session only.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Iterator
+from enum import Enum, auto
+
+from gooseberrydale.connection.alarm import Alarm
+from gooseberrydale.connection.mesh import (
+    SIDECAR_ROLE,
+    Announce,
+    ConfigOffer,
+    ConfigWanted,
+    Hello,
+    MeshMessage,
+    RevisionAck,
+    UpstreamRecord,
+)
+from gooseberrydale.connection.mesh_node import MeshNode
+from gooseberrydale.connection.transit import TransitBound
+from gooseberrydale.errors import MESH_NO_HELLO, ProblemError, problem
+
+BATCH_RECORDS = 256
+"""Records in one message at most."""
+
+
+class SessionEnd(Enum):
+    """Why a session ended without an error."""
+
+    ENDED = auto()
+    SILENT = auto()
+
+
+class MeshSession:
+    """State of one session; ``opens`` is True on the side that dialled."""
+
+    def __init__(self, node: MeshNode, *, opens: bool) -> None:
+        self._node = node
+        self._opens = opens
+        self._loop = asyncio.get_running_loop()
+        self._alarm = Alarm()
+        self._transit = TransitBound()
+        self._peer: Hello | None = None
+        self._peer_heard = asyncio.Event()
+        self._peer_revision = 0
+        self._peer_sent_at: float | None = None
+        self._closed: asyncio.Future[None] = self._loop.create_future()
+        self._sent_version = 0
+        self._told_revision = -1
+        self._told_at = 0.0
+        self._peer_wants_above: int | None = None
+        self._corrections: set[str] = set()
+        self.opened_at = self._loop.time()
+        self.heard_at = self.opened_at
+        self._peer_sent_heard_at = self.heard_at
+
+    @property
+    def peer(self) -> Hello | None:
+        """Who is at the other end; None before its Hello."""
+        return self._peer
+
+    def records_changed(self, urgent: bool) -> None:
+        """Send what changed: soon if ``urgent``, else together with more."""
+        if self._peer is None or self._peer.role == SIDECAR_ROLE:
+            return
+        timings = self._node.timings
+        gather_s = timings.gather_s if urgent else timings.renewal_gather_s
+        self._alarm.by(self._loop.time() + gather_s)
+
+    def config_changed(self) -> None:
+        """Tell the new revision now."""
+        self._alarm.by(self._loop.time())
+
+    def close(self) -> None:
+        """End ``outgoing`` and ``run`` soon."""
+        if not self._closed.done():
+            self._closed.set_result(None)
+        self._peer_heard.set()
+        self._alarm.by(self._loop.time())
+
+    async def outgoing(self) -> AsyncIterator[MeshMessage]:
+        """Yield what to send until the session is closed.
+
+        Beyond Hello, nothing is sent before the peer was heard, since it could not
+        bound the age of what it gets.
+        """
+        if self._opens:
+            yield self._hello()
+        await self._peer_heard.wait()
+        if not self._opens and not self._closed.done():
+            yield self._hello()
+        while not self._closed.done():
+            for msg in self._due():
+                yield msg
+            await self._alarm.wait()
+
+    async def run(
+        self, incoming: AsyncIterator[MeshMessage], open_s: float
+    ) -> SessionEnd:
+        """Take in what the peer sends until it ends, is silent, or ``close``.
+
+        ``open_s`` bounds the wait for its first message.  Raises what reading
+        raises, and :class:`ProblemError` if the peer does not begin with Hello.
+        """
+        self._node.opened(self)
+        reader = asyncio.create_task(self._read(incoming))
+        try:
+            return await self._supervise(reader, open_s)
+        finally:
+            self._node.ended(self)
+            reader.cancel()
+            await asyncio.gather(reader, return_exceptions=True)
+            self.close()
+            self._alarm.cancel()
+
+    async def _supervise(self, reader: asyncio.Task[None], open_s: float) -> SessionEnd:
+        while not self._closed.done() and not reader.done():
+            bound_s = open_s if self._peer is None else self._node.timings.silence_s
+            left_s = self.heard_at + bound_s - self._loop.time()
+            if left_s <= 0:
+                return SessionEnd.SILENT
+            await asyncio.wait(
+                {reader, self._closed},
+                timeout=left_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        # A call that was dropped below shows as a cancelled reader.
+        if reader.done() and not reader.cancelled():
+            reader.result()
+        return SessionEnd.ENDED
+
+    async def _read(self, incoming: AsyncIterator[MeshMessage]) -> None:
+        async for msg in incoming:
+            self.heard_at = self._loop.time()
+            self._handle(msg)
+
+    def _handle(self, msg: MeshMessage) -> None:
+        if isinstance(msg, Hello | Announce | RevisionAck):
+            self._transit.heard(msg.sent_at, msg.echo_at, self.heard_at)
+            self._peer_sent_at = msg.sent_at
+            self._peer_sent_heard_at = self.heard_at
+        if isinstance(msg, Hello):
+            self._take_hello(msg)
+            return
+        if self._peer is None:
+            raise ProblemError(problem(MESH_NO_HELLO, got=type(msg).__name__))
+        match msg:
+            case RevisionAck():
+                self._note_revision(self._peer, msg.revision)
+            case Announce():
+                self._take_records(msg, self._peer)
+            case ConfigWanted():
+                self._peer_wants_above = msg.above_revision
+                self._alarm.by(self._loop.time())
+            case ConfigOffer():
+                self._node.store.offer(msg.config)
+
+    def _take_hello(self, hello: Hello) -> None:
+        if hello.incarnation == self._node.identity.incarnation:
+            self._peer = hello
+            self.close()
+            return
+        self._peer = hello
+        self._peer_heard.set()
+        self._note_revision(hello, hello.cfg_revision)
+
+    def _note_revision(self, peer: Hello, revision: int) -> None:
+        self._peer_revision = max(self._peer_revision, revision)
+        self._node.heard(self, peer, revision, self.heard_at)
+        if revision > self._node.store.revision:
+            self._alarm.by(self._loop.time())
+
+    def _take_records(self, msg: Announce, peer: Hello) -> None:
+        age_s = self._transit.age_s(msg.sent_at, self.heard_at)
+        for record in msg.records:
+            taken = self._node.directory.offer(
+                record, self.heard_at, age_s=age_s, source=self
+            )
+            if not taken and peer.role == SIDECAR_ROLE:
+                self._correct(record)
+
+    def _correct(self, record: UpstreamRecord) -> None:
+        """Let a sidecar know that a later incarnation took its name."""
+        current = self._node.directory.get(record.name, self.heard_at)
+        if current is not None and current.incarnation > record.incarnation:
+            self._corrections.add(record.name)
+            self._alarm.by(self._loop.time())
+
+    def _hello(self) -> Hello:
+        now = self._loop.time()
+        return self._node.hello(now, self._echo_at(now))
+
+    def _echo_at(self, now: float) -> float | None:
+        """What the peer's clock shows at least."""
+        if self._peer_sent_at is None:
+            return None
+        return self._peer_sent_at + now - self._peer_sent_heard_at
+
+    def _due(self) -> Iterator[MeshMessage]:
+        now = self._loop.time()
+        yield from self._due_ack(now)
+        yield from self._due_pull(now)
+        yield from self._due_config()
+        yield from self._due_records(now)
+        self._alarm.by(self._told_at + self._node.timings.heartbeat_s)
+
+    def _due_ack(self, now: float) -> Iterator[MeshMessage]:
+        revision = self._node.store.revision
+        due = self._told_at + self._node.timings.heartbeat_s <= now
+        if revision == self._told_revision and not due:
+            return
+        self._told_revision = revision
+        self._told_at = now
+        yield RevisionAck(
+            name=self._node.identity.name,
+            revision=revision,
+            sent_at=now,
+            echo_at=self._echo_at(now),
+        )
+
+    def _due_pull(self, now: float) -> Iterator[MeshMessage]:
+        again_at = self._node.claim_pull(self._peer_revision, now)
+        if again_at is None:
+            yield ConfigWanted(above_revision=self._node.store.revision)
+            self._alarm.by(now + self._node.timings.pull_s)
+        else:
+            self._alarm.by(again_at)
+
+    def _due_config(self) -> Iterator[MeshMessage]:
+        wanted = self._peer_wants_above
+        self._peer_wants_above = None
+        if wanted is not None and self._node.store.revision > wanted:
+            yield ConfigOffer(self._node.store.config)
+
+    def _due_records(self, now: float) -> Iterator[MeshMessage]:
+        records = self._records_to_send(now)
+        for start in range(0, len(records), BATCH_RECORDS):
+            yield Announce(
+                records=records[start : start + BATCH_RECORDS],
+                sent_at=now,
+                echo_at=self._echo_at(now),
+            )
+
+    def _records_to_send(self, now: float) -> tuple[UpstreamRecord, ...]:
+        """Sidecars get no records but of a later incarnation of their own name."""
+        if self._peer is not None and self._peer.role == SIDECAR_ROLE:
+            return self._corrections_to_send(now)
+        delta = self._node.directory.since(self._sent_version, now, exclude=self)
+        self._sent_version = delta.version
+        return delta.records
+
+    def _corrections_to_send(self, now: float) -> tuple[UpstreamRecord, ...]:
+        found = (self._node.directory.get(name, now) for name in self._corrections)
+        records = tuple(record for record in found if record is not None)
+        self._corrections.clear()
+        return records
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -214,6 +214,19 @@
     401,
     "The operator token is missing or wrong; pass --token-file with a listed token.",
 )
+MESH_NO_HELLO = ErrorKind(
+    "mesh_no_hello",
+    400,
+    "A mesh session began with {got} instead of Hello; run releases of the same"
+    " major version everywhere.",
+)
+REPLACED_INCARNATION = ErrorKind(
+    "replaced_incarnation",
+    409,
+    "Upstream {name!r} is announced by a later incarnation {later} than this one,"
+    " {own}; give each sidecar a name of its own, and check that this instance's"
+    " clock was not set back.",
+)
 NOT_LEADER = ErrorKind(
     "not_leader", 421, "This replica does not lead; send the change to {leader}."
 )
--- a/gooseberrydale/process/membership.py
+++ b/gooseberrydale/process/membership.py
@@ -7,36 +7,53 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 from collections.abc import Callable
-from dataclasses import dataclass
-
-from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.connection.rpc import RpcServer
-from gooseberrydale.process.cfg import Cfg
+from dataclasses import replace
+
+from loguru import logger
+
+from gooseberrydale.connection.alarm import Alarm
+from gooseberrydale.connection.mesh import CONTROL_ROLE, ENTRY_ROLE, UpstreamRecord
+from gooseberrydale.connection.mesh_client import MeshClient
+from gooseberrydale.connection.mesh_node import (
+    AckListener,
+    Identity,
+    MeshNode,
+    MeshTimings,
+    PeerState,
+)
+from gooseberrydale.connection.mesh_server import MeshServer
+from gooseberrydale.connection.rpc import RpcServer, TlsFiles
+from gooseberrydale.errors import REPLACED_INCARNATION, problem
+from gooseberrydale.process.cfg import Cfg, TlsCfg
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.session_targets import EntryPoint, session_targets
 
-OwnRecord = Callable[[], UpstreamRecord | None]
+__all__ = ["Mesh", "OwnRecord", "PeerState"]
+
+SIDECAR_ENTRY_SESSIONS = 8
+"""Entries that a sidecar keeps sessions to, at most."""
 
+ENTRY_ENTRY_SESSIONS = 3
+"""Other entries that an entry keeps sessions to, at most."""
 
-@dataclass(frozen=True, slots=True)
-class PeerState:
-    """The last that was heard of a process: its revision, and when (loop clock)."""
+RENEWALS_PER_LEASE = 3
+EXPIRY_INTERVAL_S = 0.5
+NO_RECORD_INTERVAL_S = 0.25
 
-    role: str
-    name: str
-    incarnation: str
-    zone: str
-    revision: int
-    heard_at: float
+OwnRecord = Callable[[], UpstreamRecord | None]
 
 
 class Mesh:
     """Sessions, announcements and leases of one process; start it once.
 
     ``role`` is ``entry``, ``sidecar`` or ``control``.  ``own_record`` is asked for
-    each announcement; the mesh sets ``seq`` itself.  ``on_ack`` is called with a
-    :class:`PeerState` whenever a process tells its revision.
+    each announcement, or None while there is nothing to announce; the mesh sets
+    ``seq`` itself.  ``on_ack`` is called with a :class:`PeerState` whenever a
+    process tells its revision.
     """
 
     def __init__(
@@ -49,41 +66,163 @@
         token: str,
         incarnation: str,
         *,
-        on_ack: Callable[[PeerState], None] | None = None,
+        on_ack: AckListener | None = None,
+        timings: MeshTimings | None = None,
+        rng: random.Random | None = None,
     ) -> None:
-        raise NotImplementedError
+        self._rng = rng if rng is not None else random.Random()
+        identity = Identity(
+            role=role, name=cfg.node.name, incarnation=incarnation, zone=cfg.node.zone
+        )
+        self._node = MeshNode(
+            identity, directory, store, on_ack=on_ack, timings=timings
+        )
+        self._server = MeshServer(self._node)
+        tls = _tls_files(cfg.fleet.tls)
+        self._clients = tuple(
+            MeshClient(address, token, tls, self._node, self._rng)
+            for address in _targets(cfg, role)
+        )
+        self._announcer = _Announcer(own_record, directory, self._rng)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._started_at = 0.0
 
     def register(self, rpc_server: RpcServer) -> None:
         """Serve mesh sessions on ``rpc_server``; call before its ``start``."""
-        raise NotImplementedError
+        self._server.register(rpc_server)
 
     async def start(self) -> None:
-        """Open the sessions, announce the own record, begin to end leases."""
-        raise NotImplementedError
+        """Open the sessions, announce the own record, begin to end leases.
+
+        Does not wait for any session.
+        """
+        self._started_at = asyncio.get_running_loop().time()
+        await self._node.start()
+        self._tasks = [
+            asyncio.create_task(self._announcer.run()),
+            asyncio.create_task(self._end_leases()),
+        ]
+        for client in self._clients:
+            await client.start()
 
     async def close(self) -> None:
-        """Close all sessions; leases held elsewhere run out."""
-        raise NotImplementedError
+        """End all sessions; leases held elsewhere run out.
+
+        Call it before the listener's ``close``, which waits for open streams.
+        """
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+        await asyncio.gather(*(client.close() for client in self._clients))
+        self._server.close()
+        await self._node.close()
 
     def announce(self) -> None:
         """Announce the own record now, because it changed."""
-        raise NotImplementedError
+        self._announcer.announce()
 
     @property
     def connected(self) -> bool:
-        """Whether any session is open and heard of."""
-        raise NotImplementedError
+        """Whether any session is open whose peer was heard."""
+        return bool(self._node.peers())
 
     @property
     def behind(self) -> bool:
-        """Whether a peer has a higher revision than is in force here."""
-        raise NotImplementedError
+        """Whether a peer has told a higher revision than is in force here."""
+        return self._node.highest_revision > self._node.store.revision
 
     @property
     def control_silence_s(self) -> float:
-        """Seconds since a control replica was last heard (since start if never)."""
-        raise NotImplementedError
+        """Seconds since a control replica was last heard, or since the start."""
+        now = asyncio.get_running_loop().time()
+        return now - max(self._node.control_heard_at, self._started_at)
 
     def peers(self) -> tuple[PeerState, ...]:
-        """Every process that has an open session here, as last heard."""
-        raise NotImplementedError
+        """Every process with an open session here, each once, as last heard."""
+        newest: dict[tuple[str, str], PeerState] = {}
+        for peer in sorted(self._node.peers(), key=lambda peer: peer.heard_at):
+            newest[peer.role, peer.name] = peer
+        return tuple(newest.values())
+
+    async def _end_leases(self) -> None:
+        directory = self._node.directory
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            for name in directory.expire(asyncio.get_running_loop().time()):
+                logger.warning("lease of upstream {} ended", name)
+
+
+class _Announcer:
+    """Renews the own record in the own directory; sessions carry it on."""
+
+    def __init__(
+        self, own_record: OwnRecord | None, directory: Directory, rng: random.Random
+    ) -> None:
+        self._own_record = own_record
+        self._directory = directory
+        self._rng = rng
+        self._alarm: Alarm | None = None
+        self._seq = 0
+        self._replaced = False
+
+    def announce(self) -> None:
+        """Do the next announcement now."""
+        if self._alarm is not None:
+            self._alarm.by(asyncio.get_running_loop().time())
+
+    async def run(self) -> None:
+        """Announce at once and then whenever a third of the lease has passed."""
+        if self._own_record is None:
+            return
+        self._alarm = Alarm()
+        while True:
+            now = asyncio.get_running_loop().time()
+            self._alarm.by(now + self._announce_once(self._own_record(), now))
+            await self._alarm.wait()
+
+    def _announce_once(self, record: UpstreamRecord | None, now: float) -> float:
+        """Offer ``record``; return how long to wait until the next time."""
+        if record is None:
+            return NO_RECORD_INTERVAL_S
+        self._seq += 1
+        if not self._directory.offer(replace(record, seq=self._seq), now):
+            self._report_replaced(record, now)
+        return record.lease_s / RENEWALS_PER_LEASE * self._rng.uniform(0.9, 1.0)
+
+    def _report_replaced(self, record: UpstreamRecord, now: float) -> None:
+        later = self._directory.get(record.name, now)
+        if later is None or self._replaced:
+            return
+        self._replaced = True
+        reason = problem(
+            REPLACED_INCARNATION,
+            name=record.name,
+            later=later.incarnation,
+            own=record.incarnation,
+        )
+        logger.error("{}", reason.message)
+
+
+def _targets(cfg: Cfg, role: str) -> tuple[str, ...]:
+    """Addresses to open sessions to: controls, and some of the entries."""
+    if role == CONTROL_ROLE:
+        return ()
+    entries = [EntryPoint(address) for address in cfg.fleet.entries]
+    bound = SIDECAR_ENTRY_SESSIONS
+    if role == ENTRY_ROLE:
+        bound = ENTRY_ENTRY_SESSIONS
+        own = cfg.entry.rpc if cfg.entry is not None else ""
+        others = [entry for entry in entries if entry.address != own]
+        # An entry that listens on another address than its listed one finds itself
+        # only on connecting; one more session makes up for that.
+        bound += len(others) == len(entries)
+        entries = others
+    chosen = session_targets(cfg.node.name, cfg.node.zone, entries, bound)
+    return cfg.fleet.controls + chosen
+
+
+def _tls_files(tls: TlsCfg) -> TlsFiles | None:
+    if not tls.cert_file:
+        return None
+    return TlsFiles(tls.cert_file, tls.key_file, tls.ca_file)
--- a/gooseberrydale/version/directory.py
+++ b/gooseberrydale/version/directory.py
@@ -132,11 +132,11 @@
         return names
 
     def get(self, name: str, now: float) -> UpstreamRecord | None:
-        """The record of ``name`` if its lease has not ended."""
+        """The record of ``name`` with what is left of its lease, if any is."""
         held = self._held.get(name)
         if held is None or held.expires <= now:
             return None
-        return held.record
+        return _with_lease_left(held, now)
 
     def ready(self, pool: str, now: float) -> tuple[UpstreamRecord, ...]:
         """Records of ``pool`` that take new work, ordered by name.
