--- /dev/null
+++ b/tests/test_reassembly.py
@@ -0,0 +1,206 @@
+"""Answers are put together whole and in order, whatever way frames come."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from gooseberrydale.connection.messages import Frame, Heartbeat, Load
+from gooseberrydale.request.reassembly import (
+    Action,
+    Broken,
+    Deliver,
+    Finished,
+    NeedAttach,
+    Reassembly,
+    Start,
+)
+from tests.builders_request import Frames, event
+
+ONE, TWO = Frames(1, "i1"), Frames(2, "i2")
+
+
+def fed(*frames: Frame) -> tuple[Reassembly, list[Action]]:
+    answer = Reassembly("r")
+    answer.begin(1, "i1")
+    actions = [action for frame in frames for action in answer.feed(frame)]
+    return answer, actions
+
+
+def shapes(actions: list[Action]) -> list[object]:
+    """Shorten actions: offsets of events, and the kinds of all others."""
+    short: list[object] = []
+    for action in actions:
+        if isinstance(action, Deliver):
+            short += [action.offset + i for i in range(len(action.events))]
+        elif isinstance(action, NeedAttach):
+            short.append(("attach", action.offset))
+        else:
+            short.append(type(action))
+    return short
+
+
+@pytest.mark.parametrize(
+    ("frames", "expected"),
+    [
+        (
+            [ONE.accepted(), ONE.chunk(0, 2), ONE.chunk(2, 3), ONE.end(3)],
+            [Start, 0, 1, 2, Finished],
+        ),
+        ([ONE.accepted(), ONE.chunk(0, 2), ONE.chunk(1, 3)], [Start, 0, 1, 2]),
+        ([ONE.accepted(), ONE.chunk(0, 2), ONE.chunk(0, 2)], [Start, 0, 1]),
+        ([ONE.accepted(), ONE.chunk(1, 2)], [Start, ("attach", 0)]),
+        (
+            [ONE.accepted(), ONE.chunk(0, 1), ONE.chunk(2, 3), ONE.end(3)],
+            [Start, 0, ("attach", 1)],
+        ),
+        ([ONE.accepted(), ONE.chunk(0, 1), ONE.end(2)], [Start, 0, ("attach", 1)]),
+        ([ONE.accepted(), ONE.chunk(0, 2), ONE.end(1)], [Start, 0, 1, Broken]),
+        ([ONE.accepted(), ONE.failed(0), ONE.chunk(0, 1)], [Start, Broken]),
+        ([ONE.accepted(), ONE.failed(1)], [Start, ("attach", 0)]),
+        ([ONE.refused()], [Broken]),
+        ([ONE.accepted(), ONE.accepted()], [Start]),
+        ([ONE.chunk(0, 1)], [("attach", 0)]),
+        ([ONE.end(0)], [("attach", 0)]),
+        ([TWO.accepted(), TWO.chunk(0, 1), TWO.end(1)], []),
+        ([Heartbeat("r", Load()), Heartbeat("other", Load())], []),
+    ],
+)
+def test_frames_become_actions(frames: list[Frame], expected: list[object]) -> None:
+    assert shapes(fed(*frames)[1]) == expected
+
+
+@pytest.mark.parametrize("attempt,incarnation", [(2, "i1"), (1, "i2")])
+def test_frames_of_another_attempt_are_dropped_and_counted(
+    attempt: int, incarnation: str
+) -> None:
+    other = Frames(attempt, incarnation)
+    answer, actions = fed(ONE.accepted(), other.chunk(0, 1), other.end(0))
+    assert shapes(actions) == [Start]
+    assert answer.counts.foreign == 2
+
+
+def test_frames_after_the_end_are_counted_as_late() -> None:
+    answer, actions = fed(ONE.accepted(), ONE.end(0), ONE.chunk(0, 1), ONE.failed(0))
+    assert shapes(actions) == [Start, Finished]
+    assert answer.counts.late == 2
+
+
+def test_resume_on_another_upstream_takes_no_frame_of_the_first() -> None:
+    answer, _ = fed(ONE.accepted(), ONE.chunk(0, 2))
+    assert answer.begin(2, "i2") == 2
+    assert answer.emitted_text() == "0 1 "
+    actions = [*answer.feed(TWO.accepted(2)), *answer.feed(ONE.chunk(2, 4))]
+    actions += [*answer.feed(TWO.chunk(2, 3)), *answer.feed(TWO.end(3))]
+    assert shapes(actions) == [2, Finished]
+
+
+def test_attach_asks_again_if_the_gap_is_still_there() -> None:
+    answer, _ = fed(ONE.accepted(), ONE.chunk(1, 2))
+    answer.attached()
+    assert answer.feed(ONE.chunk(1, 2)) == (NeedAttach(0),)
+    answer.attached()
+    assert shapes(list(answer.feed(ONE.chunk(0, 2)))) == [0, 1]
+
+
+@pytest.mark.parametrize(
+    ("data", "text"),
+    [
+        (b'{"choices":[{"index":0,"delta":{"role":"assistant"}}]}', ""),
+        (b'{"choices":[{"index":0,"delta":{"content":"hi"}}]}', "hi"),
+        (b'{"choices":[{"index":0,"text":"hi"}]}', "hi"),
+        (b'{"choices":[],"usage":{}}', ""),
+        (b"[DONE]", ""),
+        (b'{"choices":[{"index":1,"delta":{"content":"hi"}}]}', None),
+        (b'{"choices":[{"index":0,"delta":{"tool_calls":[{"id":"t"}]}}]}', None),
+        (b"part of a body", None),
+    ],
+)
+def test_text_for_a_resume(data: bytes, text: str | None) -> None:
+    answer, _ = fed(ONE.accepted(), type(ONE.chunk(0, 0))(*ONE.triple, 0, (data,)))
+    assert answer.emitted_text() == text
+
+
+class Delivery(RuleBasedStateMachine):
+    """Sidecars send one answer; frames come late, doubled, reordered and crossed."""
+
+    TOTAL = 8
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answer = Reassembly("r")
+        self.attempt = 1
+        self.answer.begin(1, "i1")
+        self.got: list[bytes] = []
+        self.past: list[Frame] = []
+        self.finished = False
+        self.needs: list[int] = []
+
+    def take(self, frame: Frame) -> None:
+        self.past.append(frame)
+        for action in self.answer.feed(frame):
+            assert not self.finished
+            if isinstance(action, Deliver):
+                assert action.offset == len(self.got)
+                self.got += action.events
+            elif isinstance(action, NeedAttach):
+                assert action.offset == len(self.got)
+            elif isinstance(action, Finished):
+                self.finished = True
+
+    def frames(self) -> Frames:
+        return Frames(self.attempt, f"i{self.attempt}")
+
+    @rule()
+    def accept(self) -> None:
+        self.take(self.frames().accepted(len(self.got)))
+
+    @rule(start=st.integers(0, TOTAL), count=st.integers(0, 3))
+    def chunk_anywhere(self, start: int, count: int) -> None:
+        self.take(self.frames().chunk(start, min(start + count, self.TOTAL)))
+
+    @rule(count=st.integers(1, 3))
+    def chunk_in_order(self, count: int) -> None:
+        start = len(self.got)
+        self.take(self.frames().chunk(start, min(start + count, self.TOTAL)))
+
+    @rule()
+    def end(self) -> None:
+        self.take(self.frames().end(self.TOTAL))
+
+    @rule(offset=st.integers(0, TOTAL))
+    def fail(self, offset: int) -> None:
+        self.take(self.frames().failed(offset))
+
+    @precondition(lambda self: self.past)
+    @rule(data=st.data())
+    def repeat_an_old_frame(self, data: st.DataObject) -> None:
+        self.take(data.draw(st.sampled_from(self.past)))
+
+    @rule()
+    def cross_with_another_request(self) -> None:
+        chunk = self.frames().chunk(len(self.got), len(self.got) + 1)
+        self.take(type(chunk)("other", *self.frames().triple[1:], 0, (b"wrong",)))
+
+    @rule()
+    def attach(self) -> None:
+        self.answer.attached()
+
+    @rule()
+    def resume_elsewhere(self) -> None:
+        self.attempt += 1
+        assert self.answer.begin(self.attempt, f"i{self.attempt}") == len(self.got)
+
+    @invariant()
+    def delivered_is_a_prefix_of_the_answer(self) -> None:
+        assert self.got == [event(i) for i in range(len(self.got))]
+        if self.finished:
+            assert len(self.got) == self.TOTAL
+
+
+TestDelivery = Delivery.TestCase
+TestDelivery.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
