--- /dev/null
+++ b/gooseberrydale/request/retry.py
@@ -0,0 +1,241 @@
+"""What an entry does after an attempt did not bring a whole answer.
+
+The decision rests on three facts: whether the attempt can have run, whether the
+request may be repeated, and how much of the answer the caller already has.  A
+request that may not be repeated is sent again only if it is known not to have run.
+Attempts beyond the first are paid from a budget that fresh requests fill, so a
+fleet in trouble gets little more load than a healthy one.  Pure.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from gooseberrydale import errors
+from gooseberrydale.errors import Problem, problem
+
+MIN_USEFUL_S = 0.02
+RETRY_AFTER_S = 1.0
+MAX_ATTEMPTS = 6
+RETRYABLE_STATUS = frozenset({429, 502, 503, 504})
+RETRYABLE_CODES = frozenset({errors.WRONG_INCARNATION.code, errors.TOMBSTONED.code})
+
+
+class RetryBudget:
+    """Token bucket: each fresh request adds ``ratio``, each retry takes one.
+
+    ``floor_per_s`` tokens come in each second whatever the traffic, so that a
+    quiet entry may retry as well; ``cap`` bounds a burst of retries.
+    """
+
+    def __init__(
+        self, ratio: float = 0.2, floor_per_s: float = 0.5, cap: float = 10.0
+    ) -> None:
+        self._ratio = ratio
+        self._floor_per_s = floor_per_s
+        self._cap = cap
+        self._tokens = cap
+        self._refilled_at: float | None = None
+
+    def deposit(self, now: float) -> None:
+        """Count one fresh request."""
+        self._refill(now)
+        self._tokens = min(self._cap, self._tokens + self._ratio)
+
+    def spend(self, now: float) -> bool:
+        """Take one token; False means that no retry may be made now."""
+        self._refill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _refill(self, now: float) -> None:
+        if self._refilled_at is not None:
+            gained = max(0.0, now - self._refilled_at) * self._floor_per_s
+            self._tokens = min(self._cap, self._tokens + gained)
+        self._refilled_at = now
+
+
+class Cause(StrEnum):
+    """How an attempt came to its end."""
+
+    REFUSED = "refused"
+    """The sidecar answered the dispatch with Refused."""
+    NOT_SENT = "not_sent"
+    """No connection: the attempt never left this process."""
+    LOST = "lost"
+    """The connection failed after the dispatch may have left."""
+    SILENT = "silent"
+    """The connection stands, but neither frames nor heartbeats come."""
+    GAP = "gap"
+    """Frames are missing: the stream must be attached again."""
+    FAILED = "failed"
+    """The sidecar reported that the upstream failed before the answer was whole."""
+    TOMBSTONED = "tombstoned"
+    """The sidecar confirmed that this attempt did not start and never will."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The end of one attempt.
+
+    ``accepted`` says that the sidecar took it, ``delivered`` counts the events that
+    the caller has.  ``attach_tried`` and ``cancel_tried`` say that attaching to this
+    attempt, or confirming that it never ran, was tried in vain since its last frame;
+    the cause stays the one that led there.  ``resumable`` is False if the answer
+    can't be continued from its text (several choices, tool calls, no stream).
+    ``earlier_may_have_run`` is handed on from the step that led to this attempt.
+    """
+
+    cause: Cause
+    attempt: int = 1
+    accepted: bool = False
+    delivered: int = 0
+    problem: Problem | None = None
+    attach_tried: bool = False
+    cancel_tried: bool = False
+    resumable: bool = True
+    earlier_may_have_run: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Attach:
+    """Attach again to the same attempt, from the next offset on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Confirm:
+    """Send a CancelReq; come back with TOMBSTONED, or with ``cancel_tried`` set."""
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """Make another attempt from the start, on another upstream.
+
+    Hand ``may_have_run`` on as ``earlier_may_have_run`` of its outcome.
+    """
+
+    may_have_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """Make another attempt that continues the answer, on another upstream."""
+
+    may_have_run: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Answer the caller with ``problem``."""
+
+    problem: Problem
+
+
+Step = Attach | Confirm | Retry | Resume | Fail
+
+
+def next_step(
+    outcome: Outcome,
+    *,
+    repeatable: bool,
+    budget: RetryBudget,
+    left_s: float,
+    now: float,
+) -> Step:
+    """Decide what follows ``outcome``; takes a token from ``budget`` if it retries.
+
+    ``left_s`` is the time left to the first token's deadline in seconds; it no
+    longer counts once the caller has a part of the answer.
+    """
+    outcome = _about_dispatch(outcome)
+    attempt_ran = _may_have_run(outcome)
+    if attempt_ran and _worth_attaching(outcome, repeatable):
+        return Attach()
+    if attempt_ran and not repeatable:
+        return _after_doubt(outcome)
+    why = _reason(outcome, attempt_ran)
+    stop = _stop(outcome, why, budget, left_s, now)
+    if stop is not None:
+        return Fail(_honest(stop, outcome, attempt_ran))
+    may_have_run = attempt_ran or outcome.earlier_may_have_run
+    return Resume() if outcome.delivered else Retry(may_have_run)
+
+
+def _about_dispatch(outcome: Outcome) -> Outcome:
+    """Drop a refusal of an attach: it says nothing about the attempt itself."""
+    refusal = outcome.problem
+    if outcome.cause is not Cause.REFUSED or refusal is None:
+        return outcome
+    if outcome.attach_tried or refusal.code == errors.UNKNOWN_STREAM.code:
+        return replace(outcome, cause=Cause.LOST, problem=None, attach_tried=True)
+    return outcome
+
+
+def _may_have_run(outcome: Outcome) -> bool:
+    """Whether this attempt can have run, for all that is known."""
+    if outcome.accepted or outcome.delivered:
+        return True
+    if outcome.cause in (Cause.NOT_SENT, Cause.TOMBSTONED):
+        return False
+    if outcome.cause is not Cause.REFUSED or outcome.problem is None:
+        return True
+    return outcome.problem.not_run is not True
+
+
+def _worth_attaching(outcome: Outcome, repeatable: bool) -> bool:
+    if outcome.attach_tried or outcome.cause is Cause.FAILED:
+        return False
+    if outcome.problem is not None and outcome.problem.not_run is False:
+        return False
+    # What may be repeated starts faster elsewhere than it is asked after here.
+    return outcome.accepted or not repeatable
+
+
+def _after_doubt(outcome: Outcome) -> Step:
+    """Decide for an attempt that may have run and must not run twice."""
+    if outcome.problem is not None and outcome.problem.not_run is False:
+        return Fail(outcome.problem)
+    if not outcome.accepted and not outcome.cancel_tried:
+        return Confirm()
+    return Fail(problem(errors.OUTCOME_UNKNOWN, not_run=None))
+
+
+def _stop(
+    outcome: Outcome, why: Problem, budget: RetryBudget, left_s: float, now: float
+) -> Problem | None:
+    """Return the reason to give up, None if another attempt may be made."""
+    if outcome.cause is Cause.REFUSED and not _helps_elsewhere(why):
+        return why
+    if outcome.delivered and not outcome.resumable:
+        return why
+    if not outcome.delivered and left_s < MIN_USEFUL_S:
+        return why
+    if outcome.attempt >= MAX_ATTEMPTS:
+        return why
+    if not budget.spend(now):
+        after_s = why.retry_after_s or RETRY_AFTER_S
+        return problem(errors.RETRY_BUDGET_SPENT, retry_after_s=after_s)
+    return None
+
+
+def _helps_elsewhere(refusal: Problem) -> bool:
+    return refusal.status in RETRYABLE_STATUS or refusal.code in RETRYABLE_CODES
+
+
+def _reason(outcome: Outcome, attempt_ran: bool) -> Problem:
+    if outcome.problem is not None:
+        return outcome.problem
+    kind = errors.UPSTREAM_FAILED if attempt_ran else errors.UPSTREAM_UNREACHABLE
+    return problem(kind, retry_after_s=RETRY_AFTER_S)
+
+
+def _honest(why: Problem, outcome: Outcome, attempt_ran: bool) -> Problem:
+    """Say "not run" only if no attempt of the request can have run."""
+    if outcome.accepted or outcome.delivered:
+        return why.with_outcome(False)
+    if attempt_ran or outcome.earlier_may_have_run:
+        return why.with_outcome(None if why.not_run is not False else False)
+    return why
