--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -251,4 +251,10 @@
     409,
     "The order carries number {number}, but {current} was seen; read the orders again.",
 )
+WEIGHTS_NOT_LOADED = ErrorKind(
+    "weights_not_loaded",
+    502,
+    "The weights could not be read ({reason}); the old ones stay in force, give the"
+    " order again.",
+)
 INVALID_SETTING = ErrorKind("invalid_setting", 2, "{file}: {key}: {reason}; {remedy}.")
