--- /dev/null
+++ b/gooseberrydale/process/cfg_checks.py
@@ -0,0 +1,291 @@
+"""Checks on the meaning of settings that their types can't express.
+
+They run once, on the TOML as written, so that a fault of type in one key doesn't
+hide a fault of meaning in another.  The only input besides the file is whether
+the files that it names can be read.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from gooseberrydale.process.cfg import Cfg, TlsCfg
+
+Table = dict[str, Any]
+
+ROLES = ("entry", "sidecar", "control")
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
+UPSTREAM_KINDS = ("completion", "service")
+MAX_PORT = 65_535
+
+_ADDRESS = "write an address as IP:PORT"
+_TLS_KEYS = ("cert_file", "key_file", "ca_file")
+_TLS_TABLES = ("fleet.tls", "entry.tls", "control.tls")
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of a settings file: its dotted key, what is wrong, what to do."""
+
+    key: str
+    reason: str
+    remedy: str
+
+
+Check = Callable[[str, Any], Fault | None]
+
+
+def resolve_paths(table: Table, base: Path) -> None:
+    """Make the relative paths in ``table`` relative to the folder ``base``."""
+    for key in _path_keys():
+        parent, name = _parent(table, key)
+        value = parent.get(name)
+        if isinstance(value, str) and value:
+            parent[name] = str(base / value)
+
+
+def find_faults(table: Table, role: str | None) -> Iterator[Fault]:
+    """Yield the faults of meaning in ``table`` for a process of ``role``.
+
+    Values of the wrong type are passed over; the converter reports those.
+    """
+    for key, check in _CHECKS.items():
+        parent, name = _parent(table, key)
+        if name in parent:
+            yield from _found(check(key, parent[name]))
+    for key in _TLS_TABLES:
+        yield from _found(_whole_tls(table, key))
+    yield from _found(_role_table(table, role))
+    if role in (None, "control"):
+        yield from _replicas(table)
+    if role in ("entry", "sidecar"):
+        yield from _found(_someone_to_meet(table))
+
+
+def warnings(cfg: Cfg) -> tuple[str, ...]:
+    """Return what is allowed but unsafe in ``cfg``, each with a remedy."""
+    listeners: list[tuple[str, str, TlsCfg]] = []
+    if cfg.entry is not None:
+        listeners.append(("entry.http", cfg.entry.http, cfg.entry.tls))
+        listeners.append(("entry.rpc", cfg.entry.rpc, cfg.fleet.tls))
+    if cfg.sidecar is not None:
+        listeners.append(("sidecar.rpc", cfg.sidecar.rpc, cfg.fleet.tls))
+    if cfg.control is not None:
+        listeners.append(("control.http", cfg.control.http, cfg.control.tls))
+        listeners.append(("control.rpc", cfg.control.rpc, cfg.fleet.tls))
+    return tuple(
+        f"{key} listens on {address} without TLS; set the tls table or bind to loopback"
+        for key, address, tls in listeners
+        if not tls.cert_file and not _is_loopback(address)
+    )
+
+
+def token_fault(key: str, value: Any) -> Fault | None:
+    """Say why the file ``value`` can't serve as a token, if so."""
+    fault = _readable_file(key, value)
+    if fault is not None or not isinstance(value, str):
+        return fault
+    if not Path(value).read_bytes().strip():
+        return Fault(key, f"names the empty file {value!r}", "write a secret into it")
+    return None
+
+
+def _address(key: str, value: Any) -> Fault | None:
+    if not isinstance(value, str) or _parse_address(value) is not None:
+        return None
+    return Fault(key, f"is {value!r}, not an address", _ADDRESS)
+
+
+def _addresses(key: str, value: Any) -> Fault | None:
+    if not isinstance(value, list):
+        return None
+    wrong = [v for v in value if isinstance(v, str) and _parse_address(v) is None]
+    if not wrong:
+        return None
+    listed = ", ".join(repr(v) for v in wrong)
+    return Fault(key, f"holds {listed}, not addresses", _ADDRESS)
+
+
+def _replica_addresses(key: str, value: Any) -> Fault | None:
+    if not isinstance(value, dict):
+        return None
+    return _addresses(key, list(value.values()))
+
+
+def _readable_file(key: str, value: Any) -> Fault | None:
+    if not isinstance(value, str) or not value:
+        return None
+    try:
+        with open(value, "rb"):
+            return None
+    except OSError as exc:
+        reason = f"names {value!r}, which can't be read ({exc.strerror})"
+        return Fault(key, reason, "create the file or correct the path")
+
+
+def _data_folder(key: str, value: Any) -> Fault | None:
+    if not isinstance(value, str) or not Path(value).is_file():
+        return None
+    return Fault(key, f"names the file {value!r}", "name a folder")
+
+
+def _positive(key: str, value: Any) -> Fault | None:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value > 0:
+        return None
+    return Fault(key, f"is {value}, not above 0", "write a number above 0")
+
+
+def _not_negative(key: str, value: Any) -> Fault | None:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value >= 0:
+        return None
+    return Fault(key, f"is {value}, below 0", "write 0 or more")
+
+
+def _not_empty(key: str, value: Any) -> Fault | None:
+    if not isinstance(value, str) or value.strip():
+        return None
+    return Fault(key, "is empty", "write a name")
+
+
+def _url(key: str, value: Any) -> Fault | None:
+    if not isinstance(value, str) or value.startswith(("http://", "https://")):
+        return None
+    return Fault(key, f"is {value!r}, not a URL", "write http://IP:PORT")
+
+
+def _one_of(allowed: tuple[str, ...]) -> Check:
+    def check(key: str, value: Any) -> Fault | None:
+        if not isinstance(value, str) or value in allowed:
+            return None
+        return Fault(key, f"is {value!r}", f"write one of {', '.join(allowed)}")
+
+    return check
+
+
+def _whole_tls(table: Table, key: str) -> Fault | None:
+    """A TLS table names a certificate and its key, or neither of them."""
+    parent, name = _parent(table, key)
+    tls = parent.get(name)
+    if not isinstance(tls, dict):
+        return None
+    if bool(tls.get("cert_file")) == bool(tls.get("key_file")):
+        return None
+    return Fault(key, "has only half of a key pair", "set cert_file and key_file")
+
+
+def _role_table(table: Table, role: str | None) -> Fault | None:
+    if role is not None and role not in table:
+        return Fault(role, "is missing", f"add the table [{role}]")
+    if role is None and not any(name in table for name in ROLES):
+        listed = ", ".join(f"[{name}]" for name in ROLES)
+        return Fault("role", "has no table", f"add one of {listed}")
+    return None
+
+
+def _replicas(table: Table) -> Iterator[Fault]:
+    """A control replica lists the whole group, itself included."""
+    control = _sub_table(table, "control")
+    replicas = control.get("replicas")
+    name = _sub_table(table, "node").get("name")
+    if not isinstance(replicas, dict) or not isinstance(name, str):
+        return
+    key = "control.replicas"
+    if name not in replicas:
+        reason = f"lacks this replica, {name!r}"
+        yield Fault(key, reason, "list every replica, this one included")
+    if len(replicas) % 2 == 0:
+        reason = f"lists {len(replicas)} replicas, an even number"
+        yield Fault(key, reason, "run 3 or 5 replicas")
+    if len(set(map(str, replicas.values()))) < len(replicas):
+        yield Fault(key, "gives two replicas one address", "correct the addresses")
+
+
+def _someone_to_meet(table: Table) -> Fault | None:
+    fleet = table.get("fleet")
+    if not isinstance(fleet, dict) or fleet.get("controls") or fleet.get("entries"):
+        return None
+    reason = "and fleet.entries are empty, so this process would meet nobody"
+    return Fault("fleet.controls", reason, "list the control replicas")
+
+
+def _parse_address(text: str) -> tuple[str, int] | None:
+    host, _, port = text.rpartition(":")
+    try:
+        ip = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return None
+    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
+        return None
+    return str(ip), int(port)
+
+
+def _is_loopback(address: str) -> bool:
+    parsed = _parse_address(address)
+    return parsed is not None and ipaddress.ip_address(parsed[0]).is_loopback
+
+
+def _found(fault: Fault | None) -> Iterator[Fault]:
+    if fault is not None:
+        yield fault
+
+
+def _sub_table(table: Table, name: str) -> Table:
+    value = table.get(name)
+    return value if isinstance(value, dict) else {}
+
+
+def _parent(table: Table, key: str) -> tuple[Table, str]:
+    """Return the table that holds the dotted ``key``, or an empty one."""
+    *names, last = key.split(".")
+    for name in names:
+        table = _sub_table(table, name)
+    return table, last
+
+
+def _path_keys() -> Iterator[str]:
+    yield from ("fleet.token_file", "control.data_dir", "control.operators_file")
+    yield "log.file"
+    for table in _TLS_TABLES:
+        yield from (f"{table}.{key}" for key in _TLS_KEYS)
+
+
+_CHECKS: dict[str, Check] = {
+    "node.name": _not_empty,
+    "node.zone": _not_empty,
+    "node.region": _not_empty,
+    "fleet.token_file": token_fault,
+    "fleet.controls": _addresses,
+    "fleet.entries": _addresses,
+    "log.level": _one_of(LOG_LEVELS),
+    "entry.http": _address,
+    "entry.rpc": _address,
+    "entry.max_body_bytes": _positive,
+    "entry.body_timeout_s": _positive,
+    "entry.drain_s": _not_negative,
+    "entry.silence_s": _positive,
+    "entry.retry_ratio": _not_negative,
+    "sidecar.upstream": _url,
+    "sidecar.pool": _not_empty,
+    "sidecar.kind": _one_of(UPSTREAM_KINDS),
+    "sidecar.rpc": _address,
+    "sidecar.max_running": _positive,
+    "sidecar.max_queued": _not_negative,
+    "sidecar.drain_s": _not_negative,
+    "sidecar.replay_bytes": _positive,
+    "sidecar.replay_s": _positive,
+    "sidecar.lease_s": _positive,
+    "sidecar.upstream_silence_s": _positive,
+    "control.data_dir": _data_folder,
+    "control.rpc": _address,
+    "control.http": _address,
+    "control.replicas": _replica_addresses,
+    "control.operators_file": _readable_file,
+    "control.loads_at_once": _positive,
+    "control.audit_entries": _positive,
+    "control.snapshot_entries": _positive,
+}
+_CHECKS.update({f"{t}.{k}": _readable_file for t in _TLS_TABLES for k in _TLS_KEYS})
