Add logs, metrics, the runner and the command line

Cause: roles need one way to be started, watched and stopped; none existed. Change: logs writes JSON lines and masks secrets; metrics and instruments give each role its own meters and a /metrics route; life_cycle and runner take a role from its settings to its exit code; cli offers entry, sidecar, control, check and version. A broken invariant in an unattended task ends the process with code 5. The settings' own hooks were not used for inner tables; they now are.

--- /dev/null
+++ b/gooseberrydale/__main__.py
@@ -0,0 +1,6 @@
+"""Entry point of ``python -m gooseberrydale``."""
+
+from gooseberrydale.process.cli import main
+
+if __name__ == "__main__":
+    main()
--- a/gooseberrydale/process/cfg_file.py
+++ b/gooseberrydale/process/cfg_file.py
@@ -40,7 +40,8 @@
 
 T = TypeVar("T")
 
-_TABLES = (Cfg, ControlCfg, EntryCfg, FleetCfg, LogCfg, NodeCfg, SidecarCfg, TlsCfg)
+# Inner tables first: a hook binds the hooks of its fields when it is made.
+_TABLES = (TlsCfg, NodeCfg, FleetCfg, LogCfg, EntryCfg, SidecarCfg, ControlCfg, Cfg)
 _TYPE_NAMES = {
     str: "a string",
     int: "a whole number",
@@ -207,12 +208,7 @@
 
 def _table_hook(converter: cattrs.Converter, cls: type[T]) -> Any:
     """Structure a table as ``cls``, saying so if the value is no table."""
-    inner = make_dict_structure_fn(
-        cls,
-        converter,
-        _cattrs_forbid_extra_keys=True,
-        _cattrs_detailed_validation=True,
-    )
+    inner = make_dict_structure_fn(cls, converter)
 
     def structure(value: Any, type_: Any) -> T:
         if not isinstance(value, dict):
--- /dev/null
+++ b/gooseberrydale/process/cli.py
@@ -0,0 +1,66 @@
+"""The command line: ``gooseberrydale COMMAND --cfg FILE``.
+
+It lives for one command; a command that runs a role lives as long as the process.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import IO
+
+import fire
+import fire.core
+from result import Err, Ok
+
+import gooseberrydale
+from gooseberrydale.process import cfg_checks
+from gooseberrydale.process.cfg_file import load
+from gooseberrydale.process.runner import ExitCode, print_faults, run_process
+
+
+class Commands:
+    """Router for language-model traffic with long shared prompts."""
+
+    def entry(self, cfg: str, ready_file: str = "") -> None:
+        """Serve callers with the settings in the file CFG."""
+        _run("entry", cfg, ready_file)
+
+    def sidecar(self, cfg: str, ready_file: str = "") -> None:
+        """Stand before one upstream with the settings in the file CFG."""
+        _run("sidecar", cfg, ready_file)
+
+    def control(self, cfg: str, ready_file: str = "") -> None:
+        """Run one control replica with the settings in the file CFG."""
+        _run("control", cfg, ready_file)
+
+    def check(self, cfg: str, role: str = "") -> None:
+        """Print every fault of the settings file CFG; exit with 2 if there is one."""
+        match load(Path(str(cfg)), role or None):
+            case Err(faults):
+                print_faults(faults)
+                sys.exit(ExitCode.INVALID_SETTINGS)
+            case Ok(loaded):
+                for warning in cfg_checks.warnings(loaded):
+                    print(f"warning: {warning}", file=sys.stderr)
+                print(f"{cfg}: no faults")
+
+    def version(self) -> None:
+        """Print the version."""
+        print(gooseberrydale.__version__)
+
+
+def main() -> None:
+    """Run the command in ``sys.argv``; exits with the command's code."""
+    # Fire would start a pager program; a process here starts no other.
+    fire.core.Display = _print_lines
+    fire.Fire(Commands(), name="gooseberrydale")
+
+
+def _run(role: str, cfg: str, ready_file: str) -> None:
+    ready_path = Path(str(ready_file)) if ready_file else None
+    sys.exit(run_process(role, Path(str(cfg)), ready_path))
+
+
+def _print_lines(lines: list[str], out: IO[str]) -> None:
+    print("\n".join(lines), file=out)
--- /dev/null
+++ b/gooseberrydale/process/instruments.py
@@ -0,0 +1,172 @@
+"""The instruments of a process: what it counts and measures, with units.
+
+An :class:`Instruments` lives as long as its process.  Rare events go to
+OpenTelemetry instruments directly.  What happens once a chunk only adds to a plain
+number of :class:`Tally`, which the meter reads when it is scraped.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from opentelemetry.metrics import CallbackOptions, Meter, Observation
+
+PREFIX = "gooseberrydale"
+TTFT_BUCKETS_S = (
+    *(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8),
+    *(1.2, 1.6, 2.0, 3.0, 5.0, 10.0, 30.0),
+)
+GAP_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.07, 0.1, 0.2, 0.5, 1.0, 3.0)
+
+
+def _measured(unit: str, text: str) -> Any:
+    """Declare a field whose value is read when the meter is scraped."""
+    return field(default=0, metadata={"unit": unit, "text": text})
+
+
+@dataclass(slots=True)
+class Tally:
+    """Counts that are too frequent for an instrument call each.
+
+    Fields are numbers since the start of the process, only ever raised.
+    """
+
+    chunks: int = _measured("1", "Chunks sent to callers or entries")
+    chunk_bytes: int = _measured("By", "Bytes of those chunks")
+    dropped_late_frames: int = _measured(
+        "1", "Frames of another attempt or life, dropped"
+    )
+    dropped_duplicate_frames: int = _measured(
+        "1", "Frames below the offset already delivered, dropped"
+    )
+    heartbeats: int = _measured("1", "Heartbeats sent or received")
+    prompt_tokens: int = _measured("1", "Prompt tokens of accepted requests")
+    cached_tokens: int = _measured("1", "Prompt tokens that were found cached")
+    cache_events: int = _measured("1", "Cache events read from the upstream")
+    mesh_messages: int = _measured("1", "Messages sent in mesh sessions")
+    mesh_bytes: int = _measured("By", "Bytes sent in mesh sessions")
+
+
+@dataclass(slots=True)
+class Level:
+    """Current values; the owner sets them, the meter reads them when scraped."""
+
+    cfg_revision: int = _measured("1", "Revision of the configuration in force")
+    running: int = _measured("1", "Requests that run")
+    queued: int = _measured("1", "Requests that wait for their start")
+    queue_wait: float = _measured("s", "Expected wait of a new request")
+    upstreams_known: int = _measured("1", "Upstreams with a valid lease")
+    cached_blocks: int = _measured("1", "Blocks cached at the upstream")
+    view_complete: int = _measured("1", "1 if the cache view has no gap, else 0")
+    sessions: int = _measured("1", "Open mesh sessions")
+    term: int = _measured("1", "Term of the replicated log")
+    is_leader: int = _measured("1", "1 at the leader of the control replicas")
+    log_index: int = _measured("1", "Last index of the log")
+    commit_index: int = _measured("1", "Last committed index of the log")
+    leases: int = _measured("1", "Leases held by upstreams")
+    claims: int = _measured("1", "Claims of idempotency keys that are kept")
+
+
+@dataclass(frozen=True, slots=True)
+class Instruments:
+    """Everything that a process measures; see the factory for names and units."""
+
+    tally: Tally
+    level: Level
+    requests: Any
+    refusals: Any
+    ttft_s: Any
+    chunk_gap_s: Any
+    retries: Any
+    resumes: Any
+    attaches: Any
+    elections: Any
+    changes: Any
+    orders: Any
+    syncs: Any
+    claims_made: Any
+    lease_renewals: Any
+    cache_resyncs: Any
+    _keep: tuple[Any, ...] = field(default=(), repr=False)
+
+    def count_request(self, profile: str, outcome: str) -> None:
+        """Count one finished request; ``outcome`` is ``ok`` or an error code."""
+        self.requests.add(1, {"profile": profile, "outcome": outcome})
+
+    def count_refusal(self, code: str) -> None:
+        """Count one refusal by the code of its problem."""
+        self.refusals.add(1, {"code": code})
+
+    def observe_ttft(self, profile: str, seconds: float) -> None:
+        """Record the time from a request's arrival to its first token."""
+        self.ttft_s.record(seconds, {"profile": profile})
+
+
+def make_instruments(meter: Meter) -> Instruments:
+    """Create all instruments on ``meter``."""
+    tally, level = Tally(), Level()
+    observed = (*_observe_tally(meter, tally), *_observe_level(meter, level))
+
+    def counter(name: str, text: str) -> Any:
+        return meter.create_counter(f"{PREFIX}.{name}", "1", text)
+
+    return Instruments(
+        tally=tally,
+        level=level,
+        requests=counter("requests", "Finished requests by profile and outcome"),
+        refusals=counter("refusals", "Refusals by code"),
+        ttft_s=meter.create_histogram(
+            f"{PREFIX}.time_to_first_token",
+            "s",
+            "Time from arrival to the first token",
+            explicit_bucket_boundaries_advisory=list(TTFT_BUCKETS_S),
+        ),
+        chunk_gap_s=meter.create_histogram(
+            f"{PREFIX}.chunk_gap",
+            "s",
+            "Longest time between two chunks of an answer",
+            explicit_bucket_boundaries_advisory=list(GAP_BUCKETS_S),
+        ),
+        retries=counter("retries", "Attempts after the first, by cause"),
+        resumes=counter("resumes", "Streams resumed on another upstream"),
+        attaches=counter("attaches", "Streams attached to again, by outcome"),
+        elections=counter("elections", "Elections started, by outcome"),
+        changes=counter("changes", "Changes of configuration, by outcome"),
+        orders=counter("orders", "Orders to upstreams, by outcome"),
+        syncs=counter("syncs", "Syncs of the log to disk"),
+        claims_made=counter("claims_made", "Claims of idempotency keys, by outcome"),
+        lease_renewals=counter("lease_renewals", "Lease renewals, by outcome"),
+        cache_resyncs=counter("cache_resyncs", "Cache views rebuilt, by cause"),
+        _keep=observed,
+    )
+
+
+def _observe_tally(meter: Meter, tally: Tally) -> Iterable[Any]:
+    for item in fields(tally):
+        yield meter.create_observable_counter(
+            f"{PREFIX}.{item.name}",
+            [_reader(tally, item.name)],
+            item.metadata["unit"],
+            item.metadata["text"],
+        )
+
+
+def _observe_level(meter: Meter, level: Level) -> Iterable[Any]:
+    for item in fields(level):
+        yield meter.create_observable_gauge(
+            f"{PREFIX}.{item.name}",
+            [_reader(level, item.name)],
+            item.metadata["unit"],
+            item.metadata["text"],
+        )
+
+
+def _reader(
+    holder: Tally | Level, name: str
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    def read(_: CallbackOptions) -> Iterable[Observation]:
+        return (Observation(getattr(holder, name)),)
+
+    return read
--- /dev/null
+++ b/gooseberrydale/process/logs.py
@@ -0,0 +1,134 @@
+"""Logs of a process: JSON lines through loguru, without secrets.
+
+``setup`` runs once at the start of a process.  Each line is one object with the
+time, level and message, who wrote it (role, name, incarnation), and what was bound
+to the logger, such as ``request_id`` and ``workspace``.  Lines of the standard
+library's loggers (uvicorn, grpc, asyncio) go the same way.
+
+Lines are written in the calling thread: a queue to a writer process would need
+semaphores in shared memory.
+"""
+
+from __future__ import annotations
+
+import logging
+import re
+import sys
+import traceback
+from dataclasses import dataclass
+from typing import IO, TYPE_CHECKING, Any
+
+import msgspec
+from loguru import logger
+
+from gooseberrydale.process.cfg import LogCfg
+
+if TYPE_CHECKING:
+    from loguru import Message, Record
+
+MASK = "***"
+MIN_SECRET_CHARS = 8
+_QUIET_LOGGERS = ("uvicorn.access", "h11", "httpcore", "hpack")
+_SECRET_NAMES = re.compile(
+    r"authorization|password|secret|token$|(^|_)key$|bearer|cookie", re.IGNORECASE
+)
+_SECRET_TEXT = re.compile(
+    r"(?i)(bearer\s+|api[-_ ]?key['\"]?\s*[:=]\s*['\"]?|token['\"]?\s*[:=]\s*['\"]?)"
+    r"[^\s'\",;}\])]+"
+)
+_PLAIN = (str, int, float, bool, type(None))
+_encoder = msgspec.json.Encoder()
+_hidden: set[str] = set()
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who writes the lines; ``incarnation`` names one life of the process."""
+
+    role: str
+    name: str
+    incarnation: str = ""
+
+
+def hide(secret: str) -> None:
+    """Mask ``secret`` wherever it would appear in a line from now on.
+
+    Texts under eight characters are left alone: masking them would garble words.
+    """
+    if len(secret) >= MIN_SECRET_CHARS:
+        _hidden.add(secret)
+
+
+def setup(cfg: LogCfg, identity: Identity) -> None:
+    """Send all logs of this process as JSON lines to where ``cfg`` says.
+
+    Raises OSError if the log file can't be opened.
+    """
+    logger.remove()
+    extra = {"role": identity.role, "name": identity.name}
+    if identity.incarnation:
+        extra["incarnation"] = identity.incarnation
+    logger.configure(extra=extra)
+    out = open(cfg.file, "a", encoding="utf-8") if cfg.file else sys.stderr
+    logger.add(_Sink(out), level=cfg.level, format="{message}", catch=True)
+    _route_standard_logging(cfg.level)
+
+
+def to_json(record: Record) -> bytes:
+    """Return the line for one record, without its end of line."""
+    line: dict[str, Any] = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "message": _masked(record["message"]),
+        "module": record["name"],
+    }
+    for name, value in record["extra"].items():
+        line[name] = _plain(name, value)
+    exc = record["exception"]
+    if exc is not None and exc.value is not None:
+        line["error"] = _masked("".join(traceback.format_exception(exc.value)))
+    return _encoder.encode(line)
+
+
+class _Sink:
+    """Writes one line for each record and flushes it, so that a crash keeps it."""
+
+    def __init__(self, out: IO[str]) -> None:
+        self._out = out
+
+    def __call__(self, message: Message) -> None:
+        self._out.write(to_json(message.record).decode() + "\n")
+        self._out.flush()
+
+
+def _plain(name: str, value: Any) -> Any:
+    if _SECRET_NAMES.search(name):
+        return MASK
+    if isinstance(value, str):
+        return _masked(value)
+    return value if isinstance(value, _PLAIN) else _masked(str(value))
+
+
+def _masked(text: str) -> str:
+    for secret in _hidden:
+        text = text.replace(secret, MASK)
+    return _SECRET_TEXT.sub(rf"\1{MASK}", text)
+
+
+class _FromStandardLogging(logging.Handler):
+    """Hands records of the standard library's logging to loguru."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        try:
+            level: str | int = logger.level(record.levelname).name
+        except ValueError:
+            level = record.levelno
+        bound = logger.opt(exception=record.exc_info).bind(logger=record.name)
+        bound.log(level, "{}", record.getMessage())
+
+
+def _route_standard_logging(level: str) -> None:
+    number = logger.level(level).no
+    logging.basicConfig(handlers=[_FromStandardLogging()], level=number, force=True)
+    for name in _QUIET_LOGGERS:
+        logging.getLogger(name).setLevel(max(number, logging.WARNING))
--- /dev/null
+++ b/gooseberrydale/process/metrics.py
@@ -0,0 +1,56 @@
+"""Metrics of a process: OpenTelemetry meters read by a Prometheus scrape.
+
+A :class:`Metrics` belongs to one role and has a registry of its own, so that
+several roles can live in one process.  Mount ``route`` in any starlette app.
+"""
+
+from __future__ import annotations
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from gooseberrydale.process.instruments import PREFIX, make_instruments
+
+METRICS_PATH = "/metrics"
+
+
+class Metrics:
+    """The instruments of one role and the text that a scrape gets."""
+
+    def __init__(self, role: str, name: str, zone: str = "") -> None:
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            scope_info_enabled=False, registry=self._registry
+        )
+        resource = Resource(
+            {
+                "service.name": f"{PREFIX}-{role}",
+                "service.instance.id": name,
+                "cloud.availability_zone": zone,
+            }
+        )
+        self._provider = MeterProvider(
+            [reader], resource=resource, shutdown_on_exit=False
+        )
+        self.instruments = make_instruments(self._provider.get_meter(PREFIX))
+
+    def render(self) -> bytes:
+        """Return all values in Prometheus' text format."""
+        return generate_latest(self._registry)
+
+    def route(self) -> Route:
+        """Return a starlette route that answers scrapes at ``/metrics``."""
+
+        async def scrape(_: Request) -> Response:
+            return Response(self.render(), media_type=CONTENT_TYPE_LATEST)
+
+        return Route(METRICS_PATH, scrape, methods=["GET"])
+
+    def close(self) -> None:
+        """Detach the reader; the instruments may still be called, to no effect."""
+        self._provider.shutdown()
--- /dev/null
+++ b/gooseberrydale/process/runner.py
@@ -0,0 +1,216 @@
+"""Runs one role from its settings to its exit code.
+
+The runner lives as long as the process: it loads the settings, sets up the logs,
+starts the role, waits for a signal to stop, and lets the role drain.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import json
+import os
+import signal
+import sys
+from collections.abc import Mapping
+from enum import IntEnum
+from pathlib import Path
+from typing import Any, Protocol
+
+from loguru import logger
+from result import Err, Ok
+
+from gooseberrydale.errors import InvariantError, Problem
+from gooseberrydale.process import cfg_checks, logs
+from gooseberrydale.process.cfg import Cfg
+from gooseberrydale.process.cfg_file import load, read_token
+from gooseberrydale.process.life_cycle import LifeCycle
+
+# Imported by name, so that a process loads the code of its own role alone.
+ROLE_CLASSES = {
+    "entry": ("gooseberrydale.process.entry", "Entry"),
+    "sidecar": ("gooseberrydale.process.sidecar", "Sidecar"),
+    "control": ("gooseberrydale.process.control", "Control"),
+}
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class ExitCode(IntEnum):
+    """What the exit code of a process says."""
+
+    OK = 0
+    FAILED = 1
+    INVALID_SETTINGS = 2
+    NOT_STARTED = 3
+    NOT_DRAINED = 4
+    INVARIANT_BROKEN = 5
+    INTERRUPTED = 130
+
+
+class Role(Protocol):
+    """What the runner needs of a role."""
+
+    @property
+    def addresses(self) -> Mapping[str, str]:
+        """Listeners by name as ``IP:PORT``, known once started."""
+
+    async def start(self) -> None:
+        """Bind the listeners and serve; raises OSError if an address is taken."""
+
+    async def close(self) -> None:
+        """Take no new work, finish what runs, release everything."""
+
+
+class RoleMaker(Protocol):
+    """Builds the role inside the running loop."""
+
+    def __call__(self) -> Role: ...
+
+
+def make_role(name: str, cfg: Cfg) -> Role:
+    """Import the class of a role and build it with its settings."""
+    module, class_name = ROLE_CLASSES[name]
+    role: Role = getattr(importlib.import_module(module), class_name)(cfg)
+    return role
+
+
+def run_process(role_name: str, cfg_path: Path, ready_file: Path | None) -> ExitCode:
+    """Run the role of this process until it is told to stop."""
+    match load(cfg_path, role_name):
+        case Err(faults):
+            print_faults(faults)
+            return ExitCode.INVALID_SETTINGS
+        case Ok(cfg):
+            return run_with(role_name, cfg, ready_file)
+
+
+def run_with(role_name: str, cfg: Cfg, ready_file: Path | None = None) -> ExitCode:
+    """Run a role with settings that are loaded already."""
+    logs.hide(read_token(cfg.fleet.token_file))
+    logs.setup(cfg.log, logs.Identity(role_name, cfg.node.name))
+    for warning in cfg_checks.warnings(cfg):
+        logger.warning("{}", warning)
+    return run_role(lambda: make_role(role_name, cfg), ready_file)
+
+
+def run_role(make: RoleMaker, ready_file: Path | None = None) -> ExitCode:
+    """Run what ``make`` builds until a signal ends it."""
+    try:
+        return asyncio.run(Runner(make, ready_file).run())
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+
+
+def print_faults(faults: tuple[Problem, ...]) -> None:
+    """Write one line for each fault to standard error."""
+    for fault in faults:
+        print(fault.message, file=sys.stderr)
+
+
+class Runner:
+    """Takes one role through the life cycle of its process."""
+
+    def __init__(self, make: RoleMaker, ready_file: Path | None = None) -> None:
+        self._make = make
+        self._ready_file = ready_file
+        self._life = LifeCycle()
+        self._stop = asyncio.Event()
+        self._code = ExitCode.OK
+
+    async def run(self) -> ExitCode:
+        """Start, serve until told to stop, drain; return the exit code."""
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._on_loop_error)
+        for number in _STOP_SIGNALS:
+            loop.add_signal_handler(number, self._on_signal, number)
+        try:
+            role = self._make()
+            if not await self._start(role):
+                return self._code
+            await self._stop.wait()
+            await self._drain(role)
+        finally:
+            for number in _STOP_SIGNALS:
+                loop.remove_signal_handler(number)
+        return self._code
+
+    def stop(self) -> None:
+        """Ask for a graceful shutdown."""
+        self._stop.set()
+
+    async def _start(self, role: Role) -> bool:
+        """Start the role; a signal to stop or a fault ends the attempt."""
+        starting = asyncio.ensure_future(role.start())
+        stopped = asyncio.ensure_future(self._stop.wait())
+        await asyncio.wait({starting, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        stopped.cancel()
+        if not starting.done():
+            starting.cancel()
+        try:
+            await starting
+        except asyncio.CancelledError:
+            logger.info("told to stop before the start was complete")
+        except OSError as exc:
+            self._fail(ExitCode.NOT_STARTED, "cannot start: {}", exc)
+        except Exception as exc:
+            logger.opt(exception=exc).critical("the role failed to start")
+            self._code = ExitCode.NOT_STARTED
+        else:
+            self._life.begin_serving()
+            self._announce(role)
+            return True
+        await self._close_quietly(role)
+        self._life.give_up()
+        return False
+
+    def _announce(self, role: Role) -> None:
+        addresses = dict(role.addresses)
+        listed = " ".join(f"{name}={at}" for name, at in addresses.items())
+        logger.info("serving on {}", listed)
+        if self._ready_file is not None:
+            write_atomically(self._ready_file, json.dumps(addresses))
+
+    async def _drain(self, role: Role) -> None:
+        self._life.begin_draining()
+        logger.info("draining")
+        try:
+            await role.close()
+        except Exception as exc:
+            logger.opt(exception=exc).error("the role failed while it drained")
+            self._code = self._code or ExitCode.NOT_DRAINED
+        self._life.finish()
+        logger.info("stopped")
+
+    async def _close_quietly(self, role: Role) -> None:
+        try:
+            await role.close()
+        except Exception as exc:
+            logger.opt(exception=exc).error("the role failed to close")
+
+    def _fail(self, code: ExitCode, text: str, exc: Exception) -> None:
+        logger.critical(text, exc)
+        self._code = code
+
+    def _on_signal(self, number: signal.Signals) -> None:
+        logger.info("got {}", number.name)
+        if number == signal.SIGINT:
+            # A second Ctrl-C interrupts at once: the operator gives up what runs.
+            asyncio.get_running_loop().remove_signal_handler(number)
+        self.stop()
+
+    def _on_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """A task failed and nobody awaited it; a broken invariant ends the process."""
+        exc = context.get("exception")
+        logger.opt(exception=exc).error("{}", context.get("message"))
+        if isinstance(exc, InvariantError):
+            self._code = ExitCode.INVARIANT_BROKEN
+            self.stop()
+
+
+def write_atomically(path: Path, text: str) -> None:
+    """Write a small file so that a reader sees all of it or none."""
+    draft = path.with_name(path.name + ".tmp")
+    draft.write_text(text, encoding="utf-8")
+    os.replace(draft, path)
