Add the replicated log's decisions

Cause: control needs a log of its own that survives lost messages, disks and leaders. Ruled out: swapping a lost identity for a new one in one entry, since the quorums before and after need not overlap; the old one is removed first, then the new one added.

--- /dev/null
+++ b/gooseberrydale/version/replication/core.py
@@ -0,0 +1,216 @@
+"""State of one replica's log, and the steps that every role shares.
+
+The role modules (``election``, ``follower``, ``leader``, ``joining``) are functions
+over a :class:`Core`; they append actions to ``Core.out``.  Lives as long as the
+process.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from gooseberrydale.errors import InvariantError
+from gooseberrydale.version.replication.actions import (
+    Action,
+    Apply,
+    MembersCommitted,
+    SaveState,
+    Send,
+    TakeSnapshot,
+)
+from gooseberrydale.version.replication.log import RaftLog
+from gooseberrydale.version.replication.messages import (
+    Entry,
+    Envelope,
+    HardState,
+    Member,
+    PeerMessage,
+    Snapshot,
+)
+
+
+class Role(StrEnum):
+    """What a replica does at present."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class RaftCfg:
+    """Times in seconds, sizes in entries.
+
+    ``names`` are the replica names that may become members.  ``lease_s`` must stay
+    under ``election_min_s``, so that a leader stops before another can be elected
+    even if the clocks run at slightly different rates.
+    """
+
+    names: frozenset[str]
+    heartbeat_s: float = 0.25
+    election_min_s: float = 1.0
+    election_max_s: float = 2.0
+    lease_s: float = 0.8
+    batch_entries: int = 256
+    inflight_entries: int = 1024
+    snapshot_entries: int = 1_000
+    keep_entries: int = 200
+
+    def __post_init__(self) -> None:
+        if not self.heartbeat_s < self.lease_s < self.election_min_s:
+            raise ValueError("order the times: heartbeat_s < lease_s < election_min_s")
+        if self.election_min_s >= self.election_max_s:
+            raise ValueError("election_max_s must exceed election_min_s")
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of one other replica's log.
+
+    ``promised_at`` is the sending time of the newest message that it answered,
+    ``heard_at`` when its last answer came, ``joined_at`` when it last asked to
+    join; ``snapshot_at`` is when an unanswered snapshot was sent.
+    """
+
+    member: Member
+    next: int
+    match: int = 0
+    promised_at: float = float("-inf")
+    heard_at: float = float("-inf")
+    joined_at: float = float("-inf")
+    snapshot_at: float | None = None
+
+
+class Core:
+    """Everything one replica knows; ``me`` is its name and identity."""
+
+    def __init__(
+        self,
+        cfg: RaftCfg,
+        me: Member,
+        state: HardState,
+        log: RaftLog,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.cfg = cfg
+        self.me = me
+        self.state = state
+        self.log = log
+        self.rng = rng
+        self.commit = log.snapshot.index
+        self.applied = log.snapshot.index
+        self.role = Role.FOLLOWER
+        self.leader: Member | None = None
+        self.term_leader: Member | None = None
+        self.votes: set[str] = set()
+        self.progress: dict[str, Progress] = {}
+        self.synced = log.last_index
+        self.elected_at = now
+        self.heartbeat_at = now
+        self.join_at = now
+        # A restarted replica has forgotten its last promise, so it makes a new one.
+        self.heard_at = now
+        self.election_at = now
+        self.defer_election(now)
+        self.out: list[Action] = []
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica's own log names it as a member."""
+        return self.log.membership.has(self.me.identity)
+
+    def defer_election(self, now: float) -> None:
+        """Wait a random time before the next election."""
+        cfg = self.cfg
+        self.election_at = now + self.rng.uniform(
+            cfg.election_min_s, cfg.election_max_s
+        )
+
+    def send(
+        self, target: Member, body: PeerMessage, *, after_sync: bool = True
+    ) -> None:
+        """Ask for a message to be sent."""
+        envelope = Envelope(self.state.cluster, self.me, target.identity, body)
+        self.out.append(Send(target.name, envelope, after_sync))
+
+    def save(
+        self,
+        *,
+        term: int | None = None,
+        vote: str | None = None,
+        cluster: str | None = None,
+    ) -> None:
+        """Change the hard state and ask for it to be written."""
+        old = self.state
+        term = old.term if term is None else term
+        if term < old.term:
+            raise InvariantError(f"term falls from {old.term} to {term}")
+        if vote is None:
+            vote = old.vote if term == old.term else ""
+        if term == old.term and old.vote and vote != old.vote:
+            raise InvariantError(f"second vote in term {term}")
+        if cluster is not None and old.cluster not in ("", cluster):
+            raise InvariantError("a replica changes its cluster")
+        new = replace(old, term=term, vote=vote)
+        if cluster is not None:
+            new = replace(new, cluster=cluster)
+        if new != old:
+            self.state = new
+            self.out.append(SaveState(new))
+
+    def follow(self, term: int, leader: Member | None) -> None:
+        """Become a follower in ``term``, of ``leader`` if it is known."""
+        if term > self.state.term:
+            self.save(term=term)
+            self.leader = None
+            self.term_leader = None
+        if leader is not None:
+            self.check_one_leader(leader)
+            self.leader = leader
+        elif self.role is Role.LEADER:
+            self.leader = None
+        self.role = Role.FOLLOWER
+        self.votes.clear()
+        self.progress.clear()
+
+    def check_one_leader(self, leader: Member) -> None:
+        """Note who leads in this term; raise if it was another before."""
+        if self.term_leader not in (None, leader):
+            raise InvariantError(f"two leaders in term {self.state.term}")
+        self.term_leader = leader
+
+    def forget_synced_after_end(self) -> None:
+        """Entries that replace dropped ones are not on disk yet."""
+        self.synced = min(self.synced, self.log.last_index)
+
+    def advance_commit(self, index: int) -> None:
+        """Commit up to ``index`` and ask for the new entries to be applied."""
+        if index < self.commit:
+            raise InvariantError(f"commit falls from {self.commit} to {index}")
+        if index > self.log.last_index:
+            raise InvariantError(f"commit {index} passes the log's end")
+        if index == self.commit:
+            return
+        entries = self.log.slice(self.applied + 1, index - self.applied)
+        self.commit = index
+        self.applied = index
+        self.out.append(Apply(entries))
+        self._report_members(entries)
+        if index - self.log.snapshot.index >= self.cfg.snapshot_entries:
+            self.out.append(TakeSnapshot(index))
+
+    def _report_members(self, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            if entry.membership is not None:
+                self.out.append(MembersCommitted(entry.membership))
+
+    def make_snapshot(self, index: int, data: bytes) -> Snapshot:
+        """Return the snapshot at ``index`` with the machine's bytes."""
+        term = self.log.term_at(index)
+        if term is None or index > self.applied:
+            raise InvariantError(f"no snapshot can stand at index {index}")
+        return Snapshot(index, term, self.log.membership_at(index), data)
--- /dev/null
+++ b/gooseberrydale/version/replication/follower.py
@@ -0,0 +1,117 @@
+"""The follower's side: entries and snapshots from the leader.
+
+A reply is sent only after the sync of what it acknowledges.
+"""
+
+from __future__ import annotations
+
+from gooseberrydale.errors import InvariantError
+from gooseberrydale.version.replication.actions import (
+    Append,
+    Restore,
+    SaveSnapshot,
+    Truncate,
+)
+from gooseberrydale.version.replication.core import Core
+from gooseberrydale.version.replication.messages import (
+    AppendReply,
+    AppendReq,
+    Entry,
+    Member,
+    SnapshotReq,
+)
+
+
+def on_append(core: Core, source: Member, req: AppendReq, now: float) -> None:
+    """Take entries over from the leader, or say where the logs part."""
+    if not _accept_leader(core, source, req.term, req.sent_at, now):
+        return
+    match = req.prev_index + len(req.entries)
+    if not _fits(core, req):
+        hint = _last_possible_match(core, req.prev_index)
+        core.send(source, AppendReply(core.state.term, False, hint, req.sent_at))
+        return
+    _store(core, req.entries)
+    core.advance_commit(max(core.commit, min(req.commit, match)))
+    core.send(source, AppendReply(core.state.term, True, match, req.sent_at))
+
+
+def _accept_leader(
+    core: Core, source: Member, term: int, sent_at: float, now: float
+) -> bool:
+    if term < core.state.term:
+        core.send(source, AppendReply(core.state.term, False, 0, sent_at))
+        return False
+    core.follow(term, source)
+    core.heard_at = now
+    core.defer_election(now)
+    return True
+
+
+def _fits(core: Core, req: AppendReq) -> bool:
+    if req.prev_index <= core.commit:
+        # Committed entries are the same everywhere; some may be compacted here.
+        return True
+    return core.log.term_at(req.prev_index) == req.prev_term
+
+
+def _last_possible_match(core: Core, prev_index: int) -> int:
+    """Skip the whole term in which the logs part."""
+    hint = min(core.log.last_index, prev_index - 1)
+    parted = core.log.term_at(prev_index)
+    while hint > core.commit and core.log.term_at(hint) == parted:
+        hint -= 1
+    return max(hint, core.commit)
+
+
+def _store(core: Core, entries: tuple[Entry, ...]) -> None:
+    """Append what is new; truncate only at a real conflict."""
+    new = _new_entries(core, entries)
+    if not new:
+        return
+    if new[0].index <= core.log.last_index:
+        core.log.truncate(new[0].index, core.commit)
+        core.forget_synced_after_end()
+        core.out.append(Truncate(new[0].index))
+    for entry in new:
+        core.log.append(entry)
+    core.out.append(Append(new))
+
+
+def _new_entries(core: Core, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
+    for number, entry in enumerate(entries):
+        if entry.index <= core.log.base_index:
+            continue
+        term = core.log.term_at(entry.index)
+        if term == entry.term:
+            continue
+        if entry.index <= core.commit:
+            raise InvariantError(f"committed entry {entry.index} would change")
+        return entries[number:]
+    return ()
+
+
+def on_snapshot(core: Core, source: Member, req: SnapshotReq, now: float) -> None:
+    """Replace log and state machine by the leader's snapshot if it is newer."""
+    if not _accept_leader(core, source, req.term, req.sent_at, now):
+        return
+    snapshot = req.snapshot
+    if snapshot.index > core.commit:
+        suffix = _suffix(core, snapshot.index, snapshot.term)
+        core.log.reset(snapshot)
+        core.forget_synced_after_end()
+        for entry in suffix:
+            core.log.append(entry)
+        core.commit = snapshot.index
+        core.applied = snapshot.index
+        core.out.append(Restore(snapshot))
+        core.out.append(SaveSnapshot(snapshot, core.state, suffix))
+    reply = AppendReply(core.state.term, True, snapshot.index, req.sent_at)
+    core.send(source, reply)
+
+
+def _suffix(core: Core, index: int, term: int) -> tuple[Entry, ...]:
+    log = core.log
+    if log.term_at(index) != term:
+        return ()
+    return log.slice(index + 1, log.last_index - index)
--- /dev/null
+++ b/gooseberrydale/version/replication/raft.py
@@ -0,0 +1,178 @@
+"""One replica's decisions: events in, actions out, no IO and no clock.
+
+Lives as long as the process; what must outlast it is written by the owner as the
+actions ask.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from gooseberrydale.version.replication import election, follower, joining, leader
+from gooseberrydale.version.replication.actions import (
+    Action,
+    Event,
+    Propose,
+    Received,
+    SaveSnapshot,
+    SnapshotTaken,
+    Synced,
+    Tick,
+)
+from gooseberrydale.version.replication.core import Core, RaftCfg, Role
+from gooseberrydale.version.replication.joining import Repair
+from gooseberrydale.version.replication.log import RaftLog
+from gooseberrydale.version.replication.messages import (
+    AppendReply,
+    AppendReq,
+    Entry,
+    Envelope,
+    HardState,
+    JoinReq,
+    Member,
+    Membership,
+    Snapshot,
+    SnapshotReq,
+    VoteReply,
+    VoteReq,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """What a replica finds on its disk."""
+
+    state: HardState = HardState()
+    snapshot: Snapshot = Snapshot()
+    entries: tuple[Entry, ...] = ()
+
+
+class RaftNode:
+    """The decisions of one replica; times are seconds of the owner's clock."""
+
+    def __init__(
+        self,
+        cfg: RaftCfg,
+        me: Member,
+        stored: Stored,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        log = RaftLog(stored.snapshot, stored.entries)
+        self._core = Core(cfg, me, stored.state, log, rng, now)
+
+    def step(self, event: Event, now: float) -> list[Action]:
+        """Take in one event and return what to do, in order."""
+        core = self._core
+        match event:
+            case Tick():
+                self._tick(now)
+            case Received(envelope):
+                self._receive(envelope, now)
+            case Propose():
+                leader.propose(core, event, now)
+            case Synced():
+                leader.on_synced(core, event)
+            case SnapshotTaken(index, data):
+                self._compact(index, data)
+        actions, core.out = core.out, []
+        return actions
+
+    def may_lead(self, now: float) -> bool:
+        """Whether this replica may answer and give orders as leader.
+
+        It must hold a lease, and have committed in its own term, so that its state
+        machine has everything that was committed before.
+        """
+        core = self._core
+        if core.role is not Role.LEADER or now >= leader.lease_until(core):
+            return False
+        return core.log.term_at(core.commit) == core.state.term
+
+    def next_tick(self) -> float:
+        """When the next tick is needed, in seconds of the owner's clock."""
+        core = self._core
+        if core.role is Role.LEADER:
+            return core.heartbeat_at
+        return min(core.election_at, core.join_at + core.cfg.heartbeat_s)
+
+    @property
+    def role(self) -> Role:
+        """What the replica does at present."""
+        return self._core.role
+
+    @property
+    def leader(self) -> Member | None:
+        """Who leads as far as is known."""
+        return self._core.leader
+
+    @property
+    def state(self) -> HardState:
+        """Cluster, term and vote."""
+        return self._core.state
+
+    @property
+    def commit(self) -> int:
+        """Index of the last entry known to be committed."""
+        return self._core.commit
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry of the log."""
+        return self._core.log.last_index
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry of the log."""
+        return self._core.log.last_term
+
+    @property
+    def membership(self) -> Membership:
+        """The newest membership, committed or not."""
+        return self._core.log.membership
+
+    def repairs(self, now: float) -> tuple[Repair, ...]:
+        """How each configured replica name stands; empty unless leading."""
+        return joining.repairs(self._core, now)
+
+    def _tick(self, now: float) -> None:
+        leader.tick(self._core, now)
+        election.tick(self._core, now)
+        joining.tick(self._core, now)
+
+    def _compact(self, index: int, data: bytes) -> None:
+        core = self._core
+        snapshot = core.make_snapshot(index, data)
+        core.log.compact(snapshot, core.cfg.keep_entries)
+        entries = core.log.slice(index + 1, core.log.last_index - index)
+        core.out.append(SaveSnapshot(snapshot, core.state, entries))
+
+    def _receive(self, envelope: Envelope, now: float) -> None:
+        if not self._is_for_me(envelope):
+            return
+        core, source = self._core, envelope.source
+        match envelope.body:
+            case VoteReq() as body:
+                election.on_request(core, source, body, now)
+            case VoteReply() as body:
+                election.on_reply(core, source, body, now)
+            case AppendReq() as body:
+                follower.on_append(core, source, body, now)
+            case SnapshotReq() as body:
+                follower.on_snapshot(core, source, body, now)
+            case AppendReply() as body:
+                leader.on_reply(core, source, body, now)
+            case JoinReq():
+                joining.on_request(core, source, now)
+
+    def _is_for_me(self, envelope: Envelope) -> bool:
+        """Keep clusters and identities apart; a new replica joins who leads it."""
+        core, body = self._core, envelope.body
+        if isinstance(body, JoinReq):
+            return envelope.cluster in ("", core.state.cluster)
+        if envelope.target != core.me.identity or not envelope.cluster:
+            return False
+        if not core.state.cluster and isinstance(body, (AppendReq, SnapshotReq)):
+            core.save(cluster=envelope.cluster)
+        return envelope.cluster == core.state.cluster
--- /dev/null
+++ b/tests/builders_replication.py
@@ -0,0 +1,294 @@
+"""Replicas in memory, with disks that forget what was not synced."""
+
+import random
+from dataclasses import dataclass, field, replace
+
+from gooseberrydale.version.replication import actions as act
+from gooseberrydale.version.replication.bootstrap import first_start
+from gooseberrydale.version.replication.core import RaftCfg, Role
+from gooseberrydale.version.replication.messages import Member, Membership
+from gooseberrydale.version.replication.raft import RaftNode, Stored
+
+STEP_S = 0.05
+NAMES = ("c1", "c2", "c3", "c4", "c5")
+RATES = (1.0, 1.05, 0.95, 1.0, 1.05)  # of the replicas' clocks
+
+
+def small_cfg(names):
+    """Settings under which logs are compacted every few entries."""
+    return RaftCfg(
+        frozenset(names), snapshot_entries=6, keep_entries=2, batch_entries=3
+    )
+
+
+def written(stored, write):
+    """What is on disk after one more write."""
+    match write:
+        case act.SaveState(state):
+            return replace(stored, state=state)
+        case act.Truncate(index):
+            kept = tuple(e for e in stored.entries if e.index < index)
+            return replace(stored, entries=kept)
+        case act.Append(entries):
+            return replace(stored, entries=stored.entries + entries)
+        case act.SaveSnapshot(snapshot, state, entries):
+            return Stored(state, snapshot, entries)
+
+
+@dataclass
+class FakeReplica:
+    """A node with its disk; ``queue`` holds writes and sends until the sync."""
+
+    name: str
+    rate: float
+    identity: str
+    stored: Stored = Stored()
+    node: RaftNode | None = None
+    queue: list = field(default_factory=list)
+    machine: tuple = (0, 0)  # index and hash of all that was applied
+    open: dict = field(default_factory=dict)
+
+    @property
+    def me(self):
+        return Member(self.name, self.identity)
+
+    @property
+    def membership(self):
+        """The newest membership on disk or in memory."""
+        if self.node is not None:
+            return self.node.membership
+        found = [self.stored.snapshot.membership]
+        found += [e.membership for e in self.stored.entries if e.membership]
+        return found[-1]
+
+
+class FakeCluster:
+    """Replicas, the messages between them and the faults; checks as it goes."""
+
+    def __init__(self, size, seed=0):
+        self.rng = random.Random(seed)
+        self.names = NAMES[:size]
+        self.cfg = small_cfg(self.names)
+        self.now = 0.0
+        self.cuts = set()
+        self.frozen = set()
+        self.wire = []
+        self.lost = set()
+        self.numbers = 0
+        self.answered = {}
+        self.committed = {}  # index -> (entry, hash after it)
+        self.leaders = {}  # term -> identity
+        self.replicas = {
+            name: FakeReplica(name, rate, f"{name}-0")
+            for name, rate in zip(self.names, RATES)
+        }
+        first = self.replicas["c1"]
+        first.stored = first_start(first.me, "cluster")
+        for replica in self.replicas.values():
+            self.restart(replica)
+
+    def clock(self, replica):
+        return self.now * replica.rate
+
+    # Faults.
+
+    def crash(self, replica, kept_writes=0):
+        """Stop; of the writes not synced only the first ones are kept."""
+        for item in replica.queue[:kept_writes]:
+            if not isinstance(item, act.Send):
+                replica.stored = written(replica.stored, item)
+        replica.node = None
+        replica.queue = []
+        replica.open = {}
+        self.frozen.discard(replica.name)
+
+    def restart(self, replica):
+        stored = replica.stored
+        rng = random.Random(self.rng.random())
+        replica.node = RaftNode(self.cfg, replica.me, stored, rng, self.clock(replica))
+        replica.machine = (0, 0)
+        if stored.snapshot.index:
+            self._restore(replica, stored.snapshot)
+
+    def may_wipe(self, replica):
+        """Whether a majority of disks stays, by every membership in use."""
+        lost = self.lost | {replica.identity}
+        for other in self.replicas.values():
+            members = other.membership.members if other is not replica else ()
+            gone = sum(member.identity in lost for member in members)
+            if members and gone > (len(members) - 1) // 2:
+                return False
+        return any(other.membership.members for other in self.others(replica))
+
+    def others(self, replica):
+        return [r for r in self.replicas.values() if r is not replica]
+
+    def wipe(self, replica):
+        self.crash(replica)
+        self.lost.add(replica.identity)
+        replica.identity = f"{replica.name}-{len(self.lost)}"
+        replica.stored = Stored()
+
+    # The passing of time.
+
+    def run(self, seconds, loss=0.0, repeat=0.0, delay_s=0.02, sync=1.0):
+        """Let time pass; ``sync`` is the chance that a disk syncs in one step."""
+        for _ in range(int(seconds / STEP_S)):
+            self.now += STEP_S
+            self._deliver(loss, repeat, delay_s)
+            for replica in self.running():
+                if self.rng.random() < 0.9:
+                    self.step(replica, act.Tick())
+            for replica in self.running():
+                if self.rng.random() < sync:
+                    self.sync(replica)
+            self.check_leases()
+
+    def running(self):
+        return [
+            r
+            for r in self.replicas.values()
+            if r.node is not None and r.name not in self.frozen
+        ]
+
+    def _deliver(self, loss, repeat, delay_s):
+        due = [item for item in self.wire if item[0] <= self.now]
+        self.wire = [item for item in self.wire if item[0] > self.now]
+        self.rng.shuffle(due)
+        for _, name, envelope in due:
+            if self.rng.random() < repeat:
+                late = self.now + self.rng.random() * 20 * delay_s
+                self.wire.append((late, name, envelope))
+            replica = self.replicas[name]
+            cut = (envelope.source.name, name) in self.cuts
+            if cut or replica.node is None or self.rng.random() < loss:
+                continue
+            if name in self.frozen:
+                self.wire.append((self.now + STEP_S, name, envelope))
+                continue
+            self.step(replica, act.Received(envelope))
+        self._delay_s = delay_s
+
+    _delay_s = 0.02
+
+    def propose(self, replica):
+        self.numbers += 1
+        command = b"%d" % self.numbers
+        self.step(replica, act.Propose(((self.numbers, command),)))
+
+    # Actions.
+
+    def step(self, replica, event):
+        for action in replica.node.step(event, self.clock(replica)):
+            self._carry_out(replica, action)
+        self._check_leader(replica)
+
+    def _carry_out(self, replica, action):
+        match action:
+            case act.Send(name, envelope, after_sync):
+                if after_sync and replica.queue:
+                    replica.queue.append(action)
+                else:
+                    self._post(name, envelope)
+            case act.Apply(entries):
+                for entry in entries:
+                    self._apply(replica, entry)
+            case act.Restore(snapshot):
+                self._restore(replica, snapshot)
+            case act.TakeSnapshot(index):
+                assert replica.machine[0] == index
+                data = b"%d %d" % replica.machine
+                self.step(replica, act.SnapshotTaken(index, data))
+            case act.Accepted(number, index, term):
+                replica.open[index] = (number, term)
+            case act.NotLeader() | act.MembersCommitted():
+                pass
+            case _:
+                replica.queue.append(action)
+
+    def _post(self, name, envelope):
+        if name in self.replicas:
+            due = self.now + self.rng.random() * self._delay_s
+            self.wire.append((due, name, envelope))
+
+    def sync(self, replica):
+        queue, replica.queue = replica.queue, []
+        for item in queue:
+            if isinstance(item, act.Send):
+                self._post(item.name, item.envelope)
+            else:
+                replica.stored = written(replica.stored, item)
+        stored = replica.stored
+        last = stored.entries[-1] if stored.entries else stored.snapshot
+        self.step(replica, act.Synced(last.index, last.term))
+
+    # Checks.
+
+    def _apply(self, replica, entry):
+        index, digest = replica.machine
+        assert entry.index == index + 1, "applied out of order"
+        digest = hash((digest, entry.index, entry.term, entry.data))
+        known = self.committed.setdefault(entry.index, (entry, digest))
+        assert known == (entry, digest), "a committed entry changed"
+        replica.machine = (entry.index, digest)
+        number, term = replica.open.pop(entry.index, (None, None))
+        may_lead = replica.node.may_lead(self.clock(replica))
+        if number is not None and term == entry.term and may_lead:
+            self.answered[number] = entry.index
+
+    def _restore(self, replica, snapshot):
+        index, digest = (int(part) for part in snapshot.data.split())
+        assert index == snapshot.index
+        assert self.committed[index][1] == digest, "a snapshot differs"
+        replica.machine = (index, digest)
+
+    def _check_leader(self, replica):
+        if replica.node.role is Role.LEADER:
+            term = replica.node.state.term
+            known = self.leaders.setdefault(term, replica.identity)
+            assert known == replica.identity, f"two leaders in term {term}"
+
+    def check_leases(self):
+        """Whoever may answer is alone and knows all that is committed."""
+        alive = [r for r in self.replicas.values() if r.node is not None]
+        leading = [r for r in alive if r.node.may_lead(self.clock(r))]
+        assert len(leading) <= 1, "two replicas may answer"
+        for leader in leading:
+            newest = max(r.node.commit for r in alive)
+            assert leader.node.commit >= newest, "an outdated leader may answer"
+
+    def leader(self):
+        leading = [r for r in self.running() if r.node.may_lead(self.clock(r))]
+        return leading[0] if leading else None
+
+    def heal(self):
+        self.cuts.clear()
+        self.frozen.clear()
+        for replica in self.replicas.values():
+            if replica.node is None:
+                self.restart(replica)
+
+    def full(self):
+        """Whether a leader reports every replica name as repaired."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        repairs = leader.node.repairs(self.clock(leader))
+        return all(repair.state == "done" for repair in repairs)
+
+    def run_until(self, condition, seconds=60.0):
+        deadline = self.now + seconds
+        while not condition():
+            assert self.now < deadline, "the cluster is stuck"
+            self.run(STEP_S)
+
+
+def formed(size, seed=0):
+    """A cluster in which every replica is a member."""
+    cluster = FakeCluster(size, seed)
+    cluster.run_until(cluster.full)
+    return cluster
+
+
+def membership(*names):
+    return Membership(tuple(Member(name, f"{name}-0") for name in names))
--- /dev/null
+++ b/tests/test_raft_machine.py
@@ -0,0 +1,146 @@
+"""Long random runs of three and five replicas under every fault at once.
+
+The checks live in ``FakeCluster`` and in the program (InvariantError): one leader a
+term, committed entries never change, applied prefixes are equal, and whoever may
+answer is alone and knows everything committed.
+"""
+
+import os
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+
+from tests.builders_replication import NAMES, formed
+
+SOAK = os.environ.get("HYPOTHESIS_PROFILE") == "soak"
+RUNS = settings(
+    max_examples=settings.default.max_examples if SOAK else 150,
+    stateful_step_count=60 if SOAK else 40,
+)
+names = st.sampled_from(NAMES)
+times = st.sampled_from([0.1, 0.3, 1.0, 3.0])
+
+
+class _Runs(RuleBasedStateMachine):
+    """Rules are faults and stretches of time; sizes are set below."""
+
+    size = 3
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = formed(self.size)
+
+    def pick(self, name):
+        index = NAMES.index(name) % self.size
+        return self.cluster.replicas[NAMES[index]]
+
+    @rule(seconds=times, seed=st.integers(0, 1000))
+    def calm(self, seconds, seed):
+        self.cluster.rng.seed(seed)
+        self.cluster.run(seconds)
+
+    @rule(
+        seconds=times,
+        loss=st.sampled_from([0.0, 0.1, 0.5]),
+        repeat=st.sampled_from([0.0, 0.3]),
+        delay_s=st.sampled_from([0.02, 0.3, 1.5]),
+        sync=st.sampled_from([1.0, 0.3, 0.05]),
+        seed=st.integers(0, 1000),
+    )
+    def storm(self, seconds, seed, **faults):
+        self.cluster.rng.seed(seed)
+        self.cluster.run(seconds, **faults)
+
+    @rule(name=names, count=st.integers(1, 8))
+    def propose(self, name, count):
+        replica = self.cluster.leader() or self.pick(name)
+        if replica.node is not None:
+            for _ in range(count):
+                self.cluster.propose(replica)
+
+    @rule(name=names)
+    def propose_anywhere(self, name):
+        if self.pick(name).node is not None:
+            self.cluster.propose(self.pick(name))
+
+    @rule(source=names, sink=names)
+    def cut_one_way(self, source, sink):
+        self.cluster.cuts.add((self.pick(source).name, self.pick(sink).name))
+
+    @rule(name=names)
+    def isolate(self, name):
+        alone = self.pick(name)
+        for other in self.cluster.others(alone):
+            self.cluster.cuts |= {(alone.name, other.name), (other.name, alone.name)}
+
+    @rule()
+    def isolate_leader(self):
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.isolate(leader.name)
+
+    @rule()
+    def mend_cuts(self):
+        self.cluster.cuts.clear()
+
+    @rule(name=names)
+    def freeze(self, name):
+        self.cluster.frozen.add(self.pick(name).name)
+
+    @rule()
+    def thaw(self):
+        self.cluster.frozen.clear()
+
+    @rule(name=names, kept=st.integers(0, 4))
+    def crash(self, name, kept):
+        self.cluster.crash(self.pick(name), kept)
+
+    @rule(name=names, kept=st.integers(0, 4))
+    def crash_and_restart(self, name, kept):
+        self.cluster.crash(self.pick(name), kept)
+        self.cluster.restart(self.pick(name))
+
+    @rule()
+    def restart_all(self):
+        for replica in self.cluster.replicas.values():
+            if replica.node is None:
+                self.cluster.restart(replica)
+
+    @rule(name=names)
+    def lose_disk(self, name):
+        if self.cluster.may_wipe(self.pick(name)):
+            self.cluster.wipe(self.pick(name))
+            self.cluster.restart(self.pick(name))
+
+    @rule()
+    def lose_disk_right_after_repair(self):
+        self.cluster.heal()
+        self.cluster.run_until(self.cluster.full)
+        victim = self.cluster.leader()
+        assert self.cluster.may_wipe(victim), "repair was reported too early"
+        self.cluster.wipe(victim)
+        self.cluster.restart(victim)
+
+    def teardown(self):
+        """Once faults end, the cluster repairs itself and commits again."""
+        cluster = self.cluster
+        cluster.heal()
+        cluster.run_until(cluster.full)
+        cluster.propose(cluster.leader())
+        number = cluster.numbers
+        cluster.run_until(lambda: number in cluster.answered)
+        cluster.run(2.0)
+        newest = max(cluster.committed)
+        for replica in cluster.replicas.values():
+            assert replica.machine == (newest, cluster.committed[newest][1])
+
+
+class _FiveRuns(_Runs):
+    size = 5
+
+
+@pytest.mark.parametrize("runs", [_Runs, _FiveRuns])
+def test_no_fault_breaks_agreement(runs):
+    run_state_machine_as_test(runs, settings=RUNS)
