Choose upstreams by expected time to first token

Cause: shared prefixes must be found again without a learned or shared table. Conclusion: interface stands, behaviour not yet proved.

--- /dev/null
+++ b/gooseberrydale/request/baselines.py
@@ -0,0 +1,175 @@
+"""Plain policies to measure the router against, and the choice of one by name.
+
+They see the same upstreams and the same replies as the router.  Pure; the state
+lives as long as the process.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+
+from result import Err, Ok, Result
+
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.messages import Chunk, Frame, Load
+from gooseberrydale.errors import Problem
+from gooseberrydale.request.affinity import Scopes
+from gooseberrydale.request.estimate import Estimates
+from gooseberrydale.request.members import Members, MembersByProfile
+from gooseberrydale.request.routing import (
+    Choice,
+    Policy,
+    Router,
+    RouteReq,
+    no_upstream,
+)
+
+
+class _Baseline:
+    """Chooses among all eligible upstreams and learns nothing."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._members = MembersByProfile()
+
+    def choose(
+        self, req: RouteReq, upstreams: Sequence[UpstreamRecord], now: float
+    ) -> Result[Choice, Problem]:
+        """Choose one of ``upstreams``, or say NO_UPSTREAM."""
+        members = self._members.get(req.profile, upstreams)
+        allowed = members.records
+        if req.excluded:
+            allowed = [r for r in allowed if r.name not in req.excluded]
+        if not allowed:
+            return Err(no_upstream(req))
+        return Ok(Choice(self._pick(req, members, allowed, now), req))
+
+    def _pick(
+        self,
+        req: RouteReq,
+        members: Members,
+        allowed: list[UpstreamRecord],
+        now: float,
+    ) -> UpstreamRecord:
+        raise NotImplementedError
+
+    def dispatched(self, choice: Choice, now: float) -> None:
+        """Learn nothing."""
+
+    def observe(self, choice: Choice, frame: Frame, now: float) -> None:
+        """Learn nothing."""
+
+    def lost(self, choice: Choice, now: float) -> None:
+        """Learn nothing."""
+
+    def observe_load(self, record: UpstreamRecord, load: Load, now: float) -> None:
+        """Learn nothing."""
+
+
+class RandomPolicy(_Baseline):
+    """Any eligible upstream with the same chance."""
+
+    def _pick(
+        self,
+        req: RouteReq,
+        members: Members,
+        allowed: list[UpstreamRecord],
+        now: float,
+    ) -> UpstreamRecord:
+        return self._rng.choice(allowed)
+
+
+class RoundRobinPolicy(_Baseline):
+    """One eligible upstream after the other, from a random start."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self._turn = rng.randrange(1 << 16)
+
+    def _pick(
+        self,
+        req: RouteReq,
+        members: Members,
+        allowed: list[UpstreamRecord],
+        now: float,
+    ) -> UpstreamRecord:
+        self._turn += 1
+        return allowed[self._turn % len(allowed)]
+
+
+class LeastLoadedPolicy(_Baseline):
+    """The eligible upstream of least expected wait, blind to caches."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self._estimates = Estimates()
+
+    def _pick(
+        self,
+        req: RouteReq,
+        members: Members,
+        allowed: list[UpstreamRecord],
+        now: float,
+    ) -> UpstreamRecord:
+        waits = [self._estimates.get(record).queue_s(now) for record in allowed]
+        least = min(waits)
+        ties = [record for record, wait in zip(allowed, waits) if wait == least]
+        return self._rng.choice(ties)
+
+    def dispatched(self, choice: Choice, now: float) -> None:
+        """Add the attempt to the upstream's load."""
+        tokens = sum(piece.tokens for piece in choice.req.pieces)
+        self._estimates.get(choice.record).sent(tokens, now)
+
+    def observe(self, choice: Choice, frame: Frame, now: float) -> None:
+        """Take the load from a frame."""
+        if not isinstance(frame, Chunk):
+            self.observe_load(choice.record, frame.load, now)
+
+    def lost(self, choice: Choice, now: float) -> None:
+        """Shun the upstream for a while."""
+        self._estimates.get(choice.record).lost(now)
+
+    def observe_load(self, record: UpstreamRecord, load: Load, now: float) -> None:
+        """Take a load report that came just now."""
+        self._estimates.get(record).report(load, now)
+
+
+class HashOnlyPolicy(_Baseline):
+    """The first rendezvous home of the prompt's first piece, blind to load."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self._scopes = Scopes()
+
+    def _pick(
+        self,
+        req: RouteReq,
+        members: Members,
+        allowed: list[UpstreamRecord],
+        now: float,
+    ) -> UpstreamRecord:
+        prefixes = self._scopes.prefixes(
+            req.workspace, req.profile.model, req.pieces[:1]
+        )
+        for prefix in prefixes:
+            for name in members.homes(prefix.key):
+                if name not in req.excluded:
+                    return members.by_name[name]
+        return self._rng.choice(allowed)
+
+
+POLICIES: dict[str, Callable[[random.Random], Policy]] = {
+    "affinity": Router,
+    "random": RandomPolicy,
+    "round-robin": RoundRobinPolicy,
+    "least-loaded": LeastLoadedPolicy,
+    "hash-only": HashOnlyPolicy,
+}
+DEFAULT_POLICY = "affinity"
+
+
+def make_policy(name: str, rng: random.Random) -> Policy:
+    """Return a new policy; raises KeyError for a name outside ``POLICIES``."""
+    return POLICIES[name](rng)
--- /dev/null
+++ b/gooseberrydale/request/estimate.py
@@ -0,0 +1,126 @@
+"""What an entry believes of an upstream's load and speed.
+
+Reports come on replies and age at once.  Between two reports the entry adds what it
+has sent itself, and lets the reported wait drift towards the pool's mean, so that an
+upstream once reported busy is tried again.  Pure; a part of the router's state.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.messages import Load
+
+DEFAULT_PREFILL_TPS = 8_000.0
+DRIFT_S = 2.0
+MEAN_SMOOTHING = 0.05
+# A report left its sidecar a transfer ago and lacks what was sent meanwhile.
+REPORT_LAG_S = 0.01
+PENDING_KEPT_S = 10.0
+LOST_PENALTY_S = 5.0
+LOST_COST_S = 10.0
+FIRST_CACHE_TTL_S = 20.0
+MIN_CACHE_TTL_S = 1.0
+MAX_CACHE_TTL_S = 300.0
+TTL_GROWTH = 1.1
+TTL_SHRINK = 0.6
+
+
+class PoolMean:
+    """Smoothed means over the reports of one pool; stand in for unknown values."""
+
+    def __init__(self) -> None:
+        self.queue_s = 0.0
+        self.prefill_tps = DEFAULT_PREFILL_TPS
+
+    def add(self, load: Load) -> None:
+        """Take one report in."""
+        self.queue_s += MEAN_SMOOTHING * (load.queue_s - self.queue_s)
+        if load.prefill_tps > 0:
+            self.prefill_tps += MEAN_SMOOTHING * (load.prefill_tps - self.prefill_tps)
+
+
+class Estimate:
+    """Load, speed and cache lifetime of one life of an upstream."""
+
+    def __init__(self, record: UpstreamRecord, mean: PoolMean) -> None:
+        self._identity = identity(record)
+        self._mean = mean
+        self._load = Load()
+        self._reported_at = -math.inf
+        self._pending: deque[tuple[float, int]] = deque()
+        self._pending_tokens = 0
+        self._lost_until = -math.inf
+        self.cache_ttl_s = FIRST_CACHE_TTL_S
+
+    def fits(self, record: UpstreamRecord) -> bool:
+        """Whether this is still about the life that ``record`` announces."""
+        return self._identity == identity(record)
+
+    @property
+    def prefill_tps(self) -> float:
+        """Prefill rate in tokens a second."""
+        return self._load.prefill_tps or self._mean.prefill_tps
+
+    def queue_s(self, now: float) -> float:
+        """Expected wait of a request sent now, in seconds."""
+        self._drop_pending(now - PENDING_KEPT_S)
+        kept = math.exp(min(0.0, self._reported_at - now) / DRIFT_S)
+        reported = kept * self._load.queue_s + (1 - kept) * self._mean.queue_s
+        lost = LOST_COST_S if now < self._lost_until else 0.0
+        return reported + self._pending_tokens / self.prefill_tps + lost
+
+    def sent(self, uncached_tokens: int, now: float) -> None:
+        """Count work that the next report may lack."""
+        self._pending.append((now, uncached_tokens))
+        self._pending_tokens += uncached_tokens
+
+    def report(self, load: Load, now: float) -> None:
+        """Take a load report that came just now."""
+        self._load = load
+        self._reported_at = now
+        self._lost_until = -math.inf
+        self._drop_pending(now - REPORT_LAG_S)
+        self._mean.add(load)
+
+    def lost(self, now: float) -> None:
+        """Shun the upstream for a while: a connection to it broke."""
+        self._lost_until = now + LOST_PENALTY_S
+
+    def found_cached(self, expected_tokens: int, found_tokens: int) -> None:
+        """Learn how long this upstream's cache lasts from a kept or lost prefix."""
+        kept = found_tokens * 10 >= expected_tokens * 9
+        factor = TTL_GROWTH if kept else TTL_SHRINK
+        ttl_s = self.cache_ttl_s * factor
+        self.cache_ttl_s = min(MAX_CACHE_TTL_S, max(MIN_CACHE_TTL_S, ttl_s))
+
+    def _drop_pending(self, before: float) -> None:
+        while self._pending and self._pending[0][0] <= before:
+            self._pending_tokens -= self._pending.popleft()[1]
+
+
+class Estimates:
+    """Estimates of all upstreams that were met, by name."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, Estimate] = {}
+        self._means: dict[str, PoolMean] = {}
+
+    def get(self, record: UpstreamRecord) -> Estimate:
+        """Return the estimate for this life of the upstream, a new one if needed."""
+        found = self._by_name.get(record.name)
+        if found is None or not found.fits(record):
+            mean = self._means.setdefault(record.pool, PoolMean())
+            found = self._by_name[record.name] = Estimate(record, mean)
+        return found
+
+    def retain(self, names: frozenset[str]) -> None:
+        """Forget upstreams outside ``names``."""
+        self._by_name = {n: e for n, e in self._by_name.items() if n in names}
+
+
+def identity(record: UpstreamRecord) -> tuple[str, str, str]:
+    """Return what a view of the upstream is bound to."""
+    return record.incarnation, record.upstream_incarnation, record.weights_version
