Keep "not run" honest over all attempts, and late replies out of views

Cause: read through once more. A refusal of the last attempt said "not run" though an earlier attempt of a repeatable request might have run; a refused attach was taken for a refused dispatch; a late reply of an earlier life replaced the estimate of the present one; an upstream that refuses everything looks idle. Change: steps hand on whether an attempt may have run; refusals after an attach count as a lost connection; estimates are found by life; upstreams that refuse for another reason than load, or fail, are avoided for some seconds.

--- a/gooseberrydale/request/admission.py
+++ b/gooseberrydale/request/admission.py
@@ -62,14 +62,12 @@
         self._running: dict[str, _Running] = {}
         self._queue = FairQueue()
         self._hopeless: list[Waiting] = []
-        self._known: OrderedDict[str, None] = OrderedDict()
+        self._started: OrderedDict[str, None] = OrderedDict()
 
     def offer(self, work: Work, now: float) -> Admitted | Queued | Problem:
         """Take new work, queue it, or refuse it at once (``not_run`` is True)."""
-        if work.id in self._known:
-            return problem(
-                errors.DUPLICATE_ATTEMPT, not_run=None, attempt="", request_id=work.id
-            )
+        if self._is_known(work.id):
+            return _duplicate(work)
         if self._has_slot() and not self._queue:
             wait_s = self._prefill_backlog_s()
         else:
@@ -77,8 +75,9 @@
         if wait_s + self._prefill_s(work) > work.deadline_s:
             return self._too_late(wait_s, work)
         if self._has_slot() and not self._queue:
-            self._remember(work.id)
-            self._start(work, now)
+            # Through the queue, so that its workspace is charged for it.
+            self._queue.push(work, now)
+            self._start_queued(now)
             return Admitted()
         return self._enqueue(work, wait_s, now)
 
@@ -138,10 +137,10 @@
     def _has_slot(self) -> bool:
         return len(self._running) < self._max_running
 
-    def _remember(self, work_id: str) -> None:
-        self._known[work_id] = None
-        if len(self._known) > KEPT_IDS + self._max_running + self._max_queued:
-            self._known.popitem(last=False)
+    def _is_known(self, work_id: str) -> bool:
+        if work_id in self._running or work_id in self._queue:
+            return True
+        return work_id in self._started
 
     def _enqueue(self, work: Work, wait_s: float, now: float) -> Queued | Problem:
         displaced: tuple[tuple[str, Problem], ...] = ()
@@ -151,7 +150,6 @@
                 return self._full()
             self._queue.remove(worst.work.id)
             displaced = ((worst.work.id, self._full()),)
-        self._remember(work.id)
         self._queue.push(work, now)
         self._check()
         return Queued(wait_s, displaced)
@@ -170,8 +168,11 @@
         return started
 
     def _start(self, work: Work, now: float) -> None:
-        if work.id in self._running:
+        if work.id in self._running or work.id in self._started:
             raise InvariantError(f"work {work.id} started twice")
+        self._started[work.id] = None
+        if len(self._started) > KEPT_IDS:
+            self._started.popitem(last=False)
         self._running[work.id] = _Running(work, now)
         self._check()
 
@@ -223,3 +224,12 @@
 
     def _full(self) -> Problem:
         return problem(errors.QUEUE_FULL, retry_after_s=self._retry_after_s())
+
+
+def _duplicate(work: Work) -> Problem:
+    return problem(
+        errors.DUPLICATE_ATTEMPT,
+        not_run=None,
+        attempt=work.attempt,
+        request_id=work.id,
+    )
--- a/gooseberrydale/request/affinity.py
+++ b/gooseberrydale/request/affinity.py
@@ -90,12 +90,12 @@
         self._rates = [FIRST_HOME_HIT] * MAX_LEVELS
 
     def rate(self, level: int) -> float:
-        """Return the expected part of homes of ``level`` that hold it."""
+        """Return the part of ``level`` that its home is expected to hold."""
         return self._rates[level]
 
-    def learn(self, level: int, hit: bool) -> None:
+    def learn(self, level: int, part: float) -> None:
         """Take one reply of a home in."""
-        self._rates[level] += HOME_HIT_SMOOTHING * (float(hit) - self._rates[level])
+        self._rates[level] += HOME_HIT_SMOOTHING * (part - self._rates[level])
 
 
 class Holders:
--- a/gooseberrydale/request/baselines.py
+++ b/gooseberrydale/request/baselines.py
@@ -119,8 +119,9 @@
 
     def dispatched(self, choice: Choice, now: float) -> None:
         """Add the attempt to the upstream's load."""
-        tokens = sum(piece.tokens for piece in choice.req.pieces)
-        self._estimates.get(choice.record).sent(tokens, now)
+        estimate = self._estimates.find(choice.record)
+        if estimate is not None:
+            estimate.sent(sum(piece.tokens for piece in choice.req.pieces), now)
 
     def observe(self, choice: Choice, frame: Frame, now: float) -> None:
         """Take the load from a frame."""
@@ -128,12 +129,16 @@
             self.observe_load(choice.record, frame.load, now)
 
     def lost(self, choice: Choice, now: float) -> None:
-        """Shun the upstream for a while."""
-        self._estimates.get(choice.record).lost(now)
+        """Avoid the upstream for a while."""
+        estimate = self._estimates.find(choice.record)
+        if estimate is not None:
+            estimate.shun(now)
 
     def observe_load(self, record: UpstreamRecord, load: Load, now: float) -> None:
         """Take a load report that came just now."""
-        self._estimates.get(record).report(load, now)
+        estimate = self._estimates.find(record)
+        if estimate is not None:
+            estimate.report(load, now)
 
 
 class HashOnlyPolicy(_Baseline):
--- a/gooseberrydale/request/candidates.py
+++ b/gooseberrydale/request/candidates.py
@@ -24,16 +24,18 @@
 RANDOM_TRIES = 3
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Candidate:
     """One upstream and how much of the prompt it probably holds, in tokens.
 
-    ``level`` is that of the home whose expectation counts, or -1.
+    ``level`` is that of the home whose expectation counts, or -1, and
+    ``level_tokens`` the length of that home's prefix.
     """
 
     record: UpstreamRecord
     cached_tokens: float = 0.0
     level: int = -1
+    level_tokens: int = 0
 
 
 class Collector:
@@ -109,7 +111,9 @@
                 return
             # Homes that joined under load are likely to have got it later.
             part = hit_rate * HOMES / max(HOMES, taken + 1)
-            _raise_cached(found, record, prefix.tokens * part, level)
+            _add_better(
+                found, Candidate(record, prefix.tokens * part, level, prefix.tokens)
+            )
             least_wait_s = min(least_wait_s, estimate.queue_s(now))
             taken += 1
 
@@ -127,7 +131,7 @@
                 if record.name in excluded or record.name in met:
                     continue
                 met.add(record.name)
-                _raise_cached(found, record, prefix.tokens * belief, -1)
+                _add_better(found, Candidate(record, prefix.tokens * belief))
             if len(met) >= KNOWN_HOLDERS:
                 return
 
@@ -143,12 +147,8 @@
                 return
 
 
-def _raise_cached(
-    found: dict[str, Candidate], record: UpstreamRecord, tokens: float, level: int
-) -> None:
-    candidate = found.get(record.name)
-    if candidate is None:
-        found[record.name] = Candidate(record, tokens, level)
-    elif tokens > candidate.cached_tokens:
-        candidate.cached_tokens = tokens
-        candidate.level = level
+def _add_better(found: dict[str, Candidate], candidate: Candidate) -> None:
+    name = candidate.record.name
+    known = found.get(name)
+    if known is None or candidate.cached_tokens > known.cached_tokens:
+        found[name] = candidate
--- a/gooseberrydale/request/estimate.py
+++ b/gooseberrydale/request/estimate.py
@@ -19,13 +19,16 @@
 # A report left its sidecar a transfer ago and lacks what was sent meanwhile.
 REPORT_LAG_S = 0.01
 PENDING_KEPT_S = 10.0
-LOST_PENALTY_S = 5.0
-LOST_COST_S = 10.0
+SHUN_S = 5.0
+SHUN_COST_S = 10.0
 FIRST_CACHE_TTL_S = 20.0
 MIN_CACHE_TTL_S = 1.0
 MAX_CACHE_TTL_S = 300.0
 TTL_GROWTH = 1.1
 TTL_SHRINK = 0.6
+# Token counts are estimates on both sides.
+KEPT_PART = 0.7
+MAX_ESTIMATES = 4_096
 
 
 class PoolMean:
@@ -52,7 +55,7 @@
         self._reported_at = -math.inf
         self._pending: deque[tuple[float, int]] = deque()
         self._pending_tokens = 0
-        self._lost_until = -math.inf
+        self._shunned_until = -math.inf
         self.cache_ttl_s = FIRST_CACHE_TTL_S
 
     def fits(self, record: UpstreamRecord) -> bool:
@@ -69,8 +72,8 @@
         self._drop_pending(now - PENDING_KEPT_S)
         kept = math.exp(min(0.0, self._reported_at - now) / DRIFT_S)
         reported = kept * self._load.queue_s + (1 - kept) * self._mean.queue_s
-        lost = LOST_COST_S if now < self._lost_until else 0.0
-        return reported + self._pending_tokens / self.prefill_tps + lost
+        shunned = SHUN_COST_S if now < self._shunned_until else 0.0
+        return reported + self._pending_tokens / self.prefill_tps + shunned
 
     def sent(self, uncached_tokens: int, now: float) -> None:
         """Count work that the next report may lack."""
@@ -81,17 +84,23 @@
         """Take a load report that came just now."""
         self._load = load
         self._reported_at = now
-        self._lost_until = -math.inf
         self._drop_pending(now - REPORT_LAG_S)
         self._mean.add(load)
 
-    def lost(self, now: float) -> None:
-        """Shun the upstream for a while: a connection to it broke."""
-        self._lost_until = now + LOST_PENALTY_S
+    def shun(self, now: float) -> None:
+        """Avoid the upstream for a while, whatever load it reports.
+
+        One that can't work refuses at once and looks idle, so load says nothing.
+        """
+        self._shunned_until = now + SHUN_S
+
+    def accepted(self) -> None:
+        """Avoid the upstream no longer: it took work."""
+        self._shunned_until = -math.inf
 
     def found_cached(self, expected_tokens: int, found_tokens: int) -> None:
         """Learn how long this upstream's cache lasts from a kept or lost prefix."""
-        kept = found_tokens * 10 >= expected_tokens * 9
+        kept = found_tokens >= KEPT_PART * expected_tokens
         factor = TTL_GROWTH if kept else TTL_SHRINK
         ttl_s = self.cache_ttl_s * factor
         self.cache_ttl_s = min(MAX_CACHE_TTL_S, max(MIN_CACHE_TTL_S, ttl_s))
@@ -114,11 +123,19 @@
         if found is None or not found.fits(record):
             mean = self._means.setdefault(record.pool, PoolMean())
             found = self._by_name[record.name] = Estimate(record, mean)
+            if len(self._by_name) > MAX_ESTIMATES:
+                del self._by_name[next(iter(self._by_name))]
         return found
 
-    def retain(self, names: frozenset[str]) -> None:
-        """Forget upstreams outside ``names``."""
-        self._by_name = {n: e for n, e in self._by_name.items() if n in names}
+    def find(self, record: UpstreamRecord) -> Estimate | None:
+        """Return the estimate for this life, None if a later one is known.
+
+        For what is learnt from replies, which may come late.
+        """
+        found = self._by_name.get(record.name)
+        if found is None:
+            return self.get(record)
+        return found if found.fits(record) else None
 
 
 def identity(record: UpstreamRecord) -> tuple[str, str, str]:
--- a/gooseberrydale/request/fair_queue.py
+++ b/gooseberrydale/request/fair_queue.py
@@ -18,7 +18,8 @@
     """One attempt that wants to start.
 
     ``tokens`` estimates its uncached prompt, ``deadline_s`` is the time left to its
-    first token in seconds, ``share`` the weight of its workspace.
+    first token in seconds, ``share`` the weight of its workspace.  ``id`` is unique
+    for each attempt.
     """
 
     id: str
@@ -27,6 +28,7 @@
     deadline_s: float
     share: float = 1.0
     priority: int = 0
+    attempt: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +66,9 @@
     def __len__(self) -> int:
         return len(self._items)
 
+    def __contains__(self, work_id: str) -> bool:
+        return work_id in self._items
+
     def items(self) -> list[Waiting]:
         """Return all waiting work, in no order."""
         return list(self._items.values())
--- a/gooseberrydale/request/reassembly.py
+++ b/gooseberrydale/request/reassembly.py
@@ -88,6 +88,7 @@
         self._events: list[bytes] = []
         self._started = False
         self._ended = False
+        self._broken = False
         self._waits_for_attach = False
         self.counts = FrameCounts()
 
@@ -110,6 +111,7 @@
         """Take frames of this attempt from now on; return the first offset wanted."""
         self._attempt = attempt
         self._incarnation = incarnation
+        self._broken = False
         self._waits_for_attach = False
         return self.next_offset
 
@@ -122,7 +124,7 @@
         if not self._is_current(frame):
             self.counts.foreign += 1
             return ()
-        if self._ended:
+        if self._ended or self._broken:
             self.counts.late += 1
             return ()
         if isinstance(frame, Heartbeat):
@@ -130,7 +132,7 @@
         if isinstance(frame, Accepted):
             return self._on_accepted(frame)
         if isinstance(frame, Refused):
-            return (Broken(frame.problem, refused=True),)
+            return self._break(frame.problem, refused=True)
         if isinstance(frame, Chunk):
             return self._on_chunk(frame)
         if isinstance(frame, End):
@@ -156,7 +158,7 @@
 
     def _on_chunk(self, frame: Chunk) -> tuple[Action, ...]:
         known = self.next_offset - frame.offset
-        if known < 0:
+        if known < 0 or not self._started:
             return self._gap()
         self.counts.repeated_events += min(known, len(frame.events))
         fresh = frame.events[known:]
@@ -172,17 +174,21 @@
         return Deliver(offset, events)
 
     def _on_end(self, frame: End) -> tuple[Action, ...]:
-        if frame.offset > self.next_offset:
+        if frame.offset > self.next_offset or not self._started:
             return self._gap()
         if frame.offset < self.next_offset:
-            return (Broken(_contradiction()),)
+            return self._break(_contradiction())
         self._ended = True
         return (Finished(),)
 
     def _on_failed(self, frame: Failed) -> tuple[Action, ...]:
         if frame.offset > self.next_offset:
             return self._gap()
-        return (Broken(frame.problem),)
+        return self._break(frame.problem)
+
+    def _break(self, why: Problem, refused: bool = False) -> tuple[Action, ...]:
+        self._broken = True
+        return (Broken(why, refused),)
 
     def _gap(self) -> tuple[Action, ...]:
         """Ask once; what follows on the same connection shows the same gap."""
--- a/gooseberrydale/request/retry.py
+++ b/gooseberrydale/request/retry.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from gooseberrydale import errors
@@ -19,7 +19,7 @@
 RETRY_AFTER_S = 1.0
 MAX_ATTEMPTS = 6
 RETRYABLE_STATUS = frozenset({429, 502, 503, 504})
-RETRYABLE_CODES = frozenset({errors.WRONG_INCARNATION.code})
+RETRYABLE_CODES = frozenset({errors.WRONG_INCARNATION.code, errors.TOMBSTONED.code})
 
 
 class RetryBudget:
@@ -62,7 +62,7 @@
     """How an attempt came to its end."""
 
     REFUSED = "refused"
-    """The sidecar answered Refused; its problem says whether the work ran."""
+    """The sidecar answered the dispatch with Refused."""
     NOT_SENT = "not_sent"
     """No connection: the attempt never left this process."""
     LOST = "lost"
@@ -83,9 +83,10 @@
 
     ``accepted`` says that the sidecar took it, ``delivered`` counts the events that
     the caller has.  ``attach_tried`` and ``cancel_tried`` say that attaching to this
-    attempt, or confirming that it never ran, was tried since its last frame.
-    ``resumable`` is False if the answer can't be continued from its text (several
-    choices, tool calls, a body that is no stream).
+    attempt, or confirming that it never ran, was tried in vain since its last frame;
+    the cause stays the one that led there.  ``resumable`` is False if the answer
+    can't be continued from its text (several choices, tool calls, no stream).
+    ``earlier_may_have_run`` is handed on from the step that led to this attempt.
     """
 
     cause: Cause
@@ -96,6 +97,7 @@
     attach_tried: bool = False
     cancel_tried: bool = False
     resumable: bool = True
+    earlier_may_have_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,13 +112,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Retry:
-    """Make another attempt from the start, on another upstream."""
+    """Make another attempt from the start, on another upstream.
+
+    Hand ``may_have_run`` on as ``earlier_may_have_run`` of its outcome.
+    """
+
+    may_have_run: bool
 
 
 @dataclass(frozen=True, slots=True)
 class Resume:
     """Make another attempt that continues the answer, on another upstream."""
 
+    may_have_run: bool = True
+
 
 @dataclass(frozen=True, slots=True)
 class Fail:
@@ -141,82 +150,92 @@
     ``left_s`` is the time left to the first token's deadline in seconds; it no
     longer counts once the caller has a part of the answer.
     """
-    if outcome.cause is Cause.REFUSED:
-        return _after_refusal(outcome, repeatable, budget, left_s, now)
-    if outcome.cause in (Cause.NOT_SENT, Cause.TOMBSTONED):
-        return _again(outcome, _unreachable(), budget, left_s, now)
-    if _worth_attaching(outcome):
+    outcome = _about_dispatch(outcome)
+    attempt_ran = _may_have_run(outcome)
+    if attempt_ran and _worth_attaching(outcome, repeatable):
         return Attach()
-    if not repeatable:
+    if attempt_ran and not repeatable:
         return _after_doubt(outcome)
-    return _again(outcome, _broken(outcome), budget, left_s, now)
-
-
-def _after_refusal(
-    outcome: Outcome,
-    repeatable: bool,
-    budget: RetryBudget,
-    left_s: float,
-    now: float,
-) -> Step:
-    refusal = outcome.problem or _unreachable()
-    helps = refusal.status in RETRYABLE_STATUS or refusal.code in RETRYABLE_CODES
-    if refusal.not_run is not True and not repeatable:
-        return Fail(refusal if refusal.not_run is False else _unknown())
-    if not helps:
-        return Fail(refusal)
-    return _again(outcome, refusal, budget, left_s, now)
+    why = _reason(outcome, attempt_ran)
+    stop = _stop(outcome, why, budget, left_s, now)
+    if stop is not None:
+        return Fail(_honest(stop, outcome, attempt_ran))
+    may_have_run = attempt_ran or outcome.earlier_may_have_run
+    return Resume() if outcome.delivered else Retry(may_have_run)
+
+
+def _about_dispatch(outcome: Outcome) -> Outcome:
+    """Drop a refusal of an attach: it says nothing about the attempt itself."""
+    refusal = outcome.problem
+    if outcome.cause is not Cause.REFUSED or refusal is None:
+        return outcome
+    if outcome.attach_tried or refusal.code == errors.UNKNOWN_STREAM.code:
+        return replace(outcome, cause=Cause.LOST, problem=None, attach_tried=True)
+    return outcome
+
+
+def _may_have_run(outcome: Outcome) -> bool:
+    """Whether this attempt can have run, for all that is known."""
+    if outcome.accepted or outcome.delivered:
+        return True
+    if outcome.cause in (Cause.NOT_SENT, Cause.TOMBSTONED):
+        return False
+    if outcome.cause is not Cause.REFUSED or outcome.problem is None:
+        return True
+    return outcome.problem.not_run is not True
 
 
-def _worth_attaching(outcome: Outcome) -> bool:
+def _worth_attaching(outcome: Outcome, repeatable: bool) -> bool:
     if outcome.attach_tried or outcome.cause is Cause.FAILED:
         return False
-    return outcome.accepted
+    if outcome.problem is not None and outcome.problem.not_run is False:
+        return False
+    # What may be repeated starts faster elsewhere than it is asked after here.
+    return outcome.accepted or not repeatable
 
 
 def _after_doubt(outcome: Outcome) -> Step:
-    """The attempt may have run and must not run twice."""
-    if outcome.cause is Cause.FAILED:
-        return Fail(outcome.problem or _unknown())
+    """Decide for an attempt that may have run and must not run twice."""
+    if outcome.problem is not None and outcome.problem.not_run is False:
+        return Fail(outcome.problem)
     if not outcome.accepted and not outcome.cancel_tried:
         return Confirm()
-    return Fail(_unknown())
+    return Fail(problem(errors.OUTCOME_UNKNOWN, not_run=None))
 
 
-def _again(
+def _stop(
     outcome: Outcome, why: Problem, budget: RetryBudget, left_s: float, now: float
-) -> Step:
-    """Another attempt, as far as text, deadline and budget allow."""
-    started = outcome.delivered > 0
-    if started and not outcome.resumable:
-        return Fail(why)
-    if not started and left_s < MIN_USEFUL_S:
-        return Fail(why)
+) -> Problem | None:
+    """Return the reason to give up, None if another attempt may be made."""
+    if outcome.cause is Cause.REFUSED and not _helps_elsewhere(why):
+        return why
+    if outcome.delivered and not outcome.resumable:
+        return why
+    if not outcome.delivered and left_s < MIN_USEFUL_S:
+        return why
     if outcome.attempt >= MAX_ATTEMPTS:
-        return Fail(why)
+        return why
     if not budget.spend(now):
-        return Fail(_budget_spent(why))
-    return Resume() if started else Retry()
+        after_s = why.retry_after_s or RETRY_AFTER_S
+        return problem(errors.RETRY_BUDGET_SPENT, retry_after_s=after_s)
+    return None
 
 
-def _broken(outcome: Outcome) -> Problem:
-    if outcome.problem is not None:
-        return outcome.problem
-    not_run = False if outcome.accepted else None
-    return problem(errors.UPSTREAM_FAILED, not_run=not_run, retry_after_s=RETRY_AFTER_S)
-
+def _helps_elsewhere(refusal: Problem) -> bool:
+    return refusal.status in RETRYABLE_STATUS or refusal.code in RETRYABLE_CODES
 
-def _budget_spent(why: Problem) -> Problem:
-    return problem(
-        errors.RETRY_BUDGET_SPENT,
-        not_run=why.not_run,
-        retry_after_s=why.retry_after_s or RETRY_AFTER_S,
-    )
 
-
-def _unreachable() -> Problem:
-    return problem(errors.UPSTREAM_UNREACHABLE, retry_after_s=RETRY_AFTER_S)
+def _reason(outcome: Outcome, attempt_ran: bool) -> Problem:
+    if outcome.problem is not None:
+        return outcome.problem
+    kind = errors.UPSTREAM_FAILED if attempt_ran else errors.UPSTREAM_UNREACHABLE
+    return problem(kind, retry_after_s=RETRY_AFTER_S)
 
 
-def _unknown() -> Problem:
-    return problem(errors.OUTCOME_UNKNOWN, not_run=None)
+def _honest(why: Problem, outcome: Outcome, attempt_ran: bool) -> Problem:
+    """Say "not run" only if no attempt of the request can have run."""
+    if outcome.accepted or outcome.delivered:
+        return why.with_outcome(False)
+    if attempt_ran or outcome.earlier_may_have_run:
+        return why.with_outcome(None if why.not_run is not False else False)
+    return why
--- a/gooseberrydale/request/routing.py
+++ b/gooseberrydale/request/routing.py
@@ -21,6 +21,7 @@
 from gooseberrydale.connection.messages import (
     Accepted,
     Chunk,
+    Failed,
     Frame,
     Load,
     Piece,
@@ -29,7 +30,7 @@
 from gooseberrydale.errors import Problem, problem
 from gooseberrydale.request.affinity import Holders, HomeHits, Prefix, Scopes
 from gooseberrydale.request.candidates import Candidate, Collector
-from gooseberrydale.request.estimate import Estimates
+from gooseberrydale.request.estimate import Estimate, Estimates
 from gooseberrydale.request.members import MembersByProfile
 from gooseberrydale.version.declarations import Profile
 
@@ -37,7 +38,8 @@
 CROSS_REGION_S = 0.05
 RANDOM_WHEN_LATE = 4
 NO_UPSTREAM_RETRY_AFTER_S = 1.0
-MAX_ESTIMATES = 4_096
+# Refusals that say no more than the load that comes with them.
+BUSY_CODES = frozenset({errors.QUEUE_FULL.code, errors.DEADLINE_TOO_CLOSE.code})
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +64,7 @@
 class Choice:
     """The upstream chosen; hand it back to the policy with what came of it.
 
-    ``prefixes`` and ``home_level`` are the policy's own notes.
+    The fields after the expectations are the policy's own notes.
     """
 
     record: UpstreamRecord
@@ -71,6 +73,7 @@
     expected_cached_tokens: int = 0
     prefixes: tuple[Prefix, ...] = field(default=(), repr=False)
     home_level: int = field(default=-1, repr=False)
+    home_tokens: int = field(default=0, repr=False)
 
 
 class Policy(Protocol):
@@ -128,37 +131,49 @@
 
     def dispatched(self, choice: Choice, now: float) -> None:
         """Add the attempt to the upstream's load and to the prefix's holders."""
+        estimate = self._estimates.find(choice.record)
+        if estimate is None:
+            return
         uncached = _tokens(choice.prefixes) - choice.expected_cached_tokens
-        self._estimates.get(choice.record).sent(max(0, uncached), now)
+        estimate.sent(max(0, uncached), now)
         self._holders.note(choice.prefixes, choice.record, now)
 
     def observe(self, choice: Choice, frame: Frame, now: float) -> None:
         """Take load and cached tokens from a frame."""
-        if isinstance(frame, Chunk):
+        estimate = self._estimates.find(choice.record)
+        if estimate is None or isinstance(frame, Chunk):
             return
-        self.observe_load(choice.record, frame.load, now)
-        if isinstance(frame, Refused):
-            self._holders.forget(choice.prefixes, choice.record.name)
-        if isinstance(frame, Accepted) and choice.prefixes:
-            self._learn_cached(choice, frame.cached_tokens)
+        estimate.report(frame.load, now)
+        if isinstance(frame, Accepted):
+            estimate.accepted()
+            self._learn_cached(choice, estimate, frame.cached_tokens)
             self._holders.note(choice.prefixes, choice.record, now)
+        elif isinstance(frame, Refused | Failed):
+            self._holders.forget(choice.prefixes, choice.record.name)
+            if frame.problem.code not in BUSY_CODES:
+                estimate.shun(now)
 
     def lost(self, choice: Choice, now: float) -> None:
-        """Shun the upstream for a while and forget what it was sent."""
-        self._estimates.get(choice.record).lost(now)
-        self._holders.forget(choice.prefixes, choice.record.name)
+        """Avoid the upstream for a while and forget what it was sent."""
+        estimate = self._estimates.find(choice.record)
+        if estimate is not None:
+            estimate.shun(now)
+            self._holders.forget(choice.prefixes, choice.record.name)
 
     def observe_load(self, record: UpstreamRecord, load: Load, now: float) -> None:
         """Take a load report that came just now."""
-        self._estimates.get(record).report(load, now)
-
-    def _learn_cached(self, choice: Choice, found_tokens: int) -> None:
-        expected = choice.expected_cached_tokens
-        if choice.home_level < 0:
-            if expected > 0:
-                self._estimates.get(choice.record).found_cached(expected, found_tokens)
-            return
-        self._home_hits.learn(choice.home_level, found_tokens >= expected)
+        estimate = self._estimates.find(record)
+        if estimate is not None:
+            estimate.report(load, now)
+
+    def _learn_cached(
+        self, choice: Choice, estimate: Estimate, found_tokens: int
+    ) -> None:
+        if choice.home_level >= 0:
+            part = min(1.0, found_tokens / choice.home_tokens)
+            self._home_hits.learn(choice.home_level, part)
+        elif choice.expected_cached_tokens > 0:
+            estimate.found_cached(choice.expected_cached_tokens, found_tokens)
 
     def _least(
         self,
@@ -187,6 +202,7 @@
             expected_cached_tokens=int(best.cached_tokens),
             prefixes=prefixes,
             home_level=best.level,
+            home_tokens=best.level_tokens,
         )
 
 
