Serve chat and text completions and plain services end to end

Cause: callers need an OpenAI-compatible interface before the sidecars. Change: the entry's HTTP interface, the request's runner over gRPC with re-attach after silence, cancel, Last-Event-ID, and the order of the shutdown. ``problem`` takes its kind by position only, since one text has a field of that name. Ruled out: an event loop or signal handlers of uvicorn's own; it runs as a task.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -42,6 +42,7 @@
 
 def problem(
     kind: ErrorKind,
+    /,
     *,
     not_run: bool | None = True,
     retry_after_s: float | None = None,
@@ -106,6 +107,33 @@
     "The body did not arrive within {limit_s:g} s; send it again without pauses.",
 )
 
+NO_ROUTE = ErrorKind(
+    "no_route",
+    404,
+    "There is no {method} {path}; use /v1/chat/completions, /v1/completions,"
+    " /v1/models or /services/PROFILE/PATH.",
+)
+WRONG_METHOD = ErrorKind(
+    "wrong_method", 405, "{path} does not take {method}; use another method."
+)
+NOT_READY = ErrorKind(
+    "not_ready",
+    503,
+    "This entry has no configuration yet; come back after the given time.",
+)
+STREAM_HANDED_OVER = ErrorKind(
+    "stream_handed_over",
+    503,
+    "This entry is shutting down and the answer goes on elsewhere; send the request"
+    " again with the last event's id as Last-Event-ID.",
+)
+STREAM_INCOMPLETE = ErrorKind(
+    "stream_incomplete",
+    502,
+    "The answer breaks off here and could not be made whole; send the request again"
+    " if it may be repeated.",
+)
+
 # Request path.
 NO_UPSTREAM = ErrorKind(
     "no_upstream",
--- /dev/null
+++ b/gooseberrydale/process/entry/app.py
@@ -0,0 +1,107 @@
+"""The HTTP interface for callers: its paths and what each does."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
+
+from gooseberrydale.errors import (
+    NO_ROUTE,
+    UNKNOWN_PROFILE,
+    WRONG_METHOD,
+    ProblemError,
+    problem,
+)
+from gooseberrydale.process.entry.calls import Calls, may_call
+from gooseberrydale.process.entry.responses import JSON_TYPE, refusal
+from gooseberrydale.request.body import CHAT_PATH, TEXT_PATH
+from gooseberrydale.version.declarations import Profile, ProfileKind, Workspace
+
+SERVICE_METHODS = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"]
+OWNER = "gooseberrydale"
+NOT_FOUND = 404
+
+Handler = Callable[[Request, Send], Awaitable[None]]
+
+
+class _Endpoint:
+    """Runs a handler that sends its own answer."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        req = Request(scope, receive)
+        try:
+            await self._handler(req, send)
+        except ProblemError as exc:
+            response = refusal(exc.problem, req.state.request_id)
+            await response(scope, receive, send)
+        except ClientDisconnect:
+            return
+
+
+def make_app(calls: Calls, extra: list[Route]) -> Starlette:
+    """The application; ``extra`` are the routes for balancer and monitoring."""
+
+    async def models(req: Request, send: Send) -> None:
+        workspace = await calls.authenticate(req)
+        data = [_model(p) for p in _visible(calls, workspace)]
+        await _send_json(req, send, {"object": "list", "data": data})
+
+    async def model(req: Request, send: Send) -> None:
+        workspace = await calls.authenticate(req)
+        wanted = req.path_params["name"]
+        for profile in _visible(calls, workspace):
+            if profile.name == wanted:
+                await _send_json(req, send, _model(profile))
+                return
+        raise ProblemError(problem(UNKNOWN_PROFILE, profile=wanted))
+
+    routes = [
+        Route(CHAT_PATH, _Endpoint(calls.completion), methods=["POST"]),
+        Route(TEXT_PATH, _Endpoint(calls.completion), methods=["POST"]),
+        Route("/v1/streams", _Endpoint(calls.attach), methods=["GET"]),
+        Route("/v1/models", _Endpoint(models), methods=["GET"]),
+        Route("/v1/models/{name:path}", _Endpoint(model), methods=["GET"]),
+        Route(
+            "/services/{profile}/{path:path}",
+            _Endpoint(calls.service),
+            methods=SERVICE_METHODS,
+        ),
+    ]
+    return Starlette(
+        routes=[*routes, *extra], exception_handlers={HTTPException: _no_route}
+    )
+
+
+async def _no_route(req: Request, exc: Exception) -> Response:
+    assert isinstance(exc, HTTPException)
+    kind = NO_ROUTE if exc.status_code == NOT_FOUND else WRONG_METHOD
+    why = problem(kind, method=req.method, path=req.url.path)
+    response = refusal(why, req.state.request_id)
+    response.headers.update(exc.headers or {})
+    return response
+
+
+def _visible(calls: Calls, workspace: Workspace) -> list[Profile]:
+    profiles = calls.config.profiles.values()
+    found = [p for p in profiles if may_call(workspace, p)]
+    return [p for p in found if p.kind is ProfileKind.COMPLETION]
+
+
+def _model(profile: Profile) -> dict[str, object]:
+    return {"id": profile.name, "object": "model", "created": 0, "owned_by": OWNER}
+
+
+async def _send_json(req: Request, send: Send, obj: object) -> None:
+    response = Response(msgspec.json.encode(obj), media_type=JSON_TYPE)
+    await response(req.scope, req.receive, send)
--- /dev/null
+++ b/gooseberrydale/process/entry/call.py
@@ -0,0 +1,188 @@
+"""One caller's call: sends the parts of an answer, until whole, gone or handed over.
+
+Lives for one request.  The work runs in a task of its own, so that it can be ended
+between two events: when the caller goes away, or when the process shuts down and
+the answer goes on elsewhere.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncGenerator
+from typing import Protocol
+
+import msgspec
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+from gooseberrydale.errors import (
+    OUTCOME_UNKNOWN,
+    SHUTTING_DOWN,
+    STREAM_HANDED_OVER,
+    Problem,
+    ProblemError,
+    problem,
+)
+from gooseberrydale.process.entry.responses import error_object, refusal
+from gooseberrydale.request.event_id import EventId
+from gooseberrydale.request.job import Events, Head, Part
+
+SSE_HEADERS = (
+    (b"content-type", b"text/event-stream; charset=utf-8"),
+    (b"cache-control", b"no-cache"),
+    (b"x-accel-buffering", b"no"),
+)
+DROPPED_HEADERS = {
+    "connection",
+    "content-length",
+    "date",
+    "keep-alive",
+    "server",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+}
+DONE_EVENT = b"data: [DONE]\n\n"
+COME_BACK_S = 1.0
+
+
+class Answering(Protocol):
+    """What produces the parts of an answer."""
+
+    def answer(self) -> AsyncGenerator[Part, None]:
+        """Parts of the answer; an end without an error means that it is whole."""
+
+    def hand_over(self) -> None:
+        """Leave the answer running at its sidecar when ``answer`` is closed."""
+
+
+class Call:
+    """Sends one answer; ``serve`` it once."""
+
+    def __init__(
+        self,
+        source: Answering,
+        request_id: str,
+        repeatable: bool,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        self._source = source
+        self._request_id = request_id
+        self._repeatable = repeatable
+        self._scope = scope
+        self._receive = receive
+        self._send = send
+        self._task: asyncio.Task[None] | None = None
+        self._head: Head | None = None
+        self._last_id: EventId | None = None
+        self._handing_over = False
+
+    async def serve(self) -> None:
+        """Run until the answer is sent, the caller is gone or it is handed over."""
+        self._task = asyncio.create_task(self._run())
+        gone = asyncio.create_task(self._wait_gone())
+        try:
+            await asyncio.wait({self._task, gone}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            gone.cancel()
+            self._task.cancel()
+            await asyncio.gather(gone, self._task, return_exceptions=True)
+        if not self._task.cancelled():
+            self._task.result()
+        elif self._handing_over:
+            await self._end_handed_over()
+
+    def hand_over(self) -> None:
+        """End the call here, so that the caller can go on at another entry."""
+        self._handing_over = True
+        if self._is_streaming or not self._repeatable:
+            self._source.hand_over()
+        if self._task is not None:
+            self._task.cancel()
+
+    @property
+    def _is_streaming(self) -> bool:
+        return self._head is not None and self._head.streamed
+
+    async def _run(self) -> None:
+        try:
+            async with contextlib.aclosing(self._source.answer()) as parts:
+                async for part in parts:
+                    await self._send_part(part)
+        except ProblemError as exc:
+            await self._end_failed(exc.problem)
+            return
+        if self._is_streaming:
+            await self._send_body(DONE_EVENT, more=False)
+
+    async def _send_part(self, part: Part) -> None:
+        if isinstance(part, Head):
+            self._head = part
+            if part.streamed:
+                await self._send_start()
+        elif self._is_streaming:
+            await self._send_events(part)
+        else:
+            await self._send_whole(part)
+
+    async def _send_events(self, part: Events) -> None:
+        if not part.events:
+            return
+        lines = []
+        for offset, event in enumerate(part.events, part.offset):
+            name = EventId(part.upstream, part.incarnation, self._request_id, offset)
+            lines.append(b"id: %b\ndata: %b\n\n" % (str(name).encode(), event))
+        await self._send_body(b"".join(lines), more=True)
+        self._last_id = name
+
+    async def _send_whole(self, part: Events) -> None:
+        assert self._head is not None
+        response = Response(b"".join(part.events), status_code=self._head.status)
+        for name, value in self._head.headers:
+            if name.lower() not in DROPPED_HEADERS:
+                response.headers.append(name, value)
+        await response(self._scope, self._receive, self._send)
+
+    async def _end_failed(self, why: Problem) -> None:
+        if self._is_streaming:
+            await self._send_body(self._error_event(why), more=False)
+            return
+        response = refusal(why, self._request_id)
+        await response(self._scope, self._receive, self._send)
+
+    async def _end_handed_over(self) -> None:
+        if self._is_streaming:
+            why = problem(STREAM_HANDED_OVER, not_run=False, retry_after_s=0.0)
+        elif self._repeatable:
+            why = problem(SHUTTING_DOWN, not_run=None, retry_after_s=COME_BACK_S)
+        else:
+            why = problem(OUTCOME_UNKNOWN, not_run=None)
+        await self._end_failed(why)
+
+    def _error_event(self, why: Problem) -> bytes:
+        data = msgspec.json.encode(error_object(why, self._request_id))
+        # Repeating the last id keeps it the client's last event id.
+        mark = f"id: {self._last_id}\n".encode() if self._last_id else b""
+        return b"%bdata: %b\n\n" % (mark, data)
+
+    async def _send_start(self) -> None:
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": list(SSE_HEADERS),
+            }
+        )
+
+    async def _send_body(self, body: bytes, *, more: bool) -> None:
+        await self._send(
+            {"type": "http.response.body", "body": body, "more_body": more}
+        )
+
+    async def _wait_gone(self) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
--- /dev/null
+++ b/gooseberrydale/process/entry/calls.py
@@ -0,0 +1,239 @@
+"""Callers' requests: authenticated, checked, and run.
+
+Lives as long as the process; each request runs in the task of its connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+from result import Err, Result
+from starlette.requests import Request
+from starlette.types import Send
+
+from gooseberrydale.errors import (
+    NOT_READY,
+    UNKNOWN_PROFILE,
+    UNKNOWN_STREAM,
+    WRONG_PROFILE_KIND,
+    Problem,
+    ProblemError,
+    problem,
+)
+from gooseberrydale.process.entry.call import Answering, Call
+from gooseberrydale.request.attached import AttachedAnswer
+from gooseberrydale.request.body import CHAT_PATH, parse_completion, read_body
+from gooseberrydale.request.deps import Deps
+from gooseberrydale.request.event_id import EventId, parse_event_id
+from gooseberrydale.request.job import Job
+from gooseberrydale.request.runner import Runner
+from gooseberrydale.request.stand_in import prompt_pieces
+from gooseberrydale.version.declarations import (
+    Config,
+    Profile,
+    ProfileKind,
+    Workspace,
+)
+from gooseberrydale.version.key_index import KeyIndex
+
+T = TypeVar("T")
+
+LAST_EVENT_ID = "last-event-id"
+COME_BACK_S = 1.0
+FIRST_RECORDS_S = 1.0
+FIRST_RECORDS_POLL_S = 0.02
+PRIVATE_HEADERS = {
+    "accept-encoding",
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+}
+
+
+class Calls:
+    """Handlers of the paths that run work."""
+
+    def __init__(self, deps: Deps) -> None:
+        self._deps = deps
+        self._keys = KeyIndex(deps.store.config)
+        self._open: set[Call] = set()
+
+    @property
+    def config(self) -> Config:
+        """The configuration in force."""
+        return self._deps.store.config
+
+    def hand_over(self) -> None:
+        """End all open calls so that callers go on elsewhere."""
+        for call in tuple(self._open):
+            call.hand_over()
+
+    async def authenticate(self, req: Request) -> Workspace:
+        """The workspace of the caller's key; raises :class:`ProblemError`."""
+        await self._first(lambda: self.config.revision > 0)
+        if self.config.revision == 0:
+            raise ProblemError(problem(NOT_READY, retry_after_s=COME_BACK_S))
+        if self._keys.config is not self.config:
+            self._keys = KeyIndex(self.config)
+        return _ok(self._keys.workspace(req.headers.get("authorization", "")))
+
+    async def completion(self, req: Request, send: Send) -> None:
+        """Run a chat or text completion, or attach to a running one."""
+        workspace = await self.authenticate(req)
+        body = await self._read_body(req)
+        checked = _ok(parse_completion(req.url.path, body))
+        profile = self._profile(workspace, checked.model, ProfileKind.COMPLETION)
+        if LAST_EVENT_ID in req.headers:
+            await self._attach(req, send, workspace, profile)
+            return
+        outgoing = checked.for_model(profile.model)
+        job = Job(
+            request_id=req.state.request_id,
+            workspace=workspace.name,
+            profile=profile,
+            method=req.method,
+            path=req.url.path,
+            body=outgoing,
+            headers=(("content-type", "application/json"),),
+            stream=checked.stream,
+            pieces=prompt_pieces(req.url.path, outgoing),
+        )
+        await self._run(job, req, send)
+
+    async def service(self, req: Request, send: Send) -> None:
+        """Run a call of a plain service."""
+        workspace = await self.authenticate(req)
+        name = req.path_params["profile"]
+        profile = self._profile(workspace, name, ProfileKind.SERVICE)
+        body = await self._read_body(req)
+        job = Job(
+            request_id=req.state.request_id,
+            workspace=workspace.name,
+            profile=profile,
+            method=req.method,
+            path=_service_path(req),
+            body=body,
+            headers=_public_headers(req),
+        )
+        await self._run(job, req, send)
+
+    async def attach(self, req: Request, send: Send) -> None:
+        """Attach to a running stream by its last event's id alone."""
+        workspace = await self.authenticate(req)
+        await self._attach(req, send, workspace, None)
+
+    async def _attach(
+        self, req: Request, send: Send, workspace: Workspace, profile: Profile | None
+    ) -> None:
+        last = _ok(parse_event_id(req.headers.get(LAST_EVENT_ID, "")))
+        await self._first(lambda: self._keeps(last))
+        record = self._deps.directory.get(last.upstream, _now())
+        if record is None or record.incarnation != last.incarnation:
+            raise ProblemError(
+                problem(
+                    UNKNOWN_STREAM,
+                    not_run=None,
+                    request_id=last.request_id,
+                    offset=last.offset + 1,
+                )
+            )
+        name = profile.name if profile else self._only_profile(workspace, record.pool)
+        answer = AttachedAnswer(self._deps, record, last, workspace.name, name)
+        await self._serve(answer, last.request_id, True, req, send)
+
+    async def _run(self, job: Job, req: Request, send: Send) -> None:
+        pool = job.profile.pool
+        await self._first(lambda: bool(self._deps.directory.ready(pool, _now())))
+        runner = Runner(self._deps, job)
+        repeatable = job.profile.repeatable
+        await self._serve(runner, job.request_id, repeatable, req, send)
+
+    async def _serve(
+        self,
+        answer: Answering,
+        request_id: str,
+        repeatable: bool,
+        req: Request,
+        send: Send,
+    ) -> None:
+        call = Call(answer, request_id, repeatable, req.scope, req.receive, send)
+        self._open.add(call)
+        try:
+            await call.serve()
+        finally:
+            self._open.discard(call)
+
+    async def _read_body(self, req: Request) -> bytes:
+        cfg = self._deps.cfg
+        return _ok(await read_body(req, cfg.max_body_bytes, cfg.body_timeout_s))
+
+    def _profile(self, workspace: Workspace, name: str, kind: ProfileKind) -> Profile:
+        profile = self.config.profiles.get(name)
+        if profile is None or not may_call(workspace, profile):
+            raise ProblemError(problem(UNKNOWN_PROFILE, profile=name))
+        if profile.kind is not kind:
+            is_service = profile.kind is ProfileKind.SERVICE
+            path = f"/services/{name}/PATH" if is_service else CHAT_PATH
+            raise ProblemError(
+                problem(
+                    WRONG_PROFILE_KIND, profile=name, kind=profile.kind.value, path=path
+                )
+            )
+        return profile
+
+    def _only_profile(self, workspace: Workspace, pool: str) -> str:
+        """Name of the one profile of ``pool`` that the workspace may call, if one."""
+        profiles = self.config.profiles.values()
+        names = [p.name for p in profiles if p.pool == pool and may_call(workspace, p)]
+        return names[0] if len(names) == 1 else ""
+
+    def _keeps(self, last: EventId) -> bool:
+        record = self._deps.directory.get(last.upstream, _now())
+        return record is not None and record.incarnation == last.incarnation
+
+    async def _first(self, known: Callable[[], bool]) -> None:
+        """Give a process that has just started a moment to learn what it needs."""
+        if known() or _now() > self._deps.fresh_until:
+            return
+        until = _now() + FIRST_RECORDS_S
+        while not known() and _now() < until:
+            await asyncio.sleep(FIRST_RECORDS_POLL_S)
+
+
+def may_call(workspace: Workspace, profile: Profile) -> bool:
+    """Whether ``profile`` is open to ``workspace``."""
+    return not workspace.profiles or profile.name in workspace.profiles
+
+
+def _ok(result: Result[T, Problem]) -> T:
+    if isinstance(result, Err):
+        raise ProblemError(result.err_value)
+    return result.ok_value
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _service_path(req: Request) -> str:
+    """Path below the profile's name as the caller wrote it, with its query."""
+    raw: bytes = req.scope.get("raw_path") or req.scope["path"].encode()
+    path = "/" + raw.decode("latin-1").split("/", 3)[3]
+    query = req.scope["query_string"].decode("latin-1")
+    return f"{path}?{query}" if query else path
+
+
+def _public_headers(req: Request) -> tuple[tuple[str, str], ...]:
+    pairs = req.headers.items()
+    return tuple((n, v) for n, v in pairs if n.lower() not in PRIVATE_HEADERS)
--- /dev/null
+++ b/gooseberrydale/process/entry/entry.py
@@ -0,0 +1,135 @@
+"""Builds the parts of an entry, starts them, and shuts them down in order."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from loguru import logger
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from gooseberrydale.connection.channels import ChannelPool
+from gooseberrydale.connection.rpc import RpcChannel, RpcServer, TlsFiles
+from gooseberrydale.process.cfg import Cfg, EntryCfg, TlsCfg
+from gooseberrydale.process.entry.app import make_app
+from gooseberrydale.process.entry.calls import Calls
+from gooseberrydale.process.entry.gatekeeper import Gatekeeper, Phase
+from gooseberrydale.process.entry.http_server import HttpServer
+from gooseberrydale.request.deps import Background, Deps
+from gooseberrydale.request.stand_in import RetryBudget, Router
+from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.directory import Directory
+
+FRESH_S = 5.0
+UNREADY_SHARE = 0.1
+UNREADY_MAX_S = 2.0
+LAST_ANSWERS_S = 2.0
+DRAIN_POLL_S = 0.02
+OK = 200
+UNAVAILABLE = 503
+
+
+class Entry:
+    """One entry instance; ``start`` it once and ``close`` it gracefully."""
+
+    def __init__(self, cfg: Cfg, rng: random.Random | None = None) -> None:
+        if cfg.entry is None:
+            raise ValueError("the settings have no [entry] table; add one")
+        self._cfg: EntryCfg = cfg.entry
+        self._token = cfg.fleet.token_file.read_text().strip()
+        self._tls = tls_files(cfg.fleet.tls)
+        self.store = ConfigStore()
+        self.directory = Directory()
+        self._pool = ChannelPool(self._dial, 2 * self._cfg.silence_s)
+        self._rng = rng if rng is not None else random.SystemRandom()
+        self._rpc = RpcServer(self._cfg.rpc, self._token, self._tls)
+        self._background = Background()
+        self._calls: Calls | None = None
+        self._keeper: Gatekeeper | None = None
+        self._http: HttpServer | None = None
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Addresses in use by listener, ``http`` and ``rpc``."""
+        host = self._cfg.rpc.rpartition(":")[0]
+        http = self._http.address if self._http is not None else self._cfg.http
+        return {"http": http, "rpc": f"{host}:{self._rpc.port}"}
+
+    async def start(self) -> None:
+        """Serve; raises OSError if an address can't be bound."""
+        now = asyncio.get_running_loop().time()
+        deps = Deps(
+            cfg=self._cfg,
+            store=self.store,
+            directory=self.directory,
+            pool=self._pool,
+            router=Router(),
+            budget=RetryBudget(self._cfg.retry_ratio),
+            background=self._background,
+            fresh_until=now + FRESH_S,
+        )
+        self._calls = Calls(deps)
+        routes = [Route("/livez", _livez), Route("/readyz", self._readyz)]
+        self._keeper = Gatekeeper(make_app(self._calls, routes), self._rng)
+        self._http = HttpServer(self._keeper, self._cfg.http, self._cfg.tls)
+        await self._rpc.start()
+        await self._http.start()
+        logger.info("entry serves on {}", self.addresses)
+
+    async def close(self) -> None:
+        """Drain: unready, then refusing, then not listening, then handed over."""
+        if self._http is None or self._keeper is None or self._calls is None:
+            return
+        now = asyncio.get_running_loop().time()
+        until = now + self._cfg.drain_s
+        pause_s = min(UNREADY_MAX_S, self._cfg.drain_s * UNREADY_SHARE)
+        self._keeper.phase = Phase.UNREADY
+        await asyncio.sleep(pause_s)
+        self._keeper.phase = Phase.REFUSING
+        await asyncio.sleep(pause_s)
+        listener = asyncio.create_task(self._http.close(self._cfg.drain_s))
+        await self._drained(until)
+        self._calls.hand_over()
+        await self._drained(until + LAST_ANSWERS_S)
+        await asyncio.wait({listener})
+        await self._background.close(LAST_ANSWERS_S)
+        await self._pool.close()
+        await self._rpc.close()
+        logger.info("entry closed")
+
+    async def _drained(self, until: float) -> None:
+        assert self._keeper is not None
+        loop = asyncio.get_running_loop()
+        while self._keeper.open_requests and loop.time() < until:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    def _dial(self, address: str) -> RpcChannel:
+        return RpcChannel(address, self._token, self._tls)
+
+    async def _readyz(self, _req: Request) -> Response:
+        reason = self._why_unready()
+        if reason:
+            return JSONResponse({"ready": False, "reason": reason}, UNAVAILABLE)
+        return JSONResponse({"ready": True})
+
+    def _why_unready(self) -> str:
+        if self._keeper is not None and self._keeper.phase is not Phase.SERVING:
+            return "shutting down"
+        if self.store.revision == 0:
+            return "no configuration yet"
+        if not self.directory.records(asyncio.get_running_loop().time()):
+            return "no upstream has announced itself yet"
+        return ""
+
+
+async def _livez(_req: Request) -> Response:
+    return JSONResponse({"live": True})
+
+
+def tls_files(cfg: TlsCfg) -> TlsFiles | None:
+    """The files of a mutual TLS listener; None for plain TCP."""
+    if not cfg.cert_file:
+        return None
+    return TlsFiles(cfg.cert_file, cfg.key_file, cfg.ca_file)
--- /dev/null
+++ b/gooseberrydale/request/cancel.py
@@ -0,0 +1,50 @@
+"""Gives up one attempt at its sidecar.
+
+A cancel does two things there: it stops the attempt if it runs, and makes sure that
+it is refused if it arrives later.  Only the sidecar's word that it can never start
+allows another try of a call that may not be repeated.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import grpc.aio
+from loguru import logger
+
+from gooseberrydale.connection.channels import ChannelPool
+from gooseberrydale.connection.codec import CodecError
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.messages import CancelReply, CancelReq
+from gooseberrydale.connection.rpc import CANCEL
+
+TRIES = 2
+
+
+async def cancel(
+    pool: ChannelPool, upstream: UpstreamRecord, req: CancelReq, timeout_s: float
+) -> CancelReply | None:
+    """Send ``req``, a second time over a new connection; None if nobody answered."""
+    channel = pool.get(upstream.address, upstream.incarnation)
+    for _ in range(TRIES):
+        try:
+            # The own timer also covers a connection that never opens.
+            async with asyncio.timeout(timeout_s):
+                reply: CancelReply = await channel.call(CANCEL, req)
+                return reply
+        except (TimeoutError, grpc.aio.AioRpcError, CodecError) as exc:
+            logger.debug("cancel of {} failed: {!r}", req.request_id, exc)
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+        channel = pool.replace(upstream.address, upstream.incarnation, channel)
+    return None
+
+
+async def confirm_not_run(
+    pool: ChannelPool, upstream: UpstreamRecord, req: CancelReq, timeout_s: float
+) -> bool:
+    """Whether the sidecar confirmed that the attempt did not and will not start."""
+    reply = await cancel(pool, upstream, req, timeout_s)
+    return reply is not None and reply.not_run
--- /dev/null
+++ b/gooseberrydale/request/job.py
@@ -0,0 +1,61 @@
+"""What one caller asks for, and the parts of the answer on the way back.
+
+Lives for one request.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gooseberrydale.connection.messages import Piece
+from gooseberrydale.version.declarations import Profile, ProfileKind
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """An authenticated and checked request."""
+
+    request_id: str
+    workspace: str
+    profile: Profile
+    method: str
+    path: str
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+    stream: bool = False
+    pieces: tuple[Piece, ...] = ()
+    idempotency_key: str = ""
+
+    @property
+    def is_completion(self) -> bool:
+        """Whether a model engine answers it."""
+        return self.profile.kind is ProfileKind.COMPLETION
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Status and headers of the answer; comes before any part of it.
+
+    ``streamed`` says whether events follow one by one; if not, the body follows
+    as a single one.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    streamed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Events:
+    """Parts of the answer in order; the first one has offset ``offset``.
+
+    ``upstream`` and ``incarnation`` name the sidecar that keeps them.
+    """
+
+    upstream: str
+    incarnation: str
+    offset: int
+    events: tuple[bytes, ...]
+
+
+Part = Head | Events
--- /dev/null
+++ b/tests/builders_entry.py
@@ -0,0 +1,287 @@
+"""Builders for tests of the entry: a scripted sidecar, declarations, requests."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import tempfile
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import msgspec
+
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.messages import (
+    Accepted,
+    AttachReq,
+    CancelReply,
+    CancelReq,
+    Chunk,
+    ConfigAck,
+    DispatchReq,
+    End,
+    Heartbeat,
+    Load,
+    PushConfig,
+    ReadConfig,
+    Refused,
+)
+from gooseberrydale.connection.rpc import (
+    ATTACH,
+    CANCEL,
+    DISPATCH,
+    PUSH_CONFIG,
+    READ_CONFIG,
+    RpcServer,
+)
+from gooseberrydale.errors import UNKNOWN_STREAM, problem
+from gooseberrydale.process.cfg import Cfg, EntryCfg, FleetCfg, NodeCfg
+from gooseberrydale.process.entry import Entry
+from gooseberrydale.version.declarations import (
+    Config,
+    Profile,
+    ProfileKind,
+    Workspace,
+)
+from gooseberrydale.version.key_index import key_digest
+
+TOKEN = "fleet-token"
+KEY_A = "key-of-a"
+KEY_B = "key-of-b"
+HEARTBEAT_S = 0.1
+Script = Callable[["FakeSidecar", DispatchReq], AsyncIterator[Any]]
+
+
+def make_config(revision: int = 1) -> Config:
+    """Two workspaces, a chat profile and a service that may not be repeated."""
+    chat = Profile("lots", ProfileKind.COMPLETION, "summary", model="m1")
+    bids = Profile("bids", ProfileKind.SERVICE, "bidding", repeatable=False)
+    return Config(
+        revision=revision,
+        profiles={"lots": chat, "bids": bids},
+        workspaces={
+            "a": Workspace("a", (key_digest(KEY_A),)),
+            "b": Workspace("b", (key_digest(KEY_B),), profiles=("lots",)),
+        },
+    )
+
+
+def make_cfg(**entry: Any) -> Cfg:
+    """Settings of an entry on free loopback ports."""
+    token_file = pathlib.Path(tempfile.mkdtemp(), "token")
+    token_file.write_text(TOKEN)
+    settings = {"http": "127.0.0.1:0", "rpc": "127.0.0.1:0", "silence_s": 0.5}
+    settings |= {"body_timeout_s": 0.5, "drain_s": 1.0, **entry}
+    return Cfg(
+        node=NodeCfg("entry-1"),
+        fleet=FleetCfg(token_file),
+        entry=EntryCfg(**settings),  # type: ignore[arg-type]
+    )
+
+
+def chat_event(text: str | None, finish: str | None = None) -> bytes:
+    """One event of a streamed chat completion as an engine sends it."""
+    delta = {} if text is None else {"content": text}
+    choice = {"index": 0, "delta": delta, "finish_reason": finish}
+    return msgspec.json.encode(
+        {
+            "id": "engine-id",
+            "object": "chat.completion.chunk",
+            "created": 1,
+            "model": "m1",
+            "choices": [choice],
+        }
+    )
+
+
+def chat_body(text: str) -> bytes:
+    """The body of an unstreamed chat completion as an engine sends it."""
+    message = {"role": "assistant", "content": text}
+    choice = {"index": 0, "message": message, "finish_reason": "stop"}
+    return msgspec.json.encode(
+        {
+            "id": "engine-id",
+            "object": "chat.completion",
+            "created": 1,
+            "model": "m1",
+            "choices": [choice],
+            "usage": {"prompt_tokens": 1, "completion_tokens": 1, "total_tokens": 2},
+        }
+    )
+
+
+class FakeSidecar:
+    """Answers by script and records what it was asked."""
+
+    def __init__(self, name: str, pool: str = "summary") -> None:
+        self.name = name
+        self.pool = pool
+        self.incarnation = f"inc-{name}"
+        self.script: Script = answer_words
+        self.on_attach: Callable[[AttachReq], AsyncIterator[Any]] | None = None
+        self.cancel_reply: CancelReply | None = CancelReply(not_run=False)
+        self.dispatched: list[DispatchReq] = []
+        self.attached: list[AttachReq] = []
+        self.cancelled: list[CancelReq] = []
+        self.pushed: list[int] = []
+        self.config = make_config()
+        self.kept: dict[str, list[bytes]] = {}
+        self.release = asyncio.Event()
+        self._server = RpcServer("127.0.0.1:0", TOKEN)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server.streaming(DISPATCH, self._dispatch)
+        self._server.streaming(ATTACH, self._attach)
+        self._server.unary(CANCEL, self._cancel)
+        self._server.unary(PUSH_CONFIG, self._push)
+        self._server.unary(READ_CONFIG, self._read)
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Stop listening and break running calls."""
+        await self._server.close()
+
+    def record(self, seq: int = 1, port: int | None = None) -> UpstreamRecord:
+        """What this sidecar announces, reached through ``port`` if given."""
+        return UpstreamRecord(
+            name=self.name,
+            incarnation=self.incarnation,
+            seq=seq,
+            address=f"127.0.0.1:{port or self._server.port}",
+            zone="local",
+            region="local",
+            pool=self.pool,
+            kind="completion" if self.pool == "summary" else "service",
+            model="m1",
+            weights_version="w1",
+            upstream_incarnation="u1",
+            lease_s=60.0,
+        )
+
+    def accepted(self, req: DispatchReq, status: int = 200) -> Accepted:
+        """The frame that opens an answer."""
+        return Accepted(
+            req.request_id,
+            req.attempt,
+            req.incarnation,
+            req.first_offset,
+            status,
+            (("content-type", "application/json"),),
+            Load(),
+            self.config.revision,
+        )
+
+    def chunk(self, req: DispatchReq, offset: int, *events: bytes) -> Chunk:
+        """Events from ``offset`` on."""
+        return Chunk(req.request_id, req.attempt, req.incarnation, offset, events)
+
+    def end(self, req: DispatchReq, offset: int) -> End:
+        """The end of a whole answer of ``offset`` events."""
+        return End(req.request_id, req.attempt, req.incarnation, offset, Load())
+
+    def refused(self, req: DispatchReq, why: Any) -> Refused:
+        """A refusal."""
+        return Refused(
+            req.request_id,
+            req.attempt,
+            req.incarnation,
+            why,
+            Load(),
+            self.config.revision,
+        )
+
+    async def _dispatch(self, req: DispatchReq) -> AsyncIterator[Any]:
+        self.dispatched.append(req)
+        async for frame in self.script(self, req):
+            if isinstance(frame, Chunk):
+                self.kept.setdefault(req.request_id, []).extend(frame.events)
+            yield frame
+
+    async def _attach(self, req: AttachReq) -> AsyncIterator[Any]:
+        self.attached.append(req)
+        if self.on_attach is not None:
+            async for frame in self.on_attach(req):
+                yield frame
+            return
+        mine = [d for d in self.dispatched if d.request_id == req.request_id]
+        if not mine or mine[-1].workspace != req.workspace:
+            why = problem(UNKNOWN_STREAM, request_id=req.request_id, offset=req.offset)
+            yield Refused(
+                req.request_id, 1, req.incarnation, why, Load(), self.config.revision
+            )
+            return
+        async for frame in self.rest(mine[-1], req.offset):
+            yield frame
+
+    async def rest(self, req: DispatchReq, offset: int) -> AsyncIterator[Any]:
+        """All of ``answer_words`` from ``offset`` on."""
+        yield self.accepted(req)
+        for at, event in list(enumerate(WORD_EVENTS))[offset:]:
+            yield self.chunk(req, at, event)
+        yield self.end(req, len(WORD_EVENTS))
+
+    async def _cancel(self, req: CancelReq) -> CancelReply:
+        self.cancelled.append(req)
+        while self.cancel_reply is None:
+            await asyncio.sleep(0.05)
+        return self.cancel_reply
+
+    async def _push(self, req: PushConfig) -> ConfigAck:
+        self.pushed.append(req.config.revision)
+        self.config = req.config
+        return ConfigAck(self.config.revision)
+
+    async def _read(self, req: ReadConfig) -> ConfigAck:
+        newer = self.config if self.config.revision > req.revision else None
+        return ConfigAck(self.config.revision, newer)
+
+
+WORDS = ("Lot ", "42 ", "runs ", "well.")
+WORD_EVENTS = (*(chat_event(w) for w in WORDS), chat_event(None, "stop"))
+
+
+async def answer_words(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """A whole answer at once, streamed or not."""
+    yield fake.accepted(req)
+    events = WORD_EVENTS if req.stream else (chat_body("".join(WORDS)),)
+    for offset, event in enumerate(events, req.first_offset):
+        yield fake.chunk(req, offset, event)
+    yield fake.end(req, req.first_offset + len(events))
+
+
+async def beat(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """Heartbeats until the fake's ``release`` is set."""
+    while not fake.release.is_set():
+        yield Heartbeat(req.request_id, Load())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(fake.release.wait(), HEARTBEAT_S)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    *fakes: FakeSidecar, config: Config | None = None, **entry: Any
+) -> AsyncIterator[Entry]:
+    """An entry that knows ``fakes``, all started and closed again."""
+    for fake in fakes:
+        await fake.start()
+    made = Entry(make_cfg(**entry))
+    await made.start()
+    made.store.offer(config if config is not None else make_config())
+    introduce(made, *fakes)
+    try:
+        yield made
+    finally:
+        for fake in fakes:
+            fake.release.set()
+        await made.close()
+        for fake in fakes:
+            await fake.close()
+
+
+def introduce(entry: Entry, *fakes: FakeSidecar) -> None:
+    """Let the entry know the fakes as if they had announced themselves."""
+    now = asyncio.get_running_loop().time()
+    for fake in fakes:
+        entry.directory.offer(fake.record(), now)
