Carry out the merged decisions on routing, order and retries

Cause: the small local versions only took turns and knew one kind of failure. Change: the runner follows the retry decision step by step (attach, confirm, retry, resume, fail); a dispatch waits for a standing connection first, so that an attempt that never left is known as such; reassembly may start at a later offset; revisions are evened out in the background; the policy is a setting.

--- a/gooseberrydale/connection/rpc.py
+++ b/gooseberrydale/connection/rpc.py
@@ -48,6 +48,10 @@
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.so_reuseport", 0),
 ]
+_FAILED_STATES = (
+    grpc.ChannelConnectivity.TRANSIENT_FAILURE,
+    grpc.ChannelConnectivity.SHUTDOWN,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,6 +223,16 @@
             method.path, request_serializer=encode, response_deserializer=decode
         )
 
+    async def connect(self) -> bool:
+        """Wait until the connection stands; False if opening it failed."""
+        while True:
+            state = self._channel.get_state(try_to_connect=True)
+            if state is grpc.ChannelConnectivity.READY:
+                return True
+            if state in _FAILED_STATES:
+                return False
+            await self._channel.wait_for_state_change(state)
+
     async def close(self) -> None:
         """Close the connection and cancel its calls."""
         await self._channel.close(None)
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -63,6 +63,7 @@
     drain_s: float = 30.0
     silence_s: float = 3.0
     retry_ratio: float = 0.2
+    policy: str = "affinity"
     check_invariants: bool = False
 
 
--- a/gooseberrydale/process/entry/calls.py
+++ b/gooseberrydale/process/entry/calls.py
@@ -28,8 +28,8 @@
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.event_id import EventId, parse_event_id
 from gooseberrydale.request.job import Job
+from gooseberrydale.request.prompt import prompt_pieces
 from gooseberrydale.request.runner import Runner
-from gooseberrydale.request.stand_in import prompt_pieces
 from gooseberrydale.version.declarations import (
     Config,
     Profile,
@@ -97,17 +97,17 @@
         if LAST_EVENT_ID in req.headers:
             await self._attach(req, send, workspace, profile)
             return
-        outgoing = checked.for_model(profile.model)
         job = Job(
             request_id=req.state.request_id,
             workspace=workspace.name,
             profile=profile,
             method=req.method,
             path=req.url.path,
-            body=outgoing,
+            body=checked.for_model(profile.model),
             headers=(("content-type", "application/json"),),
             stream=checked.stream,
-            pieces=prompt_pieces(req.url.path, outgoing),
+            wants_usage=checked.wants_usage,
+            pieces=prompt_pieces(req.url.path, checked.raw),
         )
         await self._run(job, req, send)
 
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -17,8 +17,11 @@
 from gooseberrydale.process.entry.calls import Calls
 from gooseberrydale.process.entry.gatekeeper import Gatekeeper, Phase
 from gooseberrydale.process.entry.http_server import HttpServer
-from gooseberrydale.request.deps import Background, Deps
-from gooseberrydale.request.stand_in import RetryBudget, Router
+from gooseberrydale.request.background import Background
+from gooseberrydale.request.baselines import make_policy
+from gooseberrydale.request.config_sync import ConfigSync
+from gooseberrydale.request.deps import Deps
+from gooseberrydale.request.retry import RetryBudget
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
 
@@ -38,6 +41,7 @@
         if cfg.entry is None:
             raise ValueError("the settings have no [entry] table; add one")
         self._cfg: EntryCfg = cfg.entry
+        self._node = cfg.node
         self._token = cfg.fleet.token_file.read_text().strip()
         self._tls = tls_files(cfg.fleet.tls)
         self.store = ConfigStore()
@@ -62,12 +66,14 @@
         now = asyncio.get_running_loop().time()
         deps = Deps(
             cfg=self._cfg,
+            node=self._node,
             store=self.store,
             directory=self.directory,
             pool=self._pool,
-            router=Router(),
+            policy=make_policy(self._cfg.policy, self._rng),
             budget=RetryBudget(self._cfg.retry_ratio),
             background=self._background,
+            config_sync=ConfigSync(self.store, self._pool, self._background),
             fresh_until=now + FRESH_S,
         )
         self._calls = Calls(deps)
--- a/gooseberrydale/request/body.py
+++ b/gooseberrydale/request/body.py
@@ -64,6 +64,12 @@
     stream: bool
     raw: dict[str, Any]
 
+    @property
+    def wants_usage(self) -> bool:
+        """Whether a streamed answer ends with an event of its usage."""
+        options = self.raw.get("stream_options") or {}
+        return bool(options.get("include_usage"))
+
     def for_model(self, model: str) -> bytes:
         """The body for an engine that knows its model as ``model``."""
         if not model:
--- a/gooseberrydale/request/exchange.py
+++ b/gooseberrydale/request/exchange.py
@@ -1,14 +1,13 @@
 """One attempt of a request on one sidecar, as a sequence of frames.
 
-Lives for one attempt.  It hides a lost connection: when no frame, not even a
-heartbeat, came for a while, or the call broke, it attaches to the same answer over
-a new connection.  Only when that fails too is the attempt lost.
+Lives for one attempt and owns its call.  It tells a call that broke from one that
+fell silent; what follows is decided elsewhere.  It can be attached again, over a new
+connection, to the same attempt.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import Any
 
 import grpc.aio
@@ -17,176 +16,150 @@
 from gooseberrydale.connection.codec import CodecError
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import (
-    Accepted,
     AttachReq,
-    Chunk,
     DispatchReq,
     Frame,
     Heartbeat,
     Refused,
 )
 from gooseberrydale.connection.rpc import ATTACH, DISPATCH, Method
-from gooseberrydale.errors import Problem
+from gooseberrydale.request.retry import Cause
 
-ANY_ATTEMPT = -1
+ATTACHES_AT_ONE_OFFSET = 3
 
 
-class AttemptLost(Exception):
-    """The sidecar can't be reached or no longer knows the attempt.
+class ExchangeLost(Exception):
+    """No more frames will come by this call; ``cause`` says why."""
 
-    ``started`` is True if the sidecar is known to have accepted the attempt.
-    ``problem`` is the sidecar's refusal to attach, if it gave one.
-    """
-
-    def __init__(
-        self, reason: str, started: bool, problem: Problem | None = None
-    ) -> None:
+    def __init__(self, cause: Cause, reason: str) -> None:
         super().__init__(reason)
-        self.started = started
-        self.problem = problem
+        self.cause = cause
 
 
 class DeadlinePassed(Exception):
-    """The caller's deadline passed while the request waited for a frame."""
-
-
-class _ConnLost(Exception):
-    """The call broke or fell silent."""
+    """The caller's deadline passed while the request waited."""
 
 
 class Exchange:
-    """Reads the frames of one attempt.
-
-    ``position`` returns the offset of the next event that is wanted.
-    """
+    """Reads the frames of one attempt; ``dispatch`` or ``attach`` it first."""
 
     def __init__(
         self,
         pool: ChannelPool,
         upstream: UpstreamRecord,
-        first: DispatchReq | AttachReq,
-        position: Callable[[], int],
+        request_id: str,
+        workspace: str,
         silence_s: float,
     ) -> None:
         self.upstream = upstream
-        self.accepted = isinstance(first, AttachReq)
-        self.dropped = 0
-        self.attached = 0
         self._pool = pool
-        self._request_id = first.request_id
-        self._workspace = first.workspace
-        self._attempt = first.attempt if isinstance(first, DispatchReq) else ANY_ATTEMPT
-        self._position = position
+        self._request_id = request_id
+        self._workspace = workspace
         self._silence_s = silence_s
         self._channel = pool.get(upstream.address, upstream.incarnation)
-        self._attached_at: int | None = None
         self._call: Any = None
-        self._first = first
+        self._heard = False
+        self._attached_at = -1
+        self._attaches = 0
 
     @property
-    def attempt(self) -> int:
-        """Number of the attempt; learnt from the first frame after an attach."""
-        return self._attempt
+    def sent(self) -> bool:
+        """Whether the attempt may have left this process."""
+        return self._call is not None
 
-    async def next(self, until: float | None) -> Frame:
-        """The next frame of this attempt; ``until`` is in loop time.
+    @property
+    def attach_tried(self) -> bool:
+        """Whether attaching was tried in vain since the last frame."""
+        if self._attaches == 0:
+            return False
+        return not self._heard or self._attaches >= ATTACHES_AT_ONE_OFFSET
 
-        Raises :class:`AttemptLost` or :class:`DeadlinePassed`.
-        """
-        if self._call is None:
-            self._start(_method(self._first), self._first)
-        while True:
-            try:
-                frame = await self._read(until)
-            except _ConnLost as exc:
-                self.attach(str(exc))
-                continue
-            if self._is_mine(frame):
-                return self._note(frame)
-            self.dropped += 1
-
-    def attach(self, reason: str) -> None:
-        """Ask for the answer again over a new connection, from the position on.
-
-        Raises :class:`AttemptLost` if that was done before at the same position.
-        """
-        position = self._position()
-        if self._attached_at == position:
-            raise AttemptLost(reason, self.accepted)
-        self._attached_at = position
-        self.attached += 1
-        self.stop()
-        self._channel = self._pool.replace(
-            self.upstream.address, self.upstream.incarnation, self._channel
-        )
+    async def dispatch(self, req: DispatchReq, until: float | None) -> None:
+        """Send the attempt; if no connection stands it is known not to be sent."""
+        await self._connect(until)
+        self._start(DISPATCH, req)
+
+    def attach(self, offset: int) -> None:
+        """Ask for the events from ``offset`` on over a new connection."""
+        self._attaches = self._attaches + 1 if offset == self._attached_at else 1
+        self._attached_at = offset
+        if self._call is not None:
+            self.stop()
+            self._channel = self._pool.replace(
+                self.upstream.address, self.upstream.incarnation, self._channel
+            )
         req = AttachReq(
-            request_id=self._request_id,
-            incarnation=self.upstream.incarnation,
-            workspace=self._workspace,
-            offset=position,
+            self._request_id, self.upstream.incarnation, self._workspace, offset
         )
         self._start(ATTACH, req)
 
-    def stop(self) -> None:
-        """Drop the call; the sidecar goes on until it is told to cancel."""
-        if self._call is not None:
-            self._call.cancel()
-
-    def _start(self, method: Method, req: DispatchReq | AttachReq) -> None:
-        self._call = self._channel.call(method, req)
+    async def next(self, until: float | None) -> Frame:
+        """The next frame of this request; ``until`` is in loop time.
 
-    async def _read(self, until: float | None) -> Frame:
-        now = asyncio.get_running_loop().time()
-        wait_s = self._silence_s
-        if until is not None:
-            wait_s = min(wait_s, until - now)
+        Raises :class:`ExchangeLost` or :class:`DeadlinePassed`.
+        """
         try:
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout(self._wait_s(until)):
                 frame = await self._call.read()
         except TimeoutError:
-            if until is not None and asyncio.get_running_loop().time() >= until:
-                raise DeadlinePassed from None
-            raise _ConnLost("no frame came") from None
-        except (grpc.aio.AioRpcError, CodecError) as exc:
-            raise _ConnLost(_reason(exc)) from exc
+            _check_deadline(until)
+            raise ExchangeLost(Cause.SILENT, "no frame came") from None
+        except grpc.aio.AioRpcError as exc:
+            reason = f"{exc.code().name}: {exc.details()}"
+            raise ExchangeLost(Cause.LOST, reason) from exc
+        except CodecError as exc:
+            raise ExchangeLost(Cause.LOST, str(exc)) from exc
         except asyncio.CancelledError:
             if _is_cancelled():
                 raise
-            raise _ConnLost("the channel was closed") from None
+            raise ExchangeLost(Cause.LOST, "the channel was closed") from None
         if frame is grpc.aio.EOF:
-            raise _ConnLost("the call ended before the answer")
+            raise ExchangeLost(Cause.LOST, "the call ended before the answer")
+        # A refusal to attach is not a sign of the attempt.
+        self._heard = self._heard or not isinstance(frame, Refused)
         return frame  # type: ignore[no-any-return]
 
-    def _is_mine(self, frame: Frame) -> bool:
+    def is_current(self, frame: Frame) -> bool:
+        """Whether ``frame`` is from the life of the sidecar that was asked."""
         if frame.request_id != self._request_id:
             return False
         if isinstance(frame, Heartbeat):
             return True
-        if frame.incarnation != self.upstream.incarnation:
-            return False
-        return self._attempt in (ANY_ATTEMPT, frame.attempt)
+        return frame.incarnation == self.upstream.incarnation
 
-    def _note(self, frame: Frame) -> Frame:
-        if isinstance(frame, Heartbeat):
-            return frame
-        if isinstance(frame, Refused) and self._attached_at is not None:
-            raise AttemptLost("attach refused", self.accepted, frame.problem)
-        if isinstance(frame, Accepted | Chunk):
-            self.accepted = True
-            self._attempt = frame.attempt
-        return frame
+    def stop(self) -> None:
+        """Drop the call; the sidecar goes on until it is told to cancel."""
+        if self._call is not None:
+            self._call.cancel()
 
+    async def _connect(self, until: float | None) -> None:
+        try:
+            async with asyncio.timeout(self._wait_s(until)):
+                if await self._channel.connect():
+                    return
+        except TimeoutError:
+            _check_deadline(until)
+        self._pool.replace(
+            self.upstream.address, self.upstream.incarnation, self._channel
+        )
+        raise ExchangeLost(Cause.NOT_SENT, "no connection to the sidecar")
+
+    def _start(self, method: Method, req: DispatchReq | AttachReq) -> None:
+        self._heard = False
+        self._call = self._channel.call(method, req)
 
-def _method(req: DispatchReq | AttachReq) -> Method:
-    return DISPATCH if isinstance(req, DispatchReq) else ATTACH
+    def _wait_s(self, until: float | None) -> float:
+        if until is None:
+            return self._silence_s
+        return min(self._silence_s, until - asyncio.get_running_loop().time())
 
 
-def _reason(exc: grpc.aio.AioRpcError | CodecError) -> str:
-    if isinstance(exc, grpc.aio.AioRpcError):
-        return f"{exc.code().name}: {exc.details()}"
-    return str(exc)
+def _check_deadline(until: float | None) -> None:
+    if until is not None and asyncio.get_running_loop().time() >= until:
+        raise DeadlinePassed from None
 
 
 def _is_cancelled() -> bool:
+    """Whether the own task is cancelled, not only the call."""
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
--- a/gooseberrydale/request/job.py
+++ b/gooseberrydale/request/job.py
@@ -23,6 +23,7 @@
     body: bytes
     headers: tuple[tuple[str, str], ...] = ()
     stream: bool = False
+    wants_usage: bool = False
     pieces: tuple[Piece, ...] = ()
     idempotency_key: str = ""
 
