Join the mesh, and close replaced channels when nobody uses them

Cause: an entry learns upstreams and configurations from its peers; a channel closed on a timer could cut an answer that still ran on it. Change: the entry serves mesh sessions and opens its own; channels count their users. Conclusion: the tests of plain and streamed answers pass.

--- a/gooseberrydale/connection/channels.py
+++ b/gooseberrydale/connection/channels.py
@@ -1,15 +1,18 @@
 """Keeps one channel to each sidecar that requests go to.
 
 A channel belongs to one address and one incarnation of a sidecar.  One that fell
-silent is replaced by a new connection; the old one is closed a little later, so
-that other calls on it find out for themselves.
+silent is replaced by a new connection.  A channel that is no longer wanted closes
+once its last user has given it back, so that replacing it disturbs nobody.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+import contextlib
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
 
+from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.rpc import RpcChannel
 
 Key = tuple[str, str]
@@ -17,52 +20,66 @@
 
 
 class ChannelPool:
-    """Channels by (address, incarnation)."""
+    """Channels by (address, incarnation); whoever takes one gives it back."""
 
-    def __init__(self, dial: Dial, linger_s: float) -> None:
+    def __init__(self, dial: Dial) -> None:
         self._dial = dial
-        self._linger_s = linger_s
         self._channels: dict[Key, RpcChannel] = {}
+        self._users: Counter[RpcChannel] = Counter()
         self._closing: set[asyncio.Task[None]] = set()
-        self._retired: set[RpcChannel] = set()
 
-    def get(self, address: str, incarnation: str) -> RpcChannel:
-        """The channel in use for this incarnation, opened on first use."""
-        key = (address, incarnation)
+    def take(self, record: UpstreamRecord) -> RpcChannel:
+        """The channel in use for this life of the sidecar, opened on first use."""
+        key = _key(record)
         if key not in self._channels:
-            self._channels[key] = self._dial(address)
-        return self._channels[key]
-
-    def replace(self, address: str, incarnation: str, silent: RpcChannel) -> RpcChannel:
-        """A channel other than ``silent``; requests that meet it share the new one."""
-        key = (address, incarnation)
-        if self._channels.get(key) is silent:
-            del self._channels[key]
-            self._retire(silent)
-        return self.get(address, incarnation)
-
-    def keep(self, keys: Iterable[Key]) -> None:
-        """Close the channels of all incarnations but these."""
-        for key in set(self._channels) - set(keys):
-            self._retire(self._channels.pop(key))
+            self._channels[key] = self._dial(record.address)
+        channel = self._channels[key]
+        self._users[channel] += 1
+        return channel
+
+    def give_back(self, channel: RpcChannel) -> None:
+        """Say that a channel that was taken is used no more."""
+        self._users[channel] -= 1
+        if self._users[channel] <= 0:
+            del self._users[channel]
+            self._close_unwanted(channel)
+
+    def replace(self, record: UpstreamRecord, silent: RpcChannel) -> RpcChannel:
+        """Give back ``silent`` and take another; all who meet it share the new one."""
+        if self._channels.get(_key(record)) is silent:
+            del self._channels[_key(record)]
+        self.give_back(silent)
+        return self.take(record)
+
+    @contextlib.contextmanager
+    def using(self, record: UpstreamRecord) -> Iterator[RpcChannel]:
+        """Take a channel for the length of a block."""
+        channel = self.take(record)
+        try:
+            yield channel
+        finally:
+            self.give_back(channel)
+
+    def keep(self, records: Iterable[UpstreamRecord]) -> None:
+        """Want no channels but those of ``records`` any longer."""
+        for key in set(self._channels) - {_key(record) for record in records}:
+            self._close_unwanted(self._channels.pop(key))
 
     async def close(self) -> None:
         """Close all channels at once."""
-        for task in self._closing:
-            task.cancel()
-        channels = [*self._channels.values(), *self._retired]
+        channels = {*self._channels.values(), *self._users}
         self._channels.clear()
-        self._retired.clear()
         for channel in channels:
             await channel.close()
+        await asyncio.gather(*self._closing)
 
-    def _retire(self, channel: RpcChannel) -> None:
-        self._retired.add(channel)
-        task = asyncio.create_task(self._close_later(channel))
+    def _close_unwanted(self, channel: RpcChannel) -> None:
+        if channel in self._users or channel in self._channels.values():
+            return
+        task = asyncio.create_task(channel.close())
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
-    async def _close_later(self, channel: RpcChannel) -> None:
-        await asyncio.sleep(self._linger_s)
-        self._retired.discard(channel)
-        await channel.close()
+
+def _key(record: UpstreamRecord) -> Key:
+    return record.address, record.incarnation
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 
 from loguru import logger
 from starlette.requests import Request
@@ -11,24 +12,27 @@
 from starlette.routing import Route
 
 from gooseberrydale.connection.channels import ChannelPool
+from gooseberrydale.connection.mesh import ENTRY_ROLE
 from gooseberrydale.connection.rpc import RpcChannel, RpcServer, TlsFiles
 from gooseberrydale.process.cfg import Cfg, EntryCfg, TlsCfg
 from gooseberrydale.process.entry.app import make_app
 from gooseberrydale.process.entry.calls import Calls
 from gooseberrydale.process.entry.gatekeeper import Gatekeeper, Phase
 from gooseberrydale.process.entry.http_server import HttpServer
+from gooseberrydale.process.membership import Mesh
 from gooseberrydale.request.background import Background
 from gooseberrydale.request.baselines import make_policy
 from gooseberrydale.request.config_sync import ConfigSync
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.retry import RetryBudget
 from gooseberrydale.version.config_store import ConfigStore
-from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.directory import Directory, new_incarnation
 
 FRESH_S = 5.0
 UNREADY_SHARE = 0.1
 UNREADY_MAX_S = 2.0
 LAST_ANSWERS_S = 2.0
+KEEP_CHANNELS_S = 1.0
 DRAIN_POLL_S = 0.02
 OK = 200
 UNAVAILABLE = 503
@@ -46,9 +50,21 @@
         self._tls = tls_files(cfg.fleet.tls)
         self.store = ConfigStore()
         self.directory = Directory()
-        self._pool = ChannelPool(self._dial, 2 * self._cfg.silence_s)
+        self._pool = ChannelPool(self._dial)
         self._rng = rng if rng is not None else random.SystemRandom()
         self._rpc = RpcServer(self._cfg.rpc, self._token, self._tls)
+        self._mesh = Mesh(
+            cfg,
+            ENTRY_ROLE,
+            self.directory,
+            self.store,
+            None,
+            self._token,
+            new_incarnation(time.time_ns(), self._rng),
+            rng=self._rng,
+        )
+        self._mesh.register(self._rpc)
+        self._housekeeping: asyncio.Task[None] | None = None
         self._background = Background()
         self._calls: Calls | None = None
         self._keeper: Gatekeeper | None = None
@@ -81,6 +97,8 @@
         self._keeper = Gatekeeper(make_app(self._calls, routes), self._rng)
         self._http = HttpServer(self._keeper, self._cfg.http, self._cfg.tls)
         await self._rpc.start()
+        await self._mesh.start()
+        self._housekeeping = asyncio.create_task(self._keep_channels())
         await self._http.start()
         logger.info("entry serves on {}", self.addresses)
 
@@ -101,6 +119,9 @@
         await self._drained(until + LAST_ANSWERS_S)
         await asyncio.wait({listener})
         await self._background.close(LAST_ANSWERS_S)
+        if self._housekeeping is not None:
+            self._housekeeping.cancel()
+        await self._mesh.close()
         await self._pool.close()
         await self._rpc.close()
         logger.info("entry closed")
@@ -111,6 +132,13 @@
         while self._keeper.open_requests and loop.time() < until:
             await asyncio.sleep(DRAIN_POLL_S)
 
+    async def _keep_channels(self) -> None:
+        """Close channels of sidecars whose lease has ended."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(KEEP_CHANNELS_S)
+            self._pool.keep(self.directory.records(loop.time()))
+
     def _dial(self, address: str) -> RpcChannel:
         return RpcChannel(address, self._token, self._tls)
 
--- a/gooseberrydale/request/cancel.py
+++ b/gooseberrydale/request/cancel.py
@@ -16,7 +16,7 @@
 from gooseberrydale.connection.codec import CodecError
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import CancelReply, CancelReq
-from gooseberrydale.connection.rpc import CANCEL
+from gooseberrydale.connection.rpc import CANCEL, RpcChannel
 
 TRIES = 2
 
@@ -25,20 +25,32 @@
     pool: ChannelPool, upstream: UpstreamRecord, req: CancelReq, timeout_s: float
 ) -> CancelReply | None:
     """Send ``req``, a second time over a new connection; None if nobody answered."""
-    channel = pool.get(upstream.address, upstream.incarnation)
-    for _ in range(TRIES):
-        try:
-            # The own timer also covers a connection that never opens.
-            async with asyncio.timeout(timeout_s):
-                reply: CancelReply = await channel.call(CANCEL, req)
+    channel = pool.take(upstream)
+    try:
+        for _ in range(TRIES):
+            reply = await _try(channel, req, timeout_s)
+            if reply is not None:
                 return reply
-        except (TimeoutError, grpc.aio.AioRpcError, CodecError) as exc:
-            logger.debug("cancel of {} failed: {!r}", req.request_id, exc)
-        except asyncio.CancelledError:
-            task = asyncio.current_task()
-            if task is not None and task.cancelling():
-                raise
-        channel = pool.replace(upstream.address, upstream.incarnation, channel)
+            channel = pool.replace(upstream, channel)
+        return None
+    finally:
+        pool.give_back(channel)
+
+
+async def _try(
+    channel: RpcChannel, req: CancelReq, timeout_s: float
+) -> CancelReply | None:
+    try:
+        # The own timer also covers a connection that never opens.
+        async with asyncio.timeout(timeout_s):
+            reply: CancelReply = await channel.call(CANCEL, req)
+            return reply
+    except (TimeoutError, grpc.aio.AioRpcError, CodecError) as exc:
+        logger.debug("cancel of {} failed: {!r}", req.request_id, exc)
+    except asyncio.CancelledError:
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            raise
     return None
 
 
--- a/gooseberrydale/request/config_sync.py
+++ b/gooseberrydale/request/config_sync.py
@@ -52,13 +52,13 @@
             self._busy.discard(record.name)
 
     async def _push(self, record: UpstreamRecord) -> None:
-        channel = self._pool.get(record.address, record.incarnation)
         req = PushConfig(self._store.config)
-        await channel.call(PUSH_CONFIG, req, timeout_s=TIMEOUT_S)
+        with self._pool.using(record) as channel:
+            await channel.call(PUSH_CONFIG, req, timeout_s=TIMEOUT_S)
 
     async def _read(self, record: UpstreamRecord) -> None:
-        channel = self._pool.get(record.address, record.incarnation)
         req = ReadConfig(self._store.revision)
-        ack: ConfigAck = await channel.call(READ_CONFIG, req, timeout_s=TIMEOUT_S)
+        with self._pool.using(record) as channel:
+            ack: ConfigAck = await channel.call(READ_CONFIG, req, timeout_s=TIMEOUT_S)
         if ack.config is not None:
             self._store.offer(ack.config)
--- a/gooseberrydale/request/exchange.py
+++ b/gooseberrydale/request/exchange.py
@@ -22,7 +22,7 @@
     Heartbeat,
     Refused,
 )
-from gooseberrydale.connection.rpc import ATTACH, DISPATCH, Method
+from gooseberrydale.connection.rpc import ATTACH, DISPATCH, Method, RpcChannel
 from gooseberrydale.request.retry import Cause
 
 ATTACHES_AT_ONE_OFFSET = 3
@@ -56,7 +56,7 @@
         self._request_id = request_id
         self._workspace = workspace
         self._silence_s = silence_s
-        self._channel = pool.get(upstream.address, upstream.incarnation)
+        self._channel: RpcChannel | None = None
         self._call: Any = None
         self._heard = False
         self._attached_at = -1
@@ -76,22 +76,24 @@
 
     async def dispatch(self, req: DispatchReq, until: float | None) -> None:
         """Send the attempt; if no connection stands it is known not to be sent."""
-        await self._connect(until)
-        self._start(DISPATCH, req)
+        self._channel = self._pool.take(self.upstream)
+        await self._connect(self._channel, until)
+        self._start(self._channel, DISPATCH, req)
 
     def attach(self, offset: int) -> None:
         """Ask for the events from ``offset`` on over a new connection."""
         self._attaches = self._attaches + 1 if offset == self._attached_at else 1
         self._attached_at = offset
         if self._call is not None:
-            self.stop()
-            self._channel = self._pool.replace(
-                self.upstream.address, self.upstream.incarnation, self._channel
-            )
+            self._call.cancel()
+        if self._channel is None:
+            self._channel = self._pool.take(self.upstream)
+        else:
+            self._channel = self._pool.replace(self.upstream, self._channel)
         req = AttachReq(
             self._request_id, self.upstream.incarnation, self._workspace, offset
         )
-        self._start(ATTACH, req)
+        self._start(self._channel, ATTACH, req)
 
     async def next(self, until: float | None) -> Frame:
         """The next frame of this request; ``until`` is in loop time.
@@ -131,22 +133,25 @@
         """Drop the call; the sidecar goes on until it is told to cancel."""
         if self._call is not None:
             self._call.cancel()
+        if self._channel is not None:
+            self._pool.give_back(self._channel)
+            self._channel = None
 
-    async def _connect(self, until: float | None) -> None:
+    async def _connect(self, channel: RpcChannel, until: float | None) -> None:
         try:
             async with asyncio.timeout(self._wait_s(until)):
-                if await self._channel.connect():
+                if await channel.connect():
                     return
         except TimeoutError:
             _check_deadline(until)
-        self._pool.replace(
-            self.upstream.address, self.upstream.incarnation, self._channel
-        )
+        self._channel = self._pool.replace(self.upstream, channel)
         raise ExchangeLost(Cause.NOT_SENT, "no connection to the sidecar")
 
-    def _start(self, method: Method, req: DispatchReq | AttachReq) -> None:
+    def _start(
+        self, channel: RpcChannel, method: Method, req: DispatchReq | AttachReq
+    ) -> None:
         self._heard = False
-        self._call = self._channel.call(method, req)
+        self._call = channel.call(method, req)
 
     def _wait_s(self, until: float | None) -> float:
         if until is None:
