Test refusals and faults between the entry and its sidecars

Cause: what callers see of faults must hold under each of them. Change: a scripted sidecar in process; data-driven refusals; faults from a silent connection to a bid whose outcome is unknown. A fault of the router itself is answered by the interface's own JSON, not by the framework's text.

--- a/gooseberrydale/process/entry/app.py
+++ b/gooseberrydale/process/entry/app.py
@@ -13,6 +13,7 @@
 from starlette.types import Receive, Scope, Send
 
 from gooseberrydale.errors import (
+    INTERNAL,
     NO_ROUTE,
     UNKNOWN_PROFILE,
     WRONG_METHOD,
@@ -79,7 +80,8 @@
         ),
     ]
     return Starlette(
-        routes=[*routes, *extra], exception_handlers={HTTPException: _no_route}
+        routes=[*routes, *extra],
+        exception_handlers={HTTPException: _no_route, Exception: _internal},
     )
 
 
@@ -92,6 +94,11 @@
     return response
 
 
+async def _internal(req: Request, _exc: Exception) -> Response:
+    """Replace the framework's own answer to a fault; the fault is logged outside."""
+    return refusal(problem(INTERNAL, not_run=None), req.state.request_id)
+
+
 def _visible(calls: Calls, workspace: Workspace) -> list[Profile]:
     profiles = calls.config.profiles.values()
     found = [p for p in profiles if may_call(workspace, p)]
--- a/gooseberrydale/process/entry/gatekeeper.py
+++ b/gooseberrydale/process/entry/gatekeeper.py
@@ -67,11 +67,10 @@
             await self._app(scope, receive, answer.send)
         except Exception as exc:
             logger.bind(request_id=answer.request_id).exception("request failed")
-            if answer.started:
-                # Leaving the body open makes the caller see that it is not whole.
-                raise
-            await answer.refuse(problem(INTERNAL, not_run=None), scope, receive)
-            if isinstance(exc, InvariantError):
+            if not answer.started:
+                await answer.refuse(problem(INTERNAL, not_run=None), scope, receive)
+            # Leaving the body open makes the caller see that it is not whole.
+            if not answer.complete or isinstance(exc, InvariantError):
                 raise
 
 
@@ -81,6 +80,7 @@
     def __init__(self, request_id: str, keeper: Gatekeeper, send: Send) -> None:
         self.request_id = request_id
         self.started = False
+        self.complete = False
         self._keeper = keeper
         self._send = send
 
@@ -93,6 +93,8 @@
             if self._keeper.phase is not Phase.SERVING:
                 headers["connection"] = "close"
         await self._send(message)
+        if message["type"] == "http.response.body":
+            self.complete = not message.get("more_body", False)
 
     async def refuse(self, why: Problem, scope: Any, receive: Receive) -> None:
         """Send the final answer to a request that is refused."""
--- a/tests/builders_entry.py
+++ b/tests/builders_entry.py
@@ -143,13 +143,18 @@
         """Stop listening and break running calls."""
         await self._server.close()
 
-    def record(self, seq: int = 1, port: int | None = None) -> UpstreamRecord:
+    @property
+    def port(self) -> int:
+        """Where it listens."""
+        return self._server.port
+
+    def record(self, port: int | None = None) -> UpstreamRecord:
         """What this sidecar announces, reached through ``port`` if given."""
         return UpstreamRecord(
             name=self.name,
             incarnation=self.incarnation,
-            seq=seq,
-            address=f"127.0.0.1:{port or self._server.port}",
+            seq=1,
+            address=f"127.0.0.1:{port or self.port}",
             zone="local",
             region="local",
             pool=self.pool,
@@ -207,14 +212,19 @@
             return
         mine = [d for d in self.dispatched if d.request_id == req.request_id]
         if not mine or mine[-1].workspace != req.workspace:
-            why = problem(UNKNOWN_STREAM, request_id=req.request_id, offset=req.offset)
-            yield Refused(
-                req.request_id, 1, req.incarnation, why, Load(), self.config.revision
-            )
+            async for frame in self.refuse_attach(req):
+                yield frame
             return
         async for frame in self.rest(mine[-1], req.offset):
             yield frame
 
+    async def refuse_attach(self, req: AttachReq) -> AsyncIterator[Any]:
+        """The answer to an attach to a stream that is not kept."""
+        why = problem(UNKNOWN_STREAM, request_id=req.request_id, offset=req.offset)
+        yield Refused(
+            req.request_id, 1, req.incarnation, why, Load(), self.config.revision
+        )
+
     async def rest(self, req: DispatchReq, offset: int) -> AsyncIterator[Any]:
         """All of ``answer_words`` from ``offset`` on."""
         yield self.accepted(req)
@@ -280,8 +290,15 @@
             await fake.close()
 
 
-def introduce(entry: Entry, *fakes: FakeSidecar) -> None:
+def introduce(entry: Entry, *fakes: FakeSidecar, port: int | None = None) -> None:
     """Let the entry know the fakes as if they had announced themselves."""
     now = asyncio.get_running_loop().time()
     for fake in fakes:
-        entry.directory.offer(fake.record(), now)
+        entry.directory.offer(fake.record(port), now)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for ``condition``, which must come true within a generous bound."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_entry_faults.py
@@ -0,0 +1,387 @@
+"""Faults between the entry and its sidecars, and what the caller sees of them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
+from typing import Any
+
+import httpx2
+import openai
+import pytest
+
+from gooseberrydale.connection.messages import CancelReply, DispatchReq, Failed, Load
+from gooseberrydale.errors import QUEUE_FULL, UPSTREAM_FAILED, Problem, problem
+from gooseberrydale.process.entry import Entry
+from tests.builders_entry import (
+    KEY_A,
+    WORD_EVENTS,
+    WORDS,
+    FakeSidecar,
+    answer_words,
+    beat,
+    chat_event,
+    introduce,
+    make_config,
+    running,
+    until,
+)
+from tests.relay import Relay
+
+TEXT = "".join(WORDS)
+ASK = [{"role": "user", "content": "Is lot 42 fine?"}]
+
+
+def client_of(entry: Entry) -> openai.AsyncOpenAI:
+    return openai.AsyncOpenAI(
+        base_url=f"http://{entry.addresses['http']}/v1", api_key=KEY_A, max_retries=0
+    )
+
+
+async def read_stream(client: openai.AsyncOpenAI) -> str:
+    stream = await client.chat.completions.create(
+        model="lots", messages=ASK, stream=True  # type: ignore[arg-type]
+    )
+    return "".join([e.choices[0].delta.content or "" async for e in stream])
+
+
+async def bid(entry: Entry) -> httpx2.Response:
+    base = f"http://{entry.addresses['http']}"
+    headers = {"Authorization": f"Bearer {KEY_A}"}
+    async with httpx2.AsyncClient(base_url=base, headers=headers) as client:
+        return await client.post("/services/bids/lots/42?x=1", json={"amount": 9})
+
+
+async def start_words(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """Two words of the answer."""
+    yield fake.accepted(req)
+    for offset, event in enumerate(WORD_EVENTS[:2]):
+        yield fake.chunk(req, offset, event)
+
+
+async def stall(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """Two words, then only heartbeats."""
+    async for frame in start_words(fake, req):
+        yield frame
+    async for frame in beat(fake, req):
+        yield frame
+
+
+def fail(why: Problem) -> Callable[[FakeSidecar, DispatchReq], AsyncIterator[Any]]:
+    """Two words, then the upstream fails."""
+
+    async def script(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+        async for frame in start_words(fake, req):
+            yield frame
+        yield Failed(req.request_id, req.attempt, req.incarnation, 2, why, Load())
+
+    return script
+
+
+async def break_off(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """Two words, then the call breaks, and attaching is refused."""
+    async for frame in start_words(fake, req):
+        yield frame
+    fake.on_attach = fake.refuse_attach
+    raise RuntimeError("scripted")
+
+
+async def break_at_once(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """The call breaks before anything was accepted."""
+    fake.on_attach = fake.refuse_attach
+    raise RuntimeError("scripted")
+    yield
+
+
+async def go_on(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """The rest of the answer for a request that is resumed."""
+    yield fake.accepted(req)
+    for offset in range(req.first_offset, len(WORD_EVENTS)):
+        yield fake.chunk(req, offset, WORD_EVENTS[offset])
+    yield fake.end(req, len(WORD_EVENTS))
+
+
+async def refuse(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """A queue that is full."""
+    yield fake.refused(req, problem(QUEUE_FULL, retry_after_s=2.0))
+
+
+async def answer_plain(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """A service's answer."""
+    yield fake.accepted(req, status=201)
+    yield fake.chunk(req, 0, b'{"bid":')
+    yield fake.chunk(req, 1, b"9}")
+    yield fake.end(req, 2)
+
+
+def pair(first: Any, then: Any, pool: str = "summary") -> list[FakeSidecar]:
+    """Two sidecars: whichever is asked first follows ``first``, the other ``then``."""
+    fakes = [FakeSidecar("u1", pool), FakeSidecar("u2", pool)]
+    for fake, other in (fakes, fakes[::-1]):
+
+        def script(
+            me: FakeSidecar, req: DispatchReq, other: FakeSidecar = other
+        ) -> AsyncIterator[Any]:
+            chosen = then if other.dispatched else first
+            return chosen(me, req)  # type: ignore[no-any-return]
+
+        fake.script = script
+    return fakes
+
+
+def dispatches(fakes: list[FakeSidecar]) -> list[DispatchReq]:
+    """All dispatches, by attempt."""
+    found = [req for fake in fakes for req in fake.dispatched]
+    return sorted(found, key=lambda req: req.attempt)
+
+
+def test_silent_connection_is_replaced_and_the_stream_goes_on() -> None:
+    async def scenario() -> None:
+        fake = FakeSidecar("u1")
+        fake.script = stall
+        await fake.start()
+        relay = Relay(fake.port)
+        await relay.start()
+        async with running() as entry, client_of(entry) as client:
+            introduce(entry, fake, port=relay.port)
+            reading = asyncio.create_task(read_stream(client))
+            await until(lambda: bool(fake.dispatched))
+            await asyncio.sleep(0.1)
+            relay.silence_open()
+            assert await reading == TEXT
+        assert [req.offset for req in fake.attached] == [2]
+        assert len(fake.dispatched) == 1
+        fake.release.set()
+        await relay.close()
+        await fake.close()
+
+    asyncio.run(scenario())
+
+
+LOST = problem(UPSTREAM_FAILED, not_run=False)
+
+
+@pytest.mark.parametrize("first", [fail(LOST), break_off], ids=["failed", "broken"])
+def test_stream_is_resumed_on_another_upstream(first: Any) -> None:
+    async def scenario() -> None:
+        fakes = pair(first, go_on)
+        async with running(*fakes) as entry, client_of(entry) as client:
+            assert await read_stream(client) == TEXT
+        resumed = dispatches(fakes)[1]
+        assert resumed.emitted == "".join(WORDS[:2])
+        assert (resumed.attempt, resumed.first_offset) == (2, 2)
+
+    asyncio.run(scenario())
+
+
+def test_plain_answer_starts_anew_after_a_failure() -> None:
+    async def scenario() -> None:
+        fakes = pair(fail(LOST), answer_words)
+        async with running(*fakes) as entry, client_of(entry) as client:
+            answer = await client.chat.completions.create(
+                model="lots", messages=ASK  # type: ignore[arg-type]
+            )
+        assert answer.choices[0].message.content == TEXT
+        assert dispatches(fakes)[1].first_offset == 0
+
+    asyncio.run(scenario())
+
+
+def test_full_queue_sends_the_request_elsewhere() -> None:
+    async def scenario() -> None:
+        fakes = pair(refuse, answer_words)
+        async with running(*fakes) as entry, client_of(entry) as client:
+            assert await read_stream(client) == TEXT
+
+    asyncio.run(scenario())
+
+
+def test_refusal_of_all_is_final_and_says_not_run() -> None:
+    async def scenario() -> None:
+        fakes = pair(refuse, refuse)
+        async with running(*fakes) as entry, client_of(entry) as client:
+            with pytest.raises(openai.RateLimitError) as caught:
+                await read_stream(client)
+        error = caught.value.body
+        assert isinstance(error, dict)
+        assert (error["code"], error["not_run"]) == ("queue_full", True)
+        assert caught.value.response.headers["retry-after"] == "2"
+
+    asyncio.run(scenario())
+
+
+async def call_tool(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """A tool call that breaks off: its text alone can't be continued."""
+    yield fake.accepted(req)
+    event = chat_event("x").replace(b'"content"', b'"tool_calls"')
+    yield fake.chunk(req, 0, event)
+    yield Failed(req.request_id, req.attempt, req.incarnation, 1, LOST, Load())
+
+
+def test_stream_that_cannot_be_whole_ends_with_an_error_event() -> None:
+    async def scenario() -> None:
+        fakes = pair(call_tool, go_on)
+        async with running(*fakes) as entry, client_of(entry) as client:
+            url = f"{client.base_url}chat/completions"
+            body = {"model": "lots", "messages": ASK, "stream": True}
+            headers = {"Authorization": f"Bearer {KEY_A}"}
+            async with httpx2.AsyncClient() as plain:
+                answer = await plain.post(url, json=body, headers=headers)
+        last = answer.text.strip().split("\n\n")[-1]
+        assert '"error"' in last and "upstream_failed" in last
+        assert "[DONE]" not in answer.text
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("not_run", "status", "code", "attempts"),
+    [(True, 201, "", 2), (False, 502, "outcome_unknown", 1)],
+    ids=["tombstoned", "unknown"],
+)
+def test_bid_moves_only_after_a_confirmed_tombstone(
+    not_run: bool, status: int, code: str, attempts: int
+) -> None:
+    async def scenario() -> None:
+        fakes = pair(break_at_once, answer_plain, "bidding")
+        for fake in fakes:
+            fake.cancel_reply = CancelReply(not_run=not_run)
+        async with running(*fakes) as entry:
+            answer = await bid(entry)
+        assert answer.status_code == status
+        made = dispatches(fakes)
+        assert [req.attempt for req in made] == list(range(1, attempts + 1))
+        assert all(req.path == "/lots/42?x=1" for req in made)
+        assert all("authorization" not in dict(req.headers) for req in made)
+        if code:
+            error = answer.json()["error"]
+            assert (error["code"], error["not_run"]) == (code, None)
+            assert "retry-after" not in answer.headers
+        else:
+            assert answer.json() == {"bid": 9}
+
+    asyncio.run(scenario())
+
+
+def test_accepted_bid_that_breaks_off_runs_nowhere_else() -> None:
+    async def scenario() -> None:
+        fakes = pair(break_off, answer_plain, "bidding")
+        async with running(*fakes) as entry:
+            answer = await bid(entry)
+        assert answer.json()["error"]["code"] == "outcome_unknown"
+        assert len(dispatches(fakes)) == 1
+
+    asyncio.run(scenario())
+
+
+def test_unreachable_sidecar_is_known_not_to_have_run_a_bid() -> None:
+    async def scenario() -> None:
+        gone, fake = FakeSidecar("u1", "bidding"), FakeSidecar("u2", "bidding")
+        fake.script = answer_plain
+        await gone.start()
+        async with running(fake) as entry:
+            introduce(entry, gone)
+            await gone.close()
+            answers = [await bid(entry) for _ in range(4)]
+        assert [answer.status_code for answer in answers] == [201] * 4
+        assert len(fake.dispatched) == 4
+
+    asyncio.run(scenario())
+
+
+def test_deadline_gives_the_final_answer_and_cancels() -> None:
+    async def scenario() -> None:
+        fake = FakeSidecar("u1")
+        fake.script = beat
+        config = make_config()
+        hasty = replace(config.profiles["lots"], deadline_s=0.3)
+        config = replace(config, profiles={"lots": hasty})
+        async with running(fake, config=config) as entry, client_of(entry) as client:
+            with pytest.raises(openai.APIStatusError) as caught:
+                await read_stream(client)
+            await until(lambda: bool(fake.cancelled))
+        error = caught.value.body
+        assert isinstance(error, dict)
+        assert (error["code"], error["not_run"]) == ("deadline_passed", None)
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_goes_away_cancels_at_the_sidecar() -> None:
+    async def scenario() -> None:
+        fake = FakeSidecar("u1")
+        fake.script = stall
+        async with running(fake) as entry, client_of(entry) as client:
+            reading = asyncio.create_task(read_stream(client))
+            await until(lambda: bool(fake.dispatched))
+            await asyncio.sleep(0.1)
+            reading.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await reading
+            await until(lambda: bool(fake.cancelled))
+        [given_up] = fake.cancelled
+        assert given_up.request_id == fake.dispatched[0].request_id
+
+    asyncio.run(scenario())
+
+
+async def babble(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """Frames of other attempts, lives and requests, and each event twice."""
+    wrong = chat_event("wrong")
+    yield fake.accepted(replace(req, attempt=7), status=500)
+    yield fake.accepted(req)
+    for offset, event in enumerate(WORD_EVENTS):
+        for other in (
+            replace(req, attempt=req.attempt + 1),
+            replace(req, incarnation="earlier"),
+            replace(req, request_id="other"),
+        ):
+            yield fake.chunk(other, offset, wrong)
+            yield fake.end(other, offset)
+        yield fake.chunk(req, offset, event)
+        yield fake.chunk(req, offset, event)
+    yield fake.end(req, len(WORD_EVENTS))
+
+
+def test_late_and_crossed_frames_are_dropped() -> None:
+    async def scenario() -> None:
+        fake = FakeSidecar("u1")
+        fake.script = babble
+        async with running(fake) as entry, client_of(entry) as client:
+            assert await read_stream(client) == TEXT
+
+    asyncio.run(scenario())
+
+
+async def skip_one(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """An answer that lacks an event."""
+    yield fake.accepted(req)
+    for offset in (0, 1, 3, 4):
+        yield fake.chunk(req, offset, WORD_EVENTS[offset])
+    yield fake.end(req, len(WORD_EVENTS))
+
+
+def test_missing_event_is_asked_for_again() -> None:
+    async def scenario() -> None:
+        fake = FakeSidecar("u1")
+        fake.script = skip_one
+        async with running(fake) as entry, client_of(entry) as client:
+            assert await read_stream(client) == TEXT
+        assert [req.offset for req in fake.attached] == [2]
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("theirs", "ours"), [(1, 5), (5, 1)], ids=["behind", "ahead"])
+def test_configurations_even_out_on_the_data_path(theirs: int, ours: int) -> None:
+    async def scenario() -> None:
+        fake = FakeSidecar("u1")
+        fake.config = make_config(theirs)
+        async with running(fake, config=make_config(ours)) as entry:
+            async with client_of(entry) as client:
+                assert await read_stream(client) == TEXT
+            await until(lambda: entry.store.revision == fake.config.revision == 5)
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_entry_refusals.py
@@ -0,0 +1,172 @@
+"""Refusals: each is typed JSON, sent at once, and runs nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpx2
+import pytest
+
+from gooseberrydale.version.declarations import Config
+from tests.builders_entry import KEY_A, KEY_B, FakeSidecar, running
+
+CHAT = "/v1/chat/completions"
+LIMIT = 10_000
+GOOD = {"model": "lots", "messages": [{"role": "user", "content": "?"}]}
+
+
+@dataclass(frozen=True)
+class Case:
+    """One bad request and the refusal that it gets."""
+
+    name: str
+    status: int
+    code: str
+    method: str = "POST"
+    path: str = CHAT
+    body: bytes = json.dumps(GOOD).encode()
+    key: str = KEY_A
+    headers: dict[str, str] = field(default_factory=dict)
+    comes_back: bool = False
+
+
+def body(**changes: Any) -> bytes:
+    return json.dumps({**GOOD, **changes}).encode()
+
+
+CASES = [
+    Case("no key", 401, "missing_key", key=""),
+    Case("wrong key", 401, "invalid_key", key="guess"),
+    Case("empty body", 400, "invalid_json", body=b""),
+    Case("broken JSON", 400, "invalid_json", body=b'{"model": '),
+    Case("not UTF-8", 400, "invalid_json", body=b'{"model": "\xff"}'),
+    Case("deep nesting", 400, "invalid_json", body=b"[" * 5_000),
+    Case("no object", 400, "invalid_field", body=b"[]"),
+    Case("model is a number", 400, "invalid_field", body=body(model=1)),
+    Case("stream is a string", 400, "invalid_field", body=body(stream="yes")),
+    Case("no messages", 400, "invalid_field", body=body(messages=[])),
+    Case("role missing", 400, "invalid_field", body=body(messages=[{}])),
+    Case("unknown profile", 404, "unknown_profile", body=body(model="nil")),
+    Case("kind", 400, "wrong_profile_kind", body=body(model="bids")),
+    Case("kind, as service", 400, "wrong_profile_kind", path="/services/lots/x"),
+    Case("closed", 404, "unknown_profile", path="/services/bids/x", key=KEY_B),
+    Case("too large", 413, "body_too_large", body=b"x" * (LIMIT + 1)),
+    Case("no upstream", 503, "no_upstream", comes_back=True),
+    Case("no path", 404, "no_route", path="/v2/chat"),
+    Case("wrong method", 405, "wrong_method", method="GET", body=b""),
+    Case("event id", 400, "invalid_field", headers={"Last-Event-ID": "7"}),
+    Case(
+        "stream of nobody",
+        404,
+        "unknown_stream",
+        headers={"Last-Event-ID": "u9/inc/request/3"},
+    ),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_bad_request_is_refused_in_typed_json(case: Case) -> None:
+    async def scenario() -> httpx2.Response:
+        async with running(max_body_bytes=LIMIT) as entry:
+            headers = dict(case.headers)
+            if case.key:
+                headers["Authorization"] = f"Bearer {case.key}"
+            async with httpx2.AsyncClient() as client:
+                return await client.request(
+                    case.method,
+                    f"http://{entry.addresses['http']}{case.path}",
+                    content=case.body,
+                    headers=headers,
+                )
+
+    answer = asyncio.run(scenario())
+    error = answer.json()["error"]
+    assert (answer.status_code, error["code"]) == (case.status, case.code)
+    assert error["request_id"] == answer.headers["x-request-id"]
+    assert set(error) == {"message", "type", "code", "not_run", "request_id"}
+    assert ("retry-after" in answer.headers) == case.comes_back
+
+
+async def raw_request(address: str, *parts: bytes, half_close: bool = False) -> bytes:
+    """Send ``parts`` of a request and read all that comes back."""
+    host, _, port = address.partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for part in parts:
+        writer.write(part)
+    if half_close:
+        writer.write_eof()
+    async with asyncio.timeout(10):
+        answer = await reader.read()
+    writer.close()
+    return answer
+
+
+HEAD = (
+    f"POST {CHAT} HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer {KEY_A}\r\n"
+    "Content-Length: {length}\r\n\r\n"
+)
+
+
+def test_slow_body_is_refused_after_its_time() -> None:
+    async def scenario() -> None:
+        async with running() as entry:
+            head = HEAD.format(length=100).encode()
+            answer = await raw_request(entry.addresses["http"], head, b'{"mo')
+        assert b"408 Request Timeout" in answer and b"body_timeout" in answer
+
+    asyncio.run(scenario())
+
+
+def test_too_large_body_is_refused_before_it_is_sent() -> None:
+    async def scenario() -> None:
+        async with running(max_body_bytes=LIMIT, body_timeout_s=60) as entry:
+            head = HEAD.format(length=LIMIT + 1).encode()
+            answer = await raw_request(entry.addresses["http"], head)
+        assert b"413 " in answer and b"connection: close" in answer.lower()
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_closes_half_way_starts_nothing() -> None:
+    async def scenario() -> None:
+        fake = FakeSidecar("u1")
+        async with running(fake) as entry:
+            head = HEAD.format(length=100).encode()
+            address = entry.addresses["http"]
+            answer = await raw_request(address, head, b'{"mo', half_close=True)
+            again = await raw_request(address, b"GET /livez HTTP/1.0\r\n\r\n")
+        assert answer == b"" and b"200 OK" in again
+        assert fake.dispatched == []
+
+    asyncio.run(scenario())
+
+
+def test_entry_without_configuration_refuses_soon_and_names_why() -> None:
+    async def scenario() -> None:
+        async with running(config=Config()) as entry:
+            base = f"http://{entry.addresses['http']}"
+            headers = {"Authorization": f"Bearer {KEY_A}"}
+            async with httpx2.AsyncClient(base_url=base, headers=headers) as client:
+                answer = await client.post(CHAT, json=GOOD)
+                ready = await client.get("/readyz")
+        assert answer.json()["error"]["code"] == "not_ready"
+        assert int(answer.headers["retry-after"]) >= 1
+        assert ready.status_code == 503
+        assert ready.json()["reason"] == "no configuration yet"
+
+    asyncio.run(scenario())
+
+
+def test_fault_of_the_router_gives_no_details(monkeypatch: Any) -> None:
+    async def scenario() -> httpx2.Response:
+        async with running() as entry:
+            monkeypatch.setattr(entry, "_why_unready", lambda: 1 / 0)
+            async with httpx2.AsyncClient() as client:
+                return await client.get(f"http://{entry.addresses['http']}/readyz")
+
+    answer = asyncio.run(scenario())
+    assert (answer.status_code, answer.json()["error"]["code"]) == (500, "internal")
+    assert "division" not in answer.text and "Traceback" not in answer.text
