--- /dev/null
+++ b/gooseberrydale/request/deps.py
@@ -0,0 +1,44 @@
+"""What the process lends to each request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from gooseberrydale.connection.channels import ChannelPool
+from gooseberrydale.process.cfg import EntryCfg, NodeCfg
+from gooseberrydale.request.background import Background
+from gooseberrydale.request.config_sync import ConfigSync
+from gooseberrydale.request.retry import RetryBudget
+from gooseberrydale.request.routing import Policy
+from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.directory import Directory
+
+
+@dataclass(slots=True)
+class Counters:
+    """Counts since the process started."""
+
+    dropped_frames: int = 0
+    attached: int = 0
+    retried: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Deps:
+    """Shared parts that a request uses but does not own.
+
+    Until ``fresh_until`` (loop time) a request may wait a moment for the first
+    records of configuration and upstreams.
+    """
+
+    cfg: EntryCfg
+    node: NodeCfg
+    store: ConfigStore
+    directory: Directory
+    pool: ChannelPool
+    policy: Policy
+    budget: RetryBudget
+    background: Background
+    config_sync: ConfigSync
+    fresh_until: float = 0.0
+    counters: Counters = field(default_factory=Counters)
