Keep the declarations, orders and claims as one replicated state

Cause: control needs a state that every replica reaches alike from the log. Ruled out: reading a clock in the state (deadlines would pass at different entries); settings read by each replica (replicas with other bounds would differ, so the bounds travel in the log); dropping the oldest claim of a full table (a forgotten claim lets a call run twice, so new ones are refused). Change: one log entry is a group of requests with the proposer's wall time. Invariants raise InvariantError.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -201,6 +201,41 @@
     "The claim could not be committed; come back after the given time with the"
     " same key.",
 )
+KEY_TOO_LONG = ErrorKind(
+    "idempotency_key_too_long",
+    400,
+    "The Idempotency-Key is over {limit} characters; send a shorter one.",
+)
+CLAIMS_FULL = ErrorKind(
+    "claims_full",
+    503,
+    "No more claims can be kept; come back after the given time or have the operator"
+    " raise the limits of claims.",
+)
+CLAIM_MOVED = ErrorKind(
+    "claim_moved",
+    409,
+    "Claim {key!r} is held by attempt {attempt} of request {request_id}; read the"
+    " record and follow that attempt.",
+)
+UNKNOWN_CLAIM = ErrorKind(
+    "unknown_claim",
+    404,
+    "There is no claim {key!r}; it may have expired, claim the key again before"
+    " dispatch.",
+)
+TOMBSTONE_MISSING = ErrorKind(
+    "tombstone_missing",
+    409,
+    "The sidecar has not confirmed that attempt {attempt} of request {request_id}"
+    " can't run; cancel it there first.",
+)
+ANSWER_NOT_KEPT = ErrorKind(
+    "answer_not_kept",
+    409,
+    "The call ran and ended with status {status}, but its answer was too large to"
+    " keep; read the result from the service.",
+)
 
 # Between processes and towards operators.
 WRONG_FLEET_TOKEN = ErrorKind(
@@ -270,4 +305,20 @@
     "The weights could not be read ({reason}); the old ones stay in force, give the"
     " order again.",
 )
+ORDERS_FULL = ErrorKind(
+    "orders_full",
+    429,
+    "{limit} orders are waiting already; come back after the given time.",
+)
+NOT_PROPOSABLE = ErrorKind(
+    "not_proposable",
+    400,
+    "Control takes no {what} on this interface; use the operators' interface.",
+)
+CONTROL_UNREACHABLE = ErrorKind(
+    "control_unreachable",
+    503,
+    "No control replica answered ({reason}); check the addresses and send the same"
+    " change id again.",
+)
 INVALID_SETTING = ErrorKind("invalid_setting", 2, "{file}: {key}: {reason}; {remedy}.")
--- /dev/null
+++ b/gooseberrydale/version/change.py
@@ -0,0 +1,233 @@
+"""Applies edits to one revision of the declarations and remembers change ids.
+
+Part of the replicated control state.  A change is compare-and-set: it takes effect
+only on the revision it was made for.  Its id is remembered with its content and
+answer, so that a resend gets the answer of the first time, and nothing else does.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import msgspec
+from result import Err, Ok, Result
+
+from gooseberrydale.connection.codec import encode, message
+from gooseberrydale.connection.control_messages import (
+    ChangeReply,
+    ChangeReq,
+    Edit,
+    EditKind,
+    PlaceOrderReq,
+)
+from gooseberrydale.errors import (
+    INVALID_DECLARATION,
+    REVISION_CONFLICT,
+    REVISION_FROM_FUTURE,
+    Problem,
+    problem,
+)
+from gooseberrydale.version.declarations import Config, Workspace
+from gooseberrydale.version.validation import (
+    NAME_PATTERN,
+    config_faults,
+    profile_faults,
+    workspace_faults,
+)
+
+MAX_EDITS = 4_096
+MAX_LEAVING = 10_000
+MAX_SHOWN_FAULTS = 50
+SHOWN_DIGEST_CHARS = 8
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Remembered:
+    """What was answered to a change id; ``reply`` is the encoded message."""
+
+    change_id: str
+    content: bytes
+    reply: bytes
+
+
+class ChangeMemory:
+    """The newest change ids with their answers."""
+
+    def __init__(self, items: tuple[Remembered, ...] = ()) -> None:
+        self._items = {item.change_id: item for item in items}
+
+    @property
+    def items(self) -> tuple[Remembered, ...]:
+        """All remembered changes, oldest first."""
+        return tuple(self._items.values())
+
+    def get(self, change_id: str) -> Remembered | None:
+        """Return what was answered to ``change_id``, if it is still known."""
+        return self._items.get(change_id)
+
+    def add(self, item: Remembered, keep: int) -> None:
+        """Remember one more and forget the oldest beyond ``keep``.
+
+        A forgotten change can't run twice: its base is no longer in force.
+        """
+        self._items[item.change_id] = item
+        while len(self._items) > keep:
+            del self._items[next(iter(self._items))]
+
+
+def content_digest(req: ChangeReq | PlaceOrderReq) -> bytes:
+    """Digest of all that a request says, its author included."""
+    return hashlib.sha256(encode(req)).digest()
+
+
+def evaluate(config: Config, req: ChangeReq) -> Result[Config, Problem]:
+    """Return the configuration that ``req`` makes of ``config``, or why not."""
+    if req.base > config.revision:
+        return Err(
+            problem(REVISION_FROM_FUTURE, base=req.base, current=config.revision)
+        )
+    if req.base < config.revision:
+        return Err(problem(REVISION_CONFLICT, base=req.base, current=config.revision))
+    return apply_edits(config, req.edits)
+
+
+def apply_edits(config: Config, edits: tuple[Edit, ...]) -> Result[Config, Problem]:
+    """Return the next revision with all edits made; refuse all or none."""
+    if not 0 < len(edits) <= MAX_EDITS:
+        reason = f"a change has 1 to {MAX_EDITS} edits, not {len(edits)}"
+        return Err(problem(INVALID_DECLARATION, reason=reason))
+    draft = _Draft(config)
+    for edit in edits:
+        draft.take(edit)
+    changed = draft.config()
+    faults = draft.faults + config_faults(changed)
+    if faults:
+        return Err(problem(INVALID_DECLARATION, reason=joined(faults)))
+    return Ok(changed)
+
+
+def joined(faults: list[str]) -> str:
+    """All faults in one text, cut off where nobody reads on."""
+    shown_faults = faults[:MAX_SHOWN_FAULTS]
+    more = len(faults) - len(shown_faults)
+    if more:
+        shown_faults.append(f"and {more} more")
+    return "; ".join(shown_faults)
+
+
+def shown(config: Config, edit: Edit) -> str:
+    """What ``config`` holds of the thing that ``edit`` is about, as JSON text."""
+    name = edit_name(edit)
+    if edit.kind in (EditKind.APPLY_PROFILE, EditKind.RETIRE_PROFILE):
+        found = config.profiles.get(name)
+        return "" if found is None else msgspec.json.encode(found).decode()
+    if edit.kind in (EditKind.APPLY_WORKSPACE, EditKind.RETIRE_WORKSPACE):
+        return _shown_workspace(config, name)
+    return "leaving" if name in config.leaving else ""
+
+
+def asked(edit: Edit) -> str:
+    """What ``edit`` asks for, as JSON text; empty where it takes away."""
+    if edit.kind is EditKind.APPLY_PROFILE and edit.profile is not None:
+        return msgspec.json.encode(edit.profile).decode()
+    if edit.kind is EditKind.APPLY_WORKSPACE and edit.workspace is not None:
+        return _workspace_text(edit.workspace)
+    return "leaving" if edit.kind is EditKind.MARK_LEAVING else ""
+
+
+def edit_name(edit: Edit) -> str:
+    """The name of the profile, workspace or upstream that ``edit`` is about."""
+    if edit.profile is not None:
+        return edit.profile.name
+    if edit.workspace is not None:
+        return edit.workspace.name
+    return edit.name
+
+
+def refusal(config: Config, refused: Problem) -> ChangeReply:
+    """The answer to a change that was not made."""
+    return ChangeReply(revision=config.revision, problem=refused)
+
+
+def _shown_workspace(config: Config, name: str) -> str:
+    workspace = config.workspaces.get(name)
+    return "" if workspace is None else _workspace_text(workspace)
+
+
+def _workspace_text(workspace: Workspace) -> str:
+    # The trail shows which keys there are, not enough to look one up.
+    digests = tuple(digest[:SHOWN_DIGEST_CHARS] for digest in workspace.key_digests)
+    return msgspec.json.encode(replace(workspace, key_digests=digests)).decode()
+
+
+class _Draft:
+    """The declarations while edits are made one by one."""
+
+    def __init__(self, config: Config) -> None:
+        self._revision = config.revision + 1
+        self._profiles = dict(config.profiles)
+        self._workspaces = dict(config.workspaces)
+        self._leaving = set(config.leaving)
+        self.faults: list[str] = []
+        self._takers: dict[EditKind, Callable[[Edit], None]] = {
+            EditKind.APPLY_PROFILE: self._apply_profile,
+            EditKind.RETIRE_PROFILE: self._retire_profile,
+            EditKind.APPLY_WORKSPACE: self._apply_workspace,
+            EditKind.RETIRE_WORKSPACE: self._retire_workspace,
+            EditKind.MARK_LEAVING: self._mark_leaving,
+            EditKind.UNMARK_LEAVING: self._unmark_leaving,
+        }
+
+    def take(self, edit: Edit) -> None:
+        self._takers[edit.kind](edit)
+
+    def config(self) -> Config:
+        return Config(
+            revision=self._revision,
+            profiles=self._profiles,
+            workspaces=self._workspaces,
+            leaving=frozenset(self._leaving),
+        )
+
+    def _apply_profile(self, edit: Edit) -> None:
+        if edit.profile is None:
+            self.faults.append("apply_profile: give the profile")
+            return
+        self.faults.extend(profile_faults(edit.profile))
+        self._profiles[edit.profile.name] = edit.profile
+
+    def _retire_profile(self, edit: Edit) -> None:
+        if self._profiles.pop(edit.name, None) is None:
+            self.faults.append(f"there is no profile {edit.name!r}; list the profiles")
+
+    def _apply_workspace(self, edit: Edit) -> None:
+        if edit.workspace is None:
+            self.faults.append("apply_workspace: give the workspace")
+            return
+        self.faults.extend(workspace_faults(edit.workspace))
+        self._workspaces[edit.workspace.name] = edit.workspace
+
+    def _retire_workspace(self, edit: Edit) -> None:
+        if self._workspaces.pop(edit.name, None) is None:
+            self.faults.append(
+                f"there is no workspace {edit.name!r}; list the workspaces"
+            )
+
+    def _mark_leaving(self, edit: Edit) -> None:
+        if not NAME_PATTERN.fullmatch(edit.name):
+            self.faults.append("mark_leaving: name the upstream")
+        if len(self._leaving) >= MAX_LEAVING:
+            self.faults.append(
+                f"{MAX_LEAVING} upstreams are marked as leaving; unmark some first"
+            )
+        self._leaving.add(edit.name)
+
+    def _unmark_leaving(self, edit: Edit) -> None:
+        if edit.name not in self._leaving:
+            self.faults.append(
+                f"upstream {edit.name!r} is not marked as leaving; list the upstreams"
+            )
+        self._leaving.discard(edit.name)
--- /dev/null
+++ b/gooseberrydale/version/claims.py
@@ -0,0 +1,245 @@
+"""Claims of calls that may not be repeated, one for each Idempotency-Key.
+
+Part of the replicated control state.  A claim names the one attempt that may run.
+It passes to another attempt only after the sidecar has confirmed that the first
+one never ran and never will; a finished claim never changes.  Claims expire by
+committed time.  The table never drops a claim early: when it is full it refuses
+new ones, since a forgotten claim could let a call run twice.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+from gooseberrydale.connection.control_messages import (
+    ClaimRecord,
+    ClaimReply,
+    ClaimReq,
+    ClaimState,
+    FinishReq,
+    Holder,
+    Limits,
+    MoveReq,
+    ReleaseReq,
+)
+from gooseberrydale.errors import (
+    CLAIM_MOVED,
+    CLAIMS_FULL,
+    KEY_REUSED,
+    KEY_TOO_LONG,
+    TOMBSTONE_MISSING,
+    UNKNOWN_CLAIM,
+    InvariantError,
+    Problem,
+    problem,
+)
+
+MAX_KEY_CHARS = 256
+MAX_HEADER_BYTES = 8_192
+MIN_RETRY_AFTER_S = 1.0
+
+_Key = tuple[str, str]
+
+
+class ClaimTable:
+    """All claims, in the order in which they expire."""
+
+    def __init__(self, records: tuple[ClaimRecord, ...] = ()) -> None:
+        self._records: dict[_Key, ClaimRecord] = {}
+        self._counts: Counter[str] = Counter()
+        self._bytes = 0
+        for record in records:
+            self._put(record)
+
+    @property
+    def records(self) -> tuple[ClaimRecord, ...]:
+        """All claims, the first to expire first."""
+        return tuple(self._records.values())
+
+    @property
+    def kept_bytes(self) -> int:
+        """Size of all kept answers in bytes."""
+        return self._bytes
+
+    def next_expiry_s(self) -> float | None:
+        """Committed time at which the next claim expires."""
+        first = next(iter(self._records.values()), None)
+        return None if first is None else first.expires_s
+
+    def expire(self, now_s: float) -> None:
+        """Drop the claims whose time has passed."""
+        while self._records:
+            key, record = next(iter(self._records.items()))
+            if record.expires_s > now_s:
+                return
+            self._drop(key)
+
+    def claim(self, req: ClaimReq, now_s: float, limits: Limits) -> ClaimReply:
+        """Grant the key to the attempt, or tell what is committed under it."""
+        known = self._records.get((req.workspace, req.key))
+        if known is not None:
+            return _answer_known(known, req)
+        if len(req.key) > MAX_KEY_CHARS:
+            return ClaimReply(problem=problem(KEY_TOO_LONG, limit=MAX_KEY_CHARS))
+        if self._is_full(req.workspace, limits):
+            return self._refuse_full(now_s)
+        record = ClaimRecord(
+            workspace=req.workspace,
+            key=req.key,
+            digest=req.digest,
+            holder=req.holder,
+            expires_s=now_s + limits.claim_ttl_s,
+        )
+        self._put(record)
+        return ClaimReply(granted=True, record=record)
+
+    def move(self, req: MoveReq, now_s: float, limits: Limits) -> ClaimReply:
+        """Hand the claim from a tombstoned attempt to another one."""
+        known = self._records.get((req.workspace, req.key))
+        if known is None:
+            return _refuse_unknown(req.key)
+        if known.holder == req.new and known.state is ClaimState.RUNNING:
+            return ClaimReply(granted=True, record=known)
+        if known.state is not ClaimState.RUNNING:
+            return ClaimReply(record=known)
+        if known.holder != req.old:
+            return ClaimReply(record=known, problem=_moved(known))
+        if not req.tombstone:
+            return ClaimReply(record=known, problem=_no_tombstone(req.old))
+        expires_s = now_s + limits.claim_ttl_s
+        moved = replace(known, holder=req.new, expires_s=expires_s)
+        self._replace(known, moved)
+        return ClaimReply(granted=True, record=moved)
+
+    def release(self, req: ReleaseReq) -> ClaimReply:
+        """Free the key of an attempt that never ran and never will."""
+        known = self._records.get((req.workspace, req.key))
+        if known is None:
+            return ClaimReply()
+        if known.state is not ClaimState.RUNNING or known.holder != req.holder:
+            return ClaimReply(record=known, problem=_moved(known))
+        if not req.tombstone:
+            return ClaimReply(record=known, problem=_no_tombstone(req.holder))
+        self._drop((req.workspace, req.key))
+        return ClaimReply()
+
+    def finish(self, req: FinishReq, now_s: float, limits: Limits) -> ClaimReply:
+        """Record the answer; a second answer of the same attempt changes nothing."""
+        known = self._records.get((req.workspace, req.key))
+        if known is None:
+            return _refuse_unknown(req.key)
+        if known.holder != req.holder:
+            return ClaimReply(record=known, problem=_moved(known))
+        if known.state is not ClaimState.RUNNING:
+            return ClaimReply(record=known)
+        finished = self._finished(known, req, now_s + limits.claim_ttl_s, limits)
+        self._replace(known, finished)
+        return ClaimReply(record=finished)
+
+    def _finished(
+        self, known: ClaimRecord, req: FinishReq, expires_s: float, limits: Limits
+    ) -> ClaimRecord:
+        if req.outcome_unknown:
+            state = ClaimState.OUTCOME_UNKNOWN
+            return replace(known, state=state, expires_s=expires_s)
+        kept = self._fits(req, limits)
+        return replace(
+            known,
+            state=ClaimState.FINISHED,
+            expires_s=expires_s,
+            status=req.status,
+            headers=req.headers if kept else (),
+            body=req.body if kept else b"",
+            answer_kept=kept,
+        )
+
+    def _fits(self, req: FinishReq, limits: Limits) -> bool:
+        if len(req.body) > limits.claim_body_bytes:
+            return False
+        if _header_bytes(req.headers) > MAX_HEADER_BYTES:
+            return False
+        size = len(req.body) + _header_bytes(req.headers)
+        return self._bytes + size <= limits.claim_total_bytes
+
+    def _is_full(self, workspace: str, limits: Limits) -> bool:
+        if len(self._records) >= limits.claims:
+            return True
+        return self._counts[workspace] >= limits.claims_per_workspace
+
+    def _refuse_full(self, now_s: float) -> ClaimReply:
+        expiry_s = self.next_expiry_s()
+        wait_s = MIN_RETRY_AFTER_S if expiry_s is None else expiry_s - now_s
+        retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
+        return ClaimReply(problem=problem(CLAIMS_FULL, retry_after_s=retry_after_s))
+
+    def _replace(self, old: ClaimRecord, new: ClaimRecord) -> None:
+        check_successor(old, new)
+        self._drop((old.workspace, old.key))
+        self._put(new)
+
+    def _put(self, record: ClaimRecord) -> None:
+        key = (record.workspace, record.key)
+        if key in self._records:
+            raise InvariantError(f"claim {record.key!r} would be granted a second time")
+        self._records[key] = record
+        self._counts[record.workspace] += 1
+        self._bytes += _kept_bytes(record)
+
+    def _drop(self, key: _Key) -> None:
+        record = self._records.pop(key)
+        self._counts[record.workspace] -= 1
+        if not self._counts[record.workspace]:
+            del self._counts[record.workspace]
+        self._bytes -= _kept_bytes(record)
+
+
+def check_successor(old: ClaimRecord, new: ClaimRecord) -> None:
+    """Raise InvariantError unless ``new`` may follow ``old``."""
+    if old.state is not ClaimState.RUNNING:
+        raise InvariantError(f"finished claim {old.key!r} would change")
+    if new.digest != old.digest:
+        raise InvariantError(f"claim {old.key!r} would change its body")
+    if new.holder != old.holder and new.state is not ClaimState.RUNNING:
+        raise InvariantError(f"claim {old.key!r} would be finished by a stranger")
+
+
+def _answer_known(known: ClaimRecord, req: ClaimReq) -> ClaimReply:
+    if known.digest != req.digest:
+        return ClaimReply(problem=problem(KEY_REUSED))
+    # The same attempt asks again because it lost the answer; the sidecar accepts
+    # each attempt once, so that granting it again starts nothing twice.
+    granted = known.state is ClaimState.RUNNING and known.holder == req.holder
+    return ClaimReply(granted=granted, record=known)
+
+
+def _refuse_unknown(key: str) -> ClaimReply:
+    return ClaimReply(problem=problem(UNKNOWN_CLAIM, key=key, not_run=None))
+
+
+def _moved(known: ClaimRecord) -> Problem:
+    holder = known.holder
+    return problem(
+        CLAIM_MOVED,
+        not_run=None,
+        key=known.key,
+        request_id=holder.request_id,
+        attempt=holder.attempt,
+    )
+
+
+def _no_tombstone(holder: Holder) -> Problem:
+    return problem(
+        TOMBSTONE_MISSING,
+        not_run=None,
+        request_id=holder.request_id,
+        attempt=holder.attempt,
+    )
+
+
+def _header_bytes(headers: tuple[tuple[str, str], ...]) -> int:
+    return sum(len(name) + len(value) for name, value in headers)
+
+
+def _kept_bytes(record: ClaimRecord) -> int:
+    return len(record.body) + _header_bytes(record.headers)
--- /dev/null
+++ b/gooseberrydale/version/control_state.py
@@ -0,0 +1,350 @@
+"""The replicated state of control: a deterministic machine over the log.
+
+Lives as long as the log; every replica applies the same entries in the same order
+and so holds the same state.  It reads no clock: time is the highest wall time that
+a committed entry carries, so that a deadline passes on all replicas at the same
+entry.  Its bounds are part of the state and change only through the log.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from result import Err, Ok, Result
+
+from gooseberrydale.connection.codec import CodecError, decode, encode, message
+from gooseberrydale.connection.control_messages import (
+    Ack,
+    ChangeReply,
+    ChangeReq,
+    ClaimRecord,
+    ClaimReq,
+    Command,
+    CommandReply,
+    FenceReply,
+    FinishReq,
+    Limits,
+    MoveReq,
+    NoteReq,
+    Order,
+    PlaceOrderReply,
+    PlaceOrderReq,
+    ReadFenceReq,
+    ReleaseReq,
+    ReportOrderReq,
+    SetLimitsReq,
+    TickReq,
+)
+from gooseberrydale.errors import CHANGE_ID_REUSED, InvariantError, Problem, problem
+from gooseberrydale.version.audit import ACCEPTED, RESENT, AuditEntry, AuditTrail
+from gooseberrydale.version.change import (
+    ChangeMemory,
+    Remembered,
+    asked,
+    content_digest,
+    edit_name,
+    evaluate,
+    refusal,
+    shown,
+)
+from gooseberrydale.version.claims import ClaimTable
+from gooseberrydale.version.declarations import Config, Profile, Workspace
+from gooseberrydale.version.orders import OrderBook
+
+
+class StateMachine(Protocol):
+    """What a replicated log drives."""
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply the committed entry at ``index`` and return its answer."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot."""
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class ControlSnapshot:
+    """The whole state after the entry at ``index``."""
+
+    index: int
+    now_s: float
+    limits: Limits
+    revision: int
+    profiles: tuple[Profile, ...]
+    workspaces: tuple[Workspace, ...]
+    leaving: tuple[str, ...]
+    remembered: tuple[Remembered, ...]
+    audit: tuple[AuditEntry, ...]
+    audit_last: int
+    orders: tuple[Order, ...]
+    order_last_id: int
+    order_last_number: int
+    fences: dict[str, int]
+    claims: tuple[ClaimRecord, ...]
+
+
+class ControlState:
+    """Declarations, orders, claims and the audit trail, as committed."""
+
+    def __init__(
+        self, config: Config | None = None, limits: Limits | None = None
+    ) -> None:
+        self.index = 0
+        self.now_s = 0.0
+        self.limits = limits or Limits()
+        self.config = config or Config()
+        self.memory = ChangeMemory()
+        self.audit = AuditTrail()
+        self.orders = OrderBook()
+        self.claims = ClaimTable()
+        self._handlers: dict[type[Any], Callable[[Any], Any]] = {
+            ChangeReq: self._change,
+            PlaceOrderReq: self._place_order,
+            ReportOrderReq: self._report_order,
+            ReadFenceReq: self._read_fence,
+            ClaimReq: self._claim,
+            MoveReq: self._move,
+            ReleaseReq: self._release,
+            FinishReq: self._finish,
+            SetLimitsReq: self._set_limits,
+            TickReq: self._tick,
+            NoteReq: self._note,
+        }
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply one committed :class:`Command`; return a :class:`CommandReply`.
+
+        Raises InvariantError for an entry that comes again or that this release
+        can't read: going on without it would make this replica differ.
+        """
+        if index <= self.index:
+            raise InvariantError(f"entry {index} came after entry {self.index}")
+        entry = _read_command(index, command)
+        requests = [_read_request(index, data) for data in entry.requests]
+        self.index = index
+        self.now_s = max(self.now_s, entry.wall_s)
+        self.claims.expire(self.now_s)
+        self.orders.advance(self.now_s, self.limits)
+        replies = tuple(encode(self._handle(req)) for req in requests)
+        return encode(CommandReply(replies))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state; equal states give equal bytes."""
+        return encode(
+            ControlSnapshot(
+                index=self.index,
+                now_s=self.now_s,
+                limits=self.limits,
+                revision=self.config.revision,
+                profiles=tuple(self.config.profiles.values()),
+                workspaces=tuple(self.config.workspaces.values()),
+                leaving=tuple(sorted(self.config.leaving)),
+                remembered=self.memory.items,
+                audit=self.audit.entries,
+                audit_last=self.audit.last,
+                orders=self.orders.orders,
+                order_last_id=self.orders.last_id,
+                order_last_number=self.orders.last_number,
+                fences=self.orders.fences,
+                claims=self.claims.records,
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot, never by an older one."""
+        kept = decode(data)
+        if not isinstance(kept, ControlSnapshot):
+            raise InvariantError(
+                "the snapshot is of another kind; check the data folder"
+            )
+        if kept.index < self.index:
+            raise InvariantError(
+                f"snapshot of entry {kept.index} came after entry {self.index}"
+            )
+        self.index = kept.index
+        self.now_s = kept.now_s
+        self.limits = kept.limits
+        self._set_config(_config_of(kept))
+        self.memory = ChangeMemory(kept.remembered)
+        self.audit = AuditTrail(kept.audit, kept.audit_last)
+        self.orders = OrderBook(
+            kept.orders, kept.order_last_id, kept.order_last_number, kept.fences
+        )
+        self.claims = ClaimTable(kept.claims)
+
+    def next_due_s(self) -> float | None:
+        """Committed time at which something lapses; None if nothing will."""
+        times = (self.orders.next_deadline_s(), self.claims.next_expiry_s())
+        return min((time for time in times if time is not None), default=None)
+
+    def _handle(self, req: Any) -> Any:
+        return self._handlers[type(req)](req)
+
+    def _change(self, req: ChangeReq) -> ChangeReply:
+        known = self._known(req)
+        if isinstance(known, Err):
+            self._audit_change(req, self.config, known.err_value.code)
+            return refusal(self.config, known.err_value)
+        if known.ok_value is not None:
+            self._audit_change(req, self.config, RESENT)
+            reply: ChangeReply = decode(known.ok_value)
+            return reply
+        reply = self._try_change(req)
+        self._remember(req, reply)
+        return reply
+
+    def _try_change(self, req: ChangeReq) -> ChangeReply:
+        before = self.config
+        match evaluate(before, req):
+            case Ok(changed):
+                self._set_config(changed)
+                self._audit_change(req, before, ACCEPTED)
+                return ChangeReply(revision=changed.revision)
+            case Err(refused):
+                self._audit_change(req, before, refused.code)
+                return refusal(before, refused)
+
+    def _set_config(self, config: Config) -> None:
+        check_revision(self.config.revision, config.revision)
+        self.config = config
+
+    def _audit_change(self, req: ChangeReq, before: Config, outcome: str) -> None:
+        for edit in req.edits:
+            self.audit.add(
+                keep=self.limits.audit_entries,
+                wall_s=self.now_s,
+                operator=req.operator,
+                change_id=req.change_id,
+                action=str(edit.kind),
+                name=edit_name(edit),
+                before=shown(before, edit),
+                after=asked(edit),
+                outcome=outcome,
+                revision=self.config.revision,
+            )
+
+    def _known(self, req: ChangeReq | PlaceOrderReq) -> Result[bytes | None, Problem]:
+        """The answer given before, None for a new id, or why the id can't be used."""
+        known = self.memory.get(req.change_id)
+        if known is None:
+            return Ok(None)
+        if known.content != content_digest(req):
+            return Err(problem(CHANGE_ID_REUSED, change_id=req.change_id))
+        return Ok(known.reply)
+
+    def _remember(self, req: ChangeReq | PlaceOrderReq, reply: Any) -> None:
+        item = Remembered(req.change_id, content_digest(req), encode(reply))
+        self.memory.add(item, self.limits.change_ids)
+
+    def _place_order(self, req: PlaceOrderReq) -> PlaceOrderReply:
+        known = self._known(req)
+        if isinstance(known, Err):
+            self._audit_order(req, known.err_value.code)
+            return PlaceOrderReply(problem=known.err_value)
+        if known.ok_value is not None:
+            self._audit_order(req, RESENT)
+            reply: PlaceOrderReply = decode(known.ok_value)
+            return reply
+        reply = self._try_order(req)
+        self._remember(req, reply)
+        return reply
+
+    def _try_order(self, req: PlaceOrderReq) -> PlaceOrderReply:
+        match self.orders.place(req, self.now_s, self.limits):
+            case Ok(order):
+                self._audit_order(req, ACCEPTED)
+                self.orders.advance(self.now_s, self.limits)
+                return PlaceOrderReply(order=order)
+            case Err(refused):
+                self._audit_order(req, refused.code)
+                return PlaceOrderReply(problem=refused)
+
+    def _audit_order(self, req: PlaceOrderReq, outcome: str) -> None:
+        self.audit.add(
+            keep=self.limits.audit_entries,
+            wall_s=self.now_s,
+            operator=req.operator,
+            change_id=req.change_id,
+            action=str(req.kind),
+            name=req.upstream,
+            after=f"{req.model} {req.version}".strip(),
+            outcome=outcome,
+            revision=self.config.revision,
+        )
+
+    def _report_order(self, req: ReportOrderReq) -> Ack:
+        refused = self.orders.report(req)
+        self.orders.advance(self.now_s, self.limits)
+        return Ack(problem=refused)
+
+    def _read_fence(self, req: ReadFenceReq) -> FenceReply:
+        return FenceReply(number=self.orders.fence(req.upstream))
+
+    def _claim(self, req: ClaimReq) -> Any:
+        return self.claims.claim(req, self.now_s, self.limits)
+
+    def _move(self, req: MoveReq) -> Any:
+        return self.claims.move(req, self.now_s, self.limits)
+
+    def _release(self, req: ReleaseReq) -> Any:
+        return self.claims.release(req)
+
+    def _finish(self, req: FinishReq) -> Any:
+        return self.claims.finish(req, self.now_s, self.limits)
+
+    def _set_limits(self, req: SetLimitsReq) -> Ack:
+        self.limits = req.limits
+        self.orders.advance(self.now_s, self.limits)
+        return Ack()
+
+    def _tick(self, _req: TickReq) -> Ack:
+        return Ack()
+
+    def _note(self, req: NoteReq) -> Ack:
+        self.audit.add(
+            keep=self.limits.audit_entries,
+            wall_s=self.now_s,
+            operator=req.operator,
+            action=req.action,
+            after=req.detail,
+            outcome=req.outcome,
+            revision=self.config.revision,
+        )
+        return Ack()
+
+
+def check_revision(current: int, new: int) -> None:
+    """Raise InvariantError if the revision would fall."""
+    if new < current:
+        raise InvariantError(f"revision would fall from {current} to {new}")
+
+
+def _config_of(kept: ControlSnapshot) -> Config:
+    return Config(
+        revision=kept.revision,
+        profiles={profile.name: profile for profile in kept.profiles},
+        workspaces={workspace.name: workspace for workspace in kept.workspaces},
+        leaving=frozenset(kept.leaving),
+    )
+
+
+def _read_command(index: int, data: bytes) -> Command:
+    entry = _read_request(index, data)
+    if not isinstance(entry, Command):
+        raise InvariantError(f"entry {index} is no command; check the data folder")
+    return entry
+
+
+def _read_request(index: int, data: bytes) -> Any:
+    try:
+        return decode(data)
+    except CodecError as exc:
+        raise InvariantError(
+            f"entry {index} is of a newer release; upgrade this replica"
+        ) from exc
