Serve operators and commit requests from one control process

Cause: the role had a state but nothing that let operators, entries and sidecars reach it. Ruled out: changes and orders over the processes' own protocol (a process is no operator; such requests are refused there); waiting for the log with one entry for each request (requests that come meanwhile share the next entry); hashing operators' tokens slowly (they are random and long). Change: the role owns the gRPC and HTTP listeners, a proposer (in memory so far), group commit, upkeep of bounds and time, and the giving of orders. The mesh gets each committed configuration; what processes tell shows which one is behind.

--- a/gooseberrydale/connection/rpc.py
+++ b/gooseberrydale/connection/rpc.py
@@ -73,6 +73,7 @@
 MESH_SESSION = Method(
     "gooseberrydale.Mesh", "Session", client_streams=True, server_streams=True
 )
+ORDER = Method("gooseberrydale.Sidecar", "Order")
 PROPOSE = Method("gooseberrydale.Control", "Propose")
 REPLICATE = Method(
     "gooseberrydale.Control", "Replicate", client_streams=True, server_streams=True
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -92,7 +92,10 @@
     """A control replica: its data folder, listeners and the other replicas.
 
     ``replicas`` maps replica names to gRPC addresses, this one included.
-    ``loads_at_once`` bounds how many upstreams load weights at the same time.
+    ``loads_at_once`` bounds how many upstreams load weights at the same time; an
+    order without an outcome after ``order_deadline_s`` counts as lost.  A claim of
+    a call that may not be repeated is kept for ``claim_ttl_s``, its answer if it
+    has at most ``claim_body_bytes`` and all have at most ``claim_total_bytes``.
     """
 
     data_dir: Path
@@ -104,6 +107,14 @@
     loads_at_once: int = 2
     audit_entries: int = 10_000
     snapshot_entries: int = 1_000
+    change_ids: int = 10_000
+    orders: int = 1_000
+    order_deadline_s: float = 60.0
+    claims: int = 100_000
+    claims_per_workspace: int = 20_000
+    claim_ttl_s: float = 86_400.0
+    claim_body_bytes: int = 65_536
+    claim_total_bytes: int = 16 * 1024 * 1024
     check_invariants: bool = False
 
 
--- /dev/null
+++ b/gooseberrydale/process/control/control.py
@@ -0,0 +1,176 @@
+"""The control role: one process of it, from ``start`` to ``close``.
+
+Lives as long as the process.  It owns the gRPC listener for the system's own
+processes, the HTTP listener for operators, and the tasks in between; what is
+committed lives in the state machine behind the proposer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Mapping
+from typing import Any
+
+from gooseberrydale.connection.control_messages import Limits
+from gooseberrydale.connection.mesh import CONTROL_ROLE
+from gooseberrydale.connection.rpc import RpcServer, TlsFiles
+from gooseberrydale.errors import InvariantError
+from gooseberrydale.process.cfg import Cfg, ControlCfg, TlsCfg
+from gooseberrydale.process.control.group_commit import GroupCommit
+from gooseberrydale.process.control.machine import PublishingMachine
+from gooseberrydale.process.control.operator_api import OperatorApi
+from gooseberrydale.process.control.operator_auth import OperatorTokens, load_operators
+from gooseberrydale.process.control.order_sender import OrderSender
+from gooseberrydale.process.control.propose_service import ProposeService
+from gooseberrydale.process.control.proposer import InMemoryProposer, Proposer
+from gooseberrydale.process.control.upkeep import Upkeep
+from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.membership import Mesh, PeerState
+from gooseberrydale.version.acknowledgements import Acknowledgements, Standing
+from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.control_state import ControlState
+from gooseberrydale.version.declarations import Config
+from gooseberrydale.version.directory import Directory, new_incarnation
+
+HTTP_GRACE_S = 5.0
+RPC_GRACE_S = 1.0
+MEMORY_STATUS = {"replicated": False}
+
+
+class Control:
+    """One control process; build it, ``start`` it once, ``close`` it once.
+
+    ``in_memory`` keeps the state in this process alone; ``declarations`` is then
+    the configuration to begin with, and ``operators`` the digests of the tokens by
+    operator, in place of the file that the settings name.
+    """
+
+    def __init__(
+        self,
+        cfg: Cfg,
+        *,
+        in_memory: bool = False,
+        declarations: Config | None = None,
+        operators: Mapping[str, str] | None = None,
+    ) -> None:
+        if cfg.control is None:
+            raise InvariantError("the control role was built without its settings")
+        if declarations is not None and not in_memory:
+            raise InvariantError("declarations given for a replicated control")
+        own = cfg.control
+        token = cfg.fleet.token_file.read_text(encoding="utf-8").strip()
+        tls = _tls_files(cfg.fleet.tls)
+        self.store = ConfigStore()
+        self.state = ControlState(declarations)
+        self.directory = Directory()
+        self._machine = PublishingMachine(self.state, self.store)
+        self._proposer: Proposer = InMemoryProposer(self._machine)
+        self._commit = GroupCommit(self._proposer)
+        self._acknowledgements = Acknowledgements()
+        self._mesh = self._make_mesh(cfg, token)
+        limits = limits_of(own)
+        self._upkeep = Upkeep(self.state, self._proposer, self._commit, limits)
+        self._orders = OrderSender(
+            self._machine, self._proposer, self._commit, self.directory, token, tls
+        )
+        self._rpc = RpcServer(own.rpc, token, tls)
+        self._rpc_host = own.rpc.rpartition(":")[0]
+        ProposeService(self._commit, self._proposer).register(self._rpc)
+        self._mesh.register(self._rpc)
+        self._api = OperatorApi(
+            self.state,
+            self._commit,
+            OperatorTokens(_operators(own, operators)),
+            self._acknowledgements,
+            self._announced,
+            self._replica_status,
+        )
+        self._http = HttpServer(self._api.app, own.http, own.tls)
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Listeners by name, known once started."""
+        return {
+            "rpc": f"{self._rpc_host}:{self._rpc.port}",
+            "http": self._http.address,
+        }
+
+    async def start(self) -> None:
+        """Bind the listeners and serve; raises OSError if an address is taken."""
+        await self._commit.start()
+        await self._mesh.start()
+        await self._rpc.start()
+        await self._http.start()
+        await self._upkeep.start()
+        await self._orders.start()
+
+    async def close(self) -> None:
+        """Take no new changes, answer the open requests, then stop."""
+        self._api.draining = True
+        await self._http.close(HTTP_GRACE_S)
+        await self._orders.close()
+        await self._upkeep.close()
+        await self._mesh.close()
+        await self._rpc.close(RPC_GRACE_S)
+        await self._commit.close()
+
+    def _make_mesh(self, cfg: Cfg, token: str) -> Mesh:
+        incarnation = new_incarnation(time.time_ns(), random.Random())
+        return Mesh(
+            cfg,
+            CONTROL_ROLE,
+            self.directory,
+            self.store,
+            None,
+            token,
+            incarnation,
+            on_ack=self._on_ack,
+        )
+
+    def _on_ack(self, peer: PeerState) -> None:
+        self._acknowledgements.heard(
+            Standing(
+                role=peer.role,
+                name=peer.name,
+                incarnation=peer.incarnation,
+                zone=peer.zone,
+                revision=peer.revision,
+                heard_at=peer.heard_at,
+            )
+        )
+
+    def _announced(self) -> Any:
+        return self.directory.records(asyncio.get_running_loop().time())
+
+    def _replica_status(self) -> dict[str, Any]:
+        return MEMORY_STATUS
+
+
+def limits_of(cfg: ControlCfg) -> Limits:
+    """The bounds of the replicated state that the settings ask for."""
+    return Limits(
+        audit_entries=cfg.audit_entries,
+        change_ids=cfg.change_ids,
+        orders=cfg.orders,
+        loads_at_once=cfg.loads_at_once,
+        order_deadline_s=cfg.order_deadline_s,
+        claims=cfg.claims,
+        claims_per_workspace=cfg.claims_per_workspace,
+        claim_ttl_s=cfg.claim_ttl_s,
+        claim_body_bytes=cfg.claim_body_bytes,
+        claim_total_bytes=cfg.claim_total_bytes,
+    )
+
+
+def _operators(cfg: ControlCfg, given: Mapping[str, str] | None) -> dict[str, str]:
+    if given is not None:
+        return dict(given)
+    return {} if cfg.operators_file is None else load_operators(cfg.operators_file)
+
+
+def _tls_files(tls: TlsCfg) -> TlsFiles | None:
+    if not tls.cert_file:
+        return None
+    return TlsFiles(tls.cert_file, tls.key_file, tls.ca_file)
--- /dev/null
+++ b/gooseberrydale/process/control/upkeep.py
@@ -0,0 +1,58 @@
+"""What the leader proposes of itself: its bounds, and the passing of time.
+
+Lives as long as the process; a replica that does not lead does nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from gooseberrydale.connection.control_messages import Limits, SetLimitsReq, TickReq
+from gooseberrydale.process.control.group_commit import GroupCommit
+from gooseberrydale.process.control.proposer import Proposer
+from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.version.control_state import ControlState
+
+INTERVAL_S = 0.5
+
+
+class Upkeep:
+    """Keeps committed bounds and committed time up to date."""
+
+    def __init__(
+        self,
+        state: ControlState,
+        proposer: Proposer,
+        commit: GroupCommit,
+        limits: Limits,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._state = state
+        self._proposer = proposer
+        self._commit = commit
+        self._limits = limits
+        self._wall = wall
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begin to look after the state."""
+        self._tasks.append(spawn(self._run()))
+
+    async def close(self) -> None:
+        """Stop."""
+        await stop(self._tasks)
+
+    async def _run(self) -> None:
+        while True:
+            if self._proposer.leads:
+                await self._propose_due()
+            await asyncio.sleep(INTERVAL_S)
+
+    async def _propose_due(self) -> None:
+        if self._state.limits != self._limits:
+            await self._commit.ask(SetLimitsReq(self._limits))
+        due_s = self._state.next_due_s()
+        if due_s is not None and due_s <= self._wall():
+            await self._commit.ask(TickReq())
--- /dev/null
+++ b/gooseberrydale/process/http_server.py
@@ -0,0 +1,87 @@
+"""Runs uvicorn as a task of this process, without its signal handlers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import uvicorn
+from starlette.types import ASGIApp
+
+from gooseberrydale.process.cfg import TlsCfg
+
+BACKLOG = 1024
+STARTED_POLL_S = 0.005
+
+
+class _Server(uvicorn.Server):
+    """The process handles signals itself."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class HttpServer:
+    """An HTTP listener; ``close`` stops listening and waits for open answers."""
+
+    def __init__(self, app: ASGIApp, address: str, tls: TlsCfg) -> None:
+        self._app = app
+        self._wanted = address
+        self._tls = tls
+        self._server: _Server | None = None
+        self._task: asyncio.Task[None] | None = None
+        self.address = address
+
+    async def start(self) -> None:
+        """Bind and serve; raises OSError if the address can't be bound."""
+        sock = _bind(self._wanted)
+        host, port = sock.getsockname()[:2]
+        self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        config = uvicorn.Config(
+            self._app,
+            http="httptools",
+            ws="none",
+            loop="asyncio",
+            lifespan="off",
+            interface="asgi3",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            proxy_headers=False,
+            ssl_certfile=self._tls.cert_file or None,
+            ssl_keyfile=self._tls.key_file or None,
+        )
+        self._server = _Server(config)
+        self._task = asyncio.create_task(self._server.serve(sockets=[sock]))
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+            await asyncio.sleep(STARTED_POLL_S)
+
+    async def close(self, grace_s: float) -> None:
+        """Stop listening; open answers get ``grace_s`` seconds, then are cut."""
+        if self._server is None or self._task is None:
+            return
+        self._server.config.timeout_graceful_shutdown = grace_s  # type: ignore
+        self._server.should_exit = True
+        await asyncio.wait({self._task})
+        self._server = None
+
+
+def _bind(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, int(port)))
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError as exc:
+        sock.close()
+        raise OSError(f"cannot listen on {address}: {exc}") from exc
+    return sock
--- a/gooseberrydale/version/change.py
+++ b/gooseberrydale/version/change.py
@@ -79,7 +79,13 @@
 
 
 def content_digest(req: ChangeReq | PlaceOrderReq) -> bytes:
-    """Digest of all that a request says, its author included."""
+    """Digest of what a request asks for, its author included.
+
+    The base is left out: who resends a change after a lost answer has often read
+    the configuration again, which may already hold that very change.
+    """
+    if isinstance(req, ChangeReq):
+        req = replace(req, base=0)
     return hashlib.sha256(encode(req)).digest()
 
 
--- a/gooseberrydale/version/control_state.py
+++ b/gooseberrydale/version/control_state.py
@@ -178,6 +178,14 @@
         )
         self.claims = ClaimTable(kept.claims)
 
+    def try_out(self, req: ChangeReq) -> ChangeReply:
+        """Say what ``req`` would come to now, without making the change."""
+        match evaluate(self.config, req):
+            case Ok(changed):
+                return ChangeReply(revision=changed.revision)
+            case Err(refused):
+                return refusal(self.config, refused)
+
     def next_due_s(self) -> float | None:
         """Committed time at which something lapses; None if nothing will."""
         times = (self.orders.next_deadline_s(), self.claims.next_expiry_s())
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -52,6 +52,7 @@
     [
         (change(apply_profile("x"), change_id="c2", base=1), None, 2),
         (FIRST, None, 1),
+        (replace(FIRST, base=1), None, 1),
         (change(apply_profile("x")), "change_id_reused", 1),
         (replace(FIRST, operator="bo"), "change_id_reused", 1),
         (change(apply_profile("x"), change_id="c2"), "revision_conflict", 1),
