--- a/gooseberrydale/request/reassembly.py
+++ b/gooseberrydale/request/reassembly.py
@@ -78,11 +78,13 @@
 class Reassembly:
     """The answer to one request, over all its attempts.
 
-    ``begin`` names the attempt whose frames count from then on.
+    ``begin`` names the attempt whose frames count from then on.  ``first_offset`` is
+    that of the first event wanted, if the caller has the earlier ones.
     """
 
-    def __init__(self, request_id: str) -> None:
+    def __init__(self, request_id: str, first_offset: int = 0) -> None:
         self._request_id = request_id
+        self._first_offset = first_offset
         self._attempt = 0
         self._incarnation = ""
         self._events: list[bytes] = []
@@ -95,7 +97,7 @@
     @property
     def next_offset(self) -> int:
         """Offset of the next event, which is the count of those delivered."""
-        return len(self._events)
+        return self._first_offset + len(self._events)
 
     @property
     def started(self) -> bool:
@@ -141,6 +143,8 @@
 
     def emitted_text(self) -> str | None:
         """Return the text delivered so far, or None if it can't be continued."""
+        if self._first_offset:
+            return None
         return _text_of(self._events)
 
     def _is_current(self, frame: Frame) -> bool:
@@ -167,8 +171,8 @@
         return (self._deliver(self.next_offset, fresh),)
 
     def _deliver(self, offset: int, events: tuple[bytes, ...]) -> Deliver:
-        if offset != len(self._events) or self._ended:
-            raise InvariantError(f"event {offset} delivered at {len(self._events)}")
+        if offset != self.next_offset or self._ended:
+            raise InvariantError(f"event {offset} delivered at {self.next_offset}")
         self._events.extend(events)
         self._waits_for_attach = False
         return Deliver(offset, events)
