--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,295 @@
+"""Callers for tests of the whole product: they send, check answers and keep count.
+
+A caller behaves as a careful client of the interface: it takes another entry when
+one can't be reached, attaches again to a stream whose connection broke, and sends a
+call again only where that is safe.  Every request ends in exactly one ending.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import random
+import threading
+import time
+from collections.abc import Coroutine, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpx2
+import msgspec
+
+from gooseberrydale.example.answers import answer_length, answer_text, prompt_digest
+from gooseberrydale.example.prompts import LONGEST_ANSWER, SHORTEST_ANSWER
+
+REQUEST_BOUND_S = 60.0
+RECONNECT_S = 0.05
+MAX_SENDS = 40
+PIECE_BYTES = 16_000
+
+Messages = list[dict[str, str]]
+
+
+def expected_text(messages: Messages) -> str:
+    """The whole answer that the example engine gives to ``messages``."""
+    pairs = [(message["role"], message["content"]) for message in messages]
+    digest = prompt_digest(msgspec.json.encode(pairs))
+    length = answer_length(digest, SHORTEST_ANSWER, LONGEST_ANSWER)
+    return answer_text(digest, length)
+
+
+def nested_prompt(guide: int, lot: int, question: int, pieces: int = 2) -> Messages:
+    """A prompt of three levels; equal numbers give equal levels."""
+    guide_text = f"guide {guide} ".ljust(12) * (PIECE_BYTES * pieces // 12)
+    lot_text = f"lot {lot} ".ljust(12) * (PIECE_BYTES // 24)
+    return [
+        {"role": "system", "content": guide_text},
+        {"role": "user", "content": lot_text},
+        {"role": "user", "content": f"question {question}"},
+    ]
+
+
+@dataclass
+class Ending:
+    """How one request ended.
+
+    ``kind`` is ``whole``, ``refused`` (a typed error), ``unknown`` (no answer at
+    all came) or ``wrong`` (an answer that is not the right one).
+    """
+
+    kind: str
+    code: str = ""
+    not_run: bool | None = None
+    request_ids: tuple[str, ...] = ()
+    text: str = ""
+    started_at: float = 0.0
+    first_token_s: float = 0.0
+    took_s: float = 0.0
+    retry_after: str = ""
+    detail: str = ""
+
+
+@dataclass
+class _Progress:
+    """What a caller knows of a running request."""
+
+    parts: list[str] = field(default_factory=list)
+    request_ids: list[str] = field(default_factory=list)
+    last_event_id: str = ""
+    error: dict[str, Any] | None = None
+    retry_after: str = ""
+    done: bool = False
+    first_token_s: float = 0.0
+    detail: str = ""
+
+
+class Caller:
+    """Sends requests of one workspace to any of several entries."""
+
+    def __init__(self, entries: Sequence[str], key: str, seed: int = 0) -> None:
+        self._entries = list(entries)
+        self._rng = random.Random(seed)
+        self._turn = itertools.count(self._rng.randrange(len(self._entries)))
+        self._client = httpx2.AsyncClient(
+            timeout=httpx2.Timeout(REQUEST_BOUND_S, connect=2.0),
+            headers={"Authorization": f"Bearer {key}"},
+            limits=httpx2.Limits(max_connections=256),
+            trust_env=False,
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    def _next_entry(self) -> str:
+        return self._entries[next(self._turn) % len(self._entries)]
+
+    async def stream(self, profile: str, messages: Messages) -> Ending:
+        """Ask for a streamed chat completion and check the whole answer."""
+        started = time.monotonic()
+        progress = _Progress()
+        body = {"model": profile, "messages": messages, "stream": True}
+        for _ in range(MAX_SENDS):
+            url = self._next_entry()
+            try:
+                if progress.last_event_id:
+                    request = self._client.build_request(
+                        "GET",
+                        f"{url}/v1/streams",
+                        headers={"Last-Event-ID": progress.last_event_id},
+                    )
+                else:
+                    request = self._client.build_request(
+                        "POST", f"{url}/v1/chat/completions", json=body
+                    )
+                await self._read_stream(request, progress, started)
+            except httpx2.HTTPError as exc:
+                progress.detail = f"{type(exc).__name__} {exc}"
+                await asyncio.sleep(RECONNECT_S)
+                continue
+            if progress.done or progress.error is not None:
+                break
+            await asyncio.sleep(RECONNECT_S)
+        return self._ending(progress, expected_text(messages), started)
+
+    async def _read_stream(
+        self, request: httpx2.Request, progress: _Progress, started: float
+    ) -> None:
+        response = await self._client.send(request, stream=True)
+        try:
+            progress.request_ids.append(response.headers.get("x-request-id", ""))
+            if response.status_code != 200:
+                await response.aread()
+                progress.error = _error_of(response)
+                progress.retry_after = response.headers.get("retry-after", "")
+                return
+            event_id = ""
+            async for line in response.aiter_lines():
+                if line.startswith("id:"):
+                    event_id = line[3:].strip()
+                elif line.startswith("data:"):
+                    _take_event(progress, line[5:].strip(), started)
+                    progress.last_event_id = event_id or progress.last_event_id
+                    if progress.done or progress.error is not None:
+                        return
+        finally:
+            await response.aclose()
+
+    async def plain(self, profile: str, messages: Messages) -> Ending:
+        """Ask for a chat completion in one body; sent again on a broken connection."""
+        started = time.monotonic()
+        progress = _Progress()
+        body = {"model": profile, "messages": messages}
+        for _ in range(MAX_SENDS):
+            try:
+                response = await self._client.post(
+                    f"{self._next_entry()}/v1/chat/completions", json=body
+                )
+            except httpx2.HTTPError as exc:
+                progress.detail = f"{type(exc).__name__} {exc}"
+                await asyncio.sleep(RECONNECT_S)
+                continue
+            progress.request_ids.append(response.headers.get("x-request-id", ""))
+            if response.status_code != 200:
+                progress.error = _error_of(response)
+                progress.retry_after = response.headers.get("retry-after", "")
+                break
+            progress.parts.append(
+                response.json()["choices"][0]["message"]["content"] or ""
+            )
+            progress.done = True
+            progress.first_token_s = time.monotonic() - started
+            break
+        return self._ending(progress, expected_text(messages), started)
+
+    async def bid(
+        self, profile: str, body: dict[str, Any], key: str = "", sends: int = 1
+    ) -> Ending:
+        """Call a service that may not be repeated.
+
+        With an idempotency ``key`` the call is sent again, to another entry, after
+        a broken connection, at most ``sends`` times in all.
+        """
+        started = time.monotonic()
+        progress = _Progress()
+        headers = {"Idempotency-Key": key} if key else {}
+        for _ in range(sends):
+            url = f"{self._next_entry()}/services/{profile}/bids"
+            try:
+                response = await self._client.post(url, json=body, headers=headers)
+            except httpx2.HTTPError as exc:
+                progress.detail = f"{type(exc).__name__} {exc}"
+                await asyncio.sleep(RECONNECT_S)
+                continue
+            progress.request_ids.append(response.headers.get("x-request-id", ""))
+            if response.status_code != 200:
+                progress.error = _error_of(response)
+                progress.retry_after = response.headers.get("retry-after", "")
+            else:
+                progress.done = True
+                progress.parts.append(response.text)
+            break
+        return self._ending(progress, "".join(progress.parts), started)
+
+    def _ending(self, progress: _Progress, wanted: str, started: float) -> Ending:
+        text = "".join(progress.parts)
+        ending = Ending(
+            kind="unknown",
+            request_ids=tuple(progress.request_ids),
+            text=text,
+            started_at=started,
+            first_token_s=progress.first_token_s,
+            took_s=time.monotonic() - started,
+            retry_after=progress.retry_after,
+            detail=progress.detail,
+        )
+        if progress.error is not None:
+            ending.kind = "refused"
+            ending.code = str(progress.error.get("code", ""))
+            ending.not_run = progress.error.get("not_run")
+            ending.detail = str(progress.error.get("message", ""))
+        elif progress.done:
+            ending.kind = "whole" if text == wanted else "wrong"
+        return ending
+
+
+class Load:
+    """Requests sent in the background, on a loop in a thread of its own."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+
+    def run(self, coro: Coroutine[Any, Any, Any]) -> Any:
+        """Run one coroutine and return what it returns."""
+        return self.start(coro).result(4 * REQUEST_BOUND_S)
+
+    def start(self, coro: Coroutine[Any, Any, Any]) -> Any:
+        """Start a coroutine; returns a concurrent future."""
+        return asyncio.run_coroutine_threadsafe(coro, self._loop)
+
+    def close(self) -> None:
+        """Stop the loop."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(5.0)
+
+
+async def mixed_load(
+    caller: Caller, profile: str, count: int, every_s: float, seed: int = 0
+) -> list[Ending]:
+    """Send ``count`` requests, one each ``every_s``, streamed and plain in turn."""
+    rng = random.Random(seed)
+    tasks = []
+    for number in range(count):
+        prompt = nested_prompt(rng.randrange(3), rng.randrange(10), number)
+        send = caller.stream if number % 3 else caller.plain
+        tasks.append(asyncio.create_task(send(profile, prompt)))
+        await asyncio.sleep(every_s)
+    return list(await asyncio.gather(*tasks))
+
+
+def _take_event(progress: _Progress, data: str, started: float) -> None:
+    if data == "[DONE]":
+        progress.done = True
+        return
+    event = json.loads(data)
+    if "error" in event:
+        progress.error = event["error"]
+        return
+    for choice in event.get("choices", ()):
+        text = choice.get("delta", {}).get("content")
+        if text:
+            if not progress.parts:
+                progress.first_token_s = time.monotonic() - started
+            progress.parts.append(text)
+
+
+def _error_of(response: httpx2.Response) -> dict[str, Any]:
+    try:
+        error = response.json()["error"]
+    except (ValueError, KeyError):
+        return {"code": "", "message": f"untyped {response.status_code}"}
+    assert isinstance(error, dict)
+    return error
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,7 +15,14 @@
 import subprocess
 import sys
 import time
-from dataclasses import dataclass, field
+import uuid
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+import httpx2
+
+from gooseberrydale.version.declarations import Profile, Workspace
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FLEET_TOKEN = "fleet-token-of-the-tests"
@@ -237,6 +244,71 @@
         token_file = str(self.folder / "operator-token")
         return ("--control", urls, "--token-file", token_file)
 
+    # Operating.
+
+    def operate(self, method: str, path: str, body: Any = None) -> Any:
+        """Call the operators' interface at whichever replica takes it."""
+        end = time.monotonic() + START_BOUND_S
+        answer: Any = None
+        while time.monotonic() < end:
+            for name in self.controls:
+                answer = self.operate_at(name, method, path, body)
+                if answer is not None and answer.status_code < 400:
+                    return answer.json()
+                if answer is not None and answer.status_code not in (421, 503):
+                    raise AssertionError(f"{path}: {answer.text}")
+            time.sleep(POLL_S)
+        raise AssertionError(f"{path}: no replica took it: {answer and answer.text}")
+
+    def operate_at(
+        self, name: str, method: str, path: str, body: Any = None
+    ) -> httpx2.Response | None:
+        """Call the operators' interface of one replica; None if it can't be reached."""
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        url = self.operator_url(name) + path
+        try:
+            return httpx2.request(
+                method, url, json=body, headers=headers, timeout=5.0, trust_env=False
+            )
+        except httpx2.HTTPError:
+            return None
+
+    def revision(self) -> int:
+        """The revision that the operators' interface shows."""
+        return int(self.operate("GET", "/v1/config")["revision"])
+
+    def change(self, *edits: dict[str, Any]) -> int:
+        """Commit edits as one change; return the revision they made."""
+        body = {"change_id": uuid.uuid4().hex, "base": self.revision(), "edits": edits}
+        return int(self.operate("POST", "/v1/changes", body)["revision"])
+
+    def declare(
+        self, profiles: Sequence[Profile] = (), workspaces: Sequence[Workspace] = ()
+    ) -> int:
+        """Apply profiles and workspaces as one change."""
+        edits: list[dict[str, Any]] = []
+        for profile in profiles:
+            edits.append({"kind": "apply_profile", "profile": asdict(profile)})
+        for workspace in workspaces:
+            edits.append({"kind": "apply_workspace", "workspace": asdict(workspace)})
+        return self.change(*edits)
+
+    def wait_ready(self, upstreams: int) -> None:
+        """Return once every entry is ready and all upstreams have announced."""
+        for name in self.entries:
+            url = self.entry_url(name) + "/readyz"
+            wait_until(lambda url=url: _answers(url), f"{name} is not ready")
+        wait_until(
+            lambda: len(self.operate("GET", "/v1/upstreams")["upstreams"]) >= upstreams,
+            "upstreams are missing",
+        )
+
+    def runs(self, upstream: str) -> list[dict[str, Any]]:
+        """The upstream's own record of what it ran."""
+        url = self.upstream_url(upstream) + "/record"
+        answer = httpx2.get(url, timeout=10.0, trust_env=False).json()
+        return list(answer["runs"])
+
     # Details.
 
     def _write_secrets(self) -> None:
@@ -292,6 +364,29 @@
             time.sleep(POLL_S)
 
 
+def wait_until(
+    condition: Callable[[], Any], fault: str, bound_s: float = START_BOUND_S
+) -> None:
+    """Return once ``condition`` holds; fail with ``fault`` past the bound."""
+    end = time.monotonic() + bound_s
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError(f"{fault} after {bound_s:g} s")
+        time.sleep(POLL_S)
+
+
+def key_digest(key: str) -> str:
+    """What a workspace's declaration holds of an API key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _answers(url: str) -> bool:
+    try:
+        return httpx2.get(url, timeout=2.0, trust_env=False).status_code == 200
+    except httpx2.HTTPError:
+        return False
+
+
 def _free_net() -> str:
     """First three numbers of a loopback network that no other fleet uses."""
     for attempt in range(250):
