--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,14 @@
 # Targets for users and maintainers; see README.md.
 PYTHON ?= python3
+MINUTES ?= 10
+PORT ?= 8080
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+BINARY := dist/gooseberrydale.pyz
+CODE := gooseberrydale tests features scripts
 
-.PHONY: run test check format
+.PHONY: run test check format binary soak measure
 
 $(STAMP): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -12,15 +16,33 @@
 	$(BIN)/pip install -q --disable-pip-version-check --no-deps -e .
 	touch $(STAMP)
 
+# Serve on one machine, send the first requests, go on until interrupted.
+run: $(STAMP)
+	$(BIN)/python scripts/run_local.py --port $(PORT)
+
 test: $(STAMP)
 	$(BIN)/python scripts/run_tests.py
 
 check: $(STAMP)
-	$(BIN)/black --check -q gooseberrydale tests features scripts
-	$(BIN)/isort --check -q gooseberrydale tests features scripts
-	$(BIN)/flake8 gooseberrydale tests features scripts
+	$(BIN)/black --check -q $(CODE)
+	$(BIN)/isort --check -q $(CODE)
+	$(BIN)/flake8 $(CODE)
 	$(BIN)/mypy
 
 format: $(STAMP)
-	$(BIN)/black -q gooseberrydale tests features scripts
-	$(BIN)/isort -q gooseberrydale tests features scripts
+	$(BIN)/black -q $(CODE)
+	$(BIN)/isort -q $(CODE)
+
+# One file that any Python 3.11 of this platform runs; see docs/design/one-binary.md.
+binary: $(STAMP)
+	mkdir -p dist
+	$(BIN)/shiv -q -c gooseberrydale -o $(BINARY) -p "/usr/bin/env python3" \
+		. --constraint requirements.txt
+	$(BIN)/python scripts/check_binary.py $(BINARY)
+
+# Long randomised runs: make soak MINUTES=30
+soak: $(STAMP)
+	HYPOTHESIS_PROFILE=soak SOAK_MINUTES=$(MINUTES) $(BIN)/python -m pytest tests
+
+measure: $(STAMP)
+	$(BIN)/python scripts/measure.py
