--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 
 # Long randomised runs: make soak MINUTES=30
 soak: $(STAMP)
-	HYPOTHESIS_PROFILE=soak SOAK_MINUTES=$(MINUTES) $(BIN)/python -m pytest tests
+	$(BIN)/python scripts/soak.py --minutes $(MINUTES)
 
 measure: $(STAMP)
 	$(BIN)/python scripts/measure.py
--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,55 @@
+"""Run the randomised tests again and again, with new seeds, for a given time.
+
+Usage: ``python scripts/soak.py --minutes 30``.  Each round prints the seed that
+repeats it.  The first failing round ends the run with its exit code; a round that
+the end of the time cuts off counts as not finished, not as passed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import pathlib
+import random
+import subprocess
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PYTEST = [sys.executable, "-m", "pytest", "-m", "hypothesis", "tests"]
+MAX_SEED = 2**32
+SECONDS_A_MINUTE = 60.0
+
+
+def run_round(seed: int, left_s: float) -> int | None:
+    """Run all randomised tests once; None if the time ended first."""
+    print(f"round with --hypothesis-seed={seed}", flush=True)
+    env = {**os.environ, "HYPOTHESIS_PROFILE": "soak"}
+    command = [*PYTEST, f"--hypothesis-seed={seed}"]
+    try:
+        return subprocess.run(command, cwd=ROOT, env=env, timeout=left_s).returncode
+    except subprocess.TimeoutExpired:
+        return None
+
+
+def main() -> int:
+    """Return 0 if no round failed and at least one was finished."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--minutes", type=float, default=10.0)
+    end = time.monotonic() + parser.parse_args().minutes * SECONDS_A_MINUTE
+    finished = 0
+    while time.monotonic() < end:
+        code = run_round(random.randrange(MAX_SEED), end - time.monotonic())
+        if code is None:
+            print("the time ended within a round, which is not counted")
+            break
+        if code != 0:
+            print(f"a round failed after {finished} passed")
+            return code
+        finished += 1
+    print(f"{finished} rounds passed")
+    return 0 if finished else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
