Compare repaired identities in the random runs

Cause: a run failed with 'repair was reported too early': the leader's report still named an identity that had been lost that instant, which it can't know yet. Change: the runs wait until the reported identities are the present ones; the check itself stays.

--- a/tests/builders_replication.py
+++ b/tests/builders_replication.py
@@ -269,12 +269,16 @@
                 self.restart(replica)
 
     def full(self):
-        """Whether a leader reports every replica name as repaired."""
+        """Whether a leader reports each replica's present identity as repaired.
+
+        It can't know yet of an identity that was lost this moment.
+        """
         leader = self.leader()
         if leader is None:
             return False
         repairs = leader.node.repairs(self.clock(leader))
-        return all(repair.state == "done" for repair in repairs)
+        done = {repair.identity for repair in repairs if repair.state == "done"}
+        return done == {replica.identity for replica in self.replicas.values()}
 
     def run_until(self, condition, seconds=60.0):
         deadline = self.now + seconds
