Test the gate before an upstream

Change: cases for bounds, order, fair shares, deadlines, cancels and doubled offers, and a state machine in which each work has exactly one fate, none starts twice, bounds hold and no slot idles while work waits. Seen to fail, each on its own: without the check of known ids or of those that ended, the deadline check at the offer or in the queue, the bounds, displacement, charging work that starts at once, freeing slots and places on cancel, reporting work whose deadline was lost when a slot came free, the time to come back, priorities, start tags, shares, tokens, virtual time, the refund, the count of only that work which goes before, and forgetting of quiet workspaces.

--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,327 @@
+"""The gate before an upstream: bounds, order, fairness, deadlines."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from gooseberrydale import errors
+from gooseberrydale.errors import Problem
+from gooseberrydale.request.admission import Admission, Admitted, Queued, Work
+from gooseberrydale.request.fair_queue import PRUNE_WORKSPACES, FairQueue
+from tests.builders_request import work
+
+TPS = 1_000.0
+
+
+def gate(max_running: int = 1, max_queued: int = 100) -> Admission:
+    return Admission(max_running, max_queued, prefill_tps=TPS)
+
+
+def drained(admission: Admission, running: str) -> list[str]:
+    """Finish one work after the other; return the order of starts."""
+    order = [running]
+    while True:
+        started = admission.finish(order[-1], 0.0)
+        if not started:
+            return order
+        order += started
+
+
+def refusal(answer: object) -> Problem:
+    assert isinstance(answer, Problem)
+    assert answer.not_run is True
+    assert answer.retry_after_s is not None and answer.retry_after_s > 0
+    return answer
+
+
+def test_runs_queues_and_refuses_at_once() -> None:
+    admission = gate(max_running=2, max_queued=1)
+    answers = [admission.offer(work(name), 0.0) for name in "abcd"]
+    assert answers[:2] == [Admitted(), Admitted()]
+    assert isinstance(answers[2], Queued)
+    assert refusal(answers[3]).code == errors.QUEUE_FULL.code
+    load = admission.load(0.0)
+    assert (load.running, load.queued) == (2, 1)
+    assert admission.finish("a", 0.0) == ["c"]
+    assert admission.finish("a", 0.0) == []
+
+
+@pytest.mark.parametrize(
+    ("offers", "order"),
+    [
+        # Higher priority first, then in the order of arrival.
+        ([work("a"), work("b", priority=1), work("c")], ["b", "a", "c"]),
+        # A workspace that floods does not go before the others' first ones.
+        (
+            [*(work(f"a{i}") for i in range(4)), work("b", workspace="w2")],
+            ["a0", "b", "a1", "a2", "a3"],
+        ),
+        # A share of three gets three starts for each one of a share of one.
+        (
+            [
+                *(work(f"a{i}") for i in range(2)),
+                *(work(f"b{i}", workspace="w2", share=3.0) for i in range(6)),
+            ],
+            ["a0", "b0", "b1", "b2", "a1", "b3", "b4", "b5"],
+        ),
+        # Fairness counts tokens, not requests.
+        (
+            [
+                work("a0", tokens=4_000),
+                work("a1"),
+                *(work(f"b{i}", workspace="w2") for i in range(4)),
+            ],
+            ["a0", "b0", "b1", "b2", "b3", "a1"],
+        ),
+    ],
+)
+def test_order_of_starts(offers: list[Work], order: list[str]) -> None:
+    admission = gate()
+    admission.offer(work("first", workspace="other"), 0.0)
+    for one in offers:
+        assert isinstance(admission.offer(one, 0.0), Queued)
+    assert drained(admission, "first")[1:] == order
+
+
+def test_work_that_starts_at_once_counts_in_fairness() -> None:
+    admission = gate(max_running=4)
+    for number in range(4):
+        admission.offer(work(f"a{number}"), 0.0)
+    admission.offer(work("late"), 0.0)
+    admission.offer(work("b", workspace="w2"), 0.0)
+    assert admission.finish("a0", 0.0) == ["b"]
+
+
+def test_a_newcomer_gets_no_credit_for_the_past() -> None:
+    admission = gate()
+    admission.offer(work("a0"), 0.0)
+    for number in range(1, 20):
+        admission.offer(work(f"a{number}"), 0.0)
+        admission.finish(f"a{number - 1}", 0.0)
+    for number in range(2):
+        admission.offer(work(f"a2{number}"), 0.0)
+        admission.offer(work(f"b{number}", workspace="w2"), 0.0)
+    assert drained(admission, "a19")[1:] == ["b0", "a20", "b1", "a21"]
+
+
+def test_work_that_left_the_queue_costs_its_workspace_nothing() -> None:
+    admission = gate()
+    admission.offer(work("first", workspace="other"), 0.0)
+    admission.offer(work("a0", tokens=9_000), 0.0)
+    admission.cancel("a0", 0.0)
+    admission.offer(work("b0", workspace="w2"), 0.0)
+    admission.offer(work("b1", workspace="w2"), 0.0)
+    admission.offer(work("a1"), 0.0)
+    assert drained(admission, "first")[1:] == ["b0", "a1", "b1"]
+
+
+def test_wait_counts_only_work_that_goes_before() -> None:
+    admission = gate()
+    for number in range(5):
+        admission.offer(work(f"a{number}"), 0.0)
+    urgent = work("urgent", priority=1, deadline_s=2.1)
+    assert isinstance(admission.offer(urgent, 0.0), Queued)
+
+
+def test_fair_queue_forgets_workspaces_that_went_quiet() -> None:
+    queue = FairQueue()
+    for number in range(3 * PRUNE_WORKSPACES):
+        queue.push(work(f"a{number}", workspace=f"w{number}"), 0.0)
+        queue.push(work(f"b{number}", workspace="busy"), 0.0)
+        while queue.pop():
+            pass
+    assert len(queue._tags[0].finish) <= PRUNE_WORKSPACES + 1
+
+
+def test_full_queue_makes_room_for_the_fair_share_of_others() -> None:
+    admission = gate(max_queued=3)
+    for number in range(4):
+        admission.offer(work(f"a{number}"), 0.0)
+    answer = admission.offer(work("b", workspace="w2"), 0.0)
+    assert isinstance(answer, Queued)
+    [(gone, why)] = answer.displaced
+    assert gone == "a3"
+    assert refusal(why).code == errors.QUEUE_FULL.code
+    assert refusal(admission.offer(work("a4"), 0.0)).code == errors.QUEUE_FULL.code
+    assert admission.load(0.0).queued == 3
+
+
+@pytest.mark.parametrize(
+    ("ahead", "deadline_s", "fits"),
+    [
+        ([], 0.9, False),  # its own prompt takes 1 s
+        ([], 1.1, True),
+        (["a"], 1.9, False),  # one prompt before it
+        (["a"], 2.1, True),
+        (["a", "b"], 2.9, False),
+        (["a", "b"], 3.1, True),
+    ],
+)
+def test_deadline_is_checked_at_the_offer(
+    ahead: list[str], deadline_s: float, fits: bool
+) -> None:
+    admission = gate()
+    for name in ahead:
+        admission.offer(work(name), 0.0)
+    answer = admission.offer(work("x", deadline_s=deadline_s), 0.0)
+    if fits:
+        assert isinstance(answer, Admitted | Queued)
+    else:
+        assert refusal(answer).code == errors.DEADLINE_TOO_CLOSE.code
+
+
+def test_computed_prompts_no_longer_delay_others() -> None:
+    admission = gate(max_running=2)
+    admission.offer(work("a", tokens=5_000), 0.0)
+    assert admission.load(0.0).queue_s == pytest.approx(5.0)
+    admission.first_token("a", 5.0)
+    assert admission.load(5.0).queue_s == 0.0
+    assert admission.offer(work("b", deadline_s=1.1), 5.0) == Admitted()
+
+
+def test_queued_work_is_answered_once_its_deadline_is_lost() -> None:
+    admission = gate()
+    admission.offer(work("a"), 0.0)
+    admission.offer(work("b", deadline_s=3.0), 0.0)
+    admission.offer(work("c"), 0.0)
+    assert admission.next_expiry() == pytest.approx(2.0)
+    assert admission.expire(1.9) == []
+    [(late, why)] = admission.expire(2.1)
+    assert late == "b"
+    assert refusal(why).code == errors.DEADLINE_TOO_CLOSE.code
+    assert admission.finish("a", 2.2) == ["c"]
+
+
+def test_a_free_slot_does_not_start_late_work_but_expire_reports_it() -> None:
+    admission = gate()
+    admission.offer(work("a"), 0.0)
+    admission.offer(work("b", deadline_s=3.0), 0.0)
+    assert admission.finish("a", 2.5) == []
+    next_expiry = admission.next_expiry()
+    assert next_expiry is not None and next_expiry <= 2.5
+    assert [late for late, _ in admission.expire(2.5)] == ["b"]
+    assert admission.expire(2.5) == []
+
+
+def test_cancel_frees_a_slot_or_a_place() -> None:
+    admission = gate()
+    for name in "abc":
+        admission.offer(work(name), 0.0)
+    assert admission.cancel("b", 0.0) == []
+    assert admission.cancel("a", 0.0) == ["c"]
+    assert admission.cancel("unknown", 0.0) == []
+
+
+@pytest.mark.parametrize("done", [False, True])
+def test_an_attempt_is_never_taken_twice(done: bool) -> None:
+    admission = gate()
+    admission.offer(work("a"), 0.0)
+    if done:
+        admission.finish("a", 0.0)
+    answer = admission.offer(work("a"), 0.0)
+    assert isinstance(answer, Problem)
+    assert answer.code == errors.DUPLICATE_ATTEMPT.code
+    assert answer.not_run is None
+
+
+class Gate(RuleBasedStateMachine):
+    """Offers, ends, cancels and time in any order; each work has one fate."""
+
+    MAX_RUNNING, MAX_QUEUED = 2, 3
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.admission = gate(self.MAX_RUNNING, self.MAX_QUEUED)
+        self.now = 0.0
+        self.count = 0
+        self.queued: set[str] = set()
+        self.running: set[str] = set()
+        self.started: set[str] = set()
+
+    def start(self, names: list[str]) -> None:
+        for name in names:
+            assert name not in self.started
+            self.started.add(name)
+            self.queued.remove(name)
+            self.running.add(name)
+
+    def leave_queue(self, refusals: list[tuple[str, Problem]]) -> None:
+        for name, why in refusals:
+            refusal(why)
+            self.queued.remove(name)
+
+    @rule(
+        workspace=st.sampled_from(["w1", "w2", "w3"]),
+        tokens=st.integers(0, 3_000),
+        deadline_s=st.sampled_from([0.5, 2.0, 5.0, 60.0]),
+        share=st.sampled_from([0.5, 1.0, 4.0]),
+        priority=st.integers(0, 1),
+    )
+    def offer(
+        self,
+        workspace: str,
+        tokens: int,
+        deadline_s: float,
+        share: float,
+        priority: int,
+    ) -> None:
+        self.count += 1
+        name = f"work-{self.count}"
+        one = Work(name, workspace, tokens, deadline_s, share, priority)
+        answer = self.admission.offer(one, self.now)
+        if isinstance(answer, Problem):
+            refusal(answer)
+            return
+        self.queued.add(name)
+        if isinstance(answer, Admitted):
+            self.start([name])
+        else:
+            self.leave_queue(list(answer.displaced))
+
+    @precondition(lambda self: self.started)
+    @rule(data=st.data())
+    def offer_again(self, data: st.DataObject) -> None:
+        name = data.draw(st.sampled_from(sorted(self.started)))
+        answer = self.admission.offer(work(name), self.now)
+        assert isinstance(answer, Problem) and answer.not_run is None
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data())
+    def finish(self, data: st.DataObject) -> None:
+        name = data.draw(st.sampled_from(sorted(self.running)))
+        self.running.remove(name)
+        self.start(self.admission.finish(name, self.now))
+
+    @rule(number=st.integers(1, 40))
+    def cancel(self, number: int) -> None:
+        name = f"work-{number}"
+        self.running.discard(name)
+        self.queued.discard(name)
+        self.start(self.admission.cancel(name, self.now))
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 10.0]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule()
+    def expire(self) -> None:
+        self.leave_queue(self.admission.expire(self.now))
+        next_expiry = self.admission.next_expiry()
+        assert next_expiry is None or next_expiry >= self.now
+
+    @invariant()
+    def bounds_hold_and_no_slot_idles(self) -> None:
+        load = self.admission.load(self.now)
+        assert load.running == len(self.running) <= self.MAX_RUNNING
+        assert load.queued <= self.MAX_QUEUED
+        assert load.queued <= len(self.queued)
+        assert load.queued == 0 or load.running == self.MAX_RUNNING
+
+
+TestGate = Gate.TestCase
+TestGate.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
