Give each workspace its own homes, and count own dispatches one by one

Homes were ranked by the last eight bytes of a prefix, which leave workspace and model out, so equal prompts of all workspaces had the same homes. A dispatch was counted as load until some report came ten milliseconds later, although its own answer already says that the load covers it. Change: the whole prefix is hashed for the ranking; dispatches carry a serial and are counted until their own answer or a later report.

--- a/gooseberrydale/request/baselines.py
+++ b/gooseberrydale/request/baselines.py
@@ -31,6 +31,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
+        self._serial = 0
         self._members = MembersByProfile()
 
     def choose(
@@ -44,7 +45,8 @@
         if not allowed:
             return Err(no_upstream(req))
         name = self._pick(req, members, allowed, now)
-        return Ok(Choice(members.by_name[name], req))
+        self._serial += 1
+        return Ok(Choice(members.by_name[name], req, serial=self._serial))
 
     def _pick(
         self,
@@ -123,17 +125,21 @@
         """Add the attempt to the upstream's load."""
         estimate = self._estimates.find(choice.record)
         if estimate is not None:
-            estimate.sent(sum(piece.tokens for piece in choice.req.pieces), now)
+            tokens = sum(piece.tokens for piece in choice.req.pieces)
+            estimate.sent(choice.serial, tokens, now)
 
     def observe(self, choice: Choice, frame: Frame, now: float) -> None:
         """Take the load from a frame."""
-        if not isinstance(frame, Chunk):
-            self.observe_load(choice.record, frame.load, now)
+        estimate = self._estimates.find(choice.record)
+        if estimate is not None and not isinstance(frame, Chunk):
+            estimate.answered(choice.serial)
+            estimate.report(frame.load, now)
 
     def lost(self, choice: Choice, now: float) -> None:
         """Avoid the upstream for a while."""
         estimate = self._estimates.find(choice.record)
         if estimate is not None:
+            estimate.answered(choice.serial)
             estimate.shun(now)
 
     def observe_load(self, record: UpstreamRecord, load: Load, now: float) -> None:
--- a/gooseberrydale/request/estimate.py
+++ b/gooseberrydale/request/estimate.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import Load
@@ -53,7 +52,7 @@
         self._mean = mean
         self._load = Load()
         self._reported_at = -math.inf
-        self._pending: deque[tuple[float, int]] = deque()
+        self._pending: dict[int, tuple[float, int]] = {}
         self._pending_tokens = 0
         self._shunned_until = -math.inf
         self.cache_ttl_s = FIRST_CACHE_TTL_S
@@ -75,11 +74,17 @@
         shunned = SHUN_COST_S if now < self._shunned_until else 0.0
         return reported + self._pending_tokens / self.prefill_tps + shunned
 
-    def sent(self, uncached_tokens: int, now: float) -> None:
-        """Count work that the next report may lack."""
-        self._pending.append((now, uncached_tokens))
+    def sent(self, serial: int, uncached_tokens: int, now: float) -> None:
+        """Count work that the next reports may lack; ``serial`` names it."""
+        self._pending[serial] = (now, uncached_tokens)
         self._pending_tokens += uncached_tokens
 
+    def answered(self, serial: int) -> None:
+        """Stop counting work whose own answer came: its load includes the work."""
+        pending = self._pending.pop(serial, None)
+        if pending is not None:
+            self._pending_tokens -= pending[1]
+
     def report(self, load: Load, now: float) -> None:
         """Take a load report that came just now."""
         self._load = load
@@ -106,8 +111,11 @@
         self.cache_ttl_s = min(MAX_CACHE_TTL_S, max(MIN_CACHE_TTL_S, ttl_s))
 
     def _drop_pending(self, before: float) -> None:
-        while self._pending and self._pending[0][0] <= before:
-            self._pending_tokens -= self._pending.popleft()[1]
+        while self._pending:
+            serial, (sent_at, _) = next(iter(self._pending.items()))
+            if sent_at > before:
+                return
+            self.answered(serial)
 
 
 class Estimates:
@@ -117,6 +125,9 @@
         self._by_name: dict[str, Estimate] = {}
         self._means: dict[str, PoolMean] = {}
 
+    def __len__(self) -> int:
+        return len(self._by_name)
+
     def get(self, record: UpstreamRecord) -> Estimate:
         """Return the estimate for this life of the upstream, a new one if needed."""
         found = self._by_name.get(record.name)
--- a/gooseberrydale/request/members.py
+++ b/gooseberrydale/request/members.py
@@ -64,7 +64,7 @@
         self.by_name = {r.name: r for r in source if self._eligible(r)}
         self.names = sorted(self.by_name)
         if self.by_name.keys() != self._digests.keys():
-            self._digests = {name: _member_digest(name) for name in self.names}
+            self._digests = {name: _digest(name.encode()) for name in self.names}
             self._homes.clear()
 
     def homes(self, prefix: bytes) -> tuple[str, ...]:
@@ -89,7 +89,7 @@
         return ranked
 
     def _rank_above(self, prefix: bytes, floor: int) -> tuple[str, ...]:
-        key = int.from_bytes(prefix[-8:], "big")
+        key = _digest(prefix)
         ranked = [
             (weight, name)
             for name, digest in self._digests.items()
@@ -120,5 +120,5 @@
         return members
 
 
-def _member_digest(name: str) -> int:
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+def _digest(data: bytes) -> int:
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
--- a/gooseberrydale/request/routing.py
+++ b/gooseberrydale/request/routing.py
@@ -71,6 +71,7 @@
     req: RouteReq
     expected_ttft_s: float = 0.0
     expected_cached_tokens: int = 0
+    serial: int = field(default=0, repr=False)
     prefixes: tuple[Prefix, ...] = field(default=(), repr=False)
     home_level: int = field(default=-1, repr=False)
     home_tokens: int = field(default=0, repr=False)
@@ -105,6 +106,7 @@
     """The policy of the product; see the module's docstring."""
 
     def __init__(self, rng: random.Random) -> None:
+        self._serial = 0
         self._members = MembersByProfile()
         self._scopes = Scopes()
         self._estimates = Estimates()
@@ -135,7 +137,7 @@
         if estimate is None:
             return
         uncached = _tokens(choice.prefixes) - choice.expected_cached_tokens
-        estimate.sent(max(0, uncached), now)
+        estimate.sent(choice.serial, max(0, uncached), now)
         self._holders.note(choice.prefixes, choice.record, now)
 
     def observe(self, choice: Choice, frame: Frame, now: float) -> None:
@@ -143,6 +145,7 @@
         estimate = self._estimates.find(choice.record)
         if estimate is None or isinstance(frame, Chunk):
             return
+        estimate.answered(choice.serial)
         estimate.report(frame.load, now)
         if isinstance(frame, Accepted):
             estimate.accepted()
@@ -157,6 +160,7 @@
         """Avoid the upstream for a while and forget what it was sent."""
         estimate = self._estimates.find(choice.record)
         if estimate is not None:
+            estimate.answered(choice.serial)
             estimate.shun(now)
             self._holders.forget(choice.prefixes, choice.record.name)
 
@@ -195,9 +199,11 @@
             if best is None or cost < best_cost:
                 best, best_cost, best_ttft_s = candidate, cost, ttft_s
         assert best is not None
+        self._serial += 1
         return Choice(
             record=best.record,
             req=req,
+            serial=self._serial,
             expected_ttft_s=best_ttft_s,
             expected_cached_tokens=int(best.cached_tokens),
             prefixes=prefixes,
