--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,476 @@
+"""Where requests go: homes without state, load, caches, lives, and limits."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gooseberrydale import errors
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.messages import Load
+from gooseberrydale.errors import ErrorKind
+from gooseberrydale.request.affinity import KEPT_PREFIXES, Holders, Scopes, levels
+from gooseberrydale.request.baselines import POLICIES, make_policy
+from gooseberrydale.request.estimate import (
+    DRIFT_S,
+    FIRST_CACHE_TTL_S,
+    MAX_ESTIMATES,
+    SHUN_S,
+    Estimates,
+)
+from gooseberrydale.request.members import RANKED_HOMES, Members
+from gooseberrydale.request.routing import Choice, Policy, Router, RouteReq
+from tests.builders_request import (
+    MODEL,
+    POOL,
+    PROFILE,
+    accepted,
+    pool_of,
+    record,
+    refused,
+    route,
+    sent,
+)
+
+GUIDE = ("guide", 20_000)
+BUSY = Load(running=9, queued=9, queue_s=60.0, prefill_tps=10_000.0)
+POOL_20 = pool_of(20)
+
+
+def router(seed: int = 0) -> Router:
+    return Router(random.Random(seed))
+
+
+def choose(
+    policy: Policy,
+    req: RouteReq,
+    pool: Sequence[UpstreamRecord] = POOL_20,
+    now: float = 0.0,
+) -> Choice:
+    return policy.choose(req, pool, now).unwrap()
+
+
+def homes_of(guide: str, pool: Sequence[UpstreamRecord] = POOL_20) -> tuple[str, ...]:
+    members = Members(POOL, MODEL)
+    members.refresh(pool)
+    req = route((guide, 20_000))
+    [prefix] = Scopes().prefixes(req.workspace, MODEL, req.pieces)
+    return members.homes(prefix.key)
+
+
+def test_fresh_routers_agree_on_the_home_of_a_guide() -> None:
+    chosen = {
+        choose(router(seed), route(GUIDE, (f"question {seed}", 100))).record.name
+        for seed in range(20)
+    }
+    assert len(chosen) == 1
+    assert chosen <= set(homes_of("guide")[:2])
+
+
+def test_homes_are_spread_evenly_and_move_only_with_their_upstream() -> None:
+    guides = [f"guide {number}" for number in range(2_000)]
+    before = {guide: homes_of(guide)[0] for guide in guides}
+    counts = Counter(before.values())
+    assert len(counts) == 20
+    assert all(60 < count < 145 for count in counts.values())  # 100 on average
+    gone = POOL_20[7].name
+    rest = POOL_20[:7] + POOL_20[8:]
+    after = {guide: homes_of(guide, rest)[0] for guide in guides}
+    moved = [guide for guide in guides if before[guide] != after[guide]]
+    assert {before[guide] for guide in moved} == {gone}
+    assert len({after[guide] for guide in moved}) > 10
+
+
+def test_another_workspace_has_other_homes_and_no_holders() -> None:
+    policy = router()
+    mine = choose(policy, route(GUIDE))
+    sent(policy, mine, 0, 0.0)
+    assert choose(policy, route(GUIDE), now=1.0).expected_cached_tokens > 19_000
+    theirs = [choose(policy, route(GUIDE, workspace=f"w{i}")) for i in range(2, 42)]
+    assert max(choice.expected_cached_tokens for choice in theirs) <= 10_000
+    assert len({choice.record.name for choice in theirs}) > 10
+
+
+def test_levels_are_the_first_half_last_but_one_and_last() -> None:
+    tokens = [4_000] * 8 + [3_000, 50]
+    req = route(*((str(i), t) for i, t in enumerate(tokens)))
+    picked = levels(Scopes().prefixes("w", MODEL, req.pieces))
+    assert [prefix.tokens for prefix in picked] == [4_000, 20_000, 35_000]
+
+
+@pytest.mark.parametrize(
+    ("queue_s", "stays"),
+    # A guide costs 2 s to compute, half of it is expected at a home.
+    [(0.0, True), (0.9, True), (60.0, False)],
+)
+def test_busy_homes_are_left_only_if_waiting_costs_more(
+    queue_s: float, stays: bool
+) -> None:
+    policy = router()
+    homes = homes_of("guide")[:2]
+    for one in POOL_20:
+        load = replace(BUSY, queue_s=queue_s if one.name in homes else 0.0)
+        policy.observe_load(one, load, 0.0)
+    assert (choose(policy, route(GUIDE)).record.name in homes) is stays
+
+
+def test_the_other_home_takes_over_from_a_busy_one() -> None:
+    policy = router()
+    first, second = homes_of("guide")[:2]
+    assert choose(policy, route(GUIDE)).record.name == first
+    policy.observe_load(record(first), replace(BUSY, queue_s=0.3), 0.0)
+    assert choose(policy, route(GUIDE)).record.name == second
+
+
+def test_own_dispatches_count_until_a_report_covers_them() -> None:
+    policy = router()
+    pool = pool_of(2)
+    names = []
+    for number in range(10):
+        choice = choose(policy, route((f"cold {number}", 500)), pool)
+        policy.dispatched(choice, 0.0)
+        names.append(choice.record.name)
+    assert 3 <= Counter(names)["up-0"] <= 7
+    for one in pool:
+        policy.observe_load(one, Load(prefill_tps=10_000.0), 1.0)
+    assert choose(policy, route(("new", 500)), pool, 1.0).expected_ttft_s < 0.06
+
+
+def test_a_report_does_not_cover_what_was_sent_while_it_came() -> None:
+    policy = router()
+    choice = choose(policy, route(GUIDE), pool_of(1))
+    policy.dispatched(choice, 0.0)
+    idle = Load(prefill_tps=10_000.0)
+    policy.observe_load(choice.record, idle, 0.001)
+    assert choose(policy, route(), pool_of(1), 0.001).expected_ttft_s > 0.5
+    # The answer to an attempt comes after the attempt, so its load covers it.
+    policy.observe(choice, accepted(load=idle), 0.002)
+    assert choose(policy, route(), pool_of(1), 0.002).expected_ttft_s == 0.0
+
+
+def test_an_old_report_drifts_to_the_mean_of_the_pool() -> None:
+    policy = router()
+    pool = pool_of(1)
+    policy.observe_load(pool[0], BUSY, 0.0)
+    waits = [
+        choose(policy, route(), pool, now).expected_ttft_s
+        for now in (0.0, DRIFT_S, 10 * DRIFT_S)
+    ]
+    assert waits[0] == pytest.approx(60.0)
+    assert waits[0] > waits[1] > waits[2]
+    assert waits[2] < 5.0
+
+
+RENEWED = [
+    {"seq": 2},
+    {"incarnation": "i2", "upstream_incarnation": "u2"},
+    {"upstream_incarnation": "u2"},
+    {"weights_version": "v2"},
+]
+
+
+@pytest.mark.parametrize("change", RENEWED)
+def test_a_holder_is_known_for_one_life_and_one_weights_version(
+    change: dict[str, object],
+) -> None:
+    policy = router()
+    first = choose(policy, route(GUIDE, excluded=frozenset(homes_of("guide"))))
+    sent(policy, first, 0, 0.0)
+    pool = tuple(
+        replace(r, **change) if r.name == first.record.name else r  # type: ignore
+        for r in POOL_20
+    )
+    again = choose(policy, route(GUIDE), pool, 0.1)
+    assert (again.record.name == first.record.name) is (change == {"seq": 2})
+
+
+def test_two_weights_versions_at_once_keep_their_holders_apart() -> None:
+    policy = router()
+    old, new = record("up-0"), record("up-1", weights_version="v2")
+    req = route(GUIDE)
+    for one in (old, new):
+        sent(policy, choose(policy, req, (one,)), 0, 0.0)
+    for one in (old, new):
+        assert choose(policy, req, (one,), 0.1).expected_cached_tokens > 19_000
+
+
+def test_belief_in_a_holder_fades() -> None:
+    policy = router()
+    pool = pool_of(1)
+    sent(policy, choose(policy, route(GUIDE), pool), 0, 0.0)
+    cached = [
+        choose(policy, route(GUIDE), pool, now).expected_cached_tokens
+        for now in (0.0, FIRST_CACHE_TTL_S / 2, FIRST_CACHE_TTL_S + 1)
+    ]
+    # At last only what a home is expected to hold, after one that held nothing.
+    assert cached == [20_000, 15_000, 9_500]
+
+
+def test_a_prefix_under_way_counts_as_held_until_it_is_refused() -> None:
+    policy = router()
+    pool = pool_of(1)
+
+    def cached(now: float) -> int:
+        return choose(policy, route(GUIDE), pool, now).expected_cached_tokens
+
+    first = choose(policy, route(GUIDE), pool)
+    policy.dispatched(first, 0.0)
+    assert cached(0.0) == 20_000
+    policy.observe(first, refused(errors.QUEUE_FULL), 0.0)
+    assert cached(0.0) == 10_000
+    policy.dispatched(first, 0.0)
+    policy.observe(first, accepted(10_000), FIRST_CACHE_TTL_S)
+    assert cached(FIRST_CACHE_TTL_S + 1) > 19_000
+
+
+def test_holders_are_not_named_beyond_the_time_their_cache_lasts() -> None:
+    holders = Holders(Estimates())
+    [prefix] = Scopes().prefixes("w", MODEL, route(GUIDE).pieces)
+    one = record("up-0")
+    holders.note([prefix], one, 0.0)
+    found = [
+        len(list(holders.of(prefix, {"up-0": one}, (), now)))
+        for now in (1.0, FIRST_CACHE_TTL_S + 0.1)
+    ]
+    assert found == [1, 0]
+
+
+def test_excluded_holders_are_left_out_and_the_last_one_left_is_found() -> None:
+    policy = router()
+    excluded: set[str] = set()
+    for _ in POOL_20:
+        choice = choose(policy, route(GUIDE, excluded=frozenset(excluded)))
+        assert choice.record.name not in excluded
+        sent(policy, choice, 20_000, 0.0)
+        excluded.add(choice.record.name)
+        policy_without = router(len(excluded))
+        plain = route(excluded=frozenset(excluded))
+        found = policy_without.choose(plain, POOL_20, 0.0)
+        assert found.is_ok() is (len(excluded) < 20)
+
+
+def test_belief_lasts_as_long_as_the_cache_turned_out_to() -> None:
+    def believed(found: int) -> int:
+        policy = router()
+        pool = pool_of(1)
+        sent(policy, choose(policy, route(GUIDE), pool), 0, 0.0)
+        for second in range(1, 6):
+            choice = choose(policy, route(GUIDE), pool, second)
+            sent(policy, choice, found, second)
+        return choose(policy, route(GUIDE), pool, 15).expected_cached_tokens
+
+    assert believed(20_000) > 15_000
+    assert believed(0) <= 10_000
+
+
+def test_homes_that_hold_nothing_lose_their_pull() -> None:
+    policy = router()
+    for number in range(60):
+        choice = choose(policy, route((f"cold {number}", 20_000)), now=number)
+        sent(policy, choice, 0, number)
+    assert choose(policy, route(GUIDE), now=99).expected_cached_tokens < 2_000
+
+
+@pytest.mark.parametrize(
+    ("kind", "shunned"),
+    [
+        (errors.QUEUE_FULL, False),
+        (errors.DEADLINE_TOO_CLOSE, False),
+        (errors.UPSTREAM_UNREACHABLE, True),
+        (errors.UPSTREAM_LEAVING, True),
+        (errors.SHUTTING_DOWN, True),
+    ],
+)
+def test_an_upstream_that_refuses_at_once_is_not_taken_for_an_idle_one(
+    kind: ErrorKind, shunned: bool
+) -> None:
+    policy = router()
+    home = choose(policy, route(GUIDE))
+    policy.dispatched(home, 0.0)
+    policy.observe(home, refused(kind), 0.1)
+    again = choose(policy, route(GUIDE), now=0.2)
+    assert (again.record.name != home.record.name) is shunned
+    later = choose(policy, route(GUIDE), now=0.2 + SHUN_S)
+    assert later.record.name == home.record.name
+
+
+def test_a_lost_upstream_is_avoided_until_it_accepts_again() -> None:
+    policy = router()
+    home = choose(policy, route(GUIDE))
+    policy.lost(home, 0.0)
+    assert choose(policy, route(GUIDE), now=0.1).record.name != home.record.name
+    policy.observe(home, accepted(), 0.2)
+    assert choose(policy, route(GUIDE), now=0.2).record.name == home.record.name
+
+
+def test_late_replies_of_an_earlier_life_change_nothing() -> None:
+    policy = router()
+    before = choose(policy, route(GUIDE))
+    reborn = replace(before.record, incarnation="i2", upstream_incarnation="u2")
+    pool = tuple(reborn if r.name == reborn.name else r for r in POOL_20)
+    now_home = choose(policy, route(GUIDE), pool)
+    assert now_home.record is reborn
+    for learn in (
+        lambda: policy.observe(before, accepted(20_000, BUSY), 0.0),
+        lambda: policy.observe_load(before.record, BUSY, 0.0),
+        lambda: policy.lost(before, 0.0),
+        lambda: policy.dispatched(before, 0.0),
+    ):
+        learn()
+        again = choose(policy, route(GUIDE), pool)
+        assert replace(again, serial=now_home.serial) == now_home
+
+
+def test_zone_decides_between_equals_only() -> None:
+    policy = router()
+    near, far = record("up-0", zone="z1"), record("up-1", zone="z2")
+    for zone, expected in [("z1", "up-0"), ("z2", "up-1")]:
+        assert choose(policy, route(zone=zone), (near, far)).record.name == expected
+    policy.observe_load(near, replace(BUSY, queue_s=0.1), 0.0)
+    assert choose(policy, route(zone="z1"), (near, far)).record.name == "up-1"
+    abroad = record("up-2", region="r2")
+    req = route(zone="z1", region="r1")
+    assert choose(policy, req, (abroad, far)).record.name == "up-1"
+
+
+@pytest.mark.parametrize(("weight", "keeps"), [(0.0, False), (2.0, True)])
+def test_profile_weighs_wasted_recomputation_against_waiting(
+    weight: float, keeps: bool
+) -> None:
+    policy = router()
+    pool = pool_of(2)
+    req = route(GUIDE, profile=replace(PROFILE, waste_weight=weight))
+    holder = choose(policy, req, pool)
+    sent(policy, holder, 0, 0.0)
+    policy.observe_load(holder.record, replace(BUSY, queue_s=3.0), 0.0)
+    again = choose(policy, req, pool)
+    assert (again.record.name == holder.record.name) is keeps
+
+
+def test_a_hot_prefix_widens_to_the_next_homes_alike_everywhere() -> None:
+    ranked = homes_of("guide")
+    for seed in range(5):
+        policy = router(seed)
+        for one in POOL_20:
+            busy = one.name in ranked[:2]
+            queue_s = 5.0 if busy else 0.0
+            policy.observe_load(one, replace(BUSY, queue_s=queue_s), 0.0)
+        chosen = choose(policy, route(GUIDE))
+        assert chosen.record.name == ranked[2]
+        assert chosen.expected_cached_tokens > 0
+
+
+def test_more_are_asked_if_no_candidate_meets_the_deadline() -> None:
+    ranked = homes_of("guide")
+    met = 0
+    for seed in range(20):
+        policy = router(seed)
+        for one in POOL_20:
+            queue_s = 9.0 if one.name in ranked else 0.0
+            policy.observe_load(one, replace(BUSY, queue_s=queue_s), 0.0)
+        req = route(GUIDE, deadline_s=5.0)
+        met += choose(policy, req).expected_ttft_s < 5.0
+    assert met >= 12  # 4 of 20 are idle; one at random would meet it in 4 cases
+
+
+OUT = [
+    {"ready": False},
+    {"leaving": True},
+    {"pool": "services"},
+    {"model": "model-b"},
+]
+
+
+@pytest.mark.parametrize("name", POLICIES)
+@pytest.mark.parametrize("change", OUT)
+def test_every_policy_chooses_only_what_may_serve(
+    name: str, change: dict[str, object]
+) -> None:
+    policy = make_policy(name, random.Random(0))
+    pool = (record("up-0", **change), record("up-1"), record("up-2"))
+    for number in range(30):
+        req = route((f"guide {number}", 5_000), excluded=frozenset({"up-1"}))
+        choice = choose(policy, req, pool)
+        assert choice.record.name == "up-2"
+        sent(policy, choice, 0, number)
+        policy.lost(choice, number)
+    refusal = policy.choose(route(GUIDE), pool[:1], 0.0).unwrap_err()
+    assert refusal.code == errors.NO_UPSTREAM.code
+    assert refusal.not_run is True and refusal.retry_after_s
+
+
+def test_baselines_do_what_their_names_say() -> None:
+    def names(policy: str, count: int) -> list[str]:
+        made = make_policy(policy, random.Random(0))
+        made.observe_load(POOL_20[0], BUSY, 0.0)
+        return [choose(made, route(GUIDE)).record.name for _ in range(count)]
+
+    assert set(names("random", 400)) == {r.name for r in POOL_20}
+    assert len(set(names("round-robin", 20))) == 20
+    assert POOL_20[0].name not in names("least-loaded", 100)
+    assert set(names("hash-only", 20)) == {homes_of("guide")[0]}
+
+
+def test_state_is_bounded() -> None:
+    estimates = Estimates()
+    holders = Holders(estimates)
+    for number in range(MAX_ESTIMATES + 10):
+        estimates.get(record(f"up-{number}"))
+    for number in range(KEPT_PREFIXES // 2 + 10):
+        req = route((f"a{number}", 1), ("b", 1))
+        prefixes = Scopes().prefixes("w", MODEL, req.pieces)
+        holders.note(prefixes, POOL_20[0], 0.0)
+    assert len(holders) == KEPT_PREFIXES
+    assert len(estimates) == MAX_ESTIMATES
+
+
+snapshots = st.lists(
+    st.lists(
+        st.tuples(st.integers(0, 60), st.integers(1, 3), st.booleans()),
+        unique_by=lambda entry: entry[0],
+        max_size=50,
+    ),
+    min_size=1,
+    max_size=5,
+)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(snapshots, st.binary(min_size=8, max_size=8))
+def test_members_kept_over_snapshots_equal_members_made_anew(
+    steps: list[list[tuple[int, int, bool]]], key: bytes
+) -> None:
+    kept = Members(POOL, MODEL)
+    for step in steps:
+        pool = tuple(record(f"up-{n}", seq=seq, ready=ok) for n, seq, ok in step)
+        renewed = tuple(replace(r, seq=9) for r in pool)
+        turned = tuple(
+            replace(r, ready=not r.ready) if number % 7 == 3 else r
+            for number, r in enumerate(renewed)
+        )
+        for snapshot in (pool, renewed, turned, renewed):
+            kept.refresh(snapshot)
+            anew = Members(POOL, MODEL)
+            anew.refresh(snapshot)
+            assert kept.by_name == anew.by_name
+            assert kept.names == anew.names
+            assert kept.homes(key) == anew.homes(key)
+            assert len(kept.homes(key)) == min(RANKED_HOMES, len(kept.names))
+
+
+@pytest.mark.parametrize("factor", [0.1, 0.5, 1.0, 2.5])
+def test_homes_do_not_depend_on_the_floor_that_saves_time(
+    monkeypatch: pytest.MonkeyPatch, factor: float
+) -> None:
+    kept = Members(POOL, MODEL)
+    kept.refresh(pool_of(200))
+    monkeypatch.setattr("gooseberrydale.request.members.FLOOR_FACTOR", factor)
+    for number in range(50):
+        key = b"%08d" % number
+        assert kept.homes(key) == kept._rank_above(key, 0)
