Serve dispatches end to end beside an upstream

Cause: entries need a gate that decides with exact knowledge whether work starts. Ruled out: one pooled client to the upstream. By itself the library sends GET, PUT and DELETE again when a reused connection drops, and after a cancelled call it hands the connection with the late answer to the next one. AttachReq may name the attempt, DispatchReq the announcement that it is based on (both with defaults).

--- a/gooseberrydale/connection/messages.py
+++ b/gooseberrydale/connection/messages.py
@@ -52,6 +52,8 @@
     ``deadline_s`` is the time left to the first token when the message was sent.
     ``emitted`` is the answer text that the caller has already got when a stream is
     resumed on another upstream; ``first_offset`` is the offset of the next event.
+    ``record_seq`` is the ``seq`` of the announcement that the dispatch is based on
+    (0: not stated); a sidecar refuses a dispatch that is based on a long gone one.
     """
 
     request_id: str
@@ -71,17 +73,22 @@
     emitted: str = ""
     first_offset: int = 0
     claim_key: str = ""
+    record_seq: int = 0
 
 
 @message
 @dataclass(frozen=True, slots=True)
 class AttachReq:
-    """Ask for a running or kept stream again, from ``offset`` on."""
+    """Ask for a running or kept stream again, from ``offset`` on.
+
+    ``attempt`` is -1 if it is not known; then the latest one is meant.
+    """
 
     request_id: str
     incarnation: str
     workspace: str
     offset: int
+    attempt: int = -1
 
 
 @message
--- a/gooseberrydale/connection/rpc.py
+++ b/gooseberrydale/connection/rpc.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 import hmac
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, cast
 
 import grpc
 import grpc.aio
@@ -84,6 +85,7 @@
 )
 
 Unary = Callable[[Any], Awaitable[Any]]
+Replies = AsyncGenerator[Any, None]
 Streaming = Callable[[Any], AsyncIterator[Any]]
 
 
@@ -144,8 +146,10 @@
         """
 
         async def serve(req: Any, _ctx: Any) -> AsyncIterator[Any]:
-            async for msg in handler(req):
-                yield msg
+            # Closed here, so that a handler cleans up as soon as its caller is gone.
+            async with aclosing(cast(Replies, handler(req))) as replies:
+                async for msg in replies:
+                    yield msg
 
         maker = (
             grpc.stream_stream_rpc_method_handler
--- /dev/null
+++ b/gooseberrydale/connection/upstream_http.py
@@ -0,0 +1,207 @@
+"""HTTP towards the upstream: every call on a connection of its own.
+
+Lives as long as one call.  aiosonic by itself sends a request again when a reused
+connection drops and the method is idempotent in HTTP, and it hands a connection
+with an answer still to come to the next request when the first was cancelled.
+Both are ruled out at once by never using a connection twice.  The connection also
+records whether anything was written, so a failure before that is known as not run.
+"""
+
+from __future__ import annotations
+
+import re
+import socket
+from collections.abc import AsyncGenerator
+from functools import partial
+from typing import Any
+from urllib.parse import quote
+
+from aiosonic.client import HTTPClient, HttpResponse
+from aiosonic.connection import Connection
+from aiosonic.connectors import TCPConnector
+from aiosonic.exceptions import AiosonicError
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+
+CONNECT_TIMEOUT_S = 2.0
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+
+# Hop-by-hop headers, and those that the client library sets itself.
+_DROPPED_OUT = frozenset(
+    "connection keep-alive proxy-authenticate proxy-authorization proxy-connection te"
+    " trailer transfer-encoding upgrade host content-length expect".split()
+)
+_DROPPED_IN = frozenset(
+    "connection keep-alive proxy-authenticate proxy-authorization proxy-connection te"
+    " trailer transfer-encoding upgrade".split()
+)
+_METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+_METHOD = re.compile(r"[A-Z]{1,32}")
+_NO_BODY_STATUS = frozenset({204, 304})
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class UpstreamError(Exception):
+    """A call to the upstream failed; ``sent`` tells whether it may have arrived."""
+
+    def __init__(self, reason: str, *, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+class _SingleUse(Connection):  # type: ignore[misc]
+    """A connection that serves one request and notes when it is written to."""
+
+    def __init__(self, call: UpstreamCall, pool: Any) -> None:
+        super().__init__(pool)
+        self._call = call
+        call.connections.append(self)
+
+    def reuse(self, urlparsed: Any, verify: bool) -> bool:
+        return False
+
+    def keep_alive(self) -> None:
+        self.keep = False
+
+    def write(self, data: bytes) -> None:
+        self._call.sent = True
+        super().write(data)
+
+    async def _connection_made(self) -> None:
+        await super()._connection_made()
+        _probe_when_idle(self.writer.get_extra_info("socket"))
+
+
+def _probe_when_idle(sock: Any) -> None:
+    """Let the kernel find a connection that something on the way has forgotten."""
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+class UpstreamCall:
+    """One HTTP call.  ``open`` sends it, ``chunks`` reads the body, then ``close``."""
+
+    def __init__(self, base_url: str) -> None:
+        self._base_url = base_url.rstrip("/")
+        self.sent = False
+        self.connections: list[Connection] = []
+        self.status = 0
+        self.headers: Headers = ()
+        self._response: HttpResponse | None = None
+        self._client = HTTPClient(
+            connector=TCPConnector(
+                pool_configs={":default": PoolConfig(size=1)},
+                connection_cls=partial(_SingleUse, self),
+                timeouts=Timeouts(
+                    sock_connect=CONNECT_TIMEOUT_S,
+                    sock_read=None,
+                    request_timeout=None,
+                ),
+            )
+        )
+
+    async def open(
+        self, method: str, target: str, headers: Headers = (), body: bytes = b""
+    ) -> None:
+        """Send the request and read the head of the answer.
+
+        ``target`` is the path with its query.  Raises :class:`UpstreamError`.
+        """
+        try:
+            if not _METHOD.fullmatch(method):
+                raise ValueError(f"method {method!r} is not valid")
+            self._response = await self._client.request(
+                self._base_url + _clean_target(target),
+                # The library drops the body of "GET", not of "get", and sends both
+                # in capitals.
+                method.lower(),
+                headers=_outgoing(method, headers, body),
+                data=body or None,
+                stream=True,
+            )
+            self._read_head(method, self._response)
+        except (AiosonicError, OSError, EOFError, ValueError) as exc:
+            await self.close()
+            raise UpstreamError(_describe(exc), sent=self.sent) from exc
+
+    def _read_head(self, method: str, response: HttpResponse) -> None:
+        self.status = response.status_code
+        if self.status < 200:
+            raise ValueError(f"interim status {self.status} is not supported")
+        self.headers = tuple(
+            (name.lower(), value)
+            for name, value in response.raw_headers
+            if name.lower() not in _DROPPED_IN
+        )
+        if method != "HEAD" and self.status not in _NO_BODY_STATUS:
+            _check_framed(response)
+
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Yield the body as it arrives; raise :class:`UpstreamError` if it breaks."""
+        if self._response is None:
+            return
+        if not self._response._has_pending_body():
+            return
+        try:
+            async for data in self._response.read_chunks():
+                yield data
+        except (AiosonicError, OSError, EOFError, ValueError) as exc:
+            raise UpstreamError(_describe(exc), sent=True) from exc
+
+    def abort(self) -> None:
+        """Break the connection; ``open`` or ``chunks`` then raises."""
+        for connection in self.connections:
+            connection.close()
+
+    async def close(self) -> None:
+        """Close the connection, which cancels work that is not finished."""
+        if self._response is not None:
+            await self._response.aclose()
+            self._response = None
+        self.abort()
+        await self._client.aclose()
+
+
+def _describe(exc: BaseException) -> str:
+    return f"{type(exc).__name__}: {exc}" if str(exc) else type(exc).__name__
+
+
+def _check_framed(response: HttpResponse) -> None:
+    """The library reads a body that ends with the connection as empty: refuse it."""
+    if response.chunked or "content-length" in response.headers:
+        return
+    raise ValueError("the answer has neither a length nor chunks")
+
+
+def _clean_target(target: str) -> str:
+    """Quote what must not stand in a request line; the library drops ``;`` parts."""
+    path, mark, query = target.partition("?")
+    path = quote(path if path.startswith("/") else "/" + path, safe="/:@!$&'()*+,=~%")
+    return path + mark + quote(query, safe="/:@!$&'()*+,;=~%?[]|")
+
+
+def _outgoing(method: str, headers: Headers, body: bytes) -> dict[str, str]:
+    """Join repeated headers, since the library keeps one of each name."""
+    joined: dict[str, str] = {}
+    listed = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    for name, value in headers:
+        name = name.lower()
+        if name in _DROPPED_OUT or name in listed:
+            continue
+        glue = "; " if name == "cookie" else ", "
+        joined[name] = joined[name] + glue + value if name in joined else value
+    if method in _METHODS_WITH_BODY and not body:
+        joined["content-length"] = "0"
+    return joined
--- /dev/null
+++ b/gooseberrydale/process/sidecar/calls.py
@@ -0,0 +1,113 @@
+"""Turns a dispatch into the call to the upstream.
+
+Lives as long as the sidecar.  Pure but for the view of the upstream that it reads.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from result import Err, Ok, Result
+
+from gooseberrydale.connection.messages import DispatchReq
+from gooseberrydale.connection.upstream_http import Headers
+from gooseberrydale.errors import Problem
+from gooseberrydale.process.cfg import SidecarCfg
+from gooseberrydale.process.sidecar.upstream_run import Call
+from gooseberrydale.request.prompt import cache_root, piece_key
+from gooseberrydale.request.upstream_body import CHAT_PATH, TEXT_PATH, completion_body
+from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.declarations import ProfileKind
+from gooseberrydale.version.upstream_state import UpstreamState
+
+COMPLETION_PATHS = (CHAT_PATH, TEXT_PATH)
+# Callers' headers that a model engine has no use for, or that would change the form
+# of its answer.
+_NOT_FOR_ENGINES = frozenset(
+    {"authorization", "accept-encoding", "content-type", "accept", "cookie"}
+)
+PREFILL_SLACK = 3.0
+
+
+class CallBuilder:
+    """Builds calls for the upstream as it is now."""
+
+    def __init__(
+        self,
+        cfg: SidecarCfg,
+        store: ConfigStore,
+        state: Callable[[], UpstreamState],
+        alive: Callable[[], Awaitable[bool]],
+    ) -> None:
+        self._cfg = cfg
+        self._store = store
+        self._state = state
+        self._alive = alive
+
+    def piece_keys(self, req: DispatchReq) -> list[tuple[bytes, int]]:
+        """Full cache keys of the prompt's pieces, with their tokens."""
+        root = self._root(req)
+        return [(piece_key(root, p.chain), p.tokens) for p in req.pieces]
+
+    def build(self, req: DispatchReq, uncached_s: float) -> Result[Call, Problem]:
+        """Return the call; ``uncached_s`` is the expected time of its prefill."""
+        body = self._body(req)
+        if isinstance(body, Err):
+            return body
+        return Ok(
+            Call(
+                method=req.method,
+                target=req.path,
+                headers=self._headers(req),
+                body=body.ok_value,
+                head_silence_s=self._head_silence_s(req, uncached_s),
+                silence_s=self._cfg.upstream_silence_s,
+                alive=self._alive,
+            )
+        )
+
+    def _is_completion(self, req: DispatchReq) -> bool:
+        path = req.path.partition("?")[0]
+        is_engine = self._cfg.kind == ProfileKind.COMPLETION
+        return is_engine and path in COMPLETION_PATHS
+
+    def _body(self, req: DispatchReq) -> Result[bytes, Problem]:
+        if not self._is_completion(req):
+            return Ok(req.body)
+        profile = self._store.config.profiles.get(req.profile)
+        return completion_body(
+            req,
+            model=self._model(req),
+            priority=0 if profile is None else profile.priority,
+            root=self._root(req),
+            keys=self.piece_keys(req),
+        )
+
+    def _headers(self, req: DispatchReq) -> Headers:
+        own: Headers = (
+            ("x-request-id", req.request_id),
+            ("x-attempt", str(req.attempt)),
+        )
+        replaced = {name for name, _ in own}
+        if self._is_completion(req):
+            replaced |= _NOT_FOR_ENGINES
+            own += (("content-type", "application/json"), ("accept", "*/*"))
+        kept = (h for h in req.headers if h[0].lower() not in replaced)
+        return (*kept, *own)
+
+    def _head_silence_s(self, req: DispatchReq, uncached_s: float) -> float:
+        """Until a whole body is ready, silence is no sign of a lost connection."""
+        if not req.stream:
+            return max(self._cfg.upstream_silence_s, req.deadline_s)
+        return self._cfg.upstream_silence_s + PREFILL_SLACK * uncached_s
+
+    def _root(self, req: DispatchReq) -> bytes:
+        return cache_root(
+            req.workspace, self._model(req), self._state().weights_version
+        )
+
+    def _model(self, req: DispatchReq) -> str:
+        profile = self._store.config.profiles.get(req.profile)
+        if profile is not None and profile.model:
+            return profile.model
+        return self._state().model or self._cfg.model
--- /dev/null
+++ b/gooseberrydale/request/upstream_body.py
@@ -0,0 +1,73 @@
+"""Builds the body of a completion call to the upstream.
+
+Lives as long as the building of one body; pure.  The caller's JSON goes through
+unchanged but for the model, the cache extension, the priority and, for a stream
+that is resumed on another upstream, the form that continues an answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from gooseberrydale.connection.messages import DispatchReq
+from gooseberrydale.errors import INVALID_FIELD, INVALID_JSON, Problem, problem
+
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+_LIMIT_FIELDS = ("max_tokens", "max_completion_tokens")
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder()
+
+
+def completion_body(
+    req: DispatchReq,
+    *,
+    model: str,
+    priority: int,
+    root: bytes,
+    keys: Sequence[tuple[bytes, int]],
+) -> Result[bytes, Problem]:
+    """Return the body for the upstream.
+
+    ``root`` is the cache root; ``keys`` are the full piece keys with their tokens,
+    outermost first.
+    """
+    try:
+        body = _decoder.decode(req.body)
+    except msgspec.DecodeError as exc:
+        return Err(problem(INVALID_JSON, reason=exc))
+    if not isinstance(body, dict):
+        return Err(problem(INVALID_FIELD, reason="the body must be an object"))
+    if req.emitted:
+        reason = _continue(body, req)
+        if reason is not None:
+            return Err(problem(INVALID_FIELD, reason=reason))
+    if model:
+        body["model"] = model
+    body["cache_salt"] = root.hex()
+    body["kv_pieces"] = [{"key": key.hex(), "tokens": n} for key, n in keys]
+    body["priority"] = priority
+    return Ok(_encoder.encode(body))
+
+
+def _continue(body: dict[str, Any], req: DispatchReq) -> str | None:
+    """Ask for the rest of an answer; return the reason if the body can't say so."""
+    if req.path.partition("?")[0] == CHAT_PATH:
+        messages = body.get("messages")
+        if not isinstance(messages, list):
+            return "'messages' must be a list"
+        answer = {"role": "assistant", "content": req.emitted}
+        body["messages"] = [*messages, answer]
+        body["continue_final_message"] = True
+        body["add_generation_prompt"] = False
+        return None
+    prompt = body.get("prompt")
+    if not isinstance(prompt, str):
+        return "only a 'prompt' that is a text can be resumed"
+    body["prompt"] = prompt + req.emitted
+    return None
