--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -77,6 +77,11 @@
         http = self._http.address if self._http is not None else self._cfg.http
         return {"http": http, "rpc": f"{host}:{self._rpc.port}"}
 
+    @property
+    def phase(self) -> Phase:
+        """How far a shutdown has come."""
+        return Phase.SERVING if self._keeper is None else self._keeper.phase
+
     async def start(self) -> None:
         """Serve; raises OSError if an address can't be bound."""
         now = asyncio.get_running_loop().time()
@@ -103,9 +108,14 @@
         logger.info("entry serves on {}", self.addresses)
 
     async def close(self) -> None:
-        """Drain: unready, then refusing, then not listening, then handed over."""
+        """Drain: unready, then refusing, then not listening, then handed over.
+
+        A second call returns at once.
+        """
         if self._http is None or self._keeper is None or self._calls is None:
             return
+        if self._keeper.phase is not Phase.SERVING:
+            return
         now = asyncio.get_running_loop().time()
         until = now + self._cfg.drain_s
         pause_s = min(UNREADY_MAX_S, self._cfg.drain_s * UNREADY_SHARE)
@@ -149,7 +159,7 @@
         return JSONResponse({"ready": True})
 
     def _why_unready(self) -> str:
-        if self._keeper is not None and self._keeper.phase is not Phase.SERVING:
+        if self.phase is not Phase.SERVING:
             return "shutting down"
         if self.store.revision == 0:
             return "no configuration yet"
--- a/tests/builders_entry.py
+++ b/tests/builders_entry.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import pathlib
+import random
 import tempfile
 from collections.abc import AsyncIterator, Callable
 from typing import Any
@@ -50,6 +52,7 @@
 KEY_A = "key-of-a"
 KEY_B = "key-of-b"
 HEARTBEAT_S = 0.1
+_seeds = itertools.count(1)
 Script = Callable[["FakeSidecar", DispatchReq], AsyncIterator[Any]]
 
 
@@ -276,11 +279,11 @@
     """An entry that knows ``fakes``, all started and closed again."""
     for fake in fakes:
         await fake.start()
-    made = Entry(make_cfg(**entry))
+    made = Entry(make_cfg(**entry), random.Random(next(_seeds)))
     await made.start()
-    made.store.offer(config if config is not None else make_config())
-    introduce(made, *fakes)
     try:
+        made.store.offer(config if config is not None else make_config())
+        introduce(made, *fakes)
         yield made
     finally:
         for fake in fakes:
