--- /dev/null
+++ b/tests/builders_mesh.py
@@ -0,0 +1,108 @@
+"""Builders of records and mesh members for tests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.rpc import RpcServer
+from gooseberrydale.process.cfg import Cfg, FleetCfg, NodeCfg
+from gooseberrydale.process.membership import Mesh, PeerState
+from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.declarations import Config
+from gooseberrydale.version.directory import Directory
+
+TOKEN = "token-of-the-tests"
+LEASE_S = 6.0
+BOUND_S = 20.0
+
+
+def record(name: str = "u1", incarnation: str = "i1", **fields: Any) -> UpstreamRecord:
+    """A ready record of pool ``p``."""
+    base = UpstreamRecord(
+        name=name,
+        incarnation=incarnation,
+        seq=1,
+        address="10.0.0.1:8090",
+        zone="z1",
+        region="r1",
+        pool="p",
+        kind="completion",
+        lease_s=LEASE_S,
+    )
+    return replace(base, **fields)
+
+
+class Member:
+    """A process of the mesh inside the test's own process."""
+
+    def __init__(
+        self,
+        role: str,
+        name: str,
+        *,
+        life: int = 1,
+        controls: tuple[str, ...] = (),
+        entries: tuple[str, ...] = (),
+        revision: int = 0,
+        port: int = 0,
+    ) -> None:
+        self.incarnation = f"{name}-{life:04d}"
+        self.directory = Directory()
+        self.store = ConfigStore(Config(revision=revision))
+        self.own: UpstreamRecord | None = None
+        if role == "sidecar":
+            self.own = record(name, self.incarnation)
+        self.acks: list[PeerState] = []
+        cfg = Cfg(NodeCfg(name), FleetCfg(Path("unused"), controls, entries))
+        self.mesh = Mesh(
+            cfg,
+            role,
+            self.directory,
+            self.store,
+            lambda: self.own,
+            TOKEN,
+            self.incarnation,
+            on_ack=self.acks.append,
+        )
+        self._serves = role != "sidecar"
+        self._rpc = RpcServer(f"127.0.0.1:{port}", TOKEN)
+
+    @property
+    def port(self) -> int:
+        """The port of the listener, once started."""
+        return self._rpc.port
+
+    @property
+    def address(self) -> str:
+        """The address of the listener, once started."""
+        return f"127.0.0.1:{self._rpc.port}"
+
+    async def start(self) -> Member:
+        """Serve, if the role does, and open sessions."""
+        if self._serves:
+            self.mesh.register(self._rpc)
+            await self._rpc.start()
+        await self.mesh.start()
+        return self
+
+    async def close(self) -> None:
+        """End everything."""
+        await self.mesh.close()
+        await self._rpc.close()
+
+    def ready(self) -> list[tuple[str, str]]:
+        """Names and incarnations of the upstreams that take work here."""
+        now = asyncio.get_running_loop().time()
+        return [(r.name, r.incarnation) for r in self.directory.ready("p", now)]
+
+
+async def until(condition: Callable[[], object], bound_s: float = BOUND_S) -> None:
+    """Return once ``condition`` holds; fail after ``bound_s``."""
+    async with asyncio.timeout(bound_s):
+        while not condition():
+            await asyncio.sleep(0.005)
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,183 @@
+"""The directory's rules, case by case."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from gooseberrydale.connection.transit import TransitBound
+from gooseberrydale.version.directory import MAX_LEASE_S, Directory, new_incarnation
+from gooseberrydale.version.session_targets import EntryPoint, session_targets
+from tests.builders_mesh import LEASE_S, record
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "taken"),
+    [
+        pytest.param(("i1", 1), ("i1", 2), True, id="next announcement"),
+        pytest.param(("i1", 2), ("i1", 2), False, id="the same again"),
+        pytest.param(("i1", 2), ("i1", 1), False, id="an older announcement"),
+        pytest.param(("i1", 9), ("i2", 1), True, id="a later incarnation"),
+        pytest.param(("i2", 1), ("i1", 9), False, id="a replaced incarnation"),
+    ],
+)
+def test_only_newer_records_are_taken(first, second, taken):
+    directory = Directory()
+    assert directory.offer(record(incarnation=first[0], seq=first[1]), 0.0)
+    assert directory.offer(record(incarnation=second[0], seq=second[1]), 0.0) is taken
+    newest = second if taken else first
+    held = directory.get("u1", 0.0)
+    assert (held.incarnation, held.seq) == newest
+
+
+@pytest.mark.parametrize(
+    ("lease_s", "age_s", "left_s"),
+    [
+        pytest.param(6.0, 0.0, 6.0, id="fresh"),
+        pytest.param(6.0, 2.5, 3.5, id="2.5 s under way"),
+        pytest.param(6.0, 6.0, None, id="ended under way"),
+        pytest.param(6.0, float("inf"), None, id="age not known"),
+        pytest.param(6.0, -1.0, 6.0, id="age bound below zero"),
+        pytest.param(0.0, 0.0, None, id="ended when sent"),
+        pytest.param(float("nan"), 0.0, None, id="not a number"),
+        pytest.param(1e9, 0.0, MAX_LEASE_S, id="longer than allowed"),
+    ],
+)
+def test_a_lease_counts_from_what_was_left(lease_s, age_s, left_s):
+    directory = Directory()
+    taken = directory.offer(record(lease_s=lease_s), 100.0, age_s=age_s)
+    assert taken is (left_s is not None)
+    left = [r.lease_s for r in directory.records(100.0)]
+    assert left == ([] if left_s is None else [left_s])
+
+
+def test_a_lease_that_ended_hides_the_record_even_before_expiry_runs():
+    directory = Directory()
+    directory.offer(record(), 0.0)
+    assert directory.ready("p", LEASE_S - 0.1)
+    assert directory.ready("p", LEASE_S) == ()
+    assert directory.records(LEASE_S) == ()
+    assert directory.get("u1", LEASE_S) is None
+    assert directory.expire(LEASE_S) == ("u1",)
+
+
+def test_an_ended_lease_is_not_revived_by_an_old_record():
+    directory = Directory()
+    directory.offer(record(seq=5), 0.0)
+    directory.expire(LEASE_S)
+    assert not directory.offer(record(seq=5), LEASE_S)
+    assert not directory.offer(record(incarnation="i0", seq=9), LEASE_S)
+    assert directory.offer(record(seq=6), LEASE_S)
+
+
+def test_a_name_is_forgotten_once_no_record_of_it_can_be_under_way():
+    directory = Directory()
+    directory.offer(record(incarnation="i2"), 0.0)
+    directory.expire(LEASE_S + MAX_LEASE_S)
+    assert directory.offer(record(incarnation="i1"), LEASE_S + MAX_LEASE_S)
+
+
+@pytest.mark.parametrize(
+    ("change", "names"),
+    [
+        pytest.param({}, ["u1", "u2"], id="renewal"),
+        pytest.param({"ready": False}, ["u2"], id="not ready"),
+        pytest.param({"leaving": True}, ["u2"], id="leaving"),
+        pytest.param({"pool": "other"}, ["u2"], id="other pool"),
+    ],
+)
+def test_ready_follows_each_change(change, names):
+    directory = Directory()
+    directory.offer(record("u2"), 0.0)
+    directory.offer(record("u1"), 0.0)
+    before = directory.ready("p", 0.0)
+    assert [r.name for r in before] == ["u1", "u2"]
+    directory.offer(record("u1", seq=2, **change), 1.0)
+    after = directory.ready("p", 1.0)
+    assert [r.name for r in after] == names
+    assert (after is before) is (not change)
+
+
+def test_since_gives_only_what_changed_and_what_is_left_of_it():
+    directory = Directory()
+    here, there = object(), object()
+    directory.offer(record("u1"), 0.0, source=here)
+    directory.offer(record("u2"), 0.0, source=there)
+    first = directory.since(0, 1.0)
+    assert {(r.name, r.lease_s) for r in first.records} == {("u1", 5.0), ("u2", 5.0)}
+    assert directory.since(first.version, 1.0).records == ()
+    directory.offer(record("u1", seq=2), 1.0, source=here)
+    assert [r.name for r in directory.since(first.version, 1.0).records] == ["u1"]
+    assert [r.name for r in directory.since(0, 1.0, exclude=here).records] == ["u2"]
+
+
+def test_listeners_learn_whether_more_than_the_lease_changed():
+    directory, heard = Directory(), []
+    stop = directory.subscribe(heard.append)
+    directory.offer(record(), 0.0)
+    directory.offer(record(seq=2), 1.0)
+    directory.offer(record(seq=2), 1.0)
+    directory.offer(record(seq=3, ready=False), 2.0)
+    stop()
+    directory.offer(record(seq=4), 3.0)
+    assert heard == [True, False, True]
+
+
+def test_incarnations_sort_by_start():
+    rng = random.Random(1)
+    starts = [0, 1, 999, 10**18, 1_800_000_000 * 10**9, 2**63]
+    made = [new_incarnation(start, rng) for start in starts]
+    assert made == sorted(made)
+    assert len({len(one) for one in made}) == 1
+    assert new_incarnation(5, rng) != new_incarnation(5, rng)
+
+
+ENTRIES = [EntryPoint(f"10.0.{z}.{n}:1", f"z{z}") for z in range(8) for n in range(44)]
+
+
+@pytest.mark.parametrize(
+    ("zone", "entries", "near", "far"),
+    [
+        pytest.param("z3", ENTRIES, 7, 1, id="own zone first, one place elsewhere"),
+        pytest.param("none", ENTRIES, 0, 8, id="no entry in the own zone"),
+        pytest.param("z3", [e for e in ENTRIES if e.zone == "z3"], 8, 0, id="one zone"),
+        pytest.param("z3", ENTRIES[:3], 0, 3, id="fewer than the bound"),
+        pytest.param("z0", ENTRIES[:3] * 2, 3, 0, id="listed twice"),
+    ],
+)
+def test_targets_are_bounded_and_near_first(zone, entries, near, far):
+    chosen = session_targets("u1", zone, entries, 8)
+    zones = {entry.address: entry.zone for entry in entries}
+    assert len(set(chosen)) == len(chosen)
+    assert sum(zones[address] == zone for address in chosen) == near
+    assert sum(zones[address] != zone for address in chosen) == far
+
+
+def test_targets_spread_over_entries_and_stay_when_another_entry_goes():
+    entries = [EntryPoint(entry.address) for entry in ENTRIES]
+    names = [f"u{n}" for n in range(740)]
+    before = {name: session_targets(name, "", entries, 8) for name in names}
+    counts = [sum(e.address in t for t in before.values()) for e in entries]
+    assert min(counts) > 0 and max(counts) < 40
+    gone = entries[0].address
+    for name in names:
+        after = session_targets(name, "", entries[1:], 8)
+        assert set(before[name]) - {gone} <= set(after)
+
+
+@pytest.mark.parametrize(
+    ("offset", "echo_delay", "delay"),
+    [
+        pytest.param(0.0, 0.0, 0.0, id="at once"),
+        pytest.param(1000.0, 0.001, 2.0, id="held up, clocks apart"),
+        pytest.param(-1000.0, 0.5, 0.0, id="slow echo, clocks apart"),
+    ],
+)
+def test_the_age_of_a_message_is_bounded_from_above(offset, echo_delay, delay):
+    bound = TransitBound()
+    assert bound.age_s(0.0, 50.0) == float("inf")
+    # The peer's clock shows ours plus offset; it heard our stamp echo_delay late.
+    bound.heard(50.0 + offset, 50.0 - echo_delay, 50.0 + delay)
+    age_s = bound.age_s(50.0 + offset, 50.0 + delay)
+    assert delay <= age_s <= delay + echo_delay + 0.01
