Test mesh sessions in memory and on real sockets

Cause and faults that the tests found, mended here: a session whose own messages got lost asked for the configuration again and again while others could have; a second revision within a second of the first waited for nothing; a process that dialled itself never found out. Change: whoever asked in vain lets other sessions go first; the wait holds only for a revision that was asked for in vain; the serving side says Hello even to itself. A wrong fleet token is logged as an error with its remedy.

--- a/gooseberrydale/connection/mesh_client.py
+++ b/gooseberrydale/connection/mesh_client.py
@@ -11,13 +11,14 @@
 import random
 
 import grpc
+import grpc.aio
 from loguru import logger
 
 from gooseberrydale.connection.backoff import Backoff
 from gooseberrydale.connection.mesh_node import MeshNode
 from gooseberrydale.connection.mesh_session import MeshSession, SessionEnd
 from gooseberrydale.connection.rpc import MESH_SESSION, RpcChannel, TlsFiles
-from gooseberrydale.errors import ProblemError
+from gooseberrydale.errors import WRONG_FLEET_TOKEN, ProblemError, problem
 
 
 class MeshClient:
@@ -76,8 +77,8 @@
         try:
             call = channel.call(MESH_SESSION, session.outgoing())
             return await session.run(call, self._open_s)
-        except grpc.RpcError as exc:
-            logger.debug("mesh session to {} failed: {}", self.address, exc)
+        except grpc.aio.AioRpcError as exc:
+            self._log_failure(exc)
         except ProblemError as exc:
             logger.warning("mesh session to {} refused: {}", self.address, exc)
         finally:
@@ -85,6 +86,14 @@
             await channel.close()
         return SessionEnd.ENDED
 
+    def _log_failure(self, exc: grpc.aio.AioRpcError) -> None:
+        """Log at a level that suits the cause; absent peers are ordinary."""
+        if exc.code() is grpc.StatusCode.UNAUTHENTICATED:
+            remedy = problem(WRONG_FLEET_TOKEN).message
+            logger.error("mesh session to {} refused: {}", self.address, remedy)
+        else:
+            logger.debug("no mesh session to {}: {}", self.address, exc.details())
+
     def _is_self(self, session: MeshSession) -> bool:
         own = self._node.identity.incarnation
         return session.peer is not None and session.peer.incarnation == own
--- a/gooseberrydale/connection/mesh_node.py
+++ b/gooseberrydale/connection/mesh_node.py
@@ -168,11 +168,9 @@
         """Let one session at a time ask for a configuration.
 
         Return None if the caller shall ask now for ``revision``, else the time at
-        which it may try again (infinite if there is nothing to ask for).  With
-        many sessions open, a new revision then crosses the network once.
+        which it may try again.  With many sessions open, a new revision then
+        crosses the network once.
         """
-        if revision <= self.store.revision:
-            return float("inf")
         pending = self._pulled_revision > self.store.revision
         if pending and now < self._pull_until:
             return self._pull_until
--- a/gooseberrydale/connection/mesh_session.py
+++ b/gooseberrydale/connection/mesh_session.py
@@ -56,6 +56,8 @@
         self._told_revision = -1
         self._told_at = 0.0
         self._peer_wants_above: int | None = None
+        self._pulled_revision = 0
+        self._pull_again_at = 0.0
         self._corrections: set[str] = set()
         self.opened_at = self._loop.time()
         self.heard_at = self.opened_at
@@ -94,7 +96,8 @@
         if self._opens:
             yield self._hello()
         await self._peer_heard.wait()
-        if not self._opens and not self._closed.done():
+        # Also if this process dialled itself, since only Hello tells it so.
+        if not self._opens and self._peer is not None:
             yield self._hello()
         while not self._closed.done():
             for msg in self._due():
@@ -226,12 +229,21 @@
         )
 
     def _due_pull(self, now: float) -> Iterator[MeshMessage]:
-        again_at = self._node.claim_pull(self._peer_revision, now)
-        if again_at is None:
-            yield ConfigWanted(above_revision=self._node.store.revision)
-            self._alarm.by(now + self._node.timings.pull_s)
-        else:
-            self._alarm.by(again_at)
+        revision = self._node.store.revision
+        if self._peer_revision <= revision:
+            return
+        if now < self._pull_again_at and revision < self._pulled_revision:
+            self._alarm.by(self._pull_again_at)
+            return
+        pending_until = self._node.claim_pull(self._peer_revision, now)
+        if pending_until is not None:
+            self._alarm.by(pending_until)
+            return
+        # Whoever asked in vain lets the other sessions have a turn first.
+        self._pulled_revision = self._peer_revision
+        self._pull_again_at = now + 2 * self._node.timings.pull_s
+        self._alarm.by(self._pull_again_at)
+        yield ConfigWanted(above_revision=revision)
 
     def _due_config(self) -> Iterator[MeshMessage]:
         wanted = self._peer_wants_above
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -95,6 +95,11 @@
         await self.mesh.close()
         await self._rpc.close()
 
+    def seq(self, name: str) -> int:
+        """Sequence number of the newest record of ``name``; 0 without one."""
+        held = self.directory.get(name, asyncio.get_running_loop().time())
+        return held.seq if held is not None else 0
+
     def ready(self) -> list[tuple[str, str]]:
         """Names and incarnations of the upstreams that take work here."""
         now = asyncio.get_running_loop().time()
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -40,6 +40,11 @@
         """Where clients connect."""
         return f"127.0.0.1:{self.port}"
 
+    @property
+    def open_count(self) -> int:
+        """Connections open now."""
+        return len(self._links)
+
     async def start(self) -> None:
         """Listen; the port is kept over ``cut`` and back."""
         self._server = await asyncio.start_server(
--- /dev/null
+++ b/tests/test_mesh_messages.py
@@ -0,0 +1,215 @@
+"""What mesh sessions send and do, in memory on a paused clock."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+
+from gooseberrydale.connection.backoff import Backoff
+from gooseberrydale.connection.mesh import Announce, ConfigOffer, Hello, RevisionAck
+from gooseberrydale.connection.mesh_node import Identity, MeshNode
+from gooseberrydale.connection.mesh_session import MeshSession, SessionEnd
+from gooseberrydale.errors import ProblemError
+from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.declarations import Config
+from gooseberrydale.version.directory import Directory
+from tests.builders_mesh import record
+from tests.clock import run_paused
+
+OPEN_S = 1.0
+SILENCE_S = 3.0
+
+
+async def make_node(role: str, name: str, revision: int = 0) -> MeshNode:
+    store = ConfigStore(Config(revision=revision))
+    node = MeshNode(Identity(role, name, f"{name}-1", "z1"), Directory(), store)
+    await node.start()
+    return node
+
+
+class Pipe:
+    """Two sessions joined in memory; ``sent`` keeps all that passed, by sender."""
+
+    def __init__(self, opener: MeshNode, server: MeshNode) -> None:
+        self.sent: dict[str, list[Any]] = {"opener": [], "server": []}
+        self.silent: set[str] = set()
+        ends = MeshSession(opener, opens=True), MeshSession(server, opens=False)
+        to_server: asyncio.Queue[Any] = asyncio.Queue()
+        to_opener: asyncio.Queue[Any] = asyncio.Queue()
+        pumps = [
+            self.pump(ends[0], to_server, "opener"),
+            self.pump(ends[1], to_opener, "server"),
+        ]
+        self.tasks = [asyncio.create_task(pump) for pump in pumps]
+        self.opener = asyncio.create_task(ends[0].run(self.feed(to_opener), OPEN_S))
+        self.server = asyncio.create_task(ends[1].run(self.feed(to_server), OPEN_S))
+
+    async def pump(
+        self, session: MeshSession, queue: asyncio.Queue[Any], side: str
+    ) -> None:
+        async for msg in session.outgoing():
+            self.sent[side].append(msg)
+            if side not in self.silent:
+                queue.put_nowait(msg)
+
+    async def feed(self, queue: asyncio.Queue[Any]) -> AsyncIterator[Any]:
+        while True:
+            yield await queue.get()
+
+    def count(self, kind: type[Any]) -> int:
+        return sum(isinstance(m, kind) for msgs in self.sent.values() for m in msgs)
+
+
+def test_heartbeats_keep_an_idle_session_and_silence_ends_it():
+    async def main() -> None:
+        pipe = Pipe(await make_node("sidecar", "u1"), await make_node("entry", "e1"))
+        await asyncio.sleep(60)
+        assert not pipe.opener.done() and not pipe.server.done()
+        assert 100 <= pipe.count(RevisionAck) <= 130
+        pipe.silent = {"opener", "server"}
+        await asyncio.sleep(SILENCE_S + 0.1)
+        assert await pipe.opener is SessionEnd.SILENT
+        assert await pipe.server is SessionEnd.SILENT
+
+    run_paused(main())
+
+
+def test_a_peer_that_never_says_hello_is_given_up():
+    async def main() -> None:
+        session = MeshSession(await make_node("sidecar", "u1"), opens=True)
+        pipe_feed: asyncio.Queue[Any] = asyncio.Queue()
+        run = asyncio.create_task(
+            session.run(Pipe.feed(None, pipe_feed), OPEN_S)  # type: ignore[arg-type]
+        )
+        await asyncio.sleep(OPEN_S + 0.1)
+        assert await run is SessionEnd.SILENT
+
+    run_paused(main())
+
+
+def test_a_peer_that_begins_with_something_else_is_refused():
+    async def words() -> AsyncIterator[Any]:
+        yield Announce((record(),))
+
+    async def main() -> None:
+        node = await make_node("entry", "e1")
+        with pytest.raises(ProblemError):
+            await MeshSession(node, opens=False).run(words(), OPEN_S)
+        assert node.directory.version == 0
+
+    run_paused(main())
+
+
+def test_a_new_configuration_crosses_once_however_many_sessions_are_open():
+    async def main() -> None:
+        servers = [await make_node("entry", f"e{n}") for n in range(4)]
+        sidecar = await make_node("sidecar", "u1")
+        pipes = [Pipe(sidecar, server) for server in servers]
+        await asyncio.sleep(1)
+        for count, revision in enumerate((7, 8, 9), 1):
+            for server in servers:
+                server.store.offer(Config(revision=revision))
+            await asyncio.sleep(0.05)
+            assert sidecar.store.revision == revision
+            assert sum(pipe.count(ConfigOffer) for pipe in pipes) == count
+
+    run_paused(main())
+
+
+def test_configurations_that_follow_each_other_each_go_at_once():
+    async def main() -> None:
+        entry, sidecar = await make_node("entry", "e1"), await make_node("sidecar", "u")
+        Pipe(sidecar, entry)
+        await asyncio.sleep(1)
+        for revision in (7, 8, 9):
+            entry.store.offer(Config(revision=revision))
+            await asyncio.sleep(0.05)
+            assert sidecar.store.revision == revision
+
+    run_paused(main())
+
+
+def test_a_pull_that_does_not_get_through_is_made_again_elsewhere():
+    async def main() -> None:
+        servers = [await make_node("entry", f"e{n}") for n in range(2)]
+        sidecar = await make_node("sidecar", "u1")
+        pipes = [Pipe(sidecar, server) for server in servers]
+        await asyncio.sleep(1)
+        pipes[0].silent = {"opener"}
+        servers[0].store.offer(Config(revision=7))
+        await asyncio.sleep(0.1)
+        servers[1].store.offer(Config(revision=7))
+        await asyncio.sleep(0.6)
+        assert sidecar.store.revision == 7
+        assert [pipe.count(ConfigOffer) for pipe in pipes] == [0, 1]
+
+    run_paused(main())
+
+
+def test_configurations_of_a_lower_revision_are_never_taken():
+    async def main() -> None:
+        low, high = await make_node("control", "c1", 3), await make_node("entry", "e1")
+        high.store.offer(Config(revision=5))
+        Pipe(high, low)
+        await asyncio.sleep(0.1)
+        assert (low.store.revision, high.store.revision) == (5, 5)
+        session = MeshSession(high, opens=False)
+
+        async def words() -> AsyncIterator[Any]:
+            yield Hello("control", "c2", "c2-1", "z1", 9)
+            yield ConfigOffer(Config(revision=4))
+
+        await session.run(words(), OPEN_S)
+        assert high.store.revision == 5
+
+    run_paused(main())
+
+
+def test_records_go_out_in_batches_once_and_not_to_sidecars():
+    async def main() -> None:
+        first, second = await make_node("entry", "e1"), await make_node("entry", "e2")
+        for n in range(600):
+            first.directory.offer(record(f"u{n}"), 0.0)
+        pipe = Pipe(first, second)
+        sidecar_pipe = Pipe(await make_node("sidecar", "u0"), first)
+        await asyncio.sleep(1)
+        assert len(second.directory.records(1.0)) == 600
+        sizes = [len(m.records) for m in pipe.sent["opener"] if isinstance(m, Announce)]
+        assert sizes == [256, 256, 88]
+        assert Counter(map(type, pipe.sent["server"]))[Announce] == 0
+        assert sidecar_pipe.count(Announce) == 0
+
+    run_paused(main())
+
+
+def test_a_lease_loses_what_a_message_was_under_way():
+    async def main() -> None:
+        receiver = await make_node("entry", "e1")
+        session = MeshSession(receiver, opens=False)
+
+        async def words() -> AsyncIterator[Any]:
+            # A clock that is 500 s ahead of ours; our clock is echoed exactly.
+            yield Hello("sidecar", "u1", "u1-1", "z1", 0, sent_at=500.0, echo_at=0.0)
+            await asyncio.sleep(2.0)
+            yield Announce((record(),), sent_at=500.5, echo_at=0.5)
+
+        await session.run(words(), OPEN_S)
+        (held,) = receiver.directory.records(asyncio.get_running_loop().time())
+        assert held.lease_s == pytest.approx(6.0 - 1.5, abs=0.01)
+
+    run_paused(main())
+
+
+def test_backoff_starts_short_and_stays_short():
+    backoff = Backoff(0.1, 0.5, random.Random(3))
+    delays = [backoff.next_s() for _ in range(50)]
+    assert delays[0] <= 0.1
+    assert max(delays) <= 0.5
+    assert len(set(delays)) == len(delays)
+    backoff.reset()
+    assert backoff.next_s() <= 0.1
--- /dev/null
+++ b/tests/test_mesh_session.py
@@ -0,0 +1,192 @@
+"""Mesh members on real sockets: restarts, silent connections, lost control."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import replace
+from typing import Any, Protocol
+
+from gooseberrydale.version.declarations import Config
+from tests.builders_mesh import LEASE_S, Member, until
+from tests.relay import Relay, RelayMode
+
+
+class Closable(Protocol):
+    """Something that starts and closes."""
+
+    def start(self) -> Awaitable[Any]: ...
+
+    def close(self) -> Awaitable[Any]: ...
+
+
+class Group:
+    """Members and relays of one test, closed at its end in reverse order."""
+
+    def __init__(self, stack: AsyncExitStack) -> None:
+        self._stack = stack
+
+    async def add(self, closable: Closable) -> Any:
+        """Start it now and close it at the end."""
+        self._stack.push_async_callback(closable.close)
+        await closable.start()
+        return closable
+
+
+@asynccontextmanager
+async def group() -> AsyncIterator[Group]:
+    async with AsyncExitStack() as stack:
+        yield Group(stack)
+
+
+def run(main: Callable[[Group], Awaitable[None]]) -> None:
+    async def inside() -> None:
+        async with group() as members:
+            await main(members)
+
+    asyncio.run(inside())
+
+
+def test_all_learn_of_upstreams_and_of_the_configuration_and_control_hears_it():
+    async def main(members: Group) -> None:
+        control = await members.add(Member("control", "c1", revision=3))
+        entry = await members.add(Member("entry", "e1", controls=(control.address,)))
+        addresses = {"controls": (control.address,), "entries": (entry.address,)}
+        sidecar = await members.add(Member("sidecar", "u1", **addresses))
+        upstream = [("u1", sidecar.incarnation)]
+        await until(lambda: entry.ready() == control.ready() == upstream)
+        control.store.offer(Config(revision=4, leaving=frozenset({"u9"})))
+        await until(lambda: entry.store.revision == sidecar.store.revision == 4)
+        assert sidecar.store.config == entry.store.config == control.store.config
+        acked = {("entry", "e1", 4), ("sidecar", "u1", 4)}
+        await until(
+            lambda: acked <= {(a.role, a.name, a.revision) for a in control.acks}
+        )
+        assert not sidecar.mesh.behind and sidecar.mesh.connected
+
+    run(main)
+
+
+def test_a_restarted_sidecar_replaces_itself_and_a_changed_record_is_pushed():
+    async def main(members: Group) -> None:
+        entry = await members.add(Member("entry", "e1"))
+        first = await members.add(Member("sidecar", "u1", entries=(entry.address,)))
+        await until(lambda: entry.ready() == [("u1", first.incarnation)])
+        await first.close()
+        second = await members.add(
+            Member("sidecar", "u1", life=2, entries=(entry.address,))
+        )
+        await until(lambda: entry.ready() == [("u1", second.incarnation)], LEASE_S)
+        second.own = replace(second.own, leaving=True)
+        second.mesh.announce()
+        await until(lambda: entry.ready() == [])
+
+    run(main)
+
+
+def test_all_entries_restart_at_once_while_control_is_out_of_reach():
+    async def main(members: Group) -> None:
+        control = await members.add(Member("control", "c1", revision=8))
+        relay = await members.add(Relay(control.port))
+        known = {"controls": (relay.address,)}
+        entries = [await members.add(Member("entry", f"e{n}", **known)) for n in "12"]
+        known["entries"] = tuple(entry.address for entry in entries)
+        for name in ("u1", "u2"):
+            sidecar = await members.add(Member("sidecar", name, **known))
+            await until(lambda: sidecar.store.revision == 8)
+        await relay.set_mode(RelayMode.CUT)
+        ports = [entry.port for entry in entries]
+        for entry in entries:
+            await entry.close()
+        fresh = [
+            await members.add(Member("entry", f"e{n}", life=2, port=port, **known))
+            for n, port in enumerate(ports, 1)
+        ]
+        for entry in fresh:
+            await until(lambda: [name for name, _ in entry.ready()] == ["u1", "u2"])
+            await until(lambda: entry.store.revision == 8)
+
+    run(main)
+
+
+def test_a_sidecar_cut_from_control_learns_of_leaving_from_an_entry():
+    async def main(members: Group) -> None:
+        control = await members.add(Member("control", "c1", revision=1))
+        entry = await members.add(Member("entry", "e1", controls=(control.address,)))
+        relay = await members.add(Relay(control.port))
+        sidecar = await members.add(
+            Member("sidecar", "u1", controls=(relay.address,), entries=(entry.address,))
+        )
+        await until(lambda: sidecar.store.revision == 1)
+        await relay.set_mode(RelayMode.SILENT)
+        control.store.offer(Config(revision=2, leaving=frozenset({"u1"})))
+        await until(lambda: sidecar.store.config.leaving == {"u1"})
+
+    run(main)
+
+
+def test_a_silent_connection_is_replaced_while_the_others_go_on():
+    async def main(members: Group) -> None:
+        near, far = [await members.add(Member("entry", f"e{n}")) for n in "12"]
+        relay = await members.add(Relay(far.port))
+        sidecar = await members.add(
+            Member("sidecar", "u1", entries=(near.address, relay.address))
+        )
+        await until(lambda: near.ready() and far.ready())
+        relay.silence_open()
+        near.store.offer(Config(revision=5))
+        await until(lambda: sidecar.store.revision == 5)
+        await until(lambda: far.store.revision == 5)
+        assert relay.accepted >= 2
+        seq = sidecar.directory.records(0.0)[0].seq
+        await until(lambda: all(one.seq("u1") > seq for one in (near, far)))
+        assert near.ready() == far.ready() == [("u1", sidecar.incarnation)]
+
+    run(main)
+
+
+def test_a_stopped_sidecar_is_gone_from_all_that_pass_records_on():
+    async def main(members: Group) -> None:
+        control = await members.add(Member("control", "c1"))
+        known = {"controls": (control.address,)}
+        first = await members.add(Member("entry", "e1", **known))
+        known["entries"] = (first.address,)
+        second = await members.add(Member("entry", "e2", **known))
+        sidecar = await members.add(Member("sidecar", "u1", entries=(first.address,)))
+        receivers = [control, first, second]
+        await until(lambda: all(one.ready() for one in receivers))
+        await sidecar.close()
+        await until(lambda: not any(one.ready() for one in receivers))
+        await asyncio.sleep(0.5)
+        assert not any(one.directory.records(0.0) for one in receivers)
+
+    run(main)
+
+
+def test_the_later_of_two_sidecars_with_one_name_wins_and_the_earlier_is_told():
+    async def main(members: Group) -> None:
+        entry = await members.add(Member("entry", "e1"))
+        known = {"entries": (entry.address,)}
+        later = await members.add(Member("sidecar", "u1", life=2, **known))
+        await until(entry.ready)
+        earlier = await members.add(Member("sidecar", "u1", life=1, **known))
+        await until(lambda: earlier.ready() == [("u1", later.incarnation)])
+        assert entry.ready() == [("u1", later.incarnation)]
+
+    run(main)
+
+
+def test_an_entry_listed_under_another_address_does_not_keep_a_session_to_itself():
+    async def main(members: Group) -> None:
+        relay = await members.add(Relay(0))
+        entry = Member("entry", "e1", entries=(relay.address,))
+        await members.add(entry)
+        relay.target_port = entry.port
+        await until(lambda: relay.accepted and not relay.open_count)
+        accepted = relay.accepted
+        await asyncio.sleep(2)
+        assert relay.accepted == accepted
+        assert entry.acks == [] and not entry.mesh.connected
+
+    run(main)
