Add the load generator and the measure harness

Cause: prefix hit rate, time to first token and wasted recomputation of the router and of plain policies have to be read in one run, under the same load. Ruled out: a fleet per policy, as starting it takes longer than a run; the entries are started anew instead and the texts of each run differ, so that no run finds another's cache. Change: a seeded open-loop load of nested prefixes, a caller that attaches again and checks whole answers, figures against an ideal cache over the union of memory, the two example deployments, tables, and a comparison with the engine called directly. Conclusion: counts of wrong, lost, doubled and wrongly refused requests come from what callers got and from the upstreams' own records.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 BINARY := dist/gooseberrydale.pyz
-CODE := gooseberrydale tests features scripts
+CODE := gooseberrydale tests features scripts measure
+RUNS ?= 5
 
 .PHONY: run test check format binary soak measure
 
@@ -44,5 +45,6 @@
 soak: $(STAMP)
 	$(BIN)/python scripts/soak.py --minutes $(MINUTES)
 
+# Compare the policies on both example deployments, with and without failures.
 measure: $(STAMP)
-	$(BIN)/python scripts/measure.py
+	$(BIN)/python -m measure --runs $(RUNS)
--- /dev/null
+++ b/measure/site.py
@@ -0,0 +1,201 @@
+"""Runs a deployment's processes for a measure and drives them.
+
+One site serves many runs: between runs only the entries are started anew, with
+another policy.  The texts of each run differ, so no run finds another's cache.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import pathlib
+import time
+import urllib.error
+import urllib.request
+import uuid
+from typing import Any
+
+import msgspec
+
+from measure.client import Target
+from measure.deployments import Deployment
+from measure.workload import WORKSPACE_WEIGHTS
+from tests.fleet import ENTRY_HTTP, OPERATOR_TOKEN, Fleet, UpstreamSpec, wait_for_port
+
+START_BOUND_S = 60.0
+POLL_S = 0.1
+CONTROLS = 3
+KV_STORE_HOST, KV_STORE_PORT = "kv-store", 9100
+ENGINE_PROFILE, SERVICE_PROFILE = "answers", "bids"
+MODEL = "example"
+
+
+class Site:
+    """The processes of one deployment; ``direct`` leaves out the router's own."""
+
+    def __init__(
+        self, deployment: Deployment, folder: pathlib.Path, *, direct: bool = False
+    ) -> None:
+        self.deployment = deployment
+        self.direct = direct
+        self.fleet = Fleet(folder, deployment.zones)
+        self._keys = tuple(
+            f"key-of-workspace-{i}" for i in range(len(WORKSPACE_WEIGHTS))
+        )
+        self._seen: dict[str, int] = {}
+        self.engines = [f"engine-{i + 1}" for i in range(deployment.engines)]
+        self.services = [f"service-{i + 1}" for i in range(deployment.services)]
+        if not direct:
+            self.fleet.add_controls(CONTROLS, loads_at_once=deployment.loads_at_once)
+            self.fleet.add_entries(deployment.entries)
+        self._add_upstreams()
+
+    def _add_upstreams(self) -> None:
+        deployment = self.deployment
+        zones = deployment.zones
+        kv_host = self.fleet.host(KV_STORE_HOST)
+        kv_store = f"http://{kv_host}:{KV_STORE_PORT}"
+        self.fleet.add_example(KV_STORE_HOST, "kv-store", kv_host, KV_STORE_PORT)
+        for i, name in enumerate(self.engines):
+            spec = UpstreamSpec(
+                name=name,
+                pool=deployment.engine_pool,
+                zone=zones[i % len(zones)],
+                model=MODEL,
+                flags=("--kv-store", kv_store, *deployment.engine_flags(i)),
+                settings={"kv_store": kv_store},
+            )
+            self.fleet.add_upstream(spec)
+        for i, name in enumerate(self.services):
+            zone = zones[i % len(zones)]
+            spec = UpstreamSpec(name, deployment.service_pool, zone, "service")
+            self.fleet.add_upstream(spec)
+
+    def start(self) -> None:
+        """Start everything but the entries; for those call ``use_policy``."""
+        if not self.direct:
+            self.fleet.init_control()
+        for name, process in self.fleet.processes.items():
+            router_part = not name.startswith(("upstream-", KV_STORE_HOST))
+            if name in self.fleet.entries or (self.direct and router_part):
+                continue
+            process.start()
+        for name in [*self.engines, *self.services]:
+            wait_for_port(self.fleet.host(f"upstream-{name}"), 9000)
+        if not self.direct:
+            self._declare()
+
+    def use_policy(self, policy: str) -> None:
+        """Start the entries anew with another policy; wait until all can route."""
+        for name in self.fleet.entries:
+            self.fleet.processes[name].kill()
+        self.fleet.add_entries(self.deployment.entries, policy=policy)
+        for name in self.fleet.entries:
+            self.fleet.processes[name].start()
+        for name in self.fleet.entries:
+            wait_for_port(self.fleet.host(name), ENTRY_HTTP)
+            self._wait_until(f"{self.fleet.entry_url(name)}/readyz")
+            self._probe(name)
+
+    def restore(self) -> None:
+        """Start again whatever a failure has ended."""
+        for name, process in self.fleet.processes.items():
+            if name not in self.fleet.entries and not process.running:
+                process.start()
+
+    def target(self) -> Target:
+        """Return what callers need to know."""
+        if self.direct:
+            urls = tuple(self.fleet.upstream_url(name) for name in self.engines)
+        else:
+            urls = tuple(self.fleet.entry_url(name) for name in self.fleet.entries)
+        return Target(urls, ENGINE_PROFILE, SERVICE_PROFILE, self._keys, self.direct)
+
+    def new_records(self) -> tuple[list[dict[str, Any]], list[dict[str, Any]]]:
+        """Return what engines and services recorded since the last call."""
+        engines = [self._new_record(name, "requests") for name in self.engines]
+        services = [self._new_record(name, "runs") for name in self.services]
+        return engines, services
+
+    def _new_record(self, name: str, field: str) -> dict[str, Any]:
+        try:
+            record = _get(f"{self.fleet.upstream_url(name)}/record")
+        except OSError:
+            # Ended by a failure; its record went with it.
+            return {field: []}
+        entries = record[field]
+        seen = self._seen.get(record["incarnation"], 0)
+        self._seen[record["incarnation"]] = len(entries)
+        return {**record, field: entries[seen:]}
+
+    def close(self) -> None:
+        """End all processes."""
+        self.fleet.close()
+
+    def _declare(self) -> None:
+        deployment = self.deployment
+        edits = [
+            _profile(
+                name=ENGINE_PROFILE,
+                kind="completion",
+                pool=deployment.engine_pool,
+                model=MODEL,
+                deadline_s=deployment.deadline_s,
+                waste_weight=deployment.waste_weight,
+            ),
+            _profile(
+                name=SERVICE_PROFILE,
+                kind="service",
+                pool=deployment.service_pool,
+                repeatable=False,
+            ),
+        ]
+        for i, key in enumerate(self._keys):
+            digest = hashlib.sha256(key.encode()).hexdigest()
+            workspace = {"name": f"workspace-{i + 1}", "key_digests": [digest]}
+            edits.append({"kind": "apply_workspace", "workspace": workspace})
+        change = {"change_id": uuid.uuid4().hex, "base": 0, "edits": edits}
+        body = msgspec.json.encode(change)
+        end = time.monotonic() + START_BOUND_S
+        while not any(self._post_change(name, body) for name in self.fleet.controls):
+            if time.monotonic() > end:
+                raise TimeoutError("no control replica took the declarations")
+            time.sleep(POLL_S)
+
+    def _post_change(self, control: str, body: bytes) -> bool:
+        url = f"{self.fleet.operator_url(control)}/v1/changes"
+        headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+        try:
+            _open(urllib.request.Request(url, body, headers))
+            return True
+        except OSError:
+            return False
+
+    def _probe(self, entry: str) -> None:
+        """Ask small questions until this entry has seen every upstream."""
+        url = f"{self.fleet.entry_url(entry)}/v1/models"
+        self._wait_until(url, {"authorization": f"Bearer {self._keys[0]}"})
+
+    def _wait_until(self, url: str, headers: dict[str, str] | None = None) -> None:
+        end = time.monotonic() + START_BOUND_S
+        while True:
+            try:
+                _open(urllib.request.Request(url, headers=headers or {}))
+                return
+            except OSError:
+                if time.monotonic() > end:
+                    raise
+                time.sleep(POLL_S)
+
+
+def _profile(**fields: Any) -> dict[str, Any]:
+    return {"kind": "apply_profile", "profile": fields}
+
+
+def _get(url: str) -> Any:
+    return msgspec.json.decode(_open(urllib.request.Request(url)))
+
+
+def _open(req: urllib.request.Request) -> bytes:
+    with urllib.request.urlopen(req, timeout=10.0) as reply:
+        data: bytes = reply.read()
+        return data
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -200,6 +200,11 @@
         self._write_cfg(sidecar, spec.zone, "sidecar", table, node=spec.name)
         self._add_role(sidecar, "sidecar")
 
+    def add_example(self, name: str, app: str, host: str, port: int) -> None:
+        """Declare one of the example apps as a process of its own."""
+        argv = [sys.executable, "-m", "gooseberrydale.example", app]
+        self._add_process(name, [*argv, "--host", host, "--port", str(port)])
+
     def start(self) -> None:
         """First start: initialise control, then start everything."""
         self.init_control()
--- /dev/null
+++ b/tests/test_measure.py
@@ -0,0 +1,221 @@
+"""The load and the figures of the measures: what they count, and as what."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+from collections.abc import AsyncIterator
+
+import msgspec
+import pytest
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from gooseberrydale.example.answers import answer_text
+from gooseberrydale.example.app_server import AppServer
+from gooseberrydale.example.prompts import parse_prompt
+from measure.client import Answer, CallAnswer, Caller, Outcome, Target
+from measure.figures import Figures, figures, ideal_cached_tokens, percentiles
+from measure.load import Result
+from measure.table import figures_table
+from measure.workload import Ask, Call, Shape, calls, prompts
+
+SHAPE = Shape(guide_tokens=40, lot_tokens=20, question_tokens=10)
+
+
+def ask(name: str = "q", guide: str = "g", lot: str = "l", at: float = 0.0) -> Ask:
+    return Ask(at, name, 0, guide, lot, SHAPE)
+
+
+def whole(of: Ask) -> Answer:
+    prompt = parse_prompt(msgspec.json.encode(of.body("m")), chat=True).unwrap()
+    text = answer_text(prompt.digest, prompt.answer_tokens)
+    return Answer(of, Outcome.WHOLE, text=text, first_s=0.5, prompt_tokens=70)
+
+
+def call(name: str, outcome: Outcome, not_run: bool | None = None) -> CallAnswer:
+    made = Call(0.0, name, 0, keyed=True)
+    return CallAnswer(made, name.encode(), outcome, not_run=not_run)
+
+
+def service_record(*names: str) -> dict[str, object]:
+    digests = [hashlib.sha256(name.encode()).hexdigest() for name in names]
+    return {"runs": [{"body_digest": digest} for digest in digests]}
+
+
+def engine_run(request_id: str, state: str = "finished", first: int = 0):
+    return {"request_id": request_id, "state": state, "first_index": first}
+
+
+def figures_of(answers=(), call_answers=(), engine_runs=(), service_runs=()) -> Figures:
+    result = Result(list(answers), list(call_answers))
+    engines = [{"requests": list(engine_runs)}]
+    return figures(result, 1_000, 60.0, engines, [service_record(*service_runs)])
+
+
+def test_a_load_is_the_same_for_a_seed_and_its_texts_differ_by_salt():
+    shape = Shape(duration_s=20.0)
+    one, again = prompts(shape, "1", "a"), prompts(shape, "1", "a")
+    other = prompts(shape, "1", "b")
+    assert one == again
+    assert [(a.at, a.workspace) for a in one] == [(a.at, a.workspace) for a in other]
+    assert not {a.guide for a in one} & {a.guide for a in other}
+    assert [c.at for c in calls(shape, "1", "a")] != [
+        c.at for c in calls(shape, "2", "a")
+    ]
+
+
+def test_hot_lots_shift_during_the_run():
+    shape = Shape(duration_s=20.0, prompts_per_s=50.0, hot_share=1.0, shift_s=10.0)
+    load = prompts(shape, "1", "a")
+    early = {a.lot for a in load if a.at < 10.0}
+    late = {a.lot for a in load if a.at >= 10.0}
+    assert len(early) <= shape.hot_lots
+    assert early != late
+
+
+@pytest.mark.parametrize(
+    "text, wrong",
+    [(None, 0), ("", 1), ("cut", 1), ("more", 1)],
+)
+def test_an_answer_that_is_not_the_whole_right_one_is_counted(text, wrong):
+    answer = whole(ask())
+    changed = {"cut": answer.text[:-1], "more": answer.text + "x", "": ""}
+    if text is not None:
+        answer.text = changed[text]
+    assert figures_of([answer]).wrong == wrong
+
+
+def test_outcomes_are_counted_apart():
+    kinds = [Outcome.REFUSED, Outcome.BROKEN, Outcome.BROKEN, Outcome.LOST]
+    found = figures_of([Answer(ask(), kind) for kind in kinds])
+    assert (found.asked, found.whole) == (4, 0)
+    assert (found.refused, found.broken, found.lost) == (1, 2, 1)
+
+
+@pytest.mark.parametrize(
+    "runs, doubled",
+    [
+        ([engine_run("a"), engine_run("b")], 0),
+        ([engine_run("a"), engine_run("a")], 1),
+        ([engine_run("a", "cancelled"), engine_run("a")], 0),
+        ([engine_run("a"), engine_run("a", first=7)], 0),
+    ],
+)
+def test_a_request_that_engines_answered_twice_is_counted(runs, doubled):
+    assert figures_of(engine_runs=runs).doubled == doubled
+
+
+@pytest.mark.parametrize(
+    "outcome, not_run, ran, field",
+    [
+        (Outcome.WHOLE, None, 2, "calls_doubled"),
+        (Outcome.LOST, None, 2, "calls_doubled"),
+        (Outcome.WHOLE, None, 0, "calls_missing"),
+        (Outcome.REFUSED, True, 1, "false_refusals"),
+    ],
+)
+def test_the_services_record_shows_what_callers_were_told_wrongly(
+    outcome, not_run, ran, field
+):
+    answer = call("a", outcome, not_run)
+    found = dataclasses.asdict(figures_of((), [answer], (), ["a"] * ran))
+    faults = ("calls_doubled", "calls_missing", "false_refusals")
+    assert {name: found[name] for name in faults} == {
+        name: int(name == field) for name in faults
+    }
+
+
+def test_the_ideal_cache_holds_each_prefix_once_and_forgets_by_use():
+    load = [
+        whole(ask("q1", at=0.0)),
+        whole(ask("q2", at=1.0)),
+        whole(ask("q3", lot="other", at=2.0)),
+    ]
+    assert ideal_cached_tokens(load, 1_000, 60.0) == 60 + 40
+    assert ideal_cached_tokens(load, 1_000, 0.5) == 0
+    assert ideal_cached_tokens(load, 0, 60.0) == 0
+
+
+def test_wasted_tokens_are_those_that_the_ideal_cache_had():
+    load = [whole(ask("q1", at=0.0)), whole(ask("q2", at=1.0))]
+    load[1].cached_tokens = 40
+    assert figures_of(load).wasted_tokens == 20
+
+
+def test_percentiles_are_in_seconds():
+    p50, p95, p99 = percentiles([i / 100 for i in range(1, 101)])
+    assert (p50, p95, p99) == pytest.approx((0.50, 0.95, 0.99), rel=0.01)
+
+
+def test_the_table_compares_with_the_best_baseline():
+    base = figures_of([whole(ask())])
+    runs = {
+        "affinity": [dataclasses.replace(base, hit_rate=0.9, first_p95=1.0)],
+        "random": [dataclasses.replace(base, hit_rate=0.3, first_p95=2.0)],
+        "hash-only": [dataclasses.replace(base, hit_rate=0.6, first_p95=4.0)],
+    }
+    last = figures_table(runs, "affinity").splitlines()[-1].split(" | ")
+    assert last[1] == "1.50"
+    assert last[3] == "0.50"
+
+
+def cutting_app(events: list[str], cut_after: int, attachable: bool) -> Starlette:
+    """Serve a stream that breaks off once, and its rest if it is asked for."""
+
+    async def cut() -> AsyncIterator[str]:
+        for event in events[:cut_after]:
+            yield event
+        raise ConnectionResetError("cut")
+
+    async def start(_req: Request) -> StreamingResponse:
+        return StreamingResponse(cut(), media_type="text/event-stream")
+
+    async def attach(req: Request) -> Response:
+        if not attachable:
+            error = {"error": {"code": "unknown_stream", "not_run": None}}
+            return Response(msgspec.json.encode(error), 404)
+        rest = events[int(req.headers["last-event-id"]) + 1 :]
+        return Response("".join(rest), media_type="text/event-stream")
+
+    return Starlette(
+        routes=[
+            Route("/v1/chat/completions", start, methods=["POST"]),
+            Route("/v1/streams", attach),
+        ]
+    )
+
+
+@pytest.mark.parametrize(
+    "cut_after, attachable, outcome, text",
+    [
+        (2, True, Outcome.WHOLE, "one two three "),
+        (2, False, Outcome.BROKEN, "one two "),
+        (0, True, Outcome.LOST, ""),
+    ],
+)
+def test_a_caller_attaches_again_and_takes_no_cut_answer_for_whole(
+    cut_after, attachable, outcome, text
+):
+    words = ["one ", "two ", "three "]
+    events = [
+        f'id: {i}\ndata: {{"choices":[{{"delta":{{"content":"{word}"}}}}]}}\n\n'
+        for i, word in enumerate(words)
+    ]
+    events.append("id: 3\ndata: [DONE]\n\n")
+
+    async def scenario() -> Answer:
+        server = AppServer(cutting_app(events, cut_after, attachable))
+        await server.start()
+        caller = Caller(Target((server.url,), "answers", "bids", ("key",)))
+        try:
+            return await caller.ask(ask(), 0, b"{}")
+        finally:
+            await caller.close()
+            await server.close()
+
+    answer = asyncio.run(scenario())
+    assert (answer.outcome, answer.text) == (outcome, text)
