Test that a stream without its end marker is not taken for whole

Cause: with the check off no test of the measures failed. Ruled out: leaving it to the text comparison, which does not see a cut after the last token. Change: the cutting app ends its stream both torn and cleanly.

--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -163,13 +163,16 @@
     assert last[3] == "0.50"
 
 
-def cutting_app(events: list[str], cut_after: int, attachable: bool) -> Starlette:
+def cutting_app(
+    events: list[str], cut_after: int, attachable: bool, clean: bool
+) -> Starlette:
     """Serve a stream that breaks off once, and its rest if it is asked for."""
 
     async def cut() -> AsyncIterator[str]:
         for event in events[:cut_after]:
             yield event
-        raise ConnectionResetError("cut")
+        if not clean:
+            raise ConnectionResetError("cut")
 
     async def start(_req: Request) -> StreamingResponse:
         return StreamingResponse(cut(), media_type="text/event-stream")
@@ -197,8 +200,9 @@
         (0, True, Outcome.LOST, ""),
     ],
 )
+@pytest.mark.parametrize("clean", [False, True], ids=["torn", "ended"])
 def test_a_caller_attaches_again_and_takes_no_cut_answer_for_whole(
-    cut_after, attachable, outcome, text
+    cut_after, attachable, outcome, text, clean
 ):
     words = ["one ", "two ", "three "]
     events = [
@@ -208,7 +212,7 @@
     events.append("id: 3\ndata: [DONE]\n\n")
 
     async def scenario() -> Answer:
-        server = AppServer(cutting_app(events, cut_after, attachable))
+        server = AppServer(cutting_app(events, cut_after, attachable, clean))
         await server.start()
         caller = Caller(Target((server.url,), "answers", "bids", ("key",)))
         try:
