--- a/measure/overhead.py
+++ b/measure/overhead.py
@@ -53,6 +53,11 @@
 
 def main(runs: int = 5, seed: int = 1) -> None:
     """Print the medians of both ways and their ratio."""
+    print(overhead(runs, seed))
+
+
+def overhead(runs: int, seed: int) -> str:
+    """Run both ways ``runs`` times each; return the table."""
     began = time.monotonic()
     found: dict[str, list[Timing]] = {way: [] for way in WAYS}
     rng = random.Random(seed)
@@ -66,7 +71,7 @@
                     found[way].append(_one_run(site, way, f"{seed}.{number}"))
         finally:
             site.close()
-    _print_report(found, time.monotonic() - began)
+    return _section(found, time.monotonic() - began)
 
 
 def _one_run(site: Site, way: str, seed: str) -> Timing:
@@ -85,21 +90,23 @@
     return Timing(percentiles([a.first_s for a in warm])[0], percentiles(gaps)[0])
 
 
-def _print_report(found: dict[str, list[Timing]], took_s: float) -> None:
-    print("\n### What the router adds\n")
-    print(
+def _section(found: dict[str, list[Timing]], took_s: float) -> str:
+    lines = [
+        "### What the router adds\n",
         f"Commit {commit()}; {len(found['direct'])} runs of {SHAPE.duration_s:g} s"
         f" each way; median of the runs' medians (least–greatest); took"
         f" {took_s:.0f} s in all; load average at the end {os.getloadavg()[0]:.1f} on"
-        f" {os.cpu_count()} cores.\n"
-    )
-    print("| way | TTFT ms | between chunks ms |\n| --- | --- | --- |")
+        f" {os.cpu_count()} cores.\n",
+        "| way | TTFT ms | between chunks ms |",
+        "| --- | --- | --- |",
+    ]
     for way, timings in found.items():
         firsts = _spread([t.first_s for t in timings])
         gaps = _spread([t.gap_s for t in timings])
-        print(f"| {way} | {firsts} | {gaps} |")
+        lines.append(f"| {way} | {firsts} | {gaps} |")
     first, gap = _ratio(found, "first_s"), _ratio(found, "gap_s")
-    print(f"| router / direct | {first} | {gap} |")
+    lines.append(f"| router / direct | {first} | {gap} |")
+    return "\n".join(lines) + "\n"
 
 
 def _spread(seconds: Sequence[float]) -> str:
--- a/measure/report.py
+++ b/measure/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pathlib
 import subprocess
 
 
@@ -11,3 +12,13 @@
         ["git", "describe", "--always", "--dirty"], capture_output=True, text=True
     )
     return done.stdout.strip()
+
+
+BEGIN, END = "<!-- measured: begin -->\n", "<!-- measured: end -->\n"
+
+
+def write_into(page: pathlib.Path, text: str) -> None:
+    """Put ``text`` between the two marks of a page in place of what is there."""
+    before, rest = page.read_text().split(BEGIN)
+    after = rest.split(END)[1]
+    page.write_text(f"{before}{BEGIN}\n{text}\n{END}{after}")
--- a/measure/run.py
+++ b/measure/run.py
@@ -13,9 +13,10 @@
 import os
 import pathlib
 import random
+import sys
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import asdict, replace
 
 import fire
@@ -30,6 +31,7 @@
 
 PRODUCT = "affinity"
 BASELINES = ("random", "round-robin", "least-loaded", "hash-only")
+POLICIES = (PRODUCT, *BASELINES)
 FAILURES = ("none", "engine", "sidecar", "entry")
 FAIL_AT = 0.5
 SETTLE_S = 1.0
@@ -44,30 +46,49 @@
     prompts_per_s: float = 0.0,
     policies: str = "",
     seed: int = 1,
-    out: str = "",
 ) -> None:
-    """Print the tables; ``out`` also gets every run's figures as JSON lines."""
-    chosen = _with_overrides(DEPLOYMENTS[deployment], duration_s, prompts_per_s)
+    """Measure one deployment under one kind of failure, and print the tables."""
     if failure not in FAILURES:
         raise SystemExit(f"--failure is one of {', '.join(FAILURES)}")
-    names = policies.split(",") if policies else [PRODUCT, *BASELINES]
+    chosen = with_overrides(DEPLOYMENTS[deployment], duration_s, prompts_per_s)
+    names = policies.split(",") if policies else list(POLICIES)
     if direct:
         names = ["direct, in turn"]
         chosen = replace(chosen, shape=replace(chosen.shape, calls_per_s=0.0))
-    began = time.monotonic()
+    print(measure(chosen, names, {failure: runs}, seed, direct=direct))
+
+
+def measure(
+    deployment: Deployment,
+    policies: Sequence[str],
+    runs: Mapping[str, int],
+    seed: int,
+    *,
+    direct: bool = False,
+) -> str:
+    """Run every policy under each kind of failure; return the tables.
+
+    ``runs`` has the number of runs of each policy by kind of failure.
+    """
+    parts = []
     with tempfile.TemporaryDirectory() as folder:
-        site = Site(chosen, pathlib.Path(folder, "site"), direct=direct)
+        site = Site(deployment, pathlib.Path(folder, "site"), direct=direct)
         try:
             site.start()
-            found = _rounds(site, names, runs, failure, seed, out)
+            for failure, rounds in runs.items():
+                began = time.monotonic()
+                found = _rounds(site, policies, rounds, failure, seed)
+                took_s = time.monotonic() - began
+                parts.append(_section(deployment, failure, found, took_s))
         finally:
             site.close()
-    _print_report(chosen, failure, found, time.monotonic() - began)
+    return "\n".join(parts)
 
 
-def _with_overrides(
+def with_overrides(
     deployment: Deployment, duration_s: float, prompts_per_s: float
 ) -> Deployment:
+    """Return the deployment with another length or rate of its load; 0 keeps it."""
     shape = deployment.shape
     if duration_s:
         shape = replace(shape, duration_s=duration_s, shift_s=duration_s / 2)
@@ -77,7 +98,7 @@
 
 
 def _rounds(
-    site: Site, names: Sequence[str], runs: int, failure: str, seed: int, out: str
+    site: Site, names: Sequence[str], runs: int, failure: str, seed: int
 ) -> dict[str, list[Figures]]:
     found: dict[str, list[Figures]] = {name: [] for name in names}
     rng = random.Random(seed)
@@ -87,7 +108,7 @@
         for policy in rng.sample(list(names), len(names)):
             one = _one_run(site, policy, f"{seed}.{number}", failure)
             found[policy].append(one)
-            _keep(out, site.deployment.name, failure, policy, one)
+            _keep(site.deployment.name, failure, policy, one)
     return found
 
 
@@ -118,33 +139,27 @@
     return await load
 
 
-def _keep(out: str, deployment: str, failure: str, policy: str, one: Figures) -> None:
-    line = json.dumps(
-        {"deployment": deployment, "failure": failure, "policy": policy, **asdict(one)}
-    )
-    print(line, flush=True)
-    if out:
-        with open(out, "a") as file:
-            file.write(line + "\n")
+def _keep(deployment: str, failure: str, policy: str, one: Figures) -> None:
+    head = {"deployment": deployment, "failure": failure, "policy": policy}
+    print(json.dumps(head | asdict(one)), file=sys.stderr, flush=True)
 
 
-def _print_report(
+def _section(
     deployment: Deployment,
     failure: str,
     found: dict[str, list[Figures]],
     took_s: float,
-) -> None:
+) -> str:
     runs = max(len(values) for values in found.values())
-    load = os.getloadavg()
-    print(f"\n### {deployment.name}, failure: {failure}\n")
-    print(
-        f"Commit {commit()}; {runs} runs of {deployment.shape.duration_s:g} s each,"
-        f" {deployment.shape.prompts_per_s:g} prompts/s; median (least–greatest);"
-        f" took {took_s:.0f} s in all; load average at the end {load[0]:.1f} on"
-        f" {os.cpu_count()} cores.\n"
+    shape = deployment.shape
+    return (
+        f"### {deployment.name}, failure: {failure}\n\n"
+        f"Commit {commit()}; {runs} runs of {shape.duration_s:g} s for each policy,"
+        f" {shape.prompts_per_s:g} prompts/s; median (least–greatest); took"
+        f" {took_s:.0f} s in all; load average at the end {os.getloadavg()[0]:.1f}"
+        f" on {os.cpu_count()} cores.\n\n"
+        f"{figures_table(found, PRODUCT)}\n{sums_table(found)}"
     )
-    print(figures_table(found, PRODUCT))
-    print(sums_table(found))
 
 
 if __name__ == "__main__":
--- a/measure/site.py
+++ b/measure/site.py
@@ -6,23 +6,20 @@
 
 from __future__ import annotations
 
-import hashlib
 import pathlib
 import time
-import urllib.error
-import urllib.request
-import uuid
 from typing import Any
 
-import msgspec
+import httpx2
 
+from gooseberrydale.version.declarations import Profile, ProfileKind, Workspace
 from measure.client import Target
 from measure.deployments import Deployment
 from measure.workload import WORKSPACE_WEIGHTS
-from tests.fleet import ENTRY_HTTP, OPERATOR_TOKEN, Fleet, UpstreamSpec, wait_for_port
+from tests.fleet import UPSTREAM_HTTP, Fleet, UpstreamSpec, key_digest, wait_for_port
 
-START_BOUND_S = 60.0
-POLL_S = 0.1
+SETTLE_S = 1.5
+READ_S = 10.0
 CONTROLS = 3
 KV_STORE_HOST, KV_STORE_PORT = "kv-store", 9100
 ENGINE_PROFILE, SERVICE_PROFILE = "answers", "bids"
@@ -45,8 +42,10 @@
         self.engines = [f"engine-{i + 1}" for i in range(deployment.engines)]
         self.services = [f"service-{i + 1}" for i in range(deployment.services)]
         if not direct:
-            self.fleet.add_controls(CONTROLS, loads_at_once=deployment.loads_at_once)
+            # All settings list both, whichever is written first.
+            self.fleet.controls = [f"control-{i + 1}" for i in range(CONTROLS)]
             self.fleet.add_entries(deployment.entries)
+            self.fleet.add_controls(CONTROLS, loads_at_once=deployment.loads_at_once)
         self._add_upstreams()
 
     def _add_upstreams(self) -> None:
@@ -80,7 +79,7 @@
                 continue
             process.start()
         for name in [*self.engines, *self.services]:
-            wait_for_port(self.fleet.host(f"upstream-{name}"), 9000)
+            wait_for_port(self.fleet.host(f"upstream-{name}"), UPSTREAM_HTTP)
         if not self.direct:
             self._declare()
 
@@ -91,10 +90,9 @@
         self.fleet.add_entries(self.deployment.entries, policy=policy)
         for name in self.fleet.entries:
             self.fleet.processes[name].start()
-        for name in self.fleet.entries:
-            wait_for_port(self.fleet.host(name), ENTRY_HTTP)
-            self._wait_until(f"{self.fleet.entry_url(name)}/readyz")
-            self._probe(name)
+        self.fleet.wait_ready(len(self.engines) + len(self.services))
+        # Ready means able to serve; what each entry knows may still grow.
+        time.sleep(SETTLE_S)
 
     def restore(self) -> None:
         """Start again whatever a failure has ended."""
@@ -119,7 +117,7 @@
     def _new_record(self, name: str, field: str) -> dict[str, Any]:
         try:
             record = _get(f"{self.fleet.upstream_url(name)}/record")
-        except OSError:
+        except httpx2.HTTPError:
             # Ended by a failure; its record went with it.
             return {field: []}
         entries = record[field]
@@ -133,69 +131,26 @@
 
     def _declare(self) -> None:
         deployment = self.deployment
-        edits = [
-            _profile(
-                name=ENGINE_PROFILE,
-                kind="completion",
-                pool=deployment.engine_pool,
-                model=MODEL,
-                deadline_s=deployment.deadline_s,
-                waste_weight=deployment.waste_weight,
-            ),
-            _profile(
-                name=SERVICE_PROFILE,
-                kind="service",
-                pool=deployment.service_pool,
-                repeatable=False,
-            ),
+        answers = Profile(
+            ENGINE_PROFILE,
+            ProfileKind.COMPLETION,
+            pool=deployment.engine_pool,
+            model=MODEL,
+            deadline_s=deployment.deadline_s,
+            waste_weight=deployment.waste_weight,
+        )
+        bids = Profile(
+            SERVICE_PROFILE,
+            ProfileKind.SERVICE,
+            pool=deployment.service_pool,
+            repeatable=False,
+        )
+        workspaces = [
+            Workspace(f"workspace-{i + 1}", key_digests=(key_digest(key),))
+            for i, key in enumerate(self._keys)
         ]
-        for i, key in enumerate(self._keys):
-            digest = hashlib.sha256(key.encode()).hexdigest()
-            workspace = {"name": f"workspace-{i + 1}", "key_digests": [digest]}
-            edits.append({"kind": "apply_workspace", "workspace": workspace})
-        change = {"change_id": uuid.uuid4().hex, "base": 0, "edits": edits}
-        body = msgspec.json.encode(change)
-        end = time.monotonic() + START_BOUND_S
-        while not any(self._post_change(name, body) for name in self.fleet.controls):
-            if time.monotonic() > end:
-                raise TimeoutError("no control replica took the declarations")
-            time.sleep(POLL_S)
-
-    def _post_change(self, control: str, body: bytes) -> bool:
-        url = f"{self.fleet.operator_url(control)}/v1/changes"
-        headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
-        try:
-            _open(urllib.request.Request(url, body, headers))
-            return True
-        except OSError:
-            return False
-
-    def _probe(self, entry: str) -> None:
-        """Ask small questions until this entry has seen every upstream."""
-        url = f"{self.fleet.entry_url(entry)}/v1/models"
-        self._wait_until(url, {"authorization": f"Bearer {self._keys[0]}"})
-
-    def _wait_until(self, url: str, headers: dict[str, str] | None = None) -> None:
-        end = time.monotonic() + START_BOUND_S
-        while True:
-            try:
-                _open(urllib.request.Request(url, headers=headers or {}))
-                return
-            except OSError:
-                if time.monotonic() > end:
-                    raise
-                time.sleep(POLL_S)
-
-
-def _profile(**fields: Any) -> dict[str, Any]:
-    return {"kind": "apply_profile", "profile": fields}
+        self.fleet.declare((answers, bids), workspaces)
 
 
 def _get(url: str) -> Any:
-    return msgspec.json.decode(_open(urllib.request.Request(url)))
-
-
-def _open(req: urllib.request.Request) -> bytes:
-    with urllib.request.urlopen(req, timeout=10.0) as reply:
-        data: bytes = reply.read()
-        return data
+    return httpx2.get(url, timeout=READ_S, trust_env=False).json()
