Watch the upstream, view its cache, announce to the mesh

Cause: a sidecar has to know which life of the upstream it stands before, what that life holds in its cache, and to tell entries about it.

--- /dev/null
+++ b/gooseberrydale/connection/upstream_api.py
@@ -0,0 +1,108 @@
+"""The upstream's own interface beside the work: health, load, cache, orders.
+
+Lives as long as one call each; see docs/design/upstream-interface.md.  Answers are
+decoded into frozen dataclasses; unknown fields are ignored.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import msgspec
+
+from gooseberrydale.connection.upstream_http import UpstreamCall, UpstreamError
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_S = 2.0
+MAX_REPLY_BYTES = 64 * 1024 * 1024
+JSON_HEADERS = (("content-type", "application/json"),)
+
+
+@dataclass(frozen=True, slots=True)
+class HealthReply:
+    """Answer of ``GET /health``."""
+
+    ready: bool = True
+    incarnation: str = ""
+    model: str = ""
+    weights_version: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReply:
+    """Answer of ``GET /load``; it may lag behind."""
+
+    running: int = 0
+    waiting: int = 0
+    waiting_tokens: int = 0
+    prefill_tps: float = 0.0
+    cached_blocks: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """One event of ``GET /cache/events``."""
+
+    incarnation: str
+    seq: int
+    stored: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CacheSnapshot:
+    """Answer of ``GET /cache/snapshot``."""
+
+    incarnation: str
+    seq: int
+    keys: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Status and body of a call."""
+
+    status: int
+    body: bytes
+
+    def decode(self, kind: type[T]) -> T:
+        """Return the body as ``kind``; raise :class:`UpstreamError` if it is not."""
+        try:
+            return msgspec.json.decode(self.body, type=kind)
+        except msgspec.MsgspecError as exc:
+            raise UpstreamError(f"not the awaited JSON: {exc}", sent=True) from exc
+
+
+async def call(
+    base_url: str,
+    method: str,
+    target: str,
+    body: Any = None,
+    *,
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> Reply:
+    """Make one call with a JSON body; raise :class:`UpstreamError` if it fails."""
+    http = UpstreamCall(base_url)
+    data = b"" if body is None else msgspec.json.encode(body)
+    try:
+        async with asyncio.timeout(timeout_s):
+            await http.open(method, target, JSON_HEADERS if data else (), data)
+            return Reply(http.status, await _read(http))
+    except TimeoutError as exc:
+        raise UpstreamError(f"no answer in {timeout_s:g} s", sent=http.sent) from exc
+    finally:
+        await http.close()
+
+
+async def _read(http: UpstreamCall) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    async for data in http.chunks():
+        size += len(data)
+        if size > MAX_REPLY_BYTES:
+            raise UpstreamError(f"an answer is over {MAX_REPLY_BYTES} bytes", sent=True)
+        parts.append(data)
+    return b"".join(parts)
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -196,6 +196,12 @@
     409,
     "Attempt {attempt} of request {request_id} was already accepted; attach to it.",
 )
+STALE_DISPATCH = ErrorKind(
+    "stale_dispatch",
+    409,
+    "The dispatch is based on announcement {seq}, older than {oldest}; refresh the"
+    " view and dispatch again.",
+)
 UNKNOWN_STREAM = ErrorKind(
     "unknown_stream",
     404,
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -69,7 +69,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SidecarCfg:
-    """The upstream beside this sidecar, and the gate before it."""
+    """The upstream beside this sidecar, and the gate before it.
+
+    A sidecar that was told to stop listens on for at least ``notice_s``, so that
+    entries learn of it before they meet a closed port.
+    """
 
     upstream: str
     pool: str
@@ -79,6 +83,7 @@
     max_running: int = 16
     max_queued: int = 64
     drain_s: float = 30.0
+    notice_s: float = 1.0
     replay_bytes: int = 4 * 1024 * 1024
     replay_s: float = 15.0
     lease_s: float = 6.0
--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -275,6 +275,7 @@
     "sidecar.max_running": _positive,
     "sidecar.max_queued": _not_negative,
     "sidecar.drain_s": _not_negative,
+    "sidecar.notice_s": _not_negative,
     "sidecar.replay_bytes": _positive,
     "sidecar.replay_s": _positive,
     "sidecar.lease_s": _positive,
--- a/gooseberrydale/process/sidecar/attempt.py
+++ b/gooseberrydale/process/sidecar/attempt.py
@@ -44,6 +44,8 @@
         self.key = (req.request_id, req.attempt)
         self.task: asyncio.Task[None] | None = None
         self.cached_tokens = 0
+        self.started_at = 0.0
+        self.on_first_part: Callable[[], None] | None = None
         self.ended = False
         self.readers = 0
         self.idle_since = asyncio.get_running_loop().time()
@@ -72,6 +74,9 @@
 
     async def write(self, events: Sequence[bytes]) -> None:
         """Append events; wait while the reader is too far behind."""
+        if self.on_first_part is not None:
+            self.on_first_part()
+            self.on_first_part = None
         for event in events:
             self._log.append(event)
         self._news.set()
--- a/gooseberrydale/process/sidecar/calls.py
+++ b/gooseberrydale/process/sidecar/calls.py
@@ -46,7 +46,7 @@
 
     def piece_keys(self, req: DispatchReq) -> list[tuple[bytes, int]]:
         """Full cache keys of the prompt's pieces, with their tokens."""
-        root = self._root(req)
+        root = self.root(req)
         return [(piece_key(root, p.chain), p.tokens) for p in req.pieces]
 
     def build(self, req: DispatchReq, uncached_s: float) -> Result[Call, Problem]:
@@ -79,7 +79,7 @@
             req,
             model=self._model(req),
             priority=0 if profile is None else profile.priority,
-            root=self._root(req),
+            root=self.root(req),
             keys=self.piece_keys(req),
         )
 
@@ -101,7 +101,8 @@
             return max(self._cfg.upstream_silence_s, req.deadline_s)
         return self._cfg.upstream_silence_s + PREFILL_SLACK * uncached_s
 
-    def _root(self, req: DispatchReq) -> bytes:
+    def root(self, req: DispatchReq) -> bytes:
+        """Root of the cache keys under the weights that the upstream has now."""
         return cache_root(
             req.workspace, self._model(req), self._state().weights_version
         )
--- a/gooseberrydale/process/sidecar/dispatcher.py
+++ b/gooseberrydale/process/sidecar/dispatcher.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from loguru import logger
 from result import Err, Ok, Result
@@ -60,6 +61,7 @@
         store: ConfigStore,
         runner: Runner,
         uncached_tokens: TokenCount,
+        cached_blocks: Callable[[], int] = lambda: 0,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -67,6 +69,7 @@
         self._store = store
         self._runner = runner
         self._uncached_tokens = uncached_tokens
+        self._cached_blocks = cached_blocks
         self.gate = Gate(name, incarnation)
         self.admission = Admission(cfg.max_running, cfg.max_queued)
         self._attempts: dict[str, Attempt] = {}
@@ -137,7 +140,7 @@
 
     def load(self) -> Load:
         """The load right now."""
-        return self.admission.load(_now())
+        return replace(self.admission.load(_now()), cached_blocks=self._cached_blocks())
 
     @property
     def busy(self) -> bool:
@@ -196,6 +199,7 @@
 
     def _start(self, attempt: Attempt) -> None:
         self.gate.start(attempt.key)
+        attempt.started_at = _now()
         attempt.task = asyncio.create_task(self._run(attempt))
 
     async def _run(self, attempt: Attempt) -> None:
@@ -203,6 +207,9 @@
             await self._runner(attempt)
         except asyncio.CancelledError:
             self._end_unfinished(attempt)
+        except InvariantError:
+            self._end_unfinished(attempt)
+            raise
         except Exception:
             logger.exception("attempt {} failed inside the sidecar", attempt.key)
             if not attempt.ended:
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -5,42 +5,33 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
-from collections.abc import AsyncGenerator
-from contextlib import aclosing
+from collections.abc import Callable
+from functools import partial
 
 from result import Err
 
-from gooseberrydale.connection.messages import (
-    AttachReq,
-    CancelReply,
-    CancelReq,
-    ConfigAck,
-    DispatchReq,
-    Frame,
-    PushConfig,
-    ReadConfig,
-    Refused,
-)
-from gooseberrydale.connection.rpc import (
-    ATTACH,
-    CANCEL,
-    DISPATCH,
-    PUSH_CONFIG,
-    READ_CONFIG,
-    RpcServer,
-    TlsFiles,
-)
-from gooseberrydale.errors import Problem
+from gooseberrydale.connection.mesh import SIDECAR_ROLE, UpstreamRecord
+from gooseberrydale.connection.messages import DispatchReq
+from gooseberrydale.connection.rpc import RpcServer, TlsFiles
+from gooseberrydale.connection.upstream_api import LoadReply
 from gooseberrydale.process.cfg import Cfg, SidecarCfg, TlsCfg
+from gooseberrydale.process.cfg_file import read_token
+from gooseberrydale.process.membership import Mesh
 from gooseberrydale.process.sidecar.attempt import Attempt
+from gooseberrydale.process.sidecar.cache_follow import CacheFollower
 from gooseberrydale.process.sidecar.calls import CallBuilder
-from gooseberrydale.process.sidecar.dispatcher import Dispatcher
+from gooseberrydale.process.sidecar.dispatcher import Dispatcher, work_id
+from gooseberrydale.process.sidecar.service import SidecarService
 from gooseberrydale.process.sidecar.upstream_run import run_upstream
 from gooseberrydale.process.sidecar.upstream_watch import UpstreamWatch
+from gooseberrydale.version.cache_view import CacheView
 from gooseberrydale.version.config_store import ConfigStore
-from gooseberrydale.version.directory import new_incarnation
+from gooseberrydale.version.declarations import ProfileKind
+from gooseberrydale.version.directory import Directory, new_incarnation
+from gooseberrydale.version.upstream_state import UpstreamState
 
 RPC_GRACE_S = 0.5
 
@@ -56,8 +47,10 @@
         rng = rng if rng is not None else random.Random()
         self.incarnation = new_incarnation(time.time_ns(), rng)
         self.store = ConfigStore()
-        self._token = cfg.fleet.token_file.read_text().strip()
-        self._watch = UpstreamWatch(self._sidecar)
+        self.directory = Directory()
+        self._view = CacheView()
+        self._watch = UpstreamWatch(self._sidecar, self._state_changed, self._took_load)
+        self._follower = CacheFollower(self._sidecar.upstream, self._view)
         self._calls = CallBuilder(
             self._sidecar, self.store, lambda: self._watch.state, self._watch.alive
         )
@@ -68,8 +61,22 @@
             self.store,
             self._run_attempt,
             self._uncached_tokens,
+            lambda: len(self._view),
         )
-        self._rpc = RpcServer(self._sidecar.rpc, self._token, _tls(cfg.fleet.tls))
+        token = read_token(cfg.fleet.token_file)
+        self._rpc = RpcServer(self._sidecar.rpc, token, _tls(cfg.fleet.tls))
+        self._mesh = Mesh(
+            cfg,
+            SIDECAR_ROLE,
+            self.directory,
+            self.store,
+            self._own_record,
+            token,
+            self.incarnation,
+            rng=rng,
+        )
+        self._config_task: asyncio.Task[None] | None = None
+        self._started = False
         self._closing = False
 
     @property
@@ -80,83 +87,125 @@
 
     async def start(self) -> None:
         """Serve; raises OSError if the listener can't be bound."""
-        self._rpc.streaming(DISPATCH, self._dispatch)
-        self._rpc.streaming(ATTACH, self._attach)
-        self._rpc.unary(CANCEL, self._cancel)
-        self._rpc.unary(PUSH_CONFIG, self._push_config)
-        self._rpc.unary(READ_CONFIG, self._read_config)
+        SidecarService(self.dispatcher, self.store, self.incarnation).register(
+            self._rpc
+        )
+        self.directory.subscribe(self._announced)
         await self.dispatcher.start()
         await self._watch.start()
+        if self._sidecar.kind == ProfileKind.COMPLETION:
+            await self._follower.start()
         await self._rpc.start()
+        self._started = True
+        await self._mesh.start()
+        self._config_task = asyncio.create_task(self._follow_config())
 
     async def close(self) -> None:
         """Refuse new work, finish what runs within the bound, then stop."""
         if self._closing:
             return
         self._closing = True
-        await self.dispatcher.drain(self._sidecar.drain_s)
+        if self._started:
+            self._mesh.announce()
+            notice = asyncio.create_task(asyncio.sleep(self._sidecar.notice_s))
+            await self.dispatcher.drain(self._sidecar.drain_s)
+            await notice
         await self.dispatcher.close()
+        if self._config_task is not None:
+            self._config_task.cancel()
+        await self._mesh.close()
         await self._rpc.close(RPC_GRACE_S)
+        await self._follower.close()
         await self._watch.close()
 
-    # Handlers.
-
-    async def _dispatch(self, req: DispatchReq) -> AsyncGenerator[Frame, None]:
-        taken = self.dispatcher.dispatch(req)
-        if isinstance(taken, Refused):
-            yield taken
-            return
-        async with aclosing(taken.frames(req.first_offset)) as frames:
-            async for frame in frames:
-                yield frame
-
-    async def _attach(self, req: AttachReq) -> AsyncGenerator[Frame, None]:
-        found = self.dispatcher.attach(req)
-        if isinstance(found, Err):
-            yield self._attach_refused(req, found.err_value)
-            return
-        async with aclosing(found.ok_value.frames(req.offset)) as frames:
-            async for frame in frames:
-                yield frame
-
-    def _attach_refused(self, req: AttachReq, refusal: Problem) -> Refused:
-        return Refused(
-            req.request_id,
-            req.attempt,
-            req.incarnation,
-            refusal,
-            self.dispatcher.load(),
-            self.store.revision,
+    # What the mesh and the watch tell.
+
+    def _own_record(self) -> UpstreamRecord | None:
+        state = self._watch.state
+        node = self._cfg.node
+        return UpstreamRecord(
+            name=node.name,
+            incarnation=self.incarnation,
+            seq=0,
+            address=self.addresses["rpc"],
+            zone=node.zone,
+            region=node.region,
+            pool=self._sidecar.pool,
+            kind=self._sidecar.kind,
+            model=state.model or self._sidecar.model,
+            weights_version=state.weights_version,
+            upstream_incarnation=state.incarnation,
+            ready=state.ready and not self._closing,
+            leaving=self._closing or node.name in self.store.config.leaving,
+            lease_s=self._sidecar.lease_s,
         )
 
-    async def _cancel(self, req: CancelReq) -> CancelReply:
-        return self.dispatcher.cancel(req)
-
-    async def _push_config(self, msg: PushConfig) -> ConfigAck:
-        self.store.offer(msg.config)
-        return ConfigAck(self.store.revision)
-
-    async def _read_config(self, msg: ReadConfig) -> ConfigAck:
-        newer = self.store.revision > msg.revision
-        return ConfigAck(self.store.revision, self.store.config if newer else None)
+    def _announced(self, _changed: bool) -> None:
+        """Own announcements pass through the directory, with their number."""
+        now = asyncio.get_running_loop().time()
+        record = self.directory.get(self._cfg.node.name, now)
+        if record is not None and record.incarnation == self.incarnation:
+            self.dispatcher.gate.announced(record.seq, now)
+
+    async def _follow_config(self) -> None:
+        leaving: frozenset[str] = frozenset()
+        while True:
+            config = await self.store.wait_newer(self.store.revision)
+            if config.leaving != leaving:
+                leaving = config.leaving
+                self._mesh.announce()
+
+    def _state_changed(self, old: UpstreamState, new: UpstreamState) -> None:
+        if self._view.begin(new.incarnation, new.weights_version):
+            self.dispatcher.stop_running(self._is_of_old_life(old, new))
+        self._mesh.announce()
+
+    def _is_of_old_life(
+        self, old: UpstreamState, new: UpstreamState
+    ) -> Callable[[Attempt], bool]:
+        """Attempts that began while the old life was still seen; later ones may be
+        of the new life, and if they are not, their connections break by themselves.
+        """
+        replaced = bool(old.incarnation) and old.incarnation != new.incarnation
+        return partial(_started_before, self._watch.seen_at if replaced else None)
+
+    def _took_load(self, load: LoadReply) -> None:
+        self.dispatcher.admission.observe_rate(load.prefill_tps)
 
     # Work.
 
+    def _text_keys(self, req: DispatchReq) -> list[tuple[str, int]]:
+        return [(key.hex(), tokens) for key, tokens in self._calls.piece_keys(req)]
+
     def _uncached_tokens(self, req: DispatchReq) -> int:
-        return sum(piece.tokens for piece in req.pieces)
+        if not req.pieces:
+            return 0
+        cached = self._view.cached_tokens(self._text_keys(req))
+        return sum(piece.tokens for piece in req.pieces) - cached
 
     async def _run_attempt(self, attempt: Attempt) -> None:
-        tokens = self._uncached_tokens(attempt.req)
-        call = self._calls.build(attempt.req, tokens / self._prefill_tps())
+        req = attempt.req
+        uncached = self._uncached_tokens(req)
+        attempt.cached_tokens = sum(p.tokens for p in req.pieces) - uncached
+        attempt.on_first_part = partial(self._first_part, attempt)
+        call = self._calls.build(req, uncached / self._prefill_tps())
         if isinstance(call, Err):
             attempt.end(call.err_value)
             return
         await run_upstream(attempt, call.ok_value, self._sidecar.upstream)
 
+    def _first_part(self, attempt: Attempt) -> None:
+        now = asyncio.get_running_loop().time()
+        self.dispatcher.admission.first_token(work_id(attempt.key), now)
+
     def _prefill_tps(self) -> float:
         return max(1.0, self.dispatcher.load().prefill_tps)
 
 
+def _started_before(limit: float | None, attempt: Attempt) -> bool:
+    return limit is not None and attempt.started_at <= limit
+
+
 def _tls(cfg: TlsCfg) -> TlsFiles | None:
     if not cfg.cert_file:
         return None
--- /dev/null
+++ b/gooseberrydale/process/sidecar/service.py
@@ -0,0 +1,92 @@
+"""The sidecar's gRPC methods: messages in, frames and replies out.
+
+Lives as long as the listener.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+
+from result import Err
+
+from gooseberrydale.connection.messages import (
+    AttachReq,
+    CancelReply,
+    CancelReq,
+    ConfigAck,
+    DispatchReq,
+    Frame,
+    PushConfig,
+    ReadConfig,
+    Refused,
+)
+from gooseberrydale.connection.rpc import (
+    ATTACH,
+    CANCEL,
+    DISPATCH,
+    PUSH_CONFIG,
+    READ_CONFIG,
+    RpcServer,
+)
+from gooseberrydale.errors import Problem
+from gooseberrydale.process.sidecar.dispatcher import Dispatcher
+from gooseberrydale.version.config_store import ConfigStore
+
+
+class SidecarService:
+    """Handlers of one sidecar."""
+
+    def __init__(
+        self, dispatcher: Dispatcher, store: ConfigStore, incarnation: str
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._store = store
+        self._incarnation = incarnation
+
+    def register(self, rpc: RpcServer) -> None:
+        """Serve the methods on ``rpc``; call before its ``start``."""
+        rpc.streaming(DISPATCH, self._dispatch)
+        rpc.streaming(ATTACH, self._attach)
+        rpc.unary(CANCEL, self._cancel)
+        rpc.unary(PUSH_CONFIG, self._push_config)
+        rpc.unary(READ_CONFIG, self._read_config)
+
+    async def _dispatch(self, req: DispatchReq) -> AsyncGenerator[Frame, None]:
+        taken = self._dispatcher.dispatch(req)
+        if isinstance(taken, Refused):
+            yield taken
+            return
+        async with aclosing(taken.frames(req.first_offset)) as frames:
+            async for frame in frames:
+                yield frame
+
+    async def _attach(self, req: AttachReq) -> AsyncGenerator[Frame, None]:
+        found = self._dispatcher.attach(req)
+        if isinstance(found, Err):
+            yield self._attach_refused(req, found.err_value)
+            return
+        async with aclosing(found.ok_value.frames(req.offset)) as frames:
+            async for frame in frames:
+                yield frame
+
+    def _attach_refused(self, req: AttachReq, refusal: Problem) -> Refused:
+        return Refused(
+            req.request_id,
+            req.attempt,
+            req.incarnation,
+            refusal,
+            self._dispatcher.load(),
+            self._store.revision,
+        )
+
+    async def _cancel(self, req: CancelReq) -> CancelReply:
+        return self._dispatcher.cancel(req)
+
+    async def _push_config(self, msg: PushConfig) -> ConfigAck:
+        self._store.offer(msg.config)
+        return ConfigAck(self._store.revision)
+
+    async def _read_config(self, msg: ReadConfig) -> ConfigAck:
+        newer = self._store.revision > msg.revision
+        return ConfigAck(self._store.revision, self._store.config if newer else None)
--- a/gooseberrydale/process/sidecar/upstream_watch.py
+++ b/gooseberrydale/process/sidecar/upstream_watch.py
@@ -1,40 +1,131 @@
-"""Watches the upstream: whether it answers, and which life of it this is.
+"""Watches the upstream: whether it answers, which life of it this is, its load.
 
-Lives as long as the sidecar; its tasks own the connections that they open.
+Lives as long as the sidecar; each call has a connection of its own.  An upstream
+that has no health call, as many plain services, is taken as ready while it answers.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
-from gooseberrydale.connection.upstream_http import UpstreamCall, UpstreamError
+from loguru import logger
+
+from gooseberrydale.connection import upstream_api
+from gooseberrydale.connection.upstream_api import HealthReply, LoadReply
+from gooseberrydale.connection.upstream_http import UpstreamError
 from gooseberrydale.process.cfg import SidecarCfg
+from gooseberrydale.version.declarations import ProfileKind
 from gooseberrydale.version.upstream_state import UpstreamState
 
-PROBE_TIMEOUT_S = 2.0
+POLL_S = 0.5
+FAILURES_TO_UNREADY = 2
+OK = 200
+NO_HEALTH_CALL = frozenset({404, 405, 501})
+
+StateListener = Callable[[UpstreamState, UpstreamState], None]
+LoadListener = Callable[[LoadReply], None]
 
 
 class UpstreamWatch:
-    """Keeps ``state`` up to date."""
+    """Polls the upstream; ``on_state`` gets the old and the new state."""
 
-    def __init__(self, cfg: SidecarCfg) -> None:
-        self._cfg = cfg
+    def __init__(
+        self, cfg: SidecarCfg, on_state: StateListener, on_load: LoadListener
+    ) -> None:
+        self._base_url = cfg.upstream
+        self._has_load = cfg.kind == ProfileKind.COMPLETION
+        self._on_state = on_state
+        self._on_load = on_load
+        self._failures = 0
+        self._task: asyncio.Task[None] | None = None
+        self._polling = asyncio.Lock()
         self.state = UpstreamState()
+        self.seen_at = 0.0
 
     async def start(self) -> None:
-        """Start watching."""
+        """Look once, then keep watching."""
+        await self.poll()
+        self._task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
         """Stop watching."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait([self._task])
 
     async def alive(self) -> bool:
         """Whether the upstream answers anything at all on a new connection."""
-        http = UpstreamCall(self._cfg.upstream)
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                await http.open("GET", "/health")
-            return True
-        except (UpstreamError, TimeoutError):
+            await upstream_api.call(self._base_url, "GET", "/health")
+        except UpstreamError:
             return False
-        finally:
-            await http.close()
+        return True
+
+    async def poll(self) -> None:
+        """Ask for the health now.
+
+        Polls run one at a time, so that an older answer never follows a newer one.
+        """
+        async with self._polling:
+            asked_at = asyncio.get_running_loop().time()
+            try:
+                state = await self._health()
+            except UpstreamError as exc:
+                self._failed(exc)
+                return
+            self._failures = 0
+            self._set(state)
+            self.seen_at = asked_at
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(POLL_S)
+            await self.poll()
+            if self._has_load and self.state.ready:
+                await self._poll_load()
+
+    async def _health(self) -> UpstreamState:
+        reply = await upstream_api.call(self._base_url, "GET", "/health")
+        if reply.status in NO_HEALTH_CALL:
+            return UpstreamState(ready=True)
+        if reply.status != OK:
+            raise UpstreamError(f"status {reply.status}", sent=True)
+        if not self._has_load:
+            return _plain_state(reply)
+        health = reply.decode(HealthReply)
+        return UpstreamState(
+            health.ready, health.incarnation, health.model, health.weights_version
+        )
+
+    async def _poll_load(self) -> None:
+        try:
+            reply = await upstream_api.call(self._base_url, "GET", "/load")
+            if reply.status == OK:
+                self._on_load(reply.decode(LoadReply))
+        except UpstreamError as exc:
+            logger.debug("the upstream does not tell its load: {}", exc)
+
+    def _failed(self, exc: UpstreamError) -> None:
+        self._failures += 1
+        if exc.sent and self._failures < FAILURES_TO_UNREADY:
+            return
+        old = self.state
+        self._set(UpstreamState(False, old.incarnation, old.model, old.weights_version))
+
+    def _set(self, state: UpstreamState) -> None:
+        old = self.state
+        if state == old:
+            return
+        logger.info("upstream: {}", state)
+        self.state = state
+        self._on_state(old, state)
+
+
+def _plain_state(reply: upstream_api.Reply) -> UpstreamState:
+    """A plain service may answer its health call in any form."""
+    try:
+        health = reply.decode(HealthReply)
+    except UpstreamError:
+        return UpstreamState(ready=True)
+    return UpstreamState(health.ready, health.incarnation)
--- a/gooseberrydale/request/gate.py
+++ b/gooseberrydale/request/gate.py
@@ -25,6 +25,7 @@
     DEADLINE_PASSED,
     DUPLICATE_ATTEMPT,
     SHUTTING_DOWN,
+    STALE_DISPATCH,
     TOMBSTONED,
     UPSTREAM_LEAVING,
     WRONG_INCARNATION,
@@ -81,6 +82,8 @@
         self._attempts: dict[Key, _Attempt] = {}
         self._ended: deque[tuple[float, Key]] = deque()
         self._shutting_down = False
+        self._announced: deque[tuple[int, float]] = deque()
+        self._oldest_seq = 0
 
     def __len__(self) -> int:
         return len(self._attempts)
@@ -96,6 +99,24 @@
         found = self._attempts.get(key)
         return None if found is None else found.phase
 
+    def announced(self, seq: int, now: float) -> None:
+        """Note that the announcement ``seq`` goes out now."""
+        if self._announced and seq <= self._announced[-1][0]:
+            return
+        self._announced.append((seq, now))
+        self._forget_announcements(now)
+
+    def _forget_announcements(self, now: float) -> None:
+        """An announcement is too old once its successor is, too.
+
+        Until then an entry may still act on it as the newest that it has.
+        """
+        limit = now - MAX_DISPATCH_AGE_S
+        while len(self._announced) > 1 and self._announced[1][1] <= limit:
+            self._announced.popleft()
+        if self._announced:
+            self._oldest_seq = self._announced[0][0]
+
     def shut(self) -> None:
         """Refuse all that comes from now on."""
         self._shutting_down = True
@@ -105,6 +126,7 @@
     ) -> Result[Key, Problem]:
         """Take the attempt as waiting, or say why it never starts here."""
         self.expire(now)
+        self._forget_announcements(now)
         key = (req.request_id, req.attempt)
         refusal = self._refusal(req, leaving)
         if refusal is not None:
@@ -127,6 +149,8 @@
             return problem(UPSTREAM_LEAVING, upstream=self._upstream)
         if req.deadline_s <= 0:
             return problem(DEADLINE_PASSED)
+        if 0 < req.record_seq < self._oldest_seq:
+            return problem(STALE_DISPATCH, seq=req.record_seq, oldest=self._oldest_seq)
         return None
 
     def _refusal_of_known(self, req: DispatchReq, known: _Attempt) -> Problem:
--- a/gooseberrydale/request/upstream_body.py
+++ b/gooseberrydale/request/upstream_body.py
@@ -47,6 +47,7 @@
         reason = _continue(body, req)
         if reason is not None:
             return Err(problem(INVALID_FIELD, reason=reason))
+        _shorten(body, req.first_offset)
     if model:
         body["model"] = model
     body["cache_salt"] = root.hex()
@@ -70,4 +71,13 @@
     if not isinstance(prompt, str):
         return "only a 'prompt' that is a text can be resumed"
     body["prompt"] = prompt + req.emitted
+    body["continue_from_bytes"] = len(prompt.encode())
     return None
+
+
+def _shorten(body: dict[str, Any], given: int) -> None:
+    """Ask only for the tokens that are left; engines send one token an event."""
+    for name in _LIMIT_FIELDS:
+        limit = body.get(name)
+        if isinstance(limit, int):
+            body[name] = max(0, limit - given)
--- /dev/null
+++ b/gooseberrydale/version/cache_view.py
@@ -0,0 +1,116 @@
+"""Which pieces one life of an upstream holds in its cache, exactly or not at all.
+
+Lives as long as that life of the upstream under one weights version; ``begin``
+drops everything.  Pure.  Events come late, repeated, out of order and with gaps.
+While one is missing the view is incomplete and every piece counts as absent; a
+snapshot makes it complete again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from gooseberrydale.connection.upstream_api import CacheEvent, CacheSnapshot
+from gooseberrydale.errors import InvariantError
+
+MAX_PENDING = 1_024
+
+
+class CacheView:
+    """The cached keys of one upstream."""
+
+    def __init__(self) -> None:
+        self._life: tuple[str, str] = ("", "")
+        self._keys: set[str] = set()
+        self._seq: int | None = None
+        self._pending: dict[int, CacheEvent] = {}
+        self.ignored = 0
+
+    def __len__(self) -> int:
+        return len(self._keys) if self.complete else 0
+
+    @property
+    def complete(self) -> bool:
+        """True if no change up to the newest event known is missing."""
+        return self._seq is not None and not self._pending
+
+    @property
+    def seq(self) -> int:
+        """Number of the last change that is part of the view; -1 if none is."""
+        return -1 if self._seq is None else self._seq
+
+    def begin(self, incarnation: str, weights_version: str) -> bool:
+        """Start over if the upstream has another life or weights; say whether."""
+        if self._life == (incarnation, weights_version):
+            return False
+        self._life = (incarnation, weights_version)
+        self.interrupt()
+        return True
+
+    def interrupt(self) -> None:
+        """Events may have been missed; only a snapshot helps."""
+        self._keys = set()
+        self._seq = None
+        self._pending = {}
+
+    def apply(self, event: CacheEvent) -> None:
+        """Take an event in, whenever it comes."""
+        if event.incarnation != self._life[0]:
+            self.ignored += 1
+            return
+        if self._seq is not None and event.seq <= self._seq:
+            return
+        self._pending[event.seq] = event
+        if len(self._pending) > MAX_PENDING:
+            self._drop_oldest()
+        self._catch_up()
+
+    def load(self, snapshot: CacheSnapshot) -> None:
+        """Take a snapshot in, unless the view is already past it."""
+        if snapshot.incarnation != self._life[0]:
+            self.ignored += 1
+            return
+        if self._seq is not None and snapshot.seq < self._seq:
+            return
+        self._keys = set(snapshot.keys)
+        self._seq = snapshot.seq
+        self._pending = {s: e for s, e in self._pending.items() if s > snapshot.seq}
+        self._catch_up()
+
+    def cached_tokens(self, pieces: Sequence[tuple[str, int]]) -> int:
+        """Tokens at the start of a prompt that are cached.
+
+        ``pieces`` are full keys with their tokens, outermost first.  A piece counts
+        only if all before it are cached.
+        """
+        if not self.complete:
+            return 0
+        tokens = 0
+        for key, size in pieces:
+            if key not in self._keys:
+                break
+            tokens += size
+        return tokens
+
+    def missing(self, pieces: Iterable[tuple[str, int]]) -> list[tuple[str, int]]:
+        """The pieces that are not known to be cached."""
+        if not self.complete:
+            return list(pieces)
+        return [piece for piece in pieces if piece[0] not in self._keys]
+
+    def _catch_up(self) -> None:
+        if self._seq is None:
+            return
+        while (event := self._pending.pop(self._seq + 1, None)) is not None:
+            if event.seq != self._seq + 1:
+                raise InvariantError(f"event {event.seq} applied after {self._seq}")
+            self._keys.difference_update(event.removed)
+            self._keys.update(event.stored)
+            self._seq = event.seq
+
+    def _drop_oldest(self) -> None:
+        """Too many wait for one that is lost: start over from a snapshot."""
+        newest = max(self._pending)
+        kept = {newest: self._pending[newest]}
+        self.interrupt()
+        self._pending = kept
--- a/tests/builders_sidecar.py
+++ b/tests/builders_sidecar.py
@@ -15,6 +15,8 @@
 
 TOKEN = "token-of-the-tests"
 
+WATCHED = ("/load", "/cache/events", "/cache/snapshot")
+
 Writer = asyncio.StreamWriter
 Answer = Callable[["Request", Writer], Awaitable[None]]
 
@@ -32,7 +34,7 @@
 class TinyUpstream:
     """A raw HTTP server; ``answer`` writes what follows a request.
 
-    ``GET /health`` answers by itself.  ``requests`` holds all others; ``gone`` counts
+    ``GET /health`` answers by itself.  ``requests`` holds the work; ``gone`` counts
     connections that the client closed before the answer was whole.
     """
 
@@ -76,6 +78,9 @@
         if req.target == "/health":
             await send_body(writer, json.dumps(self.health).encode())
             return
+        if req.target in WATCHED:
+            await send_body(writer, b"", "404 Not Found")
+            return
         self.requests.append(req)
         answer = asyncio.create_task(self.answer(req, writer))  # type: ignore[arg-type]
         leave = asyncio.create_task(reader.read(1))
@@ -156,6 +161,7 @@
         "model": "model-a",
         "rpc": "127.0.0.1:0",
         "drain_s": 10.0,
+        "notice_s": 0.0,
     }
     return Cfg(
         node=NodeCfg(name="upstream-1"),
