Claim calls with an Idempotency-Key before they are dispatched

Cause: a bid that is sent again must not run twice, whichever entry gets it. Change: a gate before each dispatch commits or moves the claim at control; a resend gets the recorded answer, joins the running call, or learns that the outcome is unknown; work under a key goes on without its caller. Parts for the caller are made in one place for new and attached answers; requests, refusals, retries and times to first token are measured. Ruled out: gathering claims in the entry, since the leader already commits those that come together as one entry of its log.

--- a/gooseberrydale/connection/channels.py
+++ b/gooseberrydale/connection/channels.py
@@ -11,10 +11,23 @@
 import contextlib
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
+from typing import Protocol
 
-from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.rpc import RpcChannel
 
+
+class Endpoint(Protocol):
+    """One life of a process that can be called."""
+
+    @property
+    def address(self) -> str:
+        """Its gRPC listener."""
+
+    @property
+    def incarnation(self) -> str:
+        """Name of its life."""
+
+
 Key = tuple[str, str]
 Dial = Callable[[str], RpcChannel]
 
@@ -28,11 +41,11 @@
         self._users: Counter[RpcChannel] = Counter()
         self._closing: set[asyncio.Task[None]] = set()
 
-    def take(self, record: UpstreamRecord) -> RpcChannel:
+    def take(self, endpoint: Endpoint) -> RpcChannel:
         """The channel in use for this life of the sidecar, opened on first use."""
-        key = _key(record)
+        key = _key(endpoint)
         if key not in self._channels:
-            self._channels[key] = self._dial(record.address)
+            self._channels[key] = self._dial(endpoint.address)
         channel = self._channels[key]
         self._users[channel] += 1
         return channel
@@ -44,25 +57,25 @@
             del self._users[channel]
             self._close_unwanted(channel)
 
-    def replace(self, record: UpstreamRecord, silent: RpcChannel) -> RpcChannel:
+    def replace(self, endpoint: Endpoint, silent: RpcChannel) -> RpcChannel:
         """Give back ``silent`` and take another; all who meet it share the new one."""
-        if self._channels.get(_key(record)) is silent:
-            del self._channels[_key(record)]
+        if self._channels.get(_key(endpoint)) is silent:
+            del self._channels[_key(endpoint)]
         self.give_back(silent)
-        return self.take(record)
+        return self.take(endpoint)
 
     @contextlib.contextmanager
-    def using(self, record: UpstreamRecord) -> Iterator[RpcChannel]:
+    def using(self, endpoint: Endpoint) -> Iterator[RpcChannel]:
         """Take a channel for the length of a block."""
-        channel = self.take(record)
+        channel = self.take(endpoint)
         try:
             yield channel
         finally:
             self.give_back(channel)
 
-    def keep(self, records: Iterable[UpstreamRecord]) -> None:
-        """Want no channels but those of ``records`` any longer."""
-        for key in set(self._channels) - {_key(record) for record in records}:
+    def keep(self, endpoints: Iterable[Endpoint]) -> None:
+        """Want no channels but those of ``endpoints`` any longer."""
+        for key in set(self._channels) - {_key(one) for one in endpoints}:
             self._close_unwanted(self._channels.pop(key))
 
     async def close(self) -> None:
@@ -81,5 +94,5 @@
         task.add_done_callback(self._closing.discard)
 
 
-def _key(record: UpstreamRecord) -> Key:
-    return record.address, record.incarnation
+def _key(endpoint: Endpoint) -> Key:
+    return endpoint.address, endpoint.incarnation
--- a/gooseberrydale/process/entry/app.py
+++ b/gooseberrydale/process/entry/app.py
@@ -22,6 +22,7 @@
 )
 from gooseberrydale.process.entry.calls import Calls, may_call
 from gooseberrydale.process.entry.responses import JSON_TYPE, refusal
+from gooseberrydale.process.instruments import Instruments
 from gooseberrydale.request.body import CHAT_PATH, TEXT_PATH
 from gooseberrydale.version.declarations import Profile, ProfileKind, Workspace
 
@@ -35,8 +36,9 @@
 class _Endpoint:
     """Runs a handler that sends its own answer."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, instruments: Instruments) -> None:
         self._handler = handler
+        self._instruments = instruments
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -44,13 +46,14 @@
         try:
             await self._handler(req, send)
         except ProblemError as exc:
+            self._instruments.count_refusal(exc.problem.code)
             response = refusal(exc.problem, req.state.request_id)
             await response(scope, receive, send)
         except ClientDisconnect:
             return
 
 
-def make_app(calls: Calls, extra: list[Route]) -> Starlette:
+def make_app(calls: Calls, instruments: Instruments, extra: list[Route]) -> Starlette:
     """The application; ``extra`` are the routes for balancer and monitoring."""
 
     async def models(req: Request, send: Send) -> None:
@@ -67,15 +70,18 @@
                 return
         raise ProblemError(problem(UNKNOWN_PROFILE, profile=wanted))
 
+    def endpoint(handler: Handler) -> _Endpoint:
+        return _Endpoint(handler, instruments)
+
     routes = [
-        Route(CHAT_PATH, _Endpoint(calls.completion), methods=["POST"]),
-        Route(TEXT_PATH, _Endpoint(calls.completion), methods=["POST"]),
-        Route("/v1/streams", _Endpoint(calls.attach), methods=["GET"]),
-        Route("/v1/models", _Endpoint(models), methods=["GET"]),
-        Route("/v1/models/{name:path}", _Endpoint(model), methods=["GET"]),
+        Route(CHAT_PATH, endpoint(calls.completion), methods=["POST"]),
+        Route(TEXT_PATH, endpoint(calls.completion), methods=["POST"]),
+        Route("/v1/streams", endpoint(calls.attach), methods=["GET"]),
+        Route("/v1/models", endpoint(models), methods=["GET"]),
+        Route("/v1/models/{name:path}", endpoint(model), methods=["GET"]),
         Route(
             "/services/{profile}/{path:path}",
-            _Endpoint(calls.service),
+            endpoint(calls.service),
             methods=SERVICE_METHODS,
         ),
     ]
--- a/gooseberrydale/process/entry/call.py
+++ b/gooseberrydale/process/entry/call.py
@@ -9,12 +9,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncGenerator
-from typing import Protocol
+from dataclasses import dataclass
 
 import msgspec
+from starlette.requests import Request
 from starlette.responses import Response
-from starlette.types import Receive, Scope, Send
+from starlette.types import Send
 
 from gooseberrydale.errors import (
     OUTCOME_UNKNOWN,
@@ -25,8 +25,9 @@
     problem,
 )
 from gooseberrydale.process.entry.responses import error_object, refusal
+from gooseberrydale.process.instruments import Instruments
 from gooseberrydale.request.event_id import EventId
-from gooseberrydale.request.job import Events, Head, Part
+from gooseberrydale.request.job import Answering, Events, Head, Part
 
 SSE_HEADERS = (
     (b"content-type", b"text/event-stream; charset=utf-8"),
@@ -48,14 +49,17 @@
 COME_BACK_S = 1.0
 
 
-class Answering(Protocol):
-    """What produces the parts of an answer."""
+@dataclass(frozen=True, slots=True)
+class CallInfo:
+    """What is said of a call beside its answer.
 
-    def answer(self) -> AsyncGenerator[Part, None]:
-        """Parts of the answer; an end without an error means that it is whole."""
+    ``may_resend`` says that the caller may send the same call again, since it may
+    be repeated or carries an Idempotency-Key.
+    """
 
-    def hand_over(self) -> None:
-        """Leave the answer running at its sidecar when ``answer`` is closed."""
+    request_id: str
+    profile: str
+    may_resend: bool
 
 
 class Call:
@@ -64,22 +68,23 @@
     def __init__(
         self,
         source: Answering,
-        request_id: str,
-        repeatable: bool,
-        scope: Scope,
-        receive: Receive,
+        info: CallInfo,
+        instruments: Instruments,
+        req: Request,
         send: Send,
     ) -> None:
         self._source = source
-        self._request_id = request_id
-        self._repeatable = repeatable
-        self._scope = scope
-        self._receive = receive
+        self._info = info
+        self._instruments = instruments
+        self._scope = req.scope
+        self._receive = req.receive
         self._send = send
         self._task: asyncio.Task[None] | None = None
         self._head: Head | None = None
         self._last_id: EventId | None = None
         self._handing_over = False
+        self._started_at = asyncio.get_running_loop().time()
+        self._has_text = False
 
     async def serve(self) -> None:
         """Run until the answer is sent, the caller is gone or it is handed over."""
@@ -95,11 +100,13 @@
             self._task.result()
         elif self._handing_over:
             await self._end_handed_over()
+        else:
+            self._count("caller_gone")
 
     def hand_over(self) -> None:
         """End the call here, so that the caller can go on at another entry."""
         self._handing_over = True
-        if self._is_streaming or not self._repeatable:
+        if self._is_streaming or not self._info.may_resend:
             self._source.hand_over()
         if self._task is not None:
             self._task.cancel()
@@ -118,6 +125,7 @@
             return
         if self._is_streaming:
             await self._send_body(DONE_EVENT, more=False)
+        self._count("ok")
 
     async def _send_part(self, part: Part) -> None:
         if isinstance(part, Head):
@@ -134,37 +142,56 @@
             return
         lines = []
         for offset, event in enumerate(part.events, part.offset):
-            name = EventId(part.upstream, part.incarnation, self._request_id, offset)
+            name = EventId(
+                part.upstream, part.incarnation, self._info.request_id, offset
+            )
             lines.append(b"id: %b\ndata: %b\n\n" % (str(name).encode(), event))
-        await self._send_body(b"".join(lines), more=True)
+        data = b"".join(lines)
+        await self._send_body(data, more=True)
         self._last_id = name
+        self._note_sent(len(data))
 
     async def _send_whole(self, part: Events) -> None:
         assert self._head is not None
-        response = Response(b"".join(part.events), status_code=self._head.status)
+        body = b"".join(part.events)
+        self._note_sent(len(body))
+        response = Response(body, status_code=self._head.status)
         for name, value in self._head.headers:
             if name.lower() not in DROPPED_HEADERS:
                 response.headers.append(name, value)
         await response(self._scope, self._receive, self._send)
 
+    def _note_sent(self, size: int) -> None:
+        tally = self._instruments.tally
+        tally.chunks += 1
+        tally.chunk_bytes += size
+        if not self._has_text:
+            self._has_text = True
+            waited_s = asyncio.get_running_loop().time() - self._started_at
+            self._instruments.observe_ttft(self._info.profile, waited_s)
+
+    def _count(self, outcome: str) -> None:
+        self._instruments.count_request(self._info.profile, outcome)
+
     async def _end_failed(self, why: Problem) -> None:
+        self._count(why.code)
         if self._is_streaming:
             await self._send_body(self._error_event(why), more=False)
             return
-        response = refusal(why, self._request_id)
+        response = refusal(why, self._info.request_id)
         await response(self._scope, self._receive, self._send)
 
     async def _end_handed_over(self) -> None:
         if self._is_streaming:
             why = problem(STREAM_HANDED_OVER, not_run=False, retry_after_s=0.0)
-        elif self._repeatable:
+        elif self._info.may_resend:
             why = problem(SHUTTING_DOWN, not_run=None, retry_after_s=COME_BACK_S)
         else:
             why = problem(OUTCOME_UNKNOWN, not_run=None)
         await self._end_failed(why)
 
     def _error_event(self, why: Problem) -> bytes:
-        data = msgspec.json.encode(error_object(why, self._request_id))
+        data = msgspec.json.encode(error_object(why, self._info.request_id))
         # Repeating the last id keeps it the client's last event id.
         mark = f"id: {self._last_id}\n".encode() if self._last_id else b""
         return b"%bdata: %b\n\n" % (mark, data)
--- a/gooseberrydale/process/entry/calls.py
+++ b/gooseberrydale/process/entry/calls.py
@@ -22,12 +22,14 @@
     ProblemError,
     problem,
 )
-from gooseberrydale.process.entry.call import Answering, Call
-from gooseberrydale.request.attached import AttachedAnswer
+from gooseberrydale.process.entry.call import Call, CallInfo
+from gooseberrydale.request.attached import AttachedAnswer, AttachTarget
 from gooseberrydale.request.body import CHAT_PATH, parse_completion, read_body
+from gooseberrydale.request.claim_gate import ClaimStore, OpenGate
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.event_id import EventId, parse_event_id
-from gooseberrydale.request.job import Job
+from gooseberrydale.request.job import Answering, Job
+from gooseberrydale.request.keyed import KeyedAnswer
 from gooseberrydale.request.prompt import prompt_pieces
 from gooseberrydale.request.runner import Runner
 from gooseberrydale.version.declarations import (
@@ -40,6 +42,7 @@
 
 T = TypeVar("T")
 
+IDEMPOTENCY_KEY = "idempotency-key"
 LAST_EVENT_ID = "last-event-id"
 COME_BACK_S = 1.0
 FIRST_RECORDS_S = 1.0
@@ -64,8 +67,9 @@
 class Calls:
     """Handlers of the paths that run work."""
 
-    def __init__(self, deps: Deps) -> None:
+    def __init__(self, deps: Deps, claims: ClaimStore) -> None:
         self._deps = deps
+        self._claims = claims
         self._keys = KeyIndex(deps.store.config)
         self._open: set[Call] = set()
 
@@ -106,6 +110,8 @@
             body=checked.for_model(profile.model),
             headers=(("content-type", "application/json"),),
             stream=checked.stream,
+            idempotency_key=_claim_key(req, profile),
+            single=checked.single,
             wants_usage=checked.wants_usage,
             pieces=prompt_pieces(req.url.path, checked.raw),
         )
@@ -125,6 +131,7 @@
             path=_service_path(req),
             body=body,
             headers=_public_headers(req),
+            idempotency_key=_claim_key(req, profile),
         )
         await self._run(job, req, send)
 
@@ -149,25 +156,33 @@
                 )
             )
         name = profile.name if profile else self._only_profile(workspace, record.pool)
-        answer = AttachedAnswer(self._deps, record, last, workspace.name, name)
-        await self._serve(answer, last.request_id, True, req, send)
+        target = AttachTarget(
+            endpoint=record,
+            upstream=record.name,
+            request_id=last.request_id,
+            offset=last.offset + 1,
+            workspace=workspace.name,
+            profile=name,
+        )
+        call = CallInfo(last.request_id, name, may_resend=True)
+        await self._serve(AttachedAnswer(self._deps, target), call, req, send)
 
     async def _run(self, job: Job, req: Request, send: Send) -> None:
         pool = job.profile.pool
         await self._first(lambda: bool(self._deps.directory.ready(pool, _now())))
-        runner = Runner(self._deps, job)
-        repeatable = job.profile.repeatable
-        await self._serve(runner, job.request_id, repeatable, req, send)
+        may_resend = job.profile.repeatable or bool(job.idempotency_key)
+        info = CallInfo(job.request_id, job.profile.name, may_resend)
+        await self._serve(self._answering(job), info, req, send)
+
+    def _answering(self, job: Job) -> Answering:
+        if job.idempotency_key:
+            return KeyedAnswer(self._deps, job, self._claims)
+        return Runner(self._deps, job, OpenGate())
 
     async def _serve(
-        self,
-        answer: Answering,
-        request_id: str,
-        repeatable: bool,
-        req: Request,
-        send: Send,
+        self, answer: Answering, info: CallInfo, req: Request, send: Send
     ) -> None:
-        call = Call(answer, request_id, repeatable, req.scope, req.receive, send)
+        call = Call(answer, info, self._deps.instruments, req, send)
         self._open.add(call)
         try:
             await call.serve()
@@ -226,6 +241,11 @@
     return asyncio.get_running_loop().time()
 
 
+def _claim_key(req: Request, profile: Profile) -> str:
+    """The key under which a call is claimed; what may be repeated needs no claim."""
+    return "" if profile.repeatable else req.headers.get(IDEMPOTENCY_KEY, "")
+
+
 def _service_path(req: Request) -> str:
     """Path below the profile's name as the caller wrote it, with its query."""
     raw: bytes = req.scope.get("raw_path") or req.scope["path"].encode()
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -17,9 +17,11 @@
 from gooseberrydale.process.cfg import Cfg, EntryCfg, TlsCfg
 from gooseberrydale.process.entry.app import make_app
 from gooseberrydale.process.entry.calls import Calls
+from gooseberrydale.process.entry.claims import ClaimClient
 from gooseberrydale.process.entry.gatekeeper import Gatekeeper, Phase
-from gooseberrydale.process.entry.http_server import HttpServer
+from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh
+from gooseberrydale.process.metrics import Metrics
 from gooseberrydale.request.background import Background
 from gooseberrydale.request.baselines import make_policy
 from gooseberrydale.request.config_sync import ConfigSync
@@ -32,7 +34,7 @@
 UNREADY_SHARE = 0.1
 UNREADY_MAX_S = 2.0
 LAST_ANSWERS_S = 2.0
-KEEP_CHANNELS_S = 1.0
+HOUSEKEEPING_S = 1.0
 DRAIN_POLL_S = 0.02
 OK = 200
 UNAVAILABLE = 503
@@ -66,6 +68,8 @@
         self._mesh.register(self._rpc)
         self._housekeeping: asyncio.Task[None] | None = None
         self._background = Background()
+        self._metrics = Metrics(ENTRY_ROLE, cfg.node.name, cfg.node.zone)
+        self._claims = ClaimClient(cfg.fleet.controls, self._dial, self._rng)
         self._calls: Calls | None = None
         self._keeper: Gatekeeper | None = None
         self._http: HttpServer | None = None
@@ -95,15 +99,21 @@
             budget=RetryBudget(self._cfg.retry_ratio),
             background=self._background,
             config_sync=ConfigSync(self.store, self._pool, self._background),
+            instruments=self._metrics.instruments,
             fresh_until=now + FRESH_S,
         )
-        self._calls = Calls(deps)
-        routes = [Route("/livez", _livez), Route("/readyz", self._readyz)]
-        self._keeper = Gatekeeper(make_app(self._calls, routes), self._rng)
+        self._calls = Calls(deps, self._claims)
+        routes = [
+            Route("/livez", _livez),
+            Route("/readyz", self._readyz),
+            self._metrics.route(),
+        ]
+        app = make_app(self._calls, self._metrics.instruments, routes)
+        self._keeper = Gatekeeper(app, self._metrics.instruments, self._rng)
         self._http = HttpServer(self._keeper, self._cfg.http, self._cfg.tls)
         await self._rpc.start()
         await self._mesh.start()
-        self._housekeeping = asyncio.create_task(self._keep_channels())
+        self._housekeeping = asyncio.create_task(self._keep_house())
         await self._http.start()
         logger.info("entry serves on {}", self.addresses)
 
@@ -132,7 +142,9 @@
         if self._housekeeping is not None:
             self._housekeeping.cancel()
         await self._mesh.close()
+        await self._claims.close()
         await self._pool.close()
+        self._metrics.close()
         await self._rpc.close()
         logger.info("entry closed")
 
@@ -142,12 +154,18 @@
         while self._keeper.open_requests and loop.time() < until:
             await asyncio.sleep(DRAIN_POLL_S)
 
-    async def _keep_channels(self) -> None:
-        """Close channels of sidecars whose lease has ended."""
+    async def _keep_house(self) -> None:
+        """Close channels of sidecars whose lease has ended; set the levels."""
         loop = asyncio.get_running_loop()
+        level = self._metrics.instruments.level
         while True:
-            await asyncio.sleep(KEEP_CHANNELS_S)
-            self._pool.keep(self.directory.records(loop.time()))
+            records = self.directory.records(loop.time())
+            self._pool.keep(records)
+            level.upstreams_known = len(records)
+            level.cfg_revision = self.store.revision
+            level.sessions = len(self._mesh.peers())
+            level.running = self._keeper.open_requests if self._keeper else 0
+            await asyncio.sleep(HOUSEKEEPING_S)
 
     def _dial(self, address: str) -> RpcChannel:
         return RpcChannel(address, self._token, self._tls)
--- a/gooseberrydale/process/entry/gatekeeper.py
+++ b/gooseberrydale/process/entry/gatekeeper.py
@@ -23,6 +23,7 @@
     problem,
 )
 from gooseberrydale.process.entry.responses import refusal
+from gooseberrydale.process.instruments import Instruments
 
 ID_BITS = 128
 COME_BACK_S = 1.0
@@ -40,8 +41,11 @@
 class Gatekeeper:
     """Wraps the application; ``phase`` is set by the process."""
 
-    def __init__(self, app: ASGIApp, rng: random.Random) -> None:
+    def __init__(
+        self, app: ASGIApp, instruments: Instruments, rng: random.Random
+    ) -> None:
         self._app = app
+        self._instruments = instruments
         self._rng = rng
         self.phase = Phase.SERVING
         self.open_requests = 0
@@ -61,6 +65,7 @@
     async def _serve(self, answer: _Answer, scope: Scope, receive: Receive) -> None:
         if self.phase is Phase.REFUSING and scope["path"] not in ALWAYS_SERVED:
             why = problem(SHUTTING_DOWN, retry_after_s=COME_BACK_S)
+            self._instruments.count_refusal(why.code)
             await answer.refuse(why, scope, receive)
             return
         try:
--- a/gooseberrydale/request/attached.py
+++ b/gooseberrydale/request/attached.py
@@ -1,4 +1,4 @@
-"""The rest of a stream that was started by way of another entry.
+"""The rest of an answer that runs already, started by way of another request.
 
 Lives for one request.  It can't be resumed on another upstream, since the text that
 the caller has got is not known here; it ends with an error if its sidecar is lost.
@@ -7,17 +7,17 @@
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator
+from dataclasses import dataclass
 
-from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.channels import Endpoint
 from gooseberrydale.connection.messages import CancelReq, Frame, Heartbeat
 from gooseberrydale.errors import STREAM_INCOMPLETE, ProblemError, problem
 from gooseberrydale.request.cancel import cancel
 from gooseberrydale.request.deps import Deps
-from gooseberrydale.request.event_id import EventId
 from gooseberrydale.request.exchange import Exchange, ExchangeLost
-from gooseberrydale.request.job import Events, Head, Part
+from gooseberrydale.request.job import Part
+from gooseberrydale.request.parts import PartMaker
 from gooseberrydale.request.reassembly import (
-    DONE_EVENT,
     Broken,
     Deliver,
     Finished,
@@ -25,32 +25,42 @@
     Reassembly,
     Start,
 )
-from gooseberrydale.request.rewrite import Rewriter
+
+
+@dataclass(frozen=True, slots=True)
+class AttachTarget:
+    """What to attach to, and the offset of the first event wanted.
+
+    ``upstream`` is the sidecar's name, ``profile`` the name that the answer carries
+    (empty leaves the answer as it is), ``streamed`` whether the caller wants events.
+    """
+
+    endpoint: Endpoint
+    upstream: str
+    request_id: str
+    offset: int
+    workspace: str
+    profile: str
+    streamed: bool = True
 
 
 class AttachedAnswer:
-    """Goes on after the event ``last``; use ``answer`` once, within ``aclosing``."""
-
-    def __init__(
-        self,
-        deps: Deps,
-        record: UpstreamRecord,
-        last: EventId,
-        workspace: str,
-        profile: str,
-    ) -> None:
+    """Goes on with a running answer; use ``answer`` once, within ``aclosing``."""
+
+    def __init__(self, deps: Deps, target: AttachTarget) -> None:
         self._deps = deps
-        self._record = record
-        self._workspace = workspace
-        self._request_id = last.request_id
-        self._rewriter = Rewriter(last.request_id, profile)
-        self._reassembly = Reassembly(last.request_id, last.offset + 1)
+        self._target = target
+        self._parts = PartMaker(target.request_id, target.profile, target.streamed)
+        self._parts.begin(target.upstream, target.endpoint.incarnation)
+        self._reassembly = Reassembly(target.request_id, target.offset)
         self._attempt: int | None = None
-        self._head: Head | None = None
-        self._whole = False
         self._handed_over = False
         self._exchange = Exchange(
-            deps.pool, record, last.request_id, workspace, deps.cfg.silence_s
+            deps.pool,
+            target.endpoint,
+            target.request_id,
+            target.workspace,
+            deps.cfg.silence_s,
         )
 
     def hand_over(self) -> None:
@@ -58,10 +68,10 @@
         self._handed_over = True
 
     async def answer(self) -> AsyncGenerator[Part, None]:
-        """The rest of the stream; raises :class:`ProblemError` if it breaks off."""
+        """The rest of the answer; raises :class:`ProblemError` if it breaks off."""
         self._attach()
         try:
-            while not self._whole:
+            while not self._reassembly.finished:
                 for part in await self._step():
                     yield part
         finally:
@@ -78,12 +88,11 @@
         for action in self._reassembly.feed(frame):
             match action:
                 case Start():
-                    self._head = Head(action.status, action.headers, True)
+                    self._parts.start(action)
                 case Deliver():
-                    parts += self._deliver(action)
+                    parts += self._parts.deliver(action)
                 case Finished():
-                    parts += self._first_parts()
-                    self._whole = True
+                    parts += self._parts.finish()
                 case NeedAttach():
                     self._attach()
                 case Broken():
@@ -95,33 +104,27 @@
             raise ProblemError(problem(STREAM_INCOMPLETE, not_run=False))
         self._exchange.attach(self._reassembly.next_offset)
         self._reassembly.attached()
+        self._deps.instruments.attaches.add(1)
 
     def _learn_attempt(self, frame: Frame) -> None:
-        """The first frame names the attempt; the event id does not."""
+        """The first frame names the attempt; nothing before it does."""
         if self._attempt is not None or isinstance(frame, Heartbeat):
             return
         if self._exchange.is_current(frame):
             self._attempt = frame.attempt
-            self._reassembly.begin(frame.attempt, self._record.incarnation)
-
-    def _deliver(self, action: Deliver) -> list[Part]:
-        events = [e for e in action.events if e.strip() != DONE_EVENT]
-        texts = tuple(self._rewriter.event(event) for event in events)
-        record = self._record
-        part = Events(record.name, record.incarnation, action.offset, texts)
-        return [*self._first_parts(), part]
-
-    def _first_parts(self) -> list[Part]:
-        head, self._head = self._head, None
-        return [] if head is None else [head]
+            self._reassembly.begin(frame.attempt, self._target.endpoint.incarnation)
 
     def _release(self) -> None:
         self._exchange.stop()
-        if self._whole or self._handed_over or self._attempt is None:
+        if self._reassembly.finished or self._handed_over or self._attempt is None:
             return
         req = CancelReq(
-            self._request_id, self._attempt, self._record.incarnation, self._workspace
+            self._target.request_id,
+            self._attempt,
+            self._target.endpoint.incarnation,
+            self._target.workspace,
         )
-        self._deps.background.spawn(
-            cancel(self._deps.pool, self._record, req, self._deps.cfg.silence_s)
+        work = cancel(
+            self._deps.pool, self._target.endpoint, req, self._deps.cfg.silence_s
         )
+        self._deps.background.spawn(work)
--- a/gooseberrydale/request/background.py
+++ b/gooseberrydale/request/background.py
@@ -15,11 +15,18 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[Any]] = set()
 
-    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run ``work``; what it raises is logged."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._done)
+        return task
+
+    async def run_at_most(
+        self, work: Coroutine[Any, Any, Any], timeout_s: float
+    ) -> None:
+        """Wait for ``work`` so long; it goes on after that."""
+        await asyncio.wait({self.spawn(work)}, timeout=timeout_s)
 
     async def close(self, grace_s: float) -> None:
         """Let the tasks finish for ``grace_s`` seconds, then cancel them."""
--- a/gooseberrydale/request/body.py
+++ b/gooseberrydale/request/body.py
@@ -64,6 +64,13 @@
     stream: bool
     raw: dict[str, Any]
 
+    @property
+    def single(self) -> bool:
+        """Whether one text alone is asked for."""
+        prompt = self.raw.get("prompt")
+        is_batch = isinstance(prompt, list) and not isinstance(prompt[0], int)
+        return self.raw.get("n") in (None, 1) and not is_batch
+
     @property
     def wants_usage(self) -> bool:
         """Whether a streamed answer ends with an event of its usage."""
--- a/gooseberrydale/request/cancel.py
+++ b/gooseberrydale/request/cancel.py
@@ -12,9 +12,8 @@
 import grpc.aio
 from loguru import logger
 
-from gooseberrydale.connection.channels import ChannelPool
+from gooseberrydale.connection.channels import ChannelPool, Endpoint
 from gooseberrydale.connection.codec import CodecError
-from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import CancelReply, CancelReq
 from gooseberrydale.connection.rpc import CANCEL, RpcChannel
 
@@ -22,16 +21,16 @@
 
 
 async def cancel(
-    pool: ChannelPool, upstream: UpstreamRecord, req: CancelReq, timeout_s: float
+    pool: ChannelPool, sidecar: Endpoint, req: CancelReq, timeout_s: float
 ) -> CancelReply | None:
     """Send ``req``, a second time over a new connection; None if nobody answered."""
-    channel = pool.take(upstream)
+    channel = pool.take(sidecar)
     try:
         for _ in range(TRIES):
             reply = await _try(channel, req, timeout_s)
             if reply is not None:
                 return reply
-            channel = pool.replace(upstream, channel)
+            channel = pool.replace(sidecar, channel)
         return None
     finally:
         pool.give_back(channel)
@@ -55,8 +54,8 @@
 
 
 async def confirm_not_run(
-    pool: ChannelPool, upstream: UpstreamRecord, req: CancelReq, timeout_s: float
+    pool: ChannelPool, sidecar: Endpoint, req: CancelReq, timeout_s: float
 ) -> bool:
     """Whether the sidecar confirmed that the attempt did not and will not start."""
-    reply = await cancel(pool, upstream, req, timeout_s)
+    reply = await cancel(pool, sidecar, req, timeout_s)
     return reply is not None and reply.not_run
--- a/gooseberrydale/request/deps.py
+++ b/gooseberrydale/request/deps.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from gooseberrydale.connection.channels import ChannelPool
 from gooseberrydale.process.cfg import EntryCfg, NodeCfg
+from gooseberrydale.process.instruments import Instruments
 from gooseberrydale.request.background import Background
 from gooseberrydale.request.config_sync import ConfigSync
 from gooseberrydale.request.retry import RetryBudget
@@ -14,15 +15,6 @@
 from gooseberrydale.version.directory import Directory
 
 
-@dataclass(slots=True)
-class Counters:
-    """Counts since the process started."""
-
-    dropped_frames: int = 0
-    attached: int = 0
-    retried: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class Deps:
     """Shared parts that a request uses but does not own.
@@ -40,5 +32,5 @@
     budget: RetryBudget
     background: Background
     config_sync: ConfigSync
+    instruments: Instruments
     fresh_until: float = 0.0
-    counters: Counters = field(default_factory=Counters)
--- a/gooseberrydale/request/exchange.py
+++ b/gooseberrydale/request/exchange.py
@@ -12,9 +12,8 @@
 
 import grpc.aio
 
-from gooseberrydale.connection.channels import ChannelPool
+from gooseberrydale.connection.channels import ChannelPool, Endpoint
 from gooseberrydale.connection.codec import CodecError
-from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import (
     AttachReq,
     DispatchReq,
@@ -46,12 +45,12 @@
     def __init__(
         self,
         pool: ChannelPool,
-        upstream: UpstreamRecord,
+        sidecar: Endpoint,
         request_id: str,
         workspace: str,
         silence_s: float,
     ) -> None:
-        self.upstream = upstream
+        self.sidecar = sidecar
         self._pool = pool
         self._request_id = request_id
         self._workspace = workspace
@@ -76,7 +75,7 @@
 
     async def dispatch(self, req: DispatchReq, until: float | None) -> None:
         """Send the attempt; if no connection stands it is known not to be sent."""
-        self._channel = self._pool.take(self.upstream)
+        self._channel = self._pool.take(self.sidecar)
         await self._connect(self._channel, until)
         self._start(self._channel, DISPATCH, req)
 
@@ -87,11 +86,11 @@
         if self._call is not None:
             self._call.cancel()
         if self._channel is None:
-            self._channel = self._pool.take(self.upstream)
+            self._channel = self._pool.take(self.sidecar)
         else:
-            self._channel = self._pool.replace(self.upstream, self._channel)
+            self._channel = self._pool.replace(self.sidecar, self._channel)
         req = AttachReq(
-            self._request_id, self.upstream.incarnation, self._workspace, offset
+            self._request_id, self.sidecar.incarnation, self._workspace, offset
         )
         self._start(self._channel, ATTACH, req)
 
@@ -127,7 +126,7 @@
             return False
         if isinstance(frame, Heartbeat):
             return True
-        return frame.incarnation == self.upstream.incarnation
+        return frame.incarnation == self.sidecar.incarnation
 
     def stop(self) -> None:
         """Drop the call; the sidecar goes on until it is told to cancel."""
@@ -144,7 +143,7 @@
                     return
         except TimeoutError:
             _check_deadline(until)
-        self._channel = self._pool.replace(self.upstream, channel)
+        self._channel = self._pool.replace(self.sidecar, channel)
         raise ExchangeLost(Cause.NOT_SENT, "no connection to the sidecar")
 
     def _start(
--- a/gooseberrydale/request/job.py
+++ b/gooseberrydale/request/job.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
+from typing import Protocol
 
 from gooseberrydale.connection.messages import Piece
 from gooseberrydale.version.declarations import Profile, ProfileKind
@@ -13,7 +15,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Job:
-    """An authenticated and checked request."""
+    """An authenticated and checked request.
+
+    ``single`` says that the answer is one text and no more, so that another upstream
+    can go on with it.  ``wants_usage`` asks for an event after the text's last one.
+    """
 
     request_id: str
     workspace: str
@@ -23,6 +29,7 @@
     body: bytes
     headers: tuple[tuple[str, str], ...] = ()
     stream: bool = False
+    single: bool = True
     wants_usage: bool = False
     pieces: tuple[Piece, ...] = ()
     idempotency_key: str = ""
@@ -60,3 +67,13 @@
 
 
 Part = Head | Events
+
+
+class Answering(Protocol):
+    """What produces the parts of an answer."""
+
+    def answer(self) -> AsyncGenerator[Part, None]:
+        """Parts of the answer; an end without an error means that it is whole."""
+
+    def hand_over(self) -> None:
+        """Leave the answer running at its sidecar when ``answer`` is closed."""
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -25,17 +25,17 @@
 from gooseberrydale.errors import (
     DEADLINE_PASSED,
     OUTCOME_UNKNOWN,
-    InvariantError,
     Problem,
     ProblemError,
     problem,
 )
 from gooseberrydale.request.cancel import cancel, confirm_not_run
+from gooseberrydale.request.claim_gate import Gate
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.exchange import DeadlinePassed, Exchange, ExchangeLost
-from gooseberrydale.request.job import Events, Head, Job, Part
+from gooseberrydale.request.job import Job, Part
+from gooseberrydale.request.parts import PartMaker
 from gooseberrydale.request.reassembly import (
-    DONE_EVENT,
     Broken,
     Deliver,
     Finished,
@@ -53,10 +53,8 @@
     Retry,
     next_step,
 )
-from gooseberrydale.request.rewrite import Rewriter
 from gooseberrydale.request.routing import Choice, RouteReq
 
-STATUS_OK = 200
 COME_BACK_S = 1.0
 CONFIRM_AT_DEADLINE_S = 0.25
 RESUME_WAIT_S = 3.0
@@ -68,10 +66,12 @@
 class Runner:
     """Runs one :class:`Job`; use ``answer`` once, within ``aclosing``."""
 
-    def __init__(self, deps: Deps, job: Job) -> None:
+    def __init__(self, deps: Deps, job: Job, gate: Gate) -> None:
         self._deps = deps
         self._job = job
-        self._rewriter = Rewriter(job.request_id, job.profile.name)
+        self._gate = gate
+        profile = job.profile.name if job.is_completion else ""
+        self._parts = PartMaker(job.request_id, profile, job.stream)
         self._reassembly = Reassembly(job.request_id)
         self._choice: Choice | None = None
         self._exchange: Exchange | None = None
@@ -80,9 +80,6 @@
         self._may_have_run = False
         self._tried: dict[str, str] = {}
         self._last_problem: Problem | None = None
-        self._head: Head | None = None
-        self._held: list[bytes] = []
-        self._given = False
         self._whole = False
         self._handed_over = False
         self._deadline = self._now() + job.profile.deadline_s
@@ -105,13 +102,14 @@
             raise ProblemError(await self._deadline_problem()) from None
         finally:
             self._release()
+            self._count_dropped()
 
     async def _step(self) -> list[Part]:
         """Go on by one frame, or deal with one failure."""
         try:
             if self._exchange is None:
-                await self._start()
-            assert self._exchange is not None
+                self._exchange = await self._start()
+                await self._send(self._exchange)
             frame = await self._exchange.next(self._until())
         except ExchangeLost as exc:
             logger.info("attempt of {} lost: {}", self._job.request_id, exc)
@@ -125,12 +123,12 @@
         for action in self._reassembly.feed(frame):
             match action:
                 case Start():
-                    streamed = self._job.stream and action.status == STATUS_OK
-                    self._head = Head(action.status, action.headers, streamed)
+                    self._parts.start(action)
                 case Deliver():
-                    parts += self._deliver(action)
+                    parts += self._parts.deliver(action)
                 case Finished():
-                    parts += self._finish()
+                    parts += self._parts.finish()
+                    self._whole = True
                 case NeedAttach():
                     await self._decide(self._outcome(Cause.GAP))
                 case Broken():
@@ -138,43 +136,6 @@
                     await self._decide(self._outcome(cause, action.problem))
         return parts
 
-    def _deliver(self, action: Deliver) -> list[Part]:
-        if not self._is_streamed:
-            self._held.extend(action.events)
-            return []
-        parts = self._first_parts()
-        events = [e for e in action.events if e.strip() != DONE_EVENT]
-        texts = tuple(self._rewriter.event(event) for event in events)
-        parts.append(self._events(action.offset, texts))
-        return parts
-
-    def _finish(self) -> list[Part]:
-        self._whole = True
-        parts = self._first_parts()
-        if not self._is_streamed:
-            body = b"".join(self._held)
-            if self._job.is_completion:
-                body = self._rewriter.body(body)
-            parts.append(self._events(0, (body,)))
-        return parts
-
-    def _first_parts(self) -> list[Part]:
-        if self._given:
-            return []
-        if self._head is None:
-            raise InvariantError(f"{self._job.request_id} has an answer but no head")
-        self._given = True
-        return [self._head]
-
-    def _events(self, offset: int, events: tuple[bytes, ...]) -> Events:
-        assert self._exchange is not None
-        record = self._exchange.upstream
-        return Events(record.name, record.incarnation, offset, events)
-
-    @property
-    def _is_streamed(self) -> bool:
-        return self._head is not None and self._head.streamed
-
     def _learn(self, frame: Frame) -> None:
         assert self._exchange is not None and self._choice is not None
         if not self._exchange.is_current(frame):
@@ -184,38 +145,41 @@
         self._deps.policy.observe(self._choice, frame, self._now())
         if isinstance(frame, Accepted):
             self._accepted = True
+            tally = self._deps.instruments.tally
+            tally.prompt_tokens += sum(piece.tokens for piece in self._job.pieces)
+            tally.cached_tokens += frame.cached_tokens
         if isinstance(frame, Accepted | Refused):
             self._deps.config_sync.notice(self._choice.record, frame.cfg_revision)
 
-    async def _start(self) -> None:
+    async def _start(self) -> Exchange:
         """Begin another attempt on an upstream that was not tried yet."""
         self._choice = await self._choose()
         record = self._choice.record
+        await self._gate.admit(record, self._attempt + 1)
         self._tried[record.name] = record.incarnation
         self._attempt += 1
         self._accepted = False
-        if not self._given:
-            self._head = None
-            self._held.clear()
+        self._parts.begin(record.name, record.incarnation)
+        if not self._parts.given:
+            self._count_dropped()
             self._reassembly = Reassembly(self._job.request_id)
-        first_offset = self._reassembly.begin(self._attempt, record.incarnation)
-        self._exchange = Exchange(
+        self._reassembly.begin(self._attempt, record.incarnation)
+        return Exchange(
             self._deps.pool,
             record,
             self._job.request_id,
             self._job.workspace,
             self._deps.cfg.silence_s,
         )
-        req = self._dispatch_req(record.incarnation, first_offset)
-        await self._exchange.dispatch(req, self._until())
-        self._deps.policy.dispatched(self._choice, self._now())
 
-    def _dispatch_req(self, incarnation: str, first_offset: int) -> DispatchReq:
+    async def _send(self, exchange: Exchange) -> None:
+        assert self._choice is not None
+        first_offset = self._reassembly.next_offset
         emitted = self._reassembly.emitted_text() if first_offset else ""
-        return DispatchReq(
+        req = DispatchReq(
             request_id=self._job.request_id,
             attempt=self._attempt,
-            incarnation=incarnation,
+            incarnation=exchange.sidecar.incarnation,
             workspace=self._job.workspace,
             profile=self._job.profile.name,
             method=self._job.method,
@@ -229,7 +193,10 @@
             cfg_revision=self._deps.store.revision,
             emitted=emitted or "",
             first_offset=first_offset,
+            claim_key=self._job.idempotency_key,
         )
+        await exchange.dispatch(req, self._until())
+        self._deps.policy.dispatched(self._choice, self._now())
 
     async def _choose(self) -> Choice:
         """Choose an upstream; a stream that broke off waits a moment for one."""
@@ -240,11 +207,18 @@
             found = self._deps.policy.choose(self._route_req(), upstreams, now)
             if not isinstance(found, Err):
                 return found.ok_value
-            if not self._given or now >= until:
-                raise ProblemError(self._last_problem or found.err_value)
+            if not self._parts.given or now >= until:
+                raise ProblemError(self._honest(found.err_value))
             self._tried.clear()
             await asyncio.sleep(RESUME_POLL_S)
 
+    def _honest(self, why: Problem) -> Problem:
+        """The refusal met before says more than that no upstream is left."""
+        why = self._last_problem or why
+        if self._parts.given:
+            return why.with_outcome(False)
+        return why.with_outcome(None) if self._may_have_run else why
+
     def _route_req(self) -> RouteReq:
         now = self._now()
         leaving = self._deps.store.config.leaving
@@ -265,18 +239,25 @@
 
     def _outcome(self, cause: Cause, why: Problem | None = None) -> Outcome:
         assert self._exchange is not None
-        text = self._reassembly.emitted_text() if self._given else ""
+        given = self._parts.given
         return Outcome(
             cause=cause,
             attempt=self._attempt,
             accepted=self._accepted,
-            delivered=self._reassembly.next_offset if self._given else 0,
+            delivered=self._reassembly.next_offset if given else 0,
             problem=why,
             attach_tried=self._exchange.attach_tried,
-            resumable=text is not None and self._rewriter.resumable,
+            resumable=self._can_resume(),
             earlier_may_have_run=self._may_have_run,
         )
 
+    def _can_resume(self) -> bool:
+        if not self._parts.given:
+            return True
+        if not self._job.single or not self._parts.resumable:
+            return False
+        return self._reassembly.emitted_text() is not None
+
     async def _decide(self, outcome: Outcome) -> None:
         """Carry out what the end of an attempt calls for."""
         assert self._exchange is not None and self._choice is not None
@@ -293,21 +274,24 @@
             case Attach():
                 self._exchange.attach(self._reassembly.next_offset)
                 self._reassembly.attached()
-                self._deps.counters.attached += 1
+                self._deps.instruments.attaches.add(1)
             case Confirm():
-                await self._decide(await self._confirm(outcome))
+                await self._decide(await self._confirm(self._exchange, outcome))
             case Retry() | Resume():
                 self._may_have_run = step.may_have_run
                 self._last_problem = outcome.problem
                 self._leave(outcome.cause)
-                self._deps.counters.retried += 1
+                self._deps.instruments.retries.add(1, {"cause": outcome.cause.value})
+                if isinstance(step, Resume):
+                    self._deps.instruments.resumes.add(1)
             case Fail():
                 self._leave(outcome.cause)
                 self._fail(step.problem)
 
     def _fail(self, why: Problem) -> None:
         """End the request, unless all that is missing is the end marker."""
-        if self._given and self._rewriter.finished and not self._job.wants_usage:
+        text_is_all = self._job.single and not self._job.wants_usage
+        if self._parts.text_finished and text_is_all:
             self._whole = True
             return
         if why.not_run is not True and not self._job.profile.repeatable:
@@ -316,34 +300,33 @@
 
     def _leave(self, cause: Cause) -> None:
         """Give up the attempt; its sidecar hears of it if it may still run."""
-        if cause not in (Cause.NOT_SENT, Cause.REFUSED, Cause.TOMBSTONED):
-            self._release()
-        self._exchange = None
+        if cause in (Cause.REFUSED, Cause.FAILED, Cause.TOMBSTONED):
+            assert self._exchange is not None
+            self._exchange.stop()
+            self._exchange = None
+            return
+        self._release()
 
-    async def _confirm(self, outcome: Outcome) -> Outcome:
-        assert self._exchange is not None
-        timeout_s = self._deps.cfg.silence_s
-        if await self._confirm_not_run(self._exchange, timeout_s):
+    async def _confirm(self, exchange: Exchange, outcome: Outcome) -> Outcome:
+        if await self._confirm_not_run(exchange, self._deps.cfg.silence_s):
             return replace(outcome, cause=Cause.TOMBSTONED, problem=None)
         return replace(outcome, cancel_tried=True)
 
     async def _confirm_not_run(self, exchange: Exchange, timeout_s: float) -> bool:
-        exchange.stop()
         req = self._cancel_req(exchange)
-        return await confirm_not_run(self._deps.pool, exchange.upstream, req, timeout_s)
+        return await confirm_not_run(self._deps.pool, exchange.sidecar, req, timeout_s)
 
     def _release(self) -> None:
         """Drop the call, and cancel at the sidecar what nobody waits for."""
-        exchange = self._exchange
-        if exchange is None or self._whole:
+        exchange, self._exchange = self._exchange, None
+        if exchange is None:
             return
         exchange.stop()
-        self._exchange = None
-        if self._handed_over or not exchange.sent:
+        if self._whole or self._handed_over or not exchange.sent:
             return
         work = cancel(
             self._deps.pool,
-            exchange.upstream,
+            exchange.sidecar,
             self._cancel_req(exchange),
             self._deps.cfg.silence_s,
         )
@@ -353,7 +336,7 @@
         return CancelReq(
             request_id=self._job.request_id,
             attempt=self._attempt,
-            incarnation=exchange.upstream.incarnation,
+            incarnation=exchange.sidecar.incarnation,
             workspace=self._job.workspace,
         )
 
@@ -368,9 +351,15 @@
             return problem(DEADLINE_PASSED, retry_after_s=COME_BACK_S)
         return problem(OUTCOME_UNKNOWN, not_run=None)
 
+    def _count_dropped(self) -> None:
+        counts = self._reassembly.counts
+        tally = self._deps.instruments.tally
+        tally.dropped_late_frames += counts.foreign + counts.late
+        tally.dropped_duplicate_frames += counts.repeated_events
+
     def _until(self) -> float | None:
         """Loop time until which the next frame is waited for."""
-        if self._given:
+        if self._parts.given:
             return None
         if self._job.stream or not self._job.is_completion:
             return self._deadline
