Test that calls with a key run at most once

Cause: a resend, a lost entry or a lost control quorum must not run a bid twice. Change: replicas in process that keep the real claim table; resends, joins, moved and freed claims, and refusals without a quorum.

--- /dev/null
+++ b/tests/builders_claims.py
@@ -0,0 +1,105 @@
+"""Builders for tests of claims: control replicas that keep a claim table."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+from gooseberrydale.connection.control_messages import (
+    ClaimReply,
+    ClaimReq,
+    FinishReq,
+    Holder,
+    Limits,
+    MoveReq,
+    ReleaseReq,
+)
+from gooseberrydale.connection.messages import AttachReq, DispatchReq
+from gooseberrydale.connection.rpc import PROPOSE, RpcServer
+from gooseberrydale.errors import NO_QUORUM, NOT_LEADER, problem
+from gooseberrydale.version.claims import ClaimTable
+from tests.builders_entry import TOKEN, FakeSidecar, beat
+
+BID_BODY = b'{"bid":9}'
+
+
+class FakeControl:
+    """A replica that leads if it has a table, and else names ``leader``."""
+
+    def __init__(self, table: ClaimTable | None, leader: str = "") -> None:
+        self.table = table
+        self.leader = leader
+        self.has_quorum = True
+        self.asked: list[Any] = []
+        self._server = RpcServer("127.0.0.1:0", TOKEN)
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._server.port}"
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server.unary(PROPOSE, self._propose)
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._server.close()
+
+    async def _propose(self, req: Any) -> ClaimReply:
+        self.asked.append(req)
+        if self.table is None:
+            why = problem(NOT_LEADER, leader=self.leader)
+            return ClaimReply(problem=why, leader=self.leader)
+        if not self.has_quorum:
+            return ClaimReply(problem=problem(NO_QUORUM))
+        return self._apply(self.table, req)
+
+    def _apply(self, table: ClaimTable, req: Any) -> ClaimReply:
+        now_s = asyncio.get_running_loop().time()
+        match req:
+            case ClaimReq():
+                return table.claim(req, now_s, Limits())
+            case MoveReq():
+                return table.move(req, now_s, Limits())
+            case ReleaseReq():
+                return table.release(req)
+            case FinishReq():
+                return table.finish(req, now_s, Limits())
+        raise TypeError(f"no claim request: {req!r}")
+
+
+def holder_at(fake: FakeSidecar, request_id: str) -> Holder:
+    """A holder whose attempt was claimed for ``fake`` but never sent."""
+    record = fake.record()
+    return Holder(request_id, 1, record.name, record.address, record.incarnation)
+
+
+async def answer_bid(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """A service's answer, in two parts."""
+    yield fake.accepted(req, status=201)
+    yield fake.chunk(req, 0, BID_BODY[:4])
+    yield fake.chunk(req, 1, BID_BODY[4:])
+    yield fake.end(req, 2)
+
+
+async def answer_bid_late(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """A service's answer once ``release`` is set."""
+    async for frame in beat(fake, req):
+        yield frame
+    async for frame in answer_bid(fake, req):
+        yield frame
+
+
+def keep_bid(fake: FakeSidecar) -> None:
+    """Let the fake answer attaches to a running bid."""
+
+    async def attach(req: AttachReq) -> AsyncIterator[Any]:
+        mine = [d for d in fake.dispatched if d.request_id == req.request_id]
+        frames = answer_bid_late(fake, mine[0]) if mine else fake.refuse_attach(req)
+        async for frame in frames:
+            yield frame
+
+    fake.on_attach = attach
--- a/tests/builders_entry.py
+++ b/tests/builders_entry.py
@@ -70,7 +70,7 @@
     )
 
 
-def make_cfg(**entry: Any) -> Cfg:
+def make_cfg(controls: tuple[str, ...] = (), **entry: Any) -> Cfg:
     """Settings of an entry on free loopback ports."""
     token_file = pathlib.Path(tempfile.mkdtemp(), "token")
     token_file.write_text(TOKEN)
@@ -78,7 +78,7 @@
     settings |= {"body_timeout_s": 0.5, "drain_s": 1.0, **entry}
     return Cfg(
         node=NodeCfg("entry-1"),
-        fleet=FleetCfg(token_file),
+        fleet=FleetCfg(token_file, controls),
         entry=EntryCfg(**settings),  # type: ignore[arg-type]
     )
 
--- /dev/null
+++ b/tests/test_entry_claims.py
@@ -0,0 +1,242 @@
+"""Calls with an Idempotency-Key run at most once, however often they are sent."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from typing import Any
+
+import httpx2
+import pytest
+
+from gooseberrydale.connection.control_messages import (
+    ClaimReq,
+    ClaimState,
+    FinishReq,
+    Limits,
+)
+from gooseberrydale.connection.messages import CancelReply, DispatchReq
+from gooseberrydale.errors import QUEUE_FULL, problem
+from gooseberrydale.process.entry import Entry
+from gooseberrydale.version.claims import ClaimTable
+from tests.builders_claims import (
+    BID_BODY,
+    FakeControl,
+    answer_bid,
+    answer_bid_late,
+    holder_at,
+    keep_bid,
+)
+from tests.builders_entry import KEY_A, KEY_B, FakeSidecar, make_config, running, until
+
+KEY = "bid-1"
+
+
+@contextlib.asynccontextmanager
+async def fleet(*fakes: FakeSidecar, **entry: Any) -> AsyncIterator[tuple[Entry, Any]]:
+    """An entry, the leader that keeps its claims, and a replica that doesn't lead."""
+    leader = FakeControl(ClaimTable())
+    await leader.start()
+    follower = FakeControl(None, leader.address)
+    await follower.start()
+    controls = (follower.address, leader.address)
+    try:
+        async with running(*fakes, controls=controls, **entry) as made:
+            yield made, leader
+    finally:
+        await follower.close()
+        await leader.close()
+
+
+def service(name: str = "s1", script: Any = answer_bid) -> FakeSidecar:
+    fake = FakeSidecar(name, "bidding")
+    fake.script = script
+    return fake
+
+
+async def bid(
+    entry: Entry, key: str = KEY, body: bytes = b"9", caller: str = KEY_A
+) -> httpx2.Response:
+    base = f"http://{entry.addresses['http']}"
+    headers = {"Authorization": f"Bearer {caller}"}
+    if key:
+        headers["Idempotency-Key"] = key
+    async with httpx2.AsyncClient(base_url=base, headers=headers, timeout=20) as client:
+        return await client.post("/services/bids/lots/42", content=body)
+
+
+def code_of(answer: httpx2.Response) -> str:
+    return str(answer.json()["error"]["code"])
+
+
+def test_resend_gets_the_recorded_answer() -> None:
+    async def scenario() -> None:
+        fake = service()
+        async with fleet(fake) as (entry, leader):
+            answers = [await bid(entry), await bid(entry)]
+            [record] = leader.table.records
+        assert [(a.status_code, a.content) for a in answers] == [(201, BID_BODY)] * 2
+        assert len(fake.dispatched) == 1
+        assert record.state is ClaimState.FINISHED
+        assert record.holder.request_id == fake.dispatched[0].request_id
+
+    asyncio.run(scenario())
+
+
+def test_resend_joins_the_running_call() -> None:
+    async def scenario() -> None:
+        fake = service(script=answer_bid_late)
+        keep_bid(fake)
+        async with fleet(fake) as (entry, _):
+            first = asyncio.create_task(bid(entry))
+            await until(lambda: bool(fake.dispatched))
+            second = asyncio.create_task(bid(entry))
+            await until(lambda: bool(fake.attached))
+            fake.release.set()
+            answers = [await first, await second]
+        assert [(a.status_code, a.content) for a in answers] == [(201, BID_BODY)] * 2
+        assert len(fake.dispatched) == 1
+
+    asyncio.run(scenario())
+
+
+def test_other_body_under_the_same_key_is_refused() -> None:
+    async def scenario() -> None:
+        fake = service()
+        async with fleet(fake) as (entry, _):
+            await bid(entry)
+            answer = await bid(entry, body=b"10")
+        assert code_of(answer) == "idempotency_key_reused"
+        assert len(fake.dispatched) == 1
+
+    asyncio.run(scenario())
+
+
+def test_same_key_of_another_workspace_is_another_claim() -> None:
+    async def scenario() -> None:
+        fake = service()
+        config = make_config()
+        config.workspaces["b"] = replace(config.workspaces["b"], profiles=())
+        async with fleet(fake, config=config) as (entry, _):
+            await bid(entry)
+            await bid(entry, caller=KEY_B)
+        assert [req.workspace for req in fake.dispatched] == ["a", "b"]
+
+    asyncio.run(scenario())
+
+
+def test_without_a_quorum_a_keyed_call_is_refused_as_not_run() -> None:
+    async def scenario() -> None:
+        fake = service()
+        async with fleet(fake) as (entry, leader):
+            leader.has_quorum = False
+            refused = await bid(entry)
+            unkeyed = await bid(entry, key="")
+            leader.has_quorum = True
+            again = await bid(entry)
+        assert code_of(refused) == "claim_unavailable"
+        assert refused.json()["error"]["not_run"] is True
+        assert "retry-after" in refused.headers
+        assert (unkeyed.status_code, again.status_code) == (201, 201)
+        assert [req.claim_key for req in fake.dispatched] == ["", KEY]
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("reachable", [True, False], ids=["tombstone", "unreachable"])
+def test_claim_that_was_never_sent_moves_only_with_a_tombstone(reachable: bool) -> None:
+    async def scenario() -> None:
+        lost, fake = service("s1"), service("s2")
+        for one in (lost, fake):
+            one.cancel_reply = CancelReply(not_run=True)
+        lost.on_attach = lost.refuse_attach
+        await lost.start()
+        async with fleet(fake) as (entry, leader):
+            # The entry that claimed the key was lost before its dispatch.
+            await bid(entry, key="other")
+            digest = leader.table.records[0].digest
+            claim = ClaimReq("a", KEY, digest, holder_at(lost, "lost"))
+            leader.table.claim(claim, asyncio.get_running_loop().time(), Limits())
+            if not reachable:
+                await lost.close()
+            answer = await bid(entry)
+            record = leader.table.records[-1]
+        if reachable:
+            await lost.close()
+            assert answer.status_code == 201 and len(fake.dispatched) == 2
+            assert [req.request_id for req in lost.cancelled] == ["lost"]
+            assert record.holder.request_id == fake.dispatched[1].request_id
+        else:
+            assert code_of(answer) == "outcome_unknown"
+            assert len(fake.dispatched) == 1
+
+    asyncio.run(scenario())
+
+
+def test_answer_is_recorded_when_the_caller_went_away() -> None:
+    async def scenario() -> None:
+        fake = service(script=answer_bid_late)
+        async with fleet(fake) as (entry, leader):
+            first = asyncio.create_task(bid(entry))
+            await until(lambda: bool(fake.dispatched))
+            first.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await first
+            fake.release.set()
+            await until(lambda: any(isinstance(r, FinishReq) for r in leader.asked))
+            answer = await bid(entry)
+        assert (answer.status_code, answer.content) == (201, BID_BODY)
+        assert len(fake.dispatched) == 1 and fake.cancelled == []
+
+    asyncio.run(scenario())
+
+
+async def refuse(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """A queue that is full."""
+    yield fake.refused(req, problem(QUEUE_FULL, retry_after_s=1.0))
+
+
+def test_refused_call_frees_its_key() -> None:
+    async def scenario() -> None:
+        fake = service(script=refuse)
+        async with fleet(fake) as (entry, leader):
+            refused = await bid(entry)
+            await until(lambda: not leader.table.records)
+            fake.script = answer_bid
+            answer = await bid(entry)
+        assert code_of(refused) == "queue_full"
+        assert answer.status_code == 201
+
+    asyncio.run(scenario())
+
+
+async def break_at_once(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """The call breaks before anything was accepted."""
+    raise RuntimeError("scripted")
+    yield
+
+
+def test_claim_moves_to_the_attempt_elsewhere() -> None:
+    async def scenario() -> None:
+        fakes = service("s1"), service("s2")
+        for fake in fakes:
+            fake.cancel_reply = CancelReply(not_run=True)
+            fake.on_attach = fake.refuse_attach
+        first_takes = [break_at_once]
+
+        def script(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+            chosen = first_takes.pop() if first_takes else answer_bid
+            return chosen(fake, req)
+
+        for fake in fakes:
+            fake.script = script
+        async with fleet(*fakes) as (entry, leader):
+            answer = await bid(entry)
+            [record] = leader.table.records
+        assert answer.status_code == 201
+        assert (record.state, record.holder.attempt) == (ClaimState.FINISHED, 2)
+        assert sorted(r.attempt for f in fakes for r in f.dispatched) == [1, 2]
+
+    asyncio.run(scenario())
