Give way to a newer reader of the same answer

Cause: a sidecar serves one reader of an answer at a time, the newest; an entry that attached again took the answer back from whoever had joined it, in turns without end. Change: a properly ended call without an end marker means that a newer reader took over: a keyed call then waits for its record, any other stream ends with an error event. Resends look for the record first. Attaches name their attempt, dispatches the newest announcement that was seen. Ruled out: attaching after a pause only, since both readers would go on in turns.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -127,6 +127,12 @@
     "This entry is shutting down and the answer goes on elsewhere; send the request"
     " again with the last event's id as Last-Event-ID.",
 )
+STREAM_TAKEN_OVER = ErrorKind(
+    "stream_taken_over",
+    409,
+    "The answer was asked for on a newer connection and goes on there; read it there,"
+    " or ask again with Last-Event-ID.",
+)
 STREAM_INCOMPLETE = ErrorKind(
     "stream_incomplete",
     502,
--- a/gooseberrydale/request/attached.py
+++ b/gooseberrydale/request/attached.py
@@ -14,8 +14,8 @@
 from gooseberrydale.errors import STREAM_INCOMPLETE, ProblemError, problem
 from gooseberrydale.request.cancel import cancel
 from gooseberrydale.request.deps import Deps
-from gooseberrydale.request.exchange import Exchange, ExchangeLost
-from gooseberrydale.request.job import Part
+from gooseberrydale.request.exchange import LATEST_ATTEMPT, Exchange, ExchangeLost
+from gooseberrydale.request.job import Part, ReaderReplaced
 from gooseberrydale.request.parts import PartMaker
 from gooseberrydale.request.reassembly import (
     Broken,
@@ -32,7 +32,8 @@
     """What to attach to, and the offset of the first event wanted.
 
     ``upstream`` is the sidecar's name, ``profile`` the name that the answer carries
-    (empty leaves the answer as it is), ``streamed`` whether the caller wants events.
+    (empty leaves the answer as it is), ``streamed`` whether the caller wants events,
+    ``attempt`` the number of the attempt if it is known.
     """
 
     endpoint: Endpoint
@@ -42,6 +43,7 @@
     workspace: str
     profile: str
     streamed: bool = True
+    attempt: int | None = None
 
 
 class AttachedAnswer:
@@ -59,6 +61,7 @@
             deps.pool,
             target.endpoint,
             target.request_id,
+            LATEST_ATTEMPT if target.attempt is None else target.attempt,
             target.workspace,
             deps.cfg.silence_s,
         )
@@ -68,7 +71,10 @@
         self._handed_over = True
 
     async def answer(self) -> AsyncGenerator[Part, None]:
-        """The rest of the answer; raises :class:`ProblemError` if it breaks off."""
+        """The rest of the answer; raises :class:`ProblemError` if it breaks off.
+
+        Raises :class:`ReaderReplaced` if a newer reader takes over.
+        """
         self._attach()
         try:
             while not self._reassembly.finished:
@@ -80,7 +86,9 @@
     async def _step(self) -> list[Part]:
         try:
             frame = await self._exchange.next(None)
-        except ExchangeLost:
+        except ExchangeLost as exc:
+            if exc.replaced:
+                raise ReaderReplaced from None
             self._attach()
             return []
         self._learn_attempt(frame)
--- a/gooseberrydale/request/claim_gate.py
+++ b/gooseberrydale/request/claim_gate.py
@@ -102,6 +102,12 @@
             assert reply.problem is not None
             raise ProblemError(reply.problem)
 
+    async def look_up(self, holder: Holder) -> ClaimRecord | None:
+        """What is committed under the key; None if control can't tell now."""
+        req = ClaimReq(self._workspace, self._key, self._digest, holder)
+        reply = await self._store.ask(req, CLAIM_S)
+        return reply.record if reply is not None else None
+
     def release(self) -> None:
         """Free the key in the background; only if the holder never ran."""
         if self.holder is not None and self.holder.request_id == self._request_id:
--- a/gooseberrydale/request/exchange.py
+++ b/gooseberrydale/request/exchange.py
@@ -25,14 +25,20 @@
 from gooseberrydale.request.retry import Cause
 
 ATTACHES_AT_ONE_OFFSET = 3
+LATEST_ATTEMPT = -1
 
 
 class ExchangeLost(Exception):
-    """No more frames will come by this call; ``cause`` says why."""
+    """No more frames will come by this call; ``cause`` says why.
 
-    def __init__(self, cause: Cause, reason: str) -> None:
+    ``replaced`` is True if the sidecar ended the call properly before the answer:
+    a newer reader took over.
+    """
+
+    def __init__(self, cause: Cause, reason: str, *, replaced: bool = False) -> None:
         super().__init__(reason)
         self.cause = cause
+        self.replaced = replaced
 
 
 class DeadlinePassed(Exception):
@@ -40,19 +46,24 @@
 
 
 class Exchange:
-    """Reads the frames of one attempt; ``dispatch`` or ``attach`` it first."""
+    """Reads the frames of one attempt; ``dispatch`` or ``attach`` it first.
+
+    ``attempt`` is ``LATEST_ATTEMPT`` if the number is not known.
+    """
 
     def __init__(
         self,
         pool: ChannelPool,
         sidecar: Endpoint,
         request_id: str,
+        attempt: int,
         workspace: str,
         silence_s: float,
     ) -> None:
         self.sidecar = sidecar
         self._pool = pool
         self._request_id = request_id
+        self._attempt = attempt
         self._workspace = workspace
         self._silence_s = silence_s
         self._channel: RpcChannel | None = None
@@ -90,7 +101,11 @@
         else:
             self._channel = self._pool.replace(self.sidecar, self._channel)
         req = AttachReq(
-            self._request_id, self.sidecar.incarnation, self._workspace, offset
+            request_id=self._request_id,
+            incarnation=self.sidecar.incarnation,
+            workspace=self._workspace,
+            offset=offset,
+            attempt=self._attempt,
         )
         self._start(self._channel, ATTACH, req)
 
@@ -115,7 +130,7 @@
                 raise
             raise ExchangeLost(Cause.LOST, "the channel was closed") from None
         if frame is grpc.aio.EOF:
-            raise ExchangeLost(Cause.LOST, "the call ended before the answer")
+            raise ExchangeLost(Cause.LOST, "a newer reader took over", replaced=True)
         # A refusal to attach is not a sign of the attempt.
         self._heard = self._heard or not isinstance(frame, Refused)
         return frame  # type: ignore[no-any-return]
--- a/gooseberrydale/request/job.py
+++ b/gooseberrydale/request/job.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from gooseberrydale.connection.messages import Piece
+from gooseberrydale.errors import STREAM_TAKEN_OVER, ProblemError, problem
 from gooseberrydale.version.declarations import Profile, ProfileKind
 
 
@@ -69,6 +70,13 @@
 Part = Head | Events
 
 
+class ReaderReplaced(ProblemError):
+    """A newer reader of the same answer took over; the answer goes on there."""
+
+    def __init__(self) -> None:
+        super().__init__(problem(STREAM_TAKEN_OVER, not_run=False))
+
+
 class Answering(Protocol):
     """What produces the parts of an answer."""
 
--- a/gooseberrydale/request/keyed.py
+++ b/gooseberrydale/request/keyed.py
@@ -34,13 +34,20 @@
 from gooseberrydale.request.cancel import confirm_not_run
 from gooseberrydale.request.claim_gate import ClaimGate, ClaimHeld, ClaimStore
 from gooseberrydale.request.deps import Deps
-from gooseberrydale.request.job import Answering, Events, Head, Job, Part
+from gooseberrydale.request.job import (
+    Answering,
+    Events,
+    Head,
+    Job,
+    Part,
+    ReaderReplaced,
+)
 from gooseberrydale.request.recorder import Recorder
 from gooseberrydale.request.runner import Runner
 
 MAX_HOLDERS_FOLLOWED = 4
 JOIN_TRIES = 2
-JOIN_PAUSE_S = 0.2
+POLL_PAUSES_S = (0.05, 0.1, 0.2, 0.4)
 RECORD_WAIT_S = 1.0
 COME_BACK_S = 1.0
 
@@ -61,6 +68,7 @@
         )
         self._out: asyncio.Queue[Part | Problem | None] = asyncio.Queue()
         self._given = False
+        self._until = self._now() + job.profile.deadline_s
 
     def hand_over(self) -> None:
         """Do nothing: the work goes on without the caller in any case."""
@@ -93,10 +101,18 @@
                 await self._run()
                 return
             except ClaimHeld as held:
-                if await self._follow(held.record):
+                if self._replay_if_final(held.record):
                     return
-                # Confirmed never to run: the next try moves the claim from it.
-                self._gate.holder = held.record.holder
+                holder = held.record.holder
+            except ReaderReplaced:
+                if self._given or self._gate.holder is None:
+                    raise
+                holder = self._gate.holder
+            never_ran = await self._follow(holder)
+            if never_ran is None:
+                return
+            # The next try moves the claim from it.
+            self._gate.holder = never_ran
         raise ProblemError(problem(CLAIM_UNAVAILABLE, retry_after_s=COME_BACK_S))
 
     async def _run(self) -> None:
@@ -111,23 +127,43 @@
                 self._deps.background.spawn(self._gate.finish_unknown())
             raise
 
-    async def _follow(self, record: ClaimRecord) -> bool:
-        """Answer from another attempt; False if it is confirmed never to run."""
-        if record.state is ClaimState.FINISHED:
-            self._replay(record)
-            return True
-        if record.state is ClaimState.OUTCOME_UNKNOWN:
-            raise ProblemError(problem(OUTCOME_UNKNOWN, not_run=None))
-        for _ in range(JOIN_TRIES):
-            if await self._join(record.holder):
-                return True
-            await asyncio.sleep(JOIN_PAUSE_S)
-        if await self._confirm_not_run(record.holder):
-            return False
+    async def _follow(self, holder: Holder) -> Holder | None:
+        """Answer from another attempt; return it if it is confirmed never to run.
+
+        An answer has one reader at a time, the newest.  Whoever reads it to its end
+        records it, and the others find the record.
+        """
+        failures = 0
+        while failures < JOIN_TRIES and self._now() < self._until:
+            record = await self._poll(holder)
+            if record is not None:
+                if self._replay_if_final(record):
+                    return None
+                holder = record.holder
+            try:
+                await self._join(holder)
+                return None
+            except ProblemError as exc:
+                if self._given:
+                    raise
+                failures += not isinstance(exc, ReaderReplaced)
+                logger.info("no join of {}: {}", holder.request_id, exc)
+        if await self._confirm_not_run(holder):
+            return holder
         raise ProblemError(problem(OUTCOME_UNKNOWN, not_run=None))
 
-    async def _join(self, holder: Holder) -> bool:
-        """Attach to the running attempt; False if that gave no answer."""
+    async def _poll(self, holder: Holder) -> ClaimRecord | None:
+        """Wait a moment for the claim to change; return what is committed then."""
+        record: ClaimRecord | None = None
+        for pause_s in POLL_PAUSES_S:
+            await asyncio.sleep(pause_s)
+            record = await self._gate.look_up(holder)
+            if record is None or _is_final(record) or record.holder != holder:
+                break
+        return record
+
+    async def _join(self, holder: Holder) -> None:
+        """Attach to the running attempt; raises :class:`ProblemError` if in vain."""
         target = AttachTarget(
             endpoint=holder,
             upstream=holder.sidecar,
@@ -136,18 +172,12 @@
             workspace=self._job.workspace,
             profile=self._job.profile.name if self._job.is_completion else "",
             streamed=self._job.stream,
+            attempt=holder.attempt,
         )
         attached = AttachedAnswer(self._deps, target)
         attached.hand_over()
         self._gate.holder = holder
-        try:
-            await self._give(attached)
-        except ProblemError as exc:
-            if self._given:
-                raise
-            logger.info("no join of {}: {}", holder.request_id, exc)
-            return False
-        return True
+        await self._give(attached)
 
     async def _give(self, source: Answering) -> None:
         """Pass the answer on, and record it when it is whole."""
@@ -173,13 +203,19 @@
         work = self._gate.finish(recorder.status, recorder.headers, recorder.body)
         await self._deps.background.run_at_most(work, RECORD_WAIT_S)
 
-    def _replay(self, record: ClaimRecord) -> None:
+    def _replay_if_final(self, record: ClaimRecord) -> bool:
+        """Give the recorded answer; False while the call runs."""
+        if not _is_final(record):
+            return False
+        if record.state is ClaimState.OUTCOME_UNKNOWN:
+            raise ProblemError(problem(OUTCOME_UNKNOWN, not_run=None))
         if not record.answer_kept:
             why = problem(ANSWER_NOT_KEPT, not_run=False, status=record.status)
             raise ProblemError(why)
-        self._put(Head(record.status, record.headers, streamed=False))
         holder = record.holder
+        self._put(Head(record.status, record.headers, streamed=False))
         self._put(Events(holder.sidecar, holder.incarnation, 0, (record.body,)))
+        return True
 
     async def _confirm_not_run(self, holder: Holder) -> bool:
         req = CancelReq(
@@ -192,6 +228,13 @@
             self._deps.pool, holder, req, self._deps.cfg.silence_s
         )
 
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _is_final(record: ClaimRecord) -> bool:
+    return record.state is not ClaimState.RUNNING
+
 
 def body_digest(job: Job) -> bytes:
     """Digest of what the caller asked for; the same key must bring the same one."""
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -33,7 +33,7 @@
 from gooseberrydale.request.claim_gate import Gate
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.exchange import DeadlinePassed, Exchange, ExchangeLost
-from gooseberrydale.request.job import Job, Part
+from gooseberrydale.request.job import Job, Part, ReaderReplaced
 from gooseberrydale.request.parts import PartMaker
 from gooseberrydale.request.reassembly import (
     Broken,
@@ -113,11 +113,19 @@
             frame = await self._exchange.next(self._until())
         except ExchangeLost as exc:
             logger.info("attempt of {} lost: {}", self._job.request_id, exc)
+            if exc.replaced and self._gives_way:
+                self._handed_over = True
+                raise ReaderReplaced from None
             await self._decide(self._outcome(exc.cause))
             return []
         self._learn(frame)
         return await self._act(frame)
 
+    @property
+    def _gives_way(self) -> bool:
+        """Whether another reader of this answer can exist."""
+        return self._parts.given or bool(self._job.idempotency_key)
+
     async def _act(self, frame: Frame) -> list[Part]:
         parts: list[Part] = []
         for action in self._reassembly.feed(frame):
@@ -168,12 +176,15 @@
             self._deps.pool,
             record,
             self._job.request_id,
+            self._attempt,
             self._job.workspace,
             self._deps.cfg.silence_s,
         )
 
     async def _send(self, exchange: Exchange) -> None:
         assert self._choice is not None
+        record = self._choice.record
+        newest = self._deps.directory.get(record.name, self._now())
         first_offset = self._reassembly.next_offset
         emitted = self._reassembly.emitted_text() if first_offset else ""
         req = DispatchReq(
@@ -194,6 +205,7 @@
             emitted=emitted or "",
             first_offset=first_offset,
             claim_key=self._job.idempotency_key,
+            record_seq=(newest or record).seq,
         )
         await exchange.dispatch(req, self._until())
         self._deps.policy.dispatched(self._choice, self._now())
