--- a/tests/builders_claims.py
+++ b/tests/builders_claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -94,12 +95,22 @@
 
 
 def keep_bid(fake: FakeSidecar) -> None:
-    """Let the fake answer attaches to a running bid."""
+    """Answer attaches to a running bid; the newest reader ends the one before."""
+    turn = itertools.count(1)
+    newest = 0
+
+    async def read(req: DispatchReq) -> AsyncIterator[Any]:
+        nonlocal newest
+        mine = newest = next(turn)
+        async for frame in answer_bid_late(fake, req):
+            if mine != newest:
+                return
+            yield frame
 
     async def attach(req: AttachReq) -> AsyncIterator[Any]:
         mine = [d for d in fake.dispatched if d.request_id == req.request_id]
-        frames = answer_bid_late(fake, mine[0]) if mine else fake.refuse_attach(req)
-        async for frame in frames:
+        async for frame in read(mine[0]) if mine else fake.refuse_attach(req):
             yield frame
 
+    fake.script = lambda _, req: read(req)
     fake.on_attach = attach
--- a/tests/builders_entry.py
+++ b/tests/builders_entry.py
@@ -225,7 +225,12 @@
         """The answer to an attach to a stream that is not kept."""
         why = problem(UNKNOWN_STREAM, request_id=req.request_id, offset=req.offset)
         yield Refused(
-            req.request_id, 1, req.incarnation, why, Load(), self.config.revision
+            req.request_id,
+            req.attempt,
+            req.incarnation,
+            why,
+            Load(),
+            self.config.revision,
         )
 
     async def rest(self, req: DispatchReq, offset: int) -> AsyncIterator[Any]:
--- a/tests/test_entry_claims.py
+++ b/tests/test_entry_claims.py
@@ -87,17 +87,17 @@
 
 def test_resend_joins_the_running_call() -> None:
     async def scenario() -> None:
-        fake = service(script=answer_bid_late)
+        fake = service()
         keep_bid(fake)
         async with fleet(fake) as (entry, _):
             first = asyncio.create_task(bid(entry))
             await until(lambda: bool(fake.dispatched))
-            second = asyncio.create_task(bid(entry))
-            await until(lambda: bool(fake.attached))
+            others = [asyncio.create_task(bid(entry)) for _ in range(2)]
+            await until(lambda: len(fake.attached) >= 2)
             fake.release.set()
-            answers = [await first, await second]
-        assert [(a.status_code, a.content) for a in answers] == [(201, BID_BODY)] * 2
-        assert len(fake.dispatched) == 1
+            answers = await asyncio.gather(first, *others)
+        assert [(a.status_code, a.content) for a in answers] == [(201, BID_BODY)] * 3
+        assert len(fake.dispatched) == 1 and len(fake.attached) < 10
 
     asyncio.run(scenario())
 
