--- a/gooseberrydale/request/exchange.py
+++ b/gooseberrydale/request/exchange.py
@@ -12,9 +12,8 @@
 
 import grpc.aio
 
-from gooseberrydale.connection.channels import ChannelPool
+from gooseberrydale.connection.channels import ChannelPool, Endpoint
 from gooseberrydale.connection.codec import CodecError
-from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import (
     AttachReq,
     DispatchReq,
@@ -26,14 +25,20 @@
 from gooseberrydale.request.retry import Cause
 
 ATTACHES_AT_ONE_OFFSET = 3
+LATEST_ATTEMPT = -1
 
 
 class ExchangeLost(Exception):
-    """No more frames will come by this call; ``cause`` says why."""
+    """No more frames will come by this call; ``cause`` says why.
 
-    def __init__(self, cause: Cause, reason: str) -> None:
+    ``replaced`` is True if the sidecar ended the call properly before the answer:
+    a newer reader took over.
+    """
+
+    def __init__(self, cause: Cause, reason: str, *, replaced: bool = False) -> None:
         super().__init__(reason)
         self.cause = cause
+        self.replaced = replaced
 
 
 class DeadlinePassed(Exception):
@@ -41,19 +46,24 @@
 
 
 class Exchange:
-    """Reads the frames of one attempt; ``dispatch`` or ``attach`` it first."""
+    """Reads the frames of one attempt; ``dispatch`` or ``attach`` it first.
+
+    ``attempt`` is ``LATEST_ATTEMPT`` if the number is not known.
+    """
 
     def __init__(
         self,
         pool: ChannelPool,
-        upstream: UpstreamRecord,
+        sidecar: Endpoint,
         request_id: str,
+        attempt: int,
         workspace: str,
         silence_s: float,
     ) -> None:
-        self.upstream = upstream
+        self.sidecar = sidecar
         self._pool = pool
         self._request_id = request_id
+        self._attempt = attempt
         self._workspace = workspace
         self._silence_s = silence_s
         self._channel: RpcChannel | None = None
@@ -76,7 +86,7 @@
 
     async def dispatch(self, req: DispatchReq, until: float | None) -> None:
         """Send the attempt; if no connection stands it is known not to be sent."""
-        self._channel = self._pool.take(self.upstream)
+        self._channel = self._pool.take(self.sidecar)
         await self._connect(self._channel, until)
         self._start(self._channel, DISPATCH, req)
 
@@ -87,11 +97,15 @@
         if self._call is not None:
             self._call.cancel()
         if self._channel is None:
-            self._channel = self._pool.take(self.upstream)
+            self._channel = self._pool.take(self.sidecar)
         else:
-            self._channel = self._pool.replace(self.upstream, self._channel)
+            self._channel = self._pool.replace(self.sidecar, self._channel)
         req = AttachReq(
-            self._request_id, self.upstream.incarnation, self._workspace, offset
+            request_id=self._request_id,
+            incarnation=self.sidecar.incarnation,
+            workspace=self._workspace,
+            offset=offset,
+            attempt=self._attempt,
         )
         self._start(self._channel, ATTACH, req)
 
@@ -116,7 +130,7 @@
                 raise
             raise ExchangeLost(Cause.LOST, "the channel was closed") from None
         if frame is grpc.aio.EOF:
-            raise ExchangeLost(Cause.LOST, "the call ended before the answer")
+            raise ExchangeLost(Cause.LOST, "a newer reader took over", replaced=True)
         # A refusal to attach is not a sign of the attempt.
         self._heard = self._heard or not isinstance(frame, Refused)
         return frame  # type: ignore[no-any-return]
@@ -127,7 +141,7 @@
             return False
         if isinstance(frame, Heartbeat):
             return True
-        return frame.incarnation == self.upstream.incarnation
+        return frame.incarnation == self.sidecar.incarnation
 
     def stop(self) -> None:
         """Drop the call; the sidecar goes on until it is told to cancel."""
@@ -144,7 +158,7 @@
                     return
         except TimeoutError:
             _check_deadline(until)
-        self._channel = self._pool.replace(self.upstream, channel)
+        self._channel = self._pool.replace(self.sidecar, channel)
         raise ExchangeLost(Cause.NOT_SENT, "no connection to the sidecar")
 
     def _start(
