--- /dev/null
+++ b/gooseberrydale/connection/control_client.py
@@ -0,0 +1,103 @@
+"""Asks the control replicas to commit a request, wherever their leader is.
+
+Lives as long as the process.  It keeps one connection to each replica that it has
+asked and remembers which one led.  All requests of ``control_messages`` are
+idempotent, so one is sent again, to the same or another replica, until a reply
+without a passing problem comes or the time is up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Any
+
+import grpc
+from result import Err, Ok, Result
+
+from gooseberrydale.connection.rpc import PROPOSE, RpcChannel, TlsFiles
+from gooseberrydale.errors import (
+    CLAIM_UNAVAILABLE,
+    NO_QUORUM,
+    NOT_LEADER,
+    Problem,
+    problem,
+)
+
+CALL_TIMEOUT_S = 1.0
+RETRY_MIN_S = 0.02
+RETRY_MAX_S = 0.2
+RETRY_AFTER_S = 1.0
+PASSING_CODES = (NOT_LEADER.code, NO_QUORUM.code)
+
+
+class ControlClient:
+    """Requests to the replicas at ``addresses``; ``close`` drops the connections."""
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        token: str,
+        tls: TlsFiles | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._addresses = list(addresses)
+        self._token = token
+        self._tls = tls
+        self._rng = rng if rng is not None else random.Random()
+        self._channels: dict[str, RpcChannel] = {}
+        self._target = ""
+
+    async def ask(self, req: Any, timeout_s: float) -> Result[Any, Problem]:
+        """Return the committed reply to ``req``, which may hold a problem of its own.
+
+        The error is ``claim_unavailable``: no replica could commit it in time, and
+        whether it was committed is unknown.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return Ok(await self._ask_until_answered(req))
+        except TimeoutError:
+            return Err(problem(CLAIM_UNAVAILABLE, retry_after_s=RETRY_AFTER_S))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        channels = list(self._channels.values())
+        self._channels.clear()
+        await asyncio.gather(*(channel.close() for channel in channels))
+
+    async def _ask_until_answered(self, req: Any) -> Any:
+        while True:
+            target = self._target or self._any_address()
+            reply = await self._call(target, req)
+            if reply is not None and not _is_passing(reply.problem):
+                self._target = target
+                return reply
+            leader = "" if reply is None else reply.leader
+            self._target = leader if leader != target else ""
+            if not self._target:
+                await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+
+    async def _call(self, address: str, req: Any) -> Any:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = RpcChannel(address, self._token, self._tls)
+            self._channels[address] = channel
+        try:
+            return await channel.call(PROPOSE, req, timeout_s=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError:
+            # A connection that went silent is replaced, not waited for.
+            if self._channels.get(address) is channel:
+                del self._channels[address]
+                await channel.close()
+            return None
+
+    def _any_address(self) -> str:
+        if not self._addresses:
+            raise ValueError("no control replica is known; set fleet.controls")
+        return self._rng.choice(self._addresses)
+
+
+def _is_passing(refused: Problem | None) -> bool:
+    return refused is not None and refused.code in PASSING_CODES
