Add the operators' commands and declarations in a file

Cause: operators had HTTP alone, and no way to keep declarations in version control. A file's faults are all named with their keys. Right after its start control does not claim that a revision is in force everywhere, since nobody has joined yet. Validation now gives a key, a reason and a remedy for each fault.

--- a/gooseberrydale/process/cli.py
+++ b/gooseberrydale/process/cli.py
@@ -18,6 +18,8 @@
 from gooseberrydale.process.cfg_file import load
 from gooseberrydale.process.runner import ExitCode, print_faults, run_process
 
+ROLE_COMMANDS = ("entry", "sidecar", "control", "local")
+
 
 class Commands:
     """Router for language-model traffic with long shared prompts."""
@@ -54,7 +56,21 @@
     """Run the command in ``sys.argv``; exits with the command's code."""
     # Fire would start a pager program; a process here starts no other.
     fire.core.Display = _print_lines
-    fire.Fire(Commands(), name="gooseberrydale")
+    if sys.argv[1:2] and sys.argv[1] in ROLE_COMMANDS:
+        fire.Fire(Commands(), name="gooseberrydale")
+    else:
+        _run_with_operators()
+
+
+def _run_with_operators() -> None:
+    # Imported here, so that a process of a role does without this code.
+    from gooseberrydale.process.operator_cli import OperatorCommands
+    from gooseberrydale.process.operator_session import finish
+
+    class AllCommands(Commands, OperatorCommands):
+        __doc__ = Commands.__doc__
+
+    fire.Fire(AllCommands(), name="gooseberrydale", serialize=finish)
 
 
 def _run(role: str, cfg: str, ready_file: str) -> None:
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -99,6 +99,7 @@
 
     async def start(self) -> None:
         """Bind the listeners and serve; raises OSError if an address is taken."""
+        self._acknowledgements.start(asyncio.get_running_loop().time())
         await self._commit.start()
         await self._mesh.start()
         await self._rpc.start()
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -192,10 +192,10 @@
         now = asyncio.get_running_loop().time()
         revision = self._state.config.revision
         standings = self._acknowledgements.all(now)
-        behind = self._acknowledgements.behind(revision, now)
+        everywhere = self._acknowledgements.in_force_everywhere(revision, now)
         table = {
             "revision": revision,
-            "in_force_everywhere": not behind,
+            "in_force_everywhere": everywhere,
             "processes": views.standing_tables(standings, revision, now),
             "control": self._replica_status(),
             "claims": len(self._state.claims.records),
--- a/gooseberrydale/process/control/operator_auth.py
+++ b/gooseberrydale/process/control/operator_auth.py
@@ -5,26 +5,17 @@
 
 from __future__ import annotations
 
-import hashlib
 import hmac
 import tomllib
 from pathlib import Path
 
 from gooseberrydale.errors import INVALID_SETTING, ProblemError, problem
+from gooseberrydale.version.key_index import key_digest
 from gooseberrydale.version.validation import DIGEST_PATTERN
 
 SCHEME = "bearer "
 
 
-def secret_digest(secret: str) -> str:
-    """Digest under which a token or an API key is kept.
-
-    A plain hash is enough where the secret is random and long: there is nothing
-    to guess that a slow hash would protect, and a key is looked up on each call.
-    """
-    return hashlib.sha256(secret.encode()).hexdigest()
-
-
 def load_operators(path: Path) -> dict[str, str]:
     """Read ``name = "digest"`` lines; raises ProblemError with all faults."""
     try:
@@ -47,7 +38,7 @@
         """Return the operator's name for an Authorization header, if there is one."""
         if not authorization.lower().startswith(SCHEME):
             return None
-        sent = secret_digest(authorization[len(SCHEME) :].strip())
+        sent = key_digest(authorization[len(SCHEME) :].strip())
         found = None
         # All are compared, so that the time taken tells nothing about the digests.
         for name, digest in self._digests.items():
--- /dev/null
+++ b/gooseberrydale/process/operator_cli.py
@@ -0,0 +1,357 @@
+"""The operators' commands, as classes for ``fire``; each lives for one command.
+
+``OperatorCommands`` is mounted by the command line of the product::
+
+    gooseberrydale profile list --control http://10.0.0.1:8071 --token-file FILE
+    gooseberrydale apply declarations.toml --wait
+"""
+
+from __future__ import annotations
+
+import secrets
+import sys
+from collections.abc import Callable
+from dataclasses import fields, replace
+from pathlib import Path
+from typing import Any
+
+import fire.core
+from result import Err, Ok
+
+from gooseberrydale.connection.control_messages import Edit, EditKind
+from gooseberrydale.errors import UNKNOWN_NAME, problem
+from gooseberrydale.process.operator_output import as_columns, as_fields
+from gooseberrydale.process.operator_session import (
+    PROCESS_COLUMNS,
+    Command,
+    CommandError,
+    OperatorExit,
+    Options,
+    Session,
+    names,
+)
+from gooseberrydale.version.declaration_file import Declarations, difference, load
+from gooseberrydale.version.declarations import Config, Profile, ProfileKind, Workspace
+from gooseberrydale.version.key_index import key_digest
+
+MIN_KEY_CHARS = 16
+NEW_KEY_BYTES = 32
+PROFILE_COLUMNS = ("name", "kind", "pool", "model", "repeatable", "deadline_s")
+WORKSPACE_COLUMNS = ("name", "share", "profiles", "keys")
+UPSTREAM_COLUMNS = (
+    "name",
+    "pool",
+    "zone",
+    "ready",
+    "leaving",
+    "marked_leaving",
+    "model",
+    "weights_version",
+)
+ORDER_COLUMNS = ("order_id", "number", "kind", "upstream", "model", "version", "state")
+AUDIT_COLUMNS = (
+    "number",
+    "wall_s",
+    "operator",
+    "action",
+    "name",
+    "outcome",
+    "revision",
+)
+
+
+class _Group:
+    """Flags common to the commands of a group; see :class:`Options`."""
+
+    def __init__(
+        self,
+        *,
+        control: Any = "",
+        token_file: str = "",
+        ca_file: str = "",
+        json: bool = False,
+        wait: bool = False,
+        change_id: str = "",
+        dry_run: bool = False,
+        base: int | None = None,
+        timeout_s: float = 10.0,
+    ) -> None:
+        self._options = Options(
+            control=control,
+            token_file=str(token_file),
+            ca_file=str(ca_file),
+            json=json,
+            wait=wait,
+            change_id=str(change_id),
+            dry_run=dry_run,
+            base=base,
+            timeout_s=timeout_s,
+        )
+
+    def _list(self, path: str, key: str, columns: tuple[str, ...]) -> Command:
+        async def act(session: Session) -> None:
+            table = await session.get(path)
+            session.say(as_columns(table[key], columns), table)
+
+        return Command(self._options, act)
+
+    def _show(self, path: str) -> Command:
+        async def act(session: Session) -> None:
+            table = await session.get(path)
+            session.say(as_fields(table), table)
+
+        return Command(self._options, act)
+
+    def _edit(self, make: Callable[[Config], Edit]) -> Command:
+        async def act(session: Session) -> None:
+            config = await session.config()
+            await session.change(config.revision, [make(config)])
+
+        return Command(self._options, act)
+
+
+class ProfileCommands(_Group):
+    """List, show, apply and retire profiles."""
+
+    def list(self) -> Command:
+        """Show all profiles."""
+        return self._list("/v1/profiles", "profiles", PROFILE_COLUMNS)
+
+    def show(self, name: str) -> Command:
+        """Show the profile NAME."""
+        return self._show(f"/v1/profiles/{name}")
+
+    def apply(
+        self,
+        name: str,
+        kind: str | None = None,
+        pool: str | None = None,
+        model: str | None = None,
+        repeatable: bool | None = None,
+        priority: int | None = None,
+        deadline_s: float | None = None,
+        waste_weight: float | None = None,
+    ) -> Command:
+        """Create or change the profile NAME; what is not given stays as it is."""
+        given = {
+            "kind": None if kind is None else _kind(kind),
+            "pool": None if pool is None else str(pool),
+            "model": None if model is None else str(model),
+            "repeatable": repeatable,
+            "priority": priority,
+            "deadline_s": None if deadline_s is None else float(deadline_s),
+            "waste_weight": None if waste_weight is None else float(waste_weight),
+        }
+        changes: dict[str, Any] = {k: v for k, v in given.items() if v is not None}
+        first = Profile(name=str(name), kind=ProfileKind.COMPLETION, pool="")
+
+        def make(config: Config) -> Edit:
+            profile = replace(config.profiles.get(str(name), first), **changes)
+            return Edit(EditKind.APPLY_PROFILE, profile=profile)
+
+        return self._edit(make)
+
+    def retire(self, name: str) -> Command:
+        """Take the profile NAME away."""
+        return self._edit(lambda _: Edit(EditKind.RETIRE_PROFILE, str(name)))
+
+
+class WorkspaceCommands(_Group):
+    """List, show, apply and retire workspaces, and handle their API keys."""
+
+    def list(self) -> Command:
+        """Show all workspaces."""
+
+        async def act(session: Session) -> None:
+            table = await session.get("/v1/workspaces")
+            rows = [w | {"keys": len(w["key_digests"])} for w in table["workspaces"]]
+            session.say(as_columns(rows, WORKSPACE_COLUMNS), table)
+
+        return Command(self._options, act)
+
+    def show(self, name: str) -> Command:
+        """Show the workspace NAME with the digests of its keys."""
+        return self._show(f"/v1/workspaces/{name}")
+
+    def apply(
+        self, name: str, share: float | None = None, profiles: Any = None
+    ) -> Command:
+        """Create or change the workspace NAME; what is not given stays as it is."""
+        changes: dict[str, Any] = {}
+        if share is not None:
+            changes["share"] = float(share)
+        if profiles is not None:
+            changes["profiles"] = names(profiles)
+
+        def make(config: Config) -> Edit:
+            first = Workspace(name=str(name))
+            workspace = replace(config.workspaces.get(str(name), first), **changes)
+            return Edit(EditKind.APPLY_WORKSPACE, workspace=workspace)
+
+        return self._edit(make)
+
+    def retire(self, name: str) -> Command:
+        """Take the workspace NAME away; its keys are refused from then on."""
+        return self._edit(lambda _: Edit(EditKind.RETIRE_WORKSPACE, str(name)))
+
+    def add_key(self, name: str, key_file: str = "") -> Command:
+        """Add the API key in KEY_FILE ("-" for standard input) to the workspace NAME.
+
+        Without a file a new key is made and printed, this once: only its digest is
+        kept.  A key is not taken from the command line, which others can read.
+        """
+
+        async def act(session: Session) -> None:
+            key = _read_key(key_file) if key_file else _new_key()
+            digest = key_digest(key)
+            await _change_keys(session, str(name), lambda kept: (*kept, digest))
+            if not key_file and not session.options.dry_run:
+                print(key)
+
+        return Command(self._options, act)
+
+    def remove_key(self, name: str, digest: str) -> Command:
+        """Take the key whose digest begins with DIGEST from the workspace NAME."""
+        start = str(digest)
+
+        async def act(session: Session) -> None:
+            await _change_keys(
+                session,
+                str(name),
+                lambda kept: tuple(key for key in kept if not key.startswith(start)),
+            )
+
+        return Command(self._options, act)
+
+
+class UpstreamCommands(_Group):
+    """List upstreams, take them out of service, and give them orders."""
+
+    def list(self) -> Command:
+        """Show all upstreams that announce themselves or are marked as leaving."""
+        return self._list("/v1/upstreams", "upstreams", UPSTREAM_COLUMNS)
+
+    def leave(self, name: str, undo: bool = False) -> Command:
+        """Let the upstream NAME finish its work and take no more, or UNDO that."""
+        kind = EditKind.UNMARK_LEAVING if undo else EditKind.MARK_LEAVING
+        return self._edit(lambda _: Edit(kind, str(name)))
+
+    def order(self, name: str, kind: str, model: str, version: str = "") -> Command:
+        """Order NAME to KIND: load_weights, load_adapter or change_role."""
+
+        async def act(session: Session) -> None:
+            await session.order(str(name), str(kind), str(model), str(version))
+
+        return Command(self._options, act)
+
+    def orders(self) -> Command:
+        """Show the open orders and the newest closed ones."""
+        return self._list("/v1/orders", "orders", ORDER_COLUMNS)
+
+
+class OperatorCommands:
+    """The operators' commands by name, to be inherited by the command line."""
+
+    profile = ProfileCommands
+    workspace = WorkspaceCommands
+    upstream = UpstreamCommands
+
+    def audit(self, count: int = 100, **options: Any) -> Command:
+        """Show the newest COUNT entries of the audit trail, newest first."""
+
+        async def act(session: Session) -> None:
+            table = await session.get(f"/v1/audit?count={int(count)}")
+            session.say(as_columns(table["audit"], AUDIT_COLUMNS), table)
+
+        return Command(_options(options), act)
+
+    def status(self, **options: Any) -> Command:
+        """Show the revision in force at each process, and the control replicas."""
+
+        async def act(session: Session) -> None:
+            table = await session.get("/v1/status")
+            if session.options.wait:
+                table = await session.wait(table["revision"])
+            head = {k: v for k, v in table.items() if k != "processes"}
+            rows = as_columns(table["processes"], PROCESS_COLUMNS)
+            session.say(f"{as_fields(head)}\n\n{rows}", table)
+
+        return Command(_options(options), act)
+
+    def apply(self, file: str, retire: bool = False, **options: Any) -> Command:
+        """Show how FILE differs from what is in force, then make it so.
+
+        With RETIRE, profiles and workspaces that FILE does not hold are retired.
+        """
+
+        async def act(session: Session) -> None:
+            declared = _declared(Path(str(file)))
+            config = await session.config()
+            found = difference(config, declared, retire=retire)
+            if not found.edits:
+                session.say(f"no difference from revision {config.revision}")
+                return
+            session.say("\n".join(found.lines))
+            await session.change(config.revision, found.edits)
+
+        return Command(_options(options), act)
+
+
+def _options(given: dict[str, Any]) -> Options:
+    known = {item.name for item in fields(Options)}
+    unknown = sorted(given.keys() - known)
+    if unknown:
+        text = f"there is no flag --{unknown[0]}; use {', '.join(sorted(known))}"
+        raise fire.core.FireError(text)
+    return Options(**given)
+
+
+def _declared(path: Path) -> Declarations:
+    match load(path):
+        case Ok(declared):
+            return declared
+        case Err(faults):
+            lines = (fault.message for fault in faults)
+            raise CommandError(OperatorExit.USAGE, *lines)
+
+
+def _kind(value: str) -> ProfileKind:
+    try:
+        return ProfileKind(str(value))
+    except ValueError:
+        listed = ", ".join(ProfileKind)
+        text = f"there is no kind {value!r}; write one of {listed}"
+        raise fire.core.FireError(text) from None
+
+
+async def _change_keys(
+    session: Session,
+    name: str,
+    change: Callable[[tuple[str, ...]], tuple[str, ...]],
+) -> None:
+    config = await session.config()
+    workspace = config.workspaces.get(name)
+    if workspace is None:
+        refused = problem(UNKNOWN_NAME, what="workspace", name=name)
+        raise CommandError(OperatorExit.REFUSED, refused.message)
+    digests = tuple(dict.fromkeys(change(workspace.key_digests)))
+    changed = replace(workspace, key_digests=digests)
+    edit = Edit(EditKind.APPLY_WORKSPACE, workspace=changed)
+    await session.change(config.revision, [edit])
+
+
+def _new_key() -> str:
+    return secrets.token_urlsafe(NEW_KEY_BYTES)
+
+
+def _read_key(key_file: str) -> str:
+    try:
+        text = sys.stdin.read() if key_file == "-" else Path(str(key_file)).read_text()
+    except OSError as exc:
+        reason = f"{key_file} can't be read ({exc.strerror}); check the path"
+        raise CommandError(OperatorExit.USAGE, reason)
+    key = text.strip()
+    if len(key) < MIN_KEY_CHARS:
+        reason = f"the key has under {MIN_KEY_CHARS} characters; use a random one"
+        raise CommandError(OperatorExit.USAGE, reason)
+    return key
--- /dev/null
+++ b/gooseberrydale/process/operator_session.py
@@ -0,0 +1,239 @@
+"""What all operators' commands share: options, changes, waiting, exit codes.
+
+Lives for one command.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import secrets
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from result import Err, Ok
+
+from gooseberrydale.connection.control_messages import Edit
+from gooseberrydale.errors import (
+    CONTROL_UNREACHABLE,
+    NO_QUORUM,
+    NOT_LEADER,
+    Problem,
+)
+from gooseberrydale.process.operator_client import OperatorClient, Target
+from gooseberrydale.process.operator_output import as_columns, as_json
+from gooseberrydale.version.declarations import Config, Profile, Workspace
+
+CONTROL_VARIABLE = "GOOSEBERRYDALE_CONTROL"
+TOKEN_FILE_VARIABLE = "GOOSEBERRYDALE_TOKEN_FILE"
+POLL_S = 0.2
+CHANGE_ID_BYTES = 8
+NO_ANSWER_CODES = (CONTROL_UNREACHABLE.code, NO_QUORUM.code, NOT_LEADER.code)
+PROCESS_COLUMNS = ("role", "name", "zone", "revision", "behind", "heard_s_ago")
+
+
+class OperatorExit(IntEnum):
+    """What the exit code of an operators' command says."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    NO_ANSWER = 3
+    NOT_IN_FORCE = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Flags that every operators' command takes; times are seconds."""
+
+    control: Any = ""
+    token_file: str = ""
+    ca_file: str = ""
+    json: bool = False
+    wait: bool = False
+    change_id: str = ""
+    dry_run: bool = False
+    base: int | None = None
+    timeout_s: float = 10.0
+
+
+class CommandError(Exception):
+    """Ends a command with ``code`` after its lines went to standard error."""
+
+    def __init__(self, code: OperatorExit, *lines: str) -> None:
+        super().__init__("\n".join(lines))
+        self.code = code
+        self.lines = lines
+
+
+class Session:
+    """One command's dealings with control."""
+
+    def __init__(self, options: Options, client: OperatorClient) -> None:
+        self.options = options
+        self._client = client
+
+    async def get(self, path: str) -> Any:
+        """Return the table at ``path``; ends the command on a refusal."""
+        return _or_fail(await self._client.get(path))
+
+    async def config(self) -> Config:
+        """Read the declarations in force."""
+        return to_config(await self.get("/v1/config"))
+
+    async def change(self, base: int, edits: Sequence[Edit]) -> None:
+        """Send one change, say what came of it, and wait if that was asked for."""
+        change_id = self.options.change_id or secrets.token_hex(CHANGE_ID_BYTES)
+        body = {
+            "change_id": change_id,
+            "base": base if self.options.base is None else self.options.base,
+            "edits": [msgspec.to_builtins(edit) for edit in edits],
+            "dry_run": self.options.dry_run,
+        }
+        reply = await self._send("/v1/changes", body)
+        revision = reply["revision"]
+        if self.options.dry_run:
+            self.say(f"would become revision {revision}", reply)
+            return
+        self.say(f"revision {revision} committed", reply | {"change_id": change_id})
+        if self.options.wait:
+            await self.wait(revision)
+
+    async def order(self, upstream: str, kind: str, model: str, version: str) -> None:
+        """Place one order and show it."""
+        body = {
+            "change_id": self.options.change_id or secrets.token_hex(CHANGE_ID_BYTES),
+            "upstream": upstream,
+            "kind": kind,
+            "model": model,
+            "version": version,
+        }
+        reply = await self._send("/v1/orders", body)
+        self.say(f"order {reply['order']['order_id']} placed", reply)
+
+    async def wait(self, revision: int) -> Any:
+        """Return the status once ``revision`` is in force at every known process."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self.options.timeout_s
+        while True:
+            status = await self.get("/v1/status")
+            if status["revision"] >= revision and status["in_force_everywhere"]:
+                self.say(f"revision {revision} in force everywhere")
+                return status
+            if loop.time() + POLL_S >= deadline:
+                raise CommandError(OperatorExit.NOT_IN_FORCE, *_late_lines(status))
+            await asyncio.sleep(POLL_S)
+
+    def say(self, text: str, table: Any = None) -> None:
+        """Print ``text``, or with ``--json`` the ``table`` if there is one."""
+        if not self.options.json:
+            print(text)
+        elif table is not None:
+            print(as_json(table))
+
+    async def _send(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        result = await self._client.post(path, body)
+        if result.is_err() and result.unwrap_err().code in NO_ANSWER_CODES:
+            refused = result.unwrap_err().message
+            hint = f"pass --change-id {body['change_id']} to send the same change again"
+            raise CommandError(OperatorExit.NO_ANSWER, refused, hint)
+        table: dict[str, Any] = _or_fail(result)
+        return table
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A command whose arguments are read but which has done nothing yet."""
+
+    options: Options
+    act: Callable[[Session], Awaitable[None]]
+
+
+def finish(result: Any) -> Any:
+    """Carry out a command, once fire has found no fault in its arguments.
+
+    To be passed to fire as ``serialize``: were the commands to act at once, a
+    mistyped ``--dry-run`` would be noticed only after the change.  Exits the
+    process unless all went well.
+    """
+    if not isinstance(result, Command):
+        return result
+    try:
+        asyncio.run(_run(result))
+    except CommandError as exc:
+        for line in exc.lines:
+            print(line, file=sys.stderr)
+        sys.exit(exc.code)
+    return None
+
+
+async def _run(command: Command) -> None:
+    async with OperatorClient(_target(command.options)) as client:
+        await command.act(Session(command.options, client))
+
+
+def to_config(table: dict[str, Any]) -> Config:
+    """Read the answer of ``GET /v1/config``."""
+    profiles = msgspec.convert(table["profiles"], list[Profile])
+    workspaces = msgspec.convert(table["workspaces"], list[Workspace])
+    return Config(
+        revision=table["revision"],
+        profiles={profile.name: profile for profile in profiles},
+        workspaces={workspace.name: workspace for workspace in workspaces},
+        leaving=frozenset(table["leaving"]),
+    )
+
+
+def names(value: Any) -> tuple[str, ...]:
+    """Read a flag that lists names; fire makes a tuple of ``a,b``."""
+    if isinstance(value, list | tuple):
+        return tuple(str(item).strip() for item in value)
+    return tuple(part.strip() for part in str(value).split(",") if part.strip())
+
+
+def _target(options: Options) -> Target:
+    urls = names(options.control or os.environ.get(CONTROL_VARIABLE, ""))
+    if not urls:
+        remedy = f"pass --control URL[,URL...] or set {CONTROL_VARIABLE}"
+        raise CommandError(OperatorExit.USAGE, f"no control replica is given; {remedy}")
+    token_file = options.token_file or os.environ.get(TOKEN_FILE_VARIABLE, "")
+    if not token_file:
+        remedy = f"pass --token-file FILE or set {TOKEN_FILE_VARIABLE}"
+        raise CommandError(OperatorExit.USAGE, f"no operator token is given; {remedy}")
+    token = _read_secret(Path(token_file))
+    return Target(urls, token, options.ca_file, float(options.timeout_s))
+
+
+def _read_secret(path: Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8").strip()
+    except OSError as exc:
+        text = f"{path} can't be read ({exc.strerror}); check the path"
+        raise CommandError(OperatorExit.USAGE, text) from exc
+
+
+def _or_fail(result: Any) -> Any:
+    match result:
+        case Ok(table):
+            return table
+        case Err(refused):
+            raise CommandError(_exit_code(refused), refused.message)
+
+
+def _exit_code(refused: Problem) -> OperatorExit:
+    if refused.code in NO_ANSWER_CODES:
+        return OperatorExit.NO_ANSWER
+    return OperatorExit.REFUSED
+
+
+def _late_lines(status: dict[str, Any]) -> tuple[str, ...]:
+    behind = [process for process in status["processes"] if process["behind"]]
+    text = f"revision {status['revision']} is committed but not in force everywhere"
+    if not behind:
+        return (f"{text}: control has not heard all processes yet; ask again",)
+    return (f"{text}; look after these processes:", as_columns(behind, PROCESS_COLUMNS))
--- a/gooseberrydale/version/acknowledgements.py
+++ b/gooseberrydale/version/acknowledgements.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 FORGET_AFTER_S = 300.0
+SETTLE_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +32,15 @@
 
     def __init__(self) -> None:
         self._standings: dict[tuple[str, str], Standing] = {}
+        self._complete_at = math.inf
+
+    def start(self, now: float) -> None:
+        """Begin to listen; until processes had time to join, the list is partial."""
+        self._complete_at = now + SETTLE_S
+
+    def in_force_everywhere(self, revision: int, now: float) -> bool:
+        """Whether every process has told ``revision``, as far as can be known."""
+        return now >= self._complete_at and not self.behind(revision, now)
 
     def heard(self, standing: Standing) -> None:
         """Take in what a process told; a word of an earlier life is dropped."""
--- a/gooseberrydale/version/change.py
+++ b/gooseberrydale/version/change.py
@@ -109,7 +109,7 @@
     for edit in edits:
         draft.take(edit)
     changed = draft.config()
-    faults = draft.faults + config_faults(changed)
+    faults = draft.faults + [str(fault) for fault in config_faults(changed)]
     if faults:
         return Err(problem(INVALID_DECLARATION, reason=joined(faults)))
     return Ok(changed)
@@ -202,7 +202,7 @@
         if edit.profile is None:
             self.faults.append("apply_profile: give the profile")
             return
-        self.faults.extend(profile_faults(edit.profile))
+        self.faults.extend(map(str, profile_faults(edit.profile)))
         self._profiles[edit.profile.name] = edit.profile
 
     def _retire_profile(self, edit: Edit) -> None:
@@ -213,7 +213,7 @@
         if edit.workspace is None:
             self.faults.append("apply_workspace: give the workspace")
             return
-        self.faults.extend(workspace_faults(edit.workspace))
+        self.faults.extend(map(str, workspace_faults(edit.workspace)))
         self._workspaces[edit.workspace.name] = edit.workspace
 
     def _retire_workspace(self, edit: Edit) -> None:
--- a/gooseberrydale/version/key_index.py
+++ b/gooseberrydale/version/key_index.py
@@ -39,5 +39,9 @@
 
 
 def key_digest(key: str) -> str:
-    """The form in which the configuration keeps an API key."""
+    """The form in which API keys and operators' tokens are kept.
+
+    A plain hash is enough where the secret is random and long: there is nothing
+    to guess that a slow hash would protect, and a key is looked up on each call.
+    """
     return hashlib.sha256(key.encode()).hexdigest()
--- a/gooseberrydale/version/validation.py
+++ b/gooseberrydale/version/validation.py
@@ -11,76 +11,79 @@
 from collections.abc import Iterator
 
 from gooseberrydale.version.declarations import Config, Profile, ProfileKind, Workspace
+from gooseberrydale.version.structuring import FieldFault
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+NAME_REMEDY = "use letters, digits and ._:/- (128 at most)"
 MAX_DEADLINE_S = 86_400.0
 MAX_PRIORITY = 1_000
 
 
-def profile_faults(profile: Profile) -> list[str]:
-    """Return what is wrong with a profile taken alone."""
-    where = f"profile {profile.name!r}"
-    return list(_profile_faults(profile, where))
-
-
-def _profile_faults(profile: Profile, where: str) -> Iterator[str]:
+def profile_faults(profile: Profile) -> Iterator[FieldFault]:
+    """Yield what is wrong with a profile taken alone."""
+    key = f"profiles.{profile.name}"
     if not NAME_PATTERN.fullmatch(profile.name):
-        yield f"{where}: name: use letters, digits and ._:/- (128 at most)"
+        yield _wrong(key, "name", NAME_REMEDY)
     if not NAME_PATTERN.fullmatch(profile.pool):
-        yield f"{where}: pool: name the pool of upstreams that serves it"
+        yield _wrong(key, "pool", "name the pool of upstreams that serves it")
     if profile.kind is ProfileKind.COMPLETION and not profile.model:
-        yield f"{where}: model: name the model that the upstreams of the pool serve"
+        yield _wrong(key, "model", "name the model that the pool's upstreams serve")
     if not _within(profile.deadline_s, 0.0, MAX_DEADLINE_S) or not profile.deadline_s:
-        yield f"{where}: deadline_s: set seconds above 0, {MAX_DEADLINE_S:g} at most"
+        remedy = f"write seconds above 0, {MAX_DEADLINE_S:g} at most"
+        yield _wrong(key, "deadline_s", remedy)
     if not _within(profile.waste_weight, 0.0, math.inf):
-        yield f"{where}: waste_weight: set a finite number of 0 or more"
+        yield _wrong(key, "waste_weight", "write a finite number of 0 or more")
     if abs(profile.priority) > MAX_PRIORITY:
-        yield f"{where}: priority: set one from -{MAX_PRIORITY} to {MAX_PRIORITY}"
-
+        remedy = f"write one from -{MAX_PRIORITY} to {MAX_PRIORITY}"
+        yield _wrong(key, "priority", remedy)
 
-def workspace_faults(workspace: Workspace) -> list[str]:
-    """Return what is wrong with a workspace taken alone."""
-    where = f"workspace {workspace.name!r}"
-    return list(_workspace_faults(workspace, where))
 
-
-def _workspace_faults(workspace: Workspace, where: str) -> Iterator[str]:
+def workspace_faults(workspace: Workspace) -> Iterator[FieldFault]:
+    """Yield what is wrong with a workspace taken alone."""
+    key = f"workspaces.{workspace.name}"
     if not NAME_PATTERN.fullmatch(workspace.name):
-        yield f"{where}: name: use letters, digits and ._:/- (128 at most)"
+        yield _wrong(key, "name", NAME_REMEDY)
     if not _within(workspace.share, 0.0, math.inf) or not workspace.share:
-        yield f"{where}: share: set a finite number above 0"
+        yield _wrong(key, "share", "write a finite number above 0")
     for digest in workspace.key_digests:
         if not DIGEST_PATTERN.fullmatch(digest):
-            yield f"{where}: key_digests: give SHA-256 digests as 64 hex digits"
+            yield _wrong(key, "key_digests", "write SHA-256 digests as 64 hex digits")
 
 
-def config_faults(config: Config) -> list[str]:
-    """Return what is wrong with all declarations together."""
-    return [*_unknown_profiles(config), *_shared_keys(config)]
+def config_faults(config: Config) -> Iterator[FieldFault]:
+    """Yield what is wrong with all declarations together."""
+    yield from _unknown_profiles(config)
+    yield from _shared_keys(config)
 
 
-def _unknown_profiles(config: Config) -> Iterator[str]:
+def _unknown_profiles(config: Config) -> Iterator[FieldFault]:
     for workspace in config.workspaces.values():
         for name in workspace.profiles:
             if name not in config.profiles:
-                yield (
-                    f"workspace {workspace.name!r}: profiles: there is no profile"
-                    f" {name!r}; apply it first or take it off the list"
+                yield FieldFault(
+                    f"workspaces.{workspace.name}.profiles",
+                    f"names the profile {name!r}, which does not exist",
+                    "apply that profile first or take it off the list",
                 )
 
 
-def _shared_keys(config: Config) -> Iterator[str]:
+def _shared_keys(config: Config) -> Iterator[FieldFault]:
     owners: dict[str, str] = {}
     for workspace in config.workspaces.values():
         for digest in workspace.key_digests:
             owner = owners.setdefault(digest, workspace.name)
             if owner != workspace.name:
-                yield (
-                    f"workspace {workspace.name!r}: key_digests: a key belongs to"
-                    f" {owner!r} already; give each workspace keys of its own"
+                yield FieldFault(
+                    f"workspaces.{workspace.name}.key_digests",
+                    f"holds a key of workspace {owner!r}",
+                    "give each workspace keys of its own",
                 )
 
 
+def _wrong(key: str, name: str, remedy: str) -> FieldFault:
+    return FieldFault(f"{key}.{name}", "is not valid", remedy)
+
+
 def _within(value: float, low: float, high: float) -> bool:
     return math.isfinite(value) and low <= value <= high
--- /dev/null
+++ b/tests/test_operator_cli.py
@@ -0,0 +1,238 @@
+"""The operators' commands against a control process with its state in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import threading
+from collections.abc import Callable, Iterator
+
+import fire
+import pytest
+
+from gooseberrydale.process.control import Control
+from gooseberrydale.process.operator_cli import OperatorCommands
+from gooseberrydale.process.operator_session import (
+    CONTROL_VARIABLE,
+    TOKEN_FILE_VARIABLE,
+    OperatorExit,
+    finish,
+)
+from gooseberrydale.version.acknowledgements import Standing
+from gooseberrydale.version.key_index import key_digest
+from tests.builders_operators import TOKEN, running_control
+
+Run = Callable[..., int]
+KEY = "key-of-fraser-0123456789"
+DECLARED = """
+[profiles.summary]
+kind = "completion"
+pool = "engines"
+model = "m1"
+
+[workspaces.fraser]
+share = 2.0
+profiles = ["summary"]
+"""
+FAULTY = """
+[profiles.summary]
+kind = "completion"
+pool = "engines"
+modle = "m1"
+deadline_s = "soon"
+
+[workspaces.fraser]
+share = -1.0
+
+[profile.x]
+"""
+SUMMARY = ("--kind", "completion", "--pool", "engines", "--model", "m1")
+
+
+@pytest.fixture
+def control() -> Iterator[Control]:
+    """A control process on a loop of its own, as the commands run theirs."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    context = running_control()
+
+    def wait(coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, loop).result(30)
+
+    try:
+        yield wait(context.__aenter__())
+        wait(context.__aexit__(None, None, None))
+    finally:
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join(30)
+        loop.close()
+
+
+@pytest.fixture
+def run(
+    control: Control, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> Run:
+    """Run one command and return its exit code."""
+    token_file = tmp_path / "token"
+    token_file.write_text(TOKEN)
+    urls = f"http://127.0.0.1:1,http://{control.addresses['http']}"
+    monkeypatch.setenv(CONTROL_VARIABLE, urls)
+    monkeypatch.setenv(TOKEN_FILE_VARIABLE, str(token_file))
+
+    def command(*args: str) -> int:
+        try:
+            fire.Fire(OperatorCommands(), list(args), serialize=finish)
+        except SystemExit as exc:
+            return int(exc.code or 0)
+        return 0
+
+    return command
+
+
+def test_profile_from_first_apply_to_retirement(run, capsys):
+    assert run("profile", "apply", "summary", *SUMMARY) == 0
+    assert run("profile", "apply", "summary", "--priority", "3") == 0
+    capsys.readouterr()
+    assert run("profile", "show", "summary", "--json") == 0
+    shown = json.loads(capsys.readouterr().out)
+    assert (shown["pool"], shown["priority"]) == ("engines", 3)
+    assert run("profile", "list") == 0
+    heading, row = capsys.readouterr().out.splitlines()
+    assert heading.startswith("NAME") and row.startswith("summary  completion")
+    assert run("profile", "retire", "summary") == 0
+    assert run("profile", "retire", "summary") == OperatorExit.REFUSED
+    assert "no profile 'summary'" in capsys.readouterr().err
+    assert run("audit") == 0
+    assert "invalid_declaration" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    "args",
+    [
+        ("profile", "apply", "summary", *SUMMARY, "--dry-run"),
+        ("profile", "apply", "summary", *SUMMARY, "--dryrun"),
+        ("profile", "apply", "summary", "extra", *SUMMARY, "--dry-rum"),
+        ("apply", "FILE", "--dry-run"),
+        ("apply", "FILE", "--dry-rn"),
+    ],
+)
+def test_nothing_is_changed_on_trial_or_by_a_mistyped_flag(
+    run, control, tmp_path, args
+):
+    file = tmp_path / "declarations.toml"
+    file.write_text(DECLARED)
+    code = run(*(str(file) if arg == "FILE" else arg for arg in args))
+    assert code == (0 if "--dry-run" in args else OperatorExit.USAGE)
+    assert control.store.revision == 0
+
+
+def test_resend_under_the_same_change_id_changes_once(run, control, capsys):
+    args = ("profile", "apply", "summary", *SUMMARY, "--change-id", "c1", "--json")
+    assert [run(*args), run(*args)] == [0, 0]
+    first, second = capsys.readouterr().out.split("}\n", 1)
+    assert json.loads(first + "}") == json.loads(second)
+    assert control.store.revision == 1
+    other = ("profile", "retire", "summary", "--change-id", "c1")
+    assert run(*other) == OperatorExit.REFUSED
+
+
+def test_stale_base_is_refused(run):
+    assert run("profile", "apply", "summary", *SUMMARY) == 0
+    stale = ("profile", "retire", "summary", "--base", "0")
+    assert run(*stale) == OperatorExit.REFUSED
+
+
+def test_keys_are_kept_as_digests_and_shown_once(run, control, tmp_path, capsys):
+    key_file = tmp_path / "key"
+    key_file.write_text(KEY)
+    assert run("workspace", "apply", "fraser", "--share", "2") == 0
+    assert run("workspace", "add-key", "fraser", "--key-file", str(key_file)) == 0
+    capsys.readouterr()
+    assert run("workspace", "add-key", "fraser") == 0
+    made = capsys.readouterr().out.splitlines()[-1]
+    digests = control.store.config.workspaces["fraser"].key_digests
+    assert digests == (key_digest(KEY), key_digest(made))
+    assert run("workspace", "remove-key", "fraser", "--digest", digests[0][:12]) == 0
+    assert control.store.config.workspaces["fraser"].key_digests == digests[1:]
+    assert run("workspace", "list") == 0
+    assert run("workspace", "show", "fraser") == 0
+    assert run("audit", "--json") == 0
+    shown = capsys.readouterr().out
+    assert KEY not in shown and made not in shown
+    assert run("workspace", "add-key", "nobody") == OperatorExit.REFUSED
+    key_file.write_text("short")
+    weak = run("workspace", "add-key", "fraser", "--key-file", str(key_file))
+    assert weak == OperatorExit.USAGE
+
+
+def test_upstreams_and_orders(run, control, capsys):
+    assert run("upstream", "leave", "e1") == 0
+    assert control.store.config.leaving == {"e1"}
+    assert run("upstream", "list", "--json") == 0
+    assert run("upstream", "leave", "e1", "--undo") == 0
+    assert control.store.config.leaving == frozenset()
+    assert run("upstream", "order", "e1", "load_weights", "m1", "v2") == 0
+    capsys.readouterr()
+    assert run("upstream", "orders", "--json") == 0
+    (order,) = json.loads(capsys.readouterr().out)["orders"]
+    assert (order["upstream"], order["version"]) == ("e1", "v2")
+
+
+def test_file_is_applied_with_its_difference_shown(run, control, tmp_path, capsys):
+    file = tmp_path / "declarations.toml"
+    file.write_text(DECLARED)
+    assert run("apply", str(file)) == 0
+    assert "+ profile summary" in capsys.readouterr().out
+    assert run("workspace", "add-key", "fraser") == 0
+    file.write_text(DECLARED.replace("2.0", "3.0"))
+    capsys.readouterr()
+    assert run("apply", str(file)) == 0
+    assert "share: 2.0 -> 3.0" in capsys.readouterr().out
+    fraser = control.store.config.workspaces["fraser"]
+    assert fraser.share == 3.0 and len(fraser.key_digests) == 1
+    assert run("apply", str(file)) == 0
+    assert "no difference" in capsys.readouterr().out
+    file.write_text("")
+    assert run("apply", str(file), "--retire") == 0
+    assert control.store.config.profiles == {}
+
+
+def test_every_fault_of_a_file_is_named_with_its_key(run, control, tmp_path, capsys):
+    file = tmp_path / "declarations.toml"
+    file.write_text(FAULTY)
+    assert run("apply", str(file)) == OperatorExit.USAGE
+    lines = capsys.readouterr().err.splitlines()
+    keys = [line.split(": ")[1] for line in lines]
+    assert all(line.startswith(str(file)) for line in lines)
+    assert sorted(keys) == [
+        "profile",
+        "profiles.summary.deadline_s",
+        "profiles.summary.modle",
+        "workspaces.fraser.share",
+    ]
+
+
+def test_wait_names_the_process_that_is_behind(run, control, capsys):
+    behind = Standing("entry", "entry-7", "i1", "z1", 0, heard_at=1e12)
+    control._acknowledgements.heard(behind)
+    args = ("profile", "apply", "summary", *SUMMARY, "--wait", "--timeout-s", "1")
+    assert run(*args) == OperatorExit.NOT_IN_FORCE
+    assert "entry-7" in capsys.readouterr().err
+    assert run("status") == 0
+    assert "entry-7" in capsys.readouterr().out
+
+
+def test_wait_is_not_fooled_by_a_control_that_has_just_started(run, control):
+    control._acknowledgements.start(now=1e12)
+    args = ("profile", "apply", "summary", *SUMMARY, "--wait", "--timeout-s", "0.1")
+    assert run(*args) == OperatorExit.NOT_IN_FORCE
+
+
+def test_wrong_token_and_nobody_there(run, control, tmp_path, capsys):
+    wrong = tmp_path / "wrong"
+    wrong.write_text("not the token")
+    assert run("status", "--token-file", str(wrong)) == OperatorExit.REFUSED
+    nobody = ("profile", "retire", "x", "--control", "http://127.0.0.1:1")
+    assert run(*nobody, "--timeout-s", "0.1") == OperatorExit.NO_ANSWER
