--- /dev/null
+++ b/measure/subject.py
@@ -0,0 +1,65 @@
+"""One role process under measure, and what it spends in a stretch of time."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+from dataclasses import dataclass
+from types import TracebackType
+
+import psutil
+
+from tests.fleet import CONTROL_RPC, ENTRY_RPC, Fleet, wait_for_port
+
+MB = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Processor time in seconds a second, and resident memory in megabytes."""
+
+    cpu: float
+    rss_mb: float
+
+
+class Subject:
+    """A lone entry or control process; use it as a context."""
+
+    def __init__(self, role: str, folder: pathlib.Path) -> None:
+        self.fleet = Fleet(folder, ("zone-1",))
+        if role == "entry":
+            self.fleet.add_entries(1, check_invariants=False)
+            self.name, port = "entry-1", ENTRY_RPC
+        else:
+            self.fleet.add_controls(1, check_invariants=False)
+            self.name, port = "control-1", CONTROL_RPC
+        self.host, self.port = self.fleet.host(self.name), port
+        self.address = f"{self.host}:{port}"
+
+    def __enter__(self) -> Subject:
+        self.fleet.start()
+        wait_for_port(self.host, self.port)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.fleet.close()
+
+    async def usage(self, seconds: float) -> Usage:
+        """Watch the process for a while."""
+        return await watch(self.fleet.processes[self.name].pid, seconds)
+
+
+async def watch(pid: int, seconds: float) -> Usage:
+    """Return what a process spends during the next ``seconds``."""
+    process = psutil.Process(pid)
+    loop = asyncio.get_running_loop()
+    before, began = process.cpu_times(), loop.time()
+    await asyncio.sleep(seconds)
+    after, ended = process.cpu_times(), loop.time()
+    spent = after.user + after.system - before.user - before.system
+    return Usage(spent / (ended - began), process.memory_info().rss / MB)
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -19,6 +19,7 @@
 from gooseberrydale.example.prompts import parse_prompt
 from measure.client import Answer, CallAnswer, Caller, Outcome, Target
 from measure.figures import Figures, figures, ideal_cached_tokens, percentiles
+from measure.fit import fit
 from measure.load import Result
 from measure.table import figures_table
 from measure.workload import Ask, Call, Shape, calls, prompts
@@ -223,3 +224,17 @@
 
     answer = asyncio.run(scenario())
     assert (answer.outcome, answer.text) == (outcome, text)
+
+
+def test_a_fitted_line_shows_its_slope_and_how_well_it_fits():
+    line = fit([0, 1, 2, 3], [5.0, 7.0, 9.0, 11.0])
+    assert (line.slope, line.intercept, line.r2) == pytest.approx((2.0, 5.0, 1.0))
+    assert (line.low, line.high) == pytest.approx((2.0, 2.0))
+    bent = fit([0, 1, 2, 3], [0.0, 0.0, 0.0, 9.0])
+    assert bent.r2 < 0.7
+    assert bent.low == 0.0 < bent.slope < bent.high
+
+
+def test_two_sizes_make_no_line():
+    with pytest.raises(ValueError):
+        fit([0, 1, 0], [1.0, 2.0, 1.0])
