--- a/gooseberrydale/process/runner.py
+++ b/gooseberrydale/process/runner.py
@@ -12,19 +12,19 @@
 import os
 import signal
 import sys
-from collections.abc import Mapping
 from enum import IntEnum
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any, Protocol, runtime_checkable
 
 from loguru import logger
 from result import Err, Ok
 
-from gooseberrydale.errors import InvariantError, Problem
+from gooseberrydale.errors import InvariantError, Problem, ProblemError
 from gooseberrydale.process import cfg_checks, logs
-from gooseberrydale.process.cfg import Cfg
+from gooseberrydale.process.cfg import Cfg, LogCfg
 from gooseberrydale.process.cfg_file import load, read_token
 from gooseberrydale.process.life_cycle import LifeCycle
+from gooseberrydale.process.role import Role
 
 # Imported by name, so that a process loads the code of its own role alone.
 ROLE_CLASSES = {
@@ -47,18 +47,13 @@
     INTERRUPTED = 130
 
 
-class Role(Protocol):
-    """What the runner needs of a role."""
+@runtime_checkable
+class HasIncarnation(Protocol):
+    """A role that names its own life, which log lines then carry."""
 
     @property
-    def addresses(self) -> Mapping[str, str]:
-        """Listeners by name as ``IP:PORT``, known once started."""
-
-    async def start(self) -> None:
-        """Bind the listeners and serve; raises OSError if an address is taken."""
-
-    async def close(self) -> None:
-        """Take no new work, finish what runs, release everything."""
+    def incarnation(self) -> str:
+        """Name of this life of the role."""
 
 
 class RoleMaker(Protocol):
@@ -71,7 +66,18 @@
     """Import the class of a role and build it with its settings."""
     module, class_name = ROLE_CLASSES[name]
     role: Role = getattr(importlib.import_module(module), class_name)(cfg)
-    return role
+    if isinstance(role, HasIncarnation):
+        logs.identify(logs.Identity(name, cfg.node.name, role.incarnation))
+    return role if not cfg.metrics.http else _observed(name, cfg, role)
+
+
+def _observed(name: str, cfg: Cfg, role: Role) -> Role:
+    # Imported here: the libraries for metrics take memory that others can save.
+    from gooseberrydale.process.metrics import Metrics
+    from gooseberrydale.process.observed_role import ObservedRole
+
+    spare = Metrics(name, cfg.node.name, cfg.node.zone)
+    return ObservedRole(role, spare, cfg.metrics.http)
 
 
 def run_process(role_name: str, cfg_path: Path, ready_file: Path | None) -> ExitCode:
@@ -93,6 +99,14 @@
     return run_role(lambda: make_role(role_name, cfg), ready_file)
 
 
+def run_local(port: int, operator_port: int, ready_file: Path | None) -> ExitCode:
+    """Run all roles in this process, for trying the product on one machine."""
+    logs.setup(LogCfg(), logs.Identity("local", "local"))
+    local = importlib.import_module("gooseberrydale.process.local")
+    cfg = local.LocalCfg(port, operator_port)
+    return run_role(lambda: local.Local(cfg), ready_file)
+
+
 def run_role(make: RoleMaker, ready_file: Path | None = None) -> ExitCode:
     """Run what ``make`` builds until a signal ends it."""
     try:
@@ -125,10 +139,12 @@
             loop.add_signal_handler(number, self._on_signal, number)
         try:
             role = self._make()
-            if not await self._start(role):
-                return self._code
-            await self._stop.wait()
-            await self._drain(role)
+            if await self._start(role):
+                await self._stop.wait()
+                await self._drain(role)
+        except ProblemError as exc:
+            # What a role finds in the files that its settings name.
+            self._fail(ExitCode.INVALID_SETTINGS, "{}", exc)
         finally:
             for number in _STOP_SIGNALS:
                 loop.remove_signal_handler(number)
@@ -150,7 +166,7 @@
             await starting
         except asyncio.CancelledError:
             logger.info("told to stop before the start was complete")
-        except OSError as exc:
+        except (OSError, ProblemError) as exc:
             self._fail(ExitCode.NOT_STARTED, "cannot start: {}", exc)
         except Exception as exc:
             logger.opt(exception=exc).critical("the role failed to start")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -311,7 +311,7 @@
         """The upstream's own record of what it ran."""
         url = self.upstream_url(upstream) + "/record"
         answer = httpx2.get(url, timeout=10.0, trust_env=False).json()
-        return list(answer["runs"])
+        return list(answer["runs"] if "runs" in answer else answer["requests"])
 
     # Details.
 
