Let the prompts of running work count less as time passes

Cause: a running prompt counted as waiting ahead of others until its first token was reported. Where nobody reports it, it counted until the whole answer was done, and a sidecar with long answers refused work for its deadline that it could have met. Ruled out: relying on the report alone; the gate must not be wrong for the lack of a call. Change: the gate keeps the time at which the running prompts are expected to be computed; a first token, an end or a cancel corrects it. Seen to fail: with the old sum, without moving the time on, and without the correction on a cancel or a first token. A test for answers taken over in the middle came in with it; it was seen to fail with offsets counted from 0 and with the text taken for whole.

--- a/gooseberrydale/request/admission.py
+++ b/gooseberrydale/request/admission.py
@@ -60,6 +60,7 @@
         self._prefill_tps = prefill_tps
         self._hold_s = DEFAULT_HOLD_S
         self._running: dict[str, _Running] = {}
+        self._prefilled_at = 0.0
         self._queue = FairQueue()
         self._hopeless: list[Waiting] = []
         self._started: OrderedDict[str, None] = OrderedDict()
@@ -69,11 +70,11 @@
         if self._is_known(work.id):
             return _duplicate(work)
         if self._has_slot() and not self._queue:
-            wait_s = self._prefill_backlog_s()
+            wait_s = self._prefill_backlog_s(now)
         else:
-            wait_s = self._queued_wait_s(work)
+            wait_s = self._queued_wait_s(work, now)
         if wait_s + self._prefill_s(work) > work.deadline_s:
-            return self._too_late(wait_s, work)
+            return self._too_late(wait_s, work, now)
         if self._has_slot() and not self._queue:
             # Through the queue, so that its workspace is charged for it.
             self._queue.push(work, now)
@@ -82,15 +83,20 @@
         return self._enqueue(work, wait_s, now)
 
     def first_token(self, work_id: str, now: float) -> None:
-        """Say that the work's prompt is computed and no longer delays others."""
+        """Say that the work's prompt is computed and no longer delays others.
+
+        Without it the prompt counts for as long as its tokens take at the rate.
+        """
         if work_id in self._running:
             self._running[work_id].prefilling = False
+            self._end_backlog(now)
 
     def finish(self, work_id: str, now: float) -> list[str]:
         """Free the work's slot; return the ids of queued work that starts now."""
         done = self._running.pop(work_id, None)
         if done is None:
             return []
+        self._end_backlog(now)
         held_s = max(0.0, now - done.started_at)
         self._hold_s += HOLD_SMOOTHING * (held_s - self._hold_s)
         return self._start_queued(now)
@@ -98,6 +104,7 @@
     def cancel(self, work_id: str, now: float) -> list[str]:
         """Give the work up, running or queued; return the ids that start now."""
         if self._running.pop(work_id, None) is not None:
+            self._end_backlog(now)
             return self._start_queued(now)
         self._queue.remove(work_id)
         self._hopeless = [w for w in self._hopeless if w.work.id != work_id]
@@ -111,7 +118,8 @@
             if self._is_late(waiting, now):
                 self._queue.remove(waiting.work.id)
                 late.append(waiting)
-        return [(w.work.id, self._too_late(self._slot_wait_s(), w.work)) for w in late]
+        wait_s = self._slot_wait_s()
+        return [(w.work.id, self._too_late(wait_s, w.work, now)) for w in late]
 
     def next_expiry(self) -> float | None:
         """Return when :meth:`expire` has work at the latest; None if nothing waits."""
@@ -130,7 +138,7 @@
         return Load(
             running=len(self._running),
             queued=len(self._queue),
-            queue_s=self._wait_s(self._queue.tokens(), len(self._queue)),
+            queue_s=self._wait_s(self._queue.tokens(), len(self._queue), now),
             prefill_tps=self._prefill_tps,
         )
 
@@ -147,9 +155,9 @@
         if len(self._queue) >= self._max_queued:
             worst = self._queue.worse_than(work)
             if worst is None:
-                return self._full()
+                return self._full(now)
             self._queue.remove(worst.work.id)
-            displaced = ((worst.work.id, self._full()),)
+            displaced = ((worst.work.id, self._full(now)),)
         self._queue.push(work, now)
         self._check()
         return Queued(wait_s, displaced)
@@ -174,6 +182,8 @@
         if len(self._started) > KEPT_IDS:
             self._started.popitem(last=False)
         self._running[work.id] = _Running(work, now)
+        begins_at = max(now, self._prefilled_at)
+        self._prefilled_at = begins_at + self._prefill_s(work)
         self._check()
 
     def _check(self) -> None:
@@ -185,20 +195,24 @@
     def _prefill_s(self, work: Work) -> float:
         return work.tokens / self._prefill_tps
 
-    def _prefill_backlog_s(self) -> float:
-        tokens = sum(r.work.tokens for r in self._running.values() if r.prefilling)
-        return tokens / self._prefill_tps
+    def _prefill_backlog_s(self, now: float) -> float:
+        """Time until the prompts of all running work are computed."""
+        return max(0.0, self._prefilled_at - now)
+
+    def _end_backlog(self, now: float) -> None:
+        if not any(running.prefilling for running in self._running.values()):
+            self._prefilled_at = now
 
     def _slot_wait_s(self) -> float:
         return self._hold_s / self._max_running
 
-    def _queued_wait_s(self, work: Work) -> float:
+    def _queued_wait_s(self, work: Work, now: float) -> float:
         tokens, count = self._queue.ahead_of(work)
-        return self._wait_s(tokens, count)
+        return self._wait_s(tokens, count, now)
 
-    def _wait_s(self, tokens: int, count: int) -> float:
+    def _wait_s(self, tokens: int, count: int, now: float) -> float:
         """Expected wait behind ``count`` queued attempts of ``tokens`` in all."""
-        prefill_s = self._prefill_backlog_s() + tokens / self._prefill_tps
+        prefill_s = self._prefill_backlog_s(now) + tokens / self._prefill_tps
         if self._has_slot() and count == 0:
             return prefill_s
         return max(prefill_s, (count + 1) * self._slot_wait_s())
@@ -210,20 +224,20 @@
     def _is_late(self, waiting: Waiting, now: float) -> bool:
         return now > self._latest_start(waiting)
 
-    def _retry_after_s(self) -> float:
-        wait_s = self._wait_s(self._queue.tokens(), len(self._queue))
+    def _retry_after_s(self, now: float) -> float:
+        wait_s = self._wait_s(self._queue.tokens(), len(self._queue), now)
         return max(MIN_RETRY_AFTER_S, wait_s)
 
-    def _too_late(self, wait_s: float, work: Work) -> Problem:
+    def _too_late(self, wait_s: float, work: Work, now: float) -> Problem:
         return problem(
             errors.DEADLINE_TOO_CLOSE,
-            retry_after_s=self._retry_after_s(),
+            retry_after_s=self._retry_after_s(now),
             wait_s=wait_s,
             deadline_s=work.deadline_s,
         )
 
-    def _full(self) -> Problem:
-        return problem(errors.QUEUE_FULL, retry_after_s=self._retry_after_s())
+    def _full(self, now: float) -> Problem:
+        return problem(errors.QUEUE_FULL, retry_after_s=self._retry_after_s(now))
 
 
 def _duplicate(work: Work) -> Problem:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -177,9 +177,22 @@
     admission = gate(max_running=2)
     admission.offer(work("a", tokens=5_000), 0.0)
     assert admission.load(0.0).queue_s == pytest.approx(5.0)
-    admission.first_token("a", 5.0)
-    assert admission.load(5.0).queue_s == 0.0
-    assert admission.offer(work("b", deadline_s=1.1), 5.0) == Admitted()
+    admission.first_token("a", 1.0)
+    assert admission.load(1.0).queue_s == 0.0
+    assert admission.offer(work("b", deadline_s=1.1), 1.0) == Admitted()
+
+
+@pytest.mark.parametrize(("passed_s", "left_s"), [(0.0, 5.0), (2.0, 3.0), (9.0, 0.0)])
+def test_prompts_under_way_delay_others_less_and_less(
+    passed_s: float, left_s: float
+) -> None:
+    admission = gate(max_running=9)
+    admission.offer(work("a", tokens=2_000), 0.0)
+    admission.offer(work("b", tokens=3_000), 0.0)
+    assert admission.load(passed_s).queue_s == pytest.approx(left_s)
+    for gone in "ab":
+        admission.cancel(gone, 0.0)
+    assert admission.load(0.0).queue_s == 0.0
 
 
 def test_queued_work_is_answered_once_its_deadline_is_lost() -> None:
--- a/tests/test_reassembly.py
+++ b/tests/test_reassembly.py
@@ -97,6 +97,15 @@
     assert shapes(actions) == [2, Finished]
 
 
+def test_an_answer_taken_over_begins_where_the_caller_is() -> None:
+    answer = Reassembly("r", first_offset=2)
+    assert answer.begin(1, "i1") == 2
+    frames = [ONE.accepted(2), ONE.chunk(1, 4), ONE.end(4)]
+    actions = [action for frame in frames for action in answer.feed(frame)]
+    assert shapes(actions) == [Start, 2, 3, Finished]
+    assert answer.emitted_text() is None  # its beginning is not known here
+
+
 def test_attach_asks_again_if_the_gap_is_still_there() -> None:
     answer, _ = fed(ONE.accepted(), ONE.chunk(1, 2))
     answer.attached()
