Gather a prompt's levels at the homes of its base, spread only under own load

Each level of a prompt had homes of its own, so every lot took its guide along to other upstreams; homes lost their pull when a cold cache missed; and each entry spread its misses as soon as its own wait was a little shorter elsewhere, which made more misses. Change: only the base has homes among all upstreams, one in use when idle. The next joins if those in use wait longer, beyond what the pool waits on average, than the prompt takes to compute anew. Deeper levels are divided among the homes in use. A wasted recomputation counts more the longer others wait where it would run.

--- a/gooseberrydale/request/affinity.py
+++ b/gooseberrydale/request/affinity.py
@@ -17,7 +17,7 @@
 from gooseberrydale.connection.messages import Piece
 from gooseberrydale.request.estimate import Estimates, identity
 
-MAX_LEVELS = 4
+MIN_BASE_TOKENS = 256
 # A level must add this part of the prompt to the one before it to have own homes.
 MIN_LEVEL_PART = 0.05
 MAX_PREFIXES = 64
@@ -25,8 +25,6 @@
 HOLDERS_PER_PREFIX = 8
 SCOPE_BYTES = 8
 KEPT_SCOPES = 4_096
-FIRST_HOME_HIT = 0.5
-HOME_HIT_SMOOTHING = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,33 +69,22 @@
 
 
 def levels(prefixes: Sequence[Prefix]) -> list[Prefix]:
-    """Pick the prefixes that have homes: first, half, last but one, and last."""
+    """Pick the prefixes that have homes: the base, half, last but one, and last.
+
+    The base is the first prefix worth keeping together; the others divide its homes.
+    """
     if not prefixes:
         return []
     total = prefixes[-1].tokens
     half = next(p for p in prefixes if 2 * p.tokens >= total)
-    picked = [prefixes[0]]
+    base = next((p for p in prefixes if p.tokens >= MIN_BASE_TOKENS), prefixes[-1])
+    picked = [base]
     for prefix in (half, *prefixes[-2:]):
         if prefix.tokens - picked[-1].tokens > MIN_LEVEL_PART * total:
             picked.append(prefix)
     return picked
 
 
-class HomeHits:
-    """How often a home turned out to hold its level; one rate for each level."""
-
-    def __init__(self) -> None:
-        self._rates = [FIRST_HOME_HIT] * MAX_LEVELS
-
-    def rate(self, level: int) -> float:
-        """Return the part of ``level`` that its home is expected to hold."""
-        return self._rates[level]
-
-    def learn(self, level: int, part: float) -> None:
-        """Take one reply of a home in."""
-        self._rates[level] += HOME_HIT_SMOOTHING * (part - self._rates[level])
-
-
 class Holders:
     """Upstreams that this entry sent a prefix to, bounded and fading."""
 
--- a/gooseberrydale/request/candidates.py
+++ b/gooseberrydale/request/candidates.py
@@ -1,8 +1,10 @@
 """Collects the few upstreams that are worth weighing for one request.
 
-The homes of a prefix widen with load: as long as all homes so far have a wait that
-costs more than computing the prefix anew, the next in rendezvous order joins.  All
-entries see the same load and the same order, so they widen alike.  Pure.
+The base of a prompt, such as a guide, has ranked homes.  The first one is in use;
+as long as all in use have to wait longer, beyond what the whole pool waits, than the
+prompt takes to compute anew, the next one joins.  Deeper levels, such as a lot, are
+divided among the homes in use, so that they lie where their base lies.  All entries
+see the same load and the same order, so they decide alike without a word.  Pure.
 """
 
 from __future__ import annotations
@@ -11,13 +13,14 @@
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.request.affinity import Holders, HomeHits, Prefix, levels
+from gooseberrydale.request.affinity import Holders, Prefix, levels
 from gooseberrydale.request.estimate import Estimates
 from gooseberrydale.request.members import Members
 
-HOMES = 2
-MAX_HOMES = 16
-MIN_WIDEN_QUEUE_S = 0.05
+MIN_HOMES = 2
+# What this entry does not know of a home: other entries sent the prefix there.
+HOME_BELIEF = 0.8
+MIN_WIDEN_S = 0.05
 KNOWN_HOLDERS = 6
 RANDOM_WITH_HOMES = 1
 RANDOM_WITHOUT_HOMES = 3
@@ -28,14 +31,12 @@
 class Candidate:
     """One upstream and how much of the prompt it probably holds, in tokens.
 
-    ``level`` is that of the home whose expectation counts, or -1, and
-    ``level_tokens`` the length of that home's prefix.
+    ``known`` says that this entry sent it there, so that the belief can be checked.
     """
 
     record: UpstreamRecord
     cached_tokens: float = 0.0
-    level: int = -1
-    level_tokens: int = 0
+    known: bool = False
 
 
 class Collector:
@@ -46,12 +47,10 @@
         rng: random.Random,
         estimates: Estimates,
         holders: Holders,
-        home_hits: HomeHits,
     ) -> None:
         self._rng = rng
         self._estimates = estimates
         self._holders = holders
-        self._home_hits = home_hits
 
     def collect(
         self,
@@ -62,8 +61,7 @@
     ) -> dict[str, Candidate]:
         """Return the candidates by name; empty only if nothing is eligible."""
         found: dict[str, Candidate] = {}
-        for level, prefix in enumerate(levels(prefixes)):
-            self._add_homes(found, members, level, prefix, excluded, now)
+        self._add_homes(found, members, prefixes, excluded, now)
         self._add_holders(found, members, prefixes, excluded, now)
         wanted = RANDOM_WITH_HOMES if found else RANDOM_WITHOUT_HOMES
         self.add_random(found, members, excluded, wanted)
@@ -93,29 +91,43 @@
         self,
         found: dict[str, Candidate],
         members: Members,
-        level: int,
-        prefix: Prefix,
+        prefixes: tuple[Prefix, ...],
         excluded: frozenset[str],
         now: float,
     ) -> None:
-        taken = 0
-        least_wait_s = float("inf")
-        hit_rate = self._home_hits.rate(level)
-        for name in members.homes(prefix.key)[:MAX_HOMES]:
-            if name in excluded:
-                continue
-            record = members.by_name[name]
-            estimate = self._estimates.get(record)
-            anew_s = max(MIN_WIDEN_QUEUE_S, prefix.tokens / estimate.prefill_tps)
-            if taken >= HOMES and least_wait_s <= anew_s:
-                return
-            # Homes that joined under load are likely to have got it later.
-            part = hit_rate * HOMES / max(HOMES, taken + 1)
-            _add_better(
-                found, Candidate(record, prefix.tokens * part, level, prefix.tokens)
-            )
-            least_wait_s = min(least_wait_s, estimate.queue_s(now))
-            taken += 1
+        picked = levels(prefixes)
+        if not picked:
+            return
+        base, *deeper = picked
+        names = [n for n in members.homes(base.key) if n not in excluded]
+        if not names:
+            return
+        in_use = self._in_use(members, names, prefixes[-1], now)
+        for rank, name in enumerate(names[: max(in_use, MIN_HOMES)]):
+            # Later homes joined under load and have got the prefix later, if at all.
+            belief = HOME_BELIEF / (1 + rank)
+            _add_better(found, Candidate(members.by_name[name], base.tokens * belief))
+        for prefix in deeper:
+            name = members.first_among(names[:in_use], prefix.key)
+            tokens = prefix.tokens * HOME_BELIEF
+            _add_better(found, Candidate(members.by_name[name], tokens))
+
+    def _in_use(
+        self, members: Members, names: list[str], whole: Prefix, now: float
+    ) -> int:
+        """Return how many of the ranked homes the present load calls for.
+
+        A wait that the whole pool has is no reason to spread: it comes from too much
+        work, and each further copy of a prefix makes it more.
+        """
+        first = self._estimates.get(members.by_name[names[0]])
+        anew_s = max(MIN_WIDEN_S, whole.tokens / first.prefill_tps)
+        bearable_s = anew_s + first.pool_queue_s
+        for count, name in enumerate(names):
+            estimate = self._estimates.get(members.by_name[name])
+            if estimate.queue_s(now) <= bearable_s:
+                return count + 1
+        return len(names)
 
     def _add_holders(
         self,
@@ -131,7 +143,9 @@
             held = list(self._holders.of(prefix, members.by_name, skipped, now))
             for record, belief in held:
                 skipped.add(record.name)
-                _add_better(found, Candidate(record, prefix.tokens * belief))
+                _add_better(
+                    found, Candidate(record, prefix.tokens * belief, known=True)
+                )
             if len(skipped) >= enough:
                 return
 
--- a/gooseberrydale/request/estimate.py
+++ b/gooseberrydale/request/estimate.py
@@ -66,6 +66,11 @@
         """Prefill rate in tokens a second."""
         return self._load.prefill_tps or self._mean.prefill_tps
 
+    @property
+    def pool_queue_s(self) -> float:
+        """Mean wait in the upstream's pool, in seconds."""
+        return self._mean.queue_s
+
     def queue_s(self, now: float) -> float:
         """Expected wait of a request sent now, in seconds."""
         self._drop_pending(now - PENDING_KEPT_S)
--- a/gooseberrydale/request/members.py
+++ b/gooseberrydale/request/members.py
@@ -16,7 +16,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.version.declarations import Profile
 
-RANKED_HOMES = 16
+RANKED_HOMES = 64
 KEPT_PREFIXES = 4_096
 FLOOR_FACTOR = 2.5
 _MIX = 0x9E3779B97F4A7C15
@@ -67,6 +67,12 @@
             self._digests = {name: _digest(name.encode()) for name in self.names}
             self._homes.clear()
 
+    def first_among(self, names: Sequence[str], prefix: bytes) -> str:
+        """Return the one of ``names`` with the highest weight for ``prefix``."""
+        key = _digest(prefix)
+        digests = self._digests
+        return max(names, key=lambda name: ((digests[name] ^ key) * _MIX) & _MASK)
+
     def homes(self, prefix: bytes) -> tuple[str, ...]:
         """Return the names with the highest rendezvous weights, highest first."""
         found = self._homes.get(prefix)
--- a/gooseberrydale/request/routing.py
+++ b/gooseberrydale/request/routing.py
@@ -28,15 +28,17 @@
     Refused,
 )
 from gooseberrydale.errors import Problem, problem
-from gooseberrydale.request.affinity import Holders, HomeHits, Prefix, Scopes
+from gooseberrydale.request.affinity import Holders, Prefix, Scopes
 from gooseberrydale.request.candidates import Candidate, Collector
-from gooseberrydale.request.estimate import Estimate, Estimates
+from gooseberrydale.request.estimate import Estimates
 from gooseberrydale.request.members import MembersByProfile
 from gooseberrydale.version.declarations import Profile
 
 CROSS_ZONE_S = 0.002
 CROSS_REGION_S = 0.05
 RANDOM_WHEN_LATE = 4
+# At this wait a wasted recomputation counts twice: whoever waits there pays as well.
+CONGESTION_S = 0.25
 NO_UPSTREAM_RETRY_AFTER_S = 1.0
 # Refusals that say no more than the load that comes with them.
 BUSY_CODES = frozenset({errors.QUEUE_FULL.code, errors.DEADLINE_TOO_CLOSE.code})
@@ -73,8 +75,7 @@
     expected_cached_tokens: int = 0
     serial: int = field(default=0, repr=False)
     prefixes: tuple[Prefix, ...] = field(default=(), repr=False)
-    home_level: int = field(default=-1, repr=False)
-    home_tokens: int = field(default=0, repr=False)
+    known: bool = field(default=False, repr=False)
 
 
 class Policy(Protocol):
@@ -111,10 +112,7 @@
         self._scopes = Scopes()
         self._estimates = Estimates()
         self._holders = Holders(self._estimates)
-        self._home_hits = HomeHits()
-        self._collector = Collector(
-            rng, self._estimates, self._holders, self._home_hits
-        )
+        self._collector = Collector(rng, self._estimates, self._holders)
 
     def choose(
         self, req: RouteReq, upstreams: Sequence[UpstreamRecord], now: float
@@ -149,7 +147,10 @@
         estimate.report(frame.load, now)
         if isinstance(frame, Accepted):
             estimate.accepted()
-            self._learn_cached(choice, estimate, frame.cached_tokens)
+            if choice.known:
+                estimate.found_cached(
+                    choice.expected_cached_tokens, frame.cached_tokens
+                )
             self._holders.note(choice.prefixes, choice.record, now)
         elif isinstance(frame, Refused | Failed):
             self._holders.forget(choice.prefixes, choice.record.name)
@@ -170,15 +171,6 @@
         if estimate is not None:
             estimate.report(load, now)
 
-    def _learn_cached(
-        self, choice: Choice, estimate: Estimate, found_tokens: int
-    ) -> None:
-        if choice.home_level >= 0:
-            part = min(1.0, found_tokens / choice.home_tokens)
-            self._home_hits.learn(choice.home_level, part)
-        elif choice.expected_cached_tokens > 0:
-            estimate.found_cached(choice.expected_cached_tokens, found_tokens)
-
     def _least(
         self,
         found: dict[str, Candidate],
@@ -193,9 +185,11 @@
         for candidate in found.values():
             estimate = self._estimates.get(candidate.record)
             prefill_s = (total - candidate.cached_tokens) / estimate.prefill_tps
-            ttft_s = estimate.queue_s(now) + prefill_s + _transfer_s(req, candidate)
-            wasted = most_cached - candidate.cached_tokens
-            cost = ttft_s + req.profile.waste_weight * wasted / estimate.prefill_tps
+            queue_s = estimate.queue_s(now)
+            ttft_s = queue_s + prefill_s + _transfer_s(req, candidate)
+            wasted_s = (most_cached - candidate.cached_tokens) / estimate.prefill_tps
+            weight = req.profile.waste_weight + queue_s / CONGESTION_S
+            cost = ttft_s + weight * wasted_s
             if best is None or cost < best_cost:
                 best, best_cost, best_ttft_s = candidate, cost, ttft_s
         assert best is not None
@@ -207,8 +201,7 @@
             expected_ttft_s=best_ttft_s,
             expected_cached_tokens=int(best.cached_tokens),
             prefixes=prefixes,
-            home_level=best.level,
-            home_tokens=best.level_tokens,
+            known=best.known,
         )
 
 
