Wait for news after a stall, and allow a burst of retries the size of an upstream

Ruled out: lengthening leases by the stall, since a gone upstream would be kept for that long; free first retries, since they would double the load when all fails. Change: the entry notices a stall by the gap between ticks and lets requests wait up to 1 s for records, as after a start; the budget's burst is what one upstream may run and queue; its sustained ratio is unchanged.

--- a/gooseberrydale/process/entry/calls.py
+++ b/gooseberrydale/process/entry/calls.py
@@ -218,8 +218,8 @@
         return record is not None and record.incarnation == last.incarnation
 
     async def _first(self, known: Callable[[], bool]) -> None:
-        """Give a process that has just started a moment to learn what it needs."""
-        if known() or _now() > self._deps.fresh_until:
+        """Give a process that started or thawed a moment to learn what it needs."""
+        if known() or not self._deps.freshness.is_fresh(_now()):
             return
         until = _now() + FIRST_RECORDS_S
         while not known() and _now() < until:
--- a/gooseberrydale/request/deps.py
+++ b/gooseberrydale/request/deps.py
@@ -9,6 +9,7 @@
 from gooseberrydale.process.instruments import Instruments
 from gooseberrydale.request.background import Background
 from gooseberrydale.request.config_sync import ConfigSync
+from gooseberrydale.request.freshness import Freshness
 from gooseberrydale.request.retry import RetryBudget
 from gooseberrydale.request.routing import Policy
 from gooseberrydale.version.config_store import ConfigStore
@@ -19,8 +20,8 @@
 class Deps:
     """Shared parts that a request uses but does not own.
 
-    Until ``fresh_until`` (loop time) a request may wait a moment for the first
-    records of configuration and upstreams.
+    While the process is fresh a request may wait a moment for records of
+    configuration and upstreams.
     """
 
     cfg: EntryCfg
@@ -33,4 +34,4 @@
     background: Background
     config_sync: ConfigSync
     instruments: Instruments
-    fresh_until: float = 0.0
+    freshness: Freshness
--- a/gooseberrydale/request/retry.py
+++ b/gooseberrydale/request/retry.py
@@ -18,6 +18,8 @@
 MIN_USEFUL_S = 0.02
 RETRY_AFTER_S = 1.0
 MAX_ATTEMPTS = 6
+# The requests that one upstream may run and queue, lost at once when it fails.
+BURST = 32.0
 RETRYABLE_STATUS = frozenset({429, 502, 503, 504})
 RETRYABLE_CODES = frozenset({errors.WRONG_INCARNATION.code, errors.TOMBSTONED.code})
 
@@ -30,7 +32,7 @@
     """
 
     def __init__(
-        self, ratio: float = 0.2, floor_per_s: float = 0.5, cap: float = 10.0
+        self, ratio: float = 0.2, floor_per_s: float = 0.5, cap: float = BURST
     ) -> None:
         self._ratio = ratio
         self._floor_per_s = floor_per_s
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -59,6 +59,8 @@
 CONFIRM_AT_DEADLINE_S = 0.25
 RESUME_WAIT_S = 3.0
 RESUME_POLL_S = 0.05
+NEWS_WAIT_S = 1.0
+"""How long a process that started or thawed waits for records of upstreams."""
 UNSTREAMED_ANSWER_S = 300.0
 """Time for the rest of a completion that is not streamed, after its deadline."""
 
@@ -212,18 +214,27 @@
 
     async def _choose(self) -> Choice:
         """Choose an upstream; a stream that broke off waits a moment for one."""
-        until = self._now() + RESUME_WAIT_S
+        until = self._now() + self._choice_wait_s()
         while True:
             now = self._now()
             upstreams = self._deps.directory.ready(self._job.profile.pool, now)
             found = self._deps.policy.choose(self._route_req(), upstreams, now)
             if not isinstance(found, Err):
                 return found.ok_value
-            if not self._parts.given or now >= until:
+            if now >= until:
                 raise ProblemError(self._honest(found.err_value))
-            self._tried.clear()
+            if self._parts.given:
+                self._tried.clear()
             await asyncio.sleep(RESUME_POLL_S)
 
+    def _choice_wait_s(self) -> float:
+        """How long to wait for an upstream if there is none; no refusal waits longer."""
+        if self._parts.given:
+            return RESUME_WAIT_S
+        if self._deps.freshness.is_fresh(self._now()):
+            return min(NEWS_WAIT_S, max(self._left_s(), 0.0))
+        return 0.0
+
     def _honest(self, why: Problem) -> Problem:
         """The refusal met before says more than that no upstream is left."""
         why = self._last_problem or why
