Leave the warm-up out of the measures' times and tokens

Cause: in a short run most misses are those of caches that start empty, which every policy has alike and which hide what differs. Change: what is asked in the first seconds fills caches and counts for the outcomes only; the ideal cache is fed with it too. Conclusion: the tables compare warm caches.

--- a/measure/figures.py
+++ b/measure/figures.py
@@ -24,7 +24,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """One run.  Times in seconds; ``wasted_tokens`` were computed although an ideal
+    """One run.  Times in seconds; times, tokens and rates leave the warm-up out,
+    counts of outcomes do not.  ``wasted_tokens`` were computed although an ideal
     cache of the same total memory would have had them; ``wasted_share`` is their
     share of all prompt tokens.  ``wrong`` answers differ from the deterministic one.
     ``false_refusals`` were said not to have run but are in the service's record.
@@ -64,9 +65,10 @@
     answers = result.answers
     whole = [a for a in answers if a.outcome is Outcome.WHOLE]
     counts = Counter(a.outcome for a in answers)
-    first = percentiles([a.first_s for a in whole])
-    prompt_tokens = sum(a.prompt_tokens for a in whole)
-    cached = sum(a.cached_tokens for a in whole)
+    warm = [a for a in whole if is_warm(a)]
+    first = percentiles([a.first_s for a in warm])
+    prompt_tokens = sum(a.prompt_tokens for a in warm)
+    cached = sum(a.cached_tokens for a in warm)
     ideal = ideal_cached_tokens(whole, cache_tokens, cache_ttl_s)
     wasted = max(0, ideal - cached)
     runs = Counter(
@@ -132,6 +134,7 @@
 
     It is least recently used over the union, sees the requests in order of arrival
     and holds a prompt from its arrival on, so no placement can do better by much.
+    Tokens of the warm-up are not counted.
     """
     cache = PrefixCache(cache_tokens, cache_ttl_s)
     total = 0
@@ -139,11 +142,17 @@
         now = answer.ask.at
         cache.expire(now)
         pieces = ask_pieces(answer)
-        total += cache.match(pieces, now)
+        cached = cache.match(pieces, now)
+        total += cached if is_warm(answer) else 0
         cache.store(pieces, "", now)
     return total
 
 
+def is_warm(answer: Answer) -> bool:
+    """Say whether the prompt came after the warm-up."""
+    return answer.ask.at >= answer.ask.shape.warm_up_s
+
+
 def ask_pieces(answer: Answer) -> tuple[KvPiece, ...]:
     """Return the pieces of a prompt, keyed apart for each workspace."""
     ask = answer.ask
--- a/measure/overhead.py
+++ b/measure/overhead.py
@@ -22,7 +22,7 @@
 from measure.client import Outcome, Target
 from measure.deployments import FRASERLINE
 from measure.direct import direct_body
-from measure.figures import percentiles
+from measure.figures import is_warm, percentiles
 from measure.load import router_body, run_load
 from measure.report import commit
 from measure.site import ENGINE_PROFILE, Site
@@ -30,6 +30,7 @@
 
 SHAPE = Shape(
     duration_s=8.0,
+    warm_up_s=2.0,
     prompts_per_s=6.0,
     lots=1,
     hot_share=1.0,
@@ -85,7 +86,7 @@
     if len(whole) != len(result.answers):
         raise SystemExit(f"{len(result.answers) - len(whole)} answers are not whole")
     # The first prompts compute the guide and lot; they say nothing of the router.
-    warm = [a for a in whole if a.cached_tokens > a.prompt_tokens // 2]
+    warm = [a for a in whole if is_warm(a)]
     gaps = [gap for a in warm for gap in a.chunk_gaps]
     return Timing(percentiles([a.first_s for a in warm])[0], percentiles(gaps)[0])
 
--- a/measure/run.py
+++ b/measure/run.py
@@ -91,7 +91,13 @@
     """Return the deployment with another length or rate of its load; 0 keeps it."""
     shape = deployment.shape
     if duration_s:
-        shape = replace(shape, duration_s=duration_s, shift_s=duration_s / 2)
+        scale = duration_s / shape.duration_s
+        shape = replace(
+            shape,
+            duration_s=duration_s,
+            warm_up_s=shape.warm_up_s * scale,
+            shift_s=shape.shift_s * scale,
+        )
     if prompts_per_s:
         shape = replace(shape, prompts_per_s=prompts_per_s)
     return replace(deployment, shape=shape)
@@ -154,7 +160,8 @@
     shape = deployment.shape
     return (
         f"### {deployment.name}, failure: {failure}\n\n"
-        f"Commit {commit()}; {runs} runs of {shape.duration_s:g} s for each policy,"
+        f"Commit {commit()}; {runs} runs of {shape.duration_s:g} s for each policy, the"
+        f" first {shape.warm_up_s:g} s not counted in the first table,"
         f" {shape.prompts_per_s:g} prompts/s; median (least–greatest); took"
         f" {took_s:.0f} s in all; load average at the end {os.getloadavg()[0]:.1f}"
         f" on {os.cpu_count()} cores.\n\n"
--- a/measure/workload.py
+++ b/measure/workload.py
@@ -23,14 +23,17 @@
 class Shape:
     """What the load is like: seconds, requests a second, tokens.
 
+    What is asked in the first ``warm_up_s`` counts only for the outcomes, since
+    caches are empty then whatever the policy.
     ``lots`` is how many lots a workspace of weight 1 has; ``hot_share`` of the
     prompts go to ``hot_lots`` lots, which change every ``shift_s`` seconds.
     ``calls_per_s`` is the rate of service calls, ``keyed_share`` the part of them
     with an Idempotency-Key.
     """
 
-    duration_s: float = 10.0
-    prompts_per_s: float = 12.0
+    duration_s: float = 16.0
+    warm_up_s: float = 6.0
+    prompts_per_s: float = 8.0
     guide_tokens: int = 12_000
     lots: int = 4
     lot_tokens: int = 6_000
@@ -38,7 +41,7 @@
     answer_tokens: int = 32
     hot_share: float = 0.4
     hot_lots: int = 2
-    shift_s: float = 5.0
+    shift_s: float = 6.0
     calls_per_s: float = 4.0
     keyed_share: float = 0.5
 
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -24,7 +24,7 @@
 from measure.table import figures_table
 from measure.workload import Ask, Call, Shape, calls, prompts
 
-SHAPE = Shape(guide_tokens=40, lot_tokens=20, question_tokens=10)
+SHAPE = Shape(warm_up_s=0.0, guide_tokens=40, lot_tokens=20, question_tokens=10)
 
 
 def ask(name: str = "q", guide: str = "g", lot: str = "l", at: float = 0.0) -> Ask:
@@ -147,6 +147,18 @@
     assert figures_of(load).wasted_tokens == 20
 
 
+def test_the_warm_up_fills_caches_but_is_not_counted():
+    shape = dataclasses.replace(SHAPE, warm_up_s=1.0)
+    cold = whole(dataclasses.replace(ask("q1", at=0.0), shape=shape))
+    warm = whole(dataclasses.replace(ask("q2", at=1.0), shape=shape))
+    cold.first_s, warm.first_s = 9.0, 1.0
+    cold.cached_tokens = 70
+    found = figures_of([cold, warm])
+    assert (found.asked, found.whole, found.hit_rate) == (2, 2, 0.0)
+    assert found.first_p99 == pytest.approx(1.0, rel=0.01)
+    assert ideal_cached_tokens([cold, warm], 1_000, 60.0) == 60
+
+
 def test_percentiles_are_in_seconds():
     p50, p95, p99 = percentiles([i / 100 for i in range(1, 101)])
     assert (p50, p95, p99) == pytest.approx((0.50, 0.95, 0.99), rel=0.01)
