Load settings by the same strict structuring as declarations

Cause: two modules turned tables into dataclasses with the same hooks; limits that the settings gain were not checked, as each was listed by hand; a faulty operators file ended a control process with a traceback. Ruled out: two converters with different rules for the same file format.

--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -9,11 +9,13 @@
 
 import ipaddress
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
 
-from gooseberrydale.process.cfg import Cfg, TlsCfg
+from gooseberrydale.errors import ProblemError
+from gooseberrydale.process.cfg import Cfg, ControlCfg, EntryCfg, SidecarCfg, TlsCfg
+from gooseberrydale.request.baselines import POLICIES
 
 Table = dict[str, Any]
 
@@ -22,6 +24,13 @@
 UPSTREAM_KINDS = ("completion", "service")
 MAX_PORT = 65_535
 
+_ROLE_TABLES = {"entry": EntryCfg, "sidecar": SidecarCfg, "control": ControlCfg}
+_MAY_BE_ZERO = (
+    "entry.drain_s",
+    "entry.retry_ratio",
+    "sidecar.drain_s",
+    "sidecar.max_queued",
+)
 _ADDRESS = "write an address as IP:PORT"
 _TLS_KEYS = ("cert_file", "key_file", "ca_file")
 _TLS_TABLES = ("fleet.tls", "entry.tls", "control.tls")
@@ -127,6 +136,21 @@
         return Fault(key, reason, "create the file or correct the path")
 
 
+def _operators_file(key: str, value: Any) -> Fault | None:
+    fault = _readable_file(key, value)
+    if fault is not None or not isinstance(value, str) or not value:
+        return fault
+    # Imported here, as it brings the code of the control role with it.
+    from gooseberrydale.process.control.operator_auth import load_operators
+
+    try:
+        load_operators(Path(value))
+    except ProblemError as exc:
+        reason = f"names a file with faults ({exc.problem.message})"
+        return Fault(key, reason, "correct that file")
+    return None
+
+
 def _data_folder(key: str, value: Any) -> Fault | None:
     if not isinstance(value, str) or not Path(value).is_file():
         return None
@@ -253,6 +277,15 @@
         yield from (f"{table}.{key}" for key in _TLS_KEYS)
 
 
+def _number_checks() -> Iterator[tuple[str, Check]]:
+    """Every number of a role's table is a limit; few of them may be 0."""
+    for table, cls in _ROLE_TABLES.items():
+        for field in fields(cls):
+            key = f"{table}.{field.name}"
+            if field.type in ("int", "float"):
+                yield key, _not_negative if key in _MAY_BE_ZERO else _positive
+
+
 _CHECKS: dict[str, Check] = {
     "node.name": _not_empty,
     "node.zone": _not_empty,
@@ -263,30 +296,16 @@
     "log.level": _one_of(LOG_LEVELS),
     "entry.http": _address,
     "entry.rpc": _address,
-    "entry.max_body_bytes": _positive,
-    "entry.body_timeout_s": _positive,
-    "entry.drain_s": _not_negative,
-    "entry.silence_s": _positive,
-    "entry.retry_ratio": _not_negative,
+    "entry.policy": _one_of(tuple(POLICIES)),
     "sidecar.upstream": _url,
     "sidecar.pool": _not_empty,
     "sidecar.kind": _one_of(UPSTREAM_KINDS),
     "sidecar.rpc": _address,
-    "sidecar.max_running": _positive,
-    "sidecar.max_queued": _not_negative,
-    "sidecar.drain_s": _not_negative,
-    "sidecar.notice_s": _not_negative,
-    "sidecar.replay_bytes": _positive,
-    "sidecar.replay_s": _positive,
-    "sidecar.lease_s": _positive,
-    "sidecar.upstream_silence_s": _positive,
     "control.data_dir": _data_folder,
     "control.rpc": _address,
     "control.http": _address,
     "control.replicas": _replica_addresses,
-    "control.operators_file": _readable_file,
-    "control.loads_at_once": _positive,
-    "control.audit_entries": _positive,
-    "control.snapshot_entries": _positive,
+    "control.operators_file": _operators_file,
 }
 _CHECKS.update({f"{t}.{k}": _readable_file for t in _TLS_TABLES for k in _TLS_KEYS})
+_CHECKS.update(_number_checks())
--- a/gooseberrydale/version/structuring.py
+++ b/gooseberrydale/version/structuring.py
@@ -1,4 +1,6 @@
-"""Turns plain tables, from TOML or JSON, into the dataclasses of declarations.
+"""Turns plain tables, from TOML or JSON, into dataclasses.
+
+Declarations, the operators' requests and the settings go through it.
 
 Nothing is converted silently and unknown keys are refused.  All faults are found
 in one go, each with its dotted key and a remedy.
@@ -9,6 +11,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, fields
 from enum import StrEnum
+from pathlib import Path
 from typing import Any, TypeVar
 
 import cattrs
@@ -28,7 +31,9 @@
     int: "a whole number",
     float: "a number",
     bool: "true or false",
+    Path: "a path in quotes",
 }
+_ACCEPTED: dict[type, tuple[type, ...]] = {float: (int, float), Path: (str,)}
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +96,7 @@
 
 
 def _strict(wanted: type) -> Callable[[Any, Any], Any]:
-    accepted = (int, float) if wanted is float else (wanted,)
+    accepted = _ACCEPTED.get(wanted, (wanted,))
 
     def take(value: Any, cls: Any) -> Any:
         # The hook of str is also asked for each StrEnum, as for any subclass.
