Serve all roles in one process with the command local

Cause: a newcomer should get a first routed request without settings or secrets. Ruled out: starting the roles as processes from the command, since a process of the product starts no other.

--- a/gooseberrydale/process/cli.py
+++ b/gooseberrydale/process/cli.py
@@ -16,7 +16,7 @@
 import gooseberrydale
 from gooseberrydale.process import cfg_checks
 from gooseberrydale.process.cfg_file import load
-from gooseberrydale.process.runner import ExitCode, print_faults, run_process
+from gooseberrydale.process.runner import ExitCode, print_faults, run_local, run_process
 
 ROLE_COMMANDS = ("entry", "sidecar", "control", "local")
 
@@ -36,6 +36,12 @@
         """Run one control replica with the settings in the file CFG."""
         _run("control", cfg, ready_file)
 
+    def local(
+        self, port: int = 8080, operator_port: int = 8071, ready_file: str = ""
+    ) -> None:
+        """Serve on loopback with all roles and an example engine in one process."""
+        sys.exit(run_local(port, operator_port, _path(ready_file)))
+
     def check(self, cfg: str, role: str = "") -> None:
         """Print every fault of the settings file CFG; exit with 2 if there is one."""
         match load(Path(str(cfg)), role or None):
@@ -74,8 +80,12 @@
 
 
 def _run(role: str, cfg: str, ready_file: str) -> None:
-    ready_path = Path(str(ready_file)) if ready_file else None
-    sys.exit(run_process(role, Path(str(cfg)), ready_path))
+    sys.exit(run_process(role, Path(str(cfg)), _path(ready_file)))
+
+
+def _path(text: str) -> Path | None:
+    """Fire turns a value that looks like a number into one; a path is text."""
+    return Path(str(text)) if text else None
 
 
 def _print_lines(lines: list[str], out: IO[str]) -> None:
--- a/gooseberrydale/process/logs.py
+++ b/gooseberrydale/process/logs.py
@@ -28,7 +28,7 @@
 
 MASK = "***"
 MIN_SECRET_CHARS = 8
-_QUIET_LOGGERS = ("uvicorn.access", "h11", "httpcore", "hpack")
+_QUIET_LOGGERS = ("uvicorn.access", "transitions")
 _SECRET_NAMES = re.compile(
     r"authorization|password|secret|token$|(^|_)key$|bearer|cookie", re.IGNORECASE
 )
@@ -65,13 +65,18 @@
     Raises OSError if the log file can't be opened.
     """
     logger.remove()
+    identify(identity)
+    out = open(cfg.file, "a", encoding="utf-8") if cfg.file else sys.stderr
+    logger.add(_Sink(out), level=cfg.level, format="{message}", catch=True)
+    _route_standard_logging(cfg.level)
+
+
+def identify(identity: Identity) -> None:
+    """Write ``identity`` into all lines from now on."""
     extra = {"role": identity.role, "name": identity.name}
     if identity.incarnation:
         extra["incarnation"] = identity.incarnation
     logger.configure(extra=extra)
-    out = open(cfg.file, "a", encoding="utf-8") if cfg.file else sys.stderr
-    logger.add(_Sink(out), level=cfg.level, format="{message}", catch=True)
-    _route_standard_logging(cfg.level)
 
 
 def to_json(record: Record) -> bytes:
--- a/gooseberrydale/process/runner.py
+++ b/gooseberrydale/process/runner.py
@@ -15,14 +15,14 @@
 from collections.abc import Mapping
 from enum import IntEnum
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any, Protocol, runtime_checkable
 
 from loguru import logger
 from result import Err, Ok
 
-from gooseberrydale.errors import InvariantError, Problem
+from gooseberrydale.errors import InvariantError, Problem, ProblemError
 from gooseberrydale.process import cfg_checks, logs
-from gooseberrydale.process.cfg import Cfg
+from gooseberrydale.process.cfg import Cfg, LogCfg
 from gooseberrydale.process.cfg_file import load, read_token
 from gooseberrydale.process.life_cycle import LifeCycle
 
@@ -61,6 +61,15 @@
         """Take no new work, finish what runs, release everything."""
 
 
+@runtime_checkable
+class HasIncarnation(Protocol):
+    """A role that names its own life, which log lines then carry."""
+
+    @property
+    def incarnation(self) -> str:
+        """Name of this life of the role."""
+
+
 class RoleMaker(Protocol):
     """Builds the role inside the running loop."""
 
@@ -71,6 +80,8 @@
     """Import the class of a role and build it with its settings."""
     module, class_name = ROLE_CLASSES[name]
     role: Role = getattr(importlib.import_module(module), class_name)(cfg)
+    if isinstance(role, HasIncarnation):
+        logs.identify(logs.Identity(name, cfg.node.name, role.incarnation))
     return role
 
 
@@ -93,6 +104,14 @@
     return run_role(lambda: make_role(role_name, cfg), ready_file)
 
 
+def run_local(port: int, operator_port: int, ready_file: Path | None) -> ExitCode:
+    """Run all roles in this process, for trying the product on one machine."""
+    logs.setup(LogCfg(), logs.Identity("local", "local"))
+    local = importlib.import_module("gooseberrydale.process.local")
+    cfg = local.LocalCfg(port, operator_port)
+    return run_role(lambda: local.Local(cfg), ready_file)
+
+
 def run_role(make: RoleMaker, ready_file: Path | None = None) -> ExitCode:
     """Run what ``make`` builds until a signal ends it."""
     try:
@@ -125,10 +144,12 @@
             loop.add_signal_handler(number, self._on_signal, number)
         try:
             role = self._make()
-            if not await self._start(role):
-                return self._code
-            await self._stop.wait()
-            await self._drain(role)
+            if await self._start(role):
+                await self._stop.wait()
+                await self._drain(role)
+        except ProblemError as exc:
+            # What a role finds in the files that its settings name.
+            self._fail(ExitCode.INVALID_SETTINGS, "{}", exc)
         finally:
             for number in _STOP_SIGNALS:
                 loop.remove_signal_handler(number)
@@ -150,7 +171,7 @@
             await starting
         except asyncio.CancelledError:
             logger.info("told to stop before the start was complete")
-        except OSError as exc:
+        except (OSError, ProblemError) as exc:
             self._fail(ExitCode.NOT_STARTED, "cannot start: {}", exc)
         except Exception as exc:
             logger.opt(exception=exc).critical("the role failed to start")
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from gooseberrydale.errors import InvariantError
+from gooseberrydale.errors import INVALID_JSON, InvariantError, ProblemError, problem
 from gooseberrydale.process.life_cycle import LifeCycle, Stage
 from gooseberrydale.process.runner import ExitCode, run_role
 
@@ -76,6 +76,13 @@
     assert role.calls == calls
 
 
+def test_a_role_that_finds_faults_in_its_files_is_a_fault_of_settings() -> None:
+    def make() -> FakeRole:
+        raise ProblemError(problem(INVALID_JSON, reason="for this test"))
+
+    assert run_role(make) == ExitCode.INVALID_SETTINGS
+
+
 def test_the_ready_file_holds_the_bound_addresses(tmp_path: Path) -> None:
     path = tmp_path / "ready.json"
     run_role(FakeRole, path)
