Serve metrics on a listener of their own

Cause: a sidecar has no HTTP interface, so its metrics could not be scraped. Ruled out: the entry's listener for scrapes too, as the balancer's callers reach it. Change: with [metrics] http set, the runner serves the role's metrics there, or at least the process's own (processor time, memory, open files), until the role has drained; no listener and no metrics library without it. Conclusion: the tests fail without the choice of metrics, the close, and the figures of the process. The roles do not hand over instruments of their own yet.

--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -51,6 +51,13 @@
     file: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class MetricsCfg:
+    """Listener for Prometheus scrapes; no listener if ``http`` is empty."""
+
+    http: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class EntryCfg:
     """Listeners and limits of an entry."""
@@ -131,6 +138,7 @@
     node: NodeCfg
     fleet: FleetCfg
     log: LogCfg = field(default_factory=LogCfg)
+    metrics: MetricsCfg = field(default_factory=MetricsCfg)
     entry: EntryCfg | None = None
     sidecar: SidecarCfg | None = None
     control: ControlCfg | None = None
--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -294,6 +294,7 @@
     "fleet.controls": _addresses,
     "fleet.entries": _addresses,
     "log.level": _one_of(LOG_LEVELS),
+    "metrics.http": _address,
     "entry.http": _address,
     "entry.rpc": _address,
     "entry.policy": _one_of(tuple(POLICIES)),
--- a/gooseberrydale/process/metrics.py
+++ b/gooseberrydale/process/metrics.py
@@ -1,7 +1,8 @@
 """Metrics of a process: OpenTelemetry meters read by a Prometheus scrape.
 
 A :class:`Metrics` belongs to one role and has a registry of its own, so that
-several roles can live in one process.  Mount ``route`` in any starlette app.
+several roles can live in one process.  Mount ``route`` in any starlette app, or let
+the runner serve it on a listener of its own.
 """
 
 from __future__ import annotations
@@ -9,7 +10,12 @@
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
-from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    ProcessCollector,
+    generate_latest,
+)
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
@@ -24,6 +30,8 @@
 
     def __init__(self, role: str, name: str, zone: str = "") -> None:
         self._registry = CollectorRegistry()
+        # Processor time, memory and open files of the process.
+        ProcessCollector(registry=self._registry)
         reader = PrometheusMetricReader(
             scope_info_enabled=False, registry=self._registry
         )
--- a/gooseberrydale/process/runner.py
+++ b/gooseberrydale/process/runner.py
@@ -12,7 +12,6 @@
 import os
 import signal
 import sys
-from collections.abc import Mapping
 from enum import IntEnum
 from pathlib import Path
 from typing import Any, Protocol, runtime_checkable
@@ -25,6 +24,7 @@
 from gooseberrydale.process.cfg import Cfg, LogCfg
 from gooseberrydale.process.cfg_file import load, read_token
 from gooseberrydale.process.life_cycle import LifeCycle
+from gooseberrydale.process.role import Role
 
 # Imported by name, so that a process loads the code of its own role alone.
 ROLE_CLASSES = {
@@ -47,20 +47,6 @@
     INTERRUPTED = 130
 
 
-class Role(Protocol):
-    """What the runner needs of a role."""
-
-    @property
-    def addresses(self) -> Mapping[str, str]:
-        """Listeners by name as ``IP:PORT``, known once started."""
-
-    async def start(self) -> None:
-        """Bind the listeners and serve; raises OSError if an address is taken."""
-
-    async def close(self) -> None:
-        """Take no new work, finish what runs, release everything."""
-
-
 @runtime_checkable
 class HasIncarnation(Protocol):
     """A role that names its own life, which log lines then carry."""
@@ -82,7 +68,16 @@
     role: Role = getattr(importlib.import_module(module), class_name)(cfg)
     if isinstance(role, HasIncarnation):
         logs.identify(logs.Identity(name, cfg.node.name, role.incarnation))
-    return role
+    return role if not cfg.metrics.http else _observed(name, cfg, role)
+
+
+def _observed(name: str, cfg: Cfg, role: Role) -> Role:
+    # Imported here: the libraries for metrics take memory that others can save.
+    from gooseberrydale.process.metrics import Metrics
+    from gooseberrydale.process.observed_role import ObservedRole
+
+    spare = Metrics(name, cfg.node.name, cfg.node.zone)
+    return ObservedRole(role, spare, cfg.metrics.http)
 
 
 def run_process(role_name: str, cfg_path: Path, ready_file: Path | None) -> ExitCode:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
+from typing import Any
 
+import httpx2
+import pytest
 from starlette.requests import Request
 
 from gooseberrydale.process.metrics import METRICS_PATH, Metrics
+from gooseberrydale.process.observed_role import ObservedRole
 
 
 def values(metrics: Metrics) -> dict[str, float]:
@@ -49,3 +54,39 @@
     answer = asyncio.run(route.endpoint(Request(scope)))
     assert answer.headers["content-type"].startswith("text/plain")
     assert b"gooseberrydale_term 0.0" in answer.body
+
+
+class FakeRole(SimpleNamespace):
+    """A role whose only listener is given."""
+
+    addresses = {"rpc": "127.0.0.1:1"}
+
+    async def start(self) -> None: ...
+
+    async def close(self) -> None: ...
+
+
+async def scrape(role: Any, spare: Metrics) -> str:
+    """Start a role with a listener for scrapes, scrape it and close it."""
+    observed = ObservedRole(role, spare, "127.0.0.1:0")
+    await observed.start()
+    assert set(observed.addresses) == {"rpc", "metrics"}
+    url = f"http://{observed.addresses['metrics']}{METRICS_PATH}"
+    async with httpx2.AsyncClient(trust_env=False) as client:
+        text = (await client.get(url)).text
+    await observed.close()
+    with pytest.raises(httpx2.ConnectError):
+        httpx2.get(url, trust_env=False)
+    return text
+
+
+@pytest.mark.parametrize("measures_itself", [True, False])
+def test_a_listener_serves_the_metrics_of_its_role_and_process(
+    measures_itself: bool,
+) -> None:
+    own, spare = Metrics("sidecar", "own"), Metrics("sidecar", "spare")
+    role = FakeRole(metrics=own) if measures_itself else FakeRole()
+    text = asyncio.run(scrape(role, spare))
+    name = "own" if measures_itself else "spare"
+    assert f'service_instance_id="{name}"' in text
+    assert "process_resident_memory_bytes" in text
