--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -30,6 +30,7 @@
     "entry.retry_ratio",
     "sidecar.drain_s",
     "sidecar.max_queued",
+    "sidecar.notice_s",
 )
 _ADDRESS = "write an address as IP:PORT"
 _TLS_KEYS = ("cert_file", "key_file", "ca_file")
