Declare profiles and workspaces of the example deployments

Cause: the example settings named pools that no profile used. Ruled out: keys in the declarations, even as digests, since examples get copied. Conclusion: all files load and fit each other.

--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -11,6 +11,9 @@
 
 from gooseberrydale.process.cfg import Cfg
 from gooseberrydale.process.cfg_file import load
+from gooseberrydale.version import declaration_file
+from gooseberrydale.version.declarations import Config
+from gooseberrydale.version.validation import config_faults
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 
@@ -23,20 +26,23 @@
     entries: int
     pools: dict[tuple[str, str], int]
     loads_at_once: int
+    large_workspaces: int
 
 
+WORKSPACES = 8
 EXPECTED = {
     "fraserline": Expected(
-        4, 3, {("summaries", "completion"): 5, ("bids", "service"): 4}, 2
+        4, 3, {("summaries", "completion"): 5, ("bids", "service"): 4}, 2, 3
     ),
     "red-clay": Expected(
-        3, 2, {("helpers", "completion"): 9, ("inventory", "service"): 3}, 3
+        3, 2, {("helpers", "completion"): 9, ("inventory", "service"): 3}, 3, 2
     ),
 }
 
 
 def load_all(folder: Path, name: str) -> list[Cfg]:
-    shutil.copytree(EXAMPLES / name / "settings", folder, dirs_exist_ok=True)
+    source = EXAMPLES / name / "settings" if name in EXPECTED else EXAMPLES / name
+    shutil.copytree(source, folder, dirs_exist_ok=True)
     (folder / "fleet.token").write_text("a secret of this test")
     (folder / "operators.toml").write_text("")
     return [load(path).unwrap() for path in sorted(folder.glob("*-*.toml"))]
@@ -62,6 +68,21 @@
 
 
 @pytest.mark.parametrize("name", EXPECTED)
+def test_declarations_fit_the_settings(tmp_path: Path, name: str) -> None:
+    declared = declaration_file.load(EXAMPLES / name / "declarations.toml").unwrap()
+    config = Config(1, declared.profiles, declared.workspaces)
+    assert list(config_faults(config)) == []
+    sidecars = [cfg.sidecar for cfg in load_all(tmp_path, name) if cfg.sidecar]
+    served = {(s.pool, s.kind, s.model) for s in sidecars}
+    wanted = {(p.pool, p.kind.value, p.model) for p in declared.profiles.values()}
+    assert wanted == served
+    assert len(declared.workspaces) == WORKSPACES
+    large = [w for w in declared.workspaces.values() if w.share > 1.0]
+    assert len(large) == EXPECTED[name].large_workspaces
+    assert any(not p.repeatable for p in declared.profiles.values())
+
+
+@pytest.mark.parametrize("name", [*EXPECTED, "by-hand"])
 def test_no_two_processes_share_an_address(tmp_path: Path, name: str) -> None:
     listeners: list[str] = []
     for cfg in load_all(tmp_path, name):
