Bound how long a gate remembers, and prove it in any order

Cause: tombstones have to be dropped at some time, yet a dispatch may linger in a paused entry for any time, and a cancellation may come long after the attempt ran. Ruled out: keeping records for a deadline alone. A randomised run found that a late repeat of a dispatch, refused as stale, wrote a tombstone that made a later cancellation say "not run" of an attempt that had run. Change: dispatch and cancellation state the announcement that they are based on; entries fill it in. What is too old is refused; of what is forgotten the gate says that the outcome is unknown.

--- a/gooseberrydale/connection/messages.py
+++ b/gooseberrydale/connection/messages.py
@@ -94,12 +94,18 @@
 @message
 @dataclass(frozen=True, slots=True)
 class CancelReq:
-    """Give up an attempt: stop it if it runs, refuse it if it comes later."""
+    """Give up an attempt: stop it if it runs, refuse it if it comes later.
+
+    ``record_seq`` is the one that its dispatch states (0: not stated).  Without it a
+    sidecar that has been up for long can't tell an attempt that never came from one
+    that ran long ago.
+    """
 
     request_id: str
     attempt: int
     incarnation: str
     workspace: str
+    record_seq: int = 0
 
 
 @message
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -205,8 +205,8 @@
 STALE_DISPATCH = ErrorKind(
     "stale_dispatch",
     409,
-    "The dispatch is based on announcement {seq}, older than {oldest}; refresh the"
-    " view and dispatch again.",
+    "The dispatch is based on announcement {seq}, which is over {limit_s:g} s old;"
+    " refresh the view and dispatch again.",
 )
 UNKNOWN_STREAM = ErrorKind(
     "unknown_stream",
--- a/gooseberrydale/process/sidecar/dispatcher.py
+++ b/gooseberrydale/process/sidecar/dispatcher.py
@@ -313,6 +313,8 @@
             return _unknown_stream(
                 AttachReq(req.request_id, req.incarnation, req.workspace, 0)
             )
+        if verdict is Verdict.UNKNOWN:
+            return problem(OUTCOME_UNKNOWN, not_run=None)
         return None
 
     def _revision(self) -> int:
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -149,8 +149,12 @@
 
     async def _follow_config(self) -> None:
         leaving: frozenset[str] = frozenset()
+        revision = 0
         while True:
-            config = await self.store.wait_newer(self.store.revision)
+            config = await self.store.wait_newer(revision)
+            revision = config.revision
+            for profile in config.profiles.values():
+                self.dispatcher.gate.allow_deadline(profile.deadline_s)
             if config.leaving != leaving:
                 leaving = config.leaving
                 self._mesh.announce()
--- a/gooseberrydale/request/gate.py
+++ b/gooseberrydale/request/gate.py
@@ -1,15 +1,19 @@
 """Decides whether an attempt may start: the one place with exact knowledge.
 
 Lives as long as the sidecar; each attempt's record lives from its dispatch or its
-cancellation until ``KEEP_S`` after it ended.  Pure: time comes in as an argument.
+cancellation until ``keep_s`` after it ended.  Pure: time comes in as an argument.
 
 An attempt is named by (request id, attempt, incarnation).  It starts at most once,
 and one that was given up or refused never starts.  That a record may be dropped at
-all rests on the age of a dispatch: a dispatch names the announcement of this
-sidecar that its entry had seen, and one based on an announcement older than
-``MAX_DISPATCH_AGE_S`` is refused.  So whatever may still be accepted was built
-after that announcement, and ``KEEP_S`` is longer than the time for which it may
-linger in a paused entry or on the way.
+all rests on two bounds.  An entry builds the dispatch of an attempt before its
+request's deadline has passed, by its own clock, which also runs while it is paused.
+And a dispatch names the announcement of this sidecar that it is based on; however
+long it lingers in a paused entry or on the way, it is refused once that announcement
+is older than ``MAX_DISPATCH_AGE_S`` by this sidecar's clock.  So a tombstone has to
+outlive a deadline plus that age, and a margin for announcements that were old when
+the dispatch was built.  A cancellation names that announcement too: only while the
+record of such a dispatch would still be here does an unknown attempt count as one
+that never ran.
 """
 
 from __future__ import annotations
@@ -35,7 +39,8 @@
 )
 
 MAX_DISPATCH_AGE_S = 60.0
-KEEP_S = 2 * MAX_DISPATCH_AGE_S
+MARGIN_S = 60.0
+DEFAULT_DEADLINE_S = 30.0
 
 Key = tuple[str, int]
 
@@ -46,7 +51,10 @@
     WAITING = "waiting"
     RUNNING = "running"
     FINISHED = "finished"
+    # Refused from now on, and never ran.
     TOMBSTONE = "tombstone"
+    # Refused from now on; whether it ran before is forgotten.
+    BARRED = "barred"
 
 
 class Verdict(Enum):
@@ -57,6 +65,7 @@
     STOP = "stop"
     RUNS_ON = "runs_on"
     OVER = "over"
+    UNKNOWN = "unknown"
     WRONG_INCARNATION = "wrong_incarnation"
     WRONG_WORKSPACE = "wrong_workspace"
 
@@ -82,8 +91,9 @@
         self._attempts: dict[Key, _Attempt] = {}
         self._ended: deque[tuple[float, Key]] = deque()
         self._shutting_down = False
-        self._announced: deque[tuple[int, float]] = deque()
-        self._oldest_seq = 0
+        self._longest_deadline_s = DEFAULT_DEADLINE_S
+        self._issued: deque[tuple[int, float]] = deque()
+        self._forgot = False
 
     def __len__(self) -> int:
         return len(self._attempts)
@@ -99,23 +109,41 @@
         found = self._attempts.get(key)
         return None if found is None else found.phase
 
+    @property
+    def keep_s(self) -> float:
+        """How long records are kept after their attempts ended, in seconds."""
+        return self._longest_deadline_s + MAX_DISPATCH_AGE_S + MARGIN_S
+
+    def allow_deadline(self, deadline_s: float) -> None:
+        """Note the deadline of a profile; it only ever makes records live longer."""
+        self._longest_deadline_s = max(self._longest_deadline_s, deadline_s)
+
     def announced(self, seq: int, now: float) -> None:
         """Note that the announcement ``seq`` goes out now."""
-        if self._announced and seq <= self._announced[-1][0]:
+        if self._issued and seq <= self._issued[-1][0]:
             return
-        self._announced.append((seq, now))
-        self._forget_announcements(now)
+        self._issued.append((seq, now))
+        while self._issued[0][1] < now - self.keep_s:
+            self._issued.popleft()
 
-    def _forget_announcements(self, now: float) -> None:
+    def _is_stale(self, seq: int, now: float) -> bool:
         """An announcement is too old once its successor is, too.
 
-        Until then an entry may still act on it as the newest that it has.
+        Until then an entry may still act on it as the newest that it has.  Not to
+        state one is harmless only while no record was dropped yet.
         """
+        if seq == 0:
+            return self._forgot
         limit = now - MAX_DISPATCH_AGE_S
-        while len(self._announced) > 1 and self._announced[1][1] <= limit:
-            self._announced.popleft()
-        if self._announced:
-            self._oldest_seq = self._announced[0][0]
+        stale = (issued for issued, at in self._issued if at <= limit)
+        return seq < max(stale, default=0)
+
+    def _would_know(self, seq: int, now: float) -> bool:
+        """Whether the record of a dispatch based on ``seq`` would still be here."""
+        if not self._forgot:
+            return True
+        issued_at = next((at for issued, at in self._issued if issued == seq), None)
+        return issued_at is not None and now < issued_at + self.keep_s
 
     def shut(self) -> None:
         """Refuse all that comes from now on."""
@@ -126,16 +154,16 @@
     ) -> Result[Key, Problem]:
         """Take the attempt as waiting, or say why it never starts here."""
         self.expire(now)
-        self._forget_announcements(now)
+        self.allow_deadline(req.deadline_s)
         key = (req.request_id, req.attempt)
-        refusal = self._refusal(req, leaving)
+        refusal = self._refusal(req, now, leaving)
         if refusal is not None:
             self._bar(key, req, now)
             return Err(refusal)
         self._attempts[key] = _Attempt(Phase.WAITING, req.workspace, req.repeatable)
         return Ok(key)
 
-    def _refusal(self, req: DispatchReq, leaving: bool) -> Problem | None:
+    def _refusal(self, req: DispatchReq, now: float, leaving: bool) -> Problem | None:
         if req.incarnation != self._incarnation:
             return problem(
                 WRONG_INCARNATION, actual=self._incarnation, wanted=req.incarnation
@@ -149,13 +177,23 @@
             return problem(UPSTREAM_LEAVING, upstream=self._upstream)
         if req.deadline_s <= 0:
             return problem(DEADLINE_PASSED)
-        if 0 < req.record_seq < self._oldest_seq:
-            return problem(STALE_DISPATCH, seq=req.record_seq, oldest=self._oldest_seq)
+        if self._is_stale(req.record_seq, now):
+            return problem(
+                STALE_DISPATCH,
+                not_run=True if self._would_know(req.record_seq, now) else None,
+                seq=req.record_seq,
+                limit_s=MAX_DISPATCH_AGE_S,
+            )
         return None
 
     def _refusal_of_known(self, req: DispatchReq, known: _Attempt) -> Problem:
-        if known.phase is Phase.TOMBSTONE:
-            return problem(TOMBSTONED, attempt=req.attempt, request_id=req.request_id)
+        if known.phase in (Phase.TOMBSTONE, Phase.BARRED):
+            return problem(
+                TOMBSTONED,
+                not_run=True if known.phase is Phase.TOMBSTONE else None,
+                attempt=req.attempt,
+                request_id=req.request_id,
+            )
         return problem(
             DUPLICATE_ATTEMPT,
             not_run=False if known.phase is not Phase.WAITING else None,
@@ -166,10 +204,10 @@
     def _bar(self, key: Key, req: DispatchReq, now: float) -> None:
         """A refused attempt is said not to have run, so it must not run later."""
         if req.incarnation == self._incarnation and key not in self._attempts:
-            self._attempts[key] = _Attempt(
-                Phase.TOMBSTONE, req.workspace, req.repeatable
-            )
-            self._ended.append((now + KEEP_S, key))
+            sure = self._would_know(req.record_seq, now)
+            phase = Phase.TOMBSTONE if sure else Phase.BARRED
+            self._attempts[key] = _Attempt(phase, req.workspace, req.repeatable)
+            self._ended.append((now + self.keep_s, key))
 
     def start(self, key: Key) -> None:
         """Note that the attempt goes to the upstream."""
@@ -195,7 +233,7 @@
                 f"attempt {key} would end from {found and found.phase}, not {wanted}"
             )
         found.phase = phase
-        self._ended.append((now + KEEP_S, key))
+        self._ended.append((now + self.keep_s, key))
 
     def cancel(self, req: CancelReq, now: float) -> Verdict:
         """Give an attempt up; an unknown one is barred from starting later."""
@@ -205,13 +243,19 @@
         key = (req.request_id, req.attempt)
         found = self._attempts.get(key)
         if found is None:
-            self._attempts[key] = _Attempt(Phase.TOMBSTONE, req.workspace, False)
-            self._ended.append((now + KEEP_S, key))
-            return Verdict.NEVER_STARTS
+            return self._cancel_unknown(key, req, now)
         if found.workspace != req.workspace:
             return Verdict.WRONG_WORKSPACE
         return self._cancel_known(key, found, now)
 
+    def _cancel_unknown(self, key: Key, req: CancelReq, now: float) -> Verdict:
+        """It can't start any more; whether it ran long ago may be forgotten."""
+        sure = self._would_know(req.record_seq, now)
+        phase = Phase.TOMBSTONE if sure else Phase.BARRED
+        self._attempts[key] = _Attempt(phase, req.workspace, False)
+        self._ended.append((now + self.keep_s, key))
+        return Verdict.NEVER_STARTS if sure else Verdict.UNKNOWN
+
     def _cancel_known(self, key: Key, found: _Attempt, now: float) -> Verdict:
         if found.phase is Phase.WAITING:
             self.withdraw(key, now)
@@ -220,6 +264,8 @@
             return Verdict.STOP if found.repeatable else Verdict.RUNS_ON
         if found.phase is Phase.FINISHED:
             return Verdict.OVER
+        if found.phase is Phase.BARRED:
+            return Verdict.UNKNOWN
         return Verdict.NEVER_STARTS
 
     def expire(self, now: float) -> None:
@@ -227,3 +273,4 @@
         while self._ended and self._ended[0][0] <= now:
             _, key = self._ended.popleft()
             del self._attempts[key]
+            self._forgot = True
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -77,6 +77,7 @@
         self._exchange: Exchange | None = None
         self._attempt = 0
         self._accepted = False
+        self._record_seq = 0
         self._may_have_run = False
         self._tried: dict[str, str] = {}
         self._last_problem: Problem | None = None
@@ -185,6 +186,7 @@
         assert self._choice is not None
         record = self._choice.record
         newest = self._deps.directory.get(record.name, self._now())
+        self._record_seq = (newest or record).seq
         first_offset = self._reassembly.next_offset
         emitted = self._reassembly.emitted_text() if first_offset else ""
         req = DispatchReq(
@@ -205,7 +207,7 @@
             emitted=emitted or "",
             first_offset=first_offset,
             claim_key=self._job.idempotency_key,
-            record_seq=(newest or record).seq,
+            record_seq=self._record_seq,
         )
         await exchange.dispatch(req, self._until())
         self._deps.policy.dispatched(self._choice, self._now())
@@ -350,6 +352,7 @@
             attempt=self._attempt,
             incarnation=exchange.sidecar.incarnation,
             workspace=self._job.workspace,
+            record_seq=self._record_seq,
         )
 
     async def _deadline_problem(self) -> Problem:
--- /dev/null
+++ b/tests/test_cache_view.py
@@ -0,0 +1,123 @@
+"""The view of the cache is exact or says that it is incomplete."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydale.connection.upstream_api import CacheEvent, CacheSnapshot
+from gooseberrydale.version.cache_view import MAX_PENDING, CacheView
+
+LIFE = "life-1"
+PIECES = [("a", 10), ("b", 20), ("c", 30)]
+
+
+def begun(seq: int = 0, *keys: str) -> CacheView:
+    """A complete view as of ``seq``."""
+    view = CacheView()
+    view.begin(LIFE, "v1")
+    view.load(CacheSnapshot(LIFE, seq, keys))
+    return view
+
+
+def stored(seq: int, *keys: str) -> CacheEvent:
+    return CacheEvent(LIFE, seq, stored=keys)
+
+
+def removed(seq: int, *keys: str) -> CacheEvent:
+    return CacheEvent(LIFE, seq, removed=keys)
+
+
+def test_before_the_first_snapshot_every_piece_is_absent() -> None:
+    view = CacheView()
+    view.begin(LIFE, "v1")
+    view.apply(stored(1, "a"))
+    assert not view.complete
+    assert view.cached_tokens(PIECES) == 0
+
+
+def test_a_piece_counts_only_if_all_before_it_are_cached() -> None:
+    assert begun(0, "a", "c").cached_tokens(PIECES) == 10
+    assert begun(0, "a", "b", "c").cached_tokens(PIECES) == 60
+    assert begun(0, "b").cached_tokens(PIECES) == 0
+
+
+def test_a_gap_hides_everything_until_it_is_filled() -> None:
+    view = begun(0, "a")
+    view.apply(stored(2, "b"))
+    assert view.cached_tokens(PIECES) == 0
+    view.apply(removed(1, "a"))
+    assert view.complete
+    assert view.missing(PIECES) == [("a", 10), ("c", 30)]
+
+
+def test_a_snapshot_fills_a_gap_and_an_old_one_changes_nothing() -> None:
+    view = begun(0, "a")
+    view.apply(removed(2, "b"))
+    view.load(CacheSnapshot(LIFE, 1, ("a", "b")))
+    assert view.cached_tokens(PIECES) == 10
+    view.load(CacheSnapshot(LIFE, 0, ("a", "b", "c")))
+    assert view.cached_tokens(PIECES) == 10
+
+
+def test_another_life_or_other_weights_drop_everything() -> None:
+    for life, weights in (("life-2", "v1"), (LIFE, "v2")):
+        view = begun(0, "a")
+        assert not view.begin(LIFE, "v1")
+        assert view.begin(life, weights)
+        assert view.cached_tokens(PIECES) == 0
+
+
+def test_what_another_life_says_is_ignored() -> None:
+    view = begun(0, "a")
+    view.apply(replace(stored(1, "b"), incarnation="life-0"))
+    view.load(CacheSnapshot("life-0", 5, ("a", "b", "c")))
+    assert view.cached_tokens(PIECES) == 10
+    assert view.ignored == 2
+
+
+def test_the_events_that_wait_for_a_lost_one_are_bounded() -> None:
+    view = begun(0, "a")
+    for seq in range(2, 3 * MAX_PENDING):
+        view.apply(stored(seq, "b"))
+    assert not view.complete
+    assert len(view._pending) <= MAX_PENDING
+    view.load(CacheSnapshot(LIFE, 3 * MAX_PENDING, ("a",)))
+    assert view.cached_tokens(PIECES) == 10
+
+
+KEYS = [f"k{n}" for n in range(6)]
+changes = st.lists(
+    st.tuples(st.sets(st.sampled_from(KEYS)), st.sets(st.sampled_from(KEYS))),
+    min_size=1,
+    max_size=20,
+)
+
+
+@given(changes, st.data())
+def test_a_complete_view_is_exact_whatever_happens_to_events(
+    steps: list[tuple[set[str], set[str]]], data: st.DataObject
+) -> None:
+    """Events are lost, repeated and reordered, snapshots come at any time."""
+    truth: list[set[str]] = [set()]
+    events = []
+    for seq, (come, go) in enumerate(steps, start=1):
+        truth.append((truth[-1] - go) | come)
+        events.append(CacheEvent(LIFE, seq, tuple(come), tuple(go - come)))
+    arriving = data.draw(st.lists(st.sampled_from(events), max_size=40))
+    view = begun()
+    for event in arriving:
+        view.apply(event)
+        if data.draw(st.integers(0, 4)) == 0:
+            seq = data.draw(st.integers(0, len(steps)))
+            view.load(CacheSnapshot(LIFE, seq, tuple(truth[seq])))
+        if view.complete:
+            exact = truth[view.seq]
+            assert {k for k, _ in view.missing((k, 1) for k in KEYS)} == (
+                set(KEYS) - exact
+            )
+            assert all(e.seq <= view.seq for e in arriving[: arriving.index(event)])
+        else:
+            assert view.cached_tokens([(k, 1) for k in KEYS]) == 0
