--- /dev/null
+++ b/tests/test_control_calls.py
@@ -0,0 +1,182 @@
+"""Calls between control and other processes, on real sockets over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from gooseberrydale.connection.control_client import ControlClient
+from gooseberrydale.connection.control_messages import (
+    Ack,
+    ClaimReply,
+    OrderReply,
+    OrderReq,
+    OrderState,
+)
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.rpc import ORDER, PROPOSE, RpcServer
+from gooseberrydale.errors import INTERNAL, NO_QUORUM, NOT_LEADER, problem
+from gooseberrydale.process.control import Control
+from gooseberrydale.process.control.order_sender import RETRY_S
+from gooseberrydale.process.control.proposer import InMemoryProposer
+from tests.builders_control import claim, order
+from tests.builders_operators import ANY_PORT, FLEET_TOKEN, running_control
+
+BOUND_S = 20.0
+NOBODY = "127.0.0.1:1"
+
+
+class FakeSidecar:
+    """Answers orders as told; each answer but the last is given once."""
+
+    def __init__(self, *answers: OrderReply) -> None:
+        self.answers = list(answers)
+        self.orders: list[OrderReq] = []
+        self.server = RpcServer(ANY_PORT, FLEET_TOKEN)
+        self.server.unary(ORDER, self.handle)
+
+    async def handle(self, req: OrderReq) -> OrderReply:
+        self.orders.append(req)
+        return self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+
+    async def announce(self, control: Control) -> None:
+        await self.server.start()
+        address = f"127.0.0.1:{self.server.port}"
+        now = asyncio.get_running_loop().time()
+        record = UpstreamRecord("e1", "i", 1, address, "z", "r", "p", "completion")
+        control.directory.offer(record, now)
+
+
+REFUSED = problem(INTERNAL)
+WORKING = OrderReply(1, finished=False)
+
+
+@pytest.mark.parametrize(
+    ("answers", "state", "calls"),
+    [
+        ([OrderReply(1, True)], OrderState.DONE, 1),
+        ([WORKING, OrderReply(1, True)], OrderState.DONE, 2),
+        ([OrderReply(1, True, REFUSED)], OrderState.FAILED, 1),
+    ],
+)
+def test_issued_order_reaches_the_sidecar_and_its_outcome_is_committed(
+    answers, state, calls
+):
+    async def main() -> None:
+        sidecar = FakeSidecar(*answers)
+        async with running_control() as control, asyncio.timeout(BOUND_S):
+            await sidecar.announce(control)
+            (await control._commit.ask(order("e1"))).unwrap()
+            while control.state.orders.orders[0].state is OrderState.ISSUED:
+                await asyncio.sleep(0.01)
+            assert control.state.orders.orders[0].state is state
+            await sidecar.server.close()
+        assert [req.number for req in sidecar.orders] == [1] * calls
+
+    asyncio.run(main())
+
+
+def test_order_without_an_answer_is_lost_after_its_deadline():
+    async def main() -> None:
+        async with running_control(order_deadline_s=0.2) as control:
+            async with asyncio.timeout(BOUND_S):
+                while control.state.limits.order_deadline_s != 0.2:
+                    await asyncio.sleep(0.01)
+                (await control._commit.ask(order("e1"))).unwrap()
+                while control.state.orders.orders[0].state is not OrderState.LOST:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(main())
+
+
+def test_only_the_leader_gives_orders(monkeypatch):
+    async def main() -> None:
+        sidecar = FakeSidecar(OrderReply(1, True))
+        async with running_control() as control, asyncio.timeout(BOUND_S):
+            (await control._commit.ask(order("e1"))).unwrap()
+            with monkeypatch.context() as deposed:
+                deposed.setattr(InMemoryProposer, "leads", False)
+                await sidecar.announce(control)
+                await asyncio.sleep(3 * RETRY_S)
+                assert sidecar.orders == []
+            while control.state.orders.issued():
+                await asyncio.sleep(0.01)
+            await sidecar.server.close()
+        assert len(sidecar.orders) == 1
+
+    asyncio.run(main())
+
+
+class FakeReplica:
+    """A control replica that answers every request alike."""
+
+    def __init__(self, reply: ClaimReply) -> None:
+        self.reply = reply
+        self.asked = 0
+        self.server = RpcServer(ANY_PORT, FLEET_TOKEN)
+        self.server.unary(PROPOSE, self.handle)
+
+    async def handle(self, _req: object) -> ClaimReply:
+        self.asked += 1
+        return self.reply
+
+    async def start(self) -> str:
+        await self.server.start()
+        return f"127.0.0.1:{self.server.port}"
+
+
+def test_client_follows_the_hint_to_the_leader_and_stays_there():
+    async def main() -> None:
+        leader = FakeReplica(ClaimReply(granted=True))
+        at = await leader.start()
+        not_leader = problem(NOT_LEADER, leader=at)
+        follower = FakeReplica(ClaimReply(problem=not_leader, leader=at))
+        client = ControlClient([await follower.start()], FLEET_TOKEN)
+        for _ in range(3):
+            assert (await client.ask(claim(), BOUND_S)).unwrap().granted
+        assert (follower.asked, leader.asked) == (1, 3)
+        await client.close()
+        await leader.server.close()
+        await follower.server.close()
+
+    asyncio.run(main())
+
+
+def test_client_passes_over_replicas_that_are_gone_or_without_quorum():
+    async def main() -> None:
+        cut_off = FakeReplica(ClaimReply(problem=problem(NO_QUORUM)))
+        leader = FakeReplica(ClaimReply(granted=True))
+        addresses = [NOBODY, await cut_off.start(), await leader.start()]
+        for seed in range(4):
+            client = ControlClient(addresses, FLEET_TOKEN, rng=random.Random(seed))
+            assert (await client.ask(claim(), BOUND_S)).unwrap().granted
+            await client.close()
+        assert cut_off.asked
+        await leader.server.close()
+        await cut_off.server.close()
+
+    asyncio.run(main())
+
+
+def test_client_says_so_when_nobody_can_commit():
+    async def main() -> None:
+        client = ControlClient([NOBODY], FLEET_TOKEN)
+        refused = (await client.ask(claim(), 0.3)).unwrap_err()
+        assert (refused.code, refused.retry_after_s) == ("claim_unavailable", 1.0)
+        await client.close()
+
+    asyncio.run(main())
+
+
+def test_a_refusal_that_stays_is_handed_on():
+    async def main() -> None:
+        replica = FakeReplica(Ack(problem=problem(INTERNAL)))  # type: ignore[arg-type]
+        client = ControlClient([await replica.start()], FLEET_TOKEN)
+        reply = (await client.ask(claim(), BOUND_S)).unwrap()
+        assert reply.problem.code == "internal" and replica.asked == 1
+        await client.close()
+        await replica.server.close()
+
+    asyncio.run(main())
