Close a replaced connection to control after its last call only

Cause: closing a connection cancels the calls on it, so that one call that timed out ended others in the middle. Waiting requests were bounded in number but not in bytes. Change: count the users of a connection; bound the bytes of a waiting group. Proof: the test of a call that times out beside another was seen to fail with the count ignored. The bound in bytes has no test.

--- a/gooseberrydale/connection/control_client.py
+++ b/gooseberrydale/connection/control_client.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Sequence
 from typing import Any
 
@@ -47,6 +48,7 @@
         self._tls = tls
         self._rng = rng if rng is not None else random.Random()
         self._channels: dict[str, RpcChannel] = {}
+        self._users: Counter[RpcChannel] = Counter()
         self._target = ""
 
     async def ask(self, req: Any, timeout_s: float) -> Result[Any, Problem]:
@@ -63,8 +65,9 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        channels = list(self._channels.values())
+        channels = {*self._channels.values(), *self._users}
         self._channels.clear()
+        self._users.clear()
         await asyncio.gather(*(channel.close() for channel in channels))
 
     async def _ask_until_answered(self, req: Any) -> Any:
@@ -84,14 +87,24 @@
         if channel is None:
             channel = RpcChannel(address, self._token, self._tls)
             self._channels[address] = channel
+        self._users[channel] += 1
         try:
             return await channel.call(PROPOSE, req, timeout_s=CALL_TIMEOUT_S)
         except grpc.aio.AioRpcError:
             # A connection that went silent is replaced, not waited for.
             if self._channels.get(address) is channel:
                 del self._channels[address]
-                await channel.close()
             return None
+        finally:
+            self._users[channel] -= 1
+            await self._close_if_unused(address, channel)
+
+    async def _close_if_unused(self, address: str, channel: RpcChannel) -> None:
+        """Close a replaced channel after its last call: closing cancels the others."""
+        if self._users[channel] or self._channels.get(address) is channel:
+            return
+        del self._users[channel]
+        await channel.close()
 
     def _any_address(self) -> str:
         if not self._addresses:
--- a/gooseberrydale/process/control/group_commit.py
+++ b/gooseberrydale/process/control/group_commit.py
@@ -31,6 +31,7 @@
 MAX_GROUP = 256
 MAX_GROUP_BYTES = 1024 * 1024
 MAX_WAITING = 4_096
+MAX_WAITING_BYTES = 8 * 1024 * 1024
 PROPOSE_TIMEOUT_S = 2.0
 RETRY_AFTER_S = 1.0
 
@@ -50,6 +51,7 @@
         self._proposer = proposer
         self._wall = wall
         self._waiting: deque[_Waiting] = deque()
+        self._size = 0
         self._arrived = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -70,10 +72,12 @@
         """
         if not self._proposer.leads:
             return Err(_not_leader(self._proposer))
-        if len(self._waiting) >= MAX_WAITING:
+        data = _encode(req)
+        if len(self._waiting) >= MAX_WAITING or self._size >= MAX_WAITING_BYTES:
             return Err(_no_quorum())
         answer = asyncio.get_running_loop().create_future()
-        self._waiting.append(_Waiting(_encode(req), answer))
+        self._waiting.append(_Waiting(data, answer))
+        self._size += len(data)
         self._arrived.set()
         result: Result[Any, Problem] = await answer
         return result
@@ -92,6 +96,7 @@
         size = 0
         while self._waiting and len(group) < MAX_GROUP and size < MAX_GROUP_BYTES:
             item = self._waiting.popleft()
+            self._size -= len(item.data)
             if not item.answer.done():
                 group.append(item)
                 size += len(item.data)
@@ -114,6 +119,7 @@
     def _refuse_all(self, refused: Problem) -> None:
         group = list(self._waiting)
         self._waiting.clear()
+        self._size = 0
         _answer_all(group, Err(refused))
 
 
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from gooseberrydale.connection.control_client import ControlClient
+from gooseberrydale.connection.control_client import CALL_TIMEOUT_S, ControlClient
 from gooseberrydale.connection.control_messages import (
     Ack,
     ClaimReply,
@@ -115,11 +115,14 @@
     def __init__(self, reply: ClaimReply) -> None:
         self.reply = reply
         self.asked = 0
+        self.pauses_s: list[float] = []
         self.server = RpcServer(ANY_PORT, FLEET_TOKEN)
         self.server.unary(PROPOSE, self.handle)
 
     async def handle(self, _req: object) -> ClaimReply:
         self.asked += 1
+        if self.pauses_s:
+            await asyncio.sleep(self.pauses_s.pop(0))
         return self.reply
 
     async def start(self) -> str:
@@ -160,6 +163,22 @@
     asyncio.run(main())
 
 
+def test_a_call_that_times_out_leaves_the_others_alone():
+    async def main() -> None:
+        replica = FakeReplica(ClaimReply(granted=True))
+        client = ControlClient([await replica.start()], FLEET_TOKEN)
+        replica.pauses_s = [3 * CALL_TIMEOUT_S, 0.8 * CALL_TIMEOUT_S]
+        first = asyncio.create_task(client.ask(claim("k1"), BOUND_S))
+        await asyncio.sleep(0.5 * CALL_TIMEOUT_S)
+        second = await client.ask(claim("k2"), BOUND_S)
+        assert second.unwrap().granted and (await first).unwrap().granted
+        assert replica.asked == 3
+        await client.close()
+        await replica.server.close()
+
+    asyncio.run(main())
+
+
 def test_client_says_so_when_nobody_can_commit():
     async def main() -> None:
         client = ControlClient([NOBODY], FLEET_TOKEN)
