--- a/gooseberrydale/version/replication/file_storage.py
+++ b/gooseberrydale/version/replication/file_storage.py
@@ -76,7 +76,7 @@
 
         Files of a replica with another name are kept aside.
         """
-        self._folder.mkdir(parents=True, exist_ok=True)
+        self._files.make_folder(self._folder)
         if self._files.exists(self._identity):
             self.me = self._read_one(self._identity, Member)
             if self.me.name != name:
--- a/gooseberrydale/version/replication/files.py
+++ b/gooseberrydale/version/replication/files.py
@@ -14,6 +14,10 @@
 class Files(Protocol):
     """Operations on one folder's files; all raise OSError as the system does."""
 
+    def make_folder(self, path: Path) -> None:
+        """Create a folder and its parents unless they are there."""
+        ...
+
     def exists(self, path: Path) -> bool:
         """Whether a file is there."""
         ...
@@ -58,6 +62,10 @@
         self._path: Path | None = None
         self._fd = -1
 
+    def make_folder(self, path: Path) -> None:
+        """Create a folder and its parents unless they are there."""
+        path.mkdir(parents=True, exist_ok=True)
+
     def exists(self, path: Path) -> bool:
         """Whether a file is there."""
         return path.exists()
