--- /dev/null
+++ b/gooseberrydale/process/control/first_start.py
@@ -0,0 +1,66 @@
+"""Operator commands on a stopped replica's data folder: init and recover.
+
+Each runs once, in the process of the command line.
+"""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+from gooseberrydale.errors import ALREADY_STARTED, NOTHING_TO_RECOVER, problem
+from gooseberrydale.version.replication import bootstrap
+from gooseberrydale.version.replication.file_storage import FileStorage
+from gooseberrydale.version.replication.files import OsFiles
+from gooseberrydale.version.replication.raft import Stored
+from gooseberrydale.version.replication.storage import StorageError
+
+CLUSTER_BITS = 64
+
+
+def init_folder(folder: Path, name: str) -> str:
+    """Start a new cluster with this replica as first member; return its id.
+
+    Run it on one replica only; the others start with empty folders and join.
+    Raises StorageError if the folder already holds a log.
+    """
+    rng = random.SystemRandom()
+    storage = _open(folder, name, rng)
+    if storage.stored != Stored():
+        raise StorageError(problem(ALREADY_STARTED, folder=folder))
+    cluster = _new_cluster(rng)
+    _replace(storage, bootstrap.first_start(storage.me, cluster))
+    return cluster
+
+
+def recover_folder(folder: Path, name: str, *, force: bool) -> bootstrap.RecoveryReport:
+    """Make this replica the only member after a majority of disks was lost.
+
+    Without ``force`` nothing changes; the report says what would be kept and what
+    may be lost.  Raises StorageError if the folder holds no log.
+    """
+    rng = random.SystemRandom()
+    storage = _open(folder, name, rng)
+    if not storage.stored.entries and not storage.stored.snapshot.index:
+        raise StorageError(problem(NOTHING_TO_RECOVER, folder=folder))
+    report = bootstrap.describe(storage.stored)
+    if force:
+        cluster = _new_cluster(rng)
+        stored = bootstrap.force_single(storage.stored, storage.me, cluster)
+        _replace(storage, stored)
+    return report
+
+
+def _open(folder: Path, name: str, rng: random.Random) -> FileStorage:
+    storage = FileStorage(folder, OsFiles())
+    storage.open(name, rng)
+    return storage
+
+
+def _new_cluster(rng: random.Random) -> str:
+    return f"{rng.getrandbits(CLUSTER_BITS):016x}"
+
+
+def _replace(storage: FileStorage, stored: Stored) -> None:
+    storage.save_snapshot(stored.snapshot, stored.state, stored.entries)
+    storage.close()
