--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -230,7 +230,7 @@
             await asyncio.sleep(RESUME_POLL_S)
 
     def _choice_wait_s(self) -> float:
-        """How long to wait for an upstream if there is none; no refusal waits longer."""
+        """How long to wait for an upstream if there is none."""
         if self._parts.given:
             return RESUME_WAIT_S
         if self._deps.freshness.is_fresh(self._now()):
