Leave the logs of an example app to its process

Cause: the example apps let uvicorn set up its own log handlers, so in the local command, or after it in one test process, uvicorn's lines went out unmasked; the test that no secret is written failed once both ran in one process. Change: the example server takes the process's log setup, as the other listeners do.

--- a/gooseberrydale/example/app_server.py
+++ b/gooseberrydale/example/app_server.py
@@ -38,6 +38,7 @@
             port=port,
             loop="asyncio",
             ws="none",
+            log_config=None,
             log_level="warning",
             access_log=False,
             timeout_graceful_shutdown=GRACE_S,
