--- a/gooseberrydale/process/entry/calls.py
+++ b/gooseberrydale/process/entry/calls.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import TypeVar
 
 from result import Err, Result
@@ -45,8 +44,6 @@
 IDEMPOTENCY_KEY = "idempotency-key"
 LAST_EVENT_ID = "last-event-id"
 COME_BACK_S = 1.0
-FIRST_RECORDS_S = 1.0
-FIRST_RECORDS_POLL_S = 0.02
 PRIVATE_HEADERS = {
     "accept-encoding",
     "authorization",
@@ -85,7 +82,7 @@
 
     async def authenticate(self, req: Request) -> Workspace:
         """The workspace of the caller's key; raises :class:`ProblemError`."""
-        await self._first(lambda: self.config.revision > 0)
+        await self._deps.freshness.wait_for(lambda: self.config.revision > 0)
         if self.config.revision == 0:
             raise ProblemError(problem(NOT_READY, retry_after_s=COME_BACK_S))
         if self._keys.config is not self.config:
@@ -144,7 +141,7 @@
         self, req: Request, send: Send, workspace: Workspace, profile: Profile | None
     ) -> None:
         last = _ok(parse_event_id(req.headers.get(LAST_EVENT_ID, "")))
-        await self._first(lambda: self._keeps(last))
+        await self._deps.freshness.wait_for(lambda: self._keeps(last))
         record = self._deps.directory.get(last.upstream, _now())
         if record is None or record.incarnation != last.incarnation:
             raise ProblemError(
@@ -168,8 +165,6 @@
         await self._serve(AttachedAnswer(self._deps, target), call, req, send)
 
     async def _run(self, job: Job, req: Request, send: Send) -> None:
-        pool = job.profile.pool
-        await self._first(lambda: bool(self._deps.directory.ready(pool, _now())))
         may_resend = job.profile.repeatable or bool(job.idempotency_key)
         info = CallInfo(job.request_id, job.profile.name, may_resend)
         await self._serve(self._answering(job), info, req, send)
@@ -217,14 +212,6 @@
         record = self._deps.directory.get(last.upstream, _now())
         return record is not None and record.incarnation == last.incarnation
 
-    async def _first(self, known: Callable[[], bool]) -> None:
-        """Give a process that has just started a moment to learn what it needs."""
-        if known() or _now() > self._deps.fresh_until:
-            return
-        until = _now() + FIRST_RECORDS_S
-        while not known() and _now() < until:
-            await asyncio.sleep(FIRST_RECORDS_POLL_S)
-
 
 def may_call(workspace: Workspace, profile: Profile) -> bool:
     """Whether ``profile`` is open to ``workspace``."""
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -26,11 +26,12 @@
 from gooseberrydale.request.baselines import make_policy
 from gooseberrydale.request.config_sync import ConfigSync
 from gooseberrydale.request.deps import Deps
+from gooseberrydale.request.freshness import Freshness
 from gooseberrydale.request.retry import RetryBudget
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory, new_incarnation
 
-FRESH_S = 5.0
+RETRY_BURST = 32
 UNREADY_SHARE = 0.1
 UNREADY_MAX_S = 2.0
 LAST_ANSWERS_S = 2.0
@@ -94,7 +95,7 @@
 
     async def start(self) -> None:
         """Serve; raises OSError if an address can't be bound."""
-        now = asyncio.get_running_loop().time()
+        freshness = Freshness(asyncio.get_running_loop().time())
         deps = Deps(
             cfg=self._cfg,
             node=self._node,
@@ -102,11 +103,11 @@
             directory=self.directory,
             pool=self._pool,
             policy=make_policy(self._cfg.policy, self._rng),
-            budget=RetryBudget(self._cfg.retry_ratio),
+            budget=RetryBudget(self._cfg.retry_ratio, cap=RETRY_BURST),
             background=self._background,
             config_sync=ConfigSync(self.store, self._pool, self._background),
             instruments=self._metrics.instruments,
-            fresh_until=now + FRESH_S,
+            freshness=freshness,
         )
         self._calls = Calls(deps, self._claims)
         routes = [Route("/livez", _livez), Route("/readyz", self._readyz)]
@@ -117,7 +118,7 @@
         self._http = HttpServer(self._keeper, self._cfg.http, self._cfg.tls)
         await self._rpc.start()
         await self._mesh.start()
-        self._housekeeping = asyncio.create_task(self._keep_house())
+        self._housekeeping = asyncio.create_task(self._keep_house(freshness))
         await self._http.start()
         logger.info("entry serves on {}", self.addresses)
 
@@ -158,11 +159,12 @@
         while self._keeper.open_requests and loop.time() < until:
             await asyncio.sleep(DRAIN_POLL_S)
 
-    async def _keep_house(self) -> None:
+    async def _keep_house(self, freshness: Freshness) -> None:
         """Close channels of sidecars whose lease has ended; set the levels."""
         loop = asyncio.get_running_loop()
         level = self._metrics.instruments.level
         while True:
+            freshness.tick(loop.time())
             records = self.directory.records(loop.time())
             self._pool.keep(records)
             level.upstreams_known = len(records)
--- a/gooseberrydale/request/deps.py
+++ b/gooseberrydale/request/deps.py
@@ -9,6 +9,7 @@
 from gooseberrydale.process.instruments import Instruments
 from gooseberrydale.request.background import Background
 from gooseberrydale.request.config_sync import ConfigSync
+from gooseberrydale.request.freshness import Freshness
 from gooseberrydale.request.retry import RetryBudget
 from gooseberrydale.request.routing import Policy
 from gooseberrydale.version.config_store import ConfigStore
@@ -17,11 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Deps:
-    """Shared parts that a request uses but does not own.
-
-    Until ``fresh_until`` (loop time) a request may wait a moment for the first
-    records of configuration and upstreams.
-    """
+    """Shared parts that a request uses but does not own."""
 
     cfg: EntryCfg
     node: NodeCfg
@@ -33,4 +30,4 @@
     background: Background
     config_sync: ConfigSync
     instruments: Instruments
-    fresh_until: float = 0.0
+    freshness: Freshness
