--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -26,11 +26,13 @@
 from gooseberrydale.request.baselines import make_policy
 from gooseberrydale.request.config_sync import ConfigSync
 from gooseberrydale.request.deps import Deps
-from gooseberrydale.request.freshness import TICK_S, Freshness
+from gooseberrydale.request.freshness import Freshness
 from gooseberrydale.request.retry import RetryBudget
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory, new_incarnation
 
+RETRY_BURST = 32
+HOUSEKEEPING_S = 1.0
 UNREADY_SHARE = 0.1
 UNREADY_MAX_S = 2.0
 LAST_ANSWERS_S = 2.0
@@ -66,6 +68,7 @@
         )
         self._mesh.register(self._rpc)
         self._housekeeping: asyncio.Task[None] | None = None
+        self._has_metrics_listener = bool(cfg.metrics.http)
         self._background = Background()
         self._metrics = Metrics(ENTRY_ROLE, cfg.node.name, cfg.node.zone)
         self._claims = ClaimClient(cfg.fleet.controls, self._dial, self._rng)
@@ -80,6 +83,11 @@
         http = self._http.address if self._http is not None else self._cfg.http
         return {"http": http, "rpc": f"{host}:{self._rpc.port}"}
 
+    @property
+    def metrics(self) -> Metrics:
+        """The instruments of this entry."""
+        return self._metrics
+
     @property
     def phase(self) -> Phase:
         """How far a shutdown has come."""
@@ -87,8 +95,7 @@
 
     async def start(self) -> None:
         """Serve; raises OSError if an address can't be bound."""
-        now = asyncio.get_running_loop().time()
-        freshness = Freshness(now)
+        freshness = Freshness(asyncio.get_running_loop().time())
         deps = Deps(
             cfg=self._cfg,
             node=self._node,
@@ -96,18 +103,16 @@
             directory=self.directory,
             pool=self._pool,
             policy=make_policy(self._cfg.policy, self._rng),
-            budget=RetryBudget(self._cfg.retry_ratio),
+            budget=RetryBudget(self._cfg.retry_ratio, cap=RETRY_BURST),
             background=self._background,
             config_sync=ConfigSync(self.store, self._pool, self._background),
             instruments=self._metrics.instruments,
             freshness=freshness,
         )
         self._calls = Calls(deps, self._claims)
-        routes = [
-            Route("/livez", _livez),
-            Route("/readyz", self._readyz),
-            self._metrics.route(),
-        ]
+        routes = [Route("/livez", _livez), Route("/readyz", self._readyz)]
+        if not self._has_metrics_listener:
+            routes.append(self._metrics.route())
         app = make_app(self._calls, self._metrics.instruments, routes)
         self._keeper = Gatekeeper(app, self._metrics.instruments, self._rng)
         self._http = HttpServer(self._keeper, self._cfg.http, self._cfg.tls)
@@ -166,7 +171,7 @@
             level.cfg_revision = self.store.revision
             level.sessions = len(self._mesh.peers())
             level.running = self._keeper.open_requests if self._keeper else 0
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(HOUSEKEEPING_S)
 
     def _dial(self, address: str) -> RpcChannel:
         return RpcChannel(address, self._token, self._tls)
