--- a/gooseberrydale/version/directory.py
+++ b/gooseberrydale/version/directory.py
@@ -12,7 +12,8 @@
 
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
+from operator import attrgetter
 
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import InvariantError
@@ -20,6 +21,11 @@
 MAX_LEASE_S = 60.0
 """Longest lease that is taken over, in seconds; longer ones are cut to it."""
 
+_RENEWED_FIELDS = frozenset({"seq", "lease_s"})
+_content = attrgetter(
+    *(one.name for one in fields(UpstreamRecord) if one.name not in _RENEWED_FIELDS)
+)
+
 ChangeListener = Callable[[bool], None]
 
 
@@ -211,7 +217,7 @@
 
 def _same(old: UpstreamRecord, new: UpstreamRecord) -> bool:
     """Whether ``new`` differs from ``old`` in its sequence number and lease only."""
-    return replace(old, seq=new.seq, lease_s=new.lease_s) == new
+    return _content(old) == _content(new)
 
 
 def _with_lease_left(held: _Held, now: float) -> UpstreamRecord:
--- a/tests/test_mesh_messages.py
+++ b/tests/test_mesh_messages.py
@@ -142,9 +142,12 @@
         await asyncio.sleep(1)
         pipes[0].silent = {"opener"}
         servers[0].store.offer(Config(revision=7))
-        await asyncio.sleep(0.1)
-        servers[1].store.offer(Config(revision=7))
+        # The pull has lapsed, and its session wakes for something else.
         await asyncio.sleep(0.6)
+        sidecar.directory.offer(record(), asyncio.get_running_loop().time())
+        await asyncio.sleep(0.05)
+        servers[1].store.offer(Config(revision=7))
+        await asyncio.sleep(0.1)
         assert sidecar.store.revision == 7
         assert [pipe.count(ConfigOffer) for pipe in pipes] == [0, 1]
 
