Give orders behind a fence, and move KV cache by use

Cause: not every upstream checks fencing numbers, and prefixes that were computed on one engine are paid for again on the next. Change: one order at a time, never an older number, none before the number was learned from control; no work starts while an order runs, so that no cache key is made under weights that are being replaced. Pieces used twice are exported; missing ones are imported before the request if moving is expected to be cheaper than computing.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -372,6 +372,12 @@
     "The weights could not be read ({reason}); the old ones stay in force, give the"
     " order again.",
 )
+ORDER_REFUSED = ErrorKind(
+    "order_refused",
+    502,
+    "The upstream answered order {number} with status {status}; read its log and give"
+    " the order again.",
+)
 ORDERS_FULL = ErrorKind(
     "orders_full",
     429,
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -11,12 +11,15 @@
 from collections.abc import Callable
 from functools import partial
 
-from result import Err
+from result import Err, Result
 
+from gooseberrydale.connection.control_client import ControlClient
+from gooseberrydale.connection.control_messages import FenceReply, ReadFenceReq
 from gooseberrydale.connection.mesh import SIDECAR_ROLE, UpstreamRecord
 from gooseberrydale.connection.messages import DispatchReq
-from gooseberrydale.connection.rpc import RpcServer, TlsFiles
+from gooseberrydale.connection.rpc import ORDER, RpcServer, TlsFiles
 from gooseberrydale.connection.upstream_api import LoadReply
+from gooseberrydale.errors import Problem
 from gooseberrydale.process.cfg import Cfg, SidecarCfg, TlsCfg
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.membership import Mesh
@@ -24,6 +27,8 @@
 from gooseberrydale.process.sidecar.cache_follow import CacheFollower
 from gooseberrydale.process.sidecar.calls import CallBuilder
 from gooseberrydale.process.sidecar.dispatcher import Dispatcher, work_id
+from gooseberrydale.process.sidecar.kv_transfer import KvTransfer
+from gooseberrydale.process.sidecar.orders import OrderKeeper
 from gooseberrydale.process.sidecar.service import SidecarService
 from gooseberrydale.process.sidecar.upstream_run import run_upstream
 from gooseberrydale.process.sidecar.upstream_watch import UpstreamWatch
@@ -31,6 +36,7 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declarations import ProfileKind
 from gooseberrydale.version.directory import Directory, new_incarnation
+from gooseberrydale.version.kv_use import KvPiece
 from gooseberrydale.version.upstream_state import UpstreamState
 
 RPC_GRACE_S = 0.5
@@ -75,6 +81,19 @@
             self.incarnation,
             rng=rng,
         )
+        self._control = ControlClient(
+            cfg.fleet.controls, token, _tls(cfg.fleet.tls), rng
+        )
+        self._orders = OrderKeeper(
+            cfg.node.name,
+            self._sidecar.upstream,
+            self._sidecar.checks_fencing,
+            self._ask_control,
+            self._watch.poll,
+        )
+        self._kv = KvTransfer(
+            self._sidecar.upstream, self._sidecar.kv_store, self._prefill_tps
+        )
         self._config_task: asyncio.Task[None] | None = None
         self._started = False
         self._closing = False
@@ -85,16 +104,23 @@
         host = self._sidecar.rpc.rpartition(":")[0]
         return {"rpc": f"{host}:{self._rpc.port}"}
 
+    @property
+    def upstream_state(self) -> UpstreamState:
+        """The last that was heard of the upstream."""
+        return self._watch.state
+
     async def start(self) -> None:
         """Serve; raises OSError if the listener can't be bound."""
         SidecarService(self.dispatcher, self.store, self.incarnation).register(
             self._rpc
         )
+        self._rpc.unary(ORDER, self._orders.handle)
         self.directory.subscribe(self._announced)
         await self.dispatcher.start()
         await self._watch.start()
         if self._sidecar.kind == ProfileKind.COMPLETION:
             await self._follower.start()
+            await self._kv.start()
         await self._rpc.start()
         self._started = True
         await self._mesh.start()
@@ -115,6 +141,9 @@
             self._config_task.cancel()
         await self._mesh.close()
         await self._rpc.close(RPC_GRACE_S)
+        await self._orders.close()
+        await self._control.close()
+        await self._kv.close()
         await self._follower.close()
         await self._watch.close()
 
@@ -161,6 +190,7 @@
 
     def _state_changed(self, old: UpstreamState, new: UpstreamState) -> None:
         if self._view.begin(new.incarnation, new.weights_version):
+            self._kv.begin()
             self.dispatcher.stop_running(self._is_of_old_life(old, new))
         self._mesh.announce()
 
@@ -188,8 +218,9 @@
         return sum(piece.tokens for piece in req.pieces) - cached
 
     async def _run_attempt(self, attempt: Attempt) -> None:
+        await self._orders.idle()
         req = attempt.req
-        uncached = self._uncached_tokens(req)
+        uncached = self._uncached_tokens(req) - await self._import(req)
         attempt.cached_tokens = sum(p.tokens for p in req.pieces) - uncached
         attempt.on_first_part = partial(self._first_part, attempt)
         call = self._calls.build(req, uncached / self._prefill_tps())
@@ -198,6 +229,25 @@
             return
         await run_upstream(attempt, call.ok_value, self._sidecar.upstream)
 
+    def _kv_pieces(self, req: DispatchReq) -> list[KvPiece]:
+        root = self._calls.root(req).hex()
+        return [KvPiece(root, key, tokens) for key, tokens in self._text_keys(req)]
+
+    async def _import(self, req: DispatchReq) -> int:
+        """Bring in what the store holds; the pieces are then as good as cached."""
+        if not self._sidecar.kv_store or not req.pieces:
+            return 0
+        pieces = self._kv_pieces(req)
+        held = self._view.prefix_length([(p.key, p.tokens) for p in pieces])
+        imported = await self._kv.import_missing(pieces[held:])
+        self._kv.used(pieces)
+        return imported
+
+    async def _ask_control(
+        self, req: ReadFenceReq, timeout_s: float
+    ) -> Result[FenceReply, Problem]:
+        return await self._control.ask(req, timeout_s)
+
     def _first_part(self, attempt: Attempt) -> None:
         now = asyncio.get_running_loop().time()
         self.dispatcher.admission.first_token(work_id(attempt.key), now)
--- a/gooseberrydale/version/cache_view.py
+++ b/gooseberrydale/version/cache_view.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Sequence
 
 from gooseberrydale.connection.upstream_api import CacheEvent, CacheSnapshot
@@ -83,14 +84,14 @@
         ``pieces`` are full keys with their tokens, outermost first.  A piece counts
         only if all before it are cached.
         """
+        return sum(size for _, size in pieces[: self.prefix_length(pieces)])
+
+    def prefix_length(self, pieces: Sequence[tuple[str, int]]) -> int:
+        """Count of pieces at the start of a prompt that are cached."""
         if not self.complete:
             return 0
-        tokens = 0
-        for key, size in pieces:
-            if key not in self._keys:
-                break
-            tokens += size
-        return tokens
+        hits = itertools.takewhile(lambda piece: piece[0] in self._keys, pieces)
+        return sum(1 for _ in hits)
 
     def missing(self, pieces: Iterable[tuple[str, int]]) -> list[tuple[str, int]]:
         """The pieces that are not known to be cached."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,112 +3,47 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import pathlib
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
-import grpc.aio
-
+from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import (
     Accepted,
-    AttachReq,
-    CancelReply,
-    CancelReq,
-    Chunk,
+    ConfigAck,
     End,
     Failed,
-    Heartbeat,
+    PushConfig,
+    ReadConfig,
     Refused,
 )
-from gooseberrydale.connection.rpc import ATTACH, CANCEL, DISPATCH, RpcChannel
-from gooseberrydale.process.sidecar import Sidecar
+from gooseberrydale.connection.rpc import PUSH_CONFIG, READ_CONFIG
+from gooseberrydale.version.declarations import Config
+from tests import sidecar_bench
 from tests.builders_sidecar import (
-    TOKEN,
     Request,
-    TinyUpstream,
     Writer,
-    dispatch_req,
+    send_body,
     send_event,
     send_events,
-    sidecar_cfg,
     start_stream,
     tiny_upstream,
 )
+from tests.sidecar_bench import BOUND_S, Bench, events_of, frames_of, frames_until, run
 
-BOUND_S = 20.0
 EVENTS = [b'{"n":%d}' % n for n in range(5)]
 
 
-def run(main: Coroutine[Any, Any, None]) -> None:
-    """Run a test's body within a generous bound."""
-
-    async def bounded() -> None:
-        async with asyncio.timeout(BOUND_S):
-            await main
-
-    asyncio.run(bounded())
-
-
-class Bench:
-    """A sidecar before a tiny upstream, and a channel to it."""
-
-    def __init__(self, upstream: TinyUpstream, sidecar: Sidecar) -> None:
-        self.upstream = upstream
-        self.sidecar = sidecar
-        self.channel = RpcChannel(sidecar.addresses["rpc"], TOKEN)
-
-    def dispatch(self, **fields: Any) -> Any:
-        incarnation = fields.pop("incarnation", self.sidecar.incarnation)
-        return self.channel.call(DISPATCH, dispatch_req(incarnation, **fields))
-
-    def attach(self, offset: int, workspace: str = "workspace-a") -> Any:
-        req = AttachReq("req-1", self.sidecar.incarnation, workspace, offset)
-        return self.channel.call(ATTACH, req)
-
-    async def cancel(self, attempt: int = 1) -> CancelReply:
-        req = CancelReq("req-1", attempt, self.sidecar.incarnation, "workspace-a")
-        reply = await self.channel.call(CANCEL, req)
-        assert isinstance(reply, CancelReply)
-        return reply
-
-
 @asynccontextmanager
 async def bench(
     folder: pathlib.Path, answer: Any, **settings: Any
 ) -> AsyncIterator[Bench]:
     async with tiny_upstream(answer) as upstream:
-        sidecar = Sidecar(sidecar_cfg(folder, upstream.url, **settings))
-        await sidecar.start()
-        made = Bench(upstream, sidecar)
-        try:
+        async with sidecar_bench.bench(folder, upstream.url, **settings) as made:
+            made.upstream = upstream
             yield made
-        finally:
-            await made.channel.close()
-            await sidecar.close()
-
-
-async def frames_of(call: Any) -> list[Any]:
-    """All frames to come but heartbeats."""
-    frames = []
-    while (frame := await call.read()) is not grpc.aio.EOF:
-        if not isinstance(frame, Heartbeat):
-            frames.append(frame)
-    return frames
-
-
-async def frames_until(call: Any, count: int) -> list[bytes]:
-    """The first ``count`` events."""
-    events: list[bytes] = []
-    while len(events) < count:
-        frame = await call.read()
-        if isinstance(frame, Chunk):
-            events.extend(frame.events)
-    return events
-
-
-def events_of(frames: list[Any]) -> list[bytes]:
-    return [e for frame in frames if isinstance(frame, Chunk) for e in frame.events]
 
 
 async def whole_stream(_req: Request, writer: Writer) -> None:
@@ -234,10 +169,7 @@
             frames = await frames_of(queued)
             assert frames[0].problem.not_run is True
             first.cancel()
-            await made.channel.call(
-                CANCEL,
-                CancelReq("req-0", 1, made.sidecar.incarnation, "workspace-a"),
-            )
+            await made.cancel("req-0")
         assert len(made.upstream.requests) == 1
 
     run(main())
@@ -366,3 +298,114 @@
         assert frames[0].problem.not_run is True
 
     run(main())
+
+
+def test_what_a_service_answers_passes_through(tmp_path: pathlib.Path) -> None:
+    async def answer(req: Request, writer: Writer) -> None:
+        await send_body(writer, req.body * 2, "409 Conflict", "text/plain")
+
+    async def main() -> None:
+        async with bench(tmp_path, answer, kind="service") as made:
+            call = made.dispatch(
+                method="PUT",
+                path="/bids/7?lot=1",
+                body=b"\x00bid",
+                headers=(("Content-Type", "application/x-bid"), ("TE", "trailers")),
+                stream=False,
+                repeatable=False,
+            )
+            frames = await frames_of(call)
+        assert frames[0].status == 409
+        assert ("content-type", "text/plain") in frames[0].headers
+        assert b"".join(events_of(frames)) == b"\x00bid\x00bid"
+        sent = made.upstream.requests[0]
+        assert (sent.method, sent.target) == ("PUT", "/bids/7?lot=1")
+        assert sent.headers["content-type"] == "application/x-bid"
+        assert sent.headers["x-attempt"] == "1"
+        assert "te" not in sent.headers
+
+    run(main())
+
+
+def test_a_resumed_stream_asks_for_the_rest_and_counts_on(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with bench(tmp_path, whole_stream) as made:
+            body = b'{"messages":[{"role":"user","content":"hi"}],"max_tokens":9}'
+            call = made.dispatch(body=body, emitted="so far", first_offset=4)
+            frames = await frames_of(call)
+        assert frames[0].offset == 4
+        assert frames[1].offset == 4
+        assert frames[-1].offset == 4 + len(EVENTS)
+        sent = json.loads(made.upstream.requests[0].body)
+        assert sent["messages"][-1] == {"role": "assistant", "content": "so far"}
+        assert sent["continue_final_message"] is True
+        assert sent["add_generation_prompt"] is False
+        assert sent["max_tokens"] == 5
+
+    run(main())
+
+
+def test_a_newer_configuration_is_taken_and_handed_out(tmp_path: pathlib.Path) -> None:
+    config = Config(revision=7, leaving=frozenset({"upstream-1"}))
+
+    async def main() -> None:
+        async with bench(tmp_path, whole_stream) as made:
+            for pushed in (config, Config(revision=6)):
+                ack = await made.channel.call(PUSH_CONFIG, PushConfig(pushed))
+                assert ack == ConfigAck(7)
+            read = await made.channel.call(READ_CONFIG, ReadConfig(6))
+            assert read == ConfigAck(7, config)
+            assert await made.channel.call(READ_CONFIG, ReadConfig(7)) == ConfigAck(7)
+            frames = await frames_of(made.dispatch())
+            assert frames[0].problem.code == "upstream_leaving"
+            assert frames[0].cfg_revision == 7
+            record = own_record(made)
+            assert record is not None and record.leaving
+
+    run(main())
+
+
+def own_record(made: Bench) -> UpstreamRecord | None:
+    """What the sidecar announces of its upstream."""
+    now = asyncio.get_running_loop().time()
+    return made.sidecar.directory.get("upstream-1", now)
+
+
+def test_a_new_life_of_the_upstream_ends_what_ran_on_the_old_one(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with bench(tmp_path, stuck_stream) as made:
+            made.upstream.health = {"ready": True, "incarnation": "life-1"}
+            while made.sidecar.upstream_state.incarnation != "life-1":
+                await asyncio.sleep(0.01)
+            call = made.dispatch()
+            await frames_until(call, 1)
+            await asyncio.sleep(0.6)
+            made.upstream.health = {"ready": True, "incarnation": "life-2"}
+            last = (await frames_of(call))[-1]
+            assert isinstance(last, Failed)
+            assert last.problem.code == "upstream_failed"
+            record = own_record(made)
+            assert record is not None and record.upstream_incarnation == "life-2"
+
+    run(main())
+
+
+def test_an_upstream_that_does_not_answer_is_announced_as_not_ready(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with bench(tmp_path, whole_stream) as made:
+            await asyncio.sleep(0)
+            record = own_record(made)
+            assert record is not None and record.ready and not record.leaving
+            await made.upstream.close()
+            while record is not None and record.ready:
+                await asyncio.sleep(0.01)
+                record = own_record(made)
+            assert record is not None
+
+    run(main())
