Let the next home go before a stray upstream

Cause: with fresher load views the model still spread hot prefixes at times: once a home had to wait longer than a prompt takes to compute, each entry sent it to an idle upstream of its own choice, where no other entry looks for it. Change: the home that would join next is always a candidate, and a recomputation at an upstream that is neither home nor holder counts as wasted once more. A heartbeat no longer counts as the answer to a dispatch; the model sends heartbeats.

--- a/gooseberrydale/request/baselines.py
+++ b/gooseberrydale/request/baselines.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.connection.messages import Chunk, Frame, Load
+from gooseberrydale.connection.messages import Chunk, Frame, Heartbeat, Load
 from gooseberrydale.errors import Problem
 from gooseberrydale.request.affinity import Scopes
 from gooseberrydale.request.estimate import Estimates
@@ -131,9 +131,11 @@
     def observe(self, choice: Choice, frame: Frame, now: float) -> None:
         """Take the load from a frame."""
         estimate = self._estimates.find(choice.record)
-        if estimate is not None and not isinstance(frame, Chunk):
+        if estimate is None or isinstance(frame, Chunk):
+            return
+        estimate.report(frame.load, now)
+        if not isinstance(frame, Heartbeat):
             estimate.answered(choice.serial)
-            estimate.report(frame.load, now)
 
     def lost(self, choice: Choice, now: float) -> None:
         """Avoid the upstream for a while."""
--- a/gooseberrydale/request/candidates.py
+++ b/gooseberrydale/request/candidates.py
@@ -31,12 +31,14 @@
 class Candidate:
     """One upstream and how much of the prompt it probably holds, in tokens.
 
-    ``known`` says that this entry sent it there, so that the belief can be checked.
+    ``known`` says that this entry sent it there, so that the belief can be checked;
+    ``stray`` that other entries would not look for the prefix there.
     """
 
     record: UpstreamRecord
     cached_tokens: float = 0.0
     known: bool = False
+    stray: bool = False
 
 
 class Collector:
@@ -82,7 +84,7 @@
         for _ in range(wanted * RANDOM_TRIES):
             name = self._rng.choice(members.names)
             if name not in excluded and name not in found:
-                found[name] = Candidate(members.by_name[name])
+                found[name] = Candidate(members.by_name[name], stray=True)
                 wanted -= 1
             if wanted == 0:
                 return
@@ -103,7 +105,7 @@
         if not names:
             return
         in_use = self._in_use(members, names, prefixes[-1], now)
-        for rank, name in enumerate(names[: max(in_use, MIN_HOMES)]):
+        for rank, name in enumerate(names[: max(in_use + 1, MIN_HOMES)]):
             # Later homes joined under load and have got the prefix later, if at all.
             belief = HOME_BELIEF / (1 + rank)
             _add_better(found, Candidate(members.by_name[name], base.tokens * belief))
--- a/gooseberrydale/request/routing.py
+++ b/gooseberrydale/request/routing.py
@@ -23,6 +23,7 @@
     Chunk,
     Failed,
     Frame,
+    Heartbeat,
     Load,
     Piece,
     Refused,
@@ -39,6 +40,8 @@
 RANDOM_WHEN_LATE = 4
 # At this wait a wasted recomputation counts twice: whoever waits there pays as well.
 CONGESTION_S = 0.25
+# A copy where no other entry looks for it serves hardly anybody else.
+STRAY_WEIGHT = 1.0
 NO_UPSTREAM_RETRY_AFTER_S = 1.0
 # Refusals that say no more than the load that comes with them.
 BUSY_CODES = frozenset({errors.QUEUE_FULL.code, errors.DEADLINE_TOO_CLOSE.code})
@@ -143,8 +146,10 @@
         estimate = self._estimates.find(choice.record)
         if estimate is None or isinstance(frame, Chunk):
             return
-        estimate.answered(choice.serial)
         estimate.report(frame.load, now)
+        if isinstance(frame, Heartbeat):
+            return
+        estimate.answered(choice.serial)
         if isinstance(frame, Accepted):
             estimate.accepted()
             if choice.known:
@@ -189,6 +194,8 @@
             ttft_s = queue_s + prefill_s + _transfer_s(req, candidate)
             wasted_s = (most_cached - candidate.cached_tokens) / estimate.prefill_tps
             weight = req.profile.waste_weight + queue_s / CONGESTION_S
+            if candidate.stray:
+                weight += STRAY_WEIGHT
             cost = ttft_s + weight * wasted_s
             if best is None or cost < best_cost:
                 best, best_cost, best_ttft_s = candidate, cost, ttft_s
--- a/scripts/routing_model.py
+++ b/scripts/routing_model.py
@@ -2,8 +2,9 @@
 
 Plain arithmetic on simulated time, no processes and no messages: an upstream
 computes one prompt after the other and caches prefixes, least used out first; a
-reply reaches its entry with the first token.  Requests share guides of workspaces,
-few of which are hot, and lots within them.  A run depends on nothing but its seed.
+reply reaches its entry with the first token, heartbeats with the load before.
+Requests share guides of workspaces, few of which are hot, and lots within them.  A
+run depends on nothing but its seed.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.connection.messages import Accepted, Load, Piece
+from gooseberrydale.connection.messages import Accepted, Frame, Heartbeat, Load, Piece
 from gooseberrydale.request.baselines import make_policy
 from gooseberrydale.request.routing import Choice, RouteReq
 from gooseberrydale.version.declarations import Profile, ProfileKind
@@ -27,6 +28,7 @@
 PREFILL_TPS = 30_000.0
 CACHE_TOKENS = 160_000
 TRANSFER_S = 0.003
+HEARTBEAT_S = 1.0
 HOT_SHIFT_S = 6.0
 GUIDE_PIECES = 4
 PIECE_TOKENS = 4_000
@@ -144,7 +146,7 @@
             for _ in range(size.entries)
         ]
         self._phases = [rng.random() for _ in range(size.entries)]
-        self._replies: list[tuple[float, int, int, Choice, int]] = []
+        self._replies: list[tuple[float, int, int, Choice, int | None]] = []
         self._serial = itertools.count()
         self._waits: list[float] = []
         self._cached = self._total = 0
@@ -176,18 +178,27 @@
         upstream = self._by_name[choice.record.name]
         first_at, cached = upstream.serve(arrival.req.pieces, now + TRANSFER_S)
         reply_at = first_at + TRANSFER_S
-        reply = (reply_at, next(self._serial), arrival.entry, choice, cached)
-        heapq.heappush(self._replies, reply)
+        self._reply(reply_at, arrival.entry, choice, cached)
+        beat_at = now + HEARTBEAT_S
+        while beat_at < reply_at:
+            self._reply(beat_at, arrival.entry, choice, None)
+            beat_at += HEARTBEAT_S
         if now >= self._size.warm_up_s:
             self._waits.append(reply_at - now)
             self._cached += cached
             self._total += sum(piece.tokens for piece in arrival.req.pieces)
 
+    def _reply(self, at: float, entry: int, choice: Choice, cached: int | None) -> None:
+        reply = (at, next(self._serial), entry, choice, cached)
+        heapq.heappush(self._replies, reply)
+
     def _answer(self, until: float) -> None:
         while self._replies and self._replies[0][0] <= until:
             at, _, entry, choice, cached = heapq.heappop(self._replies)
             load = self._by_name[choice.record.name].load(at - TRANSFER_S)
-            frame = Accepted("r", 1, "1", 0, 200, (), load, 0, cached)
+            frame: Frame = Heartbeat("r", load)
+            if cached is not None:
+                frame = Accepted("r", 1, "1", 0, 200, (), load, 0, cached)
             self._routers[entry].observe(choice, frame, at)
 
     def _refreshes(self) -> Iterator[tuple[float, int, int]]:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -13,7 +13,7 @@
 
 from gooseberrydale import errors
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.connection.messages import Load
+from gooseberrydale.connection.messages import Heartbeat, Load
 from gooseberrydale.errors import ErrorKind
 from gooseberrydale.request.affinity import KEPT_PREFIXES, Holders, Scopes, levels
 from gooseberrydale.request.baselines import POLICIES, make_policy
@@ -315,6 +315,36 @@
     assert used(3.5, 3.5, 3.5, 2.4) == set(ranked[:4])
 
 
+def waits(policy: Policy, *queues: float) -> None:
+    """Report a wait for each home of the guide in their order; all others idle."""
+    queue_of = dict(zip(homes_of("guide"), queues))
+    for one in POOL_20:
+        load = replace(BUSY, queue_s=queue_of.get(one.name, 0.0))
+        policy.observe_load(one, load, 0.0)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_next_home_goes_before_a_stray_upstream(seed: int) -> None:
+    ranked = homes_of("guide")
+    policy = router(seed)
+    waits(policy, 1.9, 1.9)
+    assert choose(policy, route(GUIDE)).record.name in ranked[:2]
+    waits(policy, 5.0, 1.9)
+    assert choose(policy, route(GUIDE)).record.name == ranked[2]
+
+
+def test_a_heartbeat_does_not_cover_a_dispatch_as_an_answer_does() -> None:
+    policy = router()
+    pool = pool_of(1)
+    choice = choose(policy, route(GUIDE), pool)
+    policy.dispatched(choice, 0.0)
+    idle = Load(prefill_tps=10_000.0)
+    for frame, ttft_s in [(Heartbeat("r", idle), 0.4), (accepted(load=idle), 0.0)]:
+        policy.observe(choice, frame, 0.001)
+        found = choose(policy, route(), pool, 0.001)
+        assert found.expected_ttft_s == pytest.approx(ttft_s)
+
+
 def test_all_homes_are_in_use_if_none_is_bearable() -> None:
     estimates = Estimates()
     members = Members(POOL, MODEL)
