Commit through the replicated log

Cause: control kept its state in one process's memory. Proof: three processes over sockets and folders. Seen to fail: with change ids forgotten, a resend after the leader's loss; without the hint to the leader, claims asked at each replica alone; with the state in memory, all three tests. The tests take 5 to 10 s each, mostly for replicas to join.

--- a/tests/builders_operators.py
+++ b/tests/builders_operators.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import hashlib
 import pathlib
+import socket
 import tempfile
 from collections.abc import AsyncIterator
+from typing import Any
 
 import httpx2
 
 from gooseberrydale.process.cfg import Cfg, ControlCfg, FleetCfg, NodeCfg
 from gooseberrydale.process.control import Control
 from gooseberrydale.process.membership import Mesh
+from gooseberrydale.process.operator_client import OperatorClient, Target
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declarations import Config
 from gooseberrydale.version.directory import Directory
@@ -61,3 +65,71 @@
     fleet = FleetCfg(token_file, controls=(control.addresses["rpc"],))
     cfg = Cfg(NodeCfg("entry-1"), fleet)
     return Mesh(cfg, "entry", Directory(), store, None, FLEET_TOKEN, "life-1")
+
+
+class Cluster:
+    """Three control processes of one log on one loop, each with its own folder."""
+
+    names = ("control-1", "control-2", "control-3")
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._token_file = folder / "fleet-token"
+        self._token_file.write_text(FLEET_TOKEN)
+        self.rpc = {name: free_address() for name in self.names}
+        self.running: dict[str, Control] = {}
+
+    async def start(self, *names: str) -> None:
+        for name in names:
+            cfg = ControlCfg(
+                self._folder / name,
+                rpc=self.rpc[name],
+                http=ANY_PORT,
+                replicas=self.rpc,
+            )
+            fleet = FleetCfg(self._token_file, controls=tuple(self.rpc.values()))
+            control = Control(
+                Cfg(NodeCfg(name), fleet, control=cfg), operators=OPERATORS
+            )
+            await control.start()
+            self.running[name] = control
+
+    async def stop(self, *names: str) -> None:
+        for name in names:
+            await self.running.pop(name).close()
+
+    def client(self, timeout_s: float = 20.0) -> OperatorClient:
+        urls = [f"http://{c.addresses['http']}" for c in self.running.values()]
+        return OperatorClient(Target(urls, TOKEN, timeout_s=timeout_s))
+
+    async def status(self) -> list[Any]:
+        """What each process says of the replicas."""
+        found = []
+        for control in self.running.values():
+            async with client(control) as operator:
+                found.append((await operator.get("/v1/status")).json()["control"])
+        return found
+
+    async def leader(self) -> str:
+        """Name of the leader, once one leads."""
+        while True:
+            for status in await self.status():
+                if status["role"] == "leader":
+                    return str(status["name"])
+            await asyncio.sleep(0.05)
+
+    async def whole(self) -> None:
+        """Return once the leader counts all three as members without a repair."""
+        while True:
+            for status in await self.status():
+                done = [r["state"] == "done" for r in status["repairs"]]
+                if len(status["members"]) == len(self.names) and all(done) and done:
+                    return
+            await asyncio.sleep(0.05)
+
+
+def free_address() -> str:
+    """An address that was free a moment ago; replicas must know them beforehand."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
