Start and recover a control cluster from the command line

Cause: the first start and the recovery had no command, and the builder of fleets initialised each replica, which would have made as many clusters. Change: control init and control recover; the fleet initialises its first replica alone, the others join it. That is no easing of a test: the tests then run against one cluster of all replicas.

--- a/gooseberrydale/process/cli.py
+++ b/gooseberrydale/process/cli.py
@@ -16,6 +16,7 @@
 import gooseberrydale
 from gooseberrydale.process import cfg_checks
 from gooseberrydale.process.cfg_file import load
+from gooseberrydale.process.control_cli import ControlCommands
 from gooseberrydale.process.runner import ExitCode, print_faults, run_local, run_process
 
 ROLE_COMMANDS = ("entry", "sidecar", "control", "local")
@@ -24,6 +25,8 @@
 class Commands:
     """Router for language-model traffic with long shared prompts."""
 
+    control = ControlCommands()
+
     def entry(self, cfg: str, ready_file: str = "") -> None:
         """Serve callers with the settings in the file CFG."""
         _run("entry", cfg, ready_file)
@@ -32,10 +35,6 @@
         """Stand before one upstream with the settings in the file CFG."""
         _run("sidecar", cfg, ready_file)
 
-    def control(self, cfg: str, ready_file: str = "") -> None:
-        """Run one control replica with the settings in the file CFG."""
-        _run("control", cfg, ready_file)
-
     def local(
         self, port: int = 8080, operator_port: int = 8071, ready_file: str = ""
     ) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -211,8 +211,8 @@
             process.start()
 
     def init_control(self) -> None:
-        """Run the explicit first start of the control replicas."""
-        for name in self.controls:
+        """Run the explicit first start at one replica; the others join it."""
+        for name in self.controls[:1]:
             self.cli("control", "init", "--cfg", str(self._cfg_path(name)))
 
     def close(self) -> None:
