--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -11,6 +11,7 @@
 import random
 import time
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any
 
 from gooseberrydale.connection.control_messages import Limits
@@ -22,9 +23,16 @@
 from gooseberrydale.process.control.machine import PublishingMachine
 from gooseberrydale.process.control.operator_api import OperatorApi
 from gooseberrydale.process.control.operator_auth import OperatorTokens, load_operators
+from gooseberrydale.process.control.operator_views import plain
 from gooseberrydale.process.control.order_sender import OrderSender
 from gooseberrydale.process.control.propose_service import ProposeService
-from gooseberrydale.process.control.proposer import InMemoryProposer, Proposer
+from gooseberrydale.process.control.proposer import (
+    InMemoryProposer,
+    Proposer,
+    ReplicatedProposer,
+)
+from gooseberrydale.process.control.replica import Replica
+from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.process.control.upkeep import Upkeep
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh, PeerState
@@ -65,8 +73,12 @@
         self.store = ConfigStore()
         self.state = ControlState(declarations)
         self.directory = Directory()
+        self._tasks: list[asyncio.Task[None]] = []
         self._machine = PublishingMachine(self.state, self.store)
-        self._proposer: Proposer = InMemoryProposer(self._machine)
+        self._rpc = RpcServer(own.rpc, token, tls)
+        self._rpc_host = own.rpc.rpartition(":")[0]
+        self._replica = None if in_memory else self._make_replica(cfg, own, token, tls)
+        self._proposer = self._make_proposer()
         self._commit = GroupCommit(self._proposer)
         self._acknowledgements = Acknowledgements()
         self._mesh = self._make_mesh(cfg, token)
@@ -75,8 +87,6 @@
         self._orders = OrderSender(
             self._machine, self._proposer, self._commit, self.directory, token, tls
         )
-        self._rpc = RpcServer(own.rpc, token, tls)
-        self._rpc_host = own.rpc.rpartition(":")[0]
         ProposeService(self._commit, self._proposer).register(self._rpc)
         self._mesh.register(self._rpc)
         self._api = OperatorApi(
@@ -100,6 +110,9 @@
     async def start(self) -> None:
         """Bind the listeners and serve; raises OSError if an address is taken."""
         self._acknowledgements.start(asyncio.get_running_loop().time())
+        if self._replica is not None:
+            await self._replica.start()
+            self._tasks.append(spawn(self._watch_replica(self._replica)))
         await self._commit.start()
         await self._mesh.start()
         await self._rpc.start()
@@ -114,8 +127,30 @@
         await self._orders.close()
         await self._upkeep.close()
         await self._mesh.close()
-        await self._rpc.close(RPC_GRACE_S)
         await self._commit.close()
+        await stop(self._tasks)
+        if self._replica is not None:
+            await self._replica.close()
+        await self._rpc.close(RPC_GRACE_S)
+
+    def _make_replica(
+        self, cfg: Cfg, own: ControlCfg, token: str, tls: TlsFiles | None
+    ) -> Replica:
+        name = cfg.node.name
+        alone = own if own.replicas else replace(own, replicas={name: own.rpc})
+        return Replica(alone, token, self._machine, self._rpc, name=name, tls=tls)
+
+    def _make_proposer(self) -> Proposer:
+        if self._replica is None:
+            return InMemoryProposer(self._machine)
+        return ReplicatedProposer(self._replica)
+
+    async def _watch_replica(self, replica: Replica) -> None:
+        """End the process with its replica: it could serve stale state for ever."""
+        try:
+            await replica.wait_failed()
+        except Exception as exc:
+            raise InvariantError(f"the replica has stopped: {exc}") from exc
 
     def _make_mesh(self, cfg: Cfg, token: str) -> Mesh:
         incarnation = new_incarnation(time.time_ns(), random.Random())
@@ -146,7 +181,9 @@
         return self.directory.records(asyncio.get_running_loop().time())
 
     def _replica_status(self) -> dict[str, Any]:
-        return MEMORY_STATUS
+        if self._replica is None:
+            return MEMORY_STATUS
+        return {"replicated": True, **plain(self._replica.status)}
 
 
 def limits_of(cfg: ControlCfg) -> Limits:
--- a/gooseberrydale/process/control/proposer.py
+++ b/gooseberrydale/process/control/proposer.py
@@ -11,7 +11,8 @@
 from result import Ok, Result
 
 from gooseberrydale.errors import Problem
-from gooseberrydale.version.control_state import StateMachine
+from gooseberrydale.process.control.replica import Replica
+from gooseberrydale.version.replication.machine import StateMachine
 
 
 class Proposer(Protocol):
@@ -50,3 +51,24 @@
         """Apply ``command``; never fails."""
         self._index += 1
         return Ok(self._machine.apply(self._index, command))
+
+
+class ReplicatedProposer:
+    """Proposes through this process's replica of the log."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    @property
+    def leads(self) -> bool:
+        """Whether the replica leads under a lease that holds."""
+        return self._replica.may_lead()
+
+    @property
+    def leader(self) -> str:
+        """gRPC address of the leader as far as the replica knows."""
+        return self._replica.leader_address
+
+    async def propose(self, command: bytes, timeout_s: float) -> Result[bytes, Problem]:
+        """Commit ``command`` by a quorum and return the state machine's answer."""
+        return await self._replica.propose(command, timeout_s)
--- a/gooseberrydale/version/control_state.py
+++ b/gooseberrydale/version/control_state.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -54,19 +54,6 @@
 from gooseberrydale.version.orders import OrderBook
 
 
-class StateMachine(Protocol):
-    """What a replicated log drives."""
-
-    def apply(self, index: int, command: bytes) -> bytes:
-        """Apply the committed entry at ``index`` and return its answer."""
-
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-
-    def restore(self, data: bytes) -> None:
-        """Replace the whole state by a snapshot."""
-
-
 @message
 @dataclass(frozen=True, slots=True)
 class ControlSnapshot:
