Start fleets with three control replicas over the replicated log

Cause: the explicit first start and the joining of replicas exist now. Change: fleets initialise one replica, the others join; features use three replicas.

--- a/features/process_failures.feature
+++ b/features/process_failures.feature
@@ -4,7 +4,7 @@
   request that an upstream ran.
 
   Scenario Outline: A <role> is killed in the middle of streams
-    Given a fleet of 1 control replica, 2 entries and 3 engines
+    Given a fleet of 3 control replicas, 2 entries and 3 engines
     And 40 requests are under way, one each 0.05 s
     When <process> is killed after 1 s
     And <process> is started again after 1 s
@@ -21,7 +21,7 @@
       | control  | control-1         | 0    |
 
   Scenario Outline: A <role> is frozen and thaws, so that answers come late
-    Given a fleet of 1 control replica, 2 entries and 3 engines
+    Given a fleet of 3 control replicas, 2 entries and 3 engines
     And 40 requests are under way, one each 0.05 s
     When <process> is frozen after 0.5 s
     And <process> thaws after 8 s
@@ -38,7 +38,7 @@
       | control  | control-1         | 0    |
 
   Scenario Outline: A graceful shutdown of a <role> under load cuts nothing
-    Given a fleet of 1 control replica, 2 entries and 3 engines
+    Given a fleet of 3 control replicas, 2 entries and 3 engines
     And 40 requests are under way, one each 0.05 s
     When <process> is asked to shut down after 1 s
     And <process> has ended by itself
@@ -53,7 +53,7 @@
       | control | control-1        |
 
   Scenario: All entries restart at once while control is out of reach
-    Given a fleet of 1 control replica, 2 entries and 3 engines
+    Given a fleet of 3 control replicas, 2 entries and 3 engines
     When control-1 is killed after 0 s
     And all entries are killed and started again
     And a request is sent as soon as an entry listens
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -206,14 +206,15 @@
         self._add_process(name, [*argv, "--host", host, "--port", str(port)])
 
     def start(self) -> None:
-        """First start of everything."""
+        """First start: initialise control, then start everything."""
+        self.init_control()
         for process in self.processes.values():
             process.start()
 
     def init_control(self) -> None:
         """Run the explicit first start at one replica; the others join it."""
         for name in self.controls[:1]:
-            self.cli("control", "init", "--cfg", str(self._cfg_path(name)))
+            self.cli("control", "init", "--cfg", str(self.cfg_path(name)))
 
     def close(self) -> None:
         """End every process that is still there."""
@@ -322,7 +323,7 @@
         digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
         (self.folder / "operators.toml").write_text(f'tester = "{digest}"\n')
 
-    def _cfg_path(self, name: str) -> pathlib.Path:
+    def cfg_path(self, name: str) -> pathlib.Path:
         return self.folder / f"{name}.toml"
 
     def _write_cfg(
@@ -338,7 +339,7 @@
             "controls": [self._rpc(n, CONTROL_RPC) for n in self.controls],
             "entries": [self._rpc(n, ENTRY_RPC) for n in self.entries],
         }
-        self._cfg_path(name).write_text(
+        self.cfg_path(name).write_text(
             _toml("node", {"name": node or name, "zone": zone})
             + _toml("fleet", fleet)
             + _toml(role, table)
@@ -349,7 +350,7 @@
 
     def _add_role(self, name: str, role: str) -> None:
         argv = [sys.executable, "-m", "gooseberrydale", role]
-        self._add_process(name, [*argv, "--cfg", str(self._cfg_path(name))])
+        self._add_process(name, [*argv, "--cfg", str(self.cfg_path(name))])
 
     def _add_process(self, name: str, argv: list[str]) -> None:
         self.processes[name] = Process(name, argv, self.folder / f"{name}.log")
