Deepen the random runs

Cause: with the lease ignored the runs still passed; generated rules are few and alike (most examples saw one term), and frozen replicas' messages doubled until runs took minutes. Change: seeded schedules of 60 faults with time and repair between them; a frozen replica keeps its messages once.

--- a/tests/builders_replication.py
+++ b/tests/builders_replication.py
@@ -175,16 +175,16 @@
         self.wire = [item for item in self.wire if item[0] > self.now]
         self.rng.shuffle(due)
         for _, name, envelope in due:
+            replica = self.replicas[name]
+            if name in self.frozen:
+                self.wire.append((self.now + STEP_S, name, envelope))
+                continue
             if self.rng.random() < repeat:
                 late = self.now + self.rng.random() * 20 * delay_s
                 self.wire.append((late, name, envelope))
-            replica = self.replicas[name]
             cut = (envelope.source.name, name) in self.cuts
             if cut or replica.node is None or self.rng.random() < loss:
                 continue
-            if name in self.frozen:
-                self.wire.append((self.now + STEP_S, name, envelope))
-                continue
             self.step(replica, act.Received(envelope))
         self._delay_s = delay_s
 
--- a/tests/test_raft_machine.py
+++ b/tests/test_raft_machine.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import random
 
 import pytest
 from hypothesis import settings
@@ -16,9 +17,10 @@
 
 SOAK = os.environ.get("HYPOTHESIS_PROFILE") == "soak"
 RUNS = settings(
-    max_examples=settings.default.max_examples if SOAK else 80,
-    stateful_step_count=60 if SOAK else 80,
+    max_examples=settings.default.max_examples if SOAK else 20,
+    stateful_step_count=60 if SOAK else 20,
 )
+LONG_RUNS = 500 if SOAK else 60
 names = st.sampled_from(NAMES)
 times = st.sampled_from([0.1, 0.3, 1.0, 3.0])
 
@@ -104,6 +106,12 @@
     def mend_cuts(self):
         self.cluster.cuts.clear()
 
+    @rule()
+    def freeze_leader(self):
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.cluster.frozen.add(leader.name)
+
     @rule(name=names)
     def freeze(self, name):
         self.cluster.frozen.add(self.pick(name).name)
@@ -142,6 +150,11 @@
         self.cluster.wipe(victim)
         self.cluster.restart(victim)
 
+    @rule(seed=st.integers(0, 2**32))
+    def many_faults(self, seed):
+        """A long schedule in one rule, deeper than generated rules go."""
+        random_faults(self, random.Random(seed), 25)
+
     def teardown(self):
         """Once faults end, the cluster repairs itself and commits again."""
         cluster = self.cluster
@@ -164,6 +177,51 @@
         return all(r.machine == same for r in self.cluster.replicas.values())
 
 
+def random_faults(runs, rng, count):
+    """Call ``count`` rules with random arguments, with time between them."""
+
+    def anyone():
+        return rng.choice(NAMES)
+
+    def kept():
+        return rng.randrange(4)
+
+    faults = (
+        lambda: runs.cut_one_way(anyone(), anyone()),
+        lambda: runs.cut_from_leader(anyone()),
+        lambda: runs.isolate(anyone()),
+        runs.isolate_leader,
+        runs.freeze_leader,
+        lambda: runs.freeze(anyone()),
+        runs.thaw,
+        runs.mend_cuts,
+        runs.mend_cuts,
+        lambda: runs.crash(anyone(), kept()),
+        lambda: runs.crash_and_restart(anyone(), kept()),
+        runs.restart_all,
+        runs.restart_all,
+        lambda: runs.followers_lose_power(kept()),
+        lambda: runs.lose_disk(anyone()),
+        lambda: runs.propose(anyone(), rng.randint(1, 8)),
+        lambda: runs.propose_anywhere(anyone()),
+    )
+    for _ in range(count):
+        if rng.random() < 0.25:
+            runs.cluster.heal()
+            runs.calm(rng.choice([1.0, 3.0, 5.0]), rng.random())
+        rng.choice(faults)()
+        runs.storm(
+            seconds=rng.choice([0.1, 0.3, 1.0, 3.0]),
+            seed=rng.random(),
+            loss=rng.choice([0.0, 0.0, 0.1, 0.5]),
+            repeat=rng.choice([0.0, 0.3]),
+            delay_s=rng.choice([0.02, 0.3, 1.5]),
+            sync=rng.choice([1.0, 0.3, 0.05]),
+            load=rng.choice([0.0, 0.1, 0.5]),
+            restarts=rng.choice([0.0, 0.0, 0.02, 0.1]),
+        )
+
+
 class _FiveRuns(_Runs):
     size = 5
 
@@ -171,3 +229,11 @@
 @pytest.mark.parametrize("runs", [_Runs, _FiveRuns])
 def test_no_fault_breaks_agreement(runs):
     run_state_machine_as_test(runs, settings=RUNS)
+
+
+@pytest.mark.parametrize("runs", [_Runs, _FiveRuns])
+@pytest.mark.parametrize("seed", range(LONG_RUNS))
+def test_long_random_schedule_keeps_agreement(runs, seed):
+    run = runs()
+    random_faults(run, random.Random(seed), 60)
+    run.teardown()
