Prove replicas over sockets and files

Cause: the replica had not run against peers. Change: commit and restart, redirect, isolation, two lost disks one after the other, a full disk, recovery after two of three disks are gone.

--- a/tests/builders_files.py
+++ b/tests/builders_files.py
@@ -1,6 +1,7 @@
 """Files in memory that stop at a chosen step and forget what was not synced."""
 
 import errno
+import socket
 from pathlib import Path
 
 
@@ -113,3 +114,10 @@
 
 
 FOLDER = Path("/not/there")
+
+
+def free_address():
+    """A loopback address that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,235 @@
+"""Replicas over real sockets and files, in one process."""
+
+import asyncio
+import errno
+import random
+
+import pytest
+
+from gooseberrydale.connection.rpc import RpcServer
+from gooseberrydale.process.cfg import ControlCfg
+from gooseberrydale.process.control.first_start import init_folder, recover_folder
+from gooseberrydale.process.control.replica import Replica
+from gooseberrydale.version.replication.files import OsFiles
+from gooseberrydale.version.replication.storage import StorageError
+from tests.builders_files import free_address
+
+TOKEN = "fleet"
+NAMES = ("c1", "c2", "c3")
+PATIENCE_S = 30.0
+
+
+class CountingMachine:
+    """Answers each command with how many came before it."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, index, command):
+        self.commands.append(command)
+        return b"%d" % (len(self.commands) - 1)
+
+    def snapshot(self):
+        return b"\n".join(self.commands)
+
+    def restore(self, data):
+        self.commands = data.split(b"\n")
+
+
+class FullFiles(OsFiles):
+    """Real files on a disk that may fill up."""
+
+    full = False
+
+    def append(self, path, data):
+        if self.full:
+            raise OSError(errno.ENOSPC, "no space")
+        super().append(path, data)
+
+
+class Started:
+    """A replica with its listener and machine."""
+
+    def __init__(self, folder, name, addresses):
+        self.cfg = ControlCfg(folder / name, replicas=addresses, snapshot_entries=20)
+        self.machine = CountingMachine()
+        self.files = FullFiles()
+        self.server = RpcServer(addresses[name], TOKEN)
+        self.replica = Replica(
+            self.cfg,
+            TOKEN,
+            self.machine,
+            self.server,
+            name=name,
+            rng=random.Random(name),
+            files=self.files,
+        )
+
+    async def start(self):
+        await self.server.start()
+        await self.replica.start()
+        return self
+
+    async def close(self):
+        await self.replica.close()
+        await self.server.close()
+
+
+class Group:
+    """Replicas by name; whatever is still started is closed at the end."""
+
+    def __init__(self, folder, names=NAMES):
+        self.folder = folder
+        self.addresses = {name: free_address() for name in names}
+        self.started = {}
+
+    async def start(self, *names):
+        for name in names:
+            replica = Started(self.folder, name, self.addresses)
+            self.started[name] = await replica.start()
+
+    async def stop(self, *names):
+        for name in names:
+            await self.started.pop(name).close()
+
+    def leader(self):
+        found = [s for s in self.started.values() if s.replica.is_leader]
+        return found[0] if found else None
+
+    def repaired(self):
+        leader = self.leader()
+        if leader is None:
+            return False
+        repairs = leader.replica.status.repairs
+        identities = {s.replica.status.identity for s in self.started.values()}
+        done = {repair.identity for repair in repairs if repair.state == "done"}
+        return done == identities and len(repairs) == len(done)
+
+    async def commit(self, command):
+        """Propose to whoever leads until it is committed."""
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                leader = self.leader()
+                if leader is not None:
+                    answer = await leader.replica.propose(command, 2.0)
+                    if answer.is_ok():
+                        return answer.unwrap()
+                await asyncio.sleep(0.05)
+
+
+async def until(condition):
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():
+            await asyncio.sleep(0.05)
+
+
+def run(folder, scenario):
+    """Form a group of three and run the scenario on it."""
+
+    async def whole():
+        group = Group(folder)
+        init_folder(folder / "c1", "c1")
+        try:
+            await group.start(*NAMES)
+            await until(group.repaired)
+            await scenario(group)
+        finally:
+            await group.stop(*group.started)
+
+    asyncio.run(whole())
+
+
+def test_commands_reach_every_replica_and_restart(tmp_path):
+    async def scenario(group):
+        for number in range(50):
+            assert await group.commit(b"%d" % number) == b"%d" % number
+        await group.stop(*NAMES)
+        await group.start(*NAMES)
+        assert await group.commit(b"50") == b"50"
+        machines = [started.machine for started in group.started.values()]
+        await until(lambda: all(len(m.commands) == 51 for m in machines))
+
+    run(tmp_path, scenario)
+
+
+def test_follower_names_the_leader(tmp_path):
+    async def scenario(group):
+        leader = group.leader()
+        follower = next(s for s in group.started.values() if s is not leader)
+        problem = (await follower.replica.propose(b"x")).unwrap_err()
+        assert problem.code == "not_leader" and problem.not_run is True
+        address = group.addresses[leader.replica.status.name]
+        assert address in problem.message
+        assert follower.replica.leader_address == address
+
+    run(tmp_path, scenario)
+
+
+def test_leader_alone_stops_answering(tmp_path):
+    async def scenario(group):
+        leader = group.leader()
+        others = [n for n in NAMES if n != leader.replica.status.name]
+        await group.stop(*others)
+        problem = (await leader.replica.propose(b"x", 10.0)).unwrap_err()
+        refusals = {"no_quorum": None, "not_leader": True}  # by when the lease ended
+        assert problem.not_run is refusals[problem.code]
+        await until(lambda: not leader.replica.may_lead())
+
+    run(tmp_path, scenario)
+
+
+def test_two_lost_disks_one_after_the_other(tmp_path):
+    async def scenario(group):
+        for number in range(30):
+            await group.commit(b"%d" % number)
+        for name in ("c1", "c2"):
+            await group.stop(name)
+            (tmp_path / name).rename(tmp_path / f"{name}.lost")
+            await group.start(name)
+            await until(group.repaired)
+        await group.stop("c3")
+        assert await group.commit(b"30") == b"30"
+
+    run(tmp_path, scenario)
+
+
+def test_full_disk_of_the_leader_refuses_and_goes_on(tmp_path):
+    async def scenario(group):
+        leader = group.leader()
+        leader.files.full = True
+        await leader.replica.propose(b"0", 1.0)
+        problem = (await leader.replica.propose(b"1", 1.0)).unwrap_err()
+        assert problem.code == "disk_full"
+        leader.files.full = False
+        await until(lambda: leader.replica.status.problem is None)
+        await group.commit(b"2")
+
+    run(tmp_path, scenario)
+
+
+def test_majority_lost_needs_the_operator(tmp_path):
+    async def scenario(group):
+        await group.commit(b"0")
+        await until(lambda: all(s.machine.commands for s in group.started.values()))
+        await group.stop(*NAMES)
+        for name in ("c1", "c2"):
+            (tmp_path / name).rename(tmp_path / f"{name}.lost")
+        await group.start(*NAMES)
+        await asyncio.sleep(4.0)
+        assert group.leader() is None
+        await group.stop("c3")
+        report = recover_folder(tmp_path / "c3", "c3", force=True)
+        assert "lost disks are gone" in report.warning
+        await group.start("c3")
+        await until(group.repaired)
+        assert await group.commit(b"1") == b"1"
+
+    run(tmp_path, scenario)
+
+
+def test_init_never_replaces_a_log(tmp_path):
+    init_folder(tmp_path / "c1", "c1")
+    with pytest.raises(StorageError, match="first start only"):
+        init_folder(tmp_path / "c1", "c1")
+    with pytest.raises(StorageError, match="holds no log"):
+        recover_folder(tmp_path / "c2", "c2", force=True)
