Tick only when something is due

Cause: three idle replicas took 848 ms of CPU a second: a voter's timer stood at the time of its last join request, in the past. Change: the next tick is that of what the replica waits for; the runs check after each tick that the next one is later (seen to fail before: 'ticks without a pause'). Figures, three replicas in one process with files, machine busy (load 15): idle CPU 848 -> 15.6 ms/s for all three; proposals/s at concurrency 1/16/128: 32/171/1877 -> 284/4485/10368.

--- a/gooseberrydale/version/replication/joining.py
+++ b/gooseberrydale/version/replication/joining.py
@@ -43,13 +43,14 @@
     if core.role is Role.LEADER:
         _forget_gone(core, now)
         _change_next(core, now)
-    elif now >= core.join_at and _wants_to_join(core):
+    elif now >= core.join_at and wants_to_join(core):
         core.join_at = now + JOIN_EVERY_HEARTBEATS * core.cfg.heartbeat_s
         for name in sorted(core.cfg.names - {core.me.name}):
             core.send(Member(name, ""), JoinReq())
 
 
-def _wants_to_join(core: Core) -> bool:
+def wants_to_join(core: Core) -> bool:
+    """Whether to ask the others for a place in the cluster."""
     # A voter without a leader may have been replaced without knowing it.
     return not core.is_voter or core.role is Role.PRE_CANDIDATE
 
--- a/gooseberrydale/version/replication/raft.py
+++ b/gooseberrydale/version/replication/raft.py
@@ -95,7 +95,11 @@
         core = self._core
         if core.role is Role.LEADER:
             return core.heartbeat_at
-        return min(core.election_at, core.join_at + core.cfg.heartbeat_s)
+        if not core.is_voter:
+            return core.join_at
+        if joining.wants_to_join(core):
+            return min(core.election_at, core.join_at)
+        return core.election_at
 
     @property
     def role(self) -> Role:
--- a/tests/builders_replication.py
+++ b/tests/builders_replication.py
@@ -201,6 +201,9 @@
         for action in replica.node.step(event, self.clock(replica)):
             self._carry_out(replica, action)
         self._check_leader(replica)
+        if isinstance(event, act.Tick):
+            next_tick = replica.node.next_tick()
+            assert next_tick > self.clock(replica), "ticks without a pause"
 
     def _carry_out(self, replica, action):
         match action:
