--- a/tests/builders_replication.py
+++ b/tests/builders_replication.py
@@ -175,16 +175,16 @@
         self.wire = [item for item in self.wire if item[0] > self.now]
         self.rng.shuffle(due)
         for _, name, envelope in due:
+            replica = self.replicas[name]
+            if name in self.frozen:
+                self.wire.append((self.now + STEP_S, name, envelope))
+                continue
             if self.rng.random() < repeat:
                 late = self.now + self.rng.random() * 20 * delay_s
                 self.wire.append((late, name, envelope))
-            replica = self.replicas[name]
             cut = (envelope.source.name, name) in self.cuts
             if cut or replica.node is None or self.rng.random() < loss:
                 continue
-            if name in self.frozen:
-                self.wire.append((self.now + STEP_S, name, envelope))
-                continue
             self.step(replica, act.Received(envelope))
         self._delay_s = delay_s
 
@@ -201,6 +201,9 @@
         for action in replica.node.step(event, self.clock(replica)):
             self._carry_out(replica, action)
         self._check_leader(replica)
+        if isinstance(event, act.Tick):
+            next_tick = replica.node.next_tick()
+            assert next_tick > self.clock(replica), "ticks without a pause"
 
     def _carry_out(self, replica, action):
         match action:
