Let changes build on what the leader holds

Cause: a command read the configuration from the first replica that answered; one that lagged by a heartbeat gave an old base, and the change was refused as a conflict with the operator's own previous one. Ruled out: forwarding reads inside control: the commands know all replicas already, and a refused read costs one round trip. Change: reads may ask for the leader's state; changes always do, lists do unless nobody leads.

--- a/gooseberrydale/process/control/group_commit.py
+++ b/gooseberrydale/process/control/group_commit.py
@@ -64,14 +64,19 @@
         await stop(self._tasks)
         self._refuse_all(_no_quorum())
 
+    def refuse_if_not_leading(self) -> Problem | None:
+        """Say who to ask if this process may not commit now."""
+        return None if self._proposer.leads else _not_leader(self._proposer)
+
     async def ask(self, req: Any) -> Result[Any, Problem]:
         """Commit ``req`` and return the reply of the state.
 
         An error tells that nothing is known to be committed; the same request may
         be sent again.
         """
-        if not self._proposer.leads:
-            return Err(_not_leader(self._proposer))
+        refused = self.refuse_if_not_leading()
+        if refused is not None:
+            return Err(refused)
         data = _encode(req)
         if len(self._waiting) >= MAX_WAITING or self._size >= MAX_WAITING_BYTES:
             return Err(_no_quorum())
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -1,7 +1,8 @@
 """The operators' HTTP interface: reads of the committed state, and changes.
 
-Lives as long as the process.  Reads answer from this replica's state; changes go
-through the log and are refused by a replica that does not lead.  Every path needs
+Lives as long as the process.  Reads answer from this replica's state, which may
+lag; with ``?from=leader`` only the leader answers them.  Changes go through the log
+and are refused by a replica that does not lead.  Every path needs
 an operator's token; attempts without one are audited.
 """
 
@@ -145,10 +146,19 @@
             if operator is None:
                 self._note_wrong_token(request)
                 return refuse(problem(WRONG_OPERATOR_TOKEN))
+            refused = self._refuse_reader(request)
+            if refused is not None:
+                return refuse(refused)
             return await handler(request, operator)
 
         return Route(path, serve, methods=[method])
 
+    def _refuse_reader(self, request: Request) -> Problem | None:
+        """Refuse a read that wants the leader's state where there is none."""
+        if request.query_params.get("from") != "leader":
+            return None
+        return self._commit.refuse_if_not_leading()
+
     # Reads.
 
     async def _config(self, _request: Request, _operator: str) -> Response:
--- a/gooseberrydale/process/operator_client.py
+++ b/gooseberrydale/process/operator_client.py
@@ -52,9 +52,16 @@
         self._ssl = _ssl_context(target.ca_file)
 
     async def get(self, path: str) -> Result[Any, Problem]:
-        """Return the table at ``path``."""
+        """Return the table at ``path``, from the leader if there is one."""
+        result = await self._ask_each("GET", _from_leader(path), None)
+        if result.is_ok() or not _is_passing(result.unwrap_err()):
+            return result
         return await self._ask("GET", path, None)
 
+    async def get_from_leader(self, path: str) -> Result[Any, Problem]:
+        """Return the table at ``path`` from the leader: a change builds on it."""
+        return await self._ask("GET", _from_leader(path), None)
+
     async def post(self, path: str, body: Any) -> Result[Any, Problem]:
         """Send ``body`` as JSON and return the table that comes back."""
         return await self._ask("POST", path, body)
@@ -114,6 +121,10 @@
             return Err(_unreachable(f"{url}: no answer of control"))
 
 
+def _from_leader(path: str) -> str:
+    return f"{path}{'&' if '?' in path else '?'}from=leader"
+
+
 def _is_passing(refused: Problem) -> bool:
     return refused.code in PASSING_CODES or _is_unreachable(refused)
 
--- a/gooseberrydale/process/operator_session.py
+++ b/gooseberrydale/process/operator_session.py
@@ -83,8 +83,9 @@
         return _or_fail(await self._client.get(path))
 
     async def config(self) -> Config:
-        """Read the declarations in force."""
-        return to_config(await self.get("/v1/config"))
+        """Read the newest committed declarations."""
+        table = _or_fail(await self._client.get_from_leader("/v1/config"))
+        return to_config(table)
 
     async def change(self, base: int, edits: Sequence[Edit]) -> None:
         """Send one change, say what came of it, and wait if that was asked for."""
--- a/tests/test_control_replicated.py
+++ b/tests/test_control_replicated.py
@@ -63,6 +63,21 @@
     run(tmp_path, steps)
 
 
+def test_what_a_change_builds_on_comes_from_the_leader(tmp_path):
+    async def steps(cluster: Cluster) -> None:
+        # The leader is asked last, and the others have not caught up at once.
+        leader = await cluster.leader()
+        cluster.running[leader] = cluster.running.pop(leader)
+        async with cluster.client() as operator:
+            for revision in range(10):
+                table = (await operator.get_from_leader("/v1/config")).unwrap()
+                assert table["revision"] == revision
+                body = FIRST | {"change_id": f"c{revision}", "base": revision}
+                (await operator.post("/v1/profiles", body)).unwrap()
+
+    run(tmp_path, steps)
+
+
 def test_claims_are_granted_once_whichever_replica_is_asked(tmp_path):
     async def steps(cluster: Cluster) -> None:
         clients = [ControlClient([at], FLEET_TOKEN) for at in cluster.rpc.values()]
