--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -338,8 +338,8 @@
     orders: int = 1_000
     loads_at_once: int = 2
     order_deadline_s: float = 60.0
-    claims: int = 40_000
-    claims_per_workspace: int = 20_000
+    claims: int = 30_000
+    claims_per_workspace: int = 15_000
     claim_ttl_s: float = 43_200.0
     claim_body_bytes: int = 65_536
     claim_total_bytes: int = 8 * 1024 * 1024
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -14,6 +14,7 @@
 from typing import Any, TypeVar
 
 import msgspec
+from loguru import logger
 from result import Err, Ok, Result
 from starlette.applications import Starlette
 from starlette.requests import ClientDisconnect, Request
@@ -300,6 +301,8 @@
         if self._notes_left_out:
             detail += f", after {self._notes_left_out} more attempts"
         self._notes_left_out = 0
+        # A replica that does not lead can't commit the entry; then the log has it.
+        logger.warning("operator token refused: {}", detail)
         note = NoteReq("", "authenticate", detail, WRONG_OPERATOR_TOKEN.code)
         task = asyncio.ensure_future(self._commit.ask(note))
         self._notes.add(task)
