Measure outcomes and levels of the control role

Cause: the instruments for control existed, but nothing fed them. Change: outcomes of changes, orders and claims are counted as they are answered; revision, claims, leadership and log positions are read once a second. Proof: the new test was seen to fail with the counting and with the reading of levels off. Elections and syncs are not counted: the replica doesn't tell them.

--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -21,6 +21,7 @@
 from gooseberrydale.process.cfg import Cfg, ControlCfg, TlsCfg
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.machine import PublishingMachine
+from gooseberrydale.process.control.measures import Measures
 from gooseberrydale.process.control.operator_api import OperatorApi
 from gooseberrydale.process.control.operator_auth import OperatorTokens, load_operators
 from gooseberrydale.process.control.operator_views import plain
@@ -36,6 +37,7 @@
 from gooseberrydale.process.control.upkeep import Upkeep
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh, PeerState
+from gooseberrydale.process.metrics import Metrics
 from gooseberrydale.version.acknowledgements import Acknowledgements, Standing
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.control_state import ControlState
@@ -79,9 +81,17 @@
         self._rpc_host = own.rpc.rpartition(":")[0]
         self._replica = None if in_memory else self._make_replica(cfg, own, token, tls)
         self._proposer = self._make_proposer()
-        self._commit = GroupCommit(self._proposer)
         self._acknowledgements = Acknowledgements()
         self._mesh = self._make_mesh(cfg, token)
+        self._measures = Measures(
+            Metrics(CONTROL_ROLE, cfg.node.name, cfg.node.zone),
+            self.state,
+            self._proposer,
+            self._replica,
+            self.directory,
+            self._mesh,
+        )
+        self._commit = GroupCommit(self._proposer, on_answer=self._measures.answered)
         limits = limits_of(own)
         self._upkeep = Upkeep(self.state, self._proposer, self._commit, limits)
         self._orders = OrderSender(
@@ -107,6 +117,11 @@
             "http": self._http.address,
         }
 
+    @property
+    def metrics(self) -> Metrics:
+        """The instruments of this process."""
+        return self._measures.metrics
+
     async def start(self) -> None:
         """Bind the listeners and serve; raises OSError if an address is taken."""
         self._acknowledgements.start(asyncio.get_running_loop().time())
@@ -119,11 +134,13 @@
         await self._http.start()
         await self._upkeep.start()
         await self._orders.start()
+        await self._measures.start()
 
     async def close(self) -> None:
         """Take no new changes, answer the open requests, then stop."""
         self._api.draining = True
         await self._http.close(HTTP_GRACE_S)
+        await self._measures.close()
         await self._orders.close()
         await self._upkeep.close()
         await self._mesh.close()
--- a/gooseberrydale/process/control/group_commit.py
+++ b/gooseberrydale/process/control/group_commit.py
@@ -35,6 +35,8 @@
 PROPOSE_TIMEOUT_S = 2.0
 RETRY_AFTER_S = 1.0
 
+OnAnswer = Callable[[Any, Result[Any, Problem]], None]
+
 
 @dataclass(frozen=True, slots=True)
 class _Waiting:
@@ -43,12 +45,19 @@
 
 
 class GroupCommit:
-    """Commits requests; ``wall`` gives Unix time in seconds."""
+    """Commits requests; ``wall`` gives Unix time in seconds.
+
+    ``on_answer`` is called with each request and what became of it.
+    """
 
     def __init__(
-        self, proposer: Proposer, wall: Callable[[], float] = time.time
+        self,
+        proposer: Proposer,
+        wall: Callable[[], float] = time.time,
+        on_answer: OnAnswer | None = None,
     ) -> None:
         self._proposer = proposer
+        self._on_answer = on_answer
         self._wall = wall
         self._waiting: deque[_Waiting] = deque()
         self._size = 0
@@ -85,6 +94,8 @@
         self._size += len(data)
         self._arrived.set()
         result: Result[Any, Problem] = await answer
+        if self._on_answer is not None:
+            self._on_answer(req, result)
         return result
 
     async def _run(self) -> None:
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -209,7 +209,7 @@
             "in_force_everywhere": everywhere,
             "processes": views.standing_tables(standings, revision, now),
             "control": self._replica_status(),
-            "claims": len(self._state.claims.records),
+            "claims": len(self._state.claims),
             "orders_open": len(self._state.orders.issued()),
         }
         return answer(table)
--- a/gooseberrydale/version/claims.py
+++ b/gooseberrydale/version/claims.py
@@ -52,6 +52,9 @@
         for record in records:
             self._put(record)
 
+    def __len__(self) -> int:
+        return len(self._records)
+
     @property
     def records(self) -> tuple[ClaimRecord, ...]:
         """All claims, the first to expire first."""
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -165,6 +165,24 @@
     run(steps)
 
 
+def test_outcomes_and_levels_are_measured():
+    async def steps(control, operator):
+        await operator.post("/v1/profiles", json=BODY)
+        await operator.post("/v1/profiles", json=BODY | {"change_id": "c2"})
+        (await control._commit.ask(claim())).unwrap()
+        for line in (
+            'gooseberrydale_changes_total{outcome="accepted"} 1.0',
+            'gooseberrydale_changes_total{outcome="revision_conflict"} 1.0',
+            'gooseberrydale_claims_made_total{outcome="granted"} 1.0',
+        ):
+            assert line in control.metrics.render().decode()
+        async with asyncio.timeout(20):
+            while "cfg_revision 1.0" not in control.metrics.render().decode():
+                await asyncio.sleep(0.05)
+
+    run(steps)
+
+
 def test_given_declarations_are_in_force_from_the_start():
     async def steps(control, operator):
         assert control.store.revision == 4
