--- a/gooseberrydale/process/control/group_commit.py
+++ b/gooseberrydale/process/control/group_commit.py
@@ -35,6 +35,8 @@
 PROPOSE_TIMEOUT_S = 2.0
 RETRY_AFTER_S = 1.0
 
+OnAnswer = Callable[[Any, Result[Any, Problem]], None]
+
 
 @dataclass(frozen=True, slots=True)
 class _Waiting:
@@ -43,12 +45,19 @@
 
 
 class GroupCommit:
-    """Commits requests; ``wall`` gives Unix time in seconds."""
+    """Commits requests; ``wall`` gives Unix time in seconds.
+
+    ``on_answer`` is called with each request and what became of it.
+    """
 
     def __init__(
-        self, proposer: Proposer, wall: Callable[[], float] = time.time
+        self,
+        proposer: Proposer,
+        wall: Callable[[], float] = time.time,
+        on_answer: OnAnswer | None = None,
     ) -> None:
         self._proposer = proposer
+        self._on_answer = on_answer
         self._wall = wall
         self._waiting: deque[_Waiting] = deque()
         self._size = 0
@@ -64,14 +73,19 @@
         await stop(self._tasks)
         self._refuse_all(_no_quorum())
 
+    def refuse_if_not_leading(self) -> Problem | None:
+        """Say who to ask if this process may not commit now."""
+        return None if self._proposer.leads else _not_leader(self._proposer)
+
     async def ask(self, req: Any) -> Result[Any, Problem]:
         """Commit ``req`` and return the reply of the state.
 
         An error tells that nothing is known to be committed; the same request may
         be sent again.
         """
-        if not self._proposer.leads:
-            return Err(_not_leader(self._proposer))
+        refused = self.refuse_if_not_leading()
+        if refused is not None:
+            return Err(refused)
         data = _encode(req)
         if len(self._waiting) >= MAX_WAITING or self._size >= MAX_WAITING_BYTES:
             return Err(_no_quorum())
@@ -80,6 +94,8 @@
         self._size += len(data)
         self._arrived.set()
         result: Result[Any, Problem] = await answer
+        if self._on_answer is not None:
+            self._on_answer(req, result)
         return result
 
     async def _run(self) -> None:
