Measure slopes of sidecars, requests and tokens

Ruled out: memory per request, as it is gone when the request ends. Change: a stand-in engine that only publishes cache events, and a load at several rates through one entry, one sidecar and one fast engine.

--- a/measure/deployments.py
+++ b/measure/deployments.py
@@ -63,7 +63,7 @@
     entries=3,
     loads_at_once=2,
     cache_tokens=120_000,
-    waste_weight=0.0,
+    waste_weight=1.0,
     deadline_s=10.0,
     shape=Shape(),
 )
@@ -78,7 +78,7 @@
     entries=2,
     loads_at_once=3,
     cache_tokens=100_000,
-    waste_weight=0.5,
+    waste_weight=2.0,
     deadline_s=10.0,
     shape=Shape(guide_tokens=24_000, lots=12, lot_tokens=4_000, hot_share=0.2),
 )
--- a/measure/site.py
+++ b/measure/site.py
@@ -28,11 +28,20 @@
 
 
 class Site:
-    """The processes of one deployment; ``direct`` leaves out the router's own."""
+    """The processes of one deployment; ``direct`` leaves out the router's own.
+
+    ``engine_flags`` come after the deployment's own and so go before them.
+    """
 
     def __init__(
-        self, deployment: Deployment, folder: pathlib.Path, *, direct: bool = False
+        self,
+        deployment: Deployment,
+        folder: pathlib.Path,
+        *,
+        direct: bool = False,
+        engine_flags: tuple[str, ...] = (),
     ) -> None:
+        self._engine_flags = engine_flags
         self.deployment = deployment
         self.direct = direct
         self.fleet = Fleet(folder, deployment.zones)
@@ -61,7 +70,11 @@
                 pool=deployment.engine_pool,
                 zone=zones[i % len(zones)],
                 model=MODEL,
-                flags=("--kv-store", kv_store, *deployment.engine_flags(i)),
+                flags=(
+                    *("--kv-store", kv_store),
+                    *deployment.engine_flags(i),
+                    *self._engine_flags,
+                ),
                 settings={"kv_store": kv_store},
             )
             self.fleet.add_upstream(spec)
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -22,17 +22,21 @@
 from gooseberrydale.connection.control_messages import ClaimReq, Holder
 from gooseberrydale.connection.mesh import ENTRY_ROLE, SIDECAR_ROLE
 from gooseberrydale.connection.rpc import PROPOSE, RpcChannel
+from gooseberrydale.example.app_server import AppServer
 from measure.fit import Line, fit
 from measure.report import commit
+from measure.stand_in_engine import EventSource
 from measure.stand_ins import Peer, Peers, config
 from measure.subject import Subject, Usage
-from tests.fleet import FLEET_TOKEN
+from tests.fleet import FLEET_TOKEN, UPSTREAM_HTTP
 
 SETTLE_S = 4.0
-WINDOW_S = 6.0
+WINDOW_S = 8.0
 RECORDS = 400
 WORKSPACES = 1_800
 PROFILES = 9
+BLOCKS = 30_000
+EVENTS_PER_S = 50
 
 Trial = Callable[[Subject, int], Coroutine[None, None, Usage]]
 
@@ -102,6 +106,25 @@
         await channel.close()
 
 
+async def cache_events(subject: Subject, size: int) -> Usage:
+    """Follow ``size`` cache events a second of a cache of 30,000 blocks."""
+    return await _follow(subject, EventSource(size, BLOCKS))
+
+
+async def cached_blocks(subject: Subject, size: int) -> Usage:
+    """Know ``size`` cached blocks that come and go 50 a second."""
+    return await _follow(subject, EventSource(EVENTS_PER_S, size))
+
+
+async def _follow(subject: Subject, source: EventSource) -> Usage:
+    server = AppServer(source.app(), subject.upstream_host, UPSTREAM_HTTP)
+    await server.start()
+    try:
+        return await _settled(subject)
+    finally:
+        await server.close()
+
+
 async def _settled(subject: Subject) -> Usage:
     await asyncio.sleep(SETTLE_S)
     return await subject.usage(WINDOW_S)
@@ -143,6 +166,10 @@
     Experiment("control", "peer that hears 400 upstreams", (0, 10, 20, 40), copies),
     Experiment("control", "sidecar session", (0, 40, 80, 160), sessions),
     Experiment("control", "claim per second", (0, 25, 50, 100), claims),
+    Experiment(
+        "sidecar", "cache event per second", (0, 500, 1_000, 2_000), cache_events
+    ),
+    Experiment("sidecar", "cached block", (0, 10_000, 20_000, 40_000), cached_blocks),
 )
 
 
--- /dev/null
+++ b/measure/slopes_path.py
@@ -0,0 +1,137 @@
+"""Measures what a request, a token and a prompt cost the entry and the sidecar.
+
+``python -m measure.slopes_path`` runs one entry, one sidecar and one fast engine,
+sends open loads at several rates, and fits processor seconds per unit.  Memory is
+not fitted here: what a request holds is gone when it ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+
+import fire
+
+from measure.client import Outcome
+from measure.deployments import FRASERLINE
+from measure.fit import fit
+from measure.load import router_body, run_load
+from measure.report import commit
+from measure.site import ENGINE_PROFILE, Site
+from measure.subject import Usage, watch
+from measure.workload import Shape
+
+ROLES = {"entry": "entry-1", "sidecar": "sidecar-engine-1"}
+LOAD_S = 10.0
+EDGE_S = 1.0
+RATE = 10.0
+# So fast that the engine never queues; its own cost is not measured here.
+FAST = ("--prefill-tps", "10000000", "--decode-s", "0.002", "--max-batch", "64")
+PLAIN = Shape(
+    duration_s=LOAD_S,
+    prompts_per_s=RATE,
+    guide_tokens=4_000,
+    lot_tokens=2_000,
+    lots=1,
+    answer_tokens=1,
+    calls_per_s=0.0,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PathExperiment:
+    """One unit, the sizes to run, the load of a size, and a size's units a second."""
+
+    unit: str
+    sizes: tuple[int, ...]
+    shape: Callable[[int], Shape]
+    units_per_s: Callable[[int], float]
+
+
+EXPERIMENTS = (
+    PathExperiment(
+        "request of 6,000 tokens, 1 token out",
+        (2, 5, 10, 20),
+        lambda size: replace(PLAIN, prompts_per_s=size),
+        float,
+    ),
+    PathExperiment(
+        "token out",
+        (1, 4, 8, 16),
+        lambda size: replace(PLAIN, answer_tokens=size),
+        lambda size: size * RATE,
+    ),
+    PathExperiment(
+        "1,000 tokens of prompt",
+        (4, 8, 16, 32),
+        lambda size: replace(PLAIN, guide_tokens=size * 1_000),
+        lambda size: size * RATE,
+    ),
+)
+
+
+def main(seed: int = 1) -> None:
+    """Run all experiments and print the fits."""
+    began = time.monotonic()
+    one = replace(FRASERLINE, zones=("zone-1",), engines=1, services=0, entries=1)
+    lines = [
+        "| role | unit | sizes | CPU ms per unit | fit R² |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    with tempfile.TemporaryDirectory() as folder:
+        site = Site(one, pathlib.Path(folder, "site"), engine_flags=FAST)
+        try:
+            site.start()
+            site.use_policy("affinity")
+            for experiment in EXPERIMENTS:
+                lines += _measure(site, experiment, seed)
+                print("\n".join(lines[-len(ROLES) :]), flush=True)
+        finally:
+            site.close()
+    print(
+        f"\nCommit {commit()}; slope (least–greatest with one point left out);"
+        f" {LOAD_S - 2 * EDGE_S:g} s a point; took {time.monotonic() - began:.0f} s;"
+        f" load average at the end {os.getloadavg()[0]:.1f} on {os.cpu_count()}"
+        " cores.\n"
+    )
+    print("\n".join(lines))
+
+
+def _measure(site: Site, experiment: PathExperiment, seed: int) -> list[str]:
+    points = [
+        asyncio.run(_point(site, experiment.shape(size), f"{seed}/{experiment.unit}"))
+        for size in experiment.sizes
+    ]
+    xs = [experiment.units_per_s(size) for size in experiment.sizes]
+    sizes = ", ".join(str(size) for size in experiment.sizes)
+    rows = []
+    for number, role in enumerate(ROLES):
+        line = fit(xs, [point[number].cpu * 1e3 for point in points])
+        rows.append(
+            f"| {role} | {experiment.unit} | {sizes}"
+            f" | {line.slope:.4g} ({line.low:.4g}–{line.high:.4g}) | {line.r2:.3f} |"
+        )
+    return rows
+
+
+async def _point(site: Site, shape: Shape, seed: str) -> Sequence[Usage]:
+    salt = f"{seed}/{shape}"
+    body = router_body(ENGINE_PROFILE)
+    load = asyncio.create_task(run_load(shape, seed, salt, site.target(), body))
+    await asyncio.sleep(EDGE_S)
+    pids = [site.fleet.processes[name].pid for name in ROLES.values()]
+    usages = await asyncio.gather(*(watch(pid, LOAD_S - 2 * EDGE_S) for pid in pids))
+    result = await load
+    bad = [a for a in result.answers if a.outcome is not Outcome.WHOLE]
+    if bad:
+        raise SystemExit(f"{len(bad)} answers are not whole, first {bad[0].code!r}")
+    return usages
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/measure/subject.py
+++ b/measure/subject.py
@@ -9,9 +9,17 @@
 
 import psutil
 
-from tests.fleet import CONTROL_RPC, ENTRY_RPC, Fleet, wait_for_port
+from tests.fleet import (
+    CONTROL_RPC,
+    ENTRY_RPC,
+    SIDECAR_RPC,
+    Fleet,
+    UpstreamSpec,
+    wait_for_port,
+)
 
 MB = 1e6
+PORTS = {"entry": ENTRY_RPC, "control": CONTROL_RPC, "sidecar": SIDECAR_RPC}
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,17 +31,26 @@
 
 
 class Subject:
-    """A lone entry or control process; use it as a context."""
+    """A lone process of one role; use it as a context.
+
+    A sidecar stands before ``upstream_host``, where the trial serves a stand-in.
+    """
 
     def __init__(self, role: str, folder: pathlib.Path) -> None:
         self.fleet = Fleet(folder, ("zone-1",))
+        self.name = f"{role}-1"
+        self.host, port = self.fleet.host(self.name), PORTS[role]
         if role == "entry":
             self.fleet.add_entries(1, check_invariants=False)
-            self.name, port = "entry-1", ENTRY_RPC
-        else:
+        elif role == "control":
             self.fleet.add_controls(1, check_invariants=False)
-            self.name, port = "control-1", CONTROL_RPC
-        self.host, self.port = self.fleet.host(self.name), port
+        else:
+            # Settings must name a control replica; this one never answers.
+            self.fleet.controls = ["control-1"]
+            self.fleet.add_upstream(UpstreamSpec("1", "engines"))
+            del self.fleet.processes["upstream-1"]
+        self.upstream_host = self.fleet.host("upstream-1")
+        self.port = port
         self.address = f"{self.host}:{port}"
 
     def __enter__(self) -> Subject:
