--- a/measure/site.py
+++ b/measure/site.py
@@ -20,8 +20,7 @@
 
 SETTLE_S = 1.5
 READ_S = 10.0
-# Control replicas hold their state in memory so far, so there can be only one.
-CONTROLS = 1
+CONTROLS = 3
 KV_STORE_HOST, KV_STORE_PORT = "kv-store", 9100
 ENGINE_PROFILE, SERVICE_PROFILE = "answers", "bids"
 MODEL = "example"
