Name the logger of routed lines, and end what the check of the binary finds

Cause: lines of the standard library's loggers named the log module as their module; uvicorn's notes on its start and stop said what the role's own lines say; the check of the binary left the second process of a faulty binary behind. Change: routed lines carry their logger as module, uvicorn writes warnings only, and the check kills the children that it finds before it fails.

--- a/gooseberrydale/process/logs.py
+++ b/gooseberrydale/process/logs.py
@@ -28,7 +28,7 @@
 
 MASK = "***"
 MIN_SECRET_CHARS = 8
-_QUIET_LOGGERS = ("uvicorn.access", "transitions")
+_QUIET_LOGGERS = ("uvicorn", "transitions")
 _SECRET_NAMES = re.compile(
     r"authorization|password|secret|token$|(^|_)key$|bearer|cookie", re.IGNORECASE
 )
@@ -128,8 +128,8 @@
             level: str | int = logger.level(record.levelname).name
         except ValueError:
             level = record.levelno
-        bound = logger.opt(exception=record.exc_info).bind(logger=record.name)
-        bound.log(level, "{}", record.getMessage())
+        named = logger.patch(lambda line: line.update(name=record.name))
+        named.opt(exception=record.exc_info).log(level, "{}", record.getMessage())
 
 
 def _route_standard_logging(level: str) -> None:
--- a/scripts/check_binary.py
+++ b/scripts/check_binary.py
@@ -55,6 +55,8 @@
         wait_for(ready, process)
         children = psutil.Process(process.pid).children(recursive=True)
         if children:
+            for child in children:
+                child.kill()
             sys.exit(f"the binary runs as {1 + len(children)} processes")
         process.terminate()
         code = process.wait(BOUND_S)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -83,10 +83,11 @@
     log_file: Path,
 ) -> None:
     logging.getLogger("uvicorn.access").info("GET /")
+    logging.getLogger("uvicorn.error").info("Started server process")
     logging.getLogger("grpc").debug("too fine")
     logging.getLogger("grpc").error("connection %d lost", 3)
     (line,) = lines(log_file)
-    assert (line["logger"], line["level"]) == ("grpc", "ERROR")
+    assert (line["module"], line["level"]) == ("grpc", "ERROR")
     assert line["message"] == "connection 3 lost"
 
 
