--- a/gooseberrydale/process/logs.py
+++ b/gooseberrydale/process/logs.py
@@ -128,7 +128,11 @@
             level: str | int = logger.level(record.levelname).name
         except ValueError:
             level = record.levelno
-        named = logger.patch(lambda line: line.update(name=record.name))
+
+        def rename(line: Record) -> None:
+            line["name"] = record.name
+
+        named = logger.patch(rename)
         named.opt(exception=record.exc_info).log(level, "{}", record.getMessage())
 
 
