Let a process that was held up read before it gives peers up

Cause: after a stall longer than the silence bound all sessions were closed at once, though what the peers had sent lay unread. Change: a silence timer that fires late gives the peer half a second more. Conclusion: the new test failed before; a peer that stays silent after the stall is still given up.

--- a/gooseberrydale/connection/mesh_session.py
+++ b/gooseberrydale/connection/mesh_session.py
@@ -30,6 +30,12 @@
 BATCH_RECORDS = 256
 """Records in one message at most."""
 
+STALL_S = 0.25
+"""A timer that fires later than this shows that the process itself was held up."""
+
+CATCH_UP_S = 0.5
+"""What a peer gets after a stall before it counts as silent."""
+
 
 class SessionEnd(Enum):
     """Why a session ended without an error."""
@@ -127,8 +133,12 @@
         while not self._closed.done() and not reader.done():
             bound_s = open_s if self._peer is None else self._node.timings.silence_s
             left_s = self.heard_at + bound_s - self._loop.time()
-            if left_s <= 0:
+            if -STALL_S < left_s <= 0:
                 return SessionEnd.SILENT
+            if left_s <= 0:
+                # This process was held up; what the peer sent may lie unread.
+                self.heard_at = self._loop.time() - bound_s + CATCH_UP_S
+                continue
             await asyncio.wait(
                 {reader, self._closed},
                 timeout=left_s,
--- a/tests/clock.py
+++ b/tests/clock.py
@@ -43,6 +43,10 @@
         """Seconds since the loop was made."""
         return self._jumping.now
 
+    def stall(self, seconds: float) -> None:
+        """Move the clock as if the process had been frozen for ``seconds``."""
+        self._jumping.now += seconds
+
 
 def run_paused(main: Coroutine[Any, Any, T]) -> T:
     """Run ``main`` to its end on a fresh loop with a paused clock."""
--- a/tests/test_mesh_messages.py
+++ b/tests/test_mesh_messages.py
@@ -19,7 +19,7 @@
 from gooseberrydale.version.declarations import Config
 from gooseberrydale.version.directory import Directory
 from tests.builders_mesh import record
-from tests.clock import run_paused
+from tests.clock import PausedClockLoop, run_paused
 
 OPEN_S = 1.0
 SILENCE_S = 3.0
@@ -79,6 +79,23 @@
     run_paused(main())
 
 
+def test_a_process_that_was_frozen_reads_what_came_before_it_gives_peers_up():
+    async def main() -> None:
+        pipe = Pipe(await make_node("sidecar", "u1"), await make_node("entry", "e1"))
+        await asyncio.sleep(2.5)
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, PausedClockLoop)
+        loop.stall(30)
+        await asyncio.sleep(10)
+        assert not pipe.opener.done() and not pipe.server.done()
+        loop.stall(30)
+        pipe.silent = {"opener", "server"}
+        await asyncio.sleep(1)
+        assert pipe.opener.done() and pipe.server.done()
+
+    run_paused(main())
+
+
 def test_a_peer_that_never_says_hello_is_given_up():
     async def main() -> None:
         session = MeshSession(await make_node("sidecar", "u1"), opens=True)
