End the sending side of a mesh session with the session

Cause: ending a session cancelled the timer that should have woken its sender, so each reconnect left a task behind; measuring recovery after restarts showed 'Task was destroyed but it is pending' for each session. Change: the timer stays. The test of silence now also asks whether the senders have ended, and fails with the old code. The restart test keeps entries down for a second, so that it fails if a client that failed before never connects again. The slope script also prints the longest time to the last session after a start.

--- a/gooseberrydale/connection/mesh_session.py
+++ b/gooseberrydale/connection/mesh_session.py
@@ -127,7 +127,6 @@
             reader.cancel()
             await asyncio.gather(reader, return_exceptions=True)
             self.close()
-            self._alarm.cancel()
 
     async def _supervise(self, reader: asyncio.Task[None], open_s: float) -> SessionEnd:
         while not self._closed.done() and not reader.done():
--- a/scripts/slope_mesh.py
+++ b/scripts/slope_mesh.py
@@ -39,6 +39,8 @@
 ROUNDS = 20
 IDLE_S = 6.0
 TRY_S = 5.0
+RESTARTS = 5
+DOWN_S = 2.0
 TOKEN = "slope"
 MICRO = 1e6
 
@@ -174,6 +176,29 @@
     return cost
 
 
+async def recovery(count: int) -> float:
+    """Longest of some times from a server's start to its last session, in ms."""
+    pair = Pair(count)
+    await pair.start()
+    address = f"127.0.0.1:{pair.rpc.port}"
+    loop = asyncio.get_running_loop()
+    longest = 0.0
+    for _ in range(RESTARTS):
+        pair.mesh_server.close()
+        await pair.rpc.close()
+        await asyncio.sleep(DOWN_S)
+        pair.mesh_server = MeshServer(pair.server)
+        pair.rpc = RpcServer(address, TOKEN)
+        pair.mesh_server.register(pair.rpc)
+        started = loop.time()
+        await pair.rpc.start()
+        while len(pair.server.peers()) < count:
+            await asyncio.sleep(0.005)
+        longest = max(longest, loop.time() - started)
+    await pair.close()
+    return longest * 1000
+
+
 def offer_cost(count: int) -> float:
     """Processor time of taking ``count`` renewals into a directory, µs."""
     directory = Directory()
@@ -238,6 +263,8 @@
     report("idle sessions, both ends, µs a second by sessions", SESSIONS, costs)
     costs = [await try_cost(n) for n in SESSIONS]
     report("tries on a dead address, µs a second by clients", SESSIONS, costs)
+    times = [await recovery(n) for n in SESSIONS]
+    report("longest time to the last session after a start, ms", SESSIONS, times)
 
 
 if __name__ == "__main__":
--- a/tests/test_mesh_messages.py
+++ b/tests/test_mesh_messages.py
@@ -45,7 +45,7 @@
             self.pump(ends[0], to_server, "opener"),
             self.pump(ends[1], to_opener, "server"),
         ]
-        self.tasks = [asyncio.create_task(pump) for pump in pumps]
+        self.senders = [asyncio.create_task(pump) for pump in pumps]
         self.opener = asyncio.create_task(ends[0].run(self.feed(to_opener), OPEN_S))
         self.server = asyncio.create_task(ends[1].run(self.feed(to_server), OPEN_S))
 
@@ -75,6 +75,7 @@
         await asyncio.sleep(SILENCE_S + 0.1)
         assert pipe.opener.done() and pipe.server.done()
         assert pipe.opener.result() is pipe.server.result() is SessionEnd.SILENT
+        assert all(sender.done() for sender in pipe.senders)
 
     run_paused(main())
 
--- a/tests/test_mesh_session.py
+++ b/tests/test_mesh_session.py
@@ -100,6 +100,8 @@
         ports = [entry.port for entry in entries]
         for entry in entries:
             await entry.close()
+        # Long enough for each sidecar to have failed more than once.
+        await asyncio.sleep(1)
         fresh = [
             await members.add(Member("entry", f"e{n}", life=2, port=port, **known))
             for n, port in enumerate(ports, 1)
