Bound the head of a request, and keep idle connections longer than clients do

Cause: the server library limits neither size nor time of a request's head, answers what is no HTTP in plain text, and closed idle connections after 5 s, while a client may just be sending on them. Change: a protocol class with bounds and typed answers; a connection that sends nothing is closed without one. Metrics stay off the callers' listener where they have one of their own. Tests bound their scenarios, so that one that fails does not hang.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -107,6 +107,19 @@
     "The body did not arrive within {limit_s:g} s; send it again without pauses.",
 )
 
+INVALID_HTTP = ErrorKind(
+    "invalid_http", 400, "The request is no valid HTTP/1.1; correct the client."
+)
+HEAD_TOO_LARGE = ErrorKind(
+    "head_too_large",
+    431,
+    "The request's head is over the limit of {limit} bytes; send fewer headers.",
+)
+HEAD_TIMEOUT = ErrorKind(
+    "head_timeout",
+    408,
+    "The request's head did not arrive within {limit_s:g} s; send it without pauses.",
+)
 NO_ROUTE = ErrorKind(
     "no_route",
     404,
--- a/gooseberrydale/process/entry/call.py
+++ b/gooseberrydale/process/entry/call.py
@@ -24,7 +24,8 @@
     ProblemError,
     problem,
 )
-from gooseberrydale.process.entry.responses import error_object, refusal
+from gooseberrydale.process.entry.responses import refusal
+from gooseberrydale.process.error_body import error_object
 from gooseberrydale.process.instruments import Instruments
 from gooseberrydale.request.event_id import EventId
 from gooseberrydale.request.job import Answering, Events, Head, Part
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -66,6 +66,7 @@
         )
         self._mesh.register(self._rpc)
         self._housekeeping: asyncio.Task[None] | None = None
+        self._has_metrics_listener = bool(cfg.metrics.http)
         self._background = Background()
         self._metrics = Metrics(ENTRY_ROLE, cfg.node.name, cfg.node.zone)
         self._claims = ClaimClient(cfg.fleet.controls, self._dial, self._rng)
@@ -80,6 +81,11 @@
         http = self._http.address if self._http is not None else self._cfg.http
         return {"http": http, "rpc": f"{host}:{self._rpc.port}"}
 
+    @property
+    def metrics(self) -> Metrics:
+        """The instruments of this entry."""
+        return self._metrics
+
     @property
     def phase(self) -> Phase:
         """How far a shutdown has come."""
@@ -103,11 +109,9 @@
             freshness=freshness,
         )
         self._calls = Calls(deps, self._claims)
-        routes = [
-            Route("/livez", _livez),
-            Route("/readyz", self._readyz),
-            self._metrics.route(),
-        ]
+        routes = [Route("/livez", _livez), Route("/readyz", self._readyz)]
+        if not self._has_metrics_listener:
+            routes.append(self._metrics.route())
         app = make_app(self._calls, self._metrics.instruments, routes)
         self._keeper = Gatekeeper(app, self._metrics.instruments, self._rng)
         self._http = HttpServer(self._keeper, self._cfg.http, self._cfg.tls)
--- a/gooseberrydale/process/http_server.py
+++ b/gooseberrydale/process/http_server.py
@@ -11,8 +11,12 @@
 from starlette.types import ASGIApp
 
 from gooseberrydale.process.cfg import TlsCfg
+from gooseberrydale.process.http_protocol import BoundedHttpProtocol
 
 BACKLOG = 1024
+# Longer than clients and balancers keep idle connections, so that they close first
+# and no request meets a connection that is just being closed.
+KEEP_ALIVE_S = 75
 STARTED_POLL_S = 0.005
 
 
@@ -42,7 +46,8 @@
         self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         config = uvicorn.Config(
             self._app,
-            http="httptools",
+            http=BoundedHttpProtocol,
+            timeout_keep_alive=KEEP_ALIVE_S,
             ws="none",
             loop="asyncio",
             lifespan="off",
--- a/tests/builders_entry.py
+++ b/tests/builders_entry.py
@@ -8,8 +8,8 @@
 import pathlib
 import random
 import tempfile
-from collections.abc import AsyncIterator, Callable
-from typing import Any
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -52,6 +52,8 @@
 KEY_A = "key-of-a"
 KEY_B = "key-of-b"
 HEARTBEAT_S = 0.1
+SCENARIO_S = 40
+T = TypeVar("T")
 _seeds = itertools.count(1)
 Script = Callable[["FakeSidecar", DispatchReq], AsyncIterator[Any]]
 
@@ -305,6 +307,16 @@
         entry.directory.offer(fake.record(port), now)
 
 
+def run(scenario: Coroutine[Any, Any, T]) -> T:
+    """Run a test's scenario on a loop of its own, within a generous bound."""
+
+    async def bounded() -> T:
+        async with asyncio.timeout(SCENARIO_S):
+            return await scenario
+
+    return asyncio.run(bounded())
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Wait for ``condition``, which must come true within a generous bound."""
     async with asyncio.timeout(10):
--- a/tests/test_entry_answers.py
+++ b/tests/test_entry_answers.py
@@ -16,6 +16,7 @@
     FakeSidecar,
     chat_body,
     chat_event,
+    run,
     running,
 )
 
@@ -53,7 +54,7 @@
         assert (req.workspace, req.incarnation) == ("a", "inc-u1")
         assert answer.id == f"chatcmpl-{req.request_id}"
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_streamed_chat_answer_is_whole() -> None:
@@ -63,7 +64,7 @@
             text = await read_text(await ask(client, stream=True))
         assert text == TEXT
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 async def echo_late(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
@@ -96,7 +97,7 @@
             assert plain.choices[0].message.content == "first"
             assert await read_text(stream) == "second"
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_models_are_the_profiles_of_the_workspace() -> None:
@@ -105,4 +106,4 @@
             names = [model.id async for model in client.models.list()]
         assert names == ["lots"]
 
-    asyncio.run(scenario())
+    run(scenario())
--- a/tests/test_entry_claims.py
+++ b/tests/test_entry_claims.py
@@ -29,7 +29,15 @@
     holder_at,
     keep_bid,
 )
-from tests.builders_entry import KEY_A, KEY_B, FakeSidecar, make_config, running, until
+from tests.builders_entry import (
+    KEY_A,
+    KEY_B,
+    FakeSidecar,
+    make_config,
+    run,
+    running,
+    until,
+)
 
 KEY = "bid-1"
 
@@ -82,7 +90,7 @@
         assert record.state is ClaimState.FINISHED
         assert record.holder.request_id == fake.dispatched[0].request_id
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_resend_joins_the_running_call() -> None:
@@ -99,7 +107,7 @@
         assert [(a.status_code, a.content) for a in answers] == [(201, BID_BODY)] * 3
         assert len(fake.dispatched) == 1 and len(fake.attached) < 10
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_other_body_under_the_same_key_is_refused() -> None:
@@ -111,7 +119,7 @@
         assert code_of(answer) == "idempotency_key_reused"
         assert len(fake.dispatched) == 1
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_same_key_of_another_workspace_is_another_claim() -> None:
@@ -124,7 +132,7 @@
             await bid(entry, caller=KEY_B)
         assert [req.workspace for req in fake.dispatched] == ["a", "b"]
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_without_a_quorum_a_keyed_call_is_refused_as_not_run() -> None:
@@ -142,7 +150,7 @@
         assert (unkeyed.status_code, again.status_code) == (201, 201)
         assert [req.claim_key for req in fake.dispatched] == ["", KEY]
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 @pytest.mark.parametrize("reachable", [True, False], ids=["tombstone", "unreachable"])
@@ -172,7 +180,7 @@
             assert code_of(answer) == "outcome_unknown"
             assert len(fake.dispatched) == 1
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_answer_is_recorded_when_the_caller_went_away() -> None:
@@ -190,7 +198,7 @@
         assert (answer.status_code, answer.content) == (201, BID_BODY)
         assert len(fake.dispatched) == 1 and fake.cancelled == []
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 async def refuse(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
@@ -209,7 +217,7 @@
         assert code_of(refused) == "queue_full"
         assert answer.status_code == 201
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 async def break_at_once(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
@@ -239,4 +247,4 @@
         assert (record.state, record.holder.attempt) == (ClaimState.FINISHED, 2)
         assert sorted(r.attempt for f in fakes for r in f.dispatched) == [1, 2]
 
-    asyncio.run(scenario())
+    run(scenario())
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -25,6 +25,7 @@
     chat_event,
     introduce,
     make_config,
+    run,
     running,
     until,
 )
@@ -137,27 +138,36 @@
     return sorted(found, key=lambda req: req.attempt)
 
 
+@contextlib.asynccontextmanager
+async def relayed(fake: FakeSidecar) -> AsyncIterator[Relay]:
+    """A relay before ``fake``, both started and closed again."""
+    await fake.start()
+    relay = Relay(fake.port)
+    await relay.start()
+    try:
+        yield relay
+    finally:
+        fake.release.set()
+        await relay.close()
+        await fake.close()
+
+
 def test_silent_connection_is_replaced_and_the_stream_goes_on() -> None:
     async def scenario() -> None:
         fake = FakeSidecar("u1")
         fake.script = stall
-        await fake.start()
-        relay = Relay(fake.port)
-        await relay.start()
-        async with running() as entry, client_of(entry) as client:
+        async with relayed(fake) as relay, running() as entry:
             introduce(entry, fake, port=relay.port)
-            reading = asyncio.create_task(read_stream(client))
-            await until(lambda: bool(fake.dispatched))
-            await asyncio.sleep(0.1)
-            relay.silence_open()
-            assert await reading == TEXT
+            async with client_of(entry) as client:
+                reading = asyncio.create_task(read_stream(client))
+                await until(lambda: bool(fake.dispatched))
+                await asyncio.sleep(0.1)
+                relay.silence_open()
+                assert await reading == TEXT
         assert [req.offset for req in fake.attached] == [2]
         assert len(fake.dispatched) == 1
-        fake.release.set()
-        await relay.close()
-        await fake.close()
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 LOST = problem(UPSTREAM_FAILED, not_run=False)
@@ -173,7 +183,7 @@
         assert resumed.emitted == "".join(WORDS[:2])
         assert (resumed.attempt, resumed.first_offset) == (2, 2)
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_plain_answer_starts_anew_after_a_failure() -> None:
@@ -186,7 +196,7 @@
         assert answer.choices[0].message.content == TEXT
         assert dispatches(fakes)[1].first_offset == 0
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_full_queue_sends_the_request_elsewhere() -> None:
@@ -195,7 +205,7 @@
         async with running(*fakes) as entry, client_of(entry) as client:
             assert await read_stream(client) == TEXT
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_refusal_of_all_is_final_and_says_not_run() -> None:
@@ -209,7 +219,7 @@
         assert (error["code"], error["not_run"]) == ("queue_full", True)
         assert caught.value.response.headers["retry-after"] == "2"
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 async def call_tool(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
@@ -233,7 +243,7 @@
         assert '"error"' in last and "upstream_failed" in last
         assert "[DONE]" not in answer.text
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 @pytest.mark.parametrize(
@@ -262,7 +272,7 @@
         else:
             assert answer.json() == {"bid": 9}
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_accepted_bid_that_breaks_off_runs_nowhere_else() -> None:
@@ -273,7 +283,7 @@
         assert answer.json()["error"]["code"] == "outcome_unknown"
         assert len(dispatches(fakes)) == 1
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_unreachable_sidecar_is_known_not_to_have_run_a_bid() -> None:
@@ -288,7 +298,7 @@
         assert [answer.status_code for answer in answers] == [201] * 4
         assert len(fake.dispatched) == 4
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_deadline_gives_the_final_answer_and_cancels() -> None:
@@ -306,7 +316,7 @@
         assert isinstance(error, dict)
         assert (error["code"], error["not_run"]) == ("deadline_passed", None)
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_caller_that_goes_away_cancels_at_the_sidecar() -> None:
@@ -324,7 +334,7 @@
         [given_up] = fake.cancelled
         assert given_up.request_id == fake.dispatched[0].request_id
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 async def babble(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
@@ -352,7 +362,7 @@
         async with running(fake) as entry, client_of(entry) as client:
             assert await read_stream(client) == TEXT
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 async def skip_one(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
@@ -371,7 +381,7 @@
             assert await read_stream(client) == TEXT
         assert [req.offset for req in fake.attached] == [2]
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 @pytest.mark.parametrize(("theirs", "ours"), [(1, 5), (5, 1)], ids=["behind", "ahead"])
@@ -384,4 +394,4 @@
                 assert await read_stream(client) == TEXT
             await until(lambda: entry.store.revision == fake.config.revision == 5)
 
-    asyncio.run(scenario())
+    run(scenario())
--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -10,8 +10,9 @@
 import httpx2
 import pytest
 
+from gooseberrydale.process import http_protocol
 from gooseberrydale.version.declarations import Config
-from tests.builders_entry import KEY_A, KEY_B, FakeSidecar, running
+from tests.builders_entry import KEY_A, KEY_B, FakeSidecar, run, running
 
 CHAT = "/v1/chat/completions"
 LIMIT = 10_000
@@ -82,7 +83,7 @@
                     headers=headers,
                 )
 
-    answer = asyncio.run(scenario())
+    answer = run(scenario())
     error = answer.json()["error"]
     assert (answer.status_code, error["code"]) == (case.status, case.code)
     assert error["request_id"] == answer.headers["x-request-id"]
@@ -117,7 +118,7 @@
             answer = await raw_request(entry.addresses["http"], head, b'{"mo')
         assert b"408 Request Timeout" in answer and b"body_timeout" in answer
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_too_large_body_is_refused_before_it_is_sent() -> None:
@@ -127,7 +128,7 @@
             answer = await raw_request(entry.addresses["http"], head)
         assert b"413 " in answer and b"connection: close" in answer.lower()
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_caller_that_closes_half_way_starts_nothing() -> None:
@@ -141,7 +142,7 @@
         assert answer == b"" and b"200 OK" in again
         assert fake.dispatched == []
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_entry_without_configuration_refuses_soon_and_names_why() -> None:
@@ -157,7 +158,7 @@
         assert ready.status_code == 503
         assert ready.json()["reason"] == "no configuration yet"
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_fault_of_the_router_gives_no_details(monkeypatch: Any) -> None:
@@ -167,6 +168,33 @@
             async with httpx2.AsyncClient() as client:
                 return await client.get(f"http://{entry.addresses['http']}/readyz")
 
-    answer = asyncio.run(scenario())
+    answer = run(scenario())
     assert (answer.status_code, answer.json()["error"]["code"]) == (500, "internal")
     assert "division" not in answer.text and "Traceback" not in answer.text
+
+
+HEAD_CASES = [
+    ("no HTTP", b"hello\r\n\r\n", b"400 ", b"invalid_http"),
+    (
+        "endless head",
+        b"GET / HTTP/1.1\r\n" + b"x: y\r\n" * 40_000,
+        b"431 ",
+        b"head_too",
+    ),
+    ("slow head", b"GET / HTTP/1.1\r\nx: ", b"408 ", b"head_timeout"),
+]
+
+
+@pytest.mark.parametrize("case", HEAD_CASES, ids=lambda case: case[0])
+def test_head_of_a_request_is_bounded(case: Any, monkeypatch: Any) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr(http_protocol, "HEAD_TIMEOUT_S", 0.3)
+        monkeypatch.setattr(http_protocol, "FIRST_BYTE_S", 0.3)
+        async with running() as entry:
+            assert await raw_request(entry.addresses["http"]) == b""
+            answer = await raw_request(entry.addresses["http"], case[1])
+        head, _, content = answer.partition(b"\r\n\r\n")
+        assert case[2] in head and b"connection: close" in head
+        assert case[3] in content and b'"request_id"' in content
+
+    run(scenario())
--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -22,6 +22,7 @@
     beat,
     introduce,
     make_config,
+    run,
     running,
     until,
 )
@@ -88,7 +89,7 @@
         assert text_of(text) == TEXT and DONE in text
         assert fake.cancelled == []
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def listens(entry: Entry) -> bool:
@@ -117,7 +118,7 @@
         assert all(answer.headers["connection"] == "close" for answer in answers)
         assert "retry-after" in refused.headers
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_stream_over_the_bound_goes_on_at_another_entry() -> None:
@@ -139,7 +140,7 @@
         ids = {event["id"] for event in events_of(first + rest) if "id" in event}
         assert len(ids) == 1
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 @pytest.mark.parametrize("key", [KEY_A, KEY_B], ids=["own", "other workspace"])
@@ -167,7 +168,7 @@
         else:
             assert answer.json()["error"]["code"] == "unknown_stream"
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_plain_request_over_the_bound_gets_its_final_answer() -> None:
@@ -183,4 +184,4 @@
         assert (error["code"], error["not_run"]) == ("shutting_down", None)
         assert len(fake.cancelled) == 1
 
-    asyncio.run(scenario())
+    run(scenario())
--- a/tests/test_entry_sidecar.py
+++ b/tests/test_entry_sidecar.py
@@ -20,7 +20,7 @@
 from gooseberrydale.process.sidecar import Sidecar
 from gooseberrydale.version.claims import ClaimTable
 from tests.builders_claims import FakeControl
-from tests.builders_entry import KEY_A, make_cfg, make_config, running, until
+from tests.builders_entry import KEY_A, make_cfg, make_config, run, running, until
 
 ASK = [{"role": "user", "content": "Is lot 42 fine?"}]
 SERVICE_S = 0.8
@@ -75,7 +75,7 @@
         assert texts[0] and texts[0] == texts[1] == plain.choices[0].message.content
         assert plain.model == "lots"
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 def test_bid_and_its_resends_run_once_at_the_service() -> None:
@@ -94,7 +94,7 @@
         assert {answer.status_code for answer in answers} == {200}
         assert len({answer.content for answer in answers}) == 1
 
-    asyncio.run(scenario())
+    run(scenario())
 
 
 async def resend(entry: Entry, count: int) -> list[httpx2.Response]:
@@ -124,4 +124,4 @@
                     refused = exc.response
         assert refused.status_code == 503 and "retry-after" in refused.headers
 
-    asyncio.run(scenario())
+    run(scenario())
