Choose upstreams in a module of their own, and try a lone one again

Cause: a single upstream whose connection was lost was not tried a second time; a fresh process also waited when its upstreams had refused; claims were sent by a client of the entry's own beside control's; the claim did not name the announcement that its attempt is based on, so that a resend could not learn later that it never ran. Change: what was tried lives in the chooser; only an empty pool is waited for; control's client commits claims; a holder names its announcement. Ruled out: waiting whenever a pool is empty, since a refusal must be final at once.

--- a/gooseberrydale/connection/control_client.py
+++ b/gooseberrydale/connection/control_client.py
@@ -57,6 +57,8 @@
         The error is ``claim_unavailable``: no replica could commit it in time, and
         whether it was committed is unknown.
         """
+        if not self._addresses:
+            return Err(problem(CLAIM_UNAVAILABLE, retry_after_s=RETRY_AFTER_S))
         try:
             async with asyncio.timeout(timeout_s):
                 return Ok(await self._ask_until_answered(req))
@@ -107,8 +109,6 @@
         await channel.close()
 
     def _any_address(self) -> str:
-        if not self._addresses:
-            raise ValueError("no control replica is known; set fleet.controls")
         return self._rng.choice(self._addresses)
 
 
--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -216,13 +216,17 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Holder:
-    """The one attempt that may run: request, attempt, and the sidecar's life."""
+    """The one attempt that may run: request, attempt, and the sidecar's life.
+
+    ``record_seq`` is the sidecar's announcement that the attempt is based on.
+    """
 
     request_id: str
     attempt: int
     sidecar: str
     address: str
     incarnation: str
+    record_seq: int = 0
 
 
 class ClaimState(StrEnum):
--- a/gooseberrydale/process/entry/calls.py
+++ b/gooseberrydale/process/entry/calls.py
@@ -168,8 +168,6 @@
         await self._serve(AttachedAnswer(self._deps, target), call, req, send)
 
     async def _run(self, job: Job, req: Request, send: Send) -> None:
-        pool = job.profile.pool
-        await self._first(lambda: bool(self._deps.directory.ready(pool, _now())))
         may_resend = job.profile.repeatable or bool(job.idempotency_key)
         info = CallInfo(job.request_id, job.profile.name, may_resend)
         await self._serve(self._answering(job), info, req, send)
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -12,12 +12,12 @@
 from starlette.routing import Route
 
 from gooseberrydale.connection.channels import ChannelPool
+from gooseberrydale.connection.control_client import ControlClient
 from gooseberrydale.connection.mesh import ENTRY_ROLE
 from gooseberrydale.connection.rpc import RpcChannel, RpcServer, TlsFiles
 from gooseberrydale.process.cfg import Cfg, EntryCfg, TlsCfg
 from gooseberrydale.process.entry.app import make_app
 from gooseberrydale.process.entry.calls import Calls
-from gooseberrydale.process.entry.claims import ClaimClient
 from gooseberrydale.process.entry.gatekeeper import Gatekeeper, Phase
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh
@@ -69,7 +69,9 @@
         self._has_metrics_listener = bool(cfg.metrics.http)
         self._background = Background()
         self._metrics = Metrics(ENTRY_ROLE, cfg.node.name, cfg.node.zone)
-        self._claims = ClaimClient(cfg.fleet.controls, self._dial, self._rng)
+        self._claims = ControlClient(
+            cfg.fleet.controls, self._token, self._tls, self._rng
+        )
         self._calls: Calls | None = None
         self._keeper: Gatekeeper | None = None
         self._http: HttpServer | None = None
--- /dev/null
+++ b/gooseberrydale/request/chooser.py
@@ -0,0 +1,116 @@
+"""Chooses the upstream of each attempt of one request.
+
+Lives for one request.  It remembers what was tried and why that failed; the policy,
+which lives as long as the process, makes the choice itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err
+
+from gooseberrydale.errors import Problem, ProblemError
+from gooseberrydale.request.deps import Deps
+from gooseberrydale.request.job import Job
+from gooseberrydale.request.retry import Cause
+from gooseberrydale.request.routing import Choice, RouteReq
+
+RESUME_WAIT_S = 3.0
+NEWS_WAIT_S = 1.0
+"""How long a process that started or thawed waits for records of upstreams."""
+POLL_S = 0.05
+# The sidecar may be well: only the connection was lost.
+CONNECTION_CAUSES = (Cause.LOST, Cause.SILENT)
+
+
+class Chooser:
+    """Upstreams tried for one job; ``left_s`` tells the time to its deadline."""
+
+    def __init__(self, deps: Deps, job: Job, left_s: Callable[[], float]) -> None:
+        self._deps = deps
+        self._job = job
+        self._left_s = left_s
+        self._tried: dict[str, str] = {}
+        self._last_problem: Problem | None = None
+        self._second_tries: bool | None = None
+
+    def failed(self, cause: Cause, why: Problem | None) -> None:
+        """Take note that the last attempt failed and another one follows.
+
+        Once, upstreams may be tried again after a connection was lost.
+        """
+        self._last_problem = why
+        if cause in CONNECTION_CAUSES and self._second_tries is None:
+            self._second_tries = True
+
+    async def choose(self, *, given: bool, may_have_run: bool) -> Choice:
+        """Choose an upstream that was not tried yet; raises :class:`ProblemError`.
+
+        ``given`` says that the caller has a part of the answer: a stream that broke
+        off waits a moment for an upstream.
+        """
+        started = _now()
+        while True:
+            now = _now()
+            upstreams = self._deps.directory.ready(self._job.profile.pool, now)
+            found = self._deps.policy.choose(self._route_req(now), upstreams, now)
+            if not isinstance(found, Err):
+                record = found.ok_value.record
+                self._tried[record.name] = record.incarnation
+                return found.ok_value
+            if now < started + self._wait_s(given, is_empty=not upstreams):
+                self._tried.clear()
+                await asyncio.sleep(POLL_S)
+            elif self._second_tries:
+                self._second_tries = False
+                self._tried.clear()
+            else:
+                why = self._none_left(found.err_value)
+                raise ProblemError(_honest(why, given, may_have_run))
+
+    def _wait_s(self, given: bool, *, is_empty: bool) -> float:
+        """How long to wait for an upstream; no refusal waits longer."""
+        if given:
+            return RESUME_WAIT_S
+        if is_empty and self._deps.freshness.is_fresh(_now()):
+            return min(NEWS_WAIT_S, max(self._left_s(), 0.0))
+        return 0.0
+
+    def _none_left(self, why: Problem) -> Problem:
+        """The refusal met before says more, if it says when to come back."""
+        last = self._last_problem
+        if last is not None and last.retry_after_s is not None:
+            return last
+        return why
+
+    def _route_req(self, now: float) -> RouteReq:
+        return RouteReq(
+            workspace=self._job.workspace,
+            profile=self._job.profile,
+            pieces=self._job.pieces,
+            deadline_s=self._left_s(),
+            zone=self._deps.node.zone,
+            region=self._deps.node.region,
+            excluded=self._deps.store.config.leaving | self._tried_lives(now),
+        )
+
+    def _tried_lives(self, now: float) -> frozenset[str]:
+        """Names of upstreams whose present life was tried."""
+        tried = set()
+        for name, incarnation in self._tried.items():
+            record = self._deps.directory.get(name, now)
+            if record is None or record.incarnation == incarnation:
+                tried.add(name)
+        return frozenset(tried)
+
+
+def _honest(why: Problem, given: bool, may_have_run: bool) -> Problem:
+    if given:
+        return why.with_outcome(False)
+    return why.with_outcome(None) if may_have_run else why
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/gooseberrydale/request/claim_gate.py
+++ b/gooseberrydale/request/claim_gate.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import Any, Protocol
+
+from result import Err, Result
 
 from gooseberrydale.connection.control_messages import (
     ClaimRecord,
@@ -19,14 +21,13 @@
     ReleaseReq,
 )
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.errors import CLAIM_UNAVAILABLE, ProblemError, problem
+from gooseberrydale.errors import Problem, ProblemError
 from gooseberrydale.request.background import Background
 
 CLAIM_S = 3.0
 """Longest wait for a claim; it covers the election of a new leader."""
 
 UPKEEP_S = 30.0
-COME_BACK_S = 1.0
 
 ClaimRequest = ClaimReq | MoveReq | ReleaseReq | FinishReq
 
@@ -42,8 +43,8 @@
 class ClaimStore(Protocol):
     """Where claims are committed."""
 
-    async def ask(self, req: ClaimRequest, timeout_s: float) -> ClaimReply | None:
-        """Commit ``req``; None if it is not known to be committed in time."""
+    async def ask(self, req: Any, timeout_s: float) -> Result[Any, Problem]:
+        """Commit ``req``; an error if it is not known to be committed in time."""
 
 
 class Gate(Protocol):
@@ -88,12 +89,14 @@
             sidecar=record.name,
             address=record.address,
             incarnation=record.incarnation,
+            record_seq=record.seq,
         )
-        reply = await self._store.ask(self._request_for(new), CLAIM_S)
-        if reply is None:
+        asked = await self._store.ask(self._request_for(new), CLAIM_S)
+        if isinstance(asked, Err):
             # It may be committed all the same, but will never be dispatched.
             self._free(new)
-            raise ProblemError(problem(CLAIM_UNAVAILABLE, retry_after_s=COME_BACK_S))
+            raise ProblemError(asked.err_value)
+        reply: ClaimReply = asked.ok_value
         if reply.granted:
             self.holder = new
         elif reply.record is not None:
@@ -105,8 +108,11 @@
     async def look_up(self, holder: Holder) -> ClaimRecord | None:
         """What is committed under the key; None if control can't tell now."""
         req = ClaimReq(self._workspace, self._key, self._digest, holder)
-        reply = await self._store.ask(req, CLAIM_S)
-        return reply.record if reply is not None else None
+        asked = await self._store.ask(req, CLAIM_S)
+        if isinstance(asked, Err):
+            return None
+        reply: ClaimReply = asked.ok_value
+        return reply.record
 
     def release(self) -> None:
         """Free the key in the background; only if the holder never ran."""
--- a/gooseberrydale/request/keyed.py
+++ b/gooseberrydale/request/keyed.py
@@ -223,6 +223,7 @@
             attempt=holder.attempt,
             incarnation=holder.incarnation,
             workspace=self._job.workspace,
+            record_seq=holder.record_seq,
         )
         return await confirm_not_run(
             self._deps.pool, holder, req, self._deps.cfg.silence_s
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -12,8 +12,8 @@
 from dataclasses import replace
 
 from loguru import logger
-from result import Err
 
+from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import (
     Accepted,
     CancelReq,
@@ -30,6 +30,7 @@
     problem,
 )
 from gooseberrydale.request.cancel import cancel, confirm_not_run
+from gooseberrydale.request.chooser import CONNECTION_CAUSES, Chooser
 from gooseberrydale.request.claim_gate import Gate
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.exchange import DeadlinePassed, Exchange, ExchangeLost
@@ -53,14 +54,10 @@
     Retry,
     next_step,
 )
-from gooseberrydale.request.routing import Choice, RouteReq
+from gooseberrydale.request.routing import Choice
 
 COME_BACK_S = 1.0
 CONFIRM_AT_DEADLINE_S = 0.25
-RESUME_WAIT_S = 3.0
-RESUME_POLL_S = 0.05
-NEWS_WAIT_S = 1.0
-"""How long a process that started or thawed waits for records of upstreams."""
 UNSTREAMED_ANSWER_S = 300.0
 """Time for the rest of a completion that is not streamed, after its deadline."""
 
@@ -81,11 +78,10 @@
         self._accepted = False
         self._record_seq = 0
         self._may_have_run = False
-        self._tried: dict[str, str] = {}
-        self._last_problem: Problem | None = None
         self._whole = False
         self._handed_over = False
         self._deadline = self._now() + job.profile.deadline_s
+        self._chooser = Chooser(deps, job, self._left_s)
 
     def hand_over(self) -> None:
         """Leave the answer running at its sidecar when ``answer`` is closed."""
@@ -164,10 +160,12 @@
 
     async def _start(self) -> Exchange:
         """Begin another attempt on an upstream that was not tried yet."""
-        self._choice = await self._choose()
-        record = self._choice.record
+        self._choice = await self._chooser.choose(
+            given=self._parts.given, may_have_run=self._may_have_run
+        )
+        record = self._newest(self._choice.record)
+        self._record_seq = record.seq
         await self._gate.admit(record, self._attempt + 1)
-        self._tried[record.name] = record.incarnation
         self._attempt += 1
         self._accepted = False
         self._parts.begin(record.name, record.incarnation)
@@ -184,11 +182,15 @@
             self._deps.cfg.silence_s,
         )
 
+    def _newest(self, record: UpstreamRecord) -> UpstreamRecord:
+        """The newest announcement of the same life; the choice may name an old one."""
+        newest = self._deps.directory.get(record.name, self._now())
+        if newest is None or newest.incarnation != record.incarnation:
+            return record
+        return newest
+
     async def _send(self, exchange: Exchange) -> None:
         assert self._choice is not None
-        record = self._choice.record
-        newest = self._deps.directory.get(record.name, self._now())
-        self._record_seq = (newest or record).seq
         first_offset = self._reassembly.next_offset
         emitted = self._reassembly.emitted_text() if first_offset else ""
         req = DispatchReq(
@@ -214,54 +216,6 @@
         await exchange.dispatch(req, self._until())
         self._deps.policy.dispatched(self._choice, self._now())
 
-    async def _choose(self) -> Choice:
-        """Choose an upstream; a stream that broke off waits a moment for one."""
-        until = self._now() + self._choice_wait_s()
-        while True:
-            now = self._now()
-            upstreams = self._deps.directory.ready(self._job.profile.pool, now)
-            found = self._deps.policy.choose(self._route_req(), upstreams, now)
-            if not isinstance(found, Err):
-                return found.ok_value
-            if now >= until:
-                raise ProblemError(self._honest(found.err_value))
-            if self._parts.given:
-                self._tried.clear()
-            await asyncio.sleep(RESUME_POLL_S)
-
-    def _choice_wait_s(self) -> float:
-        """How long to wait for an upstream if there is none."""
-        if self._parts.given:
-            return RESUME_WAIT_S
-        if self._deps.freshness.is_fresh(self._now()):
-            return min(NEWS_WAIT_S, max(self._left_s(), 0.0))
-        return 0.0
-
-    def _honest(self, why: Problem) -> Problem:
-        """The refusal met before says more than that no upstream is left."""
-        why = self._last_problem or why
-        if self._parts.given:
-            return why.with_outcome(False)
-        return why.with_outcome(None) if self._may_have_run else why
-
-    def _route_req(self) -> RouteReq:
-        now = self._now()
-        leaving = self._deps.store.config.leaving
-        tried = set()
-        for name, incarnation in self._tried.items():
-            record = self._deps.directory.get(name, now)
-            if record is None or record.incarnation == incarnation:
-                tried.add(name)
-        return RouteReq(
-            workspace=self._job.workspace,
-            profile=self._job.profile,
-            pieces=self._job.pieces,
-            deadline_s=self._left_s(),
-            zone=self._deps.node.zone,
-            region=self._deps.node.region,
-            excluded=leaving | tried,
-        )
-
     def _outcome(self, cause: Cause, why: Problem | None = None) -> Outcome:
         assert self._exchange is not None
         given = self._parts.given
@@ -286,7 +240,7 @@
     async def _decide(self, outcome: Outcome) -> None:
         """Carry out what the end of an attempt calls for."""
         assert self._exchange is not None and self._choice is not None
-        if outcome.cause in (Cause.LOST, Cause.NOT_SENT, Cause.SILENT):
+        if outcome.cause in (*CONNECTION_CAUSES, Cause.NOT_SENT):
             self._deps.policy.lost(self._choice, self._now())
         step = next_step(
             outcome,
@@ -304,7 +258,7 @@
                 await self._decide(await self._confirm(self._exchange, outcome))
             case Retry() | Resume():
                 self._may_have_run = step.may_have_run
-                self._last_problem = outcome.problem
+                self._chooser.failed(outcome.cause, outcome.problem)
                 self._leave(outcome.cause)
                 self._deps.instruments.retries.add(1, {"cause": outcome.cause.value})
                 if isinstance(step, Resume):
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -395,3 +395,44 @@
             await until(lambda: entry.store.revision == fake.config.revision == 5)
 
     run(scenario())
+
+
+async def break_once(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """The first call breaks before anything was accepted."""
+    if len(fake.dispatched) == 1:
+        raise RuntimeError("scripted")
+    async for frame in answer_words(fake, req):
+        yield frame
+
+
+def test_only_upstream_is_tried_again_after_a_lost_connection() -> None:
+    async def scenario() -> None:
+        fake = FakeSidecar("u1")
+        fake.script = break_once
+        async with running(fake) as entry, client_of(entry) as client:
+            assert await read_stream(client) == TEXT
+        assert [req.attempt for req in fake.dispatched] == [1, 2]
+
+    run(scenario())
+
+
+def test_lost_connections_of_many_requests_lose_none() -> None:
+    async def scenario() -> None:
+        fakes = [FakeSidecar("u1"), FakeSidecar("u2")]
+        broken = [fake.name for fake in fakes[:1]]
+
+        async def script(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+            if fake.name in broken:
+                await asyncio.sleep(0.2)
+                raise RuntimeError("scripted")
+            async for frame in answer_words(fake, req):
+                yield frame
+
+        for fake in fakes:
+            fake.script = script
+        async with running(*fakes) as entry, client_of(entry) as client:
+            texts = await asyncio.gather(*[read_stream(client) for _ in range(40)])
+        assert texts == [TEXT] * 40
+        assert len(fakes[0].dispatched) > 12
+
+    run(scenario())
