--- a/gooseberrydale/request/deps.py
+++ b/gooseberrydale/request/deps.py
@@ -18,7 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Deps:
-    """Shared parts that a request uses but does not own."""
+    """Shared parts that a request uses but does not own.
+
+    While the process is fresh a request may wait a moment for records of
+    configuration and upstreams.
+    """
 
     cfg: EntryCfg
     node: NodeCfg
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import (
     Accepted,
     CancelReq,
@@ -162,7 +163,8 @@
         self._choice = await self._chooser.choose(
             given=self._parts.given, may_have_run=self._may_have_run
         )
-        record = self._choice.record
+        record = self._newest(self._choice.record)
+        self._record_seq = record.seq
         await self._gate.admit(record, self._attempt + 1)
         self._attempt += 1
         self._accepted = False
@@ -180,11 +182,15 @@
             self._deps.cfg.silence_s,
         )
 
+    def _newest(self, record: UpstreamRecord) -> UpstreamRecord:
+        """The newest announcement of the same life; the choice may name an old one."""
+        newest = self._deps.directory.get(record.name, self._now())
+        if newest is None or newest.incarnation != record.incarnation:
+            return record
+        return newest
+
     async def _send(self, exchange: Exchange) -> None:
         assert self._choice is not None
-        record = self._choice.record
-        newest = self._deps.directory.get(record.name, self._now())
-        self._record_seq = (newest or record).seq
         first_offset = self._reassembly.next_offset
         emitted = self._reassembly.emitted_text() if first_offset else ""
         req = DispatchReq(
--- a/tests/test_entry_freshness.py
+++ b/tests/test_entry_freshness.py
@@ -31,7 +31,7 @@
     freshness = Freshness(0.0)
     for at in ticks:
         freshness.tick(at)
-    assert freshness.may_wait(now) is expected
+    assert freshness.is_fresh(now) is expected
 
 
 def test_wait_ends_when_the_record_comes_or_after_a_moment() -> None:
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gooseberrydale.request.freshness import FRESH_S, STALL_S, Freshness
+from gooseberrydale.request.freshness import FRESH_S, STALL_S, TICK_S, Freshness
 
 
 @pytest.mark.parametrize(
@@ -27,10 +27,7 @@
     freshness = Freshness(0.0)
     for tick in ticks:
         freshness.tick(float(tick))
-    assert freshness.may_wait(now) is fresh
-
-
-TICK_S = 1.0
+    assert freshness.is_fresh(now) is fresh
 
 
 def test_a_late_tick_is_no_stall():
