Refuse reads at a replica that does not know yet what was committed

Ruled out: waiting within the read, since a replica without a leader would hold it. Change: the replica tells whether it has caught up since its start; reads other than of its status are refused until then, with when to come back. Test fleets read the base from the leader, and wait at the first start until all replicas are members: freezing the leader of two members leaves no quorum, which the feature had taken for a fault.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -318,6 +318,12 @@
 NOT_LEADER = ErrorKind(
     "not_leader", 421, "This replica does not lead; send the change to {leader}."
 )
+CATCHING_UP = ErrorKind(
+    "catching_up",
+    503,
+    "This replica has just started and does not know yet what was committed; ask"
+    " another one, or come back after the given time.",
+)
 NO_QUORUM = ErrorKind(
     "no_quorum",
     503,
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -33,6 +33,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import (
     BODY_TOO_LARGE,
+    CATCHING_UP,
     INVALID_FIELD,
     INVALID_JSON,
     SHUTTING_DOWN,
@@ -51,6 +52,8 @@
 from gooseberrydale.version.structuring import structure
 from gooseberrydale.version.validation import NAME_PATTERN
 
+STATUS_PATH = "/v1/status"
+CATCH_UP_RETRY_AFTER_S = 1.0
 MAX_BODY_BYTES = 4 * 1024 * 1024
 AUDIT_ENTRIES_SHOWN = 100
 NOTE_INTERVAL_S = 1.0
@@ -134,7 +137,7 @@
             self._route("GET", "/v1/upstreams", self._list_upstreams),
             self._route("GET", "/v1/orders", self._orders),
             self._route("GET", "/v1/audit", self._audit),
-            self._route("GET", "/v1/status", self._status),
+            self._route("GET", STATUS_PATH, self._status),
             self._route("POST", "/v1/changes", self._post_change),
             self._route("POST", "/v1/profiles", self._post_profile),
             self._route("POST", "/v1/workspaces", self._post_workspace),
@@ -155,10 +158,13 @@
         return Route(path, serve, methods=[method])
 
     def _refuse_reader(self, request: Request) -> Problem | None:
-        """Refuse a read that wants the leader's state where there is none."""
-        if request.query_params.get("from") != "leader":
-            return None
-        return self._commit.refuse_if_not_leading()
+        """Refuse a read that would show less than was committed or is asked for."""
+        if request.query_params.get("from") == "leader":
+            return self._commit.refuse_if_not_leading()
+        is_state = request.method == "GET" and request.url.path != STATUS_PATH
+        if is_state and not self._replica_status().get("caught_up", True):
+            return problem(CATCHING_UP, retry_after_s=CATCH_UP_RETRY_AFTER_S)
+        return None
 
     # Reads.
 
--- a/gooseberrydale/process/control/replica.py
+++ b/gooseberrydale/process/control/replica.py
@@ -40,8 +40,9 @@
 class ReplicaStatus:
     """What operators see of one replica.
 
-    ``repairs`` is known to the leader only; a replacement is complete when it says
-    ``done`` for the name.  ``problem`` tells why the replica writes nothing.
+    ``caught_up`` says whether reads here show all that was committed before the
+    start.  ``repairs`` is known to the leader only; a replacement is complete when
+    it says ``done`` for the name.  ``problem`` tells why the replica writes nothing.
     """
 
     name: str
@@ -52,6 +53,7 @@
     term: int
     commit: int
     last_index: int
+    caught_up: bool
     members: tuple[Member, ...]
     repairs: tuple[Repair, ...]
     problem: Problem | None
@@ -203,6 +205,7 @@
             term=node.state.term,
             commit=node.commit,
             last_index=node.last_index,
+            caught_up=node.caught_up,
             members=node.membership.members,
             repairs=node.repairs(self._now()),
             problem=self._disk.problem,
--- a/gooseberrydale/version/replication/core.py
+++ b/gooseberrydale/version/replication/core.py
@@ -107,6 +107,7 @@
         self.rng = rng
         self.commit = log.snapshot.index
         self.applied = log.snapshot.index
+        self.caught_up = False
         self.role = Role.FOLLOWER
         self.leader: Member | None = None
         self.term_leader: Member | None = None
--- a/gooseberrydale/version/replication/follower.py
+++ b/gooseberrydale/version/replication/follower.py
@@ -33,6 +33,7 @@
         return
     _store(core, req.entries)
     core.advance_commit(max(core.commit, min(req.commit, match)))
+    core.caught_up = core.caught_up or core.commit >= req.commit
     core.send(source, AppendReply(core.state.term, True, match, req.sent_at))
 
 
--- a/gooseberrydale/version/replication/raft.py
+++ b/gooseberrydale/version/replication/raft.py
@@ -136,6 +136,17 @@
         """The newest membership, committed or not."""
         return self._core.log.membership
 
+    @property
+    def caught_up(self) -> bool:
+        """Whether all is here that was committed when this replica came back.
+
+        Until then its state machine may be older than it was before the restart.
+        """
+        core = self._core
+        if core.role is Role.LEADER:
+            return core.log.term_at(core.commit) == core.state.term
+        return core.caught_up
+
     def repairs(self, now: float) -> tuple[Repair, ...]:
         """How each configured replica name stands; empty unless leading."""
         return joining.repairs(self._core, now)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -279,8 +279,8 @@
             return None
 
     def revision(self) -> int:
-        """The revision that the operators' interface shows."""
-        return int(self.operate("GET", "/v1/config")["revision"])
+        """The revision in force, from the leader."""
+        return int(self.operate("GET", "/v1/config?from=leader")["revision"])
 
     def change(self, *edits: dict[str, Any]) -> int:
         """Commit edits as one change; return the revision they made."""
@@ -303,11 +303,18 @@
         for name in self.entries:
             url = self.entry_url(name) + "/readyz"
             wait_until(lambda url=url: _answers(url), f"{name} is not ready")
+        wait_until(self.control_whole, "control replicas are missing")
         wait_until(
             lambda: len(self.operate("GET", "/v1/upstreams")["upstreams"]) >= upstreams,
             "upstreams are missing",
         )
 
+    def control_whole(self) -> bool:
+        """Whether the leader reports every replica as a member in good order."""
+        control = self.operate("GET", "/v1/status?from=leader")["control"]
+        states = {repair["state"] for repair in control["repairs"]}
+        return states == {"done"}
+
     def runs(self, upstream: str) -> list[dict[str, Any]]:
         """The upstream's own record of what it ran."""
         url = self.upstream_url(upstream) + "/record"
