--- a/gooseberrydale/process/control/disk.py
+++ b/gooseberrydale/process/control/disk.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Sequence
 
 from loguru import logger
@@ -36,9 +37,8 @@
         """Write until cancelled; raises DiskFailedError if the disk fails."""
         while True:
             batch = await self._batches.get()
-            for write in batch:
-                await self._until_space(lambda: self._collect(write))
-            await self._until_space(self._storage.sync)
+            rest = deque(batch)
+            await self._until_space(lambda: self._write(rest))
             self._written()
 
     async def _until_space(self, job: Callable[[], None]) -> None:
@@ -53,6 +53,13 @@
                 self.problem = exc.problem
                 await asyncio.sleep(RETRY_S)
 
+    def _write(self, rest: deque[act.Write]) -> None:
+        """Write what is left of a batch; after a failure the rest is still there."""
+        while rest:
+            self._collect(rest[0])
+            rest.popleft()
+        self._storage.sync()
+
     def _collect(self, write: act.Write) -> None:
         match write:
             case act.SaveState(state):
