Prove silent connections and answers after the sync

Change: three replicas behind relays whose open connections fall silent commit again; a stream that takes messages but doesn't answer is replaced; a command isn't answered while both followers' disks hang.

--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -3,16 +3,21 @@
 import asyncio
 import errno
 import random
+import threading
 
 import pytest
 
-from gooseberrydale.connection.rpc import RpcServer
+from gooseberrydale.connection.peer_frames import PeerAck
+from gooseberrydale.connection.rpc import REPLICATE, RpcServer
 from gooseberrydale.process.cfg import ControlCfg
 from gooseberrydale.process.control.first_start import init_folder, recover_folder
+from gooseberrydale.process.control.peers import PeerLink
 from gooseberrydale.process.control.replica import Replica
 from gooseberrydale.version.replication.files import OsFiles
+from gooseberrydale.version.replication.messages import Envelope, JoinReq, Member
 from gooseberrydale.version.replication.storage import StorageError
 from tests.builders_files import free_address
+from tests.relay import Relay
 
 TOKEN = "fleet"
 NAMES = ("c1", "c2", "c3")
@@ -37,9 +42,17 @@
 
 
 class FullFiles(OsFiles):
-    """Real files on a disk that may fill up."""
+    """Real files on a disk that may fill up or hang."""
 
-    full = False
+    def __init__(self):
+        super().__init__()
+        self.full = False
+        self.answers = threading.Event()
+        self.answers.set()
+
+    def sync(self, path):
+        self.answers.wait()
+        super().sync(path)
 
     def append(self, path, data):
         if self.full:
@@ -50,11 +63,11 @@
 class Started:
     """A replica with its listener and machine."""
 
-    def __init__(self, folder, name, addresses):
+    def __init__(self, folder, name, listen, addresses):
         self.cfg = ControlCfg(folder / name, replicas=addresses, snapshot_entries=20)
         self.machine = CountingMachine()
         self.files = FullFiles()
-        self.server = RpcServer(addresses[name], TOKEN)
+        self.server = RpcServer(listen, TOKEN)
         self.replica = Replica(
             self.cfg,
             TOKEN,
@@ -80,12 +93,14 @@
 
     def __init__(self, folder, names=NAMES):
         self.folder = folder
-        self.addresses = {name: free_address() for name in names}
+        self.listen = {name: free_address() for name in names}
+        self.addresses = dict(self.listen)
         self.started = {}
 
     async def start(self, *names):
         for name in names:
-            replica = Started(self.folder, name, self.addresses)
+            listen = self.listen[name]
+            replica = Started(self.folder, name, listen, self.addresses)
             self.started[name] = await replica.start()
 
     async def stop(self, *names):
@@ -123,11 +138,13 @@
             await asyncio.sleep(0.05)
 
 
-def run(folder, scenario):
+def run(folder, scenario, before=None):
     """Form a group of three and run the scenario on it."""
 
     async def whole():
         group = Group(folder)
+        if before is not None:
+            await before(group)
         init_folder(folder / "c1", "c1")
         try:
             await group.start(*NAMES)
@@ -193,6 +210,24 @@
     run(tmp_path, scenario)
 
 
+def test_nothing_is_answered_before_two_disks_have_it(tmp_path):
+    async def scenario(group):
+        leader = group.leader()
+        followers = [s for s in group.started.values() if s is not leader]
+        for follower in followers:
+            follower.files.answers.clear()
+        try:
+            answer = await leader.replica.propose(b"0", 0.7)
+            assert answer.unwrap_err().code == "no_quorum"
+            assert not leader.machine.commands
+        finally:
+            for follower in followers:
+                follower.files.answers.set()
+        await group.commit(b"1")
+
+    run(tmp_path, scenario)
+
+
 def test_full_disk_of_the_leader_refuses_and_goes_on(tmp_path):
     async def scenario(group):
         leader = group.leader()
@@ -227,6 +262,54 @@
     run(tmp_path, scenario)
 
 
+def test_silent_connections_are_replaced(tmp_path):
+    relays = []
+
+    async def put_relays_between(group):
+        for name, address in group.listen.items():
+            relay = Relay(int(address.rpartition(":")[2]))
+            await relay.start()
+            relays.append(relay)
+            group.addresses[name] = relay.address
+
+    async def scenario(group):
+        for relay in relays:
+            relay.silence_open()
+        assert await group.commit(b"0") == b"0"
+        await until(group.repaired)
+        for relay in relays:
+            await relay.close()
+
+    run(tmp_path, scenario, put_relays_between)
+
+
+def test_stream_that_is_not_answered_is_replaced():
+    arrived = asyncio.Queue()
+    streams = []
+
+    async def serve(batches):
+        streams.append(batches)
+        async for batch in batches:
+            if len(streams) > 1:
+                arrived.put_nowait(batch)
+                yield PeerAck()
+
+    async def whole():
+        server = RpcServer("127.0.0.1:0", TOKEN)
+        server.streaming(REPLICATE, serve)
+        await server.start()
+        link = PeerLink(f"127.0.0.1:{server.port}", TOKEN)
+        link.start()
+        async with asyncio.timeout(PATIENCE_S):
+            while arrived.empty():
+                link.send(Envelope("x", Member("c1", "a"), "b", JoinReq()))
+                await asyncio.sleep(0.1)
+        await link.close()
+        await server.close()
+
+    asyncio.run(whole())
+
+
 def test_init_never_replaces_a_log(tmp_path):
     init_folder(tmp_path / "c1", "c1")
     with pytest.raises(StorageError, match="first start only"):
