--- a/tests/test_raft_rules.py
+++ b/tests/test_raft_rules.py
@@ -20,7 +20,7 @@
     VoteReq,
 )
 from gooseberrydale.version.replication.raft import RaftNode, Stored
-from tests.builders_replication import membership, small_cfg
+from tests.builders_replication import formed, membership, small_cfg
 
 NAMES = ("c1", "c2", "c3")
 ME, SECOND, THIRD = (Member(name, f"{name}-0") for name in NAMES)
@@ -148,3 +148,51 @@
     assert node.commit == 0
     node.step(act.Synced(3, term), START + 3)
     assert node.commit == 3
+
+
+def test_snapshot_keeps_the_membership_of_its_index():
+    node, term, now = repairing()
+    receive(node, NEW, AppendReply(term, True, 2, now), now)
+    node.step(act.Tick(), now)
+    actions = node.step(act.SnapshotTaken(2, b""), now)
+    saved = next(a for a in actions if isinstance(a, act.SaveSnapshot))
+    assert saved.snapshot.membership == membership("c1", "c2")
+    assert saved.entries[0].membership.has(NEW.identity)
+
+
+@pytest.mark.parametrize("cluster, target", [("x", "c1-9"), ("y", ME.identity)])
+def test_message_for_another_identity_or_cluster_is_ignored(cluster, target):
+    node = node_with(stored(membership(*NAMES)))
+    envelope = Envelope(cluster, SECOND, target, heartbeat(5))
+    assert not node.step(act.Received(envelope), START)
+    assert node.state.term == 1
+
+
+def test_member_that_was_replaced_unknowingly_asks_to_join():
+    node = node_with(stored(membership(*NAMES)))
+    node.step(act.Tick(), START + 3)
+    actions = node.step(act.Tick(), START + 4)
+    sent = [a.envelope.body for a in actions if isinstance(a, act.Send)]
+    assert JoinReq() in sent
+
+
+def test_leader_without_a_lease_steps_down():
+    node = node_with(stored(membership(*NAMES)))
+    elect(node, START + 3)
+    node.step(act.Tick(), START + 3.7)
+    assert node.role is Role.LEADER
+    node.step(act.Tick(), START + 3.9)
+    assert node.role is Role.FOLLOWER
+
+
+def test_replaced_disk_that_returns_is_taken_in_again():
+    cluster = formed(3)
+    replica = cluster.replicas["c3"]
+    former = replica.identity, replica.stored
+    cluster.wipe(replica)
+    cluster.restart(replica)
+    cluster.run_until(cluster.full)
+    cluster.crash(replica)
+    replica.identity, replica.stored = former
+    cluster.restart(replica)
+    cluster.run_until(cluster.full)
