Leave revisions and fencing numbers out after a recovery

Cause: a cluster recovered from one disk may have lost its newest entries. Its next change would have carried a revision that other processes hold with another content, which they take for a broken invariant and stop; its next order would have carried a number that an upstream has seen. Ruled out: a command of the leader after its election: a change could be committed before it. Each entry now names its cluster, so that the state sees the recovery before it looks at the first request. Change: 1,000,000 numbers are left out when the cluster changes; the leader proposes an empty entry at once.

--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -20,10 +20,15 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Command:
-    """One log entry: requests applied in order at ``wall_s`` (Unix seconds)."""
+    """One log entry: requests applied in order at ``wall_s`` (Unix seconds).
+
+    ``cluster`` is the id of the proposer's cluster; it changes when a cluster is
+    recovered from one disk.
+    """
 
     wall_s: float
     requests: tuple[bytes, ...]
+    cluster: str = ""
 
 
 @message
--- a/gooseberrydale/process/control/group_commit.py
+++ b/gooseberrydale/process/control/group_commit.py
@@ -119,7 +119,8 @@
         return group
 
     async def _commit(self, group: list[_Waiting]) -> None:
-        command = encode(Command(self._wall(), tuple(item.data for item in group)))
+        requests = tuple(item.data for item in group)
+        command = encode(Command(self._wall(), requests, self._proposer.cluster))
         try:
             result = await self._proposer.propose(command, PROPOSE_TIMEOUT_S)
         except BaseException:
--- a/gooseberrydale/process/control/proposer.py
+++ b/gooseberrydale/process/control/proposer.py
@@ -26,6 +26,10 @@
     def leader(self) -> str:
         """gRPC address of the leader as far as known, else empty."""
 
+    @property
+    def cluster(self) -> str:
+        """Id of the cluster that this process belongs to; empty if there is none."""
+
     async def propose(self, command: bytes, timeout_s: float) -> Result[bytes, Problem]:
         """Commit ``command`` and return the state machine's answer."""
 
@@ -47,6 +51,11 @@
         """Empty: there is nobody to redirect to."""
         return ""
 
+    @property
+    def cluster(self) -> str:
+        """Empty: there is no cluster."""
+        return ""
+
     async def propose(self, command: bytes, timeout_s: float) -> Result[bytes, Problem]:
         """Apply ``command``; never fails."""
         self._index += 1
@@ -69,6 +78,11 @@
         """gRPC address of the leader as far as the replica knows."""
         return self._replica.leader_address
 
+    @property
+    def cluster(self) -> str:
+        """Id of the cluster that the replica belongs to."""
+        return self._replica.status.cluster
+
     async def propose(self, command: bytes, timeout_s: float) -> Result[bytes, Problem]:
         """Commit ``command`` by a quorum and return the state machine's answer."""
         return await self._replica.propose(command, timeout_s)
--- a/gooseberrydale/process/control/upkeep.py
+++ b/gooseberrydale/process/control/upkeep.py
@@ -53,6 +53,12 @@
     async def _propose_due(self) -> None:
         if self._state.limits != self._limits:
             await self._commit.ask(SetLimitsReq(self._limits))
-        due_s = self._state.next_due_s()
-        if due_s is not None and due_s <= self._wall():
+        if self._is_due():
             await self._commit.ask(TickReq())
+
+    def _is_due(self) -> bool:
+        # After a recovery any entry will do to leave the lost revisions behind.
+        if self._state.cluster != self._proposer.cluster:
+            return True
+        due_s = self._state.next_due_s()
+        return due_s is not None and due_s <= self._wall()
--- a/gooseberrydale/version/control_state.py
+++ b/gooseberrydale/version/control_state.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from result import Err, Ok, Result
@@ -53,6 +53,8 @@
 from gooseberrydale.version.declarations import Config, Profile, Workspace
 from gooseberrydale.version.orders import OrderBook
 
+SKIPPED_AFTER_RECOVERY = 1_000_000
+
 
 @message
 @dataclass(frozen=True, slots=True)
@@ -74,6 +76,7 @@
     order_last_number: int
     fences: dict[str, int]
     claims: tuple[ClaimRecord, ...]
+    cluster: str = ""
 
 
 class ControlState:
@@ -90,6 +93,7 @@
         self.audit = AuditTrail()
         self.orders = OrderBook()
         self.claims = ClaimTable()
+        self.cluster = ""
         self._handlers: dict[type[Any], Callable[[Any], Any]] = {
             ChangeReq: self._change,
             PlaceOrderReq: self._place_order,
@@ -116,6 +120,7 @@
         requests = [_read_request(index, data) for data in entry.requests]
         self.index = index
         self.now_s = max(self.now_s, entry.wall_s)
+        self._enter_cluster(entry.cluster)
         self.claims.expire(self.now_s)
         self.orders.advance(self.now_s, self.limits)
         replies = tuple(encode(self._handle(req)) for req in requests)
@@ -140,6 +145,7 @@
                 order_last_number=self.orders.last_number,
                 fences=self.orders.fences,
                 claims=self.claims.records,
+                cluster=self.cluster,
             )
         )
 
@@ -164,6 +170,7 @@
             kept.orders, kept.order_last_id, kept.order_last_number, kept.fences
         )
         self.claims = ClaimTable(kept.claims)
+        self.cluster = kept.cluster
 
     def try_out(self, req: ChangeReq) -> ChangeReply:
         """Say what ``req`` would come to now, without making the change."""
@@ -178,6 +185,18 @@
         times = (self.orders.next_deadline_s(), self.claims.next_expiry_s())
         return min((time for time in times if time is not None), default=None)
 
+    def _enter_cluster(self, cluster: str) -> None:
+        """Leave numbers out when the log goes on as another cluster.
+
+        The recovery may have lost changes and orders that are in force elsewhere;
+        their numbers must not come again with another content.
+        """
+        if cluster and self.cluster and cluster != self.cluster:
+            revision = self.config.revision + SKIPPED_AFTER_RECOVERY
+            self._set_config(replace(self.config, revision=revision))
+            self.orders.skip_numbers(SKIPPED_AFTER_RECOVERY)
+        self.cluster = cluster or self.cluster
+
     def _handle(self, req: Any) -> Any:
         return self._handlers[type(req)](req)
 
--- a/gooseberrydale/version/orders.py
+++ b/gooseberrydale/version/orders.py
@@ -151,6 +151,10 @@
             loads += is_load
             self._issue(order, now_s + limits.order_deadline_s)
 
+    def skip_numbers(self, count: int) -> None:
+        """Leave out numbers that a lost part of the log may have given."""
+        self._last_number += count
+
     def _issue(self, order: Order, deadline_s: float) -> None:
         number = self._last_number + 1
         check_fence(self._fences.get(order.upstream, 0), number)
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -71,11 +71,14 @@
     return FinishReq("fraser", "k1", by or holder(), 200, body=body, **fields)
 
 
-def command(*requests: Any, wall_s: float = 0.0) -> bytes:
-    return encode(Command(wall_s, tuple(encode(req) for req in requests)))
+def command(*requests: Any, wall_s: float = 0.0, cluster: str = "") -> bytes:
+    return encode(Command(wall_s, tuple(encode(req) for req in requests), cluster))
 
 
-def run(state: ControlState, *requests: Any, wall_s: float = 0.0) -> list[Any]:
+def run(
+    state: ControlState, *requests: Any, wall_s: float = 0.0, cluster: str = ""
+) -> list[Any]:
     """Commit requests as one entry and return their replies."""
-    answer = state.apply(state.index + 1, command(*requests, wall_s=wall_s))
+    entry = command(*requests, wall_s=wall_s, cluster=cluster)
+    answer = state.apply(state.index + 1, entry)
     return [decode(reply) for reply in decode(answer).replies]
--- a/tests/test_control_replicated.py
+++ b/tests/test_control_replicated.py
@@ -7,7 +7,8 @@
 from collections.abc import Awaitable, Callable
 
 from gooseberrydale.connection.control_client import ControlClient
-from gooseberrydale.process.control.first_start import init_folder
+from gooseberrydale.process.control.first_start import init_folder, recover_folder
+from gooseberrydale.version.control_state import SKIPPED_AFTER_RECOVERY
 from tests.builders_control import claim, finish, holder
 from tests.builders_operators import FLEET_TOKEN, Cluster
 
@@ -97,6 +98,23 @@
     run(tmp_path, steps)
 
 
+def test_recovery_from_one_disk_leaves_revisions_out(tmp_path):
+    async def steps(cluster: Cluster) -> None:
+        assert await change(cluster, FIRST) == 1
+        await in_force(cluster, 1)
+        await cluster.stop(*cluster.names)
+        recover_folder(tmp_path / "control-1", "control-1", force=True)
+        await cluster.start("control-1")
+        await in_force(cluster, SKIPPED_AFTER_RECOVERY)
+        async with cluster.client() as operator:
+            resent = (await operator.post("/v1/profiles", FIRST)).unwrap()
+            table = (await operator.get_from_leader("/v1/config")).unwrap()
+        assert resent["revision"] == 1 and table["revision"] > SKIPPED_AFTER_RECOVERY
+        assert [profile["name"] for profile in table["profiles"]] == ["summary"]
+
+    run(tmp_path, steps)
+
+
 def test_nothing_is_committed_without_a_quorum_nor_lost_afterwards(tmp_path):
     async def steps(cluster: Cluster) -> None:
         assert await change(cluster, FIRST) == 1
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -21,6 +21,7 @@
 )
 from gooseberrydale.errors import InvariantError
 from gooseberrydale.version.claims import check_successor
+from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.control_state import ControlState, check_revision
 from gooseberrydale.version.orders import check_fence
 from tests.builders_control import (
@@ -303,3 +304,22 @@
     for changed in (replace(ended.record, body=b"x"), ended.record):
         with pytest.raises(InvariantError):
             check_successor(ended.record, changed)
+
+
+def test_numbers_of_a_lost_part_of_the_log_never_come_again():
+    state, recovered = ControlState(), ControlState()
+    run(state, FIRST, order("a", "o1"), cluster="before")
+    recovered.restore(state.snapshot())
+    lost = change(apply_profile("lost"), change_id="c2", base=1)
+    run(state, lost, order("b", "o2"), cluster="before")
+    everywhere = ConfigStore(state.config)
+    run(recovered, TickReq(), order("c", "o3"), cluster="after")
+    assert recovered.orders.last_number > state.orders.last_number
+    assert everywhere.offer(recovered.config)
+    skipped = recovered.config.revision
+    run(recovered, TickReq(), cluster="after")
+    assert recovered.config.revision == skipped
+    again = ControlState()
+    again.restore(recovered.snapshot())
+    run(again, TickReq(), cluster="after")
+    assert again.config.revision == skipped
