Report a wrong fleet token once, not at each try

Cause: the new test of a wrong token found the error logged at each try, about three times a second. Change: it is logged when the tries begin to fail.

--- a/gooseberrydale/connection/mesh_client.py
+++ b/gooseberrydale/connection/mesh_client.py
@@ -91,7 +91,8 @@
 
     def _log_failure(self, exc: grpc.aio.AioRpcError) -> None:
         """Log at a level that suits the cause; absent peers are ordinary."""
-        if exc.code() is grpc.StatusCode.UNAUTHENTICATED:
+        refused = exc.code() is grpc.StatusCode.UNAUTHENTICATED
+        if refused and not self._failed:
             remedy = problem(WRONG_FLEET_TOKEN).message
             logger.error("mesh session to {} refused: {}", self.address, remedy)
         else:
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -50,6 +50,7 @@
         entries: tuple[str, ...] = (),
         revision: int = 0,
         port: int = 0,
+        token: str = TOKEN,
     ) -> None:
         self.incarnation = f"{name}-{life:04d}"
         self.directory = Directory()
@@ -65,12 +66,12 @@
             self.directory,
             self.store,
             lambda: self.own,
-            TOKEN,
+            token,
             self.incarnation,
             on_ack=self.acks.append,
         )
         self._serves = role != "sidecar"
-        self._rpc = RpcServer(f"127.0.0.1:{port}", TOKEN)
+        self._rpc = RpcServer(f"127.0.0.1:{port}", token)
 
     @property
     def port(self) -> int:
--- a/tests/test_mesh_session.py
+++ b/tests/test_mesh_session.py
@@ -8,6 +8,8 @@
 from dataclasses import replace
 from typing import Any, Protocol
 
+from loguru import logger
+
 from gooseberrydale.version.declarations import Config
 from tests.builders_mesh import LEASE_S, Member, until
 from tests.relay import Relay, RelayMode
@@ -180,6 +182,23 @@
     run(main)
 
 
+def test_a_wrong_fleet_token_opens_no_session_and_is_reported_once():
+    async def main(members: Group) -> None:
+        logged: list[str] = []
+        sink = logger.add(logged.append, level="ERROR", format="{message}")
+        entry = await members.add(Member("entry", "e1"))
+        relay = await members.add(Relay(entry.port))
+        await members.add(
+            Member("sidecar", "u1", entries=(relay.address,), token="another")
+        )
+        await until(lambda: relay.accepted >= 4)
+        logger.remove(sink)
+        assert entry.ready() == [] and not entry.mesh.connected
+        assert len(logged) == 1 and "fleet_token_file" in logged[0]
+
+    run(main)
+
+
 def test_an_entry_listed_under_another_address_does_not_keep_a_session_to_itself():
     async def main(members: Group) -> None:
         relay = await members.add(Relay(0))
