Measure slopes of declarations and changes in control

Cause: the capacity page needs what a workspace, a profile and a change cost. Ruled out: changes over many replicas, as the cost of one is what the page multiplies. Change: three experiments; reports name the commit that was there when they began.

--- a/measure/overhead.py
+++ b/measure/overhead.py
@@ -59,6 +59,7 @@
 
 def overhead(runs: int, seed: int) -> str:
     """Run both ways ``runs`` times each; return the table."""
+    commit()
     began = time.monotonic()
     found: dict[str, list[Timing]] = {way: [] for way in WAYS}
     rng = random.Random(seed)
--- a/measure/report.py
+++ b/measure/report.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import functools
 import pathlib
 import subprocess
 
 
+@functools.cache
 def commit() -> str:
-    """Return the commit that runs, marked if the tree was changed."""
+    """Return the commit that runs, marked if the tree was changed.
+
+    It is read once: call it before the measure, as the tree may change meanwhile.
+    """
     done = subprocess.run(
         ["git", "describe", "--always", "--dirty"], capture_output=True, text=True
     )
--- a/measure/run.py
+++ b/measure/run.py
@@ -70,6 +70,7 @@
 
     ``runs`` has the number of runs of each policy by kind of failure.
     """
+    commit()
     parts = []
     with tempfile.TemporaryDirectory() as folder:
         site = Site(deployment, pathlib.Path(folder, "site"), direct=direct)
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -4,12 +4,13 @@
 straight line through processor time and memory.  Peers are stand-ins that speak the
 mesh (see ``stand_ins``).  A unit with a rate, such as a change, gives processor
 seconds per unit; a unit that is held, such as an upstream, gives processor seconds
-a second per unit.  docs/CAPACITY.md multiplies these slopes by the planned size.
+a second per unit.  Memory of a rate is what it has left behind after twelve seconds.  docs/CAPACITY.md multiplies these slopes by the planned size.
 """
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import pathlib
 import tempfile
@@ -23,12 +24,13 @@
 from gooseberrydale.connection.mesh import ENTRY_ROLE, SIDECAR_ROLE
 from gooseberrydale.connection.rpc import PROPOSE, RpcChannel
 from gooseberrydale.example.app_server import AppServer
+from gooseberrydale.version.declarations import Workspace
 from measure.fit import Line, fit
 from measure.report import commit
 from measure.stand_in_engine import EventSource
 from measure.stand_ins import Peer, Peers, config
 from measure.subject import Subject, Usage
-from tests.fleet import FLEET_TOKEN, UPSTREAM_HTTP
+from tests.fleet import FLEET_TOKEN, UPSTREAM_HTTP, key_digest
 
 SETTLE_S = 4.0
 WINDOW_S = 8.0
@@ -95,6 +97,29 @@
             task.cancel()
 
 
+async def declared_workspaces(subject: Subject, size: int) -> Usage:
+    """Hold ``size`` workspaces in the replicated state."""
+    await _declare(subject, size, PROFILES)
+    return await _settled(subject)
+
+
+async def declared_profiles(subject: Subject, size: int) -> Usage:
+    """Hold ``size`` profiles in the replicated state."""
+    await _declare(subject, 8, size)
+    return await _settled(subject)
+
+
+async def committed_changes(subject: Subject, size: int) -> Usage:
+    """Commit ``size`` operators' changes in ten seconds over 1,800 workspaces."""
+    await _declare(subject, WORKSPACES, PROFILES)
+    task = asyncio.create_task(_change(subject, size / 10))
+    try:
+        return await _settled(subject)
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
 async def claims(subject: Subject, size: int) -> Usage:
     """Commit ``size`` claims a second."""
     channel = RpcChannel(subject.address, FLEET_TOKEN)
@@ -139,6 +164,28 @@
         await asyncio.sleep(1 / rate)
 
 
+async def _declare(subject: Subject, workspace_count: int, profile_count: int) -> None:
+    wanted = config(0, workspace_count, profile_count)
+    await asyncio.to_thread(
+        subject.fleet.declare,
+        tuple(wanted.profiles.values()),
+        tuple(wanted.workspaces.values()),
+    )
+
+
+async def _change(subject: Subject, rate: float) -> None:
+    loop = asyncio.get_running_loop()
+    due = loop.time()
+    for number in itertools.count():
+        if rate <= 0:
+            return
+        due += 1 / rate
+        await asyncio.sleep(due - loop.time())
+        key = key_digest(f"changed-{number}")
+        workspace = Workspace("workspace-0", key_digests=(key,))
+        await asyncio.to_thread(subject.fleet.declare, (), (workspace,))
+
+
 async def _claim(channel: RpcChannel, rate: int) -> None:
     loop = asyncio.get_running_loop()
     holder = Holder("request", 0, "sidecar", "127.0.0.1:1", "1")
@@ -166,6 +213,14 @@
     Experiment("control", "peer that hears 400 upstreams", (0, 10, 20, 40), copies),
     Experiment("control", "sidecar session", (0, 40, 80, 160), sessions),
     Experiment("control", "claim per second", (0, 25, 50, 100), claims),
+    Experiment("control", "workspace", (0, 900, 1_800, 3_600), declared_workspaces),
+    Experiment("control", "profile", (0, 50, 100, 200), declared_profiles),
+    Experiment(
+        "control",
+        "change per 10 s, 1,800 workspaces",
+        (0, 5, 10, 20),
+        committed_changes,
+    ),
     Experiment(
         "sidecar", "cache event per second", (0, 500, 1_000, 2_000), cache_events
     ),
@@ -176,6 +231,7 @@
 def main(role: str = "", unit: str = "", repeats: int = 1) -> None:
     """Run the experiments (of one role or unit if given) and print the fits."""
     chosen = [e for e in EXPERIMENTS if role in e.role and unit in e.unit]
+    commit()
     began = time.monotonic()
     lines = [
         "| role | unit | sizes | CPU ms/s per unit | CPU fit R² | RSS kB per unit |"
--- a/measure/slopes_path.py
+++ b/measure/slopes_path.py
@@ -77,6 +77,7 @@
 
 def main(seed: int = 1) -> None:
     """Run all experiments and print the fits."""
+    commit()
     began = time.monotonic()
     one = replace(FRASERLINE, zones=("zone-1",), engines=1, services=0, entries=1)
     lines = [
