--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -4,7 +4,8 @@
 straight line through processor time and memory.  Peers are stand-ins that speak the
 mesh (see ``stand_ins``).  A unit with a rate, such as a change, gives processor
 seconds per unit; a unit that is held, such as an upstream, gives processor seconds
-a second per unit.  Memory of a rate is what it has left behind after twelve seconds.  docs/CAPACITY.md multiplies these slopes by the planned size.
+a second per unit.  Memory of a rate is what it has left behind after twelve seconds.
+docs/CAPACITY.md multiplies these slopes by the planned size.
 """
 
 from __future__ import annotations
@@ -110,7 +111,10 @@
 
 
 async def committed_changes(subject: Subject, size: int) -> Usage:
-    """Commit ``size`` operators' changes in ten seconds over 1,800 workspaces."""
+    """Commit ``size`` operators' changes in ten seconds over 1,800 workspaces.
+
+    Each comes with a read of the whole configuration, as a careful operator does.
+    """
     await _declare(subject, WORKSPACES, PROFILES)
     task = asyncio.create_task(_change(subject, size / 10))
     try:
