Test a role as a process: ready file, scrape, SIGTERM, a taken address

Cause: only the check of the binary ran a role through its whole life. Change: two tests in tests/test_cli.py on real processes with free ports. Conclusion: they fail without the listener for scrapes, without the handler of SIGTERM and with another exit code.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import json
+import socket
 import subprocess
 import sys
 from pathlib import Path
 
+import httpx2
 import pytest
 
 import gooseberrydale
+from tests.fleet import Process, wait_until
 from tests.test_cfg_file import ENTRY, FIVE_FAULTS, write
 
 BOUND_S = 60.0
+PORTS = 'rpc = "127.0.0.1:0"\ndrain_s = 0.5\n'
+METRICS = '[metrics]\nhttp = "127.0.0.1:0"\n'
 CONTROL = """
 [node]
 name = "control-1"
@@ -71,3 +77,37 @@
     for args in (("control",), ("control", "init"), ("control", "recover")):
         done = run(*args, "--cfg", path)
         assert done.returncode == 2 and "entry.http" in done.stderr
+
+
+def test_a_role_serves_where_its_ready_file_says_and_stops_on_sigterm(
+    tmp_path: Path,
+) -> None:
+    settings = write(tmp_path, ENTRY.replace("[entry]", f"{METRICS}[entry]\n{PORTS}"))
+    ready = tmp_path / "ready.json"
+    argv = [sys.executable, "-m", "gooseberrydale", "entry"]
+    flags = ["--cfg", str(settings), "--ready-file", str(ready)]
+    process = Process("entry", [*argv, *flags], tmp_path / "log")
+    try:
+        process.start()
+        wait_until(ready.exists, "the entry does not serve")
+        addresses = json.loads(ready.read_text())
+        for name, path in (("http", "/livez"), ("metrics", "/metrics")):
+            answer = httpx2.get(f"http://{addresses[name]}{path}", trust_env=False)
+            assert answer.status_code == 200, name
+        process.terminate()
+        assert process.wait() == 0
+    finally:
+        process.kill()
+    last = json.loads(process.output().splitlines()[-1])
+    assert (last["message"], last["name"]) == ("stopped", "entry-1")
+
+
+def test_a_taken_address_ends_a_role_with_its_own_code(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        text = ENTRY.replace("[entry]", f"[entry]\n{PORTS}")
+        done = run(
+            "entry", "--cfg", str(write(tmp_path, text.replace("127.0.0.1:0", address)))
+        )
+    assert done.returncode == 3
+    assert f"cannot listen on {address}" in done.stderr
