--- a/scripts/bench_routing.py
+++ b/scripts/bench_routing.py
@@ -9,6 +9,7 @@
 
 import random
 import time
+import tracemalloc
 from dataclasses import replace
 
 from gooseberrydale.connection.mesh import UpstreamRecord
@@ -19,6 +20,7 @@
 
 SIZES = (10, 100, 740)
 DECISIONS = 2_000
+STATE_DECISIONS = 20_000
 WORKSPACES = 50
 GUIDE_PIECES = 8
 LOTS = 20
@@ -81,6 +83,20 @@
     return choosing / DECISIONS * 1e6, learning / DECISIONS * 1e6
 
 
+def state_kib(count: int) -> float:
+    """Return what the router keeps after many decisions, in KiB."""
+    rng = random.Random(1)
+    records = upstreams(count)
+    policy = make_policy("affinity", random.Random(0))
+    tracemalloc.start()
+    for number in range(STATE_DECISIONS):
+        choice = policy.choose(request(rng, number), records, number * ARRIVAL_S)
+        policy.dispatched(choice.unwrap(), number * ARRIVAL_S)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / 1024
+
+
 def main() -> None:
     """Measure every policy at every size."""
     print(f"{'policy':14} {'upstreams':>9} {'records':>8} {'choose µs':>10} learn µs")
@@ -94,6 +110,9 @@
                     f"{name:14} {count:9} {records:>8} {choose_us:10.1f}"
                     f" {learn_us:8.1f}"
                 )
+    for count in SIZES:
+        kib = state_kib(count)
+        print(f"state of the router at {count} upstreams: {kib:.0f} KiB")
 
 
 if __name__ == "__main__":
