Open homes by the rate of requests, before a wait shows

Cause: at full size in the model p95 was 3.4 s: when another workspace became hot, its first home got several times what it can compute, and entries, each of which sends it less than two requests a second, heard of the wait only seconds later. Ruled out: heartbeats each quarter of a second in place of each second; in a trial the mean rose from 571 to 727 ms. Change: the router counts requests for each base. With the number of entries that share the traffic (RouteReq.entries, 1 if not given) and with what a request leaves to compute it opens as many homes as keep 60% busy, in rendezvous order as before.

--- a/gooseberrydale/request/candidates.py
+++ b/gooseberrydale/request/candidates.py
@@ -2,7 +2,8 @@
 
 The base of a prompt, such as a guide, has ranked homes.  The first one is in use;
 as long as all in use have to wait longer, beyond what the whole pool waits, than the
-prompt takes to compute anew, the next one joins.  Deeper levels, such as a lot, are
+prompt takes to compute anew, the next one joins; and as many are in use as the rate
+of requests for the base calls for.  Deeper levels, such as a lot, are
 divided among the homes in use, so that they lie where their base lies.  All entries
 see the same load and the same order, so they decide alike without a word.  Pure.
 """
@@ -14,6 +15,7 @@
 
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.request.affinity import Holders, Prefix, levels
+from gooseberrydale.request.demand import Demand, homes_needed
 from gooseberrydale.request.estimate import Estimates
 from gooseberrydale.request.members import Members
 
@@ -53,17 +55,19 @@
         self._rng = rng
         self._estimates = estimates
         self._holders = holders
+        self._demand = Demand()
 
     def collect(
         self,
         members: Members,
         prefixes: tuple[Prefix, ...],
         excluded: frozenset[str],
+        entries: int,
         now: float,
     ) -> dict[str, Candidate]:
         """Return the candidates by name; empty only if nothing is eligible."""
         found: dict[str, Candidate] = {}
-        self._add_homes(found, members, prefixes, excluded, now)
+        self._add_homes(found, members, prefixes, excluded, entries, now)
         self._add_holders(found, members, prefixes, excluded, now)
         wanted = RANDOM_WITH_HOMES if found else RANDOM_WITHOUT_HOMES
         self.add_random(found, members, excluded, wanted)
@@ -95,6 +99,7 @@
         members: Members,
         prefixes: tuple[Prefix, ...],
         excluded: frozenset[str],
+        entries: int,
         now: float,
     ) -> None:
         picked = levels(prefixes)
@@ -104,7 +109,10 @@
         names = [n for n in members.homes(base.key) if n not in excluded]
         if not names:
             return
-        in_use = self._in_use(members, names, prefixes[-1], now)
+        in_use = max(
+            self._in_use(members, names, prefixes[-1], now),
+            self._in_demand(members, names, base, prefixes, entries, now),
+        )
         for rank, name in enumerate(names[: max(in_use + 1, MIN_HOMES)]):
             # Later homes joined under load and have got the prefix later, if at all.
             belief = HOME_BELIEF / (1 + rank)
@@ -114,6 +122,22 @@
             tokens = prefix.tokens * HOME_BELIEF
             _add_better(found, Candidate(members.by_name[name], tokens))
 
+    def _in_demand(
+        self,
+        members: Members,
+        names: list[str],
+        base: Prefix,
+        prefixes: tuple[Prefix, ...],
+        entries: int,
+        now: float,
+    ) -> int:
+        """Return how many of the ranked homes the rate of requests calls for."""
+        seen = self._demand.count(base.key, now)
+        shared = prefixes[-2].tokens if len(prefixes) > 1 else 0
+        first = self._estimates.get(members.by_name[names[0]])
+        compute_s = (prefixes[-1].tokens - shared) / first.prefill_tps
+        return min(len(names), homes_needed(seen, entries, compute_s))
+
     def _in_use(
         self, members: Members, names: list[str], whole: Prefix, now: float
     ) -> int:
--- a/gooseberrydale/request/routing.py
+++ b/gooseberrydale/request/routing.py
@@ -53,7 +53,8 @@
 
     ``deadline_s`` is the time left to the first token; ``zone`` and ``region`` are
     the entry's; ``excluded`` names upstreams not to choose: those already tried and
-    those that the configuration marks as leaving.
+    those that the configuration marks as leaving.  ``entries`` is the number of
+    entries that share the traffic; with it hot prefixes are seen before a wait shows.
     """
 
     workspace: str
@@ -63,6 +64,7 @@
     zone: str = ""
     region: str = ""
     excluded: frozenset[str] = frozenset()
+    entries: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +125,9 @@
         """Return the candidate of least cost, or NO_UPSTREAM."""
         members = self._members.get(req.profile, upstreams)
         prefixes = self._scopes.prefixes(req.workspace, req.profile.model, req.pieces)
-        found = self._collector.collect(members, prefixes, req.excluded, now)
+        found = self._collector.collect(
+            members, prefixes, req.excluded, req.entries, now
+        )
         if not found:
             return Err(no_upstream(req))
         best = self._least(found, req, prefixes, now)
--- a/scripts/routing_model.py
+++ b/scripts/routing_model.py
@@ -251,7 +251,13 @@
         workspace = rng.choices(ranked, weights)[0]
         entry = rng.randrange(size.entries)
         pieces = prompt(workspace, rng.randrange(LOTS), rng.randbytes(16))
-        req = RouteReq(f"w{workspace}", PROFILE, pieces, zone=f"zone-{entry % ZONES}")
+        req = RouteReq(
+            f"w{workspace}",
+            PROFILE,
+            pieces,
+            zone=f"zone-{entry % ZONES}",
+            entries=size.entries,
+        )
         arrivals.append(Arrival(now, entry, req))
     return arrivals
 
