--- a/gooseberrydale/request/chooser.py
+++ b/gooseberrydale/request/chooser.py
@@ -18,9 +18,7 @@
 from gooseberrydale.request.routing import Choice, RouteReq
 
 RESUME_WAIT_S = 3.0
-NEWS_WAIT_S = 1.0
-"""How long a process that started or thawed waits for records of upstreams."""
-POLL_S = 0.05
+RESUME_POLL_S = 0.05
 # The sidecar may be well: only the connection was lost.
 CONNECTION_CAUSES = (Cause.LOST, Cause.SILENT)
 
@@ -51,18 +49,21 @@
         ``given`` says that the caller has a part of the answer: a stream that broke
         off waits a moment for an upstream.
         """
-        started = _now()
+        pool = self._job.profile.pool
+        directory = self._deps.directory
+        await self._deps.freshness.wait_for(lambda: bool(directory.ready(pool, _now())))
+        until = _now() + RESUME_WAIT_S
         while True:
             now = _now()
-            upstreams = self._deps.directory.ready(self._job.profile.pool, now)
+            upstreams = directory.ready(pool, now)
             found = self._deps.policy.choose(self._route_req(now), upstreams, now)
             if not isinstance(found, Err):
                 record = found.ok_value.record
                 self._tried[record.name] = record.incarnation
                 return found.ok_value
-            if now < started + self._wait_s(given, is_empty=not upstreams):
+            if given and now < until:
                 self._tried.clear()
-                await asyncio.sleep(POLL_S)
+                await asyncio.sleep(RESUME_POLL_S)
             elif self._second_tries:
                 self._second_tries = False
                 self._tried.clear()
@@ -70,14 +71,6 @@
                 why = self._none_left(found.err_value)
                 raise ProblemError(_honest(why, given, may_have_run))
 
-    def _wait_s(self, given: bool, *, is_empty: bool) -> float:
-        """How long to wait for an upstream; no refusal waits longer."""
-        if given:
-            return RESUME_WAIT_S
-        if is_empty and self._deps.freshness.is_fresh(_now()):
-            return min(NEWS_WAIT_S, max(self._left_s(), 0.0))
-        return 0.0
-
     def _none_left(self, why: Problem) -> Problem:
         """The refusal met before says more, if it says when to come back."""
         last = self._last_problem
--- a/gooseberrydale/request/deps.py
+++ b/gooseberrydale/request/deps.py
@@ -18,11 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Deps:
-    """Shared parts that a request uses but does not own.
-
-    While the process is fresh a request may wait a moment for records of
-    configuration and upstreams.
-    """
+    """Shared parts that a request uses but does not own."""
 
     cfg: EntryCfg
     node: NodeCfg
--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -185,3 +185,16 @@
         assert len(fake.cancelled) == 1
 
     run(scenario())
+
+
+def test_first_request_to_a_restarted_entry_waits_for_its_records() -> None:
+    async def scenario() -> None:
+        fake = FakeSidecar("u1")
+        async with running(fake) as _, running(config=Config()) as restarted:
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.1, lambda: restarted.store.offer(make_config()))
+            loop.call_later(0.3, lambda: introduce(restarted, fake))
+            text = await stream(restarted)
+        assert text_of(text) == TEXT
+
+    run(scenario())
