--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -230,18 +230,54 @@
     yield Failed(req.request_id, req.attempt, req.incarnation, 1, LOST, Load())
 
 
+async def raw_stream(client: openai.AsyncOpenAI, **fields: Any) -> str:
+    """A stream's text as it came over the wire."""
+    url = f"{client.base_url}chat/completions"
+    body = {"model": "lots", "messages": ASK, "stream": True, **fields}
+    headers = {"Authorization": f"Bearer {KEY_A}"}
+    async with httpx2.AsyncClient() as plain:
+        return (await plain.post(url, json=body, headers=headers)).text
+
+
+async def fail_at_end(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """The whole text, then a failure instead of the end."""
+    count = len(WORD_EVENTS)
+    yield fake.accepted(req)
+    for offset, event in enumerate(WORD_EVENTS):
+        yield fake.chunk(req, offset, event)
+    yield Failed(req.request_id, req.attempt, req.incarnation, count, LOST, Load())
+
+
+@pytest.mark.parametrize(
+    ("fields", "whole"),
+    [
+        ({}, True),
+        ({"stream_options": {"include_usage": True}}, False),
+        ({"n": 2}, False),
+    ],
+    ids=["text alone", "usage missing", "second choice missing"],
+)
+def test_text_that_is_complete_needs_no_more(
+    fields: dict[str, Any], whole: bool
+) -> None:
+    async def scenario() -> None:
+        fakes = pair(fail_at_end, go_on)
+        async with running(*fakes) as entry, client_of(entry) as client:
+            text = await raw_stream(client, **fields)
+        assert ("[DONE]" in text) == whole and ('"error"' in text) != whole
+        assert len(dispatches(fakes)) == 1
+
+    run(scenario())
+
+
 def test_stream_that_cannot_be_whole_ends_with_an_error_event() -> None:
     async def scenario() -> None:
         fakes = pair(call_tool, go_on)
         async with running(*fakes) as entry, client_of(entry) as client:
-            url = f"{client.base_url}chat/completions"
-            body = {"model": "lots", "messages": ASK, "stream": True}
-            headers = {"Authorization": f"Bearer {KEY_A}"}
-            async with httpx2.AsyncClient() as plain:
-                answer = await plain.post(url, json=body, headers=headers)
-        last = answer.text.strip().split("\n\n")[-1]
+            text = await raw_stream(client)
+        last = text.strip().split("\n\n")[-1]
         assert '"error"' in last and "upstream_failed" in last
-        assert "[DONE]" not in answer.text
+        assert "[DONE]" not in text
 
     run(scenario())
 
@@ -325,6 +361,8 @@
         fake.script = stall
         async with running(fake) as entry, client_of(entry) as client:
             now = asyncio.get_running_loop().time()
+            # Seen by routing before it is renewed; renewals are not routed anew.
+            assert entry.directory.ready(fake.pool, now)
             entry.directory.offer(replace(fake.record(), seq=2), now)
             reading = asyncio.create_task(read_stream(client))
             await until(lambda: bool(fake.dispatched))
