--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -1,7 +1,8 @@
 """The operators' HTTP interface: reads of the committed state, and changes.
 
-Lives as long as the process.  Reads answer from this replica's state; changes go
-through the log and are refused by a replica that does not lead.  Every path needs
+Lives as long as the process.  Reads answer from this replica's state, which may
+lag; with ``?from=leader`` only the leader answers them.  Changes go through the log
+and are refused by a replica that does not lead.  Every path needs
 an operator's token; attempts without one are audited.
 """
 
@@ -13,6 +14,7 @@
 from typing import Any, TypeVar
 
 import msgspec
+from loguru import logger
 from result import Err, Ok, Result
 from starlette.applications import Starlette
 from starlette.requests import ClientDisconnect, Request
@@ -145,10 +147,19 @@
             if operator is None:
                 self._note_wrong_token(request)
                 return refuse(problem(WRONG_OPERATOR_TOKEN))
+            refused = self._refuse_reader(request)
+            if refused is not None:
+                return refuse(refused)
             return await handler(request, operator)
 
         return Route(path, serve, methods=[method])
 
+    def _refuse_reader(self, request: Request) -> Problem | None:
+        """Refuse a read that wants the leader's state where there is none."""
+        if request.query_params.get("from") != "leader":
+            return None
+        return self._commit.refuse_if_not_leading()
+
     # Reads.
 
     async def _config(self, _request: Request, _operator: str) -> Response:
@@ -198,7 +209,7 @@
             "in_force_everywhere": everywhere,
             "processes": views.standing_tables(standings, revision, now),
             "control": self._replica_status(),
-            "claims": len(self._state.claims.records),
+            "claims": len(self._state.claims),
             "orders_open": len(self._state.orders.issued()),
         }
         return answer(table)
@@ -290,6 +301,8 @@
         if self._notes_left_out:
             detail += f", after {self._notes_left_out} more attempts"
         self._notes_left_out = 0
+        # A replica that does not lead can't commit the entry; then the log has it.
+        logger.warning("operator token refused: {}", detail)
         note = NoteReq("", "authenticate", detail, WRONG_OPERATOR_TOKEN.code)
         task = asyncio.ensure_future(self._commit.ask(note))
         self._notes.add(task)
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -26,13 +26,11 @@
 from gooseberrydale.request.baselines import make_policy
 from gooseberrydale.request.config_sync import ConfigSync
 from gooseberrydale.request.deps import Deps
-from gooseberrydale.request.freshness import Freshness
+from gooseberrydale.request.freshness import TICK_S, Freshness
 from gooseberrydale.request.retry import RetryBudget
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory, new_incarnation
 
-RETRY_BURST = 32
-HOUSEKEEPING_S = 1.0
 UNREADY_SHARE = 0.1
 UNREADY_MAX_S = 2.0
 LAST_ANSWERS_S = 2.0
@@ -97,7 +95,8 @@
 
     async def start(self) -> None:
         """Serve; raises OSError if an address can't be bound."""
-        freshness = Freshness(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        freshness = Freshness(now)
         deps = Deps(
             cfg=self._cfg,
             node=self._node,
@@ -105,7 +104,7 @@
             directory=self.directory,
             pool=self._pool,
             policy=make_policy(self._cfg.policy, self._rng),
-            budget=RetryBudget(self._cfg.retry_ratio, cap=RETRY_BURST),
+            budget=RetryBudget(self._cfg.retry_ratio),
             background=self._background,
             config_sync=ConfigSync(self.store, self._pool, self._background),
             instruments=self._metrics.instruments,
@@ -173,7 +172,7 @@
             level.cfg_revision = self.store.revision
             level.sessions = len(self._mesh.peers())
             level.running = self._keeper.open_requests if self._keeper else 0
-            await asyncio.sleep(HOUSEKEEPING_S)
+            await asyncio.sleep(TICK_S)
 
     def _dial(self, address: str) -> RpcChannel:
         return RpcChannel(address, self._token, self._tls)
--- a/tests/builders_entry.py
+++ b/tests/builders_entry.py
@@ -12,6 +12,7 @@
 from typing import Any, TypeVar
 
 import msgspec
+import openai
 
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import (
@@ -49,6 +50,7 @@
 from gooseberrydale.version.key_index import key_digest
 
 TOKEN = "fleet-token"
+ASK = [{"role": "user", "content": "Is lot 42 fine?"}]
 KEY_A = "key-of-a"
 KEY_B = "key-of-b"
 HEARTBEAT_S = 0.1
@@ -259,6 +261,7 @@
 
 
 WORDS = ("Lot ", "42 ", "runs ", "well.")
+TEXT = "".join(WORDS)
 WORD_EVENTS = (*(chat_event(w) for w in WORDS), chat_event(None, "stop"))
 
 
@@ -307,6 +310,33 @@
         entry.directory.offer(fake.record(port), now)
 
 
+def openai_client(entry: Entry, key: str = KEY_A) -> openai.AsyncOpenAI:
+    """The unmodified client, without retries of its own."""
+    return openai.AsyncOpenAI(
+        base_url=f"http://{entry.addresses['http']}/v1", api_key=key, max_retries=0
+    )
+
+
+async def ask(client: openai.AsyncOpenAI, **fields: Any) -> Any:
+    """Ask for a chat completion."""
+    fields = {"model": "lots", "messages": ASK, **fields}
+    return await client.chat.completions.create(**fields)
+
+
+async def read_text(stream: Any) -> str:
+    """The whole text of a streamed answer, whose events name the profile."""
+    parts = []
+    async for event in stream:
+        assert event.model == "lots"
+        parts.append(event.choices[0].delta.content or "")
+    return "".join(parts)
+
+
+async def read_stream(client: openai.AsyncOpenAI, **fields: Any) -> str:
+    """Ask for a stream and read its whole text."""
+    return await read_text(await ask(client, stream=True, **fields))
+
+
 def run(scenario: Coroutine[Any, Any, T]) -> T:
     """Run a test's scenario on a loop of its own, within a generous bound."""
 
--- a/tests/test_entry_answers.py
+++ b/tests/test_entry_answers.py
@@ -6,47 +6,25 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-import openai
-
 from gooseberrydale.connection.messages import DispatchReq
-from gooseberrydale.process.entry import Entry
 from tests.builders_entry import (
-    KEY_A,
-    WORDS,
+    TEXT,
     FakeSidecar,
+    ask,
     chat_body,
     chat_event,
+    openai_client,
+    read_stream,
+    read_text,
     run,
     running,
 )
 
-TEXT = "".join(WORDS)
-ASK = [{"role": "user", "content": "Is lot 42 fine?"}]
-
-
-def client_of(entry: Entry, key: str = KEY_A) -> openai.AsyncOpenAI:
-    return openai.AsyncOpenAI(
-        base_url=f"http://{entry.addresses['http']}/v1", api_key=key, max_retries=0
-    )
-
-
-async def ask(client: Any, **kwargs: Any) -> Any:
-    kwargs = {"model": "lots", "messages": ASK, **kwargs}
-    return await client.chat.completions.create(**kwargs)
-
-
-async def read_text(stream: Any) -> str:
-    parts = []
-    async for event in stream:
-        assert event.model == "lots"
-        parts.append(event.choices[0].delta.content or "")
-    return "".join(parts)
-
 
 def test_plain_chat_answer_names_the_profile() -> None:
     async def scenario() -> None:
         fake = FakeSidecar("u1")
-        async with running(fake) as entry, client_of(entry) as client:
+        async with running(fake) as entry, openai_client(entry) as client:
             answer = await ask(client)
         assert answer.choices[0].message.content == TEXT
         assert answer.model == "lots"
@@ -60,8 +38,8 @@
 def test_streamed_chat_answer_is_whole() -> None:
     async def scenario() -> None:
         fake = FakeSidecar("u1")
-        async with running(fake) as entry, client_of(entry) as client:
-            text = await read_text(await ask(client, stream=True))
+        async with running(fake) as entry, openai_client(entry) as client:
+            text = await read_stream(client)
         assert text == TEXT
 
     run(scenario())
@@ -88,7 +66,7 @@
     async def scenario() -> None:
         fake = FakeSidecar("u1")
         fake.script = echo_late
-        async with running(fake) as entry, client_of(entry) as client:
+        async with running(fake) as entry, openai_client(entry) as client:
             asks = [[{"role": "user", "content": c}] for c in ("first", "second")]
             plain, stream = await asyncio.gather(
                 ask(client, messages=asks[0]),
@@ -102,7 +80,7 @@
 
 def test_models_are_the_profiles_of_the_workspace() -> None:
     async def scenario() -> None:
-        async with running() as entry, client_of(entry) as client:
+        async with running() as entry, openai_client(entry) as client:
             names = [model.id async for model in client.models.list()]
         assert names == ["lots"]
 
--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -16,6 +16,7 @@
 from tests.builders_entry import (
     KEY_A,
     KEY_B,
+    TEXT,
     WORD_EVENTS,
     WORDS,
     FakeSidecar,
@@ -27,7 +28,6 @@
     until,
 )
 
-TEXT = "".join(WORDS)
 CHAT = {"model": "lots", "messages": [{"role": "user", "content": "?"}]}
 DONE = "data: [DONE]"
 
--- a/tests/test_entry_sidecar.py
+++ b/tests/test_entry_sidecar.py
@@ -10,6 +10,7 @@
 
 import httpx2
 import openai
+import pytest
 
 from gooseberrydale.example.app_server import AppServer
 from gooseberrydale.example.engine_app import engine_app
@@ -20,9 +21,18 @@
 from gooseberrydale.process.sidecar import Sidecar
 from gooseberrydale.version.claims import ClaimTable
 from tests.builders_claims import FakeControl
-from tests.builders_entry import KEY_A, make_cfg, make_config, run, running, until
+from tests.builders_entry import (
+    KEY_A,
+    ask,
+    make_cfg,
+    make_config,
+    openai_client,
+    read_stream,
+    run,
+    running,
+    until,
+)
 
-ASK = [{"role": "user", "content": "Is lot 42 fine?"}]
 SERVICE_S = 0.8
 
 
@@ -54,24 +64,14 @@
     return len([r for r in entry.directory.records(now) if r.ready]) == count
 
 
-async def read_stream(client: openai.AsyncOpenAI) -> str:
-    stream = await client.chat.completions.create(
-        model="lots", messages=ASK, stream=True, max_tokens=20  # type: ignore
-    )
-    return "".join([e.choices[0].delta.content or "" async for e in stream])
-
-
 def test_answers_pass_from_an_engine_to_the_caller() -> None:
     async def scenario() -> None:
         app = engine_app(HostCfg(model="m1"))
         async with running() as entry, beside(entry, "u1", app, "summary"):
             await until(lambda: knows(entry, 1))
-            base = f"http://{entry.addresses['http']}/v1"
-            async with openai.AsyncOpenAI(base_url=base, api_key=KEY_A) as client:
-                texts = [await read_stream(client) for _ in range(2)]
-                plain = await client.chat.completions.create(
-                    model="lots", messages=ASK, max_tokens=20  # type: ignore
-                )
+            async with openai_client(entry) as client:
+                texts = [await read_stream(client, max_tokens=20) for _ in range(2)]
+                plain = await ask(client, max_tokens=20)
         assert texts[0] and texts[0] == texts[1] == plain.choices[0].message.content
         assert plain.model == "lots"
 
@@ -115,13 +115,10 @@
             await until(lambda: knows(entry, 1))
             leaving = replace(make_config(2), leaving=frozenset({"u1"}))
             entry.store.offer(leaving)
-            base = f"http://{entry.addresses['http']}/v1"
-            options: dict[str, Any] = {"api_key": KEY_A, "max_retries": 0}
-            async with openai.AsyncOpenAI(base_url=base, **options) as client:
-                try:
+            async with openai_client(entry) as client:
+                with pytest.raises(openai.APIStatusError) as caught:
                     await read_stream(client)
-                except openai.APIStatusError as exc:
-                    refused = exc.response
+        refused = caught.value.response
         assert refused.status_code == 503 and "retry-after" in refused.headers
 
     run(scenario())
--- a/tests/test_mesh_messages.py
+++ b/tests/test_mesh_messages.py
@@ -19,7 +19,7 @@
 from gooseberrydale.version.declarations import Config
 from gooseberrydale.version.directory import Directory
 from tests.builders_mesh import record
-from tests.clock import run_paused
+from tests.clock import PausedClockLoop, run_paused
 
 OPEN_S = 1.0
 SILENCE_S = 3.0
@@ -45,7 +45,7 @@
             self.pump(ends[0], to_server, "opener"),
             self.pump(ends[1], to_opener, "server"),
         ]
-        self.tasks = [asyncio.create_task(pump) for pump in pumps]
+        self.senders = [asyncio.create_task(pump) for pump in pumps]
         self.opener = asyncio.create_task(ends[0].run(self.feed(to_opener), OPEN_S))
         self.server = asyncio.create_task(ends[1].run(self.feed(to_server), OPEN_S))
 
@@ -73,8 +73,26 @@
         assert 100 <= pipe.count(RevisionAck) <= 130
         pipe.silent = {"opener", "server"}
         await asyncio.sleep(SILENCE_S + 0.1)
-        assert await pipe.opener is SessionEnd.SILENT
-        assert await pipe.server is SessionEnd.SILENT
+        assert pipe.opener.done() and pipe.server.done()
+        assert pipe.opener.result() is pipe.server.result() is SessionEnd.SILENT
+        assert all(sender.done() for sender in pipe.senders)
+
+    run_paused(main())
+
+
+def test_a_process_that_was_frozen_reads_what_came_before_it_gives_peers_up():
+    async def main() -> None:
+        pipe = Pipe(await make_node("sidecar", "u1"), await make_node("entry", "e1"))
+        await asyncio.sleep(2.5)
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, PausedClockLoop)
+        loop.stall(30)
+        await asyncio.sleep(10)
+        assert not pipe.opener.done() and not pipe.server.done()
+        loop.stall(30)
+        pipe.silent = {"opener", "server"}
+        await asyncio.sleep(1)
+        assert pipe.opener.done() and pipe.server.done()
 
     run_paused(main())
 
@@ -87,7 +105,7 @@
             session.run(Pipe.feed(None, pipe_feed), OPEN_S)  # type: ignore[arg-type]
         )
         await asyncio.sleep(OPEN_S + 0.1)
-        assert await run is SessionEnd.SILENT
+        assert run.done() and run.result() is SessionEnd.SILENT
 
     run_paused(main())
 
