--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -16,37 +16,26 @@
 from gooseberrydale.errors import QUEUE_FULL, UPSTREAM_FAILED, Problem, problem
 from gooseberrydale.process.entry import Entry
 from tests.builders_entry import (
+    ASK,
     KEY_A,
+    TEXT,
     WORD_EVENTS,
     WORDS,
     FakeSidecar,
     answer_words,
+    ask,
     beat,
     chat_event,
     introduce,
     make_config,
+    openai_client,
+    read_stream,
     run,
     running,
     until,
 )
 from tests.relay import Relay
 
-TEXT = "".join(WORDS)
-ASK = [{"role": "user", "content": "Is lot 42 fine?"}]
-
-
-def client_of(entry: Entry) -> openai.AsyncOpenAI:
-    return openai.AsyncOpenAI(
-        base_url=f"http://{entry.addresses['http']}/v1", api_key=KEY_A, max_retries=0
-    )
-
-
-async def read_stream(client: openai.AsyncOpenAI) -> str:
-    stream = await client.chat.completions.create(
-        model="lots", messages=ASK, stream=True  # type: ignore[arg-type]
-    )
-    return "".join([e.choices[0].delta.content or "" async for e in stream])
-
 
 async def bid(entry: Entry) -> httpx2.Response:
     base = f"http://{entry.addresses['http']}"
@@ -158,7 +147,7 @@
         fake.script = stall
         async with relayed(fake) as relay, running() as entry:
             introduce(entry, fake, port=relay.port)
-            async with client_of(entry) as client:
+            async with openai_client(entry) as client:
                 reading = asyncio.create_task(read_stream(client))
                 await until(lambda: bool(fake.dispatched))
                 await asyncio.sleep(0.1)
@@ -177,7 +166,7 @@
 def test_stream_is_resumed_on_another_upstream(first: Any) -> None:
     async def scenario() -> None:
         fakes = pair(first, go_on)
-        async with running(*fakes) as entry, client_of(entry) as client:
+        async with running(*fakes) as entry, openai_client(entry) as client:
             assert await read_stream(client) == TEXT
         resumed = dispatches(fakes)[1]
         assert resumed.emitted == "".join(WORDS[:2])
@@ -189,10 +178,8 @@
 def test_plain_answer_starts_anew_after_a_failure() -> None:
     async def scenario() -> None:
         fakes = pair(fail(LOST), answer_words)
-        async with running(*fakes) as entry, client_of(entry) as client:
-            answer = await client.chat.completions.create(
-                model="lots", messages=ASK  # type: ignore[arg-type]
-            )
+        async with running(*fakes) as entry, openai_client(entry) as client:
+            answer = await ask(client)
         assert answer.choices[0].message.content == TEXT
         assert dispatches(fakes)[1].first_offset == 0
 
@@ -202,7 +189,7 @@
 def test_full_queue_sends_the_request_elsewhere() -> None:
     async def scenario() -> None:
         fakes = pair(refuse, answer_words)
-        async with running(*fakes) as entry, client_of(entry) as client:
+        async with running(*fakes) as entry, openai_client(entry) as client:
             assert await read_stream(client) == TEXT
 
     run(scenario())
@@ -211,7 +198,7 @@
 def test_refusal_of_all_is_final_and_says_not_run() -> None:
     async def scenario() -> None:
         fakes = pair(refuse, refuse)
-        async with running(*fakes) as entry, client_of(entry) as client:
+        async with running(*fakes) as entry, openai_client(entry) as client:
             with pytest.raises(openai.RateLimitError) as caught:
                 await read_stream(client)
         error = caught.value.body
@@ -230,18 +217,54 @@
     yield Failed(req.request_id, req.attempt, req.incarnation, 1, LOST, Load())
 
 
+async def raw_stream(client: openai.AsyncOpenAI, **fields: Any) -> str:
+    """A stream's text as it came over the wire."""
+    url = f"{client.base_url}chat/completions"
+    body = {"model": "lots", "messages": ASK, "stream": True, **fields}
+    headers = {"Authorization": f"Bearer {KEY_A}"}
+    async with httpx2.AsyncClient() as plain:
+        return (await plain.post(url, json=body, headers=headers)).text
+
+
+async def fail_at_end(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """The whole text, then a failure instead of the end."""
+    count = len(WORD_EVENTS)
+    yield fake.accepted(req)
+    for offset, event in enumerate(WORD_EVENTS):
+        yield fake.chunk(req, offset, event)
+    yield Failed(req.request_id, req.attempt, req.incarnation, count, LOST, Load())
+
+
+@pytest.mark.parametrize(
+    ("fields", "whole"),
+    [
+        ({}, True),
+        ({"stream_options": {"include_usage": True}}, False),
+        ({"n": 2}, False),
+    ],
+    ids=["text alone", "usage missing", "second choice missing"],
+)
+def test_text_that_is_complete_needs_no_more(
+    fields: dict[str, Any], whole: bool
+) -> None:
+    async def scenario() -> None:
+        fakes = pair(fail_at_end, go_on)
+        async with running(*fakes) as entry, openai_client(entry) as client:
+            text = await raw_stream(client, **fields)
+        assert ("[DONE]" in text) == whole and ('"error"' in text) != whole
+        assert len(dispatches(fakes)) == 1
+
+    run(scenario())
+
+
 def test_stream_that_cannot_be_whole_ends_with_an_error_event() -> None:
     async def scenario() -> None:
         fakes = pair(call_tool, go_on)
-        async with running(*fakes) as entry, client_of(entry) as client:
-            url = f"{client.base_url}chat/completions"
-            body = {"model": "lots", "messages": ASK, "stream": True}
-            headers = {"Authorization": f"Bearer {KEY_A}"}
-            async with httpx2.AsyncClient() as plain:
-                answer = await plain.post(url, json=body, headers=headers)
-        last = answer.text.strip().split("\n\n")[-1]
+        async with running(*fakes) as entry, openai_client(entry) as client:
+            text = await raw_stream(client)
+        last = text.strip().split("\n\n")[-1]
         assert '"error"' in last and "upstream_failed" in last
-        assert "[DONE]" not in answer.text
+        assert "[DONE]" not in text
 
     run(scenario())
 
@@ -308,7 +331,10 @@
         config = make_config()
         hasty = replace(config.profiles["lots"], deadline_s=0.3)
         config = replace(config, profiles={"lots": hasty})
-        async with running(fake, config=config) as entry, client_of(entry) as client:
+        async with (
+            running(fake, config=config) as entry,
+            openai_client(entry) as client,
+        ):
             with pytest.raises(openai.APIStatusError) as caught:
                 await read_stream(client)
             await until(lambda: bool(fake.cancelled))
@@ -323,7 +349,11 @@
     async def scenario() -> None:
         fake = FakeSidecar("u1")
         fake.script = stall
-        async with running(fake) as entry, client_of(entry) as client:
+        async with running(fake) as entry, openai_client(entry) as client:
+            now = asyncio.get_running_loop().time()
+            # Seen by routing before it is renewed; renewals are not routed anew.
+            assert entry.directory.ready(fake.pool, now)
+            entry.directory.offer(replace(fake.record(), seq=2), now)
             reading = asyncio.create_task(read_stream(client))
             await until(lambda: bool(fake.dispatched))
             await asyncio.sleep(0.1)
@@ -333,6 +363,7 @@
             await until(lambda: bool(fake.cancelled))
         [given_up] = fake.cancelled
         assert given_up.request_id == fake.dispatched[0].request_id
+        assert given_up.record_seq == fake.dispatched[0].record_seq == 2
 
     run(scenario())
 
@@ -359,7 +390,7 @@
     async def scenario() -> None:
         fake = FakeSidecar("u1")
         fake.script = babble
-        async with running(fake) as entry, client_of(entry) as client:
+        async with running(fake) as entry, openai_client(entry) as client:
             assert await read_stream(client) == TEXT
 
     run(scenario())
@@ -377,7 +408,7 @@
     async def scenario() -> None:
         fake = FakeSidecar("u1")
         fake.script = skip_one
-        async with running(fake) as entry, client_of(entry) as client:
+        async with running(fake) as entry, openai_client(entry) as client:
             assert await read_stream(client) == TEXT
         assert [req.offset for req in fake.attached] == [2]
 
@@ -390,7 +421,7 @@
         fake = FakeSidecar("u1")
         fake.config = make_config(theirs)
         async with running(fake, config=make_config(ours)) as entry:
-            async with client_of(entry) as client:
+            async with openai_client(entry) as client:
                 assert await read_stream(client) == TEXT
             await until(lambda: entry.store.revision == fake.config.revision == 5)
 
@@ -409,7 +440,7 @@
     async def scenario() -> None:
         fake = FakeSidecar("u1")
         fake.script = break_once
-        async with running(fake) as entry, client_of(entry) as client:
+        async with running(fake) as entry, openai_client(entry) as client:
             assert await read_stream(client) == TEXT
         assert [req.attempt for req in fake.dispatched] == [1, 2]
 
@@ -430,7 +461,7 @@
 
         for fake in fakes:
             fake.script = script
-        async with running(*fakes) as entry, client_of(entry) as client:
+        async with running(*fakes) as entry, openai_client(entry) as client:
             texts = await asyncio.gather(*[read_stream(client) for _ in range(40)])
         assert texts == [TEXT] * 40
         assert len(fakes[0].dispatched) > 12
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
-from gooseberrydale.request.freshness import FRESH_S, STALL_S, TICK_S, Freshness
+from gooseberrydale.request.freshness import (
+    FRESH_S,
+    MAX_WAIT_S,
+    STALL_S,
+    TICK_S,
+    Freshness,
+)
+from tests.clock import run_paused
 
 
 @pytest.mark.parametrize(
@@ -32,3 +41,18 @@
 
 def test_a_late_tick_is_no_stall():
     assert TICK_S < STALL_S < FRESH_S
+
+
+def test_wait_ends_when_the_record_comes_or_after_a_moment() -> None:
+    async def scenario() -> tuple[float, float]:
+        loop = asyncio.get_running_loop()
+        freshness = Freshness(loop.time())
+        started = loop.time()
+        await freshness.wait_for(lambda: loop.time() - started > 0.3)
+        first = loop.time() - started
+        await freshness.wait_for(lambda: False)
+        return first, loop.time() - started - first
+
+    first, second = run_paused(scenario())
+    assert 0.3 < first < 0.4
+    assert MAX_WAIT_S <= second < MAX_WAIT_S + 0.1
