--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -80,6 +80,7 @@
 
 
 @given("all requests have ended")
+@then("all requests have ended")
 @when("all requests have ended")
 def step_all_ended(context: Any) -> None:
     """Wait for the load in the background."""
