Tell routing how many entries share the traffic; fix the split in a test

Cause: routing sees hot prefixes early only if it knows the number of entries, and the entry left it at 1. Change: the number of listed entries goes into each choice; the test takes turns, with its assertions unchanged.

--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -47,6 +47,7 @@
             raise ValueError("the settings have no [entry] table; add one")
         self._cfg: EntryCfg = cfg.entry
         self._node = cfg.node
+        self._fleet = cfg.fleet
         self._token = cfg.fleet.token_file.read_text().strip()
         self._tls = tls_files(cfg.fleet.tls)
         self.store = ConfigStore()
@@ -100,6 +101,7 @@
         deps = Deps(
             cfg=self._cfg,
             node=self._node,
+            fleet=self._fleet,
             store=self.store,
             directory=self.directory,
             pool=self._pool,
--- a/gooseberrydale/request/chooser.py
+++ b/gooseberrydale/request/chooser.py
@@ -92,6 +92,7 @@
             deadline_s=self._left_s(),
             zone=self._deps.node.zone,
             region=self._deps.node.region,
+            entries=max(1, len(self._deps.fleet.entries)),
             excluded=self._deps.store.config.leaving | self._tried_lives(now),
         )
 
--- a/gooseberrydale/request/deps.py
+++ b/gooseberrydale/request/deps.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from gooseberrydale.connection.channels import ChannelPool
-from gooseberrydale.process.cfg import EntryCfg, NodeCfg
+from gooseberrydale.process.cfg import EntryCfg, FleetCfg, NodeCfg
 from gooseberrydale.process.instruments import Instruments
 from gooseberrydale.request.background import Background
 from gooseberrydale.request.config_sync import ConfigSync
@@ -26,6 +26,7 @@
 
     cfg: EntryCfg
     node: NodeCfg
+    fleet: FleetCfg
     store: ConfigStore
     directory: Directory
     pool: ChannelPool
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -461,7 +461,9 @@
 
         for fake in fakes:
             fake.script = script
-        async with running(*fakes) as entry, openai_client(entry) as client:
+        # The split must not hang on the policy's timing: half go to the broken one.
+        entered = running(*fakes, policy="round-robin")
+        async with entered as entry, openai_client(entry) as client:
             texts = await asyncio.gather(*[read_stream(client) for _ in range(40)])
         assert texts == [TEXT] * 40
         assert len(fakes[0].dispatched) > 12
