--- a/features/environment.py
+++ b/features/environment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import pathlib
 import shutil
 import tempfile
@@ -10,6 +11,11 @@
 from tests.callers import Load
 
 
+def before_all(_context: Any) -> None:
+    """Keep the client's own log lines out of the report."""
+    logging.getLogger("httpx2").setLevel(logging.WARNING)
+
+
 def before_scenario(context: Any, _scenario: Any) -> None:
     """Give the scenario a folder and a loop for its callers."""
     context.folder = pathlib.Path(tempfile.mkdtemp(prefix="gooseberrydale-"))
