Test that a leaving upstream is not even asked

Cause: with the leaving marks ignored in the entry the test beside a real sidecar still passed, since that sidecar refuses by itself. Conclusion: the new test fails with the marks ignored and passes with them.

--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -209,6 +209,21 @@
     run(scenario())
 
 
+def test_leaving_upstream_is_not_even_asked() -> None:
+    async def scenario() -> None:
+        fake = FakeSidecar("u1")
+        config = replace(make_config(), leaving=frozenset({"u1"}))
+        async with running(fake, config=config) as entry:
+            async with openai_client(entry) as client:
+                with pytest.raises(openai.APIStatusError) as caught:
+                    await read_stream(client)
+        assert caught.value.response.status_code == 503
+        assert "retry-after" in caught.value.response.headers
+        assert fake.dispatched == []
+
+    run(scenario())
+
+
 async def call_tool(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
     """A tool call that breaks off: its text alone can't be continued."""
     yield fake.accepted(req)
