Start a lone sidecar without a control replica to initialise

Ruled out: declaring the replica, since the sidecar is to be measured alone. Change: the name is forgotten once the settings are written.

--- a/measure/subject.py
+++ b/measure/subject.py
@@ -49,6 +49,8 @@
             self.fleet.controls = ["control-1"]
             self.fleet.add_upstream(UpstreamSpec("1", "engines"))
             del self.fleet.processes["upstream-1"]
+            # Nor is it there to be initialised.
+            self.fleet.controls = []
         self.upstream_host = self.fleet.host("upstream-1")
         self.port = port
         self.address = f"{self.host}:{port}"
