Measure tokens also at hundreds a second

Cause: the cost of a token was fitted at 10 to 160 tokens a second, a twentieth of what an entry carries at the planned size; a line must not be drawn that far. Ruled out: larger sizes in place of the small ones, which show the idle cost. Change: one more experiment, 200 to 1,600 tokens a second, and a filter by unit.

--- a/measure/slopes_path.py
+++ b/measure/slopes_path.py
@@ -66,6 +66,12 @@
         lambda size: replace(PLAIN, answer_tokens=size),
         lambda size: size * RATE,
     ),
+    PathExperiment(
+        "token out, at hundreds a second",
+        (20, 40, 80, 160),
+        lambda size: replace(PLAIN, answer_tokens=size),
+        lambda size: size * RATE,
+    ),
     PathExperiment(
         "1,000 tokens of prompt",
         (4, 8, 16, 32),
@@ -75,8 +81,8 @@
 )
 
 
-def main(seed: int = 1) -> None:
-    """Run all experiments and print the fits."""
+def main(seed: int = 1, unit: str = "") -> None:
+    """Run the experiments (of one unit if given) and print the fits."""
     commit()
     began = time.monotonic()
     one = replace(FRASERLINE, zones=("zone-1",), engines=1, services=0, entries=1)
@@ -89,7 +95,7 @@
         try:
             site.start()
             site.use_policy("affinity")
-            for experiment in EXPERIMENTS:
+            for experiment in (e for e in EXPERIMENTS if unit in e.unit):
                 lines += _measure(site, experiment, seed)
                 print("\n".join(lines[-len(ROLES) :]), flush=True)
         finally:
