--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -35,6 +35,7 @@
 SIDECAR_RPC = 8090
 CONTROL_RPC, CONTROL_HTTP = 8070, 8071
 UPSTREAM_HTTP = 9000
+DEAD_PORT = 1
 
 
 class Process:
@@ -111,7 +112,10 @@
 
 
 class Fleet:
-    """Entries, control replicas, and upstreams with their sidecars."""
+    """Entries, control replicas, and upstreams with their sidecars.
+
+    Processes named in ``cut_off`` before they are added can't reach control.
+    """
 
     def __init__(self, folder: pathlib.Path, zones: tuple[str, ...]) -> None:
         self.folder = folder
@@ -123,6 +127,7 @@
         self.entries: list[str] = []
         self.upstreams: dict[str, UpstreamSpec] = {}
         self.rpc_override: dict[str, str] = {}
+        self.cut_off: set[str] = set()
         self._write_secrets()
 
     # Addresses.
@@ -315,6 +320,10 @@
         states = {repair["state"] for repair in control["repairs"]}
         return states == {"done"}
 
+    def answers_health(self, upstream: str) -> bool:
+        """Whether the upstream itself takes calls."""
+        return _answers(self.upstream_url(upstream) + "/health")
+
     def runs(self, upstream: str) -> list[dict[str, Any]]:
         """The upstream's own record of what it ran."""
         url = self.upstream_url(upstream) + "/record"
@@ -341,9 +350,10 @@
         table: dict[str, object],
         node: str = "",
     ) -> None:
+        port = DEAD_PORT if name in self.cut_off else CONTROL_RPC
         fleet = {
             "token_file": str(self.folder / "fleet-token"),
-            "controls": [self._rpc(n, CONTROL_RPC) for n in self.controls],
+            "controls": [self._rpc(n, port) for n in self.controls],
             "entries": [self._rpc(n, ENTRY_RPC) for n in self.entries],
         }
         self.cfg_path(name).write_text(
