Keep cancellations that meet a refused connection

Cause: two runs of the sidecar's tests, one of three and then one of at most four, hung in close() after the upstream had gone. The cancellation of a task met the step in which its connecting failed; wait_for of Python 3.11 dropped it, as it did for a connecting that succeeds. Change: the failure of a cancelled call ends as a cancellation. Seen to fail with the check off: a test that cancels a refused call at every step.

--- a/gooseberrydale/connection/upstream_http.py
+++ b/gooseberrydale/connection/upstream_http.py
@@ -68,11 +68,8 @@
         self.keep = False
 
     def write(self, data: bytes) -> None:
-        # ``wait_for`` of Python 3.11 drops a cancellation that meets the end of the
-        # connecting; nothing may be sent for a caller that has gone.
-        task = asyncio.current_task()
-        if task is not None and task.cancelling():
-            raise asyncio.CancelledError
+        # Nothing may be sent for a caller that has gone.
+        _raise_if_cancelled()
         self._call.sent = True
         super().write(data)
 
@@ -81,6 +78,15 @@
         _probe_when_idle(self.writer.get_extra_info("socket"))
 
 
+def _raise_if_cancelled() -> None:
+    """``wait_for`` of Python 3.11 drops a cancellation that meets the end of its work,
+    here of the connecting, be it a connection or a failure.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 def _probe_when_idle(sock: Any) -> None:
     """Let the kernel find a connection that something on the way has forgotten."""
     if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
@@ -135,6 +141,7 @@
             self._read_head(method, self._response)
         except (AiosonicError, OSError, EOFError, ValueError) as exc:
             await self.close()
+            _raise_if_cancelled()
             raise UpstreamError(_describe(exc), sent=self.sent) from exc
 
     def _read_head(self, method: str, response: HttpResponse) -> None:
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -165,6 +165,24 @@
     run(main())
 
 
+def test_a_cancellation_that_meets_a_refused_connection_is_not_lost() -> None:
+    async def main() -> None:
+        async with tiny_upstream(drop_all_but_warm_up) as upstream:
+            pass
+        for steps in range(300):
+            call = UpstreamCall(upstream.url)
+            opening = asyncio.create_task(call.open("GET", "/x"))
+            for _ in range(steps % 60):
+                await asyncio.sleep(0)
+            if opening.cancel():
+                with pytest.raises(asyncio.CancelledError):
+                    await opening
+            else:
+                assert isinstance(opening.exception(), UpstreamError)
+
+    run(main())
+
+
 def test_a_cancellation_that_meets_the_connecting_is_not_lost() -> None:
     """In Python 3.11 ``wait_for`` drops it if its work ends in the same step."""
 
