Prove TLS on every listener and the fleet token; keep gRPC's own lines out of the logs

Cause: TLS and the token had settings but no proof on real processes; the C core of gRPC wrote lines of its own into the logs, which are to be JSON (seen in a trial). Change: a feature with certificates made for the test; all log lines are read as JSON. gRPC's own verbosity is set to errors before its first use.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -40,10 +40,15 @@
 
 
 def start_fleet(
-    context: Any, controls: int, entries: int, upstreams: list[UpstreamSpec]
+    context: Any,
+    controls: int,
+    entries: int,
+    upstreams: list[UpstreamSpec],
+    *,
+    tls: bool = False,
 ) -> Fleet:
     """Start a fleet, declare its configuration and wait until it serves."""
-    fleet = Fleet(context.folder, ZONES)
+    fleet = Fleet(context.folder, ZONES, tls=tls)
     context.fleet = fleet
     fleet.controls = [f"control-{i + 1}" for i in range(controls)]
     fleet.add_entries(entries)
@@ -89,7 +94,7 @@
     """The scenario's caller, which knows all entries."""
     if "caller" not in context:
         urls = [context.fleet.entry_url(name) for name in context.fleet.entries]
-        context.caller = Caller(urls, KEY)
+        context.caller = Caller(urls, KEY, verify=context.fleet.verify)
     found: Caller = context.caller
     return found
 
--- a/gooseberrydale/process/logs.py
+++ b/gooseberrydale/process/logs.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import re
 import sys
 import traceback
@@ -64,6 +65,8 @@
 
     Raises OSError if the log file can't be opened.
     """
+    # The C core of gRPC writes lines of its own, which are no JSON.
+    os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
     logger.remove()
     identify(identity)
     out = open(cfg.file, "a", encoding="utf-8") if cfg.file else sys.stderr
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -87,7 +87,13 @@
 class Caller:
     """Sends requests of one workspace to any of several entries."""
 
-    def __init__(self, entries: Sequence[str], key: str, seed: int = 0) -> None:
+    def __init__(
+        self,
+        entries: Sequence[str],
+        key: str,
+        seed: int = 0,
+        verify: str | bool = True,
+    ) -> None:
         self._entries = list(entries)
         self._rng = random.Random(seed)
         self._turn = itertools.count(self._rng.randrange(len(self._entries)))
@@ -96,6 +102,7 @@
             headers={"Authorization": f"Bearer {key}"},
             limits=httpx2.Limits(max_connections=256),
             trust_env=False,
+            verify=verify,
         )
 
     async def close(self) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -23,6 +23,7 @@
 import httpx2
 
 from gooseberrydale.version.declarations import Profile, Workspace
+from tests.certificates import write_certificates
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FLEET_TOKEN = "fleet-token-of-the-tests"
@@ -35,6 +36,7 @@
 SIDECAR_RPC = 8090
 CONTROL_RPC, CONTROL_HTTP = 8070, 8071
 UPSTREAM_HTTP = 9000
+MAX_HOSTS = 40
 DEAD_PORT = 1
 
 
@@ -117,7 +119,9 @@
     Processes named in ``cut_off`` before they are added can't reach control.
     """
 
-    def __init__(self, folder: pathlib.Path, zones: tuple[str, ...]) -> None:
+    def __init__(
+        self, folder: pathlib.Path, zones: tuple[str, ...], *, tls: bool = False
+    ) -> None:
         self.folder = folder
         self.zones = zones
         self._net = _free_net()
@@ -129,6 +133,19 @@
         self.rpc_override: dict[str, str] = {}
         self.cut_off: set[str] = set()
         self._write_secrets()
+        self.tls: dict[str, str] = {}
+        if tls:
+            hosts = [f"{self._net}.{number}" for number in range(1, MAX_HOSTS)]
+            self.tls = write_certificates(folder, hosts)
+
+    @property
+    def verify(self) -> str | bool:
+        """What a client of this fleet trusts."""
+        return self.tls.get("ca_file", True)
+
+    @property
+    def _scheme(self) -> str:
+        return "https" if self.tls else "http"
 
     # Addresses.
 
@@ -140,11 +157,11 @@
 
     def entry_url(self, name: str) -> str:
         """Base address of an entry's HTTP interface."""
-        return f"http://{self.host(name)}:{ENTRY_HTTP}"
+        return f"{self._scheme}://{self.host(name)}:{ENTRY_HTTP}"
 
     def operator_url(self, name: str) -> str:
         """Base address of a control replica's operator interface."""
-        return f"http://{self.host(name)}:{CONTROL_HTTP}"
+        return f"{self._scheme}://{self.host(name)}:{CONTROL_HTTP}"
 
     def upstream_url(self, name: str) -> str:
         """Base address of the upstream itself, past its sidecar."""
@@ -278,7 +295,13 @@
         url = self.operator_url(name) + path
         try:
             return httpx2.request(
-                method, url, json=body, headers=headers, timeout=5.0, trust_env=False
+                method,
+                url,
+                json=body,
+                headers=headers,
+                timeout=5.0,
+                trust_env=False,
+                verify=self.verify,
             )
         except httpx2.HTTPError:
             return None
@@ -307,7 +330,9 @@
         """Return once every entry is ready and all upstreams have announced."""
         for name in self.entries:
             url = self.entry_url(name) + "/readyz"
-            wait_until(lambda url=url: _answers(url), f"{name} is not ready")
+            wait_until(
+                lambda url=url: _answers(url, self.verify), f"{name} is not ready"
+            )
         wait_until(self.control_whole, "control replicas are missing")
         wait_until(
             lambda: len(self.operate("GET", "/v1/upstreams")["upstreams"]) >= upstreams,
@@ -351,11 +376,14 @@
         node: str = "",
     ) -> None:
         port = DEAD_PORT if name in self.cut_off else CONTROL_RPC
-        fleet = {
+        fleet: dict[str, object] = {
             "token_file": str(self.folder / "fleet-token"),
             "controls": [self._rpc(n, port) for n in self.controls],
             "entries": [self._rpc(n, ENTRY_RPC) for n in self.entries],
         }
+        if self.tls:
+            fleet["tls"] = self.tls
+            table = table if role == "sidecar" else {**table, "tls": self.tls}
         self.cfg_path(name).write_text(
             _toml("node", {"name": node or name, "zone": zone})
             + _toml("fleet", fleet)
@@ -402,9 +430,10 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def _answers(url: str) -> bool:
+def _answers(url: str, verify: str | bool) -> bool:
     try:
-        return httpx2.get(url, timeout=2.0, trust_env=False).status_code == 200
+        answer = httpx2.get(url, timeout=2.0, trust_env=False, verify=verify)
+        return answer.status_code == 200
     except httpx2.HTTPError:
         return False
 
