--- a/measure/subject.py
+++ b/measure/subject.py
@@ -46,7 +46,7 @@
             self.fleet.add_controls(1, check_invariants=False)
         else:
             # Settings must name a control replica; this one never answers.
-            self.fleet.controls = ["control-1"]
+            self.fleet.controls = ["control-away"]
             self.fleet.add_upstream(UpstreamSpec("1", "engines"))
             del self.fleet.processes["upstream-1"]
             # Nor is it there to be initialised.
@@ -56,7 +56,10 @@
         self.address = f"{self.host}:{port}"
 
     def __enter__(self) -> Subject:
-        self.fleet.start()
+        if self.name in self.fleet.controls:
+            self.fleet.init_control()
+        for process in self.fleet.processes.values():
+            process.start()
         wait_for_port(self.host, self.port)
         return self
 
