Raise the load of tokens by requests, not by longer answers

Cause: the last experiment asked for 20 to 160 tokens, but the example engine may end an answer after 16, so its sizes were not what was sent. Ruled out: counting the tokens of each answer, since the load must be the same at each size. Change: answers of 16 tokens at 5 to 40 requests a second, in place of that experiment; a token's cost follows from the difference to requests with one token.

--- a/measure/slopes_path.py
+++ b/measure/slopes_path.py
@@ -67,10 +67,11 @@
         lambda size: size * RATE,
     ),
     PathExperiment(
-        "token out, at hundreds a second",
-        (20, 40, 80, 160),
-        lambda size: replace(PLAIN, answer_tokens=size),
-        lambda size: size * RATE,
+        # The engine may end an answer after 16 tokens, so more load is more requests.
+        "request of 6,000 tokens, 16 tokens out",
+        (5, 10, 20, 40),
+        lambda size: replace(PLAIN, prompts_per_s=size, answer_tokens=16),
+        float,
     ),
     PathExperiment(
         "1,000 tokens of prompt",
