Measure what encoding a configuration costs

Cause: a replica hands a changed configuration to hundreds of processes, and only its decoding was measured. Ruled out: nothing.

--- a/scripts/slope_messages.py
+++ b/scripts/slope_messages.py
@@ -170,6 +170,13 @@
     report(f"{title}, decoding, µs", sizes, costs)
 
 
+def timed_encoding(title: str, sizes: tuple[int, ...], build: Build) -> None:
+    """Report what encoding costs."""
+    messages = {size: decode(build(size)) for size in sizes}
+    costs = [cpu_us(lambda: encode(messages[size])) for size in sizes]
+    report(f"{title}, encoding, µs", sizes, costs)
+
+
 def main() -> None:
     """Print all lines."""
     beat = encode(RevisionAck("engine-0001", 1_600, 12345.678, 23456.789))
@@ -186,6 +193,7 @@
     measure("dispatch without body, by pieces", PIECES, dispatch)
     measure("answer kept with a claim, by its bytes", ANSWERS, answer)
     timed("configuration, by workspaces", WORKSPACES, config_of_workspaces)
+    timed_encoding("configuration, by workspaces", WORKSPACES, config_of_workspaces)
     timed("announcement, by records", RECORDS, announcement)
     timed("chunk, by events", EVENTS, chunk)
 
