Refuse orders to unknown upstreams, keys that are not there, and folders in use

Ruled out: refusing an unknown upstream before the log: the attempt would not be in the audit trail, and a resend would lose its first answer once the upstream has gone. The leader's knowledge is a field of the committed request, and not of its digest. Change: unknown_name for orders and keys; the kind's value; an exclusive lock on the data folder, held by the role, by init and by recover. Two tests place orders to an upstream that they announce first, as the interface now asks; what they check stands. Conclusion: right after a start of control an order may be refused although its upstream is there, until its announcement is heard.

--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -140,7 +140,11 @@
 @message
 @dataclass(frozen=True, slots=True)
 class PlaceOrderReq:
-    """An operator's order; ``change_id`` names it for resends."""
+    """An operator's order; ``change_id`` names it for resends.
+
+    ``announced`` is whether the proposing leader knew the upstream.  It is part of
+    the entry, since what is announced differs from replica to replica.
+    """
 
     change_id: str
     operator: str
@@ -148,6 +152,7 @@
     kind: OrderKind
     model: str = ""
     version: str = ""
+    announced: bool = True
 
 
 @message
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -352,6 +352,11 @@
     409,
     "The data folder {folder} already holds a log; init is for the first start only.",
 )
+FOLDER_IN_USE = ErrorKind(
+    "folder_in_use",
+    409,
+    "The data folder {folder} is in use by a running process; stop that first.",
+)
 NOTHING_TO_RECOVER = ErrorKind(
     "nothing_to_recover",
     409,
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -19,6 +19,7 @@
 from gooseberrydale.connection.rpc import RpcServer, TlsFiles
 from gooseberrydale.errors import InvariantError
 from gooseberrydale.process.cfg import Cfg, ControlCfg, TlsCfg
+from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.machine import PublishingMachine
 from gooseberrydale.process.control.measures import Measures
@@ -70,6 +71,8 @@
         if declarations is not None and not in_memory:
             raise InvariantError("declarations given for a replicated control")
         own = cfg.control
+        self._data_dir = own.data_dir
+        self._folder_lock: FolderLock | None = None
         token = cfg.fleet.token_file.read_text(encoding="utf-8").strip()
         tls = _tls_files(cfg.fleet.tls)
         self.store = ConfigStore()
@@ -123,9 +126,13 @@
         return self._measures.metrics
 
     async def start(self) -> None:
-        """Bind the listeners and serve; raises OSError if an address is taken."""
+        """Bind the listeners and serve; raises OSError if an address is taken.
+
+        Raises StorageError if the data folder is in use or damaged.
+        """
         self._acknowledgements.start(asyncio.get_running_loop().time())
         if self._replica is not None:
+            self._folder_lock = FolderLock(self._data_dir)
             await self._replica.start()
             self._tasks.append(spawn(self._watch_replica(self._replica)))
         await self._commit.start()
@@ -149,6 +156,9 @@
         if self._replica is not None:
             await self._replica.close()
         await self._rpc.close(RPC_GRACE_S)
+        if self._folder_lock is not None:
+            self._folder_lock.release()
+            self._folder_lock = None
 
     def _make_replica(
         self, cfg: Cfg, own: ControlCfg, token: str, tls: TlsFiles | None
--- a/gooseberrydale/process/control/first_start.py
+++ b/gooseberrydale/process/control/first_start.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from gooseberrydale.errors import ALREADY_STARTED, NOTHING_TO_RECOVER, problem
+from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.version.replication import bootstrap
 from gooseberrydale.version.replication.file_storage import FileStorage
 from gooseberrydale.version.replication.files import OsFiles
@@ -22,14 +23,15 @@
     """Start a new cluster with this replica as first member; return its id.
 
     Run it on one replica only; the others start with empty folders and join.
-    Raises StorageError if the folder already holds a log.
+    Raises StorageError if the folder already holds a log or is in use.
     """
     rng = random.SystemRandom()
-    storage = _open(folder, name, rng)
-    if storage.stored != Stored():
-        raise StorageError(problem(ALREADY_STARTED, folder=folder))
-    cluster = _new_cluster(rng)
-    _replace(storage, bootstrap.first_start(storage.me, cluster))
+    with FolderLock(folder):
+        storage = _open(folder, name, rng)
+        if storage.stored != Stored():
+            raise StorageError(problem(ALREADY_STARTED, folder=folder))
+        cluster = _new_cluster(rng)
+        _replace(storage, bootstrap.first_start(storage.me, cluster))
     return cluster
 
 
@@ -37,17 +39,18 @@
     """Make this replica the only member after a majority of disks was lost.
 
     Without ``force`` nothing changes; the report says what would be kept and what
-    may be lost.  Raises StorageError if the folder holds no log.
+    may be lost.  Raises StorageError if the folder holds no log or is in use.
     """
     rng = random.SystemRandom()
-    storage = _open(folder, name, rng)
-    if not storage.stored.entries and not storage.stored.snapshot.index:
-        raise StorageError(problem(NOTHING_TO_RECOVER, folder=folder))
-    report = bootstrap.describe(storage.stored)
-    if force:
-        cluster = _new_cluster(rng)
-        stored = bootstrap.force_single(storage.stored, storage.me, cluster)
-        _replace(storage, stored)
+    with FolderLock(folder):
+        storage = _open(folder, name, rng)
+        if not storage.stored.entries and not storage.stored.snapshot.index:
+            raise StorageError(problem(NOTHING_TO_RECOVER, folder=folder))
+        report = bootstrap.describe(storage.stored)
+        if force:
+            cluster = _new_cluster(rng)
+            stored = bootstrap.force_single(storage.stored, storage.me, cluster)
+            _replace(storage, stored)
     return report
 
 
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -278,6 +278,7 @@
             kind=body.kind,
             model=body.model,
             version=body.version,
+            announced=any(r.name == body.upstream for r in self._upstreams()),
         )
         match await self._commit.ask(req):
             case Ok(reply) if reply.problem is None:
--- a/gooseberrydale/process/operator_cli.py
+++ b/gooseberrydale/process/operator_cli.py
@@ -215,11 +215,7 @@
         start = str(digest)
 
         async def act(session: Session) -> None:
-            await _change_keys(
-                session,
-                str(name),
-                lambda kept: tuple(key for key in kept if not key.startswith(start)),
-            )
+            await _change_keys(session, str(name), lambda kept: _without(kept, start))
 
         return Command(self._options, act)
 
@@ -340,6 +336,14 @@
     await session.change(config.revision, [edit])
 
 
+def _without(digests: tuple[str, ...], start: str) -> tuple[str, ...]:
+    left = tuple(digest for digest in digests if not digest.startswith(start))
+    if left == digests:
+        refused = problem(UNKNOWN_NAME, what="key", name=start)
+        raise CommandError(OperatorExit.REFUSED, refused.message)
+    return left
+
+
 def _new_key() -> str:
     return secrets.token_urlsafe(NEW_KEY_BYTES)
 
--- a/gooseberrydale/version/change.py
+++ b/gooseberrydale/version/change.py
@@ -82,10 +82,13 @@
     """Digest of what a request asks for, its author included.
 
     The base is left out: who resends a change after a lost answer has often read
-    the configuration again, which may already hold that very change.
+    the configuration again, which may already hold that very change.  So is whether
+    an order's upstream was announced at the time.
     """
     if isinstance(req, ChangeReq):
         req = replace(req, base=0)
+    else:
+        req = replace(req, announced=True)
     return hashlib.sha256(encode(req)).digest()
 
 
--- a/gooseberrydale/version/declaration_file.py
+++ b/gooseberrydale/version/declaration_file.py
@@ -10,6 +10,7 @@
 import tomllib
 from collections.abc import Iterator
 from dataclasses import dataclass, field, fields, replace
+from enum import Enum
 from pathlib import Path
 from typing import Any
 
@@ -126,13 +127,17 @@
         if item.name in ("name", KEYS_FIELD) or before == after:
             continue
         if old is None:
-            yield f"    {item.name}: {after!r}"
+            yield f"    {item.name}: {_shown(after)}"
         else:
-            yield f"    {item.name}: {before!r} -> {after!r}"
+            yield f"    {item.name}: {_shown(before)} -> {_shown(after)}"
     if isinstance(new, Workspace):
         yield from _key_lines(old, new)
 
 
+def _shown(value: object) -> str:
+    return repr(str(value) if isinstance(value, Enum) else value)
+
+
 def _key_lines(old: object, new: Workspace) -> Iterator[str]:
     before = len(old.key_digests) if isinstance(old, Workspace) else 0
     kept = set(old.key_digests) if isinstance(old, Workspace) else set()
--- a/gooseberrydale/version/orders.py
+++ b/gooseberrydale/version/orders.py
@@ -26,6 +26,7 @@
     INVALID_DECLARATION,
     ORDERS_FULL,
     STALE_FENCING_NUMBER,
+    UNKNOWN_NAME,
     InvariantError,
     Problem,
     problem,
@@ -101,6 +102,8 @@
             return Err(problem(INVALID_DECLARATION, reason="upstream: name one"))
         if not req.model:
             return Err(problem(INVALID_DECLARATION, reason="model: name one"))
+        if not req.announced:
+            return Err(problem(UNKNOWN_NAME, what="upstream", name=req.upstream))
         if not self._make_room(limits.orders):
             refused = problem(
                 ORDERS_FULL, retry_after_s=limits.order_deadline_s, limit=limits.orders
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -72,6 +72,30 @@
     assert forced.returncode == 0 and "only member now" in forced.stdout
 
 
+def test_nothing_touches_the_folder_of_a_running_replica(tmp_path: Path) -> None:
+    (tmp_path / "token").write_text("fleet-token-of-this-test")
+    ports = 'rpc = "127.0.0.1:0"\nhttp = "127.0.0.1:0"\n'
+    path = str(write(tmp_path, CONTROL + ports))
+    assert run("control", "init", "--cfg", path).returncode == 0
+    argv = [sys.executable, "-m", "gooseberrydale", "control", "--cfg", path]
+    ready = tmp_path / "ready.json"
+    process = Process("c", [*argv, "--ready-file", str(ready)], tmp_path / "log")
+    try:
+        process.start()
+        wait_until(ready.exists, "the replica does not serve")
+        for flags in (("init",), ("recover",), ("recover", "--force")):
+            done = run("control", *flags, "--cfg", path)
+            assert (done.returncode, done.stdout) == (1, ""), flags
+            assert "is in use" in done.stderr
+        second = run("control", "--cfg", path)
+        assert second.returncode == 3 and "is in use" in second.stderr
+        process.terminate()
+        assert process.wait() == 0
+        assert run("control", "recover", "--cfg", path).returncode == 0
+    finally:
+        process.kill()
+
+
 def test_control_names_the_faults_of_its_settings(tmp_path: Path) -> None:
     path = str(write(tmp_path, FIVE_FAULTS))
     for args in (("control",), ("control", "init"), ("control", "recover")):
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -22,6 +22,7 @@
 BODY = {"change_id": "c1", "base": 0, "profile": PROFILE}
 MARK = {"kind": "mark_leaving", "name": "e1"}
 ORDER = {"change_id": "o1", "upstream": "e1", "kind": "load_weights", "model": "m1"}
+E1 = UpstreamRecord("e1", "i", 1, "127.0.0.1:1", "z", "r", "p", "completion")
 
 Steps = Callable[[Control, httpx2.AsyncClient], Awaitable[None]]
 
@@ -113,7 +114,8 @@
 
 
 def test_order_is_listed_under_its_number():
-    async def steps(_control, operator):
+    async def steps(control, operator):
+        control.directory.offer(E1, asyncio.get_running_loop().time())
         placed = await operator.post("/v1/orders", json=ORDER)
         assert placed.json()["order"]["order_id"] == 1
         (listed,) = (await operator.get("/v1/orders")).json()["orders"]
@@ -122,6 +124,32 @@
     run(steps)
 
 
+def test_order_to_an_unknown_upstream_changes_nothing_and_is_audited():
+    async def steps(control, operator):
+        refused = await operator.post("/v1/orders", json=ORDER)
+        assert refused.status_code == 404, refused.text
+        assert refused.json()["code"] == "unknown_name" and "e1" in refused.text
+        assert (await operator.get("/v1/orders")).json()["orders"] == []
+        assert control.state.orders.last_number == 0
+        (entry,) = (await operator.get("/v1/audit")).json()["audit"]
+        assert (entry["name"], entry["outcome"]) == ("e1", "unknown_name")
+
+    run(steps)
+
+
+def test_a_resent_order_is_answered_also_when_its_upstream_has_gone():
+    async def steps(control, operator):
+        now = asyncio.get_running_loop().time()
+        control.directory.offer(E1, now)
+        first = await operator.post("/v1/orders", json=ORDER)
+        control.directory.expire(now + 1e6)
+        assert control.directory.records(now + 1e6) == ()
+        again = await operator.post("/v1/orders", json=ORDER)
+        assert again.json()["order"]["order_id"] == first.json()["order"]["order_id"]
+
+    run(steps)
+
+
 def test_settings_bound_the_state_through_the_log():
     async def steps(control, _operator):
         async with asyncio.timeout(10):
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -6,11 +6,13 @@
 import json
 import pathlib
 import threading
+import time
 from collections.abc import Callable, Iterator
 
 import fire
 import pytest
 
+from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.process.control import Control
 from gooseberrydale.process.operator_cli import OperatorCommands
 from gooseberrydale.process.operator_session import (
@@ -161,6 +163,9 @@
     assert run("audit", "--json") == 0
     shown = capsys.readouterr().out
     assert KEY not in shown and made not in shown
+    revision = control.store.revision
+    assert run("workspace", "remove-key", "fraser", "00") == OperatorExit.REFUSED
+    assert control.store.revision == revision
     assert run("workspace", "add-key", "nobody") == OperatorExit.REFUSED
     key_file.write_text("short")
     weak = run("workspace", "add-key", "fraser", "--key-file", str(key_file))
@@ -173,7 +178,11 @@
     assert run("upstream", "list", "--json") == 0
     assert run("upstream", "leave", "e1", "--undo") == 0
     assert control.store.config.leaving == frozenset()
-    assert run("upstream", "order", "e1", "load_weights", "m1", "v2") == 0
+    order_args = ("upstream", "order", "e1", "load_weights", "m1", "v2")
+    assert run(*order_args) == OperatorExit.REFUSED
+    record = UpstreamRecord("e1", "i", 1, "127.0.0.1:1", "z", "r", "p", "completion")
+    control.directory.offer(record, time.monotonic())
+    assert run(*order_args) == 0
     capsys.readouterr()
     assert run("upstream", "orders", "--json") == 0
     (order,) = json.loads(capsys.readouterr().out)["orders"]
@@ -184,7 +193,8 @@
     file = tmp_path / "declarations.toml"
     file.write_text(DECLARED)
     assert run("apply", str(file)) == 0
-    assert "+ profile summary" in capsys.readouterr().out
+    shown = capsys.readouterr().out
+    assert "+ profile summary" in shown and "kind: 'completion'" in shown
     assert run("workspace", "add-key", "fraser") == 0
     file.write_text(DECLARED.replace("2.0", "3.0"))
     capsys.readouterr()
