Split the builders of the request path run; let sidecars hear of leaving first

Change: a configuration reaches sidecars at once and entries in time, requests follow at once, long pauses pass the age of a dispatch, keys are sent again at the end; what a sidecar takes in during its shutdown counts too. Roles, upstreams and network have modules of their own.

--- /dev/null
+++ b/tests/builders_memory_roles.py
@@ -0,0 +1,216 @@
+"""One life of a sidecar, of an entry and of control, of the product's own parts.
+
+What is left out are listeners, the mesh and the watch over the upstream: the fleet
+brings announcements and configurations round, and upstreams break their connections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+
+from gooseberrydale.connection.channels import ChannelPool
+from gooseberrydale.connection.codec import decode, encode
+from gooseberrydale.connection.control_messages import Command, CommandReply
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.messages import (
+    DispatchReq,
+    Refused,
+)
+from gooseberrydale.errors import CLAIM_UNAVAILABLE, Problem, problem
+from gooseberrydale.process.cfg import EntryCfg, FleetCfg, NodeCfg, SidecarCfg
+from gooseberrydale.process.metrics import Metrics
+from gooseberrydale.process.sidecar import upstream_run
+from gooseberrydale.process.sidecar.attempt import Attempt
+from gooseberrydale.process.sidecar.calls import CallBuilder
+from gooseberrydale.process.sidecar.dispatcher import Dispatcher
+from gooseberrydale.process.sidecar.service import SidecarService
+from gooseberrydale.request.background import Background
+from gooseberrydale.request.baselines import make_policy
+from gooseberrydale.request.claim_gate import OpenGate
+from gooseberrydale.request.config_sync import ConfigSync
+from gooseberrydale.request.deps import Deps
+from gooseberrydale.request.freshness import Freshness
+from gooseberrydale.request.job import Answering, Job
+from gooseberrydale.request.keyed import KeyedAnswer
+from gooseberrydale.request.retry import RetryBudget
+from gooseberrydale.request.runner import Runner
+from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.control_state import ControlState
+from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.upstream_state import UpstreamState
+from tests.builders_memory_net import Channel, Host, Net
+from tests.builders_memory_upstream import (
+    Upstream,
+)
+
+POOLS = {"up-0": "summary", "up-1": "summary", "up-2": "bidding", "up-3": "bidding"}
+METRICS = Metrics("entry", "entry-1", "local")
+
+
+class CheckedDispatcher(Dispatcher):
+    """Notes what is taken in by a sidecar that leaves or shuts down."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.taken_too_late: list[DispatchReq] = []
+        self._draining = False
+
+    def dispatch(self, req: DispatchReq) -> Attempt | Refused:
+        leaving = self._name in self._store.config.leaving
+        taken = super().dispatch(req)
+        if (leaving or self._draining) and not isinstance(taken, Refused):
+            self.taken_too_late.append(req)
+        return taken
+
+    async def drain(self, bound_s: float) -> None:
+        self._draining = True
+        await super().drain(bound_s)
+
+
+class Sidecar:
+    """One life of a sidecar, of the product's own parts."""
+
+    def __init__(self, name: str, life: int, upstream: Upstream) -> None:
+        self.name = name
+        self.incarnation = f"{name}-life-{life:04}"
+        self.alive = True
+        self.closing = False
+        self.seq = 0
+        self.store = ConfigStore()
+        self._upstream = upstream
+        self._kind = "completion" if POOLS[name] == "summary" else "service"
+        cfg = SidecarCfg(
+            upstream=name,
+            pool=POOLS[name],
+            kind=self._kind,
+            max_running=2,
+            max_queued=3,
+            replay_bytes=1_000,
+        )
+
+        async def works() -> bool:
+            return upstream.up
+
+        calls = CallBuilder(cfg, self.store, UpstreamState, works, works)
+
+        async def run(attempt: Attempt) -> None:
+            call = calls.build(attempt.req, 0.0).unwrap()
+            await upstream_run.run_upstream(attempt, call, self.incarnation)
+
+        self.dispatcher = CheckedDispatcher(
+            name, self.incarnation, cfg, self.store, run, lambda _req: 0
+        )
+        self.host = Host(self.incarnation)
+        service = SidecarService(self.dispatcher, self.store, self.incarnation)
+        service.register(self.host)  # type: ignore[arg-type]
+
+    def record(self, now: float) -> UpstreamRecord:
+        """The next announcement."""
+        self.seq += 1
+        self.dispatcher.gate.announced(self.seq, now)
+        return UpstreamRecord(
+            name=self.name,
+            incarnation=self.incarnation,
+            seq=self.seq,
+            address=self.name,
+            zone="local",
+            region="local",
+            pool=POOLS[self.name],
+            kind=self._kind,
+            model="m1",
+            upstream_incarnation=str(self._upstream.life),
+            ready=self._upstream.up and not self.closing,
+            leaving=self.closing or self.name in self.store.config.leaving,
+            lease_s=6.0,
+        )
+
+
+class Control:
+    """One control replica that leads; it may be down."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self._state = ControlState()
+
+    def commit(self, req: Any) -> Any:
+        """Apply one request to the state."""
+        now = asyncio.get_running_loop().time()
+        command = encode(Command(now, (encode(req),)))
+        reply = decode(self._state.apply(self._state.index + 1, command))
+        assert isinstance(reply, CommandReply)
+        return decode(reply.replies[0])
+
+
+class ControlPath:
+    """The state of control behind one entry's unreliable way to it."""
+
+    def __init__(self, net: Net, control: Control, entry: str) -> None:
+        self._net = net
+        self._control = control
+        self._entry = entry
+
+    async def ask(self, req: Any, timeout_s: float) -> Result[Any, Problem]:
+        net = self._net
+        try:
+            async with asyncio.timeout(timeout_s):
+                while True:
+                    reply = await self._try(req, net)
+                    if reply is not None:
+                        return Ok(reply)
+                    await asyncio.sleep(0.2)
+        except TimeoutError:
+            return Err(problem(CLAIM_UNAVAILABLE, retry_after_s=1.0))
+
+    async def _try(self, req: Any, net: Net) -> Any:
+        await asyncio.sleep(net.delay())
+        if self._entry in net.dead or self._control.down:
+            return None
+        if net.chance(net.faults.repeat):
+            late_s = net.rng.uniform(0.0, 10.0)
+            asyncio.get_running_loop().call_later(late_s, self._control.commit, req)
+        if net.chance(net.faults.loss):
+            return None
+        reply = self._control.commit(req)
+        await asyncio.sleep(net.delay())
+        return None if net.chance(net.faults.loss) else reply
+
+
+class Entry:
+    """One life of an entry."""
+
+    def __init__(self, net: Net, name: str, life: int, control: Control) -> None:
+        self.life_name = f"{name}-life-{life}"
+        self.store = ConfigStore()
+        self.directory = Directory()
+        pool = ChannelPool(self._dial)  # type: ignore[arg-type]
+        background = Background()
+        self._net = net
+        self._claims = ControlPath(net, control, self.life_name)
+        self.deps = Deps(
+            cfg=EntryCfg(silence_s=1.5),
+            node=NodeCfg(name),
+            fleet=FleetCfg(Path("unused")),
+            store=self.store,
+            directory=self.directory,
+            pool=pool,
+            policy=make_policy("affinity", random.Random(net.rng.random())),
+            budget=RetryBudget(),
+            background=background,
+            config_sync=ConfigSync(self.store, pool, background),
+            instruments=METRICS.instruments,
+            freshness=Freshness(net.processes.loop.time()),
+        )
+
+    def _dial(self, address: str) -> Channel:
+        return Channel(self._net, self.life_name, address)
+
+    def answering(self, job: Job) -> Answering:
+        """As the entry's calls choose it."""
+        if job.idempotency_key:
+            return KeyedAnswer(self.deps, job, self._claims)
+        return Runner(self.deps, job, OpenGate())
--- a/tests/test_request_path_machine.py
+++ b/tests/test_request_path_machine.py
@@ -29,7 +29,7 @@
 LONG_RUNS = 300 if SOAK else 15
 entries = st.sampled_from(ENTRIES)
 upstreams = st.sampled_from(UPSTREAMS)
-times = st.sampled_from([0.01, 0.1, 0.7, 3.0, 9.0])
+times = st.sampled_from([0.01, 0.1, 0.7, 3.0, 9.0, 70.0, 200.0])
 kinds = st.sampled_from(["lots", "bids", "keyed"])
 
 
@@ -176,7 +176,7 @@
 
     @rule(down=st.booleans())
     def control_reachable(self, down: bool) -> None:
-        self.fleet.control_down = down
+        self.fleet.control.down = down
 
     @rule()
     def mend_all(self) -> None:
@@ -224,7 +224,13 @@
         )
 
     def calm() -> None:
-        runs.calm(rng.choice([0.1, 0.7, 3.0, 9.0]), rng.randrange(1000))
+        runs.calm(
+            rng.choice([0.1, 0.7, 0.7, 3.0, 9.0, 70.0, 200.0]), rng.randrange(1000)
+        )
+
+    def leave() -> None:
+        runs.mark_leaving({upstream()})
+        ask()
 
     def told() -> float:
         return rng.choice([0.0, 0.5, 1.0])
@@ -253,7 +259,7 @@
         lambda: runs.shut_sidecar(upstream()),
         lambda: runs.kill_upstream(upstream()),
         *(runs.upstreams_back_empty, runs.upstreams_back_empty),
-        lambda: runs.mark_leaving({upstream()}),
+        *(leave,) * 2,
         lambda: runs.mark_leaving(set()),
         lambda: runs.control_reachable(rng.random() < 0.3),
         lambda: runs.control_reachable(False),
