Run units and features beside each other

Cause: one after the other the suites take longer with each feature. Change: pytest and two groups of feature files run at once; each suite's output is shown when it ended; a suite that reports nothing counts as broken.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,20 +1,25 @@
 """Run every test suite and print one closing line, ``N passed, N failed``.
 
-Runs pytest (units, randomised state machines) and behave (one feature per promise
-of the product), reads both reports, and passes over only what KNOWN-RED.txt lists.
+Runs pytest (units, randomised state machines) and behave (features on processes) beside
+each other, reads their reports, and passes over only what KNOWN-RED.txt lists.
 """
 
 from __future__ import annotations
 
+import concurrent.futures
 import pathlib
 import subprocess
 import sys
 import tempfile
+import threading
 import xml.etree.ElementTree as ElementTree
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_LIMIT = 3
+FEATURE_GROUPS = 2
+
+_printing = threading.Lock()
 
 
 def known_red() -> set[str]:
@@ -39,38 +44,60 @@
     return found
 
 
-def run(command: list[str]) -> int:
-    """Run one suite with its output shown."""
-    print("$", " ".join(command[2:4]), flush=True)
-    return subprocess.run(command, cwd=ROOT).returncode
+def features_in_groups() -> list[list[str]]:
+    """Feature files in groups that run beside each other."""
+    names = sorted(str(path) for path in (ROOT / "features").glob("*.feature"))
+    return [names[start::FEATURE_GROUPS] for start in range(FEATURE_GROUPS)]
+
+
+def commands(reports: pathlib.Path) -> dict[pathlib.Path, list[str]]:
+    """The suites by the folder that takes the report of each."""
+    python, units = sys.executable, reports / "units"
+    found = {units: [python, "-m", "pytest", f"--junitxml={units}/units.xml"]}
+    behave = [python, "-m", "behave", "-f", "progress", "--no-capture", "--junit"]
+    for number, files in enumerate(features_in_groups()):
+        folder = reports / f"features-{number}"
+        found[folder] = [*behave, "--junit-directory", str(folder), *files]
+    return found
+
+
+def run(command: list[str], folder: pathlib.Path) -> int:
+    """Run one suite; its output is shown once it has ended."""
+    folder.mkdir()
+    done = subprocess.run(
+        command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+    )
+    with _printing:
+        print("$", *command[2:], flush=True)
+        sys.stdout.buffer.write(done.stdout)
+        sys.stdout.flush()
+    return done.returncode
 
 
 def main() -> int:
     """Return 0 only if every suite ran and only listed tests failed."""
     red = known_red()
     with tempfile.TemporaryDirectory() as tmp:
-        units, scenarios = pathlib.Path(tmp, "units"), pathlib.Path(tmp, "features")
-        units.mkdir()
-        python = sys.executable
-        codes = [
-            run([python, "-m", "pytest", f"--junitxml={units}/units.xml"]),
-            run(
-                [python, "-m", "behave", "-f", "progress", "--junit"]
-                + ["--junit-directory", str(scenarios), "--no-capture"]
-            ),
-        ]
-        reports = [outcomes(units), outcomes(scenarios)]
-    failed = [n for r in reports for n, ok in r.items() if not ok]
-    passed = sum(len(r) for r in reports) - len(failed)
+        suites = commands(pathlib.Path(tmp))
+        with concurrent.futures.ThreadPoolExecutor(len(suites)) as pool:
+            codes = list(pool.map(run, suites.values(), suites))
+        reports = [outcomes(folder) for folder in suites]
+    failed = [name for report in reports for name, ok in report.items() if not ok]
+    passed = sum(len(report) for report in reports) - len(failed)
     unlisted = [name for name in failed if name not in red]
     for name in failed:
         print("known red:" if name in red else "FAILED:", name)
-    broken = any(c not in (0, 1) or (c and not r) for c, r in zip(codes, reports))
-    if any(codes) and not failed:
-        broken = True
+    broken = any(is_broken(c, r) for c, r in zip(codes, reports, strict=True))
     print(f"{passed} passed, {len(failed)} failed", flush=True)
     return 1 if unlisted or broken else 0
 
 
+def is_broken(code: int, report: dict[str, bool]) -> bool:
+    """Whether a suite ended in another way than by the outcomes of its tests."""
+    if not report or code not in (0, 1):
+        return True
+    return code == 1 and all(report.values())
+
+
 if __name__ == "__main__":
     sys.exit(main())
