Keep the step from TLS settings to files in one module

Cause: four roles had the same function. Change: process/tls.py holds it. Conclusion: behaviour unchanged.

--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -18,7 +18,7 @@
 from gooseberrydale.connection.mesh import CONTROL_ROLE
 from gooseberrydale.connection.rpc import RpcServer, TlsFiles
 from gooseberrydale.errors import InvariantError
-from gooseberrydale.process.cfg import Cfg, ControlCfg, TlsCfg
+from gooseberrydale.process.cfg import Cfg, ControlCfg
 from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.machine import PublishingMachine
@@ -39,6 +39,7 @@
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh, PeerState
 from gooseberrydale.process.metrics import Metrics
+from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.acknowledgements import Acknowledgements, Standing
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.control_state import ControlState
@@ -74,7 +75,7 @@
         self._data_dir = own.data_dir
         self._folder_lock: FolderLock | None = None
         token = cfg.fleet.token_file.read_text(encoding="utf-8").strip()
-        tls = _tls_files(cfg.fleet.tls)
+        tls = tls_files(cfg.fleet.tls)
         self.store = ConfigStore()
         self.state = ControlState(declarations)
         self.directory = Directory()
@@ -233,9 +234,3 @@
     if given is not None:
         return dict(given)
     return {} if cfg.operators_file is None else load_operators(cfg.operators_file)
-
-
-def _tls_files(tls: TlsCfg) -> TlsFiles | None:
-    if not tls.cert_file:
-        return None
-    return TlsFiles(tls.cert_file, tls.key_file, tls.ca_file)
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -14,14 +14,15 @@
 from gooseberrydale.connection.channels import ChannelPool
 from gooseberrydale.connection.control_client import ControlClient
 from gooseberrydale.connection.mesh import ENTRY_ROLE
-from gooseberrydale.connection.rpc import RpcChannel, RpcServer, TlsFiles
-from gooseberrydale.process.cfg import Cfg, EntryCfg, TlsCfg
+from gooseberrydale.connection.rpc import RpcChannel, RpcServer
+from gooseberrydale.process.cfg import Cfg, EntryCfg
 from gooseberrydale.process.entry.app import make_app
 from gooseberrydale.process.entry.calls import Calls
 from gooseberrydale.process.entry.gatekeeper import Gatekeeper, Phase
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh
 from gooseberrydale.process.metrics import Metrics
+from gooseberrydale.process.tls import tls_files
 from gooseberrydale.request.background import Background
 from gooseberrydale.request.baselines import make_policy
 from gooseberrydale.request.config_sync import ConfigSync
@@ -197,10 +198,3 @@
 
 async def _livez(_req: Request) -> Response:
     return JSONResponse({"live": True})
-
-
-def tls_files(cfg: TlsCfg) -> TlsFiles | None:
-    """The files of a mutual TLS listener; None for plain TCP."""
-    if not cfg.cert_file:
-        return None
-    return TlsFiles(cfg.cert_file, cfg.key_file, cfg.ca_file)
--- a/gooseberrydale/process/membership.py
+++ b/gooseberrydale/process/membership.py
@@ -25,9 +25,10 @@
     PeerState,
 )
 from gooseberrydale.connection.mesh_server import MeshServer
-from gooseberrydale.connection.rpc import RpcServer, TlsFiles
+from gooseberrydale.connection.rpc import RpcServer
 from gooseberrydale.errors import REPLACED_INCARNATION, problem
-from gooseberrydale.process.cfg import Cfg, TlsCfg
+from gooseberrydale.process.cfg import Cfg
+from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.session_targets import EntryPoint, session_targets
@@ -78,7 +79,7 @@
             identity, directory, store, on_ack=on_ack, timings=timings
         )
         self._server = MeshServer(self._node)
-        tls = _tls_files(cfg.fleet.tls)
+        tls = tls_files(cfg.fleet.tls)
         self._clients = tuple(
             MeshClient(address, token, tls, self._node, self._rng)
             for address in _targets(cfg, role)
@@ -220,9 +221,3 @@
         entries = others
     chosen = session_targets(cfg.node.name, cfg.node.zone, entries, bound)
     return cfg.fleet.controls + chosen
-
-
-def _tls_files(tls: TlsCfg) -> TlsFiles | None:
-    if not tls.cert_file:
-        return None
-    return TlsFiles(tls.cert_file, tls.key_file, tls.ca_file)
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -16,10 +16,10 @@
 from gooseberrydale.connection.control_client import ControlClient
 from gooseberrydale.connection.control_messages import FenceReply, ReadFenceReq
 from gooseberrydale.connection.mesh import SIDECAR_ROLE, UpstreamRecord
-from gooseberrydale.connection.rpc import ORDER, RpcServer, TlsFiles
+from gooseberrydale.connection.rpc import ORDER, RpcServer
 from gooseberrydale.connection.upstream_api import LoadReply
 from gooseberrydale.errors import Problem
-from gooseberrydale.process.cfg import Cfg, SidecarCfg, TlsCfg
+from gooseberrydale.process.cfg import Cfg, SidecarCfg
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.instruments import Level
 from gooseberrydale.process.membership import Mesh
@@ -31,6 +31,7 @@
 from gooseberrydale.process.sidecar.service import SidecarService
 from gooseberrydale.process.sidecar.upstream_watch import UpstreamWatch
 from gooseberrydale.process.sidecar.worker import Worker
+from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.cache_view import CacheView
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declarations import ProfileKind
@@ -76,7 +77,7 @@
             lambda: len(self._view),
         )
         token = read_token(cfg.fleet.token_file)
-        self._rpc = RpcServer(self._sidecar.rpc, token, _tls(cfg.fleet.tls))
+        self._rpc = RpcServer(self._sidecar.rpc, token, tls_files(cfg.fleet.tls))
         self._mesh = Mesh(
             cfg,
             SIDECAR_ROLE,
@@ -88,7 +89,7 @@
             rng=rng,
         )
         self._control = ControlClient(
-            cfg.fleet.controls, token, _tls(cfg.fleet.tls), rng
+            cfg.fleet.controls, token, tls_files(cfg.fleet.tls), rng
         )
         self._orders = OrderKeeper(
             cfg.node.name,
@@ -241,9 +242,3 @@
 
 def _started_before(limit: float | None, attempt: Attempt) -> bool:
     return limit is not None and attempt.started_at <= limit
-
-
-def _tls(cfg: TlsCfg) -> TlsFiles | None:
-    if not cfg.cert_file:
-        return None
-    return TlsFiles(cfg.cert_file, cfg.key_file, cfg.ca_file)
