Audit malformed changes and orders too

Cause: a body that does not fit the interface, or a change id that is none, was refused without a trace in the audit trail; only requests that reached the log left one. Ruled out: letting such requests into the log, where they can't be read back. Change: the attempt is noted with the operator, the path and every fault; a replica that does not lead writes it into its log. A file refused by the command itself never reaches control and leaves no trace there.

--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -56,6 +56,10 @@
 CATCH_UP_RETRY_AFTER_S = 1.0
 MAX_BODY_BYTES = 4 * 1024 * 1024
 AUDIT_ENTRIES_SHOWN = 100
+WRONG_CHANGE_ID = problem(
+    INVALID_FIELD, reason="change_id: use letters, digits and ._:/- (128 at most)"
+)
+MAX_NOTE_CHARS = 500
 NOTE_INTERVAL_S = 1.0
 
 T = TypeVar("T")
@@ -225,32 +229,35 @@
     async def _post_change(self, request: Request, operator: str) -> Response:
         match await _read(request, ChangeBody):
             case Ok(body):
-                return await self._change(operator, body)
+                return await self._change(request, operator, body)
             case Err(refused):
-                return refuse(refused)
+                return await self._refuse_noted(request, operator, refused)
 
     async def _post_profile(self, request: Request, operator: str) -> Response:
         match await _read(request, ProfileBody):
             case Ok(body):
                 edit = Edit(EditKind.APPLY_PROFILE, profile=body.profile)
                 change = ChangeBody(body.change_id, body.base, (edit,), body.dry_run)
-                return await self._change(operator, change)
+                return await self._change(request, operator, change)
             case Err(refused):
-                return refuse(refused)
+                return await self._refuse_noted(request, operator, refused)
 
     async def _post_workspace(self, request: Request, operator: str) -> Response:
         match await _read(request, WorkspaceBody):
             case Ok(body):
                 edit = Edit(EditKind.APPLY_WORKSPACE, workspace=body.workspace)
                 change = ChangeBody(body.change_id, body.base, (edit,), body.dry_run)
-                return await self._change(operator, change)
+                return await self._change(request, operator, change)
             case Err(refused):
-                return refuse(refused)
+                return await self._refuse_noted(request, operator, refused)
 
-    async def _change(self, operator: str, body: ChangeBody) -> Response:
-        refused = self._refuse_early(body.change_id)
-        if refused is not None:
-            return refuse(refused)
+    async def _change(
+        self, request: Request, operator: str, body: ChangeBody
+    ) -> Response:
+        if self.draining:
+            return refuse(problem(SHUTTING_DOWN))
+        if not NAME_PATTERN.fullmatch(body.change_id):
+            return await self._refuse_noted(request, operator, WRONG_CHANGE_ID)
         req = ChangeReq(body.change_id, body.base, operator, body.edits)
         if body.dry_run:
             return _change_answer(self._state.try_out(req), dry_run=True)
@@ -263,14 +270,17 @@
     async def _post_order(self, request: Request, operator: str) -> Response:
         match await _read(request, OrderBody):
             case Ok(body):
-                return await self._order(operator, body)
+                return await self._order(request, operator, body)
             case Err(refused):
-                return refuse(refused)
+                return await self._refuse_noted(request, operator, refused)
 
-    async def _order(self, operator: str, body: OrderBody) -> Response:
-        refused = self._refuse_early(body.change_id)
-        if refused is not None:
-            return refuse(refused)
+    async def _order(
+        self, request: Request, operator: str, body: OrderBody
+    ) -> Response:
+        if self.draining:
+            return refuse(problem(SHUTTING_DOWN))
+        if not NAME_PATTERN.fullmatch(body.change_id):
+            return await self._refuse_noted(request, operator, WRONG_CHANGE_ID)
         req = PlaceOrderReq(
             change_id=body.change_id,
             operator=operator,
@@ -288,13 +298,16 @@
             case Err(refused):
                 return refuse(refused)
 
-    def _refuse_early(self, change_id: str) -> Problem | None:
-        if self.draining:
-            return problem(SHUTTING_DOWN)
-        if not NAME_PATTERN.fullmatch(change_id):
-            reason = "change_id: use letters, digits and ._:/- (128 at most)"
-            return problem(INVALID_FIELD, reason=reason)
-        return None
+    async def _refuse_noted(
+        self, request: Request, operator: str, refused: Problem
+    ) -> Response:
+        """Refuse a request that is malformed, and audit the attempt."""
+        detail = f"{request.method} {request.url.path}: {refused.message}"
+        note = NoteReq(operator, "malformed", detail[:MAX_NOTE_CHARS], refused.code)
+        if isinstance(await self._commit.ask(note), Err):
+            # A replica that does not lead can't commit the entry; the log has it.
+            logger.warning("refused to {}: {}", operator, detail)
+        return refuse(refused)
 
     def _note_wrong_token(self, request: Request) -> None:
         """Audit the attempt; a flood of them is gathered into one entry a second."""
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -72,6 +72,9 @@
         assert refused.status_code == status, refused.text
         assert named in refused.text
         assert control.store.revision == 0
+        (entry,) = (await operator.get("/v1/audit")).json()["audit"]
+        code = refused.json()["code"]
+        assert (entry["operator"], entry["outcome"]) == ("ana", code)
 
     run(steps)
 
