Remove a key by at least eight digits of its digest; send malformed bodies to the leader

Cause: running the operators' commands again showed that `remove_key first` took away a key whose digest begins with 0, since the library that reads arguments makes the number 0 of it; and that a malformed order was audited only if the leader was asked first. Ruled out: turning the library's reading of values off: other flags rely on it. Change: a digest needs eight hexadecimal digits; a replica that does not lead sends a malformed body on to the leader, as it does with any change.

--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -36,6 +36,7 @@
     CATCHING_UP,
     INVALID_FIELD,
     INVALID_JSON,
+    NOT_LEADER,
     SHUTTING_DOWN,
     UNKNOWN_NAME,
     WRONG_OPERATOR_TOKEN,
@@ -304,9 +305,12 @@
         """Refuse a request that is malformed, and audit the attempt."""
         detail = f"{request.method} {request.url.path}: {refused.message}"
         note = NoteReq(operator, "malformed", detail[:MAX_NOTE_CHARS], refused.code)
-        if isinstance(await self._commit.ask(note), Err):
-            # A replica that does not lead can't commit the entry; the log has it.
-            logger.warning("refused to {}: {}", operator, detail)
+        match await self._commit.ask(note):
+            case Err(other) if other.code == NOT_LEADER.code:
+                # The leader refuses it as well, and can commit the note.
+                return refuse(other)
+            case Err():
+                logger.warning("refused to {}: {}", operator, detail)
         return refuse(refused)
 
     def _note_wrong_token(self, request: Request) -> None:
--- a/gooseberrydale/process/operator_cli.py
+++ b/gooseberrydale/process/operator_cli.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import re
 import secrets
 import sys
 from collections.abc import Callable
@@ -35,6 +36,9 @@
 from gooseberrydale.version.key_index import key_digest
 
 MIN_KEY_CHARS = 16
+# Fewer could also be what a mistyped digest was read as: 00000000 comes as "0".
+MIN_DIGEST_CHARS = 8
+DIGEST_START = re.compile(f"[0-9a-f]{{{MIN_DIGEST_CHARS},64}}")
 NEW_KEY_BYTES = 32
 PROFILE_COLUMNS = ("name", "kind", "pool", "model", "repeatable", "deadline_s")
 WORKSPACE_COLUMNS = ("name", "share", "profiles", "keys")
@@ -211,7 +215,10 @@
         return Command(self._options, act)
 
     def remove_key(self, name: str, digest: str) -> Command:
-        """Take the key whose digest begins with DIGEST from the workspace NAME."""
+        """Take the key whose digest begins with DIGEST from the workspace NAME.
+
+        DIGEST has at least 8 digits; ``show`` prints it whole.
+        """
         start = str(digest)
 
         async def act(session: Session) -> None:
@@ -337,6 +344,11 @@
 
 
 def _without(digests: tuple[str, ...], start: str) -> tuple[str, ...]:
+    if DIGEST_START.fullmatch(start) is None:
+        reason = (
+            f"{start!r} is no digest; give at least {MIN_DIGEST_CHARS} digits of it"
+        )
+        raise CommandError(OperatorExit.USAGE, reason)
     left = tuple(digest for digest in digests if not digest.startswith(start))
     if left == digests:
         refused = problem(UNKNOWN_NAME, what="key", name=start)
--- a/tests/test_control_replicated.py
+++ b/tests/test_control_replicated.py
@@ -79,6 +79,19 @@
     run(tmp_path, steps)
 
 
+def test_a_malformed_order_is_audited_whichever_replica_is_asked_first(tmp_path):
+    async def steps(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        cluster.running[leader] = cluster.running.pop(leader)
+        async with cluster.client() as operator:
+            refused = (await operator.post("/v1/orders", {"kind": "tea"})).unwrap_err()
+            assert refused.code == "invalid_field"
+            audit = (await operator.get_from_leader("/v1/audit")).unwrap()["audit"]
+        assert [entry["outcome"] for entry in audit] == ["invalid_field"]
+
+    run(tmp_path, steps)
+
+
 def test_claims_are_granted_once_whichever_replica_is_asked(tmp_path):
     async def steps(cluster: Cluster) -> None:
         clients = [ControlClient([at], FLEET_TOKEN) for at in cluster.rpc.values()]
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -164,7 +164,9 @@
     shown = capsys.readouterr().out
     assert KEY not in shown and made not in shown
     revision = control.store.revision
-    assert run("workspace", "remove-key", "fraser", "00") == OperatorExit.REFUSED
+    assert (
+        run("workspace", "remove-key", "fraser", "ffffffff0000") == OperatorExit.REFUSED
+    )
     assert control.store.revision == revision
     assert run("workspace", "add-key", "nobody") == OperatorExit.REFUSED
     key_file.write_text("short")
@@ -172,6 +174,21 @@
     assert weak == OperatorExit.USAGE
 
 
+@pytest.mark.parametrize("digest", ["00000000", "0", "07", "0" * 64])
+def test_no_key_is_removed_by_a_digest_that_is_not_its_own(
+    run, control, tmp_path, digest
+):
+    # The library that reads arguments takes 00000000 for the number 0.
+    keys = (f"key-{number:016d}" for number in range(10**4))
+    key = next(key for key in keys if key_digest(key).startswith("07"))
+    (tmp_path / "key").write_text(key)
+    assert run("workspace", "apply", "fraser") == 0
+    key_file = str(tmp_path / "key")
+    assert run("workspace", "add-key", "fraser", "--key-file", key_file) == 0
+    assert run("workspace", "remove-key", "fraser", digest) != 0
+    assert control.store.config.workspaces["fraser"].key_digests == (key_digest(key),)
+
+
 def test_upstreams_and_orders(run, control, capsys):
     assert run("upstream", "leave", "e1") == 0
     assert control.store.config.leaving == {"e1"}
