--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -430,7 +430,7 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def _answers(url: str, verify: str | bool) -> bool:
+def _answers(url: str, verify: str | bool = True) -> bool:
     try:
         answer = httpx2.get(url, timeout=2.0, trust_env=False, verify=verify)
         return answer.status_code == 200
