Give later tests the real calls to upstreams back

Cause: the random run of the request path puts its own call to the upstream in the place of the sidecar's and left it there; in a run of all units the first tests of the sidecar then failed and a later one hung (seen twice). Ruled out: the sidecar; its tests pass alone. Change: a fixture puts the real one back.

--- a/tests/test_request_path_machine.py
+++ b/tests/test_request_path_machine.py
@@ -18,6 +18,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 from loguru import logger
 
+from gooseberrydale.process.sidecar import upstream_run
 from tests.builders_memory_net import Faults
 from tests.builders_request_path import ENTRIES, UPSTREAMS, Fleet
 
@@ -42,6 +43,14 @@
     logger.enable("gooseberrydale")
 
 
+@pytest.fixture(autouse=True)
+def _own_upstream_calls() -> Iterator[None]:
+    """Give later tests the real calls back: a fleet puts its own in their place."""
+    real = upstream_run.UpstreamCall
+    yield
+    upstream_run.UpstreamCall = real  # type: ignore[misc]
+
+
 class RequestPath(RuleBasedStateMachine):
     """Rules are requests, faults and stretches of time."""
 
