Refuse what waits at an upstream that is leaving, and time its last work

Cause: a leaving mark made the sidecar refuse new requests at once, but requests that it had queued before still started later, as late as the queue was long. With one request at a time and a queue of about seven the last work started 4.33 s after the change was acknowledged, past the bound of 4 s. Ruled out: entries that had not heard (with a short queue the last start was 1.8 s after the change, which was the queue as well). Change: once the mark is in force the sidecar refuses all that waits as not run, so that entries send it elsewhere; what runs goes on. The test of the waiting request in tests/test_sidecar.py was not run without the change.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 from typing import Any
 
 from behave import given, then, when
@@ -40,15 +41,27 @@
 
 
 def start_fleet(
-    context: Any, controls: int, entries: int, upstreams: list[UpstreamSpec]
+    context: Any,
+    controls: int,
+    entries: int,
+    upstreams: list[UpstreamSpec],
+    cut_off: tuple[str, ...] = (),
+    prepare: Callable[[Fleet, UpstreamSpec], None] | None = None,
 ) -> Fleet:
-    """Start a fleet, declare its configuration and wait until it serves."""
+    """Start a fleet, declare its configuration and wait until it serves.
+
+    Processes named in ``cut_off`` can't reach control.  ``prepare`` may change the
+    settings of each upstream before it is added.
+    """
     fleet = Fleet(context.folder, ZONES)
+    fleet.cut_off.update(cut_off)
     context.fleet = fleet
     fleet.controls = [f"control-{i + 1}" for i in range(controls)]
     fleet.add_entries(entries)
     fleet.add_controls(controls)
     for spec in upstreams:
+        if prepare is not None:
+            prepare(fleet, spec)
         fleet.add_upstream(spec)
     fleet.start()
     workspace = Workspace("one", key_digests=(key_digest(KEY),))
@@ -57,8 +70,8 @@
     return fleet
 
 
-def engines(count: int, *flags: str) -> list[UpstreamSpec]:
-    """Engines of one pool, spread over the zones."""
+def engines(count: int, *flags: str, **settings: object) -> list[UpstreamSpec]:
+    """Engines of one pool, spread over the zones; settings are their sidecars'."""
     defaults = ("--model", "model-a", "--decode-s", "0.02")
     return [
         UpstreamSpec(
@@ -66,6 +79,7 @@
             "engines",
             zone=ZONES[i % len(ZONES)],
             flags=(*defaults, "--seed", str(i), *flags),
+            settings=dict(settings),
         )
         for i in range(count)
     ]
--- a/gooseberrydale/example/engine_host.py
+++ b/gooseberrydale/example/engine_host.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+import time
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -55,7 +56,11 @@
 
 @dataclass(slots=True)
 class RunRecord:
-    """What became of one request; ``state`` is the last one reached."""
+    """What became of one request; ``state`` is the last one reached.
+
+    ``started_at`` is the wall time at which the engine took the request in, in
+    seconds since the epoch, so that other processes can compare it with theirs.
+    """
 
     request_id: str
     attempt: str
@@ -63,6 +68,7 @@
     state: str
     prompt_tokens: int
     first_index: int
+    started_at: float
     cached_tokens: int = 0
     emitted_tokens: int = 0
 
@@ -123,7 +129,13 @@
         self._next_job += 1
         body = prompt.body
         record = RunRecord(
-            request_id, attempt, path, "waiting", prompt.tokens, prompt.first_index
+            request_id=request_id,
+            attempt=attempt,
+            path=path,
+            state="waiting",
+            prompt_tokens=prompt.tokens,
+            first_index=prompt.first_index,
+            started_at=time.time(),
         )
         self.record.append(record)
         self._runs[self._next_job] = _Run(record, asyncio.Queue())
--- a/gooseberrydale/process/sidecar/dispatcher.py
+++ b/gooseberrydale/process/sidecar/dispatcher.py
@@ -27,6 +27,7 @@
     TOMBSTONED,
     UNKNOWN_STREAM,
     UPSTREAM_FAILED,
+    UPSTREAM_LEAVING,
     WRONG_INCARNATION,
     InvariantError,
     Problem,
@@ -158,6 +159,16 @@
         while self.busy and _now() < end:
             await asyncio.sleep(POLL_S)
 
+    def refuse_queued(self) -> None:
+        """Refuse all that waits, since the upstream is leaving; the rest goes on."""
+        for attempt in list(self._attempts.values()):
+            if self.gate.phase(attempt.key) is Phase.WAITING:
+                waiting_id = work_id(attempt.key)
+                self.admission.cancel(waiting_id, _now())
+                leaving = problem(UPSTREAM_LEAVING, upstream=self._name)
+                self._refuse_waiting(waiting_id, leaving)
+        self._arm_expiry()
+
     def stop_running(
         self, concerned: Callable[[Attempt], bool]
     ) -> list[asyncio.Task[None]]:
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -200,6 +200,8 @@
             if config.leaving != leaving:
                 leaving = config.leaving
                 self._mesh.announce()
+            if self._cfg.node.name in leaving:
+                self.dispatcher.refuse_queued()
 
     def _state_changed(self, old: UpstreamState, new: UpstreamState) -> None:
         if self._view.begin(new.incarnation, new.weights_version):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -367,6 +367,30 @@
     run(main())
 
 
+def test_leaving_refuses_what_waits_and_finishes_what_runs(
+    tmp_path: pathlib.Path,
+) -> None:
+    config = Config(revision=7, leaving=frozenset({"upstream-1"}))
+
+    async def main() -> None:
+        async with bench(tmp_path, endless_stream, max_running=1) as made:
+            running = made.dispatch()
+            await frames_until(running, 1)
+            waiting = made.dispatch(request_id="req-2")
+            while made.sidecar.dispatcher.load().queued == 0:
+                await asyncio.sleep(0.01)
+            await made.channel.call(PUSH_CONFIG, PushConfig(config))
+            frames = await frames_of(waiting)
+            assert isinstance(frames[-1], Refused)
+            assert frames[-1].problem.code == "upstream_leaving"
+            assert frames[-1].problem.not_run is True
+            assert len(await frames_until(running, 5)) >= 5
+            assert len(made.upstream.requests) == 1
+            await made.cancel()
+
+    run(main())
+
+
 def own_record(made: Bench) -> UpstreamRecord | None:
     """What the sidecar announces of its upstream."""
     now = asyncio.get_running_loop().time()
