Prove with processes that a rolling restart cuts nothing

Cause: graceful shutdown was proved for one process at a time, without its return. Change: features/rolling_restart.feature. All entries and sidecars get SIGTERM, are waited for and started again, one after the other, under load. Callers stand behind a stand-in for the balancer, which follows /readyz. Ruled out: callers without a balancer.

--- /dev/null
+++ b/features/rolling_restart.feature
@@ -0,0 +1,12 @@
+Feature: A rolling restart under load cuts nothing
+  Entries and sidecars are asked to shut down one after the other; each is started
+  again, under its address, once it has ended by itself.
+
+  Scenario: All entries and sidecars restart, one after the other
+    Given a fleet of 3 control replicas, 2 entries and 3 engines
+    And 120 requests are under way, one each 0.15 s
+    When all entries and sidecars are restarted gracefully, one after the other
+    And all requests have ended
+    Then every request brought its whole answer
+    And each request ran once, or went on where its last run ended
+    And requests were still sent when the last process was back
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -320,6 +320,10 @@
         states = {repair["state"] for repair in control["repairs"]}
         return states == {"done"}
 
+    def entry_ready(self, name: str) -> bool:
+        """Whether an entry tells the balancer that it is ready."""
+        return _answers(self.entry_url(name) + "/readyz")
+
     def answers_health(self, upstream: str) -> bool:
         """Whether the upstream itself takes calls."""
         return _answers(self.upstream_url(upstream) + "/health")
