Run load over lost, repeated and crossed cache events, and over an emptied engine

Cause: unreliable cache events were tested against the view alone. A fifth of the events each is lost, repeated and out of order; an engine is killed and comes back empty under its address. Every answer must be whole, and none may claim more cached tokens than the engine's record. Limits: the usage in an answer is the engine's own, so this shows that nothing on the way adds to it and that the engine's first answer after its return had nothing cached.

--- /dev/null
+++ b/features/steps/cache_steps.py
@@ -0,0 +1,54 @@
+"""Steps around unreliable cache events and caches that are lost."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then
+
+from features.steps.fleet_steps import engines, show, start_fleet
+
+UNRELIABLE = (
+    *("--event-drop-rate", "0.2"),
+    *("--event-repeat-rate", "0.2"),
+    *("--event-reorder-rate", "0.2"),
+)
+
+
+@given(
+    "a fleet of {controls:d} control replicas, {entries:d} entries and {n:d} engines"
+    " whose cache events are unreliable"
+)
+def step_unreliable(context: Any, controls: int, entries: int, n: int) -> None:
+    """Start engines that lose, repeat and reorder a fifth of their events each."""
+    start_fleet(context, controls, entries, engines(n, *UNRELIABLE))
+
+
+@then("no answer claims more cached tokens than the engine's record")
+def step_usage(context: Any) -> None:
+    """Compare each answer's usage with the records of the runs that gave it."""
+    runs = {
+        run["request_id"]: run
+        for name in context.fleet.upstreams
+        for run in context.fleet.runs(name)
+    }
+    told = [(e, runs[i]) for e in context.endings for i in e.request_ids if i in runs]
+    assert told, show(context.endings)
+    over = [
+        (ending.request_ids, ending.cached_tokens, run)
+        for ending, run in told
+        if ending.cached_tokens is None or ending.cached_tokens > run["cached_tokens"]
+    ]
+    total = sum(ending.cached_tokens or 0 for ending, _ in told)
+    print(f"{len(told)} answers claim {total} cached tokens")
+    assert not over, over
+    assert total > 0
+
+
+@then("{name} ran some of them, the first of them with nothing cached")
+def step_empty(context: Any, name: str) -> None:
+    """The engine that came back had lost its cache and got work again."""
+    runs = context.fleet.runs(name)
+    ids = {i for ending in context.endings for i in ending.request_ids}
+    assert runs and {run["request_id"] for run in runs} <= ids, runs
+    assert runs[0]["cached_tokens"] == 0, runs[0]
