--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -170,7 +170,7 @@
             name=node.name,
             incarnation=self.incarnation,
             seq=0,
-            address=self.addresses["rpc"],
+            address=self._sidecar.advertise or self.addresses["rpc"],
             zone=node.zone,
             region=node.region,
             pool=self._sidecar.pool,
@@ -201,6 +201,8 @@
             if config.leaving != leaving:
                 leaving = config.leaving
                 self._mesh.announce()
+            if self._cfg.node.name in leaving:
+                self.dispatcher.refuse_queued()
 
     def _state_changed(self, old: UpstreamState, new: UpstreamState) -> None:
         if self._view.begin(new.incarnation, new.weights_version):
