Remove the setting that switched no invariant

Cause: check_invariants was read nowhere; the invariants are always on, and cheap. Ruled out: making it work, since a broken invariant must never pass unseen. Change: the setting is gone; a file that has it is refused as an unknown key. The test's row of an integer for a boolean moves to a boolean that exists.

--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -71,7 +71,6 @@
     silence_s: float = 3.0
     retry_ratio: float = 0.2
     policy: str = "affinity"
-    check_invariants: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +99,6 @@
     upstream_silence_s: float = 5.0
     checks_fencing: bool = False
     kv_store: str = ""
-    check_invariants: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +129,6 @@
     claim_ttl_s: float = 43_200.0
     claim_body_bytes: int = 65_536
     claim_total_bytes: int = 8 * 1024 * 1024
-    check_invariants: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/measure/subject.py
+++ b/measure/subject.py
@@ -41,9 +41,9 @@
         self.name = f"{role}-1"
         self.host, port = self.fleet.host(self.name), PORTS[role]
         if role == "entry":
-            self.fleet.add_entries(1, check_invariants=False)
+            self.fleet.add_entries(1)
         elif role == "control":
-            self.fleet.add_controls(1, check_invariants=False)
+            self.fleet.add_controls(1)
         else:
             # Settings must name a control replica; this one never answers.
             self.fleet.controls = ["control-away"]
--- a/scripts/slope_streams.py
+++ b/scripts/slope_streams.py
@@ -51,12 +51,11 @@
     fleet = Fleet(folder, ("zone-1",))
     # All settings list both, whichever is written first.
     fleet.controls = ["control-1"]
-    fleet.add_entries(1, check_invariants=False)
-    fleet.add_controls(1, check_invariants=False)
+    fleet.add_entries(1)
+    fleet.add_controls(1)
     settings: dict[str, object] = {
         "max_running": ROOM,
         "max_queued": ROOM,
-        "check_invariants": False,
     }
     spec = UpstreamSpec("1", "engines", model=MODEL, flags=FLAGS, settings=settings)
     fleet.add_upstream(spec)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -179,7 +179,6 @@
                 "rpc": f"{self.host(name)}:{CONTROL_RPC}",
                 "http": f"{self.host(name)}:{CONTROL_HTTP}",
                 "operators_file": str(self.folder / "operators.toml"),
-                "check_invariants": True,
                 "replicas": replicas,
                 **settings,
             }
@@ -193,7 +192,6 @@
             table = {
                 "http": f"{self.host(name)}:{ENTRY_HTTP}",
                 "rpc": f"{self.host(name)}:{ENTRY_RPC}",
-                "check_invariants": True,
                 **settings,
             }
             self._write_cfg(name, self.zones[i % len(self.zones)], "entry", table)
@@ -216,7 +214,6 @@
             "kind": spec.kind,
             "model": spec.model if spec.kind == "completion" else "",
             "rpc": f"{self.host(sidecar)}:{SIDECAR_RPC}",
-            "check_invariants": True,
             **spec.settings,
         }
         self._write_cfg(sidecar, spec.zone, "sidecar", table, node=spec.name)
--- a/tests/test_cfg_file.py
+++ b/tests/test_cfg_file.py
@@ -95,7 +95,6 @@
         ("[entry]", "[entry]\nmax_body_bytes = 0", "entry.max_body_bytes"),
         ("[entry]", "[entry]\npolicy = 'luck'", "entry.policy"),
         ("[entry]", "[entry]\nmax_body_bytes = 1.5", "entry.max_body_bytes"),
-        ("[entry]", "[entry]\ncheck_invariants = 1", "entry.check_invariants"),
         ("[entry]", "[entry.tls]\nca_file = 1\n[entry]", "entry.tls.ca_file"),
         ("[entry]", "[entry.tls]\ncert_file = 'fleet.token'\n[entry]", "entry.tls"),
         ("[entry]", "[sidecar]", "entry"),
@@ -134,21 +133,21 @@
 
 
 @pytest.mark.parametrize(
-    ("advertise", "keys"),
+    ("line", "keys"),
     [
-        ("", []),
-        ("10.0.0.7:80", []),
-        ("host:80", ["sidecar.advertise"]),
-        ("10.0.0.7", ["sidecar.advertise"]),
+        ('advertise = ""', []),
+        ('advertise = "10.0.0.7:80"', []),
+        ('advertise = "host:80"', ["sidecar.advertise"]),
+        ('advertise = "10.0.0.7"', ["sidecar.advertise"]),
+        ("checks_fencing = true", []),
+        ("checks_fencing = 1", ["sidecar.checks_fencing"]),
     ],
 )
-def test_a_sidecar_advertises_an_address_or_its_own(
-    tmp_path: Path, advertise: str, keys: list[str]
-) -> None:
+def test_a_setting_of_a_sidecar(tmp_path: Path, line: str, keys: list[str]) -> None:
     sidecar = f"""[sidecar]
 upstream = "http://127.0.0.1:1"
 pool = "p"
-advertise = "{advertise}"
+{line}
 """
     path = write(tmp_path, ENTRY[: ENTRY.index("[entry]")] + sidecar)
     loaded = load(path, "sidecar")
