Claim 'in force everywhere' at the leader alone; let order deadlines agree

Cause: an isolated replica said that its revision was in force everywhere, and control counted an order as lost after 60 s while the sidecar may work on it for 120 s. Change: only a replica that leads under its lease says so; the default deadline of an order is 150 s, above the sidecar's.

--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -351,7 +351,7 @@
     change_ids: int = 10_000
     orders: int = 1_000
     loads_at_once: int = 2
-    order_deadline_s: float = 60.0
+    order_deadline_s: float = 150.0
     claims: int = 30_000
     claims_per_workspace: int = 15_000
     claim_ttl_s: float = 43_200.0
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -214,7 +214,11 @@
         now = asyncio.get_running_loop().time()
         revision = self._state.config.revision
         standings = self._acknowledgements.all(now)
-        everywhere = self._acknowledgements.in_force_everywhere(revision, now)
+        # A replica that does not lead may not know the newest revision.
+        everywhere = (
+            self._commit.refuse_if_not_leading() is None
+            and self._acknowledgements.in_force_everywhere(revision, now)
+        )
         table = {
             "revision": revision,
             "in_force_everywhere": everywhere,
--- a/gooseberrydale/process/sidecar/orders.py
+++ b/gooseberrydale/process/sidecar/orders.py
@@ -25,6 +25,7 @@
 
 LEARN_TIMEOUT_S = 1.0
 ANSWER_WITHIN_S = 0.5
+# Below the time after which control counts an order as lost.
 ORDER_TIMEOUT_S = 120.0
 # An order whose connection broke may still be carried out.  Where the upstream does
 # not check numbers, a newer one waits for so long that it can't be overtaken.
