Check that a sidecar drops its view of an engine that came back empty

Cause: the scenario of the emptied engine passed with a sidecar that kept its view, since the usage in answers is the engine's own. Change: the blocks that the sidecar counts, read from its metrics, must be above 0 before the engine's end and fall to 0 within 8 s of its return, before any new request. Seen to fail, in a trial on a scratch copy where neither the new incarnation nor the broken stream of events drops the view. With either of the two in force it passes. Not proved: that a lost event is made good; the first scenario checks answers alone.

--- a/features/steps/cache_steps.py
+++ b/features/steps/cache_steps.py
@@ -4,10 +4,12 @@
 
 from typing import Any
 
-from behave import given, then
+from behave import given, then, when
 
 from features.steps.fleet_steps import engines, show, start_fleet
+from tests.fleet import wait_until
 
+VIEW_BOUND_S = 8.0
 UNRELIABLE = (
     *("--event-drop-rate", "0.2"),
     *("--event-repeat-rate", "0.2"),
@@ -21,7 +23,10 @@
 )
 def step_unreliable(context: Any, controls: int, entries: int, n: int) -> None:
     """Start engines that lose, repeat and reorder a fifth of their events each."""
-    start_fleet(context, controls, entries, engines(n, *UNRELIABLE))
+    upstreams = engines(n, *UNRELIABLE)
+    for spec in upstreams:
+        spec.metrics = True
+    start_fleet(context, controls, entries, upstreams)
 
 
 @then("no answer claims more cached tokens than the engine's record")
@@ -52,3 +57,28 @@
     ids = {i for ending in context.endings for i in ending.request_ids}
     assert runs and {run["request_id"] for run in runs} <= ids, runs
     assert runs[0]["cached_tokens"] == 0, runs[0]
+
+
+@when("{name} answers again")
+def step_answers(context: Any, name: str) -> None:
+    """The engine itself serves again, under another incarnation."""
+    wait_until(lambda: context.fleet.answers_health(name), f"{name} is not back")
+
+
+@then("the sidecar of {name} soon counts nothing as cached")
+def step_view_dropped(context: Any, name: str) -> None:
+    """The view of the engine's old life is gone, without any new request."""
+    before = context.blocks_before
+    print(f"the sidecar of {name} counted {before:g} blocks before")
+    assert before > 0
+    wait_until(
+        lambda: context.fleet.sidecar_level(name, "cached_blocks") == 0,
+        f"the sidecar of {name} still counts blocks of the old life",
+        VIEW_BOUND_S,
+    )
+
+
+@when("the blocks that the sidecar of {name} counts are noted")
+def step_note_blocks(context: Any, name: str) -> None:
+    """Remember the view before the engine's end."""
+    context.blocks_before = context.fleet.sidecar_level(name, "cached_blocks")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -37,6 +37,7 @@
 CONTROL_RPC, CONTROL_HTTP = 8070, 8071
 UPSTREAM_HTTP = 9000
 MAX_HOSTS = 40
+METRICS_HTTP = 9100
 DEAD_PORT = 1
 
 
@@ -111,6 +112,7 @@
     model: str = "model-a"
     flags: tuple[str, ...] = ()
     settings: dict[str, object] = field(default_factory=dict)
+    metrics: bool = False
 
 
 class Fleet:
@@ -217,6 +219,10 @@
             **spec.settings,
         }
         self._write_cfg(sidecar, spec.zone, "sidecar", table, node=spec.name)
+        if spec.metrics:
+            listener = {"http": f"{self.host(sidecar)}:{METRICS_HTTP}"}
+            with open(self.cfg_path(sidecar), "a") as cfg:
+                cfg.write(_toml("metrics", listener))
         self._add_role(sidecar, "sidecar")
 
     def add_example(self, name: str, app: str, host: str, port: int) -> None:
@@ -342,6 +348,15 @@
         states = {repair["state"] for repair in control["repairs"]}
         return states == {"done"}
 
+    def sidecar_level(self, upstream: str, name: str) -> float:
+        """One level from the metrics of a sidecar that has a listener for them."""
+        url = f"http://{self.host('sidecar-' + upstream)}:{METRICS_HTTP}/metrics"
+        text = httpx2.get(url, timeout=10.0, trust_env=False).text
+        lines = [line for line in text.splitlines() if line[:1] not in ("", "#")]
+        found = [line for line in lines if name in line.split("{")[0]]
+        assert found, f"{name} is not among {lines}"
+        return float(found[0].rpartition(" ")[2])
+
     def entry_ready(self, name: str) -> bool:
         """Whether an entry tells the balancer that it is ready."""
         return _answers(self.entry_url(name) + "/readyz")
