Check foreign and stale dispatches where the sidecar takes them in

Change: a sidecar's dispatcher is watched directly; entries freeze for long with requests on the way; leaving is taken back at once; smaller budgets, bodies in more parts.

--- a/tests/builders_memory_net.py
+++ b/tests/builders_memory_net.py
@@ -20,6 +20,7 @@
 import grpc
 import grpc.aio
 
+from gooseberrydale.connection.messages import DispatchReq
 from gooseberrydale.connection.rpc import Method
 
 STRAY_S = 12.0
@@ -101,6 +102,7 @@
         self.held: dict[tuple[str, str], list[Deliver]] = {}
         self.dead: set[str] = set()
         self.channels: list[Channel] = []
+        self.sent_at: dict[Any, float] = {}
         self.observe: Callable[[Host, Any, Any], None] = lambda *_: None
 
     def chance(self, part: float) -> bool:
@@ -202,6 +204,9 @@
         self._lost = False
         self._last_at = 0.0
         channel.calls.add(self)
+        if isinstance(req, DispatchReq):
+            triple = (req.request_id, req.attempt, req.incarnation)
+            self.net.sent_at[triple] = self.net.processes.loop.time()
         if channel.closed or not channel.reachable:
             self.cut(True, True)
         elif not self.net.chance(self.net.faults.loss):
--- a/tests/builders_memory_roles.py
+++ b/tests/builders_memory_roles.py
@@ -35,6 +35,7 @@
 from gooseberrydale.request.config_sync import ConfigSync
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.freshness import Freshness
+from gooseberrydale.request.gate import MAX_DISPATCH_AGE_S
 from gooseberrydale.request.job import Answering, Job
 from gooseberrydale.request.keyed import KeyedAnswer
 from gooseberrydale.request.retry import RetryBudget
@@ -49,22 +50,32 @@
 )
 
 POOLS = {"up-0": "summary", "up-1": "summary", "up-2": "bidding", "up-3": "bidding"}
+# The greatest age of an announcement that a dispatch may be based on, a lease and the
+# time to the next announcement.
+STALE_S = MAX_DISPATCH_AGE_S + 6.0 + 2.0
 METRICS = Metrics("entry", "entry-1", "local")
 
 
 class CheckedDispatcher(Dispatcher):
-    """Notes what is taken in by a sidecar that leaves or shuts down."""
+    """Notes what is taken in though the sidecar leaves or shuts down, or though it
+    was meant for another life or sent long ago; ``sent_at`` tells when.
+    """
 
-    def __init__(self, *args: Any) -> None:
+    def __init__(self, sent_at: dict[Any, float], *args: Any) -> None:
         super().__init__(*args)
-        self.taken_too_late: list[DispatchReq] = []
+        self.wrongly_taken: list[DispatchReq] = []
+        self._sent_at = sent_at
         self._draining = False
 
     def dispatch(self, req: DispatchReq) -> Attempt | Refused:
         leaving = self._name in self._store.config.leaving
+        foreign = req.incarnation != self._incarnation
+        sent_at = self._sent_at[req.request_id, req.attempt, req.incarnation]
+        stale = asyncio.get_running_loop().time() - sent_at > STALE_S
         taken = super().dispatch(req)
-        if (leaving or self._draining) and not isinstance(taken, Refused):
-            self.taken_too_late.append(req)
+        wrong = leaving or self._draining or foreign or stale
+        if wrong and not isinstance(taken, Refused):
+            self.wrongly_taken.append(req)
         return taken
 
     async def drain(self, bound_s: float) -> None:
@@ -75,7 +86,9 @@
 class Sidecar:
     """One life of a sidecar, of the product's own parts."""
 
-    def __init__(self, name: str, life: int, upstream: Upstream) -> None:
+    def __init__(
+        self, name: str, life: int, upstream: Upstream, sent_at: dict[Any, float]
+    ) -> None:
         self.name = name
         self.incarnation = f"{name}-life-{life:04}"
         self.alive = True
@@ -103,7 +116,7 @@
             await upstream_run.run_upstream(attempt, call, self.incarnation)
 
         self.dispatcher = CheckedDispatcher(
-            name, self.incarnation, cfg, self.store, run, lambda _req: 0
+            sent_at, name, self.incarnation, cfg, self.store, run, lambda _req: 0
         )
         self.host = Host(self.incarnation)
         service = SidecarService(self.dispatcher, self.store, self.incarnation)
@@ -200,7 +213,7 @@
             pool=pool,
             policy=make_policy("affinity", random.Random(net.rng.random())),
             # Small, so that it runs out now and then.
-            budget=RetryBudget(cap=6.0),
+            budget=RetryBudget(cap=3.0),
             background=background,
             config_sync=ConfigSync(self.store, pool, background),
             instruments=METRICS.instruments,
--- a/tests/builders_memory_upstream.py
+++ b/tests/builders_memory_upstream.py
@@ -178,6 +178,7 @@
     words = [f"{subject}/{number}/{run} " for number in left]
     if not asked.get("stream"):
         body = chat_body("".join(words))
-        return [body[:20], body[20:]], "application/json"
+        cut = range(0, len(body), 60)
+        return [body[at : at + 60] for at in cut], "application/json"
     events = [*(chat_event(word) for word in words), chat_event(None, "stop")]
     return [b"data: %b\n\n" % e for e in (*events, b"[DONE]")], EVENT_STREAM
--- a/tests/builders_request_path.py
+++ b/tests/builders_request_path.py
@@ -205,7 +205,9 @@
         await channel.close()
 
     def start_sidecar(self, name: str) -> None:
-        sidecar = Sidecar(name, next(self._lives), self.upstreams[name])
+        sidecar = Sidecar(
+            name, next(self._lives), self.upstreams[name], self.net.sent_at
+        )
         self._all_sidecars[sidecar.incarnation] = sidecar
         self.sidecars[name] = sidecar
         self.net.hosts[name] = sidecar.host
@@ -323,7 +325,7 @@
             if caller.problem is not None and caller.problem.not_run is True:
                 assert caller.job.request_id not in ran_requests, caller
         for sidecar in self._all_sidecars.values():
-            assert not sidecar.dispatcher.taken_too_late, sidecar.name
+            assert not sidecar.dispatcher.wrongly_taken, sidecar.name
 
     def finish(self) -> None:
         """Heal, wait, and see that every request ended and new ones are served."""
--- a/tests/test_request_path_machine.py
+++ b/tests/test_request_path_machine.py
@@ -244,9 +244,21 @@
             rng.choice([0.1, 0.7, 0.7, 3.0, 9.0, 70.0, 200.0]), rng.randrange(1000)
         )
 
+    def freeze_for_long() -> None:
+        """Requests that left before come when what was known of them is forgotten."""
+        name = entry()
+        ask()
+        runs.freeze_entry(name)
+        runs.ask(name, "bids", 2, False, 20.0)
+        runs._pass(rng.choice([3.0, 90.0, 250.0]))
+        runs.thaw()
+
     def leave() -> None:
         runs.mark_leaving({upstream()})
         ask()
+        if rng.random() < 0.5:
+            runs._pass(0.5)
+            runs.mark_leaving(set())
 
     def told() -> float:
         return rng.choice([0.0, 0.5, 1.0])
@@ -277,6 +289,7 @@
         lambda: runs.kill_upstream(upstream()),
         *(runs.upstreams_back_empty, runs.upstreams_back_empty),
         *(leave,) * 2,
+        freeze_for_long,
         lambda: runs.mark_leaving(set()),
         lambda: runs.control_reachable(rng.random() < 0.3),
         lambda: runs.control_reachable(False),
