Lead the request path run to orphaned claims, crowds and repeated refusals

Cause: in trials the honesty after an earlier attempt, the bar on refused attempts and the holder's check of a moved claim were caught by chance only. Change: three steps that lead there: a claim whose attempt never ran meets two resends at once; lost attempts are followed by full queues; requests that a leaving upstream refused come a second time.

--- a/tests/test_request_path_machine.py
+++ b/tests/test_request_path_machine.py
@@ -253,7 +253,31 @@
         runs._pass(rng.choice([3.0, 90.0, 250.0]))
         runs.thaw()
 
+    def orphan_a_claim() -> None:
+        """Two callers at once come upon a claim whose attempt never ran."""
+        name = entry()
+        runs.calm(0.1, rng.randrange(1000))
+        runs.ask(name, "keyed", 1, False, 20.0)
+        runs._pass(rng.choice([0.001, 0.002, 0.004]))
+        runs.kill_entry(name)
+        for other in rng.sample(ENTRIES, 2):
+            runs.resend(other, 0)
+
+    def cut_in_a_crowd() -> None:
+        """Attempts that ran are followed by ones that full queues refuse."""
+        runs.calm(0.1, rng.randrange(1000))
+        for name in ENTRIES:
+            runs.ask(name, "lots", 5, rng.random() < 0.5, 20.0)
+            runs._pass(0.02)
+        for name in rng.sample(ENTRIES, 2):
+            for one in UPSTREAMS:
+                runs.cut(name, one, 1.0)
+        runs._pass(0.1)
+
     def leave() -> None:
+        repeats = Faults(repeat=1.0, delay_s=0.02)
+        if rng.random() < 0.5:
+            runs.fleet.net.faults = repeats
         runs.mark_leaving({upstream()})
         ask()
         if rng.random() < 0.5:
@@ -290,6 +314,8 @@
         *(runs.upstreams_back_empty, runs.upstreams_back_empty),
         *(leave,) * 2,
         freeze_for_long,
+        orphan_a_claim,
+        *(cut_in_a_crowd,) * 2,
         lambda: runs.mark_leaving(set()),
         lambda: runs.control_reachable(rng.random() < 0.3),
         lambda: runs.control_reachable(False),
