--- a/features/process_failures.feature
+++ b/features/process_failures.feature
@@ -59,3 +59,13 @@
     And a request is sent as soon as an entry listens
     Then every request brought its whole answer
     And the answer began within 5 s of the first listening entry
+
+  Scenario: All entries are killed and started again at once under load
+    Given a fleet of 3 control replicas, 2 entries and 3 engines
+    And 40 requests are under way, one each 0.05 s
+    When the load has run for 1 s
+    And all entries are killed and started again
+    And all requests have ended
+    Then every request ended once, with its whole answer or a typed error
+    And no request that was said not to have run is in an upstream's record
+    And at most 0 requests ended without their whole answer
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -59,6 +59,12 @@
     assert code == 0, f"{name} ended with {code}: {process.output()[-2000:]}"
 
 
+@when("the load has run for {seconds:g} s")
+def step_let_run(_context: Any, seconds: float) -> None:
+    """Let requests get under way."""
+    time.sleep(seconds)
+
+
 @when("all entries are killed and started again")
 def step_herd(context: Any) -> None:
     """Restart all entries at once, as after a loss of power."""
