Send the callers' one-piece calls through one function

Cause: the same loop of sending stood twice in the callers of the tests. Change: one private method. Figures: whole_path and a scenario of at_most_once pass. Conclusion: behaviour unchanged.

--- a/tests/callers.py
+++ b/tests/callers.py
@@ -183,26 +183,13 @@
         started = time.monotonic()
         progress = _Progress()
         body = {"model": profile, "messages": messages}
-        for _ in range(MAX_SENDS):
-            try:
-                response = await self._client.post(
-                    f"{self._next_entry()}/v1/chat/completions", json=body
-                )
-            except httpx2.HTTPError as exc:
-                progress.detail = f"{type(exc).__name__} {exc}"
-                await asyncio.sleep(RECONNECT_S)
-                continue
-            progress.request_ids.append(response.headers.get("x-request-id", ""))
-            if response.status_code != 200:
-                progress.error = _error_of(response)
-                progress.retry_after = response.headers.get("retry-after", "")
-                break
+        response = await self._post(progress, "/v1/chat/completions", body)
+        if response is not None:
             answer = response.json()
             progress.parts.append(answer["choices"][0]["message"]["content"] or "")
             progress.cached_tokens = _cached_tokens(answer)
             progress.done = True
             progress.first_token_s = time.monotonic() - started
-            break
         return self._ending(progress, expected_text(messages), started)
 
     async def bid(
@@ -216,8 +203,24 @@
         started = time.monotonic()
         progress = _Progress()
         headers = {"Idempotency-Key": key} if key else {}
+        path = f"/services/{profile}/bids"
+        response = await self._post(progress, path, body, headers, sends)
+        if response is not None:
+            progress.done = True
+            progress.parts.append(response.text)
+        return self._ending(progress, "".join(progress.parts), started)
+
+    async def _post(
+        self,
+        progress: _Progress,
+        path: str,
+        body: dict[str, Any],
+        headers: dict[str, str] | None = None,
+        sends: int = MAX_SENDS,
+    ) -> httpx2.Response | None:
+        """Send until an entry answers; None if it refuses or none answers."""
         for _ in range(sends):
-            url = f"{self._next_entry()}/services/{profile}/bids"
+            url = self._next_entry() + path
             try:
                 response = await self._client.post(url, json=body, headers=headers)
             except httpx2.HTTPError as exc:
@@ -225,14 +228,12 @@
                 await asyncio.sleep(RECONNECT_S)
                 continue
             progress.request_ids.append(response.headers.get("x-request-id", ""))
-            if response.status_code != 200:
-                progress.error = _error_of(response)
-                progress.retry_after = response.headers.get("retry-after", "")
-            else:
-                progress.done = True
-                progress.parts.append(response.text)
-            break
-        return self._ending(progress, "".join(progress.parts), started)
+            if response.status_code == 200:
+                return response
+            progress.error = _error_of(response)
+            progress.retry_after = response.headers.get("retry-after", "")
+            return None
+        return None
 
     def _ending(self, progress: _Progress, wanted: str, started: float) -> Ending:
         text = "".join(progress.parts)
