Run the features in three groups

Cause: of two groups the one with durable_state took the whole 10 min of a run. Change: three groups. Three groups were not timed yet.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -17,7 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_LIMIT = 3
-FEATURE_GROUPS = 2
+FEATURE_GROUPS = 3
 
 _printing = threading.Lock()
 
