Find a silent connection under an answer in one piece by asking the engine

Cause: such an answer is silent until its last token, so the sidecar allowed its deadline and 305 s more before its head; the engine's load said only how many requests wait, which can't tell a long answer from a lost one. Ruled out: asking for a stream and joining it, which would change what the caller asked for (several choices, tool calls, log probabilities). Change: the load report of an engine may list the requests that it has not ended. If it does, a request that it has ended, and whose answer had half a second to arrive, is lost; one that it lists is waited for, however long it takes. Engines that don't list their requests are treated as before.

--- a/gooseberrydale/connection/upstream_api.py
+++ b/gooseberrydale/connection/upstream_api.py
@@ -33,13 +33,18 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReply:
-    """Answer of ``GET /load``; it may lag behind."""
+    """Answer of ``GET /load``; it may lag behind.
+
+    ``requests`` holds id and attempt of each request that the engine has not ended,
+    without a lag; None from an engine that doesn't tell.
+    """
 
     running: int = 0
     waiting: int = 0
     waiting_tokens: int = 0
     prefill_tps: float = 0.0
     cached_blocks: int = 0
+    requests: tuple[tuple[str, str], ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/example/engine_app.py
+++ b/gooseberrydale/example/engine_app.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import uuid
 from collections.abc import AsyncIterator
 
@@ -80,8 +81,10 @@
         )
 
     async def load(self, _req: Request) -> Response:
-        """Report the load as of a moment ago."""
-        return json_response(self._host.load)
+        """Report the load as of a moment ago, and the requests that are open now."""
+        host = self._host
+        load = dataclasses.asdict(host.load)
+        return json_response({**load, "requests": host.open_requests})
 
     async def cache_events(self, _req: Request) -> Response:
         """Stream the cache events from now on."""
--- a/gooseberrydale/example/engine_host.py
+++ b/gooseberrydale/example/engine_host.py
@@ -162,6 +162,12 @@
         run.record.state = "cancelled"
         self._deliver(self.engine.cancel(job_id, self.now()))
 
+    @property
+    def open_requests(self) -> list[tuple[str, str]]:
+        """Id and attempt of every request that was taken in and has not ended."""
+        records = (run.record for run in self._runs.values())
+        return [(record.request_id, record.attempt) for record in records]
+
     def pause(self) -> None:
         """Admit no further job and report not ready until weights are in force."""
         self.ready = False
--- a/gooseberrydale/process/sidecar/calls.py
+++ b/gooseberrydale/process/sidecar/calls.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -38,6 +39,24 @@
 UNLIMITED_ANSWER_S = 300.0
 
 
+class Watch(Protocol):
+    """What is known of the upstream, and the questions that it can be asked."""
+
+    @property
+    def state(self) -> UpstreamState:
+        """The last answer of its health call."""
+
+    @property
+    def tells_requests(self) -> bool:
+        """Whether it tells which requests it has not ended."""
+
+    async def alive(self) -> bool:
+        """Whether it answers on a new connection."""
+
+    async def lost(self, request_id: str, attempt: int) -> bool:
+        """Whether a request without an answer so far will bring none."""
+
+
 class CallBuilder:
     """Builds calls for the upstream as it is now."""
 
@@ -45,15 +64,11 @@
         self,
         cfg: SidecarCfg,
         store: ConfigStore,
-        state: Callable[[], UpstreamState],
-        alive: Callable[[], Awaitable[bool]],
-        idle: Callable[[], Awaitable[bool]],
+        watch: Watch,
     ) -> None:
         self._cfg = cfg
         self._store = store
-        self._state = state
-        self._alive = alive
-        self._idle = idle
+        self._watch = watch
 
     def piece_keys(self, req: DispatchReq) -> list[tuple[bytes, int]]:
         """Full cache keys of the prompt's pieces, with their tokens."""
@@ -73,8 +88,8 @@
                 body=body.ok_value.data,
                 head_silence_s=self._head_silence_s(req, body.ok_value, prefill_s),
                 silence_s=self._cfg.upstream_silence_s,
-                idle=self._idle,
-                alive=self._alive,
+                lost=partial(self._watch.lost, req.request_id, req.attempt),
+                alive=self._watch.alive,
             )
         )
 
@@ -113,11 +128,13 @@
         """How long the first byte may take.
 
         An answer in one piece comes after its last token, so it is silent for as long
-        as its tokens may take.
+        as its tokens may take, unless the engine can be asked about the request.
         """
         silence_s = self._cfg.upstream_silence_s + PREFILL_SLACK * prefill_s
         if req.stream:
             return silence_s
+        if self._is_completion(req) and self._watch.tells_requests:
+            return self._cfg.upstream_silence_s
         if not self._is_completion(req):
             return max(silence_s, req.deadline_s)
         if body.max_tokens is None:
@@ -127,11 +144,11 @@
     def root(self, req: DispatchReq) -> bytes:
         """Root of the cache keys under the weights that the upstream has now."""
         return cache_root(
-            req.workspace, self._model(req), self._state().weights_version
+            req.workspace, self._model(req), self._watch.state.weights_version
         )
 
     def _model(self, req: DispatchReq) -> str:
         profile = self._store.config.profiles.get(req.profile)
         if profile is not None and profile.model:
             return profile.model
-        return self._state().model or self._cfg.model
+        return self._watch.state.model or self._cfg.model
--- a/gooseberrydale/process/sidecar/upstream_run.py
+++ b/gooseberrydale/process/sidecar/upstream_run.py
@@ -34,8 +34,8 @@
 
     ``head_silence_s`` bounds the time to the first byte, ``silence_s`` the time
     between two parts of the answer.  A silent connection is given up only if the
-    upstream answers on a new one: before the first part ``idle`` must say so, which
-    is False while the upstream lets requests wait, afterwards ``alive``.
+    upstream answers on a new one: before the first part ``lost`` must say so, which
+    is False while the upstream may still work on the request, afterwards ``alive``.
     """
 
     method: str
@@ -44,7 +44,7 @@
     body: bytes
     head_silence_s: float
     silence_s: float
-    idle: Callable[[], Awaitable[bool]]
+    lost: Callable[[], Awaitable[bool]]
     alive: Callable[[], Awaitable[bool]]
 
 
@@ -77,7 +77,7 @@
 async def _exchange(
     attempt: Attempt, call: Call, http: UpstreamCall, watch: SilenceWatch
 ) -> None:
-    watch.expect(call.head_silence_s, call.idle)
+    watch.expect(call.head_silence_s, call.lost)
     await http.open(call.method, call.target, call.headers, call.body)
     watch.pause()
     attempt.head(http.status, http.headers)
@@ -117,7 +117,7 @@
     call: Call, http: UpstreamCall, watch: SilenceWatch
 ) -> AsyncGenerator[bytes, None]:
     """Yield what arrives; the time that the consumer takes is not silence."""
-    silence_s, alive = call.head_silence_s, call.idle
+    silence_s, alive = call.head_silence_s, call.lost
     async with aclosing(http.chunks()) as chunks:
         while True:
             watch.expect(silence_s, alive)
--- a/gooseberrydale/process/sidecar/upstream_watch.py
+++ b/gooseberrydale/process/sidecar/upstream_watch.py
@@ -20,6 +20,9 @@
 
 POLL_S = 0.5
 FAILURES_TO_UNREADY = 2
+# Seconds that the end of an answer may take from a live upstream beside the sidecar;
+# a hundred times what loopback takes on a busy machine.
+ANSWER_TRANSIT_S = 0.5
 OK = 200
 NO_HEALTH_CALL = frozenset({404, 405, 501})
 
@@ -38,6 +41,7 @@
         self._on_state = on_state
         self._on_load = on_load
         self._failures = 0
+        self._tells_requests = False
         self._task: asyncio.Task[None] | None = None
         self._polling = asyncio.Lock()
         self.state = UpstreamState()
@@ -62,15 +66,33 @@
             return False
         return True
 
-    async def idle(self) -> bool:
-        """Whether it answers, and no request waits inside it."""
+    @property
+    def tells_requests(self) -> bool:
+        """Whether the upstream has told which requests it has not ended."""
+        return self._tells_requests
+
+    async def lost(self, request_id: str, attempt: int) -> bool:
+        """Whether a request that brought no answer yet is known to bring none.
+
+        An upstream that tells its requests has ended this one, and an answer that
+        was on its way has had ``ANSWER_TRANSIT_S`` to arrive.  One that doesn't tell
+        answers, and lets no request wait.
+        """
         if not self._has_load:
             return await self.alive()
         try:
             reply = await upstream_api.call(self._base_url, "GET", "/load")
-            return reply.status != OK or reply.decode(LoadReply).waiting == 0
+            if reply.status != OK:
+                return True
+            load = reply.decode(LoadReply)
         except UpstreamError:
             return False
+        if load.requests is None:
+            return load.waiting == 0
+        if (request_id, str(attempt)) in load.requests:
+            return False
+        await asyncio.sleep(ANSWER_TRANSIT_S)
+        return True
 
     async def poll(self) -> None:
         """Ask for the health now.
@@ -112,7 +134,9 @@
         try:
             reply = await upstream_api.call(self._base_url, "GET", "/load")
             if reply.status == OK:
-                self._on_load(reply.decode(LoadReply))
+                load = reply.decode(LoadReply)
+                self._tells_requests = load.requests is not None
+                self._on_load(load)
         except UpstreamError as exc:
             logger.debug("the upstream does not tell its load: {}", exc)
 
--- a/gooseberrydale/process/sidecar/worker.py
+++ b/gooseberrydale/process/sidecar/worker.py
@@ -37,9 +37,7 @@
         self._view = view
         self._kv = kv
         self._prefill_tps = prefill_tps
-        self._calls = CallBuilder(
-            cfg, store, lambda: watch.state, watch.alive, watch.idle
-        )
+        self._calls = CallBuilder(cfg, store, watch)
         self._prefilling: dict[tuple[str, int], int] = {}
 
     def uncached_tokens(self, req: DispatchReq) -> int:
