--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 BINARY := dist/gooseberrydale.pyz
-CODE := gooseberrydale tests features scripts measure
+CODE := gooseberrydale platform tests features scripts measure
 RUNS ?= 5
 
 .PHONY: run test check format binary soak measure
@@ -29,6 +29,7 @@
 	$(BIN)/isort --check -q $(CODE)
 	$(BIN)/flake8 $(CODE)
 	$(BIN)/mypy
+	$(BIN)/mypy platform
 
 format: $(STAMP)
 	$(BIN)/black -q $(CODE)
--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -14,7 +14,7 @@
 
 from gooseberrydale.connection.codec import message
 from gooseberrydale.errors import Problem
-from gooseberrydale.version.declarations import Profile, Workspace
+from gooseberrydale.version.declarations import Document, Profile, Workspace
 
 
 @message
@@ -94,6 +94,42 @@
     leader: str = ""
 
 
+# Whole documents, and the weights that models are served with.
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class DeclareReq:
+    """Put a document in force unless one with a number as high is."""
+
+    document: Document
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class NameWeightsReq:
+    """Serve ``model`` with ``version``, unless a later one was named."""
+
+    model: str
+    version: int
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class ReadDocumentReq:
+    """Ask for the document in force; read through the log, so never an older one."""
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class DocumentReply:
+    """The document in force when the request was committed, None if there is none."""
+
+    document: Document | None = None
+    problem: Problem | None = None
+    leader: str = ""
+
+
 # Orders to upstreams.
 
 
--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -20,6 +20,7 @@
 CONTROL_ROLE = "control"
 ENTRY_ROLE = "entry"
 SIDECAR_ROLE = "sidecar"
+GATEWAY_ROLE = "gateway"
 
 
 @message
@@ -31,6 +32,8 @@
     ``seq`` rises with each announcement in that life.  ``upstream_incarnation``
     names one life of the upstream.  ``address`` is the sidecar's gRPC listener.
     ``lease_s`` is what was left of the lease when the record was sent, in seconds.
+    An upstream without a sidecar announces itself: ``name`` then names one life of it,
+    ``address`` is its own, and ``slots`` is how many requests it runs at once.
     """
 
     name: str
@@ -47,6 +50,7 @@
     ready: bool = True
     leaving: bool = False
     lease_s: float = 10.0
+    slots: int = 0
 
 
 @message
--- a/gooseberrydale/connection/upstream_api.py
+++ b/gooseberrydale/connection/upstream_api.py
@@ -12,7 +12,11 @@
 
 import msgspec
 
-from gooseberrydale.connection.upstream_http import UpstreamCall, UpstreamError
+from gooseberrydale.connection.upstream_http import (
+    Headers,
+    UpstreamCall,
+    UpstreamError,
+)
 
 T = TypeVar("T")
 
@@ -87,6 +91,7 @@
     target: str,
     body: Any = None,
     *,
+    headers: Headers = (),
     timeout_s: float = CALL_TIMEOUT_S,
 ) -> Reply:
     """Make one call with a JSON body; raise :class:`UpstreamError` if it fails."""
@@ -94,7 +99,8 @@
     data = b"" if body is None else msgspec.json.encode(body)
     try:
         async with asyncio.timeout(timeout_s):
-            await http.open(method, target, JSON_HEADERS if data else (), data)
+            sent = (*headers, *JSON_HEADERS) if data else headers
+            await http.open(method, target, sent, data)
             return Reply(http.status, await _read(http))
     except TimeoutError as exc:
         raise UpstreamError(f"no answer in {timeout_s:g} s", sent=http.sent) from exc
--- a/gooseberrydale/connection/upstream_http.py
+++ b/gooseberrydale/connection/upstream_http.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import re
-import socket
 from collections.abc import AsyncGenerator
 from functools import partial
 from typing import Any
@@ -24,10 +23,9 @@
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
+from gooseberrydale.connection.tcp import probe_when_idle
+
 CONNECT_TIMEOUT_S = 2.0
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 3
 
 # Hop-by-hop headers, and those that the client library sets itself.
 _DROPPED_OUT = frozenset(
@@ -75,7 +73,7 @@
 
     async def _connection_made(self) -> None:
         await super()._connection_made()
-        _probe_when_idle(self.writer.get_extra_info("socket"))
+        probe_when_idle(self.writer.get_extra_info("socket"))
 
 
 def _raise_if_cancelled() -> None:
@@ -87,16 +85,6 @@
         raise asyncio.CancelledError
 
 
-def _probe_when_idle(sock: Any) -> None:
-    """Let the kernel find a connection that something on the way has forgotten."""
-    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-
-
 class UpstreamCall:
     """One HTTP call.  ``open`` sends it, ``chunks`` reads the body, then ``close``."""
 
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -153,6 +153,40 @@
     " if it may be repeated.",
 )
 
+NO_DECLARED_ROUTE = ErrorKind(
+    "no_declared_route",
+    404,
+    "No route is declared for host {host!r} and this path; check both.",
+)
+UNKNOWN_CALLER_KEY = ErrorKind(
+    "unknown_caller_key",
+    401,
+    "The key is missing or belongs to no workspace; ask your operator for one.",
+)
+INVALID_HEADER = ErrorKind(
+    "invalid_header", 400, "The header {name!r} does not fit: {reason}; correct it."
+)
+BODY_UNREADABLE = ErrorKind(
+    "body_unreadable", 400, "The body ended before it was whole; send it again."
+)
+WAITED_TOO_LONG = ErrorKind(
+    "waited_too_long",
+    504,
+    "The upstream had not answered when the time of this request ended; it may have"
+    " run.",
+)
+UPSTREAM_ANSWER_INVALID = ErrorKind(
+    "upstream_answer_invalid",
+    502,
+    "The upstream's answer was not whole ({reason}); the request may have run.",
+)
+UPSTREAMS_REFUSE = ErrorKind(
+    "upstreams_refuse",
+    503,
+    "The upstreams of pool {pool!r} take no more work right now; come back after the"
+    " given time.",
+)
+
 # Request path.
 NO_UPSTREAM = ErrorKind(
     "no_upstream",
@@ -379,6 +413,9 @@
     409,
     "Change id {change_id!r} was used for another change; use a new change id.",
 )
+INVALID_DOCUMENT = ErrorKind(
+    "invalid_document", 400, "The document can't be put in force: {reason}; correct it."
+)
 INVALID_DECLARATION = ErrorKind(
     "invalid_declaration", 422, "The declaration is not valid: {reason}; correct it."
 )
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -34,13 +34,26 @@
     """What the system's own processes share.
 
     ``controls`` and ``entries`` are gRPC addresses.  No upstream is listed: they
-    announce themselves.
+    announce themselves.  If ``control_rpc_port`` is set, ``controls`` name other
+    listeners of the same hosts, and their gRPC listener is at that port.  With
+    ``trust_network`` in place of a ``token_file`` the processes trust whoever reaches
+    their listeners.
     """
 
-    token_file: Path
+    token_file: Path | None = None
     controls: tuple[str, ...] = ()
     entries: tuple[str, ...] = ()
     tls: TlsCfg = field(default_factory=TlsCfg)
+    control_rpc_port: int = 0
+    trust_network: bool = False
+
+    @property
+    def control_rpc(self) -> tuple[str, ...]:
+        """gRPC addresses of the control replicas that are known beforehand."""
+        if not self.control_rpc_port:
+            return self.controls
+        hosts = (address.rpartition(":")[0] for address in self.controls)
+        return tuple(f"{host}:{self.control_rpc_port}" for host in hosts)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +86,25 @@
     policy: str = "affinity"
 
 
+@dataclass(frozen=True, slots=True)
+class GatewayCfg:
+    """Listeners and limits of an entry that forwards by declared routes.
+
+    ``ready`` is the listener that tells the balancer whether to send connections.
+    The process is killed ``grace_s`` seconds after it was told to stop.  A pool gets
+    at most ``retry_ratio`` of its requests, and ``retry_slack`` more in ten seconds,
+    as sends beyond a request's first, over all gateways together; a gateway takes
+    the part of ``retry_slack`` that falls to one of ``gateways``.
+    """
+
+    http: str = "127.0.0.1:8080"
+    ready: str = "127.0.0.1:8082"
+    grace_s: float = 30.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 60.0
+    gateways: int = 16
+
+
 @dataclass(frozen=True, slots=True)
 class SidecarCfg:
     """The upstream beside this sidecar, and the gate before it.
@@ -110,6 +142,15 @@
     order without an outcome after ``order_deadline_s`` counts as lost.  A claim of
     a call that may not be repeated is kept for ``claim_ttl_s``, its answer if it
     has at most ``claim_body_bytes`` and all have at most ``claim_total_bytes``.
+
+    With ``open_group`` in place of ``replicas`` any replica may join by way of those
+    that the fleet's settings list, and as many vote as it takes to bear
+    ``tolerated_losses`` at once.  ``bootstrap`` is true for the very first start
+    alone; listed replicas with empty folders then begin a new cluster together.  A
+    new leader
+    waits ``order_pause_s`` before it gives orders to upstreams, so that those of its
+    predecessor have arrived.  Upstreams without a sidecar announce themselves each
+    ``beat_s``.
     """
 
     data_dir: Path
@@ -117,6 +158,11 @@
     http: str = "127.0.0.1:8071"
     tls: TlsCfg = field(default_factory=TlsCfg)
     replicas: dict[str, str] = field(default_factory=dict)
+    open_group: bool = False
+    tolerated_losses: int = 1
+    bootstrap: bool = False
+    order_pause_s: float = 3.0
+    beat_s: float = 1.2
     operators_file: Path | None = None
     loads_at_once: int = 2
     audit_entries: int = 10_000
@@ -140,5 +186,6 @@
     log: LogCfg = field(default_factory=LogCfg)
     metrics: MetricsCfg = field(default_factory=MetricsCfg)
     entry: EntryCfg | None = None
+    gateway: GatewayCfg | None = None
     sidecar: SidecarCfg | None = None
     control: ControlCfg | None = None
--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -14,18 +14,34 @@
 from typing import Any
 
 from gooseberrydale.errors import ProblemError
-from gooseberrydale.process.cfg import Cfg, ControlCfg, EntryCfg, SidecarCfg, TlsCfg
+from gooseberrydale.process.cfg import (
+    Cfg,
+    ControlCfg,
+    EntryCfg,
+    GatewayCfg,
+    SidecarCfg,
+    TlsCfg,
+)
 from gooseberrydale.request.baselines import POLICIES
 
 Table = dict[str, Any]
 
-ROLES = ("entry", "sidecar", "control")
+ROLES = ("entry", "gateway", "sidecar", "control")
 LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
 UPSTREAM_KINDS = ("completion", "service")
 MAX_PORT = 65_535
 
-_ROLE_TABLES = {"entry": EntryCfg, "sidecar": SidecarCfg, "control": ControlCfg}
+_ROLE_TABLES = {
+    "entry": EntryCfg,
+    "gateway": GatewayCfg,
+    "sidecar": SidecarCfg,
+    "control": ControlCfg,
+}
 _MAY_BE_ZERO = (
+    "control.order_pause_s",
+    "control.tolerated_losses",
+    "gateway.retry_ratio",
+    "gateway.retry_slack",
     "entry.drain_s",
     "entry.retry_ratio",
     "sidecar.drain_s",
@@ -70,9 +86,11 @@
     for key in _TLS_TABLES:
         yield from _found(_whole_tls(table, key))
     yield from _found(_role_table(table, role))
+    yield from _found(_fleet_trust(table))
     if role in (None, "control"):
         yield from _replicas(table)
-    if role in ("entry", "sidecar"):
+        yield from _open_group(table)
+    if role in ("entry", "gateway", "sidecar"):
         yield from _found(_someone_to_meet(table))
 
 
@@ -87,6 +105,8 @@
     if cfg.control is not None:
         listeners.append(("control.http", cfg.control.http, cfg.control.tls))
         listeners.append(("control.rpc", cfg.control.rpc, cfg.fleet.tls))
+    if cfg.gateway is not None:
+        listeners.append(("gateway.http", cfg.gateway.http, TlsCfg()))
     return tuple(
         f"{key} listens on {address} without TLS; set the tls table or bind to loopback"
         for key, address, tls in listeners
@@ -233,6 +253,32 @@
         yield Fault(key, "gives two replicas one address", "correct the addresses")
 
 
+def _fleet_trust(table: Table) -> Fault | None:
+    """Processes share a secret, or the settings say that they need none."""
+    fleet = table.get("fleet")
+    if not isinstance(fleet, dict):
+        return None
+    if fleet.get("token_file") or fleet.get("trust_network") is True:
+        return None
+    remedy = "name a file with a secret, or set fleet.trust_network on a closed network"
+    return Fault("fleet.token_file", "is missing", remedy)
+
+
+def _open_group(table: Table) -> Iterator[Fault]:
+    """A replica knows its group by name or joins an open one."""
+    control = _sub_table(table, "control")
+    is_open = control.get("open_group") is True
+    if is_open and control.get("replicas"):
+        reason = "stands beside control.replicas"
+        yield Fault("control.open_group", reason, "keep one of the two")
+    if is_open and not _sub_table(table, "fleet").get("controls"):
+        reason = "is empty, so nobody could be joined"
+        yield Fault("fleet.controls", reason, "list some replicas of the group")
+    if control.get("bootstrap") is True and not is_open:
+        reason = "is set without control.open_group"
+        yield Fault("control.bootstrap", reason, "run 'control init' on one replica")
+
+
 def _someone_to_meet(table: Table) -> Fault | None:
     fleet = table.get("fleet")
     if not isinstance(fleet, dict) or fleet.get("controls") or fleet.get("entries"):
@@ -298,6 +344,9 @@
     "fleet.token_file": token_fault,
     "fleet.controls": _addresses,
     "fleet.entries": _addresses,
+    "fleet.control_rpc_port": _not_negative,
+    "gateway.http": _address,
+    "gateway.ready": _address,
     "log.level": _one_of(LOG_LEVELS),
     "metrics.http": _address,
     "entry.http": _address,
--- a/gooseberrydale/process/cfg_file.py
+++ b/gooseberrydale/process/cfg_file.py
@@ -34,12 +34,14 @@
             return _structure(path, table, role)
 
 
-def read_token(path: Path) -> str:
+def read_token(path: Path | None) -> str:
     """Return the secret in the file at ``path``, without white space around it.
 
-    Raises ProblemError if the file can't be read or is empty; ``load`` reports
-    the same beforehand.
+    Without a file that is the empty text, which everybody knows.  Raises ProblemError
+    if the file can't be read or is empty; ``load`` reports the same beforehand.
     """
+    if path is None:
+        return ""
     fault = cfg_checks.token_fault("fleet.token_file", str(path))
     if fault is not None:
         raise ProblemError(_to_problem(path, fault))
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -10,15 +10,23 @@
 import asyncio
 import random
 import time
-from collections.abc import Mapping
-from dataclasses import replace
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
 from typing import Any
 
+from starlette.types import ASGIApp
+
+from gooseberrydale.connection.control_client import ControlClient
 from gooseberrydale.connection.control_messages import Limits
+from gooseberrydale.connection.engine_orders import EngineOrders
 from gooseberrydale.connection.mesh import CONTROL_ROLE
 from gooseberrydale.connection.rpc import RpcServer, TlsFiles
 from gooseberrydale.errors import InvariantError
 from gooseberrydale.process.cfg import Cfg, ControlCfg
+from gooseberrydale.process.cfg_file import read_token
+from gooseberrydale.process.control.announcements import Announcements
+from gooseberrydale.process.control.documents import Documents
+from gooseberrydale.process.control.first_start import begin_together
 from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.machine import PublishingMachine
@@ -36,6 +44,7 @@
 from gooseberrydale.process.control.replica import Replica
 from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.process.control.upkeep import Upkeep
+from gooseberrydale.process.control.weights_rollout import WeightsRollout
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh, PeerState
 from gooseberrydale.process.metrics import Metrics
@@ -45,18 +54,32 @@
 from gooseberrydale.version.control_state import ControlState
 from gooseberrydale.version.declarations import Config
 from gooseberrydale.version.directory import Directory, new_incarnation
+from gooseberrydale.version.replication.core import RaftCfg
 
 HTTP_GRACE_S = 5.0
 RPC_GRACE_S = 1.0
 MEMORY_STATUS = {"replicated": False}
 
 
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """How a deployment speaks to control and is spoken to, if not in our own way.
+
+    ``make_app`` builds the interface for operators and upstreams that announce
+    themselves; ``engines`` carries orders to upstreams that have no sidecar.
+    """
+
+    make_app: Callable[[Documents, Announcements], ASGIApp]
+    engines: EngineOrders
+
+
 class Control:
     """One control process; build it, ``start`` it once, ``close`` it once.
 
     ``in_memory`` keeps the state in this process alone; ``declarations`` is then
     the configuration to begin with, and ``operators`` the digests of the tokens by
-    operator, in place of the file that the settings name.
+    operator, in place of the file that the settings name.  ``surroundings`` replace
+    the operators' interface and the orders that go by way of sidecars.
     """
 
     def __init__(
@@ -66,6 +89,7 @@
         in_memory: bool = False,
         declarations: Config | None = None,
         operators: Mapping[str, str] | None = None,
+        surroundings: Surroundings | None = None,
     ) -> None:
         if cfg.control is None:
             raise InvariantError("the control role was built without its settings")
@@ -73,8 +97,12 @@
             raise InvariantError("declarations given for a replicated control")
         own = cfg.control
         self._data_dir = own.data_dir
+        self._own_rpc = own.rpc
+        self._seeds = cfg.fleet.control_rpc
+        # Others than the seeds join the cluster that the seeds begin.
+        self._bootstrap = own.bootstrap and own.rpc in self._seeds
         self._folder_lock: FolderLock | None = None
-        token = cfg.fleet.token_file.read_text(encoding="utf-8").strip()
+        token = read_token(cfg.fleet.token_file)
         tls = tls_files(cfg.fleet.tls)
         self.store = ConfigStore()
         self.state = ControlState(declarations)
@@ -111,7 +139,15 @@
             self._announced,
             self._replica_status,
         )
-        self._http = HttpServer(self._api.app, own.http, own.tls)
+        client = ControlClient(cfg.fleet.control_rpc, token, tls)
+        self._documents = Documents(self._commit, self._proposer, client)
+        self._rollout: WeightsRollout | None = None
+        app: ASGIApp = self._api.app
+        if surroundings is not None:
+            announcements = Announcements(self.directory, own.beat_s)
+            app = surroundings.make_app(self._documents, announcements)
+            self._rollout = self._make_rollout(cfg, own, announcements, surroundings)
+        self._http = HttpServer(app, own.http, own.tls)
 
     @property
     def addresses(self) -> dict[str, str]:
@@ -134,6 +170,8 @@
         self._acknowledgements.start(asyncio.get_running_loop().time())
         if self._replica is not None:
             self._folder_lock = FolderLock(self._data_dir)
+            if self._bootstrap:
+                begin_together(self._data_dir, self._own_rpc, self._seeds)
             await self._replica.start()
             self._tasks.append(spawn(self._watch_replica(self._replica)))
         await self._commit.start()
@@ -142,6 +180,8 @@
         await self._http.start()
         await self._upkeep.start()
         await self._orders.start()
+        if self._rollout is not None:
+            await self._rollout.start()
         await self._measures.start()
 
     async def close(self) -> None:
@@ -149,6 +189,9 @@
         self._api.draining = True
         await self._http.close(HTTP_GRACE_S)
         await self._measures.close()
+        if self._rollout is not None:
+            await self._rollout.close()
+        await self._documents.close()
         await self._orders.close()
         await self._upkeep.close()
         await self._mesh.close()
@@ -161,9 +204,39 @@
             self._folder_lock.release()
             self._folder_lock = None
 
+    def _make_rollout(
+        self,
+        cfg: Cfg,
+        own: ControlCfg,
+        announcements: Announcements,
+        surroundings: Surroundings,
+    ) -> WeightsRollout | None:
+        if self._replica is None:
+            return None
+        return WeightsRollout(
+            cfg.node.name,
+            self._machine,
+            self._replica,
+            self.directory,
+            announcements,
+            surroundings.engines,
+            own.order_pause_s,
+        )
+
     def _make_replica(
         self, cfg: Cfg, own: ControlCfg, token: str, tls: TlsFiles | None
     ) -> Replica:
+        if own.open_group:
+            # In an open group a replica goes by the address at which others reach it.
+            return Replica(
+                own,
+                token,
+                self._machine,
+                self._rpc,
+                name=own.rpc,
+                tls=tls,
+                raft=open_raft(cfg.fleet.control_rpc, own),
+            )
         name = cfg.node.name
         alone = own if own.replicas else replace(own, replicas={name: own.rpc})
         return Replica(alone, token, self._machine, self._rpc, name=name, tls=tls)
@@ -230,6 +303,15 @@
     )
 
 
+def open_raft(seeds: tuple[str, ...], cfg: ControlCfg) -> RaftCfg:
+    """The settings of the log of an open group that ``seeds`` belong to."""
+    return RaftCfg(
+        frozenset(seeds),
+        snapshot_entries=cfg.snapshot_entries,
+        open_to=2 * cfg.tolerated_losses + 1,
+    )
+
+
 def _operators(cfg: ControlCfg, given: Mapping[str, str] | None) -> dict[str, str]:
     if given is not None:
         return dict(given)
--- a/gooseberrydale/process/control/first_start.py
+++ b/gooseberrydale/process/control/first_start.py
@@ -1,11 +1,13 @@
-"""Operator commands on a stopped replica's data folder: init and recover.
+"""What prepares a stopped replica's data folder: init, recover, and first start.
 
-Each runs once, in the process of the command line.
+The first two run once, in the process of the command line; the third before a
+replica starts that the settings say to begin a new cluster with.
 """
 
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from pathlib import Path
 
 from gooseberrydale.errors import ALREADY_STARTED, NOTHING_TO_RECOVER, problem
@@ -35,6 +37,19 @@
     return cluster
 
 
+def begin_together(folder: Path, name: str, names: Iterable[str]) -> None:
+    """Put the common log of a new cluster into an empty folder; leave others alone.
+
+    All replicas under ``names`` do so at their very first start.  Raises StorageError
+    if the folder can't be read.
+    """
+    storage = FileStorage(folder, OsFiles())
+    storage.open(name, random.SystemRandom(), bootstrap.first_identity(name))
+    if storage.stored == Stored():
+        _replace(storage, bootstrap.common_start(names))
+    storage.close()
+
+
 def recover_folder(folder: Path, name: str, *, force: bool) -> bootstrap.RecoveryReport:
     """Make this replica the only member after a majority of disks was lost.
 
--- a/gooseberrydale/process/control/propose_service.py
+++ b/gooseberrydale/process/control/propose_service.py
@@ -1,8 +1,8 @@
 """Serves the requests of entries and sidecars that need a commit.
 
-Lives as long as the process.  Changes of the declarations and operators' orders
-do not come this way: only the operators' interface, which knows who asks, may
-propose them.
+Lives as long as the process.  Changes by edits and operators' orders do not come
+this way: only the operators' interface, which knows who asks, may propose them.
+Documents do: the replica that an operator reached passes them to the leader.
 """
 
 from __future__ import annotations
@@ -15,9 +15,13 @@
     Ack,
     ClaimReply,
     ClaimReq,
+    DeclareReq,
+    DocumentReply,
     FenceReply,
     FinishReq,
     MoveReq,
+    NameWeightsReq,
+    ReadDocumentReq,
     ReadFenceReq,
     ReleaseReq,
     ReportOrderReq,
@@ -34,6 +38,9 @@
     FinishReq: ClaimReply,
     ReadFenceReq: FenceReply,
     ReportOrderReq: Ack,
+    DeclareReq: Ack,
+    NameWeightsReq: Ack,
+    ReadDocumentReq: DocumentReply,
 }
 
 
--- a/gooseberrydale/process/control/replica.py
+++ b/gooseberrydale/process/control/replica.py
@@ -100,11 +100,9 @@
             frozenset(cfg.replicas), snapshot_entries=cfg.snapshot_entries
         )
         self._storage = FileStorage(cfg.data_dir, files or OsFiles())
-        self._links = {
-            other: PeerLink(address, token, tls)
-            for other, address in cfg.replicas.items()
-            if other != name
-        }
+        self._token = token
+        self._tls = tls
+        self._links: dict[str, PeerLink] = {}
         self._inbox: asyncio.Queue[act.Event | _Written] = asyncio.Queue()
         self._disk = DiskTask(self._storage, self._on_written)
         self._waiting_writes: list[act.Write | act.Send] = []
@@ -129,8 +127,6 @@
         self._node = RaftNode(
             self._raft, self._storage.me, stored, self._rng, self._now()
         )
-        for link in self._links.values():
-            link.start()
         self._tasks = [
             asyncio.create_task(self._decide()),
             asyncio.create_task(self._disk.run()),
@@ -162,7 +158,7 @@
         ``NOT_LEADER`` names the leader's address.  After ``NO_QUORUM`` the outcome
         is unknown: send the same change again.
         """
-        if self._disk.problem is not None:
+        if self._disk.problem is not None and self._is_alone:
             return Err(self._disk.problem)
         self._numbers += 1
         number = self._numbers
@@ -173,10 +169,16 @@
             async with asyncio.timeout(timeout_s):
                 return await future
         except TimeoutError:
-            return Err(_unknown())
+            full = self._disk.problem
+            return Err(_unknown() if full is None else full.with_outcome(None))
         finally:
             del self._futures[number]
 
+    @property
+    def _is_alone(self) -> bool:
+        """Whether no other replica could commit what this one can't write."""
+        return len(self._started.membership.members) <= 1
+
     def may_lead(self) -> bool:
         """Whether this replica may answer and give orders as leader, right now."""
         return self._node is not None and self._node.may_lead(self._now())
@@ -190,7 +192,7 @@
     def leader_address(self) -> str:
         """Address of who leads as far as is known; empty if nobody is."""
         leader = self._started.leader
-        return self._cfg.replicas.get(leader.name, "") if leader else ""
+        return self._address(leader.name) if leader else ""
 
     @property
     def status(self) -> ReplicaStatus:
@@ -288,10 +290,26 @@
             self._waiting_writes.append(action)
 
     def _send(self, action: act.Send) -> None:
-        link = self._links.get(action.name)
+        link = self._link(action.name)
         if link is not None:
             link.send(action.envelope)
 
+    def _link(self, name: str) -> PeerLink | None:
+        """The link to a replica, opened on first use; None to this one or a stranger.
+
+        In an open log the name of a replica is its address.
+        """
+        if name == self._name:
+            return None
+        address = self._address(name)
+        if name not in self._links and address:
+            self._links[name] = PeerLink(address, self._token, self._tls)
+            self._links[name].start()
+        return self._links.get(name)
+
+    def _address(self, name: str) -> str:
+        return self._cfg.replicas.get(name, name if self._raft.open_to else "")
+
     def _start_writing(self) -> None:
         if self._writing or not self._waiting_writes:
             return
@@ -326,7 +344,7 @@
             future.set_result(answer)
 
     def _not_leader(self, leader: Member | None) -> Problem:
-        address = self._cfg.replicas.get(leader.name, "") if leader else ""
+        address = self._address(leader.name) if leader else ""
         return problem(
             NOT_LEADER,
             leader=address or "another replica",
--- /dev/null
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -0,0 +1,195 @@
+"""Brings the engines to the weights that operators have named.
+
+Lives as long as the process; only the replica that leads gives orders, under its term
+as fencing number, and asks whether it still leads before each one.  An order without
+an answer may be carried out late; it names how many orders came before it, so that
+one that was overtaken is void.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from loguru import logger
+
+from gooseberrydale.connection.engine_orders import (
+    EngineOrders,
+    EngineReport,
+    OrderAnswer,
+    WeightsOrder,
+)
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.process.control.announcements import Announcements
+from gooseberrydale.process.control.machine import PublishingMachine
+from gooseberrydale.process.control.replica import Replica
+from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.order_marks import is_mark, mark
+from gooseberrydale.version.rollout import EngineWeights, due
+
+LOOK_S = 0.1
+"""How often the leader looks for engines that are behind."""
+
+MARK_SETTLE_S = 0.05
+"""Time for a mark to reach the entries, and for what they sent before to arrive: the
+mesh gathers records for 10 ms, and a way between zones takes some milliseconds."""
+
+POLL_S = 0.25
+"""Between two looks at an engine that changes; reports lag by about as much."""
+
+CHANGE_BOUND_S = 6.0
+"""After this the engine is left for another try; runs and load take two at most."""
+
+RESEND_AFTER_S = 1.0
+"""An engine that shows no sign of an unanswered order after this is given it again."""
+
+
+class WeightsRollout:
+    """One task looks for engines that are behind; one task changes each of them."""
+
+    def __init__(
+        self,
+        name: str,
+        machine: PublishingMachine,
+        replica: Replica,
+        directory: Directory,
+        announcements: Announcements,
+        engines: EngineOrders,
+        pause_s: float,
+    ) -> None:
+        self._name = name
+        self._machine = machine
+        self._replica = replica
+        self._directory = directory
+        self._announcements = announcements
+        self._engines = engines
+        self._pause_s = pause_s
+        self._term = 0
+        self._led_since = 0.0
+        self._fenced_term = 0
+        self._seq = itertools.count(1)
+        self._changing: dict[str, asyncio.Task[None]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begin to look."""
+        self._tasks.append(spawn(self._run()))
+
+    async def close(self) -> None:
+        """Stop; the next leader goes on."""
+        await stop(self._tasks)
+        await stop(list(self._changing.values()))
+
+    async def _run(self) -> None:
+        while True:
+            if self._may_order():
+                for name in self._due():
+                    self._begin(name)
+            await asyncio.sleep(LOOK_S)
+
+    def _may_order(self) -> bool:
+        """Whether this replica leads, and orders of an earlier leader have arrived."""
+        if not self._replica.may_lead():
+            self._term = 0
+            return False
+        term = self._replica.status.term
+        if term != self._term:
+            self._term = term
+            self._led_since = _now()
+        if term == self._fenced_term:
+            return False
+        return _now() >= self._led_since + self._pause_s
+
+    def _due(self) -> list[str]:
+        named = self._machine.state.config.weights
+        if not named:
+            return []
+        engines = [
+            EngineWeights(
+                record.name,
+                record.model,
+                int(record.weights_version or 0),
+                record.leaving,
+            )
+            for record in self._directory.records(_now())
+            if record.model and not is_mark(record)
+        ]
+        return due(engines, named, self._changing)
+
+    def _begin(self, name: str) -> None:
+        task = spawn(self._change(name))
+        self._changing[name] = task
+        task.add_done_callback(lambda _: self._changing.pop(name, None))
+
+    async def _change(self, name: str) -> None:
+        """Bring one engine to the newest weights, or leave it after a bound."""
+        until = _now() + CHANGE_BOUND_S
+        self._mark(name, over=False)
+        try:
+            await asyncio.sleep(MARK_SETTLE_S)
+            while self._may_order() and _now() < until:
+                engine = self._directory.get(name, _now())
+                if engine is None or engine.leaving:
+                    return
+                if await self._step(engine):
+                    return
+                self._mark(name, over=False)
+        finally:
+            self._mark(name, over=True)
+
+    async def _step(self, engine: UpstreamRecord) -> bool:
+        """One report and at most one order; say whether the engine is done with."""
+        wanted = self._machine.state.config.weights.get(engine.model, 0)
+        report = await self._engines.report(engine)
+        if report is None:
+            await asyncio.sleep(POLL_S)
+            return False
+        held = report.versions.get(engine.model, 0)
+        if held >= wanted and not report.busy:
+            self._announcements.has_weights(engine.name, str(held))
+            return True
+        if report.busy or not self._may_order():
+            await asyncio.sleep(POLL_S)
+            return False
+        return await self._order(engine, wanted, report)
+
+    async def _order(
+        self, engine: UpstreamRecord, wanted: int, report: EngineReport
+    ) -> bool:
+        order = WeightsOrder(
+            model=engine.model,
+            version=wanted,
+            holder=self._name,
+            number=self._term,
+            after=report.accepted,
+        )
+        answer = await self._engines.order(engine, order)
+        logger.bind(
+            event="weights_order",
+            upstream=engine.name,
+            version=wanted,
+            number=order.number,
+            after=order.after,
+            outcome=answer.name.lower(),
+        ).info("order of weights")
+        match answer:
+            case OrderAnswer.FENCED:
+                # Another replica leads; this one learns of it from the log.
+                self._fenced_term = order.number
+                return True
+            case OrderAnswer.OTHER_LIFE:
+                return True
+            case OrderAnswer.UNKNOWN:
+                await asyncio.sleep(RESEND_AFTER_S)
+            case _:
+                await asyncio.sleep(POLL_S)
+        return False
+
+    def _mark(self, name: str, *, over: bool) -> None:
+        record = mark(name, self._term, next(self._seq), over=over)
+        self._directory.offer(record, _now())
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -16,6 +16,7 @@
 from gooseberrydale.connection.mesh import ENTRY_ROLE
 from gooseberrydale.connection.rpc import RpcChannel, RpcServer
 from gooseberrydale.process.cfg import Cfg, EntryCfg
+from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.entry.app import make_app
 from gooseberrydale.process.entry.calls import Calls
 from gooseberrydale.process.entry.gatekeeper import Gatekeeper, Phase
@@ -49,7 +50,7 @@
         self._cfg: EntryCfg = cfg.entry
         self._node = cfg.node
         self._fleet = cfg.fleet
-        self._token = cfg.fleet.token_file.read_text().strip()
+        self._token = read_token(cfg.fleet.token_file)
         self._tls = tls_files(cfg.fleet.tls)
         self.store = ConfigStore()
         self.directory = Directory()
--- /dev/null
+++ b/gooseberrydale/process/gateway/app.py
@@ -0,0 +1,235 @@
+"""The callers' interface of a gateway, as an ASGI application.
+
+Lives as long as the process.  It finds the route and the workspace of a request, reads
+its body, and has it forwarded while it watches whether the caller is still there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from loguru import logger
+from result import Err
+from starlette.types import Receive, Scope, Send
+
+from gooseberrydale.connection.http_pool import HttpPool
+from gooseberrydale.errors import (
+    BODY_TOO_LARGE,
+    NO_DECLARED_ROUTE,
+    NOT_READY,
+    UNKNOWN_CALLER_KEY,
+    Problem,
+    problem,
+)
+from gooseberrydale.process.gateway.answer import CallerAnswer
+from gooseberrydale.process.gateway.declared_store import DeclaredStore
+from gooseberrydale.process.gateway.forward import (
+    Assignment,
+    BrokenAnswerError,
+    Forward,
+)
+from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
+from gooseberrydale.process.gateway.upstreams import Upstreams
+from gooseberrydale.request.comeback import NOT_READY_AFTER_S
+from gooseberrydale.request.gateway_call import CallerCall, Wire
+from gooseberrydale.version.declared import KeyHolder, Pool, Route
+from gooseberrydale.version.route_table import RouteTable
+
+TARGET = "gooseberrydale.target"
+"""The extension in which the server leaves the target as the caller wrote it."""
+
+MS_PER_S = 1_000.0
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayParts:
+    """What all requests of the process share."""
+
+    wire: Wire
+    declared: DeclaredStore
+    upstreams: Upstreams
+    conns: HttpPool
+    budgets: RetryBudgets
+    rng: random.Random
+
+
+class GatewayApp:
+    """Serves requests; ``closing`` asks callers to come back elsewhere."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+        self.closing = False
+        self.open_requests = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        self.open_requests += 1
+        try:
+            await _Request(self._parts, scope, receive, send, self.closing).serve()
+        finally:
+            self.open_requests -= 1
+
+
+class _Request:
+    """One request; lives until its answer is out or its caller is gone."""
+
+    def __init__(
+        self,
+        parts: GatewayParts,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        closing: bool,
+    ) -> None:
+        self._parts = parts
+        self._scope = scope
+        self._receive = receive
+        self._send = send
+        self._closing = closing
+        self._began = asyncio.get_running_loop().time()
+
+    async def serve(self) -> None:
+        scope = self._scope
+        extension = scope.get("extensions", {}).get(TARGET, {})
+        target = extension.get(TARGET, scope["raw_path"])
+        found = self._parts.wire.read_call(
+            scope["method"], target, tuple(scope["headers"])
+        )
+        if isinstance(found, Err):
+            answer = CallerAnswer(self._send, "", closing=self._closing)
+            await answer.refuse(found.err_value, close=True)
+            return
+        call = found.ok_value
+        answer = CallerAnswer(self._send, call.request_id, closing=self._closing)
+        outcome = "caller_gone"
+        try:
+            outcome = await self._serve(call, answer)
+        except CallerGoneError:
+            pass
+        except BrokenAnswerError:
+            outcome = "broken"
+        finally:
+            self._log(call, answer, outcome)
+
+    async def _serve(self, call: CallerCall, answer: CallerAnswer) -> str:
+        table = self._parts.declared.table
+        if table is None:
+            why = problem(NOT_READY, retry_after_s=NOT_READY_AFTER_S)
+            await answer.refuse(why)
+            return why.code
+        route = table.route(call.host, call.path)
+        holder = table.workspace(call.key)
+        refused = _refusal(table, call, route, holder)
+        if refused is not None:
+            await answer.refuse(refused)
+            return refused.code
+        assert route is not None
+        limit = table.declared.limits.body_bytes
+        body = await self._read_body(limit)
+        if body is None:
+            too_large = problem(BODY_TOO_LARGE, limit=limit)
+            await answer.refuse(too_large, close=True)
+            return too_large.code
+        job = self._assign(call, route, table, holder, body)
+        forward = Forward(
+            job,
+            answer,
+            self._parts.wire,
+            self._parts.upstreams,
+            self._parts.conns,
+            self._parts.budgets.of(job.pool.name),
+        )
+        await self._run(forward)
+        return f"{forward.outcome} {','.join(forward.tried)}"
+
+    def _assign(
+        self,
+        call: CallerCall,
+        route: Route,
+        table: RouteTable,
+        holder: KeyHolder | None,
+        body: bytes,
+    ) -> Assignment:
+        wait_s = route.timeout_s
+        if call.wait_s is not None:
+            wait_s = min(wait_s, call.wait_s)
+        return Assignment(
+            call=call,
+            route=route,
+            pool=self._pool(route, table),
+            body=body,
+            until=self._began + wait_s,
+            workspace=None if route.public else holder,
+            weights=self._parts.declared.weights,
+        )
+
+    def _pool(self, route: Route, table: RouteTable) -> Pool:
+        """Draw a pool by the weights of the route's shares."""
+        weights = [share.weight for share in route.shares]
+        [share] = self._parts.rng.choices(route.shares, weights)
+        return table.declared.pools[share.pool]
+
+    async def _run(self, forward: Forward) -> None:
+        """Forward the request until it is answered or the caller is gone."""
+        work = asyncio.create_task(forward.run())
+        gone = asyncio.create_task(self._disconnected())
+        try:
+            await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                raise CallerGoneError
+            await work
+        finally:
+            for task in (work, gone):
+                task.cancel()
+            await asyncio.gather(work, gone, return_exceptions=True)
+
+    async def _disconnected(self) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            continue
+
+    async def _read_body(self, limit: int) -> bytes | None:
+        """The whole body; None if it is over ``limit`` bytes."""
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            message = await self._receive()
+            if message["type"] != "http.request":
+                raise CallerGoneError
+            parts.append(message["body"])
+            size += len(message["body"])
+            if size > limit:
+                return None
+            if not message["more_body"]:
+                return b"".join(parts)
+
+    def _log(self, call: CallerCall, answer: CallerAnswer, outcome: str) -> None:
+        took_s = asyncio.get_running_loop().time() - self._began
+        logger.bind(
+            event="request",
+            request_id=call.request_id,
+            host=call.host,
+            path=call.path,
+            outcome=outcome,
+            status=answer.status,
+            whole=answer.complete,
+            took_ms=round(took_s * MS_PER_S, 1),
+        ).info("request")
+
+
+def _refusal(
+    table: RouteTable, call: CallerCall, route: Route | None, holder: KeyHolder | None
+) -> Problem | None:
+    """Why the declarations don't let a request through."""
+    if route is None:
+        return problem(NO_DECLARED_ROUTE, host=call.host)
+    if table.needs_keys and not route.public and holder is None:
+        return problem(UNKNOWN_CALLER_KEY)
+    return None
--- /dev/null
+++ b/gooseberrydale/process/gateway/declared_store.py
@@ -0,0 +1,68 @@
+"""The document in force, decoded; lives as long as the process.
+
+A document that this release can't decode is passed over with an error line, and the
+one before it stays in force: it was checked when it was put in force, so only a
+process of another release can have let it through.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from loguru import logger
+from result import Err, Result
+
+from gooseberrydale.errors import Problem
+from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.declared import Declared
+from gooseberrydale.version.route_table import RouteTable
+
+DecodeDocument = Callable[[bytes], Result[Declared, Problem]]
+
+
+class DeclaredStore:
+    """Follows the configuration; ``table`` is None before the first document."""
+
+    def __init__(self, store: ConfigStore, decode: DecodeDocument) -> None:
+        self._store = store
+        self._decode = decode
+        self._number = 0
+        self._task: asyncio.Task[None] | None = None
+        self.table: RouteTable | None = None
+
+    @property
+    def weights(self) -> dict[str, int]:
+        """The weights version that each model shall be served with."""
+        return self._store.config.weights
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self._task = asyncio.create_task(self._follow())
+
+    async def close(self) -> None:
+        """Stop following."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _follow(self) -> None:
+        revision = 0
+        while True:
+            config = await self._store.wait_newer(revision)
+            revision = config.revision
+            if config.document is not None and config.document.number > self._number:
+                self._take(config.document.number, config.document.body)
+
+    def _take(self, number: int, body: bytes) -> None:
+        match self._decode(body):
+            case Err(why):
+                logger.bind(event="document_unreadable", number=number).error(
+                    "document passed over: {}", why.message
+                )
+            case found:
+                self._number = number
+                self.table = RouteTable(found.unwrap())
+                logger.bind(event="document_in_force", number=number).info(
+                    "document in force"
+                )
--- /dev/null
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -0,0 +1,141 @@
+"""Builds the parts of a gateway, starts them, and shuts them down in order."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from loguru import logger
+from starlette.types import Receive, Scope, Send
+
+from gooseberrydale.connection.http_pool import HttpPool
+from gooseberrydale.connection.mesh import GATEWAY_ROLE
+from gooseberrydale.process.cfg import Cfg, GatewayCfg, TlsCfg
+from gooseberrydale.process.cfg_file import read_token
+from gooseberrydale.process.gateway.app import GatewayApp, GatewayParts
+from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
+from gooseberrydale.process.gateway.front_protocol import front_protocol
+from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
+from gooseberrydale.process.gateway.upstreams import Upstreams
+from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.membership import Mesh
+from gooseberrydale.request.gateway_call import Wire
+from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.declared import CallerLimits
+from gooseberrydale.version.directory import Directory, new_incarnation
+
+SWEEP_S = 0.5
+UNREADY_S = 2.4
+"""Balancers that ask once a second see two refusals in this time, and send no more
+connections."""
+
+CUT_PART = 0.94
+"""Part of the time before the process is killed that open answers get."""
+
+READY_CLOSE_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Dialect:
+    """How a deployment's callers, upstreams and operators write."""
+
+    wire: Wire
+    decode_document: DecodeDocument
+
+
+class Gateway:
+    """One gateway; ``start`` it once and ``close`` it once."""
+
+    def __init__(
+        self, cfg: Cfg, dialect: Dialect, rng: random.Random | None = None
+    ) -> None:
+        if cfg.gateway is None:
+            raise ValueError("the settings have no [gateway] table; add one")
+        self._cfg: GatewayCfg = cfg.gateway
+        self._rng = rng if rng is not None else random.SystemRandom()
+        self.store = ConfigStore()
+        self.directory = Directory()
+        self._declared = DeclaredStore(self.store, dialect.decode_document)
+        self._conns = HttpPool()
+        self._upstreams = Upstreams(self.directory, cfg.node.zone, self._rng)
+        self._mesh = Mesh(
+            cfg,
+            GATEWAY_ROLE,
+            self.directory,
+            self.store,
+            None,
+            read_token(cfg.fleet.token_file),
+            new_incarnation(time.time_ns(), self._rng),
+            rng=self._rng,
+        )
+        parts = GatewayParts(
+            wire=dialect.wire,
+            declared=self._declared,
+            upstreams=self._upstreams,
+            conns=self._conns,
+            budgets=RetryBudgets(self._cfg),
+            rng=self._rng,
+        )
+        self._app = GatewayApp(parts)
+        protocol = front_protocol(self._limits)
+        self._front = HttpServer(self._app, self._cfg.http, TlsCfg(), protocol)
+        self._ready = HttpServer(self._tell_ready, self._cfg.ready, TlsCfg())
+        self._sweeping: asyncio.Task[None] | None = None
+
+    @property
+    def addresses(self) -> Mapping[str, str]:
+        """Listeners by name, known once started."""
+        return {"http": self._front.address, "ready": self._ready.address}
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer shall send connections here."""
+        return self._declared.table is not None and not self._app.closing
+
+    async def start(self) -> None:
+        """Serve; raises OSError if an address can't be bound."""
+        await self._declared.start()
+        await self._mesh.start()
+        self._sweeping = asyncio.create_task(self._sweep())
+        await self._ready.start()
+        await self._front.start()
+
+    async def close(self) -> None:
+        """Tell the balancer, wait until it knows, then end what is open."""
+        if self._app.closing:
+            return
+        self._app.closing = True
+        logger.bind(event="draining", open=self._app.open_requests).info("draining")
+        await asyncio.sleep(min(UNREADY_S, self._cfg.grace_s / 3))
+        left_s = self._cfg.grace_s * CUT_PART - UNREADY_S
+        await self._front.close(max(READY_CLOSE_S, left_s))
+        await self._ready.close(READY_CLOSE_S)
+        if self._sweeping is not None:
+            self._sweeping.cancel()
+        await self._declared.close()
+        await self._mesh.close()
+        self._conns.close()
+
+    async def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self._conns.sweep(self._upstreams.sweep(loop.time()))
+
+    def _limits(self) -> CallerLimits:
+        table = self._declared.table
+        return CallerLimits() if table is None else table.declared.limits
+
+    async def _tell_ready(self, scope: Scope, _receive: Receive, send: Send) -> None:
+        """Answer on every path: the listener serves the balancer alone."""
+        if scope["type"] != "http":
+            return
+        status = 200 if self.is_ready else 503
+        headers = [(b"content-length", b"0")]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": b""})
--- a/gooseberrydale/process/http_protocol.py
+++ b/gooseberrydale/process/http_protocol.py
@@ -31,7 +31,14 @@
 
 
 class BoundedHttpProtocol(HttpToolsProtocol):
-    """The library's protocol with bounds on the head of each request."""
+    """The library's protocol with bounds on the head of each request.
+
+    Bounds are in bytes and seconds; a subclass may change them while it runs.
+    """
+
+    head_bytes: int = MAX_HEAD_BYTES
+    head_timeout_s: float = HEAD_TIMEOUT_S
+    first_byte_s: float = FIRST_BYTE_S
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -41,7 +48,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for the first byte; clients may open connections early."""
         super().connection_made(transport)  # type: ignore[arg-type]
-        self._head_timer = self.loop.call_later(FIRST_BYTE_S, transport.close)
+        self._head_timer = self.loop.call_later(self.first_byte_s, transport.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop waiting."""
@@ -78,10 +85,15 @@
         """Answer what is no HTTP."""
         self._refuse(problem(INVALID_HTTP))
 
+    def _breaks_in_body(self) -> bool:
+        """Whether the only open request is read still, with no answer begun."""
+        cycle = self.cycle
+        return cycle.more_body and not cycle.response_started and not self.pipeline
+
     def _expect_head(self) -> None:
         self._stop_timer()
         self._head_bytes = 0
-        self._head_timer = self.loop.call_later(HEAD_TIMEOUT_S, self._on_timeout)
+        self._head_timer = self.loop.call_later(self.head_timeout_s, self._on_timeout)
 
     def _stop_timer(self) -> None:
         if self._head_timer is not None:
@@ -89,20 +101,23 @@
             self._head_timer = None
 
     def _on_timeout(self) -> None:
-        self._refuse(problem(HEAD_TIMEOUT, limit_s=HEAD_TIMEOUT_S))
+        self._refuse(problem(HEAD_TIMEOUT, limit_s=self.head_timeout_s))
 
     def _count(self, size: int) -> None:
         self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES and not self.transport.is_closing():
-            self._refuse(problem(HEAD_TOO_LARGE, limit=MAX_HEAD_BYTES))
+        if self._head_bytes > self.head_bytes and not self.transport.is_closing():
+            self._refuse(problem(HEAD_TOO_LARGE, limit=self.head_bytes))
 
     def _refuse(self, why: Problem) -> None:
         """Write the final answer to a connection whose request is not known."""
         self._stop_timer()
         if self.cycle is not None and not self.cycle.response_complete:
-            # Nothing may stand in the middle of an answer that runs.
-            self.transport.close()
-            return
+            if not self._breaks_in_body():
+                # Nothing may stand in the middle of an answer that runs.
+                self.transport.close()
+                return
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
         request_id = uuid.uuid4().hex
         body = msgspec.json.encode(error_object(why, request_id))
         head = (
--- a/gooseberrydale/process/http_server.py
+++ b/gooseberrydale/process/http_server.py
@@ -31,8 +31,15 @@
 class HttpServer:
     """An HTTP listener; ``close`` stops listening and waits for open answers."""
 
-    def __init__(self, app: ASGIApp, address: str, tls: TlsCfg) -> None:
+    def __init__(
+        self,
+        app: ASGIApp,
+        address: str,
+        tls: TlsCfg,
+        protocol: type[BoundedHttpProtocol] = BoundedHttpProtocol,
+    ) -> None:
         self._app = app
+        self._protocol = protocol
         self._wanted = address
         self._tls = tls
         self._server: _Server | None = None
@@ -46,7 +53,7 @@
         self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         config = uvicorn.Config(
             self._app,
-            http=BoundedHttpProtocol,
+            http=self._protocol,
             timeout_keep_alive=KEEP_ALIVE_S,
             ws="none",
             loop="asyncio",
--- a/gooseberrydale/process/membership.py
+++ b/gooseberrydale/process/membership.py
@@ -208,7 +208,9 @@
 def _targets(cfg: Cfg, role: str) -> tuple[str, ...]:
     """Addresses to open sessions to: controls, and some of the entries."""
     if role == CONTROL_ROLE:
-        return ()
+        # Replicas of an open group tell each other of upstreams; it has no list of
+        # all replicas that the other processes could go by.
+        return cfg.fleet.control_rpc if cfg.control and cfg.control.open_group else ()
     entries = [EntryPoint(address) for address in cfg.fleet.entries]
     bound = SIDECAR_ENTRY_SESSIONS
     if role == ENTRY_ROLE:
@@ -220,4 +222,4 @@
         bound += len(others) == len(entries)
         entries = others
     chosen = session_targets(cfg.node.name, cfg.node.zone, entries, bound)
-    return cfg.fleet.controls + chosen
+    return cfg.fleet.control_rpc + chosen
--- a/gooseberrydale/process/runner.py
+++ b/gooseberrydale/process/runner.py
@@ -12,6 +12,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from enum import IntEnum
 from pathlib import Path
 from typing import Any, Protocol, runtime_checkable
@@ -90,13 +91,21 @@
             return run_with(role_name, cfg, ready_file)
 
 
-def run_with(role_name: str, cfg: Cfg, ready_file: Path | None = None) -> ExitCode:
-    """Run a role with settings that are loaded already."""
+def run_with(
+    role_name: str,
+    cfg: Cfg,
+    ready_file: Path | None = None,
+    make: Callable[[], Role] | None = None,
+) -> ExitCode:
+    """Run a role with settings that are loaded already.
+
+    ``make`` builds it if it is not one of the product's own.
+    """
     logs.hide(read_token(cfg.fleet.token_file))
     logs.setup(cfg.log, logs.Identity(role_name, cfg.node.name))
     for warning in cfg_checks.warnings(cfg):
         logger.warning("{}", warning)
-    return run_role(lambda: make_role(role_name, cfg), ready_file)
+    return run_role(make or (lambda: make_role(role_name, cfg)), ready_file)
 
 
 def run_local(port: int, operator_port: int, ready_file: Path | None) -> ExitCode:
@@ -137,6 +146,7 @@
         loop.set_exception_handler(self._on_loop_error)
         for number in _STOP_SIGNALS:
             loop.add_signal_handler(number, self._on_signal, number)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         try:
             role = self._make()
             if await self._start(role):
@@ -146,7 +156,7 @@
             # What a role finds in the files that its settings name.
             self._fail(ExitCode.INVALID_SETTINGS, "{}", exc)
         finally:
-            for number in _STOP_SIGNALS:
+            for number in (*_STOP_SIGNALS, signal.SIGHUP):
                 loop.remove_signal_handler(number)
         return self._code
 
@@ -214,6 +224,12 @@
             asyncio.get_running_loop().remove_signal_handler(number)
         self.stop()
 
+    def _on_reload(self) -> None:
+        """Settings hold for the life of a process; what changes while it runs comes
+        from control, so there is nothing to read again.
+        """
+        logger.bind(event="reload").info("told to reload; settings need a restart")
+
     def _on_loop_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
     ) -> None:
--- /dev/null
+++ b/gooseberrydale/request/placement.py
@@ -0,0 +1,156 @@
+"""Chooses the upstream that a forwarded request is sent to.  Pure.
+
+Every upstream that may take the request has an expected time to its first event, from
+the work before it and from what of the prompt is probably not cached there; the one
+with the least is taken.  A shared prefix has a home, which every entry finds by the
+same hash, so that it is computed once and found again without any exchange.  The
+figures answer a load at which engines are seldom full: then the homes decide; where a
+home is busy for longer than computing the prefix anew takes, the next one helps out.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from gooseberrydale.version.upstream_load import Load, Work
+
+PREFILL_TOKENS_PER_S = 110_000.0
+"""Prompt tokens that an engine computes in a second, as the deployments' sheets say."""
+
+RUN_SLOWDOWN_S = 0.004
+"""What each request that runs beside adds to the time of a first event: a step of the
+batch is shared, and pieces of other prompts are computed between."""
+
+SERVICE_RUN_S = 0.06
+"""Mean time that a request holds a place at a plain service."""
+
+RECOMPUTE_WEIGHT = 2.0
+"""What is computed twice also takes the place of other work, so it counts twice."""
+
+OLD_WEIGHTS_S = 0.15
+"""An answer on old weights loses a part of its worth soon after newer ones are named;
+an engine that has them may take this much longer."""
+
+ERROR_S = 0.6
+"""What a share of failures of 1 counts: a failed run costs the request, and a second
+send takes about this long."""
+
+ORDINARY_ERROR_SHARE = 0.25
+"""Failures that services give by themselves; a lower share says nothing."""
+
+FAR_S = 0.002
+"""Another availability zone: a round trip of two milliseconds, and bytes that cost."""
+
+MEMORY_PART = 0.75
+"""Above this part of an engine's memory requests preempt each other."""
+
+FULL_S = 2.0
+"""Waiting for memory or a place of a full engine takes about a run."""
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """One upstream that may take the request, as this entry sees it now.
+
+    ``slots`` and ``kv_tokens`` are its size, 0 if not known.  ``home_rank`` is its
+    place among the homes of the shared prefix, ``old_weights`` says that newer ones are
+    named, ``far`` that it is in another availability zone.  ``usable`` is False while
+    it is suspected to be dead or carries out an order.
+    """
+
+    name: str
+    load: Load
+    slots: int = 0
+    kv_tokens: int = 0
+    home_rank: int = 0
+    old_weights: bool = False
+    far: bool = False
+    error_share: float = 0.0
+    usable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What the request needs: tokens of its own and of what others share with it.
+
+    ``common_tokens`` begin so many prompts that every engine is taken to hold them;
+    ``shared_tokens`` follow, and lie at their home.
+    """
+
+    own_tokens: int = 0
+    shared_tokens: int = 0
+    common_tokens: int = 0
+    new_tokens: int = 0
+
+    @property
+    def is_prompt(self) -> bool:
+        """Whether a model is asked."""
+        return self.own_tokens + self.shared_tokens + self.common_tokens > 0
+
+    @property
+    def tokens(self) -> int:
+        """Tokens of memory that the request takes at its end."""
+        prompt = self.own_tokens + self.shared_tokens + self.common_tokens
+        return prompt + self.new_tokens
+
+    def work_at(self, candidate: Candidate) -> Work:
+        """The work that the request makes at an upstream."""
+        prefill = self.own_tokens
+        if candidate.home_rank > 0:
+            prefill += self.shared_tokens
+        return Work(prefill_tokens=prefill, kv_tokens=self.tokens)
+
+
+def choose(candidates: Sequence[Candidate], demand: Demand) -> Candidate | None:
+    """The candidate with the least expected time; None if there is none.
+
+    Those that are not usable are taken only if there is no other one.
+    """
+    usable = [one for one in candidates if one.usable]
+    ranked = usable or candidates
+    if not ranked:
+        return None
+    return min(ranked, key=lambda one: (expected_s(one, demand), one.home_rank))
+
+
+def expected_s(candidate: Candidate, demand: Demand) -> float:
+    """Seconds to the first event, and what else speaks against a candidate."""
+    seconds = _wait_s(candidate, demand)
+    if demand.is_prompt:
+        seconds += _prefill_s(candidate, demand)
+    if candidate.old_weights:
+        seconds += OLD_WEIGHTS_S
+    if candidate.far:
+        seconds += FAR_S
+    return seconds + ERROR_S * max(0.0, candidate.error_share - ORDINARY_ERROR_SHARE)
+
+
+def _prefill_s(candidate: Candidate, demand: Demand) -> float:
+    own_s = demand.own_tokens / PREFILL_TOKENS_PER_S
+    if candidate.home_rank == 0:
+        return own_s
+    again_s = demand.shared_tokens / PREFILL_TOKENS_PER_S
+    return own_s + RECOMPUTE_WEIGHT * again_s
+
+
+def _wait_s(candidate: Candidate, demand: Demand) -> float:
+    load = candidate.load
+    if not demand.is_prompt:
+        return _service_wait_s(load.requests, candidate.slots)
+    seconds = load.prefill_tokens / PREFILL_TOKENS_PER_S
+    seconds += load.requests * RUN_SLOWDOWN_S
+    room = candidate.kv_tokens * MEMORY_PART if candidate.kv_tokens else math.inf
+    if load.kv_tokens + demand.tokens > room:
+        seconds += FULL_S
+    if candidate.slots and load.requests >= candidate.slots:
+        seconds += FULL_S
+    return seconds
+
+
+def _service_wait_s(requests: float, slots: int) -> float:
+    """Wait for a place; below that, fewer requests run faster."""
+    busy_part = requests / slots if slots else requests
+    waiting = max(0.0, requests + 1 - slots) if slots else 0.0
+    return SERVICE_RUN_S * (busy_part * 0.1 + waiting / max(1, slots))
--- a/gooseberrydale/version/change.py
+++ b/gooseberrydale/version/change.py
@@ -176,7 +176,7 @@
     """The declarations while edits are made one by one."""
 
     def __init__(self, config: Config) -> None:
-        self._revision = config.revision + 1
+        self._base = config
         self._profiles = dict(config.profiles)
         self._workspaces = dict(config.workspaces)
         self._leaving = set(config.leaving)
@@ -194,8 +194,9 @@
         self._takers[edit.kind](edit)
 
     def config(self) -> Config:
-        return Config(
-            revision=self._revision,
+        return replace(
+            self._base,
+            revision=self._base.revision + 1,
             profiles=self._profiles,
             workspaces=self._workspaces,
             leaving=frozenset(self._leaving),
--- a/gooseberrydale/version/control_state.py
+++ b/gooseberrydale/version/control_state.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from result import Err, Ok, Result
@@ -23,14 +23,18 @@
     ClaimReq,
     Command,
     CommandReply,
+    DeclareReq,
+    DocumentReply,
     FenceReply,
     FinishReq,
     Limits,
     MoveReq,
+    NameWeightsReq,
     NoteReq,
     Order,
     PlaceOrderReply,
     PlaceOrderReq,
+    ReadDocumentReq,
     ReadFenceReq,
     ReleaseReq,
     ReportOrderReq,
@@ -50,7 +54,7 @@
     shown,
 )
 from gooseberrydale.version.claims import ClaimTable
-from gooseberrydale.version.declarations import Config, Profile, Workspace
+from gooseberrydale.version.declarations import Config, Document, Profile, Workspace
 from gooseberrydale.version.orders import OrderBook
 
 SKIPPED_AFTER_RECOVERY = 1_000_000
@@ -77,6 +81,8 @@
     fences: dict[str, int]
     claims: tuple[ClaimRecord, ...]
     cluster: str = ""
+    document: Document | None = None
+    weights: dict[str, int] = field(default_factory=dict)
 
 
 class ControlState:
@@ -96,6 +102,9 @@
         self.cluster = ""
         self._handlers: dict[type[Any], Callable[[Any], Any]] = {
             ChangeReq: self._change,
+            DeclareReq: self._declare,
+            NameWeightsReq: self._name_weights,
+            ReadDocumentReq: self._read_document,
             PlaceOrderReq: self._place_order,
             ReportOrderReq: self._report_order,
             ReadFenceReq: self._read_fence,
@@ -146,6 +155,8 @@
                 fences=self.orders.fences,
                 claims=self.claims.records,
                 cluster=self.cluster,
+                document=self.config.document,
+                weights=self.config.weights,
             )
         )
 
@@ -224,6 +235,40 @@
                 self._audit_change(req, before, refused.code)
                 return refusal(before, refused)
 
+    def _declare(self, req: DeclareReq) -> Ack:
+        """A document that was overtaken, or sent again, changes nothing."""
+        held = self.config.document
+        if held is not None and req.document.number <= held.number:
+            return Ack()
+        self._set_next(document=req.document)
+        self._audit_declared("declare", f"document {req.document.number}")
+        return Ack()
+
+    def _name_weights(self, req: NameWeightsReq) -> Ack:
+        if req.version <= self.config.weights.get(req.model, 0):
+            return Ack()
+        self._set_next(weights={**self.config.weights, req.model: req.version})
+        self._audit_declared("name_weights", f"{req.model} {req.version}")
+        return Ack()
+
+    def _read_document(self, _req: ReadDocumentReq) -> DocumentReply:
+        return DocumentReply(document=self.config.document)
+
+    def _set_next(self, **changed: Any) -> None:
+        revision = self.config.revision + 1
+        self._set_config(replace(self.config, revision=revision, **changed))
+
+    def _audit_declared(self, action: str, name: str) -> None:
+        self.audit.add(
+            keep=self.limits.audit_entries,
+            wall_s=self.now_s,
+            operator="",
+            action=action,
+            name=name,
+            outcome=ACCEPTED,
+            revision=self.config.revision,
+        )
+
     def _set_config(self, config: Config) -> None:
         check_revision(self.config.revision, config.revision)
         self.config = config
@@ -345,6 +390,8 @@
         profiles={profile.name: profile for profile in kept.profiles},
         workspaces={workspace.name: workspace for workspace in kept.workspaces},
         leaving=frozenset(kept.leaving),
+        document=kept.document,
+        weights=kept.weights,
     )
 
 
--- a/gooseberrydale/version/declarations.py
+++ b/gooseberrydale/version/declarations.py
@@ -57,12 +57,30 @@
     profiles: tuple[str, ...] = ()
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A whole configuration as its operator wrote it.
+
+    Operators number their documents; the highest number is in force.  ``body`` is
+    kept as it was sent, so that it can be read back unchanged.
+    """
+
+    number: int
+    body: bytes
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class Config:
-    """One revision of all declarations."""
+    """One revision of all declarations.
+
+    ``weights`` holds the version that each model shall be served with, by model.
+    """
 
     revision: int = 0
     profiles: dict[str, Profile] = field(default_factory=dict)
     workspaces: dict[str, Workspace] = field(default_factory=dict)
     leaving: frozenset[str] = frozenset()
+    document: Document | None = None
+    weights: dict[str, int] = field(default_factory=dict)
--- /dev/null
+++ b/gooseberrydale/version/declared_checks.py
@@ -0,0 +1,49 @@
+"""Why a document can't be put in force; every reason is found at once.  Pure."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterator
+
+from gooseberrydale.version.declared import Declared, Route
+
+
+def declared_faults(declared: Declared) -> Iterator[str]:
+    """Yield what is wrong with a document."""
+    if declared.number < 1:
+        yield f"its number is {declared.number}, not 1 or more"
+    stores = {store.name for store in declared.stores}
+    for route in declared.routes:
+        yield from _route_faults(route, declared.pools.keys() | stores)
+    yield from _same_place(declared)
+    yield from _shared_keys(declared)
+
+
+def _route_faults(route: Route, known: set[str]) -> Iterator[str]:
+    key = f"route {route.name!r}"
+    for share in route.shares:
+        if share.pool not in known:
+            yield f"{key} names the unknown service {share.pool!r}"
+        if not math.isfinite(share.weight) or share.weight < 0:
+            yield f"{key} gives {share.pool!r} the weight {share.weight}"
+    if not sum(share.weight for share in route.shares) > 0:
+        yield f"{key} has weights that add up to 0"
+    if not route.timeout_s > 0:
+        yield f"{key} has a timeout of 0"
+
+
+def _same_place(declared: Declared) -> Iterator[str]:
+    places = Counter((route.host, route.path_prefix) for route in declared.routes)
+    for (host, prefix), count in places.items():
+        if count > 1:
+            yield f"{count} routes share host {host!r} and prefix {prefix!r}"
+
+
+def _shared_keys(declared: Declared) -> Iterator[str]:
+    owners: dict[str, str] = {}
+    for holder in declared.workspaces or ():
+        for key in holder.keys:
+            owner = owners.setdefault(key, holder.name)
+            if owner != holder.name:
+                yield f"workspaces {owner!r} and {holder.name!r} share a key"
--- a/gooseberrydale/version/replication/bootstrap.py
+++ b/gooseberrydale/version/replication/bootstrap.py
@@ -1,10 +1,13 @@
 """First start of a cluster, and recovery after the loss of a majority of disks.
 
-Both happen only on an operator's explicit order, while the replica is stopped.
+Both happen only on an operator's explicit order, while the replica is stopped, or
+by a setting that holds for the very first start alone.
 """
 
 from __future__ import annotations
 
+import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from gooseberrydale.version.replication.messages import (
@@ -16,6 +19,8 @@
 )
 from gooseberrydale.version.replication.raft import Stored
 
+CLUSTER_BYTES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class RecoveryReport:
@@ -37,6 +42,24 @@
     return Stored(HardState(cluster, 1, me.identity), entries=(entry,))
 
 
+def first_identity(name: str) -> str:
+    """Identity of a replica that a cluster starts with; its successors' differ."""
+    return f"first-{name}"
+
+
+def common_start(names: Iterable[str]) -> Stored:
+    """Return the log with which all replicas under ``names`` start a new cluster.
+
+    Each of them makes the same log by itself, so none has to be there before the
+    others; the first election decides who leads.
+    """
+    members = tuple(Member(name, first_identity(name)) for name in sorted(set(names)))
+    text = "|".join(member.name for member in members)
+    cluster = hashlib.blake2b(text.encode(), digest_size=CLUSTER_BYTES).hexdigest()
+    entry = Entry(1, 1, EntryKind.MEMBERS, b"", Membership(members))
+    return Stored(HardState(cluster, 1, ""), entries=(entry,))
+
+
 def describe(stored: Stored) -> RecoveryReport:
     """Say what a recovery from this disk would keep, without changing anything."""
     last = stored.entries[-1] if stored.entries else stored.snapshot
--- a/gooseberrydale/version/replication/core.py
+++ b/gooseberrydale/version/replication/core.py
@@ -47,6 +47,11 @@
     ``names`` are the replica names that may become members.  ``lease_s`` must stay
     under ``election_min_s``, so that a leader stops before another can be elected
     even if the clocks run at slightly different rates.
+
+    With ``open_to`` above 0 any replica may become a member: its name is its address,
+    ``names`` are those to ask for a place, and at most ``open_to`` replicas vote.  The
+    others are kept up to date, and one of them takes the place of a voter that was
+    silent for ``replace_after_s``.
     """
 
     names: frozenset[str]
@@ -58,6 +63,8 @@
     inflight_entries: int = 1024
     snapshot_entries: int = 1_000
     keep_entries: int = 200
+    open_to: int = 0
+    replace_after_s: float = 2.5
 
     def __post_init__(self) -> None:
         if not self.heartbeat_s < self.lease_s < self.election_min_s:
@@ -123,6 +130,16 @@
         self.defer_election(now)
         self.out: list[Action] = []
 
+    def may_join(self, name: str) -> bool:
+        """Whether the replica under a name may become a member."""
+        return self.cfg.open_to > 0 or name in self.cfg.names
+
+    @property
+    def known_names(self) -> frozenset[str]:
+        """The names of replicas that are configured, or members by the own log."""
+        members = (member.name for member in self.log.membership.members)
+        return self.cfg.names.union(members)
+
     @property
     def is_voter(self) -> bool:
         """Whether this replica's own log names it as a member."""
--- a/gooseberrydale/version/replication/file_storage.py
+++ b/gooseberrydale/version/replication/file_storage.py
@@ -71,10 +71,11 @@
         self.me = Member("", "")
         self.stored = Stored()
 
-    def open(self, name: str, rng: Random) -> None:
+    def open(self, name: str, rng: Random, identity: str = "") -> None:
         """Read the folder; a new or foreign one gets a new identity.
 
-        Files of a replica with another name are kept aside.
+        That is ``identity`` if it is given, else a random one.  Files of a replica
+        with another name are kept aside.
         """
         self._files.make_folder(self._folder)
         if self._files.exists(self._identity):
@@ -82,7 +83,8 @@
             if self.me.name != name:
                 self._set_aside()
         if not self._files.exists(self._identity):
-            self._create(Member(name, f"{rng.getrandbits(IDENTITY_BITS):016x}"))
+            identity = identity or f"{rng.getrandbits(IDENTITY_BITS):016x}"
+            self._create(Member(name, identity))
         self.stored = self._load()
 
     def _set_aside(self) -> None:
--- /dev/null
+++ b/gooseberrydale/version/route_table.py
@@ -0,0 +1,55 @@
+"""Finds the route and the workspace of a request in the document in force.
+
+Lives as long as the document.  A look-up costs as many steps as the path has parts,
+however many routes there are.
+"""
+
+from __future__ import annotations
+
+from gooseberrydale.version.declared import Declared, KeyHolder, Route
+
+
+class RouteTable:
+    """The routes of one document by host and prefix, and its workspaces by key."""
+
+    def __init__(self, declared: Declared) -> None:
+        self.declared = declared
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in declared.routes:
+            by_prefix = self._by_host.setdefault(route.host, {})
+            by_prefix[route.path_prefix] = route
+        self._depth = max(
+            (r.path_prefix.count("/") for r in declared.routes), default=0
+        )
+        self._by_key: dict[str, KeyHolder] = {}
+        for holder in declared.workspaces or ():
+            self._by_key.update((key, holder) for key in holder.keys)
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether callers need a key, except on public routes."""
+        return self.declared.workspaces is not None
+
+    def route(self, host: str, path: str) -> Route | None:
+        """The route of ``host`` with the longest prefix that begins ``path``."""
+        by_prefix = self._by_host.get(host)
+        if by_prefix is None:
+            return None
+        for prefix in reversed(_beginnings(path, self._depth)):
+            if prefix in by_prefix:
+                return by_prefix[prefix]
+        return None
+
+    def workspace(self, key: str | None) -> KeyHolder | None:
+        """The workspace that holds ``key``."""
+        return None if key is None else self._by_key.get(key)
+
+
+def _beginnings(path: str, most: int) -> list[str]:
+    """The first ``most`` beginnings of ``path`` that end with a slash."""
+    found: list[str] = []
+    end = path.find("/")
+    while end >= 0 and len(found) < most:
+        found.append(path[: end + 1])
+        end = path.find("/", end + 1)
+    return found
--- /dev/null
+++ b/gooseberrydale/version/upstream_load.py
@@ -0,0 +1,108 @@
+"""What one entry knows of the load and the faults of one life of an upstream.
+
+Lives as long as that life; pure.  The entry's own work is known exactly, the work of
+others from what the upstream tells with its answers, which ages quickly.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from gooseberrydale.request.gateway_call import ReportedLoad
+
+REPORT_HALF_LIFE_S = 0.25
+"""Half of the reported work of others has ended after this: about the time of a run."""
+
+SUSPECT_FIRST_S = 0.5
+SUSPECT_MAX_S = 6.0
+"""After a failure to connect an upstream is left alone for the first time, doubled by
+each further one up to the other: a restart takes one to some seconds."""
+
+ERROR_SMOOTHING = 0.15
+"""Weight of the newest answer in the share of failures; about the last seven count."""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Work at an upstream: requests, tokens of prompts not yet computed, of memory."""
+
+    requests: float
+    prefill_tokens: float
+    kv_tokens: float
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """One request at an upstream, in tokens; all 0 at a plain service."""
+
+    prefill_tokens: int = 0
+    kv_tokens: int = 0
+
+
+class UpstreamLoad:
+    """The load and the faults of one upstream; times are seconds of the loop."""
+
+    def __init__(self) -> None:
+        self._requests = 0
+        self._prefill_tokens = 0
+        self._kv_tokens = 0
+        self._others = 0.0
+        self._reported_at = -math.inf
+        self._failures = 0
+        self.suspect_until = -math.inf
+        self.avoid_until = -math.inf
+        self.error_share = 0.0
+
+    def began(self, work: Work) -> None:
+        """A request was sent."""
+        self._requests += 1
+        self._prefill_tokens += work.prefill_tokens
+        self._kv_tokens += work.kv_tokens
+
+    def first_part(self, work: Work) -> None:
+        """The prompt of a request is computed."""
+        self._prefill_tokens -= work.prefill_tokens
+
+    def ended(self, work: Work, *, prefilled: bool) -> None:
+        """A request has ended; ``prefilled`` if its first part had come."""
+        self._requests -= 1
+        self._kv_tokens -= work.kv_tokens
+        if not prefilled:
+            self._prefill_tokens -= work.prefill_tokens
+
+    def reported(self, load: ReportedLoad, now: float) -> None:
+        """The upstream tells its load with an answer."""
+        # The own requests are among those reported.
+        self._others = max(0.0, load.running + load.waiting - self._requests)
+        self._reported_at = now
+
+    def answered(self, *, failed: bool) -> None:
+        """The upstream gave an answer of its own; so it is there."""
+        self._failures = 0
+        self.suspect_until = -math.inf
+        self._count_error(failed)
+
+    def unreachable(self, now: float) -> None:
+        """No connection, or one that broke: leave the upstream alone for a while."""
+        pause_s = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2**self._failures)
+        self._failures += 1
+        self.suspect_until = now + pause_s
+        self._count_error(True)
+
+    def avoid(self, now: float, for_s: float) -> None:
+        """The upstream takes no work for the moment."""
+        self.avoid_until = max(self.avoid_until, now + for_s)
+
+    def load(self, now: float) -> Load:
+        """The load as far as it can be known now."""
+        age_s = now - self._reported_at
+        others = self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+        return Load(
+            requests=self._requests + others,
+            prefill_tokens=float(self._prefill_tokens),
+            kv_tokens=float(self._kv_tokens),
+        )
+
+    def _count_error(self, failed: bool) -> None:
+        self.error_share += ERROR_SMOOTHING * (float(failed) - self.error_share)
