Share loads between gateways, use the store of KV cache, bound old weights

Ruled out: a lag of the mesh (records arrive within milliseconds), and the engines' queues (few requests run at once). Change: gateways tell each other their work by datagrams; requests save prefixes into the declared store and bring them from there, by what its events tell; an engine without an answer gives its place back; no request starts on weights overtaken for 7 s.

--- /dev/null
+++ b/gooseberrydale/connection/work_gossip.py
@@ -0,0 +1,111 @@
+"""Tells the other gateways what work this one has at each upstream, by datagrams.
+
+Lives as long as the process.  A report holds all work, so that a lost one does no harm;
+it goes out soon after a change, and each second in any case.  Datagrams stay within
+this system's own hosts; whoever can send one could only spoil the order in which
+upstreams are chosen.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from loguru import logger
+
+from gooseberrydale.connection.codec import CodecError, decode, encode
+from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork, WorkReport
+
+GATHER_S = 0.005
+"""Changes within this time share a report: a third of the least time that a request
+takes, so that the others know of it before they choose for the next one or two."""
+
+REPEAT_S = 1.0
+MAX_PEERS = 64
+"""Gateways that are told; with more, each tells those that the directory lists first,
+and the load that upstreams tell with their answers makes up for the rest."""
+
+Works = Callable[[], tuple[UpstreamWork, ...]]
+Peers = Callable[[], Iterable[str]]
+
+
+class WorkGossip(asyncio.DatagramProtocol):
+    """``changed`` is called at each change; ``works`` is read when a report is due."""
+
+    def __init__(
+        self,
+        address: str,
+        name: str,
+        incarnation: str,
+        loads: PeerLoads,
+        works: Works,
+        peers: Peers,
+    ) -> None:
+        self._address = address
+        self._name = name
+        self._incarnation = incarnation
+        self._loads = loads
+        self._works = works
+        self._peers = peers
+        self._seq = 0
+        self._transport: asyncio.DatagramTransport | None = None
+        self._due: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Bind and begin to tell; raises OSError if the address is taken."""
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        self._task = asyncio.create_task(self._repeat())
+
+    async def close(self) -> None:
+        """Stop telling."""
+        if self._due is not None:
+            self._due.cancel()
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def changed(self) -> None:
+        """The own work has changed; tell it soon."""
+        if self._due is None and self._transport is not None:
+            loop = asyncio.get_running_loop()
+            self._due = loop.call_later(GATHER_S, self._tell)
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Take a report of another gateway in."""
+        try:
+            report = decode(data)
+        except CodecError as exc:
+            logger.bind(event="bad_datagram").debug("from {}: {}", addr, exc)
+            return
+        if isinstance(report, WorkReport) and report.name != self._name:
+            self._loads.take(report, asyncio.get_running_loop().time())
+
+    def error_received(self, exc: Exception) -> None:
+        """A peer that is down answers with an error; its lease will end."""
+        logger.bind(event="datagram_error").debug("{}", exc)
+
+    async def _repeat(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(REPEAT_S)
+            self._loads.expire(loop.time())
+            self._tell()
+
+    def _tell(self) -> None:
+        self._due = None
+        if self._transport is None:
+            return
+        self._seq += 1
+        report = WorkReport(self._name, self._incarnation, self._seq, self._works())
+        data = encode(report)
+        for address in list(self._peers())[:MAX_PEERS]:
+            host, _, port = address.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -347,6 +347,7 @@
     "fleet.control_rpc_port": _not_negative,
     "gateway.http": _address,
     "gateway.ready": _address,
+    "gateway.gossip": _address,
     "log.level": _one_of(LOG_LEVELS),
     "metrics.http": _address,
     "entry.http": _address,
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -41,6 +41,10 @@
 CHANGE_BOUND_S = 6.0
 """After this the engine is left for another try; runs and load take two at most."""
 
+SILENT_PAUSE_S = 0.6
+"""An engine that did not answer is asked again after this, and then next to the
+others, so that it has the newest weights soon after it is back."""
+
 RESEND_AFTER_S = 1.0
 """An engine that shows no sign of an unanswered order after this is given it again."""
 
@@ -69,6 +73,7 @@
         self._led_since = 0.0
         self._fenced_term = 0
         self._seq = itertools.count(1)
+        self._silent: dict[str, float] = {}
         self._changing: dict[str, asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -113,10 +118,20 @@
                 record.leaving,
             )
             for record in self._directory.records(_now())
-            if record.model and not is_mark(record)
+            if record.model and not is_mark(record) and not self._is_silent(record)
         ]
         return due(engines, named, self._changing)
 
+    def _is_silent(self, record: UpstreamRecord) -> bool:
+        """Whether an engine did not answer lately; forgets it after a while."""
+        at = self._silent.get(record.name)
+        if at is None:
+            return False
+        if _now() < at + SILENT_PAUSE_S:
+            return True
+        del self._silent[record.name]
+        return False
+
     def _begin(self, name: str) -> None:
         task = spawn(self._change(name))
         self._changing[name] = task
@@ -143,8 +158,9 @@
         wanted = self._machine.state.config.weights.get(engine.model, 0)
         report = await self._engines.report(engine)
         if report is None:
-            await asyncio.sleep(POLL_S)
-            return False
+            # Others shall not wait for an engine that may be dead.
+            self._silent[engine.name] = _now()
+            return True
         held = report.versions.get(engine.model, 0)
         if held >= wanted and not report.busy:
             self._announcements.has_weights(engine.name, str(held))
--- a/gooseberrydale/process/gateway/answer.py
+++ b/gooseberrydale/process/gateway/answer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 from starlette.types import Send
 
@@ -32,6 +34,7 @@
         self.started = False
         self.complete = False
         self.status = 0
+        self.started_at = 0.0
 
     async def refuse(self, why: Problem, *, close: bool = False) -> None:
         """Give the final answer to a request that is not served."""
@@ -53,6 +56,7 @@
     async def start(self, status: int, headers: RawHeaders) -> None:
         """Send the head; parts of the body follow."""
         self.started = True
+        self.started_at = asyncio.get_running_loop().time()
         self.status = status
         sent = [h for h in headers if h[0] not in HOP_HEADERS or h == CLOSE]
         if self._closing and CLOSE not in sent:
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from loguru import logger
@@ -31,6 +32,7 @@
     Forward,
 )
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
+from gooseberrydale.process.gateway.save_memory import SaveMemory
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.comeback import NOT_READY_AFTER_S
 from gooseberrydale.request.gateway_call import CallerCall, Wire
@@ -56,7 +58,9 @@
     upstreams: Upstreams
     conns: HttpPool
     budgets: RetryBudgets
+    saves: SaveMemory
     rng: random.Random
+    work_changed: Callable[[], None]
 
 
 class GatewayApp:
@@ -94,6 +98,7 @@
         self._receive = receive
         self._send = send
         self._closing = closing
+        self._forward: Forward | None = None
         self._began = asyncio.get_running_loop().time()
 
     async def serve(self) -> None:
@@ -146,9 +151,12 @@
             self._parts.upstreams,
             self._parts.conns,
             self._parts.budgets.of(job.pool.name),
+            self._parts.saves,
+            self._parts.work_changed,
         )
+        self._forward = forward
         await self._run(forward)
-        return f"{forward.outcome} {','.join(forward.tried)}"
+        return forward.outcome
 
     def _assign(
         self,
@@ -168,7 +176,6 @@
             body=body,
             until=self._began + wait_s,
             workspace=None if route.public else holder,
-            weights=self._parts.declared.weights,
         )
 
     def _pool(self, route: Route, table: RouteTable) -> Pool:
@@ -218,8 +225,10 @@
             host=call.host,
             path=call.path,
             outcome=outcome,
+            sends=[] if self._forward is None else self._forward.describe(),
             status=answer.status,
             whole=answer.complete,
+            first_ms=round((answer.started_at - self._began) * MS_PER_S, 1),
             took_ms=round(took_s * MS_PER_S, 1),
         ).info("request")
 
--- a/gooseberrydale/process/gateway/declared_store.py
+++ b/gooseberrydale/process/gateway/declared_store.py
@@ -16,6 +16,7 @@
 from gooseberrydale.errors import Problem
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declared import Declared
+from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.route_table import RouteTable
 
 DecodeDocument = Callable[[bytes], Result[Declared, Problem]]
@@ -30,11 +31,7 @@
         self._number = 0
         self._task: asyncio.Task[None] | None = None
         self.table: RouteTable | None = None
-
-    @property
-    def weights(self) -> dict[str, int]:
-        """The weights version that each model shall be served with."""
-        return self._store.config.weights
+        self.weights = NamedWeights()
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -51,6 +48,7 @@
         while True:
             config = await self._store.wait_newer(revision)
             revision = config.revision
+            self.weights.note(config.weights, asyncio.get_running_loop().time())
             if config.document is not None and config.document.number > self._number:
                 self._take(config.document.number, config.document.body)
 
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from loguru import logger
@@ -19,11 +20,15 @@
 from gooseberrydale.connection.upstream_http import UpstreamError
 from gooseberrydale.errors import NO_UPSTREAM, problem
 from gooseberrydale.process.gateway.answer import HOP_HEADERS, CallerAnswer
+from gooseberrydale.process.gateway.save_memory import SaveMemory
 from gooseberrydale.process.gateway.upstreams import (
     OTHER_LIFE_AVOID_S,
     REFUSED_AVOID_S,
+    Sought,
     Upstreams,
+    cache_salt,
     demand_of,
+    weights_version,
 )
 from gooseberrydale.request.attempt_end import (
     End,
@@ -76,7 +81,6 @@
     body: bytes
     until: float
     workspace: KeyHolder | None
-    weights: dict[str, int]
 
 
 class Forward:
@@ -90,6 +94,8 @@
         upstreams: Upstreams,
         conns: HttpPool,
         budget: RetryBudget,
+        saves: SaveMemory,
+        work_changed: Callable[[], None],
     ) -> None:
         self._job = job
         self._answer = answer
@@ -97,12 +103,15 @@
         self._upstreams = upstreams
         self._conns = conns
         self._budget = budget
+        self._saves = saves
+        self._work_changed = work_changed
         self._tried: list[str] = []
         self._runs = 0
         self._failure: tuple[AnswerHead, bytes] | None = None
         self._last_event_id: str | None = job.call.last_event_id
         self._prefilled = False
         self._demand: Demand = demand_of(job.call.prompt)
+        self.choices: list[Candidate] = []
         self.outcome = "unanswered"
 
     @property
@@ -110,6 +119,15 @@
         """The upstreams that the request was sent to, in order."""
         return self._tried
 
+    def describe(self) -> list[str]:
+        """The choices made, each with what decided it, for the log."""
+        return [
+            f"{one.name} rank={one.home_rank} requests={one.load.requests:.1f}"
+            f" prefill={one.load.prefill_tokens:.0f} kv={one.load.kv_tokens:.0f}"
+            f" errors={one.error_share:.2f} usable={one.usable}"
+            for one in self.choices
+        ]
+
     @property
     def repeatable(self) -> bool:
         """Whether the request may run again."""
@@ -126,6 +144,7 @@
                 await self._without_upstream()
                 return
             record = next(r for r, one in candidates if one.name == chosen.name)
+            self.choices.append(chosen)
             end = await self._send(record, chosen)
             if end is None:
                 self.outcome = "answered"
@@ -135,15 +154,8 @@
 
     def _candidates(self) -> list[tuple[UpstreamRecord, Candidate]]:
         job = self._job
-        return self._upstreams.candidates(
-            job.pool.name,
-            job.call.prompt,
-            self._scope(),
-            job.pool.engine,
-            job.weights,
-            self._tried,
-            _now(),
-        )
+        sought = Sought(job.pool, job.call.prompt, self._scope(), self._tried)
+        return self._upstreams.candidates(sought, _now())
 
     def _scope(self) -> str:
         holder = self._job.workspace
@@ -200,6 +212,7 @@
         self._tried.append(record.name)
         self._prefilled = False
         load.began(work)
+        self._work_changed()
         try:
             async with asyncio.timeout_at(self._job.until + LAST_WORD_S):
                 return await self._exchange(record, load, work)
@@ -207,6 +220,7 @@
             return End.TIMED_OUT
         finally:
             load.ended(work, prefilled=self._prefilled)
+            self._work_changed()
 
     async def _exchange(
         self, record: UpstreamRecord, load: UpstreamLoad, work: Work
@@ -304,6 +318,7 @@
             if not self._prefilled:
                 self._prefilled = True
                 load.first_part(work)
+                self._work_changed()
             if not self._answer.started:
                 await self._answer.start(head.status, headers)
             if cutter is None:
@@ -332,23 +347,30 @@
         priority = job.route.priority
         if holder is not None and holder.priority is not None:
             priority = holder.priority
-        is_model = job.call.prompt is not None and bool(record.model)
-        version = int(record.weights_version or 0) if is_model else None
+        salt = cache_salt(record, self._scope()) if record.model else None
+        fetch_from, save_to = self._transfers(salt)
         return Terms(
             instance=record.name,
             left_s=max(0.0, self._left_s()),
             workspace=None if holder is None else holder.name,
-            weights_version=version,
-            cache_salt=self._salt(record) if is_model else None,
-            priority=priority if is_model else None,
+            weights_version=weights_version(record) if record.model else None,
+            cache_salt=salt,
+            priority=priority if record.model else None,
             last_event_id=self._last_event_id,
+            fetch_from=fetch_from,
+            save_to=save_to,
         )
 
-    def _salt(self, record: UpstreamRecord) -> str:
-        """Keeps what other weights or an isolated workspace computed apart."""
-        scope = self._scope()
-        parts = [record.model, record.weights_version, *([scope] if scope else [])]
-        return ".".join(parts)
+    def _transfers(self, salt: str | None) -> tuple[str | None, str | None]:
+        """Where the engine gets what it lacks of the prompt, and where it puts it."""
+        store, prompt = self._upstreams.store, self._job.call.prompt
+        if salt is None or store is None or prompt is None or not store.up:
+            return None, None
+        if not store.lacks(salt, prompt.shared):
+            return store.address if prompt.shared else None, None
+        fetch_from = store.address if store.held_tokens(salt, prompt.shared) else None
+        due = self._saves.due(salt, prompt.shared[-1].key, _now())
+        return fetch_from, store.address if due else None
 
     def _left_s(self) -> float:
         return self._job.until - _now()
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -12,13 +12,16 @@
 from starlette.types import Receive, Scope, Send
 
 from gooseberrydale.connection.http_pool import HttpPool
-from gooseberrydale.connection.mesh import GATEWAY_ROLE
-from gooseberrydale.process.cfg import Cfg, GatewayCfg, TlsCfg
+from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
+from gooseberrydale.connection.work_gossip import WorkGossip
+from gooseberrydale.process.cfg import Cfg, GatewayCfg, NodeCfg, TlsCfg
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.gateway.app import GatewayApp, GatewayParts
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
+from gooseberrydale.process.gateway.save_memory import SaveMemory
+from gooseberrydale.process.gateway.store_follower import StoreFeed, StoreFollower
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh
@@ -26,6 +29,7 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declared import CallerLimits
 from gooseberrydale.version.directory import Directory, new_incarnation
+from gooseberrydale.version.peer_loads import PeerLoads
 
 SWEEP_S = 0.5
 UNREADY_S = 2.4
@@ -36,6 +40,11 @@
 """Part of the time before the process is killed that open answers get."""
 
 READY_CLOSE_S = 0.1
+RECORD_LEASE_S = 6.0
+"""As long as that of a sidecar's announcement."""
+
+GATEWAY_POOL = "#gateways"
+"""No declared pool can have this name, as names of pools are names."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +53,22 @@
 
     wire: Wire
     decode_document: DecodeDocument
+    store_feed: StoreFeed
+
+
+def gateway_record(node: NodeCfg, address: str, incarnation: str) -> UpstreamRecord:
+    """How a gateway announces itself to the other ones."""
+    return UpstreamRecord(
+        name=f"{GATEWAY_ROLE}/{node.name}",
+        incarnation=incarnation,
+        seq=0,
+        address=address,
+        zone=node.zone,
+        region=node.region,
+        pool=GATEWAY_POOL,
+        kind=GATEWAY_ROLE,
+        lease_s=RECORD_LEASE_S,
+    )
 
 
 class Gateway:
@@ -60,16 +85,26 @@
         self.directory = Directory()
         self._declared = DeclaredStore(self.store, dialect.decode_document)
         self._conns = HttpPool()
-        self._upstreams = Upstreams(self.directory, cfg.node.zone, self._rng)
-        self._mesh = Mesh(
-            cfg,
-            GATEWAY_ROLE,
+        self._store = StoreFollower(self._declared, dialect.store_feed)
+        self._peers = PeerLoads()
+        self._upstreams = Upstreams(
             self.directory,
-            self.store,
-            None,
-            read_token(cfg.fleet.token_file),
-            new_incarnation(time.time_ns(), self._rng),
-            rng=self._rng,
+            cfg.node.zone,
+            self._rng,
+            self._peers,
+            self._declared.weights,
+            self._cfg.weights_bound_s,
+            lambda: self._store.view,
+        )
+        incarnation = new_incarnation(time.time_ns(), self._rng)
+        self._mesh = self._make_mesh(cfg, incarnation)
+        self._gossip = WorkGossip(
+            self._cfg.gossip,
+            cfg.node.name,
+            incarnation,
+            self._peers,
+            self._upstreams.works,
+            self._peer_addresses,
         )
         parts = GatewayParts(
             wire=dialect.wire,
@@ -77,7 +112,9 @@
             upstreams=self._upstreams,
             conns=self._conns,
             budgets=RetryBudgets(self._cfg),
+            saves=SaveMemory(),
             rng=self._rng,
+            work_changed=self._gossip.changed,
         )
         self._app = GatewayApp(parts)
         protocol = front_protocol(self._limits)
@@ -97,7 +134,9 @@
 
     async def start(self) -> None:
         """Serve; raises OSError if an address can't be bound."""
+        await self._gossip.start()
         await self._declared.start()
+        await self._store.start()
         await self._mesh.start()
         self._sweeping = asyncio.create_task(self._sweep())
         await self._ready.start()
@@ -115,10 +154,33 @@
         await self._ready.close(READY_CLOSE_S)
         if self._sweeping is not None:
             self._sweeping.cancel()
+        await self._gossip.close()
+        await self._store.close()
         await self._declared.close()
         await self._mesh.close()
         self._conns.close()
 
+    def _make_mesh(self, cfg: Cfg, incarnation: str) -> Mesh:
+        def own_record() -> UpstreamRecord:
+            return gateway_record(cfg.node, self._cfg.gossip, incarnation)
+
+        return Mesh(
+            cfg,
+            GATEWAY_ROLE,
+            self.directory,
+            self.store,
+            own_record,
+            read_token(cfg.fleet.token_file),
+            incarnation,
+            rng=self._rng,
+        )
+
+    def _peer_addresses(self) -> list[str]:
+        """Where the other gateways listen for gossip."""
+        now = asyncio.get_running_loop().time()
+        found = self.directory.ready(GATEWAY_POOL, now)
+        return [one.address for one in found if one.address != self._cfg.gossip]
+
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -7,16 +7,19 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.request.gateway_call import Prompt
 from gooseberrydale.request.members import Members
 from gooseberrydale.request.placement import Candidate, Demand
-from gooseberrydale.version.declared import EngineSize
+from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import mark_name
+from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
+from gooseberrydale.version.store_view import StoreView
 from gooseberrydale.version.upstream_load import UpstreamLoad
 
 OTHER_LIFE_AVOID_S = 1.0
@@ -25,6 +28,23 @@
 REFUSED_AVOID_S = 0.15
 """An upstream that has just refused a request; runs end and places get free."""
 
+OLD_WEIGHTS_MARGIN_S = 1.0
+"""Work may wait for its start inside an engine; so engines with overtaken weights get
+none for this long before it may not start there any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sought:
+    """What a request looks for: an upstream of ``pool`` that was not tried.
+
+    ``scope`` keeps equal prompts apart that share no cache.
+    """
+
+    pool: Pool
+    prompt: Prompt | None
+    scope: str
+    tried: Collection[str] = ()
+
 
 @dataclass(slots=True)
 class _PoolView:
@@ -34,21 +54,51 @@
 
 
 class Upstreams:
-    """Pools by name; ``weights`` is what operators named, by model."""
+    """Pools by name, and what is known of each upstream.
+
+    ``weights_bound_s`` is for how long work may start on overtaken weights; ``store``
+    tells the view of the store of KV cache, if there is one.
+    """
 
-    def __init__(self, directory: Directory, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        zone: str,
+        rng: random.Random,
+        peers: PeerLoads,
+        weights: NamedWeights,
+        weights_bound_s: float,
+        store: Callable[[], StoreView | None],
+    ) -> None:
         self._directory = directory
         self._zone = zone
         self._rng = rng
+        self._peers = peers
+        self._weights = weights
+        self._weights_bound_s = weights_bound_s - OLD_WEIGHTS_MARGIN_S
+        self._store = store
         self._pools: dict[str, _PoolView] = {}
         self._loads: dict[str, UpstreamLoad] = {}
 
+    @property
+    def store(self) -> StoreView | None:
+        """The view of the store of KV cache, if there is one."""
+        return self._store()
+
     def load_of(self, name: str) -> UpstreamLoad:
         """What this process knows of the life ``name`` of an upstream."""
         if name not in self._loads:
             self._loads[name] = UpstreamLoad()
         return self._loads[name]
 
+    def works(self) -> tuple[UpstreamWork, ...]:
+        """This process's work at each upstream, for the other gateways."""
+        return tuple(
+            UpstreamWork(name, *load.own)
+            for name, load in self._loads.items()
+            if load.own[0]
+        )
+
     def records(self, pool: str, now: float) -> tuple[UpstreamRecord, ...]:
         """The upstreams of ``pool`` that take new work, as far as is known.
 
@@ -58,43 +108,37 @@
         """
         ready = self._directory.ready(pool, now)
         view = self._pools.get(pool)
-        if view is not None and (view.source is ready or not ready):
-            if not ready:
-                view.records = tuple(r for r in view.records if self._may_stay(r, now))
-            return view.records
         if view is None:
-            view = self._pools[pool] = _PoolView(ready, ready, Members(pool, ""))
-        view.source = view.records = ready
-        view.members.refresh(ready)
-        return ready
+            view = self._pools[pool] = _PoolView((), (), Members(pool, ""))
+        if not ready:
+            view.records = tuple(r for r in view.records if self._may_stay(r, now))
+        elif view.source is not ready:
+            view.source = view.records = ready
+            view.members.refresh(ready)
+        return view.records
 
     def candidates(
-        self,
-        pool: str,
-        prompt: Prompt | None,
-        scope: str,
-        size: EngineSize | None,
-        weights: Mapping[str, int],
-        skipped: Collection[str],
-        now: float,
+        self, sought: Sought, now: float
     ) -> list[tuple[UpstreamRecord, Candidate]]:
-        """The upstreams of ``pool`` but for ``skipped``, with what speaks for each.
+        """The upstreams that may take the request, with what speaks for each.
 
-        ``scope`` keeps equal prompts apart that share no cache.
+        Those that have served overtaken weights for too long are left out.
         """
-        records = [r for r in self.records(pool, now) if r.name not in skipped]
-        ranks = self._home_ranks(pool, prompt, scope)
+        records = [
+            record
+            for record in self.records(sought.pool.name, now)
+            if record.name not in sought.tried and _serves(record, sought.prompt)
+        ]
+        ranks = self._home_ranks(sought)
         if not ranks:
             # Nothing tells equal upstreams apart; every process draws its own order.
             self._rng.shuffle(records)
-        return [
-            (
-                record,
-                self._candidate(record, ranks.get(record.name, 0), size, weights, now),
-            )
+        found = [
+            (record, self._candidate(record, ranks.get(record.name, 0), sought, now))
             for record in records
-            if prompt is None or not record.model or record.model == prompt.model
         ]
+        bound_s = self._weights_bound_s
+        return [(record, one) for record, one in found if one.old_for_s < bound_s]
 
     def sweep(self, now: float) -> set[str]:
         """Forget lives that are gone; return the names of those that are known."""
@@ -109,40 +153,61 @@
         newest = self._directory.get(record.name, now)
         return newest is None or (newest.ready and not newest.leaving)
 
-    def _home_ranks(
-        self, pool: str, prompt: Prompt | None, scope: str
-    ) -> dict[str, int]:
-        view = self._pools.get(pool)
-        if prompt is None or view is None or not prompt.shared:
+    def _home_ranks(self, sought: Sought) -> dict[str, int]:
+        prompt = sought.prompt
+        if prompt is None or not prompt.shared:
             return {}
-        key = f"{scope}|{prompt.shared[-1].key}".encode()
-        return {name: rank for rank, name in enumerate(view.members.homes(key))}
+        key = f"{sought.scope}|{prompt.shared[-1].key}".encode()
+        homes = self._pools[sought.pool.name].members.homes(key)
+        return {name: rank for rank, name in enumerate(homes)}
 
     def _candidate(
-        self,
-        record: UpstreamRecord,
-        rank: int,
-        size: EngineSize | None,
-        weights: Mapping[str, int],
-        now: float,
+        self, record: UpstreamRecord, rank: int, sought: Sought, now: float
     ) -> Candidate:
         load = self.load_of(record.name)
-        named = weights.get(record.model, 0) if record.model else 0
-        mark = self._directory.get(mark_name(record.name), now)
-        changing = mark is not None and mark.ready
+        size = sought.pool.engine
+        peers = self._peers.at(record.name) if self._peers else None
         resting = max(load.suspect_until, load.avoid_until) > now
         return Candidate(
             name=record.name,
-            load=load.load(now),
+            load=load.load(now, peers),
             slots=record.slots or (size.slots if size else 0),
             kv_tokens=size.kv_tokens if size else 0,
             home_rank=rank,
-            old_weights=int(record.weights_version or 0) < named,
+            old_for_s=self._old_for_s(record, now),
+            stored=self._is_stored(record, sought),
             far=record.zone != self._zone,
             error_share=load.error_share,
-            usable=not changing and not resting,
+            usable=not resting and not self._is_changing(record, now),
         )
 
+    def _is_changing(self, record: UpstreamRecord, now: float) -> bool:
+        mark = self._directory.get(mark_name(record.name), now)
+        return mark is not None and mark.ready
+
+    def _old_for_s(self, record: UpstreamRecord, now: float) -> float:
+        if not record.model:
+            return 0.0
+        version = weights_version(record)
+        return self._weights.old_for_s(record.model, version, now)
+
+    def _is_stored(self, record: UpstreamRecord, sought: Sought) -> bool:
+        store, prompt = self.store, sought.prompt
+        if store is None or prompt is None or not prompt.shared:
+            return False
+        return not store.lacks(cache_salt(record, sought.scope), prompt.shared)
+
+
+def weights_version(record: UpstreamRecord) -> int:
+    """The weights version that an upstream serves; 0 if it told none."""
+    return int(record.weights_version or 0)
+
+
+def cache_salt(record: UpstreamRecord, scope: str) -> str:
+    """Keeps apart what other weights or an isolated workspace computed."""
+    parts = [record.model, record.weights_version, *([scope] if scope else [])]
+    return ".".join(parts)
+
 
 def demand_of(prompt: Prompt | None) -> Demand:
     """What a prompt needs; the outermost shared part is taken to lie everywhere."""
@@ -153,3 +218,7 @@
     shared_tokens = sum(part.tokens for part in shared) - common
     own = max(0, prompt.tokens - shared_tokens - common)
     return Demand(own, shared_tokens, common, prompt.max_new_tokens)
+
+
+def _serves(record: UpstreamRecord, prompt: Prompt | None) -> bool:
+    return prompt is None or not record.model or record.model == prompt.model
--- a/gooseberrydale/process/logs.py
+++ b/gooseberrydale/process/logs.py
@@ -114,6 +114,8 @@
         return MASK
     if isinstance(value, str):
         return _masked(value)
+    if isinstance(value, list):
+        return [_plain(name, item) for item in value]
     return value if isinstance(value, _PLAIN) else _masked(str(value))
 
 
--- a/gooseberrydale/request/gateway_call.py
+++ b/gooseberrydale/request/gateway_call.py
@@ -74,7 +74,8 @@
     Only the upstream's life ``instance`` may run it, within ``left_s`` seconds, for
     ``workspace``.  For a model: only under ``weights_version``, and cached parts are
     found under ``cache_salt`` alone.  ``last_event_id`` is that of the last event which
-    the caller has.
+    the caller has.  The engine brings what it lacks of the prompt from ``fetch_from``,
+    and puts what it computes into ``save_to``.
     """
 
     instance: str
@@ -84,6 +85,8 @@
     cache_salt: str | None = None
     priority: int | None = None
     last_event_id: str | None = None
+    fetch_from: str | None = None
+    save_to: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -26,12 +26,23 @@
 SERVICE_RUN_S = 0.06
 """Mean time that a request holds a place at a plain service."""
 
+FETCH_TOKENS_PER_S = 200_000.0
+"""Prompt tokens that an engine gets in a second from a store: 420 Gbit/s at 192,512
+bytes a token are 272,000, half of that between zones."""
+
 RECOMPUTE_WEIGHT = 2.0
 """What is computed twice also takes the place of other work, so it counts twice."""
 
 OLD_WEIGHTS_S = 0.15
-"""An answer on old weights loses a part of its worth soon after newer ones are named;
-an engine that has them may take this much longer."""
+"""An answer on old weights is worth less once callers expect the newer ones; an engine
+that has them may take this much longer."""
+
+OLD_WEIGHTS_AT_ONCE_S = 0.03
+"""The same for weights that were overtaken just now: what is computed under them is of
+no use to later requests."""
+
+OLD_WEIGHTS_AFTER_S = 1.5
+"""Callers expect new weights this long after they were named."""
 
 ERROR_S = 0.6
 """What a share of failures of 1 counts: a failed run costs the request, and a second
@@ -55,9 +66,10 @@
     """One upstream that may take the request, as this entry sees it now.
 
     ``slots`` and ``kv_tokens`` are its size, 0 if not known.  ``home_rank`` is its
-    place among the homes of the shared prefix, ``old_weights`` says that newer ones are
-    named, ``far`` that it is in another availability zone.  ``usable`` is False while
-    it is suspected to be dead or carries out an order.
+    place among the homes of the shared prefix, ``stored`` that a store holds it for
+    its weights, ``old_for_s`` for how long newer weights are named, ``far`` that it
+    is in another availability zone.  ``usable`` is False while it is suspected to be
+    dead or carries out an order.
     """
 
     name: str
@@ -65,7 +77,8 @@
     slots: int = 0
     kv_tokens: int = 0
     home_rank: int = 0
-    old_weights: bool = False
+    old_for_s: float = 0.0
+    stored: bool = False
     far: bool = False
     error_share: float = 0.0
     usable: bool = True
@@ -98,7 +111,7 @@
     def work_at(self, candidate: Candidate) -> Work:
         """The work that the request makes at an upstream."""
         prefill = self.own_tokens
-        if candidate.home_rank > 0:
+        if candidate.home_rank > 0 and not candidate.stored:
             prefill += self.shared_tokens
         return Work(prefill_tokens=prefill, kv_tokens=self.tokens)
 
@@ -120,8 +133,9 @@
     seconds = _wait_s(candidate, demand)
     if demand.is_prompt:
         seconds += _prefill_s(candidate, demand)
-    if candidate.old_weights:
-        seconds += OLD_WEIGHTS_S
+    if candidate.old_for_s > 0:
+        late = candidate.old_for_s > OLD_WEIGHTS_AFTER_S
+        seconds += OLD_WEIGHTS_S if late else OLD_WEIGHTS_AT_ONCE_S
     if candidate.far:
         seconds += FAR_S
     return seconds + ERROR_S * max(0.0, candidate.error_share - ORDINARY_ERROR_SHARE)
@@ -131,6 +145,8 @@
     own_s = demand.own_tokens / PREFILL_TOKENS_PER_S
     if candidate.home_rank == 0:
         return own_s
+    if candidate.stored:
+        return own_s + demand.shared_tokens / FETCH_TOKENS_PER_S
     again_s = demand.shared_tokens / PREFILL_TOKENS_PER_S
     return own_s + RECOMPUTE_WEIGHT * again_s
 
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from gooseberrydale.request.gateway_call import ReportedLoad
+from gooseberrydale.version.peer_loads import Totals
 
 REPORT_HALF_LIFE_S = 0.25
 """Half of the reported work of others has ended after this: about the time of a run."""
@@ -94,14 +95,27 @@
         """The upstream takes no work for the moment."""
         self.avoid_until = max(self.avoid_until, now + for_s)
 
-    def load(self, now: float) -> Load:
-        """The load as far as it can be known now."""
-        age_s = now - self._reported_at
-        others = self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+    @property
+    def own(self) -> tuple[int, int, int]:
+        """The own work: requests, tokens to compute, tokens of memory."""
+        return self._requests, self._prefill_tokens, self._kv_tokens
+
+    def load(self, now: float, peers: Totals | None) -> Load:
+        """The load as far as it can be known now.
+
+        ``peers`` is what the other gateways tell of their work there, None if none of
+        them is heard; then the upstream's own reports have to do.
+        """
+        if peers is None:
+            age_s = now - self._reported_at
+            others = self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+            peers = Totals()
+        else:
+            others = float(peers.requests)
         return Load(
             requests=self._requests + others,
-            prefill_tokens=float(self._prefill_tokens),
-            kv_tokens=float(self._kv_tokens),
+            prefill_tokens=float(self._prefill_tokens + peers.prefill_tokens),
+            kv_tokens=float(self._kv_tokens + peers.kv_tokens),
         )
 
     def _count_error(self, failed: bool) -> None:
