--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -46,8 +46,10 @@
 """An engine that did not answer is asked again after this, and then next to the
 others, so that it has the newest weights soon after it is back."""
 
-RESEND_AFTER_S = 1.0
-"""An engine that shows no sign of an unanswered order after this is given it again."""
+RESEND_AFTER_S = 0.1
+"""An engine that shows no sign of an unanswered order after this is given it again: the
+order that is carried out first makes the other one void, and meanwhile the engine is
+out of service."""
 
 
 class WeightsRollout:
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -49,7 +49,8 @@
     Candidate,
     Demand,
     choose,
-    first_event_s,
+    own_s,
+    queue_s,
 )
 from gooseberrydale.request.retry import RetryBudget
 from gooseberrydale.request.timeliness import Goal, Timing, timing
@@ -210,7 +211,8 @@
         job = self._job
         waited_s = _now() - job.began_at
         goal = Goal(job.route.objective_s, self._priority(), job.until - job.began_at)
-        return timing(first_event_s(chosen, self._demand), waited_s, goal)
+        queued = queue_s(chosen, self._demand)
+        return timing(queued, own_s(chosen, self._demand), waited_s, goal)
 
     @property
     def _late_may_go(self) -> bool:
@@ -220,7 +222,7 @@
     async def _come_back(self, chosen: Candidate) -> None:
         """Refuse a request that would make others late; it has not run."""
         self.outcome = "overload"
-        after_s = after_overload_s(first_event_s(chosen, self._demand), self._left_s())
+        after_s = after_overload_s(queue_s(chosen, self._demand), self._left_s())
         pool = self._job.pool.name
         why = problem(UPSTREAMS_REFUSE, pool=pool, retry_after_s=after_s)
         await self._answer.refuse(why)
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -22,6 +22,9 @@
 170 with 5,000 to 10,000 before, 310 to 350 with 10,000 to 15,000, 835 with 30,000; the
 sheets' 110,000 are those of a prompt alone."""
 
+OWN_TOKENS_PER_S = 70_000.0
+"""The same for the request's own prompt, which nothing else then interrupts."""
+
 RUN_SLOWDOWN_S = 0.0005
 """What each request that runs beside adds: 20 more requests made 10 ms."""
 
@@ -130,14 +133,18 @@
     return min(ranked, key=lambda one: (expected_s(one, demand), one.home_rank))
 
 
-def first_event_s(candidate: Candidate, demand: Demand) -> float:
-    """Seconds until the first event is expected."""
-    seconds = _wait_s(candidate, demand)
-    if demand.is_prompt:
-        lacks = candidate.home_rank > 0 and not candidate.stored
-        tokens = demand.own_tokens + (demand.shared_tokens if lacks else 0)
-        seconds += tokens / PREFILL_TOKENS_PER_S
-    return seconds
+def queue_s(candidate: Candidate, demand: Demand) -> float:
+    """Seconds that the request waits behind others at a candidate."""
+    return _wait_s(candidate, demand)
+
+
+def own_s(candidate: Candidate, demand: Demand) -> float:
+    """Seconds to the first event once nothing is before the request."""
+    if not demand.is_prompt:
+        return SERVICE_RUN_S
+    lacks = candidate.home_rank > 0 and not candidate.stored
+    tokens = demand.own_tokens + (demand.shared_tokens if lacks else 0)
+    return tokens / OWN_TOKENS_PER_S
 
 
 def expected_s(candidate: Candidate, demand: Demand) -> float:
--- a/gooseberrydale/request/timeliness.py
+++ b/gooseberrydale/request/timeliness.py
@@ -22,9 +22,9 @@
 
 LEAST_PART = 0.55
 
-CAUGHT_UP_S = 0.12
-"""An upstream whose first event is expected within this has caught up: about the time
-that a long prompt takes on an idle engine."""
+CAUGHT_UP_S = 0.1
+"""An upstream at which a request waits no longer than this has caught up: about the
+time that one prompt takes there.  Giving way to less does nobody any good."""
 
 WAIT_BOUND_S = 1.1
 """Callers give up two seconds after they sent a request that brings nothing; with this
@@ -56,14 +56,15 @@
         return min(WAIT_BOUND_S, self.limit_s * WAIT_PART)
 
 
-def timing(expected_s: float, waited_s: float, goal: Goal) -> Timing:
-    """What becomes of a request whose first event is expected in ``expected_s``.
+def timing(queue_s: float, own_s: float, waited_s: float, goal: Goal) -> Timing:
+    """What becomes of a request that waits ``queue_s`` behind others at its upstream.
 
-    ``waited_s`` is the time since it came.
+    ``own_s`` is what its first event takes from then on; ``waited_s`` is the time since
+    it came.
     """
-    if not goal.objective_s or expected_s <= CAUGHT_UP_S:
+    if not goal.objective_s or queue_s <= CAUGHT_UP_S:
         return Timing.GO
     part = max(LEAST_PART, TOP_PART - RANK_PART * goal.rank)
-    if waited_s + expected_s <= goal.objective_s * part:
+    if waited_s + queue_s + own_s <= goal.objective_s * part:
         return Timing.GO
     return Timing.STOP_WAITING if waited_s >= goal.wait_bound_s else Timing.WAIT
