Late requests yield by priority; know the store after a restart

Cause: a request that had waited its bound went before fresh ones, so in a lasting overload all were late by the bound. After a restart gateways knew only what the store's newest events tell, so nothing counted as stored and shared prefixes were computed again. Ruled out: waiting in the gateway at all (trial: engines keep the order of priorities, and let those that are late wait without holding back the others). Change: a request that will be late goes at once at the lowest priority; a gateway reads what the store holds at its start, in a new life of the store and after a gap.

--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -157,7 +157,6 @@
             self._parts.budgets.of(job.pool.name),
             self._parts.saves,
             self._parts.work_changed,
-            self._parts.rng,
         )
         self._forward = forward
         await self._run(forward)
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -8,9 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
@@ -19,7 +18,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.sse import EventCutter, SseError
 from gooseberrydale.connection.upstream_reply import UpstreamError
-from gooseberrydale.errors import NO_UPSTREAM, UPSTREAMS_REFUSE, problem
+from gooseberrydale.errors import NO_UPSTREAM, problem
 from gooseberrydale.process.gateway.answer import HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.save_memory import SaveMemory
 from gooseberrydale.process.gateway.upstreams import (
@@ -37,7 +36,7 @@
     Sends,
     after_end,
 )
-from gooseberrydale.request.comeback import after_overload_s, without_upstream_s
+from gooseberrydale.request.comeback import without_upstream_s
 from gooseberrydale.request.gateway_call import (
     AnswerHead,
     CallerCall,
@@ -53,7 +52,7 @@
     queue_s,
 )
 from gooseberrydale.request.retry import RetryBudget
-from gooseberrydale.request.timeliness import Goal, Timing, timing
+from gooseberrydale.request.timeliness import Goal, gives_way
 from gooseberrydale.version.declared import KeyHolder, Pool, Route
 from gooseberrydale.version.upstream_load import UpstreamLoad, Work
 
@@ -75,9 +74,11 @@
 
 HOLD_POLL_S = 0.02
 
-WAIT_POLL_S = (0.01, 0.03)
-"""Bounds of the pause after which a waiting request looks again; drawn, so that those
-of several processes don't all go at once."""
+LAST_RANK = 9
+"""The lowest rank that engines know."""
+
+GIVES_WAY_RANKS = 6
+"""What a request that gives way loses in rank: more than declarations give."""
 
 MAX_WHOLE_BYTES = 16 * 1024 * 1024
 """An answer that is collected before it goes out; services answer some kilobytes."""
@@ -125,7 +126,6 @@
         budget: RetryBudget,
         saves: SaveMemory,
         work_changed: Callable[[], None],
-        rng: random.Random,
     ) -> None:
         self._job = job
         self._answer = answer
@@ -135,12 +135,12 @@
         self._budget = budget
         self._saves = saves
         self._work_changed = work_changed
-        self._rng = rng
         self._tried: list[str] = []
         self._runs = 0
         self._failure: tuple[AnswerHead, bytes] | None = None
         self._last_event_id: str | None = job.call.last_event_id
         self._prefilled = False
+        self._gives_way = False
         self._demand: Demand = demand_of(job.call.prompt)
         self.choices: list[Candidate] = []
         self.outcome = "unanswered"
@@ -156,6 +156,7 @@
             f"{one.name} rank={one.home_rank} requests={one.load.requests:.1f}"
             f" prefill={one.load.prefill_tokens:.0f} kv={one.load.kv_tokens:.0f}"
             f" errors={one.error_share:.2f} usable={one.usable}"
+            f" stored={one.stored} old={one.old_for_s:.1f}"
             for one in self.choices
         ]
 
@@ -174,13 +175,7 @@
             if chosen is None:
                 await self._without_upstream()
                 return
-            match self._timing(chosen):
-                case Timing.WAIT:
-                    await asyncio.sleep(self._rng.uniform(*WAIT_POLL_S))
-                    continue
-                case Timing.STOP_WAITING if not self._late_may_go:
-                    await self._come_back(chosen)
-                    return
+            self._gives_way = self._must_give_way(chosen)
             record = next(r for r, one in candidates if one.name == chosen.name)
             self.choices.append(chosen)
             end = await self._send(record, chosen)
@@ -204,28 +199,22 @@
         sought = Sought(job.pool, job.call.prompt, self._scope(), self._tried)
         return self._upstreams.candidates(sought, _now())
 
-    def _timing(self, chosen: Candidate) -> Timing:
-        """Whether the request goes now; one that was sent before goes in any case."""
+    def _must_give_way(self, chosen: Candidate) -> bool:
+        """Whether the request will be late there; one sent before goes on as it is."""
         if self._tried:
-            return Timing.GO
+            return self._gives_way
         job = self._job
-        waited_s = _now() - job.began_at
-        goal = Goal(job.route.objective_s, self._priority(), job.until - job.began_at)
+        goal = Goal(job.route.objective_s, self._priority())
         queued = queue_s(chosen, self._demand)
-        return timing(queued, own_s(chosen, self._demand), waited_s, goal)
+        waited_s = _now() - job.began_at
+        return gives_way(queued, own_s(chosen, self._demand), waited_s, goal)
 
-    @property
-    def _late_may_go(self) -> bool:
-        """Whether a request that has waited long enough is sent although it is late."""
-        return True
-
-    async def _come_back(self, chosen: Candidate) -> None:
-        """Refuse a request that would make others late; it has not run."""
-        self.outcome = "overload"
-        after_s = after_overload_s(queue_s(chosen, self._demand), self._left_s())
-        pool = self._job.pool.name
-        why = problem(UPSTREAMS_REFUSE, pool=pool, retry_after_s=after_s)
-        await self._answer.refuse(why)
+    def _engine_priority(self) -> int:
+        """The rank among the requests at an engine, 0 first."""
+        rank = self._priority()
+        if self._gives_way:
+            rank += GIVES_WAY_RANKS
+        return min(rank, LAST_RANK)
 
     def _priority(self) -> int:
         holder = self._job.workspace
@@ -287,6 +276,9 @@
         """Send the request once; None if the caller has the whole answer."""
         load = self._upstreams.load_of(record.name)
         work = self._demand.work_at(chosen)
+        if self._gives_way:
+            # Nobody waits for its prompt, as others go first.
+            work = replace(work, prefill_tokens=0)
         self._tried.append(record.name)
         self._prefilled = False
         load.began(work)
@@ -449,7 +441,7 @@
             workspace=None if holder is None else holder.name,
             weights_version=weights_version(record) if record.model else None,
             cache_salt=salt,
-            priority=self._priority() if record.model else None,
+            priority=self._engine_priority() if record.model else None,
             last_event_id=self._last_event_id,
             fetch_from=fetch_from,
             save_to=save_to,
--- a/gooseberrydale/process/gateway/store_follower.py
+++ b/gooseberrydale/process/gateway/store_follower.py
@@ -49,6 +49,9 @@
         None if the store does not answer; raises :class:`StoreBusyError`.
         """
 
+    async def read_all(self, address: str) -> Followed | None:
+        """All that the store holds; dear, so only where events don't tell."""
+
 
 class StoreFollower:
     """Keeps ``view`` up to date; it is None while no store is declared."""
@@ -70,7 +73,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
-        since = 0
+        since: int | None = None
         while True:
             address = self._address()
             if address is None:
@@ -78,7 +81,7 @@
                 await asyncio.sleep(LOOK_S)
                 continue
             if self.view is None or self.view.address != address:
-                self.view, since = StoreView(address), 0
+                self.view, since = StoreView(address), None
             since = await self._follow(self.view, since)
 
     def _address(self) -> str | None:
@@ -86,10 +89,13 @@
         stores = () if table is None else table.declared.stores
         return stores[0].address if stores else None
 
-    async def _follow(self, view: StoreView, since: int) -> int:
-        """One call; return the number to ask for next."""
+    async def _follow(self, view: StoreView, since: int | None) -> int | None:
+        """One call; return the number to ask for next, None to read all anew."""
         try:
-            found = await self._feed.follow(view.address, since)
+            if since is None:
+                found = await self._feed.read_all(view.address)
+            else:
+                found = await self._feed.follow(view.address, since)
         except StoreBusyError:
             logger.bind(event="store_busy", store=view.address).info("not followed")
             await asyncio.sleep(BUSY_PAUSE_S)
@@ -102,6 +108,9 @@
             return since
         if not view.up:
             logger.bind(event="store_found", store=view.address).info("found")
+        if found.news.missed:
+            logger.bind(event="store_events_missed").info("events of the store missed")
+            return None
         view.take(found.news)
         await asyncio.sleep(GATHER_S)
         return found.next
--- a/gooseberrydale/request/comeback.py
+++ b/gooseberrydale/request/comeback.py
@@ -16,9 +16,6 @@
 NOT_READY_AFTER_S = 0.5
 """While this process knows no configuration; another one of the zone does."""
 
-OVERLOAD_LEAST_S = 0.5
-"""After a refusal because of overload: what is ahead, and what others bring."""
-
 PART_OF_LEFT = 0.25
 """Callers come back within a third of the time that they have left; a quarter leaves
 them time for the work itself."""
@@ -36,10 +33,5 @@
     return _within(NO_UPSTREAM_AFTER_S, left_s)
 
 
-def after_overload_s(expected_s: float, left_s: float) -> float:
-    """Seconds until the work that is ahead now will have ended twice over."""
-    return _within(max(OVERLOAD_LEAST_S, 2 * expected_s), left_s)
-
-
 def _within(wanted_s: float, left_s: float) -> float:
     return max(LEAST_S, min(wanted_s, left_s * PART_OF_LEFT))
--- a/gooseberrydale/version/store_view.py
+++ b/gooseberrydale/version/store_view.py
@@ -24,11 +24,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreNews:
-    """Events of one life of a store; ``missed`` says that some before were lost."""
+    """Events of one life of a store.
+
+    ``missed`` says that some before were lost, ``whole`` that they are all that it
+    holds.
+    """
 
     life: str
-    missed: bool
     events: tuple[StoreEvent, ...]
+    missed: bool = False
+    whole: bool = False
 
 
 class StoreView:
@@ -43,7 +48,7 @@
     def take(self, news: StoreNews) -> None:
         """Take news in; another life of the store begins with nothing."""
         self.up = True
-        if news.life != self._life:
+        if news.whole or news.life != self._life:
             self._life = news.life
             self._tokens.clear()
         for event in news.events:
