--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -22,7 +22,7 @@
     SidecarCfg,
     TlsCfg,
 )
-from gooseberrydale.request.baselines import POLICIES
+from gooseberrydale.request.policy_names import POLICY_NAMES
 
 Table = dict[str, Any]
 
@@ -352,7 +352,7 @@
     "metrics.http": _address,
     "entry.http": _address,
     "entry.rpc": _address,
-    "entry.policy": _one_of(tuple(POLICIES)),
+    "entry.policy": _one_of(POLICY_NAMES),
     "sidecar.upstream": _url,
     "sidecar.pool": _not_empty,
     "sidecar.kind": _one_of(UPSTREAM_KINDS),
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -29,9 +29,9 @@
 """An upstream that has just refused a request; half of the time that a change of
 weights takes, and that of some runs, after which places get free."""
 
-OLD_WEIGHTS_MARGIN_S = 1.0
+OLD_WEIGHTS_MARGIN_S = 2.0
 """Work may wait for its start inside an engine; so engines with overtaken weights get
-none for this long before it may not start there any more."""
+none for this long before it may not start there any more; callers give up after it."""
 
 
 @dataclass(frozen=True, slots=True)
