--- /dev/null
+++ b/tests/builders_gateway.py
@@ -0,0 +1,337 @@
+"""Builders for tests of the gateway: declarations, prompts, raw upstreams, callers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Ok, Result
+
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.errors import Problem
+from gooseberrydale.process.cfg import Cfg, FleetCfg, GatewayCfg, NodeCfg
+from gooseberrydale.process.gateway.gateway import Dialect, Gateway
+from gooseberrydale.process.gateway.store_follower import Followed
+from gooseberrydale.request.gateway_call import (
+    AnswerHead,
+    CallerCall,
+    Prompt,
+    PromptPart,
+    RawHeaders,
+    Terms,
+)
+from gooseberrydale.version.declarations import Config, Document
+from gooseberrydale.version.declared import (
+    CallerLimits,
+    Declared,
+    EngineSize,
+    KeyHolder,
+    Pool,
+    Route,
+    Share,
+)
+
+HOST = "shop.example"
+KEY = "a-key"
+POOL = "desk"
+
+
+def route(**fields: Any) -> Route:
+    """A route of plain calls that may not be repeated."""
+    defaults: dict[str, Any] = {
+        "name": "calls",
+        "host": HOST,
+        "path_prefix": "/calls/",
+        "shares": (Share(POOL, 1.0),),
+        "timeout_s": 2.0,
+        "objective_s": 0.4,
+    }
+    return Route(**{**defaults, **fields})
+
+
+def declared(*routes: Route, **fields: Any) -> Declared:
+    """A document with one pool and one workspace."""
+    defaults: dict[str, Any] = {
+        "number": 1,
+        "routes": routes or (route(),),
+        "pools": {POOL: Pool(POOL, 100, EngineSize(48, 100_000))},
+        "workspaces": (KeyHolder("a", (KEY,)),),
+        "limits": CallerLimits(body_bytes=1_000),
+    }
+    return Declared(**{**defaults, **fields})
+
+
+def record(name: str = "u1", **fields: Any) -> UpstreamRecord:
+    """An upstream that announces itself."""
+    defaults: dict[str, Any] = {
+        "name": name,
+        "incarnation": "",
+        "seq": 1,
+        "address": "127.0.0.1:1",
+        "zone": "local",
+        "region": "",
+        "pool": POOL,
+        "kind": "service",
+        "lease_s": 30.0,
+        "slots": 6,
+    }
+    return UpstreamRecord(**{**defaults, **fields})
+
+
+def prompt(*parts: tuple[str, int], own: int = 100, new: int = 10) -> Prompt:
+    """A prompt of shared parts and one of its own."""
+    found = (*(PromptPart(*part) for part in parts), PromptPart("own", own))
+    return Prompt("m", sum(part.tokens for part in found), new, found)
+
+
+class PlainWire:
+    """Headers of no deployment: names that say what they hold."""
+
+    def read_call(
+        self, method: str, target: bytes, headers: RawHeaders
+    ) -> Result[CallerCall, Problem]:
+        found = dict(headers)
+        wait = found.get(b"wait")
+        last = found.get(b"last-event-id")
+        return Ok(
+            CallerCall(
+                request_id=found[b"id"].decode(),
+                method=method,
+                target=target.decode(),
+                host=found[b"host"].decode().partition(":")[0],
+                headers=((b"host", found[b"host"]), (b"id", found[b"id"])),
+                key=found[b"key"].decode() if b"key" in found else None,
+                wait_s=float(wait) if wait is not None else None,
+                last_event_id=last.decode() if last is not None else None,
+            )
+        )
+
+    def request_headers(self, call: CallerCall, terms: Terms) -> RawHeaders:
+        own = [(b"instance", terms.instance.encode())]
+        if terms.last_event_id is not None:
+            own.append((b"last-event-id", terms.last_event_id.encode()))
+        return (*call.headers, *own)
+
+    def read_answer(self, status: int, headers: RawHeaders) -> AnswerHead:
+        found = dict(headers)
+        return AnswerHead(
+            status=status,
+            headers=headers,
+            request_id=found[b"id"].decode() if b"id" in found else None,
+            signed=b"signed" in found,
+            not_run=b"not-run" in found,
+            encoded=b"content-encoding" in found,
+        )
+
+
+class NoStore:
+    """A store that never answers."""
+
+    async def follow(self, address: str, since: int) -> Followed | None:
+        return None
+
+    async def read_all(self, address: str) -> Followed | None:
+        return None
+
+
+Writer = asyncio.StreamWriter
+Script = Callable[[dict[str, str], bytes, Writer], Awaitable[None]]
+
+
+@dataclass
+class RawUpstream:
+    """An HTTP server of bytes: ``script`` writes whatever follows a request."""
+
+    name: str
+    script: Script
+    requests: list[dict[str, str]] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    connections: int = 0
+    port: int = 0
+    gone: asyncio.Event = field(default_factory=asyncio.Event)
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                first, *lines = head.decode().strip().split("\r\n")
+                found = {"line": first}
+                for line in lines:
+                    name, _, value = line.partition(":")
+                    found[name.lower()] = value.strip()
+                size = int(found.get("content-length", "0"))
+                body = await reader.readexactly(size)
+                self.requests.append(found)
+                self.bodies.append(body)
+                await self.script(found, body, writer)
+        except (OSError, EOFError):
+            pass
+        finally:
+            self.gone.set()
+            writer.close()
+
+
+def answer_bytes(
+    request_id: str, body: bytes, status: str = "200 OK", *, headers: str = "signed: 1"
+) -> bytes:
+    """One whole answer of an upstream."""
+    lines = [f"HTTP/1.1 {status}", f"id: {request_id}", f"content-length: {len(body)}"]
+    lines += [headers] if headers else []
+    return "\r\n".join((*lines, "keep-alive: timeout=5", "", "")).encode() + body
+
+
+def stream_head(request_id: str) -> bytes:
+    """The head of an event stream in chunks."""
+    return (
+        f"HTTP/1.1 200 OK\r\nid: {request_id}\r\nsigned: 1\r\n"
+        "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """One chunk."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    """One event with its id."""
+    return f"id: {number}\ndata: word{number}\n\n".encode()
+
+
+def reset(writer: Writer) -> None:
+    """Break a connection so that its other end sees a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    )
+    writer.transport.abort()
+
+
+def free_port() -> int:
+    """A port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+@asynccontextmanager
+async def running_gateway(
+    document: Declared | None, *upstreams: RawUpstream, **settings: Any
+) -> AsyncIterator[Gateway]:
+    """A gateway before raw upstreams, without control."""
+    cfg = Cfg(
+        node=NodeCfg("g1"),
+        fleet=FleetCfg(trust_network=True),
+        gateway=GatewayCfg(
+            http="127.0.0.1:0",
+            ready="127.0.0.1:0",
+            gossip=f"127.0.0.1:{free_port()}",
+            grace_s=2.0,
+            **settings,
+        ),
+    )
+    dialect = Dialect(PlainWire(), lambda _: Ok(document or declared()), NoStore())
+    gateway = Gateway(cfg, dialect)
+    for upstream in upstreams:
+        await upstream.start()
+    await gateway.start()
+    loop = asyncio.get_running_loop()
+    for upstream in upstreams:
+        found = record(upstream.name, address=upstream.address)
+        gateway.directory.offer(found, loop.time())
+    if document is not None:
+        gateway.store.offer(Config(revision=1, document=Document(1, b"{}")))
+        await asyncio.sleep(0.01)
+    try:
+        yield gateway
+    finally:
+        for upstream in upstreams:
+            await upstream.close()
+        await gateway.close()
+
+
+@dataclass(frozen=True)
+class Got:
+    """What a caller got: ``whole`` is False if the answer broke off."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+async def call(
+    gateway: Gateway,
+    target: str = "/calls/1",
+    *,
+    method: str = "POST",
+    body: bytes = b"",
+    key: str | None = KEY,
+    request_id: str = "r1",
+    extra: str = "",
+) -> Got:
+    """One request on a connection of its own."""
+    host, _, port = gateway.addresses["http"].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {HOST}", f"Id: {request_id}"]
+    lines += [f"Key: {key}"] if key is not None else []
+    lines += [f"Content-Length: {len(body)}", "Connection: close"]
+    lines += [extra] if extra else []
+    writer.write("\r\n".join((*lines, "", "")).encode() + body)
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Got:
+    """Read an answer to its end, be it whole or not."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.decode().strip().split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    status = int(first.split()[1])
+    if "content-length" in headers:
+        size = int(headers["content-length"])
+        data = await reader.read(-1) if size else b""
+        return Got(status, headers, data[:size], len(data) >= size)
+    data = await reader.read(-1)
+    return Got(status, headers, unchunked(data), data.endswith(b"0\r\n\r\n"))
+
+
+def unchunked(data: bytes) -> bytes:
+    """The content of chunks, as far as they are whole."""
+    parts = []
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        count = int(size, 16) if size else 0
+        parts.append(data[:count])
+        data = data[count + 2 :]
+    return b"".join(parts)
+
+
+def plain(got: Got) -> Any:
+    """The body as JSON."""
+    return json.loads(got.body)
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,439 @@
+"""A gateway before upstreams that misbehave, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.version.order_marks import mark
+from tests.builders_gateway import (
+    HOST,
+    KEY,
+    POOL,
+    RawUpstream,
+    Script,
+    Writer,
+    answer_bytes,
+    call,
+    chunk,
+    declared,
+    event,
+    plain,
+    read_answer,
+    record,
+    reset,
+    route,
+    running_gateway,
+    stream_head,
+)
+from tests.sidecar_bench import run
+
+STREAM = route(path_prefix="/streams/", streamed=True, max_runs=2, name="streams")
+RESUMABLE = route(
+    path_prefix="/resumable/",
+    streamed=True,
+    resumable=True,
+    max_runs=2,
+    name="resumable",
+)
+SAFE = route(path_prefix="/safe/", repeatable=True, max_runs=2, name="safe")
+ALL = declared(route(), STREAM, RESUMABLE, SAFE)
+
+
+async def well(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    """Answer as one should."""
+    writer.write(answer_bytes(req["id"], b"done " + body))
+
+
+async def reset_at_once(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    """Break the connection without a word."""
+    reset(writer)
+
+
+async def refuse(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    """Say that the request was not run."""
+    head = "503 Service Unavailable"
+    writer.write(answer_bytes(req["id"], b"", head, headers="not-run: 1"))
+
+
+async def fail(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    """Run the request and fail."""
+    writer.write(answer_bytes(req["id"], b"broken", "500 Internal Server Error"))
+
+
+async def unsigned(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    """An answer that is not the upstream's own."""
+    writer.write(answer_bytes(req["id"], b"spoilt", headers=""))
+
+
+async def cut_short(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    """Send less than the announced length."""
+    writer.write(answer_bytes(req["id"], b"a whole answer")[:-4])
+    await writer.drain()
+    writer.close()
+
+
+async def endless_reset(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    """A body without a length whose connection is reset."""
+    writer.write(
+        f"HTTP/1.1 200 OK\r\nid: {req['id']}\r\nsigned: 1\r\n\r\npart".encode()
+    )
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
+async def endless_closed(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    """A body without a length that ends with its connection, as it may."""
+    writer.write(f"HTTP/1.1 200 OK\r\nid: {req['id']}\r\nsigned: 1\r\n\r\nall".encode())
+    await writer.drain()
+    writer.close()
+
+
+BY_ITSELF: dict[str, tuple[str, Script, int, int]] = {
+    # target, what the upstream does, status for the caller, arrivals
+    "an answer": ("/calls/1", well, 200, 1),
+    "a body that ends with its connection": ("/calls/1", endless_closed, 200, 1),
+    "a reset may have run": ("/calls/1", reset_at_once, 502, 1),
+    "a refusal": ("/calls/1", refuse, 503, 1),
+    "a failure is passed on": ("/calls/1", fail, 500, 1),
+    "not its own": ("/calls/1", unsigned, 502, 1),
+    "cut short": ("/calls/1", cut_short, 502, 1),
+    "no length, then reset": ("/calls/1", endless_reset, 502, 1),
+}
+
+
+@pytest.mark.parametrize("case", BY_ITSELF)
+def test_what_one_upstream_does_and_what_the_caller_gets(case: str) -> None:
+    target, script, status, arrivals = BY_ITSELF[case]
+
+    async def main() -> None:
+        upstream = RawUpstream("u1", script)
+        async with running_gateway(ALL, upstream) as gateway:
+            got = await call(gateway, target, body=b"hi")
+        assert (got.status, len(upstream.requests)) == (status, arrivals)
+        assert ("retry-after" in got.headers) == (status == 503)
+
+    run(main())
+
+
+TWO: dict[str, tuple[str, Script, int, bool]] = {
+    # target, what the first upstream does, status, whether the second one gets it
+    "a call is not repeated after a reset": ("/calls/1", reset_at_once, 502, False),
+    "a call that was refused goes on": ("/calls/1", refuse, 200, True),
+    "a call that failed has run": ("/calls/1", fail, 500, False),
+    "a safe call is repeated after a reset": ("/safe/1", reset_at_once, 200, True),
+    "a safe call is repeated after a failure": ("/safe/1", fail, 200, True),
+    "a safe call is repeated after half an answer": ("/safe/1", cut_short, 200, True),
+    "a stream is not repeated": ("/streams/1", reset_at_once, 502, False),
+}
+
+
+@pytest.mark.parametrize("case", TWO)
+def test_whether_a_second_upstream_gets_the_request(case: str) -> None:
+    target, script, status, second = TWO[case]
+
+    async def main() -> None:
+        # The first choice is busy with nothing, the other one with a request.
+        first, other = RawUpstream("u1", script), RawUpstream("u2", well)
+        async with running_gateway(ALL, first, other) as gateway:
+            upstreams = gateway._upstreams
+            upstreams.load_of("u2").error_share = 0.9
+            got = await call(gateway, target)
+        assert (got.status, len(first.requests)) == (status, 1)
+        assert bool(other.requests) is second
+
+    run(main())
+
+
+REFUSALS: dict[str, tuple[dict[str, Any], int]] = {
+    "unknown path": ({"target": "/other/1"}, 404),
+    "no key": ({"key": None}, 401),
+    "unknown key": ({"key": "stolen"}, 401),
+    "too large": ({"body": b"x" * 2_000}, 413),
+}
+
+
+@pytest.mark.parametrize("case", REFUSALS)
+def test_what_the_declarations_refuse_reaches_no_upstream(case: str) -> None:
+    asked, status = REFUSALS[case]
+
+    async def main() -> None:
+        upstream = RawUpstream("u1", well)
+        async with running_gateway(ALL, upstream) as gateway:
+            got = await call(gateway, **asked)
+        assert (got.status, upstream.requests) == (status, [])
+
+    run(main())
+
+
+def test_without_a_document_it_is_not_ready_and_answers_503() -> None:
+    async def main() -> None:
+        async with running_gateway(None) as gateway:
+            got = await call(gateway, extra="Wait: 0.2")
+            assert not gateway.is_ready
+        assert got.status == 503
+        assert plain(got)["error"]["not_run"] is True
+        assert float(got.headers["retry-after"]) > 0
+
+    run(main())
+
+
+def test_a_late_second_answer_is_never_taken_for_the_next_one() -> None:
+    async def twice(req: dict[str, str], body: bytes, writer: Writer) -> None:
+        writer.write(answer_bytes(req["id"], b"answer to " + req["id"].encode()))
+        await writer.drain()
+        # Comes at the place of the next answer, if the connection is used again.
+        await asyncio.sleep(0.03)
+        writer.write(answer_bytes(req["id"], b"again " + req["id"].encode()))
+
+    async def main() -> None:
+        upstream = RawUpstream("u1", twice)
+        async with running_gateway(ALL, upstream) as gateway:
+            for number in range(6):
+                name = f"r{number}"
+                got = await call(gateway, "/safe/1", request_id=name)
+                assert got.body == b"answer to " + name.encode()
+                await asyncio.sleep(0.01 * number)
+
+    run(main())
+
+
+def test_connections_to_upstreams_are_used_again() -> None:
+    async def main() -> None:
+        upstream = RawUpstream("u1", well)
+        async with running_gateway(ALL, upstream) as gateway:
+            for number in range(5):
+                got = await call(gateway, request_id=f"r{number}")
+                assert got.status == 200
+        assert (len(upstream.requests), upstream.connections) == (5, 1)
+
+    run(main())
+
+
+def broken_after(events: int, how: Callable[[Writer], Any]) -> Script:
+    """Stream from the event after the last one the caller has, then break once."""
+    state = {"broken": False}
+
+    async def script(req: dict[str, str], body: bytes, writer: Writer) -> None:
+        first = int(req.get("last-event-id", "0")) + 1
+        writer.write(stream_head(req["id"]))
+        for number in range(first, 7):
+            if number == events + 1 and not state["broken"]:
+                state["broken"] = True
+                writer.write(chunk(event(number)[:6]))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                how(writer)
+                return
+            writer.write(chunk(event(number)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    return script
+
+
+WHOLE = b"".join(event(number) for number in range(1, 7))
+
+
+@pytest.mark.parametrize("events", [0, 1, 5])
+def test_a_stream_that_breaks_is_resumed_within_one_answer(events: int) -> None:
+    async def main() -> None:
+        script = broken_after(events, reset)
+        upstreams = [RawUpstream(name, script) for name in ("u1", "u2")]
+        async with running_gateway(ALL, *upstreams) as gateway:
+            got = await call(gateway, "/resumable/1")
+        assert (got.status, got.whole, got.body) == (200, True, WHOLE)
+        sent = [req for one in upstreams for req in one.requests]
+        resumed = [r["last-event-id"] for r in sent if "last-event-id" in r]
+        assert resumed == ([str(events)] if events else [])
+
+    run(main())
+
+
+def test_a_stream_that_may_not_be_resumed_ends_open_and_runs_once() -> None:
+    async def main() -> None:
+        script = broken_after(3, reset)
+        upstreams = [RawUpstream(name, script) for name in ("u1", "u2")]
+        async with running_gateway(ALL, *upstreams) as gateway:
+            got = await call(gateway, "/streams/1")
+        assert (got.status, got.whole) == (200, False)
+        assert sum(len(one.requests) for one in upstreams) == 1
+
+    run(main())
+
+
+def test_a_stream_moves_off_an_upstream_that_carries_an_order_out() -> None:
+    async def slow(req: dict[str, str], body: bytes, writer: Writer) -> None:
+        first = int(req.get("last-event-id", "0")) + 1
+        writer.write(stream_head(req["id"]))
+        for number in range(first, 7):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        writer.write(b"0\r\n\r\n")
+
+    async def main() -> None:
+        first, other = RawUpstream("u1", slow), RawUpstream("u2", slow)
+        async with running_gateway(ALL, first, other, gateways=1) as gateway:
+            gateway._upstreams.load_of("u2").error_share = 0.9
+            asked = asyncio.create_task(call(gateway, "/resumable/1"))
+            await asyncio.sleep(0.08)
+            loop = asyncio.get_running_loop()
+            gateway.directory.offer(mark("u1", 1, 1), loop.time())
+            got = await asked
+        assert (got.whole, got.body) == (True, WHOLE)
+        assert (len(first.requests), len(other.requests)) == (1, 1)
+
+    run(main())
+
+
+def test_a_caller_that_leaves_cancels_its_stream() -> None:
+    async def endless(req: dict[str, str], body: bytes, writer: Writer) -> None:
+        writer.write(stream_head(req["id"]))
+        for number in range(1, 1_000):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+
+    async def main() -> None:
+        upstream = RawUpstream("u1", endless)
+        async with running_gateway(ALL, upstream) as gateway:
+            host, _, port = gateway.addresses["http"].rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            lines = f"GET /streams/1 HTTP/1.1\r\nHost: {HOST}\r\nId: r\r\nKey: {KEY}"
+            writer.write(f"{lines}\r\n\r\n".encode())
+            await reader.readuntil(b"word3")
+            writer.close()
+            async with asyncio.timeout(0.5):
+                await upstream.gone.wait()
+
+    run(main())
+
+
+def test_an_upstream_that_never_answers_gets_504_at_the_timeout() -> None:
+    async def silent(req: dict[str, str], body: bytes, writer: Writer) -> None:
+        await asyncio.sleep(3.0)
+
+    async def main() -> None:
+        short = declared(route(timeout_s=0.3))
+        upstream = RawUpstream("u1", silent)
+        loop = asyncio.get_running_loop()
+        async with running_gateway(short, upstream) as gateway:
+            began = loop.time()
+            got = await call(gateway)
+            took_s = loop.time() - began
+        assert (got.status, plain(got)["error"]["not_run"]) == (504, None)
+        assert 0.3 <= took_s < 0.55
+
+    run(main())
+
+
+def test_nobody_listens_there() -> None:
+    async def main() -> None:
+        async with running_gateway(ALL) as gateway:
+            now = asyncio.get_running_loop().time()
+            gateway.directory.offer(record("u1", address="127.0.0.1:1"), now)
+            got = await call(gateway)
+        assert (got.status, plain(got)["error"]["not_run"]) == (503, True)
+
+    run(main())
+
+
+def test_an_upstream_that_leaves_gets_no_new_work_also_if_it_is_the_last() -> None:
+    async def main() -> None:
+        upstream = RawUpstream("u1", well)
+        async with running_gateway(ALL, upstream) as gateway:
+            assert (await call(gateway)).status == 200
+            now = asyncio.get_running_loop().time()
+            leaving = record(
+                "u1", address=upstream.address, seq=2, ready=False, leaving=True
+            )
+            gateway.directory.offer(leaving, now)
+            got = await call(gateway, request_id="r2", extra="Wait: 0.3")
+        assert (got.status, len(upstream.requests)) == (503, 1)
+
+    run(main())
+
+
+def test_upstreams_stay_known_while_nobody_announces_them() -> None:
+    async def main() -> None:
+        upstream = RawUpstream("u1", well)
+        async with running_gateway(ALL, upstream) as gateway:
+            assert (await call(gateway)).status == 200
+            forget(gateway.directory, record("u1", address=upstream.address))
+            assert (await call(gateway, request_id="r2")).status == 200
+
+    run(main())
+
+
+def forget(directory: Any, known: UpstreamRecord) -> None:
+    """Let the lease of a record end."""
+    now = asyncio.get_running_loop().time()
+    directory.expire(now + known.lease_s + 1)
+    assert directory.ready(POOL, now) == ()
+
+
+MALFORMED = {
+    "illegal chunk size": (
+        "POST /calls/1 HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\n"
+        "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"
+    ),
+    "length and chunks": (
+        "POST /calls/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    ),
+    "two lengths": (
+        "POST /calls/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        "Content-Length: 4\r\n\r\nabcd"
+    ),
+    "no HTTP": "hello\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("case", MALFORMED)
+def test_what_is_no_request_gets_400_and_the_process_lives(case: str) -> None:
+    async def main() -> None:
+        upstream = RawUpstream("u1", well)
+        document = declared(route(host="h", public=True), route())
+        async with running_gateway(document, upstream) as gateway:
+            host, _, port = gateway.addresses["http"].rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(MALFORMED[case].encode())
+            got = await read_answer(reader)
+            writer.close()
+            assert got.status == 400
+            assert (await call(gateway)).status == 200
+        assert len(upstream.requests) == 1
+
+    run(main())
+
+
+def test_a_drain_tells_the_balancer_first_and_serves_meanwhile() -> None:
+    async def main() -> None:
+        upstream = RawUpstream("u1", well)
+        async with running_gateway(ALL, upstream) as gateway:
+            assert await ready_status(gateway) == 200
+            closing = asyncio.create_task(gateway.close())
+            await asyncio.sleep(0.05)
+            assert await ready_status(gateway) == 503
+            got = await call(gateway)
+            assert (got.status, got.headers["connection"]) == (200, "close")
+            await closing
+
+    run(main())
+
+
+async def ready_status(gateway: Any) -> int:
+    """What the balancer is told."""
+    host, _, port = gateway.addresses["ready"].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"GET /any HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    got = await read_answer(reader)
+    writer.close()
+    return got.status
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,126 @@
+"""Plays a heavy load on engines, two of five dead, and checks what callers get."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass
+
+import pytest
+
+from gooseberrydale.request.placement import (
+    PREFILL_TOKENS_PER_S,
+    Candidate,
+    Demand,
+    choose,
+    own_s,
+    queue_s,
+)
+from gooseberrydale.request.timeliness import (
+    CAUGHT_UP_S,
+    TOP_PART,
+    Goal,
+    gives_way,
+)
+from gooseberrydale.version.upstream_load import Load
+
+SECONDS = 8.0
+PER_S = 55.0  # what five engines carry, and three don't
+SIZES = (600, 2_900, 2_900, 6_000)
+
+
+@dataclass(slots=True)
+class Engine:
+    """Computes one prompt after the other, by rank and then in order."""
+
+    name: str
+    queue: list[tuple[int, int, float, int]]
+    free_at: float = 0.0
+
+    def run_until(self, now: float, starts: dict[int, float]) -> None:
+        while self.queue and self.free_at <= now:
+            _, number, came_at, tokens = heapq.heappop(self.queue)
+            begin = max(self.free_at, came_at)
+            self.free_at = begin + tokens / PREFILL_TOKENS_PER_S
+            starts[number] = self.free_at
+
+    def backlog(self, now: float) -> float:
+        """Tokens before a request that does not give way."""
+        ahead = sum(tokens for rank, _, _, tokens in self.queue if rank < 6)
+        return ahead + max(0.0, self.free_at - now) * PREFILL_TOKENS_PER_S
+
+
+def play(engines: int, *, yielding: bool) -> list[tuple[int, float]]:
+    """Rank and time to the first event of each request, of two ranks."""
+    rng = random.Random(7)
+    pool = [Engine(f"e{number}", []) for number in range(engines)]
+    came: dict[int, tuple[int, float]] = {}
+    starts: dict[int, float] = {}
+    now, number = 0.0, 0
+    while now < SECONDS:
+        now += rng.expovariate(PER_S)
+        number += 1
+        for engine in pool:
+            engine.run_until(now, starts)
+        demand = Demand(own_tokens=rng.choice(SIZES), new_tokens=10)
+        rank = number % 2
+        candidates = [
+            Candidate(engine.name, Load(0, engine.backlog(now), 0)) for engine in pool
+        ]
+        chosen = choose(candidates, demand)
+        assert chosen is not None
+        late = yielding and gives_way(
+            queue_s(chosen, demand), own_s(chosen, demand), 0.0, Goal(0.4, rank)
+        )
+        item = (rank + 6 if late else rank, number, now, demand.own_tokens)
+        target = next(engine for engine in pool if engine.name == chosen.name)
+        heapq.heappush(target.queue, item)
+        came[number] = rank, now
+    for engine in pool:
+        engine.run_until(float("inf"), starts)
+    return [(rank, starts[n] - at) for n, (rank, at) in came.items()]
+
+
+def in_time(found: list[tuple[int, float]], rank: int | None = None) -> float:
+    """Share of requests whose first event came within the objective."""
+    taken = [took <= 0.4 for one, took in found if rank in (None, one)]
+    return sum(taken) / len(taken)
+
+
+def test_enough_engines_serve_nearly_all_in_time() -> None:
+    assert in_time(play(5, yielding=True)) > 0.97
+
+
+@pytest.mark.parametrize("engines", [3, 4])
+def test_with_too_few_engines_more_are_in_time_if_late_ones_give_way(
+    engines: int,
+) -> None:
+    in_order, yielding = play(engines, yielding=False), play(engines, yielding=True)
+    assert in_time(yielding) > in_time(in_order) + 0.1
+    # The lower rank gains; the first rank keeps nearly all; all are served in the end.
+    assert in_time(yielding, 1) > in_time(in_order, 1) + 0.25
+    assert in_time(yielding, 0) > 0.93
+    assert len(yielding) == len(in_order)
+
+
+RULES = [
+    # queue, own, waited, rank -> gives way
+    (CAUGHT_UP_S, 9.0, 9.0, 0, False),
+    (0.2, 0.1, 0.0, 0, False),
+    (0.3, 0.1, 0.0, 0, True),
+    (0.2, 0.1, 0.2, 0, True),
+    (0.24, 0.08, 0.0, 0, False),
+    (0.24, 0.08, 0.0, 2, True),
+    (0.15, 0.05, 0.0, 9, False),
+]
+
+
+@pytest.mark.parametrize("rule", RULES)
+def test_who_gives_way(rule: tuple[float, float, float, int, bool]) -> None:
+    queued, own, waited, rank, expected = rule
+    assert gives_way(queued, own, waited, Goal(0.4, rank)) is expected
+
+
+def test_without_an_objective_nobody_gives_way() -> None:
+    assert not gives_way(10.0, 1.0, 1.0, Goal(0.0, 0))
+    assert TOP_PART < 1.0
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,444 @@
+"""What platform/ reads and writes: configurations, headers, heartbeats, reports."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+from typing import Any
+
+import pytest
+from result import Err, Ok, Result
+from starlette.testclient import TestClient
+
+from gooseberrydale.connection.engine_orders import OrderAnswer, WeightsOrder
+from gooseberrydale.errors import NO_QUORUM, Problem, problem
+from gooseberrydale.process.cfg_file import load
+from gooseberrydale.process.control.announcements import Announcements
+from gooseberrydale.request.gateway_call import ReportedLoad, Terms
+from gooseberrydale.version.declarations import Document
+from gooseberrydale.version.declared import CallerLimits, EngineSize, KeyHolder, Share
+from gooseberrydale.version.directory import Directory
+from tests import builders_platform as wire
+from tests.builders_gateway import RawUpstream, Writer, record
+from tests.sidecar_bench import run
+
+from control_http import ControlHttp  # isort: skip
+from document_json import decode_document  # isort: skip
+from engine_http import PlatformEngines  # isort: skip
+from http_wire import PlatformWire  # isort: skip
+from store_http import PlatformStore  # isort: skip
+
+DEPLOY = pathlib.Path(__file__).resolve().parent.parent / "deploy"
+
+
+def test_a_configuration_is_decoded_into_what_its_fields_hold() -> None:
+    found = decode_document(wire.body()).unwrap()
+    [route] = found.routes
+    assert found.number == 7
+    assert (route.host, route.path_prefix) == ("h.example", "/a/")
+    assert (route.timeout_s, route.objective_s) == (6.0, 0.4)
+    assert (route.streamed, route.resumable, route.repeatable) == (True, True, False)
+    assert (route.shares, route.max_runs) == ((Share("s", 1.0),), 2)
+    assert found.pools["s"].engine == EngineSize(48, 1_000)
+    assert [store.address for store in found.stores] == ["10.0.0.1:1"]
+    assert found.limits == CallerLimits(100, 200, 0.3, 0.4)
+    assert found.workspaces == (KeyHolder("t", ("k1",), 1, True),)
+
+
+KINDS = {"safe": (True, False), "unsafe": (False, False), "streaming": (False, True)}
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_the_kind_says_what_may_be_repeated(kind: str) -> None:
+    document = wire.body(routes=[wire.route(kind=kind)])
+    [route] = decode_document(document).unwrap().routes
+    assert (route.repeatable, route.streamed) == KINDS[kind]
+
+
+def test_without_tenants_nobody_needs_a_key() -> None:
+    bare = {k: v for k, v in wire.table().items() if k != "tenants"}
+    assert decode_document(json.dumps(bare).encode()).unwrap().workspaces is None
+
+
+SPLIT = [{"service": "s", "weight": 3}, {"service": "other", "weight": 1}]
+UNREADABLE = {
+    "cut short": wire.body()[:-20],
+    "no object": b"[]",
+    "no routes": b'{"version": 1, "services": []}',
+    "text as number": wire.body(version="7"),
+    "unknown kind": wire.body(routes=[wire.route(kind="maybe")]),
+}
+
+
+@pytest.mark.parametrize("case", UNREADABLE)
+def test_what_can_not_be_read_in_full_is_refused(case: str) -> None:
+    found = decode_document(UNREADABLE[case])
+    assert isinstance(found, Err)
+    assert found.err_value.status == 400
+
+
+BASE = (
+    (b"host", b"H.example:80"),
+    (b"x-request-id", b"r1"),
+    (b"x-deadline-ms", b"1500"),
+    (b"x-api-key", b"k1"),
+    (b"x-model", b"m"),
+    (b"x-token-usage", b"1460,80"),
+    (b"x-prefix-hash", b"aa:800,bb:410,cc:250"),
+)
+
+
+def read(*headers: tuple[bytes, bytes]) -> Any:
+    return PlatformWire().read_call("POST", b"/a/b?c=d", (*BASE, *headers))
+
+
+def test_a_consumers_head_is_read() -> None:
+    call = read().unwrap()
+    assert (call.request_id, call.host, call.key) == ("r1", "h.example", "k1")
+    assert (call.target, call.path, call.wait_s) == ("/a/b?c=d", "/a/b", 1.5)
+    assert call.prompt is not None
+    assert (call.prompt.tokens, call.prompt.max_new_tokens) == (1460, 80)
+    assert [part.key for part in call.prompt.shared] == ["aa", "bb"]
+
+
+OWN_TO_SET = (
+    "x-expect-instance x-expect-version x-tenant x-request-priority x-cache-salt"
+    " x-kv-fetch x-kv-save x-kv-backup kv-from x-hold x-pin-ms"
+).split()
+
+
+def test_what_only_the_system_sets_is_never_passed_on() -> None:
+    forged = tuple((name.encode(), b"forged") for name in OWN_TO_SET)
+    call = read(*forged).unwrap()
+    sent = PlatformWire().request_headers(call, Terms(instance="i-1", left_s=1.2345))
+    assert b"forged" not in [value for _, value in sent]
+    assert b"k1" not in [value for _, value in sent]
+    found = dict(sent)
+    assert found[b"x-expect-instance"] == b"i-1"
+    assert found[b"x-deadline-ms"] == b"1234"
+    assert found[b"x-prefix-hash"] == b"aa:800,bb:410,cc:250"
+
+
+def test_headers_of_the_connection_go_no_further_but_essential_ones_do() -> None:
+    listed = (b"connection", b"close, X-Odd, X-Model, X-Request-Id")
+    call = read(listed, (b"x-odd", b"1"), (b"x-kept", b"2")).unwrap()
+    found = dict(call.headers)
+    assert b"x-odd" not in found and b"connection" not in found
+    assert (found[b"x-kept"], found[b"x-model"], found[b"x-request-id"]) == (
+        b"2",
+        b"m",
+        b"r1",
+    )
+
+
+def test_all_terms_are_written() -> None:
+    terms = Terms(
+        instance="i-1",
+        left_s=1.0,
+        workspace="t",
+        weights_version=3,
+        cache_salt="m.3",
+        priority=0,
+        last_event_id="9",
+        fetch_from="10.0.0.1:1",
+        save_to="10.0.0.2:2",
+    )
+    found = dict(PlatformWire().request_headers(read().unwrap(), terms))
+    assert found[b"x-tenant"] == b"t"
+    assert (found[b"x-expect-version"], found[b"x-cache-salt"]) == (b"3", b"m.3")
+    assert (found[b"x-request-priority"], found[b"last-event-id"]) == (b"0", b"9")
+    assert (found[b"x-kv-fetch"], found[b"x-kv-save"]) == (b"10.0.0.1:1", b"10.0.0.2:2")
+
+
+@pytest.mark.parametrize(
+    "header",
+    [(b"x-token-usage", b"many"), (b"x-prefix-hash", b"aa"), (b"x-deadline-ms", b"?")],
+)
+def test_a_head_that_does_not_fit_is_refused(header: tuple[bytes, bytes]) -> None:
+    headers = tuple(h for h in BASE if h[0] != header[0])
+    found = PlatformWire().read_call("POST", b"/", (*headers, header))
+    assert isinstance(found, Err) and found.err_value.status == 400
+
+
+ANSWERS: dict[str, tuple[int, tuple[tuple[bytes, bytes], ...], dict[str, Any]]] = {
+    "an answer": (
+        200,
+        ((b"x-response-stamp", b"s"), (b"x-load-report", b"3,1,8")),
+        {"signed": True, "not_run": False, "load": ReportedLoad(3, 1, 8)},
+    ),
+    "not run": (503, ((b"x-not-executed", b"1"),), {"not_run": True, "instance": None}),
+    "another life": (
+        421,
+        ((b"x-instance-id", b"i-2"),),
+        {"not_run": True, "instance": "i-2"},
+    ),
+    "a bare 503": (503, (), {"not_run": False}),
+    "encoded": (200, ((b"content-encoding", b"gzip"),), {"encoded": True}),
+    "no report": (200, ((b"x-load-report", b"soon"),), {"load": None}),
+}
+
+
+@pytest.mark.parametrize("case", ANSWERS)
+def test_the_head_of_an_answer_is_read(case: str) -> None:
+    status, headers, wanted = ANSWERS[case]
+    head = PlatformWire().read_answer(status, headers)
+    assert {name: getattr(head, name) for name in wanted} == wanted
+
+
+class FakeDocuments:
+    """Takes documents; refuses all if ``problem`` is set."""
+
+    def __init__(self) -> None:
+        self.problem: Problem | None = None
+        self.held: Document | None = None
+        self.named: list[tuple[str, int]] = []
+
+    async def declare(self, document: Document) -> Result[None, Problem]:
+        if self.problem is not None:
+            return Err(self.problem)
+        self.held = document
+        return Ok(None)
+
+    async def read(self) -> Result[Document | None, Problem]:
+        return Ok(self.held) if self.problem is None else Err(self.problem)
+
+    async def name_weights(self, model: str, version: int) -> Result[None, Problem]:
+        self.named.append((model, version))
+        return Ok(None) if self.problem is None else Err(self.problem)
+
+
+def control(documents: FakeDocuments, directory: Directory) -> TestClient:
+    announcements = Announcements(directory, beat_s=1.2)
+    app = ControlHttp(documents, announcements).build()  # type: ignore[arg-type]
+    return TestClient(app)
+
+
+REFUSED_CONFIGS = {
+    "unknown service": {"routes": [wire.route(service="no")]},
+    "split to an unknown service": {"routes": [wire.route(split=SPLIT)]},
+    "same place": {"routes": [wire.route(), wire.route(name="b")]},
+    "no weight": {"routes": [wire.route(split=[{"service": "s", "weight": 0}])]},
+    "no timeout": {"routes": [wire.route(timeoutMs=0)]},
+    "shared key": {
+        "tenants": [
+            {"name": "a", "apiKeys": ["k"]},
+            {"name": "b", "apiKeys": ["k"]},
+        ]
+    },
+}
+
+
+@pytest.mark.parametrize("case", REFUSED_CONFIGS)
+def test_an_invalid_configuration_gets_400_and_is_not_kept(case: str) -> None:
+    documents = FakeDocuments()
+    sent = wire.body(**REFUSED_CONFIGS[case])
+    answer = control(documents, Directory()).post("/v1/Config.Put", content=sent)
+    assert (answer.status_code, documents.held) == (400, None)
+
+
+def test_a_configuration_is_read_back_as_it_was_sent() -> None:
+    documents = FakeDocuments()
+    client = control(documents, Directory())
+    assert client.get("/v1/Config.Get").status_code == 503
+    sent = b" " + wire.body()
+    assert client.post("/v1/Config.Put", content=sent).status_code == 200
+    assert client.get("/v1/Config.Get").content == sent
+
+
+def test_without_a_quorum_every_call_gets_503() -> None:
+    documents = FakeDocuments()
+    documents.problem = problem(NO_QUORUM, not_run=None)
+    client = control(documents, Directory())
+    weights = {"model": "m", "version": 2}
+    found = [
+        client.post("/v1/Config.Put", content=wire.body()),
+        client.get("/v1/Config.Get"),
+        client.post("/v1/version-put", json=weights),
+    ]
+    assert [answer.status_code for answer in found] == [503, 503, 503]
+
+
+def beat(seq: int, **fields: Any) -> dict[str, Any]:
+    defaults: dict[str, Any] = {
+        "service": "s",
+        "address": "10.0.0.9:1",
+        "zone": "z",
+        "version": "v1",
+        "slots": 48,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "models": [{"name": "m", "version": 3, "adapters": []}],
+        "seq": seq,
+    }
+    return {**defaults, **fields}
+
+
+def test_beats_count_in_the_order_of_their_numbers() -> None:
+    async def main() -> None:
+        directory = Directory()
+        announcements = Announcements(directory, beat_s=1.2)
+        app = ControlHttp(FakeDocuments(), announcements)  # type: ignore[arg-type]
+        now = asyncio.get_running_loop().time
+
+        def known() -> Any:
+            return directory.get("i-1", now())
+
+        await post(app, "/v1/Instances.Heartbeat/i-1", beat(4))
+        assert (known().pool, known().model, known().weights_version) == ("s", "m", "3")
+        await post(app, "/v1/Instances.Heartbeat/i-1", beat(6, state="draining"))
+        assert known().leaving and not known().ready
+        await post(app, "/v1/Instances.Heartbeat/i-1", beat(5))
+        assert known().leaving
+        await post(app, "/v1/Instances.Deregister/i-1", {})
+        await post(app, "/v1/Instances.Heartbeat/i-1", beat(9))
+        assert known().leaving
+        # One that this replica has not heard of is over all the same.
+        await post(app, "/v1/Instances.Deregister/i-2", {})
+        await post(app, "/v1/Instances.Heartbeat/i-2", beat(1))
+        assert directory.ready("s", now()) == ()
+
+    run(main())
+
+
+async def post(app: ControlHttp, path: str, table: Any) -> None:
+    """A call on the running loop, whose clock the directory uses."""
+    import httpx2
+
+    transport = httpx2.ASGITransport(app.build())
+    async with httpx2.AsyncClient(transport=transport, base_url="http://c") as client:
+        assert (await client.post(path, json=table)).status_code == 200
+
+
+def engine(status: int, table: Any) -> RawUpstream:
+    """An engine that answers every call alike."""
+
+    async def script(req: dict[str, str], body: bytes, writer: Writer) -> None:
+        data = json.dumps(table).encode()
+        head = f"HTTP/1.1 {status} X\r\ncontent-length: {len(data)}\r\n\r\n"
+        writer.write(head.encode() + data)
+
+    return RawUpstream("i-1", script)
+
+
+ORDERS = {
+    202: OrderAnswer.ACCEPTED,
+    200: OrderAnswer.HOLDS,
+    409: OrderAnswer.CONFLICT,
+    412: OrderAnswer.FENCED,
+    400: OrderAnswer.REFUSED,
+    421: OrderAnswer.OTHER_LIFE,
+    500: OrderAnswer.UNKNOWN,
+}
+
+
+@pytest.mark.parametrize("status", ORDERS)
+def test_an_order_names_its_holder_number_and_place(status: int) -> None:
+    async def main() -> None:
+        upstream = engine(status, {})
+        await upstream.start()
+        target = record("i-1", address=upstream.address)
+        order = WeightsOrder("m", 4, holder="node", number=41, after=2)
+        assert await PlatformEngines().order(target, order) is ORDERS[status]
+        [req], [data] = upstream.requests, upstream.bodies
+        assert (req["line"], req["x-expect-instance"]) == (
+            "POST /v1/order HTTP/1.1",
+            "i-1",
+        )
+        assert json.loads(data) == {
+            "op": "version",
+            "model": "m",
+            "version": 4,
+            "mode": "wait",
+            "holder": "node",
+            "fence": 41,
+            "precondition": 2,
+        }
+        await upstream.close()
+
+    run(main())
+
+
+def test_an_order_without_an_answer_has_an_unknown_outcome() -> None:
+    async def main() -> None:
+        target = record("i-1", address="127.0.0.1:1")
+        order = WeightsOrder("m", 4, holder="node", number=41, after=2)
+        assert await PlatformEngines().order(target, order) is OrderAnswer.UNKNOWN
+        assert await PlatformEngines().report(target) is None
+
+    run(main())
+
+
+def test_a_report_is_read() -> None:
+    async def main() -> None:
+        models = [{"name": "m", "version": 3, "adapters": []}]
+        upstream = engine(200, {"models": models, "busy": True, "seq": 2, "queued": 1})
+        await upstream.start()
+        target = record("i-1", address=upstream.address)
+        found = await PlatformEngines().report(target)
+        assert found is not None
+        assert (found.versions, found.accepted, found.busy) == ({"m": 3}, 2, True)
+        await upstream.close()
+
+    run(main())
+
+
+def test_events_and_lists_of_the_store_are_read() -> None:
+    async def main() -> None:
+        events = [[1, "+", "s", "aa", 8, "m"], [2, "-", "s", "bb", 0, "m"]]
+        table = {"bootEpoch": 5, "next": 3, "lost": False, "events": events}
+        upstream = engine(200, {**table, "held": [["s", "aa", 8, "m"]]})
+        await upstream.start()
+        store = PlatformStore()
+        found = await store.follow(upstream.address, 1)
+        assert found is not None and found.next == 3
+        assert [(e.key, e.tokens) for e in found.news.events] == [("aa", 8), ("bb", 0)]
+        assert upstream.requests[0]["wait-ms"] == "1000"
+        held = await store.read_all(upstream.address)
+        assert held is not None and held.news.whole
+        assert [(e.key, e.tokens) for e in held.news.events] == [("aa", 8)]
+        await upstream.close()
+        assert await PlatformStore().follow("127.0.0.1:1", 1) is None
+
+    run(main())
+
+
+FILLED = {
+    "{{node}}": "n1",
+    "{{zone}}": "z",
+    "{{region}}": "r",
+    '{{#seeds}}"{{.}}"{{,}}{{/seeds}}': '"10.0.0.1:83", "10.0.0.2:83"',
+    "{{portRange.0}}": "7300",
+    "{{listen.front}}": "10.0.0.1:81",
+    "{{listen.ready}}": "10.0.0.1:82",
+    "{{listen.control}}": "10.0.0.1:83",
+    "{{ip}}": "10.0.0.1",
+    "{{dataDir}}": "/data/control",
+    "{{bootstrap}}": "true",
+    "{{faultTolerance.machines}}": "1",
+    "{{heartbeatMs}}": "1200",
+    "{{bounds.graceS}}": "8",
+    "{{bounds.budgetRatio}}": "0.2",
+    "{{bounds.budgetSlack}}": "62",
+    "{{bounds.leaseMs}}": "3000",
+    "{{bounds.versionMs}}": "8000",
+}
+
+
+@pytest.mark.parametrize("role", ["gateway", "control"])
+def test_the_templates_render_settings_without_a_fault(
+    role: str, tmp_path: pathlib.Path
+) -> None:
+    text = (DEPLOY / f"{role}.toml").read_text()
+    for name, value in FILLED.items():
+        text = text.replace(name, value)
+    assert "{{" not in text
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    cfg = load(path, role).unwrap()
+    assert cfg.fleet.control_rpc == ("10.0.0.1:7300", "10.0.0.2:7300")
+    if cfg.gateway is not None:
+        assert (cfg.gateway.weights_bound_s, cfg.gateway.retry_slack) == (8.0, 62.0)
+    if cfg.control is not None:
+        assert (cfg.control.order_pause_s, cfg.control.beat_s) == (3.0, 1.2)
+        assert cfg.control.bootstrap and cfg.control.open_group
