--- a/gooseberrydale/version/replication/file_storage.py
+++ b/gooseberrydale/version/replication/file_storage.py
@@ -243,6 +243,8 @@
                 self._note_bytes = 0
             self._files.append(self._commit, note)
             self._files.sync(self._commit)
+            if not self._note_bytes:
+                self._files.sync_folder(self._folder)
             self._note_bytes += len(note)
         except OSError as exc:
             logger.bind(event="commit_not_noted").info("{}", exc)
--- a/tests/builders_replication.py
+++ b/tests/builders_replication.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass, field, replace
 
 from gooseberrydale.version.replication import actions as act
-from gooseberrydale.version.replication.bootstrap import first_start
+from gooseberrydale.version.replication.bootstrap import (
+    common_start,
+    first_identity,
+    first_start,
+)
 from gooseberrydale.version.replication.core import RaftCfg, Role
 from gooseberrydale.version.replication.messages import Member, Membership
 from gooseberrydale.version.replication.raft import RaftNode, Stored
@@ -322,3 +326,37 @@
 
 def membership(*names):
     return Membership(tuple(Member(name, f"{name}-0") for name in names))
+
+
+class OpenCluster(FakeCluster):
+    """An open group: three seeds that start together, and replicas that join.
+
+    Names are addresses, so whoever hears of a replica can reach it.
+    """
+
+    def __init__(self, size, seed=0, seeds=3):
+        super().__init__(size, seed)
+        names = self.names[:seeds]
+        self.cfg = replace(small_cfg(names), open_to=3)
+        self.wire = []
+        for replica in self.replicas.values():
+            self.crash(replica)
+            replica.stored = Stored()
+            if replica.name in names:
+                replica.identity = first_identity(replica.name)
+                replica.stored = common_start(names)
+            self.restart(replica)
+
+    def voters(self):
+        """Names of the voters as the leader has them; empty without one."""
+        leader = self.leader()
+        members = leader.node.membership.members if leader else ()
+        return {member.name for member in members}
+
+    def commit(self):
+        """Propose to whoever leads; wait until every running replica has it."""
+        self.run_until(lambda: self.leader() is not None)
+        self.propose(self.leader())
+        index = self.leader().node.last_index
+        self.run_until(lambda: all(r.machine[0] >= index for r in self.running()))
+        return index
--- /dev/null
+++ b/tests/test_open_group.py
@@ -0,0 +1,147 @@
+"""The log of an open group: first start, standbys, replaced and wiped replicas."""
+
+import random
+
+import pytest
+
+from gooseberrydale.version.replication.bootstrap import common_start
+from gooseberrydale.version.replication.core import Role
+from tests.builders_replication import STEP_S, OpenCluster
+
+SEEDS = {"c1", "c2", "c3"}
+
+
+@pytest.mark.parametrize("order", [("c1", "c2", "c3"), ("c3", "c1", "c2")])
+def test_every_seed_begins_with_the_same_log(order):
+    assert common_start(order) == common_start(sorted(order))
+
+
+@pytest.mark.parametrize("absent", ["c1", "c2", "c3"])
+def test_seeds_begin_without_waiting_for_all_of_them(absent):
+    cluster = OpenCluster(3)
+    cluster.crash(cluster.replicas[absent])
+    cluster.commit()
+    cluster.heal()
+    cluster.commit()
+    assert cluster.voters() == SEEDS
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_further_replica_follows_without_a_vote(seed):
+    cluster = OpenCluster(4, seed)
+    cluster.commit()
+    assert cluster.voters() == SEEDS
+    assert cluster.replicas["c4"].machine[0] == cluster.leader().machine[0]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_standby_takes_the_place_of_a_voter_that_is_gone(seed):
+    cluster = OpenCluster(4, seed)
+    cluster.commit()
+    gone = next(r for r in cluster.running() if r is not cluster.leader())
+    if gone.name == "c4":
+        gone = cluster.replicas[min(SEEDS - {cluster.leader().name})]
+    cluster.crash(gone)
+    cluster.run_until(
+        lambda: cluster.voters() == {"c1", "c2", "c3", "c4"} - {gone.name}
+    )
+    # Now another one may go, and the first comes back as a standby.
+    other = next(
+        r for r in cluster.running() if r is not cluster.leader() and r is not gone
+    )
+    cluster.crash(other)
+    cluster.restart(gone)
+    cluster.commit()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_short_absence_costs_no_vote(seed):
+    cluster = OpenCluster(4, seed)
+    cluster.commit()
+    voters = cluster.voters()
+    away = cluster.replicas[min(voters - {cluster.leader().name})]
+    cluster.crash(away)
+    cluster.run(1.0)
+    cluster.restart(away)
+    cluster.commit()
+    assert cluster.voters() == voters
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_wiped_and_an_outdated_voter_can_not_outvote_the_one_that_knows(seed):
+    cluster = OpenCluster(3, seed)
+    cluster.commit()
+    behind, wiped, dark = (cluster.replicas[name] for name in ("c1", "c2", "c3"))
+    cluster.cuts = {
+        pair for other in ("c2", "c3") for pair in (("c1", other), (other, "c1"))
+    }
+    cluster.run_until(lambda: cluster.leader() not in (None, behind))
+    cluster.propose(cluster.leader())
+    index = cluster.leader().node.last_index
+    cluster.run_until(lambda: min(wiped.machine[0], dark.machine[0]) >= index)
+    cluster.crash(dark)
+    cluster.wipe(wiped)
+    cluster.restart(wiped)
+    cluster.cuts.clear()
+    for _ in range(int(20 / STEP_S)):
+        cluster.run(STEP_S)
+        assert cluster.leader() is None
+    cluster.restart(dark)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    cluster.run_until(lambda: all(r.machine[0] >= index for r in cluster.running()))
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_two_disks_lost_one_after_the_other(seed):
+    cluster = OpenCluster(4, seed)
+    cluster.commit()
+    for name in ("c1", "c2"):
+        cluster.wipe(cluster.replicas[name])
+        cluster.run(0.5)
+        cluster.restart(cluster.replicas[name])
+        cluster.run(4.0)
+    cluster.commit()
+
+
+def test_a_joining_replica_that_knows_no_leader_is_passed_on_to_it():
+    cluster = OpenCluster(4, seed=3)
+    cluster.commit()
+    # The leader is reached by way of a follower alone.
+    leader, new = cluster.leader(), cluster.replicas["c4"]
+    cluster.crash(new)
+    new.stored = type(new.stored)()
+    cluster.cuts = {("c4", leader.name)}
+    cluster.restart(new)
+    cluster.run_until(lambda: new.node.state.cluster != "")
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_random_faults_lose_nothing(seed):
+    """The cluster checks order, leases and leaders at each step."""
+    rng = random.Random(seed)
+    cluster = OpenCluster(4, seed)
+    cluster.commit()
+    for _ in range(12):
+        cluster.run(2.0, loss=0.1, repeat=0.1, load=0.3, sync=0.6, restarts=0.01)
+        victim = cluster.replicas[rng.choice(cluster.names)]
+        if victim.node is not None and rng.random() < 0.5:
+            cluster.crash(victim, rng.randrange(4))
+            cluster.run(rng.uniform(0.1, 4.0), load=0.3)
+            cluster.restart(victim)
+    cluster.heal()
+    cluster.commit()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_what_was_known_to_be_committed_is_applied_before_an_election(seed):
+    cluster = OpenCluster(3, seed)
+    index = cluster.commit()
+    cluster.run(1.0)
+    for replica in cluster.replicas.values():
+        cluster.crash(replica)
+    for replica in cluster.replicas.values():
+        cluster.restart(replica)
+        assert replica.node.role is Role.FOLLOWER
+        assert replica.machine[0] >= index
+        assert not replica.node.caught_up
+    cluster.commit()
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -260,3 +260,50 @@
     assert (forced.entries[-1].index, forced.state.term) == (7, 6)
     assert forced.state.cluster == "y"
     assert "after index 6" in bootstrap.describe(stored).warning
+
+
+def noted(files, *indexes):
+    """Note these commits, each after a sync."""
+    storage = opened(files)
+    for index in indexes:
+        storage.append([entry(index)])
+        storage.note_commit(index)
+        storage.sync()
+        storage.write_note()
+    return storage
+
+
+def test_the_newest_note_of_a_commit_survives_a_loss_of_power():
+    files = FakeFiles()
+    noted(files, 1, 2, 3)
+    assert opened(files.after_power_loss()).stored.commit == 3
+
+
+@pytest.mark.parametrize("torn", [1, 10, 30])
+def test_a_torn_note_leaves_the_one_before(torn):
+    files = FakeFiles()
+    storage = noted(files, 1, 2)
+    storage.note_commit(3)
+    files.fail = errno.EIO
+    storage.write_note()  # a failure is no harm
+    files.fail = None
+    assert opened(files.after_power_loss(torn)).stored.commit == 2
+
+
+def test_a_note_of_another_identity_counts_for_nothing():
+    files = FakeFiles()
+    noted(files, 1, 2)
+    storage = FileStorage(FOLDER, files)
+    storage.open("c2", random.Random(2))
+    assert storage.stored.commit == 0
+
+
+def test_notes_do_not_grow_without_bound():
+    files = FakeFiles()
+    storage = noted(files, 1)
+    for index in range(2, 2_000):
+        storage.note_commit(index)
+        storage.write_note()
+    inode = files.inodes[FOLDER / "commit"]
+    assert len(files.content[inode]) < 64 * 1024
+    assert opened(files.after_kill()).stored.commit == 1_999
