Change a quarter of the engines at once; bounded logs on standard output; split the send

An accepted order was given twice, as reports lag by 200 ms. Log lines were written to standard error, in the loop and without a bound. Change: a quarter of a model's engines changes at once, a third once four seconds have passed; the next report after an accepted order waits for its lag; [log] stdout writes within budgets a kind and never waits; forward.py is split into the choice (forward), the send, the terms and the assignment.

--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -58,10 +58,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LogCfg:
-    """JSON lines on standard error, or in a file if ``file`` is set."""
+    """JSON lines on standard error, or in a file if ``file`` is set.
+
+    With ``stdout`` they go to standard output, within budgets of lines a second, and
+    never wait for whoever reads them.
+    """
 
     level: str = "INFO"
     file: str = ""
+    stdout: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -25,8 +25,9 @@
 from gooseberrydale.process.control.replica import Replica
 from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import is_mark, mark
-from gooseberrydale.version.rollout import EngineWeights, due
+from gooseberrydale.version.rollout import HURRY_AFTER_S, EngineWeights, due
 
 LOOK_S = 0.1
 """How often the leader looks for engines that are behind."""
@@ -35,6 +36,10 @@
 """Time for a mark to reach the entries, and for what they sent before to arrive: the
 mesh gathers records for 10 ms, and a way between zones takes some milliseconds."""
 
+REPORT_LAG_S = 0.4
+"""After an accepted order: an engine's report lags by 200 ms, and a load takes about
+this long in any case."""
+
 POLL_S = 0.12
 """Between two looks at an engine that changes: a part of the time that a load takes,
 as long as which the engine stays out of service for nothing."""
@@ -76,6 +81,7 @@
         self._led_since = 0.0
         self._fenced_term = 0
         self._seq = itertools.count(1)
+        self._named = NamedWeights()
         self._silent: dict[str, float] = {}
         self._changing: dict[str, asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -124,7 +130,17 @@
             if record.model and not is_mark(record)
         ]
         silent = {engine.name for engine in engines if self._is_silent(engine.name)}
-        return due(engines, named, self._changing, silent)
+        return due(engines, named, self._changing, silent, self._hurry(engines))
+
+    def _hurry(self, engines: list[EngineWeights]) -> set[str]:
+        """The models some of whose engines should have newer weights by now."""
+        now = _now()
+        self._named.note(self._machine.state.config.weights, now)
+        return {
+            engine.model
+            for engine in engines
+            if self._named.old_for_s(engine.model, engine.version, now) > HURRY_AFTER_S
+        }
 
     def _is_silent(self, name: str) -> bool:
         """Whether an engine did not answer lately; forgets it after a while."""
@@ -202,6 +218,8 @@
                 # Its address has passed on, so this life has ended.
                 self._announcements.retire(engine.name)
                 return True
+            case OrderAnswer.ACCEPTED:
+                await asyncio.sleep(REPORT_LAG_S)
             case OrderAnswer.UNKNOWN:
                 await asyncio.sleep(RESEND_AFTER_S)
             case _:
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -8,14 +8,12 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from loguru import logger
 from result import Err
 from starlette.types import Receive, Scope, Send
 
-from gooseberrydale.connection.http_pool import HttpPool
 from gooseberrydale.errors import (
     BODY_TOO_LARGE,
     NO_DECLARED_ROUTE,
@@ -25,17 +23,14 @@
     problem,
 )
 from gooseberrydale.process.gateway.answer import CallerAnswer
+from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.declared_store import DeclaredStore
-from gooseberrydale.process.gateway.forward import (
-    Assignment,
-    BrokenAnswerError,
-    Forward,
-)
+from gooseberrydale.process.gateway.forward import BrokenAnswerError, Forward
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
-from gooseberrydale.process.gateway.save_memory import SaveMemory
-from gooseberrydale.process.gateway.upstreams import Upstreams
+from gooseberrydale.process.gateway.send import SendParts
+from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.request.comeback import NOT_READY_AFTER_S, PART_OF_LEFT
-from gooseberrydale.request.gateway_call import CallerCall, Wire
+from gooseberrydale.request.gateway_call import CallerCall
 from gooseberrydale.version.declared import KeyHolder, Pool, Route
 from gooseberrydale.version.route_table import RouteTable
 
@@ -57,14 +52,11 @@
 class GatewayParts:
     """What all requests of the process share."""
 
-    wire: Wire
     declared: DeclaredStore
-    upstreams: Upstreams
-    conns: HttpPool
+    sends: SendParts
+    terms: TermsMaker
     budgets: RetryBudgets
-    saves: SaveMemory
     rng: random.Random
-    work_changed: Callable[[], None]
 
 
 class GatewayApp:
@@ -109,7 +101,7 @@
         scope = self._scope
         extension = scope.get("extensions", {}).get(TARGET, {})
         target = extension.get(TARGET, scope["raw_path"])
-        found = self._parts.wire.read_call(
+        found = self._parts.sends.wire.read_call(
             scope["method"], target, tuple(scope["headers"])
         )
         if isinstance(found, Err):
@@ -148,16 +140,9 @@
             await answer.refuse(too_large, close=True)
             return too_large.code
         job = self._assign(call, route, table, holder, body)
-        forward = Forward(
-            job,
-            answer,
-            self._parts.wire,
-            self._parts.upstreams,
-            self._parts.conns,
-            self._parts.budgets.of(job.pool.name),
-            self._parts.saves,
-            self._parts.work_changed,
-        )
+        parts = self._parts
+        budget = parts.budgets.of(job.pool.name)
+        forward = Forward(job, answer, parts.sends, parts.terms, budget)
         self._forward = forward
         await self._run(forward)
         return forward.outcome
--- /dev/null
+++ b/gooseberrydale/process/gateway/assignment.py
@@ -0,0 +1,52 @@
+"""What is known of a request before it is sent anywhere.
+
+Lives for one request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from gooseberrydale.request.gateway_call import CallerCall
+from gooseberrydale.version.declared import KeyHolder, Pool, Route
+
+
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """A request with its route, its pool and its workspace.
+
+    ``began_at`` and ``until`` are the times of the loop between which it lives.
+    """
+
+    call: CallerCall
+    route: Route
+    pool: Pool
+    body: bytes
+    began_at: float
+    until: float
+    workspace: KeyHolder | None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may run again."""
+        route = self.route
+        return route.resumable if route.streamed else route.repeatable
+
+    @property
+    def rank(self) -> int:
+        """Its rank among others, 0 first; a workspace's goes before its route's."""
+        holder = self.workspace
+        if holder is not None and holder.priority is not None:
+            return holder.priority
+        return self.route.priority
+
+    @property
+    def scope(self) -> str:
+        """Names the workspace if nothing computed for it may be shared with others."""
+        holder = self.workspace
+        return holder.name if holder is not None and holder.isolated else ""
+
+    def left_s(self) -> float:
+        """Seconds that the request has left; below 0 once it is over."""
+        return self.until - asyncio.get_running_loop().time()
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -20,8 +20,9 @@
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
-from gooseberrydale.process.gateway.save_memory import SaveMemory
+from gooseberrydale.process.gateway.send import SendParts
 from gooseberrydale.process.gateway.store_follower import StoreFeed, StoreFollower
+from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh
@@ -106,15 +107,15 @@
             self._upstreams,
             self._peer_addresses,
         )
+        sends = SendParts(
+            dialect.wire, self._upstreams, self._conns, self._gossip.changed
+        )
         parts = GatewayParts(
-            wire=dialect.wire,
             declared=self._declared,
-            upstreams=self._upstreams,
-            conns=self._conns,
+            sends=sends,
+            terms=TermsMaker(self._upstreams),
             budgets=RetryBudgets(self._cfg, self._count_gateways),
-            saves=SaveMemory(),
             rng=self._rng,
-            work_changed=self._gossip.changed,
         )
         self._app = GatewayApp(parts)
         protocol = front_protocol(self._limits)
--- /dev/null
+++ b/gooseberrydale/process/gateway/send.py
@@ -0,0 +1,263 @@
+"""Sends one request to an upstream and passes its answer on to the caller.
+
+Lives for one request, and may send it several times, one after the other.  What went
+out to the caller stays: a stream that is resumed goes on after its last whole event.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gooseberrydale.connection.http_conn import HttpConn, ResponseHead
+from gooseberrydale.connection.http_pool import HttpPool
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.sse import EventCutter, SseError
+from gooseberrydale.connection.upstream_reply import UpstreamError
+from gooseberrydale.process.gateway.answer import HOP_HEADERS, CallerAnswer
+from gooseberrydale.process.gateway.assignment import Assignment
+from gooseberrydale.process.gateway.upstreams import Upstreams
+from gooseberrydale.request.attempt_end import End
+from gooseberrydale.request.gateway_call import (
+    AnswerHead,
+    CallerCall,
+    RawHeaders,
+    Terms,
+    Wire,
+)
+from gooseberrydale.version.upstream_load import UpstreamLoad, Work
+
+LAST_WORD_S = 0.05
+"""How much longer than the request's time an answer is waited for: the upstream ends
+by itself then, and can say that it did not run what still waits there."""
+
+MAX_WHOLE_BYTES = 16 * 1024 * 1024
+"""An answer that is collected before it goes out; services answer some kilobytes."""
+
+UNSURE_STATUS = frozenset({408, 421, 429, 503})
+"""Callers take these as "has not run"; without the upstream's word nobody knows."""
+
+FIRST_SERVER_STATUS = 500
+
+
+class _MoveStreamError(Exception):
+    """The stream goes on at another upstream, as this one has to become free."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendParts:
+    """What sends need of the process; ``work_changed`` is called at each change."""
+
+    wire: Wire
+    upstreams: Upstreams
+    conns: HttpPool
+    work_changed: Callable[[], None]
+
+
+class Sender:
+    """Sends of one request.
+
+    ``may_move`` is asked after each part of a stream that may be resumed whether it
+    shall go on elsewhere.  ``runs`` counts the sends that may have run, ``failure`` is
+    the last failure that an upstream itself answered with.
+    """
+
+    def __init__(
+        self,
+        job: Assignment,
+        answer: CallerAnswer,
+        parts: SendParts,
+        may_move: Callable[[UpstreamRecord], bool],
+    ) -> None:
+        self._job = job
+        self._answer = answer
+        self._parts = parts
+        self._may_move = may_move
+        self._prefilled = False
+        self.runs = 0
+        self.failure: tuple[AnswerHead, bytes] | None = None
+        self.last_event_id: str | None = job.call.last_event_id
+
+    async def send(
+        self, record: UpstreamRecord, terms: Terms, work: Work
+    ) -> End | None:
+        """Send the request once; None if the caller has the whole answer."""
+        load = self._parts.upstreams.load_of(record.name)
+        self._prefilled = False
+        load.began(work)
+        self._parts.work_changed()
+        try:
+            async with asyncio.timeout_at(self._job.until + LAST_WORD_S):
+                return await self._exchange(record, terms, load, work)
+        except TimeoutError:
+            return End.TIMED_OUT
+        except _MoveStreamError:
+            return End.MOVED
+        finally:
+            load.ended(work, prefilled=self._prefilled)
+            self._parts.work_changed()
+
+    async def _exchange(
+        self, record: UpstreamRecord, terms: Terms, load: UpstreamLoad, work: Work
+    ) -> End | None:
+        conns, sure = self._parts.conns, not self._job.repeatable
+        try:
+            conn = await conns.take(record.address, record.name, sure=sure)
+        except UpstreamError:
+            load.unreachable(_now())
+            return End.NOT_SENT
+        whole = False
+        try:
+            end = await self._use(conn, record, terms, load, work)
+            whole = True
+            return end
+        except UpstreamError as exc:
+            if not exc.sent:
+                return End.NOT_SENT
+            load.unreachable(_now())
+            return End.LOST
+        finally:
+            if whole:
+                conns.give_back(record.address, record.name, conn)
+            else:
+                self._leave(conn)
+
+    def _leave(self, conn: HttpConn) -> None:
+        """Give up an answer; what must not run twice may still end by itself."""
+        if self._job.repeatable or self._job.route.streamed or not conn.sent:
+            conn.abort()
+            return
+        delay_s = max(0.0, self._job.left_s())
+        asyncio.get_running_loop().call_later(delay_s, conn.abort)
+
+    async def _use(
+        self,
+        conn: HttpConn,
+        record: UpstreamRecord,
+        terms: Terms,
+        load: UpstreamLoad,
+        work: Work,
+    ) -> End | None:
+        """Send on ``conn`` and read the answer; raises :class:`UpstreamError`."""
+        job, wire = self._job, self._parts.wire
+        headers = wire.request_headers(job.call, terms)
+        conn.send(_request_head(job.call, headers, len(job.body)), job.body)
+        self.runs += 1
+        raw = await conn.head(self._is_mine)
+        head = wire.read_answer(raw.status, raw.headers)
+        if head.load is not None:
+            load.reported(head.load, _now())
+        if head.not_run:
+            return await self._take_refusal(conn, head, record)
+        if not head.ok:
+            return await self._take_failure(conn, head, load)
+        if not head.signed or head.encoded:
+            raise UpstreamError("the answer is not the upstream's own", sent=True)
+        if job.route.streamed:
+            await self._pass_stream(conn, head, record, load, work)
+        else:
+            body = await _read_whole(conn)
+            await self._answer.whole(head.status, head.headers, body)
+        load.answered(failed=False)
+        return None
+
+    def _is_mine(self, raw: ResponseHead) -> bool:
+        head = self._parts.wire.read_answer(raw.status, raw.headers)
+        if head.request_id is None:
+            # An upstream that could not read the request does not know its id.
+            return not head.ok
+        return head.request_id == self._job.call.request_id
+
+    async def _take_refusal(
+        self, conn: HttpConn, head: AnswerHead, record: UpstreamRecord
+    ) -> End:
+        self.runs -= 1
+        await _read_whole(conn)
+        gone = head.instance not in (None, record.name)
+        self._parts.upstreams.refused(record.name, _now(), gone=gone)
+        return End.REFUSED
+
+    async def _take_failure(
+        self, conn: HttpConn, head: AnswerHead, load: UpstreamLoad
+    ) -> End | None:
+        body = await _read_whole(conn)
+        failed = head.status >= FIRST_SERVER_STATUS
+        load.answered(failed=failed)
+        if head.status in UNSURE_STATUS and not self._job.repeatable:
+            return End.INVALID
+        if failed or self._answer.started:
+            self.failure = head, body
+            return End.FAILED
+        await self._answer.whole(head.status, head.headers, body)
+        return None
+
+    async def _pass_stream(
+        self,
+        conn: HttpConn,
+        head: AnswerHead,
+        record: UpstreamRecord,
+        load: UpstreamLoad,
+        work: Work,
+    ) -> None:
+        cutter = EventCutter() if self._job.route.resumable else None
+        headers = head.headers
+        if cutter is not None:
+            # A resumed answer has another length than its first upstream says.
+            headers = tuple(h for h in headers if h[0] != b"content-length")
+        async for data in conn.body():
+            self._note_first_part(load, work)
+            if not self._answer.started:
+                await self._answer.start(head.status, headers)
+            if cutter is None:
+                await self._answer.write(data)
+            else:
+                await self._write_events(cutter, data)
+                if self.last_event_id is not None and self._may_move(record):
+                    raise _MoveStreamError
+        if not self._answer.started:
+            await self._answer.start(head.status, headers)
+        if cutter is not None and cutter.rest:
+            await self._answer.write(cutter.rest)
+        await self._answer.end()
+
+    def _note_first_part(self, load: UpstreamLoad, work: Work) -> None:
+        if not self._prefilled:
+            self._prefilled = True
+            load.first_part(work)
+            self._parts.work_changed()
+
+    async def _write_events(self, cutter: EventCutter, data: bytes) -> None:
+        try:
+            events = cutter.feed(data)
+        except SseError as exc:
+            raise UpstreamError(str(exc), sent=True) from exc
+        if events:
+            await self._answer.write(b"".join(event.data for event in events))
+        for event in events:
+            self.last_event_id = event.event_id or self.last_event_id
+
+
+def _request_head(call: CallerCall, headers: RawHeaders, size: int) -> bytes:
+    lines = [f"{call.method} {call.target} HTTP/1.1".encode("latin-1")]
+    lines += [
+        name + b": " + value for name, value in headers if name not in HOP_HEADERS
+    ]
+    if size or call.method in ("POST", "PUT", "PATCH"):
+        lines.append(b"content-length: %d" % size)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+async def _read_whole(conn: HttpConn) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    async for data in conn.body():
+        size += len(data)
+        if size > MAX_WHOLE_BYTES:
+            raise UpstreamError(f"an answer is over {MAX_WHOLE_BYTES} bytes", sent=True)
+        parts.append(data)
+    return b"".join(parts)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/gooseberrydale/process/logs.py
+++ b/gooseberrydale/process/logs.py
@@ -15,7 +15,9 @@
 import os
 import re
 import sys
+import time
 import traceback
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import IO, TYPE_CHECKING, Any
 
@@ -23,6 +25,7 @@
 from loguru import logger
 
 from gooseberrydale.process.cfg import LogCfg
+from gooseberrydale.process.line_out import LineBudget, LineOut
 
 if TYPE_CHECKING:
     from loguru import Message, Record
@@ -69,8 +72,7 @@
     os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
     logger.remove()
     identify(identity)
-    out = open(cfg.file, "a", encoding="utf-8") if cfg.file else sys.stderr
-    logger.add(_Sink(out), level=cfg.level, format="{message}", catch=True)
+    logger.add(_sink(cfg), level=cfg.level, format="{message}", catch=True)
     _route_standard_logging(cfg.level)
 
 
@@ -98,6 +100,45 @@
     return _encoder.encode(line)
 
 
+def _sink(cfg: LogCfg) -> Callable[[Message], None]:
+    if cfg.stdout and not cfg.file:
+        return _BoundedSink(LineOut(sys.stdout.fileno()))
+    return _Sink(open(cfg.file, "a", encoding="utf-8") if cfg.file else sys.stderr)
+
+
+class _BoundedSink:
+    """Writes lines within their budgets and never waits; see ``line_out``."""
+
+    def __init__(self, out: LineOut) -> None:
+        self._out = out
+        self._budget = LineBudget()
+        self._told_dropped = 0
+
+    def __call__(self, message: Message) -> None:
+        record = message.record
+        left_out = self._budget.admit(kind_of(record), time.monotonic())
+        if left_out is None:
+            return
+        if left_out:
+            record["extra"]["left_out_before"] = left_out
+        if self._out.dropped != self._told_dropped:
+            self._told_dropped = self._out.dropped
+            record["extra"]["dropped_so_far"] = self._told_dropped
+        self._out.write(to_json(record))
+
+
+def kind_of(record: Record) -> str:
+    """What shares a budget: events by name and outcome, other lines by their place.
+
+    Ordinary outcomes thus never crowd out those that need an explanation.
+    """
+    extra = record["extra"]
+    event = extra.get("event")
+    if event is None:
+        return f"{record['name']}:{record['line']}"
+    return f"{event}:{extra.get('outcome', extra.get('end', ''))}"
+
+
 class _Sink:
     """Writes one line for each record and flushes it, so that a crash keeps it."""
 
