--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -25,9 +25,8 @@
 from gooseberrydale.process.control.replica import Replica
 from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import is_mark, mark
-from gooseberrydale.version.rollout import HURRY_AFTER_S, EngineWeights, due
+from gooseberrydale.version.rollout import EngineWeights, due
 
 LOOK_S = 0.1
 """How often the leader looks for engines that are behind."""
@@ -81,7 +80,6 @@
         self._led_since = 0.0
         self._fenced_term = 0
         self._seq = itertools.count(1)
-        self._named = NamedWeights()
         self._silent: dict[str, float] = {}
         self._changing: dict[str, asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -130,17 +128,7 @@
             if record.model and not is_mark(record)
         ]
         silent = {engine.name for engine in engines if self._is_silent(engine.name)}
-        return due(engines, named, self._changing, silent, self._hurry(engines))
-
-    def _hurry(self, engines: list[EngineWeights]) -> set[str]:
-        """The models some of whose engines should have newer weights by now."""
-        now = _now()
-        self._named.note(self._machine.state.config.weights, now)
-        return {
-            engine.model
-            for engine in engines
-            if self._named.old_for_s(engine.model, engine.version, now) > HURRY_AFTER_S
-        }
+        return due(engines, named, self._changing, silent)
 
     def _is_silent(self, name: str) -> bool:
         """Whether an engine did not answer lately; forgets it after a while."""
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -33,11 +33,11 @@
 from gooseberrydale.version.peer_loads import PeerLoads
 
 SWEEP_S = 0.5
-UNREADY_S = 2.4
+UNREADY_S = 2.1
 """Balancers that ask once a second see two refusals in this time, and send no more
 connections."""
 
-CUT_PART = 0.94
+CUT_PART = 0.97
 """Part of the time before the process is killed that open answers get."""
 
 READY_CLOSE_S = 0.1
--- a/gooseberrydale/version/rollout.py
+++ b/gooseberrydale/version/rollout.py
@@ -13,20 +13,15 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
-AT_ONCE_PART = 1 / 4
-"""Part of a model's engines that may change at once, one at least.
+AT_ONCE_PART = 1 / 3
+"""Part of a model's engines that may change at once.
 
-New weights make every cached prefix void, and the engines that have them compute all of
-them again; meanwhile those with the old weights and warm caches carry the load.  Four
-or five rounds of about a second stay within the eight seconds that users allow."""
+With a load of half a second after runs of about a second, three rounds take five
+seconds, of the eight within which users want new weights in force."""
 
-HURRY_PART = 1 / 3
-"""The same once weights were named ``HURRY_AFTER_S`` ago and some engines lack them."""
-
-HURRY_AFTER_S = 4.0
-
-ROUNDING = 0.5
-"""Parts of an engine under a half are left out."""
+MIN_AT_ONCE = 2
+"""Engines that may change at once however few there are; two of the smallest pool
+that is planned for, five engines, leave more than half of it at work."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,13 +39,12 @@
     named: Mapping[str, int],
     changing: Collection[str],
     silent: Collection[str] = (),
-    hurry: Collection[str] = (),
 ) -> list[str]:
     """Names of the engines to begin with now, those on the oldest weights first.
 
     ``named`` is the version wanted by model; ``changing`` names the engines whose
     change is under way, ``silent`` those that did not answer lately, which take no work
-    either; ``hurry`` names the models whose engines should be done by now.
+    either.
     """
     by_model: dict[str, list[EngineWeights]] = {}
     for engine in engines:
@@ -58,9 +52,7 @@
             by_model.setdefault(engine.model, []).append(engine)
     found = []
     for model, members in sorted(by_model.items()):
-        part = HURRY_PART if model in hurry else AT_ONCE_PART
-        at_once = max(1, math.ceil(len(members) * part - ROUNDING))
-        found += _due_of_model(members, named[model], changing, silent, at_once)
+        found += _due_of_model(members, named[model], changing, silent)
     return found
 
 
@@ -69,8 +61,8 @@
     wanted: int,
     changing: Collection[str],
     silent: Collection[str],
-    at_once: int,
 ) -> list[str]:
+    at_once = max(MIN_AT_ONCE, math.ceil(len(members) * AT_ONCE_PART))
     out = {*changing, *silent}
     # One goes on in any case: engines that are away may never come back.
     allowed = max(1, at_once - sum(member.name in silent for member in members))
