--- a/gooseberrydale/process/membership.py
+++ b/gooseberrydale/process/membership.py
@@ -31,6 +31,7 @@
 from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.order_marks import is_mark_name
 from gooseberrydale.version.session_targets import EntryPoint, session_targets
 
 __all__ = ["Mesh", "OwnRecord", "PeerState"]
@@ -151,7 +152,9 @@
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             for name in directory.expire(asyncio.get_running_loop().time()):
-                logger.warning("lease of upstream {} ended", name)
+                # Marks of orders end in this way as a rule.
+                if not is_mark_name(name):
+                    logger.warning("lease of upstream {} ended", name)
 
 
 class _Announcer:
--- a/gooseberrydale/request/attempt_end.py
+++ b/gooseberrydale/request/attempt_end.py
@@ -3,7 +3,8 @@
 The decision rests on whether the request can have run, and whether it may run again.
 A request that may not be repeated is sent again only if its upstream states that it
 did not run it, or if nothing was sent.  Sends beyond the first are paid from the
-pool's retry budget.
+pool's retry budget, unless the one before did not leave this process: then no upstream
+has got the request twice.
 """
 
 from __future__ import annotations
@@ -94,7 +95,8 @@
         return GiveUp(_waited(sends))
     allowed = sends.end in _NOT_RUN or (repeatable and sends.runs < max_runs)
     useful = others and left_s > MIN_LEFT_S and sends.sends < MAX_SENDS
-    if allowed and useful and budget.spend(now):
+    paid = sends.end is End.NOT_SENT or (allowed and useful and budget.spend(now))
+    if allowed and useful and paid:
         return SendAgain()
     if sends.end is End.FAILED:
         return PassOn()
--- a/gooseberrydale/version/order_marks.py
+++ b/gooseberrydale/version/order_marks.py
@@ -40,6 +40,11 @@
     )
 
 
+def is_mark_name(name: str) -> bool:
+    """Whether a record under this name is a mark."""
+    return name.endswith(_SUFFIX)
+
+
 def is_mark(record: UpstreamRecord) -> bool:
     """Whether a record is a mark and no upstream's own."""
     return record.kind == _KIND
