Send streams elsewhere that a drain can't finish; keep to declared connections

Separately, the declared bound of connections to an upstream was read and never kept: a gateway kept up to 16 idle ones to each, 32 gateways 512 where 250 are accepted, and the upstream resets those beyond. Ruled out: refusing streams from the signal on (the balancer would lead the callers back here while they have one more try). Change: request/draining.py decides what is still taken in the last 0.4 s in which the balancer may send callers; open answers go on until 0.15 s before the process is killed. request/connection_share.py gives each gateway its part of the declared connections; a send that finds none goes to another upstream without the first being suspected.

--- a/gooseberrydale/connection/http_call.py
+++ b/gooseberrydale/connection/http_call.py
@@ -55,4 +55,5 @@
         if whole:
             pool.give_back(address, address, conn)
         else:
+            pool.drop(address, address)
             conn.abort()
--- a/gooseberrydale/connection/http_pool.py
+++ b/gooseberrydale/connection/http_pool.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 
 from gooseberrydale.connection.http_conn import HttpConn
+from gooseberrydale.connection.upstream_reply import UpstreamError
 
 SURE_MARGIN = 0.5
 """A request that must not be sent twice uses a connection only in the first half of
@@ -23,44 +24,79 @@
 Key = tuple[str, str]
 
 
+class ConnectionsTakenError(UpstreamError):
+    """As many connections as allowed are in use; the upstream itself may be well."""
+
+    def __init__(self, bound: int) -> None:
+        super().__init__(f"all {bound} connections are in use", sent=False)
+
+
 class HttpPool:
     """Idle connections; the one used last goes out first."""
 
     def __init__(self) -> None:
         self._idle: dict[Key, deque[HttpConn]] = {}
-        self.opened = 0
-        self.reused = 0
+        self._in_use: Counter[Key] = Counter()
 
-    async def take(self, address: str, instance: str, *, sure: bool) -> HttpConn:
+    async def take(
+        self, address: str, instance: str, *, sure: bool, bound: int | None = None
+    ) -> HttpConn:
         """A connection to one life of an upstream, kept or new.
 
-        ``sure`` asks for one that will hardly close under the request.  Raises
-        :class:`UpstreamError`, with nothing sent.
+        ``sure`` asks for one that will hardly close under the request.  At most
+        ``bound`` connections are open, idle ones included.  Whoever takes one calls
+        ``give_back`` or ``drop`` once.  Raises :class:`UpstreamError`, with nothing
+        sent.
         """
+        key = address, instance
+        if bound is not None and self._in_use[key] >= bound:
+            raise ConnectionsTakenError(bound)
+        self._in_use[key] += 1
+        try:
+            return self._reuse(key, sure) or await HttpConn.open(address)
+        except BaseException:
+            self._release(key)
+            raise
+
+    def _reuse(self, key: Key, sure: bool) -> HttpConn | None:
         margin = SURE_MARGIN if sure else 1.0
         now = asyncio.get_running_loop().time()
-        idle = self._idle.get((address, instance))
+        idle = self._idle.get(key)
         while idle:
             conn = idle.pop()
             if conn.reusable(now, margin=margin):
-                self.reused += 1
                 conn.sent = False
                 return conn
             conn.abort()
-        self.opened += 1
-        return await HttpConn.open(address)
+        return None
 
-    def give_back(self, address: str, instance: str, conn: HttpConn) -> None:
+    def give_back(
+        self, address: str, instance: str, conn: HttpConn, bound: int | None = None
+    ) -> None:
         """Keep a connection for the next request, if it may be used again."""
+        key = address, instance
+        self._release(key)
         now = asyncio.get_running_loop().time()
         if not conn.reusable(now):
             conn.abort()
             return
-        idle = self._idle.setdefault((address, instance), deque())
+        idle = self._idle.setdefault(key, deque())
         idle.append(conn)
-        while len(idle) > KEPT_PER_UPSTREAM:
+        kept = KEPT_PER_UPSTREAM
+        if bound is not None:
+            kept = min(kept, max(0, bound - self._in_use[key]))
+        while len(idle) > kept:
             idle.popleft().abort()
 
+    def drop(self, address: str, instance: str) -> None:
+        """A connection that was taken is not kept; who took it breaks it."""
+        self._release((address, instance))
+
+    def _release(self, key: Key) -> None:
+        self._in_use[key] -= 1
+        if self._in_use[key] <= 0:
+            del self._in_use[key]
+
     def sweep(self, instances: Iterable[str]) -> None:
         """Close connections that idled too long, or whose upstream is not listed."""
         now = asyncio.get_running_loop().time()
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -18,6 +18,7 @@
     BODY_TOO_LARGE,
     NO_DECLARED_ROUTE,
     NOT_READY,
+    SHUTTING_DOWN,
     UNKNOWN_CALLER_KEY,
     Problem,
     problem,
@@ -30,6 +31,7 @@
 from gooseberrydale.process.gateway.send import SendParts
 from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.request.comeback import NOT_READY_AFTER_S, PART_OF_LEFT
+from gooseberrydale.request.draining import Drain, come_back_s
 from gooseberrydale.request.gateway_call import CallerCall
 from gooseberrydale.version.declared import KeyHolder, Pool, Route
 from gooseberrydale.version.route_table import RouteTable
@@ -60,11 +62,11 @@
 
 
 class GatewayApp:
-    """Serves requests; ``closing`` asks callers to come back elsewhere."""
+    """Serves requests; ``drain`` is set once the process was told to stop."""
 
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
-        self.closing = False
+        self.drain: Drain | None = None
         self.open_requests = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -73,7 +75,7 @@
             return
         self.open_requests += 1
         try:
-            await _Request(self._parts, scope, receive, send, self.closing).serve()
+            await _Request(self._parts, scope, receive, send, self.drain).serve()
         finally:
             self.open_requests -= 1
 
@@ -87,13 +89,13 @@
         scope: Scope,
         receive: Receive,
         send: Send,
-        closing: bool,
+        drain: Drain | None,
     ) -> None:
         self._parts = parts
         self._scope = scope
         self._receive = receive
         self._send = send
-        self._closing = closing
+        self._drain = drain
         self._forward: Forward | None = None
         self._began = asyncio.get_running_loop().time()
 
@@ -105,11 +107,13 @@
             scope["method"], target, tuple(scope["headers"])
         )
         if isinstance(found, Err):
-            answer = CallerAnswer(self._send, "", closing=self._closing)
+            answer = CallerAnswer(self._send, "", closing=self._drain is not None)
             await answer.refuse(found.err_value, close=True)
             return
         call = found.ok_value
-        answer = CallerAnswer(self._send, call.request_id, closing=self._closing)
+        answer = CallerAnswer(
+            self._send, call.request_id, closing=self._drain is not None
+        )
         outcome = "caller_gone"
         try:
             outcome = await self._serve(call, answer)
@@ -140,6 +144,11 @@
             await answer.refuse(too_large, close=True)
             return too_large.code
         job = self._assign(call, route, table, holder, body)
+        back_s = self._come_back_s(job)
+        if back_s is not None:
+            stopping = problem(SHUTTING_DOWN, retry_after_s=back_s)
+            await answer.refuse(stopping, close=True)
+            return stopping.code
         parts = self._parts
         budget = parts.budgets.of(job.pool.name)
         forward = Forward(job, answer, parts.sends, parts.terms, budget)
@@ -176,6 +185,13 @@
             workspace=None if route.public else holder,
         )
 
+    def _come_back_s(self, job: Assignment) -> float | None:
+        """When to come back elsewhere, as this process may end before the answer."""
+        if self._drain is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        return come_back_s(self._drain, now, job.left_s(), job.call.prompt)
+
     def _pool(self, route: Route, table: RouteTable) -> Pool:
         """Draw a pool by the weights of the route's shares."""
         weights = [share.weight for share in route.shares]
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -26,9 +26,11 @@
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh
+from gooseberrydale.request.connection_share import connection_share
+from gooseberrydale.request.draining import Drain
 from gooseberrydale.request.gateway_call import Wire
 from gooseberrydale.version.config_store import ConfigStore
-from gooseberrydale.version.declared import CallerLimits
+from gooseberrydale.version.declared import CallerLimits, Pool
 from gooseberrydale.version.directory import Directory, new_incarnation
 from gooseberrydale.version.peer_loads import PeerLoads
 
@@ -37,8 +39,9 @@
 """Balancers that ask once a second see two refusals in this time, and send no more
 connections."""
 
-CUT_PART = 0.97
-"""Part of the time before the process is killed that open answers get."""
+CUT_MARGIN_S = 0.15
+"""Open answers are cut this long before the process is killed: closing the rest takes
+about a tenth of a second."""
 
 READY_CLOSE_S = 0.1
 RECORD_LEASE_S = 6.0
@@ -108,7 +111,11 @@
             self._peer_addresses,
         )
         sends = SendParts(
-            dialect.wire, self._upstreams, self._conns, self._gossip.changed
+            dialect.wire,
+            self._upstreams,
+            self._conns,
+            self._gossip.changed,
+            self._connections,
         )
         parts = GatewayParts(
             declared=self._declared,
@@ -131,7 +138,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer shall send connections here."""
-        return self._declared.table is not None and not self._app.closing
+        return self._declared.table is not None and self._app.drain is None
 
     async def start(self) -> None:
         """Serve; raises OSError if an address can't be bound."""
@@ -145,13 +152,18 @@
 
     async def close(self) -> None:
         """Tell the balancer, wait until it knows, then end what is open."""
-        if self._app.closing:
+        if self._app.drain is not None:
             return
-        self._app.closing = True
+        loop = asyncio.get_running_loop()
+        unready_s = min(UNREADY_S, self._cfg.grace_s / 3)
+        now = loop.time()
+        drain = Drain(now + unready_s, now + self._cfg.grace_s - CUT_MARGIN_S)
+        self._app.drain = drain
         logger.bind(event="draining", open=self._app.open_requests).info("draining")
-        await asyncio.sleep(min(UNREADY_S, self._cfg.grace_s / 3))
-        left_s = self._cfg.grace_s * CUT_PART - UNREADY_S
-        await self._front.close(max(READY_CLOSE_S, left_s))
+        await asyncio.sleep(unready_s)
+        await self._front.close(max(READY_CLOSE_S, drain.cut_at - loop.time()))
+        open_requests = self._app.open_requests
+        logger.bind(event="drained", open=open_requests).info("drained")
         await self._ready.close(READY_CLOSE_S)
         if self._sweeping is not None:
             self._sweeping.cancel()
@@ -177,8 +189,14 @@
         )
 
     def _count_gateways(self) -> int:
+        """The gateways known, and at least those that the settings count on."""
         now = asyncio.get_running_loop().time()
-        return len(self.directory.ready(GATEWAY_POOL, now))
+        known = len(self.directory.ready(GATEWAY_POOL, now))
+        return max(self._cfg.gateways, known)
+
+    def _connections(self, pool: Pool) -> int | None:
+        """How many connections to one upstream of ``pool`` may be open here."""
+        return connection_share(pool.max_connections, self._count_gateways())
 
     def _peer_addresses(self) -> list[str]:
         """Where the other gateways listen for gossip."""
--- a/gooseberrydale/process/gateway/retry_budgets.py
+++ b/gooseberrydale/process/gateway/retry_budgets.py
@@ -25,22 +25,17 @@
 
 
 class RetryBudgets:
-    """One budget for each pool; ``gateways`` counts the gateways that are known.
-
-    It is taken as at least the number in the settings: a process that has just started
-    does not know the others yet.
-    """
+    """One budget for each pool; ``gateways`` counts the gateways to share it with."""
 
     def __init__(self, cfg: GatewayCfg, gateways: Callable[[], int]) -> None:
         self._ratio = cfg.retry_ratio * RATIO_PART
         self._slack = cfg.retry_slack
-        self._least = cfg.gateways
         self._gateways = gateways
         self._budgets: dict[str, RetryBudget] = {}
 
     def of(self, pool: str) -> RetryBudget:
         """The budget of a pool."""
-        own_slack = self._slack / max(self._least, self._gateways())
+        own_slack = self._slack / max(1, self._gateways())
         floor_per_s = own_slack * FLOW_PART / WINDOW_S
         cap = max(1.0, own_slack * BURST_PART)
         budget = self._budgets.get(pool)
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from gooseberrydale.connection.http_conn import HttpConn, ResponseHead
-from gooseberrydale.connection.http_pool import HttpPool
+from gooseberrydale.connection.http_pool import ConnectionsTakenError, HttpPool
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.sse import EventCutter, SseError
 from gooseberrydale.connection.upstream_reply import UpstreamError
@@ -26,6 +26,7 @@
     Terms,
     Wire,
 )
+from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.upstream_load import UpstreamLoad, Work
 
 LAST_WORD_S = 0.05
@@ -47,12 +48,17 @@
 
 @dataclass(frozen=True, slots=True)
 class SendParts:
-    """What sends need of the process; ``work_changed`` is called at each change."""
+    """What sends need of the process.
+
+    ``work_changed`` is called at each change; ``connections`` tells how many may be
+    open to one upstream of a pool.
+    """
 
     wire: Wire
     upstreams: Upstreams
     conns: HttpPool
     work_changed: Callable[[], None]
+    connections: Callable[[Pool], int | None]
 
 
 class Sender:
@@ -102,8 +108,11 @@
         self, record: UpstreamRecord, terms: Terms, load: UpstreamLoad, work: Work
     ) -> End | None:
         conns, sure = self._parts.conns, not self._job.repeatable
+        at, bound = (record.address, record.name), self._bound()
         try:
-            conn = await conns.take(record.address, record.name, sure=sure)
+            conn = await conns.take(*at, sure=sure, bound=bound)
+        except ConnectionsTakenError:
+            return End.NOT_SENT
         except UpstreamError:
             load.unreachable(_now())
             return End.NOT_SENT
@@ -119,10 +128,14 @@
             return End.LOST
         finally:
             if whole:
-                conns.give_back(record.address, record.name, conn)
+                conns.give_back(*at, conn, bound)
             else:
+                conns.drop(*at)
                 self._leave(conn)
 
+    def _bound(self) -> int | None:
+        return self._parts.connections(self._job.pool)
+
     def _leave(self, conn: HttpConn) -> None:
         """Give up an answer; what must not run twice may still end by itself."""
         if self._job.repeatable or self._job.route.streamed or not conn.sent:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.order_marks import mark
 from tests.builders_gateway import (
     HOST,
@@ -429,6 +430,23 @@
     run(main())
 
 
+def test_what_can_not_end_before_the_process_does_is_sent_elsewhere() -> None:
+    async def main() -> None:
+        upstream = RawUpstream("u1", well)
+        async with running_gateway(ALL, upstream) as gateway:
+            closing = asyncio.create_task(gateway.close())
+            # Two thirds of a second listed, 1.85 s to the cut, and 2 s for a call.
+            await asyncio.sleep(0.5)
+            got = await call(gateway)
+            short = await call(gateway, extra="Wait: 0.5")
+            await closing
+        assert (got.status, got.headers["connection"]) == (503, "close")
+        assert 0.0 < float(got.headers["retry-after"]) < 0.3
+        assert (short.status, len(upstream.requests)) == (200, 1)
+
+    run(main())
+
+
 async def ready_status(gateway: Any) -> int:
     """What the balancer is told."""
     host, _, port = gateway.addresses["ready"].rpartition(":")
@@ -437,3 +455,24 @@
     got = await read_answer(reader)
     writer.close()
     return got.status
+
+
+def test_connections_to_an_upstream_stay_within_the_gateways_part() -> None:
+    async def slowly(req: dict[str, str], body: bytes, writer: Writer) -> None:
+        await asyncio.sleep(0.1)
+        await well(req, body, writer)
+
+    async def main() -> None:
+        # Ten declared, nine used, three for each of three gateways.
+        document = declared(pools={POOL: Pool(POOL, 10)})
+        first, other = RawUpstream("u1", slowly), RawUpstream("u2", slowly)
+        async with running_gateway(document, first, other, gateways=3) as gateway:
+            for _ in range(2):
+                calls = [call(gateway, request_id=f"r{n}") for n in range(8)]
+                got = sorted(one.status for one in await asyncio.gather(*calls))
+                # Six find a connection; the others are told that they did not run.
+                assert got == [200] * 6 + [503] * 2
+            assert (first.connections, other.connections) == (3, 3)
+            assert not gateway._upstreams.load_of("u1").suspect_until > 0
+
+    run(main())
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -133,7 +133,7 @@
 def test_retry_slack_is_shared_by_the_gateways_that_are_known() -> None:
     known = [0]
     cfg = GatewayCfg(retry_ratio=0.0, retry_slack=80.0, gateways=8)
-    budgets = RetryBudgets(cfg, lambda: known[0])
+    budgets = RetryBudgets(cfg, lambda: max(cfg.gateways, known[0]))
 
     def burst() -> int:
         budget = budgets.of("fresh" + str(known[0]))
