Name every log event in one module; tell the story of one request

Cause: event names and fields stood at 21 places, the page for operators was kept by hand, and what a gateway believed of an upstream (suspected, back), why a request was not sent again (others left, retries left) and which document was in force were in no line. Change: log_events.py has each event with its fields; a test asks for the row of each on docs/OPERATIONS.md. New lines: upstream_suspected, upstream_back, stream_moved, weights_named, serving, drained. gooseberrydale explain ID FILE... orders what several processes wrote about one request and names the cause.

--- a/gooseberrydale/connection/work_gossip.py
+++ b/gooseberrydale/connection/work_gossip.py
@@ -14,9 +14,8 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
-from loguru import logger
-
 from gooseberrydale.connection.codec import CodecError, decode, encode
+from gooseberrydale.log_events import DatagramFailed, DatagramUnreadable, emit
 from gooseberrydale.version.peer_loads import (
     PeerLoads,
     UpstreamWork,
@@ -113,7 +112,7 @@
         try:
             report = decode(data)
         except CodecError as exc:
-            logger.bind(event="bad_datagram").debug("from {}: {}", addr, exc)
+            emit(DatagramUnreadable(str(addr), str(exc)))
             return
         if isinstance(report, WorkReport) and report.name != self._name:
             now = asyncio.get_running_loop().time()
@@ -122,7 +121,7 @@
 
     def error_received(self, exc: Exception) -> None:
         """A peer that is down answers with an error; its lease will end."""
-        logger.bind(event="datagram_error").debug("{}", exc)
+        emit(DatagramFailed(str(exc)))
 
     async def _repeat(self) -> None:
         loop = asyncio.get_running_loop()
--- a/gooseberrydale/process/cli.py
+++ b/gooseberrydale/process/cli.py
@@ -11,6 +11,7 @@
 
 import fire
 import fire.core
+import fire.decorators
 from result import Err, Ok
 
 import gooseberrydale
@@ -52,6 +53,19 @@
                     print(f"warning: {warning}", file=sys.stderr)
                 print(f"{cfg}: no faults")
 
+    @fire.decorators.SetParseFn(str)  # type: ignore[untyped-decorator]
+    def explain(self, request_id: str, *files: str) -> None:
+        """Tell the story of the request REQUEST_ID from the log FILES."""
+        from gooseberrydale.process.explain import Line, read, story, told
+
+        lines: list[Line] = []
+        for name in files:
+            with open(name, encoding="utf-8", errors="replace") as file:
+                lines += read(file)
+        found = story(lines, request_id)
+        print("\n".join(told(found)))
+        sys.exit(ExitCode.OK if found.lines else ExitCode.FAILED)
+
     def version(self) -> None:
         """Print the version."""
         print(gooseberrydale.__version__)
--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -9,9 +9,8 @@
 import asyncio
 from dataclasses import replace
 
-from loguru import logger
-
 from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.log_events import UpstreamRetired, emit
 from gooseberrydale.version.directory import MAX_LEASE_S, Directory
 
 BEATS_PER_LEASE = 10
@@ -43,7 +42,7 @@
         """The life of an upstream under ``name`` takes no new work any more."""
         now = asyncio.get_running_loop().time()
         known = self._directory.get(name, now) or _unknown(name)
-        logger.bind(event="upstream_retired", upstream=name).info("upstream retired")
+        emit(UpstreamRetired(name))
         self._offer(
             replace(known, seq=LAST_SEQ, ready=False, leaving=True, lease_s=MAX_LEASE_S)
         )
--- a/gooseberrydale/process/control/upstream_cache.py
+++ b/gooseberrydale/process/control/upstream_cache.py
@@ -13,10 +13,9 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from loguru import logger
-
 from gooseberrydale.connection.codec import CodecError, decode, encode, message
 from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.log_events import NoUpstreamsKept, UpstreamsNotKept, emit
 from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.replication.files import OsFiles
@@ -81,14 +80,14 @@
             os.replace(new, self._path)
             OsFiles().sync_folder(self._path.parent)
         except OSError as exc:
-            logger.bind(event="upstreams_not_kept").info("{}", exc)
+            emit(UpstreamsNotKept(str(exc)))
 
     def _read(self) -> tuple[UpstreamRecord, ...]:
         try:
             [payload] = scan(self._path.read_bytes()).payloads
             kept = decode(payload)
         except (OSError, ValueError, CodecError) as exc:
-            logger.bind(event="no_upstreams_kept").info("{}", exc)
+            emit(NoUpstreamsKept(str(exc)))
             return ()
         return kept.records if isinstance(kept, KeptUpstreams) else ()
 
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -11,8 +11,6 @@
 import asyncio
 import itertools
 
-from loguru import logger
-
 from gooseberrydale.connection.engine_orders import (
     EngineOrders,
     EngineReport,
@@ -20,6 +18,7 @@
     WeightsOrder,
 )
 from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.log_events import WeightsOrdered, emit
 from gooseberrydale.process.control.announcements import Announcements
 from gooseberrydale.process.control.machine import PublishingMachine
 from gooseberrydale.process.control.replica import Replica
@@ -189,14 +188,8 @@
             after=report.accepted,
         )
         answer = await self._engines.order(engine, order)
-        logger.bind(
-            event="weights_order",
-            upstream=engine.name,
-            version=wanted,
-            number=order.number,
-            after=order.after,
-            outcome=answer.name.lower(),
-        ).info("order of weights")
+        outcome = answer.name.lower()
+        emit(WeightsOrdered(engine.name, wanted, order.number, order.after, outcome))
         match answer:
             case OrderAnswer.FENCED:
                 # Another replica leads; this one learns of it from the log.
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -10,7 +10,6 @@
 import random
 from dataclasses import dataclass
 
-from loguru import logger
 from result import Err
 from starlette.types import Receive, Scope, Send
 
@@ -23,6 +22,7 @@
     Problem,
     problem,
 )
+from gooseberrydale.log_events import RequestEnded, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.declared_store import DeclaredStore
@@ -232,19 +232,26 @@
                 return b"".join(parts)
 
     def _log(self, call: CallerCall, answer: CallerAnswer, outcome: str) -> None:
-        took_s = asyncio.get_running_loop().time() - self._began
-        logger.bind(
-            event="request",
-            request_id=call.request_id,
-            host=call.host,
-            path=call.path,
-            outcome=outcome,
-            sends=[] if self._forward is None else self._forward.describe(),
-            status=answer.status,
-            whole=answer.complete,
-            first_ms=round((answer.started_at - self._began) * MS_PER_S, 1),
-            took_ms=round(took_s * MS_PER_S, 1),
-        ).info("request")
+        forward, table = self._forward, self._parts.declared.table
+        emit(
+            RequestEnded(
+                request_id=call.request_id,
+                host=call.host,
+                path=call.path,
+                outcome=outcome,
+                sends=[] if forward is None else forward.describe(),
+                status=answer.status,
+                whole=answer.complete,
+                held_ms=0.0 if forward is None else self._since_ms(forward.chosen_at),
+                first_ms=self._since_ms(answer.started_at),
+                took_ms=self._since_ms(asyncio.get_running_loop().time()),
+                table=0 if table is None else table.declared.number,
+            )
+        )
+
+    def _since_ms(self, moment: float) -> float:
+        """Milliseconds from the arrival to ``moment``; 0 if that never came."""
+        return max(0.0, round((moment - self._began) * MS_PER_S, 1))
 
 
 def _refusal(
--- a/gooseberrydale/process/gateway/declared_store.py
+++ b/gooseberrydale/process/gateway/declared_store.py
@@ -10,10 +10,15 @@
 import asyncio
 from collections.abc import Callable
 
-from loguru import logger
 from result import Err, Result
 
 from gooseberrydale.errors import Problem
+from gooseberrydale.log_events import (
+    DocumentInForce,
+    DocumentUnreadable,
+    WeightsNamed,
+    emit,
+)
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declared import Declared
 from gooseberrydale.version.named_weights import NamedWeights
@@ -58,20 +63,18 @@
         while True:
             config = await self._store.wait_newer(revision)
             revision = config.revision
-            self.weights.note(config.weights, asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            for model, version in self.weights.note(config.weights, now):
+                emit(WeightsNamed(model, version))
             if config.document is not None and config.document.number > self._number:
                 self._take(config.document.number, config.document.body)
 
     def _take(self, number: int, body: bytes) -> None:
         match self._decode(body):
             case Err(why):
-                logger.bind(event="document_unreadable", number=number).error(
-                    "document passed over: {}", why.message
-                )
+                emit(DocumentUnreadable(number, why.message))
             case found:
-                self._number = number
+                before, self._number = self._number, number
                 self.table = RouteTable(found.unwrap())
                 self._known.set()
-                logger.bind(event="document_in_force", number=number).info(
-                    "document in force"
-                )
+                emit(DocumentInForce(number, before))
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -9,10 +9,9 @@
 import asyncio
 from dataclasses import replace
 
-from loguru import logger
-
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import NO_UPSTREAM, OUTCOME_UNKNOWN, problem
+from gooseberrydale.log_events import SendEnded, StreamMoved, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.send import Sender, SendParts
@@ -50,6 +49,7 @@
 or for another try."""
 
 HOLD_POLL_S = 0.02
+MS_PER_S = 1_000.0
 
 Found = list[tuple[UpstreamRecord, Candidate]]
 
@@ -61,7 +61,8 @@
 class Forward:
     """One request on its way; ``run`` returns once the caller has its answer.
 
-    ``outcome`` and ``choices`` tell afterwards what became of it, and why.
+    ``outcome`` and ``choices`` tell afterwards what became of it, and why;
+    ``chosen_at`` is when the first upstream was chosen.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self._gives_way = False
         self._demand: Demand = demand_of(job.call.prompt)
         self.choices: list[Candidate] = []
+        self.chosen_at = 0.0
         self.outcome = "unanswered"
 
     async def run(self) -> None:
@@ -119,6 +121,7 @@
         self._gives_way = self._must_give_way(chosen)
         self._tried.append(record.name)
         self.choices.append(chosen)
+        self.chosen_at = self.chosen_at or _now()
         work = self._demand.work_at(chosen)
         if self._gives_way:
             # Nobody waits for its prompt, as others go first.
@@ -169,6 +172,8 @@
     async def _again(self, end: End, *, others: bool) -> bool:
         """Carry out what an end calls for; say whether to send again."""
         if end is End.MOVED:
+            last = self._sender.last_event_id or ""
+            emit(StreamMoved(self._job.call.request_id, self._tried[-1], last))
             return True
         step = after_end(
             Sends(len(self._tried), self._sender.runs, end),
@@ -180,13 +185,18 @@
             budget=self._budget,
             now=_now(),
         )
-        logger.bind(
-            event="send_ended",
-            request_id=self._job.call.request_id,
-            upstream=self._tried[-1],
-            end=end.name.lower(),
-            next=type(step).__name__,
-        ).info("send ended")
+        emit(
+            SendEnded(
+                request_id=self._job.call.request_id,
+                upstream=self._tried[-1],
+                end=end.name.lower(),
+                next=type(step).__name__,
+                others=others,
+                left_ms=round(self._job.left_s() * MS_PER_S, 1),
+                runs=self._sender.runs,
+                retries=round(self._budget.left, 1),
+            )
+        )
         if isinstance(step, SendAgain):
             return True
         self.outcome = end.name.lower()
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -8,12 +8,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from loguru import logger
 from starlette.types import Receive, Scope, Send
 
 from gooseberrydale.connection.http_pool import HttpPool
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
 from gooseberrydale.connection.work_gossip import WorkGossip
+from gooseberrydale.log_events import Drained, Draining, emit
 from gooseberrydale.process.cfg import Cfg, GatewayCfg, NodeCfg, TlsCfg
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.gateway.app import GatewayApp, GatewayParts
@@ -159,11 +159,10 @@
         now = loop.time()
         drain = Drain(now + unready_s, now + self._cfg.grace_s - CUT_MARGIN_S)
         self._app.drain = drain
-        logger.bind(event="draining", open=self._app.open_requests).info("draining")
+        emit(Draining(self._app.open_requests))
         await asyncio.sleep(unready_s)
         await self._front.close(max(READY_CLOSE_S, drain.cut_at - loop.time()))
-        open_requests = self._app.open_requests
-        logger.bind(event="drained", open=open_requests).info("drained")
+        emit(Drained(self._app.open_requests))
         await self._ready.close(READY_CLOSE_S)
         if self._sweeping is not None:
             self._sweeping.cancel()
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -15,6 +15,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.sse import EventCutter, SseError
 from gooseberrydale.connection.upstream_reply import UpstreamError
+from gooseberrydale.log_events import UpstreamBack, UpstreamSuspected, emit
 from gooseberrydale.process.gateway.answer import HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.upstreams import Upstreams
@@ -40,6 +41,7 @@
 """Callers take these as "has not run"; without the upstream's word nobody knows."""
 
 FIRST_SERVER_STATUS = 500
+MS_PER_S = 1_000.0
 
 
 class _MoveStreamError(Exception):
@@ -113,8 +115,8 @@
             conn = await conns.take(*at, sure=sure, bound=bound)
         except ConnectionsTakenError:
             return End.NOT_SENT
-        except UpstreamError:
-            load.unreachable(_now())
+        except UpstreamError as exc:
+            _suspect(record, load, exc)
             return End.NOT_SENT
         whole = False
         try:
@@ -124,7 +126,7 @@
         except UpstreamError as exc:
             if not exc.sent:
                 return End.NOT_SENT
-            load.unreachable(_now())
+            _suspect(record, load, exc)
             return End.LOST
         finally:
             if whole:
@@ -164,7 +166,7 @@
         if head.not_run:
             return await self._take_refusal(conn, head, record)
         if not head.ok:
-            return await self._take_failure(conn, head, load)
+            return await self._take_failure(conn, head, record, load)
         if not head.signed or head.encoded:
             raise UpstreamError("the answer is not the upstream's own", sent=True)
         if job.route.streamed:
@@ -172,7 +174,7 @@
         else:
             body = await _read_whole(conn)
             await self._answer.whole(head.status, head.headers, body)
-        load.answered(failed=False)
+        _answered(record, load, failed=False)
         return None
 
     def _is_mine(self, raw: ResponseHead) -> bool:
@@ -192,11 +194,15 @@
         return End.REFUSED
 
     async def _take_failure(
-        self, conn: HttpConn, head: AnswerHead, load: UpstreamLoad
+        self,
+        conn: HttpConn,
+        head: AnswerHead,
+        record: UpstreamRecord,
+        load: UpstreamLoad,
     ) -> End | None:
         body = await _read_whole(conn)
         failed = head.status >= FIRST_SERVER_STATUS
-        load.answered(failed=failed)
+        _answered(record, load, failed=failed)
         if head.status in UNSURE_STATUS and not self._job.repeatable:
             return End.INVALID
         if failed or self._answer.started:
@@ -272,5 +278,18 @@
     return b"".join(parts)
 
 
+def _suspect(record: UpstreamRecord, load: UpstreamLoad, exc: UpstreamError) -> None:
+    """Leave an upstream alone that could not be reached, or broke off."""
+    for_ms = load.unreachable(_now()) * MS_PER_S
+    emit(UpstreamSuspected(record.name, for_ms, load.failures, str(exc)))
+
+
+def _answered(record: UpstreamRecord, load: UpstreamLoad, *, failed: bool) -> None:
+    """Note an answer of the upstream's own."""
+    failures = load.answered(failed=failed)
+    if failures:
+        emit(UpstreamBack(record.name, failures))
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/gooseberrydale/process/gateway/store_follower.py
+++ b/gooseberrydale/process/gateway/store_follower.py
@@ -10,8 +10,13 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from loguru import logger
-
+from gooseberrydale.log_events import (
+    StoreBusy,
+    StoreEventsMissed,
+    StoreFound,
+    StoreLost,
+    emit,
+)
 from gooseberrydale.process.gateway.declared_store import DeclaredStore
 from gooseberrydale.version.store_view import StoreNews, StoreView
 
@@ -97,19 +102,19 @@
             else:
                 found = await self._feed.follow(view.address, since)
         except StoreBusyError:
-            logger.bind(event="store_busy", store=view.address).info("not followed")
+            emit(StoreBusy(view.address))
             await asyncio.sleep(BUSY_PAUSE_S)
             return since
         if found is None:
             if view.up:
-                logger.bind(event="store_lost", store=view.address).warning("lost")
+                emit(StoreLost(view.address))
             view.lost()
             await asyncio.sleep(LOST_PAUSE_S)
             return since
         if not view.up:
-            logger.bind(event="store_found", store=view.address).info("found")
+            emit(StoreFound(view.address))
         if found.news.missed:
-            logger.bind(event="store_events_missed").info("events of the store missed")
+            emit(StoreEventsMissed(view.address))
             return None
         view.take(found.news)
         await asyncio.sleep(GATHER_S)
--- a/gooseberrydale/process/runner.py
+++ b/gooseberrydale/process/runner.py
@@ -21,6 +21,7 @@
 from result import Err, Ok
 
 from gooseberrydale.errors import InvariantError, Problem, ProblemError
+from gooseberrydale.log_events import Reload, Serving, Stopped, emit
 from gooseberrydale.process import cfg_checks, logs
 from gooseberrydale.process.cfg import Cfg, LogCfg
 from gooseberrydale.process.cfg_file import load, read_token
@@ -191,8 +192,7 @@
 
     def _announce(self, role: Role) -> None:
         addresses = dict(role.addresses)
-        listed = " ".join(f"{name}={at}" for name, at in addresses.items())
-        logger.info("serving on {}", listed)
+        emit(Serving([f"{name}={at}" for name, at in addresses.items()]))
         if self._ready_file is not None:
             write_atomically(self._ready_file, json.dumps(addresses))
 
@@ -205,7 +205,7 @@
             logger.opt(exception=exc).error("the role failed while it drained")
             self._code = self._code or ExitCode.NOT_DRAINED
         self._life.finish()
-        logger.info("stopped")
+        emit(Stopped())
 
     async def _close_quietly(self, role: Role) -> None:
         try:
@@ -228,7 +228,7 @@
         """Settings hold for the life of a process; what changes while it runs comes
         from control, so there is nothing to read again.
         """
-        logger.bind(event="reload").info("told to reload; settings need a restart")
+        emit(Reload())
 
     def _on_loop_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
--- a/gooseberrydale/request/retry.py
+++ b/gooseberrydale/request/retry.py
@@ -40,6 +40,11 @@
         self._tokens = cap
         self._refilled_at: float | None = None
 
+    @property
+    def left(self) -> float:
+        """Tokens that are left."""
+        return self._tokens
+
     def deposit(self, now: float) -> None:
         """Count one fresh request."""
         self._refill(now)
--- a/gooseberrydale/version/named_weights.py
+++ b/gooseberrydale/version/named_weights.py
@@ -17,13 +17,16 @@
     def __init__(self) -> None:
         self._named: dict[str, list[tuple[int, float]]] = {}
 
-    def note(self, weights: Mapping[str, int], now: float) -> None:
-        """Take the versions that are named now."""
+    def note(self, weights: Mapping[str, int], now: float) -> list[tuple[str, int]]:
+        """Take the versions that are named now; return models whose are newer."""
+        newer = []
         for model, version in weights.items():
             known = self._named.setdefault(model, [])
             if not known or version > known[-1][0]:
                 known.append((version, now))
                 del known[:-KEPT_VERSIONS]
+                newer.append((model, version))
+        return newer
 
     def old_for_s(self, model: str, version: int, now: float) -> float:
         """Seconds since a later version than ``version`` was named; 0 if none was."""
--- a/gooseberrydale/version/replication/file_storage.py
+++ b/gooseberrydale/version/replication/file_storage.py
@@ -15,10 +15,9 @@
 from random import Random
 from typing import NoReturn, TypeVar
 
-from loguru import logger
-
 from gooseberrydale.connection.codec import CodecError, decode, encode, message
 from gooseberrydale.errors import DISK_DAMAGED, DISK_FAILED, DISK_FULL, problem
+from gooseberrydale.log_events import CommitNotNoted, emit
 from gooseberrydale.version.replication.files import Files
 from gooseberrydale.version.replication.messages import (
     Entry,
@@ -247,7 +246,7 @@
                 self._files.sync_folder(self._folder)
             self._note_bytes += len(note)
         except OSError as exc:
-            logger.bind(event="commit_not_noted").info("{}", exc)
+            emit(CommitNotNoted(str(exc)))
 
     def save_state(self, state: HardState) -> None:
         """Collect the hard state."""
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -79,24 +79,34 @@
         self._others = max(0.0, load.running + load.waiting - self._requests)
         self._reported_at = now
 
-    def answered(self, *, failed: bool) -> None:
-        """The upstream gave an answer of its own; so it is there."""
-        self._failures = 0
+    def answered(self, *, failed: bool) -> int:
+        """The upstream gave an answer of its own; so it is there.
+
+        Returns how often in a row it had failed before.
+        """
+        before, self._failures = self._failures, 0
         self.suspect_until = -math.inf
         self._count_error(failed)
+        return before
 
-    def unreachable(self, now: float) -> None:
-        """No connection, or one that broke: leave the upstream alone for a while."""
-        pause_s = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2**self._failures)
+    def unreachable(self, now: float) -> float:
+        """No connection, or one that broke; return for how long to leave it alone."""
+        pause_s: float = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2**self._failures)
         self._failures += 1
         self.suspect_until = now + pause_s
         self._count_error(True)
+        return pause_s
 
     def avoid(self, now: float, for_s: float, *, told: bool = False) -> None:
         """The upstream takes no work for the moment; ``told`` if others say so."""
         self.avoid_until = max(self.avoid_until, now + for_s)
         self.told_to_avoid = told
 
+    @property
+    def failures(self) -> int:
+        """How often in a row the upstream could not be reached."""
+        return self._failures
+
     @property
     def own(self) -> tuple[int, int, int]:
         """The own work: requests, tokens to compute, tokens of memory."""
