Use all declared stores of KV cache; tell all gateways what they hold

Of three declared stores only the first was used. A store that did not answer counted as holding every prefix. Ruled out: guessing from the own saves alone (evictions and restarts stay unknown). Change: a prefix belongs to one of the stores that answer, by a hash of its last shared part. Up to eight gateways each follow every store; above, two of them follow each and pass its events on by datagrams; the rest read the list once, and again after three silent seconds. Engines look into the store also if the view says that it lacks the prefix: a look in vain takes a millisecond.

--- a/gooseberrydale/connection/work_gossip.py
+++ b/gooseberrydale/connection/work_gossip.py
@@ -12,7 +12,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Collection, Iterable
-from typing import Protocol
+from typing import Any, Protocol, TypeVar
 
 from gooseberrydale.connection.codec import CodecError, decode, encode
 from gooseberrydale.log_events import DatagramFailed, DatagramUnreadable, emit
@@ -52,6 +52,7 @@
 
 
 Peers = Callable[[], Iterable[str]]
+T = TypeVar("T")
 
 
 class WorkGossip(asyncio.DatagramProtocol):
@@ -77,6 +78,7 @@
         self._told_at = -math.inf
         self._transport: asyncio.DatagramTransport | None = None
         self._due: asyncio.TimerHandle | None = None
+        self._handlers: dict[type[Any], Callable[[Any], None]] = {}
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -107,6 +109,15 @@
             due_at = max(loop.time() + GATHER_S, self._told_at + pause_s)
             self._due = loop.call_at(due_at, self._tell)
 
+    def on(self, kind: type[T], handler: Callable[[T], None]) -> None:
+        """Hand messages of another kind to ``handler``."""
+        self._handlers[kind] = handler
+
+    def tell(self, told: object) -> None:
+        """Send a registered message to the other gateways once, come what may."""
+        if self._transport is not None:
+            self._send(told)
+
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Take a report of another gateway in."""
         try:
@@ -118,6 +129,8 @@
             now = asyncio.get_running_loop().time()
             if self._loads.take(report, now) and report.refusing:
                 self._view.peer_refused(report.refusing, now)
+        elif type(report) in self._handlers:
+            self._handlers[type(report)](report)
 
     def error_received(self, exc: Exception) -> None:
         """A peer that is down answers with an error; its lease will end."""
@@ -149,9 +162,9 @@
             WorkReport(self._name, self._incarnation, self._seq, told, refusing, whole)
         )
 
-    def _send(self, report: WorkReport) -> None:
+    def _send(self, told: object) -> None:
         assert self._transport is not None
-        data = encode(report)
+        data = encode(told)
         for address in list(self._peers())[:MAX_PEERS]:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -21,7 +21,11 @@
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendParts
-from gooseberrydale.process.gateway.store_follower import StoreFeed, StoreFollower
+from gooseberrydale.process.gateway.store_follower import (
+    Others,
+    StoreFeed,
+    StoreFollower,
+)
 from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.http_server import HttpServer
@@ -33,6 +37,8 @@
 from gooseberrydale.version.declared import CallerLimits, Pool
 from gooseberrydale.version.directory import Directory, new_incarnation
 from gooseberrydale.version.peer_loads import PeerLoads
+from gooseberrydale.version.store_followers import StoreTidings
+from gooseberrydale.version.stores import Stores
 
 SWEEP_S = 0.5
 UNREADY_S = 2.1
@@ -60,10 +66,15 @@
     store_feed: StoreFeed
 
 
+def gateway_name(node: NodeCfg) -> str:
+    """The name under which a gateway announces itself."""
+    return f"{GATEWAY_ROLE}/{node.name}"
+
+
 def gateway_record(node: NodeCfg, address: str, incarnation: str) -> UpstreamRecord:
     """How a gateway announces itself to the other ones."""
     return UpstreamRecord(
-        name=f"{GATEWAY_ROLE}/{node.name}",
+        name=gateway_name(node),
         incarnation=incarnation,
         seq=0,
         address=address,
@@ -89,7 +100,7 @@
         self.directory = Directory()
         self._declared = DeclaredStore(self.store, dialect.decode_document)
         self._conns = HttpPool()
-        self._store = StoreFollower(self._declared, dialect.store_feed)
+        self._stores = Stores()
         self._peers = PeerLoads()
         self._upstreams = Upstreams(
             self.directory,
@@ -98,7 +109,7 @@
             self._peers,
             self._declared.weights,
             self._cfg.weights_bound_s,
-            lambda: self._store.view,
+            self._stores,
         )
         incarnation = new_incarnation(time.time_ns(), self._rng)
         self._mesh = self._make_mesh(cfg, incarnation)
@@ -110,6 +121,14 @@
             self._upstreams,
             self._peer_addresses,
         )
+        self._own_name = gateway_name(cfg.node)
+        others = Others(
+            self._own_name, self._gateway_names, self._gossip.tell, self._rng
+        )
+        self._store = StoreFollower(
+            self._declared, dialect.store_feed, self._stores, others
+        )
+        self._gossip.on(StoreTidings, self._store.hear)
         sends = SendParts(
             dialect.wire,
             self._upstreams,
@@ -197,6 +216,15 @@
         """How many connections to one upstream of ``pool`` may be open here."""
         return connection_share(pool.max_connections, self._count_gateways())
 
+    def _gateway_names(self) -> list[str]:
+        """The gateways that are known, this one included."""
+        now = asyncio.get_running_loop().time()
+        found = self.directory.ready(GATEWAY_POOL, now)
+        return [
+            self._own_name,
+            *(one.name for one in found if one.name != self._own_name),
+        ]
+
     def _peer_addresses(self) -> list[str]:
         """Where the other gateways listen for gossip."""
         now = asyncio.get_running_loop().time()
--- a/gooseberrydale/process/gateway/terms.py
+++ b/gooseberrydale/process/gateway/terms.py
@@ -63,12 +63,13 @@
 
     def _transfers(self, job: Assignment, salt: str) -> tuple[str | None, str | None]:
         """Where the engine gets what it lacks of the prompt, and where it puts it."""
-        store, prompt = self._upstreams.store, job.call.prompt
-        if store is None or prompt is None or not prompt.shared or not store.up:
+        shared = () if job.call.prompt is None else job.call.prompt.shared
+        store = self._upstreams.stores.of(shared)
+        if store is None:
             return None, None
-        if not store.lacks(salt, prompt.shared):
+        if not store.lacks(salt, shared):
             return store.address, None
-        fetch_from = store.address if store.held_tokens(salt, prompt.shared) else None
         now = asyncio.get_running_loop().time()
-        due = self._saves.due(salt, prompt.shared[-1].key, now)
-        return fetch_from, store.address if due else None
+        due = self._saves.due(salt, shared[-1].key, now)
+        # Another gateway may have had it saved just now; a look in vain takes 1 ms.
+        return store.address, store.address if due else None
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import UpstreamRecord
@@ -19,7 +19,7 @@
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import mark_name
 from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
-from gooseberrydale.version.store_view import StoreView
+from gooseberrydale.version.stores import Stores
 from gooseberrydale.version.upstream_load import UpstreamLoad
 
 GONE_AVOID_S = 60.0
@@ -57,8 +57,8 @@
 class Upstreams:
     """Pools by name, and what is known of each upstream.
 
-    ``weights_bound_s`` is for how long work may start on overtaken weights; ``store``
-    tells the view of the store of KV cache, if there is one.
+    ``weights_bound_s`` is for how long work may start on overtaken weights; ``stores``
+    are those of KV cache.
     """
 
     def __init__(
@@ -69,7 +69,7 @@
         peers: PeerLoads,
         weights: NamedWeights,
         weights_bound_s: float,
-        store: Callable[[], StoreView | None],
+        stores: Stores,
     ) -> None:
         self._directory = directory
         self._zone = zone
@@ -77,15 +77,10 @@
         self._peers = peers
         self._weights = weights
         self._weights_bound_s = weights_bound_s - OLD_WEIGHTS_MARGIN_S
-        self._store = store
+        self.stores = stores
         self._pools: dict[str, _PoolView] = {}
         self._loads: dict[str, UpstreamLoad] = {}
 
-    @property
-    def store(self) -> StoreView | None:
-        """The view of the store of KV cache, if there is one."""
-        return self._store()
-
     def load_of(self, name: str) -> UpstreamLoad:
         """What this process knows of the life ``name`` of an upstream."""
         if name not in self._loads:
@@ -150,11 +145,12 @@
             if record.name not in sought.tried and _serves(record, sought.prompt)
         ]
         ranks = self._home_ranks(sought)
+        stored = self._stored(records, sought)
         if not ranks:
             # Nothing tells equal upstreams apart; every process draws its own order.
             self._rng.shuffle(records)
         found = [
-            (record, self._candidate(record, ranks.get(record.name, 0), sought, now))
+            (record, self._candidate(record, sought, ranks, stored, now))
             for record in records
         ]
         bound_s = self._weights_bound_s
@@ -182,7 +178,12 @@
         return {name: rank for rank, name in enumerate(homes)}
 
     def _candidate(
-        self, record: UpstreamRecord, rank: int, sought: Sought, now: float
+        self,
+        record: UpstreamRecord,
+        sought: Sought,
+        ranks: Mapping[str, int],
+        stored: Collection[str],
+        now: float,
     ) -> Candidate:
         load = self.load_of(record.name)
         size = sought.pool.engine
@@ -193,9 +194,9 @@
             load=load.load(now, peers),
             slots=record.slots or (size.slots if size else 0),
             kv_tokens=size.kv_tokens if size else 0,
-            home_rank=rank,
+            home_rank=ranks.get(record.name, 0),
             old_for_s=self._old_for_s(record, now),
-            stored=self._is_stored(record, sought),
+            stored=record.weights_version in stored,
             far=record.zone != self._zone,
             error_share=load.error_share,
             usable=not resting and not self.is_changing(record, now),
@@ -212,11 +213,20 @@
         version = weights_version(record)
         return self._weights.old_for_s(record.model, version, now)
 
-    def _is_stored(self, record: UpstreamRecord, sought: Sought) -> bool:
-        store, prompt = self.store, sought.prompt
-        if store is None or prompt is None or not prompt.shared:
-            return False
-        return not store.lacks(cache_salt(record, sought.scope), prompt.shared)
+    def _stored(
+        self, records: Iterable[UpstreamRecord], sought: Sought
+    ) -> frozenset[str]:
+        """The weights versions under which a store holds the whole prefix."""
+        shared = () if sought.prompt is None else sought.prompt.shared
+        store = self.stores.of(shared)
+        if store is None:
+            return frozenset()
+        salts = {
+            record.weights_version: cache_salt(record, sought.scope)
+            for record in records
+            if record.model
+        }
+        return frozenset(v for v, salt in salts.items() if store.holds(salt, shared))
 
 
 def weights_version(record: UpstreamRecord) -> int:
--- a/gooseberrydale/version/store_view.py
+++ b/gooseberrydale/version/store_view.py
@@ -10,11 +10,12 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+import msgspec
+
 from gooseberrydale.request.gateway_call import PromptPart
 
 
-@dataclass(frozen=True, slots=True)
-class StoreEvent:
+class StoreEvent(msgspec.Struct, frozen=True, array_like=True):
     """A part under a salt has now ``tokens`` in the store, 0 if it was dropped."""
 
     salt: str
@@ -69,6 +70,10 @@
             held += part.tokens
         return held
 
+    def holds(self, salt: str, parts: Sequence[PromptPart]) -> bool:
+        """Whether the store is there and holds all of the parts."""
+        return self.up and not self.lacks(salt, parts)
+
     def lacks(self, salt: str, parts: Sequence[PromptPart]) -> bool:
         """Whether the store is there and lacks one of the parts."""
         wanted = sum(part.tokens for part in parts)
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -24,6 +24,7 @@
     changes,
 )
 from gooseberrydale.version.store_view import StoreEvent, StoreNews, StoreView
+from gooseberrydale.version.stores import Stores
 from gooseberrydale.version.upstream_load import Load, UpstreamLoad, Work
 from tests.builders_gateway import POOL, prompt, record
 
@@ -240,7 +241,7 @@
         PeerLoads(),
         weights or NamedWeights(),
         8.0,
-        lambda: None,
+        Stores(),
     )
 
 
