--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -160,7 +160,8 @@
     new leader
     waits ``order_pause_s`` before it gives orders to upstreams, so that those of its
     predecessor have arrived.  Upstreams without a sidecar announce themselves each
-    ``beat_s``.
+    ``beat_s``.  A ``signpost`` has no disk: it keeps nothing, and sends its callers to
+    the listed replicas.
     """
 
     data_dir: Path
@@ -173,6 +174,7 @@
     bootstrap: bool = False
     order_pause_s: float = 3.0
     beat_s: float = 1.2
+    signpost: bool = False
     operators_file: Path | None = None
     loads_at_once: int = 2
     audit_entries: int = 10_000
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -42,6 +42,7 @@
     ReplicatedProposer,
 )
 from gooseberrydale.process.control.replica import Replica
+from gooseberrydale.process.control.signpost import Signpost
 from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.process.control.upkeep import Upkeep
 from gooseberrydale.process.control.upstream_cache import UpstreamCache
@@ -49,6 +50,7 @@
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh, PeerState
 from gooseberrydale.process.metrics import Metrics
+from gooseberrydale.process.role import Role
 from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.acknowledgements import Acknowledgements, Standing
 from gooseberrydale.version.config_store import ConfigStore
@@ -302,6 +304,13 @@
         return {"replicated": True, **plain(self._replica.status)}
 
 
+def control_role(cfg: Cfg, surroundings: Surroundings) -> Role:
+    """What control is on this instance, as the settings say."""
+    if cfg.control is not None and cfg.control.signpost:
+        return Signpost(cfg)
+    return Control(cfg, surroundings=surroundings)
+
+
 def limits_of(cfg: ControlCfg) -> Limits:
     """The bounds of the replicated state that the settings ask for."""
     return Limits(
--- /dev/null
+++ b/gooseberrydale/process/control/signpost.py
@@ -0,0 +1,89 @@
+"""Sends whoever calls control on an instance without a disk to a replica.
+
+Lives as long as the process.  What a replica acknowledges has to survive on its disk,
+so an instance without one keeps no part of the log.  Callers that reach it all the same
+are told the address of a listed replica that answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Mapping, Sequence
+
+from starlette.types import Receive, Scope, Send
+
+from gooseberrydale.process.cfg import Cfg, TlsCfg
+from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.process.http_server import HttpServer
+
+LOOK_S = 0.5
+"""Between two looks at which replicas answer; callers give a silent one a second."""
+
+CONNECT_TIMEOUT_S = 0.3
+CLOSE_GRACE_S = 0.5
+REDIRECT = 307
+UNAVAILABLE = 503
+
+
+class Signpost:
+    """One process; ``start`` it once and ``close`` it once."""
+
+    def __init__(self, cfg: Cfg) -> None:
+        if cfg.control is None:
+            raise ValueError("the settings have no [control] table; add one")
+        own = cfg.control.http
+        self._replicas = [at for at in cfg.fleet.controls if at != own]
+        self._answering: Sequence[str] = ()
+        self._turn = itertools.count()
+        self._http = HttpServer(self._answer, own, TlsCfg())
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def addresses(self) -> Mapping[str, str]:
+        """The listener, known once started."""
+        return {"http": self._http.address}
+
+    async def start(self) -> None:
+        """Serve; raises OSError if the address can't be bound."""
+        self._tasks.append(spawn(self._look()))
+        await self._http.start()
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self._http.close(CLOSE_GRACE_S)
+        await stop(self._tasks)
+
+    async def _look(self) -> None:
+        while True:
+            found = await asyncio.gather(*map(_answers, self._replicas))
+            pairs = zip(self._replicas, found, strict=True)
+            self._answering = [address for address, answers in pairs if answers]
+            await asyncio.sleep(LOOK_S)
+
+    async def _answer(self, scope: Scope, _receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        headers = [(b"content-length", b"0")]
+        status = UNAVAILABLE
+        if self._answering:
+            address = self._answering[next(self._turn) % len(self._answering)]
+            target = f"http://{address}".encode() + scope["raw_path"]
+            headers.append((b"location", target))
+            status = REDIRECT
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": b""})
+
+
+async def _answers(address: str) -> bool:
+    """Whether something listens at ``address``."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -413,6 +413,7 @@
     "{{listen.ready}}": "10.0.0.1:82",
     "{{listen.control}}": "10.0.0.1:83",
     "{{ip}}": "10.0.0.1",
+    "{{#dataDir}}false{{/dataDir}}{{^dataDir}}true{{/dataDir}}": "false",
     "{{dataDir}}": "/data/control",
     "{{bootstrap}}": "true",
     "{{faultTolerance.machines}}": "1",
--- /dev/null
+++ b/tests/test_signpost.py
@@ -0,0 +1,47 @@
+"""Control on an instance without a disk, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from gooseberrydale.process.cfg import Cfg, ControlCfg, FleetCfg, NodeCfg
+from gooseberrydale.process.control.signpost import LOOK_S, Signpost
+from tests.builders_gateway import Got, free_port, read_answer
+from tests.sidecar_bench import run
+
+
+async def ask(signpost: Signpost, target: str) -> Got:
+    host, _, port = signpost.addresses["http"].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = f"POST {target} HTTP/1.1", "Host: x", "Content-Length: 0"
+    writer.write("\r\n".join((*lines, "Connection: close", "", "")).encode())
+    got = await read_answer(reader)
+    writer.close()
+    return got
+
+
+def test_callers_are_sent_to_a_replica_that_answers() -> None:
+    async def main() -> None:
+        gone = f"127.0.0.1:{free_port()}"
+        server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+        there = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        own = f"127.0.0.1:{free_port()}"
+        cfg = Cfg(
+            node=NodeCfg("c9"),
+            fleet=FleetCfg(controls=(own, gone, there), trust_network=True),
+            control=ControlCfg(data_dir=Path(), http=own, signpost=True),
+        )
+        signpost = Signpost(cfg)
+        await signpost.start()
+        await asyncio.sleep(0.1)
+        for _ in range(3):
+            got = await ask(signpost, "/some/call/i-1")
+            assert got.status == 307
+            assert got.headers["location"] == f"http://{there}/some/call/i-1"
+        server.close()
+        await asyncio.sleep(2 * LOOK_S)
+        assert (await ask(signpost, "/some/call")).status == 503
+        await signpost.close()
+
+    run(main())
