Pace changes of weights by the time left; weigh few candidates in large pools

And 32 gateways that hear of each other 80 ms late chose among all engines the one that seemed least busy. Change: as many engines change at once as finish within three quarters of the bound, the dead not counted; at most a third as before. In pools of more than nine the first two homes and two by lot are weighed.

--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -159,7 +159,8 @@
     alone; listed replicas with empty folders then begin a new cluster together.  A
     new leader
     waits ``order_pause_s`` before it gives orders to upstreams, so that those of its
-    predecessor have arrived.  Upstreams without a sidecar announce themselves each
+    predecessor have arrived; work may start on overtaken weights for
+    ``weights_bound_s``.  Upstreams without a sidecar announce themselves each
     ``beat_s``.  A ``signpost`` has no disk: it keeps nothing, and sends its callers to
     the listed replicas.
     """
@@ -173,6 +174,7 @@
     tolerated_losses: int = 1
     bootstrap: bool = False
     order_pause_s: float = 3.0
+    weights_bound_s: float = 8.0
     beat_s: float = 1.2
     signpost: bool = False
     operators_file: Path | None = None
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -238,6 +238,7 @@
             announcements,
             surroundings.engines,
             own.order_pause_s,
+            own.weights_bound_s,
         )
 
     def _make_replica(
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -24,8 +24,9 @@
 from gooseberrydale.process.control.replica import Replica
 from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import is_mark, mark
-from gooseberrydale.version.rollout import EngineWeights, due
+from gooseberrydale.version.rollout import USED_PART, EngineWeights, due
 
 LOOK_S = 0.1
 """How often the leader looks for engines that are behind."""
@@ -67,7 +68,11 @@
         announcements: Announcements,
         engines: EngineOrders,
         pause_s: float,
+        bound_s: float,
     ) -> None:
+        """Orders wait ``pause_s`` after an election; work may start on overtaken
+        weights for ``bound_s`` after newer ones were named.
+        """
         self._name = name
         self._machine = machine
         self._replica = replica
@@ -75,6 +80,8 @@
         self._announcements = announcements
         self._engines = engines
         self._pause_s = pause_s
+        self._allowed_s = bound_s * USED_PART
+        self._named = NamedWeights()
         self._term = 0
         self._led_since = 0.0
         self._fenced_term = 0
@@ -94,6 +101,7 @@
 
     async def _run(self) -> None:
         while True:
+            self._named.note(self._machine.state.config.weights, _now())
             if self._may_order():
                 for name in self._due():
                     self._begin(name)
@@ -127,7 +135,20 @@
             if record.model and not is_mark(record)
         ]
         silent = {engine.name for engine in engines if self._is_silent(engine.name)}
-        return due(engines, named, self._changing, silent)
+        return due(engines, named, self._changing, silent, self._left_s(engines))
+
+    def _left_s(self, engines: list[EngineWeights]) -> dict[str, float]:
+        """Seconds by model until its engines shall have the newest weights.
+
+        Engines that come back with weights overtaken long ago don't hurry the others.
+        """
+        left: dict[str, float] = {}
+        for engine in engines:
+            old_s = self._named.old_for_s(engine.model, engine.version, _now())
+            if 0.0 < old_s < self._allowed_s:
+                left_s = self._allowed_s - old_s
+                left[engine.model] = min(left.get(engine.model, left_s), left_s)
+        return left
 
     def _is_silent(self, name: str) -> bool:
         """Whether an engine did not answer lately; forgets it after a while."""
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -91,7 +91,8 @@
         self._budget.deposit(_now())
         while True:
             candidates = await self._usable_candidates()
-            chosen = choose([one for _, one in candidates], self._demand)
+            found = [one for _, one in candidates]
+            chosen = choose(found, self._demand, self._upstreams.rng)
             if chosen is None:
                 await self._without_upstream()
                 return
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -73,7 +73,7 @@
     ) -> None:
         self._directory = directory
         self._zone = zone
-        self._rng = rng
+        self.rng = rng
         self._peers = peers
         self._weights = weights
         self._weights_bound_s = weights_bound_s - OLD_WEIGHTS_MARGIN_S
@@ -148,7 +148,7 @@
         stored = self._stored(records, sought)
         if not ranks:
             # Nothing tells equal upstreams apart; every process draws its own order.
-            self._rng.shuffle(records)
+            self.rng.shuffle(records)
         found = [
             (record, self._candidate(record, sought, ranks, stored, now))
             for record in records
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -62,6 +63,15 @@
 MEMORY_PART = 0.75
 """Above this part of an engine's memory requests preempt each other."""
 
+SMALL_POOL = 9
+"""Up to this many candidates are all weighed."""
+
+NEAR_HOMES = 2
+OTHERS = 2
+"""In a larger pool the first homes of the prefix and some drawn by lot are weighed.
+Gateways hear of each other's choices some 80 ms late there; were all of them weighed by
+all gateways, what came within that time would meet at the one that seems least busy."""
+
 FULL_S = 2.0
 """Waiting for memory or a place of a full engine takes about a run."""
 
@@ -121,18 +131,31 @@
         return Work(prefill_tokens=prefill, kv_tokens=self.tokens)
 
 
-def choose(candidates: Sequence[Candidate], demand: Demand) -> Candidate | None:
+def choose(
+    candidates: Sequence[Candidate], demand: Demand, rng: random.Random
+) -> Candidate | None:
     """The candidate with the least expected time; None if there is none.
 
     Those that are not usable are taken only if there is no other one.
     """
     usable = [one for one in candidates if one.usable]
-    ranked = usable or candidates
+    ranked = _shortlist(usable or candidates, rng)
     if not ranked:
         return None
     return min(ranked, key=lambda one: (expected_s(one, demand), one.home_rank))
 
 
+def _shortlist(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Sequence[Candidate]:
+    """The candidates that are weighed at all."""
+    if len(candidates) <= SMALL_POOL:
+        return candidates
+    by_home = sorted(candidates, key=lambda one: one.home_rank)
+    others = rng.sample(by_home[NEAR_HOMES:], OTHERS)
+    return [*by_home[:NEAR_HOMES], *others]
+
+
 def queue_s(candidate: Candidate, demand: Demand) -> float:
     """Seconds that the request waits behind others at a candidate."""
     return _wait_s(candidate, demand)
--- a/gooseberrydale/version/rollout.py
+++ b/gooseberrydale/version/rollout.py
@@ -2,7 +2,7 @@
 
 Lives as long as control leads; pure.  An engine that changes its weights takes no new
 work until the runs on it have ended and the weights are loaded, so only a few change
-at a time: as many as keep the whole pool under the time that operators allow, and
+at a time: as few as keep the whole pool under the time that operators allow, and
 the others carry the load meanwhile.  Versions that were overtaken are skipped, since
 each engine is brought to the newest version that is named.
 """
@@ -13,11 +13,16 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
-AT_ONCE_PART = 1 / 3
-"""Part of a model's engines that may change at once.
+MOST_PART = 1 / 3
+"""Part of a model's engines that may change at once, however little time is left."""
 
-With a load of half a second after runs of about a second, three rounds take five
-seconds, of the eight within which users want new weights in force."""
+ROUND_S = 1.6
+"""What one engine's change takes: runs of about a second, a load of half a second, and
+looks at it.  Measured: 1.5 to 2 s under load."""
+
+USED_PART = 0.75
+"""Part of the time allowed within which all engines are to be changed; the rest is for
+orders that go astray and for engines that come back."""
 
 MIN_AT_ONCE = 2
 """Engines that may change at once however few there are; two of the smallest pool
@@ -39,12 +44,14 @@
     named: Mapping[str, int],
     changing: Collection[str],
     silent: Collection[str] = (),
+    left_s: Mapping[str, float] | None = None,
 ) -> list[str]:
     """Names of the engines to begin with now, those on the oldest weights first.
 
     ``named`` is the version wanted by model; ``changing`` names the engines whose
     change is under way, ``silent`` those that did not answer lately, which take no work
-    either.
+    either.  ``left_s`` is the time left by model until work may not start on overtaken
+    weights; without it as many as may change at all are due.
     """
     by_model: dict[str, list[EngineWeights]] = {}
     for engine in engines:
@@ -52,25 +59,46 @@
             by_model.setdefault(engine.model, []).append(engine)
     found = []
     for model, members in sorted(by_model.items()):
-        found += _due_of_model(members, named[model], changing, silent)
+        left = None if left_s is None else left_s.get(model, 0.0)
+        found += _due_of_model(members, named[model], changing, silent, left)
     return found
 
 
+def most_at_once(engines: int) -> int:
+    """How many of a model's engines may be away for a change, whatever the hurry."""
+    return max(MIN_AT_ONCE, math.ceil(engines * MOST_PART))
+
+
+def at_once(engines: int, waiting: int, left_s: float) -> int:
+    """How many of a model's engines are away for a change at a time.
+
+    ``waiting`` of them are still to begin, with ``left_s`` seconds left: the more time,
+    the fewer.  It answers a day on which a quarter of the engines is dead
+    when new weights are named: the others have no third of themselves to spare.
+    """
+    rounds = max(1, math.floor(left_s / ROUND_S))
+    return min(most_at_once(engines), max(MIN_AT_ONCE, math.ceil(waiting / rounds)))
+
+
 def _due_of_model(
     members: list[EngineWeights],
     wanted: int,
     changing: Collection[str],
     silent: Collection[str],
+    left_s: float | None,
 ) -> list[str]:
-    at_once = max(MIN_AT_ONCE, math.ceil(len(members) * AT_ONCE_PART))
     out = {*changing, *silent}
-    # One goes on in any case: engines that are away may never come back.
-    allowed = max(1, at_once - sum(member.name in silent for member in members))
-    places = allowed - sum(member.name in changing for member in members)
-    behind = [
+    waiting = [
         member
         for member in members
         if member.version < wanted and member.name not in out
     ]
-    behind.sort(key=lambda member: (member.version, member.name))
-    return [member.name for member in behind[: max(0, places)]]
+    if left_s is None:
+        away = sum(member.name in silent for member in members)
+        # One goes on in any case: engines that are away may never come back.
+        allowed = max(1, most_at_once(len(members)) - away)
+    else:
+        allowed = at_once(len(members), len(waiting), left_s)
+    places = allowed - sum(member.name in changing for member in members)
+    waiting.sort(key=lambda member: (member.version, member.name))
+    return [member.name for member in waiting[: max(0, places)]]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -87,6 +87,10 @@
         """Let a frozen process go on."""
         self.signal(signal.SIGCONT)
 
+    def reload(self) -> None:
+        """Say that settings have changed."""
+        self.signal(signal.SIGHUP)
+
     def terminate(self) -> None:
         """Ask for a graceful shutdown."""
         self.signal(signal.SIGTERM)
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -2,6 +2,7 @@
 
 ``forward`` passes bytes on; ``silent`` keeps every connection open and takes new
 ones, but passes nothing on (bytes sent meanwhile are held back in the buffers);
+``one_way`` does so for what the target sends alone; ``slow`` passes everything on late;
 ``cut`` closes what is open and refuses new connections until another mode is set.
 """
 
@@ -9,8 +10,11 @@
 
 import asyncio
 from enum import StrEnum
+from typing import Any
 
 CHUNK_BYTES = 64 * 1024
+SLOW_S = 0.15
+"""Each piece waits so long on a slow way; far more than between regions."""
 
 
 class RelayMode(StrEnum):
@@ -18,6 +22,8 @@
 
     FORWARD = "forward"
     SILENT = "silent"
+    ONE_WAY = "one_way"
+    SLOW = "slow"
     CUT = "cut"
 
 
@@ -72,18 +78,18 @@
         if self._server is None:
             await self.start()
         for link in self._links:
-            link.set_flowing(mode is RelayMode.FORWARD)
+            link.set_mode(mode)
 
     def silence_open(self) -> None:
         """Silence the connections that are open now; new ones are forwarded."""
         for link in self._links:
-            link.set_flowing(False)
+            link.set_mode(RelayMode.SILENT)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.accepted += 1
-        link = _Link(reader, writer, self._mode is RelayMode.FORWARD)
+        link = _Link(reader, writer, self._mode)
         self._links.add(link)
         try:
             await link.run(self.target_host, self.target_port)
@@ -92,37 +98,38 @@
 
 
 class _Link:
-    """One relayed connection: two sockets and a gate for both directions."""
+    """One relayed connection: two sockets, and a gate for each direction."""
 
     def __init__(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        flowing: bool,
+        mode: RelayMode,
     ) -> None:
         self._near = (reader, writer)
-        self._gate = asyncio.Event()
+        self._out, self._back = asyncio.Event(), asyncio.Event()
         self._closed = asyncio.Event()
-        self.set_flowing(flowing)
+        self._delay_s = 0.0
+        self.set_mode(mode)
 
-    def set_flowing(self, flowing: bool) -> None:
-        if flowing:
-            self._gate.set()
-        else:
-            self._gate.clear()
+    def set_mode(self, mode: RelayMode) -> None:
+        self._delay_s = SLOW_S if mode is RelayMode.SLOW else 0.0
+        _set(self._out, mode is not RelayMode.SILENT)
+        _set(self._back, mode not in (RelayMode.SILENT, RelayMode.ONE_WAY))
 
     def close(self) -> None:
         self._closed.set()
 
     async def run(self, target_host: str, target_port: int) -> None:
         """Relay until either side closes while bytes flow, or ``close``."""
-        tasks = [asyncio.create_task(self._closed.wait())]
+        tasks: list[asyncio.Task[Any]] = [asyncio.create_task(self._closed.wait())]
         writers = [self._near[1]]
         try:
             far = await asyncio.open_connection(target_host, target_port)
             writers.append(far[1])
-            tasks.append(asyncio.create_task(self._pump(self._near[0], far[1])))
-            tasks.append(asyncio.create_task(self._pump(far[0], self._near[1])))
+            out = self._pump(self._near[0], far[1], self._out)
+            back = self._pump(far[0], self._near[1], self._back)
+            tasks += [asyncio.create_task(out), asyncio.create_task(back)]
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         except OSError:
             pass
@@ -134,13 +141,24 @@
                 writer.close()
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        gate: asyncio.Event,
     ) -> None:
         while True:
-            await self._gate.wait()
+            await gate.wait()
             data = await reader.read(CHUNK_BYTES)
-            await self._gate.wait()
+            await gate.wait()
+            await asyncio.sleep(self._delay_s)
             if not data:
                 return
             writer.write(data)
             await writer.drain()
+
+
+def _set(gate: asyncio.Event, is_open: bool) -> None:
+    if is_open:
+        gate.set()
+    else:
+        gate.clear()
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -221,16 +221,16 @@
 @pytest.mark.parametrize("case", CHOICES)
 def test_choice_for_a_long_prompt(case: str) -> None:
     candidates, wanted = CHOICES[case]
-    chosen = choose(candidates, LONG)
+    chosen = choose(candidates, LONG, random.Random(1))
     assert chosen is not None and chosen.name == wanted
 
 
 def test_plain_calls_go_where_a_place_is_free() -> None:
     busy = candidate("busy", slots=6, load=Load(6, 0, 0))
     free = candidate("free", slots=6, load=Load(5, 0, 0), far=True)
-    chosen = choose([busy, free], Demand())
+    chosen = choose([busy, free], Demand(), random.Random(1))
     assert chosen is not None and chosen.name == "free"
-    assert choose([], Demand()) is None
+    assert choose([], Demand(), random.Random(1)) is None
 
 
 def upstreams(directory: Directory, weights: NamedWeights | None = None) -> Upstreams:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gooseberrydale.request import placement
 from gooseberrydale.request.placement import (
     PREFILL_TOKENS_PER_S,
     Candidate,
@@ -67,7 +68,7 @@
         candidates = [
             Candidate(engine.name, Load(0, engine.backlog(now), 0)) for engine in pool
         ]
-        chosen = choose(candidates, demand)
+        chosen = choose(candidates, demand, rng)
         assert chosen is not None
         late = yielding and gives_way(
             queue_s(chosen, demand), own_s(chosen, demand), 0.0, Goal(0.4, rank)
@@ -124,3 +125,51 @@
 def test_without_an_objective_nobody_gives_way() -> None:
     assert not gives_way(10.0, 1.0, 1.0, Goal(0.0, 0))
     assert TOP_PART < 1.0
+
+
+GATEWAYS = 32
+LARGE_POOL = 20
+HEARD_AFTER_S = 0.08
+LARGE_PER_S = 250.0  # nearly what twenty engines carry
+
+
+def play_many_gateways(pool_size: int, *, heard_after_s: float) -> list[float]:
+    """Waits before each request's prompt; gateways hear of each other late."""
+    rng = random.Random(5)
+    # Work as sent: when, where, when it is computed; each gateway knows its own at once.
+    sent: list[tuple[float, int, int, float]] = []
+    free_at = [0.0] * pool_size
+    waits, now = [], 0.0
+    while now < SECONDS:
+        now += rng.expovariate(LARGE_PER_S)
+        gateway, tokens = rng.randrange(GATEWAYS), rng.choice(SIZES)
+        homes = rng.sample(range(pool_size), pool_size)
+        backlog = [0.0] * pool_size
+        for at, by, engine, end in sent:
+            known = by == gateway or at + heard_after_s <= now
+            if known and end > now:
+                backlog[engine] += min(end - now, (end - at)) * PREFILL_TOKENS_PER_S
+        candidates = [
+            Candidate(str(n), Load(0, backlog[n], 0), home_rank=homes.index(n))
+            for n in range(pool_size)
+        ]
+        chosen = choose(candidates, Demand(own_tokens=tokens), rng)
+        assert chosen is not None
+        engine = int(chosen.name)
+        begin = max(now, free_at[engine])
+        free_at[engine] = begin + tokens / PREFILL_TOKENS_PER_S
+        waits.append(begin - now)
+        sent = [one for one in sent if one[3] > now]
+        sent.append((now, gateway, engine, free_at[engine]))
+    return waits
+
+
+def test_many_gateways_that_hear_late_do_not_meet_at_one_engine(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lot = play_many_gateways(LARGE_POOL, heard_after_s=HEARD_AFTER_S)
+    monkeypatch.setattr(placement, "SMALL_POOL", LARGE_POOL)
+    all_weighed = play_many_gateways(LARGE_POOL, heard_after_s=HEARD_AFTER_S)
+    late = [sum(wait > 0.25 for wait in waits) for waits in (lot, all_weighed)]
+    assert late[0] < 0.75 * late[1]
+    assert sum(lot) < sum(all_weighed)
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
@@ -19,7 +19,7 @@
 from gooseberrydale.version.declarations import Config
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.order_marks import mark_name
-from gooseberrydale.version.rollout import EngineWeights, due
+from gooseberrydale.version.rollout import EngineWeights, at_once, due
 from tests.builders_gateway import record
 from tests.clock import run_paused
 
@@ -50,6 +50,44 @@
     assert due(members, {"other": 9}, changing, silent) == []
 
 
+PACES = [
+    # engines, behind, seconds left -> away at once
+    (5, 5, 6.0, 2),
+    (9, 9, 6.0, 3),
+    (28, 28, 7.5, 7),
+    (28, 21, 7.5, 6),
+    (28, 21, 3.0, 10),
+    (28, 2, 7.5, 2),
+    (28, 28, 0.0, 10),
+    (3, 3, 6.0, 2),
+]
+
+
+@pytest.mark.parametrize("pace", PACES)
+def test_how_many_change_at_once_by_the_time_left(
+    pace: tuple[int, int, float, int],
+) -> None:
+    count, behind, left_s, expected = pace
+    assert at_once(count, behind, left_s) == expected
+
+
+def test_with_a_quarter_dead_all_others_change_in_time() -> None:
+    """Each round takes as long as measured; the dead ones hold nobody up."""
+    members, now = engines(*[1] * 28), 0.0
+    dead = {engine.name for engine in members[:7]}
+    ends: dict[str, float] = {}
+    most = 0
+    while any(one.version < 4 for one in members if one.name not in dead):
+        begun = due(members, {"m": 4}, ends, dead, {"m": 7.5 - now})
+        ends |= {name: now + 1.8 for name in begun}
+        most = max(most, len(ends))
+        now += 0.1
+        done = {name for name, at in ends.items() if at <= now}
+        members = [replace(e, version=4) if e.name in done else e for e in members]
+        ends = {name: at for name, at in ends.items() if name not in done}
+    assert now < 8.5 and most <= 7
+
+
 @dataclass
 class FakeEngine:
     """An engine that carries orders out; ``astray`` orders are kept for later."""
@@ -151,6 +189,7 @@
             Announcements(self.directory, 1.2),
             self.engines,
             pause_s,
+            8.0,
         )
 
     async def start(self) -> None:
