--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,11 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 BINARY := dist/gooseberrydale.pyz
-CODE := gooseberrydale platform tests features scripts measure
+CODE := gooseberrydale platform tests features scripts measure soak
 RUNS ?= 5
+SEEDS ?= 5
 
-.PHONY: run test check format binary soak measure
+.PHONY: run test check format binary soak faults measure
 
 $(STAMP): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -30,6 +31,7 @@
 	$(BIN)/flake8 $(CODE)
 	$(BIN)/mypy
 	$(BIN)/mypy platform
+	$(BIN)/mypy soak
 
 format: $(STAMP)
 	$(BIN)/black -q $(CODE)
@@ -46,6 +48,10 @@
 soak: $(STAMP)
 	$(BIN)/python scripts/soak.py --minutes $(MINUTES)
 
+# Real processes under faults of random seeds: make faults SEEDS=50
+faults: $(STAMP)
+	$(BIN)/python -m soak --seeds $(SEEDS)
+
 # Compare the policies on both example deployments, with and without failures.
 measure: $(STAMP)
 	$(BIN)/python -m measure --runs $(RUNS)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import os
 import pathlib
@@ -224,7 +225,9 @@
         }
         self._write_cfg(sidecar, spec.zone, "sidecar", table, node=spec.name)
         if spec.metrics:
-            listener = {"http": f"{self.host(sidecar)}:{METRICS_HTTP}"}
+            listener: dict[str, object] = {
+                "http": f"{self.host(sidecar)}:{METRICS_HTTP}"
+            }
             with open(self.cfg_path(sidecar), "a") as cfg:
                 cfg.write(_toml("metrics", listener))
         self._add_role(sidecar, "sidecar")
@@ -337,9 +340,8 @@
         """Return once every entry is ready and all upstreams have announced."""
         for name in self.entries:
             url = self.entry_url(name) + "/readyz"
-            wait_until(
-                lambda url=url: _answers(url, self.verify), f"{name} is not ready"
-            )
+            ready = functools.partial(_answers, url, self.verify)
+            wait_until(ready, f"{name} is not ready")
         wait_until(self.control_whole, "control replicas are missing")
         wait_until(
             lambda: len(self.operate("GET", "/v1/upstreams")["upstreams"]) >= upstreams,
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -134,9 +134,9 @@
 
 
 def play_many_gateways(pool_size: int, *, heard_after_s: float) -> list[float]:
-    """Waits before each request's prompt; gateways hear of each other late."""
+    """Waits before each prompt; gateways hear of each other late."""
     rng = random.Random(5)
-    # Work as sent: when, where, when it is computed; each gateway knows its own at once.
+    # What was sent: when, by whom, where, until when; gateways know their own at once.
     sent: list[tuple[float, int, int, float]] = []
     free_at = [0.0] * pool_size
     waits, now = [], 0.0
