--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -135,3 +135,23 @@
         )
     assert done.returncode == 3
     assert f"cannot listen on {address}" in done.stderr
+
+
+EARLY = """
+import os, signal, sys, threading
+class Watch:
+    def find_spec(self, name, path=None, target=None):
+        if name == "gooseberrydale.process.cli":
+            os.kill(os.getpid(), signal.SIGHUP)
+sys.meta_path.insert(0, Watch())
+import gooseberrydale.__main__
+print("alive")
+"""
+
+
+def test_a_signal_to_reload_during_the_start_does_not_end_the_process() -> None:
+    """The signal comes while the first module of the program is looked for."""
+    done = subprocess.run(
+        [sys.executable, "-c", EARLY], capture_output=True, text=True, timeout=BOUND_S
+    )
+    assert (done.returncode, done.stdout.strip()) == (0, "alive")
