--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -10,7 +10,12 @@
 from dataclasses import replace
 
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.errors import NO_UPSTREAM, OUTCOME_UNKNOWN, problem
+from gooseberrydale.errors import (
+    NO_UPSTREAM,
+    OUTCOME_UNKNOWN,
+    UPSTREAMS_BUSY,
+    problem,
+)
 from gooseberrydale.log_events import SendEnded, StreamMoved, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
@@ -25,16 +30,17 @@
     Sends,
     after_end,
 )
-from gooseberrydale.request.comeback import without_upstream_s
+from gooseberrydale.request.comeback import after_overload_s, without_upstream_s
 from gooseberrydale.request.placement import (
     Candidate,
     Demand,
     choose,
+    memory_part,
     own_s,
     queue_s,
 )
 from gooseberrydale.request.retry import RetryBudget
-from gooseberrydale.request.timeliness import Goal, gives_way
+from gooseberrydale.request.timeliness import Goal, Verdict, gives_way, verdict
 
 MOVES_KEEP = 1.0
 """Retries that stay in the budget when a stream is moved to free its upstream: those
@@ -96,6 +102,9 @@
             if chosen is None:
                 await self._without_upstream()
                 return
+            if self._verdict(chosen) is Verdict.COMES_BACK:
+                await self._send_back()
+                return
             record = next(r for r, one in candidates if one.name == chosen.name)
             end = await self._send(record, chosen)
             if end is None:
@@ -119,7 +128,6 @@
         return self._upstreams.candidates(sought, _now())
 
     async def _send(self, record: UpstreamRecord, chosen: Candidate) -> End | None:
-        self._gives_way = self._must_give_way(chosen)
         self._tried.append(record.name)
         self.choices.append(chosen)
         self.chosen_at = self.chosen_at or _now()
@@ -135,15 +143,28 @@
         )
         return await self._sender.send(record, terms, work)
 
-    def _must_give_way(self, chosen: Candidate) -> bool:
-        """Whether the request will be late there; one sent before goes on as it is."""
+    def _verdict(self, chosen: Candidate) -> Verdict:
+        """What becomes of the request there; one sent before goes on as it is."""
         if self._tried:
-            return self._gives_way
+            return Verdict.GIVES_WAY if self._gives_way else Verdict.IN_TURN
         job = self._job
         goal = Goal(job.route.objective_s, job.rank)
         queued = queue_s(chosen, self._demand)
         waited_s = _now() - job.began_at
-        return gives_way(queued, own_s(chosen, self._demand), waited_s, goal)
+        late = gives_way(queued, own_s(chosen, self._demand), waited_s, goal)
+        part = memory_part(chosen, self._demand)
+        wait_s = job.until - job.began_at
+        found = verdict(late, part, wait_s, job.route.timeout_s)
+        self._gives_way = found is Verdict.GIVES_WAY
+        return found
+
+    async def _send_back(self) -> None:
+        """Tell the caller at once when to come back."""
+        self.outcome = UPSTREAMS_BUSY.code
+        after_s = after_overload_s(self._job.left_s())
+        pool = self._job.pool.name
+        why = problem(UPSTREAMS_BUSY, pool=pool, retry_after_s=after_s)
+        await self._answer.refuse(why)
 
     def _may_move(self, record: UpstreamRecord) -> bool:
         """Whether a stream leaves an upstream that carries an order out.
