--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -47,8 +47,8 @@
 """After this the engine is left for another try; runs and load take two at most."""
 
 SILENT_PAUSE_S = 0.6
-"""An engine that did not answer is asked again after this, and then next to the
-others, so that it has the newest weights soon after it is back."""
+"""An engine that did not answer is asked again after this, beside the changes: it takes
+no place from the others, and has the newest weights soon after it is back."""
 
 RESEND_AFTER_S = 0.1
 """An engine that shows no sign of an unanswered order after this is given it again: the
@@ -86,7 +86,9 @@
         self._led_since = 0.0
         self._fenced_term = 0
         self._seq = itertools.count(1)
+        # When an engine that does not answer is asked again.
         self._silent: dict[str, float] = {}
+        self._asking: set[asyncio.Task[None]] = set()
         self._changing: dict[str, asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -97,7 +99,7 @@
     async def close(self) -> None:
         """Stop; the next leader goes on."""
         await stop(self._tasks)
-        await stop(list(self._changing.values()))
+        await stop([*self._changing.values(), *self._asking])
 
     async def _run(self) -> None:
         while True:
@@ -105,6 +107,7 @@
             if self._may_order():
                 for name in self._due():
                     self._begin(name)
+                self._ask_silent()
             await asyncio.sleep(LOOK_S)
 
     def _may_order(self) -> bool:
@@ -134,8 +137,8 @@
             for record in self._directory.records(_now())
             if record.model and not is_mark(record)
         ]
-        silent = {engine.name for engine in engines if self._is_silent(engine.name)}
-        return due(engines, named, self._changing, silent, self._left_s(engines))
+        left_s = self._left_s(engines)
+        return due(engines, named, self._changing, self._silent, left_s)
 
     def _left_s(self, engines: list[EngineWeights]) -> dict[str, float]:
         """Seconds by model until its engines shall have the newest weights.
@@ -150,15 +153,22 @@
                 left[engine.model] = min(left.get(engine.model, left_s), left_s)
         return left
 
-    def _is_silent(self, name: str) -> bool:
-        """Whether an engine did not answer lately; forgets it after a while."""
-        at = self._silent.get(name)
-        if at is None:
-            return False
-        if _now() < at + SILENT_PAUSE_S:
-            return True
-        del self._silent[name]
-        return False
+    def _ask_silent(self) -> None:
+        """Ask engines that did not answer again; those that are gone are forgotten."""
+        now = _now()
+        for name, ask_at in list(self._silent.items()):
+            engine = self._directory.get(name, now)
+            if engine is None or engine.leaving:
+                del self._silent[name]
+            elif ask_at <= now:
+                self._silent[name] = now + SILENT_PAUSE_S
+                task = spawn(self._ask(engine))
+                self._asking.add(task)
+                task.add_done_callback(self._asking.discard)
+
+    async def _ask(self, engine: UpstreamRecord) -> None:
+        if await self._engines.report(engine) is not None:
+            self._silent.pop(engine.name, None)
 
     def _begin(self, name: str) -> None:
         task = spawn(self._change(name))
@@ -187,7 +197,7 @@
         report = await self._engines.report(engine)
         if report is None:
             # Others shall not wait for an engine that may be dead.
-            self._silent[engine.name] = _now()
+            self._silent[engine.name] = _now() + SILENT_PAUSE_S
             return True
         held = report.versions.get(engine.model, 0)
         if held >= wanted and not report.busy:
