Count and measure at gateways, if the settings ask for a listener

Requests by route and outcome, times to the first event, to the end and before the first send, retries by cause; levels of what the process knows. The libraries for metrics stay unloaded without a listener.

--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -27,6 +27,7 @@
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.declared_store import DeclaredStore
 from gooseberrydale.process.gateway.forward import BrokenAnswerError, Forward
+from gooseberrydale.process.gateway.measures import Measures
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendParts
 from gooseberrydale.process.gateway.terms import TermsMaker
@@ -58,6 +59,7 @@
     sends: SendParts
     terms: TermsMaker
     budgets: RetryBudgets
+    measures: Measures
     rng: random.Random
 
 
@@ -97,6 +99,7 @@
         self._send = send
         self._drain = drain
         self._forward: Forward | None = None
+        self._route = ""
         self._began = asyncio.get_running_loop().time()
 
     async def serve(self) -> None:
@@ -151,8 +154,8 @@
             return stopping.code
         parts = self._parts
         budget = parts.budgets.of(job.pool.name)
-        forward = Forward(job, answer, parts.sends, parts.terms, budget)
-        self._forward = forward
+        forward = Forward(job, answer, parts.sends, parts.terms, budget, parts.measures)
+        self._forward, self._route = forward, route.name
         await self._run(forward)
         return forward.outcome
 
@@ -233,6 +236,10 @@
 
     def _log(self, call: CallerCall, answer: CallerAnswer, outcome: str) -> None:
         forward, table = self._forward, self._parts.declared.table
+        now = asyncio.get_running_loop().time()
+        first_s = max(0.0, answer.started_at - self._began)
+        measures = self._parts.measures
+        measures.request_ended(self._route, outcome, first_s, now - self._began)
         emit(
             RequestEnded(
                 request_id=call.request_id,
@@ -244,7 +251,7 @@
                 whole=answer.complete,
                 held_ms=0.0 if forward is None else self._since_ms(forward.chosen_at),
                 first_ms=self._since_ms(answer.started_at),
-                took_ms=self._since_ms(asyncio.get_running_loop().time()),
+                took_ms=self._since_ms(now),
                 table=0 if table is None else table.declared.number,
             )
         )
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -19,6 +19,7 @@
 from gooseberrydale.log_events import SendEnded, StreamMoved, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
+from gooseberrydale.process.gateway.measures import Measures
 from gooseberrydale.process.gateway.send import Sender, SendParts
 from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.process.gateway.upstreams import Sought, demand_of
@@ -78,8 +79,10 @@
         parts: SendParts,
         terms: TermsMaker,
         budget: RetryBudget,
+        measures: Measures,
     ) -> None:
         self._job = job
+        self._measures = measures
         self._answer = answer
         self._upstreams = parts.upstreams
         self._terms = terms
@@ -130,7 +133,10 @@
     async def _send(self, record: UpstreamRecord, chosen: Candidate) -> End | None:
         self._tried.append(record.name)
         self.choices.append(chosen)
-        self.chosen_at = self.chosen_at or _now()
+        if not self.chosen_at:
+            self.chosen_at = _now()
+            held_s = self.chosen_at - self._job.began_at
+            self._measures.held(self._job.route.name, held_s)
         work = self._demand.work_at(chosen)
         if self._gives_way:
             # Nobody waits for its prompt, as others go first.
@@ -220,6 +226,7 @@
             )
         )
         if isinstance(step, SendAgain):
+            self._measures.sent_again(end.name.lower())
             return True
         self.outcome = end.name.lower()
         if self._answer.started:
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from starlette.types import Receive, Scope, Send
 
@@ -14,11 +15,13 @@
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
 from gooseberrydale.connection.work_gossip import WorkGossip
 from gooseberrydale.log_events import Drained, Draining, emit
+from gooseberrydale.process import logs
 from gooseberrydale.process.cfg import Cfg, GatewayCfg, NodeCfg, TlsCfg
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.gateway.app import GatewayApp, GatewayParts
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
+from gooseberrydale.process.gateway.measures import Measured, Unmeasured
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendParts
 from gooseberrydale.process.gateway.store_follower import (
@@ -40,6 +43,10 @@
 from gooseberrydale.version.store_followers import StoreTidings
 from gooseberrydale.version.stores import Stores
 
+if TYPE_CHECKING:
+    from gooseberrydale.process.instruments import Level
+    from gooseberrydale.process.metrics import Metrics
+
 SWEEP_S = 0.5
 UNREADY_S = 2.1
 """Balancers that ask once a second see two refusals in this time, and send no more
@@ -57,6 +64,16 @@
 """No declared pool can have this name, as names of pools are names."""
 
 
+def _metrics(cfg: Cfg) -> Metrics | None:
+    """The instruments, if the settings ask for a listener."""
+    if not cfg.metrics.http:
+        return None
+    # Imported here: the libraries for metrics take memory that others can save.
+    from gooseberrydale.process.metrics import Metrics
+
+    return Metrics(GATEWAY_ROLE, cfg.node.name, cfg.node.zone)
+
+
 @dataclass(frozen=True, slots=True)
 class Dialect:
     """How a deployment's callers, upstreams and operators write."""
@@ -95,6 +112,7 @@
         if cfg.gateway is None:
             raise ValueError("the settings have no [gateway] table; add one")
         self._cfg: GatewayCfg = cfg.gateway
+        self.metrics = _metrics(cfg)
         self._rng = rng if rng is not None else random.SystemRandom()
         self.store = ConfigStore()
         self.directory = Directory()
@@ -141,6 +159,7 @@
             sends=sends,
             terms=TermsMaker(self._upstreams),
             budgets=RetryBudgets(self._cfg, self._count_gateways),
+            measures=Unmeasured() if self.metrics is None else Measured(self.metrics),
             rng=self._rng,
         )
         self._app = GatewayApp(parts)
@@ -191,6 +210,19 @@
         await self._mesh.close()
         self._conns.close()
 
+    def read_levels(self, level: Level) -> None:
+        """What holds right now, for a scrape."""
+        now = asyncio.get_running_loop().time()
+        table = self._declared.table
+        level.documents = 0 if table is None else table.declared.number
+        level.running = self._app.open_requests
+        level.gateways = len(self._gateway_names())
+        level.upstreams_known = self._upstreams.count(now)
+        level.suspected = self._upstreams.suspected(now)
+        views = map(self._stores.view, self._stores.addresses)
+        level.stores_up = sum(view is not None and view.up for view in views)
+        level.log_lines_dropped = logs.dropped()
+
     def _make_mesh(self, cfg: Cfg, incarnation: str) -> Mesh:
         def own_record() -> UpstreamRecord:
             return gateway_record(cfg.node, self._cfg.gossip, incarnation)
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -10,14 +10,14 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
-from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
 from gooseberrydale.request.gateway_call import Prompt
 from gooseberrydale.request.members import Members
 from gooseberrydale.request.placement import Candidate, Demand
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.named_weights import NamedWeights
-from gooseberrydale.version.order_marks import mark_name
+from gooseberrydale.version.order_marks import is_mark, mark_name
 from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
 from gooseberrydale.version.stores import Stores
 from gooseberrydale.version.upstream_load import UpstreamLoad
@@ -156,6 +156,15 @@
         bound_s = self._weights_bound_s
         return [(record, one) for record, one in found if one.old_for_s < bound_s]
 
+    def count(self, now: float) -> int:
+        """How many upstreams are announced."""
+        records = self._directory.records(now)
+        return sum(one.kind != GATEWAY_ROLE and not is_mark(one) for one in records)
+
+    def suspected(self, now: float) -> int:
+        """How many upstreams are left alone after a failure."""
+        return sum(load.suspect_until > now for load in self._loads.values())
+
     def sweep(self, now: float) -> set[str]:
         """Forget lives that are gone; return the names of those that are known."""
         known = {record.name for record in self._directory.records(now)}
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -18,6 +18,7 @@
     *(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8),
     *(1.2, 1.6, 2.0, 3.0, 5.0, 10.0, 30.0),
 )
+HELD_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 0.8)
 GAP_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.07, 0.1, 0.2, 0.5, 1.0, 3.0)
 
 
@@ -62,6 +63,11 @@
     view_complete: int = _measured("1", "1 if the cache view has no gap, else 0")
     sessions: int = _measured("1", "Open mesh sessions")
     term: int = _measured("1", "Term of the replicated log")
+    documents: int = _measured("1", "Number of the document in force")
+    gateways: int = _measured("1", "Gateways that are known, this one included")
+    suspected: int = _measured("1", "Upstreams left alone after a failure")
+    stores_up: int = _measured("1", "Stores of KV cache that answer")
+    log_lines_dropped: int = _measured("1", "Log lines that could not be written")
     is_leader: int = _measured("1", "1 at the leader of the control replicas")
     log_index: int = _measured("1", "Last index of the log")
     commit_index: int = _measured("1", "Last committed index of the log")
@@ -78,6 +84,8 @@
     requests: Any
     refusals: Any
     ttft_s: Any
+    request_s: Any
+    held_s: Any
     chunk_gap_s: Any
     retries: Any
     resumes: Any
@@ -123,6 +131,18 @@
             "Time from arrival to the first token",
             explicit_bucket_boundaries_advisory=list(TTFT_BUCKETS_S),
         ),
+        request_s=meter.create_histogram(
+            f"{PREFIX}.request_time",
+            "s",
+            "Time from arrival to the end of the answer",
+            explicit_bucket_boundaries_advisory=list(TTFT_BUCKETS_S),
+        ),
+        held_s=meter.create_histogram(
+            f"{PREFIX}.held_time",
+            "s",
+            "Time from arrival to the first send to an upstream",
+            explicit_bucket_boundaries_advisory=list(HELD_BUCKETS_S),
+        ),
         chunk_gap_s=meter.create_histogram(
             f"{PREFIX}.chunk_gap",
             "s",
--- a/gooseberrydale/process/logs.py
+++ b/gooseberrydale/process/logs.py
@@ -43,6 +43,7 @@
 _PLAIN = (str, int, float, bool, type(None))
 _encoder = msgspec.json.Encoder()
 _hidden: set[str] = set()
+_bounded: LineOut | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +85,11 @@
     logger.configure(extra=extra)
 
 
+def dropped() -> int:
+    """Lines that standard output did not take since the start."""
+    return 0 if _bounded is None else _bounded.dropped
+
+
 def to_json(record: Record) -> bytes:
     """Return the line for one record, without its end of line."""
     line: dict[str, Any] = {
@@ -101,8 +107,10 @@
 
 
 def _sink(cfg: LogCfg) -> Callable[[Message], None]:
+    global _bounded
     if cfg.stdout and not cfg.file:
-        return _BoundedSink(LineOut(sys.stdout.fileno()))
+        _bounded = LineOut(sys.stdout.fileno())
+        return _BoundedSink(_bounded)
     return _Sink(open(cfg.file, "a", encoding="utf-8") if cfg.file else sys.stderr)
 
 
--- a/gooseberrydale/process/runner.py
+++ b/gooseberrydale/process/runner.py
@@ -70,10 +70,13 @@
     role: Role = getattr(importlib.import_module(module), class_name)(cfg)
     if isinstance(role, HasIncarnation):
         logs.identify(logs.Identity(name, cfg.node.name, role.incarnation))
-    return role if not cfg.metrics.http else _observed(name, cfg, role)
+    return observed(name, cfg, role)
 
 
-def _observed(name: str, cfg: Cfg, role: Role) -> Role:
+def observed(name: str, cfg: Cfg, role: Role) -> Role:
+    """The role with a listener for scrapes, if the settings ask for one."""
+    if not cfg.metrics.http:
+        return role
     # Imported here: the libraries for metrics take memory that others can save.
     from gooseberrydale.process.metrics import Metrics
     from gooseberrydale.process.observed_role import ObservedRole
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -14,7 +14,7 @@
 
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import Problem
-from gooseberrydale.process.cfg import Cfg, FleetCfg, GatewayCfg, NodeCfg
+from gooseberrydale.process.cfg import Cfg, FleetCfg, GatewayCfg, MetricsCfg, NodeCfg
 from gooseberrydale.process.gateway.gateway import Dialect, Gateway
 from gooseberrydale.process.gateway.store_follower import Followed
 from gooseberrydale.request.gateway_call import (
@@ -236,12 +236,16 @@
 
 @asynccontextmanager
 async def running_gateway(
-    document: Declared | None, *upstreams: RawUpstream, **settings: Any
+    document: Declared | None,
+    *upstreams: RawUpstream,
+    metrics: MetricsCfg = MetricsCfg(),
+    **settings: Any,
 ) -> AsyncIterator[Gateway]:
     """A gateway before raw upstreams, without control."""
     cfg = Cfg(
         node=NodeCfg("g1"),
         fleet=FleetCfg(trust_network=True),
+        metrics=metrics,
         gateway=GatewayCfg(
             http="127.0.0.1:0",
             ready="127.0.0.1:0",
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import re
+import subprocess
+import sys
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.process.cfg import MetricsCfg
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.order_marks import mark
 from tests.builders_gateway import (
@@ -476,3 +480,41 @@
             assert not gateway._upstreams.load_of("u1").suspect_until > 0
 
     run(main())
+
+
+def test_a_scrape_tells_what_became_of_requests() -> None:
+    async def main() -> None:
+        upstream = RawUpstream("u1", well)
+        metrics = MetricsCfg(http="127.0.0.1:0")
+        async with running_gateway(ALL, upstream, metrics=metrics) as gateway:
+            await call(gateway)
+            await call(gateway, "/other/1", request_id="r2")
+            assert gateway.metrics is not None
+            gateway.metrics.before_scrape = gateway.read_levels
+            text = gateway.metrics.render().decode()
+        lines = [line for line in text.splitlines() if line[:1] != "#"]
+
+        def values(name: str, *labels: str) -> list[float]:
+            found = [line for line in lines if re.split("[{ ]", line)[0] == name]
+            found = [line for line in found if all(label in line for label in labels)]
+            return [float(line.rpartition(" ")[2]) for line in found]
+
+        ok = 'profile="calls"', 'outcome="answered"'
+        assert values("gooseberrydale_requests_total", *ok) == [1.0]
+        refused = 'outcome="no_declared_route"'
+        assert values("gooseberrydale_requests_total", refused) == [1.0]
+        assert values("gooseberrydale_time_to_first_token_seconds_count", ok[0]) == [1]
+        assert values("gooseberrydale_held_time_seconds_count") == [1.0]
+        assert values("gooseberrydale_upstreams_known") == [1.0]
+        assert values("gooseberrydale_documents") == [1.0]
+
+    run(main())
+
+
+def test_without_a_listener_the_libraries_for_metrics_are_not_loaded() -> None:
+    code = (
+        "import sys, gooseberrydale.process.gateway.gateway;"
+        "print(any('opentelemetry' in name for name in sys.modules))"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert done.stdout.strip() == "False"
