--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -188,12 +188,6 @@
 )
 
 # Request path.
-UPSTREAMS_BUSY = ErrorKind(
-    "upstreams_busy",
-    503,
-    "The upstreams of pool {pool!r} are busy with requests that came before; come back"
-    " after the given time.",
-)
 NO_UPSTREAM = ErrorKind(
     "no_upstream",
     503,
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -60,7 +60,6 @@
     "invalid": "the upstream's answer was not whole, or not its own",
     "timed_out": "its time ended",
     "broken": "its stream broke off and could not go on elsewhere",
-    "upstreams_busy": "it would have been late, and the engines' memory was taken",
     "no_upstream": "no upstream was known that could take it",
     "not_ready": "the gateway knew no document yet",
     "shutting_down": "the gateway was about to stop and sent it elsewhere",
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -10,12 +10,7 @@
 from dataclasses import replace
 
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.errors import (
-    NO_UPSTREAM,
-    OUTCOME_UNKNOWN,
-    UPSTREAMS_BUSY,
-    problem,
-)
+from gooseberrydale.errors import NO_UPSTREAM, OUTCOME_UNKNOWN, problem
 from gooseberrydale.log_events import SendEnded, StreamMoved, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
@@ -31,17 +26,16 @@
     Sends,
     after_end,
 )
-from gooseberrydale.request.comeback import after_overload_s, without_upstream_s
+from gooseberrydale.request.comeback import without_upstream_s
 from gooseberrydale.request.placement import (
     Candidate,
     Demand,
     choose,
-    memory_part,
     own_s,
     queue_s,
 )
 from gooseberrydale.request.retry import RetryBudget
-from gooseberrydale.request.timeliness import Goal, Verdict, gives_way, verdict
+from gooseberrydale.request.timeliness import Goal, gives_way
 
 MOVES_KEEP = 1.0
 """Retries that stay in the budget when a stream is moved to free its upstream: those
@@ -105,9 +99,6 @@
             if chosen is None:
                 await self._without_upstream()
                 return
-            if self._verdict(chosen) is Verdict.COMES_BACK:
-                await self._send_back()
-                return
             record = next(r for r, one in candidates if one.name == chosen.name)
             end = await self._send(record, chosen)
             if end is None:
@@ -131,6 +122,7 @@
         return self._upstreams.candidates(sought, _now())
 
     async def _send(self, record: UpstreamRecord, chosen: Candidate) -> End | None:
+        self._gives_way = self._must_give_way(chosen)
         self._tried.append(record.name)
         self.choices.append(chosen)
         if not self.chosen_at:
@@ -149,28 +141,15 @@
         )
         return await self._sender.send(record, terms, work)
 
-    def _verdict(self, chosen: Candidate) -> Verdict:
-        """What becomes of the request there; one sent before goes on as it is."""
+    def _must_give_way(self, chosen: Candidate) -> bool:
+        """Whether the request will be late there; one sent before goes on as it is."""
         if self._tried:
-            return Verdict.GIVES_WAY if self._gives_way else Verdict.IN_TURN
+            return self._gives_way
         job = self._job
         goal = Goal(job.route.objective_s, job.rank)
         queued = queue_s(chosen, self._demand)
         waited_s = _now() - job.began_at
-        late = gives_way(queued, own_s(chosen, self._demand), waited_s, goal)
-        part = memory_part(chosen, self._demand)
-        wait_s = job.until - job.began_at
-        found = verdict(late, part, wait_s, job.route.timeout_s)
-        self._gives_way = found is Verdict.GIVES_WAY
-        return found
-
-    async def _send_back(self) -> None:
-        """Tell the caller at once when to come back."""
-        self.outcome = UPSTREAMS_BUSY.code
-        after_s = after_overload_s(self._job.left_s())
-        pool = self._job.pool.name
-        why = problem(UPSTREAMS_BUSY, pool=pool, retry_after_s=after_s)
-        await self._answer.refuse(why)
+        return gives_way(queued, own_s(chosen, self._demand), waited_s, goal)
 
     def _may_move(self, record: UpstreamRecord) -> bool:
         """Whether a stream leaves an upstream that carries an order out.
--- a/gooseberrydale/request/comeback.py
+++ b/gooseberrydale/request/comeback.py
@@ -13,10 +13,6 @@
 NO_UPSTREAM_AFTER_S = 0.6
 """While no upstream is known: half of the pause between two announcements."""
 
-OVERLOAD_AFTER_S = 1.0
-"""While engines' memory is full of requests that are late already: some of these end
-within a second, and a change of weights takes engines away for two."""
-
 NOT_READY_AFTER_S = 0.5
 """While this process knows no configuration; another one of the zone does."""
 
@@ -32,11 +28,6 @@
     return _within(REFUSED_AFTER_S, left_s)
 
 
-def after_overload_s(left_s: float) -> float:
-    """Seconds until an engine will likely have room for a request that is late."""
-    return _within(OVERLOAD_AFTER_S, left_s)
-
-
 def without_upstream_s(left_s: float) -> float:
     """Seconds until an upstream will likely be known."""
     return _within(NO_UPSTREAM_AFTER_S, left_s)
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -156,13 +156,6 @@
     return [*by_home[:NEAR_HOMES], *others]
 
 
-def memory_part(candidate: Candidate, demand: Demand) -> float:
-    """Part of a candidate's memory that is taken with the request; 0 if unknown."""
-    if not candidate.kv_tokens:
-        return 0.0
-    return (candidate.load.kv_tokens + demand.tokens) / candidate.kv_tokens
-
-
 def queue_s(candidate: Candidate, demand: Demand) -> float:
     """Seconds that the request waits behind others at a candidate."""
     return _wait_s(candidate, demand)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -14,7 +14,6 @@
     Candidate,
     Demand,
     choose,
-    memory_part,
     own_s,
     queue_s,
 )
@@ -22,9 +21,7 @@
     CAUGHT_UP_S,
     TOP_PART,
     Goal,
-    Verdict,
     gives_way,
-    verdict,
 )
 from gooseberrydale.version.upstream_load import Load
 
@@ -176,86 +173,3 @@
     late = [sum(wait > 0.25 for wait in waits) for waits in (lot, all_weighed)]
     assert late[0] < 0.75 * late[1]
     assert sum(lot) < sum(all_weighed)
-
-
-MEMORY_TOKENS = 72_000
-PROMPT_TOKENS, OUT_S = 9_000, 0.35
-HEAVY_PER_S = 9.0  # one engine computes some six such prompts a second
-
-
-@dataclass(slots=True)
-class Admitted:
-    """A request in the engine's memory: its prompt is computed, then it decodes."""
-
-    number: int
-    left_tokens: float
-    first_at: float = 0.0
-
-
-def play_memory(*, send_back: bool) -> tuple[float, int]:
-    """Share of requests in time, and how many were told to come back.
-
-    The engine admits by rank as its memory allows, and computes prompts one after the
-    other in the order of admission, whatever their rank.
-    """
-    rng = random.Random(3)
-    waiting: list[tuple[int, int]] = []
-    running: list[Admitted] = []
-    came: dict[int, float] = {}
-    first: dict[int, float] = {}
-    sent_back, now, next_at, step = 0, 0.0, 0.0, 0.01
-    while now < SECONDS:
-        while next_at <= now:
-            next_at += rng.expovariate(HEAVY_PER_S)
-            number = len(came)
-            came[number] = now
-            urgent = [one for one in running if one.left_tokens > 0]
-            backlog = sum(one.left_tokens for one in urgent)
-            load = Load(0, backlog, (len(running) + len(waiting)) * PROMPT_TOKENS)
-            chosen = Candidate("e", load, kv_tokens=MEMORY_TOKENS)
-            demand = Demand(own_tokens=PROMPT_TOKENS)
-            goal = Goal(0.5, 0)
-            late = gives_way(queue_s(chosen, demand), own_s(chosen, demand), 0.0, goal)
-            found = verdict(late, memory_part(chosen, demand), 6.0, 6.0)
-            if send_back and found is Verdict.COMES_BACK:
-                sent_back += 1
-                continue
-            heapq.heappush(waiting, (6 if late else 0, number))
-        while waiting and len(running) < MEMORY_TOKENS // PROMPT_TOKENS:
-            running.append(Admitted(heapq.heappop(waiting)[1], PROMPT_TOKENS))
-        computing = next((one for one in running if one.left_tokens > 0), None)
-        if computing is not None:
-            computing.left_tokens -= PREFILL_TOKENS_PER_S * step
-            if computing.left_tokens <= 0:
-                computing.first_at = first[computing.number] = now
-        running = [
-            one for one in running if one.left_tokens > 0 or now < one.first_at + OUT_S
-        ]
-        now += step
-    timely = sum(at - came[number] <= 0.5 for number, at in first.items())
-    return timely / len(came), sent_back
-
-
-def test_at_twice_the_load_more_are_in_time_if_late_ones_come_back() -> None:
-    (all_taken, _), (some_taken, sent_back) = (
-        play_memory(send_back=False),
-        play_memory(send_back=True),
-    )
-    assert some_taken > all_taken + 0.15
-    assert sent_back > 0
-
-
-VERDICTS = [
-    # late, part of memory, what the caller gives, what the route allows
-    (False, 0.99, 6.0, 6.0, Verdict.IN_TURN),
-    (True, 0.4, 6.0, 6.0, Verdict.GIVES_WAY),
-    (True, 0.6, 6.0, 6.0, Verdict.COMES_BACK),
-    (True, 0.6, 5.0, 6.0, Verdict.GIVES_WAY),
-    (True, 0.0, 6.0, 6.0, Verdict.GIVES_WAY),
-]
-
-
-@pytest.mark.parametrize("case", VERDICTS)
-def test_who_comes_back(case: tuple[bool, float, float, float, Verdict]) -> None:
-    late, part, wait_s, route_s, expected = case
-    assert verdict(late, part, wait_s, route_s) is expected
