Don't count what gives way as work before others

A played log shows the chosen engines with nothing urgent to compute (prefill 0) and four times their memory in requests that gave way. Their memory was counted against each next request, which so gave way as well, until all had the lowest rank and waited in the order in which they came. Change: work that yields is counted apart, neither as requests nor as memory.

--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -87,6 +87,7 @@
         self._demand: Demand = demand_of(job.call.prompt)
         self.choices: list[Candidate] = []
         self.chosen_at = 0.0
+        self._yielded: list[bool] = []
         self.outcome = "unanswered"
 
     async def run(self) -> None:
@@ -125,14 +126,14 @@
         self._gives_way = self._must_give_way(chosen)
         self._tried.append(record.name)
         self.choices.append(chosen)
+        self._yielded.append(self._gives_way)
         if not self.chosen_at:
             self.chosen_at = _now()
             held_s = self.chosen_at - self._job.began_at
             self._measures.held(self._job.route.name, held_s)
         work = self._demand.work_at(chosen)
-        if self._gives_way:
-            # Nobody waits for its prompt, as others go first.
-            work = replace(work, prefill_tokens=0)
+        if self._gives_way and self._demand.is_prompt:
+            work = replace(work, yields=True)
         terms = self._terms.make(
             self._job,
             record,
@@ -224,8 +225,8 @@
             f"{one.name} rank={one.home_rank} requests={one.load.requests:.1f}"
             f" prefill={one.load.prefill_tokens:.0f} kv={one.load.kv_tokens:.0f}"
             f" errors={one.error_share:.2f} usable={one.usable}"
-            f" stored={one.stored} old={one.old_for_s:.1f}"
-            for one in self.choices
+            f" stored={one.stored} old={one.old_for_s:.1f} yields={yields}"
+            for one, yields in zip(self.choices, self._yielded, strict=True)
         ]
 
 
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -35,10 +35,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Work:
-    """One request at an upstream, in tokens; all 0 at a plain service."""
+    """One request at an upstream, in tokens; all 0 at a plain service.
+
+    A request that ``yields`` gives way to all others, so it is no work before them: its
+    memory is taken from it when they need it.
+    """
 
     prefill_tokens: int = 0
     kv_tokens: int = 0
+    yields: bool = False
 
 
 class UpstreamLoad:
@@ -48,6 +53,7 @@
         self._requests = 0
         self._prefill_tokens = 0
         self._kv_tokens = 0
+        self._yielding = 0
         self._others = 0.0
         self._reported_at = -math.inf
         self._failures = 0
@@ -58,16 +64,23 @@
 
     def began(self, work: Work) -> None:
         """A request was sent."""
+        if work.yields:
+            self._yielding += 1
+            return
         self._requests += 1
         self._prefill_tokens += work.prefill_tokens
         self._kv_tokens += work.kv_tokens
 
     def first_part(self, work: Work) -> None:
         """The prompt of a request is computed."""
-        self._prefill_tokens -= work.prefill_tokens
+        if not work.yields:
+            self._prefill_tokens -= work.prefill_tokens
 
     def ended(self, work: Work, *, prefilled: bool) -> None:
         """A request has ended; ``prefilled`` if its first part had come."""
+        if work.yields:
+            self._yielding -= 1
+            return
         self._requests -= 1
         self._kv_tokens -= work.kv_tokens
         if not prefilled:
@@ -76,7 +89,8 @@
     def reported(self, load: ReportedLoad, now: float) -> None:
         """The upstream tells its load with an answer."""
         # The own requests are among those reported.
-        self._others = max(0.0, load.running + load.waiting - self._requests)
+        own = self._requests + self._yielding
+        self._others = max(0.0, load.running + load.waiting - own)
         self._reported_at = now
 
     def answered(self, *, failed: bool) -> int:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -4,7 +4,7 @@
 
 import heapq
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -23,7 +23,8 @@
     Goal,
     gives_way,
 )
-from gooseberrydale.version.upstream_load import Load
+from gooseberrydale.version.peer_loads import Totals
+from gooseberrydale.version.upstream_load import Load, UpstreamLoad, Work
 
 SECONDS = 8.0
 PER_S = 55.0  # what five engines carry, and three don't
@@ -173,3 +174,24 @@
     late = [sum(wait > 0.25 for wait in waits) for waits in (lot, all_weighed)]
     assert late[0] < 0.75 * late[1]
     assert sum(lot) < sum(all_weighed)
+
+
+FULL_KV = 100_000
+PROMPT = Demand(own_tokens=9_000, new_tokens=20)
+
+
+def test_what_gives_way_takes_no_room_from_what_can_be_in_time() -> None:
+    """Were it counted, all would give way once memory is full, and nobody be first."""
+    load = UpstreamLoad()
+    for number in range(60):
+        found = Candidate("e", load.load(0.0, Totals()), slots=48, kv_tokens=FULL_KV)
+        late = gives_way(
+            queue_s(found, PROMPT), own_s(found, PROMPT), 0.0, Goal(0.4, 0)
+        )
+        # Nothing runs any more but what gave way: the next one must be first.
+        assert not late, f"request {number} gives way to nobody"
+        load.began(replace(PROMPT.work_at(found), yields=True))
+    for _ in range(60):
+        load.ended(Work(yields=True), prefilled=False)
+    load.began(PROMPT.work_at(found))
+    assert load.own == (1, 9_000, 9_020)
