Leave engines on overtaken weights half a second earlier

Callers there give up after 2.4 s. Change: a margin of 2.5 s; all engines are to be changed within 0.65 of the bound in place of 0.75, so that they are not left out before their turn. The test asks for the narrower time.

--- a/gooseberrydale/version/rollout.py
+++ b/gooseberrydale/version/rollout.py
@@ -20,9 +20,9 @@
 """What one engine's change takes: runs of about a second, a load of half a second, and
 looks at it.  Measured: 1.5 to 2 s under load, 2.7 with a quarter of them dead."""
 
-USED_PART = 0.75
-"""Part of the time allowed within which all engines are to be changed; the rest is for
-orders that go astray and for engines that come back."""
+USED_PART = 0.65
+"""Part of the time allowed within which all engines are to be changed; soon after it
+entries send engines on overtaken weights nothing any more."""
 
 MIN_AT_ONCE = 2
 """Engines that may change at once however few there are; two of the smallest pool
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -259,8 +259,9 @@
     weights.note({"m": 1}, 0.0)
     weights.note({"m": 2}, 1.0)
     asked = prompt(("guide", 100))
-    assert names(found, asked, 6.9).keys() == {"old", "new"}
-    assert names(found, asked, 7.1).keys() == {"new"}
+    # Half a second before work could still begin too late, after 2.4 s inside.
+    assert names(found, asked, 6.4).keys() == {"old", "new"}
+    assert names(found, asked, 6.6).keys() == {"new"}
 
 
 def test_every_process_finds_the_same_home_of_a_prefix() -> None:
