--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -32,7 +32,7 @@
 OLD_WEIGHTS_MARGIN_S = 2.5
 """Work may wait for its start inside an engine; so engines with overtaken weights get
 none for this long before it may not start there any more.  Callers give up after 2 to
-2.4 s without an event; requests that gave way began up to 2.3 s after they were sent."""
+2.4 s without an event; requests that gave way began up to 2.3 s after their send."""
 
 
 @dataclass(frozen=True, slots=True)
