Give an emptied disk another identity in the test of two lost ones

Cause of the failure that KNOWN-RED.txt listed: the test's replicas drew from a generator seeded by their name alone, so c2 came back from an empty disk under the identity of the lost one. The leader then took its log for whole, the test took it for repaired at once and stopped c3 some 15 ms later; if c2 had not caught up by then, c1 and an empty c2 were left, which can't and must not commit. The product draws from the system's generator. The test is as strict as before and asks for the other identity besides.

--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -64,7 +64,7 @@
 class Started:
     """A replica with its listener and machine."""
 
-    def __init__(self, folder, name, listen, addresses):
+    def __init__(self, folder, name, listen, addresses, start):
         self.cfg = ControlCfg(folder / name, replicas=addresses, snapshot_entries=20)
         self.machine = CountingMachine()
         self.files = FullFiles()
@@ -75,7 +75,8 @@
             self.machine,
             self.server,
             name=name,
-            rng=random.Random(name),
+            # Each start draws anew, so that an emptied disk gets another identity.
+            rng=random.Random(f"{name}/{start}"),
             files=self.files,
         )
 
@@ -97,11 +98,13 @@
         self.listen = {name: free_address() for name in names}
         self.addresses = dict(self.listen)
         self.started = {}
+        self.starts = 0
 
     async def start(self, *names):
         for name in names:
             listen = self.listen[name]
-            replica = Started(self.folder, name, listen, self.addresses)
+            self.starts += 1
+            replica = Started(self.folder, name, listen, self.addresses, self.starts)
             self.started[name] = await replica.start()
 
     async def stop(self, *names):
@@ -205,9 +208,11 @@
         for number in range(30):
             await group.commit(b"%d" % number)
         for name in ("c1", "c2"):
+            lost = group.started[name].replica.status.identity
             await group.stop(name)
             (tmp_path / name).rename(tmp_path / f"{name}.lost")
             await group.start(name)
+            assert group.started[name].replica.status.identity != lost
             await until(group.repaired)
         await group.stop("c3")
         assert await group.commit(b"30") == b"30"
