--- a/features/rolling_restart.feature
+++ b/features/rolling_restart.feature
@@ -4,7 +4,7 @@
 
   Scenario: All entries and sidecars restart, one after the other
     Given a fleet of 3 control replicas, 2 entries and 3 engines
-    And 120 requests are under way, one each 0.15 s
+    And 240 requests are under way, one each 0.15 s
     When all entries and sidecars are restarted gracefully, one after the other
     And all requests have ended
     Then every request brought its whole answer
