--- a/gooseberrydale/request/exchange.py
+++ b/gooseberrydale/request/exchange.py
@@ -23,6 +23,7 @@
 )
 from gooseberrydale.connection.rpc import ATTACH, DISPATCH, Method, RpcChannel
 from gooseberrydale.request.retry import Cause
+from gooseberrydale.request.silence_limit import SilenceLimit
 
 ATTACHES_AT_ONE_OFFSET = 3
 LATEST_ATTEMPT = -1
@@ -115,7 +116,7 @@
         Raises :class:`ExchangeLost` or :class:`DeadlinePassed`.
         """
         try:
-            async with asyncio.timeout(self._wait_s(until)):
+            async with SilenceLimit(self._silence_s, until):
                 frame = await self._call.read()
         except TimeoutError:
             _check_deadline(until)
@@ -153,7 +154,7 @@
 
     async def _connect(self, channel: RpcChannel, until: float | None) -> None:
         try:
-            async with asyncio.timeout(self._wait_s(until)):
+            async with SilenceLimit(self._silence_s, until):
                 if await channel.connect():
                     return
         except TimeoutError:
@@ -167,11 +168,6 @@
         self._heard = False
         self._call = channel.call(method, req)
 
-    def _wait_s(self, until: float | None) -> float:
-        if until is None:
-            return self._silence_s
-        return min(self._silence_s, until - asyncio.get_running_loop().time())
-
 
 def _check_deadline(until: float | None) -> None:
     if until is not None and asyncio.get_running_loop().time() >= until:
--- /dev/null
+++ b/gooseberrydale/request/silence_limit.py
@@ -0,0 +1,54 @@
+"""Bounds how long a reader waits for bytes, counting only time in which it could read.
+
+Lives as long as one read.  A process that gets no processor for a second finds all its
+timers due at once, and beside them whatever arrived meanwhile.  Were the limit a single
+timer, every open answer would count as silent in that moment, before a single frame
+was looked at.  So the limit runs in steps, and a stall of any length uses up one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from types import TracebackType
+
+STEPS = 8
+"""Steps of a limit.  With half a second as the limit, a stall of a second leaves seven
+steps, 0.44 s, to read what came; a limit is held too long by an eighth at most."""
+
+
+class SilenceLimit:
+    """An async context like ``asyncio.timeout``; raises TimeoutError after ``limit_s``.
+
+    ``until`` is a point of the loop's clock at which the wait ends in any case.
+    """
+
+    def __init__(self, limit_s: float, until: float | None = None) -> None:
+        self._step_s = max(0.0, limit_s) / STEPS
+        self._left = STEPS
+        self._timeout = asyncio.timeout_at(until)
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def __aenter__(self) -> None:
+        await self._timeout.__aenter__()
+        self._wait_a_step()
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._timeout.__aexit__(kind, exc, trace)
+
+    def _wait_a_step(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._step_s, self._step_over)
+
+    def _step_over(self) -> None:
+        self._left -= 1
+        if self._left > 0:
+            self._wait_a_step()
+        elif not self._timeout.expired():
+            self._timeout.reschedule(asyncio.get_running_loop().time())
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 from typing import Any
@@ -484,3 +485,30 @@
         assert len(fakes[0].dispatched) > 12
 
     run(scenario())
+
+
+def test_a_stall_of_the_process_ends_no_attempt() -> None:
+    """After a second without a processor, what waits to be read is read first."""
+
+    async def scenario() -> None:
+        fakes = [FakeSidecar("u1"), FakeSidecar("u2")]
+        began = asyncio.Event()
+
+        async def script(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+            yield fake.accepted(req)
+            began.set()
+            await asyncio.sleep(0.2)
+            async for frame in answer_words(fake, req):
+                yield frame
+
+        for fake in fakes:
+            fake.script = script
+        async with running(*fakes) as entry, openai_client(entry) as client:
+            reads = asyncio.gather(*[read_stream(client) for _ in range(20)])
+            await began.wait()
+            time.sleep(1.0)
+            texts = await reads
+        assert texts == [TEXT] * 20
+        assert sum(len(fake.dispatched) for fake in fakes) == 20
+
+    run(scenario())
--- /dev/null
+++ b/tests/test_silence_limit.py
@@ -0,0 +1,76 @@
+"""How long a reader waits for bytes, also when its process stalls."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import pytest
+
+from gooseberrydale.request.silence_limit import STEPS, SilenceLimit
+from tests.clock import PausedClockLoop, run_paused
+
+LIMIT_S = 0.5
+
+
+def test_silence_ends_after_the_limit() -> None:
+    async def scenario() -> float:
+        with pytest.raises(TimeoutError):
+            async with SilenceLimit(LIMIT_S):
+                await asyncio.Event().wait()
+        return asyncio.get_running_loop().time()
+
+    assert run_paused(scenario()) == pytest.approx(LIMIT_S)
+
+
+def test_the_deadline_ends_the_wait_sooner() -> None:
+    async def scenario() -> float:
+        with pytest.raises(TimeoutError):
+            async with SilenceLimit(LIMIT_S, until=0.2):
+                await asyncio.Event().wait()
+        return asyncio.get_running_loop().time()
+
+    assert run_paused(scenario()) == pytest.approx(0.2)
+
+
+def test_what_arrived_within_a_stall_is_read() -> None:
+    """Bytes need some rounds of the loop to reach the reader after a stall."""
+
+    async def scenario() -> str:
+        loop = cast(PausedClockLoop, asyncio.get_running_loop())
+        frame: asyncio.Future[str] = loop.create_future()
+
+        def wake_late() -> None:
+            loop.stall(3 * LIMIT_S)
+            loop.call_later(LIMIT_S / STEPS, frame.set_result, "frame")
+
+        loop.call_later(LIMIT_S / 2, wake_late)
+        async with SilenceLimit(LIMIT_S):
+            return await frame
+
+    assert run_paused(scenario()) == "frame"
+
+
+def test_nothing_is_left_behind_by_a_read_in_time() -> None:
+    async def scenario() -> float:
+        async with SilenceLimit(LIMIT_S):
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(2 * LIMIT_S)
+        return asyncio.get_running_loop().time()
+
+    assert run_paused(scenario()) == pytest.approx(0.1 + 2 * LIMIT_S)
+
+
+def test_a_cancelled_reader_is_cancelled() -> None:
+    async def read() -> None:
+        async with SilenceLimit(LIMIT_S):
+            await asyncio.Event().wait()
+
+    async def scenario() -> None:
+        task = asyncio.create_task(read())
+        await asyncio.sleep(0.1)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    run_paused(scenario())
