Tell the lives of an upstream apart, and leave foreign announcements out

Cause: an engine may start again under its id with its counts anew; announcements were ordered by their count alone, so the new life was not heard until it had counted past the old one, and one that had left once was never taken back. An announcement of another writer with an unknown state took a live engine out of service, and one event of a store that could not be read hid all the others of its call. Change: a life is named by its start (version/upstream_life.py); earlier lives change nothing; where a clock was set back the engine itself is asked. What a gateway learned of a life ends with it. Fields are checked when read; what can't be read is left out with a line.

--- a/gooseberrydale/connection/engine_orders.py
+++ b/gooseberrydale/connection/engine_orders.py
@@ -18,12 +18,15 @@
 
     ``versions`` holds the weights version by model, ``accepted`` counts the orders
     that this life of the engine has accepted, ``busy`` is True while one is carried
-    out.
+    out, ``running`` counts the requests that it works on or keeps waiting.  ``born_ms``
+    is the start of this life, in Unix milliseconds, None if it is not told.
     """
 
     versions: dict[str, int]
     accepted: int
     busy: bool
+    running: int = 0
+    born_ms: int | None = None
 
 
 class OrderAnswer(Enum):
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -124,6 +124,45 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamReborn(LogEvent):
+    """An upstream has started again under its name; both moments in Unix ms."""
+
+    NAME: ClassVar[str] = "upstream_reborn"
+    TEXT: ClassVar[str] = "upstream reborn"
+
+    upstream: str
+    born: int
+    before: int
+
+
+@dataclass(frozen=True, slots=True)
+class EarlierLife(LogEvent):
+    """An announcement is from an earlier life than the one known; it changes nothing.
+
+    If a clock was set back it may yet be the later one; the upstream itself is asked.
+    """
+
+    NAME: ClassVar[str] = "earlier_life"
+    TEXT: ClassVar[str] = "announcement of an earlier life"
+
+    upstream: str
+    born: int
+    known: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnnouncementUnreadable(LogEvent):
+    """An announcement that names no upstream to use: it is left out, others hold."""
+
+    NAME: ClassVar[str] = "announcement_unreadable"
+    TEXT: ClassVar[str] = "announcement left out"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    upstream: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentInForce(LogEvent):
     """Another document holds in this process."""
@@ -199,6 +238,19 @@
     store: str
 
 
+@dataclass(frozen=True, slots=True)
+class StoreEventsUnreadable(LogEvent):
+    """Some of what a store tells can't be read: ``count`` of them, the first why."""
+
+    NAME: ClassVar[str] = "store_events_unreadable"
+    TEXT: ClassVar[str] = "store events left out"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    store: str
+    count: int
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class StoreSilent(LogEvent):
     """One call to the store brought no answer."""
--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -9,9 +9,12 @@
 import asyncio
 from dataclasses import replace
 
+from gooseberrydale.connection.engine_orders import EngineOrders
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.log_events import UpstreamRetired, emit
+from gooseberrydale.log_events import EarlierLife, UpstreamReborn, UpstreamRetired, emit
+from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.version.directory import MAX_LEASE_S, Directory
+from gooseberrydale.version.upstream_life import born_ms, life_after, life_told
 
 BEATS_PER_LEASE = 10
 """Announcements that may be missed in a row before an upstream is forgotten.
@@ -29,41 +32,93 @@
 class Announcements:
     """The directory as upstreams and control itself write to it."""
 
-    def __init__(self, directory: Directory, beat_s: float) -> None:
+    def __init__(
+        self, directory: Directory, beat_s: float, engines: EngineOrders | None = None
+    ) -> None:
+        """``engines`` are asked which of two lives is the later one."""
         self._directory = directory
         self._lease_s = beat_s * BEATS_PER_LEASE
+        self._engines = engines
+        self._asking: dict[str, asyncio.Task[None]] = {}
 
-    def renew(self, record: UpstreamRecord) -> None:
-        """Take an announcement in; older ones of the same life change nothing."""
+    async def close(self) -> None:
+        """Ask nobody any more."""
+        await stop(list(self._asking.values()))
+
+    def renew(self, record: UpstreamRecord, born: int | None = None) -> None:
+        """Take an announcement in; older ones change nothing.
+
+        ``born`` is the start of the life that it is from, in Unix milliseconds.
+        """
         seq = record.seq * STEPS_PER_BEAT
-        self._offer(replace(record, seq=seq, lease_s=self._lease_s))
+        record = replace(record, seq=seq, lease_s=self._lease_s)
+        known = self._directory.newest_life(record.name)
+        life = life_told(known, born)
+        if life is None:
+            emit(EarlierLife(record.name, born or 0, born_ms(known) or 0))
+            self._ask(record, born)
+            return
+        if known and life != known:
+            emit(UpstreamReborn(record.name, born or 0, born_ms(known) or 0))
+        self._offer(replace(record, incarnation=life))
 
     def retire(self, name: str) -> None:
         """The life of an upstream under ``name`` takes no new work any more."""
         now = asyncio.get_running_loop().time()
-        known = self._directory.get(name, now) or _unknown(name)
+        known = self._directory.get(name, now) or _unknown(
+            name, self._directory.newest_life(name)
+        )
         emit(UpstreamRetired(name))
         self._offer(
             replace(known, seq=LAST_SEQ, ready=False, leaving=True, lease_s=MAX_LEASE_S)
         )
 
-    def has_weights(self, name: str, version: str) -> None:
-        """Let all know that an upstream serves other weights than it announced."""
+    def has_weights(self, name: str, version: str, born: int | None = None) -> None:
+        """Let all know that an upstream serves other weights than it announced.
+
+        ``born`` is the start of the life that said so, None if it did not tell.
+        """
         now = asyncio.get_running_loop().time()
         known = self._directory.get(name, now)
-        if known is None or known.leaving or known.weights_version == version:
+        if known is None or known.leaving:
+            return
+        life = (
+            known.incarnation if born is None else life_after(known.incarnation, born)
+        )
+        if life != known.incarnation:
+            # Its own announcements come after this record.
+            self._offer(
+                replace(known, incarnation=life, seq=0, weights_version=version)
+            )
+        elif known.weights_version != version:
+            self._offer(replace(known, seq=known.seq + 1, weights_version=version))
+
+    def _ask(self, record: UpstreamRecord, born: int | None) -> None:
+        """Find out from the upstream itself whether its clock was set back."""
+        if self._engines is None or record.name in self._asking:
+            return
+        task = spawn(self._settle(self._engines, record, born))
+        self._asking[record.name] = task
+        task.add_done_callback(lambda _: self._asking.pop(record.name, None))
+
+    async def _settle(
+        self, engines: EngineOrders, record: UpstreamRecord, born: int | None
+    ) -> None:
+        report = await engines.report(record)
+        if report is None or report.born_ms != born:
             return
-        self._offer(replace(known, seq=known.seq + 1, weights_version=version))
+        life = life_after(self._directory.newest_life(record.name), born)
+        self._offer(replace(record, incarnation=life))
 
     def _offer(self, record: UpstreamRecord) -> None:
         self._directory.offer(record, asyncio.get_running_loop().time())
 
 
-def _unknown(name: str) -> UpstreamRecord:
+def _unknown(name: str, life: str) -> UpstreamRecord:
     """Stands for an upstream that this replica has not heard of."""
     return UpstreamRecord(
         name=name,
-        incarnation="",
+        incarnation=life,
         seq=0,
         address="",
         zone="",
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -152,10 +152,13 @@
         client = ControlClient(cfg.fleet.control_rpc, token, tls)
         self._documents = Documents(self._commit, self._proposer, client)
         self._rollout: WeightsRollout | None = None
+        self._announcements: Announcements | None = None
         self._upstream_cache: UpstreamCache | None = None
         app: ASGIApp = self._api.app
         if surroundings is not None:
-            announcements = Announcements(self.directory, own.beat_s)
+            announcements = self._announcements = Announcements(
+                self.directory, own.beat_s, surroundings.engines
+            )
             app = surroundings.make_app(self._documents, announcements)
             self._rollout = self._make_rollout(cfg, own, announcements, surroundings)
             path = own.data_dir / "upstreams"
@@ -206,6 +209,8 @@
         await self._measures.close()
         if self._rollout is not None:
             await self._rollout.close()
+        if self._announcements is not None:
+            await self._announcements.close()
         if self._upstream_cache is not None:
             await self._upstream_cache.close()
         await self._documents.close()
--- a/gooseberrydale/process/control/upstream_cache.py
+++ b/gooseberrydale/process/control/upstream_cache.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from gooseberrydale.connection.codec import CodecError, decode, encode, message
-from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
 from gooseberrydale.log_events import NoUpstreamsKept, UpstreamsNotKept, emit
 from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.version.directory import Directory
@@ -93,5 +93,6 @@
 
 
 def _is_upstream(record: UpstreamRecord) -> bool:
-    """Whether a record is an upstream's own, as against a mark or a process."""
-    return bool(record.pool) and not record.incarnation
+    """Whether an upstream announced itself, as against a mark or a process."""
+    by_itself = not record.upstream_incarnation and record.kind != GATEWAY_ROLE
+    return bool(record.pool) and by_itself
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -201,7 +201,7 @@
             return True
         held = report.versions.get(engine.model, 0)
         if held >= wanted and not report.busy:
-            self._announcements.has_weights(engine.name, str(held))
+            self._announcements.has_weights(engine.name, str(held), report.born_ms)
             return True
         if report.busy or not self._may_order():
             await asyncio.sleep(POLL_S)
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -81,6 +81,8 @@
         self.stores = stores
         self._pools: dict[str, _PoolView] = {}
         self._loads: dict[str, UpstreamLoad] = {}
+        # The life of each upstream that the load is of.
+        self._lives: dict[str, str] = {}
 
     def load_of(self, name: str) -> UpstreamLoad:
         """What this process knows of the life ``name`` of an upstream."""
@@ -130,6 +132,7 @@
             view.records = tuple(r for r in view.records if self._may_stay(r, now))
         elif view.source is not ready:
             view.source = view.records = ready
+            self._forget_earlier_lives(ready)
             view.members.refresh(ready)
         return view.records
 
@@ -173,8 +176,18 @@
             known.update(record.name for record in view.records)
         for name in self._loads.keys() - known:
             del self._loads[name]
+        for name in self._lives.keys() - known:
+            del self._lives[name]
         return known
 
+    def _forget_earlier_lives(self, records: Iterable[UpstreamRecord]) -> None:
+        """What was learned of an earlier life says nothing about the one after."""
+        for record in records:
+            life = self._lives.setdefault(record.name, record.incarnation)
+            if life != record.incarnation:
+                self._lives[record.name] = record.incarnation
+                self._loads.pop(record.name, None)
+
     def _may_stay(self, record: UpstreamRecord, now: float) -> bool:
         newest = self._directory.get(record.name, now)
         return newest is None or (newest.ready and not newest.leaving)
--- a/gooseberrydale/version/directory.py
+++ b/gooseberrydale/version/directory.py
@@ -144,6 +144,14 @@
             return None
         return _with_lease_left(held, now)
 
+    def newest_life(self, name: str) -> str:
+        """The incarnation of the newest record seen of ``name``, empty if there is none.
+
+        It is remembered for a while after the end of its lease.
+        """
+        mark = self._marks.get(name)
+        return "" if mark is None else mark.incarnation
+
     def ready(self, pool: str, now: float) -> tuple[UpstreamRecord, ...]:
         """Records of ``pool`` that take new work, ordered by name.
 
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -61,3 +61,25 @@
 def body(**fields: Any) -> bytes:
     """A configuration as it is sent."""
     return json.dumps(table(**fields)).encode()
+
+
+def beat(seq: Any, **fields: Any) -> dict[str, Any]:
+    """An announcement of an engine; a field given as None is left out."""
+    defaults: dict[str, Any] = {
+        "service": "s",
+        "address": "10.0.0.9:1",
+        "zone": "z",
+        "version": "v1",
+        "slots": 48,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "models": [{"name": "m", "version": 3, "adapters": []}],
+        "seq": seq,
+    }
+    found = {**defaults, **fields}
+    return {name: value for name, value in found.items() if value is not None}
+
+
+def beat_bytes(seq: Any = 1, **fields: Any) -> bytes:
+    """The same as it is sent."""
+    return json.dumps(beat(seq, **fields)).encode()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -259,21 +259,6 @@
     assert [answer.status_code for answer in found] == [503, 503, 503]
 
 
-def beat(seq: int, **fields: Any) -> dict[str, Any]:
-    defaults: dict[str, Any] = {
-        "service": "s",
-        "address": "10.0.0.9:1",
-        "zone": "z",
-        "version": "v1",
-        "slots": 48,
-        "state": "ready",
-        "coldLeftMs": 0,
-        "models": [{"name": "m", "version": 3, "adapters": []}],
-        "seq": seq,
-    }
-    return {**defaults, **fields}
-
-
 def test_beats_count_in_the_order_of_their_numbers() -> None:
     async def main() -> None:
         directory = Directory()
@@ -284,18 +269,18 @@
         def known() -> Any:
             return directory.get("i-1", now())
 
-        await post(app, "/v1/Instances.Heartbeat/i-1", beat(4))
+        await post(app, "/v1/Instances.Heartbeat/i-1", wire.beat(4))
         assert (known().pool, known().model, known().weights_version) == ("s", "m", "3")
-        await post(app, "/v1/Instances.Heartbeat/i-1", beat(6, state="draining"))
+        await post(app, "/v1/Instances.Heartbeat/i-1", wire.beat(6, state="draining"))
         assert known().leaving and not known().ready
-        await post(app, "/v1/Instances.Heartbeat/i-1", beat(5))
+        await post(app, "/v1/Instances.Heartbeat/i-1", wire.beat(5))
         assert known().leaving
         await post(app, "/v1/Instances.Deregister/i-1", {})
-        await post(app, "/v1/Instances.Heartbeat/i-1", beat(9))
+        await post(app, "/v1/Instances.Heartbeat/i-1", wire.beat(9))
         assert known().leaving
         # One that this replica has not heard of is over all the same.
         await post(app, "/v1/Instances.Deregister/i-2", {})
-        await post(app, "/v1/Instances.Heartbeat/i-2", beat(1))
+        await post(app, "/v1/Instances.Heartbeat/i-2", wire.beat(1))
         assert directory.ready("s", now()) == ()
 
     run(main())
--- /dev/null
+++ b/tests/test_upstream_lives.py
@@ -0,0 +1,244 @@
+"""Upstreams that start again under their name, and announcements of other writers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import httpx2
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydale.connection.engine_orders import EngineReport
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.process.control.announcements import Announcements
+from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.upstream_life import (
+    born_ms,
+    life_after,
+    life_name,
+    life_told,
+)
+from tests import builders_platform as wire  # puts platform/ on the path
+from tests.clock import run_paused
+
+from control_http import ControlHttp  # isort: skip
+from document_json import decode_document  # isort: skip
+from http_wire import PlatformWire  # isort: skip
+from store_http import _Events, _List, _read_event, _read_held, _readable  # isort: skip
+
+BORN = 1_790_000_000_000
+
+
+class SaysBorn:
+    """Engines that tell when they started, and how often they were asked."""
+
+    def __init__(self, born: int) -> None:
+        self.born = born
+        self.asked = 0
+
+    async def report(self, engine: UpstreamRecord) -> EngineReport:
+        self.asked += 1
+        return EngineReport({"m": 3}, 0, False, born_ms=self.born)
+
+
+class Fleet:
+    """Control's calls over one directory."""
+
+    def __init__(self, engines: Any = None) -> None:
+        self.directory = Directory()
+        self.announcements = Announcements(self.directory, 1.2, engines)
+        app = ControlHttp(None, self.announcements).build()  # type: ignore[arg-type]
+        transport = httpx2.ASGITransport(app)
+        self.client = httpx2.AsyncClient(transport=transport, base_url="http://c")
+
+    async def beat(self, seq: Any, name: str = "e", **fields: Any) -> int:
+        path = f"/v1/Instances.Heartbeat/{name}"
+        content = msgspec.json.encode(wire.beat(seq, **fields))
+        return (await self.client.post(path, content=content)).status_code
+
+    async def beat_of(self, content: bytes) -> int:
+        path = "/v1/Instances.Heartbeat/e"
+        return (await self.client.post(path, content=content)).status_code
+
+    def known(self, name: str = "e") -> UpstreamRecord:
+        found = self.directory.get(name, asyncio.get_running_loop().time())
+        assert found is not None
+        return found
+
+
+def play(scenario: Callable[[Fleet], Coroutine[Any, Any, None]], born: int = 0) -> None:
+    async def main() -> None:
+        await scenario(Fleet(SaysBorn(born)))
+
+    run_paused(main())
+
+
+def test_an_upstream_that_starts_again_under_its_name_is_known_at_once() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.beat(40, born=BORN, models=[{"name": "m", "version": 5}])
+        await fleet.beat(1, born=BORN + 1, models=[{"name": "m", "version": 4}])
+        assert (fleet.known().weights_version, fleet.known().ready) == ("4", True)
+        # What the life before said, and says late, changes nothing.
+        await fleet.beat(41, born=BORN, state="draining")
+        assert (fleet.known().weights_version, fleet.known().leaving) == ("4", False)
+
+    play(scenario, born=BORN + 1)
+
+
+def test_a_life_that_has_left_does_not_keep_the_next_one_out() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.beat(7, born=BORN)
+        await fleet.client.post("/v1/Instances.Deregister/e", content=b"{}")
+        assert fleet.known().leaving
+        await fleet.beat(8, born=BORN)
+        assert fleet.known().leaving
+        await fleet.beat(1, born=BORN + 900)
+        assert fleet.known().ready and not fleet.known().leaving
+
+    play(scenario)
+
+
+def test_the_upstream_itself_says_which_life_runs_after_its_clock_was_set_back() -> (
+    None
+):
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.beat(30, born=BORN)
+        await fleet.beat(1, born=BORN - 2_000, models=[{"name": "m", "version": 2}])
+        await asyncio.sleep(0.1)
+        assert fleet.known().weights_version == "2"
+        await fleet.beat(2, born=BORN - 2_000, models=[{"name": "m", "version": 6}])
+        assert fleet.known().weights_version == "6"
+
+    play(scenario, born=BORN - 2_000)
+
+
+def test_a_late_announcement_of_an_earlier_life_does_not_come_back() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.beat(2, born=BORN)
+        await fleet.beat(90, born=BORN - 2_000, state="draining")
+        await asyncio.sleep(0.1)
+        assert fleet.known().ready
+
+    play(scenario, born=BORN)
+
+
+def test_weights_told_by_a_new_life_count_before_it_announces_itself() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.beat(30, born=BORN, models=[{"name": "m", "version": 2}])
+        fleet.announcements.has_weights("e", "3", BORN + 5)
+        assert fleet.known().weights_version == "3"
+        await fleet.beat(31, born=BORN, models=[{"name": "m", "version": 2}])
+        assert fleet.known().weights_version == "3"
+        await fleet.beat(1, born=BORN + 5, models=[{"name": "m", "version": 4}])
+        assert fleet.known().weights_version == "4"
+
+    play(scenario, born=BORN + 5)
+
+
+FOREIGN = {
+    "a field is missing": {"address": None},
+    "an unknown state": {"state": "dancing"},
+    "a number as text": {"seq": "seven"},
+    "a number that is none": {"seq": -4},
+    "a moment as text": {"born": "now"},
+    "an address without a port": {"address": "10.0.0.9"},
+    "an address of another type": {"address": ["10.0.0.9", 1]},
+    "models of another type": {"models": "m"},
+    "a nameless service": {"service": ""},
+}
+
+
+@pytest.mark.parametrize("case", FOREIGN)
+def test_a_foreign_announcement_names_nobody_and_spoils_nothing(case: str) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        assert await fleet.beat(3, born=BORN) == 200
+        before = fleet.known()
+        assert await fleet.beat(**{"seq": 9, "born": BORN, **FOREIGN[case]}) == 400
+        assert await fleet.beat(**{"seq": 9, "name": "f", **FOREIGN[case]}) == 400
+        assert fleet.known() == before
+        now = asyncio.get_running_loop().time()
+        assert [one.name for one in fleet.directory.records(now)] == ["e"]
+
+    play(scenario)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+    lambda some: st.lists(some, max_size=3)
+    | st.dictionaries(st.text(max_size=9), some, max_size=3),
+    max_leaves=9,
+)
+KEYS = ("service", "address", "zone", "seq", "slots", "state", "born", "models")
+BEATS = st.dictionaries(st.sampled_from(KEYS), JSON)
+
+
+@given(st.binary(max_size=60) | BEATS.map(lambda fields: wire.beat_bytes(**fields)))
+def test_no_announcement_breaks_the_others(content: bytes) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.beat(3, name="other", born=BORN)
+        assert await fleet.beat_of(content) in (200, 400)
+        assert fleet.known("other").ready
+        now = asyncio.get_running_loop().time()
+        for record in fleet.directory.records(now):
+            assert record.pool and record.address
+
+    play(scenario)
+
+
+DOCUMENTS = st.dictionaries(
+    st.sampled_from(("version", "routes", "services", "limits", "tenants")), JSON
+)
+
+
+@given(st.binary(max_size=60) | DOCUMENTS.map(lambda fields: wire.body(**fields)))
+def test_every_document_is_read_or_refused(content: bytes) -> None:
+    found = decode_document(content)
+    assert found.is_ok() or found.is_err()
+
+
+HEADER = st.tuples(
+    st.sampled_from(
+        [
+            *(b"x-request-id", b"x-model", b"x-token-usage", b"x-prefix-hash"),
+            *(b"x-deadline-ms", b"x-api-key", b"host", b"connection", b"x-load-report"),
+        ]
+    ),
+    st.binary(max_size=20),
+)
+
+
+@given(st.lists(HEADER, max_size=6))
+def test_every_head_is_read_or_refused(headers: list[tuple[bytes, bytes]]) -> None:
+    found = PlatformWire().read_call("POST", b"/a", tuple(headers))
+    assert found.is_ok() or found.is_err()
+    PlatformWire().read_answer(200, tuple(headers))
+
+
+@given(st.lists(JSON, max_size=5))
+def test_unreadable_events_of_a_store_do_not_hide_the_others(items: list[Any]) -> None:
+    good = [7, "+", "salt", "part", 800, "m"]
+    table = {"bootEpoch": 1, "next": 9, "lost": False, "events": [*items, good]}
+    found = msgspec.json.decode(msgspec.json.encode(table), type=_Events)
+    assert tuple(good) in _readable("s", found.events, _read_event)
+    held = {"bootEpoch": 1, "next": 9, "held": [*items, ["salt", "part", 8, "m"]]}
+    listed = msgspec.json.decode(msgspec.json.encode(held), type=_List)
+    assert ("salt", "part", 8, "m") in _readable("s", listed.held, _read_held)
+
+
+MOMENTS = st.integers(min_value=0, max_value=2**63 - 1)
+
+
+@given(st.lists(MOMENTS, min_size=1, max_size=6))
+def test_lives_that_ran_one_after_the_other_sort_in_that_order(
+    moments: list[int],
+) -> None:
+    lives = [life_name(moments[0])]
+    for born in moments[1:]:
+        lives.append(life_after(lives[-1], born))
+        assert born_ms(lives[-1]) == born
+        assert life_told(lives[-1], born) == lives[-1]
+    assert lives == sorted(lives)
