--- a/gooseberrydale/version/directory.py
+++ b/gooseberrydale/version/directory.py
@@ -145,7 +145,7 @@
         return _with_lease_left(held, now)
 
     def newest_life(self, name: str) -> str:
-        """The incarnation of the newest record seen of ``name``, empty if there is none.
+        """The incarnation of the newest record seen of ``name``, empty if none was.
 
         It is remembered for a while after the end of its lease.
         """
--- a/gooseberrydale/version/upstream_life.py
+++ b/gooseberrydale/version/upstream_life.py
@@ -37,7 +37,7 @@
 
 
 def life_told(known: str, born: int | None) -> str | None:
-    """The life that an announcement of ``born`` belongs to; None if it is an earlier one.
+    """The life that an announcement of ``born`` belongs to; None if an earlier one.
 
     ``known`` is the newest life heard of, which an announcement alone can't overrule.
     """
