--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from starlette.types import ASGIApp
 
@@ -30,7 +30,6 @@
 from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.machine import PublishingMachine
-from gooseberrydale.process.control.measures import Measures
 from gooseberrydale.process.control.operator_api import OperatorApi
 from gooseberrydale.process.control.operator_auth import OperatorTokens, load_operators
 from gooseberrydale.process.control.operator_views import plain
@@ -49,7 +48,6 @@
 from gooseberrydale.process.control.weights_rollout import WeightsRollout
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh, PeerState
-from gooseberrydale.process.metrics import Metrics
 from gooseberrydale.process.role import Role
 from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.acknowledgements import Acknowledgements, Standing
@@ -59,6 +57,10 @@
 from gooseberrydale.version.directory import Directory, new_incarnation
 from gooseberrydale.version.replication.core import RaftCfg
 
+if TYPE_CHECKING:
+    from gooseberrydale.process.control.measures import Measures
+    from gooseberrydale.process.metrics import Metrics
+
 HTTP_GRACE_S = 5.0
 RPC_GRACE_S = 1.0
 # Times of the log of an open group in seconds: its replicas are milliseconds apart, and
@@ -125,15 +127,11 @@
         self._proposer = self._make_proposer()
         self._acknowledgements = Acknowledgements()
         self._mesh = self._make_mesh(cfg, token)
-        self._measures = Measures(
-            Metrics(CONTROL_ROLE, cfg.node.name, cfg.node.zone),
-            self.state,
-            self._proposer,
-            self._replica,
-            self.directory,
-            self._mesh,
-        )
-        self._commit = GroupCommit(self._proposer, on_answer=self._measures.answered)
+        # Of the deployments with surroundings, few ask for a listener.
+        measured = surroundings is None or bool(cfg.metrics.http)
+        self._measures = self._make_measures(cfg) if measured else None
+        on_answer = None if self._measures is None else self._measures.answered
+        self._commit = GroupCommit(self._proposer, on_answer=on_answer)
         limits = limits_of(own)
         self._upkeep = Upkeep(self.state, self._proposer, self._commit, limits)
         self._orders = OrderSender(
@@ -174,9 +172,9 @@
         }
 
     @property
-    def metrics(self) -> Metrics:
-        """The instruments of this process."""
-        return self._measures.metrics
+    def metrics(self) -> Metrics | None:
+        """The instruments of this process, if any."""
+        return None if self._measures is None else self._measures.metrics
 
     async def start(self) -> None:
         """Bind the listeners and serve; raises OSError if an address is taken.
@@ -200,13 +198,15 @@
         await self._orders.start()
         if self._rollout is not None:
             await self._rollout.start()
-        await self._measures.start()
+        if self._measures is not None:
+            await self._measures.start()
 
     async def close(self) -> None:
         """Take no new changes, answer the open requests, then stop."""
         self._api.draining = True
         await self._http.close(HTTP_GRACE_S)
-        await self._measures.close()
+        if self._measures is not None:
+            await self._measures.close()
         if self._rollout is not None:
             await self._rollout.close()
         if self._announcements is not None:
@@ -226,6 +226,21 @@
             self._folder_lock.release()
             self._folder_lock = None
 
+    def _make_measures(self, cfg: Cfg) -> Measures:
+        # Imported here: the libraries for metrics take 65 ms of a start in which
+        # gateways wait for the document, a tenth of it, and memory.
+        from gooseberrydale.process.control.measures import Measures
+        from gooseberrydale.process.metrics import Metrics
+
+        return Measures(
+            Metrics(CONTROL_ROLE, cfg.node.name, cfg.node.zone),
+            self.state,
+            self._proposer,
+            self._replica,
+            self.directory,
+            self._mesh,
+        )
+
     def _make_rollout(
         self,
         cfg: Cfg,
--- a/gooseberrydale/process/observed_role.py
+++ b/gooseberrydale/process/observed_role.py
@@ -25,8 +25,8 @@
     """A role that measures itself."""
 
     @property
-    def metrics(self) -> Metrics:
-        """The instruments of the role."""
+    def metrics(self) -> Metrics | None:
+        """The instruments of the role, if it has any."""
 
 
 @runtime_checkable
@@ -43,7 +43,8 @@
     def __init__(self, role: Role, spare: Metrics, address: str) -> None:
         """Serve the role's metrics, or ``spare`` if the role has none."""
         self._role = role
-        metrics = role.metrics if isinstance(role, HasMetrics) else spare
+        own = role.metrics if isinstance(role, HasMetrics) else None
+        metrics = spare if own is None else own
         if isinstance(role, HasLevels):
             metrics.before_scrape = role.read_levels
         app = Starlette(routes=[metrics.route()])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -511,9 +511,12 @@
     run(main())
 
 
-def test_without_a_listener_the_libraries_for_metrics_are_not_loaded() -> None:
+@pytest.mark.parametrize("module", ["gateway.gateway", "control.control"])
+def test_without_a_listener_the_libraries_for_metrics_are_not_loaded(
+    module: str,
+) -> None:
     code = (
-        "import sys, gooseberrydale.process.gateway.gateway;"
+        f"import sys, gooseberrydale.process.{module};"
         "print(any('opentelemetry' in name for name in sys.modules))"
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -206,6 +206,7 @@
             'gooseberrydale_changes_total{outcome="revision_conflict"} 1.0',
             'gooseberrydale_claims_made_total{outcome="granted"} 1.0',
         ):
+            assert control.metrics is not None
             assert line in control.metrics.render().decode()
         async with asyncio.timeout(20):
             while "cfg_revision 1.0" not in control.metrics.render().decode():
