Change weights by what the others can carry, and begin with idle engines

Change: while a model's engines are behind, all of them are asked twice a second; dead ones count, and the least busy go first; the order comes 0.3 s after the mark. Test: test_a_version_that_was_overtaken_is_skipped waits for the first orders by the new pause; its check is the same.

--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import itertools
+import math
 
 from gooseberrydale.connection.engine_orders import (
     EngineOrders,
@@ -26,14 +27,21 @@
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import is_mark, mark
-from gooseberrydale.version.rollout import USED_PART, EngineWeights, due
+from gooseberrydale.version.rollout import (
+    USED_PART,
+    USED_PART_SHORT,
+    EngineWeights,
+    due,
+)
 
 LOOK_S = 0.1
 """How often the leader looks for engines that are behind."""
 
-MARK_SETTLE_S = 0.05
-"""Time for a mark to reach the entries, and for what they sent before to arrive: the
-mesh gathers records for 10 ms, and a way between zones takes some milliseconds."""
+MARK_SETTLE_S = 0.3
+"""Between a mark and the order.  The mark reaches the entries within 20 ms; the rest is
+for what waits inside the engine: a request that has not begun when the order comes is
+refused, costs a retry and is late elsewhere.  Prompts wait for some 100 to 300 ms on a
+busy engine; its streams run on for longer, so that the change ends no later."""
 
 REPORT_LAG_S = 0.4
 """After an accepted order: an engine's report lags by 200 ms, and a load takes about
@@ -46,6 +54,14 @@
 CHANGE_BOUND_S = 6.0
 """After this the engine is left for another try; runs and load take two at most."""
 
+SURVEY_S = 0.5
+"""While a model's engines change, all of them are asked this often whether they live
+and how much they have to do."""
+
+SURVEY_PER_S = 100.0
+"""Questions a second at most: with many engines each is asked less often.  A question
+costs some 0.3 ms of processor time."""
+
 SILENT_PAUSE_S = 0.6
 """An engine that did not answer is asked again after this, beside the changes: it takes
 no place from the others, and has the newest weights soon after it is back."""
@@ -80,7 +96,7 @@
         self._announcements = announcements
         self._engines = engines
         self._pause_s = pause_s
-        self._allowed_s = bound_s * USED_PART
+        self._bound_s = bound_s
         self._named = NamedWeights()
         self._term = 0
         self._led_since = 0.0
@@ -88,7 +104,11 @@
         self._seq = itertools.count(1)
         # When an engine that does not answer is asked again.
         self._silent: dict[str, float] = {}
-        self._asking: set[asyncio.Task[None]] = set()
+        # How many requests an engine had when it was asked last.
+        self._running: dict[str, int] = {}
+        self._survey_at = -math.inf
+        # Who was asked and has not answered yet, by name.
+        self._asking: dict[str, asyncio.Task[None]] = {}
         self._changing: dict[str, asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -99,7 +119,7 @@
     async def close(self) -> None:
         """Stop; the next leader goes on."""
         await stop(self._tasks)
-        await stop([*self._changing.values(), *self._asking])
+        await stop([*self._changing.values(), *self._asking.values()])
 
     async def _run(self) -> None:
         while True:
@@ -133,23 +153,49 @@
                 record.model,
                 int(record.weights_version or 0),
                 record.leaving,
+                self._running.get(record.name, 0),
             )
             for record in self._directory.records(_now())
             if record.model and not is_mark(record)
         ]
+        behind = {e.model for e in engines if e.version < named.get(e.model, 0)}
+        members = [e for e in engines if e.model in behind and not e.leaving]
+        if self._survey(members):
+            # Who is dead, and who has the least to do, is known at the next look.
+            return []
         left_s = self._left_s(engines)
-        return due(engines, named, self._changing, self._silent, left_s)
+        away = {*self._silent, *self._asking}
+        return due(engines, named, self._changing, away, left_s)
+
+    def _survey(self, members: list[EngineWeights]) -> bool:
+        """Ask engines how they are, from time to time; True for the first time."""
+        now = _now()
+        if not members or now < self._survey_at:
+            return False
+        pause_s = max(SURVEY_S, len(members) / SURVEY_PER_S)
+        first = now > self._survey_at + pause_s
+        self._survey_at = now + pause_s
+        if first:
+            self._running.clear()
+        for member in members:
+            engine = self._directory.get(member.name, now)
+            asked = member.name in self._changing or member.name in self._silent
+            if engine is not None and not asked:
+                self._spawn_ask(engine)
+        return first
 
     def _left_s(self, engines: list[EngineWeights]) -> dict[str, float]:
         """Seconds by model until its engines shall have the newest weights.
 
         Engines that come back with weights overtaken long ago don't hurry the others.
         """
+        used = USED_PART_SHORT if self._silent or self._asking else USED_PART
+        allowed_s = self._bound_s * used
         left: dict[str, float] = {}
         for engine in engines:
             old_s = self._named.old_for_s(engine.model, engine.version, _now())
-            if 0.0 < old_s < self._allowed_s:
-                left_s = self._allowed_s - old_s
+            if 0.0 < old_s < allowed_s:
+                left_s = allowed_s - old_s
                 left[engine.model] = min(left.get(engine.model, left_s), left_s)
         return left
 
@@ -162,13 +208,22 @@
                 del self._silent[name]
             elif ask_at <= now:
                 self._silent[name] = now + SILENT_PAUSE_S
-                task = spawn(self._ask(engine))
-                self._asking.add(task)
-                task.add_done_callback(self._asking.discard)
+                self._spawn_ask(engine)
+
+    def _spawn_ask(self, engine: UpstreamRecord) -> None:
+        if engine.name in self._asking:
+            return
+        task = spawn(self._ask(engine))
+        self._asking[engine.name] = task
+        task.add_done_callback(lambda _: self._asking.pop(engine.name, None))
 
     async def _ask(self, engine: UpstreamRecord) -> None:
-        if await self._engines.report(engine) is not None:
-            self._silent.pop(engine.name, None)
+        report = await self._engines.report(engine)
+        if report is None:
+            self._silent.setdefault(engine.name, _now() + SILENT_PAUSE_S)
+            return
+        self._silent.pop(engine.name, None)
+        self._running[engine.name] = report.running
 
     def _begin(self, name: str) -> None:
         task = spawn(self._change(name))
--- a/gooseberrydale/version/rollout.py
+++ b/gooseberrydale/version/rollout.py
@@ -24,19 +24,29 @@
 """Part of the time allowed within which all engines are to be changed; soon after it
 entries send engines on overtaken weights nothing any more."""
 
+USED_PART_SHORT = 0.78
+"""The same while some engines are dead: the others carry the whole load, so fewer of
+them are taken away at a time, for longer.  Of 12 s allowed it leaves 2.6 s, as long as
+entries need before the end."""
+
 MIN_AT_ONCE = 2
 """Engines that may change at once however few there are; two of the smallest pool
-that is planned for, five engines, leave more than half of it at work."""
+that is planned for, five engines, leave more than half of it at work.  While some are
+dead it is one: two dead and two away of six left two to carry the load of six."""
 
 
 @dataclass(frozen=True, slots=True)
 class EngineWeights:
-    """One engine and the weights that it serves, as last announced."""
+    """One engine and the weights that it serves, as last announced.
+
+    ``running`` is how many requests it had when it was asked last.
+    """
 
     name: str
     model: str
     version: int
     leaving: bool
+    running: int = 0
 
 
 def due(
@@ -48,6 +58,10 @@
 ) -> list[str]:
     """Names of the engines to begin with now, those on the oldest weights first.
 
+    Among these the ones with the least work go first.  One that has just started again
+    has none, and nothing cached that a change would lose; sent work before its change,
+    it would have to be emptied again.
+
     ``named`` is the version wanted by model; ``changing`` names the engines whose
     change is under way, ``silent`` those that did not answer lately, which take no work
     either.  ``left_s`` is the time left by model until work may not start on overtaken
@@ -69,7 +83,7 @@
     return max(MIN_AT_ONCE, math.ceil(engines * MOST_PART))
 
 
-def at_once(engines: int, waiting: int, left_s: float) -> int:
+def at_once(engines: int, waiting: int, left_s: float, *, dead: int = 0) -> int:
     """How many of a model's engines are away for a change at a time.
 
     ``waiting`` of them are still to begin, with ``left_s`` seconds left: the more time,
@@ -77,7 +91,8 @@
     when new weights are named: the others have no third of themselves to spare.
     """
     rounds = max(1, math.floor(left_s / ROUND_S))
-    return min(most_at_once(engines), max(MIN_AT_ONCE, math.ceil(waiting / rounds)))
+    least = 1 if dead else MIN_AT_ONCE
+    return min(most_at_once(engines), max(least, math.ceil(waiting / rounds)))
 
 
 def _due_of_model(
@@ -98,7 +113,8 @@
         # One goes on in any case: engines that are away may never come back.
         allowed = max(1, most_at_once(len(members)) - away)
     else:
-        allowed = at_once(len(members), len(waiting), left_s)
+        dead = sum(member.name in silent for member in members)
+        allowed = at_once(len(members), len(waiting), left_s, dead=dead)
     places = allowed - sum(member.name in changing for member in members)
-    waiting.sort(key=lambda member: (member.version, member.name))
+    waiting.sort(key=lambda member: (member.version, member.running, member.name))
     return [member.name for member in waiting[: max(0, places)]]
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -15,7 +15,10 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.process.control import weights_rollout
 from gooseberrydale.process.control.announcements import Announcements
-from gooseberrydale.process.control.weights_rollout import WeightsRollout
+from gooseberrydale.process.control.weights_rollout import (
+    MARK_SETTLE_S,
+    WeightsRollout,
+)
 from gooseberrydale.version.declarations import Config
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.order_marks import mark_name
@@ -96,6 +99,7 @@
     accepted: int = 0
     busy_until: float = -1.0
     dead: bool = False
+    running: int = 0
     astray: int = 0
     kept: list[WeightsOrder] = field(default_factory=list)
     orders: list[WeightsOrder] = field(default_factory=list)
@@ -115,7 +119,8 @@
         await asyncio.sleep(0.4 if found.dead else 0.001)
         if found.dead:
             return None
-        return EngineReport({"m": found.version}, found.accepted, self.busy(found))
+        busy = self.busy(found)
+        return EngineReport({"m": found.version}, found.accepted, busy, found.running)
 
     async def order(self, engine: UpstreamRecord, order: WeightsOrder) -> OrderAnswer:
         found = self.by_name[engine.name]
@@ -177,7 +182,7 @@
 class Bench:
     """A rollout over fake engines on a paused clock."""
 
-    def __init__(self, *names: str, pause_s: float = 0.0) -> None:
+    def __init__(self, *names: str, pause_s: float = 0.0, bound_s: float = 8.0) -> None:
         self.directory = Directory()
         self.engines = FakeEngines(self.directory, *names)
         self.replica, self.machine = FakeReplica(), FakeMachine()
@@ -189,7 +194,7 @@
             Announcements(self.directory, 1.2),
             self.engines,
             pause_s,
-            8.0,
+            bound_s,
         )
 
     async def start(self) -> None:
@@ -243,7 +248,7 @@
     async def main() -> None:
         bench = Bench(*NAMES)
         await bench.start()
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(MARK_SETTLE_S + 0.25)
         bench.machine.config = Config(weights={"m": 3})
         await bench.until_all(3, 8.0)
         late = [e for e in bench.engines.by_name.values() if len(e.orders) == 1]
@@ -374,5 +379,35 @@
     run_paused(main())
 
 
+def test_while_some_are_dead_the_others_change_one_at_a_time() -> None:
+    """Two dead and two away of six would leave two for the load of six."""
+
+    async def main() -> None:
+        bench = Bench(*NAMES, "e5", bound_s=12.0)
+        for name in ("e0", "e1"):
+            bench.engines.by_name[name].dead = True
+        await bench.start()
+        await asyncio.sleep(6.0)
+        assert [e.version for e in bench.engines.by_name.values()] == [1, 1, 2, 2, 2, 2]
+        assert bench.engines.most_at_once == 1
+        await bench.rollout.close()
+
+    run_paused(main())
+
+
+def test_the_engine_with_the_least_work_changes_first() -> None:
+    async def main() -> None:
+        bench = Bench(*NAMES)
+        for number, engine in enumerate(bench.engines.by_name.values()):
+            engine.running = 40 - 10 * number
+        await bench.start()
+        await asyncio.sleep(MARK_SETTLE_S + 0.3)
+        changed = [n for n, e in bench.engines.by_name.items() if e.version == 2]
+        assert changed == ["e3", "e4"]
+        await bench.rollout.close()
+
+    run_paused(main())
+
+
 def test_the_bound_of_one_change_is_within_what_operators_expect() -> None:
     assert weights_rollout.CHANGE_BOUND_S < 8.0
