--- a/gooseberrydale/connection/work_gossip.py
+++ b/gooseberrydale/connection/work_gossip.py
@@ -18,6 +18,7 @@
 from gooseberrydale.log_events import DatagramFailed, DatagramUnreadable, emit
 from gooseberrydale.version.peer_loads import (
     PeerLoads,
+    SentPrompt,
     UpstreamWork,
     WorkReport,
     changes,
@@ -50,6 +51,18 @@
     def peer_refused(self, names: Collection[str], now: float) -> None:
         """Another gateway was refused by these upstreams."""
 
+    def silent(self, now: float) -> tuple[str, ...]:
+        """The upstreams that it takes for dead."""
+
+    def peer_silent(self, names: Collection[str], now: float) -> None:
+        """Another gateway takes these upstreams for dead."""
+
+    def take_sent(self) -> tuple[SentPrompt, ...]:
+        """The prompts that it sent since it was asked last."""
+
+    def peer_sent(self, sent: Iterable[SentPrompt]) -> None:
+        """Another gateway sent these prompts."""
+
 
 Peers = Callable[[], Iterable[str]]
 T = TypeVar("T")
@@ -127,8 +140,10 @@
             return
         if isinstance(report, WorkReport) and report.name != self._name:
             now = asyncio.get_running_loop().time()
-            if self._loads.take(report, now) and report.refusing:
+            if self._loads.take(report, now):
                 self._view.peer_refused(report.refusing, now)
+                self._view.peer_silent(report.silent, now)
+            self._view.peer_sent(report.sent)
         elif type(report) in self._handlers:
             self._handlers[type(report)](report)
 
@@ -154,13 +169,23 @@
         works = {work.upstream: work for work in self._view.works()}
         told = tuple(works.values()) if whole else changes(self._told, works)
         refusing = self._view.refusing(now)
-        if not (whole or told or refusing):
+        sent = self._view.take_sent()
+        silent = self._view.silent(now)
+        if not (whole or told or refusing or sent or silent):
             return
         self._told, self._told_at = works, now
         self._seq += 1
-        self._send(
-            WorkReport(self._name, self._incarnation, self._seq, told, refusing, whole)
+        report = WorkReport(
+            name=self._name,
+            incarnation=self._incarnation,
+            seq=self._seq,
+            works=told,
+            refusing=refusing,
+            whole=whole,
+            sent=sent,
+            silent=silent,
         )
+        self._send(report)
 
     def _send(self, told: object) -> None:
         assert self._transport is not None
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -103,6 +103,21 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamSilent(LogEvent):
+    """Nothing came from an upstream, and two questions to it were in vain.
+
+    ``broken`` requests that were open there go on elsewhere.
+    """
+
+    NAME: ClassVar[str] = "upstream_silent"
+    TEXT: ClassVar[str] = "upstream silent"
+
+    upstream: str
+    silent_ms: float
+    broken: int
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamBack(LogEvent):
     """An upstream that was suspected has answered."""
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -22,6 +22,7 @@
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.measures import Measured, Unmeasured
+from gooseberrydale.process.gateway.prober import Prober
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendParts
 from gooseberrydale.process.gateway.store_follower import (
@@ -36,10 +37,12 @@
 from gooseberrydale.request.connection_share import connection_share
 from gooseberrydale.request.draining import Drain
 from gooseberrydale.request.gateway_call import Wire
+from gooseberrydale.version.compute_rate import ComputeRates
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declared import CallerLimits, Pool
 from gooseberrydale.version.directory import Directory, new_incarnation
 from gooseberrydale.version.peer_loads import PeerLoads
+from gooseberrydale.version.run_times import RunTimes
 from gooseberrydale.version.store_followers import StoreTidings
 from gooseberrydale.version.stores import Stores
 
@@ -151,6 +154,8 @@
             dialect.wire,
             self._upstreams,
             self._conns,
+            RunTimes(),
+            ComputeRates(),
             self._gossip.changed,
             self._connections,
         )
@@ -166,6 +171,7 @@
         protocol = front_protocol(self._limits)
         self._front = HttpServer(self._app, self._cfg.http, TlsCfg(), protocol)
         self._ready = HttpServer(self._tell_ready, self._cfg.ready, TlsCfg())
+        self._prober = Prober(self._upstreams, self._gossip.changed)
         self._sweeping: asyncio.Task[None] | None = None
 
     @property
@@ -184,6 +190,7 @@
         await self._declared.start()
         await self._store.start()
         await self._mesh.start()
+        await self._prober.start()
         self._sweeping = asyncio.create_task(self._sweep())
         await self._ready.start()
         await self._front.start()
@@ -204,6 +211,7 @@
         await self._ready.close(READY_CLOSE_S)
         if self._sweeping is not None:
             self._sweeping.cancel()
+        await self._prober.close()
         await self._gossip.close()
         await self._store.close()
         await self._declared.close()
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -27,7 +27,9 @@
     Terms,
     Wire,
 )
+from gooseberrydale.version.compute_rate import ComputeRates
 from gooseberrydale.version.declared import Pool
+from gooseberrydale.version.run_times import RunTimes
 from gooseberrydale.version.upstream_load import UpstreamLoad, Work
 
 LAST_WORD_S = 0.05
@@ -59,6 +61,8 @@
     wire: Wire
     upstreams: Upstreams
     conns: HttpPool
+    run_times: RunTimes
+    rates: ComputeRates
     work_changed: Callable[[], None]
     connections: Callable[[Pool], int | None]
 
@@ -83,17 +87,24 @@
         self._parts = parts
         self._may_move = may_move
         self._prefilled = False
+        self._before = 0.0
+        self._sent_at = 0.0
         self.runs = 0
         self.failure: tuple[AnswerHead, bytes] | None = None
         self.last_event_id: str | None = job.call.last_event_id
 
     async def send(
-        self, record: UpstreamRecord, terms: Terms, work: Work
+        self, record: UpstreamRecord, terms: Terms, work: Work, before: float = 0.0
     ) -> End | None:
-        """Send the request once; None if the caller has the whole answer."""
+        """Send the request once; None if the caller has the whole answer.
+
+        ``before`` are the tokens that the upstream has to compute before it.
+        """
         load = self._parts.upstreams.load_of(record.name)
         self._prefilled = False
+        self._before, self._sent_at = before, _now()
         load.began(work)
+        load.silence.opened(_now())
         self._parts.work_changed()
         try:
             async with asyncio.timeout_at(self._job.until + LAST_WORD_S):
@@ -104,6 +115,7 @@
             return End.MOVED
         finally:
             load.ended(work, prefilled=self._prefilled)
+            load.silence.closed()
             self._parts.work_changed()
 
     async def _exchange(
@@ -119,6 +131,8 @@
             _suspect(record, load, exc)
             return End.NOT_SENT
         whole = False
+        if self._job.repeatable:
+            load.silence.watch(conn.abort)
         try:
             end = await self._use(conn, record, terms, load, work)
             whole = True
@@ -129,6 +143,7 @@
             _suspect(record, load, exc)
             return End.LOST
         finally:
+            load.silence.unwatch(conn.abort)
             if whole:
                 conns.give_back(*at, conn, bound)
             else:
@@ -160,6 +175,7 @@
         conn.send(_request_head(job.call, headers, len(job.body)), job.body)
         self.runs += 1
         raw = await conn.head(self._is_mine)
+        load.silence.heard(_now())
         head = wire.read_answer(raw.status, raw.headers)
         if head.load is not None:
             load.reported(head.load, _now())
@@ -225,6 +241,7 @@
             # A resumed answer has another length than its first upstream says.
             headers = tuple(h for h in headers if h[0] != b"content-length")
         async for data in conn.body():
+            load.silence.heard(_now())
             self._note_first_part(load, work)
             if not self._answer.started:
                 await self._answer.start(head.status, headers)
@@ -239,12 +256,18 @@
         if cutter is not None and cutter.rest:
             await self._answer.write(cutter.rest)
         await self._answer.end()
+        run_s = _now() - self._answer.started_at
+        self._parts.run_times.ended(self._job.route.name, run_s)
 
     def _note_first_part(self, load: UpstreamLoad, work: Work) -> None:
-        if not self._prefilled:
-            self._prefilled = True
-            load.first_part(work)
-            self._parts.work_changed()
+        if self._prefilled:
+            return
+        self._prefilled = True
+        load.first_part(work)
+        self._parts.work_changed()
+        if work.prefill_tokens and not work.yields:
+            rate = self._parts.rates.of(self._job.pool.name)
+            rate.observed(self._before + work.prefill_tokens, _now() - self._sent_at)
 
     async def _write_events(self, cutter: EventCutter, data: bytes) -> None:
         try:
--- a/gooseberrydale/version/peer_loads.py
+++ b/gooseberrydale/version/peer_loads.py
@@ -28,6 +28,24 @@
     requests: int
     prefill_tokens: int
     kv_tokens: int
+    yielding_tokens: int = 0
+
+    @property
+    def is_none(self) -> bool:
+        """Whether the gateway has nothing there."""
+        return not self.requests and not self.yielding_tokens
+
+
+class SentPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt that one gateway sent to an upstream under a version of its weights.
+
+    ``levels`` are its shared beginnings, as key and tokens in all.
+    """
+
+    upstream: str
+    weights: str
+    levels: tuple[tuple[int, int], ...]
+    own_tokens: int
 
 
 @message
@@ -37,7 +55,8 @@
 
     ``works`` are those that changed, or all if the report is ``whole``; at an upstream
     that is not told of, a whole report says that there is none.  ``refusing`` names the
-    upstreams that refused a request of it just now.
+    upstreams that refused a request of it just now, ``sent`` the prompts that it sent
+    since its last report, ``silent`` the upstreams that it takes for dead.
     """
 
     name: str
@@ -46,6 +65,8 @@
     works: tuple[UpstreamWork, ...]
     refusing: tuple[str, ...] = ()
     whole: bool = True
+    sent: tuple[SentPrompt, ...] = ()
+    silent: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -63,6 +84,7 @@
     requests: int = 0
     prefill_tokens: int = 0
     kv_tokens: int = 0
+    yielding_tokens: int = 0
 
 
 class PeerLoads:
@@ -108,7 +130,7 @@
         old = works.pop(work.upstream, None)
         if old is not None:
             self._add(old, -1)
-        if work.requests:
+        if not work.is_none:
             works[work.upstream] = work
             self._add(work, 1)
 
@@ -117,7 +139,8 @@
         totals.requests += sign * work.requests
         totals.prefill_tokens += sign * work.prefill_tokens
         totals.kv_tokens += sign * work.kv_tokens
-        if not totals.requests:
+        totals.yielding_tokens += sign * work.yielding_tokens
+        if not totals.requests and not totals.yielding_tokens:
             del self._totals[work.upstream]
 
 
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -11,6 +11,7 @@
 
 from gooseberrydale.request.gateway_call import ReportedLoad
 from gooseberrydale.version.peer_loads import Totals
+from gooseberrydale.version.silence import Silence
 
 REPORT_HALF_LIFE_S = 0.25
 """Half of the reported work of others has ended after this: about the time of a run."""
@@ -26,11 +27,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """Work at an upstream: requests, tokens of prompts not yet computed, of memory."""
+    """Work at an upstream: requests, tokens of prompts not yet computed, of memory.
+
+    ``yielding_tokens`` are those of prompts that give way to all others.
+    """
 
     requests: float
     prefill_tokens: float
     kv_tokens: float
+    yielding_tokens: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +59,7 @@
         self._prefill_tokens = 0
         self._kv_tokens = 0
         self._yielding = 0
+        self._yielding_tokens = 0
         self._others = 0.0
         self._reported_at = -math.inf
         self._failures = 0
@@ -61,11 +67,13 @@
         self.avoid_until = -math.inf
         self.told_to_avoid = False
         self.error_share = 0.0
+        self.silence = Silence()
 
     def began(self, work: Work) -> None:
         """A request was sent."""
         if work.yields:
             self._yielding += 1
+            self._yielding_tokens += work.prefill_tokens
             return
         self._requests += 1
         self._prefill_tokens += work.prefill_tokens
@@ -73,13 +81,17 @@
 
     def first_part(self, work: Work) -> None:
         """The prompt of a request is computed."""
-        if not work.yields:
+        if work.yields:
+            self._yielding_tokens -= work.prefill_tokens
+        else:
             self._prefill_tokens -= work.prefill_tokens
 
     def ended(self, work: Work, *, prefilled: bool) -> None:
         """A request has ended; ``prefilled`` if its first part had come."""
         if work.yields:
             self._yielding -= 1
+            if not prefilled:
+                self._yielding_tokens -= work.prefill_tokens
             return
         self._requests -= 1
         self._kv_tokens -= work.kv_tokens
@@ -103,6 +115,12 @@
         self._count_error(failed)
         return before
 
+    def reached(self) -> int:
+        """A connection was granted; return how often in a row it had failed before."""
+        before, self._failures = self._failures, 0
+        self.suspect_until = -math.inf
+        return before
+
     def unreachable(self, now: float) -> float:
         """No connection, or one that broke; return for how long to leave it alone."""
         pause_s: float = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2**self._failures)
@@ -122,9 +140,14 @@
         return self._failures
 
     @property
-    def own(self) -> tuple[int, int, int]:
-        """The own work: requests, tokens to compute, tokens of memory."""
-        return self._requests, self._prefill_tokens, self._kv_tokens
+    def own(self) -> tuple[int, int, int, int]:
+        """The own work: requests, tokens to compute, of memory, of those that yield."""
+        return (
+            self._requests,
+            self._prefill_tokens,
+            self._kv_tokens,
+            self._yielding_tokens,
+        )
 
     def load(self, now: float, peers: Totals | None) -> Load:
         """The load as far as it can be known now.
@@ -142,6 +165,7 @@
             requests=self._requests + others,
             prefill_tokens=float(self._prefill_tokens + peers.prefill_tokens),
             kv_tokens=float(self._kv_tokens + peers.kv_tokens),
+            yielding_tokens=float(self._yielding_tokens + peers.yielding_tokens),
         )
 
     def _count_error(self, failed: bool) -> None:
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,97 @@
+"""When an upstream from which nothing comes is asked, and taken for dead."""
+
+from __future__ import annotations
+
+import pytest
+
+from gooseberrydale.version.silence import (
+    ASK_PAUSE_S,
+    IN_VAIN,
+    SILENT_S,
+    TRUSTED_S,
+    Silence,
+)
+from gooseberrydale.version.upstream_load import UpstreamLoad
+
+NEVER = float("-inf")
+
+
+def asked(silence: Silence, until: float, step_s: float = 0.1) -> list[float]:
+    """The moments at which the upstream is asked, looked at each ``step_s``."""
+    moments = [round(n * step_s, 3) for n in range(round(until / step_s))]
+    return [now for now in moments if silence.is_doubtful(now, NEVER)]
+
+
+def test_an_upstream_without_requests_is_never_asked() -> None:
+    assert asked(Silence(), 9.0) == []
+
+
+def test_one_that_says_nothing_while_requests_are_open_is_asked() -> None:
+    silence = Silence()
+    silence.opened(0.0)
+    assert asked(silence, 1.0)[0] == pytest.approx(SILENT_S)
+
+
+def test_events_of_any_request_are_signs_of_life() -> None:
+    silence = Silence()
+    silence.opened(0.0)
+    for tenth in range(1, 50):
+        silence.heard(tenth / 10)
+        assert not silence.is_doubtful(tenth / 10 + 0.09, NEVER)
+
+
+def test_a_live_but_silent_upstream_is_asked_now_and_then() -> None:
+    """A service at work for long costs no more than three connections a second."""
+    silence = Silence()
+    silence.opened(0.0)
+    moments = []
+    for now in (n / 10 for n in range(40)):
+        if silence.is_doubtful(now, NEVER):
+            moments.append(now)
+            silence.reached(now)
+    assert len(moments) <= 4.0 / ASK_PAUSE_S
+
+
+def test_one_question_in_vain_takes_nobody_for_dead() -> None:
+    silence = Silence()
+    silence.opened(0.0)
+    answers = [silence.unanswered(0.3 * n) for n in range(IN_VAIN)]
+    assert answers == [False] * (IN_VAIN - 1) + [True]
+
+
+def test_what_may_be_repeated_is_broken_off_once() -> None:
+    silence, broken = Silence(), list[str]()
+
+    def first() -> None:
+        broken.append("first")
+
+    def second() -> None:
+        broken.append("second")
+
+    silence.watch(first)
+    silence.watch(second)
+    silence.unwatch(second)
+    assert (silence.give_up(), broken) == (1, ["first"])
+    assert silence.give_up() == 0
+
+
+def test_others_are_believed_only_where_the_upstream_has_not_just_answered() -> None:
+    silence = Silence()
+    assert silence.doubt(0.0)
+    assert silence.is_doubtful(0.0, NEVER)
+    silence.reached(0.1)
+    assert not silence.doubt(0.1 + TRUSTED_S / 2)
+    assert silence.doubt(0.1 + 2 * TRUSTED_S)
+
+
+def test_one_left_alone_is_asked_before_its_time_is_over() -> None:
+    """Were it not, a request would have to find out, and be lost."""
+    load = UpstreamLoad()
+    load.unreachable(0.0)
+    until = load.suspect_until
+    moments = [n / 100 for n in range(200)]
+    first = next(m for m in moments if load.silence.is_doubtful(m, until))
+    assert first < until - 0.3
+    load.silence.reached(first)
+    assert load.reached() == 1
+    assert load.suspect_until < 0
