--- a/gooseberrydale/connection/work_gossip.py
+++ b/gooseberrydale/connection/work_gossip.py
@@ -18,7 +18,6 @@
 from gooseberrydale.log_events import DatagramFailed, DatagramUnreadable, emit
 from gooseberrydale.version.peer_loads import (
     PeerLoads,
-    SentPrompt,
     UpstreamWork,
     WorkReport,
     changes,
@@ -57,12 +56,6 @@
     def peer_silent(self, names: Collection[str], now: float) -> None:
         """Another gateway takes these upstreams for dead."""
 
-    def take_sent(self) -> tuple[SentPrompt, ...]:
-        """The prompts that it sent since it was asked last."""
-
-    def peer_sent(self, sent: Iterable[SentPrompt]) -> None:
-        """Another gateway sent these prompts."""
-
 
 Peers = Callable[[], Iterable[str]]
 T = TypeVar("T")
@@ -143,7 +136,6 @@
             if self._loads.take(report, now):
                 self._view.peer_refused(report.refusing, now)
                 self._view.peer_silent(report.silent, now)
-            self._view.peer_sent(report.sent)
         elif type(report) in self._handlers:
             self._handlers[type(report)](report)
 
@@ -169,9 +161,8 @@
         works = {work.upstream: work for work in self._view.works()}
         told = tuple(works.values()) if whole else changes(self._told, works)
         refusing = self._view.refusing(now)
-        sent = self._view.take_sent()
         silent = self._view.silent(now)
-        if not (whole or told or refusing or sent or silent):
+        if not (whole or told or refusing or silent):
             return
         self._told, self._told_at = works, now
         self._seq += 1
@@ -182,7 +173,6 @@
             works=told,
             refusing=refusing,
             whole=whole,
-            sent=sent,
             silent=silent,
         )
         self._send(report)
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -186,12 +186,6 @@
     "The upstreams of pool {pool!r} take no more work right now; come back after the"
     " given time.",
 )
-POOL_OVERLOADED = ErrorKind(
-    "pool_overloaded",
-    503,
-    "The upstreams of pool {pool!r} can't begin with the request before its caller"
-    " would have left; come back after the given time.",
-)
 
 # Request path.
 NO_UPSTREAM = ErrorKind(
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -10,12 +10,7 @@
 from dataclasses import replace
 
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.errors import (
-    NO_UPSTREAM,
-    OUTCOME_UNKNOWN,
-    POOL_OVERLOADED,
-    problem,
-)
+from gooseberrydale.errors import NO_UPSTREAM, OUTCOME_UNKNOWN, problem
 from gooseberrydale.log_events import SendEnded, StreamMoved, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
@@ -31,18 +26,16 @@
     Sends,
     after_end,
 )
-from gooseberrydale.request.comeback import after_backlog_s, without_upstream_s
+from gooseberrydale.request.comeback import without_upstream_s
 from gooseberrydale.request.placement import (
     Candidate,
     Demand,
-    backlog_s,
     choose,
     own_s,
     queue_s,
 )
 from gooseberrydale.request.retry import RetryBudget
-from gooseberrydale.request.timeliness import Goal, gives_way, is_hopeless
-from gooseberrydale.version.holdings import levels_of
+from gooseberrydale.request.timeliness import Goal, gives_way
 
 MOVES_KEEP = 1.0
 """Retries that stay in the budget when a stream is moved to free its upstream: those
@@ -91,17 +84,8 @@
         self._sender = Sender(job, answer, parts, self._may_move)
         self._tried: list[str] = []
         self._gives_way = False
-        rate = parts.rates.of(job.pool.name)
-        self._demand: Demand = replace(
-            demand_of(job.call.prompt),
-            run_s=parts.run_times.expected_s(job.route.name),
-            tokens_per_s=rate.tokens_per_s,
-            first_s=rate.first_s,
-        )
-        prompt = job.call.prompt
-        self._levels = () if prompt is None else levels_of(prompt.shared, job.scope)
-        route = job.route
-        self._goal = Goal(route.objective_s, job.rank, route.gap_objective_s)
+        run_s = parts.run_times.expected_s(job.route.name)
+        self._demand: Demand = replace(demand_of(job.call.prompt), run_s=run_s)
         self.choices: list[Candidate] = []
         self.chosen_at = 0.0
         self._yielded: list[bool] = []
@@ -116,9 +100,6 @@
             if chosen is None:
                 await self._without_upstream()
                 return
-            if self._is_hopeless(chosen):
-                await self._refuse_hopeless(chosen)
-                return
             record = next(r for r, one in candidates if one.name == chosen.name)
             end = await self._send(record, chosen)
             if end is None:
@@ -136,35 +117,14 @@
         chosen = choose(found, self._demand, rng, yields=self._gives_way)
         if chosen is None or self._tried:
             return chosen
-        queued = queue_s(chosen, self._demand)
-        own = own_s(chosen, self._demand)
-        self._gives_way = gives_way(queued, own, self._waited_s(), self._goal)
+        goal = Goal(self._job.route.objective_s, self._job.rank)
+        queued, own = queue_s(chosen, self._demand), own_s(chosen, self._demand)
+        waited_s = _now() - self._job.began_at
+        self._gives_way = gives_way(queued, own, waited_s, goal)
         if not self._gives_way:
             return chosen
         return choose(found, self._demand, rng, yields=True)
 
-    def _is_hopeless(self, chosen: Candidate) -> bool:
-        """Whether the caller of a request that gives way would not see its answer."""
-        first = not self._tried and not self._answer.started
-        if not (first and self._gives_way and self._demand.is_prompt):
-            return False
-        wait_s = backlog_s(chosen, self._demand)
-        own = own_s(chosen, self._demand)
-        return is_hopeless(wait_s, own, self._waited_s(), self._goal)
-
-    async def _refuse_hopeless(self, chosen: Candidate) -> None:
-        self.outcome = "overloaded"
-        self.choices.append(chosen)
-        self._yielded.append(True)
-        wait_s = backlog_s(chosen, self._demand)
-        after_s = after_backlog_s(wait_s, self._job.left_s())
-        pool = self._job.pool.name
-        why = problem(POOL_OVERLOADED, pool=pool, retry_after_s=after_s)
-        await self._answer.refuse(why)
-
-    def _waited_s(self) -> float:
-        return _now() - self._job.began_at
-
     async def _usable_candidates(self) -> Found:
         """The candidates, waited for a little if none of them takes work."""
         until = _now() + min(HOLD_S, self._job.left_s() * HOLD_PART)
@@ -176,14 +136,7 @@
 
     def _candidates(self) -> Found:
         job = self._job
-        sought = Sought(
-            job.pool,
-            job.call.prompt,
-            job.scope,
-            self._tried,
-            self._levels,
-            self._demand.tokens_per_s,
-        )
+        sought = Sought(job.pool, job.call.prompt, job.scope, self._tried)
         return self._upstreams.candidates(sought, _now())
 
     async def _send(self, record: UpstreamRecord, chosen: Candidate) -> End | None:
@@ -202,12 +155,8 @@
             record,
             gives_way=self._gives_way,
             last_event_id=self._sender.last_event_id,
-            fetch=chosen.fetch,
         )
-        if self._demand.is_prompt:
-            self._upstreams.sent(record, self._levels, self._demand.own_tokens)
-        before = chosen.load.prefill_tokens
-        return await self._sender.send(record, terms, work, before)
+        return await self._sender.send(record, terms, work)
 
     def _may_move(self, record: UpstreamRecord) -> bool:
         """Whether a stream leaves an upstream that carries an order out.
@@ -281,12 +230,9 @@
         return [
             f"{one.name} rank={one.home_rank} requests={one.load.requests:.1f}"
             f" prefill={one.load.prefill_tokens:.0f} kv={one.load.kv_tokens:.0f}"
-            f" errors={one.error_share:.2f} usable={one.usable}"
-            f" held={one.held_tokens} fetched={one.fetch.tokens if one.fetch else 0}"
-            f" lacking={self._demand.lacking_at(one)}"
             f" yielding={one.load.yielding_tokens:.0f}"
-            f" rate={self._demand.tokens_per_s:.0f}"
-            f" old={one.old_for_s:.1f} yields={yields}"
+            f" errors={one.error_share:.2f} usable={one.usable}"
+            f" stored={one.stored} old={one.old_for_s:.1f} yields={yields}"
             for one, yields in zip(self.choices, self._yielded, strict=True)
         ]
 
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -37,7 +37,6 @@
 from gooseberrydale.request.connection_share import connection_share
 from gooseberrydale.request.draining import Drain
 from gooseberrydale.request.gateway_call import Wire
-from gooseberrydale.version.compute_rate import ComputeRates
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declared import CallerLimits, Pool
 from gooseberrydale.version.directory import Directory, new_incarnation
@@ -155,7 +154,6 @@
             self._upstreams,
             self._conns,
             RunTimes(),
-            ComputeRates(),
             self._gossip.changed,
             self._connections,
         )
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -27,7 +27,6 @@
     Terms,
     Wire,
 )
-from gooseberrydale.version.compute_rate import ComputeRates
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.run_times import RunTimes
 from gooseberrydale.version.upstream_load import UpstreamLoad, Work
@@ -62,7 +61,6 @@
     upstreams: Upstreams
     conns: HttpPool
     run_times: RunTimes
-    rates: ComputeRates
     work_changed: Callable[[], None]
     connections: Callable[[Pool], int | None]
 
@@ -87,22 +85,16 @@
         self._parts = parts
         self._may_move = may_move
         self._prefilled = False
-        self._before = 0.0
-        self._sent_at = 0.0
         self.runs = 0
         self.failure: tuple[AnswerHead, bytes] | None = None
         self.last_event_id: str | None = job.call.last_event_id
 
     async def send(
-        self, record: UpstreamRecord, terms: Terms, work: Work, before: float = 0.0
+        self, record: UpstreamRecord, terms: Terms, work: Work
     ) -> End | None:
-        """Send the request once; None if the caller has the whole answer.
-
-        ``before`` are the tokens that the upstream has to compute before it.
-        """
+        """Send the request once; None if the caller has the whole answer."""
         load = self._parts.upstreams.load_of(record.name)
         self._prefilled = False
-        self._before, self._sent_at = before, _now()
         load.began(work)
         load.silence.opened(_now())
         self._parts.work_changed()
@@ -260,14 +252,10 @@
         self._parts.run_times.ended(self._job.route.name, run_s)
 
     def _note_first_part(self, load: UpstreamLoad, work: Work) -> None:
-        if self._prefilled:
-            return
-        self._prefilled = True
-        load.first_part(work)
-        self._parts.work_changed()
-        if work.prefill_tokens and not work.yields:
-            rate = self._parts.rates.of(self._job.pool.name)
-            rate.observed(self._before + work.prefill_tokens, _now() - self._sent_at)
+        if not self._prefilled:
+            self._prefilled = True
+            load.first_part(work)
+            self._parts.work_changed()
 
     async def _write_events(self, cutter: EventCutter, data: bytes) -> None:
         try:
--- a/gooseberrydale/process/gateway/store_follower.py
+++ b/gooseberrydale/process/gateway/store_follower.py
@@ -118,7 +118,6 @@
         while True:
             table = self._declared.table
             stores = () if table is None else table.declared.stores
-            self._stores.declare(stores)
             await self._keep([store.address for store in stores])
             await asyncio.sleep(LOOK_S)
 
@@ -126,6 +125,7 @@
         """Follow the stores at ``addresses`` and no others."""
         if self._followings.keys() == set(addresses):
             return
+        self._stores.declare(addresses)
         for address in self._followings.keys() - set(addresses):
             await self._followings.pop(address).close()
         for address in addresses:
--- a/gooseberrydale/process/gateway/terms.py
+++ b/gooseberrydale/process/gateway/terms.py
@@ -17,7 +17,6 @@
     weights_version,
 )
 from gooseberrydale.request.gateway_call import Terms
-from gooseberrydale.request.prefix_source import Fetch
 
 LAST_RANK = 9
 """The lowest rank that engines know."""
@@ -40,7 +39,6 @@
         *,
         gives_way: bool,
         last_event_id: str | None,
-        fetch: Fetch | None = None,
     ) -> Terms:
         """The terms of sending ``job`` to one life of an upstream."""
         holder = job.workspace
@@ -53,8 +51,7 @@
         if not record.model:
             return terms
         salt = cache_salt(record, job.scope)
-        store, save_to = self._transfers(job, salt)
-        fetch_from = store if fetch is None else fetch.address
+        fetch_from, save_to = self._transfers(job, salt)
         return replace(
             terms,
             weights_version=weights_version(record),
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -7,23 +7,20 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
 from gooseberrydale.request.gateway_call import Prompt
 from gooseberrydale.request.members import Members
 from gooseberrydale.request.placement import Candidate, Demand, homes_in_reach
-from gooseberrydale.request.prefix_source import Source, best_fetch, move_token_s
-from gooseberrydale.version.compute_rate import START_TOKENS_PER_S
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.holdings import LEAST_ROOM_PART, Holdings, Level, Place
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import is_mark, mark_name
-from gooseberrydale.version.peer_loads import PeerLoads, SentPrompt, UpstreamWork
+from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
 from gooseberrydale.version.stores import Stores
-from gooseberrydale.version.upstream_load import Load, UpstreamLoad
+from gooseberrydale.version.upstream_load import UpstreamLoad
 
 GONE_AVOID_S = 60.0
 """A life whose address another one has taken is over: until its record is gone."""
@@ -32,10 +29,6 @@
 """An upstream that has just refused a request; half of the time that a change of
 weights takes, and that of some runs, after which places get free."""
 
-WORTH_TELLING_TOKENS = 1_000
-"""Shared beginnings from this size on are told to the other gateways: some 10 ms of
-computing, against 40 bytes to each of them."""
-
 OLD_WEIGHTS_MARGIN_S = 2.5
 """Work may wait for its start inside an engine; so engines with overtaken weights get
 none for this long before it may not start there any more.  Callers give up after 2 to
@@ -46,16 +39,13 @@
 class Sought:
     """What a request looks for: an upstream of ``pool`` that was not tried.
 
-    ``scope`` keeps equal prompts apart that share no cache; ``levels`` are the shared
-    beginnings of the prompt, and ``tokens_per_s`` is how fast they are computed.
+    ``scope`` keeps equal prompts apart that share no cache.
     """
 
     pool: Pool
     prompt: Prompt | None
     scope: str
     tried: Collection[str] = ()
-    levels: tuple[Level, ...] = ()
-    tokens_per_s: float = START_TOKENS_PER_S
 
 
 @dataclass(slots=True)
@@ -93,8 +83,6 @@
         self._loads: dict[str, UpstreamLoad] = {}
         # The life of each upstream that the load is of.
         self._lives: dict[str, str] = {}
-        self.holdings = Holdings()
-        self._sent: list[SentPrompt] = []
 
     def load_of(self, name: str) -> UpstreamLoad:
         """What this process knows of the life ``name`` of an upstream."""
@@ -154,29 +142,6 @@
             if not (work := UpstreamWork(name, *load.own)).is_none
         )
 
-    def sent(
-        self, record: UpstreamRecord, levels: Sequence[Level], own_tokens: int
-    ) -> None:
-        """A prompt goes to an upstream of this process's choice."""
-        place = Place(record.name, record.weights_version)
-        self.holdings.sent(place, levels, own_tokens)
-        if levels and levels[-1].tokens >= WORTH_TELLING_TOKENS:
-            pairs = tuple((level.key, level.tokens) for level in levels)
-            told = SentPrompt(record.name, record.weights_version, pairs, own_tokens)
-            self._sent.append(told)
-
-    def take_sent(self) -> tuple[SentPrompt, ...]:
-        """The prompts sent since this was asked last, for the other gateways."""
-        sent, self._sent = tuple(self._sent), []
-        return sent
-
-    def peer_sent(self, sent: Iterable[SentPrompt]) -> None:
-        """Another gateway sent these prompts."""
-        for one in sent:
-            levels = [Level(key, tokens) for key, tokens in one.levels]
-            place = Place(one.upstream, one.weights)
-            self.holdings.sent(place, levels, one.own_tokens)
-
     def records(self, pool: str, now: float) -> tuple[UpstreamRecord, ...]:
         """The upstreams of ``pool`` that take new work, as far as is known.
 
@@ -209,11 +174,13 @@
             if record.name not in sought.tried and _serves(record, sought.prompt)
         ]
         ranks = self._home_ranks(sought)
+        stored = self._stored(records, sought)
         if not ranks:
             # Nothing tells equal upstreams apart; every process draws its own order.
             self.rng.shuffle(records)
         found = [
-            (record, self._candidate(record, sought, ranks, now)) for record in records
+            (record, self._candidate(record, sought, ranks, stored, now))
+            for record in records
         ]
         bound_s = self._weights_bound_s
         in_time = [pair for pair in found if pair[1].old_for_s < bound_s]
@@ -221,33 +188,7 @@
             return in_time
         by_name = {record.name: record for record, _ in in_time}
         settled = homes_in_reach(one for _, one in in_time)
-        with_records = [(by_name[one.name], one) for one in settled]
-        return self._with_sources(with_records, sought)
-
-    def _with_sources(
-        self, found: list[tuple[UpstreamRecord, Candidate]], sought: Sought
-    ) -> list[tuple[UpstreamRecord, Candidate]]:
-        """The candidates, each with where it gets what it lacks of the prefix."""
-        size = sought.pool.engine
-        token_bytes = 0.0 if size is None else size.token_bytes
-        link = 0.0 if size is None else size.link_bytes_per_s
-        token_s = move_token_s(token_bytes, link)
-        sources: dict[str, list[Source]] = {}
-        for record, one in found:
-            of_weights = sources.setdefault(one.weights, [])
-            if one.usable and one.held_tokens:
-                held = one.held_tokens
-                of_weights.append(Source(record.address, record.zone, held, token_s))
-        parts = () if sought.prompt is None else sought.prompt.shared
-        salts = {one.weights: cache_salt(record, sought.scope) for record, one in found}
-        for weights, salt in salts.items():
-            stored = self.stores.source(parts, salt, token_bytes)
-            if stored is not None:
-                sources[weights].append(stored)
-        return [
-            (record, _with_source(record, one, sources[one.weights], sought))
-            for record, one in found
-        ]
+        return [(by_name[one.name], one) for one in settled]
 
     def count(self, now: float) -> int:
         """How many upstreams are announced."""
@@ -267,7 +208,6 @@
             del self._loads[name]
         for name in self._lives.keys() - known:
             del self._lives[name]
-            self.holdings.forget(name)
         return known
 
     def _forget_earlier_lives(self, records: Iterable[UpstreamRecord]) -> None:
@@ -277,7 +217,6 @@
             if life != record.incarnation:
                 self._lives[record.name] = record.incarnation
                 self._loads.pop(record.name, None)
-                self.holdings.forget(record.name)
 
     def _may_stay(self, record: UpstreamRecord, now: float) -> bool:
         newest = self._directory.get(record.name, now)
@@ -296,24 +235,22 @@
         record: UpstreamRecord,
         sought: Sought,
         ranks: Mapping[str, int],
+        stored: Collection[str],
         now: float,
     ) -> Candidate:
         load = self.load_of(record.name)
         size = sought.pool.engine
-        kv_tokens = size.kv_tokens if size else 0
         peers = self._peers.at(record.name) if self._peers else None
         resting = max(load.suspect_until, load.avoid_until) > now
-        work = load.load(now, peers)
-        held = self._held_tokens(record, sought, kv_tokens, work) if ranks else 0
         return Candidate(
             name=record.name,
-            load=work,
+            load=load.load(now, peers),
             weights=record.weights_version,
             slots=record.slots or (size.slots if size else 0),
-            kv_tokens=kv_tokens,
+            kv_tokens=size.kv_tokens if size else 0,
             home_rank=ranks.get(record.name, 0),
             old_for_s=self._old_for_s(record, now),
-            held_tokens=held,
+            stored=record.weights_version in stored,
             far=record.zone != self._zone,
             error_share=load.error_share,
             usable=not resting and not self.is_changing(record, now),
@@ -330,15 +267,20 @@
         version = weights_version(record)
         return self._weights.old_for_s(record.model, version, now)
 
-    def _held_tokens(
-        self, record: UpstreamRecord, sought: Sought, kv_tokens: int, work: Load
-    ) -> int:
-        """Tokens of the prefix that an upstream holds, as far as is known."""
-        place = Place(record.name, record.weights_version)
-        if kv_tokens:
-            room = max(kv_tokens - work.kv_tokens, kv_tokens * LEAST_ROOM_PART)
-            self.holdings.make_room(place, room)
-        return self.holdings.held_tokens(place, sought.levels)
+    def _stored(
+        self, records: Iterable[UpstreamRecord], sought: Sought
+    ) -> frozenset[str]:
+        """The weights versions under which a store holds the whole prefix."""
+        shared = () if sought.prompt is None else sought.prompt.shared
+        store = self.stores.of(shared)
+        if store is None:
+            return frozenset()
+        salts = {
+            record.weights_version: cache_salt(record, sought.scope)
+            for record in records
+            if record.model
+        }
+        return frozenset(v for v, salt in salts.items() if store.holds(salt, shared))
 
 
 def weights_version(record: UpstreamRecord) -> int:
@@ -353,23 +295,14 @@
 
 
 def demand_of(prompt: Prompt | None) -> Demand:
-    """What a prompt needs."""
+    """What a prompt needs; the outermost shared part is taken to lie everywhere."""
     if prompt is None:
         return Demand()
-    shared_tokens = sum(part.tokens for part in prompt.shared)
-    own = max(0, prompt.tokens - shared_tokens)
-    return Demand(own, shared_tokens, prompt.max_new_tokens)
-
-
-def _with_source(
-    record: UpstreamRecord, one: Candidate, sources: Sequence[Source], sought: Sought
-) -> Candidate:
-    others = [source for source in sources if source.address != record.address]
-    token_s = 1.0 / sought.tokens_per_s
-    fetch = best_fetch(one.held_tokens, record.zone, others, token_s)
-    gets = one.held_tokens + (fetch.tokens if fetch is not None else 0)
-    most = max((source.tokens for source in others), default=0)
-    return replace(one, fetch=fetch, again_tokens=max(0, most - gets))
+    shared = prompt.shared
+    common = shared[0].tokens if len(shared) > 1 else 0
+    shared_tokens = sum(part.tokens for part in shared) - common
+    own = max(0, prompt.tokens - shared_tokens - common)
+    return Demand(own, shared_tokens, common, prompt.max_new_tokens)
 
 
 def _serves(record: UpstreamRecord, prompt: Prompt | None) -> bool:
--- a/gooseberrydale/request/comeback.py
+++ b/gooseberrydale/request/comeback.py
@@ -28,11 +28,6 @@
     return _within(REFUSED_AFTER_S, left_s)
 
 
-def after_backlog_s(wait_s: float, left_s: float) -> float:
-    """Seconds until upstreams will have done what is before a request now."""
-    return _within(wait_s, left_s)
-
-
 def without_upstream_s(left_s: float) -> float:
     """Seconds until an upstream will likely be known."""
     return _within(NO_UPSTREAM_AFTER_S, left_s)
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -16,24 +16,29 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
-from gooseberrydale.request.prefix_source import Fetch
-from gooseberrydale.version.compute_rate import START_FIRST_S, START_TOKENS_PER_S
 from gooseberrydale.version.upstream_load import Load, Work
 
+PREFILL_TOKENS_PER_S = 40_000.0
+"""Prompt tokens that an engine gets through in a second beside its decoding.  Measured:
+the median first event came after 70 ms with 2,890 tokens and nothing before them, after
+170 with 5,000 to 10,000 before, 310 to 350 with 10,000 to 15,000, 835 with 30,000; the
+sheets' 110,000 are those of a prompt alone."""
+
+OWN_TOKENS_PER_S = 70_000.0
+"""The same for the request's own prompt, which nothing else then interrupts."""
+
 RUN_SLOWDOWN_S = 0.0005
 """What each request that runs beside adds: 20 more requests made 10 ms."""
 
 SERVICE_RUN_S = 0.06
 """Mean time that a request holds a place at a plain service."""
 
-AGAIN_WEIGHT = 1.0
-"""What is computed though another engine holds it also takes the place of other work,
-so it counts once more."""
+FETCH_TOKENS_PER_S = 200_000.0
+"""Prompt tokens that an engine gets in a second from a store: 420 Gbit/s at 192,512
+bytes a token are 272,000, half of that between zones."""
 
-HOME_PART = 0.5
-"""A prefix that nobody holds is computed at its home unless another engine begins
-sooner by this part of its computing: gateways that get it at the same moment do not
-hear of each other in time, and all know the home."""
+RECOMPUTE_WEIGHT = 2.0
+"""What is computed twice also takes the place of other work, so it counts twice."""
 
 OLD_WEIGHTS_S = 0.15
 """An answer on old weights is worth less once callers expect the newer ones; an engine
@@ -86,9 +91,8 @@
     ``weights`` names what computed its cache: prefixes are found under the same alone.
 
     ``slots`` and ``kv_tokens`` are its size, 0 if not known.  ``home_rank`` is its
-    place among the homes of the shared prefix.  Of that prefix it holds ``held_tokens``
-    and gets more by ``fetch``; ``again_tokens`` of the rest are held elsewhere, out of
-    its reach.  ``old_for_s`` is for how long newer weights are named, ``far`` that it
+    place among the homes of the shared prefix, ``stored`` that a store holds it for
+    its weights, ``old_for_s`` for how long newer weights are named, ``far`` that it
     is in another availability zone.  ``usable`` is False while it is suspected to be
     dead or carries out an order.
     """
@@ -100,9 +104,7 @@
     kv_tokens: int = 0
     home_rank: int = 0
     old_for_s: float = 0.0
-    held_tokens: int = 0
-    fetch: Fetch | None = None
-    again_tokens: int = 0
+    stored: bool = False
     far: bool = False
     error_share: float = 0.0
     usable: bool = True
@@ -112,37 +114,34 @@
 class Demand:
     """What the request needs: tokens of its own and of what others share with it.
 
-    ``run_s`` is how long requests of its kind go on after their first event;
-    ``tokens_per_s`` how fast the engines get through prompts, and ``first_s`` what a
-    first event takes beside.
+    ``common_tokens`` begin so many prompts that every engine is taken to hold them;
+    ``shared_tokens`` follow, and lie at their home.  ``run_s`` is how long requests of
+    its kind go on after their first event.
     """
 
     own_tokens: int = 0
     shared_tokens: int = 0
+    common_tokens: int = 0
     new_tokens: int = 0
     run_s: float = 0.0
-    tokens_per_s: float = START_TOKENS_PER_S
-    first_s: float = START_FIRST_S
 
     @property
     def is_prompt(self) -> bool:
         """Whether a model is asked."""
-        return self.own_tokens + self.shared_tokens > 0
+        return self.own_tokens + self.shared_tokens + self.common_tokens > 0
 
     @property
     def tokens(self) -> int:
         """Tokens of memory that the request takes at its end."""
-        return self.own_tokens + self.shared_tokens + self.new_tokens
-
-    def lacking_at(self, candidate: Candidate) -> int:
-        """Tokens of the prompt that an upstream has to compute."""
-        gets = candidate.fetch.tokens if candidate.fetch is not None else 0
-        shared = max(0, self.shared_tokens - candidate.held_tokens - gets)
-        return self.own_tokens + shared
+        prompt = self.own_tokens + self.shared_tokens + self.common_tokens
+        return prompt + self.new_tokens
 
     def work_at(self, candidate: Candidate) -> Work:
         """The work that the request makes at an upstream."""
-        return Work(self.lacking_at(candidate), self.tokens)
+        prefill = self.own_tokens
+        if candidate.home_rank > 0 and not candidate.stored:
+            prefill += self.shared_tokens
+        return Work(prefill_tokens=prefill, kv_tokens=self.tokens)
 
 
 def homes_in_reach(candidates: Iterable[Candidate]) -> list[Candidate]:
@@ -180,7 +179,7 @@
     def key(one: Candidate) -> tuple[float, int]:
         seconds = expected_s(one, demand)
         if yields:
-            seconds += yielding_s(one, demand)
+            seconds += one.load.yielding_tokens / PREFILL_TOKENS_PER_S
         return seconds, one.home_rank
 
     return min(ranked, key=key)
@@ -192,7 +191,7 @@
     """The candidates that are weighed at all."""
     if len(candidates) <= SMALL_POOL:
         return candidates
-    by_home = sorted(candidates, key=lambda one: (-one.held_tokens, one.home_rank))
+    by_home = sorted(candidates, key=lambda one: one.home_rank)
     others = rng.sample(by_home[NEAR_HOMES:], OTHERS)
     return [*by_home[:NEAR_HOMES], *others]
 
@@ -206,25 +205,16 @@
     """Seconds to the first event once nothing is before the request."""
     if not demand.is_prompt:
         return SERVICE_RUN_S
-    return demand.first_s + _prompt_s(candidate, demand)
-
-
-def backlog_s(candidate: Candidate, demand: Demand) -> float:
-    """Seconds of computing before a request that gives way to all others."""
-    load = candidate.load
-    return (load.prefill_tokens + load.yielding_tokens) / demand.tokens_per_s
-
-
-def yielding_s(candidate: Candidate, demand: Demand) -> float:
-    """Seconds that requests which gave way before would take at a candidate."""
-    return candidate.load.yielding_tokens / demand.tokens_per_s
+    lacks = candidate.home_rank > 0 and not candidate.stored
+    tokens = demand.own_tokens + (demand.shared_tokens if lacks else 0)
+    return tokens / OWN_TOKENS_PER_S
 
 
 def expected_s(candidate: Candidate, demand: Demand) -> float:
     """Seconds to the first event, and what else speaks against a candidate."""
     seconds = _wait_s(candidate, demand)
     if demand.is_prompt:
-        seconds += _prompt_s(candidate, demand) + _elsewhere_s(candidate, demand)
+        seconds += _prefill_s(candidate, demand)
     if candidate.old_for_s > 0:
         late = candidate.old_for_s > OLD_WEIGHTS_AFTER_S
         seconds += OLD_WEIGHTS_S if late else OLD_WEIGHTS_AT_ONCE_S
@@ -234,25 +224,21 @@
     return seconds + ERROR_S * max(0.0, candidate.error_share - ORDINARY_ERROR_SHARE)
 
 
-def _prompt_s(candidate: Candidate, demand: Demand) -> float:
-    """Seconds to get and compute the prompt."""
-    fetch_s = candidate.fetch.seconds if candidate.fetch is not None else 0.0
-    return demand.lacking_at(candidate) / demand.tokens_per_s + fetch_s
-
-
-def _elsewhere_s(candidate: Candidate, demand: Demand) -> float:
-    """What speaks for engines that hold the prefix, or are its home."""
-    seconds = AGAIN_WEIGHT * candidate.again_tokens / demand.tokens_per_s
-    if candidate.home_rank > 0 and not candidate.held_tokens and not candidate.fetch:
-        seconds += HOME_PART * demand.shared_tokens / demand.tokens_per_s
-    return seconds
+def _prefill_s(candidate: Candidate, demand: Demand) -> float:
+    own_s = demand.own_tokens / PREFILL_TOKENS_PER_S
+    if candidate.home_rank == 0:
+        return own_s
+    if candidate.stored:
+        return own_s + demand.shared_tokens / FETCH_TOKENS_PER_S
+    again_s = demand.shared_tokens / PREFILL_TOKENS_PER_S
+    return own_s + RECOMPUTE_WEIGHT * again_s
 
 
 def _wait_s(candidate: Candidate, demand: Demand) -> float:
     load = candidate.load
     if not demand.is_prompt:
         return _service_wait_s(load.requests, candidate.slots)
-    seconds = load.prefill_tokens / demand.tokens_per_s
+    seconds = load.prefill_tokens / PREFILL_TOKENS_PER_S
     seconds += load.requests * RUN_SLOWDOWN_S
     room = candidate.kv_tokens * MEMORY_PART if candidate.kv_tokens else math.inf
     if load.kv_tokens + demand.tokens > room:
--- a/gooseberrydale/request/timeliness.py
+++ b/gooseberrydale/request/timeliness.py
@@ -25,34 +25,12 @@
 time that one prompt takes there."""
 
 
-PATIENCE_S = 2.0
-PATIENCE_OBJECTIVES = 4.0
-PATIENCE_GAPS = 8.0
-"""Callers of streams leave without a first event after the longest of two seconds, four
-times its objective and eight times the longest pause allowed; so it is agreed with
-them."""
-
-PATIENCE_PART = 0.9
-"""Part of a caller's patience within which the first event must be expected; the rest
-is for what the estimate does not see, and for the way."""
-
-
 @dataclass(frozen=True, slots=True)
 class Goal:
-    """A request's objective in seconds, 0 if it has none, and its rank from 0 on.
-
-    ``gap_s`` is the longest pause allowed within its answer.
-    """
+    """A request's objective in seconds, 0 if it has none, and its rank from 0 on."""
 
     objective_s: float
     rank: int
-    gap_s: float = 0.0
-
-    @property
-    def patience_s(self) -> float:
-        """How long its caller waits for the first event."""
-        by_goals = PATIENCE_OBJECTIVES * self.objective_s, PATIENCE_GAPS * self.gap_s
-        return max(PATIENCE_S, *by_goals)
 
 
 def gives_way(queue_s: float, own_s: float, waited_s: float, goal: Goal) -> bool:
@@ -65,13 +43,3 @@
         return False
     part = max(LEAST_PART, TOP_PART - RANK_PART * goal.rank)
     return waited_s + queue_s + own_s > goal.objective_s * part
-
-
-def is_hopeless(queue_s: float, own_s: float, waited_s: float, goal: Goal) -> bool:
-    """Whether a request's caller will have left before its first event.
-
-    ``queue_s`` is its wait behind all others, those included that give way as it does.
-    Sent all the same, it would be computed for nobody, in the place of one whose caller
-    still waits; told so at once, the caller comes back when there is room.
-    """
-    return waited_s + queue_s + own_s > goal.patience_s * PATIENCE_PART
--- a/gooseberrydale/version/declared.py
+++ b/gooseberrydale/version/declared.py
@@ -46,16 +46,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineSize:
-    """What one model engine of a pool holds: requests at once, tokens of memory.
-
-    A token takes ``token_bytes``, and its link carries ``link_bytes_per_s``; both are 0
-    if that is not told.
-    """
+    """What one model engine of a pool holds: requests at once, tokens of memory."""
 
     slots: int
     kv_tokens: int
-    token_bytes: float = 0.0
-    link_bytes_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +68,6 @@
     name: str
     address: str
     zone: str
-    link_bytes_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/version/peer_loads.py
+++ b/gooseberrydale/version/peer_loads.py
@@ -36,18 +36,6 @@
         return not self.requests and not self.yielding_tokens
 
 
-class SentPrompt(msgspec.Struct, frozen=True, array_like=True):
-    """A prompt that one gateway sent to an upstream under a version of its weights.
-
-    ``levels`` are its shared beginnings, as key and tokens in all.
-    """
-
-    upstream: str
-    weights: str
-    levels: tuple[tuple[int, int], ...]
-    own_tokens: int
-
-
 @message
 @dataclass(frozen=True, slots=True)
 class WorkReport:
@@ -55,8 +43,8 @@
 
     ``works`` are those that changed, or all if the report is ``whole``; at an upstream
     that is not told of, a whole report says that there is none.  ``refusing`` names the
-    upstreams that refused a request of it just now, ``sent`` the prompts that it sent
-    since its last report, ``silent`` the upstreams that it takes for dead.
+    upstreams that refused a request of it just now, ``silent`` those that it takes for
+    dead.
     """
 
     name: str
@@ -65,7 +53,6 @@
     works: tuple[UpstreamWork, ...]
     refusing: tuple[str, ...] = ()
     whole: bool = True
-    sent: tuple[SentPrompt, ...] = ()
     silent: tuple[str, ...] = ()
 
 
--- a/gooseberrydale/version/stores.py
+++ b/gooseberrydale/version/stores.py
@@ -8,11 +8,9 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Sequence
 
 from gooseberrydale.request.gateway_call import PromptPart
-from gooseberrydale.request.prefix_source import Source, move_token_s
-from gooseberrydale.version.declared import KvStoreDecl
 from gooseberrydale.version.store_view import StoreView
 
 
@@ -26,33 +24,19 @@
 
     def __init__(self) -> None:
         self._views: dict[str, StoreView] = {}
-        self._declared: dict[str, KvStoreDecl] = {}
 
     @property
     def addresses(self) -> Collection[str]:
         """The stores that are declared."""
         return self._views.keys()
 
-    def declare(self, stores: Iterable[KvStoreDecl]) -> None:
+    def declare(self, addresses: Collection[str]) -> None:
         """These stores are declared now; views of others are forgotten."""
-        self._declared = {store.address: store for store in stores}
         self._views = {
             address: self._views.get(address) or StoreView(address)
-            for address in self._declared
+            for address in addresses
         }
 
-    def source(
-        self, parts: Sequence[PromptPart], salt: str, token_bytes: float
-    ) -> Source | None:
-        """The store of a prefix as a source of it; None if it holds nothing of it."""
-        view = self.of(parts)
-        held = 0 if view is None else view.held_tokens(salt, parts)
-        if view is None or not held:
-            return None
-        declared = self._declared[view.address]
-        token_s = move_token_s(token_bytes, declared.link_bytes_per_s)
-        return Source(view.address, declared.zone, held, token_s)
-
     def view(self, address: str) -> StoreView | None:
         """The view of one store, if it is declared."""
         return self._views.get(address)
