Count losses by time, route and cause from logs; let control load before the gateway beside it

Start: after a loss of power control and the gateway on its machine share the processor for 0.9 s while all gateways wait for control's document; the gateway there begins 0.35 s later.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -36,6 +36,7 @@
 
     ``sends`` has each choice of an upstream with what decided it, ``held_ms`` the time
     before the first of them, ``table`` the number of the document in force then.
+    ``objective_ms`` is what ``route`` declares for the first event, 0 if nothing.
     """
 
     NAME: ClassVar[str] = "request"
@@ -44,6 +45,8 @@
     request_id: str
     host: str
     path: str
+    route: str
+    objective_ms: float
     outcome: str
     sends: list[str]
     status: int
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -102,7 +102,10 @@
     the part of ``retry_slack`` that falls to one of those it knows, and of ``gateways``
     at least.  ``gossip`` is where
     other gateways tell their work by datagrams.  A request starts on overtaken weights
-    within ``weights_bound_s`` of the naming of newer ones at most.
+    within ``weights_bound_s`` of the naming of newer ones at most.  Where a replica of
+    control runs on the same machine, the process begins to load ``start_after_s`` later
+    than it: all gateways wait for the document, and both together take 0.9 s of the
+    processor.
     """
 
     http: str = "127.0.0.1:8080"
@@ -113,6 +116,7 @@
     gateways: int = 8
     gossip: str = "127.0.0.1:8083"
     weights_bound_s: float = 8.0
+    start_after_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -42,6 +42,7 @@
     "control.tolerated_losses",
     "gateway.retry_ratio",
     "gateway.retry_slack",
+    "gateway.start_after_s",
     "entry.drain_s",
     "entry.retry_ratio",
     "sidecar.drain_s",
--- a/gooseberrydale/process/cli.py
+++ b/gooseberrydale/process/cli.py
@@ -6,8 +6,9 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Iterable
 from pathlib import Path
-from typing import IO
+from typing import IO, TYPE_CHECKING
 
 import fire
 import fire.core
@@ -20,6 +21,9 @@
 from gooseberrydale.process.control_cli import ControlCommands
 from gooseberrydale.process.runner import ExitCode, print_faults, run_local, run_process
 
+if TYPE_CHECKING:
+    from gooseberrydale.process.explain import Line
+
 ROLE_COMMANDS = ("entry", "sidecar", "control", "local")
 
 
@@ -56,21 +60,35 @@
     @fire.decorators.SetParseFn(str)  # type: ignore[untyped-decorator]
     def explain(self, request_id: str, *files: str) -> None:
         """Tell the story of the request REQUEST_ID from the log FILES."""
-        from gooseberrydale.process.explain import Line, read, story, told
+        from gooseberrydale.process.explain import story, told
 
-        lines: list[Line] = []
-        for name in files:
-            with open(name, encoding="utf-8", errors="replace") as file:
-                lines += read(file)
-        found = story(lines, request_id)
+        found = story(_read_all(files), request_id)
         print("\n".join(told(found)))
         sys.exit(ExitCode.OK if found.lines else ExitCode.FAILED)
 
+    @fire.decorators.SetParseFn(str)  # type: ignore[untyped-decorator]
+    def losses(self, *files: str) -> None:
+        """Count by time, route and cause what was late, refused or failed in FILES."""
+        from gooseberrydale.process.losses import lost, told
+
+        print("\n".join(told(lost(_read_all(files)))))
+
     def version(self) -> None:
         """Print the version."""
         print(gooseberrydale.__version__)
 
 
+def _read_all(files: Iterable[str]) -> list[Line]:
+    """The lines of all log files."""
+    from gooseberrydale.process.explain import read
+
+    lines: list[Line] = []
+    for name in files:
+        with open(name, encoding="utf-8", errors="replace") as file:
+            lines += read(file)
+    return lines
+
+
 def main() -> None:
     """Run the command in ``sys.argv``; exits with the command's code."""
     # Fire would start a pager program; a process here starts no other.
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -100,6 +100,7 @@
         self._drain = drain
         self._forward: Forward | None = None
         self._route = ""
+        self._objective_s = 0.0
         self._began = asyncio.get_running_loop().time()
 
     async def serve(self) -> None:
@@ -156,6 +157,7 @@
         budget = parts.budgets.of(job.pool.name)
         forward = Forward(job, answer, parts.sends, parts.terms, budget, parts.measures)
         self._forward, self._route = forward, route.name
+        self._objective_s = route.objective_s
         await self._run(forward)
         return forward.outcome
 
@@ -245,6 +247,8 @@
                 request_id=call.request_id,
                 host=call.host,
                 path=call.path,
+                route=self._route,
+                objective_ms=self._objective_s * MS_PER_S,
                 outcome=outcome,
                 sends=[] if forward is None else forward.describe(),
                 status=answer.status,
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -106,7 +106,21 @@
     emit(UpstreamSuspected("u1", 500.0, 1, "no connection in time"))
     emit(SendEnded("r1", "u1", "not_sent", "GiveUp", False, 100.0, 0, 2.0))
     ended = RequestEnded(
-        *("r1", "h", "/p", "not_sent", [CHOICE], 503, True, 0.0, 2.0, 2.1, 7)
+        *(
+            "r1",
+            "h",
+            "/p",
+            "route",
+            300.0,
+            "not_sent",
+            [CHOICE],
+            503,
+            True,
+            0.0,
+            2.0,
+            2.1,
+            7,
+        )
     )
     emit(ended)
     logger.remove()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import pathlib
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -399,6 +400,7 @@
     "{{listen.control}}": "10.0.0.1:83",
     "{{ip}}": "10.0.0.1",
     "{{#dataDir}}false{{/dataDir}}{{^dataDir}}true{{/dataDir}}": "false",
+    "{{#dataDir}}0.35{{/dataDir}}{{^dataDir}}0.0{{/dataDir}}": "0.35",
     "{{dataDir}}": "/data/control",
     "{{bootstrap}}": "true",
     "{{faultTolerance.machines}}": "1",
@@ -425,6 +427,41 @@
     assert cfg.fleet.control_rpc == ("10.0.0.1:7300", "10.0.0.2:7300")
     if cfg.gateway is not None:
         assert (cfg.gateway.weights_bound_s, cfg.gateway.retry_slack) == (8.0, 62.0)
+        assert cfg.gateway.start_after_s == 0.35
     if cfg.control is not None:
         assert (cfg.control.order_pause_s, cfg.control.beat_s) == (3.0, 1.2)
         assert cfg.control.bootstrap and cfg.control.open_group
+
+
+STARTS = {
+    "beside control": (b"[gateway]\nstart_after_s = 0.35\n", 0.35),
+    "alone": (b"[gateway]\nstart_after_s = 0.0\n", 0.0),
+    "another role": (b"[control]\n", None),
+    "a file that can't be read": (b"\xff[", None),
+    "another type": (b'[gateway]\nstart_after_s = "soon"\n', None),
+}
+
+
+@pytest.mark.parametrize("case", STARTS)
+def test_a_gateway_beside_control_lets_it_load_first(
+    case: str, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    import run as program
+
+    content, wanted = STARTS[case]
+    path = tmp_path / "settings.toml"
+    path.write_bytes(content)
+    slept: list[float] = []
+    monkeypatch.setenv(program.SETTINGS, str(path))
+    monkeypatch.setattr(program.time, "sleep", sleep_noted(slept))
+    program.wait_for_others()
+    assert slept == ([] if wanted is None else [wanted])
+
+
+def sleep_noted(slept: list[float]) -> Callable[[Any], None]:
+    """A sleep that returns at once, and refuses what the real one refuses."""
+
+    def sleep(seconds: Any) -> None:
+        slept.append(seconds + 0.0)
+
+    return sleep
