--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -34,12 +34,13 @@
     own_s,
     queue_s,
 )
-from gooseberrydale.request.retry import RetryBudget
+from gooseberrydale.request.retry_window import RetryWindow
 from gooseberrydale.request.timeliness import Goal, gives_way
 
-MOVES_KEEP = 1.0
-"""Retries that stay in the budget when a stream is moved to free its upstream: those
-of requests that would fail without them go first."""
+MOVES_KEEP_PART = 0.5
+"""Part of the retries that moving streams to free their upstream leaves to requests
+that would fail without one: two dead engines of six end some hundred streams at once,
+as many as a change of weights has moved in the seconds before."""
 
 HOLD_S = 0.8
 """A request waits this long for an upstream that takes work: a change of weights ends
@@ -72,7 +73,7 @@
         answer: CallerAnswer,
         parts: SendParts,
         terms: TermsMaker,
-        budget: RetryBudget,
+        budget: RetryWindow,
         measures: Measures,
     ) -> None:
         self._job = job
@@ -114,16 +115,14 @@
         One that was sent before goes on as it is.
         """
         rng = self._upstreams.rng
-        chosen = choose(found, self._demand, rng, yields=self._gives_way)
+        chosen = choose(found, self._demand, rng)
         if chosen is None or self._tried:
             return chosen
         goal = Goal(self._job.route.objective_s, self._job.rank)
         queued, own = queue_s(chosen, self._demand), own_s(chosen, self._demand)
         waited_s = _now() - self._job.began_at
         self._gives_way = gives_way(queued, own, waited_s, goal)
-        if not self._gives_way:
-            return chosen
-        return choose(found, self._demand, rng, yields=True)
+        return chosen
 
     async def _usable_candidates(self) -> Found:
         """The candidates, waited for a little if none of them takes work."""
@@ -169,7 +168,7 @@
             return False
         if not any(one.usable for _, one in self._candidates()):
             return False
-        return self._budget.spend(_now(), keep=MOVES_KEEP)
+        return self._budget.spend(_now(), keep_part=MOVES_KEEP_PART)
 
     async def _without_upstream(self) -> None:
         self.outcome = "no_upstream"
@@ -230,7 +229,6 @@
         return [
             f"{one.name} rank={one.home_rank} requests={one.load.requests:.1f}"
             f" prefill={one.load.prefill_tokens:.0f} kv={one.load.kv_tokens:.0f}"
-            f" yielding={one.load.yielding_tokens:.0f}"
             f" errors={one.error_share:.2f} usable={one.usable}"
             f" stored={one.stored} old={one.old_for_s:.1f} yields={yields}"
             for one, yields in zip(self.choices, self._yielded, strict=True)
--- a/gooseberrydale/process/gateway/retry_budgets.py
+++ b/gooseberrydale/process/gateway/retry_budgets.py
@@ -1,4 +1,4 @@
-"""This process's part of the retry budget that all gateways share, by pool.
+"""Retry budgets of a gateway, by pool.
 
 Lives as long as the process.  The bound holds for each pool over all gateways and any
 ten seconds: a part of the pool's requests, and a number beside them.  No gateway knows
@@ -10,18 +10,16 @@
 from collections.abc import Callable
 
 from gooseberrydale.process.cfg import GatewayCfg
-from gooseberrydale.request.retry import RetryBudget
+from gooseberrydale.request.retry_window import RetryWindow
 
 WINDOW_S = 10.0
 RATIO_PART = 0.9
 """Part of the ratio that is used: requests that arrive within a window may be paid
 for in the next one."""
 
-BURST_PART = 0.55
-"""Part of the number beside that may go in one burst."""
-
-FLOW_PART = 0.3
-"""Part of it that comes back within a window; the rest is left unused."""
+SLACK_PART = 0.8
+"""Part of the number beside that is used; the rest is for gateways that have just
+started and do not know of each other."""
 
 
 class RetryBudgets:
@@ -29,18 +27,16 @@
 
     def __init__(self, cfg: GatewayCfg, gateways: Callable[[], int]) -> None:
         self._ratio = cfg.retry_ratio * RATIO_PART
-        self._slack = cfg.retry_slack
+        self._slack = cfg.retry_slack * SLACK_PART
         self._gateways = gateways
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets: dict[str, RetryWindow] = {}
 
-    def of(self, pool: str) -> RetryBudget:
+    def of(self, pool: str) -> RetryWindow:
         """The budget of a pool."""
-        own_slack = self._slack / max(1, self._gateways())
-        floor_per_s = own_slack * FLOW_PART / WINDOW_S
-        cap = max(1.0, own_slack * BURST_PART)
+        own_slack = max(1.0, self._slack / max(1, self._gateways()))
         budget = self._budgets.get(pool)
         if budget is None:
-            budget = RetryBudget(self._ratio, floor_per_s, cap)
+            budget = RetryWindow(self._ratio, own_slack, WINDOW_S)
             self._budgets[pool] = budget
-        budget.resize(floor_per_s, cap)
+        budget.resize(own_slack)
         return budget
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -137,9 +137,9 @@
     def works(self) -> tuple[UpstreamWork, ...]:
         """This process's work at each upstream, for the other gateways."""
         return tuple(
-            work
+            UpstreamWork(name, *load.own)
             for name, load in self._loads.items()
-            if not (work := UpstreamWork(name, *load.own)).is_none
+            if load.own[0]
         )
 
     def records(self, pool: str, now: float) -> tuple[UpstreamRecord, ...]:
--- a/gooseberrydale/request/attempt_end.py
+++ b/gooseberrydale/request/attempt_end.py
@@ -11,11 +11,11 @@
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from typing import Protocol
 
 from gooseberrydale import errors
 from gooseberrydale.errors import Problem, problem
 from gooseberrydale.request.comeback import after_refusal_s
-from gooseberrydale.request.retry import RetryBudget
 
 MAX_SENDS = 3
 """Upstreams that one request is sent to at most, refusals included.  A third one makes
@@ -25,6 +25,13 @@
 """With less time left another send can't bring an answer in time."""
 
 
+class Retries(Protocol):
+    """Sends beyond the first that a process may make."""
+
+    def spend(self, now: float) -> bool:
+        """Take one; False means that none may be made now."""
+
+
 class End(Enum):
     """How a send ended without a whole answer."""
 
@@ -84,7 +91,7 @@
     left_s: float,
     others: bool,
     pool: str,
-    budget: RetryBudget,
+    budget: Retries,
     now: float,
 ) -> Step:
     """Decide what follows; takes a token from ``budget`` if it sends again.
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -163,26 +163,16 @@
     candidates: Sequence[Candidate],
     demand: Demand,
     rng: random.Random,
-    *,
-    yields: bool = False,
 ) -> Candidate | None:
     """The candidate with the least expected time; None if there is none.
 
-    Those that are not usable are taken only if there is no other one.  A request that
-    ``yields`` also waits behind those that gave way before it.
+    Those that are not usable are taken only if there is no other one.
     """
     usable = [one for one in candidates if one.usable]
     ranked = _shortlist(usable or candidates, rng)
     if not ranked:
         return None
-
-    def key(one: Candidate) -> tuple[float, int]:
-        seconds = expected_s(one, demand)
-        if yields:
-            seconds += one.load.yielding_tokens / PREFILL_TOKENS_PER_S
-        return seconds, one.home_rank
-
-    return min(ranked, key=key)
+    return min(ranked, key=lambda one: (expected_s(one, demand), one.home_rank))
 
 
 def _shortlist(
--- a/gooseberrydale/request/retry.py
+++ b/gooseberrydale/request/retry.py
@@ -50,23 +50,14 @@
         self._refill(now)
         self._tokens = min(self._cap, self._tokens + self._ratio)
 
-    def spend(self, now: float, keep: float = 0.0) -> bool:
-        """Take one token; False means that no retry may be made now.
-
-        ``keep`` tokens are left to retries that matter more.
-        """
+    def spend(self, now: float) -> bool:
+        """Take one token; False means that no retry may be made now."""
         self._refill(now)
-        if self._tokens < 1.0 + keep:
+        if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
         return True
 
-    def resize(self, floor_per_s: float, cap: float) -> None:
-        """Change what comes in by itself, and the bound of a burst."""
-        self._floor_per_s = floor_per_s
-        self._cap = cap
-        self._tokens = min(self._tokens, cap)
-
     def _refill(self, now: float) -> None:
         if self._refilled_at is not None:
             gained = max(0.0, now - self._refilled_at) * self._floor_per_s
--- a/gooseberrydale/version/peer_loads.py
+++ b/gooseberrydale/version/peer_loads.py
@@ -28,12 +28,6 @@
     requests: int
     prefill_tokens: int
     kv_tokens: int
-    yielding_tokens: int = 0
-
-    @property
-    def is_none(self) -> bool:
-        """Whether the gateway has nothing there."""
-        return not self.requests and not self.yielding_tokens
 
 
 @message
@@ -71,7 +65,6 @@
     requests: int = 0
     prefill_tokens: int = 0
     kv_tokens: int = 0
-    yielding_tokens: int = 0
 
 
 class PeerLoads:
@@ -117,7 +110,7 @@
         old = works.pop(work.upstream, None)
         if old is not None:
             self._add(old, -1)
-        if not work.is_none:
+        if work.requests:
             works[work.upstream] = work
             self._add(work, 1)
 
@@ -126,8 +119,7 @@
         totals.requests += sign * work.requests
         totals.prefill_tokens += sign * work.prefill_tokens
         totals.kv_tokens += sign * work.kv_tokens
-        totals.yielding_tokens += sign * work.yielding_tokens
-        if not totals.requests and not totals.yielding_tokens:
+        if not totals.requests:
             del self._totals[work.upstream]
 
 
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -27,15 +27,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """Work at an upstream: requests, tokens of prompts not yet computed, of memory.
-
-    ``yielding_tokens`` are those of prompts that give way to all others.
-    """
+    """Work at an upstream: requests, tokens of prompts not yet computed, of memory."""
 
     requests: float
     prefill_tokens: float
     kv_tokens: float
-    yielding_tokens: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +55,6 @@
         self._prefill_tokens = 0
         self._kv_tokens = 0
         self._yielding = 0
-        self._yielding_tokens = 0
         self._others = 0.0
         self._reported_at = -math.inf
         self._failures = 0
@@ -73,7 +68,6 @@
         """A request was sent."""
         if work.yields:
             self._yielding += 1
-            self._yielding_tokens += work.prefill_tokens
             return
         self._requests += 1
         self._prefill_tokens += work.prefill_tokens
@@ -81,17 +75,13 @@
 
     def first_part(self, work: Work) -> None:
         """The prompt of a request is computed."""
-        if work.yields:
-            self._yielding_tokens -= work.prefill_tokens
-        else:
+        if not work.yields:
             self._prefill_tokens -= work.prefill_tokens
 
     def ended(self, work: Work, *, prefilled: bool) -> None:
         """A request has ended; ``prefilled`` if its first part had come."""
         if work.yields:
             self._yielding -= 1
-            if not prefilled:
-                self._yielding_tokens -= work.prefill_tokens
             return
         self._requests -= 1
         self._kv_tokens -= work.kv_tokens
@@ -140,14 +130,9 @@
         return self._failures
 
     @property
-    def own(self) -> tuple[int, int, int, int]:
-        """The own work: requests, tokens to compute, of memory, of those that yield."""
-        return (
-            self._requests,
-            self._prefill_tokens,
-            self._kv_tokens,
-            self._yielding_tokens,
-        )
+    def own(self) -> tuple[int, int, int]:
+        """The own work: requests, tokens to compute, tokens of memory."""
+        return self._requests, self._prefill_tokens, self._kv_tokens
 
     def load(self, now: float, peers: Totals | None) -> Load:
         """The load as far as it can be known now.
@@ -165,7 +150,6 @@
             requests=self._requests + others,
             prefill_tokens=float(self._prefill_tokens + peers.prefill_tokens),
             kv_tokens=float(self._kv_tokens + peers.kv_tokens),
-            yielding_tokens=float(self._yielding_tokens + peers.yielding_tokens),
         )
 
     def _count_error(self, failed: bool) -> None:
