--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+from typing import ClassVar
+
 import pytest
 
+from gooseberrydale.connection.http_conn import HttpConn
+from gooseberrydale.connection.upstream_reply import UpstreamError
+from gooseberrydale.process.gateway import prober
 from gooseberrydale.version.silence import (
     ASK_PAUSE_S,
     IN_VAIN,
@@ -12,6 +18,16 @@
     Silence,
 )
 from gooseberrydale.version.upstream_load import UpstreamLoad
+from tests.builders_gateway import (
+    RawUpstream,
+    Writer,
+    answer_bytes,
+    call,
+    declared,
+    route,
+    running_gateway,
+)
+from tests.sidecar_bench import run
 
 NEVER = float("-inf")
 
@@ -95,3 +111,64 @@
     load.silence.reached(first)
     assert load.reached() == 1
     assert load.suspect_until < 0
+
+
+class DarkConn:
+    """Connections to upstreams without power never come about."""
+
+    dark: ClassVar[set[str]] = set()
+
+    @classmethod
+    async def open(cls, address: str) -> HttpConn:
+        if address in cls.dark:
+            await asyncio.sleep(0.05)
+            raise UpstreamError("no connection in time", sent=False)
+        return await HttpConn.open(address)
+
+
+async def hang(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    """Take the request and say nothing."""
+    await asyncio.Event().wait()
+
+
+async def well(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    """Answer as one should."""
+    writer.write(answer_bytes(req["id"], b"done"))
+
+
+SAFE = route(path_prefix="/safe/", repeatable=True, max_runs=2, name="safe")
+
+
+@pytest.mark.parametrize("dark", [True, False])
+def test_repeatable_requests_leave_the_dead_and_stay_with_the_slow(
+    monkeypatch: pytest.MonkeyPatch, dark: bool
+) -> None:
+    """A silent upstream keeps its requests as long as it grants connections."""
+    monkeypatch.setattr(prober, "HttpConn", DarkConn)
+
+    async def main() -> None:
+        first, other = RawUpstream("u1", hang), RawUpstream("u2", well)
+        document = declared(route(), SAFE)
+        async with running_gateway(document, first, other) as gateway:
+            DarkConn.dark = {first.address} if dark else set()
+            calls = [
+                asyncio.create_task(call(gateway, "/safe/1", request_id=f"r{n}"))
+                for n in range(6)
+            ]
+            await asyncio.sleep(1.5)
+            done = [task for task in calls if task.done()]
+            assert first.requests and other.requests
+            assert len(done) == (6 if dark else len(other.requests))
+            assert all(task.result().status == 200 for task in done)
+            # Nobody is sent to the dead one to find out whether it is back.
+            seen = len(first.requests)
+            if dark:
+                for n in range(10):
+                    got = await call(gateway, "/safe/1", request_id=f"s{n}")
+                    assert got.status == 200
+                assert len(first.requests) == seen
+            for task in calls:
+                task.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
+    run(main())
