Let engines change without waiting for their last runs; retire who began before at an address

Change: with two runs left they go on with the new weights; an announcement of a later start retires others at its address.

--- a/gooseberrydale/connection/engine_orders.py
+++ b/gooseberrydale/connection/engine_orders.py
@@ -53,7 +53,8 @@
     """Serve ``model`` with ``version`` once the runs on the engine have ended.
 
     ``number`` is the fencing number of ``holder``; the order is void if the engine
-    has accepted another number of orders than ``after``.
+    has accepted another number of orders than ``after``.  With ``keep_runs`` the engine
+    does not wait for its runs; they go on with the new weights.
     """
 
     model: str
@@ -61,6 +62,7 @@
     holder: str
     number: int
     after: int
+    keep_runs: bool = False
 
 
 class EngineOrders(Protocol):
--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -61,6 +61,7 @@
         if known and life != known:
             emit(UpstreamReborn(record.name, born or 0, born_ms(known) or 0))
         self._offer(replace(record, incarnation=life))
+        self._retire_earlier(record.name, record.address, life)
 
     def retire(self, name: str) -> None:
         """The life of an upstream under ``name`` takes no new work any more."""
@@ -93,6 +94,20 @@
         elif known.weights_version != version:
             self._offer(replace(known, seq=known.seq + 1, weights_version=version))
 
+    def _retire_earlier(self, name: str, address: str, life: str) -> None:
+        """Upstreams that began before at the address of ``name`` have ended.
+
+        Until their lease is over they would draw sends that are refused, and the turns
+        of live ones in a change of weights: ten seconds after a crash.
+        """
+        if not life:
+            return
+        now = asyncio.get_running_loop().time()
+        for other in self._directory.records(now):
+            at_address = other.address == address and other.name != name
+            if at_address and not other.leaving and "" < other.incarnation < life:
+                self.retire(other.name)
+
     def _ask(self, record: UpstreamRecord, born: int | None) -> None:
         """Find out from the upstream itself whether its clock was set back."""
         if self._engines is None or record.name in self._asking:
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -43,6 +43,16 @@
 refused, costs a retry and is late elsewhere.  Prompts wait for some 100 to 300 ms on a
 busy engine; its streams run on for longer, so that the change ends no later."""
 
+FEW_RUNS = 2
+"""With this many runs left, an engine does not wait for their end: they go on with the
+new weights.  Those are the longest streams, which were moved before and may not be
+moved again; for one or two of them an engine was away for two seconds of the three that
+a change took, a third of what six engines carry while two change."""
+
+DRAIN_S = 1.0
+"""How long an engine is given to come down to so few; most of its streams have been
+moved or have ended after 0.7 s."""
+
 REPORT_LAG_S = 0.4
 """After an accepted order: an engine's report lags by 200 ms, and a load takes about
 this long in any case."""
@@ -233,6 +243,7 @@
     async def _change(self, name: str) -> None:
         """Bring one engine to the newest weights, or leave it after a bound."""
         until = _now() + CHANGE_BOUND_S
+        drained_by = _now() + MARK_SETTLE_S + DRAIN_S
         self._mark(name, over=False)
         try:
             await asyncio.sleep(MARK_SETTLE_S)
@@ -240,13 +251,13 @@
                 engine = self._directory.get(name, _now())
                 if engine is None or engine.leaving:
                     return
-                if await self._step(engine):
+                if await self._step(engine, drained_by):
                     return
                 self._mark(name, over=False)
         finally:
             self._mark(name, over=True)
 
-    async def _step(self, engine: UpstreamRecord) -> bool:
+    async def _step(self, engine: UpstreamRecord, drained_by: float) -> bool:
         """One report and at most one order; say whether the engine is done with."""
         wanted = self._machine.state.config.weights.get(engine.model, 0)
         report = await self._engines.report(engine)
@@ -258,7 +269,8 @@
         if held >= wanted and not report.busy:
             self._announcements.has_weights(engine.name, str(held), report.born_ms)
             return True
-        if report.busy or not self._may_order():
+        draining = report.running > FEW_RUNS and _now() < drained_by
+        if report.busy or draining or not self._may_order():
             await asyncio.sleep(POLL_S)
             return False
         return await self._order(engine, wanted, report)
@@ -272,6 +284,7 @@
             holder=self._name,
             number=self._term,
             after=report.accepted,
+            keep_runs=0 < report.running <= FEW_RUNS,
         )
         answer = await self._engines.order(engine, order)
         outcome = answer.name.lower()
--- a/tests/test_upstream_lives.py
+++ b/tests/test_upstream_lives.py
@@ -116,6 +116,20 @@
     play(scenario, born=BORN - 2_000)
 
 
+def test_who_began_before_at_an_address_has_ended() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.beat(9, name="a", born=BORN)
+        await fleet.beat(9, name="far", born=BORN, address="10.0.0.8:1")
+        await fleet.beat(1, name="b", born=BORN + 900)
+        assert fleet.known("a").leaving
+        assert fleet.known("b").ready and fleet.known("far").ready
+        # One that was under way since before its end takes nobody's place.
+        await fleet.beat(10, name="a", born=BORN)
+        assert fleet.known("a").leaving and fleet.known("b").ready
+
+    play(scenario)
+
+
 def test_a_late_announcement_of_an_earlier_life_does_not_come_back() -> None:
     async def scenario(fleet: Fleet) -> None:
         await fleet.beat(2, born=BORN)
