--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import itertools
-import math
 
 from gooseberrydale.connection.engine_orders import (
     EngineOrders,
@@ -21,6 +20,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.log_events import WeightsOrdered, emit
 from gooseberrydale.process.control.announcements import Announcements
+from gooseberrydale.process.control.engine_survey import EngineSurvey
 from gooseberrydale.process.control.machine import PublishingMachine
 from gooseberrydale.process.control.replica import Replica
 from gooseberrydale.process.control.tasks import spawn, stop
@@ -53,6 +53,9 @@
 """How long an engine is given to come down to so few; most of its streams have been
 moved or have ended after 0.7 s."""
 
+DRAIN_POLL_S = 0.2
+"""Between two looks at an engine that comes down: its report lags by as much."""
+
 REPORT_LAG_S = 0.4
 """After an accepted order: an engine's report lags by 200 ms, and a load takes about
 this long in any case."""
@@ -64,18 +67,6 @@
 CHANGE_BOUND_S = 6.0
 """After this the engine is left for another try; runs and load take two at most."""
 
-SURVEY_S = 0.5
-"""While a model's engines change, all of them are asked this often whether they live
-and how much they have to do."""
-
-SURVEY_PER_S = 100.0
-"""Questions a second at most: with many engines each is asked less often.  A question
-costs some 0.3 ms of processor time."""
-
-SILENT_PAUSE_S = 0.6
-"""An engine that did not answer is asked again after this, beside the changes: it takes
-no place from the others, and has the newest weights soon after it is back."""
-
 RESEND_AFTER_S = 0.1
 """An engine that shows no sign of an unanswered order after this is given it again: the
 order that is carried out first makes the other one void, and meanwhile the engine is
@@ -112,13 +103,7 @@
         self._led_since = 0.0
         self._fenced_term = 0
         self._seq = itertools.count(1)
-        # When an engine that does not answer is asked again.
-        self._silent: dict[str, float] = {}
-        # How many requests an engine had when it was asked last.
-        self._running: dict[str, int] = {}
-        self._survey_at = -math.inf
-        # Who was asked and has not answered yet, by name.
-        self._asking: dict[str, asyncio.Task[None]] = {}
+        self._survey = EngineSurvey(directory, engines)
         self._changing: dict[str, asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -129,7 +114,8 @@
     async def close(self) -> None:
         """Stop; the next leader goes on."""
         await stop(self._tasks)
-        await stop([*self._changing.values(), *self._asking.values()])
+        await stop(list(self._changing.values()))
+        await self._survey.close()
 
     async def _run(self) -> None:
         while True:
@@ -137,7 +123,7 @@
             if self._may_order():
                 for name in self._due():
                     self._begin(name)
-                self._ask_silent()
+                self._survey.ask_silent()
             await asyncio.sleep(LOOK_S)
 
     def _may_order(self) -> bool:
@@ -163,43 +149,25 @@
                 record.model,
                 int(record.weights_version or 0),
                 record.leaving,
-                self._running.get(record.name, 0),
+                self._survey.running(record.name),
             )
             for record in self._directory.records(_now())
             if record.model and not is_mark(record)
         ]
         behind = {e.model for e in engines if e.version < named.get(e.model, 0)}
-        members = [e for e in engines if e.model in behind and not e.leaving]
-        if self._survey(members):
+        members = [e.name for e in engines if e.model in behind and not e.leaving]
+        if self._survey.look(members, self._changing):
             # Who is dead, and who has the least to do, is known at the next look.
             return []
         left_s = self._left_s(engines)
-        away = {*self._silent, *self._asking}
-        return due(engines, named, self._changing, away, left_s)
-
-    def _survey(self, members: list[EngineWeights]) -> bool:
-        """Ask engines how they are, from time to time; True for the first time."""
-        now = _now()
-        if not members or now < self._survey_at:
-            return False
-        pause_s = max(SURVEY_S, len(members) / SURVEY_PER_S)
-        first = now > self._survey_at + pause_s
-        self._survey_at = now + pause_s
-        if first:
-            self._running.clear()
-        for member in members:
-            engine = self._directory.get(member.name, now)
-            asked = member.name in self._changing or member.name in self._silent
-            if engine is not None and not asked:
-                self._spawn_ask(engine)
-        return first
+        return due(engines, named, self._changing, self._survey.away, left_s)
 
     def _left_s(self, engines: list[EngineWeights]) -> dict[str, float]:
         """Seconds by model until its engines shall have the newest weights.
 
         Engines that come back with weights overtaken long ago don't hurry the others.
         """
-        used = USED_PART_SHORT if self._silent or self._asking else USED_PART
+        used = USED_PART_SHORT if self._survey.away else USED_PART
         allowed_s = self._bound_s * used
         left: dict[str, float] = {}
         for engine in engines:
@@ -209,32 +177,6 @@
                 left[engine.model] = min(left.get(engine.model, left_s), left_s)
         return left
 
-    def _ask_silent(self) -> None:
-        """Ask engines that did not answer again; those that are gone are forgotten."""
-        now = _now()
-        for name, ask_at in list(self._silent.items()):
-            engine = self._directory.get(name, now)
-            if engine is None or engine.leaving:
-                del self._silent[name]
-            elif ask_at <= now:
-                self._silent[name] = now + SILENT_PAUSE_S
-                self._spawn_ask(engine)
-
-    def _spawn_ask(self, engine: UpstreamRecord) -> None:
-        if engine.name in self._asking:
-            return
-        task = spawn(self._ask(engine))
-        self._asking[engine.name] = task
-        task.add_done_callback(lambda _: self._asking.pop(engine.name, None))
-
-    async def _ask(self, engine: UpstreamRecord) -> None:
-        report = await self._engines.report(engine)
-        if report is None:
-            self._silent.setdefault(engine.name, _now() + SILENT_PAUSE_S)
-            return
-        self._silent.pop(engine.name, None)
-        self._running[engine.name] = report.running
-
     def _begin(self, name: str) -> None:
         task = spawn(self._change(name))
         self._changing[name] = task
@@ -262,8 +204,7 @@
         wanted = self._machine.state.config.weights.get(engine.model, 0)
         report = await self._engines.report(engine)
         if report is None:
-            # Others shall not wait for an engine that may be dead.
-            self._silent[engine.name] = _now() + SILENT_PAUSE_S
+            self._survey.silent(engine.name)
             return True
         held = report.versions.get(engine.model, 0)
         if held >= wanted and not report.busy:
@@ -271,7 +212,7 @@
             return True
         draining = report.running > FEW_RUNS and _now() < drained_by
         if report.busy or draining or not self._may_order():
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(DRAIN_POLL_S if draining else POLL_S)
             return False
         return await self._order(engine, wanted, report)
 
