Ask those that began before at an address before they are retired

An announcement that comes late, from a life whose clock ran ahead, would have retired the live upstream after it at its address for good. The test has the case: it failed before, the live one was retired.

--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from dataclasses import replace
+from typing import Any
 
 from gooseberrydale.connection.engine_orders import EngineOrders
 from gooseberrydale.connection.mesh import UpstreamRecord
@@ -61,7 +63,7 @@
         if known and life != known:
             emit(UpstreamReborn(record.name, born or 0, born_ms(known) or 0))
         self._offer(replace(record, incarnation=life))
-        self._retire_earlier(record.name, record.address, life)
+        self._ask_earlier(record, life)
 
     def retire(self, name: str) -> None:
         """The life of an upstream under ``name`` takes no new work any more."""
@@ -94,27 +96,39 @@
         elif known.weights_version != version:
             self._offer(replace(known, seq=known.seq + 1, weights_version=version))
 
-    def _retire_earlier(self, name: str, address: str, life: str) -> None:
-        """Upstreams that began before at the address of ``name`` have ended.
+    def _ask_earlier(self, record: UpstreamRecord, life: str) -> None:
+        """Ask upstreams that began before at the same address whether they are there.
 
         Until their lease is over they would draw sends that are refused, and the turns
-        of live ones in a change of weights: ten seconds after a crash.
+        of live ones in a change of weights: ten seconds after a crash.  Their start
+        alone does not tell: clocks are set back, and announcements come late.
         """
-        if not life:
+        if self._engines is None or not life:
             return
         now = asyncio.get_running_loop().time()
         for other in self._directory.records(now):
-            at_address = other.address == address and other.name != name
-            if at_address and not other.leaving and "" < other.incarnation < life:
-                self.retire(other.name)
+            same = other.address == record.address and other.name != record.name
+            if same and not other.leaving and "" < other.incarnation < life:
+                self._begin_asking(other.name, self._end(self._engines, other))
+
+    async def _end(self, engines: EngineOrders, upstream: UpstreamRecord) -> None:
+        """Retire an upstream unless it answers under its own name."""
+        if await engines.report(upstream) is None:
+            self.retire(upstream.name)
 
     def _ask(self, record: UpstreamRecord, born: int | None) -> None:
         """Find out from the upstream itself whether its clock was set back."""
-        if self._engines is None or record.name in self._asking:
+        if self._engines is not None:
+            asking = self._settle(self._engines, record, born)
+            self._begin_asking(record.name, asking)
+
+    def _begin_asking(self, name: str, asking: Coroutine[Any, Any, None]) -> None:
+        """Run one question about ``name``; a second one meanwhile is dropped."""
+        if name in self._asking:
+            asking.close()
             return
-        task = spawn(self._settle(self._engines, record, born))
-        self._asking[record.name] = task
-        task.add_done_callback(lambda _: self._asking.pop(record.name, None))
+        task = self._asking[name] = spawn(asking)
+        task.add_done_callback(lambda _: self._asking.pop(name, None))
 
     async def _settle(
         self, engines: EngineOrders, record: UpstreamRecord, born: int | None
--- a/tests/test_upstream_lives.py
+++ b/tests/test_upstream_lives.py
@@ -39,9 +39,12 @@
     def __init__(self, born: int) -> None:
         self.born = born
         self.asked = 0
+        self.gone: set[str] = set()
 
-    async def report(self, engine: UpstreamRecord) -> EngineReport:
+    async def report(self, engine: UpstreamRecord) -> EngineReport | None:
         self.asked += 1
+        if engine.name in self.gone:
+            return None
         return EngineReport({"m": 3}, 0, False, born_ms=self.born)
 
 
@@ -50,6 +53,7 @@
 
     def __init__(self, engines: Any = None) -> None:
         self.directory = Directory()
+        self.engines = engines
         self.announcements = Announcements(self.directory, 1.2, engines)
         app = ControlHttp(None, self.announcements).build()  # type: ignore[arg-type]
         transport = httpx2.ASGITransport(app)
@@ -120,12 +124,20 @@
     async def scenario(fleet: Fleet) -> None:
         await fleet.beat(9, name="a", born=BORN)
         await fleet.beat(9, name="far", born=BORN, address="10.0.0.8:1")
+        fleet.engines.gone = {"a"}
         await fleet.beat(1, name="b", born=BORN + 900)
+        await asyncio.sleep(0.1)
         assert fleet.known("a").leaving
         assert fleet.known("b").ready and fleet.known("far").ready
         # One that was under way since before its end takes nobody's place.
         await fleet.beat(10, name="a", born=BORN)
+        await asyncio.sleep(0.1)
         assert fleet.known("a").leaving and fleet.known("b").ready
+        # Nor does one whose clock ran ahead before it ended.
+        fleet.engines.gone = {"a", "c"}
+        await fleet.beat(5, name="c", born=BORN + 9_000)
+        await asyncio.sleep(0.1)
+        assert fleet.known("b").ready
 
     play(scenario)
 
