Don't count steps of silence that end late

The process was never without a processor for a second, but behind all the while, so that eight steps passed before frames that had arrived were read. Change: a step counts only if it ends within a quarter of its time, four times the limit at most. Before: a loop that falls behind ten times in a row loses its frame (new test). After: it reads it; one that is always behind still finds who is silent (new test).

--- a/gooseberrydale/request/silence_limit.py
+++ b/gooseberrydale/request/silence_limit.py
@@ -3,7 +3,8 @@
 Lives as long as one read.  A process that gets no processor for a second finds all its
 timers due at once, and beside them whatever arrived meanwhile.  Were the limit a single
 timer, every open answer would count as silent in that moment, before a single frame
-was looked at.  So the limit runs in steps, and a stall of any length uses up one.
+was looked at.  So the limit runs in steps, and one that ends late is not counted: the
+loop had other work all the while, as it has on a machine that does more than it can.
 """
 
 from __future__ import annotations
@@ -12,8 +13,15 @@
 from types import TracebackType
 
 STEPS = 8
-"""Steps of a limit.  With half a second as the limit, a stall of a second leaves seven
-steps, 0.44 s, to read what came; a limit is held too long by an eighth at most."""
+"""Steps of a limit; with half a second as the limit, 63 ms each."""
+
+LATE_PART = 0.25
+"""A step that ends later than this part of it is not counted; an idle loop ends steps
+within a millisecond."""
+
+MOST_STEPS = 4 * STEPS
+"""Steps, counted or not, after which the limit is over in any case: also a process that
+is always behind finds out who is dead."""
 
 
 class SilenceLimit:
@@ -25,8 +33,10 @@
     def __init__(self, limit_s: float, until: float | None = None) -> None:
         self._step_s = max(0.0, limit_s) / STEPS
         self._left = STEPS
+        self._left_in_all = MOST_STEPS
         self._timeout = asyncio.timeout_at(until)
         self._timer: asyncio.TimerHandle | None = None
+        self._due = 0.0
 
     async def __aenter__(self) -> None:
         await self._timeout.__aenter__()
@@ -44,11 +54,14 @@
 
     def _wait_a_step(self) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._step_s, self._step_over)
+        self._due = loop.time() + self._step_s
+        self._timer = loop.call_at(self._due, self._step_over)
 
     def _step_over(self) -> None:
-        self._left -= 1
-        if self._left > 0:
+        late_s = asyncio.get_running_loop().time() - self._due
+        self._left_in_all -= 1
+        self._left -= late_s <= self._step_s * LATE_PART
+        if self._left > 0 and self._left_in_all > 0:
             self._wait_a_step()
         elif not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
--- a/tests/test_silence_limit.py
+++ b/tests/test_silence_limit.py
@@ -51,6 +51,43 @@
     assert run_paused(scenario()) == "frame"
 
 
+def test_a_loop_that_is_always_behind_reads_on() -> None:
+    """Each step ends late; ten of them are no silence, though they last for longer."""
+
+    async def scenario() -> str:
+        loop = cast(PausedClockLoop, asyncio.get_running_loop())
+        frame: asyncio.Future[str] = loop.create_future()
+
+        def fall_behind(rounds: int) -> None:
+            loop.stall(LIMIT_S / STEPS)
+            if rounds:
+                loop.call_later(LIMIT_S / STEPS / 2, fall_behind, rounds - 1)
+            else:
+                frame.set_result("frame")
+
+        loop.call_soon(fall_behind, 10)
+        async with SilenceLimit(LIMIT_S):
+            return await frame
+
+    assert run_paused(scenario()) == "frame"
+
+
+def test_also_a_loop_that_is_always_behind_finds_who_is_silent() -> None:
+    async def scenario() -> None:
+        loop = cast(PausedClockLoop, asyncio.get_running_loop())
+
+        def fall_behind() -> None:
+            loop.stall(LIMIT_S / STEPS)
+            loop.call_later(LIMIT_S / STEPS / 2, fall_behind)
+
+        loop.call_soon(fall_behind)
+        with pytest.raises(TimeoutError):
+            async with SilenceLimit(LIMIT_S):
+                await asyncio.Event().wait()
+
+    run_paused(scenario())
+
+
 def test_nothing_is_left_behind_by_a_read_in_time() -> None:
     async def scenario() -> float:
         async with SilenceLimit(LIMIT_S):
