End tests and suites that hang, and show where

Cause: the last run of the whole script had not ended after 90 minutes, with two of four suites done and nothing to tell what the others waited for; the same commit passed in 10 and 12 minutes before and after. What hung is not known.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -19,6 +19,13 @@
 KNOWN_RED_LIMIT = 3
 FEATURE_GROUPS = 3
 
+SUITE_BOUND_S = 1_800.0
+"""The longest suite takes ten minutes on a busy machine; a run without an end tells
+nothing at all."""
+
+NOT_ENDED = 124
+"""Exit code of a suite that was ended at its bound."""
+
 _printing = threading.Lock()
 
 
@@ -61,17 +68,33 @@
     return found
 
 
-def run(command: list[str], folder: pathlib.Path) -> int:
-    """Run one suite; its output is shown once it has ended."""
+def run(
+    command: list[str], folder: pathlib.Path, bound_s: float = SUITE_BOUND_S
+) -> int:
+    """Run one suite; its output is shown once it has ended, or was ended.
+
+    The output goes to a file: the end of a pipe would be waited for as long as any
+    process that a test left behind holds it open.
+    """
     folder.mkdir()
-    done = subprocess.run(
-        command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
-    )
+    path = folder / "output.txt"
+    with open(path, "wb") as output:
+        suite = subprocess.Popen(
+            command, cwd=ROOT, stdout=output, stderr=subprocess.STDOUT
+        )
+        try:
+            code = suite.wait(bound_s)
+        except subprocess.TimeoutExpired:
+            suite.kill()
+            suite.wait()
+            code = NOT_ENDED
     with _printing:
         print("$", *command[2:], flush=True)
-        sys.stdout.buffer.write(done.stdout)
+        sys.stdout.buffer.write(path.read_bytes())
+        if code == NOT_ENDED:
+            print(f"FAILED: the suite has not ended within {bound_s:.0f} s")
         sys.stdout.flush()
-    return done.returncode
+    return code
 
 
 def main() -> int:
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -56,7 +56,7 @@
 def control() -> Iterator[Control]:
     """A control process on a loop of its own, as the commands run theirs."""
     loop = asyncio.new_event_loop()
-    thread = threading.Thread(target=loop.run_forever)
+    thread = threading.Thread(target=loop.run_forever, daemon=True)
     thread.start()
     context = running_control()
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -22,6 +22,7 @@
 TOKEN = "fleet"
 NAMES = ("c1", "c2", "c3")
 PATIENCE_S = 90.0
+HANG_BOUND_S = 2 * PATIENCE_S
 
 
 class CountingMachine:
@@ -52,7 +53,9 @@
         self.answers.set()
 
     def sync(self, path):
-        self.answers.wait()
+        # Bounded, as a thread that waits for good would keep the whole run from ending.
+        if not self.answers.wait(HANG_BOUND_S):
+            raise OSError(errno.EIO, "the disk hung to the end of the test")
         super().sync(path)
 
     def append(self, path, data):
