--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -35,12 +35,7 @@
     queue_s,
 )
 from gooseberrydale.request.retry_window import RetryWindow
-from gooseberrydale.request.timeliness import (
-    Goal,
-    gives_way,
-    is_small,
-    ranks_lost,
-)
+from gooseberrydale.request.timeliness import Goal, gives_way, is_small
 
 MOVES_KEEP_PART = 0.5
 """Part of the retries that moving streams to free their upstream leaves to requests
@@ -91,7 +86,6 @@
         self._sender = Sender(job, answer, parts, self._may_move)
         self._tried: list[str] = []
         self._gives_way = False
-        self._small = False
         run_s = parts.run_times.expected_s(job.route.name)
         self._demand: Demand = replace(demand_of(job.call.prompt), run_s=run_s)
         self.choices: list[Candidate] = []
@@ -128,8 +122,8 @@
         goal = Goal(self._job.route.objective_s, self._job.rank)
         queued, own = queue_s(chosen, self._demand), own_s(chosen, self._demand)
         waited_s = _now() - self._job.began_at
-        self._small = self._is_small(chosen)
-        self._gives_way = gives_way(queued, own, waited_s, goal, small=self._small)
+        small = self._is_small(chosen)
+        self._gives_way = gives_way(queued, own, waited_s, goal, small=small)
         return chosen
 
     def _is_small(self, chosen: Candidate) -> bool:
@@ -170,7 +164,7 @@
         terms = self._terms.make(
             self._job,
             record,
-            ranks_lost=ranks_lost(small=self._small, late=self._gives_way),
+            gives_way=self._gives_way,
             last_event_id=self._sender.last_event_id,
         )
         return await self._sender.send(record, terms, work)
--- a/gooseberrydale/process/gateway/terms.py
+++ b/gooseberrydale/process/gateway/terms.py
@@ -21,6 +21,9 @@
 LAST_RANK = 9
 """The lowest rank that engines know."""
 
+GIVES_WAY_RANKS = 6
+"""What a request that gives way loses in rank: more than declarations give."""
+
 
 class TermsMaker:
     """Makes the terms of sends; remembers what it asked engines to save."""
@@ -34,13 +37,10 @@
         job: Assignment,
         record: UpstreamRecord,
         *,
-        ranks_lost: int,
+        gives_way: bool,
         last_event_id: str | None,
     ) -> Terms:
-        """The terms of sending ``job`` to one life of an upstream.
-
-        ``ranks_lost`` is how far it goes behind its rank.
-        """
+        """The terms of sending ``job`` to one life of an upstream."""
         holder = job.workspace
         terms = Terms(
             instance=record.name,
@@ -56,7 +56,7 @@
             terms,
             weights_version=weights_version(record),
             cache_salt=salt,
-            priority=min(LAST_RANK, job.rank + ranks_lost),
+            priority=min(LAST_RANK, job.rank + GIVES_WAY_RANKS * gives_way),
             fetch_from=fetch_from,
             save_to=save_to,
         )
--- a/gooseberrydale/request/timeliness.py
+++ b/gooseberrydale/request/timeliness.py
@@ -34,14 +34,6 @@
 eight of ten questions and a fifth of the checks."""
 
 
-IN_TIME_RANKS = 3
-GIVES_WAY_RANKS = 6
-"""What requests that are not small lose in rank, in time and if they give way: more
-than declarations give.  Without the first, the others of the higher ranks fill the time
-up to the objective, and small ones of a lower rank still come too late: 59 in 100 in
-time on two engines of five, 100 with it; 38 in 100 of the others for 39."""
-
-
 @dataclass(frozen=True, slots=True)
 class Goal:
     """A request's objective in seconds, 0 if it has none, and its rank from 0 on."""
@@ -69,10 +61,3 @@
         return False
     part = max(LEAST_PART, TOP_PART - RANK_PART * goal.rank)
     return waited_s + queue_s + own_s > goal.objective_s * part
-
-
-def ranks_lost(*, small: bool, late: bool) -> int:
-    """How far a request goes behind its rank; ``late`` says that it gives way."""
-    if late:
-        return GIVES_WAY_RANKS
-    return 0 if small else IN_TIME_RANKS
