--- a/gooseberrydale/process/gateway/prober.py
+++ b/gooseberrydale/process/gateway/prober.py
@@ -17,12 +17,7 @@
 from gooseberrydale.connection.http_conn import HttpConn
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.upstream_reply import UpstreamError
-from gooseberrydale.log_events import (
-    UpstreamBack,
-    UpstreamSilent,
-    UpstreamSuspected,
-    emit,
-)
+from gooseberrydale.log_events import UpstreamSilent, emit
 from gooseberrydale.process.gateway.upstreams import Upstreams
 
 LOOK_S = 0.1
@@ -70,22 +65,17 @@
 
     async def _ask(self, record: UpstreamRecord) -> None:
         loop = asyncio.get_running_loop()
-        load = self._upstreams.load_of(record.name)
-        silence = load.silence
+        silence = self._upstreams.load_of(record.name).silence
         silent_ms = silence.silent_s(loop.time()) * MS_PER_S
         try:
             conn = await HttpConn.open(record.address)
         except UpstreamError as exc:
             if not silence.unanswered(loop.time()):
                 return
-            for_ms = load.unreachable(loop.time()) * MS_PER_S
-            emit(UpstreamSuspected(record.name, for_ms, load.failures, str(exc)))
+            self._upstreams.suspect(record.name, loop.time(), str(exc))
             broken = silence.give_up()
             emit(UpstreamSilent(record.name, round(silent_ms, 1), broken))
             self._changed()
             return
         conn.abort()
-        silence.reached(loop.time())
-        failures = load.reached()
-        if failures:
-            emit(UpstreamBack(record.name, failures))
+        self._upstreams.reached(record.name, loop.time())
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -15,7 +15,6 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.sse import EventCutter, SseError
 from gooseberrydale.connection.upstream_reply import UpstreamError
-from gooseberrydale.log_events import UpstreamBack, UpstreamSuspected, emit
 from gooseberrydale.process.gateway.answer import HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.upstreams import Upstreams
@@ -43,7 +42,6 @@
 """Callers take these as "has not run"; without the upstream's word nobody knows."""
 
 FIRST_SERVER_STATUS = 500
-MS_PER_S = 1_000.0
 
 
 class _MoveStreamError(Exception):
@@ -122,7 +120,7 @@
         except ConnectionsTakenError:
             return End.NOT_SENT
         except UpstreamError as exc:
-            _suspect(record, load, exc)
+            self._parts.upstreams.suspect(record.name, _now(), str(exc))
             return End.NOT_SENT
         whole = False
         if self._job.repeatable:
@@ -134,7 +132,7 @@
         except UpstreamError as exc:
             if not exc.sent:
                 return End.NOT_SENT
-            _suspect(record, load, exc)
+            self._parts.upstreams.suspect(record.name, _now(), str(exc))
             return End.LOST
         finally:
             load.silence.unwatch(conn.abort)
@@ -176,7 +174,7 @@
         if head.not_run:
             return await self._take_refusal(conn, head, record)
         if not head.ok:
-            return await self._take_failure(conn, head, record, load)
+            return await self._take_failure(conn, head, record)
         if not head.signed or head.encoded:
             raise UpstreamError("the answer is not the upstream's own", sent=True)
         if job.route.streamed:
@@ -184,7 +182,7 @@
         else:
             body = await _read_whole(conn)
             await self._answer.whole(head.status, head.headers, body)
-        _answered(record, load, failed=False)
+        self._parts.upstreams.answered(record.name, failed=False)
         return None
 
     def _is_mine(self, raw: ResponseHead) -> bool:
@@ -208,11 +206,10 @@
         conn: HttpConn,
         head: AnswerHead,
         record: UpstreamRecord,
-        load: UpstreamLoad,
     ) -> End | None:
         body = await _read_whole(conn)
         failed = head.status >= FIRST_SERVER_STATUS
-        _answered(record, load, failed=failed)
+        self._parts.upstreams.answered(record.name, failed=failed)
         if head.status in UNSURE_STATUS and not self._job.repeatable:
             return End.INVALID
         if failed or self._answer.started:
@@ -291,18 +288,5 @@
     return b"".join(parts)
 
 
-def _suspect(record: UpstreamRecord, load: UpstreamLoad, exc: UpstreamError) -> None:
-    """Leave an upstream alone that could not be reached, or broke off."""
-    for_ms = load.unreachable(_now()) * MS_PER_S
-    emit(UpstreamSuspected(record.name, for_ms, load.failures, str(exc)))
-
-
-def _answered(record: UpstreamRecord, load: UpstreamLoad, *, failed: bool) -> None:
-    """Note an answer of the upstream's own."""
-    failures = load.answered(failed=failed)
-    if failures:
-        emit(UpstreamBack(record.name, failures))
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
