--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -23,9 +23,8 @@
 CONNECT_TIMEOUT_S = 0.3
 """For a new connection: ten times a round trip and the handshake of a busy upstream,
 and short enough to try another upstream within the goal of most requests.  Only time in
-which this process could look counts: of 390 connections that 26 gateways gave up in a
-minute, three that were short of processor gave up 217 before the half of it, and cut
-the streams of upstreams that were there."""
+which this process could look counts: a connection that is granted while the loop stalls
+for longer is no sign of a dead upstream, whose streams would be cut."""
 
 UNTOLD_IDLE_S = 0.3
 """An upstream that does not tell how long it keeps idle connections keeps them for
