--- a/gooseberrydale/process/listeners.py
+++ b/gooseberrydale/process/listeners.py
@@ -1,9 +1,9 @@
 """Sockets that listen, some of them before the code that serves them is loaded.
 
 Lives as long as the process.  Loading a gateway takes 0.25 s from the moment that its
-settings are known on 0.8 of a core, 0.47 s on 0.39 of one.  Callers who come
-in that time would be reset, with one try less; on a socket that listens they wait, and
-are served within the usual objective of a stream.
+settings are known on 0.8 of a core, 0.47 s on 0.39 of one.  Callers who come in that
+time would be reset, with one try less; on a socket that listens they wait, and are
+served within the usual objective of a stream.
 """
 
 from __future__ import annotations
