Keep what an earlier life's request or question ends with away from the next life

Change: the one home stays, as functions that take the load of the life that was asked (process/gateway/observed_life.py).

--- a/gooseberrydale/process/gateway/prober.py
+++ b/gooseberrydale/process/gateway/prober.py
@@ -18,6 +18,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.log_events import UpstreamSilent, emit
+from gooseberrydale.process.gateway.observed_life import reached, suspect
 from gooseberrydale.process.gateway.upstreams import Upstreams
 
 LOOK_S = 0.1
@@ -65,17 +66,18 @@
 
     async def _ask(self, record: UpstreamRecord) -> None:
         loop = asyncio.get_running_loop()
-        silence = self._upstreams.load_of(record.name).silence
+        load = self._upstreams.load_of(record.name)
+        silence = load.silence
         silent_ms = silence.silent_s(loop.time()) * MS_PER_S
         try:
             conn = await HttpConn.open(record.address)
         except UpstreamError as exc:
             if not silence.unanswered(loop.time()):
                 return
-            self._upstreams.suspect(record.name, loop.time(), str(exc))
+            suspect(record.name, load, loop.time(), str(exc))
             broken = silence.give_up()
             emit(UpstreamSilent(record.name, round(silent_ms, 1), broken))
             self._changed()
             return
         conn.abort()
-        self._upstreams.reached(record.name, loop.time())
+        reached(record.name, load, loop.time())
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -17,6 +17,7 @@
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.process.gateway.answer import HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
+from gooseberrydale.process.gateway.observed_life import answered, suspect
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.attempt_end import End
 from gooseberrydale.request.gateway_call import (
@@ -120,7 +121,7 @@
         except ConnectionsTakenError:
             return End.NOT_SENT
         except UpstreamError as exc:
-            self._parts.upstreams.suspect(record.name, _now(), str(exc))
+            suspect(record.name, load, _now(), str(exc))
             return End.NOT_SENT
         whole = False
         if self._job.repeatable:
@@ -132,7 +133,7 @@
         except UpstreamError as exc:
             if not exc.sent:
                 return End.NOT_SENT
-            self._parts.upstreams.suspect(record.name, _now(), str(exc))
+            suspect(record.name, load, _now(), str(exc))
             return End.LOST
         finally:
             load.silence.unwatch(conn.abort)
@@ -174,7 +175,7 @@
         if head.not_run:
             return await self._take_refusal(conn, head, record)
         if not head.ok:
-            return await self._take_failure(conn, head, record)
+            return await self._take_failure(conn, head, record, load)
         if not head.signed or head.encoded:
             raise UpstreamError("the answer is not the upstream's own", sent=True)
         if job.route.streamed:
@@ -182,7 +183,7 @@
         else:
             body = await _read_whole(conn)
             await self._answer.whole(head.status, head.headers, body)
-        self._parts.upstreams.answered(record.name, failed=False)
+        answered(record.name, load, failed=False)
         return None
 
     def _is_mine(self, raw: ResponseHead) -> bool:
@@ -206,10 +207,11 @@
         conn: HttpConn,
         head: AnswerHead,
         record: UpstreamRecord,
+        load: UpstreamLoad,
     ) -> End | None:
         body = await _read_whole(conn)
         failed = head.status >= FIRST_SERVER_STATUS
-        self._parts.upstreams.answered(record.name, failed=failed)
+        answered(record.name, load, failed=failed)
         if head.status in UNSURE_STATUS and not self._job.repeatable:
             return End.INVALID
         if failed or self._answer.started:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
-from gooseberrydale.log_events import UpstreamBack, UpstreamSuspected, emit
 from gooseberrydale.request.gateway_call import Prompt
 from gooseberrydale.request.members import Members
 from gooseberrydale.request.placement import Candidate, Demand, homes_in_reach
@@ -36,9 +35,6 @@
 2.4 s without an event; requests that gave way began up to 2.3 s after their send."""
 
 
-MS_PER_S = 1_000.0
-
-
 @dataclass(frozen=True, slots=True)
 class Sought:
     """What a request looks for: an upstream of ``pool`` that was not tried.
@@ -94,22 +90,6 @@
             self._loads[name] = UpstreamLoad()
         return self._loads[name]
 
-    def suspect(self, name: str, now: float, reason: str) -> None:
-        """Leave an upstream alone that could not be reached, or broke off."""
-        load = self.load_of(name)
-        for_ms = load.unreachable(now) * MS_PER_S
-        emit(UpstreamSuspected(name, for_ms, load.failures, reason))
-
-    def answered(self, name: str, *, failed: bool) -> None:
-        """An upstream gave an answer of its own; ``failed`` says of what kind."""
-        _tell_back(name, self.load_of(name).answered(failed=failed))
-
-    def reached(self, name: str, now: float) -> None:
-        """An upstream granted a connection that was asked for to see if it is there."""
-        load = self.load_of(name)
-        load.silence.reached(now)
-        _tell_back(name, load.reached())
-
     def refused(self, name: str, now: float, *, gone: bool) -> None:
         """An upstream did not take a request; ``gone`` says that its life is over."""
         self.load_of(name).avoid(now, GONE_AVOID_S if gone else REFUSED_AVOID_S)
@@ -307,11 +287,6 @@
         return frozenset(v for v, salt in salts.items() if store.holds(salt, shared))
 
 
-def _tell_back(name: str, failures: int) -> None:
-    if failures:
-        emit(UpstreamBack(name, failures))
-
-
 def weights_version(record: UpstreamRecord) -> int:
     """The weights version that an upstream serves; 0 if it told none."""
     return int(record.weights_version or 0)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import ClassVar
+from typing import ClassVar, cast
 
 import pytest
 
 from gooseberrydale.connection.http_conn import HttpConn
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.process.gateway import prober
+from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.version.silence import (
     IN_VAIN,
     SILENT_S,
@@ -23,6 +24,7 @@
     answer_bytes,
     call,
     declared,
+    record,
     route,
     running_gateway,
 )
@@ -175,3 +177,66 @@
             await asyncio.gather(*calls, return_exceptions=True)
 
     run(main())
+
+
+@pytest.mark.parametrize("ending", ["broken", "answered"])
+def test_how_an_earlier_life_ends_its_request_says_nothing_of_the_next(
+    ending: str,
+) -> None:
+    """An upstream starts again under its name while a request of before is open."""
+
+    async def main() -> None:
+        over = asyncio.Event()
+
+        async def end_late(req: dict[str, str], body: bytes, writer: Writer) -> None:
+            await over.wait()
+            if ending == "answered":
+                writer.write(answer_bytes(req["id"], b"done"))
+            else:
+                writer.transport.abort()
+
+        upstream = RawUpstream("u1", end_late)
+        async with running_gateway(declared(route(), SAFE), upstream) as gateway:
+            calling = asyncio.create_task(call(gateway, "/safe/1", request_id="r1"))
+            while not upstream.requests:
+                await asyncio.sleep(0.01)
+            upstreams = gateway._upstreams
+            # What is known of a life goes with it.
+            del upstreams._loads["u1"]
+            later = upstreams.load_of("u1")
+            later.unreachable(asyncio.get_running_loop().time())
+            suspected_until = later.suspect_until
+            over.set()
+            await calling
+            assert (later.failures, later.suspect_until) == (1, suspected_until)
+
+    run(main())
+
+
+def test_a_question_to_an_earlier_life_says_nothing_of_the_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The answer comes once another life bears the name."""
+
+    async def main() -> None:
+        loads = {"u1": UpstreamLoad()}
+        later = UpstreamLoad()
+
+        class Lives:
+            def load_of(self, name: str) -> UpstreamLoad:
+                return loads[name]
+
+        class LateConn:
+            @classmethod
+            async def open(cls, address: str) -> HttpConn:
+                loads["u1"] = later
+                raise UpstreamError("no connection in time", sent=False)
+
+        monkeypatch.setattr(prober, "HttpConn", LateConn)
+        asked = loads["u1"]
+        asked.silence.unanswered(0.0)
+        upstreams = cast(Upstreams, Lives())
+        await prober.Prober(upstreams, lambda: None)._ask(record("u1"))
+        assert (asked.failures, later.failures) == (1, 0)
+
+    asyncio.run(main())
