Pass renewals of leases on by half of a lease

Change: a directory passes a renewal on once half of the lease that it passed on before has gone by; changes at once, as before. Leases of announcements are half as long again, so that others are left with as much as before. Tests: test_directory (four, of rules that were not there).

--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -18,8 +18,9 @@
 from gooseberrydale.version.directory import MAX_LEASE_S, Directory
 from gooseberrydale.version.upstream_life import born_ms, life_after, life_told
 
-BEATS_PER_LEASE = 10
-"""Announcements that may be missed in a row before an upstream is forgotten.
+BEATS_PER_LEASE = 15
+"""Announcements that may be missed in a row before an upstream is forgotten; entries
+hear of each seventh or so.
 
 Entries find a dead upstream by themselves, within one request; a longer lease costs
 little, and a shorter one would forget live upstreams while replicas are away."""
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -54,7 +54,11 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.control_state import ControlState
 from gooseberrydale.version.declarations import Config
-from gooseberrydale.version.directory import Directory, new_incarnation
+from gooseberrydale.version.directory import (
+    PASSED_RENEWAL_PART,
+    Directory,
+    new_incarnation,
+)
 from gooseberrydale.version.replication.core import RaftCfg
 
 if TYPE_CHECKING:
@@ -118,7 +122,9 @@
         tls = tls_files(cfg.fleet.tls)
         self.store = ConfigStore()
         self.state = ControlState(declarations)
-        self.directory = Directory()
+        # Upstreams that announce themselves have leases long enough for it.
+        part = PASSED_RENEWAL_PART if own.open_group else 0.0
+        self.directory = Directory(renewal_part=part)
         self._tasks: list[asyncio.Task[None]] = []
         self._machine = PublishingMachine(self.state, self.store)
         self._rpc = RpcServer(own.rpc, token, tls)
--- a/gooseberrydale/version/directory.py
+++ b/gooseberrydale/version/directory.py
@@ -21,6 +21,10 @@
 MAX_LEASE_S = 60.0
 """Longest lease that is taken over, in seconds; longer ones are cut to it."""
 
+PASSED_RENEWAL_PART = 0.5
+"""Part of a lease after which roles with many sessions pass a renewal on: the others
+are left with nearly half of it, in which two or more further renewals come."""
+
 _RENEWED_FIELDS = frozenset({"seq", "lease_s"})
 _content = attrgetter(
     *(one.name for one in fields(UpstreamRecord) if one.name not in _RENEWED_FIELDS)
@@ -48,12 +52,17 @@
 
 @dataclass(frozen=True, slots=True)
 class _Held:
-    """A record, the end of its lease, and where and when it came in."""
+    """A record, the end of its lease, and where and when it came in.
+
+    ``version`` is that of the record that was passed on last; from ``pass_on_at`` on
+    another renewal is.
+    """
 
     record: UpstreamRecord
     expires: float
     version: int
     source: object
+    pass_on_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,9 +83,20 @@
 
 
 class Directory:
-    """Upstream records by name; see the module's text for the rules."""
+    """Upstream records by name; see the module's text for the rules.
+
+    A renewal is passed on once ``renewal_part`` of the lease that was passed on before
+    it has gone by; with ``relays_renewals`` off, renewals that were heard are not.
+    Changes are passed on in any case.  It answers seventy gateways with three sessions
+    each, to which 110 renewals a second were 6.7 MB/s, computed by the size of a
+    record; with half of leases three times as long it is an eighth of that.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, renewal_part: float = 0.0, relays_renewals: bool = True
+    ) -> None:
+        self._renewal_part = renewal_part
+        self._relays_renewals = relays_renewals
         # Ordered by version: an updated record moves to the end.
         self._held: dict[str, _Held] = {}
         self._marks: dict[str, _Mark] = {}
@@ -86,11 +106,11 @@
 
     @property
     def version(self) -> int:
-        """Rises with each record taken in."""
+        """Rises with each record that is passed on."""
         return self._version
 
     def subscribe(self, listener: ChangeListener) -> Callable[[], None]:
-        """Call ``listener`` for each record taken in; return how to stop that.
+        """Call ``listener`` for each record to pass on; return how to stop that.
 
         Its argument is False if the record only renews a lease.  Listeners must
         not raise and must not offer records.
@@ -115,18 +135,36 @@
         lease_s = min(record.lease_s, MAX_LEASE_S) - max(age_s, 0.0)
         if not lease_s > 0 or not self._is_newer(record):
             return False
+        old = self._held.get(record.name)
+        if old is not None and old.expires > now and _same(old.record, record):
+            if not self._passes_on(old, source, now):
+                self._keep(replace(old, record=record, expires=now + lease_s))
+                return True
+            renewal = True
+        else:
+            renewal = False
         self._version += 1
-        held = _Held(record, now + lease_s, self._version, source)
-        old = self._held.pop(record.name, None)
-        self._held[record.name] = held
-        self._mark(held)
-        renewal = old is not None and old.expires > now and _same(old.record, record)
+        pass_on_at = now + lease_s * self._renewal_part
+        held = _Held(record, now + lease_s, self._version, source, pass_on_at)
+        # Those passed on last stand at the end.
+        self._held.pop(record.name, None)
+        self._keep(held)
         if not renewal:
             self._forget_views(old, held)
         for listener in self._listeners:
             listener(not renewal)
         return True
 
+    def _passes_on(self, held: _Held, source: object, now: float) -> bool:
+        """Whether a renewal of ``held`` that came by ``source`` is passed on."""
+        if source is not None and not self._relays_renewals:
+            return False
+        return now >= held.pass_on_at
+
+    def _keep(self, held: _Held) -> None:
+        self._held[held.record.name] = held
+        self._mark(held)
+
     def expire(self, now: float) -> tuple[str, ...]:
         """Drop records whose lease has ended; return their names."""
         names = tuple(n for n, held in self._held.items() if held.expires <= now)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -181,3 +181,51 @@
     bound.heard(50.0 + offset, 50.0 - echo_delay, 50.0 + delay)
     age_s = bound.age_s(50.0 + offset, 50.0 + delay)
     assert delay <= age_s <= delay + echo_delay + 0.01
+
+
+def passed_on(directory: Directory, version: int, now: float) -> list[str]:
+    return [one.name for one in directory.since(version, now).records]
+
+
+def test_a_renewal_is_passed_on_once_its_part_of_the_lease_has_gone_by():
+    directory = Directory(renewal_part=0.5)
+    calls: list[bool] = []
+    directory.subscribe(calls.append)
+    beats, told_at = 20, []
+    for beat in range(beats):
+        now, version = beat * 1.0, directory.version
+        assert directory.offer(record(seq=beat + 1, lease_s=6.0), now)
+        if passed_on(directory, version, now):
+            told_at.append(now)
+        # Whoever hears of it later gets what is left, which is never little.
+        assert [one.lease_s for one in directory.records(now)] == [6.0]
+    assert told_at == [0.0, 3.0, 6.0, 9.0, 12.0, 15.0, 18.0]
+    assert calls == [True] + [False] * 6
+
+
+def test_a_change_is_passed_on_at_once_however_new_the_last_renewal():
+    directory = Directory(renewal_part=0.5, relays_renewals=False)
+    session = object()
+    directory.offer(record(seq=1), 0.0, source=session)
+    version = directory.version
+    directory.offer(record(seq=2, leaving=True), 0.1, source=session)
+    assert passed_on(directory, version, 0.1) == ["u1"]
+
+
+def test_renewals_that_were_heard_are_not_passed_on_by_whoever_does_not_relay():
+    directory = Directory(relays_renewals=False)
+    directory.offer(record(seq=1), 0.0, source=object())
+    directory.offer(record(name="own", seq=1), 0.0)
+    version = directory.version
+    directory.offer(record(seq=2), 5.0, source=object())
+    directory.offer(record(name="own", seq=2), 5.0)
+    assert passed_on(directory, version, 5.0) == ["own"]
+    assert directory.get("u1", LEASE_S + 1.0) is not None
+
+
+def test_a_lease_that_ended_begins_anew_for_all():
+    directory = Directory(renewal_part=0.5, relays_renewals=False)
+    directory.offer(record(seq=1), 0.0, source=object())
+    version = directory.version
+    directory.offer(record(seq=2), LEASE_S + 0.1, source=object())
+    assert passed_on(directory, version, LEASE_S + 0.1) == ["u1"]
