Tell loads and store events between zones by relays

Cause: each gateway told 64 others each change of its work, those beyond the first 64 none, so that at seventy the picture differed from gateway to gateway; five of six datagrams crossed between zones. The two relays of each store sent each event to all. Change: gateways tell those of their zone; the first gateway of a zone with a wide link relays sums of work to the relays of the other zones, and those of the others to its own zone; messages to all are handed on in each zone by one gateway. A gateway sends what its zone's size asks for. Tests: test_area_gossip (all know the work of all others, 2 to 70 gateways; a relay that dies; bytes between zones under a tenth; datagrams of a gateway bounded from 30 to 140).

--- a/gooseberrydale/connection/work_gossip.py
+++ b/gooseberrydale/connection/work_gossip.py
@@ -1,21 +1,19 @@
-"""Tells the other gateways what work this one has at each upstream, by datagrams.
+"""Tells the gateways nearby what work this one has at each upstream, by datagrams.
 
 Lives as long as the process.  A report of what changed goes out soon after a change,
 and all work each second, so that a lost report does little harm.  The more gateways
-there are, the longer changes are gathered, so that telling never takes more than a
-small part of a node's processor and link.  Datagrams stay within this system's own
-hosts; whoever can send one could only spoil the order in which upstreams are chosen.
+are told, the longer changes are gathered, so that telling never takes more than a
+small part of a node's processor and link.
 """
 
 from __future__ import annotations
 
 import asyncio
 import math
-from collections.abc import Callable, Collection, Iterable
-from typing import Any, Protocol, TypeVar
+from collections.abc import Collection
+from typing import Protocol
 
-from gooseberrydale.connection.codec import CodecError, decode, encode
-from gooseberrydale.log_events import DatagramFailed, DatagramUnreadable, emit
+from gooseberrydale.connection.gateway_datagrams import FleetView, GatewayDatagrams
 from gooseberrydale.version.peer_loads import (
     PeerLoads,
     UpstreamWork,
@@ -28,14 +26,12 @@
 takes, so that the others know of it before they choose for the next one or two."""
 
 DATAGRAMS_PER_S = 400.0
-"""What a gateway sends, and with as many gateways also gets, in a second at most: at
-an estimated 0.08 ms for both ends together 32 ms of processor time, and some 60 KB.  32
-gateways gather changes for 78 ms then, half of the time that a prompt takes."""
+"""What a gateway sends, and with as many gateways nearby also gets, in a second at
+most: at an estimated 0.08 ms for both ends together 32 ms of processor time, and some
+60 KB.  12 gateways of a zone gather changes for 28 ms then, a fifth of what a prompt
+takes."""
 
 REPEAT_S = 1.0
-MAX_PEERS = 64
-"""Gateways that are told; with more, each tells those that the directory lists first,
-and the load that upstreams tell with their answers makes up for the rest."""
 
 
 class OwnView(Protocol):
@@ -57,43 +53,33 @@
         """Another gateway takes these upstreams for dead."""
 
 
-Peers = Callable[[], Iterable[str]]
-T = TypeVar("T")
-
-
-class WorkGossip(asyncio.DatagramProtocol):
+class WorkGossip:
     """``changed`` is called at each change; ``view`` is read when a report is due."""
 
     def __init__(
         self,
-        address: str,
+        datagrams: GatewayDatagrams,
         name: str,
         incarnation: str,
         loads: PeerLoads,
         view: OwnView,
-        peers: Peers,
+        fleet: FleetView,
     ) -> None:
-        self._address = address
+        self._datagrams = datagrams
         self._name = name
         self._incarnation = incarnation
         self._loads = loads
         self._view = view
-        self._peers = peers
+        self._fleet = fleet
         self._seq = 0
         self._told: dict[str, UpstreamWork] = {}
         self._told_at = -math.inf
-        self._transport: asyncio.DatagramTransport | None = None
         self._due: asyncio.TimerHandle | None = None
-        self._handlers: dict[type[Any], Callable[[Any], None]] = {}
         self._task: asyncio.Task[None] | None = None
+        datagrams.on(WorkReport, self._hear)
 
     async def start(self) -> None:
-        """Bind and begin to tell; raises OSError if the address is taken."""
-        host, _, port = self._address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host, int(port))
-        )
+        """Begin to tell; the socket is open."""
         self._task = asyncio.create_task(self._repeat())
 
     async def close(self) -> None:
@@ -103,45 +89,23 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        if self._transport is not None:
-            self._transport.close()
-            self._transport = None
 
     def changed(self) -> None:
         """The own work has changed; tell it soon."""
-        if self._due is None and self._transport is not None:
+        if self._due is None and self._datagrams.is_open:
             loop = asyncio.get_running_loop()
-            pause_s = min(MAX_PEERS, len(self._loads)) / DATAGRAMS_PER_S
+            pause_s = len(self._fleet().near) / DATAGRAMS_PER_S
             due_at = max(loop.time() + GATHER_S, self._told_at + pause_s)
             self._due = loop.call_at(due_at, self._tell)
 
-    def on(self, kind: type[T], handler: Callable[[T], None]) -> None:
-        """Hand messages of another kind to ``handler``."""
-        self._handlers[kind] = handler
-
-    def tell(self, told: object) -> None:
-        """Send a registered message to the other gateways once, come what may."""
-        if self._transport is not None:
-            self._send(told)
-
-    def datagram_received(self, data: bytes, addr: object) -> None:
+    def _hear(self, report: WorkReport) -> None:
         """Take a report of another gateway in."""
-        try:
-            report = decode(data)
-        except CodecError as exc:
-            emit(DatagramUnreadable(str(addr), str(exc)))
+        if report.name == self._name:
             return
-        if isinstance(report, WorkReport) and report.name != self._name:
-            now = asyncio.get_running_loop().time()
-            if self._loads.take(report, now):
-                self._view.peer_refused(report.refusing, now)
-                self._view.peer_silent(report.silent, now)
-        elif type(report) in self._handlers:
-            self._handlers[type(report)](report)
-
-    def error_received(self, exc: Exception) -> None:
-        """A peer that is down answers with an error; its lease will end."""
-        emit(DatagramFailed(str(exc)))
+        now = asyncio.get_running_loop().time()
+        if self._loads.take(report, now):
+            self._view.peer_refused(report.refusing, now)
+            self._view.peer_silent(report.silent, now)
 
     async def _repeat(self) -> None:
         loop = asyncio.get_running_loop()
@@ -155,8 +119,6 @@
         if self._due is not None:
             self._due.cancel()
             self._due = None
-        if self._transport is None:
-            return
         now = asyncio.get_running_loop().time()
         works = {work.upstream: work for work in self._view.works()}
         told = tuple(works.values()) if whole else changes(self._told, works)
@@ -175,11 +137,4 @@
             whole=whole,
             silent=silent,
         )
-        self._send(report)
-
-    def _send(self, told: object) -> None:
-        assert self._transport is not None
-        data = encode(told)
-        for address in list(self._peers())[:MAX_PEERS]:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+        self._datagrams.send(report, self._fleet().near)
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -11,6 +11,8 @@
 
 from starlette.types import Receive, Scope, Send
 
+from gooseberrydale.connection.area_gossip import AreaGossip
+from gooseberrydale.connection.gateway_datagrams import GatewayDatagrams
 from gooseberrydale.connection.http_pool import HttpPool
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
 from gooseberrydale.connection.work_gossip import WorkGossip
@@ -39,7 +41,12 @@
 from gooseberrydale.request.gateway_call import Wire
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declared import CallerLimits, Pool
-from gooseberrydale.version.directory import Directory, new_incarnation
+from gooseberrydale.version.directory import (
+    PASSED_RENEWAL_PART,
+    Directory,
+    new_incarnation,
+)
+from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.peer_loads import PeerLoads
 from gooseberrydale.version.run_times import RunTimes
@@ -60,8 +67,9 @@
 about a tenth of a second."""
 
 READY_CLOSE_S = 0.1
-RECORD_LEASE_S = 6.0
-"""As long as that of a sidecar's announcement."""
+RECORD_LEASE_S = 12.0
+"""How long a gateway that has died is counted among the others: its part of retries and
+connections is left unused for that time, and nobody waits for it."""
 
 GATEWAY_POOL = "#gateways"
 """No declared pool can have this name, as names of pools are names."""
@@ -121,7 +129,9 @@
         self.metrics = _metrics(cfg)
         self._rng = rng if rng is not None else random.SystemRandom()
         self.store = ConfigStore()
-        self.directory = Directory()
+        self.directory = Directory(
+            renewal_part=PASSED_RENEWAL_PART, relays_renewals=False
+        )
         self._declared = DeclaredStore(self.store, dialect.decode_document)
         self._conns = HttpPool()
         self._stores = Stores()
@@ -137,22 +147,35 @@
         )
         incarnation = new_incarnation(time.time_ns(), self._rng)
         self._mesh = self._make_mesh(cfg, incarnation)
+        self._own_name = gateway_name(cfg.node)
+        own = self._cfg
+        self._fleet = Fleet(
+            GatewayPeer(self._own_name, own.gossip, cfg.node.zone, own.link_mbps)
+        )
+        self._fleet_source: tuple[UpstreamRecord, ...] = ()
+        self._datagrams = GatewayDatagrams(own.gossip, self._known_fleet)
         self._gossip = WorkGossip(
-            self._cfg.gossip,
-            cfg.node.name,
+            self._datagrams,
+            self._own_name,
             incarnation,
             self._peers,
             self._upstreams,
-            self._peer_addresses,
+            self._known_fleet,
+        )
+        self._areas = AreaGossip(
+            self._datagrams,
+            incarnation,
+            self._peers,
+            self._upstreams,
+            self._known_fleet,
         )
-        self._own_name = gateway_name(cfg.node)
         others = Others(
-            self._own_name, self._gateway_links, self._gossip.tell, self._rng
+            self._own_name, self._gateway_links, self._datagrams.spread, self._rng
         )
         self._store = StoreFollower(
             self._declared, dialect.store_feed, self._stores, others
         )
-        self._gossip.on(StoreTidings, self._store.hear)
+        self._datagrams.on(StoreTidings, self._store.hear)
         sends = SendParts(
             dialect.wire,
             self._upstreams,
@@ -189,7 +212,9 @@
 
     async def start(self) -> None:
         """Serve; raises OSError if an address can't be bound."""
+        await self._datagrams.start()
         await self._gossip.start()
+        await self._areas.start()
         await self._declared.start()
         await self._store.start()
         await self._mesh.start()
@@ -215,7 +240,9 @@
         if self._sweeping is not None:
             self._sweeping.cancel()
         await self._prober.close()
+        await self._areas.close()
         await self._gossip.close()
+        self._datagrams.close()
         await self._store.close()
         await self._declared.close()
         await self._mesh.close()
@@ -267,11 +294,19 @@
         links = {one.name: one.link_mbps for one in found}
         return {**links, self._own_name: self._cfg.link_mbps}
 
-    def _peer_addresses(self) -> list[str]:
-        """Where the other gateways listen for gossip."""
+    def _known_fleet(self) -> Fleet:
+        """All gateways, for those that tell them of work and stores."""
         now = asyncio.get_running_loop().time()
         found = self.directory.ready(GATEWAY_POOL, now)
-        return [one.address for one in found if one.address != self._cfg.gossip]
+        if found is not self._fleet_source:
+            self._fleet_source = found
+            others = tuple(
+                GatewayPeer(one.name, one.address, one.zone, one.link_mbps)
+                for one in found
+                if one.address != self._cfg.gossip
+            )
+            self._fleet = Fleet(self._fleet.own, others)
+        return self._fleet
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
--- a/gooseberrydale/process/gateway/store_follower.py
+++ b/gooseberrydale/process/gateway/store_follower.py
@@ -26,6 +26,7 @@
     RELAY_SILENT_S,
     Part,
     StoreTidings,
+    lane_of,
     part_of,
     tidings,
 )
@@ -79,11 +80,12 @@
     """The other gateways and how to tell them; ``own`` is the name of this one.
 
     ``links`` has all of them, this one included, with the links of their nodes.
+    ``tell`` takes the lane as well by which a message goes: relays use different ones.
     """
 
     own: str
     links: Callable[[], Mapping[str, float]]
-    tell: Callable[[StoreTidings], None]
+    tell: Callable[[StoreTidings, int], None]
     rng: random.Random
 
 
@@ -234,8 +236,10 @@
         return found
 
     def _pass_on(self, news: StoreNews, *, up: bool) -> None:
-        for told in tidings(self._view.address, news.life, news.events, up=up):
-            self._others.tell(told)
+        address, links = self._view.address, self._others.links()
+        lane = lane_of(self._others.own, links, address) or 0
+        for told in tidings(address, news.life, news.events, up=up):
+            self._others.tell(told, lane)
 
     def _take(self, news: StoreNews) -> None:
         if not self._view.up:
--- a/gooseberrydale/version/store_followers.py
+++ b/gooseberrydale/version/store_followers.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum, auto
 
 from gooseberrydale.connection.codec import message
+from gooseberrydale.version.gateway_peers import wide_links
 from gooseberrydale.version.store_view import StoreEvent
 from gooseberrydale.version.stores import first_by_hash
 
@@ -21,12 +22,6 @@
 RELAYS = 2
 """Gateways that follow a store for all others in a larger deployment; one may die."""
 
-WIDE_PART = 0.5
-"""A link of this part of the widest one is wide.  Relays send each event to all others,
-beside the prompts of their callers: of 26 gateways, 20 on links of 5 Mbit/s, the five
-that delayed first events most, by 0.2 to 1.2 s for half of a day, were five of the six
-relays of three stores; 130 of 142 requests of one of them in 8 s were late."""
-
 RELAY_SILENT_S = 3.0
 """Relays tell each second at least; after this without a word they are gone."""
 
@@ -63,15 +58,14 @@
     """
     if len(links) <= ALL_FOLLOW:
         return Part.FOLLOW
-    first = first_by_hash(_with_wide_links(links), address)[:RELAYS]
-    return Part.RELAY if own in first else Part.LISTEN
+    return Part.LISTEN if lane_of(own, links, address) is None else Part.RELAY
 
 
-def _with_wide_links(links: Mapping[str, float]) -> Collection[str]:
-    """Those that relays are drawn from; all, if too few have a wide link."""
-    least_mbps = WIDE_PART * max(links.values())
-    wide = [name for name, mbps in links.items() if mbps >= least_mbps]
-    return wide if len(wide) >= RELAYS else links
+def lane_of(own: str, links: Mapping[str, float], address: str) -> int | None:
+    """Which of the relays of the store gateway ``own`` is; None if it is none."""
+    wide = wide_links(links)
+    first = first_by_hash(wide if len(wide) >= RELAYS else links, address)[:RELAYS]
+    return first.index(own) if own in first else None
 
 
 def tidings(
--- /dev/null
+++ b/tests/builders_fleet.py
@@ -0,0 +1,154 @@
+"""A fleet of gateways that tell each other of work over datagrams kept in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import Counter
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from typing import Any
+
+from gooseberrydale.connection.area_gossip import AreaGossip
+from gooseberrydale.connection.gateway_datagrams import GatewayDatagrams
+from gooseberrydale.connection.work_gossip import WorkGossip
+from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
+from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
+
+WAY_S = 0.001
+
+
+class Net:
+    """Carries datagrams; counts who sends how many, and the bytes between zones."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, Node] = {}
+        self.sent: Counter[str] = Counter()
+        self.bytes_between_zones = 0
+
+    def carry(self, source: Node, data: bytes, address: str) -> None:
+        """One datagram on its way."""
+        target = self.nodes[address]
+        if not source.up:
+            return
+        self.sent[source.peer.name] += 1
+        if target.peer.zone != source.peer.zone:
+            self.bytes_between_zones += len(data)
+        if target.up:
+            loop = asyncio.get_running_loop()
+            loop.call_later(WAY_S, target.datagrams.datagram_received, data, None)
+
+
+@dataclass
+class Wire:
+    """Stands in for a node's transport."""
+
+    net: Net
+    node: Node
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self.net.carry(self.node, data, f"{address[0]}:{address[1]}")
+
+    def close(self) -> None:
+        """Nothing is held."""
+
+
+class MemoryDatagrams(GatewayDatagrams):
+    """Datagrams over a :class:`Net`."""
+
+    def join(self, wire: Any) -> None:
+        self._transport = wire
+
+
+@dataclass
+class View:
+    """One gateway's own work, and what it heard of upstreams."""
+
+    work: dict[str, UpstreamWork] = field(default_factory=dict)
+    dead: tuple[str, ...] = ()
+    refused: tuple[str, ...] = ()
+    heard_dead: set[str] = field(default_factory=set)
+    heard_refused: set[str] = field(default_factory=set)
+
+    def works(self) -> tuple[UpstreamWork, ...]:
+        return tuple(self.work.values())
+
+    def refusing(self, now: float) -> tuple[str, ...]:
+        return self.refused
+
+    def peer_refused(self, names: Collection[str], now: float) -> None:
+        self.heard_refused |= set(names)
+
+    def silent(self, now: float) -> tuple[str, ...]:
+        return self.dead
+
+    def peer_silent(self, names: Collection[str], now: float) -> None:
+        self.heard_dead |= set(names)
+
+
+class Node:
+    """One gateway's part in telling."""
+
+    def __init__(
+        self, net: Net, peer: GatewayPeer, others: tuple[GatewayPeer, ...]
+    ) -> None:
+        self.peer, self.up = peer, True
+        fleet = Fleet(peer, others)
+        self.view, self.loads = View(), PeerLoads()
+        self.datagrams = MemoryDatagrams(peer.address, lambda: fleet)
+        self.datagrams.join(Wire(net, self))
+        self.gossip = WorkGossip(
+            self.datagrams, peer.name, "1", self.loads, self.view, lambda: fleet
+        )
+        self.areas = AreaGossip(
+            self.datagrams, "1", self.loads, self.view, lambda: fleet
+        )
+        net.nodes[peer.address] = self
+
+    async def start(self) -> None:
+        await self.gossip.start()
+        await self.areas.start()
+
+    async def close(self) -> None:
+        await self.areas.close()
+        await self.gossip.close()
+
+
+def peers_of(gateways: int, zones: int) -> tuple[GatewayPeer, ...]:
+    """Gateways in zones; the first one of each zone has a wide link."""
+    return tuple(
+        GatewayPeer(
+            name=f"g{n:03}",
+            address=f"10.0.0.{n}:1",
+            zone=f"z{n % zones}",
+            link_mbps=100.0 if n < zones else 10.0,
+        )
+        for n in range(gateways)
+    )
+
+
+def fleet_of(net: Net, gateways: int, zones: int) -> list[Node]:
+    """Nodes that all know each other."""
+    peers = peers_of(gateways, zones)
+    return [
+        Node(net, peer, tuple(one for one in peers if one is not peer))
+        for peer in peers
+    ]
+
+
+async def work_for(nodes: list[Node], seconds: float, *, per_s: float) -> None:
+    """Each gateway's work changes ``per_s`` times a second, and ends as 1 request."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    for number in itertools.count():
+        if loop.time() >= end:
+            break
+        for place, node in enumerate(nodes):
+            node.view.work["u"] = UpstreamWork("u", 1 + number % 2, number, number)
+            other = f"u{(number + place) % 40}"
+            node.view.work[other] = UpstreamWork(other, 1, number, number)
+            node.gossip.changed()
+        await asyncio.sleep(1.0 / per_s)
+    for node in nodes:
+        node.view.work = {"u": UpstreamWork("u", 1, 10, 100)}
+        node.gossip.changed()
