Let requests wait for room at their gateway, and tell the late to come back

Cause: what would be late went to its engine at once, at the lowest priority. With a quarter of 39 engines dead, half of the prompts did: 82 to 90 of 100 were late or lost, engines computed them in vain, preempted 961 and computed these twice, so that steps got longer and places and memory stayed taken: a load that the live engines carry (their tokens are 39 in 100 of what they compute) kept them full for 14 s. Change: a request that would be late waits at its gateway while it can be in time, looks for room about as often as gateways hear of each other, and is told when to come back when it can't be in time any more. Who comes back late takes only room that others can spare, behind them. Zones that are not heard yet are taken to work as the own one.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -186,6 +186,12 @@
     "The upstreams of pool {pool!r} take no more work right now; come back after the"
     " given time.",
 )
+NO_ROOM = ErrorKind(
+    "no_room",
+    503,
+    "The upstreams of pool {pool!r} have no room to answer in time; come back after the"
+    " given time.",
+)
 
 # Request path.
 NO_UPSTREAM = ErrorKind(
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -61,6 +61,7 @@
     "timed_out": "its time ended",
     "broken": "its stream broke off and could not go on elsewhere",
     "no_upstream": "no upstream was known that could take it",
+    "no_room": "every upstream would have answered too late",
     "not_ready": "the gateway knew no document yet",
     "shutting_down": "the gateway was about to stop and sent it elsewhere",
     "no_declared_route": "the document in force has no route for it",
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -7,17 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.errors import NO_UPSTREAM, OUTCOME_UNKNOWN, problem
+from gooseberrydale.errors import NO_ROOM, NO_UPSTREAM, OUTCOME_UNKNOWN, problem
 from gooseberrydale.log_events import SendEnded, StreamMoved, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.measures import Measures
+from gooseberrydale.process.gateway.placing import NoRoomError, Placing
 from gooseberrydale.process.gateway.send import Sender, SendParts
 from gooseberrydale.process.gateway.terms import TermsMaker
-from gooseberrydale.process.gateway.upstreams import Sought, demand_of
 from gooseberrydale.request.attempt_end import (
     End,
     GiveUp,
@@ -26,35 +25,17 @@
     Sends,
     after_end,
 )
-from gooseberrydale.request.comeback import without_upstream_s
-from gooseberrydale.request.placement import (
-    Candidate,
-    Demand,
-    choose,
-    own_s,
-    queue_s,
-)
+from gooseberrydale.request.comeback import no_room_s, without_upstream_s
+from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.retry_window import RetryWindow
-from gooseberrydale.request.timeliness import Goal, gives_way, is_small
 
 MOVES_KEEP_PART = 0.5
 """Part of the retries that moving streams to free their upstream leaves to requests
 that would fail without one: two dead engines of six end some hundred streams at once,
 as many as a change of weights has moved in the seconds before."""
 
-HOLD_S = 0.8
-"""A request waits this long for an upstream that takes work: a change of weights ends
-in that time.  Callers would come back no sooner, and only once."""
-
-HOLD_PART = 0.25
-"""Part of the time that a request has left which it may wait; the rest is for its work
-or for another try."""
-
-HOLD_POLL_S = 0.02
 MS_PER_S = 1_000.0
 
-Found = list[tuple[UpstreamRecord, Candidate]]
-
 
 class BrokenAnswerError(Exception):
     """The answer has begun and can't be made whole; the connection is closed."""
@@ -80,91 +61,44 @@
         self._measures = measures
         self._answer = answer
         self._upstreams = parts.upstreams
-        self._mean_work = parts.mean_work
         self._terms = terms
         self._budget = budget
         self._sender = Sender(job, answer, parts, self._may_move)
-        self._tried: list[str] = []
-        self._gives_way = False
-        run_s = parts.run_times.expected_s(job.route.name)
-        self._demand: Demand = replace(demand_of(job.call.prompt), run_s=run_s)
+        self._placing = Placing(job, parts.upstreams, parts.learned)
         self.choices: list[Candidate] = []
         self.chosen_at = 0.0
-        self._yielded: list[bool] = []
         self.outcome = "unanswered"
 
     async def run(self) -> None:
         """Serve the request; raises :class:`BrokenAnswerError` if its answer breaks."""
         self._budget.deposit(_now())
         while True:
-            candidates = await self._usable_candidates()
-            chosen = self._choose([one for _, one in candidates])
-            if chosen is None:
+            try:
+                placed = await self._placing.place()
+            except NoRoomError:
+                await self._refuse_for_now()
+                return
+            if placed is None:
                 await self._without_upstream()
                 return
-            record = next(r for r, one in candidates if one.name == chosen.name)
-            end = await self._send(record, chosen)
+            end = await self._send(placed.record, placed.chosen)
             if end is None:
                 self.outcome = "answered"
                 return
-            if not await self._again(end, others=len(candidates) > 1):
+            if not await self._again(end, others=placed.others):
                 return
 
-    def _choose(self, found: list[Candidate]) -> Candidate | None:
-        """The best upstream; notes whether the request gives way to others there.
-
-        One that was sent before goes on as it is.
-        """
-        rng = self._upstreams.rng
-        chosen = choose(found, self._demand, rng)
-        if chosen is None or self._tried:
-            return chosen
-        goal = Goal(self._job.route.objective_s, self._job.rank)
-        queued, own = queue_s(chosen, self._demand), own_s(chosen, self._demand)
-        waited_s = _now() - self._job.began_at
-        small = self._is_small(chosen)
-        self._gives_way = gives_way(queued, own, waited_s, goal, small=small)
-        return chosen
-
-    def _is_small(self, chosen: Candidate) -> bool:
-        """Whether little is to be computed, against other prompts of the pool."""
-        if not self._demand.is_prompt:
-            return False
-        pool = self._job.pool.name
-        tokens = self._demand.work_at(chosen).prefill_tokens
-        small = is_small(tokens, self._mean_work.of(pool))
-        self._mean_work.sent(pool, tokens)
-        return small
-
-    async def _usable_candidates(self) -> Found:
-        """The candidates, waited for a little if none of them takes work."""
-        until = _now() + min(HOLD_S, self._job.left_s() * HOLD_PART)
-        candidates = self._candidates()
-        while not any(one.usable for _, one in candidates) and _now() < until:
-            await asyncio.sleep(HOLD_POLL_S)
-            candidates = self._candidates()
-        return candidates
-
-    def _candidates(self) -> Found:
-        job = self._job
-        sought = Sought(job.pool, job.call.prompt, job.scope, self._tried)
-        return self._upstreams.candidates(sought, _now())
-
     async def _send(self, record: UpstreamRecord, chosen: Candidate) -> End | None:
-        self._tried.append(record.name)
         self.choices.append(chosen)
-        self._yielded.append(self._gives_way)
         if not self.chosen_at:
             self.chosen_at = _now()
             held_s = self.chosen_at - self._job.began_at
             self._measures.held(self._job.route.name, held_s)
-        work = self._demand.work_at(chosen)
-        if self._gives_way and self._demand.is_prompt:
-            work = replace(work, yields=True)
+        work = self._placing.demand.work_at(chosen)
         terms = self._terms.make(
             self._job,
             record,
-            gives_way=self._gives_way,
+            late=self._placing.demand.spare_only,
             last_event_id=self._sender.last_event_id,
         )
         return await self._sender.send(record, terms, work)
@@ -178,7 +112,7 @@
             return False
         if not self._upstreams.is_changing(record, _now()):
             return False
-        if not any(one.usable for _, one in self._candidates()):
+        if not self._placing.any_usable():
             return False
         return self._budget.spend(_now(), keep_part=MOVES_KEEP_PART)
 
@@ -194,14 +128,21 @@
         why = problem(NO_UPSTREAM, pool=pool, retry_after_s=after_s)
         await self._answer.refuse(why)
 
+    async def _refuse_for_now(self) -> None:
+        """The request was not sent, and is not kept until its caller gives up."""
+        self.outcome = NO_ROOM.code
+        after_s = no_room_s(self._job.left_s(), self._upstreams.rng)
+        pool = self._job.pool.name
+        await self._answer.refuse(problem(NO_ROOM, pool=pool, retry_after_s=after_s))
+
     async def _again(self, end: End, *, others: bool) -> bool:
         """Carry out what an end calls for; say whether to send again."""
         if end is End.MOVED:
             last = self._sender.last_event_id or ""
-            emit(StreamMoved(self._job.call.request_id, self._tried[-1], last))
+            emit(StreamMoved(self._job.call.request_id, self._placing.tried[-1], last))
             return True
         step = after_end(
-            Sends(len(self._tried), self._sender.runs, end),
+            Sends(len(self._placing.tried), self._sender.runs, end),
             repeatable=self._job.repeatable,
             max_runs=self._job.route.max_runs,
             left_s=self._job.left_s(),
@@ -213,7 +154,7 @@
         emit(
             SendEnded(
                 request_id=self._job.call.request_id,
-                upstream=self._tried[-1],
+                upstream=self._placing.tried[-1],
                 end=end.name.lower(),
                 next=type(step).__name__,
                 others=others,
@@ -242,8 +183,8 @@
             f"{one.name} rank={one.home_rank} requests={one.load.requests:.1f}"
             f" prefill={one.load.prefill_tokens:.0f} kv={one.load.kv_tokens:.0f}"
             f" errors={one.error_share:.2f} usable={one.usable}"
-            f" stored={one.stored} old={one.old_for_s:.1f} yields={yields}"
-            for one, yields in zip(self.choices, self._yielded, strict=True)
+            f" stored={one.stored} old={one.old_for_s:.1f}"
+            for one in self.choices
         ]
 
 
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -24,6 +24,7 @@
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.measures import Measured, Unmeasured
+from gooseberrydale.process.gateway.placing import Learned
 from gooseberrydale.process.gateway.prober import Prober
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendParts
@@ -48,6 +49,7 @@
 )
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.mean_work import MeanWork
+from gooseberrydale.version.patience import Patience
 from gooseberrydale.version.peer_loads import PeerLoads
 from gooseberrydale.version.run_times import RunTimes
 from gooseberrydale.version.store_followers import StoreTidings
@@ -180,8 +182,7 @@
             dialect.wire,
             self._upstreams,
             self._conns,
-            RunTimes(),
-            MeanWork(),
+            Learned(RunTimes(), MeanWork(), Patience()),
             self._gossip.changed,
             self._connections,
         )
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -18,6 +18,7 @@
 from gooseberrydale.process.gateway.answer import HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.observed_life import answered, suspect
+from gooseberrydale.process.gateway.placing import Learned
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.attempt_end import End
 from gooseberrydale.request.gateway_call import (
@@ -28,8 +29,6 @@
     Wire,
 )
 from gooseberrydale.version.declared import Pool
-from gooseberrydale.version.mean_work import MeanWork
-from gooseberrydale.version.run_times import RunTimes
 from gooseberrydale.version.upstream_load import UpstreamLoad, Work
 
 LAST_WORD_S = 0.05
@@ -60,8 +59,7 @@
     wire: Wire
     upstreams: Upstreams
     conns: HttpPool
-    run_times: RunTimes
-    mean_work: MeanWork
+    learned: Learned
     work_changed: Callable[[], None]
     connections: Callable[[Pool], int | None]
 
@@ -250,7 +248,7 @@
             await self._answer.write(cutter.rest)
         await self._answer.end()
         run_s = _now() - self._answer.started_at
-        self._parts.run_times.ended(self._job.route.name, run_s)
+        self._parts.learned.run_times.ended(self._job.route.name, run_s)
 
     def _note_first_part(self, load: UpstreamLoad, work: Work) -> None:
         if not self._prefilled:
--- a/gooseberrydale/process/gateway/terms.py
+++ b/gooseberrydale/process/gateway/terms.py
@@ -21,8 +21,10 @@
 LAST_RANK = 9
 """The lowest rank that engines know."""
 
-GIVES_WAY_RANKS = 6
-"""What a request that gives way loses in rank: more than declarations give."""
+
+LATE_RANKS = 6
+"""What a request loses in rank that can't be in time any more: more than declarations
+give, so that engines begin with all others first."""
 
 
 class TermsMaker:
@@ -37,10 +39,13 @@
         job: Assignment,
         record: UpstreamRecord,
         *,
-        gives_way: bool,
+        late: bool,
         last_event_id: str | None,
     ) -> Terms:
-        """The terms of sending ``job`` to one life of an upstream."""
+        """The terms of sending ``job`` to one life of an upstream.
+
+        ``late`` says that it can't be in time any more.
+        """
         holder = job.workspace
         terms = Terms(
             instance=record.name,
@@ -56,7 +61,7 @@
             terms,
             weights_version=weights_version(record),
             cache_salt=salt,
-            priority=min(LAST_RANK, job.rank + GIVES_WAY_RANKS * gives_way),
+            priority=min(LAST_RANK, job.rank + LATE_RANKS * late),
             fetch_from=fetch_from,
             save_to=save_to,
         )
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -244,7 +244,7 @@
         resting = max(load.suspect_until, load.avoid_until) > now
         return Candidate(
             name=record.name,
-            load=load.load(now, peers),
+            load=load.load(now, peers, self._peers.scale),
             weights=record.weights_version,
             slots=record.slots or (size.slots if size else 0),
             kv_tokens=size.kv_tokens if size else 0,
--- a/gooseberrydale/process/losses.py
+++ b/gooseberrydale/process/losses.py
@@ -66,8 +66,11 @@
     "failed": Cause.SERVICE,
     "invalid": Cause.SERVICE,
     "refused": Cause.CHANGING,
+    "no_room": Cause.QUEUED,
 }
-_REFUSALS = frozenset({"not_ready", "shutting_down", "no_upstream", "refused"})
+_REFUSALS = frozenset(
+    {"not_ready", "shutting_down", "no_upstream", "no_room", "refused"}
+)
 _CHOICE = re.compile(r"(\w+)=([-\w.]+)")
 
 
@@ -157,8 +160,6 @@
         return Cause.CHANGING
     if len(sends) > 1:
         return Cause.GONE
-    if choice.get("yields") == "True":
-        return Cause.QUEUED
     if fields.get("outcome") == "caller_gone" and fields.get("status"):
         return Cause.LEFT
     if choice.get("rank", "0") != "0" and choice.get("stored") == "False":
--- a/gooseberrydale/request/comeback.py
+++ b/gooseberrydale/request/comeback.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import random
+
 REFUSED_AFTER_S = 0.25
 """After a refusal by upstreams: about the time of a run on a service, or of a third of
 a change of weights; another upstream has a place by then."""
@@ -13,6 +15,14 @@
 NO_UPSTREAM_AFTER_S = 0.6
 """While no upstream is known: half of the pause between two announcements."""
 
+NO_ROOM_AFTER_S = 0.8
+"""While engines are full: about a run, after which as many places were free as there
+are."""
+
+SPREAD_PART = 0.5
+"""Callers told at one moment come back within this part of the time before and after
+it, so that they don't meet again."""
+
 NOT_READY_AFTER_S = 0.5
 """While this process knows no configuration; another one of the zone does."""
 
@@ -33,5 +43,11 @@
     return _within(NO_UPSTREAM_AFTER_S, left_s)
 
 
+def no_room_s(left_s: float, rng: random.Random) -> float:
+    """Seconds until engines that are full will likely have room."""
+    spread = rng.uniform(1.0 - SPREAD_PART, 1.0 + SPREAD_PART)
+    return _within(NO_ROOM_AFTER_S * spread, left_s)
+
+
 def _within(wanted_s: float, left_s: float) -> float:
     return max(LEAST_S, min(wanted_s, left_s * PART_OF_LEFT))
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -80,6 +80,10 @@
 Gateways hear of each other's choices some 80 ms late there; were all of them weighed by
 all gateways, what came within that time would meet at the one that seems least busy."""
 
+SPARE_PART = 0.7
+"""A request that can't be in time any more takes room up to this part of what others
+may: it must not make those late that came after it."""
+
 FULL_S = 2.0
 """Waiting for memory or a place of a full engine takes about a run."""
 
@@ -129,7 +133,8 @@
 
     ``common_tokens`` begin so many prompts that every engine is taken to hold them;
     ``shared_tokens`` follow, and lie at their home.  ``run_s`` is how long requests of
-    its kind go on after their first event.
+    its kind go on after their first event.  With ``spare_only`` it takes only room that
+    others can spare.
     """
 
     own_tokens: int = 0
@@ -137,6 +142,7 @@
     common_tokens: int = 0
     new_tokens: int = 0
     run_s: float = 0.0
+    spare_only: bool = False
 
     @property
     def is_prompt(self) -> bool:
@@ -244,7 +250,8 @@
         return _service_wait_s(load.requests, candidate.slots)
     seconds = load.prefill_tokens / PREFILL_TOKENS_PER_S
     seconds += load.requests * RUN_SLOWDOWN_S
-    room = candidate.kv_tokens * MEMORY_PART if candidate.kv_tokens else math.inf
+    part = MEMORY_PART * (SPARE_PART if demand.spare_only else 1.0)
+    room = candidate.kv_tokens * part if candidate.kv_tokens else math.inf
     if load.kv_tokens + demand.tokens > room:
         seconds += FULL_S
     if candidate.slots and load.requests >= candidate.slots:
--- a/gooseberrydale/version/peer_loads.py
+++ b/gooseberrydale/version/peer_loads.py
@@ -120,6 +120,8 @@
         self._heard: dict[str, _Heard] = {}
         self._areas: dict[str, _Heard] = {}
         self._totals: dict[str, Totals] = {}
+        # By how much there are more gateways than those heard directly.
+        self._beyond = 1.0
 
     def __len__(self) -> int:
         return len(self._heard) + len(self._areas)
@@ -129,6 +131,20 @@
         """The gateways that tell of themselves here."""
         return self._heard.keys()
 
+    @property
+    def scale(self) -> float:
+        """By how much the work of all is more than what is known of it.
+
+        Until sums of the other zones are heard, these are taken to have as much work as
+        the own one.  It answers the second after a loss of power, in which relays come
+        back late: engines seemed to have a sixth of their work, and got too much.
+        """
+        return 1.0 if self._areas else self._beyond
+
+    def beyond(self, scale: float) -> None:
+        """There are ``scale`` times as many gateways as in the own zone."""
+        self._beyond = scale
+
     def take(self, report: WorkReport, now: float) -> bool:
         """Take a report in unless a newer one of that gateway was; say whether."""
         return self._take(self._heard, report.name, report.name, report, now)
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -36,15 +36,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Work:
-    """One request at an upstream, in tokens; all 0 at a plain service.
-
-    A request that ``yields`` gives way to all others, so it is no work before them: its
-    memory is taken from it when they need it.
-    """
+    """One request at an upstream, in tokens; all 0 at a plain service."""
 
     prefill_tokens: int = 0
     kv_tokens: int = 0
-    yields: bool = False
 
 
 class UpstreamLoad:
@@ -54,7 +49,6 @@
         self._requests = 0
         self._prefill_tokens = 0
         self._kv_tokens = 0
-        self._yielding = 0
         self._others = 0.0
         self._reported_at = -math.inf
         self._failures = 0
@@ -66,23 +60,16 @@
 
     def began(self, work: Work) -> None:
         """A request was sent."""
-        if work.yields:
-            self._yielding += 1
-            return
         self._requests += 1
         self._prefill_tokens += work.prefill_tokens
         self._kv_tokens += work.kv_tokens
 
     def first_part(self, work: Work) -> None:
         """The prompt of a request is computed."""
-        if not work.yields:
-            self._prefill_tokens -= work.prefill_tokens
+        self._prefill_tokens -= work.prefill_tokens
 
     def ended(self, work: Work, *, prefilled: bool) -> None:
         """A request has ended; ``prefilled`` if its first part had come."""
-        if work.yields:
-            self._yielding -= 1
-            return
         self._requests -= 1
         self._kv_tokens -= work.kv_tokens
         if not prefilled:
@@ -91,8 +78,7 @@
     def reported(self, load: ReportedLoad, now: float) -> None:
         """The upstream tells its load with an answer."""
         # The own requests are among those reported.
-        own = self._requests + self._yielding
-        self._others = max(0.0, load.running + load.waiting - own)
+        self._others = max(0.0, load.running + load.waiting - self._requests)
         self._reported_at = now
 
     def answered(self, *, failed: bool) -> int:
@@ -134,22 +120,23 @@
         """The own work: requests, tokens to compute, tokens of memory."""
         return self._requests, self._prefill_tokens, self._kv_tokens
 
-    def load(self, now: float, peers: Totals | None) -> Load:
+    def load(self, now: float, peers: Totals | None, scale: float = 1.0) -> Load:
         """The load as far as it can be known now.
 
         ``peers`` is what the other gateways tell of their work there, None if none of
-        them is heard; then the upstream's own reports have to do.
+        them is heard; then the upstream's own reports have to do.  ``scale`` is by how
+        much there are more gateways than are heard.
         """
         if peers is None:
             age_s = now - self._reported_at
             others = self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
-            peers = Totals()
+            peers, scale = Totals(), 1.0
         else:
             others = float(peers.requests)
         return Load(
-            requests=self._requests + others,
-            prefill_tokens=float(self._prefill_tokens + peers.prefill_tokens),
-            kv_tokens=float(self._kv_tokens + peers.kv_tokens),
+            requests=(self._requests + others) * scale,
+            prefill_tokens=(self._prefill_tokens + peers.prefill_tokens) * scale,
+            kv_tokens=(self._kv_tokens + peers.kv_tokens) * scale,
         )
 
     def _count_error(self, failed: bool) -> None:
