--- a/gooseberrydale/connection/area_gossip.py
+++ b/gooseberrydale/connection/area_gossip.py
@@ -88,7 +88,8 @@
         if now < self._started_at + FORGET_S:
             # Who is there has not had time to say so.
             alive = [one.name for one in fleet.near]
-        self._loads.beyond((len(fleet.others) + 1) / (len(fleet.near) + 1))
+        near = len(fleet.near)
+        self._loads.note_unheard(len(fleet.others) - near, near)
         relays = fleet.relay(set(alive)) == fleet.own.name
         if relays != self._relays:
             self._relays = relays
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
@@ -20,7 +20,7 @@
 from gooseberrydale.version.order_marks import is_mark, mark_name
 from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
 from gooseberrydale.version.stores import Stores
-from gooseberrydale.version.upstream_load import UpstreamLoad
+from gooseberrydale.version.upstream_load import Load, UpstreamLoad
 
 GONE_AVOID_S = 60.0
 """A life whose address another one has taken is over: until its record is gone."""
@@ -178,8 +178,9 @@
         if not ranks:
             # Nothing tells equal upstreams apart; every process draws its own order.
             self.rng.shuffle(records)
+        unseen = self._unseen(records)
         found = [
-            (record, self._candidate(record, sought, ranks, stored, now))
+            (record, self._candidate(record, sought, ranks, stored, unseen, now))
             for record in records
         ]
         bound_s = self._weights_bound_s
@@ -236,6 +237,7 @@
         sought: Sought,
         ranks: Mapping[str, int],
         stored: Collection[str] | None,
+        unseen: Load | None,
         now: float,
     ) -> Candidate:
         load = self.load_of(record.name)
@@ -244,7 +246,7 @@
         resting = max(load.suspect_until, load.avoid_until) > now
         return Candidate(
             name=record.name,
-            load=load.load(now, peers, self._peers.scale),
+            load=load.load(now, peers, unseen),
             weights=record.weights_version,
             slots=record.slots or (size.slots if size else 0),
             kv_tokens=size.kv_tokens if size else 0,
@@ -257,6 +259,23 @@
             usable=not resting and not self.is_changing(record, now),
         )
 
+    def _unseen(self, records: Sequence[UpstreamRecord]) -> Load | None:
+        """What gateways that are not heard have at each of these, spread evenly.
+
+        Each engine's load times their number would be wrong by whole prompts: with one
+        prompt of a zone of six an idle engine would seem full.
+        """
+        unheard = self._peers.unheard
+        if not unheard or not records:
+            return None
+        known = [self._peers.at(record.name) for record in records]
+        part = unheard / len(records)
+        return Load(
+            requests=part * sum(one.requests for one in known),
+            prefill_tokens=part * sum(one.prefill_tokens for one in known),
+            kv_tokens=part * sum(one.kv_tokens for one in known),
+        )
+
     def is_changing(self, record: UpstreamRecord, now: float) -> bool:
         """Whether an upstream carries out an order and shall become free for it."""
         mark = self._directory.get(mark_name(record.name), now)
--- a/gooseberrydale/version/peer_loads.py
+++ b/gooseberrydale/version/peer_loads.py
@@ -120,8 +120,7 @@
         self._heard: dict[str, _Heard] = {}
         self._areas: dict[str, _Heard] = {}
         self._totals: dict[str, Totals] = {}
-        # By how much there are more gateways than those heard directly.
-        self._beyond = 1.0
+        self._unheard = 0.0
 
     def __len__(self) -> int:
         return len(self._heard) + len(self._areas)
@@ -132,18 +131,19 @@
         return self._heard.keys()
 
     @property
-    def scale(self) -> float:
-        """By how much the work of all is more than what is known of it.
+    def unheard(self) -> float:
+        """How many gateways are not heard, for each that is.
 
-        Until sums of the other zones are heard, these are taken to have as much work as
-        the own one.  It answers the second after a loss of power, in which relays come
-        back late: engines seemed to have a sixth of their work, and got too much.
+        Until sums of the other zones are heard, gateways there are taken to have as
+        much work as those of the own one.  It answers the second after a loss of power,
+        in which relays come back late: engines seemed to have a sixth of their work,
+        and got too much.
         """
-        return 1.0 if self._areas else self._beyond
+        return 0.0 if self._areas else self._unheard
 
-    def beyond(self, scale: float) -> None:
-        """There are ``scale`` times as many gateways as in the own zone."""
-        self._beyond = scale
+    def note_unheard(self, gateways: int, heard: int) -> None:
+        """Of the others ``gateways`` tell nothing here, and ``heard`` do."""
+        self._unheard = gateways / max(1, heard)
 
     def take(self, report: WorkReport, now: float) -> bool:
         """Take a report in unless a newer one of that gateway was; say whether."""
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -120,24 +120,30 @@
         """The own work: requests, tokens to compute, tokens of memory."""
         return self._requests, self._prefill_tokens, self._kv_tokens
 
-    def load(self, now: float, peers: Totals | None, scale: float = 1.0) -> Load:
+    def load(
+        self, now: float, peers: Totals | None, unseen: Load | None = None
+    ) -> Load:
         """The load as far as it can be known now.
 
         ``peers`` is what the other gateways tell of their work there, None if none of
-        them is heard; then the upstream's own reports have to do.  ``scale`` is by how
-        much there are more gateways than are heard.
+        them is heard; then the upstream's own reports have to do.  ``unseen`` is what
+        gateways that are not heard are taken to have there.
         """
         if peers is None:
             age_s = now - self._reported_at
             others = self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
-            peers, scale = Totals(), 1.0
-        else:
-            others = float(peers.requests)
+            return Load(self._requests + others, self._prefill_tokens, self._kv_tokens)
+        more = unseen if unseen is not None else _NOTHING
         return Load(
-            requests=(self._requests + others) * scale,
-            prefill_tokens=(self._prefill_tokens + peers.prefill_tokens) * scale,
-            kv_tokens=(self._kv_tokens + peers.kv_tokens) * scale,
+            requests=self._requests + peers.requests + more.requests,
+            prefill_tokens=(
+                self._prefill_tokens + peers.prefill_tokens + more.prefill_tokens
+            ),
+            kv_tokens=self._kv_tokens + peers.kv_tokens + more.kv_tokens,
         )
 
     def _count_error(self, failed: bool) -> None:
         self.error_share += ERROR_SMOOTHING * (float(failed) - self.error_share)
+
+
+_NOTHING = Load(0.0, 0.0, 0.0)
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -326,3 +326,20 @@
     assert (demand.common_tokens, demand.shared_tokens) == (2_000, 4_000)
     assert (demand.own_tokens, demand.tokens) == (300, 6_320)
     assert demand_of(None).is_prompt is False
+
+
+def test_work_of_gateways_that_are_not_heard_is_spread_evenly() -> None:
+    """Taken times their number where it lies, one prompt would fill an idle engine."""
+    directory, peers = Directory(), PeerLoads()
+    for number in range(4):
+        directory.offer(record(f"u{number}", model="m"), 0.0)
+    peers.take(report("g2", 1, UpstreamWork("u1", 2, 400, 8_000)), 0.0)
+    view = Upstreams(
+        *(directory, "local", random.Random(1), peers, NamedWeights(), 8.0, Stores())
+    )
+    asked = prompt(("guide", 100), ("lot", 100))
+    assert names(view, asked, 0.0)["u0"].load == IDLE
+    peers.note_unheard(6, 1)
+    found = names(view, asked, 0.0)
+    assert found["u0"].load == Load(3.0, 600.0, 12_000.0)
+    assert found["u1"].load == Load(5.0, 1_000.0, 20_000.0)
