--- a/gooseberrydale/connection/area_gossip.py
+++ b/gooseberrydale/connection/area_gossip.py
@@ -50,7 +50,6 @@
         fleet: FleetView,
     ) -> None:
         self._datagrams = datagrams
-        self._incarnation = incarnation
         self._loads = loads
         self._view = view
         self._fleet = fleet
