Say in the logs that an upstream has ended and what ran there

Cause: lines told which sends had ended, by request id. None told that an upstream had ended, nor what else ran there, nor that two requests are the same but for their id; so of two requests that were on three ends each nobody could say which is at fault. Change: a request is named by a digest of workspace, method, host, target and body.

--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -90,7 +90,9 @@
         except TimeoutError as exc:
             raise UpstreamError("no connection in time", sent=False) from exc
         except (OSError, ValueError) as exc:
-            raise UpstreamError(f"no connection: {exc}", sent=False) from exc
+            refused = isinstance(exc, ConnectionRefusedError)
+            reason = f"no connection: {exc}"
+            raise UpstreamError(reason, sent=False, refused=refused) from exc
         return conn
 
     # For the request.
--- a/gooseberrydale/connection/upstream_reply.py
+++ b/gooseberrydale/connection/upstream_reply.py
@@ -17,11 +17,15 @@
 
 
 class UpstreamError(Exception):
-    """A call to the upstream failed; ``sent`` tells whether it may have arrived."""
+    """A call to the upstream failed; ``sent`` tells whether it may have arrived.
 
-    def __init__(self, reason: str, *, sent: bool) -> None:
+    ``refused`` says that the host is there but nobody listens at the address.
+    """
+
+    def __init__(self, reason: str, *, sent: bool, refused: bool = False) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.refused = refused
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -37,6 +37,7 @@
     ``sends`` has each choice of an upstream with what decided it, ``held_ms`` the time
     before the first of them, ``table`` the number of the document in force then.
     ``objective_ms`` is what ``route`` declares for the first event, 0 if nothing.
+    ``digest`` is the same for each repeat of the request, empty if it was not read.
     """
 
     NAME: ClassVar[str] = "request"
@@ -55,6 +56,7 @@
     first_ms: float
     took_ms: float
     table: int
+    digest: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +78,7 @@
     left_ms: float
     runs: int
     retries: float
+    digest: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +124,23 @@
     broken: int
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamEnded(LogEvent):
+    """A life of an upstream has ended; what this process had running there.
+
+    By their digests: ``waiting`` without a part of their answers, ``answering`` in the
+    middle of them.
+    """
+
+    NAME: ClassVar[str] = "upstream_ended"
+    TEXT: ClassVar[str] = "upstream ended"
+
+    upstream: str
+    reason: str
+    waiting: list[str]
+    answering: list[str]
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamBack(LogEvent):
     """An upstream that was suspected has answered."""
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -33,6 +33,7 @@
 from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.request.comeback import NOT_READY_AFTER_S, PART_OF_LEFT
 from gooseberrydale.request.draining import Drain, come_back_s
+from gooseberrydale.request.fingerprint import fingerprint, shown
 from gooseberrydale.request.gateway_call import CallerCall
 from gooseberrydale.version.declared import KeyHolder, Pool, Route
 from gooseberrydale.version.route_table import RouteTable
@@ -100,6 +101,7 @@
         self._drain = drain
         self._forward: Forward | None = None
         self._route = ""
+        self._fingerprint = b""
         self._objective_s = 0.0
         self._began = asyncio.get_running_loop().time()
 
@@ -180,6 +182,9 @@
         wait_s = route.timeout_s
         if call.wait_s is not None:
             wait_s = min(wait_s, call.wait_s)
+        workspace = None if route.public else holder
+        name = "" if workspace is None else workspace.name
+        self._fingerprint = fingerprint(name, call.method, call.host, call.target, body)
         return Assignment(
             call=call,
             route=route,
@@ -187,7 +192,8 @@
             body=body,
             began_at=self._began,
             until=self._began + wait_s,
-            workspace=None if route.public else holder,
+            workspace=workspace,
+            fingerprint=self._fingerprint,
         )
 
     def _come_back_s(self, job: Assignment) -> float | None:
@@ -257,6 +263,7 @@
                 first_ms=self._since_ms(answer.started_at),
                 took_ms=self._since_ms(now),
                 table=0 if table is None else table.declared.number,
+                digest=shown(self._fingerprint),
             )
         )
 
--- a/gooseberrydale/process/gateway/assignment.py
+++ b/gooseberrydale/process/gateway/assignment.py
@@ -16,7 +16,8 @@
 class Assignment:
     """A request with its route, its pool and its workspace.
 
-    ``began_at`` and ``until`` are the times of the loop between which it lives.
+    ``began_at`` and ``until`` are the times of the loop between which it lives;
+    ``fingerprint`` is the same for each repeat of the request.
     """
 
     call: CallerCall
@@ -26,6 +27,7 @@
     began_at: float
     until: float
     workspace: KeyHolder | None
+    fingerprint: bytes = b""
 
     @property
     def repeatable(self) -> bool:
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -26,6 +26,7 @@
     after_end,
 )
 from gooseberrydale.request.comeback import no_room_s, without_upstream_s
+from gooseberrydale.request.fingerprint import shown
 from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.retry_window import RetryWindow
 
@@ -161,6 +162,7 @@
                 left_ms=round(self._job.left_s() * MS_PER_S, 1),
                 runs=self._sender.runs,
                 retries=round(self._budget.left, 1),
+                digest=shown(self._job.fingerprint),
             )
         )
         if isinstance(step, SendAgain):
--- a/gooseberrydale/process/gateway/prober.py
+++ b/gooseberrydale/process/gateway/prober.py
@@ -72,7 +72,10 @@
         try:
             conn = await HttpConn.open(record.address)
         except UpstreamError as exc:
-            if not silence.unanswered(loop.time()):
+            dead = silence.unanswered(loop.time())
+            if dead or exc.refused:
+                self._upstreams.ended(record.name, load, loop.time(), str(exc))
+            if not dead:
                 return
             suspect(record.name, load, loop.time(), str(exc))
             broken = silence.give_up()
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -29,6 +29,7 @@
     Wire,
 )
 from gooseberrydale.version.declared import Pool
+from gooseberrydale.version.open_runs import Run
 from gooseberrydale.version.upstream_load import UpstreamLoad, Work
 
 LAST_WORD_S = 0.05
@@ -43,6 +44,9 @@
 
 FIRST_SERVER_STATUS = 500
 
+_UNANSWERED = frozenset({End.LOST, End.TIMED_OUT})
+"""Ends at which the upstream may have been gone."""
+
 
 class _MoveStreamError(Exception):
     """The stream goes on at another upstream, as this one has to become free."""
@@ -84,6 +88,7 @@
         self._parts = parts
         self._may_move = may_move
         self._prefilled = False
+        self._run: Run | None = None
         self.runs = 0
         self.failure: tuple[AnswerHead, bytes] | None = None
         self.last_event_id: str | None = job.call.last_event_id
@@ -94,9 +99,28 @@
         """Send the request once; None if the caller has the whole answer."""
         load = self._parts.upstreams.load_of(record.name)
         self._prefilled = False
+        self._run = None
+        # What is cancelled here may have ended its upstream all the same.
+        end: End | None = End.LOST
         load.began(work)
         load.silence.opened(_now())
         self._parts.work_changed()
+        try:
+            end = await self._until_end(record, terms, load, work)
+            return end
+        finally:
+            if self._run is not None:
+                self._parts.upstreams.run_ended(
+                    *(record.name, load, self._run, _now()),
+                    answered=end not in _UNANSWERED,
+                )
+            load.ended(work, prefilled=self._prefilled)
+            load.silence.closed()
+            self._parts.work_changed()
+
+    async def _until_end(
+        self, record: UpstreamRecord, terms: Terms, load: UpstreamLoad, work: Work
+    ) -> End | None:
         try:
             async with asyncio.timeout_at(self._job.until + LAST_WORD_S):
                 return await self._exchange(record, terms, load, work)
@@ -104,10 +128,6 @@
             return End.TIMED_OUT
         except _MoveStreamError:
             return End.MOVED
-        finally:
-            load.ended(work, prefilled=self._prefilled)
-            load.silence.closed()
-            self._parts.work_changed()
 
     async def _exchange(
         self, record: UpstreamRecord, terms: Terms, load: UpstreamLoad, work: Work
@@ -120,6 +140,8 @@
             return End.NOT_SENT
         except UpstreamError as exc:
             suspect(record.name, load, _now(), str(exc))
+            if exc.refused:
+                self._parts.upstreams.ended(record.name, load, _now(), str(exc))
             return End.NOT_SENT
         whole = False
         if self._job.repeatable:
@@ -165,6 +187,7 @@
         headers = wire.request_headers(job.call, terms)
         conn.send(_request_head(job.call, headers, len(job.body)), job.body)
         self.runs += 1
+        self._run = load.runs.began(job.fingerprint)
         raw = await conn.head(self._is_mine)
         load.silence.heard(_now())
         head = wire.read_answer(raw.status, raw.headers)
@@ -253,6 +276,8 @@
     def _note_first_part(self, load: UpstreamLoad, work: Work) -> None:
         if not self._prefilled:
             self._prefilled = True
+            if self._run is not None:
+                self._run.answering = True
             load.first_part(work)
             self._parts.work_changed()
 
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -11,12 +11,15 @@
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
+from gooseberrydale.log_events import UpstreamEnded, emit
+from gooseberrydale.request.fingerprint import shown
 from gooseberrydale.request.gateway_call import Prompt
 from gooseberrydale.request.members import Members
 from gooseberrydale.request.placement import Candidate, Demand, homes_in_reach
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.named_weights import NamedWeights
+from gooseberrydale.version.open_runs import Run
 from gooseberrydale.version.order_marks import is_mark, mark_name
 from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
 from gooseberrydale.version.stores import Stores
@@ -83,6 +86,7 @@
         self._loads: dict[str, UpstreamLoad] = {}
         # The life of each upstream that the load is of.
         self._lives: dict[str, str] = {}
+        self._at_address: dict[str, str] = {}
 
     def load_of(self, name: str) -> UpstreamLoad:
         """What this process knows of the life ``name`` of an upstream."""
@@ -93,6 +97,25 @@
     def refused(self, name: str, now: float, *, gone: bool) -> None:
         """An upstream did not take a request; ``gone`` says that its life is over."""
         self.load_of(name).avoid(now, GONE_AVOID_S if gone else REFUSED_AVOID_S)
+        if gone:
+            self.ended(name, self.load_of(name), now, "another life has its address")
+
+    def ended(self, name: str, load: UpstreamLoad, now: float, reason: str) -> None:
+        """A life of an upstream has ended, with all that it ran."""
+        known = load.runs.is_over
+        lost = load.runs.over(now)
+        if lost or not known:
+            waiting = [shown(one) for one in lost.waiting]
+            answering = [shown(one) for one in lost.answering]
+            emit(UpstreamEnded(name, reason, waiting, answering))
+
+    def run_ended(
+        self, name: str, load: UpstreamLoad, run: Run, now: float, *, answered: bool
+    ) -> None:
+        """A send has ended; ``answered`` if the upstream was there at its end."""
+        load.runs.ended(run, now, answered=answered)
+        if load.runs.is_over and not answered:
+            self.ended(name, load, now, "a connection broke after the end")
 
     def refusing(self, now: float) -> tuple[str, ...]:
         """The upstreams that refused a request of this process just now."""
@@ -157,7 +180,7 @@
             view.records = tuple(r for r in view.records if self._may_stay(r, now))
         elif view.source is not ready:
             view.source = view.records = ready
-            self._forget_earlier_lives(ready)
+            self._forget_earlier_lives(ready, now)
             view.members.refresh(ready)
         return view.records
 
@@ -209,15 +232,36 @@
             del self._loads[name]
         for name in self._lives.keys() - known:
             del self._lives[name]
+        for address, name in list(self._at_address.items()):
+            if name not in known:
+                del self._at_address[address]
         return known
 
-    def _forget_earlier_lives(self, records: Iterable[UpstreamRecord]) -> None:
+    def _forget_earlier_lives(
+        self, records: Iterable[UpstreamRecord], now: float
+    ) -> None:
         """What was learned of an earlier life says nothing about the one after."""
         for record in records:
-            life = self._lives.setdefault(record.name, record.incarnation)
-            if life != record.incarnation:
-                self._lives[record.name] = record.incarnation
+            life = self._lives.get(record.name)
+            if life == record.incarnation:
+                continue
+            if life is not None:
+                self._end_life(record.name, now, "it has started again")
                 self._loads.pop(record.name, None)
+            self._lives[record.name] = record.incarnation
+            self._end_life_at(record, now)
+
+    def _end_life_at(self, newcomer: UpstreamRecord, now: float) -> None:
+        """Whoever had the address of an upstream that is new there has ended."""
+        before = self._at_address.get(newcomer.address, newcomer.name)
+        self._at_address[newcomer.address] = newcomer.name
+        if before != newcomer.name:
+            self._end_life(before, now, "another upstream has its address")
+
+    def _end_life(self, name: str, now: float, reason: str) -> None:
+        load = self._loads.get(name)
+        if load is not None:
+            self.ended(name, load, now, reason)
 
     def _may_stay(self, record: UpstreamRecord, now: float) -> bool:
         newest = self._directory.get(record.name, now)
--- a/gooseberrydale/request/keyed.py
+++ b/gooseberrydale/request/keyed.py
@@ -34,6 +34,7 @@
 from gooseberrydale.request.cancel import confirm_not_run
 from gooseberrydale.request.claim_gate import ClaimGate, ClaimHeld, ClaimStore
 from gooseberrydale.request.deps import Deps
+from gooseberrydale.request.fingerprint import feed
 from gooseberrydale.request.job import (
     Answering,
     Events,
@@ -240,7 +241,7 @@
 def body_digest(job: Job) -> bytes:
     """Digest of what the caller asked for; the same key must bring the same one."""
     digest = hashlib.sha256()
-    for part in (job.profile.name.encode(), job.method.encode(), job.path.encode()):
-        digest.update(len(part).to_bytes(4, "big") + part)
+    texts = (job.profile.name, job.method, job.path)
+    feed(digest, *(text.encode() for text in texts))
     digest.update(job.body)
     return digest.digest()
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from gooseberrydale.request.gateway_call import ReportedLoad
+from gooseberrydale.version.open_runs import OpenRuns
 from gooseberrydale.version.peer_loads import Totals
 from gooseberrydale.version.silence import Silence
 
@@ -57,6 +58,7 @@
         self.told_to_avoid = False
         self.error_share = 0.0
         self.silence = Silence()
+        self.runs = OpenRuns()
 
     def began(self, work: Work) -> None:
         """A request was sent."""
@@ -86,13 +88,12 @@
 
         Returns how often in a row it had failed before.
         """
-        before, self._failures = self._failures, 0
-        self.suspect_until = -math.inf
         self._count_error(failed)
-        return before
+        return self.reached()
 
     def reached(self) -> int:
         """A connection was granted; return how often in a row it had failed before."""
+        self.runs.back()
         before, self._failures = self._failures, 0
         self.suspect_until = -math.inf
         return before
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -155,6 +155,7 @@
     port: int = 0
     gone: asyncio.Event = field(default_factory=asyncio.Event)
     server: asyncio.Server | None = None
+    open: set[Writer] = field(default_factory=set)
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -164,12 +165,20 @@
         if self.server is not None:
             self.server.close()
 
+    def end(self) -> None:
+        """End as a process does: nobody listens, and all connections close."""
+        if self.server is not None:
+            self.server.close()
+        for writer in self.open:
+            writer.transport.abort()
+
     @property
     def address(self) -> str:
         return f"127.0.0.1:{self.port}"
 
     async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
         self.connections += 1
+        self.open.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -187,6 +196,7 @@
             pass
         finally:
             self.gone.set()
+            self.open.discard(writer)
             writer.close()
 
 
@@ -239,12 +249,14 @@
     document: Declared | None,
     *upstreams: RawUpstream,
     metrics: MetricsCfg = MetricsCfg(),
+    name: str = "g1",
+    controls: tuple[str, ...] = (),
     **settings: Any,
 ) -> AsyncIterator[Gateway]:
-    """A gateway before raw upstreams, without control."""
+    """A gateway before raw upstreams, without control unless there are addresses."""
     cfg = Cfg(
-        node=NodeCfg("g1"),
-        fleet=FleetCfg(trust_network=True),
+        node=NodeCfg(name),
+        fleet=FleetCfg(trust_network=True, controls=controls),
         metrics=metrics,
         gateway=GatewayCfg(
             http="127.0.0.1:0",
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -223,9 +223,17 @@
         later = UpstreamLoad()
 
         class Lives:
+            def __init__(self) -> None:
+                self.over: list[UpstreamLoad] = []
+
             def load_of(self, name: str) -> UpstreamLoad:
                 return loads[name]
 
+            def ended(
+                self, name: str, load: UpstreamLoad, now: float, reason: str
+            ) -> None:
+                self.over.append(load)
+
         class LateConn:
             @classmethod
             async def open(cls, address: str) -> HttpConn:
@@ -235,8 +243,10 @@
         monkeypatch.setattr(prober, "HttpConn", LateConn)
         asked = loads["u1"]
         asked.silence.unanswered(0.0)
-        upstreams = cast(Upstreams, Lives())
+        lives = Lives()
+        upstreams = cast(Upstreams, lives)
         await prober.Prober(upstreams, lambda: None)._ask(record("u1"))
         assert (asked.failures, later.failures) == (1, 0)
+        assert lives.over == [asked]
 
     asyncio.run(main())
