Bar a request that has ended three upstreams, at all gateways

Callers saw: one request, repeated under new ids by way of any gateway, ended eight engines in 14 s, and four to twelve streams of others with each of them. Cause: what an attempt had ended was forgotten with its answer, and nothing linked the repeats, neither within a gateway nor between gateways. Change: gateways tell, by the sessions that they have to control, which requests ran at each life of an upstream that ended. What is told only adds to what is known, so it may be lost, late, twice and out of order; a process that has just started or was cut off gets all of it when its session opens. A request that is to blame for three ends is sent nowhere, and its caller learns at once why, that it has not run, and not to come back. Streams in the middle of their answers are not blamed for ends that a barred request explains, and what is answered whole is not blamed at all. Why it holds: the bound does not rest on who sends, under which id or how often, and no gateway decides by what it saw alone.

--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -14,6 +14,8 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from gooseberrydale.connection.codec import message
 from gooseberrydale.version.declarations import Config
 
@@ -55,6 +57,22 @@
     link_mbps: float = 0.0
 
 
+class EndedLife(msgspec.Struct, frozen=True, array_like=True):
+    """A life of an upstream that has ended, and by fingerprint what it ran then.
+
+    No part of the answers to those ``waiting`` had come, of those ``answering`` some
+    had.  Those ``cleared`` are known not to end upstreams.  It ended ``age_s`` seconds
+    before the message was made.  Without field names on the wire, as a process that
+    starts hears of many.
+    """
+
+    life: str
+    waiting: tuple[bytes, ...] = ()
+    answering: tuple[bytes, ...] = ()
+    cleared: tuple[bytes, ...] = ()
+    age_s: float = 0.0
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class Hello:
@@ -72,11 +90,12 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Announce:
-    """Records that are new or renewed."""
+    """Records that are new or renewed, and ``ended`` lives that are news."""
 
     records: tuple[UpstreamRecord, ...]
     sent_at: float = 0.0
     echo_at: float | None = None
+    ended: tuple[EndedLife, ...] = ()
 
 
 @message
--- a/gooseberrydale/connection/mesh_node.py
+++ b/gooseberrydale/connection/mesh_node.py
@@ -15,6 +15,7 @@
 from gooseberrydale.connection.mesh import CONTROL_ROLE, Hello
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.ended_lives import EndedLives
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +76,9 @@
     def config_changed(self) -> None:
         """A higher revision is in force."""
 
+    def lives_ended(self) -> None:
+        """There is news of lives of upstreams that ended."""
+
     def close(self) -> None:
         """End the session soon."""
 
@@ -90,8 +94,10 @@
         *,
         on_ack: AckListener | None = None,
         timings: MeshTimings | None = None,
+        ended_lives: EndedLives | None = None,
     ) -> None:
         self.identity = identity
+        self.ended_lives = EndedLives() if ended_lives is None else ended_lives
         self.directory = directory
         self.store = store
         self.timings = timings if timings is not None else MeshTimings()
@@ -101,19 +107,22 @@
         self._sessions: dict[Session, PeerState | None] = {}
         self._pull_until = 0.0
         self._pulled_revision = 0
-        self._unsubscribe: Callable[[], None] | None = None
+        self._unsubscribe: tuple[Callable[[], None], ...] = ()
         self._watch: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Begin to tell sessions of changes."""
-        self._unsubscribe = self.directory.subscribe(self._records_changed)
+        self._unsubscribe = (
+            self.directory.subscribe(self._records_changed),
+            self.ended_lives.subscribe(self._lives_ended),
+        )
         self._watch = asyncio.create_task(self._watch_config())
 
     async def close(self) -> None:
         """Ask all sessions to end and stop telling them of changes."""
-        if self._unsubscribe is not None:
-            self._unsubscribe()
-            self._unsubscribe = None
+        for unsubscribe in self._unsubscribe:
+            unsubscribe()
+        self._unsubscribe = ()
         if self._watch is not None:
             self._watch.cancel()
             await asyncio.gather(self._watch, return_exceptions=True)
@@ -182,6 +191,10 @@
         for session in self._sessions:
             session.records_changed(urgent)
 
+    def _lives_ended(self) -> None:
+        for session in self._sessions:
+            session.lives_ended()
+
     async def _watch_config(self) -> None:
         revision = self.store.revision
         while True:
--- a/gooseberrydale/connection/mesh_session.py
+++ b/gooseberrydale/connection/mesh_session.py
@@ -30,6 +30,9 @@
 BATCH_RECORDS = 256
 """Records in one message at most."""
 
+BATCH_ENDED = 32
+"""Lives that ended in one message at most, each with some tens of requests."""
+
 STALL_S = 0.25
 """A timer that fires later than this shows that the process itself was held up."""
 
@@ -59,6 +62,7 @@
         self._peer_sent_at: float | None = None
         self._closed: asyncio.Future[None] = self._loop.create_future()
         self._sent_version = 0
+        self._sent_ended = 0
         self._told_revision = -1
         self._told_at = 0.0
         self._peer_wants_above: int | None = None
@@ -82,6 +86,10 @@
         gather_s = timings.gather_s if urgent else timings.renewal_gather_s
         self._alarm.by(self._loop.time() + gather_s)
 
+    def lives_ended(self) -> None:
+        """Tell soon which lives of upstreams have ended."""
+        self.records_changed(urgent=True)
+
     def config_changed(self) -> None:
         """Tell the new revision now."""
         self._alarm.by(self._loop.time())
@@ -190,6 +198,8 @@
             self._alarm.by(self._loop.time())
 
     def _take_records(self, msg: Announce, peer: Hello) -> None:
+        for life in msg.ended:
+            self._node.ended_lives.offer(life, self.heard_at, source=self)
         age_s = self._transit.age_s(msg.sent_at, self.heard_at)
         for record in msg.records:
             taken = self._node.directory.offer(
@@ -220,6 +230,7 @@
         yield from self._due_ack(now)
         yield from self._due_pull(now)
         yield from self._due_config()
+        yield from self._due_ended(now)
         yield from self._due_records(now)
         self._alarm.by(self._told_at + self._node.timings.heartbeat_s)
 
@@ -269,6 +280,20 @@
                 echo_at=self._echo_at(now),
             )
 
+    def _due_ended(self, now: float) -> Iterator[MeshMessage]:
+        """What is known of ended lives; sidecars only tell of theirs."""
+        if self._peer is not None and self._peer.role == SIDECAR_ROLE:
+            return
+        news = self._node.ended_lives.since(self._sent_ended, now, exclude=self)
+        self._sent_ended = news.version
+        for start in range(0, len(news.lives), BATCH_ENDED):
+            yield Announce(
+                records=(),
+                sent_at=now,
+                echo_at=self._echo_at(now),
+                ended=news.lives[start : start + BATCH_ENDED],
+            )
+
     def _records_to_send(self, now: float) -> tuple[UpstreamRecord, ...]:
         """Sidecars get no records but of a later incarnation of their own name."""
         if self._peer is not None and self._peer.role == SIDECAR_ROLE:
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -186,6 +186,18 @@
     "The upstreams of pool {pool!r} take no more work right now; come back after the"
     " given time.",
 )
+ENDS_UPSTREAMS = ErrorKind(
+    "ends_upstreams",
+    503,
+    "{count} upstreams have ended while they ran this request, so it is not sent to"
+    " another one; change it, or ask your operator about {digest}.",
+)
+ENDED_UPSTREAMS = ErrorKind(
+    "ended_upstreams",
+    502,
+    "The request was sent, and {count} upstreams have ended while they ran it; change"
+    " it, or ask your operator about {digest}.",
+)
 NO_ROOM = ErrorKind(
     "no_room",
     503,
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -81,6 +81,22 @@
     digest: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestBarred(LogEvent):
+    """A request is sent nowhere, since the lives ``ended`` have ended under it.
+
+    ``digest`` is the same for each repeat of the request.
+    """
+
+    NAME: ClassVar[str] = "request_barred"
+    TEXT: ClassVar[str] = "request barred"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    request_id: str
+    digest: str
+    ended: list[str]
+
+
 @dataclass(frozen=True, slots=True)
 class StreamMoved(LogEvent):
     """A stream leaves an upstream that has to become free for an order."""
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -18,12 +18,14 @@
     DocumentInForce,
     Drained,
     Draining,
+    RequestBarred,
     RequestEnded,
     SendEnded,
     Serving,
     StoreFound,
     StoreLost,
     UpstreamBack,
+    UpstreamEnded,
     UpstreamRetired,
     UpstreamSuspected,
     WeightsNamed,
@@ -59,6 +61,8 @@
     "lost": "the connection to the upstream ended before an answer; it may have run",
     "invalid": "the upstream's answer was not whole, or not its own",
     "timed_out": "its time ended",
+    "ends_upstreams": "upstreams had ended while they ran it, so it was sent nowhere",
+    "ended_upstreams": "upstreams ended while they ran it; it may have run in part",
     "broken": "its stream broke off and could not go on elsewhere",
     "no_upstream": "no upstream was known that could take it",
     "no_room": "every upstream would have answered too late",
@@ -105,6 +109,9 @@
             )
         outcome = str(self.end.fields.get("outcome"))
         known = CAUSES.get(outcome, f"it ended as {outcome}")
+        barred = [line for line in self.lines if line.event == RequestBarred.NAME]
+        if barred:
+            return f"{known} (ended: {', '.join(barred[-1].fields.get('ended', ()))})"
         sends = [line for line in self.lines if line.event == SendEnded.NAME]
         if not sends:
             return known
@@ -149,10 +156,12 @@
     ends = [line for line in own if line.event == RequestEnded.NAME]
     upstreams = {name for line in own for name in _upstreams(line)}
     gateways = {line.node for line in own}
+    digests = {str(line.fields.get("digest") or "") for line in own} - {""}
     shown = [
         line
         for line in known
         if line.fields.get("request_id") == request_id
+        or _ended_under(line, digests)
         or (
             -AROUND_S <= line.since_s(own[0])
             and line.since_s(own[-1]) <= AFTER_S
@@ -162,6 +171,14 @@
     return Story(request_id, tuple(shown), ends[-1] if ends else None)
 
 
+def _ended_under(line: Line, digests: set[str]) -> bool:
+    """Whether an upstream ended while it ran the request or a repeat of it."""
+    if line.event != UpstreamEnded.NAME:
+        return False
+    ran = (*line.fields.get("waiting", ()), *line.fields.get("answering", ()))
+    return not digests.isdisjoint(map(str, ran))
+
+
 def _matters(line: Line, gateways: set[str], upstreams: set[str]) -> bool:
     if line.event in _OF_GATEWAY:
         return line.node in gateways
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -9,8 +9,15 @@
 import asyncio
 
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.errors import NO_ROOM, NO_UPSTREAM, OUTCOME_UNKNOWN, problem
-from gooseberrydale.log_events import SendEnded, StreamMoved, emit
+from gooseberrydale.errors import (
+    ENDED_UPSTREAMS,
+    ENDS_UPSTREAMS,
+    NO_ROOM,
+    NO_UPSTREAM,
+    OUTCOME_UNKNOWN,
+    problem,
+)
+from gooseberrydale.log_events import RequestBarred, SendEnded, StreamMoved, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.measures import Measures
@@ -73,12 +80,15 @@
     async def run(self) -> None:
         """Serve the request; raises :class:`BrokenAnswerError` if its answer breaks."""
         self._budget.deposit(_now())
-        while True:
+        while not self._is_barred():
             try:
                 placed = await self._placing.place()
             except NoRoomError:
                 await self._refuse_for_now()
                 return
+            if self._is_barred():
+                # It was learned while the request waited for room.
+                break
             if placed is None:
                 await self._without_upstream()
                 return
@@ -88,6 +98,28 @@
                 return
             if not await self._again(end, others=placed.others):
                 return
+        await self._refuse_barred()
+
+    def _is_barred(self) -> bool:
+        """Whether the request ends its upstreams, here or by way of other gateways.
+
+        Asked before each send: repeats have ids of their own and come to any gateway.
+        """
+        return self._upstreams.ended_lives.is_barred(self._job.fingerprint)
+
+    async def _refuse_barred(self) -> None:
+        """Say at once, and for good, that the request is sent nowhere any more."""
+        digest = shown(self._job.fingerprint)
+        ended = self._upstreams.ended_lives.blamed_for(self._job.fingerprint)
+        emit(RequestBarred(self._job.call.request_id, digest, list(ended)))
+        ran = self._sender.runs > 0
+        kind = ENDED_UPSTREAMS if ran else ENDS_UPSTREAMS
+        self.outcome = kind.code
+        if self._answer.started:
+            raise BrokenAnswerError
+        not_run = None if ran else True
+        why = problem(kind, not_run=not_run, count=len(ended), digest=digest)
+        await self._answer.refuse(why)
 
     async def _send(self, record: UpstreamRecord, chosen: Candidate) -> End | None:
         self.choices.append(chosen)
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -205,6 +205,7 @@
             body = await _read_whole(conn)
             await self._answer.whole(head.status, head.headers, body)
         answered(record.name, load, failed=False)
+        self._parts.upstreams.ended_lives.answered(job.fingerprint, _now())
         return None
 
     def _is_mine(self, raw: ResponseHead) -> bool:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -18,6 +18,7 @@
 from gooseberrydale.request.placement import Candidate, Demand, homes_in_reach
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.ended_lives import EndedLives
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.open_runs import Run
 from gooseberrydale.version.order_marks import is_mark, mark_name
@@ -62,7 +63,7 @@
     """Pools by name, and what is known of each upstream.
 
     ``weights_bound_s`` is for how long work may start on overtaken weights; ``stores``
-    are those of KV cache.
+    are those of KV cache.  What ran at those that end is told to ``ended_lives``.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         weights: NamedWeights,
         weights_bound_s: float,
         stores: Stores,
+        ended_lives: EndedLives,
     ) -> None:
         self._directory = directory
         self._zone = zone
@@ -82,6 +84,7 @@
         self._weights = weights
         self._weights_bound_s = weights_bound_s - OLD_WEIGHTS_MARGIN_S
         self.stores = stores
+        self.ended_lives = ended_lives
         self._pools: dict[str, _PoolView] = {}
         self._loads: dict[str, UpstreamLoad] = {}
         # The life of each upstream that the load is of.
@@ -91,7 +94,7 @@
     def load_of(self, name: str) -> UpstreamLoad:
         """What this process knows of the life ``name`` of an upstream."""
         if name not in self._loads:
-            self._loads[name] = UpstreamLoad()
+            self._loads[name] = UpstreamLoad(self._lives.get(name, ""))
         return self._loads[name]
 
     def refused(self, name: str, now: float, *, gone: bool) -> None:
@@ -104,6 +107,7 @@
         """A life of an upstream has ended, with all that it ran."""
         known = load.runs.is_over
         lost = load.runs.over(now)
+        self.ended_lives.report(life_name(name, load.life), lost, now)
         if lost or not known:
             waiting = [shown(one) for one in lost.waiting]
             answering = [shown(one) for one in lost.answering]
@@ -249,6 +253,7 @@
                 self._end_life(record.name, now, "it has started again")
                 self._loads.pop(record.name, None)
             self._lives[record.name] = record.incarnation
+            self.load_of(record.name).life = record.incarnation
             self._end_life_at(record, now)
 
     def _end_life_at(self, newcomer: UpstreamRecord, now: float) -> None:
@@ -350,6 +355,11 @@
         return frozenset(v for v, salt in salts.items() if store.holds(salt, shared))
 
 
+def life_name(name: str, life: str) -> str:
+    """Names one life of an upstream, the same in every process."""
+    return f"{name}@{life}" if life else name
+
+
 def weights_version(record: UpstreamRecord) -> int:
     """The weights version that an upstream serves; 0 if it told none."""
     return int(record.weights_version or 0)
--- a/gooseberrydale/process/losses.py
+++ b/gooseberrydale/process/losses.py
@@ -43,6 +43,7 @@
     NOT_READY = "no configuration yet"
     GONE = "instance gone"
     SERVICE = "the service itself failed"
+    BARRED = "it ends the upstreams that run it"
     LEFT = "its caller left early"
     UNKNOWN = "unknown"
 
@@ -67,9 +68,14 @@
     "invalid": Cause.SERVICE,
     "refused": Cause.CHANGING,
     "no_room": Cause.QUEUED,
+    "ends_upstreams": Cause.BARRED,
+    "ended_upstreams": Cause.BARRED,
 }
 _REFUSALS = frozenset(
-    {"not_ready", "shutting_down", "no_upstream", "no_room", "refused"}
+    {
+        *("not_ready", "shutting_down", "no_upstream", "no_room", "refused"),
+        "ends_upstreams",
+    }
 )
 _CHOICE = re.compile(r"(\w+)=([-\w.]+)")
 
--- a/gooseberrydale/process/membership.py
+++ b/gooseberrydale/process/membership.py
@@ -31,6 +31,7 @@
 from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.ended_lives import EndedLives
 from gooseberrydale.version.order_marks import is_mark_name
 from gooseberrydale.version.session_targets import EntryPoint, session_targets
 
@@ -54,8 +55,8 @@
 
     ``role`` is ``entry``, ``sidecar`` or ``control``.  ``own_record`` is asked for
     each announcement, or None while there is nothing to announce; the mesh sets
-    ``seq`` itself.  ``on_ack`` is called with a :class:`PeerState` whenever a
-    process tells its revision.
+    ``seq`` itself.  ``ended_lives`` are told to all others but sidecars.  ``on_ack``
+    is called with a :class:`PeerState` whenever a process tells its revision.
     """
 
     def __init__(
@@ -71,13 +72,19 @@
         on_ack: AckListener | None = None,
         timings: MeshTimings | None = None,
         rng: random.Random | None = None,
+        ended_lives: EndedLives | None = None,
     ) -> None:
         self._rng = rng if rng is not None else random.Random()
         identity = Identity(
             role=role, name=cfg.node.name, incarnation=incarnation, zone=cfg.node.zone
         )
         self._node = MeshNode(
-            identity, directory, store, on_ack=on_ack, timings=timings
+            identity,
+            directory,
+            store,
+            on_ack=on_ack,
+            timings=timings,
+            ended_lives=ended_lives,
         )
         self._server = MeshServer(self._node)
         tls = tls_files(cfg.fleet.tls)
@@ -151,7 +158,9 @@
         directory = self._node.directory
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
-            for name in directory.expire(asyncio.get_running_loop().time()):
+            now = asyncio.get_running_loop().time()
+            self._node.ended_lives.expire(now)
+            for name in directory.expire(now):
                 # Marks of orders end in this way as a rule.
                 if not is_mark_name(name):
                     logger.warning("lease of upstream {} ended", name)
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -44,9 +44,13 @@
 
 
 class UpstreamLoad:
-    """The load and the faults of one upstream; times are seconds of the loop."""
+    """The load and the faults of one life of an upstream.
 
-    def __init__(self) -> None:
+    Times are seconds of the loop; ``life`` is its incarnation, empty if it told none.
+    """
+
+    def __init__(self, life: str = "") -> None:
+        self.life = life
         self._requests = 0
         self._prefill_tokens = 0
         self._kv_tokens = 0
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -19,6 +19,7 @@
 )
 from gooseberrydale.version.declared import EngineSize, Pool
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.ended_lives import EndedLives
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import mark
 from gooseberrydale.version.peer_loads import (
@@ -272,6 +273,7 @@
         weights or NamedWeights(),
         8.0,
         Stores(),
+        EndedLives(),
     )
 
 
@@ -335,7 +337,8 @@
         directory.offer(record(f"u{number}", model="m"), 0.0)
     peers.take(report("g2", 1, UpstreamWork("u1", 2, 400, 8_000)), 0.0)
     view = Upstreams(
-        *(directory, "local", random.Random(1), peers, NamedWeights(), 8.0, Stores())
+        *(directory, "local", random.Random(1), peers, NamedWeights(), 8.0, Stores()),
+        EndedLives(),
     )
     asked = prompt(("guide", 100), ("lot", 100))
     assert names(view, asked, 0.0)["u0"].load == IDLE
