Let sidecars tell what their upstreams ran when they ended, and entries refuse it

Change: a sidecar notes its attempts by life of its upstream, looks at once when one breaks, and tells by its mesh sessions what ran when the upstream ended. Entries ask before each attempt whether the request is barred, and say so at once, with the true outcome of the attempts before.

--- a/gooseberrydale/process/sidecar/attempt.py
+++ b/gooseberrydale/process/sidecar/attempt.py
@@ -61,6 +61,11 @@
 
     # The writer's side.
 
+    @property
+    def broke(self) -> bool:
+        """Whether it has ended without its whole answer, and may have run."""
+        return self._problem is not None and self._problem.not_run is not True
+
     @property
     def answered(self) -> bool:
         """True once the head of the answer is known."""
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -29,6 +29,7 @@
 from gooseberrydale.process.sidecar.kv_transfer import KvTransfer
 from gooseberrydale.process.sidecar.orders import OrderKeeper
 from gooseberrydale.process.sidecar.service import SidecarService
+from gooseberrydale.process.sidecar.upstream_runs import Running, UpstreamRuns
 from gooseberrydale.process.sidecar.upstream_watch import UpstreamWatch
 from gooseberrydale.process.sidecar.worker import Worker
 from gooseberrydale.process.tls import tls_files
@@ -36,6 +37,7 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declarations import ProfileKind
 from gooseberrydale.version.directory import Directory, new_incarnation
+from gooseberrydale.version.ended_lives import EndedLives
 from gooseberrydale.version.upstream_state import UpstreamState
 
 RPC_GRACE_S = 0.5
@@ -54,7 +56,11 @@
         self.store = ConfigStore()
         self.directory = Directory()
         self._view = CacheView()
-        self._watch = UpstreamWatch(self._sidecar, self._state_changed, self._took_load)
+        self._ended_lives = EndedLives()
+        self._runs = UpstreamRuns(cfg.node.name, self.incarnation, self._ended_lives)
+        self._watch = UpstreamWatch(
+            self._sidecar, self._state_changed, self._took_load, self._runs
+        )
         self._follower = CacheFollower(self._sidecar.upstream, self._view)
         self._kv = KvTransfer(
             self._sidecar.upstream, self._sidecar.kv_store, self._prefill_tps
@@ -87,6 +93,7 @@
             token,
             self.incarnation,
             rng=rng,
+            ended_lives=self._ended_lives,
         )
         self._control = ControlClient(
             cfg.fleet.controls, token, tls_files(cfg.fleet.tls), rng
@@ -226,10 +233,20 @@
 
     async def _run_attempt(self, attempt: Attempt) -> None:
         await self._orders.idle()
-        attempt.on_first_part = partial(self._first_part, attempt)
-        await self._worker.run(attempt)
+        running = self._runs.began(attempt.req)
+        attempt.on_first_part = partial(self._first_part, attempt, running)
+        outlived = False
+        try:
+            await self._worker.run(attempt)
+            outlived = not attempt.broke
+        finally:
+            self._runs.ended(running, answered=outlived)
+        if not outlived:
+            # An upstream that has ended may be back before the next look.
+            self._watch.look_now()
 
-    def _first_part(self, attempt: Attempt) -> None:
+    def _first_part(self, attempt: Attempt, running: Running) -> None:
+        running.run.answering = True
         now = asyncio.get_running_loop().time()
         self.dispatcher.admission.first_token(work_id(attempt.key), now)
 
--- a/gooseberrydale/process/sidecar/upstream_watch.py
+++ b/gooseberrydale/process/sidecar/upstream_watch.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from loguru import logger
 
@@ -30,12 +31,27 @@
 LoadListener = Callable[[LoadReply], None]
 
 
+class LifeListener(Protocol):
+    """Who wants to know whether the upstream is there at each look."""
+
+    def upstream_gone(self, reason: str) -> None:
+        """It grants no connection."""
+
+    def upstream_there(self, incarnation: str) -> None:
+        """It answers; ``incarnation`` is empty if it does not tell one."""
+
+
 class UpstreamWatch:
     """Polls the upstream; ``on_state`` gets the old and the new state."""
 
     def __init__(
-        self, cfg: SidecarCfg, on_state: StateListener, on_load: LoadListener
+        self,
+        cfg: SidecarCfg,
+        on_state: StateListener,
+        on_load: LoadListener,
+        lives: LifeListener,
     ) -> None:
+        self._lives = lives
         self._base_url = cfg.upstream
         self._has_load = cfg.kind == ProfileKind.COMPLETION
         self._on_state = on_state
@@ -43,6 +59,7 @@
         self._failures = 0
         self._tells_requests = False
         self._task: asyncio.Task[None] | None = None
+        self._look: asyncio.Task[None] | None = None
         self._polling = asyncio.Lock()
         self.state = UpstreamState()
         self.seen_at = 0.0
@@ -54,9 +71,15 @@
 
     async def close(self) -> None:
         """Stop watching."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.wait([self._task])
+        tasks = [task for task in (self._task, self._look) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def look_now(self) -> None:
+        """Ask for the health soon, without waiting for it."""
+        if self._look is None or self._look.done():
+            self._look = asyncio.create_task(self.poll())
 
     async def alive(self) -> bool:
         """Whether the upstream answers anything at all on a new connection."""
@@ -107,6 +130,7 @@
                 self._failed(exc)
                 return
             self._failures = 0
+            self._lives.upstream_there(state.incarnation)
             self._set(state)
             self.seen_at = asked_at
 
@@ -142,6 +166,8 @@
 
     def _failed(self, exc: UpstreamError) -> None:
         self._failures += 1
+        if not exc.sent:
+            self._lives.upstream_gone(str(exc))
         if exc.sent and self._failures < FAILURES_TO_UNREADY:
             return
         old = self.state
--- a/gooseberrydale/request/deps.py
+++ b/gooseberrydale/request/deps.py
@@ -14,6 +14,7 @@
 from gooseberrydale.request.routing import Policy
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.ended_lives import EndedLives
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,3 +37,4 @@
     config_sync: ConfigSync
     instruments: Instruments
     freshness: Freshness
+    ended_lives: EndedLives
--- a/gooseberrydale/request/job.py
+++ b/gooseberrydale/request/job.py
@@ -7,14 +7,16 @@
 
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Protocol
 
 from gooseberrydale.connection.messages import Piece
 from gooseberrydale.errors import STREAM_TAKEN_OVER, ProblemError, problem
+from gooseberrydale.request.fingerprint import fingerprint
 from gooseberrydale.version.declarations import Profile, ProfileKind
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Job:
     """An authenticated and checked request.
 
@@ -40,6 +42,12 @@
         """Whether a model engine answers it."""
         return self.profile.kind is ProfileKind.COMPLETION
 
+    @cached_property
+    def fingerprint(self) -> bytes:
+        """What names the request, the same for each repeat of it."""
+        profile = self.profile.name
+        return fingerprint(self.workspace, self.method, profile, self.path, self.body)
+
 
 @dataclass(frozen=True, slots=True)
 class Head:
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -24,16 +24,20 @@
 )
 from gooseberrydale.errors import (
     DEADLINE_PASSED,
+    ENDED_UPSTREAMS,
+    ENDS_UPSTREAMS,
     OUTCOME_UNKNOWN,
     Problem,
     ProblemError,
     problem,
 )
+from gooseberrydale.log_events import RequestBarred, emit
 from gooseberrydale.request.cancel import cancel, confirm_not_run
 from gooseberrydale.request.chooser import CONNECTION_CAUSES, Chooser
 from gooseberrydale.request.claim_gate import Gate
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.exchange import DeadlinePassed, Exchange, ExchangeLost
+from gooseberrydale.request.fingerprint import shown
 from gooseberrydale.request.job import Job, Part, ReaderReplaced
 from gooseberrydale.request.parts import PartMaker
 from gooseberrydale.request.reassembly import (
@@ -58,6 +62,7 @@
 
 COME_BACK_S = 1.0
 CONFIRM_AT_DEADLINE_S = 0.25
+FIRST_SERVER_STATUS = 500
 UNSTREAMED_ANSWER_S = 300.0
 """Time for the rest of a completion that is not streamed, after its deadline."""
 
@@ -76,6 +81,7 @@
         self._exchange: Exchange | None = None
         self._attempt = 0
         self._accepted = False
+        self._served = False
         self._record_seq = 0
         self._may_have_run = False
         self._whole = False
@@ -136,6 +142,7 @@
                 case Finished():
                     parts += self._parts.finish()
                     self._whole = True
+                    self._note_served()
                 case NeedAttach():
                     await self._decide(self._outcome(Cause.GAP))
                 case Broken():
@@ -143,6 +150,10 @@
                     await self._decide(self._outcome(cause, action.problem))
         return parts
 
+    def _note_served(self) -> None:
+        if self._served:
+            self._deps.ended_lives.answered(self._job.fingerprint, self._now())
+
     def _learn(self, frame: Frame) -> None:
         assert self._exchange is not None and self._choice is not None
         if not self._exchange.is_current(frame):
@@ -152,6 +163,7 @@
         self._deps.policy.observe(self._choice, frame, self._now())
         if isinstance(frame, Accepted):
             self._accepted = True
+            self._served = frame.status < FIRST_SERVER_STATUS
             tally = self._deps.instruments.tally
             tally.prompt_tokens += sum(piece.tokens for piece in self._job.pieces)
             tally.cached_tokens += frame.cached_tokens
@@ -160,6 +172,7 @@
 
     async def _start(self) -> Exchange:
         """Begin another attempt on an upstream that was not tried yet."""
+        self._check_barred()
         self._choice = await self._chooser.choose(
             given=self._parts.given, may_have_run=self._may_have_run
         )
@@ -182,6 +195,24 @@
             self._deps.cfg.silence_s,
         )
 
+    def _check_barred(self) -> None:
+        """Raise :class:`ProblemError` if the request ends those that run it.
+
+        Asked before each attempt: repeats have ids of their own and come to any entry.
+        """
+        ended_lives, request = self._deps.ended_lives, self._job.fingerprint
+        if not ended_lives.is_barred(request):
+            return
+        ended = ended_lives.blamed_for(request)
+        emit(RequestBarred(self._job.request_id, shown(request), list(ended)))
+        not_run = None if self._may_have_run else True
+        if self._parts.given:
+            not_run = False
+        kind = ENDS_UPSTREAMS if not_run else ENDED_UPSTREAMS
+        raise ProblemError(
+            problem(kind, not_run=not_run, count=len(ended), digest=shown(request))
+        )
+
     def _newest(self, record: UpstreamRecord) -> UpstreamRecord:
         """The newest announcement of the same life; the choice may name an old one."""
         newest = self._deps.directory.get(record.name, self._now())
--- a/tests/builders_memory_roles.py
+++ b/tests/builders_memory_roles.py
@@ -43,6 +43,7 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.control_state import ControlState
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.ended_lives import EndedLives
 from gooseberrydale.version.upstream_state import UpstreamState
 from tests.builders_memory_net import Channel, Host, Net
 from tests.builders_memory_upstream import (
@@ -231,6 +232,7 @@
             config_sync=ConfigSync(self.store, pool, background),
             instruments=METRICS.instruments,
             freshness=Freshness(net.processes.loop.time()),
+            ended_lives=EndedLives(),
         )
 
     def _dial(self, address: str) -> Channel:
--- a/tests/test_ended_upstreams.py
+++ b/tests/test_ended_upstreams.py
@@ -12,9 +12,9 @@
 forgotten with its answer, and nothing said that the next one asks for the same, be it
 at that gateway or at another one; so the request ran as often as it came.
 
-The evidence: eight sends under eight ids by way of six gateways, none of them sent twice
-by its gateway; and a digest of what each asks for, which is the same on all eight,
-while what else ran at the upstreams was on three of them at most.
+The evidence: eight sends under eight ids by way of six gateways, none of them sent
+twice by its gateway; and a digest of what each asks for, which is the same on all
+eight, while what else ran at the upstreams was on three of them at most.
 """
 
 from __future__ import annotations
--- a/tests/test_silent_answer.py
+++ b/tests/test_silent_answer.py
@@ -45,12 +45,22 @@
         async with tiny_upstream(answer) as upstream:
             cfg = sidecar_cfg(tmp_path, upstream.url).sidecar
             assert cfg is not None
-            watch = UpstreamWatch(cfg, lambda *_: None, lambda _: None)
+            watch = UpstreamWatch(cfg, lambda *_: None, lambda _: None, NoLives())
             assert await watch.lost("req-1", 2) is lost
 
     run(main())
 
 
+class NoLives:
+    """Nobody wants to know."""
+
+    def upstream_gone(self, reason: str) -> None:
+        pass
+
+    def upstream_there(self, incarnation: str) -> None:
+        pass
+
+
 def test_an_answer_on_its_way_gets_time_to_arrive(tmp_path: pathlib.Path) -> None:
     took: list[float] = []
 
@@ -62,7 +72,7 @@
         async with tiny_upstream(answer) as upstream:
             cfg = sidecar_cfg(tmp_path, upstream.url).sidecar
             assert cfg is not None
-            watch = UpstreamWatch(cfg, lambda *_: None, lambda _: None)
+            watch = UpstreamWatch(cfg, lambda *_: None, lambda _: None, NoLives())
             began = loop.time()
             await watch.lost("req-1", 1)
             took.append(loop.time() - began)
--- /dev/null
+++ b/tests/test_upstream_runs.py
@@ -0,0 +1,84 @@
+"""Which life of its upstream a sidecar blames a request for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from gooseberrydale.process.sidecar.upstream_runs import Running, UpstreamRuns
+from gooseberrydale.version.ended_lives import EndedLives
+from tests.builders_sidecar import dispatch_req
+
+Step = Callable[[UpstreamRuns, list[Running]], None]
+
+
+def begin(runs: UpstreamRuns, open_: list[Running]) -> None:
+    open_.append(runs.began(dispatch_req("i1")))
+
+
+def end(answered: bool) -> Step:
+    def step(runs: UpstreamRuns, open_: list[Running]) -> None:
+        runs.ended(open_.pop(), answered=answered)
+
+    return step
+
+
+def gone(runs: UpstreamRuns, open_: list[Running]) -> None:
+    runs.upstream_gone("refused")
+
+
+def there(life: str) -> Step:
+    return lambda runs, _: runs.upstream_there(life)
+
+
+BREAK, WELL = end(answered=False), end(answered=True)
+CASES: dict[str, tuple[list[Step], int]] = {
+    # what happens, and how many lives the request is to blame for
+    "it runs when its upstream is gone": ([there("a"), begin, gone], 1),
+    "it broke just before": ([there("a"), begin, BREAK, gone], 1),
+    "it breaks just after": ([there("a"), begin, gone, BREAK], 1),
+    "it was answered before": ([there("a"), begin, WELL, gone], 0),
+    "gone for several looks": ([there("a"), begin, gone, gone, gone], 1),
+    "another life is there at the next look": (
+        [there("a"), begin, BREAK, there("b")],
+        1,
+    ),
+    "the same life is there at the next look": (
+        [there("a"), begin, BREAK, there("a")],
+        0,
+    ),
+    "two lives": (
+        [there("a"), begin, gone, BREAK, there("b"), begin, gone, BREAK],
+        2,
+    ),
+    "two lives that don't tell": (
+        [there(""), begin, gone, BREAK, there(""), begin, gone, BREAK],
+        2,
+    ),
+    "out of reach for a while, then well": (
+        [there("a"), begin, gone, there("a"), WELL, begin, there("a"), gone],
+        1,
+    ),
+    "it breaks once another life is there": (
+        [there("a"), begin, gone, there("b"), BREAK],
+        1,
+    ),
+    "the first look after the start": ([there(""), there("a"), begin, WELL], 0),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_the_lives_that_a_request_ended(case: str) -> None:
+    steps, blamed = CASES[case]
+
+    async def main() -> None:
+        table = EndedLives()
+        runs, open_ = UpstreamRuns("upstream-1", "life-1", table), []
+        for step in steps:
+            step(runs, open_)
+        found = {name for one in table.since(0, 0.0).lives for name in [one.life]}
+        assert len(found) == blamed
+
+    asyncio.run(main())
