Keep what ran at ended upstreams over a restart of control

Cause: after all processes were killed at once nobody knew of the ends before, and a request that ends its upstreams was free to end three more. Change: control keeps what it knows in a file beside the announced upstreams, which gateways and entries hear when their sessions open. Both files share one way of writing and reading; their log lines name the file.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -383,22 +383,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UpstreamsNotKept(LogEvent):
-    """The file of announced upstreams was not written; a restart takes longer."""
+class NotKept(LogEvent):
+    """A file that helps a restart was not written: upstreams, or what they ran."""
 
-    NAME: ClassVar[str] = "upstreams_not_kept"
-    TEXT: ClassVar[str] = "upstreams not kept"
+    NAME: ClassVar[str] = "not_kept"
+    TEXT: ClassVar[str] = "not kept"
 
+    file: str
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
-class NoUpstreamsKept(LogEvent):
-    """This start knows no upstreams until they announce themselves."""
+class NothingKept(LogEvent):
+    """This start knows nothing of what such a file holds until others tell it."""
 
-    NAME: ClassVar[str] = "no_upstreams_kept"
-    TEXT: ClassVar[str] = "no upstreams kept"
+    NAME: ClassVar[str] = "nothing_kept"
+    TEXT: ClassVar[str] = "nothing kept"
 
+    file: str
     reason: str
 
 
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -26,6 +26,7 @@
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.control.announcements import Announcements
 from gooseberrydale.process.control.documents import Documents
+from gooseberrydale.process.control.ended_lives_cache import EndedLivesCache
 from gooseberrydale.process.control.first_start import begin_together
 from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.process.control.group_commit import GroupCommit
@@ -59,6 +60,7 @@
     Directory,
     new_incarnation,
 )
+from gooseberrydale.version.ended_lives import EndedLives
 from gooseberrydale.version.replication.core import RaftCfg
 
 if TYPE_CHECKING:
@@ -125,6 +127,11 @@
         # Upstreams that announce themselves have leases long enough for it.
         part = PASSED_RENEWAL_PART if own.open_group else 0.0
         self.directory = Directory(renewal_part=part)
+        self.ended_lives = EndedLives()
+        self._ended_cache: EndedLivesCache | None = None
+        if not in_memory:
+            path = own.data_dir / "ended"
+            self._ended_cache = EndedLivesCache(path, self.ended_lives)
         self._tasks: list[asyncio.Task[None]] = []
         self._machine = PublishingMachine(self.state, self.store)
         self._rpc = RpcServer(own.rpc, token, tls)
@@ -196,6 +203,8 @@
             self._tasks.append(spawn(self._watch_replica(self._replica)))
         if self._upstream_cache is not None:
             await self._upstream_cache.start()
+        if self._ended_cache is not None:
+            await self._ended_cache.start()
         await self._commit.start()
         await self._mesh.start()
         await self._rpc.start()
@@ -219,6 +228,8 @@
             await self._announcements.close()
         if self._upstream_cache is not None:
             await self._upstream_cache.close()
+        if self._ended_cache is not None:
+            await self._ended_cache.close()
         await self._documents.close()
         await self._orders.close()
         await self._upkeep.close()
@@ -308,6 +319,7 @@
             token,
             incarnation,
             on_ack=self._on_ack,
+            ended_lives=self.ended_lives,
         )
 
     def _on_ack(self, peer: PeerState) -> None:
--- a/gooseberrydale/process/control/upstream_cache.py
+++ b/gooseberrydale/process/control/upstream_cache.py
@@ -3,23 +3,20 @@
 Lives as long as the process; the file lives as long as the disk.  After all processes
 were killed at once, nobody knows an upstream until it announces itself again; what was
 known before is the best guess, and whoever is wrong about it is told so by the
-upstream.  Nobody waits for a write, and a file that can't be read counts as missing.
+upstream.
 """
 
 from __future__ import annotations
 
 import asyncio
-import os
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from gooseberrydale.connection.codec import CodecError, decode, encode, message
+from gooseberrydale.connection.codec import message
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
-from gooseberrydale.log_events import NoUpstreamsKept, UpstreamsNotKept, emit
+from gooseberrydale.process.control.kept_file import KeptFile
 from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.replication.files import OsFiles
-from gooseberrydale.version.replication.records import frame, scan
 
 GATHER_S = 0.1
 """Changes within this time share a write."""
@@ -40,7 +37,7 @@
     """Writes the records of ``directory`` to ``path`` when they change."""
 
     def __init__(self, path: Path, directory: Directory) -> None:
-        self._path = path
+        self._file = KeptFile(path)
         self._directory = directory
         self._changed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -68,27 +65,10 @@
             self._changed.clear()
             now = asyncio.get_running_loop().time()
             records = [r for r in self._directory.records(now) if _is_upstream(r)]
-            await asyncio.to_thread(self._write, tuple(records))
-
-    def _write(self, records: tuple[UpstreamRecord, ...]) -> None:
-        new = self._path.with_suffix(".new")
-        try:
-            with open(new, "wb") as file:
-                file.write(frame(encode(KeptUpstreams(records))))
-                file.flush()
-                os.fsync(file.fileno())
-            os.replace(new, self._path)
-            OsFiles().sync_folder(self._path.parent)
-        except OSError as exc:
-            emit(UpstreamsNotKept(str(exc)))
+            await asyncio.to_thread(self._file.write, KeptUpstreams(tuple(records)))
 
     def _read(self) -> tuple[UpstreamRecord, ...]:
-        try:
-            [payload] = scan(self._path.read_bytes()).payloads
-            kept = decode(payload)
-        except (OSError, ValueError, CodecError) as exc:
-            emit(NoUpstreamsKept(str(exc)))
-            return ()
+        kept = self._file.read()
         return kept.records if isinstance(kept, KeptUpstreams) else ()
 
 
--- a/tests/test_control_open.py
+++ b/tests/test_control_open.py
@@ -13,9 +13,12 @@
 from gooseberrydale.process.control.announcements import Announcements
 from gooseberrydale.process.control.control import Control, Surroundings
 from gooseberrydale.process.control.documents import Documents
+from gooseberrydale.process.control.ended_lives_cache import EndedLivesCache
 from gooseberrydale.process.control.upstream_cache import UpstreamCache
 from gooseberrydale.version.declarations import Document
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.ended_lives import EndedLives
+from tests import builders_lives as lives
 from tests.builders_files import free_address
 from tests.builders_gateway import record
 
@@ -191,3 +194,32 @@
     await cache.start()
     assert directory.records(asyncio.get_running_loop().time()) == ()
     await cache.close()
+
+
+def test_a_request_stays_barred_when_all_processes_start_anew(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "ended"
+
+    async def before() -> None:
+        table = EndedLives()
+        cache = EndedLivesCache(path, table)
+        await cache.start()
+        now = asyncio.get_running_loop().time()
+        for life in ("u1", "u2", "u3"):
+            table.report(life, lives.lost(1, 2), now)
+        table.answered(lives.request(2), now)
+        await asyncio.sleep(0.3)
+        await cache.close()
+
+    async def after(barred: tuple[bytes, ...]) -> None:
+        table = EndedLives()
+        cache = EndedLivesCache(path, table)
+        await cache.start()
+        assert table.barred() == barred
+        await cache.close()
+
+    asyncio.run(before())
+    asyncio.run(after((lives.request(1),)))
+    path.write_bytes(b"no record")
+    asyncio.run(after(()))
