Ask an upstream at once whether it is there when a connection to it breaks

Cause: each of several connections that break together doubles the time for which their upstream is left alone; with four of them it was asked 3.7 s later, when runs that broke were no longer remembered and another life could have its address. So what had ended it was not known. Change: a broken run makes its upstream doubtful, and it is asked at the next look, once. A send says how it ended: answered, broken, or given up on this side. Found by reading, with a test of eight connections that break together.

--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -29,7 +29,7 @@
     Wire,
 )
 from gooseberrydale.version.declared import Pool
-from gooseberrydale.version.open_runs import Run
+from gooseberrydale.version.open_runs import Run, RunEnd
 from gooseberrydale.version.upstream_load import UpstreamLoad, Work
 
 LAST_WORD_S = 0.05
@@ -44,7 +44,10 @@
 
 FIRST_SERVER_STATUS = 500
 
-_UNANSWERED = frozenset({End.LOST, End.TIMED_OUT})
+_RUN_ENDS: dict[End | None, RunEnd] = {
+    End.LOST: RunEnd.BROKE,
+    End.TIMED_OUT: RunEnd.LEFT,
+}
 """Ends at which the upstream may have been gone."""
 
 
@@ -100,20 +103,18 @@
         load = self._parts.upstreams.load_of(record.name)
         self._prefilled = False
         self._run = None
-        # What is cancelled here may have ended its upstream all the same.
-        end: End | None = End.LOST
+        how = RunEnd.LEFT
         load.began(work)
         load.silence.opened(_now())
         self._parts.work_changed()
         try:
             end = await self._until_end(record, terms, load, work)
+            how = _RUN_ENDS.get(end, RunEnd.ANSWERED)
             return end
         finally:
             if self._run is not None:
-                self._parts.upstreams.run_ended(
-                    *(record.name, load, self._run, _now()),
-                    answered=end not in _UNANSWERED,
-                )
+                upstreams = self._parts.upstreams
+                upstreams.run_ended(record.name, load, self._run, _now(), how)
             load.ended(work, prefilled=self._prefilled)
             load.silence.closed()
             self._parts.work_changed()
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -20,7 +20,7 @@
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_lives import EndedLives
 from gooseberrydale.version.named_weights import NamedWeights
-from gooseberrydale.version.open_runs import Run
+from gooseberrydale.version.open_runs import Run, RunEnd
 from gooseberrydale.version.order_marks import is_mark, mark_name
 from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
 from gooseberrydale.version.stores import Stores
@@ -114,11 +114,11 @@
             emit(UpstreamEnded(name, reason, waiting, answering))
 
     def run_ended(
-        self, name: str, load: UpstreamLoad, run: Run, now: float, *, answered: bool
+        self, name: str, load: UpstreamLoad, run: Run, now: float, end: RunEnd
     ) -> None:
-        """A send has ended; ``answered`` if the upstream was there at its end."""
-        load.runs.ended(run, now, answered=answered)
-        if load.runs.is_over and not answered:
+        """A send to a life of an upstream has ended."""
+        load.runs.ended(run, now, end)
+        if load.runs.is_over and end is not RunEnd.ANSWERED:
             self.ended(name, load, now, "a connection broke after the end")
 
     def refusing(self, now: float) -> tuple[str, ...]:
@@ -144,7 +144,8 @@
                 load = self._loads.get(record.name)
                 if load is None:
                     continue
-                if load.silence.is_doubtful(now, load.suspect_until):
+                broke = load.runs.take_doubt()
+                if load.silence.is_doubtful(now, load.suspect_until) or broke:
                     found.append(record)
         return found
 
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -38,6 +38,7 @@
 from gooseberrydale.version.declarations import ProfileKind
 from gooseberrydale.version.directory import Directory, new_incarnation
 from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.open_runs import RunEnd
 from gooseberrydale.version.upstream_state import UpstreamState
 
 RPC_GRACE_S = 0.5
@@ -235,13 +236,13 @@
         await self._orders.idle()
         running = self._runs.began(attempt.req)
         attempt.on_first_part = partial(self._first_part, attempt, running)
-        outlived = False
+        end = RunEnd.LEFT
         try:
             await self._worker.run(attempt)
-            outlived = not attempt.broke
+            end = RunEnd.BROKE if attempt.broke else RunEnd.ANSWERED
         finally:
-            self._runs.ended(running, answered=outlived)
-        if not outlived:
+            self._runs.ended(running, end)
+        if end is RunEnd.BROKE:
             # An upstream that has ended may be back before the next look.
             self._watch.look_now()
 
--- a/gooseberrydale/process/sidecar/upstream_runs.py
+++ b/gooseberrydale/process/sidecar/upstream_runs.py
@@ -14,7 +14,7 @@
 from gooseberrydale.log_events import UpstreamEnded, emit
 from gooseberrydale.request.fingerprint import fingerprint, shown
 from gooseberrydale.version.ended_lives import EndedLives
-from gooseberrydale.version.open_runs import OpenRuns, Run
+from gooseberrydale.version.open_runs import OpenRuns, Run, RunEnd
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,11 +52,11 @@
         )
         return Running(self._life, self._life.runs.began(request))
 
-    def ended(self, running: Running, *, answered: bool) -> None:
-        """An attempt has ended; ``answered`` if the upstream was there then."""
+    def ended(self, running: Running, end: RunEnd) -> None:
+        """An attempt has ended."""
         life = running.life
-        life.runs.ended(running.run, _now(), answered=answered)
-        if life.runs.is_over and not answered:
+        life.runs.ended(running.run, _now(), end)
+        if life.runs.is_over and end is not RunEnd.ANSWERED:
             self._tell(life, "a connection broke after the end")
 
     def upstream_gone(self, reason: str) -> None:
--- a/gooseberrydale/version/open_runs.py
+++ b/gooseberrydale/version/open_runs.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum, auto
 
 NOTICED_S = 2.0
 """A run that broke belongs to the end of its upstream if that is found within this
@@ -19,6 +20,17 @@
 """Runs that broke and are remembered; more than an upstream runs and queues."""
 
 
+class RunEnd(Enum):
+    """How a send ended, for what it says of its upstream."""
+
+    ANSWERED = auto()
+    """The upstream answered to the end, so it was there."""
+    BROKE = auto()
+    """The connection broke, or brought what is no answer."""
+    LEFT = auto()
+    """It was given up on this side."""
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One send; ``answering`` once a part of its answer has come."""
@@ -49,6 +61,7 @@
         self._open: set[Run] = set()
         self._broken: deque[tuple[float, Run]] = deque(maxlen=MOST_BROKEN)
         self._is_over = False
+        self._is_doubtful = False
 
     @property
     def is_over(self) -> bool:
@@ -61,15 +74,26 @@
         self._open.add(run)
         return run
 
-    def ended(self, run: Run, now: float, *, answered: bool) -> None:
-        """A send has ended; ``answered`` if the upstream was there at its end."""
+    def ended(self, run: Run, now: float, end: RunEnd) -> None:
+        """A send has ended."""
         self._open.discard(run)
-        if not answered:
+        if end is not RunEnd.ANSWERED:
             self._broken.append((now, run))
+        if end is RunEnd.BROKE and not self._is_over:
+            self._is_doubtful = True
+
+    def take_doubt(self) -> bool:
+        """Whether a run broke since this was asked last.
+
+        Then the upstream is asked at once whether it is there: later, another life may
+        answer in its place, and nobody knows any more what ran when it ended.
+        """
+        doubtful, self._is_doubtful = self._is_doubtful, False
+        return doubtful
 
     def over(self, now: float) -> Casualties:
         """The life has ended; return what it ran and was not told before."""
-        self._is_over = True
+        self._is_over, self._is_doubtful = True, False
         lately = [run for at, run in self._broken if now < at + NOTICED_S]
         self._broken.clear()
         new = [run for run in (*self._open, *lately) if not run.told]
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -21,6 +21,7 @@
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_lives import EndedLives
 from gooseberrydale.version.named_weights import NamedWeights
+from gooseberrydale.version.open_runs import NOTICED_S, RunEnd
 from gooseberrydale.version.order_marks import mark
 from gooseberrydale.version.peer_loads import (
     FORGET_S,
@@ -346,3 +347,22 @@
     found = names(view, asked, 0.0)
     assert found["u0"].load == Load(3.0, 600.0, 12_000.0)
     assert found["u1"].load == Load(5.0, 1_000.0, 20_000.0)
+
+
+def test_an_upstream_is_asked_at_once_when_its_connections_break() -> None:
+    """However many break together, which makes the pause after them a long one.
+
+    Asked later, it may be back as another life, and what ended it is not known.
+    """
+    directory = Directory()
+    directory.offer(record("u1"), 0.0)
+    view = upstreams(directory)
+    view.records(POOL, 0.0)
+    load = view.load_of("u1")
+    runs = [load.runs.began(bytes(16)) for _ in range(8)]
+    for run in runs:
+        load.unreachable(10.0)
+        view.run_ended("u1", load, run, 10.0, RunEnd.BROKE)
+    assert load.suspect_until > 10.0 + NOTICED_S
+    assert [one.name for one in view.doubtful(10.1)] == ["u1"]
+    assert view.doubtful(10.2) == []
--- a/tests/test_open_runs.py
+++ b/tests/test_open_runs.py
@@ -16,6 +16,7 @@
     NOTICED_S,
     Casualties,
     OpenRuns,
+    RunEnd,
 )
 from tests.builders_ending import HARMFUL, SLOW, deployment
 from tests.builders_gateway import HOST, declared, route
@@ -34,33 +35,45 @@
 
 
 @pytest.mark.parametrize(
-    ("found_s", "answered", "told"),
+    ("found_s", "end", "told"),
     [
-        (0.3, False, (A,)),
-        (NOTICED_S, False, ()),  # the end had nothing to do with it
-        (0.3, True, ()),  # the upstream outlived it
+        (0.3, RunEnd.BROKE, (A,)),
+        (NOTICED_S, RunEnd.BROKE, ()),  # the end had nothing to do with it
+        (0.3, RunEnd.LEFT, (A,)),  # the upstream may have worked on
+        (0.3, RunEnd.ANSWERED, ()),  # the upstream outlived it
     ],
 )
 def test_a_run_that_broke_belongs_to_an_end_found_soon(
-    found_s: float, answered: bool, told: tuple[bytes, ...]
+    found_s: float, end: RunEnd, told: tuple[bytes, ...]
 ) -> None:
     runs = OpenRuns()
-    runs.ended(runs.began(A), 5.0, answered=answered)
+    runs.ended(runs.began(A), 5.0, end)
     assert runs.over(5.0 + found_s) == Casualties(waiting=told)
 
 
 def test_runs_that_break_after_the_end_are_told_then() -> None:
     runs = OpenRuns()
     runs.over(1.0)
-    runs.ended(runs.began(A), 1.2, answered=False)
+    runs.ended(runs.began(A), 1.2, RunEnd.BROKE)
     assert runs.over(1.2) == Casualties((A,))
 
 
+@pytest.mark.parametrize("end", RunEnd)
+def test_a_broken_run_makes_its_upstream_doubtful_once(end: RunEnd) -> None:
+    runs = OpenRuns()
+    runs.ended(runs.began(A), 1.0, end)
+    assert runs.take_doubt() == (end is RunEnd.BROKE)
+    assert not runs.take_doubt()
+    runs.over(1.1)
+    runs.ended(runs.began(A), 1.2, end)
+    assert not runs.take_doubt()
+
+
 def test_what_is_remembered_is_bounded() -> None:
     runs = OpenRuns()
     for number in range(2 * MOST_BROKEN):
         request = number.to_bytes(16, "big")
-        runs.ended(runs.began(request), 1.0, answered=False)
+        runs.ended(runs.began(request), 1.0, RunEnd.BROKE)
     assert len(runs.over(1.0).waiting) == MOST_BROKEN
 
 
--- a/tests/test_upstream_runs.py
+++ b/tests/test_upstream_runs.py
@@ -9,6 +9,7 @@
 
 from gooseberrydale.process.sidecar.upstream_runs import Running, UpstreamRuns
 from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.open_runs import RunEnd
 from tests.builders_sidecar import dispatch_req
 
 Step = Callable[[UpstreamRuns, list[Running]], None]
@@ -18,9 +19,9 @@
     open_.append(runs.began(dispatch_req("i1")))
 
 
-def end(answered: bool) -> Step:
+def end(how: RunEnd) -> Step:
     def step(runs: UpstreamRuns, open_: list[Running]) -> None:
-        runs.ended(open_.pop(), answered=answered)
+        runs.ended(open_.pop(), how)
 
     return step
 
@@ -33,12 +34,13 @@
     return lambda runs, _: runs.upstream_there(life)
 
 
-BREAK, WELL = end(answered=False), end(answered=True)
+BREAK, WELL, LEAVE = end(RunEnd.BROKE), end(RunEnd.ANSWERED), end(RunEnd.LEFT)
 CASES: dict[str, tuple[list[Step], int]] = {
     # what happens, and how many lives the request is to blame for
     "it runs when its upstream is gone": ([there("a"), begin, gone], 1),
     "it broke just before": ([there("a"), begin, BREAK, gone], 1),
     "it breaks just after": ([there("a"), begin, gone, BREAK], 1),
+    "its caller left just before": ([there("a"), begin, LEAVE, gone], 1),
     "it was answered before": ([there("a"), begin, WELL, gone], 0),
     "gone for several looks": ([there("a"), begin, gone, gone, gone], 1),
     "another life is there at the next look": (
