Refuse a request that waits for room as soon as it is known to end its upstreams

Cause: it was asked before a request began to wait and before it was sent; one that waits for room was told up to an objective later. Change: looking for an upstream asks each time, in one place.

--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -21,7 +21,7 @@
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.measures import Measures
-from gooseberrydale.process.gateway.placing import NoRoomError, Placing
+from gooseberrydale.process.gateway.placing import BarredError, NoRoomError, Placing
 from gooseberrydale.process.gateway.send import Sender, SendParts
 from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.request.attempt_end import (
@@ -80,15 +80,15 @@
     async def run(self) -> None:
         """Serve the request; raises :class:`BrokenAnswerError` if its answer breaks."""
         self._budget.deposit(_now())
-        while not self._is_barred():
+        while True:
             try:
                 placed = await self._placing.place()
             except NoRoomError:
                 await self._refuse_for_now()
                 return
-            if self._is_barred():
-                # It was learned while the request waited for room.
-                break
+            except BarredError:
+                await self._refuse_barred()
+                return
             if placed is None:
                 await self._without_upstream()
                 return
@@ -98,14 +98,6 @@
                 return
             if not await self._again(end, others=placed.others):
                 return
-        await self._refuse_barred()
-
-    def _is_barred(self) -> bool:
-        """Whether the request ends its upstreams, here or by way of other gateways.
-
-        Asked before each send: repeats have ids of their own and come to any gateway.
-        """
-        return self._upstreams.ended_lives.is_barred(self._job.fingerprint)
 
     async def _refuse_barred(self) -> None:
         """Say at once, and for good, that the request is sent nowhere any more."""
--- a/gooseberrydale/process/gateway/placing.py
+++ b/gooseberrydale/process/gateway/placing.py
@@ -66,6 +66,10 @@
     """Every upstream that was weighed would answer too late."""
 
 
+class BarredError(Exception):
+    """The request ends its upstreams, so it is sent to none of them."""
+
+
 _Found = list[tuple[UpstreamRecord, Candidate]]
 
 
@@ -97,7 +101,8 @@
         """Where to send the request; None if no upstream is known for it.
 
         Waits for a little if none of them takes work, and while all would answer late.
-        Raises :class:`NoRoomError` if that can't be helped in time.
+        Raises :class:`NoRoomError` if that can't be helped in time, and
+        :class:`BarredError` as soon as that is known, here or from other gateways.
         """
         while True:
             found = await self._usable_candidates()
@@ -149,12 +154,22 @@
     async def _usable_candidates(self) -> _Found:
         """The candidates, waited for a little if none of them takes work."""
         until = _now() + min(HOLD_S, self._job.left_s() * HOLD_PART)
-        candidates = self._candidates()
+        candidates = self._allowed_candidates()
         while not any(one.usable for _, one in candidates) and _now() < until:
             await asyncio.sleep(HOLD_POLL_S)
-            candidates = self._candidates()
+            candidates = self._allowed_candidates()
         return candidates
 
+    def _allowed_candidates(self) -> _Found:
+        """The candidates, asked for anew at each look.
+
+        Repeats of a request have ids of their own and come to any gateway, so what
+        they have ended is known only from what all gateways tell.
+        """
+        if self._upstreams.ended_lives.is_barred(self._job.fingerprint):
+            raise BarredError
+        return self._candidates()
+
     def _candidates(self) -> _Found:
         job = self._job
         sought = Sought(job.pool, job.call.prompt, job.scope, self.tried)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -12,6 +12,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.placing import (
+    BarredError,
     Learned,
     NoRoomError,
     Placed,
@@ -23,10 +24,12 @@
 from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.timeliness import LATE_WAIT_S, LOOK_S
 from gooseberrydale.version.declared import EngineSize, Pool
+from gooseberrydale.version.ended_lives import BARRED_AFTER, EndedLives
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.patience import Patience
 from gooseberrydale.version.run_times import RunTimes
 from gooseberrydale.version.upstream_load import Load
+from tests import builders_lives as lives
 from tests.builders_gateway import prompt, record, route
 from tests.clock import run_paused
 
@@ -46,6 +49,7 @@
     load_at: Callable[[float], Load]
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     asked: int = 0
+    ended_lives: EndedLives = field(default_factory=EndedLives)
 
     def candidates(
         self, sought: Sought, now: float
@@ -85,6 +89,8 @@
         placed = await placing.place()
     except NoRoomError:
         return "told", loop.time() - began
+    except BarredError:
+        return "barred", loop.time() - began
     assert isinstance(placed, Placed) and placing.tried == ["u1"]
     name = "late" if placing.demand.spare_only else "sent"
     return name, loop.time() - began
@@ -125,6 +131,22 @@
     assert least_s <= took_s <= most_s
 
 
+def test_who_waits_is_refused_as_soon_as_it_is_known_to_end_its_upstreams() -> None:
+    async def main() -> tuple[str, float]:
+        loop = asyncio.get_running_loop()
+        one = replace(job(LARGE, now=loop.time()), fingerprint=lives.request(1))
+        upstreams = FakeUpstreams(always(FULL))
+        for number in range(BARRED_AFTER):
+            ended = f"u{number}", lives.lost(1)
+            at = 0.1 + number / 100
+            loop.call_at(at, upstreams.ended_lives.report, *ended, at)
+        return await outcome(one, upstreams)
+
+    found, took_s = run_paused(main())
+    assert found == "barred"
+    assert 0.12 <= took_s <= 0.12 + 1.5 * LOOK_S
+
+
 def test_who_waits_looks_no_more_often_than_gateways_hear_of_each_other() -> None:
     async def main() -> int:
         upstreams = FakeUpstreams(always(FULL))
