Let operators list barred requests and release them; explain tells what they ended

Who is refused is sent to an operator with a digest; now the operator finds it: listed with the upstreams that ended under it, in the story of each refused id, and released with an entry in the audit trail. Digests begin with letters, as the command line reads some hexadecimal texts as numbers.

--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -159,6 +159,7 @@
             self._acknowledgements,
             self._announced,
             self._replica_status,
+            self.ended_lives,
         )
         client = ControlClient(cfg.fleet.control_rpc, token, tls)
         self._documents = Documents(self._commit, self._proposer, client)
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -46,10 +46,12 @@
 from gooseberrydale.process.control import operator_views as views
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.operator_auth import OperatorTokens
+from gooseberrydale.request.fingerprint import shown
 from gooseberrydale.version.acknowledgements import Acknowledgements
 from gooseberrydale.version.change import joined
 from gooseberrydale.version.control_state import ControlState
 from gooseberrydale.version.declarations import Profile, Workspace
+from gooseberrydale.version.ended_lives import EndedLives
 from gooseberrydale.version.structuring import structure
 from gooseberrydale.version.validation import NAME_PATTERN
 
@@ -108,6 +110,13 @@
     version: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ReleaseBody:
+    """Body of ``POST /v1/barred/release``."""
+
+    digest: str
+
+
 class OperatorApi:
     """Serves the operators; ``app`` is the ASGI application."""
 
@@ -119,6 +128,7 @@
         acknowledgements: Acknowledgements,
         upstreams: Callable[[], tuple[UpstreamRecord, ...]],
         replica_status: Callable[[], dict[str, Any]],
+        ended_lives: EndedLives,
     ) -> None:
         self._state = state
         self._commit = commit
@@ -126,6 +136,7 @@
         self._acknowledgements = acknowledgements
         self._upstreams = upstreams
         self._replica_status = replica_status
+        self._ended_lives = ended_lives
         self._noted_at = float("-inf")
         self._notes_left_out = 0
         self._notes: set[asyncio.Task[Any]] = set()
@@ -141,12 +152,14 @@
             self._route("GET", "/v1/workspaces/{name:path}", self._workspace),
             self._route("GET", "/v1/upstreams", self._list_upstreams),
             self._route("GET", "/v1/orders", self._orders),
+            self._route("GET", "/v1/barred", self._barred),
             self._route("GET", "/v1/audit", self._audit),
             self._route("GET", STATUS_PATH, self._status),
             self._route("POST", "/v1/changes", self._post_change),
             self._route("POST", "/v1/profiles", self._post_profile),
             self._route("POST", "/v1/workspaces", self._post_workspace),
             self._route("POST", "/v1/orders", self._post_order),
+            self._route("POST", "/v1/barred/release", self._post_release),
         ]
 
     def _route(self, method: str, path: str, handler: Handler) -> Route:
@@ -203,6 +216,9 @@
         orders = sorted(self._state.orders.orders, key=lambda order: order.order_id)
         return answer({"orders": views.plain(orders)})
 
+    async def _barred(self, _request: Request, _operator: str) -> Response:
+        return answer({"barred": views.barred_tables(self._ended_lives)})
+
     async def _audit(self, request: Request, _operator: str) -> Response:
         asked = request.query_params.get("count", str(AUDIT_ENTRIES_SHOWN))
         if not (asked.isascii() and asked.isdigit()):
@@ -303,6 +319,28 @@
             case Err(refused):
                 return refuse(refused)
 
+    async def _post_release(self, request: Request, operator: str) -> Response:
+        match await _read(request, ReleaseBody):
+            case Ok(body):
+                return await self._release(operator, body.digest)
+            case Err(refused):
+                return await self._refuse_noted(request, operator, refused)
+
+    async def _release(self, operator: str, digest: str) -> Response:
+        """Let a barred request run again; all processes hear of it."""
+        barred = self._ended_lives.barred()
+        found = [one for one in barred if shown(one) == digest]
+        if not found:
+            what = "barred request"
+            return refuse(problem(UNKNOWN_NAME, what=what, name=digest))
+        match await self._commit.ask(NoteReq(operator, "release", digest, "accepted")):
+            case Err(refused):
+                return refuse(refused)
+        now = asyncio.get_running_loop().time()
+        for one in found:
+            self._ended_lives.clear(one, now)
+        return answer({"released": digest})
+
     async def _refuse_noted(
         self, request: Request, operator: str, refused: Problem
     ) -> Response:
--- a/gooseberrydale/process/control/operator_views.py
+++ b/gooseberrydale/process/control/operator_views.py
@@ -11,8 +11,10 @@
 
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import Problem
+from gooseberrydale.request.fingerprint import shown
 from gooseberrydale.version.acknowledgements import Standing
 from gooseberrydale.version.declarations import Config, Profile, Workspace
+from gooseberrydale.version.ended_lives import EndedLives
 
 Table = dict[str, Any]
 
@@ -53,6 +55,14 @@
     return table
 
 
+def barred_tables(ended_lives: EndedLives) -> list[Table]:
+    """The requests that are sent nowhere, each with the lives that ended under it."""
+    return [
+        {"digest": shown(request), "ended": list(ended_lives.blamed_for(request))}
+        for request in sorted(ended_lives.barred())
+    ]
+
+
 def upstream_tables(
     records: tuple[UpstreamRecord, ...], leaving: frozenset[str]
 ) -> list[Table]:
--- a/gooseberrydale/process/operator_cli.py
+++ b/gooseberrydale/process/operator_cli.py
@@ -53,6 +53,7 @@
     "weights_version",
 )
 ORDER_COLUMNS = ("order_id", "number", "kind", "upstream", "model", "version", "state")
+BARRED_COLUMNS = ("digest", "ended")
 AUDIT_COLUMNS = (
     "number",
     "wall_s",
@@ -252,12 +253,35 @@
         return self._list("/v1/orders", "orders", ORDER_COLUMNS)
 
 
+class RequestCommands(_Group):
+    """List requests that are barred as they end their upstreams, and release them."""
+
+    def barred(self) -> Command:
+        """Show what is sent to no upstream, and the lives that ended under it."""
+
+        async def act(session: Session) -> None:
+            table = await session.get("/v1/barred")
+            rows = [one | {"ended": len(one["ended"])} for one in table["barred"]]
+            session.say(as_columns(rows, BARRED_COLUMNS), table)
+
+        return Command(self._options, act)
+
+    def release(self, digest: str) -> Command:
+        """Let the request with DIGEST run again, once its upstreams are mended."""
+
+        async def act(session: Session) -> None:
+            await session.release(str(digest))
+
+        return Command(self._options, act)
+
+
 class OperatorCommands:
     """The operators' commands by name, to be inherited by the command line."""
 
     profile = ProfileCommands
     workspace = WorkspaceCommands
     upstream = UpstreamCommands
+    request = RequestCommands
 
     def audit(self, count: int = 100, **options: Any) -> Command:
         """Show the newest COUNT entries of the audit trail, newest first."""
--- a/gooseberrydale/process/operator_session.py
+++ b/gooseberrydale/process/operator_session.py
@@ -117,6 +117,13 @@
         reply = await self._send("/v1/orders", body)
         self.say(f"order {reply['order']['order_id']} placed", reply)
 
+    async def release(self, digest: str) -> None:
+        """Let a barred request run again."""
+        reply = _or_fail(
+            await self._client.post("/v1/barred/release", {"digest": digest})
+        )
+        self.say(f"{reply['released']} may run again", reply)
+
     async def wait(self, revision: int) -> Any:
         """Return the status once ``revision`` is in force at every known process."""
         loop = asyncio.get_running_loop()
--- a/gooseberrydale/request/fingerprint.py
+++ b/gooseberrydale/request/fingerprint.py
@@ -40,5 +40,8 @@
 
 
 def shown(request: bytes) -> str:
-    """A fingerprint as log lines and messages have it."""
-    return request.hex()[:SHOWN_DIGITS]
+    """A fingerprint as log lines, messages and commands have it.
+
+    The letters in front keep command lines from reading it as a number.
+    """
+    return f"req-{request.hex()[:SHOWN_DIGITS]}" if request else ""
--- a/gooseberrydale/version/ended_lives.py
+++ b/gooseberrydale/version/ended_lives.py
@@ -166,6 +166,10 @@
         self._answered.move_to_end(request)
         if len(self._answered) > MOST_ANSWERED:
             self._answered.popitem(last=False)
+        self.clear(request, now)
+
+    def clear(self, request: bytes, now: float) -> None:
+        """Blame a request for none of the lives that have ended so far."""
         for name in sorted(self._of_request.get(request, ())):
             if request not in self._lives[name].cleared:
                 self.offer(EndedLife(name, cleared=(request,)), now)
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -34,6 +34,11 @@
 
 
 CASES: dict[str, tuple[str, Loss, Cause]] = {
+    "it ends its upstreams": (
+        ended("ends_upstreams", sends=[]),
+        Loss.REFUSED,
+        Cause.BARRED,
+    ),
     "late behind others": (
         ended("answered", 900.0, sends=[BUSY]),
         Loss.LATE,
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -21,8 +21,10 @@
     OperatorExit,
     finish,
 )
+from gooseberrydale.request.fingerprint import shown
 from gooseberrydale.version.acknowledgements import Standing
 from gooseberrydale.version.key_index import key_digest
+from tests.builders_lives import lost, request
 from tests.builders_operators import TOKEN, running_control
 
 Run = Callable[..., int]
@@ -263,3 +265,20 @@
     assert run("status", "--token-file", str(wrong)) == OperatorExit.REFUSED
     nobody = ("profile", "retire", "x", "--control", "http://127.0.0.1:1")
     assert run(*nobody, "--timeout-s", "0.1") == OperatorExit.NO_ANSWER
+
+
+def test_a_barred_request_is_listed_and_released(run, control, capsys):
+    digest = shown(request(1))
+    for life in ("u1", "u2", "u3"):
+        control.ended_lives.report(life, lost(1), 1.0)
+    assert run("request", "barred") == 0
+    assert capsys.readouterr().out.split() == ["DIGEST", "ENDED", digest, "3"]
+    assert run("request", "barred", "--json") == 0
+    [row] = json.loads(capsys.readouterr().out)["barred"]
+    assert row == {"digest": digest, "ended": ["u1", "u2", "u3"]}
+    assert run("request", "release", digest) == 0
+    assert control.ended_lives.barred() == ()
+    assert run("request", "release", digest) == OperatorExit.REFUSED
+    assert f"no barred request '{digest}'" in capsys.readouterr().err
+    assert run("audit") == 0
+    assert "release" in capsys.readouterr().out
