--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -82,14 +82,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RequestBarred(LogEvent):
+class RequestQuarantined(LogEvent):
     """A request is sent nowhere, since the lives ``ended`` have ended under it.
 
     ``digest`` is the same for each repeat of the request.
     """
 
-    NAME: ClassVar[str] = "request_barred"
-    TEXT: ClassVar[str] = "request barred"
+    NAME: ClassVar[str] = "request_quarantined"
+    TEXT: ClassVar[str] = "request quarantined"
     LEVEL: ClassVar[str] = "WARNING"
 
     request_id: str
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -112,7 +112,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseBody:
-    """Body of ``POST /v1/barred/release``."""
+    """Body of ``POST /v1/quarantined/release``."""
 
     digest: str
 
@@ -152,14 +152,14 @@
             self._route("GET", "/v1/workspaces/{name:path}", self._workspace),
             self._route("GET", "/v1/upstreams", self._list_upstreams),
             self._route("GET", "/v1/orders", self._orders),
-            self._route("GET", "/v1/barred", self._barred),
+            self._route("GET", "/v1/quarantined", self._quarantined),
             self._route("GET", "/v1/audit", self._audit),
             self._route("GET", STATUS_PATH, self._status),
             self._route("POST", "/v1/changes", self._post_change),
             self._route("POST", "/v1/profiles", self._post_profile),
             self._route("POST", "/v1/workspaces", self._post_workspace),
             self._route("POST", "/v1/orders", self._post_order),
-            self._route("POST", "/v1/barred/release", self._post_release),
+            self._route("POST", "/v1/quarantined/release", self._post_release),
         ]
 
     def _route(self, method: str, path: str, handler: Handler) -> Route:
@@ -216,8 +216,8 @@
         orders = sorted(self._state.orders.orders, key=lambda order: order.order_id)
         return answer({"orders": views.plain(orders)})
 
-    async def _barred(self, _request: Request, _operator: str) -> Response:
-        return answer({"barred": views.barred_tables(self._ended_lives)})
+    async def _quarantined(self, _request: Request, _operator: str) -> Response:
+        return answer({"quarantined": views.quarantined_tables(self._ended_lives)})
 
     async def _audit(self, request: Request, _operator: str) -> Response:
         asked = request.query_params.get("count", str(AUDIT_ENTRIES_SHOWN))
@@ -327,11 +327,11 @@
                 return await self._refuse_noted(request, operator, refused)
 
     async def _release(self, operator: str, digest: str) -> Response:
-        """Let a barred request run again; all processes hear of it."""
-        barred = self._ended_lives.barred()
-        found = [one for one in barred if shown(one) == digest]
+        """Let a quarantined request run again; all processes hear of it."""
+        quarantined = self._ended_lives.quarantined()
+        found = [one for one in quarantined if shown(one) == digest]
         if not found:
-            what = "barred request"
+            what = "quarantined request"
             return refuse(problem(UNKNOWN_NAME, what=what, name=digest))
         match await self._commit.ask(NoteReq(operator, "release", digest, "accepted")):
             case Err(refused):
--- a/gooseberrydale/process/control/operator_views.py
+++ b/gooseberrydale/process/control/operator_views.py
@@ -55,11 +55,11 @@
     return table
 
 
-def barred_tables(ended_lives: EndedLives) -> list[Table]:
+def quarantined_tables(ended_lives: EndedLives) -> list[Table]:
     """The requests that are sent nowhere, each with the lives that ended under it."""
     return [
         {"digest": shown(request), "ended": list(ended_lives.blamed_for(request))}
-        for request in sorted(ended_lives.barred())
+        for request in sorted(ended_lives.quarantined())
     ]
 
 
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -177,7 +177,7 @@
             records = self.directory.records(loop.time())
             self._pool.keep(records)
             level.upstreams_known = len(records)
-            level.requests_barred = len(self.ended_lives.barred())
+            level.requests_quarantined = len(self.ended_lives.quarantined())
             level.cfg_revision = self.store.revision
             level.sessions = len(self._mesh.peers())
             level.running = self._keeper.open_requests if self._keeper else 0
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -18,8 +18,8 @@
     DocumentInForce,
     Drained,
     Draining,
-    RequestBarred,
     RequestEnded,
+    RequestQuarantined,
     SendEnded,
     Serving,
     StoreFound,
@@ -109,9 +109,13 @@
             )
         outcome = str(self.end.fields.get("outcome"))
         known = CAUSES.get(outcome, f"it ended as {outcome}")
-        barred = [line for line in self.lines if line.event == RequestBarred.NAME]
-        if barred:
-            return f"{known} (ended: {', '.join(barred[-1].fields.get('ended', ()))})"
+        quarantined = [
+            line for line in self.lines if line.event == RequestQuarantined.NAME
+        ]
+        if quarantined:
+            return (
+                f"{known} (ended: {', '.join(quarantined[-1].fields.get('ended', ()))})"
+            )
         sends = [line for line in self.lines if line.event == SendEnded.NAME]
         if not sends:
             return known
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -17,11 +17,15 @@
     OUTCOME_UNKNOWN,
     problem,
 )
-from gooseberrydale.log_events import RequestBarred, SendEnded, StreamMoved, emit
+from gooseberrydale.log_events import RequestQuarantined, SendEnded, StreamMoved, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.measures import Measures
-from gooseberrydale.process.gateway.placing import BarredError, NoRoomError, Placing
+from gooseberrydale.process.gateway.placing import (
+    NoRoomError,
+    Placing,
+    QuarantinedError,
+)
 from gooseberrydale.process.gateway.send import Sender, SendParts
 from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.request.attempt_end import (
@@ -86,8 +90,8 @@
             except NoRoomError:
                 await self._refuse_for_now()
                 return
-            except BarredError:
-                await self._refuse_barred()
+            except QuarantinedError:
+                await self._refuse_quarantined()
                 return
             if placed is None:
                 await self._without_upstream()
@@ -99,11 +103,11 @@
             if not await self._again(end, others=placed.others):
                 return
 
-    async def _refuse_barred(self) -> None:
+    async def _refuse_quarantined(self) -> None:
         """Say at once, and for good, that the request is sent nowhere any more."""
         digest = shown(self._job.fingerprint)
         ended = self._upstreams.ended_lives.blamed_for(self._job.fingerprint)
-        emit(RequestBarred(self._job.call.request_id, digest, list(ended)))
+        emit(RequestQuarantined(self._job.call.request_id, digest, list(ended)))
         ran = self._sender.runs > 0
         kind = ENDED_UPSTREAMS if ran else ENDS_UPSTREAMS
         self.outcome = kind.code
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -262,7 +262,7 @@
         level.gateways = len(self._gateway_links())
         level.upstreams_known = self._upstreams.count(now)
         level.suspected = self._upstreams.suspected(now)
-        level.requests_barred = len(self.ended_lives.barred())
+        level.requests_quarantined = len(self.ended_lives.quarantined())
         views = map(self._stores.view, self._stores.addresses)
         level.stores_up = sum(view is not None and view.up for view in views)
         level.log_lines_dropped = logs.dropped()
--- a/gooseberrydale/process/gateway/placing.py
+++ b/gooseberrydale/process/gateway/placing.py
@@ -66,7 +66,7 @@
     """Every upstream that was weighed would answer too late."""
 
 
-class BarredError(Exception):
+class QuarantinedError(Exception):
     """The request ends its upstreams, so it is sent to none of them."""
 
 
@@ -102,7 +102,7 @@
 
         Waits for a little if none of them takes work, and while all would answer late.
         Raises :class:`NoRoomError` if that can't be helped in time, and
-        :class:`BarredError` as soon as that is known, here or from other gateways.
+        :class:`QuarantinedError` as soon as that is known, here or from other gateways.
         """
         while True:
             found = await self._usable_candidates()
@@ -166,8 +166,8 @@
         Repeats of a request have ids of their own and come to any gateway, so what
         they have ended is known only from what all gateways tell.
         """
-        if self._upstreams.ended_lives.is_barred(self._job.fingerprint):
-            raise BarredError
+        if self._upstreams.ended_lives.is_quarantined(self._job.fingerprint):
+            raise QuarantinedError
         return self._candidates()
 
     def _candidates(self) -> _Found:
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -66,7 +66,7 @@
     documents: int = _measured("1", "Number of the document in force")
     gateways: int = _measured("1", "Gateways that are known, this one included")
     suspected: int = _measured("1", "Upstreams left alone after a failure")
-    requests_barred: int = _measured(
+    requests_quarantined: int = _measured(
         "1", "Requests that are sent to no upstream, as they end those that run them"
     )
     stores_up: int = _measured("1", "Stores of KV cache that answer")
--- a/gooseberrydale/process/losses.py
+++ b/gooseberrydale/process/losses.py
@@ -43,7 +43,7 @@
     NOT_READY = "no configuration yet"
     GONE = "instance gone"
     SERVICE = "the service itself failed"
-    BARRED = "it ends the upstreams that run it"
+    QUARANTINED = "it ends the upstreams that run it"
     LEFT = "its caller left early"
     UNKNOWN = "unknown"
 
@@ -68,8 +68,8 @@
     "invalid": Cause.SERVICE,
     "refused": Cause.CHANGING,
     "no_room": Cause.QUEUED,
-    "ends_upstreams": Cause.BARRED,
-    "ended_upstreams": Cause.BARRED,
+    "ends_upstreams": Cause.QUARANTINED,
+    "ended_upstreams": Cause.QUARANTINED,
 }
 _REFUSALS = frozenset(
     {
--- a/gooseberrydale/process/operator_cli.py
+++ b/gooseberrydale/process/operator_cli.py
@@ -53,7 +53,7 @@
     "weights_version",
 )
 ORDER_COLUMNS = ("order_id", "number", "kind", "upstream", "model", "version", "state")
-BARRED_COLUMNS = ("digest", "ended")
+QUARANTINE_COLUMNS = ("digest", "ended")
 AUDIT_COLUMNS = (
     "number",
     "wall_s",
@@ -254,15 +254,16 @@
 
 
 class RequestCommands(_Group):
-    """List requests that are barred as they end their upstreams, and release them."""
+    """List requests in quarantine, as they end their upstreams, and release them."""
 
-    def barred(self) -> Command:
-        """Show what is sent to no upstream, and the lives that ended under it."""
+    def quarantined(self) -> Command:
+        """Show what is sent to no upstream, and how many have ended under it."""
 
         async def act(session: Session) -> None:
-            table = await session.get("/v1/barred")
-            rows = [one | {"ended": len(one["ended"])} for one in table["barred"]]
-            session.say(as_columns(rows, BARRED_COLUMNS), table)
+            table = await session.get("/v1/quarantined")
+            found = table["quarantined"]
+            rows = [one | {"ended": len(one["ended"])} for one in found]
+            session.say(as_columns(rows, QUARANTINE_COLUMNS), table)
 
         return Command(self._options, act)
 
--- a/gooseberrydale/process/operator_session.py
+++ b/gooseberrydale/process/operator_session.py
@@ -118,9 +118,9 @@
         self.say(f"order {reply['order']['order_id']} placed", reply)
 
     async def release(self, digest: str) -> None:
-        """Let a barred request run again."""
+        """Let a quarantined request run again."""
         reply = _or_fail(
-            await self._client.post("/v1/barred/release", {"digest": digest})
+            await self._client.post("/v1/quarantined/release", {"digest": digest})
         )
         self.say(f"{reply['released']} may run again", reply)
 
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -31,7 +31,7 @@
     ProblemError,
     problem,
 )
-from gooseberrydale.log_events import RequestBarred, emit
+from gooseberrydale.log_events import RequestQuarantined, emit
 from gooseberrydale.request.cancel import cancel, confirm_not_run
 from gooseberrydale.request.chooser import CONNECTION_CAUSES, Chooser
 from gooseberrydale.request.claim_gate import Gate
@@ -172,7 +172,7 @@
 
     async def _start(self) -> Exchange:
         """Begin another attempt on an upstream that was not tried yet."""
-        self._check_barred()
+        self._check_quarantined()
         self._choice = await self._chooser.choose(
             given=self._parts.given, may_have_run=self._may_have_run
         )
@@ -195,16 +195,16 @@
             self._deps.cfg.silence_s,
         )
 
-    def _check_barred(self) -> None:
+    def _check_quarantined(self) -> None:
         """Raise :class:`ProblemError` if the request ends those that run it.
 
         Asked before each attempt: repeats have ids of their own and come to any entry.
         """
         ended_lives, request = self._deps.ended_lives, self._job.fingerprint
-        if not ended_lives.is_barred(request):
+        if not ended_lives.is_quarantined(request):
             return
         ended = ended_lives.blamed_for(request)
-        emit(RequestBarred(self._job.request_id, shown(request), list(ended)))
+        emit(RequestQuarantined(self._job.request_id, shown(request), list(ended)))
         not_run = None if self._may_have_run else True
         if self._parts.given:
             not_run = False
--- a/gooseberrydale/version/ended_lives.py
+++ b/gooseberrydale/version/ended_lives.py
@@ -1,14 +1,14 @@
-"""Which requests ran at upstreams when these ended, and which of them are barred.
+"""Which requests ran at upstreams when these ended, and which of them are quarantined.
 
 Lives as long as the process and is lost with it; pure.  Every process tells what it had
 running at each life that ended, and hears what the others had.  What is told only ever
 adds to what is known, so it may come late, twice and in any order, and all processes
 reach the same view without agreement.
 
-A request is barred once it has ended three upstreams.  It shares them with innocent
-ones, so more than the count decides: a stream that was answering when its upstream
-ended is not blamed for an end that a barred request explains, and whatever is answered
-whole is not blamed for any.
+A request that has ended three upstreams is quarantined: it is sent to no other one.  It
+shares upstreams with innocent ones, so more than the count decides: a stream that was
+answering when its upstream ended is not blamed for an end that a quarantined request
+explains, and whatever is answered whole is not blamed for any.
 """
 
 from __future__ import annotations
@@ -19,15 +19,15 @@
 from dataclasses import dataclass, field
 
 from gooseberrydale.connection.mesh import EndedLife
-from gooseberrydale.version.open_runs import Casualties
+from gooseberrydale.version.open_runs import LostRuns
 
-BARRED_AFTER = 3
+QUARANTINE_AFTER = 3
 """Upstreams that a request may end.  Two can be bad luck: a stream that goes on
 elsewhere while upstreams die one after the other meets two of them easily."""
 
 KEPT_S = 900.0
-"""An end is forgotten after this.  A request that was barred may then run once more, as
-its upstreams may have been mended; if it ends that one too, it is barred again."""
+"""An end is forgotten after this.  A request in quarantine may then run once more, as
+its upstreams may have been mended; if it ends that one too, it is back in it."""
 
 ANSWERED_LASTS_S = 60.0
 """A whole answer speaks for a request for this long: one that is asked for all the time
@@ -118,7 +118,7 @@
         self._listeners.append(listener)
         return lambda: self._listeners.remove(listener)
 
-    def report(self, life: str, lost: Casualties, now: float) -> None:
+    def report(self, life: str, lost: LostRuns, now: float) -> None:
         """This process has found that ``life`` has ended."""
         if lost:
             told = EndedLife(life, waiting=lost.waiting, answering=lost.answering)
@@ -195,16 +195,16 @@
         lives = self._of_request.get(request, ())
         return tuple(sorted(name for name in lives if self._is_to_blame(request, name)))
 
-    def is_barred(self, request: bytes) -> bool:
+    def is_quarantined(self, request: bytes) -> bool:
         """Whether the request must not be sent to any upstream."""
         # Nearly all requests are in no life that ended.
-        if len(self._of_request.get(request, ())) < BARRED_AFTER:
+        if len(self._of_request.get(request, ())) < QUARANTINE_AFTER:
             return False
-        return len(self.blamed_for(request)) >= BARRED_AFTER
+        return len(self.blamed_for(request)) >= QUARANTINE_AFTER
 
-    def barred(self) -> tuple[bytes, ...]:
-        """All requests that are barred."""
-        return tuple(one for one in self._of_request if self.is_barred(one))
+    def quarantined(self) -> tuple[bytes, ...]:
+        """All requests that are quarantined."""
+        return tuple(one for one in self._of_request if self.is_quarantined(one))
 
     def expire(self, now: float) -> None:
         """Forget the ends that are long ago."""
@@ -227,24 +227,28 @@
             return True
         # It was well under way; somebody else there explains the end better.
         return not any(
-            self._is_surely_barred(other) for other in life.waiting if other != request
+            self._is_surely_quarantined(other)
+            for other in life.waiting
+            if other != request
         )
 
-    def _is_surely_barred(self, request: bytes) -> bool:
-        """Whether the ends before any part of its answer are enough to bar it."""
+    def _is_surely_quarantined(self, request: bytes) -> bool:
+        """Whether its ends before any part of an answer are enough by themselves."""
         lives = self._of_request.get(request, ())
-        if len(lives) < BARRED_AFTER:
+        if len(lives) < QUARANTINE_AFTER:
             return False
         found = (self._lives[name] for name in lives)
         sure = [one for one in found if request in one.waiting and one.blames(request)]
-        return len(sure) >= BARRED_AFTER
+        return len(sure) >= QUARANTINE_AFTER
 
     def _make_room(self) -> None:
-        """Forget what is over the bounds: first of all, ends that bar nobody."""
+        """Forget what is over the bounds, the ends first that quarantine nobody."""
         if self._fits(1.0):
             return
-        barring = {name for one in self.barred() for name in self.blamed_for(one)}
-        for name in sorted(self._lives, key=barring.__contains__):
+        quarantining = {
+            name for one in self.quarantined() for name in self.blamed_for(one)
+        }
+        for name in sorted(self._lives, key=quarantining.__contains__):
             if self._fits(KEPT_PART):
                 return
             self._forget(name)
--- a/gooseberrydale/version/open_runs.py
+++ b/gooseberrydale/version/open_runs.py
@@ -41,7 +41,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Casualties:
+class LostRuns:
     """Fingerprints of what an upstream ran when it ended.
 
     No part of the answers to those ``waiting`` had come.
@@ -91,7 +91,7 @@
         doubtful, self._is_doubtful = self._is_doubtful, False
         return doubtful
 
-    def over(self, now: float) -> Casualties:
+    def over(self, now: float) -> LostRuns:
         """The life has ended; return what it ran and was not told before."""
         self._is_over, self._is_doubtful = True, False
         lately = [run for at, run in self._broken if now < at + NOTICED_S]
@@ -99,7 +99,7 @@
         new = [run for run in (*self._open, *lately) if not run.told]
         for run in new:
             run.told = True
-        return Casualties(
+        return LostRuns(
             waiting=_requests(run for run in new if not run.answering),
             answering=_requests(run for run in new if run.answering),
         )
--- a/tests/builders_lives.py
+++ b/tests/builders_lives.py
@@ -8,7 +8,7 @@
 from gooseberrydale.connection.codec import encode
 from gooseberrydale.connection.mesh import Announce, EndedLife
 from gooseberrydale.version.ended_lives import EndedLives
-from gooseberrydale.version.open_runs import Casualties
+from gooseberrydale.version.open_runs import LostRuns
 
 FASTEST_S, SLOWEST_S = 0.001, 0.4
 
@@ -18,9 +18,9 @@
     return number.to_bytes(16, "big")
 
 
-def lost(*waiting: int, answering: tuple[int, ...] = ()) -> Casualties:
+def lost(*waiting: int, answering: tuple[int, ...] = ()) -> LostRuns:
     """What ran at an upstream when it ended, by numbers of requests."""
-    return Casualties(
+    return LostRuns(
         tuple(request(one) for one in waiting),
         tuple(request(one) for one in answering),
     )
--- a/tests/test_control_open.py
+++ b/tests/test_control_open.py
@@ -196,7 +196,7 @@
     await cache.close()
 
 
-def test_a_request_stays_barred_when_all_processes_start_anew(
+def test_a_request_stays_quarantined_when_all_processes_start_anew(
     tmp_path: pathlib.Path,
 ) -> None:
     path = tmp_path / "ended"
@@ -212,11 +212,11 @@
         await asyncio.sleep(0.3)
         await cache.close()
 
-    async def after(barred: tuple[bytes, ...]) -> None:
+    async def after(quarantined: tuple[bytes, ...]) -> None:
         table = EndedLives()
         cache = EndedLivesCache(path, table)
         await cache.start()
-        assert table.barred() == barred
+        assert table.quarantined() == quarantined
         await cache.close()
 
     asyncio.run(before())
--- a/tests/test_ended_lives.py
+++ b/tests/test_ended_lives.py
@@ -1,4 +1,4 @@
-"""What is known of ended upstreams, and which requests it bars."""
+"""What is known of ended upstreams, and which requests it quarantines."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 Ends = list[tuple[tuple[int, ...], tuple[int, ...]]]
 
 CASES: dict[str, tuple[Ends, set[int]]] = {
-    # for each life: requests that waited, requests that were answering; who is barred
+    # for each life: who waited, who was answering; then who is quarantined
     "two ends": ([((1,), ()), ((1,), ())], set()),
     "three ends": ([((1,), ())] * 3, {1}),
     "three ends in the middle of its answers": ([((), (1,))] * 3, {1}),
@@ -51,14 +51,14 @@
 
 
 @pytest.mark.parametrize("case", CASES)
-def test_who_is_barred(case: str) -> None:
-    ends, barred = CASES[case]
+def test_who_is_quarantined(case: str) -> None:
+    ends, quarantined = CASES[case]
     table = EndedLives()
     for number, (waiting, answering) in enumerate(ends):
         table.report(f"u{number}", lost(*waiting, answering=answering), 1.0)
-    assert set(table.barred()) == {request(one) for one in barred}
+    assert set(table.quarantined()) == {request(one) for one in quarantined}
     for one in range(10):
-        assert table.is_barred(request(one)) == (one in barred)
+        assert table.is_quarantined(request(one)) == (one in quarantined)
 
 
 def test_the_same_end_told_by_many_counts_once() -> None:
@@ -68,8 +68,8 @@
     assert table.blamed_for(request(HARMFUL)) == ("u1",)
 
 
-def bars(table: EndedLives, number: int = HARMFUL) -> bool:
-    return table.is_barred(request(number))
+def has_quarantined(table: EndedLives, number: int = HARMFUL) -> bool:
+    return table.is_quarantined(request(number))
 
 
 def end_all(table: EndedLives, lives: int, now: float, number: int = HARMFUL) -> None:
@@ -82,12 +82,12 @@
     end_all(table, 2, 1.0)
     table.answered(request(HARMFUL), 2.0)
     end_all(table, 1, 2.0 + ANSWERED_LASTS_S)
-    assert not bars(table)
+    assert not has_quarantined(table)
     end_all(table, 2, 3.0 + ANSWERED_LASTS_S)
-    assert bars(table)
+    assert has_quarantined(table)
 
 
-def test_what_all_upstreams_run_is_not_barred_when_a_rack_is_lost() -> None:
+def test_what_all_upstreams_run_is_not_quarantined_when_a_rack_is_lost() -> None:
     """A request that is asked for all the time runs at each of them."""
     here, there = EndedLives(), EndedLives()
     here.answered(request(HARMFUL), 1.0)
@@ -95,11 +95,11 @@
         there.report(f"u{life}", lost(HARMFUL), 2.0)
     for news in there.since(0, 2.1).lives:
         here.offer(news, 2.1, source=there)
-    assert bars(there) and not bars(here)
+    assert has_quarantined(there) and not has_quarantined(here)
     # And those that have not seen an answer of it hear so.
     for news in here.since(0, 2.2).lives:
         there.offer(news, 2.2, source=here)
-    assert not bars(there)
+    assert not has_quarantined(there)
 
 
 def test_after_a_while_it_may_end_one_more() -> None:
@@ -107,11 +107,11 @@
     for second in range(3):
         table.report(f"u{second}", lost(HARMFUL), float(second))
     table.expire(KEPT_S - 0.1)
-    assert bars(table)
+    assert has_quarantined(table)
     table.expire(KEPT_S)
-    assert not bars(table)
+    assert not has_quarantined(table)
     table.report("u4", lost(HARMFUL), KEPT_S)
-    assert bars(table)
+    assert has_quarantined(table)
 
 
 def test_what_was_told_late_is_forgotten_at_the_same_time() -> None:
@@ -148,7 +148,7 @@
     assert len(table.since(0, 1.0, exclude=session).lives) == 1
 
 
-def test_memory_is_bounded_whatever_comes_and_what_is_barred_stays() -> None:
+def test_memory_is_bounded_whatever_comes_and_what_is_quarantined_stays() -> None:
     table = EndedLives()
     for life in range(3):
         table.report(f"harmful{life}", lost(HARMFUL), 0.0)
@@ -159,7 +159,7 @@
         table.report(f"u{life}", lost(*flood, answering=(number,)), 1.0)
         number += 1
         assert table.size <= MOST_REQUESTS and len(table) <= MOST_LIVES
-    assert bars(table)
+    assert has_quarantined(table)
     table.report("wide", lost(*range(number, number + 4 * MOST_OF_LIFE)), 2.0)
     assert table.size <= MOST_REQUESTS
 
@@ -171,7 +171,7 @@
         if number % 100 == 0:
             table.answered(request(HARMFUL), 1.0)
     end_all(table, 3, 2.0)
-    assert not bars(table)
+    assert not has_quarantined(table)
 
 
 SEEDS = range(12)
@@ -229,7 +229,9 @@
             number += 1
         fleet.step(0.05)
     fleet.settle(CONTACT_S)
-    assert all(bars(node.table) for node in (*fleet.gateways, *fleet.controls))
+    assert all(
+        has_quarantined(node.table) for node in (*fleet.gateways, *fleet.controls)
+    )
     # Each of 240 requests by three sessions, and what goes with it.
     for node in fleet.gateways:
         assert node.bytes_in <= 3 * 240 * 64
--- a/tests/test_ended_upstreams.py
+++ b/tests/test_ended_upstreams.py
@@ -25,7 +25,7 @@
 
 from gooseberrydale.process.gateway.gateway import Gateway
 from gooseberrydale.request.fingerprint import fingerprint, shown
-from gooseberrydale.version.ended_lives import BARRED_AFTER
+from gooseberrydale.version.ended_lives import QUARANTINE_AFTER
 from tests.builders_ending import (
     BACK_S,
     HARMFUL,
@@ -71,16 +71,16 @@
 async def end_three(fleet: Deployment, target: str = "/calls/1") -> None:
     """Send the harmful request until it has ended as many upstreams as it may."""
     number = 0
-    while len(fleet.house.ended) < BARRED_AFTER:
+    while len(fleet.house.ended) < QUARANTINE_AFTER:
         gateway = fleet.gateways[number % len(fleet.gateways)]
         await fleet.send(gateway, HARMFUL, target)
         await asyncio.sleep(LEARNED_S)
         number += 1
 
 
-async def wait_barred(*gateways: Gateway) -> None:
-    """Wait until each of the gateways bars some request."""
-    await until(lambda: all(one.ended_lives.barred() for one in gateways))
+async def wait_quarantined(*gateways: Gateway) -> None:
+    """Wait until each of the gateways quarantines some request."""
+    await until(lambda: all(one.ended_lives.quarantined() for one in gateways))
 
 
 def test_who_is_refused_learns_at_once_why_and_that_it_has_not_run() -> None:
@@ -117,7 +117,7 @@
         async with deployment(declared(CALLS), gateways=2) as fleet:
             await end_three(fleet)
             newcomer = await fleet.add_gateway()
-            await wait_barred(newcomer)
+            await wait_quarantined(newcomer)
             assert await fleet.send(newcomer, HARMFUL) == 503
             assert len(fleet.house.harmful_at) == 3
 
@@ -128,14 +128,14 @@
     async def main() -> None:
         async with deployment(declared(CALLS), gateways=2) as fleet:
             await end_three(fleet)
-            await wait_barred(*fleet.gateways)
+            await wait_quarantined(*fleet.gateways)
             port = fleet.control.port
             await fleet.control.close()
             again = await Member("control", "c1", life=2, token="", port=port).start()
             fleet.stack.push_async_callback(again.close)
             await until(lambda: len(again.acks) >= 2)
             newcomer = await fleet.add_gateway()
-            await wait_barred(newcomer)
+            await wait_quarantined(newcomer)
             assert await fleet.send(newcomer, HARMFUL) == 503
 
     run(main())
@@ -146,7 +146,7 @@
         async with deployment(declared(CALLS), upstreams=6) as fleet:
             sent = [fleet.send(one, HARMFUL) for one in fleet.gateways * 2]
             assert 200 not in await asyncio.gather(*sent)
-            await wait_barred(*fleet.gateways)
+            await wait_quarantined(*fleet.gateways)
             ended = len(fleet.house.ended)
             await asyncio.sleep(2 * BACK_S)
             again = [fleet.send(one, HARMFUL) for one in fleet.gateways * 2]
@@ -163,7 +163,7 @@
         async with deployment(declared(CALLS, STREAMS), upstreams=1) as fleet:
             [gateway, *_] = fleet.gateways
             last = ""
-            for _ in range(BARRED_AFTER):
+            for _ in range(QUARANTINE_AFTER):
                 extra = f"Last-Event-Id: {last}" if last else ""
                 sending = fleet.send(gateway, SLOW, "/streams/1", extra)
                 stream = asyncio.create_task(sending)
@@ -174,8 +174,8 @@
                 await asyncio.sleep(LEARNED_S)
             slow = fingerprint("a", "POST", HOST, "/streams/1", SLOW)
             harmful = fingerprint("a", "POST", HOST, "/calls/1", HARMFUL)
-            await wait_barred(*fleet.gateways)
-            assert gateway.ended_lives.barred() == (harmful,)
+            await wait_quarantined(*fleet.gateways)
+            assert gateway.ended_lives.quarantined() == (harmful,)
             assert gateway.ended_lives.blamed_for(slow) == ()
 
     run(main())
@@ -189,7 +189,7 @@
         async with deployment(declared(STREAMS), upstreams=6) as fleet:
             fleet.house.answers_first = answers_first
             await end_three(fleet, "/streams/1")
-            await wait_barred(*fleet.gateways)
+            await wait_quarantined(*fleet.gateways)
             met = len(fleet.house.harmful_at)
             assert met <= 4
             status = await fleet.send(fleet.gateways[0], HARMFUL, "/streams/1")
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -84,14 +84,14 @@
     assert list(told(story(read([ended]), "other"))) == ["no line bears the id other"]
 
 
-def test_who_is_barred_is_told_which_upstreams_ended_however_long_ago() -> None:
+def test_who_is_quarantined_is_told_which_upstreams_ended_however_long_ago() -> None:
     ended = {"waiting": ["req-a", "req-b"], "answering": []}
     texts = [
         line(0.0, "g1", "upstream_ended", upstream="u1", **ended),
         line(0.5, "g1", "upstream_ended", upstream="u2", waiting=[], answering=["x"]),
         line(1.0, "g2", "upstream_ended", upstream="u3", **ended),
         line(
-            *(50.0, "g1", "request_barred"),
+            *(50.0, "g1", "request_quarantined"),
             **{"request_id": "r1", "digest": "req-a", "ended": ["u1", "u3"]},
         ),
         request(50.0, "ends_upstreams", status=503, sends=[], digest="req-a"),
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -37,7 +37,7 @@
     "it ends its upstreams": (
         ended("ends_upstreams", sends=[]),
         Loss.REFUSED,
-        Cause.BARRED,
+        Cause.QUARANTINED,
     ),
     "late behind others": (
         ended("answered", 900.0, sends=[BUSY]),
--- a/tests/test_open_runs.py
+++ b/tests/test_open_runs.py
@@ -14,7 +14,7 @@
 from gooseberrydale.version.open_runs import (
     MOST_BROKEN,
     NOTICED_S,
-    Casualties,
+    LostRuns,
     OpenRuns,
     RunEnd,
 )
@@ -29,7 +29,7 @@
     runs = OpenRuns()
     runs.began(A)
     runs.began(B).answering = True
-    assert runs.over(1.0) == Casualties((A,), (B,))
+    assert runs.over(1.0) == LostRuns((A,), (B,))
     assert runs.is_over
     assert not runs.over(1.1)
 
@@ -48,14 +48,14 @@
 ) -> None:
     runs = OpenRuns()
     runs.ended(runs.began(A), 5.0, end)
-    assert runs.over(5.0 + found_s) == Casualties(waiting=told)
+    assert runs.over(5.0 + found_s) == LostRuns(waiting=told)
 
 
 def test_runs_that_break_after_the_end_are_told_then() -> None:
     runs = OpenRuns()
     runs.over(1.0)
     runs.ended(runs.began(A), 1.2, RunEnd.BROKE)
-    assert runs.over(1.2) == Casualties((A,))
+    assert runs.over(1.2) == LostRuns((A,))
 
 
 @pytest.mark.parametrize("end", RunEnd)
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -267,18 +267,18 @@
     assert run(*nobody, "--timeout-s", "0.1") == OperatorExit.NO_ANSWER
 
 
-def test_a_barred_request_is_listed_and_released(run, control, capsys):
+def test_a_quarantined_request_is_listed_and_released(run, control, capsys):
     digest = shown(request(1))
     for life in ("u1", "u2", "u3"):
         control.ended_lives.report(life, lost(1), 1.0)
-    assert run("request", "barred") == 0
+    assert run("request", "quarantined") == 0
     assert capsys.readouterr().out.split() == ["DIGEST", "ENDED", digest, "3"]
-    assert run("request", "barred", "--json") == 0
-    [row] = json.loads(capsys.readouterr().out)["barred"]
+    assert run("request", "quarantined", "--json") == 0
+    [row] = json.loads(capsys.readouterr().out)["quarantined"]
     assert row == {"digest": digest, "ended": ["u1", "u2", "u3"]}
     assert run("request", "release", digest) == 0
-    assert control.ended_lives.barred() == ()
+    assert control.ended_lives.quarantined() == ()
     assert run("request", "release", digest) == OperatorExit.REFUSED
-    assert f"no barred request '{digest}'" in capsys.readouterr().err
+    assert f"no quarantined request '{digest}'" in capsys.readouterr().err
     assert run("audit") == 0
     assert "release" in capsys.readouterr().out
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -12,11 +12,11 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.placing import (
-    BarredError,
     Learned,
     NoRoomError,
     Placed,
     Placing,
+    QuarantinedError,
 )
 from gooseberrydale.process.gateway.upstreams import Sought
 from gooseberrydale.request.comeback import NO_ROOM_AFTER_S, no_room_s
@@ -24,7 +24,7 @@
 from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.timeliness import LATE_WAIT_S, LOOK_S
 from gooseberrydale.version.declared import EngineSize, Pool
-from gooseberrydale.version.ended_lives import BARRED_AFTER, EndedLives
+from gooseberrydale.version.ended_lives import QUARANTINE_AFTER, EndedLives
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.patience import Patience
 from gooseberrydale.version.run_times import RunTimes
@@ -89,8 +89,8 @@
         placed = await placing.place()
     except NoRoomError:
         return "told", loop.time() - began
-    except BarredError:
-        return "barred", loop.time() - began
+    except QuarantinedError:
+        return "quarantined", loop.time() - began
     assert isinstance(placed, Placed) and placing.tried == ["u1"]
     name = "late" if placing.demand.spare_only else "sent"
     return name, loop.time() - began
@@ -136,14 +136,14 @@
         loop = asyncio.get_running_loop()
         one = replace(job(LARGE, now=loop.time()), fingerprint=lives.request(1))
         upstreams = FakeUpstreams(always(FULL))
-        for number in range(BARRED_AFTER):
+        for number in range(QUARANTINE_AFTER):
             ended = f"u{number}", lives.lost(1)
             at = 0.1 + number / 100
             loop.call_at(at, upstreams.ended_lives.report, *ended, at)
         return await outcome(one, upstreams)
 
     found, took_s = run_paused(main())
-    assert found == "barred"
+    assert found == "quarantined"
     assert 0.12 <= took_s <= 0.12 + 1.5 * LOOK_S
 
 
