--- a/gooseberrydale/version/ended_lives.py
+++ b/gooseberrydale/version/ended_lives.py
@@ -37,7 +37,7 @@
 """Requests whose whole answers are remembered; those asked for often stay longest."""
 
 MOST_REQUESTS = 16_384
-"""Requests of lives that ended, counted once for each life: some 4 MB.  The ends of a
+"""Requests of lives that ended, counted once for each life: some 6 MB.  The ends of a
 whole rack, 40 upstreams with 64 requests each, are a sixth of it."""
 
 MOST_LIVES = 2_048
