Don't blame requests for the ends of upstreams that leave; one home for kept files

Cause: streams are sent on from upstreams that are replaced one after the other; a long one could be in the middle of its answer at three planned ends and be refused for it. Found by reading. Change: the end of a life that has said that it leaves is logged and told to nobody. The two files of control that help a restart share the task that writes them.

--- a/gooseberrydale/process/control/upstream_cache.py
+++ b/gooseberrydale/process/control/upstream_cache.py
@@ -1,9 +1,8 @@
 """Keeps the announcements of upstreams over a restart of the process.
 
-Lives as long as the process; the file lives as long as the disk.  After all processes
-were killed at once, nobody knows an upstream until it announces itself again; what was
-known before is the best guess, and whoever is wrong about it is told so by the
-upstream.
+Lives as long as the process.  After all processes were killed at once, nobody knows an
+upstream until it announces itself again; what was known before is the best guess, and
+whoever is wrong about it is told so by the upstream.
 """
 
 from __future__ import annotations
@@ -15,12 +14,8 @@
 from gooseberrydale.connection.codec import message
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
 from gooseberrydale.process.control.kept_file import KeptFile
-from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.version.directory import Directory
 
-GATHER_S = 0.1
-"""Changes within this time share a write."""
-
 GUESS_LEASE_S = 6.0
 """A guess ends after this; live upstreams have announced themselves several times."""
 
@@ -34,42 +29,33 @@
 
 
 class UpstreamCache:
-    """Writes the records of ``directory`` to ``path`` when they change."""
+    """Keeps the records of ``directory`` in a file at ``path``."""
 
     def __init__(self, path: Path, directory: Directory) -> None:
-        self._file = KeptFile(path)
         self._directory = directory
-        self._changed = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._file = KeptFile(path, self._collect)
 
     async def start(self) -> None:
         """Offer what was kept, then keep what changes."""
         now = asyncio.get_running_loop().time()
-        for record in self._read():
-            self._directory.offer(replace(record, lease_s=GUESS_LEASE_S), now)
+        kept = self._file.read()
+        if isinstance(kept, KeptUpstreams):
+            for record in kept.records:
+                self._directory.offer(replace(record, lease_s=GUESS_LEASE_S), now)
         self._directory.subscribe(self._on_record)
-        self._tasks.append(spawn(self._run()))
+        await self._file.start()
 
     async def close(self) -> None:
         """Stop keeping."""
-        await stop(self._tasks)
+        await self._file.close()
 
     def _on_record(self, changed: bool) -> None:
         if changed:
-            self._changed.set()
-
-    async def _run(self) -> None:
-        while True:
-            await self._changed.wait()
-            await asyncio.sleep(GATHER_S)
-            self._changed.clear()
-            now = asyncio.get_running_loop().time()
-            records = [r for r in self._directory.records(now) if _is_upstream(r)]
-            await asyncio.to_thread(self._file.write, KeptUpstreams(tuple(records)))
-
-    def _read(self) -> tuple[UpstreamRecord, ...]:
-        kept = self._file.read()
-        return kept.records if isinstance(kept, KeptUpstreams) else ()
+            self._file.changed()
+
+    def _collect(self, now: float) -> KeptUpstreams:
+        records = [r for r in self._directory.records(now) if _is_upstream(r)]
+        return KeptUpstreams(tuple(records))
 
 
 def _is_upstream(record: UpstreamRecord) -> bool:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -104,10 +104,16 @@
             self.ended(name, self.load_of(name), now, "another life has its address")
 
     def ended(self, name: str, load: UpstreamLoad, now: float, reason: str) -> None:
-        """A life of an upstream has ended, with all that it ran."""
+        """A life of an upstream has ended, with all that it ran.
+
+        One that has said that it leaves ends by itself; long streams meet several of
+        these while upstreams are replaced one after the other.
+        """
         known = load.runs.is_over
         lost = load.runs.over(now)
-        self.ended_lives.report(life_name(name, load.life), lost, now)
+        record = self._directory.get(name, now)
+        if record is None or not record.leaving:
+            self.ended_lives.report(life_name(name, load.life), lost, now)
         if lost or not known:
             waiting = [shown(one) for one in lost.waiting]
             answering = [shown(one) for one in lost.answering]
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -58,7 +58,9 @@
         self.directory = Directory()
         self._view = CacheView()
         self._ended_lives = EndedLives()
-        self._runs = UpstreamRuns(cfg.node.name, self.incarnation, self._ended_lives)
+        self._runs = UpstreamRuns(
+            cfg.node.name, self.incarnation, self._ended_lives, self._is_leaving
+        )
         self._watch = UpstreamWatch(
             self._sidecar, self._state_changed, self._took_load, self._runs
         )
@@ -187,10 +189,14 @@
             weights_version=state.weights_version,
             upstream_incarnation=state.incarnation,
             ready=state.ready and not self._closing,
-            leaving=self._closing or node.name in self.store.config.leaving,
+            leaving=self._is_leaving(),
             lease_s=self._sidecar.lease_s,
         )
 
+    def _is_leaving(self) -> bool:
+        """Whether the sidecar stops or operators take its upstream out of service."""
+        return self._closing or self._cfg.node.name in self.store.config.leaving
+
     def _announced(self, _changed: bool) -> None:
         """Own announcements pass through the directory, with their number."""
         now = asyncio.get_running_loop().time()
--- a/gooseberrydale/process/sidecar/upstream_runs.py
+++ b/gooseberrydale/process/sidecar/upstream_runs.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from gooseberrydale.connection.messages import DispatchReq
@@ -34,11 +35,19 @@
 
 
 class UpstreamRuns:
-    """Runs at the upstream of one life of a sidecar, told to ``ended_lives``."""
+    """Runs at the upstream of one life of a sidecar, told to ``ended_lives``.
+
+    Not while ``is_leaving``: then the upstream ends by itself.
+    """
 
     def __init__(
-        self, name: str, sidecar_incarnation: str, ended_lives: EndedLives
+        self,
+        name: str,
+        sidecar_incarnation: str,
+        ended_lives: EndedLives,
+        is_leaving: Callable[[], bool],
     ) -> None:
+        self._is_leaving = is_leaving
         self._prefix = f"{name}@{sidecar_incarnation}"
         self._ended_lives = ended_lives
         self._count = 0
@@ -82,7 +91,8 @@
 
     def _tell(self, life: _Life, reason: str) -> None:
         lost = life.runs.over(_now())
-        self._ended_lives.report(life.name, lost, _now())
+        if not self._is_leaving():
+            self._ended_lives.report(life.name, lost, _now())
         waiting = [shown(one) for one in lost.waiting]
         answering = [shown(one) for one in lost.answering]
         emit(UpstreamEnded(life.name, reason, waiting, answering))
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -366,3 +366,16 @@
     assert load.suspect_until > 10.0 + NOTICED_S
     assert [one.name for one in view.doubtful(10.1)] == ["u1"]
     assert view.doubtful(10.2) == []
+
+
+@pytest.mark.parametrize("leaving", [False, True])
+def test_an_upstream_that_has_said_that_it_leaves_ends_by_itself(leaving: bool) -> None:
+    directory = Directory()
+    directory.offer(record("u1"), 0.0)
+    view = upstreams(directory)
+    view.records(POOL, 0.0)
+    load = view.load_of("u1")
+    load.runs.began(bytes(16))
+    directory.offer(record("u1", seq=2, leaving=leaving), 1.0)
+    view.ended("u1", load, 2.0, "refused")
+    assert len(view.ended_lives) == int(not leaving)
--- a/tests/test_upstream_runs.py
+++ b/tests/test_upstream_runs.py
@@ -15,6 +15,10 @@
 Step = Callable[[UpstreamRuns, list[Running]], None]
 
 
+def _runs_told_to(table: EndedLives, *, leaving: bool = False) -> UpstreamRuns:
+    return UpstreamRuns("upstream-1", "life-1", table, lambda: leaving)
+
+
 def begin(runs: UpstreamRuns, open_: list[Running]) -> None:
     open_.append(runs.began(dispatch_req("i1")))
 
@@ -77,10 +81,21 @@
 
     async def main() -> None:
         table = EndedLives()
-        runs, open_ = UpstreamRuns("upstream-1", "life-1", table), []
+        runs, open_ = _runs_told_to(table), []
         for step in steps:
             step(runs, open_)
         found = {name for one in table.since(0, 0.0).lives for name in [one.life]}
         assert len(found) == blamed
 
     asyncio.run(main())
+
+
+def test_an_upstream_that_leaves_ends_by_itself() -> None:
+    async def main() -> None:
+        table = EndedLives()
+        runs = _runs_told_to(table, leaving=True)
+        runs.began(dispatch_req("i1"))
+        runs.upstream_gone("refused")
+        assert len(table) == 0
+
+    asyncio.run(main())
