--- a/tests/test_ended_innocents.py
+++ b/tests/test_ended_innocents.py
@@ -2,8 +2,8 @@
 
 A model of a pool: prompts that wait and answer, long streams that are sent on when
 their upstream ends, and a request that ends whatever runs it and is repeated until it
-is in quarantine.  The worst moment is when half of the pool is gone and all that ran there
-meets the next end on the same few upstreams.
+is in quarantine.  The worst moment is when half of the pool is gone and all that ran
+there meets the next end on the same few upstreams.
 
 Over 400 plays 10,335 requests met an end, and none was refused.  Blamed alike, whether
 they were answering or not, 145 of 10,344 were; with two ends in place of three, 9 of
