Keep workspaces' quotas over all gateways, counted by two owners each

Cause: nothing counted what a workspace sends.

Change: each gateway finds the same two owners of a workspace's count by rendezvous hashing. While much is left, requests are sent and reported; once little is left the owner decides. Its token bucket grants while anything is left and goes into debt, so that size decides nothing; who is refused gets the time of its turn, which is kept for it. A gateway out of touch goes on with its part of the rate, and the owners keep that part for it. What an upstream states not to have run is given back.

--- a/gooseberrydale/connection/codec.py
+++ b/gooseberrydale/connection/codec.py
@@ -1,7 +1,8 @@
 """Codec of the messages between the system's own processes.
 
 A message is a frozen dataclass registered with :func:`message`.  On the wire it
-is MessagePack: an array of the message's name and its fields as a map.  Unknown
+is MessagePack: an array of the message's name and its fields as a map, or as an array
+if it is a ``msgspec.Struct`` that asks for that.  Unknown
 fields are ignored and missing ones take their defaults, so that processes of
 neighbouring releases understand each other during a rolling upgrade.
 """
@@ -26,8 +27,8 @@
 
 
 def message(cls: type[T]) -> type[T]:
-    """Register a dataclass under its own name; names are part of the protocol."""
-    if not dataclasses.is_dataclass(cls):
+    """Register a data class under its own name; names are part of the protocol."""
+    if not (dataclasses.is_dataclass(cls) or issubclass(cls, msgspec.Struct)):
         raise TypeError(f"{cls.__name__} is not a dataclass; decorate it first")
     if cls.__name__ in _TYPES:
         raise TypeError(f"message name {cls.__name__} is taken; rename the class")
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -198,6 +198,12 @@
     "The request was sent, and {count} upstreams have ended while they ran it; change"
     " it, or ask your operator about {digest}.",
 )
+OVER_QUOTA = ErrorKind(
+    "over_quota",
+    429,
+    "Workspace {workspace!r} is over its quota, and this request counts {cost}; come"
+    " back after the given time, or ask your operator for a higher quota.",
+)
 NO_ROOM = ErrorKind(
     "no_room",
     503,
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -81,6 +81,26 @@
     digest: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaRefused(LogEvent):
+    """A request counts ``cost``, which is beyond its workspace's quota.
+
+    ``left`` is what was left by the word of its ``owner``, ``age_ms`` old; negative if
+    more was spent than had been filled.  The caller may return after ``after_ms``.
+    """
+
+    NAME: ClassVar[str] = "quota_refused"
+    TEXT: ClassVar[str] = "over quota"
+
+    request_id: str
+    workspace: str
+    cost: int
+    left: int
+    age_ms: float
+    owner: str
+    after_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestQuarantined(LogEvent):
     """A request is sent nowhere, since the lives ``ended`` have ended under it.
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -18,6 +18,7 @@
     DocumentInForce,
     Drained,
     Draining,
+    QuotaRefused,
     RequestEnded,
     RequestQuarantined,
     SendEnded,
@@ -66,6 +67,7 @@
     "broken": "its stream broke off and could not go on elsewhere",
     "no_upstream": "no upstream was known that could take it",
     "no_room": "every upstream would have answered too late",
+    "over_quota": "its workspace was over its quota",
     "not_ready": "the gateway knew no document yet",
     "shutting_down": "the gateway was about to stop and sent it elsewhere",
     "no_declared_route": "the document in force has no route for it",
@@ -116,6 +118,13 @@
             return (
                 f"{known} (ended: {', '.join(quarantined[-1].fields.get('ended', ()))})"
             )
+        over = [line for line in self.lines if line.event == QuotaRefused.NAME]
+        if over:
+            found = over[-1].fields
+            return (
+                f"{known} (it counts {found.get('cost')}, {found.get('left')} were left"
+                f" by the word of {found.get('owner')} {found.get('age_ms')} ms before)"
+            )
         sends = [line for line in self.lines if line.event == SendEnded.NAME]
         if not sends:
             return known
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -17,17 +17,20 @@
     BODY_TOO_LARGE,
     NO_DECLARED_ROUTE,
     NOT_READY,
+    OVER_QUOTA,
     SHUTTING_DOWN,
     UNKNOWN_CALLER_KEY,
     Problem,
     problem,
 )
-from gooseberrydale.log_events import RequestEnded, emit
+from gooseberrydale.log_events import QuotaRefused, RequestEnded, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.declared_store import DeclaredStore
 from gooseberrydale.process.gateway.forward import BrokenAnswerError, Forward
 from gooseberrydale.process.gateway.measures import Measures
+from gooseberrydale.process.gateway.quota_charge import QuotaCharge
+from gooseberrydale.process.gateway.quota_client import OverQuota, QuotaClient
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendParts
 from gooseberrydale.process.gateway.terms import TermsMaker
@@ -60,6 +63,7 @@
     sends: SendParts
     terms: TermsMaker
     budgets: RetryBudgets
+    quotas: QuotaClient
     measures: Measures
     rng: random.Random
 
@@ -155,14 +159,51 @@
             stopping = problem(SHUTTING_DOWN, retry_after_s=back_s)
             await answer.refuse(stopping, close=True)
             return stopping.code
+        self._route, self._objective_s = route.name, route.objective_s
+        charge = QuotaCharge(self._parts.quotas, job)
+        try:
+            over = await charge.admit()
+            if over is not None:
+                await self._refuse_over_quota(job, charge.cost, over, answer)
+                return OVER_QUOTA.code
+            return await self._forward_job(job, answer, charge)
+        finally:
+            charge.close()
+
+    async def _forward_job(
+        self, job: Assignment, answer: CallerAnswer, charge: QuotaCharge
+    ) -> str:
         parts = self._parts
         budget = parts.budgets.of(job.pool.name)
-        forward = Forward(job, answer, parts.sends, parts.terms, budget, parts.measures)
-        self._forward, self._route = forward, route.name
-        self._objective_s = route.objective_s
+        forward = Forward(
+            job, answer, parts.sends, parts.terms, budget, parts.measures, charge
+        )
+        self._forward = forward
         await self._run(forward)
         return forward.outcome
 
+    async def _refuse_over_quota(
+        self, job: Assignment, cost: int, over: OverQuota, answer: CallerAnswer
+    ) -> None:
+        """Refuse what is beyond the quota before any upstream has heard of it."""
+        workspace = "" if job.workspace is None else job.workspace.name
+        emit(
+            QuotaRefused(
+                request_id=job.call.request_id,
+                workspace=workspace,
+                cost=cost,
+                left=round(over.left),
+                age_ms=round(over.age_s * MS_PER_S, 1),
+                owner=over.owner,
+                after_ms=round(over.after_s * MS_PER_S),
+            )
+        )
+        self._parts.measures.over_quota(workspace, cost)
+        why = problem(
+            OVER_QUOTA, workspace=workspace, cost=cost, retry_after_s=over.after_s
+        )
+        await answer.refuse(why)
+
     async def _table(self, call: CallerCall) -> RouteTable | None:
         """The declarations; a process that has just started gets them in a moment."""
         table = self._parts.declared.table
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -26,6 +26,7 @@
     Placing,
     QuarantinedError,
 )
+from gooseberrydale.process.gateway.quota_charge import QuotaCharge
 from gooseberrydale.process.gateway.send import Sender, SendParts
 from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.request.attempt_end import (
@@ -68,6 +69,7 @@
         terms: TermsMaker,
         budget: RetryWindow,
         measures: Measures,
+        charge: QuotaCharge,
     ) -> None:
         self._job = job
         self._measures = measures
@@ -75,7 +77,7 @@
         self._upstreams = parts.upstreams
         self._terms = terms
         self._budget = budget
-        self._sender = Sender(job, answer, parts, self._may_move)
+        self._sender = Sender(job, answer, parts, self._may_move, charge)
         self._placing = Placing(job, parts.upstreams, parts.learned)
         self.choices: list[Candidate] = []
         self.chosen_at = 0.0
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -26,6 +26,7 @@
 from gooseberrydale.process.gateway.measures import Measured, Unmeasured
 from gooseberrydale.process.gateway.placing import Learned
 from gooseberrydale.process.gateway.prober import Prober
+from gooseberrydale.process.gateway.quota_client import QuotaClient
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendParts
 from gooseberrydale.process.gateway.store_follower import (
@@ -52,6 +53,7 @@
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.patience import Patience
 from gooseberrydale.version.peer_loads import PeerLoads
+from gooseberrydale.version.quotas.quota import Quota
 from gooseberrydale.version.run_times import RunTimes
 from gooseberrydale.version.store_followers import StoreTidings
 from gooseberrydale.version.stores import Stores
@@ -175,6 +177,14 @@
             self._upstreams,
             self._known_fleet,
         )
+        self.quotas = QuotaClient(
+            self._own_name,
+            incarnation,
+            self._datagrams,
+            self._known_fleet,
+            self._declared_quotas,
+            self._rng,
+        )
         others = Others(
             self._own_name, self._gateway_links, self._datagrams.spread, self._rng
         )
@@ -195,6 +205,7 @@
             sends=sends,
             terms=TermsMaker(self._upstreams),
             budgets=RetryBudgets(self._cfg, self._count_gateways),
+            quotas=self.quotas,
             measures=Unmeasured() if self.metrics is None else Measured(self.metrics),
             rng=self._rng,
         )
@@ -220,6 +231,7 @@
         await self._datagrams.start()
         await self._gossip.start()
         await self._areas.start()
+        await self.quotas.start()
         await self._declared.start()
         await self._store.start()
         await self._mesh.start()
@@ -245,6 +257,7 @@
         if self._sweeping is not None:
             self._sweeping.cancel()
         await self._prober.close()
+        await self.quotas.close()
         await self._areas.close()
         await self._gossip.close()
         self._datagrams.close()
@@ -315,6 +328,10 @@
             self._fleet = Fleet(self._fleet.own, others)
         return self._fleet
 
+    def _declared_quotas(self) -> Mapping[str, Quota]:
+        table = self._declared.table
+        return {} if table is None else table.quotas
+
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/gooseberrydale/process/gateway/measures.py
+++ b/gooseberrydale/process/gateway/measures.py
@@ -12,6 +12,12 @@
     from gooseberrydale.process.metrics import Metrics
 
 
+MOST_WORKSPACES = 200
+"""Series of one metric; workspaces beyond that share one."""
+
+OTHER_WORKSPACES = "#others"
+
+
 class Measures(Protocol):
     """What the request path tells."""
 
@@ -26,6 +32,9 @@
     def sent_again(self, cause: str) -> None:
         """A send ended without a whole answer, and another one follows."""
 
+    def over_quota(self, workspace: str, cost: int) -> None:
+        """A request that counts ``cost`` was refused for its quota."""
+
 
 class Unmeasured:
     """Measures nothing."""
@@ -41,12 +50,16 @@
     def sent_again(self, cause: str) -> None:
         """Nothing."""
 
+    def over_quota(self, workspace: str, cost: int) -> None:
+        """Nothing."""
+
 
 class Measured:
     """Tells the instruments of ``metrics``; a route stands in place of a profile."""
 
     def __init__(self, metrics: Metrics) -> None:
         self._instruments = metrics.instruments
+        self._workspaces: set[str] = set()
 
     def request_ended(
         self, route: str, outcome: str, first_s: float, took_s: float
@@ -65,3 +78,11 @@
     def sent_again(self, cause: str) -> None:
         """Count a retry by its cause."""
         self._instruments.retries.add(1, {"cause": cause})
+
+    def over_quota(self, workspace: str, cost: int) -> None:
+        """Count what was refused of a workspace; many of them are counted together."""
+        known = self._workspaces
+        if workspace not in known and len(known) >= MOST_WORKSPACES:
+            workspace = OTHER_WORKSPACES
+        known.add(workspace)
+        self._instruments.over_quota.add(cost, {"workspace": workspace})
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -19,6 +19,7 @@
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.observed_life import answered, suspect
 from gooseberrydale.process.gateway.placing import Learned
+from gooseberrydale.process.gateway.quota_charge import QuotaCharge
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.attempt_end import End
 from gooseberrydale.request.gateway_call import (
@@ -85,11 +86,13 @@
         answer: CallerAnswer,
         parts: SendParts,
         may_move: Callable[[UpstreamRecord], bool],
+        charge: QuotaCharge,
     ) -> None:
         self._job = job
         self._answer = answer
         self._parts = parts
         self._may_move = may_move
+        self._charge = charge
         self._prefilled = False
         self._run: Run | None = None
         self.runs = 0
@@ -188,6 +191,7 @@
         headers = wire.request_headers(job.call, terms)
         conn.send(_request_head(job.call, headers, len(job.body)), job.body)
         self.runs += 1
+        self._charge.sent()
         self._run = load.runs.began(job.fingerprint)
         raw = await conn.head(self._is_mine)
         load.silence.heard(_now())
@@ -220,6 +224,7 @@
         self, conn: HttpConn, head: AnswerHead, record: UpstreamRecord
     ) -> End:
         self.runs -= 1
+        self._charge.not_run()
         await _read_whole(conn)
         gone = head.instance not in (None, record.name)
         self._parts.upstreams.refused(record.name, _now(), gone=gone)
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -91,6 +91,7 @@
     held_s: Any
     chunk_gap_s: Any
     retries: Any
+    over_quota: Any
     resumes: Any
     attaches: Any
     elections: Any
@@ -152,6 +153,9 @@
             "Longest time between two chunks of an answer",
             explicit_bucket_boundaries_advisory=list(GAP_BUCKETS_S),
         ),
+        over_quota=counter(
+            "over_quota", "What was refused beyond quotas, by workspace"
+        ),
         retries=counter("retries", "Attempts after the first, by cause"),
         resumes=counter("resumes", "Streams resumed on another upstream"),
         attaches=counter("attaches", "Streams attached to again, by outcome"),
--- a/gooseberrydale/process/losses.py
+++ b/gooseberrydale/process/losses.py
@@ -43,6 +43,7 @@
     NOT_READY = "no configuration yet"
     GONE = "instance gone"
     SERVICE = "the service itself failed"
+    OVER_QUOTA = "its workspace was over its quota"
     QUARANTINED = "it ends the upstreams that run it"
     LEFT = "its caller left early"
     UNKNOWN = "unknown"
@@ -68,13 +69,14 @@
     "invalid": Cause.SERVICE,
     "refused": Cause.CHANGING,
     "no_room": Cause.QUEUED,
+    "over_quota": Cause.OVER_QUOTA,
     "ends_upstreams": Cause.QUARANTINED,
     "ended_upstreams": Cause.QUARANTINED,
 }
 _REFUSALS = frozenset(
     {
         *("not_ready", "shutting_down", "no_upstream", "no_room", "refused"),
-        "ends_upstreams",
+        *("over_quota", "ends_upstreams"),
     }
 )
 _CHOICE = re.compile(r"(\w+)=([-\w.]+)")
--- a/gooseberrydale/request/gateway_call.py
+++ b/gooseberrydale/request/gateway_call.py
@@ -28,13 +28,15 @@
 class Prompt:
     """What a model is asked: ``tokens`` in all, at most ``max_new_tokens`` back.
 
-    The last part belongs to this request alone.
+    The last part belongs to this request alone.  ``usage`` is what the caller says that
+    it uses in all, None if it doesn't say so in two numbers.
     """
 
     model: str
     tokens: int
     max_new_tokens: int
     parts: tuple[PromptPart, ...]
+    usage: int | None = None
 
     @property
     def shared(self) -> tuple[PromptPart, ...]:
--- a/gooseberrydale/version/declared.py
+++ b/gooseberrydale/version/declared.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass, field
 
+from gooseberrydale.version.quotas.quota import Quota
+
 
 @dataclass(frozen=True, slots=True)
 class Share:
@@ -84,13 +86,15 @@
 class KeyHolder:
     """A workspace with its keys; what is computed for an ``isolated`` one stays there.
 
-    Its ``priority``, if it has one, goes before that of the route.
+    Its ``priority``, if it has one, goes before that of the route.  Without a ``quota``
+    it may use what it likes.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
     isolated: bool = False
+    quota: Quota | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/version/declared_checks.py
+++ b/gooseberrydale/version/declared_checks.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from gooseberrydale.version.declared import Declared, Route
+from gooseberrydale.version.quotas.quota import quota_faults
 
 
 def declared_faults(declared: Declared) -> Iterator[str]:
@@ -18,6 +19,10 @@
         yield from _route_faults(route, declared.pools.keys() | stores)
     yield from _same_place(declared)
     yield from _shared_keys(declared)
+    for holder in declared.workspaces or ():
+        if holder.quota is not None:
+            for fault in quota_faults(holder.quota):
+                yield f"workspace {holder.name!r}: {fault}"
 
 
 def _route_faults(route: Route, known: set[str]) -> Iterator[str]:
--- a/gooseberrydale/version/route_table.py
+++ b/gooseberrydale/version/route_table.py
@@ -21,6 +21,11 @@
         self._depth = max(
             (r.path_prefix.count("/") for r in declared.routes), default=0
         )
+        self.quotas = {
+            holder.name: holder.quota
+            for holder in declared.workspaces or ()
+            if holder.quota is not None
+        }
         self._by_key: dict[str, KeyHolder] = {}
         for holder in declared.workspaces or ():
             self._by_key.update((key, holder) for key in holder.keys)
