--- a/features/cache_events.feature
+++ b/features/cache_events.feature
@@ -1,6 +1,6 @@
 Feature: Events of the cache are lost, repeated and crossed, and caches are lost
   A sidecar follows the cache of its engine by events that it can't rely on; a wrong
-  view may cost time, never an answer, and is dropped with the life it belongs to.
+  view may cost time, never an answer, and is dropped with the incarnation it belongs to.
 
   Scenario: Events are lost, repeated and out of order under load
     Given a fleet of 3 control replicas, 2 entries and 3 engines whose cache events are unreliable
--- a/features/steps/cache_steps.py
+++ b/features/steps/cache_steps.py
@@ -67,13 +67,13 @@
 
 @then("the sidecar of {name} soon counts nothing as cached")
 def step_view_dropped(context: Any, name: str) -> None:
-    """The view of the engine's old life is gone, without any new request."""
+    """The view of the engine's old incarnation is gone, without any new request."""
     before = context.blocks_before
     print(f"the sidecar of {name} counted {before:g} blocks before")
     assert before > 0
     wait_until(
         lambda: context.fleet.sidecar_level(name, "cached_blocks") == 0,
-        f"the sidecar of {name} still counts blocks of the old life",
+        f"the sidecar of {name} still counts blocks of the old incarnation",
         VIEW_BOUND_S,
     )
 
--- a/gooseberrydale/connection/channels.py
+++ b/gooseberrydale/connection/channels.py
@@ -17,7 +17,7 @@
 
 
 class Endpoint(Protocol):
-    """One life of a process that can be called."""
+    """One incarnation of a process that can be called."""
 
     @property
     def address(self) -> str:
@@ -25,7 +25,7 @@
 
     @property
     def incarnation(self) -> str:
-        """Name of its life."""
+        """Name of its incarnation."""
 
 
 Key = tuple[str, str]
@@ -42,7 +42,8 @@
         self._closing: set[asyncio.Task[None]] = set()
 
     def take(self, endpoint: Endpoint) -> RpcChannel:
-        """The channel in use for this life of the sidecar, opened on first use."""
+        """The channel in use for this incarnation of the sidecar, opened on first
+        use."""
         key = _key(endpoint)
         if key not in self._channels:
             self._channels[key] = self._dial(endpoint.address)
--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -262,7 +262,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Holder:
-    """The one attempt that may run: request, attempt, and the sidecar's life.
+    """The one attempt that may run: request, attempt, and the sidecar's incarnation.
 
     ``record_seq`` is the sidecar's announcement that the attempt is based on.
     """
--- a/gooseberrydale/connection/engine_orders.py
+++ b/gooseberrydale/connection/engine_orders.py
@@ -17,9 +17,10 @@
     """What an engine says of itself; it may lag by some hundred milliseconds.
 
     ``versions`` holds the weights version by model, ``accepted`` counts the orders
-    that this life of the engine has accepted, ``busy`` is True while one is carried
-    out, ``running`` counts the requests that it works on or keeps waiting.  ``born_ms``
-    is the start of this life, in Unix milliseconds, None if it is not told.
+    that this incarnation of the engine has accepted, ``busy`` is True while one is
+    carried out, ``running`` counts the requests that it works on or keeps waiting.
+    ``born_ms`` is the start of this incarnation, in Unix milliseconds, None if it is
+    not told.
     """
 
     versions: dict[str, int]
@@ -42,8 +43,8 @@
     """A later holder has given orders."""
     REFUSED = auto()
     """The engine does not know the model or the version."""
-    OTHER_LIFE = auto()
-    """Another life of an engine listens there."""
+    OTHER_INCARNATION = auto()
+    """Another incarnation of an engine listens there."""
     UNKNOWN = auto()
     """No answer: the order may be carried out, now or later."""
 
--- a/gooseberrydale/connection/http_pool.py
+++ b/gooseberrydale/connection/http_pool.py
@@ -1,4 +1,4 @@
-"""Kept connections to upstreams, by address and life.
+"""Kept connections to upstreams, by address and incarnation.
 
 Lives as long as the process.  A connection serves one request at a time; whoever takes
 it gives it back or breaks it.
@@ -41,7 +41,7 @@
     async def take(
         self, address: str, instance: str, *, sure: bool, bound: int | None = None
     ) -> HttpConn:
-        """A connection to one life of an upstream, kept or new.
+        """A connection to one incarnation of an upstream, kept or new.
 
         ``sure`` asks for one that will hardly close under the request.  At most
         ``bound`` connections are open, idle ones included.  Whoever takes one calls
--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -31,13 +31,13 @@
 class UpstreamRecord:
     """What an upstream's sidecar announces of itself.
 
-    ``incarnation`` names one life of the sidecar and sorts by its start;
-    ``seq`` rises with each announcement in that life.  ``upstream_incarnation``
-    names one life of the upstream.  ``address`` is the sidecar's gRPC listener.
+    ``incarnation`` names one incarnation of the sidecar and sorts by its start;
+    ``seq`` rises with each announcement in that incarnation.  ``upstream_incarnation``
+    names one incarnation of the upstream.  ``address`` is the sidecar's gRPC listener.
     ``lease_s`` is what was left of the lease when the record was sent, in seconds.
-    An upstream without a sidecar announces itself: ``name`` then names one life of it,
-    ``address`` is its own, and ``slots`` is how many requests it runs at once.
-    A gateway tells ``link_mbps`` of its node, 0 if that is not known.
+    An upstream without a sidecar announces itself: ``name`` then names one incarnation
+    of it, ``address`` is its own, and ``slots`` is how many requests it runs at once. A
+    gateway tells ``link_mbps`` of its node, 0 if that is not known.
     """
 
     name: str
@@ -58,8 +58,9 @@
     link_mbps: float = 0.0
 
 
-class EndedLife(msgspec.Struct, frozen=True, array_like=True):
-    """A life of an upstream that has ended, and by fingerprint what it ran then.
+class EndedIncarnation(msgspec.Struct, frozen=True, array_like=True):
+    """An incarnation of an upstream that has ended, and by fingerprint what it ran
+    then.
 
     No part of the answers to those ``waiting`` had come, of those ``answering`` some
     had.  Those ``cleared`` are known not to end upstreams.  It ended ``age_s`` seconds
@@ -67,7 +68,7 @@
     starts hears of many.
     """
 
-    life: str
+    incarnation: str
     waiting: tuple[bytes, ...] = ()
     answering: tuple[bytes, ...] = ()
     cleared: tuple[bytes, ...] = ()
@@ -120,12 +121,13 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Announce:
-    """Records that are new or changed, those ``renewed``, and ``ended`` lives."""
+    """Records that are new or changed, those ``renewed``, and ``ended``
+    incarnations."""
 
     records: tuple[UpstreamRecord, ...]
     sent_at: float = 0.0
     echo_at: float | None = None
-    ended: tuple[EndedLife, ...] = ()
+    ended: tuple[EndedIncarnation, ...] = ()
     renewed: tuple[Renewal, ...] = ()
 
 
--- a/gooseberrydale/connection/mesh_node.py
+++ b/gooseberrydale/connection/mesh_node.py
@@ -15,7 +15,7 @@
 from gooseberrydale.connection.mesh import CONTROL_ROLE, Hello
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,8 +76,8 @@
     def config_changed(self) -> None:
         """A higher revision is in force."""
 
-    def lives_ended(self) -> None:
-        """There is news of lives of upstreams that ended."""
+    def incarnations_ended(self) -> None:
+        """There is news of incarnations of upstreams that ended."""
 
     def close(self) -> None:
         """End the session soon."""
@@ -94,10 +94,12 @@
         *,
         on_ack: AckListener | None = None,
         timings: MeshTimings | None = None,
-        ended_lives: EndedLives | None = None,
+        ended_incarnations: EndedIncarnations | None = None,
     ) -> None:
         self.identity = identity
-        self.ended_lives = EndedLives() if ended_lives is None else ended_lives
+        self.ended_incarnations = (
+            EndedIncarnations() if ended_incarnations is None else ended_incarnations
+        )
         self.directory = directory
         self.store = store
         self.timings = timings if timings is not None else MeshTimings()
@@ -114,7 +116,7 @@
         """Begin to tell sessions of changes."""
         self._unsubscribe = (
             self.directory.subscribe(self._records_changed),
-            self.ended_lives.subscribe(self._lives_ended),
+            self.ended_incarnations.subscribe(self._incarnations_ended),
         )
         self._watch = asyncio.create_task(self._watch_config())
 
@@ -192,9 +194,9 @@
         for session in self._sessions:
             session.records_changed(urgent)
 
-    def _lives_ended(self) -> None:
+    def _incarnations_ended(self) -> None:
         for session in self._sessions:
-            session.lives_ended()
+            session.incarnations_ended()
 
     async def _watch_config(self) -> None:
         revision = self.store.revision
--- a/gooseberrydale/connection/mesh_session.py
+++ b/gooseberrydale/connection/mesh_session.py
@@ -94,8 +94,8 @@
         gather_s = timings.gather_s if urgent else timings.renewal_gather_s
         self._alarm.by(self._loop.time() + gather_s)
 
-    def lives_ended(self) -> None:
-        """Tell soon which lives of upstreams have ended."""
+    def incarnations_ended(self) -> None:
+        """Tell soon which incarnations of upstreams have ended."""
         self.records_changed(urgent=True)
 
     def config_changed(self) -> None:
@@ -209,8 +209,8 @@
             self._alarm.by(self._loop.time())
 
     def _take_records(self, msg: Announce, peer: Hello) -> None:
-        for life in msg.ended:
-            self._node.ended_lives.offer(life, self.heard_at, source=self)
+        for incarnation in msg.ended:
+            self._node.ended_incarnations.offer(incarnation, self.heard_at, source=self)
         age_s = self._transit.age_s(msg.sent_at, self.heard_at)
         for record in msg.records:
             taken = self._node.directory.offer(
@@ -312,14 +312,14 @@
         """What is known of ended lives; sidecars only tell of theirs."""
         if self._peer is not None and self._peer.role == SIDECAR_ROLE:
             return
-        news = self._node.ended_lives.since(self._sent_ended, now, exclude=self)
+        news = self._node.ended_incarnations.since(self._sent_ended, now, exclude=self)
         self._sent_ended = news.version
-        for start in range(0, len(news.lives), BATCH_ENDED):
+        for start in range(0, len(news.incarnations), BATCH_ENDED):
             yield Announce(
                 records=(),
                 sent_at=now,
                 echo_at=self._echo_at(now),
-                ended=news.lives[start : start + BATCH_ENDED],
+                ended=news.incarnations[start : start + BATCH_ENDED],
             )
 
     def _records_to_send(
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -103,7 +103,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestQuarantined(LogEvent):
-    """A request is sent nowhere, since the lives ``ended`` have ended under it.
+    """A request is sent nowhere, since the incarnations ``ended`` have ended under it.
 
     ``digest`` is the same for each repeat of the request.
     """
@@ -162,7 +162,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamEnded(LogEvent):
-    """A life of an upstream has ended; what this process had running there.
+    """An incarnation of an upstream has ended; what this process had running there.
 
     By their digests: ``waiting`` without a part of their answers, ``answering`` in the
     middle of them.
@@ -190,7 +190,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamRetired(LogEvent):
-    """The life of an upstream is over, or takes no new work any more."""
+    """The incarnation of an upstream is over, or takes no new work any more."""
 
     NAME: ClassVar[str] = "upstream_retired"
     TEXT: ClassVar[str] = "upstream retired"
@@ -211,14 +211,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EarlierLife(LogEvent):
-    """An announcement is from an earlier life than the one known; it changes nothing.
+class EarlierIncarnation(LogEvent):
+    """An announcement is from an earlier incarnation than the one known; it changes
+    nothing.
 
     If a clock was set back it may yet be the later one; the upstream itself is asked.
     """
 
-    NAME: ClassVar[str] = "earlier_life"
-    TEXT: ClassVar[str] = "announcement of an earlier life"
+    NAME: ClassVar[str] = "earlier_incarnation"
+    TEXT: ClassVar[str] = "announcement of an earlier incarnation"
 
     upstream: str
     born: int
@@ -434,7 +435,7 @@
     reason: str
 
 
-# The life of a process.
+# The incarnation of a process.
 
 
 @dataclass(frozen=True, slots=True)
@@ -449,7 +450,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reload(LogEvent):
-    """Told to reload; settings hold for the life of a process."""
+    """Told to reload; settings hold for the incarnation of a process."""
 
     NAME: ClassVar[str] = "reload"
     TEXT: ClassVar[str] = "told to reload; settings need a restart"
--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -13,10 +13,19 @@
 
 from gooseberrydale.connection.engine_orders import EngineOrders
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.log_events import EarlierLife, UpstreamReborn, UpstreamRetired, emit
+from gooseberrydale.log_events import (
+    EarlierIncarnation,
+    UpstreamReborn,
+    UpstreamRetired,
+    emit,
+)
 from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.version.directory import MAX_LEASE_S, Directory
-from gooseberrydale.version.upstream_life import born_ms, life_after, life_told
+from gooseberrydale.version.upstream_incarnation import (
+    born_ms,
+    incarnation_after,
+    incarnation_told,
+)
 
 BEATS_PER_LEASE = 15
 """Announcements that may be missed in a row before an upstream is forgotten; entries
@@ -29,7 +38,7 @@
 """Room between two announcements for news that control has of the upstream itself."""
 
 LAST_SEQ = 2**62
-"""Stands after every announcement of a life that has ended."""
+"""Stands after every announcement of an incarnation that has ended."""
 
 
 class Announcements:
@@ -38,7 +47,7 @@
     def __init__(
         self, directory: Directory, beat_s: float, engines: EngineOrders | None = None
     ) -> None:
-        """``engines`` are asked which of two lives is the later one."""
+        """``engines`` are asked which of two incarnations is the later one."""
         self._directory = directory
         self._lease_s = beat_s * BEATS_PER_LEASE
         self._engines = engines
@@ -51,26 +60,26 @@
     def renew(self, record: UpstreamRecord, born: int | None = None) -> None:
         """Take an announcement in; older ones change nothing.
 
-        ``born`` is the start of the life that it is from, in Unix milliseconds.
+        ``born`` is the start of the incarnation that it is from, in Unix milliseconds.
         """
         seq = record.seq * STEPS_PER_BEAT
         record = replace(record, seq=seq, lease_s=self._lease_s)
-        known = self._directory.newest_life(record.name)
-        life = life_told(known, born)
-        if life is None:
-            emit(EarlierLife(record.name, born or 0, born_ms(known) or 0))
+        known = self._directory.newest_incarnation(record.name)
+        incarnation = incarnation_told(known, born)
+        if incarnation is None:
+            emit(EarlierIncarnation(record.name, born or 0, born_ms(known) or 0))
             self._ask(record, born)
             return
-        if known and life != known:
+        if known and incarnation != known:
             emit(UpstreamReborn(record.name, born or 0, born_ms(known) or 0))
-        self._offer(replace(record, incarnation=life))
-        self._ask_earlier(record, life)
+        self._offer(replace(record, incarnation=incarnation))
+        self._ask_earlier(record, incarnation)
 
     def retire(self, name: str) -> None:
-        """The life of an upstream under ``name`` takes no new work any more."""
+        """The incarnation of an upstream under ``name`` takes no new work any more."""
         now = asyncio.get_running_loop().time()
         known = self._directory.get(name, now) or _unknown(
-            name, self._directory.newest_life(name)
+            name, self._directory.newest_incarnation(name)
         )
         emit(UpstreamRetired(name))
         self._offer(
@@ -80,36 +89,38 @@
     def has_weights(self, name: str, version: str, born: int | None = None) -> None:
         """Let all know that an upstream serves other weights than it announced.
 
-        ``born`` is the start of the life that said so, None if it did not tell.
+        ``born`` is the start of the incarnation that said so, None if it did not tell.
         """
         now = asyncio.get_running_loop().time()
         known = self._directory.get(name, now)
         if known is None or known.leaving:
             return
-        life = (
-            known.incarnation if born is None else life_after(known.incarnation, born)
+        incarnation = (
+            known.incarnation
+            if born is None
+            else incarnation_after(known.incarnation, born)
         )
-        if life != known.incarnation:
+        if incarnation != known.incarnation:
             # Its own announcements come after this record.
             self._offer(
-                replace(known, incarnation=life, seq=0, weights_version=version)
+                replace(known, incarnation=incarnation, seq=0, weights_version=version)
             )
         elif known.weights_version != version:
             self._offer(replace(known, seq=known.seq + 1, weights_version=version))
 
-    def _ask_earlier(self, record: UpstreamRecord, life: str) -> None:
+    def _ask_earlier(self, record: UpstreamRecord, incarnation: str) -> None:
         """Ask upstreams that began before at the same address whether they are there.
 
         Until their lease is over they would draw sends that are refused, and the turns
         of live ones in a change of weights: ten seconds after a crash.  Their start
         alone does not tell: clocks are set back, and announcements come late.
         """
-        if self._engines is None or not life:
+        if self._engines is None or not incarnation:
             return
         now = asyncio.get_running_loop().time()
         for other in self._directory.records(now):
             same = other.address == record.address and other.name != record.name
-            if same and not other.leaving and "" < other.incarnation < life:
+            if same and not other.leaving and "" < other.incarnation < incarnation:
                 self._begin_asking(other.name, self._end(self._engines, other))
 
     async def _end(self, engines: EngineOrders, upstream: UpstreamRecord) -> None:
@@ -137,18 +148,20 @@
         report = await engines.report(record)
         if report is None or report.born_ms != born:
             return
-        life = life_after(self._directory.newest_life(record.name), born)
-        self._offer(replace(record, incarnation=life))
+        incarnation = incarnation_after(
+            self._directory.newest_incarnation(record.name), born
+        )
+        self._offer(replace(record, incarnation=incarnation))
 
     def _offer(self, record: UpstreamRecord) -> None:
         self._directory.offer(record, asyncio.get_running_loop().time())
 
 
-def _unknown(name: str, life: str) -> UpstreamRecord:
+def _unknown(name: str, incarnation: str) -> UpstreamRecord:
     """Stands for an upstream that this replica has not heard of."""
     return UpstreamRecord(
         name=name,
-        incarnation=life,
+        incarnation=incarnation,
         seq=0,
         address="",
         zone="",
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -26,7 +26,9 @@
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.control.announcements import Announcements
 from gooseberrydale.process.control.documents import Documents
-from gooseberrydale.process.control.ended_lives_cache import EndedLivesCache
+from gooseberrydale.process.control.ended_incarnations_cache import (
+    EndedIncarnationsCache,
+)
 from gooseberrydale.process.control.first_start import begin_together
 from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.process.control.group_commit import GroupCommit
@@ -60,7 +62,7 @@
     Directory,
     new_incarnation,
 )
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.replication.core import RaftCfg
 
 if TYPE_CHECKING:
@@ -127,11 +129,11 @@
         # Upstreams that announce themselves have leases long enough for it.
         part = PASSED_RENEWAL_PART if own.open_group else 0.0
         self.directory = Directory(renewal_part=part)
-        self.ended_lives = EndedLives()
-        self._ended_cache: EndedLivesCache | None = None
+        self.ended_incarnations = EndedIncarnations()
+        self._ended_cache: EndedIncarnationsCache | None = None
         if not in_memory:
             path = own.data_dir / "ended"
-            self._ended_cache = EndedLivesCache(path, self.ended_lives)
+            self._ended_cache = EndedIncarnationsCache(path, self.ended_incarnations)
         self._tasks: list[asyncio.Task[None]] = []
         self._machine = PublishingMachine(self.state, self.store)
         self._rpc = RpcServer(own.rpc, token, tls)
@@ -159,7 +161,7 @@
             self._acknowledgements,
             self._announced,
             self._replica_status,
-            self.ended_lives,
+            self.ended_incarnations,
         )
         client = ControlClient(cfg.fleet.control_rpc, token, tls)
         self._documents = Documents(self._commit, self._proposer, client)
@@ -320,7 +322,7 @@
             token,
             incarnation,
             on_ack=self._on_ack,
-            ended_lives=self.ended_lives,
+            ended_incarnations=self.ended_incarnations,
         )
 
     def _on_ack(self, peer: PeerState) -> None:
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -51,7 +51,7 @@
 from gooseberrydale.version.change import joined
 from gooseberrydale.version.control_state import ControlState
 from gooseberrydale.version.declarations import Profile, Workspace
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.structuring import structure
 from gooseberrydale.version.validation import NAME_PATTERN
 
@@ -128,7 +128,7 @@
         acknowledgements: Acknowledgements,
         upstreams: Callable[[], tuple[UpstreamRecord, ...]],
         replica_status: Callable[[], dict[str, Any]],
-        ended_lives: EndedLives,
+        ended_incarnations: EndedIncarnations,
     ) -> None:
         self._state = state
         self._commit = commit
@@ -136,7 +136,7 @@
         self._acknowledgements = acknowledgements
         self._upstreams = upstreams
         self._replica_status = replica_status
-        self._ended_lives = ended_lives
+        self._ended_incarnations = ended_incarnations
         self._noted_at = float("-inf")
         self._notes_left_out = 0
         self._notes: set[asyncio.Task[Any]] = set()
@@ -217,7 +217,9 @@
         return answer({"orders": views.plain(orders)})
 
     async def _quarantined(self, _request: Request, _operator: str) -> Response:
-        return answer({"quarantined": views.quarantined_tables(self._ended_lives)})
+        return answer(
+            {"quarantined": views.quarantined_tables(self._ended_incarnations)}
+        )
 
     async def _audit(self, request: Request, _operator: str) -> Response:
         asked = request.query_params.get("count", str(AUDIT_ENTRIES_SHOWN))
@@ -328,7 +330,7 @@
 
     async def _release(self, operator: str, digest: str) -> Response:
         """Let a quarantined request run again; all processes hear of it."""
-        quarantined = self._ended_lives.quarantined()
+        quarantined = self._ended_incarnations.quarantined()
         found = [one for one in quarantined if shown(one) == digest]
         if not found:
             what = "quarantined request"
@@ -338,7 +340,7 @@
                 return refuse(refused)
         now = asyncio.get_running_loop().time()
         for one in found:
-            self._ended_lives.clear(one, now)
+            self._ended_incarnations.clear(one, now)
         return answer({"released": digest})
 
     async def _refuse_noted(
--- a/gooseberrydale/process/control/operator_views.py
+++ b/gooseberrydale/process/control/operator_views.py
@@ -14,7 +14,7 @@
 from gooseberrydale.request.fingerprint import shown
 from gooseberrydale.version.acknowledgements import Standing
 from gooseberrydale.version.declarations import Config, Profile, Workspace
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 
 Table = dict[str, Any]
 
@@ -55,11 +55,15 @@
     return table
 
 
-def quarantined_tables(ended_lives: EndedLives) -> list[Table]:
-    """The requests that are sent nowhere, each with the lives that ended under it."""
+def quarantined_tables(ended_incarnations: EndedIncarnations) -> list[Table]:
+    """The requests that are sent nowhere, each with the incarnations that ended under
+    it."""
     return [
-        {"digest": shown(request), "ended": list(ended_lives.blamed_for(request))}
-        for request in sorted(ended_lives.quarantined())
+        {
+            "digest": shown(request),
+            "ended": list(ended_incarnations.blamed_for(request)),
+        }
+        for request in sorted(ended_incarnations.quarantined())
     ]
 
 
--- a/gooseberrydale/process/control/replica.py
+++ b/gooseberrydale/process/control/replica.py
@@ -116,7 +116,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         rpc_server.streaming(REPLICATE, self._on_stream)
 
-    # Life cycle.
+    # Incarnation cycle.
 
     async def start(self) -> None:
         """Read the disk and take part; raises the errors of ``storage``."""
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -235,8 +235,8 @@
                 # Another replica leads; this one learns of it from the log.
                 self._fenced_term = order.number
                 return True
-            case OrderAnswer.OTHER_LIFE:
-                # Its address has passed on, so this life has ended.
+            case OrderAnswer.OTHER_INCARNATION:
+                # Its address has passed on, so this incarnation has ended.
                 self._announcements.retire(engine.name)
                 return True
             case OrderAnswer.ACCEPTED:
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -32,7 +32,7 @@
 from gooseberrydale.request.retry import RetryBudget
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory, new_incarnation
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 
 UNREADY_SHARE = 0.1
 UNREADY_MAX_S = 2.0
@@ -55,7 +55,7 @@
         self._tls = tls_files(cfg.fleet.tls)
         self.store = ConfigStore()
         self.directory = Directory()
-        self.ended_lives = EndedLives()
+        self.ended_incarnations = EndedIncarnations()
         self._pool = ChannelPool(self._dial)
         self._rng = rng if rng is not None else random.SystemRandom()
         self._rpc = RpcServer(self._cfg.rpc, self._token, self._tls)
@@ -68,7 +68,7 @@
             self._token,
             new_incarnation(time.time_ns(), self._rng),
             rng=self._rng,
-            ended_lives=self.ended_lives,
+            ended_incarnations=self.ended_incarnations,
         )
         self._mesh.register(self._rpc)
         self._housekeeping: asyncio.Task[None] | None = None
@@ -116,7 +116,7 @@
             config_sync=ConfigSync(self.store, self._pool, self._background),
             instruments=self._metrics.instruments,
             freshness=freshness,
-            ended_lives=self.ended_lives,
+            ended_incarnations=self.ended_incarnations,
         )
         self._calls = Calls(deps, self._claims)
         routes = [Route("/livez", _livez), Route("/readyz", self._readyz)]
@@ -177,7 +177,7 @@
             records = self.directory.records(loop.time())
             self._pool.keep(records)
             level.upstreams_known = len(records)
-            level.requests_quarantined = len(self.ended_lives.quarantined())
+            level.requests_quarantined = len(self.ended_incarnations.quarantined())
             level.cfg_revision = self.store.revision
             level.sessions = len(self._mesh.peers())
             level.running = self._keeper.open_requests if self._keeper else 0
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -108,7 +108,7 @@
     async def _refuse_quarantined(self) -> None:
         """Say at once, and for good, that the request is sent nowhere any more."""
         digest = shown(self._job.fingerprint)
-        ended = self._upstreams.ended_lives.blamed_for(self._job.fingerprint)
+        ended = self._upstreams.ended_incarnations.blamed_for(self._job.fingerprint)
         emit(RequestQuarantined(self._job.call.request_id, digest, list(ended)))
         ran = self._sender.runs > 0
         kind = ENDED_UPSTREAMS if ran else ENDS_UPSTREAMS
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -48,7 +48,7 @@
     Directory,
     new_incarnation,
 )
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.patience import Patience
@@ -142,7 +142,7 @@
         self._stores = Stores()
         self._peers = PeerLoads()
         # Control tells all gateways; they need not tell it of each other.
-        self.ended_lives = EndedLives(relays=False)
+        self.ended_incarnations = EndedIncarnations(relays=False)
         self._upstreams = Upstreams(
             self.directory,
             cfg.node.zone,
@@ -151,7 +151,7 @@
             self._declared.weights,
             self._cfg.weights_bound_s,
             self._stores,
-            self.ended_lives,
+            self.ended_incarnations,
         )
         incarnation = new_incarnation(time.time_ns(), self._rng)
         self._mesh = self._make_mesh(cfg, incarnation)
@@ -275,7 +275,7 @@
         level.gateways = len(self._gateway_links())
         level.upstreams_known = self._upstreams.count(now)
         level.suspected = self._upstreams.suspected(now)
-        level.requests_quarantined = len(self.ended_lives.quarantined())
+        level.requests_quarantined = len(self.ended_incarnations.quarantined())
         views = map(self._stores.view, self._stores.addresses)
         level.stores_up = sum(view is not None and view.up for view in views)
         level.log_lines_dropped = logs.dropped()
@@ -294,7 +294,7 @@
             read_token(cfg.fleet.token_file),
             incarnation,
             rng=self._rng,
-            ended_lives=self.ended_lives,
+            ended_incarnations=self.ended_incarnations,
         )
 
     def _count_gateways(self) -> int:
--- a/gooseberrydale/process/gateway/observed_life.py
+++ b/gooseberrydale/process/gateway/observed_incarnation.py
@@ -1,7 +1,9 @@
-"""Notes what a request or a question learned of one life of an upstream, with its line.
+"""Notes what a request or a question learned of one incarnation of an upstream, with
+its line.
 
-The load is the one of the life that was asked: another life may bear the name by the
-time that the answer is there, and what is said of the earlier one must not touch it.
+The load is the one of the incarnation that was asked: another incarnation may bear the
+name by the time that the answer is there, and what is said of the earlier one must not
+touch it.
 """
 
 from __future__ import annotations
--- a/gooseberrydale/process/gateway/placing.py
+++ b/gooseberrydale/process/gateway/placing.py
@@ -166,7 +166,7 @@
         Repeats of a request have ids of their own and come to any gateway, so what
         they have ended is known only from what all gateways tell.
         """
-        if self._upstreams.ended_lives.is_quarantined(self._job.fingerprint):
+        if self._upstreams.ended_incarnations.is_quarantined(self._job.fingerprint):
             raise QuarantinedError
         return self._candidates()
 
--- a/gooseberrydale/process/gateway/quota_client.py
+++ b/gooseberrydale/process/gateway/quota_client.py
@@ -335,6 +335,8 @@
     async def _repeat(self) -> None:
         while True:
             await asyncio.sleep(KEEP_S)
+            if not self._quotas() and not self._accounts:
+                continue
             now = _now()
             assert self._counting is not None
             self._note_fleet(always=True)
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -17,7 +17,7 @@
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.process.gateway.answer import HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
-from gooseberrydale.process.gateway.observed_life import answered, suspect
+from gooseberrydale.process.gateway.observed_incarnation import answered, suspect
 from gooseberrydale.process.gateway.placing import Learned
 from gooseberrydale.process.gateway.quota_charge import QuotaCharge
 from gooseberrydale.process.gateway.upstreams import Upstreams
@@ -210,7 +210,7 @@
             body = await _read_whole(conn)
             await self._answer.whole(head.status, head.headers, body)
         answered(record.name, load, failed=False)
-        self._parts.upstreams.ended_lives.answered(job.fingerprint, _now())
+        self._parts.upstreams.ended_incarnations.answered(job.fingerprint, _now())
         return None
 
     def _is_mine(self, raw: ResponseHead) -> bool:
--- a/gooseberrydale/process/gateway/store_follower.py
+++ b/gooseberrydale/process/gateway/store_follower.py
@@ -167,7 +167,7 @@
             return
         self._heard_at = asyncio.get_running_loop().time()
         if told.up:
-            self._take(StoreNews(told.life, told.events))
+            self._take(StoreNews(told.incarnation, told.events))
         else:
             self._lose()
 
@@ -220,7 +220,7 @@
         self._take(found.news)
         if relay:
             # Those who listen have read the list themselves.
-            told = StoreNews(found.news.life, ()) if whole else found.news
+            told = StoreNews(found.news.incarnation, ()) if whole else found.news
             self._pass_on(told, up=True)
         await asyncio.sleep(GATHER_S)
 
@@ -238,7 +238,7 @@
     def _pass_on(self, news: StoreNews, *, up: bool) -> None:
         address, links = self._view.address, self._others.links()
         lane = lane_of(self._others.own, links, address) or 0
-        for told in tidings(address, news.life, news.events, up=up):
+        for told in tidings(address, news.incarnation, news.events, up=up):
             self._others.tell(told, lane)
 
     def _take(self, news: StoreNews) -> None:
--- a/gooseberrydale/process/gateway/terms.py
+++ b/gooseberrydale/process/gateway/terms.py
@@ -42,7 +42,7 @@
         late: bool,
         last_event_id: str | None,
     ) -> Terms:
-        """The terms of sending ``job`` to one life of an upstream.
+        """The terms of sending ``job`` to one incarnation of an upstream.
 
         ``late`` says that it can't be in time any more.
         """
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -1,7 +1,7 @@
 """The upstreams of each pool as this process sees them, ready for a choice.
 
 Lives as long as the process.  Records come from the directory; what this process
-learns of a life of an upstream itself stands beside them and ends with it.
+learns of an incarnation of an upstream itself stands beside them and ends with it.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from gooseberrydale.request.placement import Candidate, Demand, homes_in_reach
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.open_runs import Run, RunEnd
 from gooseberrydale.version.order_marks import is_mark, mark_name
@@ -27,7 +27,8 @@
 from gooseberrydale.version.upstream_load import Load, UpstreamLoad
 
 GONE_AVOID_S = 60.0
-"""A life whose address another one has taken is over: until its record is gone."""
+"""An incarnation whose address another one has taken is over: until its record is
+gone."""
 
 REFUSED_AVOID_S = 0.25
 """An upstream that has just refused a request; half of the time that a change of
@@ -63,7 +64,8 @@
     """Pools by name, and what is known of each upstream.
 
     ``weights_bound_s`` is for how long work may start on overtaken weights; ``stores``
-    are those of KV cache.  What ran at those that end is told to ``ended_lives``.
+    are those of KV cache.  What ran at those that end is told to
+    ``ended_incarnations``.
     """
 
     def __init__(
@@ -75,7 +77,7 @@
         weights: NamedWeights,
         weights_bound_s: float,
         stores: Stores,
-        ended_lives: EndedLives,
+        ended_incarnations: EndedIncarnations,
     ) -> None:
         self._directory = directory
         self._zone = zone
@@ -84,27 +86,30 @@
         self._weights = weights
         self._weights_bound_s = weights_bound_s - OLD_WEIGHTS_MARGIN_S
         self.stores = stores
-        self.ended_lives = ended_lives
+        self.ended_incarnations = ended_incarnations
         self._pools: dict[str, _PoolView] = {}
         self._loads: dict[str, UpstreamLoad] = {}
-        # The life of each upstream that the load is of.
-        self._lives: dict[str, str] = {}
+        # The incarnation of each upstream that the load is of.
+        self._incarnations: dict[str, str] = {}
         self._at_address: dict[str, str] = {}
 
     def load_of(self, name: str) -> UpstreamLoad:
-        """What this process knows of the life ``name`` of an upstream."""
+        """What this process knows of the incarnation ``name`` of an upstream."""
         if name not in self._loads:
-            self._loads[name] = UpstreamLoad(self._lives.get(name, ""))
+            self._loads[name] = UpstreamLoad(self._incarnations.get(name, ""))
         return self._loads[name]
 
     def refused(self, name: str, now: float, *, gone: bool) -> None:
-        """An upstream did not take a request; ``gone`` says that its life is over."""
+        """An upstream did not take a request; ``gone`` says that its incarnation is
+        over."""
         self.load_of(name).avoid(now, GONE_AVOID_S if gone else REFUSED_AVOID_S)
         if gone:
-            self.ended(name, self.load_of(name), now, "another life has its address")
+            self.ended(
+                name, self.load_of(name), now, "another incarnation has its address"
+            )
 
     def ended(self, name: str, load: UpstreamLoad, now: float, reason: str) -> None:
-        """A life of an upstream has ended, with all that it ran.
+        """An incarnation of an upstream has ended, with all that it ran.
 
         One that has said that it leaves ends by itself; long streams meet several of
         these while upstreams are replaced one after the other.
@@ -113,7 +118,9 @@
         lost = load.runs.over(now)
         record = self._directory.get(name, now)
         if record is None or not record.leaving:
-            self.ended_lives.report(life_name(name, load.life), lost, now)
+            self.ended_incarnations.report(
+                incarnation_name(name, load.incarnation), lost, now
+            )
         if lost or not known:
             waiting = [shown(one) for one in lost.waiting]
             answering = [shown(one) for one in lost.answering]
@@ -122,7 +129,7 @@
     def run_ended(
         self, name: str, load: UpstreamLoad, run: Run, now: float, end: RunEnd
     ) -> None:
-        """A send to a life of an upstream has ended."""
+        """A send to an incarnation of an upstream has ended."""
         load.runs.ended(run, now, end)
         if load.runs.is_over and end is not RunEnd.ANSWERED:
             self.ended(name, load, now, "a connection broke after the end")
@@ -191,7 +198,7 @@
             view.records = tuple(r for r in view.records if self._may_stay(r, now))
         elif view.source is not ready:
             view.source = view.records = ready
-            self._forget_earlier_lives(ready, now)
+            self._forget_earlier_incarnations(ready, now)
             view.members.refresh(ready)
         return view.records
 
@@ -235,42 +242,44 @@
         return sum(load.suspect_until > now for load in self._loads.values())
 
     def sweep(self, now: float) -> set[str]:
-        """Forget lives that are gone; return the names of those that are known."""
+        """Forget incarnations that are gone; return the names of those that are
+        known."""
         known = {record.name for record in self._directory.records(now)}
         for view in self._pools.values():
             known.update(record.name for record in view.records)
         for name in self._loads.keys() - known:
             del self._loads[name]
-        for name in self._lives.keys() - known:
-            del self._lives[name]
+        for name in self._incarnations.keys() - known:
+            del self._incarnations[name]
         for address, name in list(self._at_address.items()):
             if name not in known:
                 del self._at_address[address]
         return known
 
-    def _forget_earlier_lives(
+    def _forget_earlier_incarnations(
         self, records: Iterable[UpstreamRecord], now: float
     ) -> None:
-        """What was learned of an earlier life says nothing about the one after."""
+        """What was learned of an earlier incarnation says nothing about the one
+        after."""
         for record in records:
-            life = self._lives.get(record.name)
-            if life == record.incarnation:
+            incarnation = self._incarnations.get(record.name)
+            if incarnation == record.incarnation:
                 continue
-            if life is not None:
-                self._end_life(record.name, now, "it has started again")
+            if incarnation is not None:
+                self._end_incarnation(record.name, now, "it has started again")
                 self._loads.pop(record.name, None)
-            self._lives[record.name] = record.incarnation
-            self.load_of(record.name).life = record.incarnation
-            self._end_life_at(record, now)
+            self._incarnations[record.name] = record.incarnation
+            self.load_of(record.name).incarnation = record.incarnation
+            self._end_incarnation_at(record, now)
 
-    def _end_life_at(self, newcomer: UpstreamRecord, now: float) -> None:
+    def _end_incarnation_at(self, newcomer: UpstreamRecord, now: float) -> None:
         """Whoever had the address of an upstream that is new there has ended."""
         before = self._at_address.get(newcomer.address, newcomer.name)
         self._at_address[newcomer.address] = newcomer.name
         if before != newcomer.name:
-            self._end_life(before, now, "another upstream has its address")
+            self._end_incarnation(before, now, "another upstream has its address")
 
-    def _end_life(self, name: str, now: float, reason: str) -> None:
+    def _end_incarnation(self, name: str, now: float, reason: str) -> None:
         load = self._loads.get(name)
         if load is not None:
             self.ended(name, load, now, reason)
@@ -362,9 +371,9 @@
         return frozenset(v for v, salt in salts.items() if store.holds(salt, shared))
 
 
-def life_name(name: str, life: str) -> str:
-    """Names one life of an upstream, the same in every process."""
-    return f"{name}@{life}" if life else name
+def incarnation_name(name: str, incarnation: str) -> str:
+    """Names one incarnation of an upstream, the same in every process."""
+    return f"{name}@{incarnation}" if incarnation else name
 
 
 def weights_version(record: UpstreamRecord) -> int:
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -37,7 +37,7 @@
     chunks: int = _measured("1", "Chunks sent to callers or entries")
     chunk_bytes: int = _measured("By", "Bytes of those chunks")
     dropped_late_frames: int = _measured(
-        "1", "Frames of another attempt or life, dropped"
+        "1", "Frames of another attempt or incarnation, dropped"
     )
     dropped_duplicate_frames: int = _measured(
         "1", "Frames below the offset already delivered, dropped"
--- a/gooseberrydale/process/life_cycle.py
+++ b/gooseberrydale/process/life_cycle.py
@@ -1,4 +1,4 @@
-"""The life cycle of a process: starting, serving, draining, stopped.
+"""The incarnation cycle of a process: starting, serving, draining, stopped.
 
 One machine lives as long as its process.  It refuses every step out of order, so
 that a process which was told to stop can't be brought back to serving.
--- a/gooseberrydale/process/logs.py
+++ b/gooseberrydale/process/logs.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Who writes the lines; ``incarnation`` names one life of the process."""
+    """Who writes the lines; ``incarnation`` names one incarnation of the process."""
 
     role: str
     name: str
--- a/gooseberrydale/process/membership.py
+++ b/gooseberrydale/process/membership.py
@@ -31,7 +31,7 @@
 from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.order_marks import is_mark_name
 from gooseberrydale.version.session_targets import EntryPoint, session_targets
 
@@ -55,8 +55,9 @@
 
     ``role`` is ``entry``, ``sidecar`` or ``control``.  ``own_record`` is asked for
     each announcement, or None while there is nothing to announce; the mesh sets
-    ``seq`` itself.  ``ended_lives`` are told to all others but sidecars.  ``on_ack``
-    is called with a :class:`PeerState` whenever a process tells its revision.
+    ``seq`` itself.  ``ended_incarnations`` are told to all others but sidecars.
+    ``on_ack`` is called with a :class:`PeerState` whenever a process tells its
+    revision.
     """
 
     def __init__(
@@ -72,7 +73,7 @@
         on_ack: AckListener | None = None,
         timings: MeshTimings | None = None,
         rng: random.Random | None = None,
-        ended_lives: EndedLives | None = None,
+        ended_incarnations: EndedIncarnations | None = None,
     ) -> None:
         self._rng = rng if rng is not None else random.Random()
         identity = Identity(
@@ -84,7 +85,7 @@
             store,
             on_ack=on_ack,
             timings=timings,
-            ended_lives=ended_lives,
+            ended_incarnations=ended_incarnations,
         )
         self._server = MeshServer(self._node)
         tls = tls_files(cfg.fleet.tls)
@@ -159,7 +160,7 @@
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             now = asyncio.get_running_loop().time()
-            self._node.ended_lives.expire(now)
+            self._node.ended_incarnations.expire(now)
             for name in directory.expire(now):
                 # Marks of orders end in this way as a rule.
                 if not is_mark_name(name):
--- a/gooseberrydale/process/runner.py
+++ b/gooseberrydale/process/runner.py
@@ -51,11 +51,11 @@
 
 @runtime_checkable
 class HasIncarnation(Protocol):
-    """A role that names its own life, which log lines then carry."""
+    """A role that names its own incarnation, which log lines then carry."""
 
     @property
     def incarnation(self) -> str:
-        """Name of this life of the role."""
+        """Name of this incarnation of the role."""
 
 
 class RoleMaker(Protocol):
@@ -135,12 +135,12 @@
 
 
 class Runner:
-    """Takes one role through the life cycle of its process."""
+    """Takes one role through the incarnation cycle of its process."""
 
     def __init__(self, make: RoleMaker, ready_file: Path | None = None) -> None:
         self._make = make
         self._ready_file = ready_file
-        self._life = LifeCycle()
+        self._incarnation = LifeCycle()
         self._stop = asyncio.Event()
         self._code = ExitCode.OK
 
@@ -186,11 +186,11 @@
             logger.opt(exception=exc).critical("the role failed to start")
             self._code = ExitCode.NOT_STARTED
         else:
-            self._life.begin_serving()
+            self._incarnation.begin_serving()
             self._announce(role)
             return True
         await self._close_quietly(role)
-        self._life.give_up()
+        self._incarnation.give_up()
         return False
 
     def _announce(self, role: Role) -> None:
@@ -200,14 +200,14 @@
             write_atomically(self._ready_file, json.dumps(addresses))
 
     async def _drain(self, role: Role) -> None:
-        self._life.begin_draining()
+        self._incarnation.begin_draining()
         logger.info("draining")
         try:
             await role.close()
         except Exception as exc:
             logger.opt(exception=exc).error("the role failed while it drained")
             self._code = self._code or ExitCode.NOT_DRAINED
-        self._life.finish()
+        self._incarnation.finish()
         emit(Stopped())
 
     async def _close_quietly(self, role: Role) -> None:
@@ -228,8 +228,8 @@
         self.stop()
 
     def _on_reload(self) -> None:
-        """Settings hold for the life of a process; what changes while it runs comes
-        from control, so there is nothing to read again.
+        """Settings hold for the incarnation of a process; what changes while it runs
+        comes from control, so there is nothing to read again.
         """
         emit(Reload())
 
--- a/gooseberrydale/process/sidecar/kv_transfer.py
+++ b/gooseberrydale/process/sidecar/kv_transfer.py
@@ -51,7 +51,7 @@
             await asyncio.wait([self._task])
 
     def begin(self) -> None:
-        """The upstream has another life or other weights."""
+        """The upstream has another incarnation or other weights."""
         self._use = KvUse()
 
     def used(self, pieces: Sequence[KvPiece]) -> None:
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -37,7 +37,7 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declarations import ProfileKind
 from gooseberrydale.version.directory import Directory, new_incarnation
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.open_runs import RunEnd
 from gooseberrydale.version.upstream_state import UpstreamState
 
@@ -57,9 +57,9 @@
         self.store = ConfigStore()
         self.directory = Directory()
         self._view = CacheView()
-        self._ended_lives = EndedLives()
+        self._ended_incarnations = EndedIncarnations()
         self._runs = UpstreamRuns(
-            cfg.node.name, self.incarnation, self._ended_lives, self._is_leaving
+            cfg.node.name, self.incarnation, self._ended_incarnations, self._is_leaving
         )
         self._watch = UpstreamWatch(
             self._sidecar, self._state_changed, self._took_load, self._runs
@@ -96,7 +96,7 @@
             token,
             self.incarnation,
             rng=rng,
-            ended_lives=self._ended_lives,
+            ended_incarnations=self._ended_incarnations,
         )
         self._control = ControlClient(
             cfg.fleet.controls, token, tls_files(cfg.fleet.tls), rng
@@ -221,14 +221,15 @@
     def _state_changed(self, old: UpstreamState, new: UpstreamState) -> None:
         if self._view.begin(new.incarnation, new.weights_version):
             self._kv.begin()
-            self.dispatcher.stop_running(self._is_of_old_life(old, new))
+            self.dispatcher.stop_running(self._is_of_old_incarnation(old, new))
         self._mesh.announce()
 
-    def _is_of_old_life(
+    def _is_of_old_incarnation(
         self, old: UpstreamState, new: UpstreamState
     ) -> Callable[[Attempt], bool]:
-        """Attempts that began while the old life was still seen; later ones may be
-        of the new life, and if they are not, their connections break by themselves.
+        """Attempts that began while the old incarnation was still seen; later ones may
+        be of the new incarnation, and if they are not, their connections break by
+        themselves.
         """
         replaced = bool(old.incarnation) and old.incarnation != new.incarnation
         return partial(_started_before, self._watch.seen_at if replaced else None)
--- a/gooseberrydale/process/sidecar/upstream_watch.py
+++ b/gooseberrydale/process/sidecar/upstream_watch.py
@@ -1,4 +1,4 @@
-"""Watches the upstream: whether it answers, which life of it this is, its load.
+"""Watches the upstream: whether it answers, which incarnation of it this is, its load.
 
 Lives as long as the sidecar; each call has a connection of its own.  An upstream
 that has no health call, as many plain services, is taken as ready while it answers.
@@ -31,7 +31,7 @@
 LoadListener = Callable[[LoadReply], None]
 
 
-class LifeListener(Protocol):
+class IncarnationListener(Protocol):
     """Who wants to know whether the upstream is there at each look."""
 
     def upstream_gone(self, reason: str) -> None:
@@ -49,9 +49,9 @@
         cfg: SidecarCfg,
         on_state: StateListener,
         on_load: LoadListener,
-        lives: LifeListener,
+        incarnations: IncarnationListener,
     ) -> None:
-        self._lives = lives
+        self._incarnations = incarnations
         self._base_url = cfg.upstream
         self._has_load = cfg.kind == ProfileKind.COMPLETION
         self._on_state = on_state
@@ -130,7 +130,7 @@
                 self._failed(exc)
                 return
             self._failures = 0
-            self._lives.upstream_there(state.incarnation)
+            self._incarnations.upstream_there(state.incarnation)
             self._set(state)
             self.seen_at = asked_at
 
@@ -167,7 +167,7 @@
     def _failed(self, exc: UpstreamError) -> None:
         self._failures += 1
         if not exc.sent:
-            self._lives.upstream_gone(str(exc))
+            self._incarnations.upstream_gone(str(exc))
         if exc.sent and self._failures < FAILURES_TO_UNREADY:
             return
         old = self.state
--- a/gooseberrydale/request/chooser.py
+++ b/gooseberrydale/request/chooser.py
@@ -95,11 +95,11 @@
             zone=self._deps.node.zone,
             region=self._deps.node.region,
             entries=max(1, len(self._deps.fleet.entries)),
-            excluded=self._deps.store.config.leaving | self._tried_lives(now),
+            excluded=self._deps.store.config.leaving | self._tried_incarnations(now),
         )
 
-    def _tried_lives(self, now: float) -> frozenset[str]:
-        """Names of upstreams whose present life was tried."""
+    def _tried_incarnations(self, now: float) -> frozenset[str]:
+        """Names of upstreams whose present incarnation was tried."""
         tried = set()
         for name, incarnation in self._tried.items():
             record = self._deps.directory.get(name, now)
--- a/gooseberrydale/request/deps.py
+++ b/gooseberrydale/request/deps.py
@@ -14,7 +14,7 @@
 from gooseberrydale.request.routing import Policy
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,4 +37,4 @@
     config_sync: ConfigSync
     instruments: Instruments
     freshness: Freshness
-    ended_lives: EndedLives
+    ended_incarnations: EndedIncarnations
--- a/gooseberrydale/request/estimate.py
+++ b/gooseberrydale/request/estimate.py
@@ -45,7 +45,7 @@
 
 
 class Estimate:
-    """Load, speed and cache lifetime of one life of an upstream."""
+    """Load, speed and cache lifetime of one incarnation of an upstream."""
 
     def __init__(self, record: UpstreamRecord, mean: PoolMean) -> None:
         self._identity = identity(record)
@@ -58,7 +58,7 @@
         self.cache_ttl_s = FIRST_CACHE_TTL_S
 
     def fits(self, record: UpstreamRecord) -> bool:
-        """Whether this is still about the life that ``record`` announces."""
+        """Whether this is still about the incarnation that ``record`` announces."""
         return self._identity == identity(record)
 
     @property
@@ -134,7 +134,8 @@
         return len(self._by_name)
 
     def get(self, record: UpstreamRecord) -> Estimate:
-        """Return the estimate for this life of the upstream, a new one if needed."""
+        """Return the estimate for this incarnation of the upstream, a new one if
+        needed."""
         found = self._by_name.get(record.name)
         if found is None or not found.fits(record):
             mean = self._means.setdefault(record.pool, PoolMean())
@@ -144,7 +145,7 @@
         return found
 
     def find(self, record: UpstreamRecord) -> Estimate | None:
-        """Return the estimate for this life, None if a later one is known.
+        """Return the estimate for this incarnation, None if a later one is known.
 
         For what is learnt from replies, which may come late.
         """
--- a/gooseberrydale/request/exchange.py
+++ b/gooseberrydale/request/exchange.py
@@ -137,7 +137,7 @@
         return frame  # type: ignore[no-any-return]
 
     def is_current(self, frame: Frame) -> bool:
-        """Whether ``frame`` is from the life of the sidecar that was asked."""
+        """Whether ``frame`` is from the incarnation of the sidecar that was asked."""
         if frame.request_id != self._request_id:
             return False
         if isinstance(frame, Heartbeat):
--- a/gooseberrydale/request/gateway_call.py
+++ b/gooseberrydale/request/gateway_call.py
@@ -73,11 +73,11 @@
 class Terms:
     """What the router adds to one send of a request.
 
-    Only the upstream's life ``instance`` may run it, within ``left_s`` seconds, for
-    ``workspace``.  For a model: only under ``weights_version``, and cached parts are
-    found under ``cache_salt`` alone.  ``last_event_id`` is that of the last event which
-    the caller has.  The engine brings what it lacks of the prompt from ``fetch_from``,
-    and puts what it computes into ``save_to``.
+    Only the upstream's incarnation ``instance`` may run it, within ``left_s`` seconds,
+    for ``workspace``.  For a model: only under ``weights_version``, and cached parts
+    are found under ``cache_salt`` alone.  ``last_event_id`` is that of the last event
+    which the caller has.  The engine brings what it lacks of the prompt from
+    ``fetch_from``, and puts what it computes into ``save_to``.
     """
 
     instance: str
@@ -105,7 +105,7 @@
     """The head of an upstream's answer.
 
     ``not_run`` is True if the upstream states that it did not run the request.
-    ``instance`` is the life of an upstream that says so, if it tells.  Without
+    ``instance`` is the incarnation of an upstream that says so, if it tells.  Without
     ``signed`` the answer is not the upstream's own.  ``headers`` go to the caller.
     """
 
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -152,7 +152,7 @@
 
     def _note_served(self) -> None:
         if self._served:
-            self._deps.ended_lives.answered(self._job.fingerprint, self._now())
+            self._deps.ended_incarnations.answered(self._job.fingerprint, self._now())
 
     def _learn(self, frame: Frame) -> None:
         assert self._exchange is not None and self._choice is not None
@@ -200,10 +200,13 @@
 
         Asked before each attempt: repeats have ids of their own and come to any entry.
         """
-        ended_lives, request = self._deps.ended_lives, self._job.fingerprint
-        if not ended_lives.is_quarantined(request):
+        ended_incarnations, request = (
+            self._deps.ended_incarnations,
+            self._job.fingerprint,
+        )
+        if not ended_incarnations.is_quarantined(request):
             return
-        ended = ended_lives.blamed_for(request)
+        ended = ended_incarnations.blamed_for(request)
         emit(RequestQuarantined(self._job.request_id, shown(request), list(ended)))
         not_run = None if self._may_have_run else True
         if self._parts.given:
@@ -214,7 +217,8 @@
         )
 
     def _newest(self, record: UpstreamRecord) -> UpstreamRecord:
-        """The newest announcement of the same life; the choice may name an old one."""
+        """The newest announcement of the same incarnation; the choice may name an old
+        one."""
         newest = self._deps.directory.get(record.name, self._now())
         if newest is None or newest.incarnation != record.incarnation:
             return record
--- a/gooseberrydale/version/acknowledgements.py
+++ b/gooseberrydale/version/acknowledgements.py
@@ -43,7 +43,7 @@
         return now >= self._complete_at and not self.behind(revision, now)
 
     def heard(self, standing: Standing) -> None:
-        """Take in what a process told; a word of an earlier life is dropped."""
+        """Take in what a process told; a word of an earlier incarnation is dropped."""
         key = (standing.role, standing.name)
         known = self._standings.get(key)
         if known is not None and standing.incarnation < known.incarnation:
--- a/gooseberrydale/version/cache_view.py
+++ b/gooseberrydale/version/cache_view.py
@@ -1,6 +1,7 @@
-"""Which pieces one life of an upstream holds in its cache, exactly or not at all.
+"""Which pieces one incarnation of an upstream holds in its cache, exactly or not at
+all.
 
-Lives as long as that life of the upstream under one weights version; ``begin``
+Lives as long as that incarnation of the upstream under one weights version; ``begin``
 drops everything.  Pure.  Events come late, repeated, out of order and with gaps.
 While one is missing the view is incomplete and every piece counts as absent; a
 snapshot makes it complete again.
@@ -21,7 +22,7 @@
     """The cached keys of one upstream."""
 
     def __init__(self) -> None:
-        self._life: tuple[str, str] = ("", "")
+        self._incarnation: tuple[str, str] = ("", "")
         self._keys: set[str] = set()
         self._seq: int | None = None
         self._pending: dict[int, CacheEvent] = {}
@@ -41,10 +42,11 @@
         return -1 if self._seq is None else self._seq
 
     def begin(self, incarnation: str, weights_version: str) -> bool:
-        """Start over if the upstream has another life or weights; say whether."""
-        if self._life == (incarnation, weights_version):
+        """Start over if the upstream has another incarnation or weights; say
+        whether."""
+        if self._incarnation == (incarnation, weights_version):
             return False
-        self._life = (incarnation, weights_version)
+        self._incarnation = (incarnation, weights_version)
         self.interrupt()
         return True
 
@@ -56,7 +58,7 @@
 
     def apply(self, event: CacheEvent) -> None:
         """Take an event in, whenever it comes."""
-        if event.incarnation != self._life[0]:
+        if event.incarnation != self._incarnation[0]:
             self.ignored += 1
             return
         if self._seq is not None and event.seq <= self._seq:
@@ -68,7 +70,7 @@
 
     def load(self, snapshot: CacheSnapshot) -> None:
         """Take a snapshot in, unless the view is already past it."""
-        if snapshot.incarnation != self._life[0]:
+        if snapshot.incarnation != self._incarnation[0]:
             self.ignored += 1
             return
         if self._seq is not None and snapshot.seq < self._seq:
--- a/gooseberrydale/version/directory.py
+++ b/gooseberrydale/version/directory.py
@@ -38,7 +38,7 @@
 
 
 def new_incarnation(now_ns: int, rng: random.Random) -> str:
-    """Return an id for one life of a process that sorts by its start.
+    """Return an id for one incarnation of a process that sorts by its start.
 
     ``now_ns`` is wall-clock time in nanoseconds.  The random part tells apart two
     processes that start in the same nanosecond.
@@ -207,7 +207,7 @@
             return None
         return _with_lease_left(held, now)
 
-    def newest_life(self, name: str) -> str:
+    def newest_incarnation(self, name: str) -> str:
         """The incarnation of the newest record seen of ``name``, empty if none was.
 
         It is remembered for a while after the end of its lease.
--- a/gooseberrydale/version/kv_use.py
+++ b/gooseberrydale/version/kv_use.py
@@ -1,7 +1,7 @@
 """Which cached pieces are worth moving to and from the store of kept KV cache.
 
-Lives as long as one life of the upstream under one weights version.  Pure.  A piece
-is exported once it was used repeatedly; missing pieces are imported where that is
+Lives as long as one incarnation of the upstream under one weights version.  Pure.  A
+piece is exported once it was used repeatedly; missing pieces are imported where that is
 expected to be cheaper than computing them.
 """
 
--- a/gooseberrydale/version/open_runs.py
+++ b/gooseberrydale/version/open_runs.py
@@ -1,7 +1,8 @@
-"""What one process has running at one life of an upstream, in case that life ends.
+"""What one process has running at one incarnation of an upstream, in case that
+incarnation ends.
 
-Lives as long as that life; pure.  The connections of an upstream that ends break some
-tenths of a second before anybody knows that it has ended, so runs that broke are
+Lives as long as that incarnation; pure.  The connections of an upstream that ends break
+some tenths of a second before anybody knows that it has ended, so runs that broke are
 remembered for that long.
 """
 
@@ -55,7 +56,7 @@
 
 
 class OpenRuns:
-    """Runs at one life; times are seconds of the loop."""
+    """Runs at one incarnation; times are seconds of the loop."""
 
     def __init__(self) -> None:
         self._open: set[Run] = set()
@@ -65,7 +66,7 @@
 
     @property
     def is_over(self) -> bool:
-        """Whether the life is known to have ended."""
+        """Whether the incarnation is known to have ended."""
         return self._is_over
 
     def began(self, request: bytes) -> Run:
@@ -85,14 +86,15 @@
     def take_doubt(self) -> bool:
         """Whether a run broke since this was asked last.
 
-        Then the upstream is asked at once whether it is there: later, another life may
-        answer in its place, and nobody knows any more what ran when it ended.
+        Then the upstream is asked at once whether it is there: later, another
+        incarnation may answer in its place, and nobody knows any more what ran when it
+        ended.
         """
         doubtful, self._is_doubtful = self._is_doubtful, False
         return doubtful
 
     def over(self, now: float) -> LostRuns:
-        """The life has ended; return what it ran and was not told before."""
+        """The incarnation has ended; return what it ran and was not told before."""
         self._is_over, self._is_doubtful = True, False
         lately = [run for at, run in self._broken if now < at + NOTICED_S]
         self._broken.clear()
@@ -105,7 +107,7 @@
         )
 
     def back(self) -> None:
-        """The life goes on after all; it could not be reached for a while."""
+        """The incarnation goes on after all; it could not be reached for a while."""
         self._is_over = False
 
 
--- a/gooseberrydale/version/peer_loads.py
+++ b/gooseberrydale/version/peer_loads.py
@@ -190,10 +190,10 @@
             known = table[key] = _Heard(sender, "", 0, now)
         elif (report.incarnation, report.seq) <= (known.incarnation, known.seq):
             return False
-        new_life = report.incarnation != known.incarnation
+        new_incarnation = report.incarnation != known.incarnation
         known.incarnation, known.seq, known.at = report.incarnation, report.seq, now
         known.refusing, known.silent = report.refusing, report.silent
-        if report.whole or new_life:
+        if report.whole or new_incarnation:
             told = {work.upstream for work in report.works}
             for name in known.works.keys() - told:
                 self._replace(known.works, UpstreamWork(name, 0, 0, 0))
--- a/gooseberrydale/version/silence.py
+++ b/gooseberrydale/version/silence.py
@@ -1,9 +1,9 @@
 """Whether an upstream has fallen silent, as one process sees it.  Pure.
 
-Lives as long as one life of the upstream.  Silence alone says little: a busy upstream
-may have nothing to say for a while.  It is a reason to ask for a connection, which the
-kernel of any live machine grants; two questions in vain are a reason to take the
-upstream for dead.
+Lives as long as one incarnation of the upstream.  Silence alone says little: a busy
+upstream may have nothing to say for a while.  It is a reason to ask for a connection,
+which the kernel of any live machine grants; two questions in vain are a reason to take
+the upstream for dead.
 """
 
 from __future__ import annotations
--- a/gooseberrydale/version/store_followers.py
+++ b/gooseberrydale/version/store_followers.py
@@ -46,7 +46,7 @@
     """What a gateway that follows a store passes on; ``up`` is whether it answers."""
 
     address: str
-    life: str
+    incarnation: str
     events: tuple[StoreEvent, ...]
     up: bool
 
@@ -69,11 +69,13 @@
 
 
 def tidings(
-    address: str, life: str, events: tuple[StoreEvent, ...], *, up: bool
+    address: str, incarnation: str, events: tuple[StoreEvent, ...], *, up: bool
 ) -> list[StoreTidings]:
     """What to pass on, in messages that fit a datagram; one at least."""
     starts = range(0, max(1, len(events)), EVENTS_A_DATAGRAM)
     return [
-        StoreTidings(address, life, events[start : start + EVENTS_A_DATAGRAM], up)
+        StoreTidings(
+            address, incarnation, events[start : start + EVENTS_A_DATAGRAM], up
+        )
         for start in starts
     ]
--- a/gooseberrydale/version/store_view.py
+++ b/gooseberrydale/version/store_view.py
@@ -1,7 +1,7 @@
 """Which parts of prompts a store of KV cache holds, as its events tell.
 
-Lives as long as one life of the store; pure.  Events come late, and a few never; a
-part that is wrongly taken to be there costs a failed look, one that is wrongly taken
+Lives as long as one incarnation of the store; pure.  Events come late, and a few never;
+a part that is wrongly taken to be there costs a failed look, one that is wrongly taken
 to be missing is saved once more.
 """
 
@@ -25,13 +25,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreNews:
-    """Events of one life of a store.
+    """Events of one incarnation of a store.
 
     ``missed`` says that some before were lost, ``whole`` that they are all that it
     holds.
     """
 
-    life: str
+    incarnation: str
     events: tuple[StoreEvent, ...]
     missed: bool = False
     whole: bool = False
@@ -43,14 +43,14 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.up = False
-        self._life = ""
+        self._incarnation = ""
         self._tokens: dict[tuple[str, str], int] = {}
 
     def take(self, news: StoreNews) -> None:
-        """Take news in; another life of the store begins with nothing."""
+        """Take news in; another incarnation of the store begins with nothing."""
         self.up = True
-        if news.whole or news.life != self._life:
-            self._life = news.life
+        if news.whole or news.incarnation != self._incarnation:
+            self._incarnation = news.incarnation
             self._tokens.clear()
         for event in news.events:
             self._apply(event)
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -1,7 +1,7 @@
-"""What one entry knows of the load and the faults of one life of an upstream.
+"""What one entry knows of the load and the faults of one incarnation of an upstream.
 
-Lives as long as that life; pure.  The entry's own work is known exactly, the work of
-others from what the upstream tells with its answers, which ages quickly.
+Lives as long as that incarnation; pure.  The entry's own work is known exactly, the
+work of others from what the upstream tells with its answers, which ages quickly.
 """
 
 from __future__ import annotations
@@ -44,13 +44,14 @@
 
 
 class UpstreamLoad:
-    """The load and the faults of one life of an upstream.
+    """The load and the faults of one incarnation of an upstream.
 
-    Times are seconds of the loop; ``life`` is its incarnation, empty if it told none.
+    Times are seconds of the loop; ``incarnation`` is its incarnation, empty if it told
+    none.
     """
 
-    def __init__(self, life: str = "") -> None:
-        self.life = life
+    def __init__(self, incarnation: str = "") -> None:
+        self.incarnation = incarnation
         self._requests = 0
         self._prefill_tokens = 0
         self._kv_tokens = 0
--- a/gooseberrydale/version/upstream_state.py
+++ b/gooseberrydale/version/upstream_state.py
@@ -1,4 +1,5 @@
-"""What is known of the upstream itself: one life of it, under one weights version.
+"""What is known of the upstream itself: one incarnation of it, under one weights
+version.
 
 Lives until the upstream says otherwise; a new value replaces it.
 """
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -158,8 +158,8 @@
 
 def holder(number: int) -> Holder:
     """The attempt that holds the claim."""
-    life = f"{number:024x}"
-    return Holder(f"{number:032x}", 1, "bids-1", "10.0.0.1:8090", life)
+    incarnation = f"{number:024x}"
+    return Holder(f"{number:032x}", 1, "bids-1", "10.0.0.1:8090", incarnation)
 
 
 def command(*requests: Any) -> bytes:
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -52,7 +52,7 @@
 
 
 def holder(request_id: str = "r1", attempt: int = 1, sidecar: str = "s1") -> Holder:
-    return Holder(request_id, attempt, sidecar, "127.0.0.1:1", f"{sidecar}-life")
+    return Holder(request_id, attempt, sidecar, "127.0.0.1:1", f"{sidecar}-incarnation")
 
 
 def claim(key: str = "k1", body: bytes = b"d1", by: Holder | None = None) -> ClaimReq:
--- a/tests/builders_ending_sidecars.py
+++ b/tests/builders_ending_sidecars.py
@@ -25,11 +25,12 @@
 class Falling:
     """An upstream that a harmful request ends; it is back after ``BACK_S``.
 
-    ``tells_lives`` says whether its health call names the life that answers.
+    ``tells_incarnations`` says whether its health call names the incarnation that
+    answers.
     """
 
-    tells_lives: bool = True
-    lives: int = 1
+    tells_incarnations: bool = True
+    incarnations: int = 1
     harmful: int = 0
     upstream: TinyUpstream = field(init=False)
     _writers: set[Writer] = field(default_factory=set)
@@ -37,7 +38,7 @@
 
     def __post_init__(self) -> None:
         self.upstream = TinyUpstream(self._answer)
-        self._name_life()
+        self._name_incarnation()
 
     async def close(self) -> None:
         """Stop for good."""
@@ -45,9 +46,12 @@
             self._back.cancel()
         await self.upstream.close()
 
-    def _name_life(self) -> None:
-        if self.tells_lives:
-            self.upstream.health = {"ready": True, "incarnation": f"life{self.lives}"}
+    def _name_incarnation(self) -> None:
+        if self.tells_incarnations:
+            self.upstream.health = {
+                "ready": True,
+                "incarnation": f"incarnation{self.incarnations}",
+            }
 
     async def _answer(self, req: Request, writer: Writer) -> None:
         self._writers.add(writer)
@@ -66,8 +70,8 @@
 
     async def _come_back(self) -> None:
         await asyncio.sleep(BACK_S)
-        self.lives += 1
-        self._name_life()
+        self.incarnations += 1
+        self._name_incarnation()
         await self.upstream.start()
 
 
@@ -85,9 +89,11 @@
         """How often a harmful request has reached an upstream."""
         return sum(one.harmful for one in self.upstreams)
 
-    async def add_upstream(self, folder: pathlib.Path, *, tells_lives: bool) -> None:
+    async def add_upstream(
+        self, folder: pathlib.Path, *, tells_incarnations: bool
+    ) -> None:
         """One more upstream with its sidecar."""
-        falling = Falling(tells_lives)
+        falling = Falling(tells_incarnations)
         await falling.upstream.start()
         self.stack.push_async_callback(falling.close)
         url = falling.upstream.url
@@ -124,7 +130,11 @@
 
 @asynccontextmanager
 async def deployment(
-    folder: pathlib.Path, *, upstreams: int = 4, entries: int = 2, tells_lives: bool
+    folder: pathlib.Path,
+    *,
+    upstreams: int = 4,
+    entries: int = 2,
+    tells_incarnations: bool,
 ) -> AsyncIterator[Deployment]:
     """A deployment that is ready for work."""
     async with AsyncExitStack() as stack:
@@ -132,7 +142,7 @@
         stack.push_async_callback(control.close)
         found = Deployment(control, stack)
         for _ in range(upstreams):
-            await found.add_upstream(folder, tells_lives=tells_lives)
+            await found.add_upstream(folder, tells_incarnations=tells_incarnations)
         for _ in range(entries):
             await found.add_entry()
         yield found
--- a/tests/builders_lives.py
+++ b/tests/builders_incarnations.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from gooseberrydale.connection.codec import encode
-from gooseberrydale.connection.mesh import Announce, EndedLife
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.connection.mesh import Announce, EndedIncarnation
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.open_runs import LostRuns
 
 FASTEST_S, SLOWEST_S = 0.001, 0.4
@@ -26,10 +26,10 @@
     )
 
 
-def told(name: str, *waiting: int, answering: tuple[int, ...] = ()) -> EndedLife:
+def told(name: str, *waiting: int, answering: tuple[int, ...] = ()) -> EndedIncarnation:
     """The same as another process tells it."""
     found = lost(*waiting, answering=answering)
-    return EndedLife(name, found.waiting, found.answering)
+    return EndedIncarnation(name, found.waiting, found.answering)
 
 
 @dataclass(eq=False)
@@ -46,14 +46,14 @@
 
     name: str
     relays: bool
-    table: EndedLives
+    table: EndedIncarnations
     up: bool = True
     bytes_in: int = 0
 
     @staticmethod
     def of(name: str, *, relays: bool) -> Node:
         """A process that knows nothing yet."""
-        return Node(name, relays, EndedLives(relays=relays))
+        return Node(name, relays, EndedIncarnations(relays=relays))
 
 
 @dataclass
@@ -69,9 +69,9 @@
     controls: list[Node]
     now: float = 0.0
     sessions: dict[tuple[Node, Node], tuple[End, End]] = field(default_factory=dict)
-    under_way: list[tuple[float, int, End, End, bytes, tuple[EndedLife, ...]]] = field(
-        default_factory=list
-    )
+    under_way: list[
+        tuple[float, int, End, End, bytes, tuple[EndedIncarnation, ...]]
+    ] = field(default_factory=list)
     _number: int = 0
 
     @staticmethod
@@ -112,25 +112,27 @@
     def _send(self, here: End, there: End) -> None:
         news = here.node.table.since(here.sent, self.now, exclude=here)
         here.sent = news.version
-        if not news.lives:
+        if not news.incarnations:
             return
-        data = encode(Announce((), self.now, None, news.lives))
+        data = encode(Announce((), self.now, None, news.incarnations))
         for _ in range(1 + (self.rng.random() < 0.1)):
             at = self.now + self.rng.uniform(FASTEST_S, SLOWEST_S)
             self._number += 1
-            self.under_way.append((at, self._number, here, there, data, news.lives))
+            self.under_way.append(
+                (at, self._number, here, there, data, news.incarnations)
+            )
 
     def _deliver(self) -> None:
         due = [one for one in self.under_way if one[0] <= self.now]
         self.under_way = [one for one in self.under_way if one[0] > self.now]
         self.rng.shuffle(due)
         open_ends = {end for ends in self.sessions.values() for end in ends}
-        for _, _, here, there, data, lives in due:
+        for _, _, here, there, data, incarnations in due:
             if here not in open_ends or not there.node.up:
                 continue
             there.node.bytes_in += len(data)
-            for life in lives:
-                there.node.table.offer(life, self.now, source=there)
+            for incarnation in incarnations:
+                there.node.table.offer(incarnation, self.now, source=there)
 
     def settle(self, bound_s: float) -> None:
         """Nothing happens for ``bound_s`` but that sessions go on."""
--- a/tests/builders_memory_net.py
+++ b/tests/builders_memory_net.py
@@ -77,7 +77,7 @@
 
 
 class Host:
-    """One life of a listening process; takes handlers as ``RpcServer`` does."""
+    """One incarnation of a listening process; takes handlers as ``RpcServer`` does."""
 
     def __init__(self, name: str) -> None:
         self.name = name
--- a/tests/builders_memory_roles.py
+++ b/tests/builders_memory_roles.py
@@ -1,4 +1,4 @@
-"""One life of a sidecar, of an entry and of control, of the product's own parts.
+"""One incarnation of a sidecar, of an entry and of control, of the product's own parts.
 
 What is left out are listeners, the mesh and the watch over the upstream: the fleet
 brings announcements and configurations round, and upstreams break their connections.
@@ -43,7 +43,7 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.control_state import ControlState
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.upstream_state import UpstreamState
 from tests.builders_memory_net import Channel, Host, Net
 from tests.builders_memory_upstream import (
@@ -75,7 +75,7 @@
 
 class CheckedDispatcher(Dispatcher):
     """Notes what is taken in though the sidecar leaves or shuts down, or though it
-    was meant for another life or sent long ago; ``sent_at`` tells when.
+    was meant for another incarnation or sent long ago; ``sent_at`` tells when.
     """
 
     def __init__(self, sent_at: dict[Any, float], *args: Any) -> None:
@@ -101,13 +101,13 @@
 
 
 class Sidecar:
-    """One life of a sidecar, of the product's own parts."""
+    """One incarnation of a sidecar, of the product's own parts."""
 
     def __init__(
-        self, name: str, life: int, upstream: Upstream, sent_at: dict[Any, float]
+        self, name: str, incarnation: int, upstream: Upstream, sent_at: dict[Any, float]
     ) -> None:
         self.name = name
-        self.incarnation = f"{name}-life-{life:04}"
+        self.incarnation = f"{name}-incarnation-{incarnation:04}"
         self.alive = True
         self.closing = False
         self.seq = 0
@@ -150,7 +150,7 @@
             pool=POOLS[self.name],
             kind=self._kind,
             model="m1",
-            upstream_incarnation=str(self._upstream.life),
+            upstream_incarnation=str(self._upstream.incarnation),
             ready=self._upstream.up and not self.closing,
             leaving=self.closing or self.name in self.store.config.leaving,
             lease_s=6.0,
@@ -208,16 +208,16 @@
 
 
 class Entry:
-    """One life of an entry."""
+    """One incarnation of an entry."""
 
-    def __init__(self, net: Net, name: str, life: int, control: Control) -> None:
-        self.life_name = f"{name}-life-{life}"
+    def __init__(self, net: Net, name: str, incarnation: int, control: Control) -> None:
+        self.incarnation_name = f"{name}-incarnation-{incarnation}"
         self.store = ConfigStore()
         self.directory = Directory()
         pool = ChannelPool(self._dial)  # type: ignore[arg-type]
         background = Background()
         self._net = net
-        self._claims = ControlPath(net, control, self.life_name)
+        self._claims = ControlPath(net, control, self.incarnation_name)
         self.deps = Deps(
             cfg=EntryCfg(silence_s=1.5),
             node=NodeCfg(name),
@@ -232,11 +232,11 @@
             config_sync=ConfigSync(self.store, pool, background),
             instruments=METRICS.instruments,
             freshness=Freshness(net.processes.loop.time()),
-            ended_lives=EndedLives(),
+            ended_incarnations=EndedIncarnations(),
         )
 
     def _dial(self, address: str) -> Channel:
-        return Channel(self._net, self.life_name, address)
+        return Channel(self._net, self.incarnation_name, address)
 
     def answering(self, job: Job) -> Answering:
         """As the entry's calls choose it."""
--- a/tests/builders_memory_upstream.py
+++ b/tests/builders_memory_upstream.py
@@ -67,7 +67,7 @@
     def __init__(self) -> None:
         self.up = True
         self.silent = False
-        self.life = 1
+        self.incarnation = 1
         self.calls: set[MemoryCall] = set()
 
     def kill(self) -> None:
@@ -78,26 +78,28 @@
     def back(self) -> None:
         if not self.up:
             self.up = True
-            self.life += 1
+            self.incarnation += 1
 
 
 class MemoryCall:
     """Stands in for ``UpstreamCall``: one connection of a sidecar to its upstream."""
 
-    def __init__(self, work: Work, upstream: Upstream, name: str, life: str) -> None:
+    def __init__(
+        self, work: Work, upstream: Upstream, name: str, incarnation: str
+    ) -> None:
         self.sent = False
         self.status = 0
         self.headers: tuple[tuple[str, str], ...] = ()
         self._world = work
         self._upstream = upstream
         self._name = name
-        self._life = life
+        self._incarnation = incarnation
         self._broken = asyncio.Event()
         self._arrived = asyncio.Event()
         self._parts: list[bytes] = []
 
     async def open(self, method: str, target: str, headers: Any, body: bytes) -> None:
-        if not self._upstream.up or self._life in self._world.net.dead:
+        if not self._upstream.up or self._incarnation in self._world.net.dead:
             raise UpstreamError("refused", sent=False)
         self._upstream.calls.add(self)
         self.sent = True
@@ -113,7 +115,7 @@
             return
         asked = msgspec.json.decode(body)
         request_id, attempt = headers["x-request-id"], int(headers["x-attempt"])
-        triple = (request_id, attempt, self._life)
+        triple = (request_id, attempt, self._incarnation)
         self._world.runs.append(Run(self._name, triple, _subject(asked)))
         self._parts, kind = _answer(asked, len(self._world.runs))
         self.headers = (("content-type", kind),)
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -45,14 +45,14 @@
         role: str,
         name: str,
         *,
-        life: int = 1,
+        incarnation: int = 1,
         controls: tuple[str, ...] = (),
         entries: tuple[str, ...] = (),
         revision: int = 0,
         port: int = 0,
         token: str = TOKEN,
     ) -> None:
-        self.incarnation = f"{name}-{life:04d}"
+        self.incarnation = f"{name}-{incarnation:04d}"
         self.directory = Directory()
         self.store = ConfigStore(Config(revision=revision))
         self.own: UpstreamRecord | None = None
--- a/tests/builders_operators.py
+++ b/tests/builders_operators.py
@@ -64,7 +64,7 @@
     token_file.write_text(FLEET_TOKEN)
     fleet = FleetCfg(token_file, controls=(control.addresses["rpc"],))
     cfg = Cfg(NodeCfg("entry-1"), fleet)
-    return Mesh(cfg, "entry", Directory(), store, None, FLEET_TOKEN, "life-1")
+    return Mesh(cfg, "entry", Directory(), store, None, FLEET_TOKEN, "incarnation-1")
 
 
 class Cluster:
--- a/tests/builders_request_path.py
+++ b/tests/builders_request_path.py
@@ -62,7 +62,7 @@
 
     job: Job
     subject: str
-    life_name: str
+    incarnation_name: str
     task: asyncio.Task[None] | None = None
     ends: list[str] = field(default_factory=list)
     problem: Problem | None = None
@@ -130,7 +130,7 @@
         self.config: Config = make_config()
         self.upstreams = {name: Upstream() for name in UPSTREAMS}
         self.sidecars: dict[str, Sidecar] = {}
-        self._lives = itertools.count(1)
+        self._incarnations = itertools.count(1)
         self._numbers = itertools.count(1)
         self._all_sidecars: dict[str, Sidecar] = {}
         self.entries: dict[str, Entry] = {}
@@ -179,9 +179,9 @@
             idempotency_key=subject if kind == "keyed" else "",
         )
         node = self.entries[entry]
-        caller = Caller(job, subject, node.life_name)
+        caller = Caller(job, subject, node.incarnation_name)
         work = caller.read(node)
-        caller.task = self.processes.spawn(node.life_name, work)
+        caller.task = self.processes.spawn(node.incarnation_name, work)
         self.callers.append(caller)
         return caller
 
@@ -191,14 +191,20 @@
             return
         run = self.work.runs[-1 - which % len(self.work.runs)]
         request_id, attempt, incarnation = run.triple
-        life_name = self.entries[entry].life_name
+        incarnation_name = self.entries[entry].incarnation_name
         attach = AttachReq(request_id, incarnation, STRANGER, 0, attempt)
         cancel = CancelReq(request_id, attempt, incarnation, STRANGER)
-        self.processes.spawn(life_name, self._call(life_name, run, ATTACH, attach))
-        self.processes.spawn(life_name, self._call(life_name, run, CANCEL, cancel))
+        self.processes.spawn(
+            incarnation_name, self._call(incarnation_name, run, ATTACH, attach)
+        )
+        self.processes.spawn(
+            incarnation_name, self._call(incarnation_name, run, CANCEL, cancel)
+        )
 
-    async def _call(self, life_name: str, run: Run, method: Any, req: Any) -> None:
-        channel = Channel(self.net, life_name, run.upstream)
+    async def _call(
+        self, incarnation_name: str, run: Run, method: Any, req: Any
+    ) -> None:
+        channel = Channel(self.net, incarnation_name, run.upstream)
         call = channel.call(method, req, timeout_s=1.0)
         with contextlib.suppress(grpc.aio.AioRpcError):
             await (call.read() if method.server_streams else call)
@@ -206,7 +212,7 @@
 
     def start_sidecar(self, name: str) -> None:
         sidecar = Sidecar(
-            name, next(self._lives), self.upstreams[name], self.net.sent_at
+            name, next(self._incarnations), self.upstreams[name], self.net.sent_at
         )
         self._all_sidecars[sidecar.incarnation] = sidecar
         self.sidecars[name] = sidecar
@@ -239,11 +245,13 @@
             self.loop.call_soon(self.kill_sidecar, sidecar.name)
 
     def start_entry(self, name: str) -> None:
-        self.entries[name] = Entry(self.net, name, next(self._lives), self.control)
+        self.entries[name] = Entry(
+            self.net, name, next(self._incarnations), self.control
+        )
 
     def kill_entry(self, name: str) -> None:
-        """kill -9, and another life at once."""
-        dead = self.entries[name].life_name
+        """kill -9, and another incarnation at once."""
+        dead = self.entries[name].incarnation_name
         self.net.dead.add(dead)
         self.net.cut(lambda channel: channel.ends[0] == dead, told=1.0)
         self.processes.kill(dead)
@@ -286,7 +294,7 @@
     def _announce(self, sidecar: Sidecar, now: float) -> None:
         record = sidecar.record(now)
         for entry in self.entries.values():
-            ends = (entry.life_name, sidecar.name)
+            ends = (entry.incarnation_name, sidecar.name)
             if ends in self.net.held or self.net.chance(self.net.faults.loss):
                 continue
             late_s = self.net.delay()
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -25,7 +25,7 @@
 
 
 def attempt(replay_bytes: int = 1_000) -> Attempt:
-    return Attempt(dispatch_req("life-1"), replay_bytes, Load, lambda: 3)
+    return Attempt(dispatch_req("incarnation-1"), replay_bytes, Load, lambda: 3)
 
 
 async def kinds(made: Attempt, offset: int = 0) -> list[Any]:
--- a/tests/test_cache_view.py
+++ b/tests/test_cache_view.py
@@ -10,29 +10,29 @@
 from gooseberrydale.connection.upstream_api import CacheEvent, CacheSnapshot
 from gooseberrydale.version.cache_view import MAX_PENDING, CacheView
 
-LIFE = "life-1"
+INCARNATION = "incarnation-1"
 PIECES = [("a", 10), ("b", 20), ("c", 30)]
 
 
 def begun(seq: int = 0, *keys: str) -> CacheView:
     """A complete view as of ``seq``."""
     view = CacheView()
-    view.begin(LIFE, "v1")
-    view.load(CacheSnapshot(LIFE, seq, keys))
+    view.begin(INCARNATION, "v1")
+    view.load(CacheSnapshot(INCARNATION, seq, keys))
     return view
 
 
 def stored(seq: int, *keys: str) -> CacheEvent:
-    return CacheEvent(LIFE, seq, stored=keys)
+    return CacheEvent(INCARNATION, seq, stored=keys)
 
 
 def removed(seq: int, *keys: str) -> CacheEvent:
-    return CacheEvent(LIFE, seq, removed=keys)
+    return CacheEvent(INCARNATION, seq, removed=keys)
 
 
 def test_before_the_first_snapshot_every_piece_is_absent() -> None:
     view = CacheView()
-    view.begin(LIFE, "v1")
+    view.begin(INCARNATION, "v1")
     view.apply(stored(1, "a"))
     assert not view.complete
     assert view.cached_tokens(PIECES) == 0
@@ -64,24 +64,24 @@
 def test_a_snapshot_fills_a_gap_and_an_old_one_changes_nothing() -> None:
     view = begun(0, "a")
     view.apply(removed(2, "b"))
-    view.load(CacheSnapshot(LIFE, 1, ("a", "b")))
+    view.load(CacheSnapshot(INCARNATION, 1, ("a", "b")))
     assert view.cached_tokens(PIECES) == 10
-    view.load(CacheSnapshot(LIFE, 0, ("a", "b", "c")))
+    view.load(CacheSnapshot(INCARNATION, 0, ("a", "b", "c")))
     assert view.cached_tokens(PIECES) == 10
 
 
-def test_another_life_or_other_weights_drop_everything() -> None:
-    for life, weights in (("life-2", "v1"), (LIFE, "v2")):
+def test_another_incarnation_or_other_weights_drop_everything() -> None:
+    for incarnation, weights in (("incarnation-2", "v1"), (INCARNATION, "v2")):
         view = begun(0, "a")
-        assert not view.begin(LIFE, "v1")
-        assert view.begin(life, weights)
+        assert not view.begin(INCARNATION, "v1")
+        assert view.begin(incarnation, weights)
         assert view.cached_tokens(PIECES) == 0
 
 
-def test_what_another_life_says_is_ignored() -> None:
+def test_what_another_incarnation_says_is_ignored() -> None:
     view = begun(0, "a")
-    view.apply(replace(stored(1, "b"), incarnation="life-0"))
-    view.load(CacheSnapshot("life-0", 5, ("a", "b", "c")))
+    view.apply(replace(stored(1, "b"), incarnation="incarnation-0"))
+    view.load(CacheSnapshot("incarnation-0", 5, ("a", "b", "c")))
     assert view.cached_tokens(PIECES) == 10
     assert view.ignored == 2
 
@@ -92,7 +92,7 @@
         view.apply(stored(seq, "b"))
     assert not view.complete
     assert len(view._pending) <= MAX_PENDING
-    view.load(CacheSnapshot(LIFE, 3 * MAX_PENDING, ("a",)))
+    view.load(CacheSnapshot(INCARNATION, 3 * MAX_PENDING, ("a",)))
     assert view.cached_tokens(PIECES) == 10
 
 
@@ -113,14 +113,14 @@
     events = []
     for seq, (come, go) in enumerate(steps, start=1):
         truth.append((truth[-1] - go) | come)
-        events.append(CacheEvent(LIFE, seq, tuple(come), tuple(go - come)))
+        events.append(CacheEvent(INCARNATION, seq, tuple(come), tuple(go - come)))
     arriving = data.draw(st.lists(st.sampled_from(events), max_size=40))
     view = begun()
     for event in arriving:
         view.apply(event)
         if data.draw(st.integers(0, 4)) == 0:
             seq = data.draw(st.integers(0, len(steps)))
-            view.load(CacheSnapshot(LIFE, seq, tuple(truth[seq])))
+            view.load(CacheSnapshot(INCARNATION, seq, tuple(truth[seq])))
         if view.complete:
             exact = truth[view.seq]
             assert {k for k, _ in view.missing((k, 1) for k in KEYS)} == (
--- a/tests/test_control_open.py
+++ b/tests/test_control_open.py
@@ -13,12 +13,14 @@
 from gooseberrydale.process.control.announcements import Announcements
 from gooseberrydale.process.control.control import Control, Surroundings
 from gooseberrydale.process.control.documents import Documents
-from gooseberrydale.process.control.ended_lives_cache import EndedLivesCache
+from gooseberrydale.process.control.ended_incarnations_cache import (
+    EndedIncarnationsCache,
+)
 from gooseberrydale.process.control.upstream_cache import UpstreamCache
 from gooseberrydale.version.declarations import Document
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.ended_lives import EndedLives
-from tests import builders_lives as lives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from tests import builders_incarnations as incarnations
 from tests.builders_files import free_address
 from tests.builders_gateway import record
 
@@ -177,7 +179,7 @@
         await cache.start()
         now = asyncio.get_running_loop().time()
         assert [one.name for one in directory.ready("desk", now)] == ["u1"]
-        # An announcement of the same life is newer than the guess.
+        # An announcement of the same incarnation is newer than the guess.
         Announcements(directory, 1.2).renew(record("u1", seq=2, ready=False))
         assert directory.ready("desk", now) == ()
         await cache.close()
@@ -202,24 +204,24 @@
     path = tmp_path / "ended"
 
     async def before() -> None:
-        table = EndedLives()
-        cache = EndedLivesCache(path, table)
+        table = EndedIncarnations()
+        cache = EndedIncarnationsCache(path, table)
         await cache.start()
         now = asyncio.get_running_loop().time()
-        for life in ("u1", "u2", "u3"):
-            table.report(life, lives.lost(1, 2), now)
-        table.answered(lives.request(2), now)
+        for incarnation in ("u1", "u2", "u3"):
+            table.report(incarnation, incarnations.lost(1, 2), now)
+        table.answered(incarnations.request(2), now)
         await asyncio.sleep(0.3)
         await cache.close()
 
     async def after(quarantined: tuple[bytes, ...]) -> None:
-        table = EndedLives()
-        cache = EndedLivesCache(path, table)
+        table = EndedIncarnations()
+        cache = EndedIncarnationsCache(path, table)
         await cache.start()
         assert table.quarantined() == quarantined
         await cache.close()
 
     asyncio.run(before())
-    asyncio.run(after((lives.request(1),)))
+    asyncio.run(after((incarnations.request(1),)))
     path.write_bytes(b"no record")
     asyncio.run(after(()))
--- a/tests/test_directory_machine.py
+++ b/tests/test_directory_machine.py
@@ -28,7 +28,7 @@
 
 @dataclass(eq=False)
 class Node:
-    """One life of a process: what it knows, and how far its clock is off."""
+    """One incarnation of a process: what it knows, and how far its clock is off."""
 
     index: int
     offset: float
@@ -181,11 +181,11 @@
                 self.take(self.under_way.pop())
         for node in self.nodes:
             ready = node.directory.ready("p", self.clock(node))
-            lives = [self.nodes[index].incarnation for index in range(SIDECARS)]
-            assert [one.incarnation for one in ready] == lives
+            incarnations = [self.nodes[index].incarnation for index in range(SIDECARS)]
+            assert [one.incarnation for one in ready] == incarnations
 
     @invariant()
-    def nothing_outlives_its_lease_or_falls_back(self) -> None:
+    def nothing_outincarnations_its_lease_or_falls_back(self) -> None:
         for node in self.nodes:
             now = self.clock(node)
             shown = node.directory.records(now) + node.directory.ready("p", now)
--- a/tests/test_ended_innocents.py
+++ b/tests/test_ended_innocents.py
@@ -17,9 +17,9 @@
 
 import pytest
 
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.open_runs import LostRuns
-from tests.builders_lives import request
+from tests.builders_incarnations import request
 
 HARMFUL = 0
 UPSTREAMS = 5
@@ -48,10 +48,10 @@
 
 @dataclass(eq=False)
 class Upstream:
-    """One place of the pool; ``life`` counts its starts."""
+    """One place of the pool; ``incarnation`` counts its starts."""
 
     number: int
-    life: int = 0
+    incarnation: int = 0
     back_at: float = 0.0
     runs: list[Work] = field(default_factory=list)
 
@@ -61,7 +61,7 @@
     """Plays one day; ``met`` are the innocent requests that an end has met."""
 
     rng: random.Random
-    table: EndedLives = field(default_factory=EndedLives)
+    table: EndedIncarnations = field(default_factory=EndedIncarnations)
     upstreams: list[Upstream] = field(
         default_factory=lambda: [Upstream(n) for n in range(UPSTREAMS)]
     )
@@ -118,10 +118,10 @@
         answering = [w.name for w in lost if w.ran_s >= WAITS_S]
         self.met.update(work.name for work in lost)
         found = LostRuns((by.name, *waiting), tuple(answering))
-        name = f"u{upstream.number}.{upstream.life}"
+        name = f"u{upstream.number}.{upstream.incarnation}"
         self.table.report(name, found, self.now)
         self.ends += 1
-        upstream.life += 1
+        upstream.incarnation += 1
         upstream.back_at = self.now + BACK_S
         for work in lost:
             self._send(work)
--- a/tests/test_ended_upstreams.py
+++ b/tests/test_ended_upstreams.py
@@ -25,7 +25,7 @@
 
 from gooseberrydale.process.gateway.gateway import Gateway
 from gooseberrydale.request.fingerprint import fingerprint, shown
-from gooseberrydale.version.ended_lives import QUARANTINE_AFTER
+from gooseberrydale.version.ended_incarnations import QUARANTINE_AFTER
 from tests.builders_ending import (
     BACK_S,
     HARMFUL,
@@ -80,7 +80,7 @@
 
 async def wait_quarantined(*gateways: Gateway) -> None:
     """Wait until each of the gateways quarantines some request."""
-    await until(lambda: all(one.ended_lives.quarantined() for one in gateways))
+    await until(lambda: all(one.ended_incarnations.quarantined() for one in gateways))
 
 
 def test_who_is_refused_learns_at_once_why_and_that_it_has_not_run() -> None:
@@ -131,7 +131,9 @@
             await wait_quarantined(*fleet.gateways)
             port = fleet.control.port
             await fleet.control.close()
-            again = await Member("control", "c1", life=2, token="", port=port).start()
+            again = await Member(
+                "control", "c1", incarnation=2, token="", port=port
+            ).start()
             fleet.stack.push_async_callback(again.close)
             await until(lambda: len(again.acks) >= 2)
             newcomer = await fleet.add_gateway()
@@ -175,8 +177,8 @@
             slow = fingerprint("a", "POST", HOST, "/streams/1", SLOW)
             harmful = fingerprint("a", "POST", HOST, "/calls/1", HARMFUL)
             await wait_quarantined(*fleet.gateways)
-            assert gateway.ended_lives.quarantined() == (harmful,)
-            assert gateway.ended_lives.blamed_for(slow) == ()
+            assert gateway.ended_incarnations.quarantined() == (harmful,)
+            assert gateway.ended_incarnations.blamed_for(slow) == ()
 
     run(main())
 
--- a/tests/test_ended_upstreams_sidecars.py
+++ b/tests/test_ended_upstreams_sidecars.py
@@ -28,20 +28,22 @@
 
 
 def play(
-    scenario: Callable[[Deployment], Awaitable[None]], *, tells_lives: bool = True
+    scenario: Callable[[Deployment], Awaitable[None]],
+    *,
+    tells_incarnations: bool = True,
 ) -> None:
     async def main() -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder)
-            async with deployment(path, tells_lives=tells_lives) as fleet:
+            async with deployment(path, tells_incarnations=tells_incarnations) as fleet:
                 await scenario(fleet)
 
     run(main())
 
 
-@pytest.mark.parametrize("tells_lives", [True, False])
+@pytest.mark.parametrize("tells_incarnations", [True, False])
 def test_repeats_of_what_ends_upstreams_are_refused_by_entries(
-    tells_lives: bool,
+    tells_incarnations: bool,
 ) -> None:
     async def scenario(fleet: Deployment) -> None:
         answers = []
@@ -56,4 +58,4 @@
         assert "retry-after" not in answers[-1].headers
         assert (await fleet.bid(fleet.entries[0], b"harmless")).status_code == 200
 
-    play(scenario, tells_lives=tells_lives)
+    play(scenario, tells_incarnations=tells_incarnations)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -176,7 +176,7 @@
     ],
 )
 def test_cache_events_are_late_and_may_be_lost_or_repeated(cfg, seqs):
-    feed = CacheFeed(cfg, "life", random.Random(1))
+    feed = CacheFeed(cfg, "incarnation", random.Random(1))
     sent = [d for _ in range(6) for d in feed.publish(CacheChange(("a",)), 10.0)]
     assert sorted(d.event.seq for d in sent) == seqs
     assert all(d.due >= 11.0 for d in sent)
@@ -184,7 +184,7 @@
 
 
 def test_reordered_events_are_overtaken():
-    feed = CacheFeed(FeedCfg(1.0, reorder_rate=0.5), "life", random.Random(1))
+    feed = CacheFeed(FeedCfg(1.0, reorder_rate=0.5), "incarnation", random.Random(1))
     sent = [d for i in range(20) for d in feed.publish(CacheChange(("a",)), i * 0.1)]
     order = [d.event.seq for d in sorted(sent, key=lambda d: d.due)]
     assert order != sorted(order)
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -385,7 +385,7 @@
 
 
 async def babble(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
-    """Frames of other attempts, lives and requests, and each event twice."""
+    """Frames of other attempts, incarnations and requests, and each event twice."""
     wrong = chat_event("wrong")
     yield fake.accepted(replace(req, attempt=7), status=500)
     yield fake.accepted(req)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -21,20 +21,24 @@
 from gooseberrydale.request.gate import MAX_DISPATCH_AGE_S, Gate, Phase, Verdict
 from tests.builders_sidecar import dispatch_req
 
-LIFE = "life-2"
+INCARNATION = "incarnation-2"
 KEY = ("req-1", 1)
-CANCEL = CancelReq("req-1", 1, LIFE, "workspace-a")
+CANCEL = CancelReq("req-1", 1, INCARNATION, "workspace-a")
 
 
 def offer(gate: Gate, now: float = 0.0, leaving: bool = False, **fields: Any) -> str:
     """The refusal's code, or ``taken``."""
-    req = dispatch_req(fields.pop("incarnation", LIFE), **fields)
+    req = dispatch_req(fields.pop("incarnation", INCARNATION), **fields)
     decision = gate.offer(req, now, leaving=leaving)
     return decision.err_value.code if isinstance(decision, Err) else "taken"
 
 
 REFUSALS: dict[str, tuple[dict[str, Any], bool, str]] = {
-    "another life": ({"incarnation": "life-1"}, False, "wrong_incarnation"),
+    "another incarnation": (
+        {"incarnation": "incarnation-1"},
+        False,
+        "wrong_incarnation",
+    ),
     "leaving": ({}, True, "upstream_leaving"),
     "no time left": ({"deadline_s": 0.0}, False, "deadline_passed"),
     "old announcement": ({"record_seq": 1}, False, "stale_dispatch"),
@@ -45,7 +49,7 @@
 @pytest.mark.parametrize("name", REFUSALS)
 def test_refusals(name: str) -> None:
     fields, leaving, code = REFUSALS[name]
-    gate = Gate("upstream-1", LIFE)
+    gate = Gate("upstream-1", INCARNATION)
     gate.announced(1, 0.0)
     gate.announced(2, 1.0)
     now = MAX_DISPATCH_AGE_S + 1.0
@@ -53,7 +57,7 @@
 
 
 def test_an_attempt_is_taken_once() -> None:
-    gate = Gate("upstream-1", LIFE)
+    gate = Gate("upstream-1", INCARNATION)
     codes = [offer(gate) for _ in range(2)]
     gate.start(KEY)
     codes.append(offer(gate))
@@ -63,7 +67,7 @@
 
 
 def test_a_gate_that_is_shut_takes_nothing_new() -> None:
-    gate = Gate("upstream-1", LIFE)
+    gate = Gate("upstream-1", INCARNATION)
     gate.shut()
     assert offer(gate) == "shutting_down"
 
@@ -81,7 +85,7 @@
 @pytest.mark.parametrize("name", CANCELLATIONS)
 def test_cancellations(name: str) -> None:
     steps, repeatable, verdict, later = CANCELLATIONS[name]
-    gate = Gate("upstream-1", LIFE)
+    gate = Gate("upstream-1", INCARNATION)
     actions = {
         "offer": lambda: offer(gate, repeatable=repeatable),
         "start": lambda: gate.start(KEY),
@@ -94,12 +98,12 @@
     assert offer(gate, 2.0, repeatable=repeatable) == later
 
 
-def test_a_cancellation_of_another_workspace_or_life_changes_nothing() -> None:
-    gate = Gate("upstream-1", LIFE)
+def test_a_cancellation_of_another_workspace_or_incarnation_changes_nothing() -> None:
+    gate = Gate("upstream-1", INCARNATION)
     offer(gate)
     stranger = replace(CANCEL, workspace="workspace-b")
     assert gate.cancel(stranger, 0.0) is Verdict.WRONG_WORKSPACE
-    earlier = replace(CANCEL, incarnation="life-1")
+    earlier = replace(CANCEL, incarnation="incarnation-1")
     verdict = gate.cancel(earlier, 0.0)
     assert verdict is Verdict.WRONG_INCARNATION and not verdict.not_run
     assert gate.phase(KEY) is Phase.WAITING
@@ -108,7 +112,7 @@
 def test_what_ran_so_long_ago_that_it_is_forgotten_is_not_said_not_to_have_run() -> (
     None
 ):
-    gate = Gate("upstream-1", LIFE)
+    gate = Gate("upstream-1", INCARNATION)
     gate.announced(1, 0.0)
     offer(gate, record_seq=1)
     gate.start(KEY)
@@ -126,9 +130,11 @@
     assert gate.cancel(fresh, late) is Verdict.NEVER_STARTS
 
 
-def test_a_tombstone_outlives_every_dispatch_that_may_still_be_accepted() -> None:
+def test_a_tombstone_outincarnations_every_dispatch_that_may_still_be_accepted() -> (
+    None
+):
     """Given up at once, built just before its deadline, then held up for long."""
-    gate = Gate("upstream-1", LIFE)
+    gate = Gate("upstream-1", INCARNATION)
     gate.announced(1, 0.0)
     gate.cancel(replace(CANCEL, record_seq=1), 0.0)
     built = 29.0
@@ -139,7 +145,7 @@
 
 
 def test_an_attempt_that_would_start_twice_breaks_the_invariant() -> None:
-    gate = Gate("upstream-1", LIFE)
+    gate = Gate("upstream-1", INCARNATION)
     offer(gate)
     gate.start(KEY)
     with pytest.raises(InvariantError):
@@ -164,7 +170,7 @@
 
     @initialize()
     def begin(self) -> None:
-        self.gate = Gate("upstream-1", LIFE)
+        self.gate = Gate("upstream-1", INCARNATION)
         self.now = 0.0
         self.seq = 0
         self.count = 0
@@ -206,7 +212,7 @@
             self.give_up(name, self.seq)
         self.wait(pause)
         return dispatch_req(
-            LIFE,
+            INCARNATION,
             request_id=name,
             record_seq=self.seq if states_seq else 0,
             deadline_s=DEADLINE_S - pause,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -402,7 +402,7 @@
 
 
 @pytest.mark.parametrize("case", MALFORMED)
-def test_what_is_no_request_gets_400_and_the_process_lives(case: str) -> None:
+def test_what_is_no_request_gets_400_and_the_process_incarnations(case: str) -> None:
     async def main() -> None:
         upstream = RawUpstream("u1", well)
         document = declared(route(host="h", public=True), route())
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -19,7 +19,7 @@
 )
 from gooseberrydale.version.declared import EngineSize, Pool
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.ended_lives import EndedLives
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.open_runs import NOTICED_S, RunEnd
 from gooseberrydale.version.order_marks import mark
@@ -39,8 +39,10 @@
 GUIDE, LOT = PromptPart("guide", 2_000), PromptPart("lot", 4_000)
 
 
-def report(name: str, seq: int, *works: UpstreamWork, life: str = "1") -> WorkReport:
-    return WorkReport(name, life, seq, works)
+def report(
+    name: str, seq: int, *works: UpstreamWork, incarnation: str = "1"
+) -> WorkReport:
+    return WorkReport(name, incarnation, seq, works)
 
 
 def test_peers_work_adds_up_and_the_newest_report_counts() -> None:
@@ -51,7 +53,7 @@
     assert not loads.take(report("g2", 2, UpstreamWork("u1", 9, 9, 9)), 0.2)
     totals = loads.at("u1")
     assert (totals.requests, totals.prefill_tokens, totals.kv_tokens) == (2, 60, 80)
-    assert loads.take(report("g2", 1, life="2"), 0.3)
+    assert loads.take(report("g2", 1, incarnation="2"), 0.3)
     assert loads.at("u1").requests == 1
 
 
@@ -68,7 +70,7 @@
     # A whole report makes up for changes that were lost.
     loads.take(report("g2", 9, UpstreamWork("u3", 1, 0, 0)), 0.3)
     assert [loads.at(name).requests for name in ("u1", "u2", "u3")] == [0, 0, 1]
-    # Changes of another life say that nothing of the earlier one goes on.
+    # Changes of another incarnation say that nothing of the earlier one goes on.
     loads.take(WorkReport("g2", "2", 1, (both[1],), whole=False), 0.4)
     assert [loads.at(name).requests for name in ("u1", "u2", "u3")] == [0, 1, 0]
 
@@ -113,7 +115,7 @@
     assert load.suspect_until < 0
 
 
-def test_the_store_holds_whole_parts_in_order_of_one_life() -> None:
+def test_the_store_holds_whole_parts_in_order_of_one_incarnation() -> None:
     view = StoreView("store")
     parts = (GUIDE, LOT)
     assert not view.lacks("s", parts)  # it is not known to be there
@@ -274,7 +276,7 @@
         weights or NamedWeights(),
         8.0,
         Stores(),
-        EndedLives(),
+        EndedIncarnations(),
     )
 
 
@@ -339,7 +341,7 @@
     peers.take(report("g2", 1, UpstreamWork("u1", 2, 400, 8_000)), 0.0)
     view = Upstreams(
         *(directory, "local", random.Random(1), peers, NamedWeights(), 8.0, Stores()),
-        EndedLives(),
+        EndedIncarnations(),
     )
     asked = prompt(("guide", 100), ("lot", 100))
     assert names(view, asked, 0.0)["u0"].load == IDLE
@@ -352,7 +354,7 @@
 def test_an_upstream_is_asked_at_once_when_its_connections_break() -> None:
     """However many break together, which makes the pause after them a long one.
 
-    Asked later, it may be back as another life, and what ended it is not known.
+    Asked later, it may be back as another incarnation, and what ended it is not known.
     """
     directory = Directory()
     directory.offer(record("u1"), 0.0)
@@ -378,4 +380,4 @@
     load.runs.began(bytes(16))
     directory.offer(record("u1", seq=2, leaving=leaving), 1.0)
     view.ended("u1", load, 2.0, "refused")
-    assert len(view.ended_lives) == int(not leaving)
+    assert len(view.ended_incarnations) == int(not leaving)
--- a/tests/test_mesh_session.py
+++ b/tests/test_mesh_session.py
@@ -76,7 +76,7 @@
         first = await members.add(Member("sidecar", "u1", entries=(entry.address,)))
         await until(lambda: entry.ready() == [("u1", first.incarnation)])
         await first.close()
-        second = Member("sidecar", "u1", life=2, entries=(entry.address,))
+        second = Member("sidecar", "u1", incarnation=2, entries=(entry.address,))
         # A renewal by itself comes only after the bound of the last wait below.
         second.own = replace(second.own, lease_s=60.0)
         await members.add(second)
@@ -105,7 +105,9 @@
         # Long enough for each sidecar to have failed more than once.
         await asyncio.sleep(1)
         fresh = [
-            await members.add(Member("entry", f"e{n}", life=2, port=port, **known))
+            await members.add(
+                Member("entry", f"e{n}", incarnation=2, port=port, **known)
+            )
             for n, port in enumerate(ports, 1)
         ]
         for entry in fresh:
@@ -173,9 +175,9 @@
     async def main(members: Group) -> None:
         entry = await members.add(Member("entry", "e1"))
         known = {"entries": (entry.address,)}
-        later = await members.add(Member("sidecar", "u1", life=2, **known))
+        later = await members.add(Member("sidecar", "u1", incarnation=2, **known))
         await until(entry.ready)
-        earlier = await members.add(Member("sidecar", "u1", life=1, **known))
+        earlier = await members.add(Member("sidecar", "u1", incarnation=1, **known))
         await until(lambda: earlier.ready() == [("u1", later.incarnation)])
         assert entry.ready() == [("u1", later.incarnation)]
 
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -24,7 +24,7 @@
 from gooseberrydale.request.fingerprint import shown
 from gooseberrydale.version.acknowledgements import Standing
 from gooseberrydale.version.key_index import key_digest
-from tests.builders_lives import lost, request
+from tests.builders_incarnations import lost, request
 from tests.builders_operators import TOKEN, running_control
 
 Run = Callable[..., int]
@@ -269,15 +269,15 @@
 
 def test_a_quarantined_request_is_listed_and_released(run, control, capsys):
     digest = shown(request(1))
-    for life in ("u1", "u2", "u3"):
-        control.ended_lives.report(life, lost(1), 1.0)
+    for incarnation in ("u1", "u2", "u3"):
+        control.ended_incarnations.report(incarnation, lost(1), 1.0)
     assert run("request", "quarantined") == 0
     assert capsys.readouterr().out.split() == ["DIGEST", "ENDED", digest, "3"]
     assert run("request", "quarantined", "--json") == 0
     [row] = json.loads(capsys.readouterr().out)["quarantined"]
     assert row == {"digest": digest, "ended": ["u1", "u2", "u3"]}
     assert run("request", "release", digest) == 0
-    assert control.ended_lives.quarantined() == ()
+    assert control.ended_incarnations.quarantined() == ()
     assert run("request", "release", digest) == OperatorExit.REFUSED
     assert f"no quarantined request '{digest}'" in capsys.readouterr().err
     assert run("audit") == 0
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -24,12 +24,15 @@
 from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.timeliness import LATE_WAIT_S, LOOK_S
 from gooseberrydale.version.declared import EngineSize, Pool
-from gooseberrydale.version.ended_lives import QUARANTINE_AFTER, EndedLives
+from gooseberrydale.version.ended_incarnations import (
+    QUARANTINE_AFTER,
+    EndedIncarnations,
+)
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.patience import Patience
 from gooseberrydale.version.run_times import RunTimes
 from gooseberrydale.version.upstream_load import Load
-from tests import builders_lives as lives
+from tests import builders_incarnations as incarnations
 from tests.builders_gateway import prompt, record, route
 from tests.clock import run_paused
 
@@ -49,7 +52,7 @@
     load_at: Callable[[float], Load]
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     asked: int = 0
-    ended_lives: EndedLives = field(default_factory=EndedLives)
+    ended_incarnations: EndedIncarnations = field(default_factory=EndedIncarnations)
 
     def candidates(
         self, sought: Sought, now: float
@@ -134,12 +137,12 @@
 def test_who_waits_is_refused_as_soon_as_it_is_known_to_end_its_upstreams() -> None:
     async def main() -> tuple[str, float]:
         loop = asyncio.get_running_loop()
-        one = replace(job(LARGE, now=loop.time()), fingerprint=lives.request(1))
+        one = replace(job(LARGE, now=loop.time()), fingerprint=incarnations.request(1))
         upstreams = FakeUpstreams(always(FULL))
         for number in range(QUARANTINE_AFTER):
-            ended = f"u{number}", lives.lost(1)
+            ended = f"u{number}", incarnations.lost(1)
             at = 0.1 + number / 100
-            loop.call_at(at, upstreams.ended_lives.report, *ended, at)
+            loop.call_at(at, upstreams.ended_incarnations.report, *ended, at)
         return await outcome(one, upstreams)
 
     found, took_s = run_paused(main())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -215,7 +215,7 @@
         {"signed": True, "not_run": False, "load": ReportedLoad(3, 1, 8)},
     ),
     "not run": (503, ((b"x-not-executed", b"1"),), {"not_run": True, "instance": None}),
-    "another life": (
+    "another incarnation": (
         421,
         ((b"x-instance-id", b"i-2"),),
         {"not_run": True, "instance": "i-2"},
@@ -365,7 +365,7 @@
     409: OrderAnswer.CONFLICT,
     412: OrderAnswer.FENCED,
     400: OrderAnswer.REFUSED,
-    421: OrderAnswer.OTHER_LIFE,
+    421: OrderAnswer.OTHER_INCARNATION,
     500: OrderAnswer.UNKNOWN,
 }
 
--- a/tests/test_request_path_machine.py
+++ b/tests/test_request_path_machine.py
@@ -117,13 +117,13 @@
 
     @rule(entry=entries, upstream=upstreams, told=st.sampled_from([0.0, 0.5, 1.0]))
     def cut(self, entry: str, upstream: str, told: float) -> None:
-        ends = (self.fleet.entries[entry].life_name, upstream)
+        ends = (self.fleet.entries[entry].incarnation_name, upstream)
         self.fleet.net.cut(lambda channel: channel.ends == ends, told=told)
 
     @rule(entry=entries, upstream=upstreams)
     def cut_off(self, entry: str, upstream: str) -> None:
         """No connection comes about until cuts are mended."""
-        ends = (self.fleet.entries[entry].life_name, upstream)
+        ends = (self.fleet.entries[entry].incarnation_name, upstream)
         self.fleet.net.cuts.add(ends)
         self.fleet.net.cut(lambda channel: channel.ends == ends, told=1.0)
 
@@ -150,12 +150,12 @@
     @rule(entry=entries)
     def freeze_entry(self, entry: str) -> None:
         for upstream in UPSTREAMS:
-            self.fleet.net.hold(self.fleet.entries[entry].life_name, upstream)
+            self.fleet.net.hold(self.fleet.entries[entry].incarnation_name, upstream)
 
     @rule(upstream=upstreams)
     def freeze_sidecar(self, upstream: str) -> None:
         for entry in ENTRIES:
-            self.fleet.net.hold(self.fleet.entries[entry].life_name, upstream)
+            self.fleet.net.hold(self.fleet.entries[entry].incarnation_name, upstream)
 
     @rule()
     def thaw(self) -> None:
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -29,7 +29,7 @@
 RAN = problem(errors.UPSTREAM_FAILED, not_run=False)
 DOUBTED = problem(errors.DUPLICATE_ATTEMPT, not_run=None, attempt=1, request_id="r")
 STRANGE = problem(errors.UNKNOWN_STREAM, request_id="r", offset=0)
-OTHER_LIFE = problem(errors.WRONG_INCARNATION, actual="i2", wanted="i1")
+OTHER_INCARNATION = problem(errors.WRONG_INCARNATION, actual="i2", wanted="i1")
 
 
 def step(
@@ -67,7 +67,7 @@
     [
         # Known not to have run: elsewhere, whatever the request.
         (Outcome(REFUSED, problem=FULL), Retry, Retry),
-        (Outcome(REFUSED, problem=OTHER_LIFE), Retry, Retry),
+        (Outcome(REFUSED, problem=OTHER_INCARNATION), Retry, Retry),
         (Outcome(Cause.NOT_SENT), Retry, Retry),
         (Outcome(Cause.TOMBSTONED), Retry, Retry),
         # A refusal that every upstream would give.
@@ -108,7 +108,11 @@
         # A refused attach says nothing about the dispatch.
         (Outcome(REFUSED, accepted=True, problem=STRANGE), Retry, UNKNOWN),
         (Outcome(REFUSED, problem=STRANGE), Retry, Confirm),
-        (Outcome(REFUSED, problem=OTHER_LIFE, attach_tried=True), Retry, Confirm),
+        (
+            Outcome(REFUSED, problem=OTHER_INCARNATION, attach_tried=True),
+            Retry,
+            Confirm,
+        ),
     ],
 )
 def test_step_for_what_may_be_repeated_and_what_may_not(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,4 +1,4 @@
-"""Where requests go: homes without state, load, caches, lives, and limits."""
+"""Where requests go: homes without state, load, caches, incarnations, and limits."""
 
 from __future__ import annotations
 
@@ -193,7 +193,7 @@
 
 
 @pytest.mark.parametrize("change", RENEWED)
-def test_a_holder_is_known_for_one_life_and_one_weights_version(
+def test_a_holder_is_known_for_one_incarnation_and_one_weights_version(
     change: dict[str, object],
 ) -> None:
     policy = router()
@@ -452,7 +452,7 @@
     assert choose(policy, route(GUIDE), now=0.2).record.name == home.record.name
 
 
-def test_late_replies_of_an_earlier_life_change_nothing() -> None:
+def test_late_replies_of_an_earlier_incarnation_change_nothing() -> None:
     policy = router()
     before = choose(policy, route(GUIDE))
     reborn = replace(before.record, incarnation="i2", upstream_incarnation="u2")
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -1,4 +1,4 @@
-"""The runner: order of a role's life, and what each exit code says."""
+"""The runner: order of a role's incarnation, and what each exit code says."""
 
 from __future__ import annotations
 
@@ -96,9 +96,9 @@
 
 
 def test_a_process_told_to_stop_does_not_serve_again() -> None:
-    life = LifeCycle()
-    life.begin_serving()
-    life.begin_draining()
+    incarnation = LifeCycle()
+    incarnation.begin_serving()
+    incarnation.begin_draining()
     with pytest.raises(InvariantError):
-        life.begin_serving()
-    assert life.stage == Stage.DRAINING
+        incarnation.begin_serving()
+    assert incarnation.stage == Stage.DRAINING
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -397,24 +397,24 @@
     return made.sidecar.directory.get("upstream-1", now)
 
 
-def test_a_new_life_of_the_upstream_ends_what_ran_on_the_old_one(
+def test_a_new_incarnation_of_the_upstream_ends_what_ran_on_the_old_one(
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
         silence = {"upstream_silence_s": 2 * BOUND_S}
         async with bench(tmp_path, stuck_stream, **silence) as made:
-            made.upstream.health = {"ready": True, "incarnation": "life-1"}
-            while made.sidecar.upstream_state.incarnation != "life-1":
+            made.upstream.health = {"ready": True, "incarnation": "incarnation-1"}
+            while made.sidecar.upstream_state.incarnation != "incarnation-1":
                 await asyncio.sleep(0.01)
             call = made.dispatch()
             await frames_until(call, 1)
             await asyncio.sleep(0.6)
-            made.upstream.health = {"ready": True, "incarnation": "life-2"}
+            made.upstream.health = {"ready": True, "incarnation": "incarnation-2"}
             last = (await frames_of(call))[-1]
             assert isinstance(last, Failed)
             assert last.problem.code == "upstream_failed"
             record = own_record(made)
-            assert record is not None and record.upstream_incarnation == "life-2"
+            assert record is not None and record.upstream_incarnation == "incarnation-2"
 
     run(main())
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -49,7 +49,7 @@
     assert asked(silence, 1.0)[0] == pytest.approx(SILENT_S)
 
 
-def test_events_of_any_request_are_signs_of_life() -> None:
+def test_events_of_any_request_are_signs_of_incarnation() -> None:
     silence = Silence()
     silence.opened(0.0)
     for tenth in range(1, 50):
@@ -180,7 +180,7 @@
 
 
 @pytest.mark.parametrize("ending", ["broken", "answered"])
-def test_how_an_earlier_life_ends_its_request_says_nothing_of_the_next(
+def test_how_an_earlier_incarnation_ends_its_request_says_nothing_of_the_next(
     ending: str,
 ) -> None:
     """An upstream starts again under its name while a request of before is open."""
@@ -201,7 +201,7 @@
             while not upstream.requests:
                 await asyncio.sleep(0.01)
             upstreams = gateway._upstreams
-            # What is known of a life goes with it.
+            # What is known of an incarnation goes with it.
             del upstreams._loads["u1"]
             later = upstreams.load_of("u1")
             later.unreachable(asyncio.get_running_loop().time())
@@ -213,10 +213,10 @@
     run(main())
 
 
-def test_a_question_to_an_earlier_life_says_nothing_of_the_next(
+def test_a_question_to_an_earlier_incarnation_says_nothing_of_the_next(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The answer comes once another life bears the name."""
+    """The answer comes once another incarnation bears the name."""
 
     async def main() -> None:
         loads = {"u1": UpstreamLoad()}
@@ -243,10 +243,10 @@
         monkeypatch.setattr(prober, "HttpConn", LateConn)
         asked = loads["u1"]
         asked.silence.unanswered(0.0)
-        lives = Lives()
-        upstreams = cast(Upstreams, lives)
+        incarnations = Lives()
+        upstreams = cast(Upstreams, incarnations)
         await prober.Prober(upstreams, lambda: None)._ask(record("u1"))
         assert (asked.failures, later.failures) == (1, 0)
-        assert lives.over == [asked]
+        assert incarnations.over == [asked]
 
     asyncio.run(main())
--- a/tests/test_silent_answer.py
+++ b/tests/test_silent_answer.py
@@ -45,13 +45,15 @@
         async with tiny_upstream(answer) as upstream:
             cfg = sidecar_cfg(tmp_path, upstream.url).sidecar
             assert cfg is not None
-            watch = UpstreamWatch(cfg, lambda *_: None, lambda _: None, NoLives())
+            watch = UpstreamWatch(
+                cfg, lambda *_: None, lambda _: None, NoIncarnations()
+            )
             assert await watch.lost("req-1", 2) is lost
 
     run(main())
 
 
-class NoLives:
+class NoIncarnations:
     """Nobody wants to know."""
 
     def upstream_gone(self, reason: str) -> None:
@@ -72,7 +74,9 @@
         async with tiny_upstream(answer) as upstream:
             cfg = sidecar_cfg(tmp_path, upstream.url).sidecar
             assert cfg is not None
-            watch = UpstreamWatch(cfg, lambda *_: None, lambda _: None, NoLives())
+            watch = UpstreamWatch(
+                cfg, lambda *_: None, lambda _: None, NoIncarnations()
+            )
             began = loop.time()
             await watch.lost("req-1", 1)
             took.append(loop.time() - began)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -44,7 +44,7 @@
 class FakeStore:
     """A store that lets three callers wait, a second at most."""
 
-    life: str = "1"
+    incarnation: str = "1"
     up: bool = True
     events: list[StoreEvent] = field(default_factory=list)
     waiting: int = 0
@@ -65,14 +65,14 @@
             self.waiting -= 1
         if not self.up:
             return None
-        news = StoreNews(self.life, tuple(self.events[since:]))
+        news = StoreNews(self.incarnation, tuple(self.events[since:]))
         return Followed(news, len(self.events))
 
     async def read_all(self, address: str) -> Followed | None:
         self.lists += 1
         if not self.up:
             return None
-        news = StoreNews(self.life, tuple(self.events), whole=True)
+        news = StoreNews(self.incarnation, tuple(self.events), whole=True)
         return Followed(news, len(self.events))
 
 
@@ -149,7 +149,7 @@
         store.up = False
         await asyncio.sleep(2.0)
         assert [stores.of([LOT]) for stores in fleet.stores] == [None] * 20
-        store.up, store.life, store.events = True, "2", []
+        store.up, store.incarnation, store.events = True, "2", []
         await asyncio.sleep(3.0)
         views = [stores.of([LOT]) for stores in fleet.stores]
         assert all(view is not None and view.lacks("s", [LOT]) for view in views)
--- a/tests/test_upstream_lives.py
+++ b/tests/test_upstream_incarnations.py
@@ -16,11 +16,11 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.process.control.announcements import Announcements
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.upstream_life import (
+from gooseberrydale.version.upstream_incarnation import (
     born_ms,
-    life_after,
-    life_name,
-    life_told,
+    incarnation_after,
+    incarnation_name,
+    incarnation_told,
 )
 from tests import builders_platform as wire  # puts platform/ on the path
 from tests.clock import run_paused
@@ -86,14 +86,14 @@
         await fleet.beat(40, born=BORN, models=[{"name": "m", "version": 5}])
         await fleet.beat(1, born=BORN + 1, models=[{"name": "m", "version": 4}])
         assert (fleet.known().weights_version, fleet.known().ready) == ("4", True)
-        # What the life before said, and says late, changes nothing.
+        # What the incarnation before said, and says late, changes nothing.
         await fleet.beat(41, born=BORN, state="draining")
         assert (fleet.known().weights_version, fleet.known().leaving) == ("4", False)
 
     play(scenario, born=BORN + 1)
 
 
-def test_a_life_that_has_left_does_not_keep_the_next_one_out() -> None:
+def test_a_incarnation_that_has_left_does_not_keep_the_next_one_out() -> None:
     async def scenario(fleet: Fleet) -> None:
         await fleet.beat(7, born=BORN)
         await fleet.client.post("/v1/Instances.Deregister/e", content=b"{}")
@@ -106,9 +106,7 @@
     play(scenario)
 
 
-def test_the_upstream_itself_says_which_life_runs_after_its_clock_was_set_back() -> (
-    None
-):
+def test_the_upstream_says_which_incarnation_runs_after_its_clock_was_set_back():
     async def scenario(fleet: Fleet) -> None:
         await fleet.beat(30, born=BORN)
         await fleet.beat(1, born=BORN - 2_000, models=[{"name": "m", "version": 2}])
@@ -142,7 +140,7 @@
     play(scenario)
 
 
-def test_a_late_announcement_of_an_earlier_life_does_not_come_back() -> None:
+def test_a_late_announcement_of_an_earlier_incarnation_does_not_come_back() -> None:
     async def scenario(fleet: Fleet) -> None:
         await fleet.beat(2, born=BORN)
         await fleet.beat(90, born=BORN - 2_000, state="draining")
@@ -152,7 +150,7 @@
     play(scenario, born=BORN)
 
 
-def test_weights_told_by_a_new_life_count_before_it_announces_itself() -> None:
+def test_weights_told_by_a_new_incarnation_count_before_it_announces_itself() -> None:
     async def scenario(fleet: Fleet) -> None:
         await fleet.beat(30, born=BORN, models=[{"name": "m", "version": 2}])
         fleet.announcements.has_weights("e", "3", BORN + 5)
@@ -259,12 +257,12 @@
 
 
 @given(st.lists(MOMENTS, min_size=1, max_size=6))
-def test_lives_that_ran_one_after_the_other_sort_in_that_order(
+def test_incarnations_that_ran_one_after_the_other_sort_in_that_order(
     moments: list[int],
 ) -> None:
-    lives = [life_name(moments[0])]
+    incarnations = [incarnation_name(moments[0])]
     for born in moments[1:]:
-        lives.append(life_after(lives[-1], born))
-        assert born_ms(lives[-1]) == born
-        assert life_told(lives[-1], born) == lives[-1]
-    assert lives == sorted(lives)
+        incarnations.append(incarnation_after(incarnations[-1], born))
+        assert born_ms(incarnations[-1]) == born
+        assert incarnation_told(incarnations[-1], born) == incarnations[-1]
+    assert incarnations == sorted(incarnations)
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -362,13 +362,13 @@
     run_paused(main())
 
 
-def test_a_life_whose_address_passed_on_is_retired() -> None:
+def test_a_incarnation_whose_address_passed_on_is_retired() -> None:
     async def main() -> None:
         bench = Bench("e0")
 
         async def other(_: UpstreamRecord, order: WeightsOrder) -> OrderAnswer:
             bench.engines.by_name["e0"].orders.append(order)
-            return OrderAnswer.OTHER_LIFE
+            return OrderAnswer.OTHER_INCARNATION
 
         bench.engines.order = other  # type: ignore[method-assign]
         await bench.start()
