--- a/tests/builders_quotas.py
+++ b/tests/builders_quotas.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-from bisect import bisect_left
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -79,8 +78,7 @@
     starts: int = 0
     held: list[bytes] = field(default_factory=list)
     handlers: dict[type[Any], Callable[[Any], None]] = field(default_factory=dict)
-    make: Callable[..., Any] = QuotaClient
-    client: Any = None
+    client: QuotaClient | None = None
 
     def on(self, kind: type[Any], handler: Callable[[Any], None]) -> None:
         self.handlers[kind] = handler
@@ -96,7 +94,7 @@
     async def start(self) -> None:
         self.starts += 1
         self.alive = True
-        self.client = self.make(
+        self.client = QuotaClient(
             self.peer.name,
             str(self.starts),
             self,
@@ -142,7 +140,6 @@
         default_factory=lambda: defaultdict(list)
     )
     late: list[float] = field(default_factory=list)
-    client: Callable[..., Any] = QuotaClient
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -156,13 +153,7 @@
         for peer in peers:
             others = tuple(one for one in peers if one is not peer)
             fleet = Fleet(peer, others)
-            node = Node(
-                self.net,
-                peer,
-                lambda f=fleet: f,  # type: ignore[misc]
-                lambda: self.quotas,
-                make=self.client,
-            )
+            node = Node(self.net, peer, _always(fleet), lambda: self.quotas)
             self.net.nodes[peer.name] = node
 
     @property
@@ -212,6 +203,10 @@
         return most
 
 
+def _always(fleet: Fleet) -> Callable[[], Fleet]:
+    return lambda: fleet
+
+
 def bound(quota: Quota, slack: float = SLACK) -> float:
     """What any window may hold."""
     return (quota.per_s * WINDOW_S + quota.burst) * (1 + OVERAGE) + slack
@@ -279,10 +274,5 @@
     return int(780 + rng.lognormvariate(5.5, 0.8))
 
 
-def window_starts(moments: list[float], width: float) -> list[int]:
-    """The index at which the window that ends at each moment begins."""
-    return [bisect_left(moments, at - width) for at in moments]
-
-
 def now() -> float:
     return asyncio.get_running_loop().time()
