Keep quotas at entries, and let declarations and commands set them

The project's own callers get the same quotas: a workspace declares rate, burst, unit and the plain number in its file or by gooseberrydale workspace apply; faults name the field and the remedy. Entries share the count by the list of entries, over their gRPC listeners; each attempt that may have run counts, a refusal has touched no upstream.

Tests: test_entry_quota (429 with a time to retry, what counts, two entries over real gRPC hold one quota, faulty declarations). Docstrings of constants in timeliness, gateway_peers and gossip no longer tell how a value came about.

--- a/gooseberrydale/connection/area_gossip.py
+++ b/gooseberrydale/connection/area_gossip.py
@@ -1,8 +1,8 @@
-"""Tells sums of work between availability zones, as the relay of the own one.
+"""Reports sums of work between availability zones, as the relay of the own one.
 
-Lives as long as the process; only the relay of a zone tells anything.  It adds up what
-the gateways of its zone have told, sends the sums to the relays of the other zones, and
-passes on to its own zone what these send.
+Lives as long as the process; only the relay of a zone sends anything.  It adds up what
+the gateways of its zone have reported, sends the sums to the relays of the other zones,
+and passes on to its own zone what these send.
 """
 
 from __future__ import annotations
@@ -26,10 +26,8 @@
 )
 
 TELL_S = 0.05
-"""Between two sums: with the way to the relay and from the other one some 90 ms, about
-half of the time that a prompt takes.  Six zones send each other 20 sums a second of
-some 230 bytes by five datagrams: 140 KB/s in all, where seventy gateways that told all
-others sent 3.5 MB/s between zones.  Both are computed."""
+"""Between two sums: with the way to the relay and from the other one about half of the
+time that a prompt takes."""
 
 LOOK_S = 0.25
 """How soon a gateway takes over for a relay that has fallen silent."""
--- a/gooseberrydale/connection/rpc.py
+++ b/gooseberrydale/connection/rpc.py
@@ -78,6 +78,7 @@
 MESH_SESSION = Method(
     "gooseberrydale.Mesh", "Session", client_streams=True, server_streams=True
 )
+QUOTA = Method("gooseberrydale.Entry", "Quota")
 ORDER = Method("gooseberrydale.Sidecar", "Order")
 PROPOSE = Method("gooseberrydale.Control", "Propose")
 REPLICATE = Method(
--- a/gooseberrydale/connection/work_gossip.py
+++ b/gooseberrydale/connection/work_gossip.py
@@ -1,9 +1,9 @@
-"""Tells the gateways nearby what work this one has at each upstream, by datagrams.
+"""Reports to the gateways nearby what work this one has at each upstream, by datagrams.
 
 Lives as long as the process.  A report of what changed goes out soon after a change,
 and all work each second, so that a lost report does little harm.  The more gateways
-are told, the longer changes are gathered, so that telling never takes more than a
-small part of a node's processor and link.
+there are, the longer changes are gathered, so that reports never take more than a small
+part of a node's processor and link.
 """
 
 from __future__ import annotations
@@ -27,9 +27,7 @@
 
 DATAGRAMS_PER_S = 400.0
 """What a gateway sends, and with as many gateways nearby also gets, in a second at
-most: at an estimated 0.08 ms for both ends together 32 ms of processor time, and some
-60 KB.  12 gateways of a zone gather changes for 28 ms then, a fifth of what a prompt
-takes."""
+most: some 32 ms of processor time for both ends together, and 60 KB."""
 
 REPEAT_S = 1.0
 
--- a/gooseberrydale/process/entry/calls.py
+++ b/gooseberrydale/process/entry/calls.py
@@ -111,6 +111,7 @@
             single=checked.single,
             wants_usage=checked.wants_usage,
             pieces=prompt_pieces(req.url.path, checked.raw),
+            max_new_tokens=checked.max_new_tokens,
         )
         await self._run(job, req, send)
 
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -20,9 +20,11 @@
 from gooseberrydale.process.entry.app import make_app
 from gooseberrydale.process.entry.calls import Calls
 from gooseberrydale.process.entry.gatekeeper import Gatekeeper, Phase
+from gooseberrydale.process.entry.quota_link import QuotaLink, entry_fleet
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh
 from gooseberrydale.process.metrics import Metrics
+from gooseberrydale.process.quota_client import QuotaClient
 from gooseberrydale.process.tls import tls_files
 from gooseberrydale.request.background import Background
 from gooseberrydale.request.baselines import make_policy
@@ -59,6 +61,7 @@
         self._pool = ChannelPool(self._dial)
         self._rng = rng if rng is not None else random.SystemRandom()
         self._rpc = RpcServer(self._cfg.rpc, self._token, self._tls)
+        incarnation = new_incarnation(time.time_ns(), self._rng)
         self._mesh = Mesh(
             cfg,
             ENTRY_ROLE,
@@ -66,14 +69,26 @@
             self.store,
             None,
             self._token,
-            new_incarnation(time.time_ns(), self._rng),
+            incarnation,
             rng=self._rng,
             ended_incarnations=self.ended_incarnations,
         )
         self._mesh.register(self._rpc)
+        self._background = Background()
+        self._quota_link = QuotaLink(self._dial, self._background)
+        self._quota_link.register(self._rpc)
+        fleet = entry_fleet(self._cfg, cfg.fleet, cfg.node)
+        self.quotas = QuotaClient(
+            fleet.own.name,
+            incarnation,
+            self._quota_link,
+            lambda: fleet,
+            lambda: self.store.config.quotas,
+            self._rng,
+            is_listed=True,
+        )
         self._housekeeping: asyncio.Task[None] | None = None
         self._has_metrics_listener = bool(cfg.metrics.http)
-        self._background = Background()
         self._metrics = Metrics(ENTRY_ROLE, cfg.node.name, cfg.node.zone)
         self._claims = ControlClient(
             cfg.fleet.controls, self._token, self._tls, self._rng
@@ -117,6 +132,7 @@
             instruments=self._metrics.instruments,
             freshness=freshness,
             ended_incarnations=self.ended_incarnations,
+            quotas=self.quotas,
         )
         self._calls = Calls(deps, self._claims)
         routes = [Route("/livez", _livez), Route("/readyz", self._readyz)]
@@ -127,6 +143,7 @@
         self._http = HttpServer(self._keeper, self._cfg.http, self._cfg.tls)
         await self._rpc.start()
         await self._mesh.start()
+        await self.quotas.start()
         self._housekeeping = asyncio.create_task(self._keep_house(freshness))
         await self._http.start()
         logger.info("entry serves on {}", self.addresses)
@@ -155,6 +172,8 @@
         await self._background.close(LAST_ANSWERS_S)
         if self._housekeeping is not None:
             self._housekeeping.cancel()
+        await self.quotas.close()
+        await self._quota_link.close()
         await self._mesh.close()
         await self._claims.close()
         await self._pool.close()
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -23,17 +23,17 @@
     Problem,
     problem,
 )
-from gooseberrydale.log_events import QuotaRefused, RequestEnded, emit
+from gooseberrydale.log_events import RequestEnded, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
-from gooseberrydale.process.gateway.assignment import Assignment
+from gooseberrydale.process.gateway.assignment import Assignment, want_of
 from gooseberrydale.process.gateway.declared_store import DeclaredStore
 from gooseberrydale.process.gateway.forward import BrokenAnswerError, Forward
 from gooseberrydale.process.gateway.measures import Measures
-from gooseberrydale.process.gateway.quota_charge import QuotaCharge
-from gooseberrydale.process.gateway.quota_client import OverQuota, QuotaClient
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendParts
 from gooseberrydale.process.gateway.terms import TermsMaker
+from gooseberrydale.process.quota_charge import QuotaCharge, refusal_of
+from gooseberrydale.process.quota_client import OverQuota, QuotaClient
 from gooseberrydale.request.comeback import NOT_READY_AFTER_S, PART_OF_LEFT
 from gooseberrydale.request.draining import Drain, come_back_s
 from gooseberrydale.request.fingerprint import fingerprint, shown
@@ -160,11 +160,11 @@
             await answer.refuse(stopping, close=True)
             return stopping.code
         self._route, self._objective_s = route.name, route.objective_s
-        charge = QuotaCharge(self._parts.quotas, job)
+        charge = QuotaCharge(self._parts.quotas, want_of(job))
         try:
             over = await charge.admit()
             if over is not None:
-                await self._refuse_over_quota(job, charge.cost, over, answer)
+                await self._refuse_over_quota(job, charge, over, answer)
                 return OVER_QUOTA.code
             return await self._forward_job(job, answer, charge)
         finally:
@@ -183,25 +183,15 @@
         return forward.outcome
 
     async def _refuse_over_quota(
-        self, job: Assignment, cost: int, over: OverQuota, answer: CallerAnswer
+        self,
+        job: Assignment,
+        charge: QuotaCharge,
+        over: OverQuota,
+        answer: CallerAnswer,
     ) -> None:
         """Refuse what is beyond the quota before any upstream has heard of it."""
-        workspace = "" if job.workspace is None else job.workspace.name
-        emit(
-            QuotaRefused(
-                request_id=job.call.request_id,
-                workspace=workspace,
-                cost=cost,
-                left=round(over.left),
-                age_ms=round(over.age_s * MS_PER_S, 1),
-                owner=over.owner,
-                after_ms=round(over.after_s * MS_PER_S),
-            )
-        )
-        self._parts.measures.over_quota(workspace, cost)
-        why = problem(
-            OVER_QUOTA, workspace=workspace, cost=cost, retry_after_s=over.after_s
-        )
+        why = refusal_of(job.call.request_id, charge, over)
+        self._parts.measures.over_quota(charge.workspace, charge.cost)
         await answer.refuse(why)
 
     async def _table(self, call: CallerCall) -> RouteTable | None:
--- a/gooseberrydale/process/gateway/assignment.py
+++ b/gooseberrydale/process/gateway/assignment.py
@@ -8,6 +8,8 @@
 import asyncio
 from dataclasses import dataclass
 
+from gooseberrydale.process.quota_client import Want
+from gooseberrydale.request.comeback import PART_OF_LEFT
 from gooseberrydale.request.gateway_call import CallerCall
 from gooseberrydale.version.declared import KeyHolder, Pool, Route
 
@@ -52,3 +54,18 @@
     def left_s(self) -> float:
         """Seconds that the request has left; below 0 once it is over."""
         return self.until - asyncio.get_running_loop().time()
+
+
+def want_of(job: Assignment) -> Want | None:
+    """What a request needs of its workspace's quota; None without one."""
+    holder, prompt = job.workspace, job.call.prompt
+    if holder is None or holder.quota is None:
+        return None
+    return Want(
+        workspace=holder.name,
+        quota=holder.quota,
+        cost=holder.quota.cost(None if prompt is None else prompt.usage),
+        rank=job.rank,
+        request=job.fingerprint,
+        patience_s=max(0.0, job.left_s()) * PART_OF_LEFT,
+    )
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -26,9 +26,9 @@
     Placing,
     QuarantinedError,
 )
-from gooseberrydale.process.gateway.quota_charge import QuotaCharge
 from gooseberrydale.process.gateway.send import Sender, SendParts
 from gooseberrydale.process.gateway.terms import TermsMaker
+from gooseberrydale.process.quota_charge import QuotaCharge
 from gooseberrydale.request.attempt_end import (
     End,
     GiveUp,
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -26,7 +26,6 @@
 from gooseberrydale.process.gateway.measures import Measured, Unmeasured
 from gooseberrydale.process.gateway.placing import Learned
 from gooseberrydale.process.gateway.prober import Prober
-from gooseberrydale.process.gateway.quota_client import QuotaClient
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendParts
 from gooseberrydale.process.gateway.store_follower import (
@@ -38,6 +37,7 @@
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh
+from gooseberrydale.process.quota_client import QuotaClient
 from gooseberrydale.request.connection_share import connection_share
 from gooseberrydale.request.draining import Drain
 from gooseberrydale.request.gateway_call import Wire
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -19,8 +19,8 @@
 from gooseberrydale.process.gateway.assignment import Assignment
 from gooseberrydale.process.gateway.observed_incarnation import answered, suspect
 from gooseberrydale.process.gateway.placing import Learned
-from gooseberrydale.process.gateway.quota_charge import QuotaCharge
 from gooseberrydale.process.gateway.upstreams import Upstreams
+from gooseberrydale.process.quota_charge import QuotaCharge
 from gooseberrydale.request.attempt_end import End
 from gooseberrydale.request.gateway_call import (
     AnswerHead,
--- a/gooseberrydale/process/operator_cli.py
+++ b/gooseberrydale/process/operator_cli.py
@@ -34,6 +34,7 @@
 from gooseberrydale.version.declaration_file import Declarations, difference, load
 from gooseberrydale.version.declarations import Config, Profile, ProfileKind, Workspace
 from gooseberrydale.version.key_index import key_digest
+from gooseberrydale.version.quotas.quota import Quota, QuotaUnit
 
 MIN_KEY_CHARS = 16
 # Fewer could also be what a mistyped digest was read as: 00000000 comes as "0".
@@ -179,18 +180,36 @@
         return self._show(f"/v1/workspaces/{name}")
 
     def apply(
-        self, name: str, share: float | None = None, profiles: Any = None
+        self,
+        name: str,
+        share: float | None = None,
+        profiles: Any = None,
+        quota_per_s: float | None = None,
+        quota_burst: float | None = None,
+        quota_unit: str | None = None,
     ) -> Command:
-        """Create or change the workspace NAME; what is not given stays as it is."""
+        """Create or change the workspace NAME; what is not given stays as it is.
+
+        A QUOTA_PER_S of 0 takes the quota away.  QUOTA_UNIT is requests or tokens.
+        """
         changes: dict[str, Any] = {}
         if share is not None:
             changes["share"] = float(share)
         if profiles is not None:
             changes["profiles"] = names(profiles)
+        given = {
+            "per_s": None if quota_per_s is None else float(quota_per_s),
+            "burst": None if quota_burst is None else float(quota_burst),
+            "unit": None if quota_unit is None else _unit(quota_unit),
+        }
+        quota: dict[str, Any] = {k: v for k, v in given.items() if v is not None}
 
         def make(config: Config) -> Edit:
-            first = Workspace(name=str(name))
-            workspace = replace(config.workspaces.get(str(name), first), **changes)
+            known = config.workspaces.get(str(name), Workspace(name=str(name)))
+            workspace = replace(known, **changes)
+            if quota:
+                changed = replace(known.quota or Quota(0.0, 0.0), **quota)
+                workspace = replace(workspace, quota=changed if changed.per_s else None)
             return Edit(EditKind.APPLY_WORKSPACE, workspace=workspace)
 
         return self._edit(make)
@@ -381,6 +400,15 @@
     return left
 
 
+def _unit(text: str) -> QuotaUnit:
+    try:
+        return QuotaUnit(text)
+    except ValueError:
+        listed = " or ".join(QuotaUnit)
+        reason = f"{text!r} is no unit of a quota; use {listed}"
+        raise CommandError(OperatorExit.USAGE, reason) from None
+
+
 def _new_key() -> str:
     return secrets.token_urlsafe(NEW_KEY_BYTES)
 
--- a/gooseberrydale/process/gateway/quota_charge.py
+++ b/gooseberrydale/process/quota_charge.py
@@ -6,20 +6,31 @@
 
 from __future__ import annotations
 
-from gooseberrydale.process.gateway.assignment import Assignment
-from gooseberrydale.process.gateway.quota_client import OverQuota, QuotaClient, Want
-from gooseberrydale.request.comeback import PART_OF_LEFT
+from gooseberrydale.errors import OVER_QUOTA, Problem, problem
+from gooseberrydale.log_events import QuotaRefused, emit
+from gooseberrydale.process.quota_client import OverQuota, QuotaClient, Want
+
+MS_PER_S = 1_000.0
 
 
 class QuotaCharge:
-    """The charges of ``job``; without a quota it does nothing."""
+    """The charges of a request that wants ``want``; without a quota it does nothing."""
 
-    def __init__(self, client: QuotaClient, job: Assignment) -> None:
+    def __init__(self, client: QuotaClient, want: Want | None) -> None:
         self._client = client
-        self._job = job
-        self._want = _want(job)
+        self._want = want
         self._unused = False
 
+    @property
+    def workspace(self) -> str:
+        """The workspace that pays; empty without a quota."""
+        return "" if self._want is None else self._want.workspace
+
+    @property
+    def cost(self) -> int:
+        """What one send counts."""
+        return 0 if self._want is None else self._want.cost
+
     async def admit(self) -> OverQuota | None:
         """Spend one send in advance; if that can't be, says when it can."""
         if self._want is None:
@@ -36,7 +47,7 @@
             self._client.spend(self._want.workspace, self._want.cost)
 
     def not_run(self) -> None:
-        """The upstream states that it did not run the request."""
+        """The upstream that got it last is known not to run it."""
         if self._want is None:
             return
         if self._unused:
@@ -52,22 +63,23 @@
     def _give_back(self, want: Want) -> None:
         self._client.spend(want.workspace, -want.cost)
 
-    @property
-    def cost(self) -> int:
-        """What one send counts."""
-        return 0 if self._want is None else self._want.cost
-
 
-def _want(job: Assignment) -> Want | None:
-    """What a request needs of its workspace's quota; None without one."""
-    holder, prompt = job.workspace, job.call.prompt
-    if holder is None or holder.quota is None:
-        return None
-    return Want(
-        workspace=holder.name,
-        quota=holder.quota,
-        cost=holder.quota.cost(None if prompt is None else prompt.usage),
-        rank=job.rank,
-        request=job.fingerprint,
-        patience_s=max(0.0, job.left_s()) * PART_OF_LEFT,
+def refusal_of(request_id: str, charge: QuotaCharge, over: OverQuota) -> Problem:
+    """The refusal of a request that is over its quota, which is logged as well."""
+    emit(
+        QuotaRefused(
+            request_id=request_id,
+            workspace=charge.workspace,
+            cost=charge.cost,
+            left=round(over.left),
+            age_ms=round(over.age_s * MS_PER_S, 1),
+            owner=over.owner,
+            after_ms=round(over.after_s * MS_PER_S),
+        )
+    )
+    return problem(
+        OVER_QUOTA,
+        workspace=charge.workspace,
+        cost=charge.cost,
+        retry_after_s=over.after_s,
     )
--- a/gooseberrydale/process/gateway/quota_client.py
+++ b/gooseberrydale/process/quota_client.py
@@ -101,7 +101,11 @@
 
 
 class QuotaClient:
-    """``admit`` each request of a workspace with a quota before it is sent."""
+    """``admit`` each request of a workspace with a quota before it is sent.
+
+    ``is_listed`` says that the fleet is a list that all know from the start, in place
+    of what was heard so far.
+    """
 
     def __init__(
         self,
@@ -111,6 +115,8 @@
         fleet: FleetView,
         quotas: Callable[[], Mapping[str, Quota]],
         rng: random.Random,
+        *,
+        is_listed: bool = False,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -118,6 +124,7 @@
         self._fleet = fleet
         self._quotas = quotas
         self._rng = rng
+        self._is_listed = is_listed
         self._accounts: dict[str, Account] = {}
         self._owners = Owners()
         self._known_fleet: Fleet | None = None
@@ -290,10 +297,13 @@
         fleet = self._fleet()
         if always or fleet is not self._known_fleet:
             self._known_fleet = fleet
-            self._owners.update((fleet.own, *fleet.others), _now())
+            known = (one for one in (fleet.own, *fleet.others) if one.address)
+            self._owners.update(known, _now())
 
     def _is_settled(self) -> bool:
-        return len(self._owners) > 1 or _now() > self._started_at + SETTLE_S
+        if self._is_listed or len(self._owners) > 1:
+            return True
+        return _now() > self._started_at + SETTLE_S
 
     # What this gateway reports.
 
--- a/gooseberrydale/request/body.py
+++ b/gooseberrydale/request/body.py
@@ -64,6 +64,12 @@
     stream: bool
     raw: dict[str, Any]
 
+    @property
+    def max_new_tokens(self) -> int:
+        """How long the answer may be, 0 if the caller doesn't say."""
+        asked = self.raw.get("max_completion_tokens") or self.raw.get("max_tokens")
+        return max(0, int(asked or 0))
+
     @property
     def single(self) -> bool:
         """Whether one text alone is asked for."""
--- a/gooseberrydale/request/deps.py
+++ b/gooseberrydale/request/deps.py
@@ -7,6 +7,7 @@
 from gooseberrydale.connection.channels import ChannelPool
 from gooseberrydale.process.cfg import EntryCfg, FleetCfg, NodeCfg
 from gooseberrydale.process.instruments import Instruments
+from gooseberrydale.process.quota_client import QuotaClient
 from gooseberrydale.request.background import Background
 from gooseberrydale.request.config_sync import ConfigSync
 from gooseberrydale.request.freshness import Freshness
@@ -38,3 +39,4 @@
     instruments: Instruments
     freshness: Freshness
     ended_incarnations: EndedIncarnations
+    quotas: QuotaClient
--- a/gooseberrydale/request/job.py
+++ b/gooseberrydale/request/job.py
@@ -21,7 +21,8 @@
     """An authenticated and checked request.
 
     ``single`` says that the answer is one text and no more, so that another upstream
-    can go on with it.  ``wants_usage`` asks for an event after the text's last one.
+    can go on with it.  At most ``max_new_tokens`` are asked for, 0 if it doesn't say.
+    ``wants_usage`` asks for an event after the text's last one.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     single: bool = True
     wants_usage: bool = False
     pieces: tuple[Piece, ...] = ()
+    max_new_tokens: int = 0
     idempotency_key: str = ""
 
     @property
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -32,9 +32,12 @@
     problem,
 )
 from gooseberrydale.log_events import RequestQuarantined, emit
+from gooseberrydale.process.quota_charge import QuotaCharge, refusal_of
+from gooseberrydale.process.quota_client import Want
 from gooseberrydale.request.cancel import cancel, confirm_not_run
 from gooseberrydale.request.chooser import CONNECTION_CAUSES, Chooser
 from gooseberrydale.request.claim_gate import Gate
+from gooseberrydale.request.comeback import PART_OF_LEFT
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.exchange import DeadlinePassed, Exchange, ExchangeLost
 from gooseberrydale.request.fingerprint import shown
@@ -60,6 +63,9 @@
 )
 from gooseberrydale.request.routing import Choice
 
+NOT_RUN_CAUSES = frozenset({Cause.REFUSED, Cause.TOMBSTONED})
+"""Ends at which the upstream is known not to run the request."""
+
 COME_BACK_S = 1.0
 CONFIRM_AT_DEADLINE_S = 0.25
 FIRST_SERVER_STATUS = 500
@@ -88,6 +94,7 @@
         self._handed_over = False
         self._deadline = self._now() + job.profile.deadline_s
         self._chooser = Chooser(deps, job, self._left_s)
+        self._charge = QuotaCharge(deps.quotas, self._want())
 
     def hand_over(self) -> None:
         """Leave the answer running at its sidecar when ``answer`` is closed."""
@@ -100,6 +107,7 @@
         """
         self._deps.budget.deposit(self._now())
         try:
+            await self._admit()
             while not self._whole:
                 for part in await self._step():
                     yield part
@@ -107,8 +115,32 @@
             raise ProblemError(await self._deadline_problem()) from None
         finally:
             self._release()
+            self._charge.close()
             self._count_dropped()
 
+    async def _admit(self) -> None:
+        """Raise :class:`ProblemError` if the workspace is over its quota."""
+        over = await self._charge.admit()
+        if over is not None:
+            raise ProblemError(refusal_of(self._job.request_id, self._charge, over))
+
+    def _want(self) -> Want | None:
+        """What the request needs of its workspace's quota; None without one."""
+        job = self._job
+        quota = self._deps.store.config.quotas.get(job.workspace)
+        if quota is None:
+            return None
+        tokens = None
+        if job.is_completion:
+            tokens = sum(piece.tokens for piece in job.pieces) + job.max_new_tokens
+        return Want(
+            workspace=job.workspace,
+            quota=quota,
+            cost=quota.cost(tokens),
+            request=job.fingerprint,
+            patience_s=max(0.0, self._left_s()) * PART_OF_LEFT,
+        )
+
     async def _step(self) -> list[Part]:
         """Go on by one frame, or deal with one failure."""
         try:
@@ -249,6 +281,7 @@
             record_seq=self._record_seq,
         )
         await exchange.dispatch(req, self._until())
+        self._charge.sent()
         self._deps.policy.dispatched(self._choice, self._now())
 
     def _outcome(self, cause: Cause, why: Problem | None = None) -> Outcome:
@@ -277,6 +310,8 @@
         assert self._exchange is not None and self._choice is not None
         if outcome.cause in (*CONNECTION_CAUSES, Cause.NOT_SENT):
             self._deps.policy.lost(self._choice, self._now())
+        if outcome.cause in NOT_RUN_CAUSES and self._exchange.sent:
+            self._charge.not_run()
         step = next_step(
             outcome,
             repeatable=self._job.profile.repeatable,
--- a/gooseberrydale/request/timeliness.py
+++ b/gooseberrydale/request/timeliness.py
@@ -1,18 +1,16 @@
-"""Decides whether a request is sent, waits for room, or is told to come back.  Pure.
+"""Decides whether a request is sent, waits for room, or is refused for now.  Pure.
 
 It answers the load at which upstreams can't give every request its first event in
 time, as when engines have died on a heavy day.  Were all of them sent at once, engines
 would compute prompts that nobody waits for any more, preempt some of them and compute
-these twice, and their steps would get longer until all are late: with a quarter of 39
-engines dead for 14 s, 2,100 of 7,600 prompts of a day were late or lost and 960 were
-preempted, with an early form of what this decides 1,550 and 7.  So a request that would
-be late where it can go now waits at its gateway, where it takes nothing from others,
-and is sent once there is room.  One that can't be in time any more is told when to come
-back: its caller learns of it at once, and engines stay below the load at which they
-fall behind.
-
-Who is small does not wait: it earns what others earn for a part of the work, and keeps
-those behind it hardly waiting.
+these twice, and their steps would get longer until all are late.  So a request that
+would be late where it can go now waits at its gateway, where it takes nothing from
+others, and is sent once there is room.  One that can't be in time any more is refused
+with the time to retry: its caller learns of it at once, and engines stay below the load
+at which they fall behind.
+
+Small requests don't wait: they take a part of the work of the others, and hardly delay
+those behind them.
 """
 
 from __future__ import annotations
@@ -31,28 +29,24 @@
 LEAST_PART = 0.55
 
 CAUGHT_UP_S = 0.1
-"""Nobody waits if an upstream would let it wait no longer than this: about the time
-that one prompt takes there."""
+"""A request goes at once if its upstream lets it wait no longer than this:
+about the time that one prompt takes there."""
 
 SMALL_PART = 0.6
-"""Up to this part of the mean work of a prompt, one is small.  Among questions of 830
-tokens and checks that leave 2,890 to compute, in equal numbers, that is 1,100 tokens:
-eight of ten questions and a fifth of the checks."""
+"""Up to this part of the mean work of a prompt, one is small."""
 
 LEAST_WAIT_S = 0.25
-"""Nobody is told to come back sooner: a queue of two or three prompts passes meanwhile,
-and coming back takes longer.  Without it, in hours with room, 77 of 1,100 prompts with
-an objective of 0.3 s were told so, most of them after 10 to 150 ms."""
+"""No request is refused sooner: a queue of two or three prompts passes meanwhile, and a
+retry takes longer."""
 
 LATE_WAIT_S = 0.5
-"""Who can't be in time from the start still waits this long for room: about half of a
-run, after which places get free."""
+"""A request that can't be in time from the start still waits this long for room: about
+half of a run, after which places get free."""
 
 LOOK_S = 0.09
-"""Mean time between two looks for room, with lots drawn around it: about as long as it
-takes until a gateway knows what the others have sent.  Looking each 20 ms, waiting
-requests of seventy gateways met at an engine that came back from a change of weights:
-of 186 sent to one that seemed idle, 31 were in time."""
+"""Mean time between two looks for room, with jitter around it: about as long as it
+takes until a gateway knows what the others have sent.  With shorter ones the waiting
+requests of many gateways meet at an engine that becomes idle."""
 
 LOOK_SPREAD = 0.5
 
@@ -84,7 +78,7 @@
 @dataclass(frozen=True, slots=True)
 class Wait:
     """For how long a caller has waited: ``here_s`` for this request, ``before_s`` for
-    earlier ones that it was told to repeat.
+    earlier ones that were refused for a time.
     """
 
     here_s: float
--- a/gooseberrydale/version/declarations.py
+++ b/gooseberrydale/version/declarations.py
@@ -11,6 +11,7 @@
 from enum import StrEnum
 
 from gooseberrydale.connection.codec import message
+from gooseberrydale.version.quotas.quota import Quota
 
 
 class ProfileKind(StrEnum):
@@ -48,13 +49,15 @@
 class Workspace:
     """A customer: its share of upstream time and the digests of its API keys.
 
-    ``profiles`` names the profiles that it may call; empty means all of them.
+    ``profiles`` names the profiles that it may call; empty means all of them.  Without
+    a ``quota``, or with one of 0 a second, it may use what it likes.
     """
 
     name: str
     key_digests: tuple[str, ...] = ()
     share: float = 1.0
     profiles: tuple[str, ...] = ()
+    quota: Quota | None = None
 
 
 @message
@@ -84,3 +87,12 @@
     leaving: frozenset[str] = frozenset()
     document: Document | None = None
     weights: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def quotas(self) -> dict[str, Quota]:
+        """The quotas in force, by workspace."""
+        return {
+            one.name: one.quota
+            for one in self.workspaces.values()
+            if one.quota is not None and one.quota.per_s > 0.0
+        }
--- a/gooseberrydale/version/declared_checks.py
+++ b/gooseberrydale/version/declared_checks.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 
 from gooseberrydale.version.declared import Declared, Route
-from gooseberrydale.version.quotas.quota import quota_faults
+from gooseberrydale.version.quotas.quota import QUOTA_REMEDY, quota_faults
 
 
 def declared_faults(declared: Declared) -> Iterator[str]:
@@ -21,8 +21,11 @@
     yield from _shared_keys(declared)
     for holder in declared.workspaces or ():
         if holder.quota is not None:
-            for fault in quota_faults(holder.quota):
-                yield f"workspace {holder.name!r}: {fault}"
+            for name, value in quota_faults(holder.quota):
+                yield (
+                    f"the quota of workspace {holder.name!r} has {name} {value};"
+                    f" {QUOTA_REMEDY}"
+                )
 
 
 def _route_faults(route: Route, known: set[str]) -> Iterator[str]:
--- a/gooseberrydale/version/directory.py
+++ b/gooseberrydale/version/directory.py
@@ -97,9 +97,8 @@
 
     A renewal is passed on once ``renewal_part`` of the lease that was passed on before
     it has gone by; with ``relays_renewals`` off, renewals that were heard are not.
-    Changes are passed on in any case.  It answers seventy gateways with three sessions
-    each, to which 110 renewals a second were 6.7 MB/s, computed by the size of a
-    record; with half of leases three times as long it is an eighth of that.
+    Changes are passed on in any case.  It answers fleets of seventy gateways and more
+    with three sessions each, to which renewals are most of what replicas send.
     """
 
     def __init__(
--- a/gooseberrydale/version/gateway_peers.py
+++ b/gooseberrydale/version/gateway_peers.py
@@ -1,9 +1,9 @@
-"""Which gateways tell each other directly, and who tells the rest.  Pure.
+"""Which gateways report to each other directly, and which relay to the rest.  Pure.
 
-In a small deployment every gateway tells every other one.  In a larger one each tells
-those of its availability zone, and one relay in each zone exchanges sums and messages
-with the relays of the other zones.  What a gateway sends then follows from the size of
-its zone and the number of zones, and few bytes cross between zones, which cost.
+In a small deployment every gateway reports to every other one.  In a larger one each
+reports to those of its availability zone, and one relay in each zone exchanges sums and
+messages with the relays of the other zones.  What a gateway sends then follows from the
+size of its zone and the number of zones, and few bytes cross between zones, which cost.
 """
 
 from __future__ import annotations
@@ -16,14 +16,12 @@
 from gooseberrydale.version.stores import first_by_hash
 
 FLAT_UP_TO = 16
-"""Up to this many gateways tell each other directly: at 400 datagrams a second a change
-is told within 40 ms, sooner than by way of two relays."""
+"""Up to this many gateways report to each other directly: at 400 datagrams a second a
+change is reported within 40 ms, sooner than by way of two relays."""
 
 WIDE_PART = 0.5
 """A link of this part of the widest one is wide.  Relays send each message to many,
-beside the prompts of their callers: of 26 gateways, 20 on links of 5 Mbit/s, the five
-that delayed first events most, by 0.2 to 1.2 s for half of a day, were five of the six
-relays of three stores; 130 of 142 requests of one of them in 8 s were late."""
+beside the prompts of their callers, which fills a thin link and delays these."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,13 +45,13 @@
 
     @cached_property
     def is_flat(self) -> bool:
-        """Whether every gateway tells every other one."""
+        """Whether every gateway reports to every other one."""
         zones = {one.zone for one in (self.own, *self.others)}
         return len(self.others) < FLAT_UP_TO or len(zones) == 1
 
     @cached_property
     def near(self) -> tuple[GatewayPeer, ...]:
-        """Those that this gateway tells directly."""
+        """Those that this gateway reports to directly."""
         if self.is_flat:
             return self.others
         return tuple(one for one in self.others if one.zone == self.own.zone)
--- a/gooseberrydale/version/quotas/messages.py
+++ b/gooseberrydale/version/quotas/messages.py
@@ -77,6 +77,11 @@
     patience_s: float = 0.0
 
 
+@message
+class QuotaTaken(msgspec.Struct, frozen=True, array_like=True):
+    """A message has arrived; for transports that answer each."""
+
+
 @message
 class QuotaVerdict(msgspec.Struct, frozen=True, array_like=True):
     """The answer to the ask ``seq``; ``after_s`` is set if it is refused.
--- a/gooseberrydale/version/quotas/quota.py
+++ b/gooseberrydale/version/quotas/quota.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass
-from enum import Enum
+from enum import StrEnum
 
 from gooseberrydale.connection.codec import message
 
@@ -17,7 +17,7 @@
 """A bucket holds what comes in this time at least, or nothing could be granted."""
 
 
-class QuotaUnit(Enum):
+class QuotaUnit(StrEnum):
     """What a quota counts."""
 
     REQUESTS = "requests"
@@ -51,13 +51,16 @@
         return self.plain_tokens if tokens is None else tokens
 
 
-def quota_faults(quota: Quota) -> Iterator[str]:
-    """Yield what is wrong with a quota, each with the field and the remedy."""
-    for name, value in (("rate", quota.per_s), ("burst", quota.burst)):
+QUOTA_REMEDY = "use a number of 0 or more, 2**53 at most"
+
+
+def quota_faults(quota: Quota) -> Iterator[tuple[str, float]]:
+    """Yield the fields of a quota with a value that can't be counted."""
+    fields = {
+        "per_s": quota.per_s,
+        "burst": quota.burst,
+        "plain_tokens": quota.plain_tokens,
+    }
+    for name, value in fields.items():
         if not math.isfinite(value) or not 0 <= value <= MOST_PER_S:
-            yield f"the quota's {name} is {value}; use 0 or more, up to 2**53"
-    if not 0 <= quota.plain_tokens <= MOST_PER_S:
-        yield (
-            f"a request without a token count counts {quota.plain_tokens}; use 0 or"
-            " more, up to 2**53"
-        )
+            yield name, value
--- a/gooseberrydale/version/validation.py
+++ b/gooseberrydale/version/validation.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 
 from gooseberrydale.version.declarations import Config, Profile, ProfileKind, Workspace
+from gooseberrydale.version.quotas.quota import QUOTA_REMEDY, quota_faults
 from gooseberrydale.version.structuring import FieldFault
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
@@ -46,6 +47,8 @@
         yield _wrong(key, "name", NAME_REMEDY)
     if not _within(workspace.share, 0.0, math.inf) or not workspace.share:
         yield _wrong(key, "share", "write a finite number above 0")
+    for field, _ in () if workspace.quota is None else quota_faults(workspace.quota):
+        yield _wrong(key, f"quota.{field}", QUOTA_REMEDY)
     for digest in workspace.key_digests:
         if not DIGEST_PATTERN.fullmatch(digest):
             yield _wrong(key, "key_digests", "write SHA-256 digests as 64 hex digits")
--- a/tests/builders_memory_roles.py
+++ b/tests/builders_memory_roles.py
@@ -24,6 +24,7 @@
 from gooseberrydale.errors import CLAIM_UNAVAILABLE, Problem, problem
 from gooseberrydale.process.cfg import EntryCfg, FleetCfg, NodeCfg, SidecarCfg
 from gooseberrydale.process.metrics import Metrics
+from gooseberrydale.process.quota_client import QuotaClient
 from gooseberrydale.process.sidecar import upstream_run
 from gooseberrydale.process.sidecar.attempt import Attempt
 from gooseberrydale.process.sidecar.calls import CallBuilder
@@ -44,6 +45,7 @@
 from gooseberrydale.version.control_state import ControlState
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.upstream_state import UpstreamState
 from tests.builders_memory_net import Channel, Host, Net
 from tests.builders_memory_upstream import (
@@ -207,6 +209,14 @@
         return None if net.chance(net.faults.loss) else reply
 
 
+class NoLink:
+    """No other entry is there to share quotas with."""
+
+    def on(self, kind: Any, handler: Any) -> None: ...
+
+    def send(self, told: object, peers: Any) -> None: ...
+
+
 class Entry:
     """One incarnation of an entry."""
 
@@ -233,6 +243,14 @@
             instruments=METRICS.instruments,
             freshness=Freshness(net.processes.loop.time()),
             ended_incarnations=EndedIncarnations(),
+            quotas=QuotaClient(
+                name,
+                self.incarnation_name,
+                NoLink(),
+                lambda: Fleet(GatewayPeer(name, name, "")),
+                dict,
+                random.Random(1),
+            ),
         )
 
     def _dial(self, address: str) -> Channel:
--- a/tests/builders_quotas.py
+++ b/tests/builders_quotas.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from gooseberrydale.connection.codec import decode, encode
-from gooseberrydale.process.gateway.quota_client import OverQuota, QuotaClient, Want
+from gooseberrydale.process.quota_client import OverQuota, QuotaClient, Want
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.quotas.quota import Quota, QuotaUnit
 
--- /dev/null
+++ b/tests/test_entry_quota.py
@@ -0,0 +1,199 @@
+"""Quotas on the path of the project's own callers: entries, declarations, commands."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from typing import Any
+
+import openai
+import pytest
+from result import Err, Ok
+
+from gooseberrydale.connection.messages import DispatchReq
+from gooseberrydale.connection.rpc import RpcChannel, RpcServer
+from gooseberrydale.errors import QUEUE_FULL, problem
+from gooseberrydale.process.cfg import EntryCfg, FleetCfg, NodeCfg
+from gooseberrydale.process.entry.quota_link import QuotaLink, entry_fleet
+from gooseberrydale.process.quota_client import QuotaClient, Want
+from gooseberrydale.request.background import Background
+from gooseberrydale.version import declaration_file
+from gooseberrydale.version.quotas.quota import Quota, QuotaUnit
+from tests.builders_entry import (
+    TOKEN,
+    FakeSidecar,
+    answer_words,
+    ask,
+    make_config,
+    openai_client,
+    run,
+    running,
+)
+from tests.builders_gateway import free_port
+
+
+def limited(quota: Quota) -> Any:
+    """The declarations of the tests, with a quota for the first workspace."""
+    config = make_config()
+    name = next(iter(config.workspaces))
+    held = {
+        **config.workspaces,
+        name: replace(config.workspaces[name], quota=quota),
+    }
+    return replace(config, workspaces=held)
+
+
+async def refuse(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    yield fake.refused(req, problem(QUEUE_FULL, retry_after_s=0.1))
+
+
+def fake_sidecar(script: Any) -> FakeSidecar:
+    fake = FakeSidecar("u1")
+    fake.script = script
+    return fake
+
+
+def test_a_caller_over_its_quota_gets_429_and_no_upstream_hears_of_it() -> None:
+    async def main() -> None:
+        fake = fake_sidecar(answer_words)
+        quota = Quota(4.0, 1.0)
+        async with running(fake, config=limited(quota)) as entry:
+            client = openai_client(entry)
+            await asyncio.sleep(0.3)
+            served, refused = 0, []
+            for _ in range(8):
+                try:
+                    await ask(client)
+                    served += 1
+                except openai.RateLimitError as exc:
+                    refused.append(exc)
+            assert served and len(refused) == 8 - served
+            assert len(fake.dispatched) == served
+            for exc in refused:
+                assert float(exc.response.headers["retry-after"]) > 0
+                assert exc.code == "over_quota"
+
+    run(main())
+
+
+SENT = {"answered": (answer_words, 1), "refused by its upstream": (refuse, 0)}
+
+
+@pytest.mark.parametrize("case", SENT)
+def test_each_attempt_that_may_have_run_counts(case: str) -> None:
+    script, counted = SENT[case]
+
+    async def main() -> None:
+        config = limited(Quota(1_000.0, 1_000.0))
+        workspace = next(iter(config.workspaces))
+        async with running(fake_sidecar(script), config=config) as entry:
+            try:
+                await ask(openai_client(entry))
+            except openai.APIStatusError:
+                pass
+            await asyncio.sleep(0.05)
+            assert entry.quotas.spent(workspace) == counted
+
+    run(main())
+
+
+def test_tokens_of_a_prompt_and_of_its_answer_count() -> None:
+    async def main() -> None:
+        config = limited(Quota(1e6, 1e6, QuotaUnit.TOKENS))
+        workspace = next(iter(config.workspaces))
+        async with running(fake_sidecar(answer_words), config=config) as entry:
+            await ask(openai_client(entry), max_tokens=500)
+            await asyncio.sleep(0.05)
+            assert entry.quotas.spent(workspace) > 500
+
+    run(main())
+
+
+QUOTA_TABLES: dict[str, tuple[dict[str, Any], Quota]] = {
+    "requests": ({"per_s": 5.0, "burst": 9}, Quota(5.0, 9.0)),
+    "tokens": (
+        {"per_s": 5, "burst": 9, "unit": "tokens", "plain_tokens": 200},
+        Quota(5.0, 9.0, QuotaUnit.TOKENS, 200),
+    ),
+}
+
+
+@pytest.mark.parametrize("case", QUOTA_TABLES)
+def test_a_file_declares_quotas(case: str) -> None:
+    table, quota = QUOTA_TABLES[case]
+    found = declaration_file.read({"workspaces": {"a": {"quota": table}}})
+    assert isinstance(found, Ok)
+    assert found.ok_value.workspaces["a"].quota == quota
+
+
+FAULTS = {
+    "negative": ({"per_s": -1.0, "burst": 1.0}, "workspaces.a.quota.per_s"),
+    "not finite": ({"per_s": 1.0, "burst": float("inf")}, "workspaces.a.quota.burst"),
+    "too large": ({"per_s": 1e300, "burst": 1.0}, "workspaces.a.quota.per_s"),
+    "text": ({"per_s": "many", "burst": 1.0}, "workspaces.a.quota.per_s"),
+    "unit": ({"per_s": 1.0, "burst": 1.0, "unit": "bytes"}, "workspaces.a.quota.unit"),
+    "no burst": ({"per_s": 1.0}, "workspaces.a.quota.burst"),
+}
+
+
+@pytest.mark.parametrize("case", FAULTS)
+def test_a_faulty_quota_is_refused_with_its_field(case: str) -> None:
+    table, key = FAULTS[case]
+    found = declaration_file.read({"workspaces": {"a": {"quota": table}}})
+    assert isinstance(found, Err)
+    assert [fault.key for fault in found.err_value] == [key]
+    assert all(fault.remedy for fault in found.err_value)
+
+
+def test_entries_share_quotas_by_the_addresses_that_are_listed() -> None:
+    listed = FleetCfg(entries=("a:1", "b:1"))
+    found = entry_fleet(EntryCfg(rpc="b:1"), listed, NodeCfg("n"))
+    assert (found.own.name, [one.name for one in found.others]) == ("b:1", ["a:1"])
+    found = entry_fleet(EntryCfg(rpc="c:1"), listed, NodeCfg("n"))
+    assert (found.own.address, len(found.others)) == ("", 2)
+    assert entry_fleet(EntryCfg(rpc="c:1"), FleetCfg(), NodeCfg("n")).own.name == "c:1"
+
+
+def test_two_entries_hold_one_quota_between_them() -> None:
+    async def main() -> None:
+        ports = [free_port(), free_port()]
+        listed = tuple(f"127.0.0.1:{port}" for port in ports)
+        quota = Quota(5.0, 20.0)
+        clients, closing = [], []
+        for address in listed:
+            background = Background()
+            link = QuotaLink(lambda to: RpcChannel(to, TOKEN), background)
+            server = RpcServer(address, TOKEN)
+            link.register(server)
+            fleet = entry_fleet(
+                EntryCfg(rpc=address), FleetCfg(entries=listed), NodeCfg(address)
+            )
+            client = QuotaClient(
+                fleet.own.name,
+                address,
+                link,
+                lambda fleet=fleet: fleet,
+                lambda: {"a": quota},
+                random.Random(address),
+                is_listed=True,
+            )
+            await server.start()
+            await client.start()
+            clients.append(client)
+            closing += [client.close, link.close, server.close]
+        began = asyncio.get_running_loop().time()
+        await asyncio.sleep(1.0)
+        refused = [
+            await clients[i % 2].admit(Want("a", quota, 1)) is not None
+            for i in range(80)
+        ]
+        lasted_s = asyncio.get_running_loop().time() - began
+        granted = refused.count(False)
+        assert 5 <= granted <= quota.per_s * lasted_s + quota.burst
+        assert granted < 40
+        for close in closing:
+            await close()
+
+    run(main())
