Sum what was spent recently once a look; let requests that count nothing pass

A ledger summed over all gateways for each message: 350 gateways at a workspace with a tenth of all requests made 170,000 additions a second. A request that counts nothing could have been refused, and its turn kept, without any bound on how many turns.

--- a/gooseberrydale/process/quota_client.py
+++ b/gooseberrydale/process/quota_client.py
@@ -170,6 +170,8 @@
 
     async def admit(self, want: Want) -> OverQuota | None:
         """Spend what a request counts; if that can't be, says when it can."""
+        if not want.cost:
+            return None
         account = self._account(want.workspace)
         if account.may_spend(want.cost, want.quota, _now()):
             self.spend(want.workspace, want.cost)
--- a/gooseberrydale/version/quotas/ledger.py
+++ b/gooseberrydale/version/quotas/ledger.py
@@ -131,6 +131,8 @@
         # Since when this owner is asked all the time: another one may have been before.
         self._asked_since = self._asked_at = -math.inf
         self._kept_part = 0.0
+        # What all that take part have spent recently, summed anew at each look.
+        self._recent = 0.0
         self.low = False
         self.short = False
         self.used_at = now
@@ -275,6 +277,7 @@
             self._reporters[gateway] = _Reporter(
                 incarnation, seq, item.spent, float(item.recent), now
             )
+            self._recent += item.recent
             self._take_without_debt(item.recent)
         elif seq > one.seq:
             spent = item.spent - one.spent
@@ -284,6 +287,7 @@
                 self._end_silence(one, now)
                 self._left = min(self._quota.capacity, self._left - spent)
             faded = one.recent * math.exp(-max(0.0, now - one.at) / RECENT_S)
+            self._recent += faded + max(0, spent) - one.recent
             one.recent = faded + max(0, spent)
             one.spent, one.seq, one.at = item.spent, seq, now
         self.used_at = now
@@ -298,6 +302,7 @@
         self._left -= cost
         asker.spent += cost
         asker.recent += cost
+        self._recent += cost
 
     @property
     def _open_per_s(self) -> float:
@@ -310,12 +315,7 @@
         return one.at >= since - 2 * RECENT_S
 
     def _share(self, one: _Reporter) -> float:
-        total = sum(
-            other.recent
-            for other in self._reporters.values()
-            if self._takes_part(other)
-        )
-        return one.recent / total if total > 0.0 else 0.0
+        return min(1.0, one.recent / self._recent) if self._recent > 0.0 else 0.0
 
     def _end_silence(self, one: _Reporter, now: float) -> float:
         """What was kept for a gateway that is heard again."""
@@ -342,6 +342,8 @@
             if one.at < now - RESERVE_S:
                 self._end_silence(one, now)
                 del self._reporters[name]
+        taking_part = filter(self._takes_part, self._reporters.values())
+        self._recent = sum(one.recent for one in taking_part)
         known_since = max(self._short_since, self._asked_since)
         if not self.short or now < known_since + SILENT_S:
             return
