--- a/gooseberrydale/process/entry/quota_link.py
+++ b/gooseberrydale/process/entry/quota_link.py
@@ -48,25 +48,25 @@
         """Hand messages of ``kind`` to ``handler``."""
         self._handlers[kind] = handler
 
-    def send(self, told: object, peers: Iterable[GatewayPeer]) -> None:
+    def send(self, message: object, peers: Iterable[GatewayPeer]) -> None:
         """Send a message once, come what may."""
         for peer in peers:
-            self._background.spawn(self._call(peer.address, told))
+            self._background.spawn(self._call(peer.address, message))
 
-    async def _call(self, address: str, told: object) -> None:
+    async def _call(self, address: str, message: object) -> None:
         channel = self._channels.get(address)
         if channel is None:
             channel = self._channels[address] = self._dial(address)
         try:
-            await channel.call(QUOTA, told, timeout_s=CALL_S)
+            await channel.call(QUOTA, message, timeout_s=CALL_S)
         except grpc.aio.AioRpcError:
             # Whoever waits for an answer asks again, or asks another owner.
             return
 
-    async def _take(self, told: Any) -> QuotaTaken:
-        handler = self._handlers.get(type(told))
+    async def _take(self, message: Any) -> QuotaTaken:
+        handler = self._handlers.get(type(message))
         if handler is not None:
-            handler(told)
+            handler(message)
         return QuotaTaken()
 
 
--- a/gooseberrydale/process/quota_client.py
+++ b/gooseberrydale/process/quota_client.py
@@ -34,10 +34,10 @@
 """Spending within this time shares a report to the owner that decides."""
 
 GATHER_SHORT_S = 0.05
-"""While a quota is short both owners are told sooner, so that either can decide."""
+"""While a quota is short both owners get reports sooner, so that either can decide."""
 
 GATHER_SPARE_S = 1.0
-"""The other owner is told later while much is left: nothing hangs on it yet."""
+"""The other owner gets reports later while much is left: nothing hangs on it yet."""
 
 KEEP_S = 0.3
 """Between two reports while a quota is short."""
@@ -55,8 +55,8 @@
 
 SPREAD_PART = 0.2
 SPREAD_S = 0.25
-"""Callers told at one moment return within this time after their turn, or that part of
-their wait, so that they don't arrive at once."""
+"""Callers refused at one moment return within this time after their turn, or that
+part of their wait, so that they don't arrive at once."""
 
 LEAST_AFTER_S = 0.05
 
@@ -67,7 +67,7 @@
     def on(self, kind: type[T], handler: Callable[[T], None]) -> None:
         """Hand messages of ``kind`` to ``handler``."""
 
-    def send(self, told: object, peers: Iterable[GatewayPeer]) -> None:
+    def send(self, message: object, peers: Iterable[GatewayPeer]) -> None:
         """Send a message once, come what may."""
 
 
@@ -182,7 +182,7 @@
         if verdict.granted:
             # The owner that granted it has counted it.
             account.spend(want.cost, _now())
-            self._tell_spare_soon(account)
+            self._report_spare_soon(account)
             return None
         return self._refuse(verdict.after_s, account, want, verdict.owner)
 
@@ -195,9 +195,9 @@
             gather_s = GATHER_SHORT_S if account.is_short(_now()) else GATHER_S
             loop = asyncio.get_running_loop()
             self._due = loop.call_later(gather_s, self._report)
-        self._tell_spare_soon(account)
+        self._report_spare_soon(account)
 
-    def _tell_spare_soon(self, account: Account) -> None:
+    def _report_spare_soon(self, account: Account) -> None:
         """Report to the owner that does not decide; soon if it may have to."""
         self._spare_unreported.add(account.workspace)
         if self._spare_due is None:
@@ -311,15 +311,15 @@
 
     def _report(self) -> None:
         self._due = None
-        self._tell(self._unreported, first=True)
+        self._send_reports(self._unreported, first=True)
         self._unreported = set()
 
     def _report_spare(self) -> None:
         self._spare_due = None
-        self._tell(self._spare_unreported, first=False)
+        self._send_reports(self._spare_unreported, first=False)
         self._spare_unreported = set()
 
-    def _tell(self, workspaces: Iterable[str], *, first: bool) -> None:
+    def _send_reports(self, workspaces: Iterable[str], *, first: bool) -> None:
         """Report workspaces to the owners that decide, or to the other ones."""
         self._note_fleet()
         now = _now()
@@ -331,7 +331,7 @@
                 account = self._account(workspace)
                 by_owner[owners[not first].name].append(account)
         for name, accounts in by_owner.items():
-            items = (one.told(now) if first else one.item(now) for one in accounts)
+            items = (one.report(now) if first else one.item(now) for one in accounts)
             report = QuotaReport(
                 self._name,
                 self._incarnation,
@@ -352,19 +352,19 @@
             now = _now()
             assert self._counting is not None
             self._note_fleet(always=True)
-            self._pass(self._counting.remind(now))
+            self._send_notices(self._counting.remind(now))
             for workspace, account in list(self._accounts.items()):
                 if account.is_idle(now):
                     del self._accounts[workspace]
             short = [name for name, one in self._accounts.items() if one.is_short(now)]
-            self._tell(short, first=True)
-            self._tell(short, first=False)
+            self._send_reports(short, first=True)
+            self._send_reports(short, first=False)
 
-    # What this gateway is asked and told.
+    # What comes from other gateways.
 
     def _hear_report(self, report: QuotaReport) -> None:
         if self._counting is not None:
-            self._pass(self._counting.report(report, _now()))
+            self._send_notices(self._counting.report(report, _now()))
 
     def _hear_ask(self, ask: QuotaAsk) -> None:
         verdict = self._decide(ask)
@@ -375,8 +375,8 @@
         found = None if self._counting is None else self._counting.ask(ask, _now())
         if found is None:
             return None
-        verdict, told = found
-        self._pass(told)
+        verdict, notices = found
+        self._send_notices(notices)
         return verdict
 
     def _hear_verdict(self, verdict: QuotaVerdict) -> None:
@@ -384,29 +384,29 @@
         if answer is not None and not answer.done():
             answer.set_result(verdict)
 
-    def _hear_levels(self, told: QuotaLevels) -> None:
+    def _hear_levels(self, notice: QuotaLevels) -> None:
         now = _now()
-        for level in told.items:
+        for level in notice.items:
             account = self._accounts.get(level.workspace)
             owners = self._owners_of(level.workspace)
             if account is None or not owners:
                 continue
-            if owners[0].name == told.owner:
+            if owners[0].name == notice.owner:
                 account.heard(level, now)
             else:
                 account.heard_spare(level, now)
 
-    def _pass(self, told: Mapping[str, QuotaLevels]) -> None:
-        for name, levels in told.items():
+    def _send_notices(self, notices: Mapping[str, QuotaLevels]) -> None:
+        for name, levels in notices.items():
             if name == self._name:
                 self._hear_levels(levels)
             else:
                 self._send(levels, name)
 
-    def _send(self, told: object, name: str) -> None:
+    def _send(self, message: object, name: str) -> None:
         peer = self._owners.peer(name)
         if peer is not None:
-            self._transport.send(told, (peer,))
+            self._transport.send(message, (peer,))
 
 
 def _now() -> float:
--- a/gooseberrydale/version/quotas/account.py
+++ b/gooseberrydale/version/quotas/account.py
@@ -15,13 +15,14 @@
 from gooseberrydale.version.quotas.quota import Quota
 
 TRUST_S = 4.0
-"""What an owner said holds for this long at most; it sends word when little is left."""
+"""What an owner said holds for this long at most; it sends a notice when little is
+left."""
 
 UNANSWERED_S = 0.3
 """An owner that leaves a report unanswered for so long may be out of touch."""
 
 SPARE_SHORT_S = 1.0
-"""What the other owner said of a shortage holds until it says so again."""
+"""A notice of the other owner holds until it is repeated."""
 
 FORGET_S = 60.0
 """Longer than ledgers keep a gateway that they don't hear of."""
@@ -58,13 +59,13 @@
 
     @property
     def left(self) -> float:
-        """What was left by the newest word of an owner, less what was spent since."""
+        """What was left by the newest answer of an owner, less what was spent since."""
         if self._level is None:
             return 0.0
         return self._level.left - (self.spent - self._level.spent)
 
     def age_s(self, now: float) -> float:
-        """How old the newest word of an owner is."""
+        """How old the newest answer of an owner is."""
         return now - self._level_at
 
     def spend(self, cost: int, now: float) -> None:
@@ -100,23 +101,23 @@
         self._own_left -= cost
 
     def item(self, now: float) -> Spent:
-        """What the owner is told."""
+        """What this gateway has spent."""
         while self._moments and self._moments[0][0] < now - 2 * RECENT_S:
             self._recent -= self._moments.popleft()[1]
         return Spent(self.workspace, self.spent, max(0, self._recent))
 
-    def told(self, now: float) -> Spent:
-        """What a report to the owner says; an answer is expected."""
+    def report(self, now: float) -> Spent:
+        """What a report to the owner holds; an answer is expected."""
         self._unanswered_since = min(self._unanswered_since, now)
         return self.item(now)
 
     def heard(self, level: Level, now: float) -> None:
-        """An owner has answered, or sent word."""
+        """An answer or a notice of an owner has come."""
         self._level, self._level_at = level, now
         self._unanswered_since = math.inf
 
     def heard_spare(self, level: Level, now: float) -> None:
-        """The owner that doesn't decide here has sent word; others may ask it."""
+        """The owner that does not decide here has sent a notice; others may ask it."""
         if level.short:
             self._spare_short_until = now + SPARE_SHORT_S
 
--- a/gooseberrydale/version/quotas/counting.py
+++ b/gooseberrydale/version/quotas/counting.py
@@ -1,4 +1,4 @@
-"""All ledgers of one owner: which workspaces it counts, and whom it tells.  Pure."""
+"""All ledgers of one owner, and the notices that it sends to gateways.  Pure."""
 
 from __future__ import annotations
 
@@ -19,10 +19,10 @@
 """A workspace that nobody spent anything for is forgotten: its bucket is full."""
 
 REMIND_S = 0.5
-"""Gateways that have not reported for so long are told again that a quota is short."""
+"""Gateways that have not reported for so long get the notice again."""
 
 Quotas = Callable[[], Mapping[str, Quota]]
-Told = dict[str, QuotaLevels]
+Notices = dict[str, QuotaLevels]
 
 
 class Counting:
@@ -43,8 +43,8 @@
         """The ledgers by workspace."""
         return self._ledgers
 
-    def report(self, report: QuotaReport, now: float) -> Told:
-        """Take a report in; returns what is told to which gateways."""
+    def report(self, report: QuotaReport, now: float) -> Notices:
+        """Take a report in; returns the notices to send, by gateway."""
         levels: defaultdict[str, list[Level]] = defaultdict(list)
         for item in report.items:
             ledger = self._ledger(item.workspace, now)
@@ -53,15 +53,15 @@
             is_less = ledger.report(
                 report.gateway, report.incarnation, report.seq, item, now
             )
-            told = set() if report.spare else {report.gateway}
+            gateways = set() if report.spare else {report.gateway}
             if is_less and not report.spare:
-                told.update(ledger.unheard(now, 0.0))
-            for gateway in told:
+                gateways.update(ledger.unheard(now, 0.0))
+            for gateway in gateways:
                 levels[gateway].append(ledger.level(gateway, item.workspace))
-        return self._told(levels)
+        return self._notices(levels)
 
-    def ask(self, ask: QuotaAsk, now: float) -> tuple[QuotaVerdict, Told] | None:
-        """Decide; also what other gateways are told.  None without a quota."""
+    def ask(self, ask: QuotaAsk, now: float) -> tuple[QuotaVerdict, Notices] | None:
+        """Decide; also the notices to other gateways.  None without a quota."""
         workspace = ask.spent.workspace
         ledger = self._ledger(workspace, now)
         if ledger is None:
@@ -81,10 +81,10 @@
         if (ledger.low, ledger.short) > was_less:
             for gateway in ledger.unheard(now, 0.0):
                 levels[gateway].append(ledger.level(gateway, workspace))
-        return verdict, self._told(levels)
+        return verdict, self._notices(levels)
 
-    def remind(self, now: float) -> Told:
-        """What is told again, and forget ledgers that nobody uses."""
+    def remind(self, now: float) -> Notices:
+        """Notices to repeat; forgets ledgers that nobody uses."""
         levels: defaultdict[str, list[Level]] = defaultdict(list)
         quotas = self._quotas()
         for workspace, ledger in list(self._ledgers.items()):
@@ -95,7 +95,7 @@
             if ledger.short:
                 for gateway in ledger.unheard(now, REMIND_S):
                     levels[gateway].append(ledger.level(gateway, workspace))
-        return self._told(levels)
+        return self._notices(levels)
 
     def _ledger(self, workspace: str, now: float) -> Ledger | None:
         quota = self._quotas().get(workspace)
@@ -110,7 +110,7 @@
         ledger.declare(quota, now)
         return ledger
 
-    def _told(self, levels: Mapping[str, list[Level]]) -> Told:
+    def _notices(self, levels: Mapping[str, list[Level]]) -> Notices:
         return {
             gateway: QuotaLevels(self._name, tuple(items))
             for gateway, items in levels.items()
--- a/gooseberrydale/version/quotas/ledger.py
+++ b/gooseberrydale/version/quotas/ledger.py
@@ -142,7 +142,7 @@
 
     @property
     def left(self) -> float:
-        """What the bucket held when it was asked or told last; below 0 in debt."""
+        """What the bucket held when it was last brought up to date; below 0 in debt."""
         return self._left
 
     @property
@@ -208,7 +208,7 @@
         return verdict
 
     def level(self, gateway: str, workspace: str) -> Level:
-        """What ``gateway`` is told of the quota."""
+        """The quota as ``gateway`` gets it."""
         one = self._reporters.get(gateway)
         spent = 0 if one is None else one.spent
         share = 0.0 if one is None else self._share(one)
