--- a/tests/test_open_runs.py
+++ b/tests/test_open_runs.py
@@ -101,8 +101,8 @@
     calls, streams = "/calls/1", "/streams/1"
 
     async def main() -> None:
-        # The stream lasts two seconds, as long as the default timeout: on a busy machine
-        # it would be cut, and so not be over.
+        # The stream lasts two seconds, as long as the default timeout: on a busy
+        # machine it would be cut, and so not be over.
         stream = route(path_prefix="/streams/", streamed=True, name="s", timeout_s=10.0)
         routes = route(), stream
         async with deployment(declared(*routes), gateways=1, upstreams=1) as fleet:
