Collect an entry's quotas once a revision; drop what nothing reads

An entry collected the quotas of all workspaces for each request and each message about quotas. Fields and properties of the ledger, the account and the client that nothing read are gone. Behaviour is as before: format, lint and types pass, and the tests of quotas, the request path machine, control state, runner and mesh messages.

--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -35,6 +35,7 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory, new_incarnation
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.quotas.quota import Quota
 
 UNREADY_SHARE = 0.1
 UNREADY_MAX_S = 2.0
@@ -74,6 +75,8 @@
             ended_incarnations=self.ended_incarnations,
         )
         self._mesh.register(self._rpc)
+        self._quotas_of = self.store.config
+        self._quotas_in_force: dict[str, Quota] = {}
         self._background = Background()
         self._quota_link = QuotaLink(self._dial, self._background)
         self._quota_link.register(self._rpc)
@@ -83,7 +86,7 @@
             incarnation,
             self._quota_link,
             lambda: fleet,
-            lambda: self.store.config.quotas,
+            self._declared_quotas,
             self._rng,
             is_listed=True,
         )
@@ -181,6 +184,13 @@
         await self._rpc.close()
         logger.info("entry closed")
 
+    def _declared_quotas(self) -> dict[str, Quota]:
+        """The quotas in force, collected once a revision."""
+        if self._quotas_of is not self.store.config:
+            self._quotas_of = self.store.config
+            self._quotas_in_force = self._quotas_of.quotas
+        return self._quotas_in_force
+
     async def _drained(self, until: float) -> None:
         assert self._keeper is not None
         loop = asyncio.get_running_loop()
--- a/gooseberrydale/process/quota_client.py
+++ b/gooseberrydale/process/quota_client.py
@@ -18,7 +18,6 @@
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.quotas.account import Account
 from gooseberrydale.version.quotas.counting import Counting
-from gooseberrydale.version.quotas.ledger import Ledger
 from gooseberrydale.version.quotas.messages import (
     QuotaAsk,
     QuotaLevels,
@@ -143,11 +142,6 @@
         transport.on(QuotaAsk, self._hear_ask)
         transport.on(QuotaVerdict, self._hear_verdict)
 
-    @property
-    def ledgers(self) -> Mapping[str, Ledger]:
-        """The ledgers that this gateway owns, by workspace."""
-        return {} if self._counting is None else self._counting.ledgers
-
     def spent(self, workspace: str) -> int:
         """What this gateway has spent for a workspace since it started."""
         account = self._accounts.get(workspace)
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -127,7 +127,8 @@
     def _want(self) -> Want | None:
         """What the request needs of its workspace's quota; None without one."""
         job = self._job
-        quota = self._deps.store.config.quotas.get(job.workspace)
+        workspace = self._deps.store.config.workspaces.get(job.workspace)
+        quota = None if workspace is None else workspace.limit
         if quota is None:
             return None
         tokens = None
--- a/gooseberrydale/version/declarations.py
+++ b/gooseberrydale/version/declarations.py
@@ -59,6 +59,11 @@
     profiles: tuple[str, ...] = ()
     quota: Quota | None = None
 
+    @property
+    def limit(self) -> Quota | None:
+        """The quota, None if there is none or it limits nothing."""
+        return self.quota if self.quota is not None and self.quota.per_s > 0 else None
+
 
 @message
 @dataclass(frozen=True, slots=True)
@@ -90,9 +95,6 @@
 
     @property
     def quotas(self) -> dict[str, Quota]:
-        """The quotas in force, by workspace."""
-        return {
-            one.name: one.quota
-            for one in self.workspaces.values()
-            if one.quota is not None and one.quota.per_s > 0.0
-        }
+        """The quotas in force, by workspace; made anew at each call."""
+        limits = {one.name: one.limit for one in self.workspaces.values()}
+        return {name: limit for name, limit in limits.items() if limit is not None}
--- a/gooseberrydale/version/quotas/account.py
+++ b/gooseberrydale/version/quotas/account.py
@@ -46,11 +46,6 @@
         self._own_left = 0.0
         self._own_at = -math.inf
 
-    @property
-    def is_low(self) -> bool:
-        """Whether an owner said that little is left."""
-        return self._level is not None and self._level.low
-
     def is_short(self, now: float) -> bool:
         """Whether an owner said that requests are about to be refused."""
         if now < self._spare_short_until:
--- a/gooseberrydale/version/quotas/counting.py
+++ b/gooseberrydale/version/quotas/counting.py
@@ -38,11 +38,6 @@
         self._started_at = started_at
         self._ledgers: dict[str, Ledger] = {}
 
-    @property
-    def ledgers(self) -> Mapping[str, Ledger]:
-        """The ledgers by workspace."""
-        return self._ledgers
-
     def report(self, report: QuotaReport, now: float) -> Notices:
         """Take a report in; returns the notices to send, by gateway."""
         levels: defaultdict[str, list[Level]] = defaultdict(list)
--- a/gooseberrydale/version/quotas/ledger.py
+++ b/gooseberrydale/version/quotas/ledger.py
@@ -136,29 +136,13 @@
         self.low = False
         self.short = False
         self.used_at = now
-        self.granted = 0
-        self.refused = 0
         self._note_low()
 
-    @property
-    def left(self) -> float:
-        """What the bucket held when it was last brought up to date; below 0 in debt."""
-        return self._left
-
     @property
     def free(self) -> float:
         """What is left beside the turns of callers that will likely return."""
         return self._left - self._promised * self._kept
 
-    @property
-    def silent(self) -> list[str]:
-        """Gateways for which a part of the rate is kept."""
-        return [
-            name
-            for name, one in self._reporters.items()
-            if one.silent_since is not None
-        ]
-
     def declare(self, quota: Quota, now: float) -> None:
         """Another quota is in force."""
         if quota != self._quota:
@@ -235,9 +219,7 @@
         else:
             granted = self.free > floor
         if granted:
-            self.granted += ask.cost
             return Verdict(True)
-        self.refused += ask.cost
         after_s = self._time_until(floor + self._left - self.free)
         if ask.request and after_s <= ask.patience_s and not self.is_young(now):
             self._promises[ask.request] = _Promise(now + after_s, ask.cost)
