Log the limits that upstreams name in their answers

A gateway's log had no sign that an upstream limits its rate, so that a limit nobody reads could not be told from one that each gateway keeps for itself. The head of an answer now carries the limit as a typed field, and a line upstream_limited is written when it changes. Choices are made as before. Unreadable values count as no limit.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -145,6 +145,21 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLimited(LogEvent):
+    """An upstream has named another limit in an answer to this process.
+
+    ``per_s`` is in requests a second over all gateways, None if it names none any more.
+    """
+
+    NAME: ClassVar[str] = "upstream_limited"
+    TEXT: ClassVar[str] = "upstream limits its rate"
+
+    upstream: str
+    per_s: float | None
+    before_per_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamSilent(LogEvent):
     """Nothing came from an upstream, and two questions to it were in vain.
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -17,7 +17,11 @@
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.process.gateway.answer import HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
-from gooseberrydale.process.gateway.observed_incarnation import answered, suspect
+from gooseberrydale.process.gateway.observed_incarnation import (
+    answered,
+    limited,
+    suspect,
+)
 from gooseberrydale.process.gateway.placing import Learned
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.quota_charge import QuotaCharge
@@ -198,6 +202,8 @@
         head = wire.read_answer(raw.status, raw.headers)
         if head.load is not None:
             load.reported(head.load, _now())
+        if head.instance in (None, record.name):
+            limited(record.name, load, head.limit_per_s)
         if head.not_run:
             return await self._take_refusal(conn, head, record)
         if not head.ok:
--- a/gooseberrydale/request/gateway_call.py
+++ b/gooseberrydale/request/gateway_call.py
@@ -107,6 +107,8 @@
     ``not_run`` is True if the upstream states that it did not run the request.
     ``instance`` is the incarnation of an upstream that says so, if it tells.  Without
     ``signed`` the answer is not the upstream's own.  ``headers`` go to the caller.
+    ``limit_per_s`` is the rate of requests that the upstream takes from all gateways
+    together, None if it names none.
     """
 
     status: int
@@ -117,6 +119,7 @@
     instance: str | None = None
     encoded: bool = False
     load: ReportedLoad | None = None
+    limit_per_s: float | None = None
 
     @property
     def ok(self) -> bool:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -126,6 +126,7 @@
             signed=b"signed" in found,
             not_run=b"not-run" in found,
             encoded=b"content-encoding" in found,
+            limit_per_s=float(found[b"limit"]) if b"limit" in found else None,
         )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -222,6 +222,12 @@
     ),
     "a bare 503": (503, (), {"not_run": False}),
     "encoded": (200, ((b"content-encoding", b"gzip"),), {"encoded": True}),
+    "limit": (200, ((b"server-limit", b"1.6"),), {"limit_per_s": 1.6}),
+    "limit of nothing": (503, ((b"server-limit", b"0"),), {"limit_per_s": 0.0}),
+    "no limit": (200, (), {"limit_per_s": None}),
+    "limit below 0": (200, ((b"server-limit", b"-1"),), {"limit_per_s": None}),
+    "unreadable limit": (200, ((b"server-limit", b"few"),), {"limit_per_s": None}),
+    "endless limit": (200, ((b"server-limit", b"inf"),), {"limit_per_s": None}),
     "no report": (200, ((b"x-load-report", b"soon"),), {"load": None}),
 }
 
