Test that a limited upstream gets no more than it takes; it fails

What callers see: upstreams in need get what they got before they said so, and get slower for everybody. One and eight gateways before two upstreams, 40 requests/s, of which one names 1.6/s: 77 and 81 requests in a window of 4 s, 14 are allowed. A gateway alone fails as well, so nobody reads the limit; that settles the hypotheses.

--- /dev/null
+++ b/tests/builders_limits.py
@@ -0,0 +1,128 @@
+"""Builders for upstreams that limit their rate: upstreams, gateways and callers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+from gooseberrydale.process.gateway.gateway import Gateway
+from gooseberrydale.version.declared import Declared
+from tests.builders_gateway import (
+    RawUpstream,
+    Writer,
+    answer_bytes,
+    call,
+    running_gateway,
+)
+from tests.builders_mesh import Member, until
+
+WINDOW_S = 4.0
+CONTACT_S = 3.0
+"""A limit binds from then on after it was first named."""
+
+TOLD_S = 0.5
+"""A gateway is bound this long after the first answer that names the limit."""
+
+
+def allowed(per_s: float) -> float:
+    """Requests that a window may hold at most."""
+    return 1.5 * per_s * WINDOW_S + 5
+
+
+def most_in_window(moments: list[float], since: float) -> int:
+    """The most that any window holds which ends after ``since``."""
+    found = sorted(moments)
+    counts = (
+        sum(end - WINDOW_S < at <= end for at in found) for end in found if end >= since
+    )
+    return max(counts, default=0)
+
+
+@dataclass
+class LimitedUpstream:
+    """An upstream that names ``limit_per_s`` in its answers once that is set.
+
+    ``arrivals`` has the loop's time of each request, ``named_at`` that of the first
+    answer that named a limit.
+    """
+
+    name: str
+    limit_per_s: float | None = None
+    arrivals: list[float] = field(default_factory=list)
+    named_at: float | None = None
+
+    def __post_init__(self) -> None:
+        self.server = RawUpstream(self.name, self._serve)
+
+    async def _serve(self, req: dict[str, str], body: bytes, writer: Writer) -> None:
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(now)
+        headers = "signed: 1"
+        if self.limit_per_s is not None:
+            self.named_at = self.named_at or now
+            headers += f"\r\nlimit: {self.limit_per_s}"
+        writer.write(answer_bytes(req["id"], body, headers=headers))
+
+    def most_when_bound(self) -> int:
+        """The most that any window holds of what gateways sent that were told."""
+        assert self.named_at is not None
+        told = [at for at in self.arrivals if at >= self.named_at + TOLD_S]
+        return most_in_window(told, self.named_at + CONTACT_S)
+
+
+@dataclass
+class Deployment:
+    """Gateways that know each other before upstreams of one pool."""
+
+    gateways: list[Gateway]
+    upstreams: list[LimitedUpstream]
+    statuses: list[int] = field(default_factory=list)
+
+    async def load(self, per_s: float, for_s: float) -> None:
+        """Send requests to the gateways in turn, at an even pace."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(round(per_s * for_s)):
+                gateway = self.gateways[number % len(self.gateways)]
+                group.create_task(self._send(gateway, f"r{len(self.statuses)}{number}"))
+                await asyncio.sleep(1.0 / per_s)
+
+    async def _send(self, gateway: Gateway, request_id: str) -> None:
+        got = await call(gateway, request_id=request_id)
+        self.statuses.append(got.status)
+
+
+@asynccontextmanager
+async def deployment(
+    document: Declared, *upstreams: LimitedUpstream, gateways: int
+) -> AsyncIterator[Deployment]:
+    """Gateways with a control between them, which know each other."""
+    async with AsyncExitStack() as stack:
+        control = await Member("control", "c1", token="").start()
+        stack.push_async_callback(control.close)
+        found = Deployment([], list(upstreams))
+        for number in range(gateways):
+            servers = [one.server for one in upstreams] if number == 0 else []
+            gateway = await stack.enter_async_context(
+                running_gateway(
+                    document,
+                    *servers,
+                    name=f"g{number}",
+                    controls=(control.address,),
+                    gateways=gateways,
+                )
+            )
+            found.gateways.append(gateway)
+        now = asyncio.get_running_loop().time()
+        [first, *others] = found.gateways
+        for record in first.directory.records(now):
+            for gateway in others:
+                gateway.directory.offer(record, now)
+        await until(
+            lambda: all(len(one._gateway_links()) == gateways for one in found.gateways)
+        )
+        try:
+            yield found
+        finally:
+            await asyncio.gather(*(one.close() for one in found.gateways))
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tests.builders_gateway import (
     RawUpstream,
     Writer,
@@ -10,6 +12,7 @@
     declared,
     running_gateway,
 )
+from tests.builders_limits import LimitedUpstream, allowed, deployment
 from tests.builders_logs import logged
 from tests.sidecar_bench import run
 
@@ -34,3 +37,17 @@
         ]
 
     run(main())
+
+
+@pytest.mark.parametrize("gateways", [1, 8])
+def test_a_limited_upstream_gets_no_more_than_it_takes(gateways: int) -> None:
+    async def main() -> None:
+        limited, other = LimitedUpstream("u1"), LimitedUpstream("u2")
+        async with deployment(declared(), limited, other, gateways=gateways) as fleet:
+            await fleet.load(per_s=40.0, for_s=1.0)
+            limited.limit_per_s = 1.6
+            await fleet.load(per_s=40.0, for_s=8.0)
+        assert set(fleet.statuses) == {200}
+        assert limited.most_when_bound() <= allowed(1.6)
+
+    run(main())
