Keep the limits that upstreams name over all gateways together

What callers saw: engines in need went on to get what they got before, and answered all callers late. Cause: no gateway read the limit of an answer; a rule over all gateways had nobody to keep it.

Every gateway finds the same few senders of a limited upstream by rendezvous hashing, int(2 + rate) of them, each with an equal part of the rate and of 2 + rate requests at once; so a window of 4 s holds 5 x rate + 2 at most, whatever the number of gateways, and 6 x rate + 5 are allowed: the rest is for gateways that see the fleet differently. A bucket begins empty, also after a restart. What is read of answers goes to all gateways, newest first by its age, since only senders see a limit change or end. Senders without callers lose their turn to the next ones by hash. All sends pass through placing, which takes the turn: first sends, retries, resumed and moved streams. Who can not be served within the usual hold is refused at once with the time of the next turn; a request that may have run is never said not to have.

Ruled out: equal parts for all gateways; below one request a gateway they either hold nothing or add up (5 of 90 cases of the model break with them). Owners as for quotas cost a message before each send, and two of them may grant at once.

--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -89,8 +89,8 @@
         while True:
             try:
                 placed = await self._placing.place()
-            except NoRoomError:
-                await self._refuse_for_now()
+            except NoRoomError as exc:
+                await self._refuse_for_now(exc.turn_s)
                 return
             except QuarantinedError:
                 await self._refuse_quarantined()
@@ -149,20 +149,36 @@
 
     async def _without_upstream(self) -> None:
         self.outcome = "no_upstream"
-        if self._answer.started:
-            raise BrokenAnswerError
-        if self._sender.runs:
-            await self._answer.refuse(problem(OUTCOME_UNKNOWN, not_run=None))
+        if await self._ends_as_sent():
             return
         after_s = without_upstream_s(self._job.left_s())
         pool = self._job.pool.name
         why = problem(NO_UPSTREAM, pool=pool, retry_after_s=after_s)
         await self._answer.refuse(why)
 
-    async def _refuse_for_now(self) -> None:
-        """The request was not sent, and is not kept until its caller gives up."""
+    async def _ends_as_sent(self) -> bool:
+        """Whether the request may have run; its caller then gets what is known of it.
+
+        Raises :class:`BrokenAnswerError` if the answer has begun.
+        """
+        if self._answer.started:
+            raise BrokenAnswerError
+        if not self._sender.runs:
+            return False
+        if self._sender.failure is not None:
+            head, body = self._sender.failure
+            await self._answer.whole(head.status, head.headers, body)
+        else:
+            await self._answer.refuse(problem(OUTCOME_UNKNOWN, not_run=None))
+        return True
+
+    async def _refuse_for_now(self, turn_s: float | None) -> None:
+        """The request is not kept until its caller gives up; ``turn_s`` is when an
+        upstream takes the next one, if that is known."""
         self.outcome = NO_ROOM.code
-        after_s = no_room_s(self._job.left_s(), self._upstreams.rng)
+        if await self._ends_as_sent():
+            return
+        after_s = no_room_s(self._job.left_s(), self._upstreams.rng, turn_s)
         pool = self._job.pool.name
         await self._answer.refuse(problem(NO_ROOM, pool=pool, retry_after_s=after_s))
 
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -14,6 +14,7 @@
 from gooseberrydale.connection.area_gossip import AreaGossip
 from gooseberrydale.connection.gateway_datagrams import GatewayDatagrams
 from gooseberrydale.connection.http_pool import HttpPool
+from gooseberrydale.connection.limit_gossip import LimitGossip
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
 from gooseberrydale.connection.work_gossip import WorkGossip
 from gooseberrydale.log_events import Drained, Draining, emit
@@ -57,6 +58,7 @@
 from gooseberrydale.version.run_times import RunTimes
 from gooseberrydale.version.store_followers import StoreTidings
 from gooseberrydale.version.stores import Stores
+from gooseberrydale.version.upstream_limits import UpstreamLimits
 
 if TYPE_CHECKING:
     from gooseberrydale.process.instruments import Level
@@ -152,6 +154,7 @@
             self._cfg.weights_bound_s,
             self._stores,
             self.ended_incarnations,
+            UpstreamLimits(self._known_fleet, self._cfg.gateways),
         )
         incarnation = new_incarnation(time.time_ns(), self._rng)
         self._mesh = self._make_mesh(cfg, incarnation)
@@ -177,6 +180,7 @@
             self._upstreams,
             self._known_fleet,
         )
+        self._limit_gossip = LimitGossip(self._datagrams, self._upstreams.limits)
         self.quotas = QuotaClient(
             self._own_name,
             incarnation,
@@ -231,6 +235,7 @@
         await self._datagrams.start()
         await self._gossip.start()
         await self._areas.start()
+        await self._limit_gossip.start()
         await self.quotas.start()
         await self._declared.start()
         await self._store.start()
@@ -258,6 +263,7 @@
             self._sweeping.cancel()
         await self._prober.close()
         await self.quotas.close()
+        await self._limit_gossip.close()
         await self._areas.close()
         await self._gossip.close()
         self._datagrams.close()
@@ -274,6 +280,7 @@
         level.running = self._app.open_requests
         level.gateways = len(self._gateway_links())
         level.upstreams_known = self._upstreams.count(now)
+        level.limited = len(self._upstreams.limits)
         level.suspected = self._upstreams.suspected(now)
         level.requests_quarantined = len(self.ended_incarnations.quarantined())
         views = map(self._stores.view, self._stores.addresses)
--- a/gooseberrydale/process/gateway/observed_incarnation.py
+++ b/gooseberrydale/process/gateway/observed_incarnation.py
@@ -8,12 +8,7 @@
 
 from __future__ import annotations
 
-from gooseberrydale.log_events import (
-    UpstreamBack,
-    UpstreamLimited,
-    UpstreamSuspected,
-    emit,
-)
+from gooseberrydale.log_events import UpstreamBack, UpstreamSuspected, emit
 from gooseberrydale.version.upstream_load import UpstreamLoad
 
 MS_PER_S = 1_000.0
@@ -30,13 +25,6 @@
     _tell_back(name, load.answered(failed=failed))
 
 
-def limited(name: str, load: UpstreamLoad, per_s: float | None) -> None:
-    """An answer of an upstream names a limit of its rate, or none."""
-    if per_s != load.limit_per_s:
-        emit(UpstreamLimited(name, per_s, load.limit_per_s))
-        load.limit_per_s = per_s
-
-
 def reached(name: str, load: UpstreamLoad, now: float) -> None:
     """An upstream granted a connection that was asked for to see if it is there."""
     load.silence.reached(now)
--- a/gooseberrydale/process/gateway/placing.py
+++ b/gooseberrydale/process/gateway/placing.py
@@ -63,7 +63,14 @@
 
 
 class NoRoomError(Exception):
-    """Every upstream that was weighed would answer too late."""
+    """Every upstream that was weighed would answer too late.
+
+    ``turn_s`` is when one of them takes the next request, if they limit what they take.
+    """
+
+    def __init__(self, turn_s: float | None = None) -> None:
+        super().__init__()
+        self.turn_s = turn_s
 
 
 class QuarantinedError(Exception):
@@ -108,11 +115,13 @@
             found = await self._usable_candidates()
             chosen = self._choose([one for _, one in found])
             if chosen is None:
+                self._refuse_without_turn(_now())
                 return None
             match self._next_step(chosen):
                 case Step.SEND:
                     record = next(r for r, one in found if one.name == chosen.name)
                     self.tried.append(record.name)
+                    self._upstreams.limits.sent(record.name, _now())
                     return Placed(record, chosen, others=len(found) > 1)
                 case Step.COME_BACK:
                     raise NoRoomError
@@ -156,10 +165,20 @@
         until = _now() + min(HOLD_S, self._job.left_s() * HOLD_PART)
         candidates = self._allowed_candidates()
         while not any(one.usable for _, one in candidates) and _now() < until:
+            if not candidates:
+                self._refuse_without_turn(until)
             await asyncio.sleep(HOLD_POLL_S)
             candidates = self._allowed_candidates()
         return candidates
 
+    def _refuse_without_turn(self, until: float) -> None:
+        """Raise :class:`NoRoomError` if no upstream takes the request by ``until``, as
+        all of them limit what they take."""
+        now = _now()
+        turn_s = self._upstreams.next_turn_s(self._sought(), now)
+        if turn_s is not None and now + turn_s > until:
+            raise NoRoomError(turn_s)
+
     def _allowed_candidates(self) -> _Found:
         """The candidates, asked for anew at each look.
 
@@ -171,9 +190,11 @@
         return self._candidates()
 
     def _candidates(self) -> _Found:
+        return self._upstreams.candidates(self._sought(), _now())
+
+    def _sought(self) -> Sought:
         job = self._job
-        sought = Sought(job.pool, job.call.prompt, job.scope, self.tried)
-        return self._upstreams.candidates(sought, _now())
+        return Sought(job.pool, job.call.prompt, job.scope, self.tried)
 
 
 def _now() -> float:
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -17,11 +17,7 @@
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.process.gateway.answer import HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.assignment import Assignment
-from gooseberrydale.process.gateway.observed_incarnation import (
-    answered,
-    limited,
-    suspect,
-)
+from gooseberrydale.process.gateway.observed_incarnation import answered, suspect
 from gooseberrydale.process.gateway.placing import Learned
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.quota_charge import QuotaCharge
@@ -203,7 +199,7 @@
         if head.load is not None:
             load.reported(head.load, _now())
         if head.instance in (None, record.name):
-            limited(record.name, load, head.limit_per_s)
+            self._parts.upstreams.limited(record.name, head.limit_per_s, _now())
         if head.not_run:
             return await self._take_refusal(conn, head, record)
         if not head.ok:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
-from gooseberrydale.log_events import UpstreamEnded, emit
+from gooseberrydale.log_events import UpstreamEnded, UpstreamLimited, emit
 from gooseberrydale.request.fingerprint import shown
 from gooseberrydale.request.gateway_call import Prompt
 from gooseberrydale.request.members import Members
@@ -24,6 +24,7 @@
 from gooseberrydale.version.order_marks import is_mark, mark_name
 from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
 from gooseberrydale.version.stores import Stores
+from gooseberrydale.version.upstream_limits import UpstreamLimits
 from gooseberrydale.version.upstream_load import Load, UpstreamLoad
 
 GONE_AVOID_S = 60.0
@@ -64,8 +65,8 @@
     """Pools by name, and what is known of each upstream.
 
     ``weights_bound_s`` is for how long work may start on overtaken weights; ``stores``
-    are those of KV cache.  What ran at those that end is told to
-    ``ended_incarnations``.
+    are those of KV cache, ``limits`` the rates that upstreams limit themselves to.
+    What ran at those that end is told to ``ended_incarnations``.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         weights_bound_s: float,
         stores: Stores,
         ended_incarnations: EndedIncarnations,
+        limits: UpstreamLimits,
     ) -> None:
         self._directory = directory
         self._zone = zone
@@ -87,6 +89,7 @@
         self._weights_bound_s = weights_bound_s - OLD_WEIGHTS_MARGIN_S
         self.stores = stores
         self.ended_incarnations = ended_incarnations
+        self.limits = limits
         self._pools: dict[str, _PoolView] = {}
         self._loads: dict[str, UpstreamLoad] = {}
         # The incarnation of each upstream that the load is of.
@@ -207,12 +210,13 @@
     ) -> list[tuple[UpstreamRecord, Candidate]]:
         """The upstreams that may take the request, with what speaks for each.
 
-        Those that have served overtaken weights for too long are left out.
+        Those that have served overtaken weights for too long, or that take nothing from
+        this gateway now, are left out.
         """
         records = [
             record
-            for record in self.records(sought.pool.name, now)
-            if record.name not in sought.tried and _serves(record, sought.prompt)
+            for record in self._sought_records(sought, now)
+            if self._turn_s(record, now) <= 0.0
         ]
         ranks = self._home_ranks(sought)
         stored = self._stored(records, sought)
@@ -232,6 +236,20 @@
         settled = homes_in_reach(one for _, one in in_time)
         return [(by_name[one.name], one) for one in settled]
 
+    def next_turn_s(self, sought: Sought, now: float) -> float | None:
+        """Seconds until an upstream takes the request, if all of them limit what they
+        take; None if one of them does not, or none is known."""
+        turns = [self._turn_s(one, now) for one in self._sought_records(sought, now)]
+        soonest = min(turns, default=0.0)
+        return soonest if soonest > 0.0 else None
+
+    def limited(self, name: str, per_s: float | None, now: float) -> None:
+        """An answer of an upstream names a limit of its rate, or none."""
+        before_per_s = self.limits.per_s(name)
+        self.limits.answered(name, per_s, now)
+        if per_s != before_per_s:
+            emit(UpstreamLimited(name, per_s, before_per_s))
+
     def count(self, now: float) -> int:
         """How many upstreams are announced."""
         records = self._directory.records(now)
@@ -247,6 +265,7 @@
         known = {record.name for record in self._directory.records(now)}
         for view in self._pools.values():
             known.update(record.name for record in view.records)
+        self.limits.retain(known)
         for name in self._loads.keys() - known:
             del self._loads[name]
         for name in self._incarnations.keys() - known:
@@ -284,6 +303,17 @@
         if load is not None:
             self.ended(name, load, now, reason)
 
+    def _sought_records(self, sought: Sought, now: float) -> list[UpstreamRecord]:
+        return [
+            record
+            for record in self.records(sought.pool.name, now)
+            if record.name not in sought.tried and _serves(record, sought.prompt)
+        ]
+
+    def _turn_s(self, record: UpstreamRecord, now: float) -> float:
+        """Seconds until an upstream takes a request of this gateway."""
+        return self.limits.wait_s(record.name, now)
+
     def _may_stay(self, record: UpstreamRecord, now: float) -> bool:
         newest = self._directory.get(record.name, now)
         return newest is None or (newest.ready and not newest.leaving)
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -66,6 +66,7 @@
     documents: int = _measured("1", "Number of the document in force")
     gateways: int = _measured("1", "Gateways that are known, this one included")
     suspected: int = _measured("1", "Upstreams left alone after a failure")
+    limited: int = _measured("1", "Upstreams that limit the rate that they take")
     requests_quarantined: int = _measured(
         "1", "Requests that are sent to no upstream, as they end those that run them"
     )
--- a/gooseberrydale/request/comeback.py
+++ b/gooseberrydale/request/comeback.py
@@ -43,10 +43,15 @@
     return _within(NO_UPSTREAM_AFTER_S, left_s)
 
 
-def no_room_s(left_s: float, rng: random.Random) -> float:
-    """Seconds until engines that are full will likely have room."""
+def no_room_s(left_s: float, rng: random.Random, turn_s: float | None = None) -> float:
+    """Seconds until engines that are full will likely have room.
+
+    ``turn_s`` is when one that limits its rate takes the next request of this gateway;
+    others may take one sooner.
+    """
+    after_s = NO_ROOM_AFTER_S if turn_s is None else min(turn_s, NO_ROOM_AFTER_S)
     spread = rng.uniform(1.0 - SPREAD_PART, 1.0 + SPREAD_PART)
-    return _within(NO_ROOM_AFTER_S * spread, left_s)
+    return _within(after_s * spread, left_s)
 
 
 def _within(wanted_s: float, left_s: float) -> float:
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -62,7 +62,6 @@
         self.avoid_until = -math.inf
         self.told_to_avoid = False
         self.error_share = 0.0
-        self.limit_per_s: float | None = None
         self.silence = Silence()
         self.runs = OpenRuns()
 
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -35,6 +35,8 @@
     Route,
     Share,
 )
+from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
+from gooseberrydale.version.upstream_limits import UpstreamLimits
 
 HOST = "shop.example"
 KEY = "a-key"
@@ -140,6 +142,12 @@
         return None
 
 
+def no_limits() -> UpstreamLimits:
+    """What a gateway without others knows of limits at its start."""
+    fleet = Fleet(GatewayPeer("g1", "127.0.0.1:1", "local"))
+    return UpstreamLimits(lambda: fleet)
+
+
 Writer = asyncio.StreamWriter
 Script = Callable[[dict[str, str], bytes, Writer], Awaitable[None]]
 
--- /dev/null
+++ b/tests/builders_limit_fleet.py
@@ -0,0 +1,130 @@
+"""A fleet of gateways before one upstream that limits its rate, without a network.
+
+Time moves in steps.  Gateways decide as they do in a deployment, reports between them
+are late and lost, gateways start again with an empty memory, and each send is noted.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from gooseberrydale.connection.codec import decode, encode
+from gooseberrydale.connection.limit_gossip import LOOK_S
+from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
+from gooseberrydale.version.upstream_limits import LimitReport, UpstreamLimits
+
+STEP_S = 0.02
+ANSWER_S = (0.05, 0.4)
+KNOWN_S = 0.5
+EXCUSED_S = 3.0
+"""For so long a gateway that has started again is not counted."""
+
+ALONE_S = 1.0
+"""A gateway that has just started knows no other one for so long."""
+
+UPSTREAM = "u1"
+
+
+@dataclass
+class Node:
+    """One gateway; ``known_at`` is when it first knew of the limit."""
+
+    limits: UpstreamLimits
+    started_at: float
+    known_at: float | None = None
+
+
+@dataclass
+class LimitFleet:
+    """Gateways, and an upstream that names ``per_s`` in its answers.
+
+    ``callers`` says how many requests a second come to a gateway at a moment.
+    ``sends`` has the moments of all sends, ``counted`` those of bound gateways.
+    """
+
+    size: int
+    seed: int
+    callers: Callable[[int, float], float]
+    per_s: float | None = None
+    loss: float = 0.0
+    now: float = 0.0
+    sends: list[float] = field(default_factory=list)
+    counted: list[float] = field(default_factory=list)
+    bytes_sent: int = 0
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self._peers = [
+            GatewayPeer(f"g{i}", f"h{i}:1", f"z{i % 6}") for i in range(self.size)
+        ]
+        self.nodes = [self._node(i, -60.0) for i in range(self.size)]
+        self._answers: list[tuple[float, Node, float | None]] = []
+
+    def _node(self, number: int, started_at: float) -> Node:
+        peer = self._peers[number]
+        alone = Fleet(peer)
+        whole = Fleet(peer, tuple(one for one in self._peers if one is not peer))
+
+        def fleet() -> Fleet:
+            return alone if self.now < started_at + ALONE_S else whole
+
+        return Node(UpstreamLimits(fleet, min(8, self.size)), started_at)
+
+    def restart(self, *numbers: int) -> None:
+        """Let gateways start again, with an empty memory."""
+        for number in numbers:
+            self.nodes[number] = self._node(number, self.now)
+
+    def run(self, for_s: float) -> None:
+        """Let time go on."""
+        end = self.now + for_s
+        while self.now < end:
+            self.now += STEP_S
+            self._deliver_answers()
+            for number, node in enumerate(self.nodes):
+                self._report(number, node)
+                expected = self.callers(number, self.now) * STEP_S
+                while self.rng.random() < expected:
+                    self._call(node)
+                    expected -= 1.0
+
+    def _call(self, node: Node) -> None:
+        if node.limits.wait_s(UPSTREAM, self.now) > 0.0:
+            return
+        node.limits.sent(UPSTREAM, self.now)
+        self.sends.append(self.now)
+        bound = node.known_at is not None and self.now >= node.known_at + KNOWN_S
+        if bound and self.now >= node.started_at + EXCUSED_S:
+            self.counted.append(self.now)
+        at = self.now + self.rng.uniform(*ANSWER_S)
+        self._answers.append((at, node, self.per_s))
+
+    def _deliver_answers(self) -> None:
+        due = [one for one in self._answers if one[0] <= self.now]
+        self._answers = [one for one in self._answers if one[0] > self.now]
+        for _, node, per_s in due:
+            if node in self.nodes:
+                node.limits.answered(UPSTREAM, per_s, self.now)
+                self._note_known(node)
+
+    def _report(self, number: int, node: Node) -> None:
+        offset = number % round(LOOK_S / STEP_S)
+        if round(self.now / STEP_S) % round(LOOK_S / STEP_S) != offset:
+            return
+        report = node.limits.due(self.now)
+        if report is None:
+            return
+        data = encode(report)
+        self.bytes_sent += len(data) * (self.size - 1)
+        for other in self.nodes:
+            if other is not node and self.rng.random() >= self.loss:
+                found = decode(data)
+                assert isinstance(found, LimitReport)
+                other.limits.take(found, self.now)
+                self._note_known(other)
+
+    def _note_known(self, node: Node) -> None:
+        if node.known_at is None and node.limits.per_s(UPSTREAM) is not None:
+            node.known_at = self.now
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -33,7 +33,7 @@
 from gooseberrydale.version.store_view import StoreEvent, StoreNews, StoreView
 from gooseberrydale.version.stores import Stores
 from gooseberrydale.version.upstream_load import Load, UpstreamLoad, Work
-from tests.builders_gateway import POOL, prompt, record
+from tests.builders_gateway import POOL, no_limits, prompt, record
 
 IDLE = Load(0.0, 0.0, 0.0)
 GUIDE, LOT = PromptPart("guide", 2_000), PromptPart("lot", 4_000)
@@ -277,6 +277,7 @@
         8.0,
         Stores(),
         EndedIncarnations(),
+        no_limits(),
     )
 
 
@@ -342,6 +343,7 @@
     view = Upstreams(
         *(directory, "local", random.Random(1), peers, NamedWeights(), 8.0, Stores()),
         EndedIncarnations(),
+        no_limits(),
     )
     asked = prompt(("guide", 100), ("lot", 100))
     assert names(view, asked, 0.0)["u0"].load == IDLE
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -31,9 +31,10 @@
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.patience import Patience
 from gooseberrydale.version.run_times import RunTimes
+from gooseberrydale.version.upstream_limits import UpstreamLimits
 from gooseberrydale.version.upstream_load import Load
 from tests import builders_incarnations as incarnations
-from tests.builders_gateway import prompt, record, route
+from tests.builders_gateway import no_limits, prompt, record, route
 from tests.clock import run_paused
 
 OBJECTIVE_S = 0.4
@@ -53,6 +54,10 @@
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     asked: int = 0
     ended_incarnations: EndedIncarnations = field(default_factory=EndedIncarnations)
+    limits: UpstreamLimits = field(default_factory=no_limits)
+
+    def next_turn_s(self, sought: Sought, now: float) -> float | None:
+        return None
 
     def candidates(
         self, sought: Sought, now: float
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from tests.builders_gateway import (
@@ -10,6 +12,8 @@
     answer_bytes,
     call,
     declared,
+    plain,
+    route,
     running_gateway,
 )
 from tests.builders_limits import LimitedUpstream, allowed, deployment
@@ -18,7 +22,7 @@
 
 
 def test_a_limit_that_is_named_changed_or_lifted_is_logged_once() -> None:
-    limits = iter(("", "limit: 5", "limit: 5", "limit: 7.5", ""))
+    limits = iter(("", "limit: 500", "limit: 500", "limit: 750", ""))
 
     async def script(req: dict[str, str], body: bytes, writer: Writer) -> None:
         headers = "\r\n".join(filter(None, ("signed: 1", next(limits))))
@@ -27,13 +31,13 @@
     async def main() -> None:
         upstream = RawUpstream("u1", script)
         with logged("upstream_limited") as lines:
-            async with running_gateway(declared(), upstream) as gateway:
+            async with running_gateway(declared(), upstream, gateways=1) as gateway:
                 for number in range(5):
                     await call(gateway, request_id=f"r{number}")
         assert lines == [
-            {"upstream": "u1", "per_s": 5.0, "before_per_s": None},
-            {"upstream": "u1", "per_s": 7.5, "before_per_s": 5.0},
-            {"upstream": "u1", "per_s": None, "before_per_s": 7.5},
+            {"upstream": "u1", "per_s": 500.0, "before_per_s": None},
+            {"upstream": "u1", "per_s": 750.0, "before_per_s": 500.0},
+            {"upstream": "u1", "per_s": None, "before_per_s": 750.0},
         ]
 
     run(main())
@@ -51,3 +55,51 @@
         assert limited.most_when_bound() <= allowed(1.6)
 
     run(main())
+
+
+def test_who_can_not_be_served_in_time_is_refused_at_once() -> None:
+    async def main() -> None:
+        limited = LimitedUpstream("u1", limit_per_s=0.3)
+        async with running_gateway(declared(), limited.server, gateways=1) as gateway:
+            assert (await call(gateway)).status == 200
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            got = await call(gateway, request_id="r2")
+            assert loop.time() - began < 0.2
+            assert got.status == 503 and float(got.headers["retry-after"]) > 0.0
+            error = plain(got)["error"]
+            assert (error["code"], error["not_run"]) == ("no_room", True)
+            assert len(limited.arrivals) == 1
+
+    run(main())
+
+
+def test_a_request_waits_for_a_turn_that_comes_soon() -> None:
+    async def main() -> None:
+        limited = LimitedUpstream("u1", limit_per_s=4.0)
+        async with running_gateway(declared(), limited.server, gateways=1) as gateway:
+            found = [await call(gateway, request_id=f"r{n}") for n in range(3)]
+            assert [got.status for got in found] == [200, 200, 200]
+            first, second, _ = limited.arrivals
+            assert second - first >= 0.2
+
+    run(main())
+
+
+def test_a_failure_is_passed_on_if_the_other_upstreams_are_limited() -> None:
+    async def fail(req: dict[str, str], body: bytes, writer: Writer) -> None:
+        writer.write(answer_bytes(req["id"], b"broken", "500 Internal Server Error"))
+
+    async def main() -> None:
+        failing, limited = RawUpstream("u1", fail), LimitedUpstream("u2")
+        document = declared(route(repeatable=True, max_runs=2))
+        async with running_gateway(
+            document, failing, limited.server, gateways=1
+        ) as gateway:
+            now = asyncio.get_running_loop().time()
+            gateway._upstreams.limited("u2", 0.3, now)
+            got = await call(gateway, method="GET")
+            assert (got.status, got.body) == (500, b"broken")
+            assert not limited.arrivals
+
+    run(main())
