--- a/gooseberrydale/connection/upstream_api.py
+++ b/gooseberrydale/connection/upstream_api.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,6 +18,7 @@
 
 CALL_TIMEOUT_S = 2.0
 MAX_REPLY_BYTES = 64 * 1024 * 1024
+LIMIT_HEADER = "x-limit-per-s"
 JSON_HEADERS = (("content-type", "application/json"),)
 
 
@@ -65,6 +67,19 @@
     keys: tuple[str, ...] = ()
 
 
+def named_limit(headers: Headers) -> float | None:
+    """The requests a second that the head of an answer names as a limit.
+
+    None if it names none, or not a number of 0 or more.
+    """
+    value = next((value for name, value in headers if name == LIMIT_HEADER), "")
+    try:
+        per_s = float(value)
+    except ValueError:
+        return None
+    return per_s if math.isfinite(per_s) and per_s >= 0.0 else None
+
+
 async def call(
     base_url: str,
     method: str,
--- a/gooseberrydale/process/sidecar/dispatcher.py
+++ b/gooseberrydale/process/sidecar/dispatcher.py
@@ -75,7 +75,7 @@
         self.admission = Admission(cfg.max_running, cfg.max_queued)
         self._attempts: dict[str, Attempt] = {}
         self._latest: dict[str, Attempt] = {}
-        self._expiry: asyncio.TimerHandle | None = None
+        self._timer: asyncio.TimerHandle | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -84,8 +84,8 @@
 
     async def close(self) -> None:
         """Stop at once; what still runs ends with a statement of its outcome."""
-        if self._expiry is not None:
-            self._expiry.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         if self._sweeper is not None:
             self._sweeper.cancel()
         tasks = self.stop_running(lambda _attempt: True)
@@ -104,7 +104,7 @@
         self._attempts[work_id(attempt.key)] = attempt
         self._latest[req.request_id] = attempt
         refusal = self._admit(attempt)
-        self._arm_expiry()
+        self._arm_timer()
         if refusal is not None:
             self._forget(attempt)
             return self._refused(req, refusal)
@@ -152,6 +152,11 @@
 
     # What the sidecar itself orders.
 
+    def limit(self, per_s: float | None) -> None:
+        """The upstream names a limit of its rate in an answer, or none."""
+        self.admission.limit(per_s, _now())
+        self._arm_timer()
+
     async def drain(self, bound_s: float) -> None:
         """Refuse new work, let the rest finish; what outlasts the bound is ended."""
         self.gate.shut()
@@ -167,7 +172,7 @@
                 self.admission.cancel(waiting_id, _now())
                 leaving = problem(UPSTREAM_LEAVING, upstream=self._name)
                 self._refuse_waiting(waiting_id, leaving)
-        self._arm_expiry()
+        self._arm_timer()
 
     def stop_running(
         self, concerned: Callable[[Attempt], bool]
@@ -208,6 +213,10 @@
             priority=0 if profile is None else profile.priority,
         )
 
+    def _start_all(self, ids: list[str]) -> None:
+        for one in ids:
+            self._start(self._attempts[one])
+
     def _start(self, attempt: Attempt) -> None:
         self.gate.start(attempt.key)
         attempt.started_at = _now()
@@ -240,9 +249,8 @@
         if not attempt.ended:
             raise InvariantError(f"attempt {attempt.key} stopped without an end")
         self.gate.finish(attempt.key, _now())
-        for other in self.admission.finish(work_id(attempt.key), _now()):
-            self._start(self._attempts[other])
-        self._arm_expiry()
+        self._start_all(self.admission.finish(work_id(attempt.key), _now()))
+        self._arm_timer()
 
     def _stop(self, attempt: Attempt) -> None:
         if attempt.task is not None:
@@ -258,19 +266,23 @@
         self.gate.withdraw(attempt.key, _now())
         attempt.end(refusal)
 
-    def _arm_expiry(self) -> None:
-        if self._expiry is not None:
-            self._expiry.cancel()
-            self._expiry = None
-        due = self.admission.next_expiry()
-        if due is not None:
+    def _arm_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        expiry = self.admission.next_expiry()
+        start = self.admission.next_start(_now())
+        times = [start] if start is not None else []
+        times += [expiry + POLL_S] if expiry is not None else []
+        if times:
             loop = asyncio.get_running_loop()
-            self._expiry = loop.call_at(due + POLL_S, self._expire)
+            self._timer = loop.call_at(min(times), self._look)
 
-    def _expire(self) -> None:
+    def _look(self) -> None:
         for late, refusal in self.admission.expire(_now()):
             self._refuse_waiting(late, refusal)
-        self._arm_expiry()
+        self._start_all(self.admission.start_due(_now()))
+        self._arm_timer()
 
     async def _sweep(self) -> None:
         while True:
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -17,7 +17,8 @@
 from gooseberrydale.connection.control_messages import FenceReply, ReadFenceReq
 from gooseberrydale.connection.mesh import SIDECAR_ROLE, UpstreamRecord
 from gooseberrydale.connection.rpc import ORDER, RpcServer
-from gooseberrydale.connection.upstream_api import LoadReply
+from gooseberrydale.connection.upstream_api import LoadReply, named_limit
+from gooseberrydale.connection.upstream_reply import Headers
 from gooseberrydale.errors import Problem
 from gooseberrydale.process.cfg import Cfg, SidecarCfg
 from gooseberrydale.process.cfg_file import read_token
@@ -242,6 +243,7 @@
     async def _run_attempt(self, attempt: Attempt) -> None:
         await self._orders.idle()
         running = self._runs.began(attempt.req)
+        attempt.on_head = self._heard
         attempt.on_first_part = partial(self._first_part, attempt, running)
         end = RunEnd.LEFT
         try:
@@ -253,6 +255,9 @@
             # An upstream that has ended may be back before the next look.
             self._watch.look_now()
 
+    def _heard(self, headers: Headers) -> None:
+        self.dispatcher.limit(named_limit(headers))
+
     def _first_part(self, attempt: Attempt, running: Running) -> None:
         running.run.answering = True
         now = asyncio.get_running_loop().time()
--- a/gooseberrydale/request/admission.py
+++ b/gooseberrydale/request/admission.py
@@ -1,6 +1,7 @@
 """Decides when work starts at one upstream, and what is refused at once.
 
-At most ``max_running`` attempts run and at most ``max_queued`` wait.  Higher
+At most ``max_running`` attempts run and at most ``max_queued`` wait; none starts sooner
+than the upstream's own limit allows.  Higher
 priorities start first; within a priority workspaces share by start-time fair
 queueing on estimated tokens.  Work that can't meet its deadline is refused when it
 is offered, or as soon as that becomes certain, with a time to come back.  Pure
@@ -16,6 +17,7 @@
 from gooseberrydale.connection.messages import Load
 from gooseberrydale.errors import InvariantError, Problem, problem
 from gooseberrydale.request.fair_queue import FairQueue, Waiting, Work
+from gooseberrydale.request.pace import Pace
 
 __all__ = ["Admission", "Admitted", "Queued", "Work"]
 
@@ -64,18 +66,20 @@
         self._queue = FairQueue()
         self._hopeless: list[Waiting] = []
         self._started: OrderedDict[str, None] = OrderedDict()
+        self._pace = Pace()
 
     def offer(self, work: Work, now: float) -> Admitted | Queued | Problem:
         """Take new work, queue it, or refuse it at once (``not_run`` is True)."""
         if self._is_known(work.id):
             return _duplicate(work)
-        if self._has_slot() and not self._queue:
+        starts_now = self._may_start(now) and not self._queue
+        if starts_now:
             wait_s = self._prefill_backlog_s(now)
         else:
             wait_s = self._queued_wait_s(work, now)
         if wait_s + self._prefill_s(work) > work.deadline_s:
             return self._too_late(wait_s, work, now)
-        if self._has_slot() and not self._queue:
+        if starts_now:
             # Through the queue, so that its workspace is charged for it.
             self._queue.push(work, now)
             self._start_queued(now)
@@ -118,7 +122,7 @@
             if self._is_late(waiting, now):
                 self._queue.remove(waiting.work.id)
                 late.append(waiting)
-        wait_s = self._slot_wait_s()
+        wait_s = max(self._slot_wait_s(), self._pace.wait_s(now))
         return [(w.work.id, self._too_late(wait_s, w.work, now)) for w in late]
 
     def next_expiry(self) -> float | None:
@@ -128,6 +132,20 @@
         times = [self._latest_start(waiting) for waiting in self._queue.items()]
         return min(times, default=None)
 
+    def limit(self, per_s: float | None, now: float) -> None:
+        """Start ``per_s`` attempts a second at most; None without a limit."""
+        self._pace.limit(per_s, now)
+
+    def next_start(self, now: float) -> float | None:
+        """Return when :meth:`start_due` has work; None if that takes a free slot."""
+        if not self._queue or not self._has_slot():
+            return None
+        return now + self._pace.wait_s(now)
+
+    def start_due(self, now: float) -> list[str]:
+        """Return the ids of queued work that starts now."""
+        return self._start_queued(now)
+
     def observe_rate(self, prefill_tps: float) -> None:
         """Take the upstream's measured prefill rate in tokens a second."""
         if prefill_tps > 0:
@@ -145,6 +163,9 @@
     def _has_slot(self) -> bool:
         return len(self._running) < self._max_running
 
+    def _may_start(self, now: float) -> bool:
+        return self._has_slot() and self._pace.wait_s(now) <= 0.0
+
     def _is_known(self, work_id: str) -> bool:
         if work_id in self._running or work_id in self._queue:
             return True
@@ -164,7 +185,7 @@
 
     def _start_queued(self, now: float) -> list[str]:
         started = []
-        while self._has_slot():
+        while self._may_start(now):
             waiting = self._queue.pop()
             if waiting is None:
                 break
@@ -182,6 +203,7 @@
         if len(self._started) > KEPT_IDS:
             self._started.popitem(last=False)
         self._running[work.id] = _Running(work, now)
+        self._pace.start(now)
         begins_at = max(now, self._prefilled_at)
         self._prefilled_at = begins_at + self._prefill_s(work)
         self._check()
@@ -213,9 +235,10 @@
     def _wait_s(self, tokens: int, count: int, now: float) -> float:
         """Expected wait behind ``count`` queued attempts of ``tokens`` in all."""
         prefill_s = self._prefill_backlog_s(now) + tokens / self._prefill_tps
+        start_s = self._pace.wait_s(now, ahead=count)
         if self._has_slot() and count == 0:
-            return prefill_s
-        return max(prefill_s, (count + 1) * self._slot_wait_s())
+            return max(prefill_s, start_s)
+        return max(prefill_s, start_s, (count + 1) * self._slot_wait_s())
 
     def _latest_start(self, waiting: Waiting) -> float:
         deadline = waiting.offered_at + waiting.work.deadline_s
--- a/gooseberrydale/version/upstream_limits.py
+++ b/gooseberrydale/version/upstream_limits.py
@@ -18,15 +18,10 @@
 import msgspec
 
 from gooseberrydale.connection.codec import message
+from gooseberrydale.request.pace import AT_ONCE, LEAST_PER_S
 from gooseberrydale.version.gateway_peers import Fleet
 from gooseberrydale.version.stores import first_by_hash
 
-AT_ONCE = 2.0
-"""Requests that all senders may send at once, beside those of the next second."""
-
-LEAST_PER_S = 0.25
-"""An upstream that takes less is still asked this often whether its limit holds."""
-
 CONFIRM_S = 1.0
 """Answers that name the same limit are reported this often."""
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -338,3 +338,28 @@
 TestGate.settings = settings(
     derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
 )
+
+
+def test_starts_are_spaced_by_the_limit_that_the_upstream_names() -> None:
+    admission = Admission(max_running=100, max_queued=100)
+    admission.limit(2.0, 0.0)
+    starts = []
+    for tenth in range(100):
+        now = tenth / 10.0
+        starts += [now] * len(admission.start_due(now))
+        outcome = admission.offer(work(f"w{tenth}", deadline_s=60.0), now)
+        starts += [now] * isinstance(outcome, Admitted)
+    for first in starts:
+        assert sum(first <= at < first + 4.0 for at in starts) <= 1.5 * 2.0 * 4.0 + 5
+    assert len(starts) >= 2.0 * 9.0
+    admission.limit(None, 10.0)
+    assert len(admission.start_due(10.0)) == 100 - len(starts)
+
+
+def test_work_that_a_limit_makes_late_is_refused_when_it_is_offered() -> None:
+    admission = Admission(max_running=100, max_queued=100)
+    admission.limit(0.5, 0.0)
+    assert isinstance(admission.offer(work("w1", deadline_s=5.0), 0.0), Queued)
+    refused = admission.offer(work("w2", deadline_s=3.5), 0.0)
+    assert isinstance(refused, Problem) and refused.not_run
+    assert refused.retry_after_s is not None and refused.retry_after_s >= 2.0
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -455,3 +455,28 @@
             assert record is not None
 
     run(main())
+
+
+def test_an_upstream_that_names_a_limit_gets_no_more_through_its_sidecar(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def limited(_req: Request, writer: Writer) -> None:
+        head = "HTTP/1.1 200 OK\r\nx-limit-per-s: 5\r\ncontent-length: 2\r\n\r\nok"
+        writer.write(head.encode())
+        await writer.drain()
+
+    async def main() -> None:
+        async with bench(tmp_path, limited, kind="service", max_running=50) as made:
+            await frames_of(made.dispatch(request_id="first"))
+            sent = [
+                asyncio.create_task(frames_of(made.dispatch(request_id=f"r{n}")))
+                for n in range(40)
+            ]
+            await asyncio.sleep(2.0)
+            # The first one, and those of two seconds.
+            assert 6 <= len(made.upstream.requests) <= 1 + 5 * 2.0 + 1
+            for task in sent:
+                task.cancel()
+            await asyncio.gather(*sent, return_exceptions=True)
+
+    run(main())
