Log for how long upstreams that turn requests away want none

The lines of refused sends didn't say how long the upstream asked to be left alone, so a rest that nobody reads could not be told from one that is kept too short. The head of an answer now carries it, and a line upstream_resting is written. Choices are made as before.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -160,6 +160,17 @@
     before_per_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamResting(LogEvent):
+    """An upstream turned a request away, and wants none from this process for a time."""
+
+    NAME: ClassVar[str] = "upstream_resting"
+    TEXT: ClassVar[str] = "upstream asks for rest"
+
+    upstream: str
+    for_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamSilent(LogEvent):
     """Nothing came from an upstream, and two questions to it were in vain.
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -199,7 +199,7 @@
         if head.load is not None:
             load.reported(head.load, _now())
         if head.instance in (None, record.name):
-            self._parts.upstreams.limited(record.name, head.limit_per_s, _now())
+            self._note_needs(head, record)
         if head.not_run:
             return await self._take_refusal(conn, head, record)
         if not head.ok:
@@ -215,6 +215,13 @@
         self._parts.upstreams.ended_incarnations.answered(job.fingerprint, _now())
         return None
 
+    def _note_needs(self, head: AnswerHead, record: UpstreamRecord) -> None:
+        """Note what an upstream that is short of capacity asks for."""
+        upstreams = self._parts.upstreams
+        upstreams.limited(record.name, head.limit_per_s, _now())
+        if head.rest_s is not None:
+            upstreams.asked_for_rest(record.name, head.rest_s)
+
     def _is_mine(self, raw: ResponseHead) -> bool:
         head = self._parts.wire.read_answer(raw.status, raw.headers)
         if head.request_id is None:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -11,7 +11,12 @@
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
-from gooseberrydale.log_events import UpstreamEnded, UpstreamLimited, emit
+from gooseberrydale.log_events import (
+    UpstreamEnded,
+    UpstreamLimited,
+    UpstreamResting,
+    emit,
+)
 from gooseberrydale.request.fingerprint import shown
 from gooseberrydale.request.gateway_call import Prompt
 from gooseberrydale.request.members import Members
@@ -27,6 +32,8 @@
 from gooseberrydale.version.upstream_limits import UpstreamLimits
 from gooseberrydale.version.upstream_load import Load, UpstreamLoad
 
+MS_PER_S = 1_000.0
+
 GONE_AVOID_S = 60.0
 """An incarnation whose address another one has taken is over: until its record is
 gone."""
@@ -250,6 +257,10 @@
         if per_s != before_per_s:
             emit(UpstreamLimited(name, per_s, before_per_s))
 
+    def asked_for_rest(self, name: str, for_s: float) -> None:
+        """An upstream wants nothing from this gateway for a time."""
+        emit(UpstreamResting(name, round(for_s * MS_PER_S, 1)))
+
     def count(self, now: float) -> int:
         """How many upstreams are announced."""
         records = self._directory.records(now)
--- a/gooseberrydale/request/gateway_call.py
+++ b/gooseberrydale/request/gateway_call.py
@@ -108,7 +108,8 @@
     ``instance`` is the incarnation of an upstream that says so, if it tells.  Without
     ``signed`` the answer is not the upstream's own.  ``headers`` go to the caller.
     ``limit_per_s`` is the rate of requests that the upstream takes from all gateways
-    together, None if it names none.
+    together, None if it names none.  ``rest_s`` is for how many seconds it wants no
+    request from this gateway, None if it doesn't say so.
     """
 
     status: int
@@ -120,6 +121,7 @@
     encoded: bool = False
     load: ReportedLoad | None = None
     limit_per_s: float | None = None
+    rest_s: float | None = None
 
     @property
     def ok(self) -> bool:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -228,6 +228,11 @@
     "limit below 0": (200, ((b"server-limit", b"-1"),), {"limit_per_s": None}),
     "unreadable limit": (200, ((b"server-limit", b"few"),), {"limit_per_s": None}),
     "endless limit": (200, ((b"server-limit", b"inf"),), {"limit_per_s": None}),
+    "rest": (503, ((b"retry-after", b"1.5"),), {"rest_s": 1.5}),
+    "rest of 0": (503, ((b"retry-after", b"0"),), {"rest_s": 0.0}),
+    "no rest": (503, ((b"x-not-executed", b"1"),), {"rest_s": None}),
+    "a date": (503, ((b"retry-after", b"Thu, 01 Jan"),), {"rest_s": None}),
+    "retry-after of another status": (429, ((b"retry-after", b"3"),), {"rest_s": None}),
     "no report": (200, ((b"x-load-report", b"soon"),), {"load": None}),
 }
 
