Test that an upstream that asks for rest gets no requests; it fails

What callers see: their requests go to engines that turn everything away, and are late by another send. One gateway before two upstreams, 25 requests/s, one of which turns all away and asks for 3 s: 8 requests in such a rest, 2 are allowed; the pauses are those of REFUSED_AVOID_S, 0.26 to 0.36 s.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -162,7 +162,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamResting(LogEvent):
-    """An upstream turned a request away, and wants none from this process for a time."""
+    """An upstream turned a request away and wants none from here for a time."""
 
     NAME: ClassVar[str] = "upstream_resting"
     TEXT: ClassVar[str] = "upstream asks for rest"
--- a/tests/test_upstream_rest.py
+++ b/tests/test_upstream_rest.py
@@ -16,7 +16,7 @@
 from tests.builders_logs import logged
 from tests.sidecar_bench import run
 
-REST_S = 1.5
+REST_S = 3.0
 SETTLE_S = 0.5
 """Requests that were under way may still come for so long."""
 
@@ -57,6 +57,19 @@
             ) as gateway:
                 while not resting.arrivals:
                     assert (await call(gateway)).status == 200
-        assert lines == [{"upstream": "u1", "for_ms": 1_500.0}]
+        assert lines == [{"upstream": "u1", "for_ms": 3_000.0}]
+
+    run(main())
+
+
+def test_an_upstream_that_asks_for_rest_gets_no_requests_until_it_is_over() -> None:
+    async def main() -> None:
+        resting, other = RestingUpstream("u1"), LimitedUpstream("u2")
+        async with running_gateway(declared(), resting.server, other.server) as gateway:
+            for number in range(100):
+                got = await call(gateway, request_id=f"r{number}")
+                assert got.status == 200
+                await asyncio.sleep(0.04)
+        assert resting.most_in_a_rest() <= 2
 
     run(main())
