Send no requests to an upstream for as long as it asks

What callers saw: requests went to engines that turn everything away and were late by another send, which also took from the retries of others. Cause: after a refusal a gateway left the upstream alone for a constant 0.25 s and then preferred it, as it had no work; how long the upstream asks for was not read.

The wish is kept for the incarnation of the upstream, and such an upstream is left out of every choice until then: first sends, retries, resumed and moved streams. A request that finds all upstreams at rest waits if one of them is back within the usual hold, and is refused at once otherwise.

It holds as well where the answer doesn't say whether the request ran, and it ends with the rest or with the incarnation.

--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -220,7 +220,7 @@
         upstreams = self._parts.upstreams
         upstreams.limited(record.name, head.limit_per_s, _now())
         if head.rest_s is not None:
-            upstreams.asked_for_rest(record.name, head.rest_s)
+            upstreams.asked_for_rest(record.name, head.rest_s, _now())
 
     def _is_mine(self, raw: ResponseHead) -> bool:
         head = self._parts.wire.read_answer(raw.status, raw.headers)
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -257,8 +257,9 @@
         if per_s != before_per_s:
             emit(UpstreamLimited(name, per_s, before_per_s))
 
-    def asked_for_rest(self, name: str, for_s: float) -> None:
-        """An upstream wants nothing from this gateway for a time."""
+    def asked_for_rest(self, name: str, for_s: float, now: float) -> None:
+        """An upstream wants no request from this gateway for a time."""
+        self.load_of(name).rest(now, for_s)
         emit(UpstreamResting(name, round(for_s * MS_PER_S, 1)))
 
     def count(self, now: float) -> int:
@@ -323,7 +324,8 @@
 
     def _turn_s(self, record: UpstreamRecord, now: float) -> float:
         """Seconds until an upstream takes a request of this gateway."""
-        return self.limits.wait_s(record.name, now)
+        rest_s = self.load_of(record.name).rest_until - now
+        return max(rest_s, self.limits.wait_s(record.name, now))
 
     def _may_stay(self, record: UpstreamRecord, now: float) -> bool:
         newest = self._directory.get(record.name, now)
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -61,6 +61,7 @@
         self.suspect_until = -math.inf
         self.avoid_until = -math.inf
         self.told_to_avoid = False
+        self.rest_until = -math.inf
         self.error_share = 0.0
         self.silence = Silence()
         self.runs = OpenRuns()
@@ -116,6 +117,10 @@
         self.avoid_until = max(self.avoid_until, now + for_s)
         self.told_to_avoid = told
 
+    def rest(self, now: float, for_s: float) -> None:
+        """The upstream wants no request from this process for a time."""
+        self.rest_until = max(self.rest_until, now + for_s)
+
     @property
     def failures(self) -> int:
         """How often in a row the upstream could not be reached."""
