--- a/gooseberrydale/request/gateway_call.py
+++ b/gooseberrydale/request/gateway_call.py
@@ -109,7 +109,8 @@
     ``signed`` the answer is not the upstream's own.  ``headers`` go to the caller.
     ``limit_per_s`` is the rate of requests that the upstream takes from all gateways
     together, None if it names none.  ``rest_s`` is for how many seconds it wants no
-    request from this gateway, None if it doesn't say so.
+    request from this gateway, None if it doesn't say so; ``leaving`` that it is about to
+    end and takes no new work.
     """
 
     status: int
@@ -122,6 +123,7 @@
     load: ReportedLoad | None = None
     limit_per_s: float | None = None
     rest_s: float | None = None
+    leaving: bool = False
 
     @property
     def ok(self) -> bool:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -130,6 +130,7 @@
             encoded=b"content-encoding" in found,
             limit_per_s=float(found[b"limit"]) if b"limit" in found else None,
             rest_s=float(found[b"rest"]) if b"rest" in found else None,
+            leaving=b"leaving" in found,
         )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -233,6 +233,8 @@
     "no rest": (503, ((b"x-not-executed", b"1"),), {"rest_s": None}),
     "a date": (503, ((b"retry-after", b"Thu, 01 Jan"),), {"rest_s": None}),
     "retry-after of another status": (429, ((b"retry-after", b"3"),), {"rest_s": None}),
+    "leaving": (200, ((b"server-leaving", b"1"),), {"leaving": True}),
+    "not leaving": (200, ((b"server-leaving", b"0"),), {"leaving": False}),
     "no report": (200, ((b"x-load-report", b"soon"),), {"load": None}),
 }
 
