Send nothing new to an upstream that answers that it leaves

What callers saw: requests sent to an upstream that is about to end, which then break off or have to be repeated. Cause: answers were not read for it; announcements alone told.

The word of the upstream holds for its incarnation at this gateway, in touch or not: it is left out of every choice, also where no other upstream is known. Its end is not blamed on what it runs, as for announced ends. A line upstream_leaving is written.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -171,6 +171,16 @@
     for_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaving(LogEvent):
+    """An upstream says in an answer that it leaves; it gets no new requests."""
+
+    NAME: ClassVar[str] = "upstream_leaving"
+    TEXT: ClassVar[str] = "upstream leaves"
+
+    upstream: str
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamSilent(LogEvent):
     """Nothing came from an upstream, and two questions to it were in vain.
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -221,6 +221,8 @@
         upstreams.limited(record.name, head.limit_per_s, _now())
         if head.rest_s is not None:
             upstreams.asked_for_rest(record.name, head.rest_s, _now())
+        if head.leaving:
+            upstreams.leaving(record.name, _now())
 
     def _is_mine(self, raw: ResponseHead) -> bool:
         head = self._parts.wire.read_answer(raw.status, raw.headers)
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -13,6 +13,7 @@
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
 from gooseberrydale.log_events import (
     UpstreamEnded,
+    UpstreamLeaving,
     UpstreamLimited,
     UpstreamResting,
     emit,
@@ -127,7 +128,7 @@
         known = load.runs.is_over
         lost = load.runs.over(now)
         record = self._directory.get(name, now)
-        if record is None or not record.leaving:
+        if not load.is_leaving and (record is None or not record.leaving):
             self.ended_incarnations.report(
                 incarnation_name(name, load.incarnation), lost, now
             )
@@ -262,6 +263,11 @@
         self.load_of(name).rest(now, for_s)
         emit(UpstreamResting(name, round(for_s * MS_PER_S, 1)))
 
+    def leaving(self, name: str, now: float) -> None:
+        """An answer of an upstream says that it leaves."""
+        if self.load_of(name).leaves(now):
+            emit(UpstreamLeaving(name))
+
     def count(self, now: float) -> int:
         """How many upstreams are announced."""
         records = self._directory.records(now)
@@ -319,7 +325,9 @@
         return [
             record
             for record in self.records(sought.pool.name, now)
-            if record.name not in sought.tried and _serves(record, sought.prompt)
+            if record.name not in sought.tried
+            and _serves(record, sought.prompt)
+            and not self.load_of(record.name).is_leaving
         ]
 
     def _turn_s(self, record: UpstreamRecord, now: float) -> float:
--- a/gooseberrydale/request/gateway_call.py
+++ b/gooseberrydale/request/gateway_call.py
@@ -109,8 +109,8 @@
     ``signed`` the answer is not the upstream's own.  ``headers`` go to the caller.
     ``limit_per_s`` is the rate of requests that the upstream takes from all gateways
     together, None if it names none.  ``rest_s`` is for how many seconds it wants no
-    request from this gateway, None if it doesn't say so; ``leaving`` that it is about to
-    end and takes no new work.
+    request from this gateway, None if it doesn't say so; ``leaving`` that it will end
+    and takes no new work.
     """
 
     status: int
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -62,6 +62,7 @@
         self.avoid_until = -math.inf
         self.told_to_avoid = False
         self.rest_until = -math.inf
+        self.leaving_since: float | None = None
         self.error_share = 0.0
         self.silence = Silence()
         self.runs = OpenRuns()
@@ -121,6 +122,17 @@
         """The upstream wants no request from this process for a time."""
         self.rest_until = max(self.rest_until, now + for_s)
 
+    def leaves(self, now: float) -> bool:
+        """The upstream says that it leaves; return whether that is new."""
+        is_new = self.leaving_since is None
+        self.leaving_since = now if is_new else self.leaving_since
+        return is_new
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the upstream has said in an answer that it leaves."""
+        return self.leaving_since is not None
+
     @property
     def failures(self) -> int:
         """How often in a row the upstream could not be reached."""
