--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -283,7 +283,7 @@
         known = {record.name for record in self._directory.records(now)}
         for view in self._pools.values():
             known.update(record.name for record in view.records)
-        self.limits.retain(known)
+        self.limits.retain(known, now)
         for name in self._loads.keys() - known:
             del self._loads[name]
         for name in self._incarnations.keys() - known:
@@ -305,6 +305,7 @@
             if incarnation is not None:
                 self._end_incarnation(record.name, now, "it has started again")
                 self._loads.pop(record.name, None)
+                self.limits.forget(record.name)
             self._incarnations[record.name] = record.incarnation
             self.load_of(record.name).incarnation = record.incarnation
             self._end_incarnation_at(record, now)
--- a/gooseberrydale/version/upstream_limits.py
+++ b/gooseberrydale/version/upstream_limits.py
@@ -34,6 +34,10 @@
 first report."""
 
 
+FORGET_S = 60.0
+"""Announcements that lapsed come back within this time; a limit holds all the while."""
+
+
 class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
     """What an answer of ``upstream`` named ``age_ms`` ago, None if no limit."""
 
@@ -147,10 +151,15 @@
             self._fill(upstream, one, now)
             one.level -= 1.0
 
-    def retain(self, upstreams: Collection[str]) -> None:
-        """Forget the limits of all upstreams but these."""
+    def retain(self, upstreams: Collection[str], now: float) -> None:
+        """Forget the limits of upstreams that are not among these for some time."""
         for name in self._limits.keys() - set(upstreams):
-            del self._limits[name]
+            if now > self._limits[name].heard_at + FORGET_S:
+                del self._limits[name]
+
+    def forget(self, upstream: str) -> None:
+        """Another incarnation of an upstream has begun."""
+        self._limits.pop(upstream, None)
 
     def _note(
         self, upstream: str, per_s: float | None, heard_at: float, now: float
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -383,3 +383,27 @@
     directory.offer(record("u1", seq=2, leaving=leaving), 1.0)
     view.ended("u1", load, 2.0, "refused")
     assert len(view.ended_incarnations) == int(not leaving)
+
+
+def test_a_limit_holds_while_the_announcement_of_its_upstream_lapses() -> None:
+    directory = Directory()
+    view = upstreams(directory)
+    directory.offer(record("u1", lease_s=2.0), 0.0)
+    directory.offer(record("u2"), 0.0)
+    assert names(view, None, 0.0).keys() == {"u1", "u2"}
+    view.limited("u1", 0.0, 0.5)
+    assert names(view, None, 4.0).keys() == {"u2"}
+    view.sweep(5.0)
+    directory.offer(record("u1", seq=2), 6.0)
+    assert names(view, None, 6.0).keys() == {"u2"}
+
+
+def test_a_limit_is_not_that_of_the_next_incarnation() -> None:
+    directory = Directory()
+    view = upstreams(directory)
+    directory.offer(record("u1", incarnation="1"), 0.0)
+    assert names(view, None, 0.0).keys() == {"u1"}
+    view.limited("u1", 0.0, 0.5)
+    assert names(view, None, 1.0).keys() == set()
+    directory.offer(record("u1", incarnation="2"), 1.0)
+    assert names(view, None, 1.0).keys() == {"u1"}
