--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -285,7 +285,8 @@
             known.update(record.name for record in view.records)
         self.limits.retain(known, now)
         for name in self._loads.keys() - known:
-            del self._loads[name]
+            if not self._loads[name].outlasts_record(now):
+                del self._loads[name]
         for name in self._incarnations.keys() - known:
             del self._incarnations[name]
         for address, name in list(self._at_address.items()):
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -22,6 +22,9 @@
 """After a failure to connect an upstream is left alone for the first time, doubled by
 each further one up to the other: a restart takes one to some seconds."""
 
+LEAVING_KEPT_S = 60.0
+"""An upstream that leaves has ended within this time."""
+
 ERROR_SMOOTHING = 0.15
 """Weight of the newest answer in the share of failures; about the last seven count."""
 
@@ -133,6 +136,12 @@
         """Whether the upstream has said in an answer that it leaves."""
         return self.leaving_since is not None
 
+    def outlasts_record(self, now: float) -> bool:
+        """Whether what the upstream asked for still holds if its record lapses."""
+        if self.leaving_since is not None:
+            return now < self.leaving_since + LEAVING_KEPT_S
+        return now < self.rest_until
+
     @property
     def failures(self) -> int:
         """How often in a row the upstream could not be reached."""
