Start nothing at a sidecar while its upstream rests

Its pace now has the rest as well; what would be late by it is refused when it is offered. The test fails on the commit before: a second request follows at once, 0.8 s were asked for.

--- a/gooseberrydale/connection/upstream_api.py
+++ b/gooseberrydale/connection/upstream_api.py
@@ -19,6 +19,8 @@
 CALL_TIMEOUT_S = 2.0
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 LIMIT_HEADER = "x-limit-per-s"
+RETRY_AFTER = "retry-after"
+STATUS_UNAVAILABLE = 503
 JSON_HEADERS = (("content-type", "application/json"),)
 
 
@@ -67,17 +69,31 @@
     keys: tuple[str, ...] = ()
 
 
-def named_limit(headers: Headers) -> float | None:
-    """The requests a second that the head of an answer names as a limit.
+@dataclass(frozen=True, slots=True)
+class Needs:
+    """What an upstream that is short of capacity asks for with an answer.
 
-    None if it names none, or not a number of 0 or more.
+    ``limit_per_s`` is the rate of requests that it takes, ``rest_s`` for how many
+    seconds it wants none; None if it doesn't say so.
     """
-    value = next((value for name, value in headers if name == LIMIT_HEADER), "")
+
+    limit_per_s: float | None = None
+    rest_s: float | None = None
+
+
+def needs_of(status: int, headers: Headers) -> Needs:
+    """What the head of an answer asks for; what can't be read is left out."""
+    found = dict(headers)
+    rest = found.get(RETRY_AFTER) if status == STATUS_UNAVAILABLE else None
+    return Needs(_number(found.get(LIMIT_HEADER)), _number(rest))
+
+
+def _number(value: str | None) -> float | None:
     try:
-        per_s = float(value)
+        number = math.nan if value is None else float(value)
     except ValueError:
         return None
-    return per_s if math.isfinite(per_s) and per_s >= 0.0 else None
+    return number if math.isfinite(number) and number >= 0.0 else None
 
 
 async def call(
--- a/gooseberrydale/process/sidecar/attempt.py
+++ b/gooseberrydale/process/sidecar/attempt.py
@@ -45,7 +45,7 @@
         self.task: asyncio.Task[None] | None = None
         self.cached_tokens = 0
         self.started_at = 0.0
-        self.on_head: Callable[[Headers], None] | None = None
+        self.on_head: Callable[[int, Headers], None] | None = None
         self.on_first_part: Callable[[], None] | None = None
         self.ended = False
         self.readers = 0
@@ -77,7 +77,7 @@
         self._status = status
         self._headers = headers
         if self.on_head is not None:
-            self.on_head(headers)
+            self.on_head(status, headers)
         self._news.set()
 
     async def write(self, events: Sequence[bytes]) -> None:
--- a/gooseberrydale/process/sidecar/dispatcher.py
+++ b/gooseberrydale/process/sidecar/dispatcher.py
@@ -21,6 +21,7 @@
     Load,
     Refused,
 )
+from gooseberrydale.connection.upstream_api import Needs
 from gooseberrydale.errors import (
     INTERNAL,
     OUTCOME_UNKNOWN,
@@ -152,9 +153,11 @@
 
     # What the sidecar itself orders.
 
-    def limit(self, per_s: float | None) -> None:
-        """The upstream names a limit of its rate in an answer, or none."""
-        self.admission.limit(per_s, _now())
+    def note_needs(self, needs: Needs) -> None:
+        """An answer of the upstream tells what it takes."""
+        self.admission.limit(needs.limit_per_s, _now())
+        if needs.rest_s is not None:
+            self.admission.rest(needs.rest_s, _now())
         self._arm_timer()
 
     async def drain(self, bound_s: float) -> None:
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -17,7 +17,7 @@
 from gooseberrydale.connection.control_messages import FenceReply, ReadFenceReq
 from gooseberrydale.connection.mesh import SIDECAR_ROLE, UpstreamRecord
 from gooseberrydale.connection.rpc import ORDER, RpcServer
-from gooseberrydale.connection.upstream_api import LoadReply, named_limit
+from gooseberrydale.connection.upstream_api import LoadReply, needs_of
 from gooseberrydale.connection.upstream_reply import Headers
 from gooseberrydale.errors import Problem
 from gooseberrydale.process.cfg import Cfg, SidecarCfg
@@ -255,8 +255,8 @@
             # An upstream that has ended may be back before the next look.
             self._watch.look_now()
 
-    def _heard(self, headers: Headers) -> None:
-        self.dispatcher.limit(named_limit(headers))
+    def _heard(self, status: int, headers: Headers) -> None:
+        self.dispatcher.note_needs(needs_of(status, headers))
 
     def _first_part(self, attempt: Attempt, running: Running) -> None:
         running.run.answering = True
--- a/gooseberrydale/request/admission.py
+++ b/gooseberrydale/request/admission.py
@@ -136,6 +136,10 @@
         """Start ``per_s`` attempts a second at most; None without a limit."""
         self._pace.limit(per_s, now)
 
+    def rest(self, for_s: float, now: float) -> None:
+        """Start nothing for a time, as the upstream asks for."""
+        self._pace.rest(for_s, now)
+
     def next_start(self, now: float) -> float | None:
         """Return when :meth:`start_due` has work; None if that takes a free slot."""
         if not self._queue or not self._has_slot():
--- a/gooseberrydale/request/pace.py
+++ b/gooseberrydale/request/pace.py
@@ -1,11 +1,13 @@
-"""Spaces the starts of work at one upstream by the limit that it names.  Pure.
+"""Spaces the starts of work at one upstream as it asks for.  Pure.
 
-A token bucket.  It begins empty when a limit is named: what the upstream got before is
-not counted.
+A token bucket keeps the limit of its rate.  It begins empty when a limit is named: what
+the upstream got before is not counted.  While the upstream rests, nothing starts.
 """
 
 from __future__ import annotations
 
+import math
+
 AT_ONCE = 2.0
 """Requests that may be saved up, beside those of a second."""
 
@@ -20,6 +22,11 @@
         self._per_s: float | None = None
         self._level = 0.0
         self._filled_at = 0.0
+        self._rest_until = -math.inf
+
+    def rest(self, for_s: float, now: float) -> None:
+        """The upstream wants no work for a time."""
+        self._rest_until = max(self._rest_until, now + for_s)
 
     def limit(self, per_s: float | None, now: float) -> None:
         """The upstream takes ``per_s`` requests a second; any number if it is None."""
@@ -33,10 +40,11 @@
 
     def wait_s(self, now: float, ahead: int = 0) -> float:
         """Seconds until work may start that has ``ahead`` others before it."""
+        rest_s = max(0.0, self._rest_until - now)
         if self._per_s is None:
-            return 0.0
+            return rest_s
         self._fill(now)
-        return max(0.0, (ahead + 1.0 - self._level) / self._per_s)
+        return max(rest_s, (ahead + 1.0 - self._level) / self._per_s)
 
     def start(self, now: float) -> None:
         """Work starts."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -480,3 +480,26 @@
             await asyncio.gather(*sent, return_exceptions=True)
 
     run(main())
+
+
+def test_an_upstream_that_asks_for_rest_gets_nothing_through_its_sidecar(
+    tmp_path: pathlib.Path,
+) -> None:
+    arrivals: list[float] = []
+
+    async def turn_away(_req: Request, writer: Writer) -> None:
+        arrivals.append(asyncio.get_running_loop().time())
+        head = "HTTP/1.1 503 Busy\r\nretry-after: 0.8\r\ncontent-length: 0\r\n\r\n"
+        writer.write(head.encode())
+        await writer.drain()
+
+    async def main() -> None:
+        async with bench(tmp_path, turn_away, kind="service") as made:
+            await frames_of(made.dispatch(request_id="first"))
+            late = await frames_of(made.dispatch(request_id="late", deadline_s=0.5))
+            assert isinstance(late[0], Refused) and late[0].problem.not_run
+            await frames_of(made.dispatch(request_id="second"))
+        first, second = arrivals
+        assert second - first >= 0.8
+
+    run(main())
