Name backpressure of upstreams as the field does

Back off, retry-after and backpressure in place of rests and needs, in code, log events and tests; tests are renamed and otherwise unchanged.

--- a/gooseberrydale/connection/upstream_api.py
+++ b/gooseberrydale/connection/upstream_api.py
@@ -70,22 +70,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Needs:
+class Backpressure:
     """What an upstream that is short of capacity asks for with an answer.
 
-    ``limit_per_s`` is the rate of requests that it takes, ``rest_s`` for how many
-    seconds it wants none; None if it doesn't say so.
+    ``limit_per_s`` is the rate of requests that it takes, ``retry_after_s`` for how long
+    it wants none; None if it doesn't say so.
     """
 
     limit_per_s: float | None = None
-    rest_s: float | None = None
+    retry_after_s: float | None = None
 
 
-def needs_of(status: int, headers: Headers) -> Needs:
+def backpressure_of(status: int, headers: Headers) -> Backpressure:
     """What the head of an answer asks for; what can't be read is left out."""
     found = dict(headers)
-    rest = found.get(RETRY_AFTER) if status == STATUS_UNAVAILABLE else None
-    return Needs(_number(found.get(LIMIT_HEADER)), _number(rest))
+    retry_after = found.get(RETRY_AFTER) if status == STATUS_UNAVAILABLE else None
+    return Backpressure(_number(found.get(LIMIT_HEADER)), _number(retry_after))
 
 
 def _number(value: str | None) -> float | None:
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -153,7 +153,7 @@
     """
 
     NAME: ClassVar[str] = "upstream_limited"
-    TEXT: ClassVar[str] = "upstream limits its rate"
+    TEXT: ClassVar[str] = "upstream names another rate limit"
 
     upstream: str
     per_s: float | None
@@ -161,11 +161,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UpstreamResting(LogEvent):
-    """An upstream turned a request away and wants none from here for a time."""
+class UpstreamBackoff(LogEvent):
+    """An upstream refused a request and wants none from this process for a time."""
 
-    NAME: ClassVar[str] = "upstream_resting"
-    TEXT: ClassVar[str] = "upstream asks for rest"
+    NAME: ClassVar[str] = "upstream_backoff"
+    TEXT: ClassVar[str] = "upstream asks to back off"
 
     upstream: str
     for_ms: float
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -199,7 +199,7 @@
         if head.load is not None:
             load.reported(head.load, _now())
         if head.instance in (None, record.name):
-            self._note_needs(head, record)
+            self._note_backpressure(head, record)
         if head.not_run:
             return await self._take_refusal(conn, head, record)
         if not head.ok:
@@ -215,12 +215,12 @@
         self._parts.upstreams.ended_incarnations.answered(job.fingerprint, _now())
         return None
 
-    def _note_needs(self, head: AnswerHead, record: UpstreamRecord) -> None:
+    def _note_backpressure(self, head: AnswerHead, record: UpstreamRecord) -> None:
         """Note what an upstream that is short of capacity asks for."""
         upstreams = self._parts.upstreams
         upstreams.limited(record.name, head.limit_per_s, _now())
-        if head.rest_s is not None:
-            upstreams.asked_for_rest(record.name, head.rest_s, _now())
+        if head.retry_after_s is not None:
+            upstreams.back_off(record.name, head.retry_after_s, _now())
         if head.leaving:
             upstreams.leaving(record.name, _now())
 
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -12,10 +12,10 @@
 
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
 from gooseberrydale.log_events import (
+    UpstreamBackoff,
     UpstreamEnded,
     UpstreamLeaving,
     UpstreamLimited,
-    UpstreamResting,
     emit,
 )
 from gooseberrydale.request.fingerprint import shown
@@ -258,10 +258,10 @@
         if per_s != before_per_s:
             emit(UpstreamLimited(name, per_s, before_per_s))
 
-    def asked_for_rest(self, name: str, for_s: float, now: float) -> None:
-        """An upstream wants no request from this gateway for a time."""
-        self.load_of(name).rest(now, for_s)
-        emit(UpstreamResting(name, round(for_s * MS_PER_S, 1)))
+    def back_off(self, name: str, for_s: float, now: float) -> None:
+        """An upstream wants no request from this gateway for ``for_s`` seconds."""
+        self.load_of(name).back_off(now, for_s)
+        emit(UpstreamBackoff(name, round(for_s * MS_PER_S, 1)))
 
     def leaving(self, name: str, now: float) -> None:
         """An answer of an upstream says that it leaves."""
@@ -334,8 +334,8 @@
 
     def _turn_s(self, record: UpstreamRecord, now: float) -> float:
         """Seconds until an upstream takes a request of this gateway."""
-        rest_s = self.load_of(record.name).rest_until - now
-        return max(rest_s, self.limits.wait_s(record.name, now))
+        backoff_s = self.load_of(record.name).backoff_until - now
+        return max(backoff_s, self.limits.wait_s(record.name, now))
 
     def _may_stay(self, record: UpstreamRecord, now: float) -> bool:
         newest = self._directory.get(record.name, now)
--- a/gooseberrydale/process/sidecar/dispatcher.py
+++ b/gooseberrydale/process/sidecar/dispatcher.py
@@ -21,7 +21,7 @@
     Load,
     Refused,
 )
-from gooseberrydale.connection.upstream_api import Needs
+from gooseberrydale.connection.upstream_api import Backpressure
 from gooseberrydale.errors import (
     INTERNAL,
     OUTCOME_UNKNOWN,
@@ -153,11 +153,11 @@
 
     # What the sidecar itself orders.
 
-    def note_needs(self, needs: Needs) -> None:
+    def note_backpressure(self, asked: Backpressure) -> None:
         """An answer of the upstream tells what it takes."""
-        self.admission.limit(needs.limit_per_s, _now())
-        if needs.rest_s is not None:
-            self.admission.rest(needs.rest_s, _now())
+        self.admission.limit(asked.limit_per_s, _now())
+        if asked.retry_after_s is not None:
+            self.admission.back_off(asked.retry_after_s, _now())
         self._arm_timer()
 
     async def drain(self, bound_s: float) -> None:
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -17,7 +17,7 @@
 from gooseberrydale.connection.control_messages import FenceReply, ReadFenceReq
 from gooseberrydale.connection.mesh import SIDECAR_ROLE, UpstreamRecord
 from gooseberrydale.connection.rpc import ORDER, RpcServer
-from gooseberrydale.connection.upstream_api import LoadReply, needs_of
+from gooseberrydale.connection.upstream_api import LoadReply, backpressure_of
 from gooseberrydale.connection.upstream_reply import Headers
 from gooseberrydale.errors import Problem
 from gooseberrydale.process.cfg import Cfg, SidecarCfg
@@ -256,7 +256,7 @@
             self._watch.look_now()
 
     def _heard(self, status: int, headers: Headers) -> None:
-        self.dispatcher.note_needs(needs_of(status, headers))
+        self.dispatcher.note_backpressure(backpressure_of(status, headers))
 
     def _first_part(self, attempt: Attempt, running: Running) -> None:
         running.run.answering = True
--- a/gooseberrydale/request/admission.py
+++ b/gooseberrydale/request/admission.py
@@ -1,11 +1,11 @@
 """Decides when work starts at one upstream, and what is refused at once.
 
-At most ``max_running`` attempts run and at most ``max_queued`` wait; none starts sooner
-than the upstream's own limit allows.  Higher
-priorities start first; within a priority workspaces share by start-time fair
-queueing on estimated tokens.  Work that can't meet its deadline is refused when it
-is offered, or as soon as that becomes certain, with a time to come back.  Pure
-state of one sidecar's gate; it lives as long as the sidecar's incarnation.
+At most ``max_running`` attempts run and at most ``max_queued`` wait; they start no
+faster than the upstream asks for.  Higher priorities start first; within a priority
+workspaces share by start-time fair queueing on estimated tokens.  Work that can't meet
+its deadline is refused when it is offered, or as soon as that becomes certain, with a
+time to retry.  Pure state of one sidecar's gate; it lives as long as the sidecar's
+incarnation.
 """
 
 from __future__ import annotations
@@ -136,9 +136,9 @@
         """Start ``per_s`` attempts a second at most; None without a limit."""
         self._pace.limit(per_s, now)
 
-    def rest(self, for_s: float, now: float) -> None:
+    def back_off(self, for_s: float, now: float) -> None:
         """Start nothing for a time, as the upstream asks for."""
-        self._pace.rest(for_s, now)
+        self._pace.back_off(for_s, now)
 
     def next_start(self, now: float) -> float | None:
         """Return when :meth:`start_due` has work; None if that takes a free slot."""
--- a/gooseberrydale/request/gateway_call.py
+++ b/gooseberrydale/request/gateway_call.py
@@ -108,9 +108,9 @@
     ``instance`` is the incarnation of an upstream that says so, if it tells.  Without
     ``signed`` the answer is not the upstream's own.  ``headers`` go to the caller.
     ``limit_per_s`` is the rate of requests that the upstream takes from all gateways
-    together, None if it names none.  ``rest_s`` is for how many seconds it wants no
-    request from this gateway, None if it doesn't say so; ``leaving`` that it will end
-    and takes no new work.
+    together, None if it names none.  ``retry_after_s`` is for how long it wants none
+    from this gateway, None if it doesn't say so; ``leaving`` that it takes no new ones,
+    as it will end.
     """
 
     status: int
@@ -122,7 +122,7 @@
     encoded: bool = False
     load: ReportedLoad | None = None
     limit_per_s: float | None = None
-    rest_s: float | None = None
+    retry_after_s: float | None = None
     leaving: bool = False
 
     @property
--- a/gooseberrydale/request/pace.py
+++ b/gooseberrydale/request/pace.py
@@ -1,7 +1,7 @@
 """Spaces the starts of work at one upstream as it asks for.  Pure.
 
 A token bucket keeps the limit of its rate.  It begins empty when a limit is named: what
-the upstream got before is not counted.  While the upstream rests, nothing starts.
+the upstream got before is not counted.  Nothing starts while the upstream wants none.
 """
 
 from __future__ import annotations
@@ -22,11 +22,11 @@
         self._per_s: float | None = None
         self._level = 0.0
         self._filled_at = 0.0
-        self._rest_until = -math.inf
+        self._backoff_until = -math.inf
 
-    def rest(self, for_s: float, now: float) -> None:
+    def back_off(self, for_s: float, now: float) -> None:
         """The upstream wants no work for a time."""
-        self._rest_until = max(self._rest_until, now + for_s)
+        self._backoff_until = max(self._backoff_until, now + for_s)
 
     def limit(self, per_s: float | None, now: float) -> None:
         """The upstream takes ``per_s`` requests a second; any number if it is None."""
@@ -40,11 +40,11 @@
 
     def wait_s(self, now: float, ahead: int = 0) -> float:
         """Seconds until work may start that has ``ahead`` others before it."""
-        rest_s = max(0.0, self._rest_until - now)
+        backoff_s = max(0.0, self._backoff_until - now)
         if self._per_s is None:
-            return rest_s
+            return backoff_s
         self._fill(now)
-        return max(rest_s, (ahead + 1.0 - self._level) / self._per_s)
+        return max(backoff_s, (ahead + 1.0 - self._level) / self._per_s)
 
     def start(self, now: float) -> None:
         """Work starts."""
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -64,7 +64,7 @@
         self.suspect_until = -math.inf
         self.avoid_until = -math.inf
         self.told_to_avoid = False
-        self.rest_until = -math.inf
+        self.backoff_until = -math.inf
         self.leaving_since: float | None = None
         self.error_share = 0.0
         self.silence = Silence()
@@ -121,9 +121,9 @@
         self.avoid_until = max(self.avoid_until, now + for_s)
         self.told_to_avoid = told
 
-    def rest(self, now: float, for_s: float) -> None:
-        """The upstream wants no request from this process for a time."""
-        self.rest_until = max(self.rest_until, now + for_s)
+    def back_off(self, now: float, for_s: float) -> None:
+        """The upstream wants no request from this process for ``for_s`` seconds."""
+        self.backoff_until = max(self.backoff_until, now + for_s)
 
     def leaves(self, now: float) -> bool:
         """The upstream says that it leaves; return whether that is new."""
@@ -140,7 +140,7 @@
         """Whether what the upstream asked for still holds if its record lapses."""
         if self.leaving_since is not None:
             return now < self.leaving_since + LEAVING_KEPT_S
-        return now < self.rest_until
+        return now < self.backoff_until
 
     @property
     def failures(self) -> int:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -129,7 +129,9 @@
             not_run=b"not-run" in found,
             encoded=b"content-encoding" in found,
             limit_per_s=float(found[b"limit"]) if b"limit" in found else None,
-            rest_s=float(found[b"rest"]) if b"rest" in found else None,
+            retry_after_s=(
+                float(found[b"retry-after"]) if b"retry-after" in found else None
+            ),
             leaving=b"leaving" in found,
         )
 
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -409,17 +409,17 @@
     assert names(view, None, 1.0).keys() == {"u1"}
 
 
-@pytest.mark.parametrize("need", ["rest", "leaving"])
+@pytest.mark.parametrize("asked", ["back off", "leaving"])
 def test_what_an_upstream_asked_for_holds_while_its_announcement_lapses(
-    need: str,
+    asked: str,
 ) -> None:
     directory = Directory()
     view = upstreams(directory)
     directory.offer(record("u1", lease_s=2.0), 0.0)
     directory.offer(record("u2"), 0.0)
     assert names(view, None, 0.0).keys() == {"u1", "u2"}
-    if need == "rest":
-        view.asked_for_rest("u1", 8.0, 0.5)
+    if asked == "back off":
+        view.back_off("u1", 8.0, 0.5)
     else:
         view.leaving("u1", 0.5)
     assert names(view, None, 4.0).keys() == {"u2"}
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -482,7 +482,7 @@
     run(main())
 
 
-def test_an_upstream_that_asks_for_rest_gets_nothing_through_its_sidecar(
+def test_a_sidecar_sends_nothing_while_its_upstream_asks_to_back_off(
     tmp_path: pathlib.Path,
 ) -> None:
     arrivals: list[float] = []
--- a/tests/test_upstream_rest.py
+++ b/tests/test_upstream_backoff.py
@@ -1,4 +1,4 @@
-"""Upstreams that turn requests away and want nothing from a gateway for a time."""
+"""Upstreams that refuse a request and want none from the gateway for a time."""
 
 from __future__ import annotations
 
@@ -21,15 +21,15 @@
 from tests.builders_logs import logged
 from tests.sidecar_bench import run
 
-REST_S = 3.0
+BACKOFF_S = 3.0
 SETTLE_S = 0.5
 """Requests that were under way may still come for so long."""
 
-REFUSAL = f"signed: 1\r\nnot-run: 1\r\nrest: {REST_S}"
+REFUSAL = f"signed: 1\r\nnot-run: 1\r\nretry-after: {BACKOFF_S}"
 
 
-class RestingUpstream:
-    """Turns all requests away, each with a wish for rest, while ``is_short``."""
+class BusyUpstream:
+    """Refuses all requests with a time to back off, while ``is_short``."""
 
     def __init__(self, name: str, refusal: str = REFUSAL) -> None:
         self.server = RawUpstream(name, self._serve)
@@ -45,61 +45,61 @@
         else:
             writer.write(answer_bytes(req["id"], body))
 
-    def most_in_a_rest(self) -> int:
-        """The most requests that came in the rest after one that was turned away."""
+    def most_in_a_backoff(self) -> int:
+        """The most requests that came in such a time after one that was refused."""
         return max(
-            sum(at + SETTLE_S < other <= at + REST_S for other in self.arrivals)
+            sum(at + SETTLE_S < other <= at + BACKOFF_S for other in self.arrivals)
             for at in self.arrivals
         )
 
 
-def test_the_wish_for_rest_is_logged() -> None:
+def test_the_time_to_back_off_is_logged() -> None:
     async def main() -> None:
-        resting, other = RestingUpstream("u1"), LimitedUpstream("u2")
-        with logged("upstream_resting") as lines:
+        busy, other = BusyUpstream("u1"), LimitedUpstream("u2")
+        with logged("upstream_backoff") as lines:
             async with running_gateway(
-                declared(), resting.server, other.server
+                declared(), busy.server, other.server
             ) as gateway:
-                while not resting.arrivals:
+                while not busy.arrivals:
                     assert (await call(gateway)).status == 200
         assert lines == [{"upstream": "u1", "for_ms": 3_000.0}]
 
     run(main())
 
 
-def test_an_upstream_that_asks_for_rest_gets_no_requests_until_it_is_over() -> None:
+def test_an_upstream_gets_no_requests_while_it_asks_to_back_off() -> None:
     async def main() -> None:
-        resting, other = RestingUpstream("u1"), LimitedUpstream("u2")
-        async with running_gateway(declared(), resting.server, other.server) as gateway:
+        busy, other = BusyUpstream("u1"), LimitedUpstream("u2")
+        async with running_gateway(declared(), busy.server, other.server) as gateway:
             for number in range(100):
                 got = await call(gateway, request_id=f"r{number}")
                 assert got.status == 200
                 await asyncio.sleep(0.04)
-        assert resting.most_in_a_rest() <= 2
+        assert busy.most_in_a_backoff() <= 2
 
     run(main())
 
 
-@pytest.mark.parametrize("refusal", [REFUSAL, f"rest: {REST_S}"])
-def test_a_rest_is_kept_whether_or_not_the_request_is_said_to_have_run(
+@pytest.mark.parametrize("refusal", [REFUSAL, f"retry-after: {BACKOFF_S}"])
+def test_the_time_is_kept_whether_or_not_the_request_is_said_to_have_run(
     refusal: str,
 ) -> None:
     async def main() -> None:
-        resting = RestingUpstream("u1", refusal)
+        busy = BusyUpstream("u1", refusal)
         other = LimitedUpstream("u2")
         document = declared(route(repeatable=True, max_runs=2))
-        async with running_gateway(document, resting.server, other.server) as gateway:
+        async with running_gateway(document, busy.server, other.server) as gateway:
             for number in range(40):
                 await call(gateway, method="GET", request_id=f"r{number}")
-        assert len(resting.arrivals) == 1
+        assert len(busy.arrivals) == 1
 
     run(main())
 
 
-def test_who_finds_all_upstreams_at_rest_is_refused_at_once() -> None:
+def test_who_finds_all_upstreams_backed_off_is_refused_at_once() -> None:
     async def main() -> None:
-        resting = RestingUpstream("u1")
-        async with running_gateway(declared(), resting.server) as gateway:
+        busy = BusyUpstream("u1")
+        async with running_gateway(declared(), busy.server) as gateway:
             await call(gateway)
             loop = asyncio.get_running_loop()
             began = loop.time()
@@ -108,23 +108,23 @@
             assert got.status == 503 and float(got.headers["retry-after"]) > 0.0
             error = plain(got)["error"]
             assert (error["code"], error["not_run"]) == ("no_room", True)
-            assert len(resting.arrivals) == 1
+            assert len(busy.arrivals) == 1
 
     run(main())
 
 
-def test_a_rest_ends_and_is_not_that_of_the_next_incarnation() -> None:
+def test_the_time_ends_and_is_not_that_of_the_next_incarnation() -> None:
     async def main() -> None:
-        resting = RestingUpstream("u1", "signed: 1\r\nnot-run: 1\r\nrest: 0.4")
-        async with running_gateway(declared(), resting.server) as gateway:
+        busy = BusyUpstream("u1", "signed: 1\r\nnot-run: 1\r\nretry-after: 0.4")
+        async with running_gateway(declared(), busy.server) as gateway:
             await call(gateway)
-            resting.is_short = False
+            busy.is_short = False
             assert (await call(gateway, request_id="r2")).status == 200
-            first, second = resting.arrivals
+            first, second = busy.arrivals
             assert second - first >= 0.4
             now = asyncio.get_running_loop().time()
-            gateway._upstreams.asked_for_rest("u1", 60.0, now)
-            again = record("u1", incarnation="2", address=resting.server.address)
+            gateway._upstreams.back_off("u1", 60.0, now)
+            again = record("u1", incarnation="2", address=busy.server.address)
             gateway.directory.offer(again, now)
             assert (await call(gateway, request_id="r3")).status == 200
 
