--- a/gooseberrydale/connection/upstream_api.py
+++ b/gooseberrydale/connection/upstream_api.py
@@ -73,8 +73,8 @@
 class Backpressure:
     """What an upstream that is short of capacity asks for with an answer.
 
-    ``limit_per_s`` is the rate of requests that it takes, ``retry_after_s`` for how long
-    it wants none; None if it doesn't say so.
+    ``limit_per_s`` is the rate of requests that it takes, ``retry_after_s`` is for how
+    long it wants none; None if it doesn't say so.
     """
 
     limit_per_s: float | None = None
