--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -26,7 +26,10 @@
     StoreFound,
     StoreLost,
     UpstreamBack,
+    UpstreamBackoff,
     UpstreamEnded,
+    UpstreamLeaving,
+    UpstreamLimited,
     UpstreamRetired,
     UpstreamSuspected,
     WeightsNamed,
@@ -45,6 +48,8 @@
     for one in (
         *(DocumentInForce, Draining, Drained, Serving),
         *(StoreFound, StoreLost, WeightsNamed),
+        # Why a request that was sent nowhere found no upstream.
+        *(UpstreamBackoff, UpstreamLeaving, UpstreamLimited),
     )
 )
 _OF_UPSTREAM = frozenset(
@@ -66,7 +71,7 @@
     "ended_upstreams": "upstreams ended while they ran it; it may have run in part",
     "broken": "its stream broke off and could not go on elsewhere",
     "no_upstream": "no upstream was known that could take it",
-    "no_room": "every upstream would have answered too late",
+    "no_room": "every upstream would have answered too late, or took none for now",
     "over_quota": "its workspace was over its quota",
     "not_ready": "the gateway knew no document yet",
     "shutting_down": "the gateway was about to stop and sent it elsewhere",
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -84,6 +84,20 @@
     assert list(told(story(read([ended]), "other"))) == ["no line bears the id other"]
 
 
+def test_who_found_no_room_is_told_which_upstreams_took_none() -> None:
+    texts = [
+        request(20.0, "no_room", status=503, sends=[]),
+        line(18.0, "g1", "upstream_limited", upstream="u1", per_s=1.6),
+        line(18.5, "g1", "upstream_backoff", upstream="u2", for_ms=3000.0),
+        line(19.0, "g1", "upstream_leaving", upstream="u3"),
+        line(19.0, "g2", "upstream_leaving", upstream="u4"),
+    ]
+    found = story(read(texts), "r1")
+    assert [one.event for one in found.lines] == [
+        *("upstream_limited", "upstream_backoff", "upstream_leaving", "request"),
+    ]
+
+
 def test_who_is_quarantined_is_told_which_upstreams_ended_however_long_ago() -> None:
     ended = {"waiting": ["req-a", "req-b"], "answering": []}
     texts = [
