Model gateways that are replaced, which see the fleet differently for a time

The bound of a limit has room for that; now it is tested: up to a third of the gateways replaced at once, eight times in a row, seen by the others after 0.05 to 2 s each and kept as members for 12 s after their end.

--- a/tests/builders_limit_fleet.py
+++ b/tests/builders_limit_fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -24,6 +25,12 @@
 ALONE_S = 1.0
 """A gateway that has just started knows no other one for so long."""
 
+LEASE_S = 12.0
+"""A gateway that is gone is known to the others for so long."""
+
+SEEN_S = (0.05, 2.0)
+"""The others know a new gateway after this time, each after one of its own."""
+
 UPSTREAM = "u1"
 
 
@@ -31,6 +38,7 @@
 class Node:
     """One gateway; ``known_at`` is when it first knew of the limit."""
 
+    peer: GatewayPeer
     limits: UpstreamLimits
     started_at: float
     known_at: float | None = None
@@ -56,26 +64,53 @@
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
-        self._peers = [
-            GatewayPeer(f"g{i}", f"h{i}:1", f"z{i % 6}") for i in range(self.size)
+        # Each gateway that ever was, and the times between which it is announced.
+        self._announced: dict[GatewayPeer, tuple[float, float]] = {}
+        self._names = 0
+        self.nodes = [
+            self._node(self._new_peer(-60.0), -60.0) for _ in range(self.size)
         ]
-        self.nodes = [self._node(i, -60.0) for i in range(self.size)]
         self._answers: list[tuple[float, Node, float | None]] = []
 
-    def _node(self, number: int, started_at: float) -> Node:
-        peer = self._peers[number]
-        alone = Fleet(peer)
-        whole = Fleet(peer, tuple(one for one in self._peers if one is not peer))
+    def _new_peer(self, since: float) -> GatewayPeer:
+        name = f"g{self._names}"
+        peer = GatewayPeer(name, f"{name}:1", f"z{self._names % 6}")
+        self._names += 1
+        self._announced[peer] = since, math.inf
+        return peer
 
-        def fleet() -> Fleet:
-            return alone if self.now < started_at + ALONE_S else whole
+    def _node(self, peer: GatewayPeer, started_at: float) -> Node:
+        lag_s = self.rng.uniform(*SEEN_S)
+        known = Fleet(peer)
 
-        return Node(UpstreamLimits(fleet, min(8, self.size)), started_at)
+        def fleet() -> Fleet:
+            nonlocal known
+            if self.now < started_at + ALONE_S:
+                return known
+            others = tuple(
+                one
+                for one, (since, until) in self._announced.items()
+                if one is not peer and since + lag_s <= self.now <= until
+            )
+            if others != known.others:
+                known = Fleet(peer, others)
+            return known
+
+        limits = UpstreamLimits(fleet, min(8, self.size))
+        return Node(peer, limits, started_at)
 
     def restart(self, *numbers: int) -> None:
         """Let gateways start again, with an empty memory."""
         for number in numbers:
-            self.nodes[number] = self._node(number, self.now)
+            peer = self.nodes[number].peer
+            self.nodes[number] = self._node(peer, self.now)
+
+    def replace(self, *numbers: int) -> None:
+        """Let other gateways take the place of some, which end without a word."""
+        for number in numbers:
+            gone = self.nodes[number].peer
+            self._announced[gone] = self._announced[gone][0], self.now + LEASE_S
+            self.nodes[number] = self._node(self._new_peer(self.now), self.now)
 
     def run(self, for_s: float) -> None:
         """Let time go on."""
--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -69,6 +69,20 @@
     assert most_in_window(fleet.counted, EXCUSED_S) <= allowed(per_s)
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_no_window_holds_more_while_gateways_are_replaced(seed: int) -> None:
+    """The others learn of it at different times, so that they share unlike parts."""
+    rng = random.Random(seed)
+    size, per_s = rng.choice((8, 29, 70)), rng.choice((1.1, 1.6, 7.0))
+    fleet = LimitFleet(size, seed, evenly(60.0, size), loss=0.05)
+    fleet.per_s = per_s
+    fleet.run(4.0)
+    for _ in range(8):
+        fleet.replace(*rng.sample(range(size), rng.choice((1, 2, size // 3))))
+        fleet.run(rng.uniform(0.2, 4.0))
+    assert most_in_window(fleet.counted, EXCUSED_S) <= allowed(per_s)
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_most_of_what_an_upstream_takes_is_sent_to_it(size: int) -> None:
     """Callers at all gateways: none of the rate is left to gateways without any."""
