--- a/tests/builders_limits.py
+++ b/tests/builders_limits.py
@@ -76,10 +76,32 @@
 class Deployment:
     """Gateways that know each other before upstreams of one pool."""
 
-    gateways: list[Gateway]
-    upstreams: list[LimitedUpstream]
+    document: Declared
+    control: Member
+    stack: AsyncExitStack
+    gateways: list[Gateway] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
 
+    async def add_gateway(
+        self, *upstreams: LimitedUpstream, gateways: int = 1
+    ) -> Gateway:
+        """Start one more gateway that no request comes to; the first one starts
+        ``upstreams`` and announces them."""
+        gateway = await self.stack.enter_async_context(
+            running_gateway(
+                self.document,
+                *(one.server for one in upstreams),
+                name=f"g{len(self.gateways)}",
+                controls=(self.control.address,),
+                gateways=gateways,
+            )
+        )
+        for first in self.gateways[:1]:
+            now = asyncio.get_running_loop().time()
+            for record in first.directory.records(now):
+                gateway.directory.offer(record, now)
+        return gateway
+
     async def load(self, per_s: float, for_s: float) -> None:
         """Send requests to the gateways in turn, at an even pace."""
         async with asyncio.TaskGroup() as group:
@@ -101,24 +123,11 @@
     async with AsyncExitStack() as stack:
         control = await Member("control", "c1", token="").start()
         stack.push_async_callback(control.close)
-        found = Deployment([], list(upstreams))
+        found = Deployment(document, control, stack)
         for number in range(gateways):
-            servers = [one.server for one in upstreams] if number == 0 else []
-            gateway = await stack.enter_async_context(
-                running_gateway(
-                    document,
-                    *servers,
-                    name=f"g{number}",
-                    controls=(control.address,),
-                    gateways=gateways,
-                )
-            )
+            started = upstreams if number == 0 else ()
+            gateway = await found.add_gateway(*started, gateways=gateways)
             found.gateways.append(gateway)
-        now = asyncio.get_running_loop().time()
-        [first, *others] = found.gateways
-        for record in first.directory.records(now):
-            for gateway in others:
-                gateway.directory.offer(record, now)
         await until(
             lambda: all(len(one._gateway_links()) == gateways for one in found.gateways)
         )
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -18,6 +18,7 @@
 )
 from tests.builders_limits import LimitedUpstream, allowed, deployment
 from tests.builders_logs import logged
+from tests.builders_mesh import until
 from tests.sidecar_bench import run
 
 
@@ -57,6 +58,19 @@
     run(main())
 
 
+def test_a_gateway_that_has_just_started_hears_of_a_limit_before_it_sends() -> None:
+    async def main() -> None:
+        limited, other = LimitedUpstream("u1", limit_per_s=20.0), LimitedUpstream("u2")
+        async with deployment(declared(), limited, other, gateways=3) as fleet:
+            await fleet.load(per_s=40.0, for_s=0.5)
+            newcomer = await fleet.add_gateway()
+            load = asyncio.create_task(fleet.load(per_s=40.0, for_s=3.0))
+            await until(lambda: newcomer._upstreams.limits.per_s("u1") == 20.0, 3.0)
+            await load
+
+    run(main())
+
+
 def test_who_can_not_be_served_in_time_is_refused_at_once() -> None:
     async def main() -> None:
         limited = LimitedUpstream("u1", limit_per_s=0.3)
