--- a/gooseberrydale/version/upstream_limits.py
+++ b/gooseberrydale/version/upstream_limits.py
@@ -33,10 +33,13 @@
 """For so long answers without a limit are reported to gateways that may have missed the
 first report."""
 
-
 FORGET_S = 60.0
 """Announcements that lapsed come back within this time; a limit holds all the while."""
 
+ALONE_AFTER_S = 60.0
+"""A gateway that hears of no other one any more still shares with those it knew for so
+long: all announcements lapse while control is away."""
+
 
 class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
     """What an answer of ``upstream`` named ``age_ms`` ago, None if no limit."""
@@ -94,6 +97,8 @@
         self._fleet = fleet
         self._least_gateways = least_gateways
         self._limits: dict[str, _Limit] = {}
+        self._shared_with: Fleet | None = None
+        self._shared_at = -math.inf
 
     def __len__(self) -> int:
         return sum(one.per_s is not None for one in self._limits.values())
@@ -153,6 +158,7 @@
 
     def retain(self, upstreams: Collection[str], now: float) -> None:
         """Forget the limits of upstreams that are not among these for some time."""
+        self._sharing_fleet(now)
         for name in self._limits.keys() - set(upstreams):
             if now > self._limits[name].heard_at + FORGET_S:
                 del self._limits[name]
@@ -191,7 +197,7 @@
         if one.per_s is None:
             return _NO_PART
         per_s = max(LEAST_PER_S, one.per_s)
-        fleet = self._fleet()
+        fleet = self._sharing_fleet(now)
         if fleet is not one.fleet:
             names = [fleet.own.name, *(peer.name for peer in fleet.others)]
             one.order = tuple(first_by_hash(names, upstream))
@@ -202,6 +208,15 @@
             return _NO_PART
         return _Part(per_s / senders, at_once / senders)
 
+    def _sharing_fleet(self, now: float) -> Fleet:
+        """The gateways to share limits with."""
+        fleet = self._fleet()
+        if fleet.others:
+            self._shared_with, self._shared_at = fleet, now
+        elif self._shared_with is not None and now < self._shared_at + ALONE_AFTER_S:
+            return self._shared_with
+        return fleet
+
     def _is_sender(self, one: _Limit, senders: int, per_s: float, now: float) -> bool:
         """Whether this gateway is among the ``senders`` whose turn it is."""
         assert one.fleet is not None
--- a/tests/builders_limit_fleet.py
+++ b/tests/builders_limit_fleet.py
@@ -49,7 +49,8 @@
     """Gateways, and an upstream that names ``per_s`` in its answers.
 
     ``callers`` says how many requests a second come to a gateway at a moment.
-    ``sends`` has the moments of all sends, ``counted`` those of bound gateways.
+    ``sends`` has the moments of all sends, ``counted`` those of bound gateways.  From
+    ``silent_from`` on no announcement is renewed, as if all of control were gone.
     """
 
     size: int
@@ -58,6 +59,7 @@
     per_s: float | None = None
     loss: float = 0.0
     now: float = 0.0
+    silent_from: float = math.inf
     sends: list[float] = field(default_factory=list)
     counted: list[float] = field(default_factory=list)
     bytes_sent: int = 0
@@ -92,6 +94,8 @@
                 for one, (since, until) in self._announced.items()
                 if one is not peer and since + lag_s <= self.now <= until
             )
+            if self.now >= self.silent_from + LEASE_S:
+                others = ()
             if others != known.others:
                 known = Fleet(peer, others)
             return known
@@ -148,6 +152,7 @@
         offset = number % round(LOOK_S / STEP_S)
         if round(self.now / STEP_S) % round(LOOK_S / STEP_S) != offset:
             return
+        node.limits.retain((UPSTREAM,), self.now)
         report = node.limits.due(self.now)
         if report is None:
             return
--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -83,6 +83,29 @@
     assert most_in_window(fleet.counted, EXCUSED_S) <= allowed(per_s)
 
 
+@pytest.mark.parametrize("size", SIZES)
+def test_no_window_holds_more_while_announcements_lapse(size: int) -> None:
+    """Control is gone for longer than a lease, so gateways seem to be alone."""
+    fleet = LimitFleet(size, 1, evenly(60.0, size))
+    fleet.per_s = 1.6
+    fleet.run(4.0)
+    fleet.silent_from = fleet.now
+    fleet.run(30.0)
+    assert most_in_window(fleet.counted, EXCUSED_S) <= allowed(1.6)
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_no_window_holds_more_after_all_start_at_once(size: int) -> None:
+    """Also counted from their start on, before they know each other."""
+    fleet = LimitFleet(size, 1, evenly(60.0, size))
+    fleet.per_s = 1.6
+    fleet.restart(*range(size))
+    fleet.run(1.0)
+    fleet.sends.clear()
+    fleet.run(12.0)
+    assert most_in_window(fleet.sends, 0.0) <= allowed(1.6)
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_most_of_what_an_upstream_takes_is_sent_to_it(size: int) -> None:
     """Callers at all gateways: none of the rate is left to gateways without any."""
