--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -270,7 +270,7 @@
 def test_a_quarantined_request_is_listed_and_released(run, control, capsys):
     digest = shown(request(1))
     for incarnation in ("u1", "u2", "u3"):
-        control.ended_incarnations.report(incarnation, lost(1), 1.0)
+        control.ended_incarnations.report(incarnation, lost(1), time.monotonic())
     assert run("request", "quarantined") == 0
     assert capsys.readouterr().out.split() == ["DIGEST", "ENDED", digest, "3"]
     assert run("request", "quarantined", "--json") == 0
