Log the weights version of each chosen engine, and versions that control learns of

Of a request that begins on outdated weights the logs named the engine, but not the version at which the gateway took it, nor when control had recorded the newer one: an engine that serves other weights than it announced looked like one whose age is counted wrongly.

sends entries get weights=VERSION before old=SECONDS, and control writes weights_named as gateways do.

--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -18,7 +18,7 @@
     WeightsOrder,
 )
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.log_events import WeightsOrdered, emit
+from gooseberrydale.log_events import WeightsNamed, WeightsOrdered, emit
 from gooseberrydale.process.control.announcements import Announcements
 from gooseberrydale.process.control.engine_poller import EnginePoller
 from gooseberrydale.process.control.machine import PublishingMachine
@@ -124,7 +124,9 @@
 
     async def _run(self) -> None:
         while True:
-            self._named.record(self._machine.state.config.weights, _now())
+            named = self._machine.state.config.weights
+            for model, version in self._named.record(named, _now()):
+                emit(WeightsNamed(model, version))
             if self._may_order():
                 for name in self._choose_engines():
                     self._start_change(name)
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -237,7 +237,8 @@
             f" requests={choice.load.requests:.1f}"
             f" prefill={choice.load.prefill_tokens:.0f} kv={choice.load.kv_tokens:.0f}"
             f" errors={choice.error_rate:.2f} usable={choice.usable}"
-            f" stored={choice.stored} old={choice.outdated_for_s:.1f}"
+            f" stored={choice.stored} weights={choice.weights or '-'}"
+            f" old={choice.outdated_for_s:.1f}"
             for choice in self.choices
         ]
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -35,6 +35,7 @@
     running_gateway,
     stream_head,
 )
+from tests.builders_logs import logged
 from tests.sidecar_harness import run
 
 STREAM = route(path_prefix="/streams/", streamed=True, max_runs=2, name="streams")
@@ -302,6 +303,26 @@
     run(main())
 
 
+def test_request_line_names_the_weights_of_the_chosen_upstream() -> None:
+    async def main() -> None:
+        upstream = RawUpstream("u1", answer_correctly)
+        with logged("request") as lines:
+            async with running_gateway(ALL_ROUTES, upstream) as gateway:
+                known = record(
+                    "u1",
+                    seq=2,
+                    address=upstream.address,
+                    model="m",
+                    weights_version="3",
+                )
+                gateway.directory.offer(known, asyncio.get_running_loop().time())
+                await call(gateway, "/calls/1")
+        [send] = lines[0]["sends"]
+        assert send.endswith(" weights=3 old=0.0")
+
+    run(main())
+
+
 def test_disconnected_caller_cancels_its_stream() -> None:
     async def endless(req: dict[str, str], body: bytes, writer: Writer) -> None:
         writer.write(stream_head(req["id"]))
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -30,6 +30,7 @@
     engines_to_change,
 )
 from tests.builders_gateway import record
+from tests.builders_logs import logged
 from tests.clock import run_paused
 
 LOAD_S = 0.4
@@ -251,6 +252,23 @@
     run_paused(main())
 
 
+def test_control_logs_when_it_learns_of_a_version() -> None:
+    async def main() -> None:
+        setup = RolloutSetup(*NAMES)
+        with logged("weights_named") as lines:
+            await setup.start()
+            await asyncio.sleep(1.0)
+            setup.machine.config = Config(weights={"m": 3})
+            await asyncio.sleep(1.0)
+        assert [(line["model"], line["version"]) for line in lines] == [
+            ("m", 2),
+            ("m", 3),
+        ]
+        await setup.rollout.close()
+
+    run_paused(main())
+
+
 def test_a_superseded_version_is_skipped() -> None:
     async def main() -> None:
         setup = RolloutSetup(*NAMES)
