Wait for a restarted upstream to listen before a feature reads its record

The step that counts the runs of streams waited until the process of a restarted engine ran, which is up to a second before it listens, and got "connection refused". It now waits for its health answer first, within the same limit as other starts, as the steps for bids do; the record is compared as before.

--- a/features/steps/bid_steps.py
+++ b/features/steps/bid_steps.py
@@ -11,9 +11,17 @@
 
 from behave import given, then, when
 
-from features.steps.fleet_steps import BIDS, KEY, caller, services, show, start_fleet
+from features.steps.fleet_steps import (
+    BIDS,
+    KEY,
+    caller,
+    record,
+    services,
+    show,
+    start_fleet,
+)
 from tests.callers import Caller, Ending
-from tests.fleet import Fleet, wait_until
+from tests.fleet import wait_until
 
 LOST_CONNECTION = "or by a lost connection"
 RESENDS_BOUND_S = 180.0
@@ -64,12 +72,6 @@
     return counts
 
 
-def record(fleet: Fleet, name: str) -> list[dict[str, Any]]:
-    """Wait until a service answers, then return its record."""
-    wait_until(lambda: fleet.answers_health(name), f"{name} does not answer")
-    return fleet.runs(name)
-
-
 def saved_runs(context: Any) -> list[dict[str, Any]]:
     """Return the records that were read right before their service was killed."""
     runs: list[dict[str, Any]] = context.saved if "saved" in context else []
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -10,7 +10,7 @@
 
 from gooseberrydale.version.declarations import Profile, ProfileKind, Workspace
 from tests.callers import Caller, Ending, mixed_load
-from tests.fleet import Fleet, UpstreamSpec, key_digest
+from tests.fleet import Fleet, UpstreamSpec, key_digest, wait_until
 
 ZONES = ("zone-1", "zone-2", "zone-3")
 KEY = "key-of-workspace-one"
@@ -124,10 +124,16 @@
     counts: dict[str, int] = collections.Counter()
     for name in fleet.upstreams:
         if fleet.processes["upstream-" + name].running:
-            counts.update(run["request_id"] for run in fleet.runs(name))
+            counts.update(run["request_id"] for run in record(fleet, name))
     return counts
 
 
+def record(fleet: Fleet, name: str) -> list[dict[str, Any]]:
+    """Wait until an upstream answers, then return its record."""
+    wait_until(lambda: fleet.answers_health(name), f"{name} does not answer")
+    return fleet.runs(name)
+
+
 @given("a fleet of {controls:d} control replica, {entries:d} entries and {n:d} engines")
 @given(
     "a fleet of {controls:d} control replicas, {entries:d} entries and {n:d} engines"
