Count a weights version from when it was named, not from when a process received it

Cause: NamedWeights counted a version from the moment at which its own process received the configuration. A process that starts, or learns late, knew neither the age of the newest version nor the versions between, so it took an engine that had been outdated for long for one whose weights were just replaced. The same held for the control replica that paces the rollout. Class: a time that is known to one process is taken by another one from the arrival of the message.

Heartbeats of mesh sessions now report for how long the sender has known each version: all versions in the first message of a session, for a minute after naming in each. A process counts from the earliest time that any peer reports, so what it receives late is corrected by the next message. A report leaves out its transit and is rounded down, so reports that go around raise no age. Ages live in the shared state of the sessions, which logs weights_named with age_ms in every role.

--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -76,6 +76,17 @@
     age_s: float = 0.0
 
 
+class NamedVersion(msgspec.Struct, frozen=True, array_like=True):
+    """A version of a model's weights that operators have named.
+
+    It was named at least ``age_s`` seconds before the message was created.
+    """
+
+    model: str
+    version: int
+    age_s: float = 0.0
+
+
 class Renewal(msgspec.Struct, frozen=True, array_like=True):
     """Renews the lease of a record that was sent in full before in this session.
 
@@ -156,12 +167,17 @@
 @message
 @dataclass(frozen=True, slots=True)
 class RevisionAck:
-    """Reports the current revision of the sender; also the heartbeat of a session."""
+    """Reports the current revision of the sender; also the heartbeat of a session.
+
+    ``weights`` are the named versions that the sender knows: all of them in the first
+    message of a session, later only those that were named recently.
+    """
 
     name: str
     revision: int
     sent_at: float = 0.0
     echo_at: float | None = None
+    weights: tuple[NamedVersion, ...] = ()
 
 
 MeshMessage = (
--- a/gooseberrydale/connection/mesh_node.py
+++ b/gooseberrydale/connection/mesh_node.py
@@ -1,20 +1,25 @@
 """State that all mesh sessions of one process share.
 
-This is the identity of the process, the directory, the configuration store, the last
-report of each peer, and the request for a configuration that is pending, if any.
+This is the identity of the process, the directory, the configuration store, the named
+weights, the last report of each peer, and the request for a configuration that is
+pending, if any.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
-from gooseberrydale.connection.mesh import CONTROL_ROLE, Hello
+from gooseberrydale.connection.mesh import CONTROL_ROLE, Hello, NamedVersion
+from gooseberrydale.log_events import WeightsNamed, emit
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.named_weights import NamedWeights
+
+MS_PER_S = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,8 +100,10 @@
         on_ack: AckListener | None = None,
         timings: MeshTimings | None = None,
         ended_incarnations: EndedIncarnations | None = None,
+        named_weights: NamedWeights | None = None,
     ) -> None:
         self.identity = identity
+        self.named_weights = NamedWeights() if named_weights is None else named_weights
         self.ended_incarnations = (
             EndedIncarnations() if ended_incarnations is None else ended_incarnations
         )
@@ -118,7 +125,9 @@
             self.directory.subscribe(self._records_changed),
             self.ended_incarnations.subscribe(self._incarnations_ended),
         )
-        self._config_watcher = asyncio.create_task(self._watch_config())
+        self._record_weights()
+        watch = self._watch_config(self.store.revision)
+        self._config_watcher = asyncio.create_task(watch)
 
     async def close(self) -> None:
         """Stop notifying sessions of changes and let all of them end."""
@@ -192,6 +201,21 @@
         self._pull_expires_at = now + self.timings.pull_s
         return None
 
+    def merge_weights(self, reported: Iterable[NamedVersion], now: float) -> None:
+        """Record the named versions that a peer reports."""
+        self._log_weights(self.named_weights.merge(reported, now), now)
+
+    def _record_weights(self) -> None:
+        """Record the versions of the configuration in force."""
+        now = asyncio.get_running_loop().time()
+        in_force = self.store.config.weights
+        self._log_weights(self.named_weights.record(in_force, now), now)
+
+    def _log_weights(self, new: Iterable[tuple[str, int]], now: float) -> None:
+        for model, version in new:
+            age_s = self.named_weights.age_s(model, version, now)
+            emit(WeightsNamed(model, version, round(age_s * MS_PER_S, 1)))
+
     def _records_changed(self, urgent: bool) -> None:
         for session in self._sessions:
             session.records_changed(urgent)
@@ -200,10 +224,10 @@
         for session in self._sessions:
             session.incarnations_ended()
 
-    async def _watch_config(self) -> None:
-        revision = self.store.revision
+    async def _watch_config(self, revision: int) -> None:
         while True:
             config = await self.store.wait_newer(revision)
             revision = config.revision
+            self._record_weights()
             for session in tuple(self._sessions):
                 session.config_changed()
--- a/gooseberrydale/connection/mesh_session.py
+++ b/gooseberrydale/connection/mesh_session.py
@@ -42,6 +42,10 @@
 RECORDS_REQUEST_INTERVAL_S = 1.0
 """Shortest interval between two requests for all records in one session."""
 
+REPEAT_WEIGHTS_S = 60.0
+"""Versions of weights are reported again for this long after they were named.  The age
+that a process computes from a delayed report is too low until the next one arrives."""
+
 POST_STALL_GRACE_S = 0.5
 """Time after a stall of this process before a peer is considered silent."""
 
@@ -182,6 +186,7 @@
             raise ProblemError(problem(MESH_NO_HELLO, got=type(msg).__name__))
         match msg:
             case RevisionAck():
+                self._node.merge_weights(msg.weights, self.received_at)
                 self._record_revision(self._peer, msg.revision)
             case Announce():
                 self._merge_records(msg, self._peer)
@@ -263,6 +268,7 @@
         due = self._acked_at + self._node.timings.heartbeat_s <= now
         if revision == self._acked_revision and not due:
             return
+        is_first = self._acked_revision < 0
         self._acked_revision = revision
         self._acked_at = now
         yield RevisionAck(
@@ -270,6 +276,9 @@
             revision=revision,
             sent_at=now,
             echo_at=self._echo_at(now),
+            weights=self._node.named_weights.report(
+                now, math.inf if is_first else REPEAT_WEIGHTS_S
+            ),
         )
 
     def _pending_pull(self, now: float) -> Iterator[MeshMessage]:
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -318,13 +318,17 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightsNamed(LogEvent):
-    """This process recorded ``version`` as the newest weights of ``model``."""
+    """This process learned that ``version`` of the weights of ``model`` was named.
+
+    It was named at least ``age_ms`` ago, as far as this process knows.
+    """
 
     NAME: ClassVar[str] = "weights_named"
     TEXT: ClassVar[str] = "newer weights named"
 
     model: str
     version: int
+    age_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -63,6 +63,7 @@
     new_incarnation,
 )
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.replication.core import RaftCfg
 
 if TYPE_CHECKING:
@@ -136,6 +137,7 @@
         propagation_fraction = RENEWAL_PROPAGATION_FRACTION if own.open_group else 0.0
         self.directory = Directory(propagation_fraction=propagation_fraction)
         self.ended_incarnations = EndedIncarnations()
+        self._named_weights = NamedWeights()
         self._ended_cache: EndedIncarnationsCache | None = None
         if not in_memory:
             path = own.data_dir / "ended"
@@ -284,6 +286,7 @@
             self.directory,
             announcements,
             interface.engines,
+            self._named_weights,
             own.order_pause_s,
             own.weights_bound_s,
         )
@@ -332,6 +335,7 @@
             incarnation,
             on_ack=self._on_ack,
             ended_incarnations=self.ended_incarnations,
+            named_weights=self._named_weights,
         )
 
     def _on_ack(self, peer: PeerState) -> None:
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -18,7 +18,7 @@
     WeightsOrder,
 )
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.log_events import WeightsNamed, WeightsOrdered, emit
+from gooseberrydale.log_events import WeightsOrdered, emit
 from gooseberrydale.process.control.announcements import Announcements
 from gooseberrydale.process.control.engine_poller import EnginePoller
 from gooseberrydale.process.control.machine import PublishingMachine
@@ -87,13 +87,15 @@
         directory: Directory,
         announcements: Announcements,
         engines: EngineOrders,
+        named: NamedWeights,
         pause_s: float,
         bound_s: float,
     ) -> None:
         """Orders start ``pause_s`` after an election.
 
-        Engines may start work on outdated weights for ``bound_s`` after newer ones were
-        named.
+        ``named`` holds the versions of the machine's configuration and since when they
+        count.  Engines may start work on outdated weights for ``bound_s`` after newer
+        ones were named.
         """
         self._name = name
         self._machine = machine
@@ -103,7 +105,7 @@
         self._engines = engines
         self._pause_s = pause_s
         self._bound_s = bound_s
-        self._named = NamedWeights()
+        self._named = named
         self._term = 0
         self._leader_since = 0.0
         self._fenced_term = 0
@@ -124,9 +126,6 @@
 
     async def _run(self) -> None:
         while True:
-            named = self._machine.state.config.weights
-            for model, version in self._named.record(named, _now()):
-                emit(WeightsNamed(model, version))
             if self._may_order():
                 for name in self._choose_engines():
                     self._start_change(name)
--- a/gooseberrydale/process/gateway/declared_store.py
+++ b/gooseberrydale/process/gateway/declared_store.py
@@ -13,15 +13,9 @@
 from result import Err, Result
 
 from gooseberrydale.errors import Problem
-from gooseberrydale.log_events import (
-    DocumentInForce,
-    DocumentUnreadable,
-    WeightsNamed,
-    emit,
-)
+from gooseberrydale.log_events import DocumentInForce, DocumentUnreadable, emit
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declared import Declared
-from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.route_table import RouteTable
 
 DecodeDocument = Callable[[bytes], Result[Declared, Problem]]
@@ -36,7 +30,6 @@
         self._number = 0
         self._task: asyncio.Task[None] | None = None
         self.table: RouteTable | None = None
-        self.weights = NamedWeights()
         self._arrived = asyncio.Event()
 
     async def wait(self, timeout_s: float) -> RouteTable | None:
@@ -63,9 +56,6 @@
         while True:
             config = await self._store.wait_newer(revision)
             revision = config.revision
-            now = asyncio.get_running_loop().time()
-            for model, version in self.weights.record(config.weights, now):
-                emit(WeightsNamed(model, version))
             if config.document is not None and config.document.number > self._number:
                 self._take(config.document.number, config.document.body)
 
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -55,6 +55,7 @@
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.mean_work import MeanWork
+from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.peer_loads import PeerLoads
 from gooseberrydale.version.quotas.quota import Quota
 from gooseberrydale.version.run_times import RunTimes
@@ -144,6 +145,7 @@
             propagation_fraction=RENEWAL_PROPAGATION_FRACTION, relays_renewals=False
         )
         self._declared = DeclaredStore(self.store, dialect.decode_document)
+        self._named_weights = NamedWeights()
         self._conns = HttpPool()
         self._stores = Stores()
         self._peers = PeerLoads()
@@ -154,7 +156,7 @@
             cfg.node.zone,
             self._rng,
             self._peers,
-            self._declared.weights,
+            self._named_weights,
             self._cfg.weights_bound_s,
             self._stores,
             self.ended_incarnations,
@@ -312,6 +314,7 @@
             incarnation,
             rng=self._rng,
             ended_incarnations=self.ended_incarnations,
+            named_weights=self._named_weights,
         )
 
     def _count_gateways(self) -> int:
--- a/gooseberrydale/process/membership.py
+++ b/gooseberrydale/process/membership.py
@@ -32,6 +32,7 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import is_mark_name
 from gooseberrydale.version.session_targets import EntryPoint, session_targets
 
@@ -56,6 +57,8 @@
     ``role`` is ``entry``, ``sidecar`` or ``control``. ``own_record`` is called for each
     announcement and returns None while there is nothing to announce; the mesh sets
     ``seq`` itself. ``ended_incarnations`` are sent to all peers but sidecars.
+    ``named_weights`` receives the versions of the configuration and those that peers
+    report.
     ``on_ack`` is called with a :class:`PeerState` whenever a process reports its
     revision.
     """
@@ -74,6 +77,7 @@
         timings: MeshTimings | None = None,
         rng: random.Random | None = None,
         ended_incarnations: EndedIncarnations | None = None,
+        named_weights: NamedWeights | None = None,
     ) -> None:
         self._rng = rng if rng is not None else random.Random()
         identity = Identity(
@@ -86,6 +90,7 @@
             on_ack=on_ack,
             timings=timings,
             ended_incarnations=ended_incarnations,
+            named_weights=named_weights,
         )
         self._server = MeshServer(self._node)
         tls = tls_files(cfg.fleet.tls)
