Abort a request that still waits in an engine as its weights reach the bound

A request that was sent 2.5 s before the bound on outdated weights was left alone from then on: if the engine was slow and its caller patient, it began on the old weights after the bound. The margin alone bounded the wait, and it is how long most callers wait, not how long an engine takes.

Each send of a stream now has a limit, 0.2 s before the bound, until its first event. At the limit its connection is closed, which makes the engine drop it; the request goes to another engine if it may run again, else the caller is told that the outcome is unknown (send_ended: outdated). The engine isn't suspected. The limit is computed again each half second, as newer weights may be named, or turn out to be older, while a request waits.

--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -67,6 +67,7 @@
     "failed": "the upstream answered with an error",
     "lost": "the connection to the upstream ended before an answer; it may have run",
     "invalid": "the answer was incomplete, or not from the upstream itself",
+    "outdated": "its upstream's weights became too old meanwhile; it may have run",
     "timed_out": "its deadline passed",
     "ends_upstreams": "upstreams had terminated while they ran it, so it was not sent",
     "ended_upstreams": "upstreams terminated while running it; it may have run in part",
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -19,6 +19,7 @@
 from gooseberrydale.process.gateway.answer import HOP_BY_HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.placer import ObservedStats
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
+from gooseberrydale.process.gateway.start_limit import StartLimit
 from gooseberrydale.process.gateway.upstream_health import answered, suspect
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.quota_charge import QuotaCharge
@@ -52,6 +53,7 @@
 _RUN_ENDS: dict[End | None, RunEnd] = {
     End.LOST: RunEnd.BROKE,
     End.TIMED_OUT: RunEnd.LEFT,
+    End.OUTDATED: RunEnd.LEFT,
 }
 """Results of a send after which the upstream may have ended."""
 
@@ -152,18 +154,22 @@
                 self._deps.upstreams.ended(record.name, load, _now(), str(exc))
             return End.NOT_SENT
         whole = False
+        limit = StartLimit(self._deps.upstreams, record, conn.abort)
         if self._job.repeatable:
             load.silence.watch(conn.abort)
         try:
-            end = await self._exchange_on(conn, record, terms, load, work)
+            end = await self._exchange_on(conn, limit, record, terms, load, work)
             whole = True
             return end
         except UpstreamError as exc:
             if not exc.sent:
                 return End.NOT_SENT
+            if limit.has_passed:
+                return End.OUTDATED
             suspect(record.name, load, _now(), str(exc))
             return End.LOST
         finally:
+            limit.close()
             load.silence.unwatch(conn.abort)
             if whole:
                 conns.release(*pool_key, conn, bound)
@@ -189,6 +195,7 @@
     async def _exchange_on(
         self,
         conn: HttpConn,
+        limit: StartLimit,
         record: UpstreamRecord,
         terms: Terms,
         load: UpstreamLoad,
@@ -201,6 +208,9 @@
         self.runs += 1
         self._charge.record_sent()
         self._run = load.runs.began(job.fingerprint)
+        if job.route.streamed:
+            # Of other answers nothing arrives before their runs have ended.
+            limit.start()
         raw = await conn.head(self._is_own_answer)
         load.silence.note_received(_now())
         head = wire.read_answer(raw.status, raw.headers)
@@ -217,7 +227,7 @@
                 "the answer has no upstream stamp or is encoded", sent=True
             )
         if job.route.streamed:
-            await self._forward_stream(conn, head, record, load, work)
+            await self._forward_stream(conn, limit, head, record, load, work)
         else:
             body = await _read_whole(conn)
             await self._answer.whole(head.status, head.headers, body)
@@ -272,6 +282,7 @@
     async def _forward_stream(
         self,
         conn: HttpConn,
+        limit: StartLimit,
         head: AnswerHead,
         record: UpstreamRecord,
         load: UpstreamLoad,
@@ -283,6 +294,7 @@
             # A resumed answer may differ in length from the one first announced.
             headers = tuple(h for h in headers if h[0] != b"content-length")
         async for data in conn.body():
+            limit.close()
             load.silence.note_received(_now())
             self._note_first_chunk(load, work)
             if not self._answer.started:
--- a/gooseberrydale/request/attempt_end.py
+++ b/gooseberrydale/request/attempt_end.py
@@ -45,6 +45,8 @@
     """The connection ended before an answer; it may have run."""
     INVALID = auto()
     """The answer was incomplete, or did not come from the upstream itself."""
+    OUTDATED = auto()
+    """Its upstream's weights became too old before it started; it may have run."""
     TIMED_OUT = auto()
     """The deadline of the request passed."""
     MOVED = auto()
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -171,7 +171,7 @@
     port: int = 0
     disconnected: asyncio.Event = field(default_factory=asyncio.Event)
     server: asyncio.Server | None = None
-    open: set[Writer] = field(default_factory=set)
+    open: dict[Writer, asyncio.StreamReader] = field(default_factory=dict)
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -188,13 +188,17 @@
         for writer in self.open:
             writer.transport.abort()
 
+    def is_closed_by_peer(self, writer: Writer) -> bool:
+        """Whether the gateway has closed a connection."""
+        return self.open[writer].at_eof()
+
     @property
     def address(self) -> str:
         return f"127.0.0.1:{self.port}"
 
     async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
         self.connections += 1
-        self.open.add(writer)
+        self.open[writer] = reader
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -212,7 +216,7 @@
             pass
         finally:
             self.disconnected.set()
-            self.open.discard(writer)
+            self.open.pop(writer, None)
             writer.close()
 
 
--- a/tests/test_attempt_end.py
+++ b/tests/test_attempt_end.py
@@ -31,6 +31,9 @@
     (End.FAILED, True, 2, 2, PassOn, None),
     (End.REFUSED, False, 0, MAX_SENDS, GiveUp, True),
     (End.REFUSED, True, 1, MAX_SENDS, GiveUp, None),
+    (End.OUTDATED, True, 1, 1, SendAgain, None),
+    (End.OUTDATED, True, 2, 2, GiveUp, None),
+    (End.OUTDATED, False, 1, 1, GiveUp, None),
     (End.TIMED_OUT, False, 1, 1, GiveUp, None),
     (End.TIMED_OUT, True, 0, 1, GiveUp, True),
 ]
