Reproduce: a replica keeps the age of old weights that it learns late to itself

The test fails: on1 is eligible for a gateway whose only replica was restarted and learned from another gateway, after their session had opened, that version 2 was named 64 s ago. Only the first message of a session reports ages above REPEAT_WEIGHTS_S, and that message was sent before.

--- a/tests/test_weights_age.py
+++ b/tests/test_weights_age.py
@@ -80,6 +80,26 @@
     run_paused(main())
 
 
+def test_replica_passes_on_the_age_of_old_weights_that_it_learns_late() -> None:
+    async def main() -> None:
+        control = await replica_with_engines()
+        control.name(1)
+        running = await WeightsGateway.start("g1", control)
+        await asyncio.sleep(10.0)
+        control.name(2)
+        await asyncio.sleep(REPEAT_WEIGHTS_S + SETTLE_S)
+        await control.node.close()
+        restarted = await replica_with_engines()
+        restarted.name(2)
+        new = await WeightsGateway.start("g2", restarted)
+        await asyncio.sleep(SETTLE_S)
+        running.connect(restarted)
+        await asyncio.sleep(SETTLE_S)
+        assert new.candidates().keys() == {"on2", "on3"}
+
+    run_paused(main())
+
+
 def test_version_that_is_received_late_counts_from_when_it_was_named() -> None:
     async def main() -> None:
         control = await replica_with_engines()
