Reproduce: a stream that has started is aborted at the limit after a stall

The test fails: the caller gets event 1 and then the end of the connection. The event arrived at the gateway while its event loop was stalled, 2.3 s before the limit; after the stall the timer of the limit runs before the reader of the stream.

--- a/tests/test_start_limit.py
+++ b/tests/test_start_limit.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import pytest
 
@@ -23,6 +28,7 @@
 from tests.sidecar_harness import run
 
 BOUND_S = 3.0
+START_S = 0.5
 STREAM = route(path_prefix="/streams/", streamed=True, timeout_s=6.0, name="streams")
 RESUMABLE = route(
     path_prefix="/resumable/",
@@ -109,3 +115,60 @@
         assert (got.status, got.whole, got.body) == (200, True, event(1) + event(2))
 
     run(main())
+
+
+@contextmanager
+def streaming_engine(pause_s: float) -> Iterator[str]:
+    """Yield the address of an engine that runs in a thread of its own.
+
+    It starts each request after ``START_S`` and sends the next event ``pause_s`` later.
+    """
+
+    def serve(conn: socket.socket) -> None:
+        with conn:
+            data = b""
+            while b"\r\n\r\n" not in data:
+                received = conn.recv(65_536)
+                if not received:
+                    return
+                data += received
+            time.sleep(START_S)
+            conn.sendall(stream_head("r1") + chunk(event(1)))
+            time.sleep(pause_s)
+            try:
+                conn.sendall(chunk(event(2)) + b"0\r\n\r\n")
+            except OSError:
+                return
+
+    def accept() -> None:
+        while True:
+            try:
+                conn, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=serve, args=(conn,), daemon=True).start()
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        threading.Thread(target=accept, daemon=True).start()
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+        listener.shutdown(socket.SHUT_RDWR)
+
+
+def test_stream_that_started_while_the_gateway_was_stalled_is_not_aborted() -> None:
+    async def main(address: str) -> None:
+        async with running_gateway(
+            declared(STREAM), weights_bound_s=BOUND_S
+        ) as gateway:
+            loop = asyncio.get_running_loop()
+            known = record("u1", seq=2, address=address, model="m", weights_version="1")
+            gateway.directory.offer(known, loop.time())
+            gateway.store.offer(
+                Config(2, document=Document(1, b"{}"), weights={"m": 2})
+            )
+            stall = loop.call_later(START_S / 2, time.sleep, BOUND_S)
+            got = await call(gateway, "/streams/1")
+            stall.cancel()
+        assert (got.status, got.whole, got.body) == (200, True, event(1) + event(2))
+
+    with streaming_engine(pause_s=BOUND_S) as address:
+        run(main(address))
