Reproduce: the age of weights is lost when all processes restart

The test fails: after the restart of a replica with its disk the age of version 2 is 0.01 s instead of 2 s. Ages live in memory, so they are lost with the last process that has them, unlike the records of upstreams and of ended incarnations, which replicas keep in files.

--- a/tests/test_weights_age.py
+++ b/tests/test_weights_age.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 
 import msgspec
 
@@ -10,9 +11,11 @@
 from gooseberrydale.connection.mesh import NamedVersion, RevisionAck
 from gooseberrydale.connection.mesh_session import REPEAT_WEIGHTS_S
 from gooseberrydale.version.named_weights import MAX_VERSIONS_PER_MODEL, NamedWeights
+from tests.builders_files import free_address
 from tests.builders_logs import logged
 from tests.builders_weights import BOUND_S, MODEL, WeightsControl, WeightsGateway
 from tests.clock import run_paused
+from tests.test_control_open import Replica, until
 
 SETTLE_S = 2.0
 """More than the sessions need to exchange what they know."""
@@ -179,3 +182,27 @@
         ("RevisionAck", {"name": "c1", "revision": 3, "sent_at": 1.0, "echo_at": None})
     )
     assert decode(without_ages) == RevisionAck("c1", 3, 1.0)
+
+
+def test_age_of_weights_survives_a_restart_of_all_processes(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        address = free_address()
+        replica = await Replica(tmp_path, address, (address,), True).start()
+        await until(lambda: name_weights(replica, 2))
+        await asyncio.sleep(SETTLE_S)
+        await replica.control.close()
+        restarted = await Replica(tmp_path, address, (address,), False).start()
+        await until(lambda: restarted.control.store.config.weights)
+        now = asyncio.get_running_loop().time()
+        age_s = restarted.control._named_weights.age_s(MODEL, 2, now)
+        await restarted.control.close()
+        assert age_s >= SETTLE_S
+
+    asyncio.run(main())
+
+
+async def name_weights(replica: Replica, version: int) -> bool:
+    assert replica.documents is not None
+    return (await replica.documents.name_weights(MODEL, version)).is_ok()
