Read what has arrived before a request is aborted at its start limit

Callers of a gateway whose event loop had been stalled got a stream that ended after its first event: the timer of the limit ran before the reader of the stream, so a request that had started long ago was aborted. The abort now follows the limit by 20 ms, in which the loop reads what is there, and the first event ends the limit.

--- a/gooseberrydale/process/gateway/start_limit.py
+++ b/gooseberrydale/process/gateway/start_limit.py
@@ -12,6 +12,10 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.process.gateway.upstreams import Upstreams
 
+READ_GRACE_S = 0.02
+"""Delay between the limit and the abort.  If the event loop was stalled, it reads what
+has arrived meanwhile within this time, which may be the first event."""
+
 CHECK_INTERVAL_S = 0.5
 """Interval at which the limit is computed again, as newer weights may be named, or turn
 out to be older than known, while the request waits."""
@@ -44,9 +48,12 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         limit_at = self._upstreams.start_limit_at(self._record, now)
-        if now >= limit_at:
-            self.has_passed = True
-            self._abort()
-            return
-        check_at = min(limit_at, now + CHECK_INTERVAL_S)
-        self._timer = loop.call_at(check_at, self._check)
+        if now < limit_at:
+            check_at = min(limit_at, now + CHECK_INTERVAL_S)
+            self._timer = loop.call_at(check_at, self._check)
+        else:
+            self._timer = loop.call_later(READ_GRACE_S, self._expire)
+
+    def _expire(self) -> None:
+        self.has_passed = True
+        self._abort()
