Report the age of old weights again when it has changed

A gateway whose only replica had been restarted counted a version as new for good, though another gateway had reported its age to the replica meanwhile: ages above a minute went into the first message of a session alone, and that had been sent before.

Named weights now count their changes, and a session whose last report is older than the last change reports all versions again.

--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -170,7 +170,7 @@
     """Reports the current revision of the sender; also the heartbeat of a session.
 
     ``weights`` are the named versions that the sender knows: all of them in the first
-    message of a session, later only those that were named recently.
+    message of a session and after a change, else only those that were named recently.
     """
 
     name: str
--- a/gooseberrydale/connection/mesh_session.py
+++ b/gooseberrydale/connection/mesh_session.py
@@ -21,6 +21,7 @@
     ConfigWanted,
     Hello,
     MeshMessage,
+    NamedVersion,
     RecordsWanted,
     Renewal,
     RevisionAck,
@@ -77,6 +78,8 @@
         self._records_requested_at = -math.inf
         self._acked_revision = -1
         self._acked_at = 0.0
+        # The first message of the session reports all versions.
+        self._reported_changes = -1
         self._peer_wants_above: int | None = None
         self._pulled_revision = 0
         self._next_pull_at = 0.0
@@ -268,7 +271,6 @@
         due = self._acked_at + self._node.timings.heartbeat_s <= now
         if revision == self._acked_revision and not due:
             return
-        is_first = self._acked_revision < 0
         self._acked_revision = revision
         self._acked_at = now
         yield RevisionAck(
@@ -276,11 +278,16 @@
             revision=revision,
             sent_at=now,
             echo_at=self._echo_at(now),
-            weights=self._node.named_weights.report(
-                now, math.inf if is_first else REPEAT_WEIGHTS_S
-            ),
+            weights=self._weights_to_report(now),
         )
 
+    def _weights_to_report(self, now: float) -> tuple[NamedVersion, ...]:
+        """Return all named versions if any has changed, else the recent ones."""
+        named = self._node.named_weights
+        has_changed = self._reported_changes != named.changes
+        self._reported_changes = named.changes
+        return named.report(now, math.inf if has_changed else REPEAT_WEIGHTS_S)
+
     def _pending_pull(self, now: float) -> Iterator[MeshMessage]:
         revision = self._node.store.revision
         if self._peer_revision <= revision:
--- a/gooseberrydale/version/named_weights.py
+++ b/gooseberrydale/version/named_weights.py
@@ -17,13 +17,22 @@
 from gooseberrydale.connection.mesh import NamedVersion
 
 MAX_VERSIONS_PER_MODEL = 32
+
+MIN_CORRECTION_S = 0.1
+"""Smaller corrections of an age don't count as changes: each report that arrives a
+little faster than the ones before brings one."""
+
 MS_PER_S = 1_000.0
 
 
 class NamedWeights:
-    """The named versions of each model; times are those of the event loop's clock."""
+    """The named versions of each model; times are those of the event loop's clock.
+
+    ``changes`` counts the new versions and the corrections of ages.
+    """
 
     def __init__(self) -> None:
+        self.changes = 0
         # Versions of each model in ascending order, with the times they count from.
         self._named: dict[str, dict[int, float]] = {}
 
@@ -74,12 +83,14 @@
         """
         versions = self._named.setdefault(model, {})
         if version in versions:
+            self.changes += versions[version] - named_at >= MIN_CORRECTION_S
             versions[version] = min(versions[version], named_at)
             return False
         if len(versions) == MAX_VERSIONS_PER_MODEL:
             if version < next(iter(versions)):
                 return False
             del versions[next(iter(versions))]
+        self.changes += 1
         versions[version] = named_at
         self._named[model] = dict(sorted(versions.items()))
         return True
