Keep the ages of named weights in a file, for a restart of all processes

After all processes had been killed at once, every version counted as new: no process was left that knew an age, and engines on older weights got work for the whole bound again.

Each replica now stores the ages like the records of upstreams and of ended incarnations: each second while a version is within the bound, and when it stops. What it restores is too low by the time that it was down and by a second at most if it was killed; time in which control doesn't run is none in which it is stable.

--- a/gooseberrydale/process/control/cache_file.py
+++ b/gooseberrydale/process/control/cache_file.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import os
+import threading
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -33,6 +34,8 @@
         self._path = path
         self._collect = collect
         self._changed = asyncio.Event()
+        # A cancelled write goes on in its thread.
+        self._writing = threading.Lock()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -47,6 +50,11 @@
         """Request a write, because the data has changed."""
         self._changed.set()
 
+    async def write(self) -> None:
+        """Write now."""
+        message = self._collect(asyncio.get_running_loop().time())
+        await asyncio.to_thread(self._write, message)
+
     def read(self) -> Any:
         """Return the stored message; None if the file can't be read."""
         try:
@@ -61,17 +69,20 @@
             await self._changed.wait()
             await asyncio.sleep(WRITE_DELAY_S)
             self._changed.clear()
-            message = self._collect(asyncio.get_running_loop().time())
-            await asyncio.to_thread(self._write, message)
+            await self.write()
 
     def _write(self, message: Any) -> None:
+        with self._writing:
+            try:
+                self._replace(frame(encode(message)))
+            except OSError as exc:
+                emit(NotKept(self._path.name, str(exc)))
+
+    def _replace(self, data: bytes) -> None:
         temporary = self._path.with_suffix(".new")
-        try:
-            with open(temporary, "wb") as file:
-                file.write(frame(encode(message)))
-                file.flush()
-                os.fsync(file.fileno())
-            os.replace(temporary, self._path)
-            OsFiles().sync_folder(self._path.parent)
-        except OSError as exc:
-            emit(NotKept(self._path.name, str(exc)))
+        with open(temporary, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(temporary, self._path)
+        OsFiles().sync_folder(self._path.parent)
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -33,6 +33,7 @@
 from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.machine import PublishingMachine
+from gooseberrydale.process.control.named_weights_cache import NamedWeightsCache
 from gooseberrydale.process.control.operator_api import OperatorApi
 from gooseberrydale.process.control.operator_auth import OperatorTokens, load_operators
 from gooseberrydale.process.control.operator_views import to_builtins
@@ -177,6 +178,7 @@
         self._rollout: WeightsRollout | None = None
         self._announcements: Announcements | None = None
         self._upstream_cache: UpstreamCache | None = None
+        self._weights_cache: NamedWeightsCache | None = None
         app: ASGIApp = self._api.app
         if interface is not None:
             announcements = self._announcements = Announcements(
@@ -186,6 +188,12 @@
             self._rollout = self._make_rollout(cfg, own, announcements, interface)
             path = own.data_dir / "upstreams"
             self._upstream_cache = UpstreamCache(path, self.directory)
+            self._weights_cache = NamedWeightsCache(
+                own.data_dir / "weights",
+                self._named_weights,
+                own.weights_bound_s,
+                self._mesh.merge_weights,
+            )
         self._http = HttpServer(app, own.http, own.tls)
 
     @property
@@ -215,6 +223,8 @@
             self._tasks.append(spawn(self._watch_replica(self._replica)))
         if self._upstream_cache is not None:
             await self._upstream_cache.start()
+        if self._weights_cache is not None:
+            await self._weights_cache.start()
         if self._ended_cache is not None:
             await self._ended_cache.start()
         await self._commit.start()
@@ -240,6 +250,8 @@
             await self._announcements.close()
         if self._upstream_cache is not None:
             await self._upstream_cache.close()
+        if self._weights_cache is not None:
+            await self._weights_cache.close()
         if self._ended_cache is not None:
             await self._ended_cache.close()
         await self._documents.close()
--- a/gooseberrydale/process/membership.py
+++ b/gooseberrydale/process/membership.py
@@ -9,13 +9,18 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from loguru import logger
 
 from gooseberrydale.connection.alarm import Alarm
-from gooseberrydale.connection.mesh import CONTROL_ROLE, ENTRY_ROLE, UpstreamRecord
+from gooseberrydale.connection.mesh import (
+    CONTROL_ROLE,
+    ENTRY_ROLE,
+    NamedVersion,
+    UpstreamRecord,
+)
 from gooseberrydale.connection.mesh_client import MeshClient
 from gooseberrydale.connection.mesh_node import (
     AckListener,
@@ -133,6 +138,10 @@
         self._server.close()
         await self._node.close()
 
+    def merge_weights(self, stored: Iterable[NamedVersion], now: float) -> None:
+        """Record named versions that an earlier incarnation of this process stored."""
+        self._node.merge_weights(stored, now)
+
     def announce(self) -> None:
         """Announce the own record immediately, because it changed."""
         self._announcer.announce()
--- a/tests/test_weights_age.py
+++ b/tests/test_weights_age.py
@@ -10,6 +10,10 @@
 from gooseberrydale.connection.codec import decode
 from gooseberrydale.connection.mesh import NamedVersion, RevisionAck
 from gooseberrydale.connection.mesh_session import REPEAT_WEIGHTS_S
+from gooseberrydale.process.control.named_weights_cache import (
+    WRITE_INTERVAL_S,
+    NamedWeightsCache,
+)
 from gooseberrydale.version.named_weights import MAX_VERSIONS_PER_MODEL, NamedWeights
 from tests.builders_files import free_address
 from tests.builders_logs import logged
@@ -206,3 +210,26 @@
 async def name_weights(replica: Replica, version: int) -> bool:
     assert replica.documents is not None
     return (await replica.documents.name_weights(MODEL, version)).is_ok()
+
+
+def test_killed_replica_restores_the_age_of_weights_from_its_last_write(
+    tmp_path: pathlib.Path,
+) -> None:
+    def cache(named: NamedWeights) -> NamedWeightsCache:
+        return NamedWeightsCache(tmp_path / "weights", named, BOUND_S, named.merge)
+
+    async def killed() -> None:
+        named = NamedWeights()
+        await cache(named).start()
+        named.record({MODEL: 2}, asyncio.get_running_loop().time())
+        await asyncio.sleep(2 * WRITE_INTERVAL_S + 0.5)
+
+    async def restarted() -> float:
+        named = NamedWeights()
+        await cache(named).start()
+        return named.age_s(MODEL, 2, asyncio.get_running_loop().time())
+
+    asyncio.run(killed())
+    assert asyncio.run(restarted()) >= WRITE_INTERVAL_S
+    (tmp_path / "weights").write_bytes(b"no record")
+    assert asyncio.run(restarted()) == 0.0
