Don't send a request that could only be aborted; rename the abort of waiting requests

If connecting took long, or the age of the weights was corrected meanwhile, a request was sent past the limit and aborted at once: it counted as a run, so a caller whose request may run once got "outcome unknown" for one that need not have been sent. It now ends as not_sent (test_request_is_not_sent_once_it_may_not_start_any_more).

StartLimit becomes OutdatedAbort: StartLimiter beside it is a rate. The tests now also check the moment of the abort, that the engine isn't suspected, a version that is named while the request waits, and that the next request on the connection is spared, as found missing by a review with mutations.

--- a/gooseberrydale/process/gateway/start_limit.py
+++ b/gooseberrydale/process/gateway/outdated_abort.py
@@ -21,7 +21,7 @@
 out to be older than known, while the request waits."""
 
 
-class StartLimit:
+class OutdatedAbort:
     """Calls ``abort`` at the limit; ``start`` it at the send, ``close`` it at the first
     event of the answer."""
 
@@ -32,7 +32,12 @@
         self._record = record
         self._abort = abort
         self._timer: asyncio.TimerHandle | None = None
-        self.has_passed = False
+        self.has_aborted = False
+
+    def is_due(self) -> bool:
+        """Whether the request may not start any more."""
+        now = asyncio.get_running_loop().time()
+        return now >= self._upstreams.abort_outdated_at(self._record, now)
 
     def start(self) -> None:
         """Start to check the limit; an upstream without a model has none."""
@@ -47,7 +52,7 @@
     def _check(self) -> None:
         loop = asyncio.get_running_loop()
         now = loop.time()
-        limit_at = self._upstreams.start_limit_at(self._record, now)
+        limit_at = self._upstreams.abort_outdated_at(self._record, now)
         if now < limit_at:
             check_at = min(limit_at, now + CHECK_INTERVAL_S)
             self._timer = loop.call_at(check_at, self._check)
@@ -55,5 +60,5 @@
             self._timer = loop.call_later(READ_GRACE_S, self._expire)
 
     def _expire(self) -> None:
-        self.has_passed = True
+        self.has_aborted = True
         self._abort()
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -17,9 +17,9 @@
 from gooseberrydale.connection.sse import EventSplitter, SseError
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.process.gateway.answer import HOP_BY_HOP_HEADERS, CallerAnswer
+from gooseberrydale.process.gateway.outdated_abort import OutdatedAbort
 from gooseberrydale.process.gateway.placer import ObservedStats
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
-from gooseberrydale.process.gateway.start_limit import StartLimit
 from gooseberrydale.process.gateway.upstream_health import answered, suspect
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.quota_charge import QuotaCharge
@@ -154,7 +154,7 @@
                 self._deps.upstreams.ended(record.name, load, _now(), str(exc))
             return End.NOT_SENT
         whole = False
-        limit = StartLimit(self._deps.upstreams, record, conn.abort)
+        limit = OutdatedAbort(self._deps.upstreams, record, conn.abort)
         if self._job.repeatable:
             load.silence.watch(conn.abort)
         try:
@@ -164,7 +164,7 @@
         except UpstreamError as exc:
             if not exc.sent:
                 return End.NOT_SENT
-            if limit.has_passed:
+            if limit.has_aborted:
                 return End.OUTDATED
             suspect(record.name, load, _now(), str(exc))
             return End.LOST
@@ -195,13 +195,16 @@
     async def _exchange_on(
         self,
         conn: HttpConn,
-        limit: StartLimit,
+        limit: OutdatedAbort,
         record: UpstreamRecord,
         terms: Terms,
         load: UpstreamLoad,
         work: Work,
     ) -> End | None:
         """Send on ``conn`` and forward the answer; may raise :class:`UpstreamError`."""
+        if limit.is_due():
+            # Connecting took long, or the weights turned out to be older than known.
+            return End.NOT_SENT
         job, wire = self._job, self._deps.wire
         headers = wire.request_headers(job.call, terms)
         conn.send(_request_head(job.call, headers, len(job.body)), job.body)
@@ -282,7 +285,7 @@
     async def _forward_stream(
         self,
         conn: HttpConn,
-        limit: StartLimit,
+        limit: OutdatedAbort,
         head: AnswerHead,
         record: UpstreamRecord,
         load: UpstreamLoad,
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -49,7 +49,7 @@
 as work may wait inside the engine before it starts.  Callers give up after 2 to 2.4 s
 without an event; preempted requests started up to 2.3 s after they were sent."""
 
-START_ABORT_LEAD_S = 0.2
+ABORT_LEAD_S = 0.2
 """How long before that bound a request that has not started is aborted, so that the
 abort reaches the engine in time."""
 
@@ -101,7 +101,7 @@
         self._peers = peers
         self._weights = weights
         self._send_bound_s = weights_bound_s - OLD_WEIGHTS_MARGIN_S
-        self._start_bound_s = weights_bound_s - START_ABORT_LEAD_S
+        self._abort_bound_s = weights_bound_s - ABORT_LEAD_S
         self.stores = stores
         self.ended_incarnations = ended_incarnations
         self.limits = limits
@@ -255,13 +255,13 @@
         ranked = rank_preferred(candidate for _, candidate in in_time)
         return [(by_name[candidate.name], candidate) for candidate in ranked]
 
-    def start_limit_at(self, record: UpstreamRecord, now: float) -> float:
+    def abort_outdated_at(self, record: UpstreamRecord, now: float) -> float:
         """Return the time until which a request that was sent to ``record`` may start.
 
         Engines on the newest weights get the limit that holds if newer ones are named
         now.
         """
-        return now + self._start_bound_s - self._old_for_s(record, now)
+        return now + self._abort_bound_s - self._old_for_s(record, now)
 
     def next_permit_s(self, query: UpstreamQuery, now: float) -> float | None:
         """Seconds until the first upstream takes the request.
--- a/tests/builders_weights.py
+++ b/tests/builders_weights.py
@@ -24,7 +24,7 @@
 
 
 class WeightsControl:
-    """A control replica; ``name`` sets the newest weights version of the model."""
+    """A control replica; ``name_version`` sets the newest weights of the model."""
 
     def __init__(self, node: MeshNode) -> None:
         self.node = node
@@ -34,7 +34,7 @@
         """Return a replica that knows no version yet."""
         return cls(await make_node(CONTROL_ROLE, name))
 
-    def name(self, version: int) -> None:
+    def name_version(self, version: int) -> None:
         """Put ``version`` in force here; the revision equals it."""
         self.node.store.offer(Config(revision=version, weights={MODEL: version}))
 
--- a/tests/test_start_limit.py
+++ b/tests/test_outdated_abort.py
@@ -8,13 +8,17 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import Any
 
 import pytest
 
+from gooseberrydale.connection.http_conn import HttpConn
+from gooseberrydale.process.gateway.gateway import Gateway
 from gooseberrydale.version.declarations import Config, Document
 from tests.builders_gateway import (
     RawUpstream,
     Writer,
+    answer_bytes,
     call,
     chunk,
     declared,
@@ -29,6 +33,7 @@
 
 BOUND_S = 3.0
 START_S = 0.5
+POLL_S = 0.01
 STREAM = route(path_prefix="/streams/", streamed=True, timeout_s=6.0, name="streams")
 RESUMABLE = route(
     path_prefix="/resumable/",
@@ -47,48 +52,115 @@
         self.server = RawUpstream(name, self._serve)
         self.version = version
         self.wait_s = wait_s
-        self.starts: list[float] = []
+        self.starts = 0
+        self.closed_at = 0.0
 
     async def _serve(self, req: dict[str, str], body: bytes, writer: Writer) -> None:
-        await asyncio.sleep(self.wait_s)
-        if self.server.is_closed_by_peer(writer):
-            return
-        self.starts.append(asyncio.get_running_loop().time())
+        loop = asyncio.get_running_loop()
+        start_at = loop.time() + self.wait_s
+        while loop.time() < start_at:
+            if self.server.is_closed_by_peer(writer):
+                self.closed_at = loop.time()
+                return
+            await asyncio.sleep(POLL_S)
+        self.starts += 1
         writer.write(stream_head(req["id"]) + chunk(event(1)) + b"0\r\n\r\n")
 
 
+def announce(gateway: Gateway, upstream: RawUpstream, version: int) -> None:
+    known = record(
+        upstream.name,
+        seq=2,
+        address=upstream.address,
+        model="m",
+        weights_version=str(version),
+    )
+    gateway.directory.offer(known, asyncio.get_running_loop().time())
+
+
+def name_version(gateway: Gateway, version: int) -> None:
+    document = Document(1, b"{}")
+    gateway.store.offer(Config(version, document=document, weights={"m": version}))
+
+
+@pytest.mark.parametrize("named_after_s", [0.0, 1.0])
 @pytest.mark.parametrize("path, status", [("/resumable/1", 200), ("/streams/1", 502)])
 def test_request_that_waits_in_an_engine_never_starts_past_the_weights_bound(
-    path: str, status: int
+    path: str, status: int, named_after_s: float
 ) -> None:
     async def main() -> None:
-        slow = StartingEngine("slow", 1, wait_s=BOUND_S + 0.5)
+        slow = StartingEngine("slow", 1, wait_s=named_after_s + BOUND_S)
         other = StartingEngine("other", 2, wait_s=0.0)
         servers = slow.server, other.server
-        document = declared(STREAM, RESUMABLE)
         async with running_gateway(
-            document, *servers, weights_bound_s=BOUND_S
+            declared(STREAM, RESUMABLE), *servers, weights_bound_s=BOUND_S
         ) as gateway:
-            now = asyncio.get_running_loop().time()
             for engine in (slow, other):
-                known = record(
-                    engine.server.name,
-                    seq=2,
-                    address=engine.server.address,
-                    model="m",
-                    weights_version=str(engine.version),
-                )
-                gateway.directory.offer(known, now)
+                announce(gateway, engine.server, engine.version)
             gateway._upstreams.load_of("other").error_rate = 0.9
-            gateway.store.offer(
-                Config(2, document=Document(1, b"{}"), weights={"m": 2})
-            )
-            with logged("send_ended") as lines:
+            loop = asyncio.get_running_loop()
+            named_at = loop.time() + named_after_s
+            loop.call_at(named_at, name_version, gateway, 2)
+            await asyncio.sleep(0.0 if named_after_s else POLL_S)
+            with logged("send_ended") as ends, logged("upstream_suspected") as suspects:
                 got = await call(gateway, path)
-            await asyncio.sleep(1.0)
-        assert (got.status, [line["end"] for line in lines]) == (status, ["outdated"])
+            await asyncio.sleep(POLL_S * 5)
+        assert (got.status, [line["end"] for line in ends]) == (status, ["outdated"])
+        assert suspects == []
         assert len(slow.server.requests) == 1
-        assert (len(slow.starts), len(other.starts)) == (0, int(status == 200))
+        assert named_at < slow.closed_at < named_at + BOUND_S
+        assert (slow.starts, other.starts) == (0, int(status == 200))
+
+    run(main())
+
+
+def test_request_is_not_sent_once_it_may_not_start_any_more() -> None:
+    async def main() -> None:
+        outdated = StartingEngine("u1", 1, wait_s=0.0)
+        async with running_gateway(
+            declared(STREAM), outdated.server, weights_bound_s=BOUND_S
+        ) as gateway:
+            announce(gateway, outdated.server, 1)
+            conns = gateway._conns
+            connect = conns.acquire
+
+            async def learn_while_connecting(*args: Any, **kwargs: Any) -> HttpConn:
+                conn = await connect(*args, **kwargs)
+                now = asyncio.get_running_loop().time()
+                gateway._named_weights.record({"m": 2}, now - BOUND_S)
+                return conn
+
+            conns.acquire = learn_while_connecting  # type: ignore[method-assign]
+            with logged("send_ended") as ends:
+                got = await call(gateway, "/streams/1")
+        assert (got.status, [line["end"] for line in ends]) == (503, ["not_sent"])
+        assert outdated.server.requests == []
+
+    run(main())
+
+
+def test_limit_of_a_failed_request_spares_the_next_one_on_its_connection() -> None:
+    async def main() -> None:
+        async def serve(req: dict[str, str], body: bytes, writer: Writer) -> None:
+            writers.append(writer)
+            if len(writers) == 1:
+                writer.write(answer_bytes(req["id"], b"", "500 Internal Server Error"))
+                return
+            writer.write(stream_head(req["id"]) + chunk(event(1)))
+            await asyncio.sleep(BOUND_S)
+            writer.write(chunk(event(2)) + b"0\r\n\r\n")
+
+        writers: list[Writer] = []
+        engine = RawUpstream("u1", serve)
+        async with running_gateway(
+            declared(STREAM), engine, weights_bound_s=BOUND_S
+        ) as gateway:
+            announce(gateway, engine, 1)
+            name_version(gateway, 2)
+            failed = await call(gateway, "/streams/1")
+            got = await call(gateway, "/streams/2")
+        assert (failed.status, len(writers), len(set(writers))) == (500, 2, 1)
+        assert (got.status, got.whole, got.body) == (200, True, event(1) + event(2))
 
     run(main())
 
@@ -104,13 +176,8 @@
         async with running_gateway(
             declared(STREAM), engine, weights_bound_s=BOUND_S
         ) as gateway:
-            known = record(
-                "u1", seq=2, address=engine.address, model="m", weights_version="1"
-            )
-            gateway.directory.offer(known, asyncio.get_running_loop().time())
-            gateway.store.offer(
-                Config(2, document=Document(1, b"{}"), weights={"m": 2})
-            )
+            announce(gateway, engine, 1)
+            name_version(gateway, 2)
             got = await call(gateway, "/streams/1")
         assert (got.status, got.whole, got.body) == (200, True, event(1) + event(2))
 
@@ -162,9 +229,7 @@
             loop = asyncio.get_running_loop()
             known = record("u1", seq=2, address=address, model="m", weights_version="1")
             gateway.directory.offer(known, loop.time())
-            gateway.store.offer(
-                Config(2, document=Document(1, b"{}"), weights={"m": 2})
-            )
+            name_version(gateway, 2)
             stall = loop.call_later(START_S / 2, time.sleep, BOUND_S)
             got = await call(gateway, "/streams/1")
             stall.cancel()
--- a/tests/test_weights_age.py
+++ b/tests/test_weights_age.py
@@ -36,9 +36,9 @@
 def test_restarted_gateway_sends_nothing_to_engines_outdated_past_the_bound() -> None:
     async def main() -> None:
         control = await replica_with_engines()
-        control.name(1)
+        control.name_version(1)
         await asyncio.sleep(10.0)
-        control.name(2)
+        control.name_version(2)
         await asyncio.sleep(BOUND_S - SETTLE_S)
         gateway = await WeightsGateway.start("g1", control)
         await asyncio.sleep(SETTLE_S)
@@ -51,12 +51,12 @@
     async def main() -> None:
         control = await replica_with_engines()
         gateway = await WeightsGateway.start("g1", control)
-        control.name(1)
+        control.name_version(1)
         await asyncio.sleep(10.0)
         await gateway.close()
-        control.name(2)
+        control.name_version(2)
         await asyncio.sleep(5.0)
-        control.name(3)
+        control.name_version(3)
         late = await WeightsGateway.start("g1", control)
         await asyncio.sleep(SETTLE_S)
         ages_s = late.candidates()
@@ -70,14 +70,14 @@
 def test_restarted_control_replica_learns_the_age_of_weights_from_gateways() -> None:
     async def main() -> None:
         control = await replica_with_engines()
-        control.name(1)
+        control.name_version(1)
         running = await WeightsGateway.start("g1", control)
         await asyncio.sleep(10.0)
-        control.name(2)
+        control.name_version(2)
         await asyncio.sleep(BOUND_S - 2 * SETTLE_S)
         await control.node.close()
         restarted = await replica_with_engines()
-        restarted.name(2)
+        restarted.name_version(2)
         running.connect(restarted)
         await asyncio.sleep(SETTLE_S)
         new = await WeightsGateway.start("g2", restarted)
@@ -90,14 +90,14 @@
 def test_replica_passes_on_the_age_of_old_weights_that_it_learns_late() -> None:
     async def main() -> None:
         control = await replica_with_engines()
-        control.name(1)
+        control.name_version(1)
         running = await WeightsGateway.start("g1", control)
         await asyncio.sleep(10.0)
-        control.name(2)
+        control.name_version(2)
         await asyncio.sleep(REPEAT_WEIGHTS_S + SETTLE_S)
         await control.node.close()
         restarted = await replica_with_engines()
-        restarted.name(2)
+        restarted.name_version(2)
         new = await WeightsGateway.start("g2", restarted)
         await asyncio.sleep(SETTLE_S)
         running.connect(restarted)
@@ -110,12 +110,12 @@
 def test_version_that_is_received_late_counts_from_when_it_was_named() -> None:
     async def main() -> None:
         control = await replica_with_engines()
-        control.name(1)
+        control.name_version(1)
         gateway = await WeightsGateway.start("g1")
         session = gateway.connect(control)
         await asyncio.sleep(10.0)
         session.silent.add("server")
-        control.name(2)
+        control.name_version(2)
         await asyncio.sleep(0.9)
         session.silent.clear()
         await asyncio.sleep(SETTLE_S)
@@ -128,7 +128,7 @@
     async def main() -> None:
         control = await replica_with_engines()
         with logged("weights_named") as lines:
-            control.name(2)
+            control.name_version(2)
             await asyncio.sleep(5.0)
             await WeightsGateway.start("g1", control)
             await asyncio.sleep(SETTLE_S)
@@ -165,9 +165,9 @@
 def test_only_recent_versions_are_repeated_to_a_peer() -> None:
     async def main() -> None:
         control = await WeightsControl.start()
-        control.name(1)
+        control.name_version(1)
         await asyncio.sleep(REPEAT_WEIGHTS_S)
-        control.name(2)
+        control.name_version(2)
         await asyncio.sleep(5.0)
         gateway = await WeightsGateway.start("g1")
         session = gateway.connect(control)
