Ignore reported versions that no configuration names, and ages that are no times

A report of a version that was never named would have made every engine outdated at all processes until all were restarted at once, and an infinite age broke the sessions that passed it on. A version now counts once the configuration names it or a newer one.

--- a/gooseberrydale/version/named_weights.py
+++ b/gooseberrydale/version/named_weights.py
@@ -28,17 +28,20 @@
 class NamedWeights:
     """The named versions of each model; times are those of the event loop's clock.
 
-    ``changes`` counts the new versions and the corrections of ages.
+    ``changes`` counts the new versions and the corrections of ages.  A reported version
+    makes older weights outdated only once a configuration names it or a newer one.
     """
 
     def __init__(self) -> None:
         self.changes = 0
+        self._in_force: dict[str, int] = {}
         # Versions of each model in ascending order, with the times they count from.
         self._named: dict[str, dict[int, float]] = {}
 
     def record(self, weights: Mapping[str, int], now: float) -> list[tuple[str, int]]:
         """Record the versions that are in force; return models and versions that are
         new."""
+        self._in_force |= weights
         reported = (NamedVersion(model, version) for model, version in weights.items())
         return self.merge(reported, now)
 
@@ -50,7 +53,8 @@
         return [
             (named.model, named.version)
             for named in reported
-            if self._note(named.model, named.version, now - named.age_s)
+            if 0.0 <= named.age_s < math.inf
+            and self._note(named.model, named.version, now - named.age_s)
         ]
 
     def report(
@@ -70,11 +74,12 @@
 
     def outdated_for_s(self, model: str, version: int, now: float) -> float:
         """Seconds since a newer version than ``version`` was named; 0 if none was."""
-        versions = self._named.get(model)
-        if not versions or next(reversed(versions)) <= version:
+        in_force = self._in_force.get(model, version)
+        if in_force <= version:
             return 0.0
-        since = min(at for named, at in versions.items() if named > version)
-        return max(0.0, now - since)
+        versions = self._named[model].items()
+        newer = (at for named, at in versions if version < named <= in_force)
+        return max(0.0, now - min(newer, default=now))
 
     def _note(self, model: str, version: int, named_at: float) -> bool:
         """Count ``version`` from ``named_at`` on, if not from an earlier time already.
--- a/tests/test_weights_age.py
+++ b/tests/test_weights_age.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import pathlib
 
 import msgspec
+import pytest
 
 from gooseberrydale.connection.codec import decode
 from gooseberrydale.connection.mesh import NamedVersion, RevisionAck
@@ -138,6 +140,15 @@
     run_paused(main())
 
 
+@pytest.mark.parametrize("version, age_s", [(9, 20.0), (2, math.nan), (2, math.inf)])
+def test_wrong_report_changes_no_age(version: int, age_s: float) -> None:
+    named = NamedWeights()
+    named.record({MODEL: 2}, 10.0)
+    named.merge([NamedVersion(MODEL, version, age_s)], 12.0)
+    assert [named.outdated_for_s(MODEL, known, 12.0) for known in (1, 2)] == [2.0, 0.0]
+    assert all(math.isfinite(item.age_s) for item in named.report(12.0))
+
+
 def test_reports_that_go_around_never_raise_an_age() -> None:
     named = [NamedWeights(), NamedWeights()]
     named[0].record({MODEL: 2}, 0.0)
