Keep the ages of ended incarnations up to date on disk

A request stayed quarantined for as long as control was restarted within its 900 s: the file held the ages at the last change, so each restart began them again, and the restored ends were reported to all processes anew.

--- a/tests/test_control_open.py
+++ b/tests/test_control_open.py
@@ -7,9 +7,11 @@
 from collections.abc import Callable
 from typing import Any
 
+import pytest
 from starlette.applications import Starlette
 
 from gooseberrydale.process.cfg import Cfg, ControlCfg, FleetCfg, NodeCfg
+from gooseberrydale.process.control import ended_incarnations_cache
 from gooseberrydale.process.control.announcements import Announcements
 from gooseberrydale.process.control.control import Control, DeploymentInterface
 from gooseberrydale.process.control.documents import Documents
@@ -206,6 +208,32 @@
     await cache.close()
 
 
+def test_ends_age_across_restarts_of_all_processes(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Otherwise a quarantine would never end while control restarts within its time."""
+    monkeypatch.setattr(ended_incarnations_cache, "REWRITE_INTERVAL_S", 0.2)
+    path = tmp_path / "ended"
+
+    async def before() -> None:
+        table = EndedIncarnations()
+        await EndedIncarnationsCache(path, table).start()
+        now = asyncio.get_running_loop().time()
+        table.report("u1", incarnations.lost(1), now)
+        await asyncio.sleep(1.5)
+
+    async def after() -> float:
+        table = EndedIncarnations()
+        cache = EndedIncarnationsCache(path, table)
+        await cache.start()
+        [ended] = table.since(0, asyncio.get_running_loop().time()).incarnations
+        await cache.close()
+        return ended.age_s
+
+    asyncio.run(before())
+    assert asyncio.run(after()) >= 1.0
+
+
 def test_a_request_stays_quarantined_after_a_restart_of_all_processes(
     tmp_path: pathlib.Path,
 ) -> None:
