Write the ages of weights at a stop only if they matter

A replica that stops while its disk stalls would wait for a write that stores nothing new. It is left out once all versions are past the bound and stored.

--- a/gooseberrydale/process/control/named_weights_cache.py
+++ b/gooseberrydale/process/control/named_weights_cache.py
@@ -48,31 +48,41 @@
         self._restore = restore
         self._file = CacheFile(path, self._collect)
         self._tasks: list[asyncio.Task[None]] = []
+        self._written_changes = 0
+        self._was_recent = False
 
     async def start(self) -> None:
         """Restore the stored versions, then store them and their ages."""
         stored = self._file.read()
         if isinstance(stored, KeptNamedWeights):
             self._restore(stored.versions, _now())
+        self._written_changes = self._named.changes
         await self._file.start()
         self._tasks.append(spawn(self._run()))
 
     async def close(self) -> None:
-        """Store the current ages and stop writing."""
+        """Store the current ages, if they matter, and stop writing."""
         await stop(self._tasks)
         await self._file.close()
-        await self._file.write()
+        if self._is_write_due():
+            await self._file.write()
 
     async def _run(self) -> None:
-        written_changes = self._named.changes
-        was_recent = False
         while True:
             await asyncio.sleep(WRITE_INTERVAL_S)
-            is_recent = bool(self._named.report(_now(), self._bound_s))
-            # The write after the last recent one stores that the bound has passed.
-            if is_recent or was_recent or written_changes != self._named.changes:
+            if self._is_write_due():
                 self._file.schedule_write()
-            was_recent, written_changes = is_recent, self._named.changes
+
+    def _is_write_due(self) -> bool:
+        """Whether ages changed or matter, or did at the last call.
+
+        The write after the last recent one stores that the bound has passed.
+        """
+        is_recent = bool(self._named.report(_now(), self._bound_s))
+        has_changed = self._written_changes != self._named.changes
+        is_due = is_recent or self._was_recent or has_changed
+        self._was_recent, self._written_changes = is_recent, self._named.changes
+        return is_due
 
     def _collect(self, now: float) -> KeptNamedWeights:
         return KeptNamedWeights(self._named.report(now))
