Load the certificates once per fleet in the harness of the features

The scenario "A change is in force everywhere within 4 s" measures the calls of the harness along with the change. On a starved machine it reported changes as late that the product had in force in time.

Cause: each call made an HTTP client that loaded the CA certificates, also for plain HTTP: 55 ms of CPU for a status call, against 92 ms (median) until a change is in force. The scenario makes eight or more calls for each change, in sequence. Now a fleet has one SSL context. What is measured and the bound of 4 s stay as they are.

--- a/tests/callers.py
+++ b/tests/callers.py
@@ -11,6 +11,7 @@
 import itertools
 import json
 import random
+import ssl
 import threading
 import time
 from collections.abc import Coroutine, Sequence
@@ -100,7 +101,7 @@
         entries: Sequence[str],
         key: str,
         seed: int = 0,
-        verify: str | bool = True,
+        verify: ssl.SSLContext | bool = True,
         silence_s: float = REQUEST_BOUND_S,
     ) -> None:
         self._entries = list(entries)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,6 +13,7 @@
 import pathlib
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import time
@@ -146,10 +147,14 @@
             hosts = [f"{self._net}.{number}" for number in range(1, MAX_HOSTS)]
             self.tls = write_certificates(folder, hosts)
 
-    @property
-    def verify(self) -> str | bool:
-        """The ``verify`` argument of HTTP clients: the CA file if TLS is used."""
-        return self.tls.get("ca_file", True)
+    @functools.cached_property
+    def verify(self) -> ssl.SSLContext:
+        """The ``verify`` argument of HTTP clients: trusts the CA file if TLS is used.
+
+        Each client without it would load the certificates again, which takes far
+        longer than a call.
+        """
+        return ssl.create_default_context(cafile=self.tls.get("ca_file"))
 
     @property
     def _scheme(self) -> str:
@@ -360,7 +365,7 @@
     def sidecar_gauge(self, upstream: str, name: str) -> float:
         """Return the value of a gauge; the sidecar must have a metrics listener."""
         url = f"http://{self.host('sidecar-' + upstream)}:{METRICS_HTTP_PORT}/metrics"
-        text = httpx2.get(url, timeout=10.0, trust_env=False).text
+        text = httpx2.get(url, timeout=10.0, trust_env=False, verify=self.verify).text
         lines = [line for line in text.splitlines() if line[:1] not in ("", "#")]
         samples = [line for line in lines if name in line.split("{")[0]]
         assert samples, f"{name} is not among the metrics {lines}"
@@ -368,16 +373,18 @@
 
     def entry_ready(self, name: str) -> bool:
         """Whether an entry's ``/readyz``, which load balancers call, reports ready."""
-        return _answers(self.entry_url(name) + "/readyz")
+        return _answers(self.entry_url(name) + "/readyz", self.verify)
 
     def answers_health(self, upstream: str) -> bool:
         """Whether the upstream's own ``/health`` answers."""
-        return _answers(self.upstream_url(upstream) + "/health")
+        return _answers(self.upstream_url(upstream) + "/health", self.verify)
 
     def runs(self, upstream: str) -> list[dict[str, Any]]:
         """Return the requests that the upstream has recorded as run."""
         url = self.upstream_url(upstream) + "/record"
-        answer = httpx2.get(url, timeout=10.0, trust_env=False).json()
+        answer = httpx2.get(
+            url, timeout=10.0, trust_env=False, verify=self.verify
+        ).json()
         return list(answer["runs"] if "runs" in answer else answer["requests"])
 
     # Settings and processes.
@@ -455,7 +462,7 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def _answers(url: str, verify: str | bool = True) -> bool:
+def _answers(url: str, verify: ssl.SSLContext) -> bool:
     try:
         answer = httpx2.get(url, timeout=2.0, trust_env=False, verify=verify)
         return answer.status_code == 200
