Log the framing of answers and whether they end inside an event

Callers received two broken-off streams as complete.

request lines name the framing of the upstream's last answer and whether its last bytes are in the middle of an event; send_ended lines name the reason of a lost one. Nothing is decided differently.

--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass
+from enum import Enum
 
 import httptools
 
@@ -40,16 +41,27 @@
 """Reading pauses while more body bytes than this are buffered for the caller."""
 
 MAX_HEAD_BYTES = 64 * 1024
+NO_BODY_STATUSES = frozenset({204, 304})
 MAX_SKIPPED_RESPONSES = 4
 """How many responses to other requests are skipped before the connection fails."""
 
 
+class Framing(Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+    """The end of the connection, which is also that of a body that was cut off."""
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Status and headers (names in lower case) of one response."""
+    """Status, headers (names in lower case) and framing of one response."""
 
     status: int
     headers: RawHeaders
+    framing: Framing
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +90,7 @@
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
-        self._until_eof = False
+        self._framing = Framing.LENGTH
         self._keep_alive = False
         self._idle_s = DEFAULT_IDLE_S
         self._idle_since = 0.0
@@ -227,7 +239,8 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the stream, which also ends a body without a length."""
-        if self._busy and self._until_eof and self._failure is None:
+        is_end = self._framing is Framing.CONNECTION
+        if self._busy and is_end and self._failure is None:
             self._keep_alive = False
             self._put(_End())
         self._fail("the upstream closed the connection")
@@ -245,7 +258,7 @@
         """Reset the state for a new response."""
         self._headers = []
         self._head_bytes = 0
-        self._until_eof = False
+        self._framing = Framing.LENGTH
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header of the response."""
@@ -262,13 +275,9 @@
             return
         self._keep_alive = self._parser.should_keep_alive()
         fields = dict(self._headers)
-        self._until_eof = (
-            b"content-length" not in fields
-            and b"transfer-encoding" not in fields
-            and status not in (204, 304)
-        )
+        self._framing = _framing(status, fields)
         self._idle_s = _idle_s(fields.get(b"keep-alive", b""))
-        self._put(ResponseHead(status, tuple(self._headers)))
+        self._put(ResponseHead(status, tuple(self._headers), self._framing))
 
     def on_body(self, data: bytes) -> None:
         """Queue a section of the body."""
@@ -281,6 +290,14 @@
             self._put(_End())
 
 
+def _framing(status: int, fields: dict[bytes, bytes]) -> Framing:
+    if b"transfer-encoding" in fields:
+        return Framing.CHUNKED
+    if b"content-length" in fields or status in NO_BODY_STATUSES:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def _idle_s(keep_alive: bytes) -> float:
     """Return how long the connection may stay idle, by ``timeout=N`` of the header."""
     for part in keep_alive.split(b","):
--- a/gooseberrydale/connection/sse.py
+++ b/gooseberrydale/connection/sse.py
@@ -2,7 +2,8 @@
 
 Each answer of an upstream has its own parser.  :class:`SseParser` returns only the data
 fields: upstreams with this project's own interface use no other field, and the entry
-assigns the event ids itself.  :class:`EventSplitter` returns the events byte for byte.
+assigns the event ids itself.  :class:`EventSplitter` returns the events byte for byte,
+and :class:`EventTracker` only tells where they end.
 """
 
 from __future__ import annotations
@@ -110,6 +111,39 @@
         return [RawEvent(text + blank, _event_id(text)) for text, blank in pairs]
 
 
+class EventTracker:
+    """Follows a byte stream and tells whether it is within an event.
+
+    It stores no bytes of the stream.  Comments outside of events belong to none.
+    """
+
+    def __init__(self) -> None:
+        self.inside = False
+        self._at_line_start = True
+        self._after_cr = False
+
+    def feed(self, data: bytes) -> None:
+        """Take the next bytes of the stream."""
+        if not data:
+            return
+        # A CRLF that is split between two chunks ends one line, not two.
+        rest = data[1:] if self._after_cr and data.startswith(b"\n") else data
+        self._after_cr = data.endswith(b"\r")
+        for piece in rest.splitlines(keepends=True):
+            self._feed_line(piece)
+
+    def _feed_line(self, piece: bytes) -> None:
+        """Take a line, or the part of one that has arrived."""
+        text = piece.rstrip(b"\r\n")
+        ends = len(text) < len(piece)
+        if self._at_line_start:
+            if text:
+                self.inside = self.inside or not text.startswith(b":")
+            else:
+                self.inside = False
+        self._at_line_start = ends
+
+
 _BLANK_LINE = re.compile(rb"(\r\n\r\n|\n\n|\r\r)")
 
 
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -41,7 +41,9 @@
     number of the document in force at that time.  ``objective_ms`` is what ``route``
     declares as objective for the first event, 0 if it declares none.  ``digest`` is the
     same for all requests with the same content, and empty if the body was not read.
-    ``whole`` is whether the answer was complete.
+    ``whole`` is whether the answer was complete.  ``framing`` names what marks the end
+    of the upstream's last answer (length, chunked, connection), and ``inside_event`` is
+    whether the last bytes of that answer are in the middle of an event.
     """
 
     NAME: ClassVar[str] = "request"
@@ -61,6 +63,8 @@
     took_ms: float
     table: int
     digest: str = ""
+    framing: str = ""
+    inside_event: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +74,7 @@
     ``next`` is the action that was chosen.  The choice depends on ``others`` (whether
     another upstream remains), ``left_ms`` (time until the request's deadline), ``runs``
     (number of sends that may have run) and ``retries`` (what remains of the budget).
+    ``reason`` says why an answer was lost, empty otherwise.
     """
 
     NAME: ClassVar[str] = "send_ended"
@@ -84,6 +89,7 @@
     runs: int
     retries: float
     digest: str = ""
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -306,6 +306,8 @@
                 took_ms=self._since_ms(now),
                 table=0 if table is None else table.declared.number,
                 digest=fingerprint_text(self._fingerprint),
+                framing="" if forwarder is None else forwarder.framing,
+                inside_event=forwarder is not None and forwarder.inside_event,
             )
         )
 
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -214,6 +214,7 @@
                 runs=self._sender.runs,
                 retries=round(self._budget.left, 1),
                 digest=fingerprint_text(self._job.fingerprint),
+                reason=self._sender.lost_reason if end is End.LOST else "",
             )
         )
         if isinstance(step, SendAgain):
@@ -230,6 +231,16 @@
                 await self._answer.refuse(why)
         return False
 
+    @property
+    def framing(self) -> str:
+        """What marks the end of the upstream's last answer; empty if there was none."""
+        return self._sender.framing
+
+    @property
+    def inside_event(self) -> bool:
+        """Whether the upstream's last answer ended in the middle of an event."""
+        return self._sender.inside_event
+
     def describe(self) -> list[str]:
         """Describe each choice and the values it was based on, for the log."""
         return [
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -14,7 +14,7 @@
 from gooseberrydale.connection.http_conn import HttpConn, ResponseHead
 from gooseberrydale.connection.http_pool import HttpPool, PoolExhaustedError
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.connection.sse import EventSplitter, SseError
+from gooseberrydale.connection.sse import EventSplitter, EventTracker, SseError
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.process.gateway.answer import HOP_BY_HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.outdated_abort import OutdatedAbort
@@ -84,6 +84,9 @@
     ``may_move`` is called after each chunk of a resumable stream; if it returns True
     the stream continues at another upstream.  ``runs`` counts the sends that may have
     run; ``failure`` is the last failure that an upstream itself answered with.
+    ``lost_reason`` says why the last send that was lost ended.
+    ``framing`` names what marks the end of the last answer; ``inside_event`` is whether
+    its last bytes are in the middle of an event.
     """
 
     def __init__(
@@ -104,6 +107,9 @@
         self.runs = 0
         self.failure: tuple[AnswerHead, bytes] | None = None
         self.last_event_id: str | None = job.call.last_event_id
+        self.lost_reason = ""
+        self.framing = ""
+        self.inside_event = False
 
     async def send(
         self, record: UpstreamRecord, terms: Terms, work: Work
@@ -166,7 +172,8 @@
                 return End.NOT_SENT
             if limit.has_aborted:
                 return End.OUTDATED
-            suspect(record.name, load, _now(), str(exc))
+            self.lost_reason = str(exc)
+            suspect(record.name, load, _now(), self.lost_reason)
             return End.LOST
         finally:
             limit.close()
@@ -217,6 +224,7 @@
         raw = await conn.head(self._is_own_answer)
         load.silence.note_received(_now())
         head = wire.read_answer(raw.status, raw.headers)
+        self.framing, self.inside_event = raw.framing.value, False
         if head.load is not None:
             load.reported(head.load, _now())
         if head.instance in (None, record.name):
@@ -292,6 +300,7 @@
         work: Work,
     ) -> None:
         cutter = EventSplitter() if self._job.route.resumable else None
+        tracker = EventTracker()
         headers = head.headers
         if cutter is not None:
             # A resumed answer may differ in length from the one first announced.
@@ -300,6 +309,8 @@
             limit.close()
             load.silence.note_received(_now())
             self._note_first_chunk(load, work)
+            tracker.feed(data)
+            self.inside_event = tracker.inside
             if not self._answer.started:
                 await self._answer.start(head.status, headers)
             if cutter is None:
