Break off streams that end inside an event

Callers received streams as complete that an engine had broken off in the middle of an event. An answer without length and chunks ends with its connection, and that of an engine that dies, or whose run crashes, ends in the same way; the gateway wrote the bytes of the cut event and the last chunk. It did so too for a cut answer that its upstream had framed as whole.

Now the gateway follows the events of each streamed answer. One that ends inside an event counts as lost, whatever its framing: a resumable stream goes on at another upstream after its last whole event, others are cut. The same holds for a stream that ends with its connection before its first event, unless it continues an earlier one. The length of an event stream is no longer passed on: a cut stream could fit it. A stream that ends after an event, and a body of another type, stay complete.

--- a/gooseberrydale/connection/sse.py
+++ b/gooseberrydale/connection/sse.py
@@ -112,13 +112,15 @@
 
 
 class EventTracker:
-    """Follows a byte stream and tells whether it is within an event.
+    """Follows a byte stream: ``inside`` is whether its last byte is within an event.
 
-    It stores no bytes of the stream.  Comments outside of events belong to none.
+    ``started`` is whether any event has started.  Comments outside of events belong to
+    none.  No bytes of the stream are stored.
     """
 
     def __init__(self) -> None:
         self.inside = False
+        self.started = False
         self._at_line_start = True
         self._after_cr = False
 
@@ -139,6 +141,7 @@
         if self._at_line_start:
             if text:
                 self.inside = self.inside or not text.startswith(b":")
+                self.started = self.started or self.inside
             else:
                 self.inside = False
         self._at_line_start = ends
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -14,7 +14,7 @@
 from gooseberrydale.connection.http_conn import HttpConn, ResponseHead
 from gooseberrydale.connection.http_pool import HttpPool, PoolExhaustedError
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.connection.sse import EventSplitter, EventTracker, SseError
+from gooseberrydale.connection.sse import EventSplitter, SseError
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.process.gateway.answer import HOP_BY_HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.outdated_abort import OutdatedAbort
@@ -23,6 +23,7 @@
 from gooseberrydale.process.gateway.upstream_health import answered, suspect
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.quota_charge import QuotaCharge
+from gooseberrydale.request.answer_stream import AnswerStream
 from gooseberrydale.request.attempt_end import End
 from gooseberrydale.request.gateway_call import (
     AnswerHead,
@@ -238,7 +239,10 @@
                 "the answer has no upstream stamp or is encoded", sent=True
             )
         if job.route.streamed:
-            await self._forward_stream(conn, limit, head, record, load, work)
+            stream = AnswerStream(
+                raw.headers, raw.framing, continued=self.last_event_id is not None
+            )
+            await self._forward_stream(conn, limit, head, stream, record, load, work)
         else:
             body = await _read_whole(conn)
             await self._answer.whole(head.status, head.headers, body)
@@ -295,22 +299,24 @@
         conn: HttpConn,
         limit: OutdatedAbort,
         head: AnswerHead,
+        stream: AnswerStream,
         record: UpstreamRecord,
         load: UpstreamLoad,
         work: Work,
     ) -> None:
+        """Forward a streamed body; raises :class:`UpstreamError` if it is cut off."""
         cutter = EventSplitter() if self._job.route.resumable else None
-        tracker = EventTracker()
         headers = head.headers
-        if cutter is not None:
-            # A resumed answer may differ in length from the one first announced.
+        if cutter is not None or stream.has_events:
+            # A resumed answer may differ in length from the one first announced, and
+            # one that is broken off at that length would look complete.
             headers = tuple(h for h in headers if h[0] != b"content-length")
         async for data in conn.body():
             limit.close()
             load.silence.note_received(_now())
             self._note_first_chunk(load, work)
-            tracker.feed(data)
-            self.inside_event = tracker.inside
+            stream.feed(data)
+            self.inside_event = stream.inside_event
             if not self._answer.started:
                 await self._answer.start(head.status, headers)
             if cutter is None:
@@ -319,6 +325,7 @@
                 await self._write_events(cutter, data)
                 if self.last_event_id is not None and self._may_move(record):
                     raise _MoveStreamError
+        stream.check_end()
         if not self._answer.started:
             await self._answer.start(head.status, headers)
         if cutter is not None and cutter.remainder:
