Take an answer that is reset after its end for incomplete

A body without length ends with its connection. If the upstream resets the connection after that, before the gateway reads the end, reading returns the end alone, and the gateway passed on the body as complete. The failure is still pending on the socket, so the gateway now asks for it at the end of the connection, and fails the answer as for any other reset.

Both new tests fail without the change.

--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -17,7 +17,11 @@
 
 import httptools
 
-from gooseberrydale.connection.tcp import enable_keepalive, set_unacked_timeout
+from gooseberrydale.connection.tcp import (
+    enable_keepalive,
+    has_failed,
+    set_unacked_timeout,
+)
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.request.gateway_call import RawHeaders
 from gooseberrydale.request.silence_limit import SilenceLimit
@@ -173,6 +177,13 @@
     def _closed(self) -> bool:
         return self._failure is not None
 
+    @property
+    def _was_reset(self) -> bool:
+        """Whether the connection failed, though the end of its stream was received."""
+        if self._failure is not None or self._transport is None:
+            return True
+        return has_failed(self._transport.get_extra_info("socket"))
+
     def _finish(self) -> None:
         """Record the end of a response and whether the connection can be reused."""
         transport = self._transport
@@ -239,8 +250,7 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the stream, which also ends a body without a length."""
-        is_end = self._framing is Framing.CONNECTION
-        if self._busy and is_end and self._failure is None:
+        if self._busy and self._framing is Framing.CONNECTION and not self._was_reset:
             self._keep_alive = False
             self._put(_End())
         self._fail("the upstream closed the connection")
--- a/gooseberrydale/connection/tcp.py
+++ b/gooseberrydale/connection/tcp.py
@@ -34,3 +34,11 @@
     if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
         return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
+
+
+def has_failed(sock: socket.socket) -> bool:
+    """Whether the connection has failed, such as by a reset after its stream's end.
+
+    Reading does not show this: it returns the end of the stream that came before.
+    """
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
--- a/tests/test_broken_off_streams.py
+++ b/tests/test_broken_off_streams.py
@@ -14,7 +14,7 @@
     running_gateway,
 )
 from tests.builders_logs import logged
-from tests.builders_streams import WHOLE, stream_in
+from tests.builders_streams import WHOLE, reset_after_end, stream_in
 from tests.sidecar_harness import run
 
 STREAM = route(path_prefix="/streams/", streamed=True, max_runs=2, name="streams")
@@ -166,3 +166,26 @@
         assert (got.status, got.whole) == (200, False)
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    "target, content_type",
+    [("/streams/1", "text/event-stream"), ("/calls/1", "application/json")],
+)
+def test_answer_reset_after_the_end_of_its_connection_is_incomplete(
+    target: str, content_type: str
+) -> None:
+    async def main() -> None:
+        script = stream_in(
+            "connection", WHOLE, content_type=content_type, end=reset_after_end
+        )
+        upstream = RawUpstream("u1", script)
+        routes = declared(route(), STREAM)
+        with logged("send_ended") as ends:
+            async with running_gateway(routes, upstream) as gateway:
+                got = await call(gateway, target)
+        assert got.status == 502 or not got.whole
+        assert len(upstream.requests) == 1
+        assert [end["end"] for end in ends] == ["lost"]
+
+    run(main())
