Send callers of HTTP/1.0 streams without chunks, and reset cut ones

Callers of HTTP/1.0 got streams in chunks, which that version doesn't have: the sizes stood in the body. uvicorn chooses chunks for each answer without a length. Sent plainly, the body ends with its connection, so a cut answer would look complete.

Now such an answer has neither length nor chunks. While it is sent, closing its connection resets it, also if the process is killed; once all its bytes have been written, the connection ends normally.

--- a/gooseberrydale/process/http_protocol.py
+++ b/gooseberrydale/process/http_protocol.py
@@ -1,17 +1,22 @@
 """Limits the size and time of a request's head (request line and headers).
 
-uvicorn limits neither, and it answers invalid HTTP in plain text, while callers expect
-errors in JSON.  There is one protocol object per connection.
+uvicorn limits neither, it answers invalid HTTP in plain text, while callers expect
+errors in JSON, and it sends chunks to callers of HTTP/1.0.  There is one protocol
+object per connection.
 """
 
 from __future__ import annotations
 
 import asyncio
 import uuid
+from functools import partial
 from typing import Any
 
 import msgspec
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from gooseberrydale.errors import (
     HEAD_TIMEOUT,
@@ -21,6 +26,7 @@
     problem,
 )
 from gooseberrydale.process.error_body import error_object
+from gooseberrydale.process.http_1_0 import HTTP_1_0, end_normally, serve_http_1_0
 
 MAX_HEAD_BYTES = 64 * 1024
 HEAD_TIMEOUT_S = 10.0
@@ -55,8 +61,10 @@
         self._head_timer = self.loop.call_later(self.first_byte_s, transport.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timer."""
+        """Cancel the timer; let a complete answer without a length end normally."""
         self._stop_timer()
+        if exc is None and self._has_answered_http_1_0():
+            end_normally(self.transport)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -85,10 +93,21 @@
         if not self.transport.is_closing():
             super().on_headers_complete()
 
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        if cycle.scope["http_version"] == HTTP_1_0:
+            app = partial(serve_http_1_0, app, cycle)
+        super()._start_asgi_task(cycle, app)
+
     def send_400_response(self, msg: str) -> None:
         """Answer invalid HTTP with a JSON error."""
         self._refuse(problem(INVALID_HTTP))
 
+    def _has_answered_http_1_0(self) -> bool:
+        cycle = self.cycle
+        if cycle is None or cycle.scope["http_version"] != HTTP_1_0:
+            return False
+        return bool(cycle.response_complete)
+
     def _fails_in_body(self) -> bool:
         """Whether the only open request is still being read and not yet answered."""
         cycle = self.cycle
