Accept answers without length and chunks on the sidecars' path

Sidecars refused an upstream's answer that ends with its connection, as the library reads such a body as empty; the work had run and was lost. They now read it to the end. It fails if the connection is reset, also right after its end, or if the sidecar itself aborts it; a stream still needs its end marker. As a missing length no longer refuses a response, one whose head is cut or has a malformed line must be found by itself: the library takes any line without a colon for the end of the head.

--- a/gooseberrydale/connection/upstream_http.py
+++ b/gooseberrydale/connection/upstream_http.py
@@ -23,10 +23,11 @@
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
-from gooseberrydale.connection.tcp import enable_keepalive
+from gooseberrydale.connection.tcp import enable_keepalive, has_failed
 from gooseberrydale.connection.upstream_reply import Headers, UpstreamError
 
 CONNECT_TIMEOUT_S = 2.0
+READ_BYTES = 64 * 1024
 
 # Hop-by-hop headers, and in requests those that the client library sets itself.
 _DROPPED_OUT = frozenset(
@@ -48,6 +49,7 @@
     def __init__(self, call: UpstreamCall, pool: Any) -> None:
         super().__init__(pool)
         self._call = call
+        self._head_ended = False
         call.connections.append(self)
 
     def reuse(self, urlparsed: Any, verify: bool) -> bool:
@@ -56,6 +58,29 @@
     def keep_alive(self) -> None:
         self.keep = False
 
+    def release(self) -> None:
+        # A body without a length is read after the library has released it.
+        pass
+
+    async def readline(self) -> bytes:
+        # The library takes any line without a colon for the end of the head, also one
+        # that the end of the connection cut.
+        line: bytes = await super().readline()
+        if not line.endswith(b"\n"):
+            raise EOFError("the connection ended inside a line of the response")
+        if not self._head_ended and b":" not in line:
+            if line.strip(b"\r\n"):
+                raise ValueError("a header line of the response has no colon")
+            self._head_ended = True
+        return line
+
+    async def read_until_end(self) -> AsyncGenerator[bytes, None]:
+        """Yield what arrives until the upstream ends the connection."""
+        while data := await self.read(READ_BYTES):
+            yield data
+        if self.writer is None or has_failed(self.writer.get_extra_info("socket")):
+            raise EOFError("the connection failed before its end")
+
     def write(self, data: bytes) -> None:
         # Nothing may be sent for a call that has been cancelled.
         _raise_if_cancelled()
@@ -87,10 +112,11 @@
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
         self.sent = False
-        self.connections: list[Connection] = []
+        self.connections: list[_SingleUse] = []
         self.status = 0
         self.headers: Headers = ()
         self._response: HttpResponse | None = None
+        self._ends_with_connection = False
         self._client = HTTPClient(
             connector=TCPConnector(
                 pool_configs={":default": PoolConfig(size=1)},
@@ -138,7 +164,7 @@
             if name.lower() not in _DROPPED_IN
         )
         if method != "HEAD" and self.status not in _NO_BODY_STATUS:
-            _check_framed(response)
+            self._ends_with_connection = not _is_framed(response)
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body as it arrives.
@@ -147,11 +173,13 @@
         """
         if self._response is None:
             return
-        if not self._response._has_pending_body():
-            return
         try:
-            async for data in self._response.read_chunks():
-                yield data
+            if self._ends_with_connection:
+                async for data in self.connections[-1].read_until_end():
+                    yield data
+            elif self._response._has_pending_body():
+                async for data in self._response.read_chunks():
+                    yield data
         except (AiosonicError, OSError, EOFError, ValueError) as exc:
             raise UpstreamError(_describe(exc), sent=True) from exc
 
@@ -173,14 +201,9 @@
     return f"{type(exc).__name__}: {exc}" if str(exc) else type(exc).__name__
 
 
-def _check_framed(response: HttpResponse) -> None:
-    """Reject a response whose body ends with the connection.
-
-    The library would read such a body as empty.
-    """
-    if response.chunked or "content-length" in response.headers:
-        return
-    raise ValueError("the response has neither content-length nor chunked encoding")
+def _is_framed(response: HttpResponse) -> bool:
+    """Whether the end of the body is marked; the library reads another one as empty."""
+    return response.chunked or "content-length" in response.headers
 
 
 def _quote_target(target: str) -> str:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -9,6 +9,8 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+import pytest
+
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.messages import (
     Accepted,
@@ -107,6 +109,26 @@
     run(main())
 
 
+@pytest.mark.parametrize("done", [True, False])
+def test_a_stream_without_framing_is_complete_only_with_its_end_marker(
+    tmp_path: pathlib.Path, done: bool
+) -> None:
+    async def answer(_req: Request, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n")
+        events = [*EVENTS, b"[DONE]"] if done else EVENTS
+        writer.write(b"".join(b"data: " + event + b"\n\n" for event in events))
+        await writer.drain()
+        writer.close()
+
+    async def main() -> None:
+        async with running_sidecar(tmp_path, answer) as harness:
+            frames = await read_frames(harness.dispatch())
+        assert events_of(frames) == EVENTS
+        assert isinstance(frames[-1], End if done else Failed)
+
+    run(main())
+
+
 def test_a_dispatch_to_another_incarnation_is_refused(tmp_path: pathlib.Path) -> None:
     async def main() -> None:
         async with running_sidecar(tmp_path, complete_stream) as harness:
