Do not resume a stream after parts that have no event id

A resumable stream that broke after events without an id was sent anew and joined to what its caller had, from the beginning or from an earlier id, so parts came twice. So was a body of another type than events. Now such an answer is cut, unless an event with an id follows; comments do not matter, as callers ignore them. Streams are not moved off such a point either.

--- a/gooseberrydale/connection/sse.py
+++ b/gooseberrydale/connection/sse.py
@@ -82,6 +82,12 @@
     data: bytes
     event_id: str | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has no field, so that callers ignore it."""
+        lines = self.data.splitlines()
+        return all(not line or line.startswith(b":") for line in lines)
+
 
 class EventSplitter:
     """Splits a byte stream into complete events and leaves their bytes unchanged.
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -195,7 +195,7 @@
             return True
         step = decide_next_step(
             SendHistory(len(self._placer.tried), self._sender.runs, end),
-            repeatable=self._job.repeatable,
+            repeatable=self._job.repeatable and self._sender.can_resume,
             max_runs=self._job.route.max_runs,
             left_s=self._job.left_s(),
             others=others,
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -85,6 +85,7 @@
     ``may_move`` is called after each chunk of a resumable stream; if it returns True
     the stream continues at another upstream.  ``runs`` counts the sends that may have
     run; ``failure`` is the last failure that an upstream itself answered with.
+    ``can_resume`` is whether another upstream can continue what the caller has.
     ``lost_reason`` says why the last send that was lost ended.
     ``framing`` names what marks the end of the last answer; ``inside_event`` is whether
     its last bytes are in the middle of an event.
@@ -108,6 +109,7 @@
         self.runs = 0
         self.failure: tuple[AnswerHead, bytes] | None = None
         self.last_event_id: str | None = job.call.last_event_id
+        self.can_resume = True
         self.lost_reason = ""
         self.framing = ""
         self.inside_event = False
@@ -305,7 +307,8 @@
         work: Work,
     ) -> None:
         """Forward a streamed body; raises :class:`UpstreamError` if it is cut off."""
-        cutter = EventSplitter() if self._job.route.resumable else None
+        is_cut = self._job.route.resumable and stream.has_events
+        cutter = EventSplitter() if is_cut else None
         headers = head.headers
         if cutter is not None or stream.has_events:
             # A resumed answer may differ in length from the one first announced, and
@@ -320,10 +323,12 @@
             if not self._answer.started:
                 await self._answer.start(head.status, headers)
             if cutter is None:
+                self.can_resume = False
                 await self._answer.write(data)
             else:
                 await self._write_events(cutter, data)
-                if self.last_event_id is not None and self._may_move(record):
+                has_resume_point = self.last_event_id is not None and self.can_resume
+                if has_resume_point and self._may_move(record):
                     raise _MoveStreamError
         stream.check_end()
         if not self._answer.started:
@@ -350,7 +355,12 @@
         if events:
             await self._answer.write(b"".join(event.data for event in events))
         for event in events:
-            self.last_event_id = event.event_id or self.last_event_id
+            if event.event_id:
+                self.last_event_id = event.event_id
+                self.can_resume = True
+            elif not event.is_comment:
+                # Resuming after an earlier event would repeat this one.
+                self.can_resume = False
 
 
 def _request_head(call: CallerRequest, headers: RawHeaders, size: int) -> bytes:
--- a/tests/test_broken_off_streams.py
+++ b/tests/test_broken_off_streams.py
@@ -10,6 +10,7 @@
     call,
     declared,
     event,
+    reset,
     route,
     running_gateway,
 )
@@ -120,6 +121,41 @@
     run(main())
 
 
+UNRESUMABLE = {
+    "no ids": (b"data: a\n\ndata: b\n\nda", "text/event-stream"),
+    "no id after the last": (event(1) + b"data: b\n\nda", "text/event-stream"),
+    "no events": (b"a\n\nb", "text/plain"),
+}
+
+
+@pytest.mark.parametrize("case", UNRESUMABLE)
+def test_stream_is_not_resumed_where_parts_would_be_repeated(case: str) -> None:
+    part, content_type = UNRESUMABLE[case]
+
+    async def main() -> None:
+        script = stream_in("connection", part, content_type=content_type, end=reset)
+        both = upstreams(script)
+        async with running_gateway(declared(RESUMABLE), *both) as gateway:
+            got = await call(gateway, "/resumable/1")
+        assert (got.status, got.whole) == (200, False)
+        assert sum(len(up.requests) for up in both) == 1
+
+    run(main())
+
+
+def test_stream_is_resumed_after_a_comment() -> None:
+    async def main() -> None:
+        comment = b": ping\n\n"
+        part = event(1) + comment + event(2)[:5]
+        both = upstreams(stream_in("connection", part))
+        async with running_gateway(declared(RESUMABLE), *both) as gateway:
+            got = await call(gateway, "/resumable/1")
+        assert (got.status, got.whole) == (200, True)
+        assert got.body == WHOLE.replace(event(1), event(1) + comment)
+
+    run(main())
+
+
 @pytest.mark.parametrize("target", ["/streams/1", "/resumable/1"])
 def test_connection_that_ends_before_the_first_event_is_no_answer(target: str) -> None:
     async def main() -> None:
