Call the next replica after a response that is cut off

The operators' commands ended with a traceback if a control replica died within its response: the library raises EOFError or ValueError there, and only OSError and its own errors led to the next replica. Changes carry an id, so sending them again is safe.

--- a/gooseberrydale/process/operator_client.py
+++ b/gooseberrydale/process/operator_client.py
@@ -31,6 +31,9 @@
 
 # After these errors another replica may still be able to answer.
 TRY_NEXT_CODES = (NOT_LEADER.code, NO_QUORUM.code, SHUTTING_DOWN.code)
+CALL_FAILURES = (OSError, EOFError, ValueError, AiosonicError)
+"""What the library raises; the second and third if a response is cut off."""
+
 RETRY_INTERVAL_S = 0.2
 CALL_TIMEOUT_S = 5.0
 
@@ -104,7 +107,7 @@
         for url in self._target.urls:
             try:
                 result = await self._call(method, url.rstrip("/") + path, body)
-            except (OSError, AiosonicError) as exc:
+            except CALL_FAILURES as exc:
                 if result.is_err() and _is_unreachable(result.unwrap_err()):
                     result = Err(_unreachable(f"{url}: {_reason(exc)}"))
                 continue
