Log why calls to control and connections to sidecars fail

Neither the client of control nor the request path kept the error of a connection that failed, so the hypotheses about the listed connect failure could not be told apart from logs. Debug lines name it now.

--- a/gooseberrydale/connection/control_client.py
+++ b/gooseberrydale/connection/control_client.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import grpc
+from loguru import logger
 from result import Err, Ok, Result
 
 from gooseberrydale.connection.rpc import PROPOSE, RpcChannel, TlsFiles
@@ -92,7 +93,13 @@
         self._users[channel] += 1
         try:
             return await channel.call(PROPOSE, req, timeout_s=CALL_TIMEOUT_S)
-        except grpc.aio.AioRpcError:
+        except grpc.aio.AioRpcError as exc:
+            logger.debug(
+                "control replica {} gave no reply: {}: {}",
+                address,
+                exc.code().name,
+                exc.details(),
+            )
             # The next call opens a new connection: this one may be silent.
             if self._channels.get(address) is channel:
                 del self._channels[address]
--- a/gooseberrydale/request/exchange.py
+++ b/gooseberrydale/request/exchange.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import grpc.aio
+from loguru import logger
 
 from gooseberrydale.connection.channels import ChannelPool, Endpoint
 from gooseberrydale.connection.codec import CodecError
@@ -170,6 +171,7 @@
                     return
         except TimeoutError:
             _check_deadline(deadline)
+        logger.debug("no connection to the sidecar at {}", self.sidecar.address)
         self._channel = self._pool.replace(self.sidecar, channel)
         raise ExchangeLost(Cause.NOT_SENT, "no connection to the sidecar")
 
