Ask another control replica while one does not answer

The client called one replica at a time. Now it asks another one, too, each time that 0.2 s pass without a reply; calls under way go on, and the first conclusive reply counts. All requests are idempotent, and a replica that has been asked is not asked again meanwhile, so a slow leader gets no more.

The test with an open connection fails without the change (0.9 s, claim_unavailable). The one with a new connection passes there, as such an attempt lasts 100 ms, and fails with an attempt of 1 s.

--- a/gooseberrydale/connection/control_client.py
+++ b/gooseberrydale/connection/control_client.py
@@ -3,7 +3,8 @@
 A process has one :class:`ControlClient`.  It keeps one connection to each replica that
 it has called and remembers the last leader.  All requests of ``control_messages`` are
 idempotent, so a request is sent again, to the same or another replica, until a reply
-arrives that has no transient problem, or the time limit is reached.
+arrives that has no transient problem, or the time limit is reached.  While a replica
+does not answer, others are asked as well.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Container, Mapping, Sequence
 from typing import Any
 
 import grpc
@@ -28,6 +29,10 @@
 )
 
 CALL_TIMEOUT_S = 1.0
+SILENT_AFTER_S = 0.2
+"""A replica that has not answered for so long may be silent; committing takes some tens
+of milliseconds."""
+
 RETRY_MIN_S = 0.02
 RETRY_MAX_S = 0.2
 RETRY_AFTER_S = 1.0
@@ -74,16 +79,48 @@
         await asyncio.gather(*(channel.close() for channel in channels))
 
     async def _ask_until_answered(self, req: Any) -> Any:
-        while True:
-            target = self._target or self._random_address()
-            reply = await self._call(target, req)
-            if reply is not None and not _is_transient(reply.problem):
-                self._target = target
-                return reply
-            leader = "" if reply is None else reply.leader
-            self._target = leader if leader != target else ""
-            if not self._target:
-                await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+        calls: dict[str, asyncio.Task[Any]] = {}
+        try:
+            while True:
+                asked = self._ask_another(req, calls)
+                done = await _first_ended(calls, SILENT_AFTER_S if asked else None)
+                if self._target in calls:
+                    self._target = ""
+                for address in done:
+                    reply = calls.pop(address).result()
+                    if reply is not None and self._is_conclusive(address, reply, calls):
+                        return reply
+                if done and not self._target:
+                    pause_s = self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+                    await _first_ended(calls, pause_s)
+        finally:
+            for call in calls.values():
+                call.cancel()
+            await asyncio.gather(*calls.values(), return_exceptions=True)
+
+    def _ask_another(self, req: Any, calls: dict[str, asyncio.Task[Any]]) -> bool:
+        """Call one more replica; False if all have been called and none has replied."""
+        address = self._next_address(calls)
+        if address is None:
+            return False
+        calls[address] = asyncio.create_task(self._call(address, req))
+        return True
+
+    def _is_conclusive(self, address: str, reply: Any, calls: Container[str]) -> bool:
+        """Whether the reply is final; the leader that it names becomes the target."""
+        if not _is_transient(reply.problem):
+            self._target = address
+            return True
+        if reply.leader != address and reply.leader not in calls:
+            self._target = reply.leader
+        return False
+
+    def _next_address(self, calls: Container[str]) -> str | None:
+        """Return a replica that has not been asked yet; None if all have been."""
+        if self._target and self._target not in calls:
+            return self._target
+        others = [address for address in self._addresses if address not in calls]
+        return self._rng.choice(others) if others else None
 
     async def _call(self, address: str, req: Any) -> Any:
         channel = self._channels.get(address)
@@ -118,8 +155,18 @@
         del self._users[channel]
         await channel.close()
 
-    def _random_address(self) -> str:
-        return self._rng.choice(self._addresses)
+
+async def _first_ended(
+    calls: Mapping[str, asyncio.Task[Any]], limit_s: float | None
+) -> list[str]:
+    """Wait until a call has ended or ``limit_s`` seconds passed; return those ended."""
+    if not calls:
+        await asyncio.sleep(limit_s or 0.0)
+        return []
+    await asyncio.wait(
+        calls.values(), timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    return [address for address, call in calls.items() if call.done()]
 
 
 def _is_transient(refused: Problem | None) -> bool:
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -7,7 +7,11 @@
 
 import pytest
 
-from gooseberrydale.connection.control_client import CALL_TIMEOUT_S, ControlClient
+from gooseberrydale.connection.control_client import (
+    CALL_TIMEOUT_S,
+    SILENT_AFTER_S,
+    ControlClient,
+)
 from gooseberrydale.connection.control_messages import (
     Ack,
     ClaimReply,
@@ -23,6 +27,7 @@
 from gooseberrydale.process.control.proposer import InMemoryProposer
 from tests.builders_control import claim, order
 from tests.builders_operators import ANY_PORT, FLEET_TOKEN, running_control
+from tests.relay import Relay, RelayMode
 
 TIMEOUT_S = 20.0
 UNREACHABLE = "127.0.0.1:1"
@@ -129,6 +134,12 @@
         await self.server.start()
         return f"127.0.0.1:{self.server.port}"
 
+    async def start_once(self) -> str:
+        """Start unless it has been started."""
+        if not self.server.port:
+            await self.server.start()
+        return f"127.0.0.1:{self.server.port}"
+
 
 def test_client_follows_the_redirect_to_the_leader_and_keeps_using_it():
     async def main() -> None:
@@ -179,6 +190,55 @@
     asyncio.run(main())
 
 
+ASK_S = 0.9
+
+
+@pytest.mark.parametrize("open_first", [False, True])
+def test_silent_replica_does_not_hold_the_client_for_all_of_its_time(open_first):
+    """The replica is silent before it is connected, or falls silent afterwards."""
+
+    async def main() -> None:
+        silent, other = (FakeReplica(ClaimReply(granted=True)) for _ in range(2))
+        await silent.start()
+        relay = Relay(silent.server.port)
+        await relay.start()
+        for seed in range(6):
+            client = ControlClient(
+                [relay.address], FLEET_TOKEN, rng=random.Random(seed)
+            )
+            if open_first:
+                assert (await client.ask(claim(), TIMEOUT_S)).unwrap().granted
+            await relay.set_mode(RelayMode.SILENT)
+            client._addresses.append(await other.start_once())
+            assert (await client.ask(claim(), ASK_S)).unwrap().granted
+            await client.close()
+            await relay.set_mode(RelayMode.FORWARD)
+        assert other.requests
+        await relay.close()
+        await silent.server.close()
+        await other.server.close()
+
+    asyncio.run(main())
+
+
+def test_slow_replica_answers_while_another_one_is_asked():
+    async def main() -> None:
+        slow = FakeReplica(ClaimReply(granted=True))
+        slow.delays_s = [3 * SILENT_AFTER_S]
+        address = await slow.start()
+        not_leader = problem(NOT_LEADER, leader=address)
+        follower = FakeReplica(ClaimReply(problem=not_leader, leader=address))
+        addresses = [address, await follower.start()]
+        client = ControlClient(addresses, FLEET_TOKEN)
+        assert (await client.ask(claim(), ASK_S)).unwrap().granted
+        assert slow.requests == 1 and follower.requests
+        await client.close()
+        await slow.server.close()
+        await follower.server.close()
+
+    asyncio.run(main())
+
+
 def test_client_reports_that_no_replica_can_commit():
     async def main() -> None:
         client = ControlClient([UNREACHABLE], FLEET_TOKEN)
