Give an attempt to connect a second, and the request path its own bound

Calls failed with UNAVAILABLE while their connection was being set up, wherever the handshake took over 100 ms: on slow paths each time, and on starved cores now and then. gRPC bounds an attempt to connect by its shortest reconnect pause, which was 100 ms. It is a second now; the pause itself is set by two other options and stays.

Sessions of mesh and replication have bounds of their own.

The new test of the request path fails without its bound (1.004 s for a limit of 1 s).

--- a/gooseberrydale/connection/rpc.py
+++ b/gooseberrydale/connection/rpc.py
@@ -22,6 +22,10 @@
 TOKEN_KEY = "x-fleet-token"
 KEEPALIVE_MS = 2_000
 KEEPALIVE_TIMEOUT_MS = 2_000
+CONNECT_TIMEOUT_MS = 1_000
+"""Longer than a handshake takes over a slow path or while the process is busy; callers
+that can use another process wait for less."""
+
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 CHANNEL_OPTIONS: list[tuple[str, Any]] = [
@@ -33,7 +37,8 @@
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
+    # Bounds an attempt to connect, and not the pause before the next one.
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.max_reconnect_backoff_ms", 500),
     # Each channel has its own connection: a new channel never reuses an old one.
     ("grpc.use_local_subchannel_pool", 1),
--- a/gooseberrydale/request/exchange.py
+++ b/gooseberrydale/request/exchange.py
@@ -26,6 +26,9 @@
 from gooseberrydale.request.retry import Cause
 from gooseberrydale.request.silence_limit import SilenceLimit
 
+CONNECT_TIMEOUT_S = 0.5
+"""Leaves time to try another sidecar within the objective of most requests."""
+
 MAX_ATTACHES_PER_OFFSET = 3
 LATEST_ATTEMPT = -1
 
@@ -166,7 +169,8 @@
 
     async def _connect(self, channel: RpcChannel, deadline: float | None) -> None:
         try:
-            async with SilenceLimit(self._silence_s, deadline):
+            limit_s = min(CONNECT_TIMEOUT_S, self._silence_s)
+            async with SilenceLimit(limit_s, deadline):
                 if await channel.connect():
                     return
         except TimeoutError:
