Keep engines that answer no orders in service until they carry one out

An engine that has answered no order for two seconds, as long as a change takes, now serves on and gives up its place; it gets orders as before. Once it reports that it carries one out, it is out of service again.

--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -70,6 +70,10 @@
 """Time limit for changing one engine, after which it is left for a later attempt.
 Draining and loading take two seconds at most."""
 
+MAX_UNANSWERED_S = 2.0
+"""For so long an engine that answers no orders is kept out of service: as long as a
+change takes.  It may carry out an order many seconds later, and serves until then."""
+
 RESEND_DELAY_S = 0.1
 """Delay before an unanswered order is sent again if the engine's report shows no effect
 of it. A second copy does no harm, as whichever is executed first makes the other one
@@ -112,6 +116,7 @@
         self._seq = itertools.count(1)
         self._poller = EnginePoller(directory, engines)
         self._changing: dict[str, asyncio.Task[None]] = {}
+        self._unanswered_since: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -179,11 +184,20 @@
             # The reports arrive before the next check; until then it is unknown which
             # engines respond and which have the fewest requests.
             return []
-        remaining_s = self._remaining_s(engines)
         return engines_to_change(
-            engines, named, self._changing, self._poller.unresponsive, remaining_s
+            engines,
+            named,
+            self._changing,
+            self._poller.unresponsive,
+            self._remaining_s(engines),
+            in_service={name for name in self._changing if self._is_overdue(name)},
         )
 
+    def _is_overdue(self, name: str) -> bool:
+        """Whether an engine has answered no order for too long; it serves meanwhile."""
+        since = self._unanswered_since.get(name)
+        return since is not None and _now() >= since + MAX_UNANSWERED_S
+
     def _remaining_s(self, engines: list[EngineWeights]) -> dict[str, float]:
         """Return the seconds until the engines of each model must have the newest
         weights.
@@ -226,8 +240,9 @@
                     return
                 if await self._step(engine, drain_deadline):
                     return
-                self._mark(name, over=False)
+                self._mark(name, over=self._is_overdue(name))
         finally:
+            self._unanswered_since.pop(name, None)
             self._mark(name, over=True)
 
     async def _step(self, engine: UpstreamRecord, drain_deadline: float) -> bool:
@@ -241,6 +256,9 @@
         if loaded >= target and not report.busy:
             self._announcements.record_weights(engine.name, str(loaded), report.born_ms)
             return True
+        if report.busy:
+            # It carries out an order, answered or not.
+            self._unanswered_since.pop(engine.name, None)
         draining = report.running > MAX_KEPT_RUNS and _now() < drain_deadline
         if report.busy or draining or not self._may_order():
             await asyncio.sleep(DRAIN_POLL_S if draining else LOAD_POLL_S)
@@ -261,6 +279,10 @@
         answer = await self._engines.order(engine, order)
         outcome = answer.name.lower()
         emit(WeightsOrdered(engine.name, target, order.number, order.after, outcome))
+        if answer is OrderAnswer.UNKNOWN:
+            self._unanswered_since.setdefault(engine.name, _now())
+        else:
+            self._unanswered_since.pop(engine.name, None)
         match answer:
             case OrderAnswer.FENCED:
                 # Another replica leads; this one learns that from the log.
--- a/gooseberrydale/version/rollout.py
+++ b/gooseberrydale/version/rollout.py
@@ -62,6 +62,8 @@
     changing: Collection[str],
     silent: Collection[str] = (),
     left_s: Mapping[str, float] | None = None,
+    *,
+    in_service: Collection[str] = (),
 ) -> list[str]:
     """Names of the engines that should start changing now, oldest weights first.
 
@@ -71,7 +73,8 @@
 
     ``named`` maps each model to its wanted version.  ``changing`` names the engines
     that are changing, ``silent`` those that did not answer lately; none of these
-    accept work.  ``left_s`` maps each model to the time left until no work may start on
+    accept work, but for those of the changing that are ``in_service``: they answer no
+    orders, and take no place among the few that change at once.  ``left_s`` maps each model to the time left until no work may start on
     outdated weights; without it the maximum number of engines changes.
     """
     by_model: dict[str, list[EngineWeights]] = {}
@@ -81,7 +84,9 @@
     names = []
     for model, members in sorted(by_model.items()):
         left = None if left_s is None else left_s.get(model, 0.0)
-        names += _engines_of_model(members, named[model], changing, silent, left)
+        names += _engines_of_model(
+            members, named[model], changing, silent, left, in_service
+        )
     return names
 
 
@@ -112,6 +117,7 @@
     changing: Collection[str],
     silent: Collection[str],
     left_s: float | None,
+    in_service: Collection[str],
 ) -> list[str]:
     unavailable = {*changing, *silent}
     waiting = [
@@ -126,6 +132,11 @@
     else:
         dead = sum(member.name in silent for member in members)
         allowed = concurrent_changes(len(members), len(waiting), left_s, dead=dead)
-    free_slots = allowed - sum(member.name in changing for member in members)
+    taken = [
+        member
+        for member in members
+        if member.name in changing and member.name not in in_service
+    ]
+    free_slots = allowed - len(taken)
     waiting.sort(key=lambda member: (member.version, member.running, member.name))
     return [member.name for member in waiting[: max(0, free_slots)]]
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import dataclass, field, replace
 
 import pytest
@@ -98,10 +99,18 @@
     assert now < 8.5 and max_changing <= 7
 
 
+def test_engines_that_serve_until_they_carry_out_an_order_take_no_place() -> None:
+    members = engines(*[1] * 9)
+    changing = ("e0", "e1", "e2")
+    chosen = engines_to_change(members, {"m": 4}, changing, in_service=("e0", "e2"))
+    assert chosen == ["e3", "e4"]
+
+
 @dataclass
 class FakeEngine:
     """An engine that executes orders; the next ``unanswered`` orders are delayed
-    instead."""
+    instead.  With ``late_s`` it answers none, and executes each after between so many
+    seconds."""
 
     version: int = 1
     accepted: int = 0
@@ -109,6 +118,7 @@
     dead: bool = False
     running: int = 0
     unanswered: int = 0
+    late_s: tuple[float, float] | None = None
     delayed: list[WeightsOrder] = field(default_factory=list)
     orders: list[WeightsOrder] = field(default_factory=list)
 
@@ -121,6 +131,7 @@
         self.by_name = {name: FakeEngine() for name in names}
         self.max_concurrent = 0
         self.unmarked = 0
+        self.rng = random.Random(1)
 
     async def report(self, engine: UpstreamRecord) -> EngineReport | None:
         fake = self.by_name[engine.name]
@@ -133,6 +144,12 @@
     async def order(self, engine: UpstreamRecord, order: WeightsOrder) -> OrderAnswer:
         fake = self.by_name[engine.name]
         fake.orders.append(order)
+        if fake.late_s is not None:
+            delay_s = self.rng.uniform(*fake.late_s)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self.execute, engine.name, order)
+            await asyncio.sleep(0.4)
+            return OrderAnswer.UNKNOWN
         if fake.dead or fake.unanswered > 0:
             fake.unanswered -= 1
             fake.delayed.append(order)
@@ -264,6 +281,45 @@
     run_paused(main())
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_engines_that_answer_no_orders_have_the_newest_weights_in_time(
+    seed: int,
+) -> None:
+    async def main() -> None:
+        names = tuple(f"e{number:02}" for number in range(27))
+        setup = RolloutSetup(*names, bound_s=10.0)
+        setup.engines.rng = random.Random(seed)
+        for engine in setup.engines.by_name.values():
+            engine.late_s = (2.0, 12.0)
+        await setup.start()
+        await asyncio.sleep(14.0)
+        outdated = [e for e in setup.engines.by_name.values() if e.version == 1]
+        assert len(outdated) <= len(names) / 10
+        await setup.rollout.close()
+
+    run_paused(main())
+
+
+def test_an_engine_that_answers_no_orders_is_kept_out_of_service_for_a_change() -> None:
+    async def main() -> None:
+        setup = RolloutSetup(*NAMES)
+        for engine in setup.engines.by_name.values():
+            engine.late_s = (60.0, 60.0)
+        await setup.start()
+        loop = asyncio.get_running_loop()
+        most = 0
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            marks = [setup.directory.get(mark_name(n), loop.time()) for n in NAMES]
+            most = max(most, sum(m is not None and m.ready for m in marks))
+        assert most == 2
+        ordered = [name for name in NAMES if setup.engines.by_name[name].orders]
+        assert ordered == list(NAMES)
+        await setup.rollout.close()
+
+    run_paused(main())
+
+
 def test_a_superseded_version_is_skipped() -> None:
     async def main() -> None:
         setup = RolloutSetup(*NAMES)
