--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -222,7 +222,19 @@
         self.engines = FakeEngines(self.directory, *names)
         named = NamedWeights()
         self.replica, self.machine = FakeReplica(), FakeMachine(named)
-        self.rollout = WeightsRollout(
+        self._pause_s, self._bound_s = pause_s, bound_s
+        self.rollout = self._rollout(named)
+
+    def next_leader(self, known_for_s: float) -> WeightsRollout:
+        """Return the rollout of another leader, which knows versions for so long."""
+        self.replica.term += 1
+        named = NamedWeights()
+        now = asyncio.get_running_loop().time()
+        named.record(self.machine.config.weights, now - known_for_s)
+        return self._rollout(named)
+
+    def _rollout(self, named: NamedWeights) -> WeightsRollout:
+        return WeightsRollout(
             "node",
             self.machine,  # type: ignore[arg-type]
             self.replica,  # type: ignore[arg-type]
@@ -230,8 +242,8 @@
             Announcements(self.directory, 1.2),
             self.engines,
             named,
-            pause_s,
-            bound_s,
+            self._pause_s,
+            self._bound_s,
         )
 
     async def start(self) -> None:
@@ -300,6 +312,29 @@
     run_paused(main())
 
 
+@pytest.mark.parametrize("known_for_s", [0.0, 11.0])
+def test_new_leader_after_the_bound_of_a_version_changes_what_is_left(
+    known_for_s: float,
+) -> None:
+    """All replicas are killed; the new leader knows the version's age, or does not."""
+
+    async def main() -> None:
+        setup = RolloutSetup(*NAMES)
+        for engine in setup.engines.by_name.values():
+            engine.late_s = (60.0, 60.0)
+        await setup.start()
+        await asyncio.sleep(11.0)
+        await setup.rollout.close()
+        for engine in setup.engines.by_name.values():
+            engine.late_s = None
+        rollout = setup.next_leader(known_for_s)
+        await rollout.start()
+        assert await setup.wait_until_all(2, 8.0) < 4.0
+        await rollout.close()
+
+    run_paused(main())
+
+
 def test_an_engine_that_answers_no_orders_is_kept_out_of_service_for_a_change() -> None:
     async def main() -> None:
         setup = RolloutSetup(*NAMES)
