--- a/gooseberrydale/version/rollout.py
+++ b/gooseberrydale/version/rollout.py
@@ -74,8 +74,9 @@
     ``named`` maps each model to its wanted version.  ``changing`` names the engines
     that are changing, ``silent`` those that did not answer lately; none of these
     accept work, but for those of the changing that are ``in_service``: they answer no
-    orders, and take no place among the few that change at once.  ``left_s`` maps each model to the time left until no work may start on
-    outdated weights; without it the maximum number of engines changes.
+    orders, and take no place among the few that change at once.  ``left_s`` maps each
+    model to the time left until no work may start on outdated weights; without it the
+    maximum number of engines changes.
     """
     by_model: dict[str, list[EngineWeights]] = {}
     for engine in engines:
