--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -307,10 +307,10 @@
         work: Work,
     ) -> None:
         """Forward a streamed body; raises :class:`UpstreamError` if it is cut off."""
-        is_cut = self._job.route.resumable and stream.has_events
-        cutter = EventSplitter() if is_cut else None
+        in_events = self._job.route.resumable and stream.has_events
+        splitter = EventSplitter() if in_events else None
         headers = head.headers
-        if cutter is not None or stream.has_events:
+        if splitter is not None or stream.has_events:
             # A resumed answer may differ in length from the one first announced, and
             # one that is broken off at that length would look complete.
             headers = tuple(h for h in headers if h[0] != b"content-length")
@@ -322,19 +322,19 @@
             self.inside_event = stream.inside_event
             if not self._answer.started:
                 await self._answer.start(head.status, headers)
-            if cutter is None:
+            if splitter is None:
                 self.can_resume = False
                 await self._answer.write(data)
             else:
-                await self._write_events(cutter, data)
+                await self._write_events(splitter, data)
                 has_resume_point = self.last_event_id is not None and self.can_resume
                 if has_resume_point and self._may_move(record):
                     raise _MoveStreamError
         stream.check_end()
         if not self._answer.started:
             await self._answer.start(head.status, headers)
-        if cutter is not None and cutter.remainder:
-            await self._answer.write(cutter.remainder)
+        if splitter is not None and splitter.remainder:
+            await self._answer.write(splitter.remainder)
         await self._answer.end()
         run_s = _now() - self._answer.started_at
         self._deps.stats.run_times.ended(self._job.route.name, run_s)
@@ -347,9 +347,9 @@
             load.prefill_done(work)
             self._deps.work_changed()
 
-    async def _write_events(self, cutter: EventSplitter, data: bytes) -> None:
+    async def _write_events(self, splitter: EventSplitter, data: bytes) -> None:
         try:
-            events = cutter.feed(data)
+            events = splitter.feed(data)
         except SseError as exc:
             raise UpstreamError(str(exc), sent=True) from exc
         if events:
