--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -8,9 +8,9 @@
 
 from behave import given, then, when
 
-from features.steps.fleet_steps import COMPLETIONS, caller, show
+from features.steps.fleet_steps import COMPLETIONS, caller, record, show
 from tests.callers import nested_prompt
-from tests.fleet import ENTRY_HTTP_PORT, wait_for_port, wait_until
+from tests.fleet import ENTRY_HTTP_PORT, wait_for_port
 
 ENDED_KINDS = {"whole", "refused"}
 LOAD_BOUND_S = 180.0
@@ -106,9 +106,7 @@
 def step_not_run_is_true(context: Any) -> None:
     """Check that no request answered with ``not_run: true`` is in a record."""
     fleet = context.fleet
-    for name in fleet.upstreams:
-        wait_until(fleet.processes["upstream-" + name].running.__bool__, name)
-    ran = {run["request_id"] for name in fleet.upstreams for run in fleet.runs(name)}
+    ran = {run["request_id"] for name in fleet.upstreams for run in record(fleet, name)}
     claimed = [e for e in context.endings if e.kind == "refused" and e.not_run is True]
     wrong = [e for e in claimed if ran & set(e.request_ids)]
     assert not wrong, show(wrong)
