Read engines' software versions, and log them with what callers resume

Callers saw streams whose events come from engines of two software versions. The logs could not tell why: no line names an engine's version or the request that a caller goes on from. Control now reads the version of a heartbeat into the engine's record, and request lines name it for each choice, with Resumes and Last-Event-Id. Nothing decides by them yet.

--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -39,7 +39,8 @@
     An upstream without a sidecar announces itself: ``name`` then names one incarnation
     of the upstream, ``address`` is its own listener, and ``slots`` is how many requests
     it runs concurrently.  A gateway states the link rate of its node in ``link_mbps``,
-    0 if unknown.
+    0 if unknown.  ``software`` is the version of the software that this incarnation of
+    the upstream runs, empty if it announces none.
     """
 
     name: str
@@ -58,6 +59,7 @@
     lease_s: float = 10.0
     slots: int = 0
     link_mbps: float = 0.0
+    software: str = ""
 
 
 class EndedIncarnation(msgspec.Struct, frozen=True, array_like=True):
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -43,7 +43,9 @@
     same for all requests with the same content, and empty if the body was not read.
     ``whole`` is whether the answer was complete.  ``framing`` names what marks the end
     of the upstream's last answer (length, chunked, connection), and ``inside_event`` is
-    whether the last bytes of that answer are in the middle of an event.
+    whether the last bytes of that answer are in the middle of an event.  A caller that
+    continues a stream names its ``last_event_id`` and, in ``resumes``, the request that
+    brought its first event; each is empty if not named.
     """
 
     NAME: ClassVar[str] = "request"
@@ -65,6 +67,8 @@
     digest: str = ""
     framing: str = ""
     inside_event: bool = False
+    resumes: str = ""
+    last_event_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -308,6 +308,8 @@
                 digest=fingerprint_text(self._fingerprint),
                 framing="" if forwarder is None else forwarder.framing,
                 inside_event=forwarder is not None and forwarder.inside_event,
+                resumes=call.resumes or "",
+                last_event_id=call.last_event_id or "",
             )
         )
 
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -250,6 +250,7 @@
             f" errors={choice.error_rate:.2f} usable={choice.usable}"
             f" stored={choice.stored} weights={choice.weights or '-'}"
             f" old={choice.outdated_for_s:.1f}"
+            f" software={choice.software or '-'}"
             for choice in self.choices
         ]
 
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -400,6 +400,7 @@
             far=record.zone != self._zone,
             error_rate=load.error_rate,
             usable=not avoided and not self.is_changing(record, now),
+            software=record.software,
         )
 
     def _unreported_work(self, records: Sequence[UpstreamRecord]) -> Load | None:
--- a/gooseberrydale/request/gateway_call.py
+++ b/gooseberrydale/request/gateway_call.py
@@ -55,7 +55,8 @@
 
     ``headers`` are forwarded to the upstream unchanged.  ``wait_s`` is how long the
     caller will wait, None if it does not say.  ``last_event_id`` is set if the caller
-    continues a stream after that event.
+    continues a stream after that event; ``resumes`` is then the id of the request that
+    brought the stream's first event, None if the caller does not name it.
     """
 
     request_id: str
@@ -67,6 +68,7 @@
     wait_s: float | None = None
     prompt: Prompt | None = None
     last_event_id: str | None = None
+    resumes: str | None = None
 
     @property
     def path(self) -> str:
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -103,7 +103,8 @@
     """An upstream that is eligible for the request, as this gateway sees it now.
 
     ``weights`` identifies the weights that computed its cache; a prefix is found only
-    under the same weights. ``slots`` and ``kv_tokens`` are its capacity, 0 if unknown.
+    under the same weights. ``software`` is the version of its software, empty if not
+    announced. ``slots`` and ``kv_tokens`` are its capacity, 0 if unknown.
 
     ``preference_rank`` is its position in the preference order of the shared prefix, 0
     for the preferred upstream. ``stored`` says that a store holds the prefix for the
@@ -127,6 +128,7 @@
     far: bool = False
     error_rate: float = 0.0
     usable: bool = True
+    software: str = ""
 
     @property
     def lacks_prefix(self) -> bool:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -100,6 +100,7 @@
         values = dict(headers)
         wait = values.get(b"wait")
         last = values.get(b"last-event-id")
+        resumes = values.get(b"resumes")
         return Ok(
             CallerRequest(
                 request_id=values[b"id"].decode(),
@@ -110,6 +111,7 @@
                 key=values[b"key"].decode() if b"key" in values else None,
                 wait_s=float(wait) if wait is not None else None,
                 last_event_id=last.decode() if last is not None else None,
+                resumes=resumes.decode() if resumes is not None else None,
             )
         )
 
@@ -271,6 +273,7 @@
     metrics: MetricsCfg = MetricsCfg(),
     name: str = "g1",
     controls: tuple[str, ...] = (),
+    gossip: str = "",
     **settings: Any,
 ) -> AsyncIterator[Gateway]:
     """Run a gateway with raw upstreams; it uses control only if ``controls`` is set."""
@@ -281,7 +284,7 @@
         gateway=GatewayCfg(
             http="127.0.0.1:0",
             ready="127.0.0.1:0",
-            gossip=f"127.0.0.1:{free_port()}",
+            gossip=gossip or f"127.0.0.1:{free_port()}",
             grace_s=2.0,
             **settings,
         ),
--- /dev/null
+++ b/tests/builders_versions.py
@@ -0,0 +1,151 @@
+"""Gateways and upstreams of several software versions, and streams that break off."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from gooseberrydale.process.cfg import NodeCfg
+from gooseberrydale.process.gateway.gateway import Gateway, gateway_record
+from gooseberrydale.version.declared import Declared
+from tests.builders_gateway import (
+    RawUpstream,
+    ReceivedAnswer,
+    Script,
+    Writer,
+    call,
+    declared,
+    event,
+    free_port,
+    record,
+    reset,
+    route,
+    running_gateway,
+)
+from tests.builders_streams import EVENT_STREAM, HEAD
+
+EVENTS = 4
+TARGET = "/resumable/1"
+BREAK_DELAY_S = 0.05
+"""Time in which a caller or gateway reads what was written before a reset."""
+RESUMABLE = route(
+    path_prefix="/resumable/",
+    streamed=True,
+    resumable=True,
+    max_runs=4,
+    timeout_s=6.0,
+    name="resumable",
+)
+
+
+def written(software: str, first: int, last: int = EVENTS) -> bytes:
+    """Return events that name the software that wrote them."""
+    numbers = range(first, last + 1)
+    return b"".join(
+        event(number).replace(b"word", software.encode() + b"-") for number in numbers
+    )
+
+
+def stream_of(software: str, breaks_after: int | None = None) -> Script:
+    """Answer each request with the rest of the stream, as ``software`` writes it.
+
+    A stream that is not taken up is reset after event ``breaks_after`` if that is set;
+    0 is before the first event.
+    """
+
+    async def script(req: dict[str, str], _body: bytes, writer: Writer) -> None:
+        first = int(req.get("last-event-id", "0")) + 1
+        stop = breaks_after if first == 1 else None
+        head = HEAD.format(req["id"], EVENT_STREAM) + "connection: close\r\n\r\n"
+        last = EVENTS if stop is None else stop
+        writer.write(head.encode() + written(software, first, last))
+        if stop is None:
+            writer.close()
+        else:
+            await asyncio.sleep(BREAK_DELAY_S)
+            reset(writer)
+
+    return script
+
+
+@dataclass
+class VersionedUpstream(RawUpstream):
+    """An upstream that announces the version of its software."""
+
+    software: str = ""
+
+
+def upstream(
+    name: str, software: str, breaks_after: int | None = None
+) -> VersionedUpstream:
+    """Return an upstream that runs ``software``; see :func:`stream_of`."""
+    script = stream_of(software, breaks_after)
+    return VersionedUpstream(name, script, software=software)
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """Gateways that know each other, and the upstreams that they know."""
+
+    gateways: list[Gateway]
+
+    def announce(self, *upstreams: VersionedUpstream, **fields: Any) -> None:
+        """Give all gateways the records of ``upstreams``."""
+        now = asyncio.get_running_loop().time()
+        for item in upstreams:
+            known = {"seq": 2, "address": item.address, "software": item.software}
+            announced = record(item.name, **{**known, **fields})
+            for gateway in self.gateways:
+                gateway.directory.offer(announced, now)
+
+    async def begin(
+        self, first: VersionedUpstream, *later: VersionedUpstream, index: int = 0
+    ) -> ReceivedAnswer:
+        """Have ``first`` begin stream ``first``; announce the others while it runs."""
+        self.announce(first)
+        gateway = self.gateways[index]
+        begun = asyncio.create_task(call(gateway, TARGET, request_id="first"))
+        while not first.requests:
+            await asyncio.sleep(0.001)
+        self.announce(*later)
+        return await begun
+
+    async def take_up(
+        self, after: int, index: int = 0, resumes: str | None = "first"
+    ) -> ReceivedAnswer:
+        """Continue stream ``resumes`` after an event, as its caller would."""
+        headers = [f"Last-Event-Id: {after}"]
+        headers += [] if resumes is None else [f"Resumes: {resumes}"]
+        extra = "\r\n".join(headers)
+        return await call(
+            self.gateways[index], TARGET, request_id="second", extra=extra
+        )
+
+
+@asynccontextmanager
+async def running_fleet(
+    *upstreams: VersionedUpstream,
+    count: int = 1,
+    document: Declared | None = None,
+    **settings: Any,
+) -> AsyncIterator[Fleet]:
+    """Run ``count`` gateways, and the upstreams without announcing them."""
+    async with AsyncExitStack() as stack:
+        for item in upstreams:
+            await item.start()
+            stack.push_async_callback(item.close)
+        gateways, records = [], []
+        for number in range(count):
+            name, gossip = f"g{number}", f"127.0.0.1:{free_port()}"
+            running = running_gateway(
+                document or declared(RESUMABLE), name=name, gossip=gossip, **settings
+            )
+            gateways.append(await stack.enter_async_context(running))
+            records.append(gateway_record(NodeCfg(name), gossip, "1"))
+        for gateway in gateways:
+            for known in records:
+                gateway.directory.offer(known, asyncio.get_running_loop().time())
+        yield Fleet(gateways)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -303,7 +303,7 @@
     run(main())
 
 
-def test_request_line_names_the_weights_of_the_chosen_upstream() -> None:
+def test_request_line_names_weights_and_software_of_the_chosen_upstream() -> None:
     async def main() -> None:
         upstream = RawUpstream("u1", answer_correctly)
         with logged("request") as lines:
@@ -314,11 +314,12 @@
                     address=upstream.address,
                     model="m",
                     weights_version="3",
+                    software="v2",
                 )
                 gateway.directory.offer(known, asyncio.get_running_loop().time())
                 await call(gateway, "/calls/1")
         [send] = lines[0]["sends"]
-        assert send.endswith(" weights=3 old=0.0")
+        assert send.endswith(" weights=3 old=0.0 software=v2")
 
     run(main())
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -126,6 +126,20 @@
     assert [part.key for part in call.prompt.shared] == ["aa", "bb"]
 
 
+RESUMPTIONS = {
+    "a new stream": ((), (None, None)),
+    "named": (((b"last-event-id", b"7"), (b"resumes", b"r0")), ("7", "r0")),
+    "not named": (((b"last-event-id", b"7"),), ("7", None)),
+}
+
+
+@pytest.mark.parametrize("case", RESUMPTIONS)
+def test_caller_names_the_stream_that_it_continues(case: str) -> None:
+    headers, expected = RESUMPTIONS[case]
+    call = read(*headers).unwrap()
+    assert (call.last_event_id, call.resumes) == expected
+
+
 ROUTER_HEADERS = (
     "x-expect-instance x-expect-version x-tenant x-request-priority x-cache-salt"
     " x-kv-fetch x-kv-save x-kv-backup kv-from x-hold x-pin-ms"
@@ -359,6 +373,7 @@
         await post(app, "/v1/Instances.Deregister/i-1", {})
         await post(app, "/v1/Instances.Heartbeat/i-1", wire.beat(9))
         assert stored_record().leaving
+        assert stored_record().software == "v1"
         # An engine that this replica has no record of is marked as ended as well.
         await post(app, "/v1/Instances.Deregister/i-2", {})
         await post(app, "/v1/Instances.Heartbeat/i-2", wire.beat(1))
