Refuse or continue taken-up streams by the version that began them

Callers that took a broken stream up again, mostly at another gateway, got events of another software version after those that they had (the report's case: a stream of v1 goes on at v1.2).

Cause: where a stream began was known to the connection that it broke with, and nowhere else; Resumes, which names the attempt, was not read. Class: a fact that outlives its process is kept in that process alone.

At the first event, before the caller gets it, a gateway records pool and version under a digest of workspace and request id, and notifies three gateways found by rendezvous hashing, in different zones; nothing waits, so the first event is not delayed by a trip. A gateway that gets a stream with Resumes asks those three and three more, for 0.15 s at most; the first that knows decides. A stream that goes on is recorded anew under its first request's id. Unknown, or none of the version announced: 503 at once, not run; a Retry-After only if a gateway was silent. A pool whose upstreams announce no version counts as one version. Callers that don't name the first request go on while the route's upstreams have had a single version. The stream also stays in its pool, where a route's shares drew one anew for each attempt.

Weighed: control would take 6 x 80 KB/s at 4,900 streams/s, over its 11 KB/s; waiting for a disk adds 1 to 5 ms to each first event and gains only streams cut within that time.

--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -40,7 +40,8 @@
     of the upstream, ``address`` is its own listener, and ``slots`` is how many requests
     it runs concurrently.  A gateway states the link rate of its node in ``link_mbps``,
     0 if unknown.  ``software`` is the version of the software that this incarnation of
-    the upstream runs, empty if it announces none.
+    the upstream runs, empty if it announces none.  ``origins`` is how a gateway keeps
+    the origins of streams, one of ``OriginKeeping``.
     """
 
     name: str
@@ -60,6 +61,7 @@
     slots: int = 0
     link_mbps: float = 0.0
     software: str = ""
+    origins: str = ""
 
 
 class EndedIncarnation(msgspec.Struct, frozen=True, array_like=True):
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -226,6 +226,18 @@
     503,
     "No upstream of pool {pool!r} is ready; retry after the given time.",
 )
+UNKNOWN_ORIGIN = ErrorKind(
+    "unknown_origin",
+    503,
+    "It is not known which upstreams can continue this stream; send the request again"
+    " without Last-Event-Id to start a new one.",
+)
+SOFTWARE_GONE = ErrorKind(
+    "software_gone",
+    503,
+    "No upstream of pool {pool!r} serves software version {software!r}, which began"
+    " this stream; send the request again without Last-Event-Id to start a new one.",
+)
 QUEUE_FULL = ErrorKind(
     "queue_full",
     429,
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -45,7 +45,8 @@
     of the upstream's last answer (length, chunked, connection), and ``inside_event`` is
     whether the last bytes of that answer are in the middle of an event.  A caller that
     continues a stream names its ``last_event_id`` and, in ``resumes``, the request that
-    brought its first event; each is empty if not named.
+    brought its first event; each is empty if not named.  ``origin`` is the pool and the
+    software version that began that stream, empty if not known.
     """
 
     NAME: ClassVar[str] = "request"
@@ -69,6 +70,7 @@
     inside_event: bool = False
     resumes: str = ""
     last_event_id: str = ""
+    origin: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -73,6 +73,8 @@
     "ended_upstreams": "upstreams terminated while running it; it may have run in part",
     "broken": "its stream was cut and could not continue on another upstream",
     "no_upstream": "the gateway had no record of an upstream that could take it",
+    "unknown_origin": "it was not known which software version began its stream",
+    "software_gone": "no upstream served the software version that began its stream",
     "no_room": "every upstream would have answered too late or accepted no work",
     "over_quota": "its workspace was over its quota",
     "not_ready": "the gateway had not received a document yet",
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -28,6 +28,7 @@
 from gooseberrydale.process.gateway.declared_store import DeclaredStore
 from gooseberrydale.process.gateway.forward import BrokenAnswerError, Forwarder
 from gooseberrydale.process.gateway.request_metrics import RequestMetrics
+from gooseberrydale.process.gateway.resumption import Resumption
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.routed_request import RoutedRequest, want_of
 from gooseberrydale.process.gateway.send import SendDeps
@@ -42,6 +43,8 @@
     REMAINING_TIME_FRACTION,
 )
 from gooseberrydale.version.declared import KeyHolder, Pool, Route
+from gooseberrydale.version.origins.origin import StreamOrigin
+from gooseberrydale.version.origins.store import stream_key
 from gooseberrydale.version.route_table import RouteTable
 
 TARGET = "gooseberrydale.target"
@@ -66,6 +69,7 @@
     declared: DeclaredStore
     sends: SendDeps
     terms: TermsMaker
+    resumption: Resumption
     budgets: RetryBudgets
     quotas: QuotaClient
     metrics: RequestMetrics
@@ -110,6 +114,7 @@
         self._forwarder: Forwarder | None = None
         self._route = ""
         self._fingerprint = b""
+        self._origin = ""
         self._objective_s = 0.0
         self._arrived_at = asyncio.get_running_loop().time()
 
@@ -157,7 +162,13 @@
             too_large = problem(BODY_TOO_LARGE, limit=limit)
             await answer.refuse(too_large, close=True)
             return too_large.code
-        job = self._route_request(call, route, table, holder, body)
+        workspace = "" if route.public or holder is None else holder.name
+        resumption = self._deps.resumption
+        origin = await resumption.origin(call, route, table, workspace)
+        if isinstance(origin, Err):
+            await answer.refuse(origin.err_value)
+            return origin.err_value.code
+        job = self._route_request(call, route, table, holder, body, origin.ok_value)
         retry_after_s = self._retry_after_s(job)
         if retry_after_s is not None:
             stopping = problem(SHUTTING_DOWN, retry_after_s=retry_after_s)
@@ -213,6 +224,7 @@
         table: RouteTable,
         holder: KeyHolder | None,
         body: bytes,
+        origin: StreamOrigin | None,
     ) -> RoutedRequest:
         wait_s = route.timeout_s
         if call.wait_s is not None:
@@ -220,15 +232,23 @@
         workspace = None if route.public else holder
         name = "" if workspace is None else workspace.name
         self._fingerprint = fingerprint(name, call.method, call.host, call.target, body)
+        if origin is None:
+            pool, first = self._pool(route, table), call.request_id
+        else:
+            self._origin = str(origin)
+            pool = table.declared.pools[origin.pool]
+            first = call.resumes or call.request_id
         return RoutedRequest(
             call=call,
             route=route,
-            pool=self._pool(route, table),
+            pool=pool,
             body=body,
             arrived_at=self._arrived_at,
             deadline_at=self._arrived_at + wait_s,
             workspace=workspace,
             fingerprint=self._fingerprint,
+            origin=origin,
+            stream_key=stream_key(name, first),
         )
 
     def _retry_after_s(self, job: RoutedRequest) -> float | None:
@@ -310,6 +330,7 @@
                 inside_event=forwarder is not None and forwarder.inside_event,
                 resumes=call.resumes or "",
                 last_event_id=call.last_event_id or "",
+                origin=self._origin,
             )
         )
 
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -15,6 +15,7 @@
     NO_ROOM,
     NO_UPSTREAM,
     OUTCOME_UNKNOWN,
+    SOFTWARE_GONE,
     problem,
 )
 from gooseberrydale.log_events import RequestQuarantined, SendEnded, StreamMoved, emit
@@ -80,6 +81,7 @@
         self._budget = budget
         self._sender = Sender(job, answer, deps, self._may_move, charge)
         self._placer = Placer(job, deps.upstreams, deps.stats)
+        self._placer.origin = job.origin
         self.choices: list[Candidate] = []
         self.chosen_at = 0.0
         self.outcome = "unanswered"
@@ -153,8 +155,15 @@
         self.outcome = "no_upstream"
         if await self._answer_if_sent():
             return
-        after_s = without_upstream_s(self._job.left_s())
         pool = self._job.pool.name
+        origin = self._placer.origin
+        if origin is not None and not self._placer.has_eligible():
+            self.outcome = SOFTWARE_GONE.code
+            software = origin.software or "-"
+            why = problem(SOFTWARE_GONE, pool=pool, software=software)
+            await self._answer.refuse(why)
+            return
+        after_s = without_upstream_s(self._job.left_s())
         why = problem(NO_UPSTREAM, pool=pool, retry_after_s=after_s)
         await self._answer.refuse(why)
 
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -24,12 +24,14 @@
 from gooseberrydale.process.gateway.app import GatewayApp, GatewayDeps
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
+from gooseberrydale.process.gateway.origin_client import OriginClient
 from gooseberrydale.process.gateway.placer import ObservedStats
 from gooseberrydale.process.gateway.prober import Prober
 from gooseberrydale.process.gateway.request_metrics import (
     DisabledMetrics,
     RecordedMetrics,
 )
+from gooseberrydale.process.gateway.resumption import Resumption
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendDeps
 from gooseberrydale.process.gateway.store_follower import (
@@ -56,6 +58,7 @@
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.named_weights import NamedWeights
+from gooseberrydale.version.origins.owners import OriginKeeping
 from gooseberrydale.version.peer_loads import PeerLoads
 from gooseberrydale.version.quotas.quota import Quota
 from gooseberrydale.version.run_times import RunTimes
@@ -126,6 +129,7 @@
         kind=GATEWAY_ROLE,
         lease_s=RECORD_LEASE_S,
         link_mbps=link_mbps,
+        origins=OriginKeeping.MEMORY,
     )
 
 
@@ -167,7 +171,13 @@
         self._own_name = gateway_name(cfg.node)
         own = self._cfg
         self._fleet = Fleet(
-            GatewayPeer(self._own_name, own.gossip, cfg.node.zone, own.link_mbps)
+            GatewayPeer(
+                self._own_name,
+                own.gossip,
+                cfg.node.zone,
+                own.link_mbps,
+                OriginKeeping.MEMORY,
+            )
         )
         self._fleet_source: tuple[UpstreamRecord, ...] = ()
         self._datagrams = GatewayDatagrams(own.gossip, self._known_fleet)
@@ -202,11 +212,15 @@
             self._declared, dialect.store_feed, self._stores, peers
         )
         self._datagrams.on(StoreTidings, self._store.receive)
+        self._origins = OriginClient(
+            self._own_name, own.gossip, self._datagrams, self._known_fleet
+        )
         sends = SendDeps(
             dialect.wire,
             self._upstreams,
             self._conns,
             ObservedStats(RunTimes(), MeanWork(), WaitLimits()),
+            self._origins,
             self._gossip.changed,
             self._connections,
         )
@@ -214,6 +228,7 @@
             declared=self._declared,
             sends=sends,
             terms=TermsMaker(self._upstreams),
+            resumption=Resumption(self._origins, self._upstreams),
             budgets=RetryBudgets(self._cfg, self._count_gateways),
             quotas=self.quotas,
             metrics=(
@@ -247,6 +262,7 @@
         await self._areas.start()
         await self._limit_gossip.start()
         await self.quotas.start()
+        await self._origins.start()
         await self._declared.start()
         await self._store.start()
         await self._mesh.start()
@@ -274,6 +290,7 @@
         if self._sweep_task is not None:
             self._sweep_task.cancel()
         await self._prober.close()
+        await self._origins.close()
         await self.quotas.close()
         await self._limit_gossip.close()
         await self._areas.close()
@@ -295,6 +312,7 @@
         level.limited = len(self._upstreams.limits)
         level.suspected = self._upstreams.suspected(now)
         level.requests_quarantined = len(self.ended_incarnations.quarantined())
+        level.origins = len(self._origins)
         views = map(self._stores.view, self._stores.addresses)
         level.stores_up = sum(view is not None and view.up for view in views)
         level.log_lines_dropped = logs.count_dropped_lines()
@@ -341,7 +359,13 @@
         if gateways is not self._fleet_source:
             self._fleet_source = gateways
             peers = tuple(
-                GatewayPeer(record.name, record.address, record.zone, record.link_mbps)
+                GatewayPeer(
+                    record.name,
+                    record.address,
+                    record.zone,
+                    record.link_mbps,
+                    record.origins,
+                )
                 for record in gateways
                 if record.address != self._cfg.gossip
             )
--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -180,7 +180,7 @@
 
         A stream does not wait if no upstream that may continue it is announced.
         """
-        if self.origin is not None and not self._has_eligible():
+        if self.origin is not None and not self.has_eligible():
             return []
         until = _now() + min(HOLD_S, self._job.left_s() * HOLD_FRACTION)
         candidates = self._allowed_candidates()
@@ -212,7 +212,8 @@
             raise QuarantinedError
         return self._candidates()
 
-    def _has_eligible(self) -> bool:
+    def has_eligible(self) -> bool:
+        """Whether an announced upstream may take the request, usable now or not."""
         return self._upstreams.has_eligible(self._query(), _now())
 
     def _candidates(self) -> _Candidates:
--- a/gooseberrydale/process/gateway/routed_request.py
+++ b/gooseberrydale/process/gateway/routed_request.py
@@ -9,6 +9,10 @@
 from gooseberrydale.request.gateway_call import CallerRequest
 from gooseberrydale.request.retry_after import REMAINING_TIME_FRACTION
 from gooseberrydale.version.declared import KeyHolder, Pool, Route
+from gooseberrydale.version.origins.origin import StreamOrigin
+
+ORIGIN_MARGIN_S = 5.0
+"""Added to the time for which a stream's origin is kept, as callers are not exact."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,7 +20,9 @@
     """A request with its route, its pool and its workspace.
 
     ``arrived_at`` and ``deadline_at`` are the event loop's times of its arrival and its
-    deadline; ``fingerprint`` is the same for each repeat of the request.
+    deadline; ``fingerprint`` is the same for each repeat of the request.  ``origin`` is
+    what began the stream that the request continues, None if it continues none; the
+    origin of its stream is recorded under ``stream_key``.
     """
 
     call: CallerRequest
@@ -27,6 +33,8 @@
     deadline_at: float
     workspace: KeyHolder | None
     fingerprint: bytes = b""
+    origin: StreamOrigin | None = None
+    stream_key: bytes = b""
 
     @property
     def repeatable(self) -> bool:
@@ -52,6 +60,17 @@
         """Seconds until the deadline; below 0 once it has passed."""
         return self.deadline_at - asyncio.get_running_loop().time()
 
+    def origin_keep_s(self) -> float:
+        """How long the caller may still take up the stream of this request.
+
+        It does so within its own time, also past the route's.
+        """
+        now = asyncio.get_running_loop().time()
+        wait_s = self.call.wait_s
+        if wait_s is None:
+            wait_s = self.route.timeout_s
+        return max(0.0, self.arrived_at + wait_s - now) + ORIGIN_MARGIN_S
+
 
 def want_of(job: RoutedRequest) -> QuotaDemand | None:
     """Return what a request takes of its workspace's quota; None if it has none."""
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -17,6 +17,7 @@
 from gooseberrydale.connection.sse import EventSplitter, SseError
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.process.gateway.answer import HOP_BY_HOP_HEADERS, CallerAnswer
+from gooseberrydale.process.gateway.origin_client import OriginClient
 from gooseberrydale.process.gateway.outdated_abort import OutdatedAbort
 from gooseberrydale.process.gateway.placer import ObservedStats
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
@@ -68,6 +69,7 @@
 class SendDeps:
     """Objects that all sends of the process share.
 
+    ``origins`` records what begins each stream.
     ``work_changed`` is called whenever this gateway's work at an upstream changes;
     ``connections`` returns how many connections to one upstream of a pool may be open.
     """
@@ -76,6 +78,7 @@
     upstreams: Upstreams
     conns: HttpPool
     stats: ObservedStats
+    origins: OriginClient
     work_changed: Callable[[], None]
     connections: Callable[[Pool], int | None]
 
@@ -112,7 +115,8 @@
         self.failure: tuple[AnswerHead, bytes] | None = None
         self.last_event_id: str | None = job.call.last_event_id
         self.can_resume = True
-        self.origin: StreamOrigin | None = None
+        self.origin = job.origin
+        self._is_origin_recorded = False
         self.lost_reason = ""
         self.framing = ""
         self.inside_event = False
@@ -357,8 +361,8 @@
             events = splitter.feed(data)
         except SseError as exc:
             raise UpstreamError(str(exc), sent=True) from exc
-        if self.origin is None and not all(event.is_comment for event in events):
-            self.origin = StreamOrigin.of(record)
+        if not all(event.is_comment for event in events):
+            self._record_origin(record)
         if events:
             await self._answer.write(b"".join(event.data for event in events))
         for event in events:
@@ -369,6 +373,17 @@
                 # Resuming after an earlier event would repeat this one.
                 self.can_resume = False
 
+    def _record_origin(self, record: UpstreamRecord) -> None:
+        """Record what began the stream, before its caller gets the first event."""
+        if self._is_origin_recorded:
+            return
+        self._is_origin_recorded = True
+        if self.origin is None:
+            self.origin = StreamOrigin.of(record)
+        if self.origin.software:
+            job = self._job
+            self._deps.origins.record(job.stream_key, self.origin, job.origin_keep_s())
+
 
 def _request_head(call: CallerRequest, headers: RawHeaders, size: int) -> bytes:
     lines = [f"{call.method} {call.target} HTTP/1.1".encode("latin-1")]
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -270,6 +270,11 @@
         """Whether any announced upstream fits the query, usable now or not."""
         return bool(self._eligible_records(query, now))
 
+    def software_versions(self, pool: str, now: float) -> set[str]:
+        """Return the software versions of a pool's upstreams, leaving ones included."""
+        records = self._directory.records(now)
+        return {record.software for record in records if record.pool == pool}
+
     def next_permit_s(self, query: UpstreamQuery, now: float) -> float | None:
         """Seconds until the first upstream takes the request.
 
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -70,6 +70,7 @@
     requests_quarantined: int = _measured(
         "1", "Requests that are sent to no upstream, as they end those that run them"
     )
+    origins: int = _measured("1", "Streams whose origin is known here")
     stores_up: int = _measured("1", "Stores of KV cache that answer")
     log_lines_dropped: int = _measured("1", "Log lines that could not be written")
     is_leader: int = _measured("1", "1 at the leader of the control replicas")
--- a/gooseberrydale/process/losses.py
+++ b/gooseberrydale/process/losses.py
@@ -45,6 +45,7 @@
     SERVICE = "the service itself failed"
     OVER_QUOTA = "its workspace was over its quota"
     QUARANTINED = "it ends the upstreams that run it"
+    STREAM_STRANDED = "nothing could go on with its stream"
     LEFT = "its caller left early"
     UNKNOWN = "unknown"
 
@@ -72,6 +73,8 @@
     "invalid": Cause.SERVICE,
     "refused": Cause.CHANGING_WEIGHTS,
     "no_room": Cause.QUEUED,
+    "unknown_origin": Cause.STREAM_STRANDED,
+    "software_gone": Cause.STREAM_STRANDED,
     "over_quota": Cause.OVER_QUOTA,
     "ends_upstreams": Cause.QUARANTINED,
     "ended_upstreams": Cause.QUARANTINED,
@@ -79,7 +82,7 @@
 _REFUSALS = frozenset(
     {
         *("not_ready", "shutting_down", "no_upstream", "no_room", "refused"),
-        *("over_quota", "ends_upstreams"),
+        *("over_quota", "ends_upstreams", "unknown_origin", "software_gone"),
     }
 )
 # A value that decided the choice of an upstream, such as "rank=0".
--- a/gooseberrydale/request/retry_after.py
+++ b/gooseberrydale/request/retry_after.py
@@ -26,6 +26,10 @@
 NOT_READY_AFTER_S = 0.5
 """While this process has no configuration; another process of the zone has one."""
 
+UNKNOWN_ORIGIN_AFTER_S = 1.0
+"""While a gateway that may know a stream's origin does not answer: the time in which a
+killed process serves again."""
+
 REMAINING_TIME_FRACTION = 0.25
 """Largest fraction of its remaining time that a caller is asked to wait. Callers retry
 within a third of that time; a quarter leaves enough of it for the request itself."""
@@ -44,6 +48,16 @@
     return _within(NO_UPSTREAM_AFTER_S, left_s)
 
 
+def after_unknown_origin_s(left_s: float | None) -> float:
+    """Return the seconds until a gateway that did not answer probably does.
+
+    ``left_s`` is None if the caller does not say how long it waits.
+    """
+    if left_s is None:
+        return UNKNOWN_ORIGIN_AFTER_S
+    return _within(UNKNOWN_ORIGIN_AFTER_S, left_s)
+
+
 def after_no_capacity_s(
     left_s: float, rng: random.Random, permit_after_s: float | None = None
 ) -> float:
--- a/gooseberrydale/version/gateway_peers.py
+++ b/gooseberrydale/version/gateway_peers.py
@@ -31,13 +31,15 @@
     """One gateway of the fleet.
 
     ``address`` is where it listens for datagrams, ``link_mbps`` the width of its node's
-    network link, 0 if not known.
+    network link, 0 if not known.  ``origins`` is how it keeps the origins of streams,
+    one of ``OriginKeeping``.
     """
 
     name: str
     address: str
     zone: str
     link_mbps: float = 0.0
+    origins: str = ""
 
 
 @dataclass(frozen=True)
--- a/gooseberrydale/version/origins/origin.py
+++ b/gooseberrydale/version/origins/origin.py
@@ -31,6 +31,9 @@
         """Return the origin of a stream that an upstream begins."""
         return cls(record.pool, record.software)
 
+    def __str__(self) -> str:
+        return f"{self.pool} {self.software or '-'}"
+
     def allows(self, record: UpstreamRecord) -> bool:
         """Whether the stream may go on at an upstream."""
         if self.software == UNKNOWN_SOFTWARE:
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -12,6 +12,7 @@
 from gooseberrydale.process.gateway.gateway import Gateway, gateway_record
 from gooseberrydale.version.declared import Declared
 from tests.builders_gateway import (
+    KEY,
     RawUpstream,
     ReceivedAnswer,
     Script,
@@ -49,16 +50,20 @@
     )
 
 
-def stream_of(software: str, breaks_after: int | None = None) -> Script:
+def stream_of(
+    software: str, breaks_after: int | None = None, *, breaks_all: bool = False
+) -> Script:
     """Answer each request with the rest of the stream, as ``software`` writes it.
 
-    A stream that is not taken up is reset after event ``breaks_after`` if that is set;
-    0 is before the first event.
+    A stream is reset after event ``breaks_after`` if that is set, where 0 is before the
+    first event; one that goes on from an event only if ``breaks_all`` is, and only
+    before that event.
     """
 
     async def script(req: dict[str, str], _body: bytes, writer: Writer) -> None:
         first = int(req.get("last-event-id", "0")) + 1
-        stop = breaks_after if first == 1 else None
+        is_new = first == 1 or (breaks_all and first <= (breaks_after or 0))
+        stop = breaks_after if is_new else None
         head = HEAD.format(req["id"], EVENT_STREAM) + "connection: close\r\n\r\n"
         last = EVENTS if stop is None else stop
         writer.write(head.encode() + written(software, first, last))
@@ -79,10 +84,14 @@
 
 
 def upstream(
-    name: str, software: str, breaks_after: int | None = None
+    name: str,
+    software: str,
+    breaks_after: int | None = None,
+    *,
+    breaks_all: bool = False,
 ) -> VersionedUpstream:
     """Return an upstream that runs ``software``; see :func:`stream_of`."""
-    script = stream_of(software, breaks_after)
+    script = stream_of(software, breaks_after, breaks_all=breaks_all)
     return VersionedUpstream(name, script, software=software)
 
 
@@ -113,15 +122,23 @@
         self.announce(*later)
         return await begun
 
+    async def end(self, index: int) -> None:
+        """End a gateway."""
+        await self.gateways[index].close()
+
     async def take_up(
-        self, after: int, index: int = 0, resumes: str | None = "first"
+        self,
+        after: int,
+        index: int = 0,
+        resumes: str | None = "first",
+        key: str = KEY,
     ) -> ReceivedAnswer:
         """Continue stream ``resumes`` after an event, as its caller would."""
         headers = [f"Last-Event-Id: {after}"]
         headers += [] if resumes is None else [f"Resumes: {resumes}"]
         extra = "\r\n".join(headers)
         return await call(
-            self.gateways[index], TARGET, request_id="second", extra=extra
+            self.gateways[index], TARGET, request_id="second", extra=extra, key=key
         )
 
 
@@ -149,3 +166,4 @@
             for known in records:
                 gateway.directory.offer(known, asyncio.get_running_loop().time())
         yield Fleet(gateways)
+        await asyncio.gather(*(gateway.close() for gateway in gateways))
