Store origins of streams on the disks of gateways

Callers that took streams up after all gateways had been killed were refused, as origins were in memory alone.

Test: a stream that began at one of three gateways goes on at each of the three after all have ended and started again; it is refused there before this change.

--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -331,6 +331,7 @@
 
 def _path_keys() -> Iterator[str]:
     yield from ("fleet.token_file", "control.data_dir", "control.operators_file")
+    yield "gateway.data_dir"
     yield "log.file"
     for table in _TLS_TABLES:
         yield from (f"{table}.{key}" for key in _TLS_KEYS)
@@ -359,6 +360,7 @@
     "gateway.http": _address,
     "gateway.ready": _address,
     "gateway.gossip": _address,
+    "gateway.data_dir": _data_folder,
     "log.level": _one_of(LOG_LEVELS),
     "metrics.http": _address,
     "entry.http": _address,
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -25,6 +25,7 @@
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.origin_client import OriginClient
+from gooseberrydale.process.gateway.origin_file import OriginFile
 from gooseberrydale.process.gateway.placer import ObservedStats
 from gooseberrydale.process.gateway.prober import Prober
 from gooseberrydale.process.gateway.request_metrics import (
@@ -114,8 +115,16 @@
     return f"{GATEWAY_ROLE}/{node.name}"
 
 
+def _origin_keeping(cfg: GatewayCfg) -> OriginKeeping:
+    return OriginKeeping.MEMORY if cfg.data_dir is None else OriginKeeping.DISK
+
+
 def gateway_record(
-    node: NodeCfg, address: str, incarnation: str, link_mbps: float = 0.0
+    node: NodeCfg,
+    address: str,
+    incarnation: str,
+    link_mbps: float = 0.0,
+    origins: OriginKeeping = OriginKeeping.MEMORY,
 ) -> UpstreamRecord:
     """Return the record by which a gateway announces itself to the others."""
     return UpstreamRecord(
@@ -129,7 +138,7 @@
         kind=GATEWAY_ROLE,
         lease_s=RECORD_LEASE_S,
         link_mbps=link_mbps,
-        origins=OriginKeeping.MEMORY,
+        origins=origins,
     )
 
 
@@ -176,7 +185,7 @@
                 own.gossip,
                 cfg.node.zone,
                 own.link_mbps,
-                OriginKeeping.MEMORY,
+                _origin_keeping(own),
             )
         )
         self._fleet_source: tuple[UpstreamRecord, ...] = ()
@@ -213,7 +222,11 @@
         )
         self._datagrams.on(StoreTidings, self._store.receive)
         self._origins = OriginClient(
-            self._own_name, own.gossip, self._datagrams, self._known_fleet
+            self._own_name,
+            own.gossip,
+            self._datagrams,
+            self._known_fleet,
+            None if own.data_dir is None else OriginFile(own.data_dir),
         )
         sends = SendDeps(
             dialect.wire,
@@ -320,7 +333,13 @@
     def _make_mesh(self, cfg: Cfg, incarnation: str) -> Mesh:
         def own_record() -> UpstreamRecord:
             own = self._cfg
-            return gateway_record(cfg.node, own.gossip, incarnation, own.link_mbps)
+            return gateway_record(
+                cfg.node,
+                own.gossip,
+                incarnation,
+                own.link_mbps,
+                _origin_keeping(own),
+            )
 
         return Mesh(
             cfg,
--- a/gooseberrydale/process/gateway/origin_client.py
+++ b/gooseberrydale/process/gateway/origin_client.py
@@ -14,6 +14,7 @@
 from typing import Protocol, TypeVar
 
 from gooseberrydale.connection.gateway_datagrams import FleetView
+from gooseberrydale.process.gateway.origin_file import OriginFile
 from gooseberrydale.version.gateway_peers import GatewayPeer
 from gooseberrydale.version.origins.messages import (
     OriginAsk,
@@ -72,12 +73,19 @@
     """The origins that this gateway knows, and its exchange with the others."""
 
     def __init__(
-        self, name: str, address: str, transport: Transport, fleet: FleetView
+        self,
+        name: str,
+        address: str,
+        transport: Transport,
+        fleet: FleetView,
+        file: OriginFile | None = None,
     ) -> None:
+        """``file`` stores the origins, None if they are kept in memory alone."""
         self._name = name
         self._address = address
         self._transport = transport
         self._fleet = fleet
+        self._file = file
         self._store = OriginStore()
         self._owners = OriginOwners()
         self._searches: dict[int, _Search] = {}
@@ -97,15 +105,21 @@
         return self._started_at + STARTUP_S
 
     async def start(self) -> None:
-        """Start to expire origins; the transport must be ready to send."""
+        """Restore stored origins; start to store and expire them."""
         self._started_at = _now()
+        if self._file is not None:
+            for notice in self._file.read():
+                self._store.put(notice, self._started_at)
+            await self._file.start()
         self._task = asyncio.create_task(self._expire_periodically())
 
     async def close(self) -> None:
-        """Stop expiring."""
+        """Stop storing and expiring."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        if self._file is not None:
+            await self._file.close()
 
     def record(self, key: bytes, origin: StreamOrigin, keep_s: float) -> None:
         """Record the origin of a stream and notify its owners."""
@@ -158,6 +172,8 @@
 
     def _receive(self, notice: OriginNotice) -> None:
         self._store.put(notice, _now())
+        if self._file is not None:
+            self._file.append(notice)
 
     def _answer(self, ask: OriginAsk) -> None:
         notice = self._store.notice(ask.key, _now())
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 from gooseberrydale.process.cfg import NodeCfg
@@ -147,9 +148,13 @@
     *upstreams: VersionedUpstream,
     count: int = 1,
     document: Declared | None = None,
+    data_dir: Path | None = None,
     **settings: Any,
 ) -> AsyncIterator[Fleet]:
-    """Run ``count`` gateways, and the upstreams without announcing them."""
+    """Run ``count`` gateways, and the upstreams without announcing them.
+
+    If ``data_dir`` is set, each gateway stores data in a folder of its own below it.
+    """
     async with AsyncExitStack() as stack:
         for item in upstreams:
             await item.start()
@@ -157,6 +162,8 @@
         gateways, records = [], []
         for number in range(count):
             name, gossip = f"g{number}", f"127.0.0.1:{free_port()}"
+            if data_dir is not None:
+                settings["data_dir"] = data_dir / name
             running = running_gateway(
                 document or declared(RESUMABLE), name=name, gossip=gossip, **settings
             )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -499,6 +499,7 @@
     "{{ip}}": "10.0.0.1",
     "{{#dataDir}}false{{/dataDir}}{{^dataDir}}true{{/dataDir}}": "false",
     "{{#dataDir}}0.35{{/dataDir}}{{^dataDir}}0.0{{/dataDir}}": "0.35",
+    '{{#dataDir}}data_dir = "{{dataDir}}"{{/dataDir}}': 'data_dir = "/data/gateway"',
     "{{dataDir}}": "/data/control",
     "{{bootstrap}}": "true",
     "{{faultTolerance.machines}}": "1",
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
@@ -244,3 +245,18 @@
                 assert got.body + rest.body in [written(name, 1) for name in names]
 
     run(main())
+
+
+def test_stream_goes_on_after_all_gateways_have_ended(tmp_path: Path) -> None:
+    async def main() -> None:
+        begun, rest = upstream("begun", "v1", breaks_after=2), others()
+        async with running_fleet(begun, *rest, count=3, data_dir=tmp_path) as fleet:
+            await fleet.begin(begun, *rest)
+        begun, rest = upstream("begun", "v1"), others()
+        async with running_fleet(begun, *rest, count=3, data_dir=tmp_path) as fleet:
+            fleet.announce(begun, *rest)
+            for index in range(3):
+                got = await fleet.take_up(after=2, index=index)
+                assert (got.status, got.body) == (200, written("v1", 3))
+
+    run(main())
