Trust a software version only if its upstream was not restarted since

An upstream that restarts under its name, with other software, was taken for the one before in two places: control gave the record of a new incarnation, known from a poll of its weights alone, the version of the earlier one; and a gateway bound a stream to the version that was announced when it sent, though the connection may have reached the new incarnation. Both now count as not known, so the stream does not go on. If the software is the same, it does.

Tests: test_upstream_incarnations (fails before), test_software_versions (the case of other software fails before).

--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -21,6 +21,7 @@
 )
 from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.version.directory import MAX_LEASE_S, Directory
+from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE
 from gooseberrydale.version.upstream_incarnation import (
     announced_incarnation,
     born_ms,
@@ -108,9 +109,15 @@
         )
         if incarnation != record.incarnation:
             # Sequence number 0 lets the incarnation's own announcements replace this
-            # record.
+            # record.  It may have started with other software.
             self._offer(
-                replace(record, incarnation=incarnation, seq=0, weights_version=version)
+                replace(
+                    record,
+                    incarnation=incarnation,
+                    seq=0,
+                    weights_version=version,
+                    software=record.software and UNKNOWN_SOFTWARE,
+                )
             )
         elif record.weights_version != version:
             self._offer(replace(record, seq=record.seq + 1, weights_version=version))
--- a/gooseberrydale/process/gateway/resumption.py
+++ b/gooseberrydale/process/gateway/resumption.py
@@ -27,7 +27,7 @@
     without_upstream_s,
 )
 from gooseberrydale.version.declared import Route
-from gooseberrydale.version.origins.origin import StreamOrigin
+from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE, StreamOrigin
 from gooseberrydale.version.origins.store import stream_key
 from gooseberrydale.version.route_table import RouteTable
 
@@ -69,7 +69,7 @@
         if only is not None and not only.software:
             return Ok(only)
         lookup = await self._origins.find(stream_key(workspace, call.resumes))
-        if lookup.origin is None:
+        if lookup.origin is None or lookup.origin.software == UNKNOWN_SOFTWARE:
             return self._unknown(call, complete=lookup.complete)
         return await self._if_served(lookup.origin, call, route, table)
 
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -35,7 +35,7 @@
 )
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.open_runs import Run, RunEnd
-from gooseberrydale.version.origins.origin import StreamOrigin
+from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE, StreamOrigin
 from gooseberrydale.version.upstream_load import UpstreamLoad, Work
 
 ANSWER_GRACE_S = 0.05
@@ -117,6 +117,8 @@
         self.can_resume = True
         self.origin = job.origin
         self._is_origin_recorded = False
+        # The upstream that brought the first event, if it was in this answer.
+        self._begun_at: UpstreamRecord | None = None
         self.lost_reason = ""
         self.framing = ""
         self.inside_event = False
@@ -183,6 +185,7 @@
             if limit.has_aborted:
                 return End.OUTDATED
             self.lost_reason = str(exc)
+            self._withdraw_doubtful_origin()
             suspect(record.name, load, _now(), self.lost_reason)
             return End.LOST
         finally:
@@ -379,10 +382,32 @@
             return
         self._is_origin_recorded = True
         if self.origin is None:
-            self.origin = StreamOrigin.of(record)
-        if self.origin.software:
+            self._begun_at = record
+            self.origin = StreamOrigin(record.pool, self._software(record))
+        self._publish_origin(self.origin)
+
+    def _publish_origin(self, origin: StreamOrigin) -> None:
+        if origin.software:
             job = self._job
-            self._deps.origins.record(job.stream_key, self.origin, job.origin_keep_s())
+            self._deps.origins.record(job.stream_key, origin, job.origin_keep_s())
+
+    def _software(self, record: UpstreamRecord) -> str:
+        """Return the software version of the incarnation that a send reached.
+
+        If the upstream was restarted with another one since the send, the connection
+        may have reached either incarnation.
+        """
+        newest = self._deps.upstreams.software(record.name, _now())
+        if newest is not None and newest != record.software:
+            return UNKNOWN_SOFTWARE
+        return record.software
+
+    def _withdraw_doubtful_origin(self) -> None:
+        record = self._begun_at
+        if record is not None and self._software(record) == UNKNOWN_SOFTWARE:
+            self._begun_at = None
+            self.origin = StreamOrigin(record.pool, UNKNOWN_SOFTWARE)
+            self._publish_origin(self.origin)
 
 
 def _request_head(call: CallerRequest, headers: RawHeaders, size: int) -> bytes:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -270,6 +270,11 @@
         """Whether any announced upstream fits the query, usable now or not."""
         return bool(self._eligible_records(query, now))
 
+    def software(self, name: str, now: float) -> str | None:
+        """Return an upstream's software version; None if it is not announced."""
+        record = self._directory.get(name, now)
+        return None if record is None else record.software
+
     def software_versions(self, pool: str, now: float) -> set[str]:
         """Return the software versions of a pool's upstreams, leaving ones included."""
         records = self._directory.records(now)
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -112,15 +112,24 @@
                 gateway.directory.offer(announced, now)
 
     async def begin(
-        self, first: VersionedUpstream, *later: VersionedUpstream, index: int = 0
+        self,
+        first: VersionedUpstream,
+        *later: VersionedUpstream,
+        index: int = 0,
+        restarted_with: str | None = None,
     ) -> ReceivedAnswer:
-        """Have ``first`` begin stream ``first``; announce the others while it runs."""
+        """Have ``first`` begin stream ``first``; announce the others while it runs.
+
+        ``first`` is announced anew as restarted, if ``restarted_with`` names software.
+        """
         self.announce(first)
         gateway = self.gateways[index]
         begun = asyncio.create_task(call(gateway, TARGET, request_id="first"))
         while not first.requests:
             await asyncio.sleep(0.001)
         self.announce(*later)
+        if restarted_with is not None:
+            self.announce(first, incarnation="2", software=restarted_with)
         return await begun
 
     async def end(self, index: int) -> None:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -260,3 +260,23 @@
                 assert (got.status, got.body) == (200, written("v1", 3))
 
     run(main())
+
+
+REBORN = {"other software": ("v2", False), "the same software": ("v1", True)}
+
+
+@pytest.mark.parametrize("case", REBORN)
+def test_stream_of_an_upstream_restarted_under_its_name_may_be_of_either_version(
+    case: str,
+) -> None:
+    software, goes_on = REBORN[case]
+
+    async def main() -> None:
+        begun, same = upstream("begun", "v1", breaks_after=2), upstream("same", "v1")
+        async with running_fleet(begun, same, *others(), count=2) as fleet:
+            got = await fleet.begin(begun, same, restarted_with=software)
+            taken_up = await fleet.take_up(after=2, index=1)
+        assert got.whole is goes_on
+        assert taken_up.status == (200 if goes_on else 503)
+
+    run(main())
--- a/tests/test_upstream_incarnations.py
+++ b/tests/test_upstream_incarnations.py
@@ -16,6 +16,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.process.control.announcements import Announcements
 from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE
 from gooseberrydale.version.upstream_incarnation import (
     announced_incarnation,
     born_ms,
@@ -166,6 +167,19 @@
     play(scenario, born=BORN + 5)
 
 
+def test_software_of_a_new_incarnation_is_unknown_before_its_announcement() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.beat(30, born=BORN, version="v1")
+        fleet.announcements.record_weights("e", "3", BORN + 5)
+        assert fleet.known().software == UNKNOWN_SOFTWARE
+        await fleet.beat(31, born=BORN, version="v1")
+        assert fleet.known().software == UNKNOWN_SOFTWARE
+        await fleet.beat(1, born=BORN + 5, version="v2")
+        assert fleet.known().software == "v2"
+
+    play(scenario, born=BORN + 5)
+
+
 MALFORMED = {
     "a field is missing": {"address": None},
     "an unknown state": {"state": "dancing"},
