Resume interrupted answers of sidecars at their software version

An engine now names it in its health call, its sidecar announces it, and the entry resumes a stream only at the version that brought the first part that its caller has; other answers start anew anywhere, as before. If none of that version is announced, the stream ends with software_gone at once. An upstream that restarted with other software behind its sidecar may have brought either version, so its stream is not resumed.

--- a/gooseberrydale/connection/upstream_api.py
+++ b/gooseberrydale/connection/upstream_api.py
@@ -32,6 +32,7 @@
     incarnation: str = ""
     model: str = ""
     weights_version: str = ""
+    software: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/example/__main__.py
+++ b/gooseberrydale/example/__main__.py
@@ -26,6 +26,7 @@
     port_file: str = "",
     model: str = "example",
     weights_version: str = "1",
+    software: str = "1",
     max_batch: int = 8,
     prefill_tps: float = 20_000.0,
     decode_s: float = 0.01,
@@ -48,6 +49,7 @@
     cfg = HostCfg(
         model=str(model),
         weights_version=str(weights_version),
+        software=str(software),
         engine=EngineCfg(max_batch, prefill_tps, decode_s, cache_tokens, cache_ttl_s),
         feed=FeedCfg(
             event_delay_s, event_drop_rate, event_repeat_rate, event_reorder_rate
--- a/gooseberrydale/example/engine_app.py
+++ b/gooseberrydale/example/engine_app.py
@@ -76,6 +76,7 @@
                 "incarnation": host.incarnation,
                 "model": host.model,
                 "weights_version": host.weights_version,
+                "software": host.software,
                 "ready": host.ready,
             }
         )
--- a/gooseberrydale/example/engine_host.py
+++ b/gooseberrydale/example/engine_host.py
@@ -42,6 +42,7 @@
 
     model: str = "example"
     weights_version: str = "1"
+    software: str = "1"
     engine: EngineCfg = field(default_factory=EngineCfg)
     feed: FeedCfg = field(default_factory=FeedCfg)
     max_waiting: int = 256
@@ -100,6 +101,7 @@
         self.cfg = cfg
         self.incarnation = incarnation
         self.weights_version = cfg.weights_version
+        self.software = cfg.software
         self.model = cfg.model
         self.ready = True
         self.engine = Engine(cfg.engine)
--- a/gooseberrydale/process/operator_cli.py
+++ b/gooseberrydale/process/operator_cli.py
@@ -55,6 +55,7 @@
     "marked_leaving",
     "model",
     "weights_version",
+    "software",
 )
 ORDER_COLUMNS = ("order_id", "number", "kind", "upstream", "model", "version", "state")
 QUARANTINE_COLUMNS = ("digest", "ended")
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -193,6 +193,7 @@
             ready=state.ready and not self._closing,
             leaving=self._is_leaving(),
             lease_s=self._sidecar.lease_s,
+            software=state.software,
         )
 
     def _is_leaving(self) -> bool:
--- a/gooseberrydale/process/sidecar/upstream_watch.py
+++ b/gooseberrydale/process/sidecar/upstream_watch.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from loguru import logger
@@ -156,7 +157,11 @@
             return _service_state(reply)
         health = reply.decode(HealthReply)
         return UpstreamState(
-            health.ready, health.incarnation, health.model, health.weights_version
+            health.ready,
+            health.incarnation,
+            health.model,
+            health.weights_version,
+            health.software,
         )
 
     async def _poll_load(self) -> None:
@@ -176,9 +181,7 @@
         if exc.sent and self._failures < FAILED_POLLS_TO_UNREADY:
             return
         old = self.state
-        self._set_state(
-            UpstreamState(False, old.incarnation, old.model, old.weights_version)
-        )
+        self._set_state(replace(old, ready=False))
 
     def _set_state(self, state: UpstreamState) -> None:
         old = self.state
--- a/gooseberrydale/request/chooser.py
+++ b/gooseberrydale/request/chooser.py
@@ -7,16 +7,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from result import Err
 
-from gooseberrydale.errors import Problem, ProblemError
+from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.errors import SOFTWARE_GONE, Problem, ProblemError, problem
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.job import Job
 from gooseberrydale.request.retry import Cause
 from gooseberrydale.request.routing import Choice, RouteReq
 from gooseberrydale.request.startup_grace import MAX_WAIT_S
+from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE, StreamOrigin
 
 RESUME_WAIT_S = 3.0
 POLL_INTERVAL_S = 0.05
@@ -37,6 +40,12 @@
         self._tried: dict[str, str] = {}
         self._last_problem: Problem | None = None
         self._second_tries: bool | None = None
+        self._begun_at: UpstreamRecord | None = None
+
+    def began_at(self, record: UpstreamRecord) -> None:
+        """Record which upstream brought the first part that the caller has."""
+        if self._begun_at is None:
+            self._begun_at = record
 
     def failed(self, cause: Cause, why: Problem | None) -> None:
         """Record that the last attempt failed and another one follows.
@@ -58,7 +67,11 @@
         while True:
             now = _now()
             upstreams = self._deps.directory.ready(self._job.profile.pool, now)
-            choice = self._deps.policy.choose(self._route_req(now), upstreams, now)
+            req = self._route_req(now)
+            origin = self._origin(now)
+            if origin is not None and upstreams:
+                req = self._at_origin(req, origin, upstreams)
+            choice = self._deps.policy.choose(req, upstreams, now)
             if not isinstance(choice, Err):
                 record = choice.ok_value.record
                 self._tried[record.name] = record.incarnation
@@ -73,6 +86,38 @@
                 why = self._none_left(choice.err_value)
                 raise ProblemError(_with_outcome(why, given, may_have_run))
 
+    def _origin(self, now: float) -> StreamOrigin | None:
+        """Return what began the answer; None if the caller has no part of it.
+
+        Its sidecar may have found its upstream restarted with other software since; the
+        answer may then be of either incarnation.
+        """
+        begun_at = self._begun_at
+        if begun_at is None:
+            return None
+        newest = self._deps.directory.get(begun_at.name, now)
+        if newest is not None and newest.software != begun_at.software:
+            return StreamOrigin(begun_at.pool, UNKNOWN_SOFTWARE)
+        return StreamOrigin.of(begun_at)
+
+    def _at_origin(
+        self,
+        req: RouteReq,
+        origin: StreamOrigin,
+        upstreams: Sequence[UpstreamRecord],
+    ) -> RouteReq:
+        """Exclude the upstreams at which the answer must not go on.
+
+        Raises :class:`ProblemError` if none is left.
+        """
+        others = frozenset(u.name for u in upstreams if not origin.allows(u))
+        if len(others) == len(upstreams):
+            why = problem(
+                SOFTWARE_GONE, pool=origin.pool, software=origin.software or "-"
+            )
+            raise ProblemError(why.with_outcome(False))
+        return replace(req, excluded=req.excluded | others)
+
     def _wait_s(self, delivered: bool, *, is_empty: bool) -> float:
         """Return how long to wait for an upstream before refusing the request."""
         if delivered:
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -174,6 +174,7 @@
                     self._parts.start(action)
                 case Deliver():
                     parts += self._parts.deliver(action)
+                    self._record_origin()
                 case Finished():
                     parts += self._parts.finish()
                     self._complete = True
@@ -185,6 +186,10 @@
                     await self._decide(self._outcome(cause, action.problem))
         return parts
 
+    def _record_origin(self) -> None:
+        if self._parts.delivered and self._choice is not None:
+            self._chooser.began_at(self._choice.record)
+
     def _record_answered(self) -> None:
         if self._upstream_answered:
             self._deps.ended_incarnations.answered(self._job.fingerprint, self._now())
--- a/gooseberrydale/version/upstream_state.py
+++ b/gooseberrydale/version/upstream_state.py
@@ -14,10 +14,12 @@
     """The last answer of the upstream's health call.
 
     ``incarnation`` is empty for an upstream that reports none, such as a plain service
-    without a health call.
+    without a health call.  ``software`` is the version of its software, empty if it
+    reports none.
     """
 
     ready: bool = False
     incarnation: str = ""
     model: str = ""
     weights_version: str = ""
+    software: str = ""
--- a/tests/builders_entry.py
+++ b/tests/builders_entry.py
@@ -129,6 +129,7 @@
         self.name = name
         self.pool = pool
         self.incarnation = f"inc-{name}"
+        self.software = ""
         self.script: Script = answer_words
         self.on_attach: Callable[[AttachReq], AsyncIterator[Any]] | None = None
         self.cancel_reply: CancelReply | None = CancelReply(not_run=False)
@@ -174,6 +175,7 @@
             weights_version="w1",
             upstream_incarnation="u1",
             lease_s=60.0,
+            software=self.software,
         )
 
     def accepted(self, req: DispatchReq, status: int = 200) -> Accepted:
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -182,6 +182,74 @@
     run(scenario())
 
 
+def versioned(first: Any, *software: str) -> list[FakeSidecar]:
+    """Return sidecars of upstreams with these versions; the first begins the stream."""
+    fakes = [FakeSidecar(f"u{number}") for number in range(len(software))]
+    for fake, version in zip(fakes, software, strict=True):
+        fake.software, fake.script = version, resume_answer
+    fakes[0].script = first
+    return fakes
+
+
+@contextlib.asynccontextmanager
+async def begun_at(
+    fakes: list[FakeSidecar], *, leaves: bool = False
+) -> AsyncIterator[asyncio.Task[str]]:
+    """Read a stream that the first sidecar begins before the others are announced.
+
+    ``leaves`` is whether the first one then announces that it leaves.
+    """
+    first, *others = fakes
+    async with running(first) as entry, openai_client(entry) as client:
+        for fake in others:
+            await fake.start()
+        reading = asyncio.create_task(read_stream(client))
+        await wait_until(lambda: bool(first.dispatched))
+        for fake in others:
+            announce(entry, fake)
+        if leaves:
+            left = replace(first.record(), seq=2, ready=False, leaving=True)
+            entry.directory.offer(left, asyncio.get_running_loop().time())
+        first.release.set()
+        yield reading
+    for fake in others:
+        await fake.close()
+
+
+async def wait_then_break(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+    """Send two words, and break the call once released."""
+    async for frame in start_words(fake, req):
+        yield frame
+    await fake.release.wait()
+    await asyncio.sleep(0.05)
+    fake.on_attach = fake.refuse_attach
+    raise RuntimeError("scripted")
+
+
+@pytest.mark.parametrize("same", [1, 2, 3, 4])
+def test_stream_is_resumed_at_its_software_version(same: int) -> None:
+    async def scenario() -> None:
+        software = ["v1" if number in (0, same) else "v2" for number in range(5)]
+        fakes = versioned(wait_then_break, *software)
+        async with begun_at(fakes) as reading:
+            assert await reading == TEXT
+        dispatched = [number for number in range(5) if fakes[number].dispatched]
+        assert dispatched == [0, same]
+
+    run(scenario())
+
+
+def test_stream_ends_with_an_error_if_its_software_version_serves_no_more() -> None:
+    async def scenario() -> None:
+        fakes = versioned(wait_then_break, "v1", "v2")
+        async with begun_at(fakes, leaves=True) as reading:
+            with pytest.raises(openai.APIError):
+                await reading
+        assert [len(fake.dispatched) for fake in fakes] == [1, 0]
+
+    run(scenario())
+
+
 def test_unstreamed_answer_starts_again_after_a_failure() -> None:
     async def scenario() -> None:
         fakes = pair(fail(LOST), answer_words)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -462,6 +462,21 @@
     run(main())
 
 
+def test_the_software_version_of_the_upstream_is_announced(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with running_sidecar(tmp_path, complete_stream) as harness:
+            for software in ("v1", "v2"):
+                harness.upstream.health = {"ready": True, "software": software}
+                while harness.sidecar.upstream_state.software != software:
+                    await asyncio.sleep(0.01)
+                record = own_record(harness)
+                assert record is not None and record.software == software
+
+    run(main())
+
+
 def test_the_cache_salt_differs_between_workspaces_and_between_weights(
     tmp_path: pathlib.Path,
 ) -> None:
