Run unit tests in four processes

Unit tests wait most of their time; in one process they took over nine minutes to reach half beside other work.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -19,6 +19,8 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_LIMIT = 3
 FEATURE_GROUPS = 3
+UNIT_WORKERS = 4
+"""Unit tests wait most of their time, so they run in several processes."""
 
 SUITE_BOUND_S = 1_800.0
 """The longest suite takes ten minutes on a busy machine.  A suite that hangs must be
@@ -61,7 +63,9 @@
 def commands(reports: pathlib.Path) -> dict[pathlib.Path, list[str]]:
     """Return the command of each suite by the folder of its report."""
     python, units = sys.executable, reports / "units"
-    suites = {units: [python, "-m", "pytest", f"--junitxml={units}/units.xml"]}
+    parallel = ["-n", str(UNIT_WORKERS), "--dist", "worksteal"]
+    pytest = [python, "-m", "pytest", f"--junitxml={units}/units.xml", *parallel]
+    suites = {units: pytest}
     behave = [python, "-m", "behave", "-f", "progress", "--no-capture", "--junit"]
     for number, files in enumerate(features_in_groups()):
         folder = reports / f"features-{number}"
