Bound what gateways with a disk keep for others

With 6 of 350 gateways on disks, two of three owners of each stream would be among them: 1,600 origins a second each, 140 KB/s. They keep at most eight times the mean of all gateways now; on fleets with a disk in one of twelve nothing changes.

--- a/gooseberrydale/connection/gateway_datagrams.py
+++ b/gooseberrydale/connection/gateway_datagrams.py
@@ -1,8 +1,8 @@
 """Sends datagrams between gateways: directly to nearby ones, to all others by relays.
 
 There is one socket per process.  Datagrams stay within the hosts of this system and are
-not authenticated: a forged one could only worsen the order in which upstreams are
-chosen.
+not authenticated: a forged one could worsen the order in which upstreams are chosen, or
+have a stream go on at the wrong software version.
 """
 
 from __future__ import annotations
--- a/gooseberrydale/version/origins/owners.py
+++ b/gooseberrydale/version/origins/owners.py
@@ -19,6 +19,10 @@
 """How many of them have a disk, if there are as many: these know the origin even after
 all gateways were killed."""
 
+MAX_DISK_LOAD = 8.0
+"""How many times the mean of all gateways those with a disk may keep.  Where few have
+one, fewer owners of a stream are chosen among them."""
+
 EXTRA_ASKED = 3
 """How many further gateways are asked: the set of owners shifts by one for each gateway
 that is announced or expires, and views of the fleet differ for a time."""
@@ -42,6 +46,7 @@
         self._fleet: Fleet | None = None
         self._digests: dict[str, int] = {}
         self._peers: dict[str, GatewayPeer] = {}
+        self._on_disk = 0
 
     def update(self, fleet: Fleet) -> None:
         """Take the present fleet; returns at once if it is the same object."""
@@ -54,10 +59,13 @@
             name: self._digests.get(name) or _digest(name.encode())
             for name in self._peers
         }
+        disks = sum(peer.origins == OriginKeeping.DISK for peer in keeping)
+        bound = int(MAX_DISK_LOAD * OWNERS * disks / max(1, len(keeping)))
+        self._on_disk = min(DISK_OWNERS, bound)
 
     def of(self, key: bytes) -> tuple[GatewayPeer, ...]:
         """Return the owners of a stream's origin."""
-        return self._choose(key, DISK_OWNERS, OWNERS)
+        return self._choose(key, self._on_disk, OWNERS)
 
     def asked(self, key: bytes) -> tuple[GatewayPeer, ...]:
         """Return the gateways to ask for the origin, without the own one."""
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -16,6 +16,8 @@
 from gooseberrydale.version.origins.messages import OriginNotice
 from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE, StreamOrigin
 from gooseberrydale.version.origins.owners import (
+    DISK_OWNERS,
+    MAX_DISK_LOAD,
     OWNERS,
     OriginKeeping,
     OriginOwners,
@@ -124,6 +126,25 @@
     assert max(counts.values()) < 2 * streams * OWNERS / 350
 
 
+DISKS = {"none": 0, "few": 6, "one in nine": 39, "half": 175, "all": 350}
+
+
+@pytest.mark.parametrize("case", DISKS)
+def test_gateways_with_a_disk_keep_a_bounded_multiple_of_the_mean(case: str) -> None:
+    count, streams = 350, 2_000
+    owners = owners_in(fleet(0, count, DISKS[case], zones=8))
+    kept = [
+        owner
+        for number in range(streams)
+        for owner in owners.of(stream_key("a", f"r{number}"))
+    ]
+    on_disk = sum(owner.origins == OriginKeeping.DISK for owner in kept)
+    mean = len(kept) / count
+    assert len(kept) == streams * OWNERS
+    assert on_disk <= 1.2 * MAX_DISK_LOAD * mean * max(1, DISKS[case])
+    assert on_disk >= streams * DISK_OWNERS or DISKS[case] <= DISKS["few"]
+
+
 def test_gateways_of_earlier_releases_keep_no_origins() -> None:
     old = GatewayPeer("old", "10.0.0.9:1", "z1")
     present = fleet(0, 2)
