Keep stored origins when a disk is full

A write that failed on a full disk left the file's rotation half done: the next write moved the file again and dropped the origins before it; a part of a record hid those behind it; and a gateway that could not rewrite its files at its start ignored what it had read. Found by a test of a disk that takes half of a write, which fails before. One home for the refusal of a stream whose version serves no more.

--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -42,6 +42,7 @@
 from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.retry_after import after_no_capacity_s, without_upstream_s
 from gooseberrydale.request.retry_window import RetryWindow
+from gooseberrydale.version.origins.origin import software_gone
 
 MOVES_RESERVE_FRACTION = 0.5
 """Fraction of the retry budget that is reserved for requests that fail without a retry;
@@ -159,9 +160,7 @@
         origin = self._placer.origin
         if origin is not None and not self._placer.has_eligible():
             self.outcome = SOFTWARE_GONE.code
-            software = origin.software or "-"
-            why = problem(SOFTWARE_GONE, pool=pool, software=software)
-            await self._answer.refuse(why)
+            await self._answer.refuse(software_gone(origin))
             return
         after_s = without_upstream_s(self._job.left_s())
         why = problem(NO_UPSTREAM, pool=pool, retry_after_s=after_s)
--- a/gooseberrydale/process/gateway/origin_file.py
+++ b/gooseberrydale/process/gateway/origin_file.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import threading
 from collections.abc import Iterable
 from pathlib import Path
@@ -51,10 +52,9 @@
 
         Appending to a file that ends in the middle of a record would hide what follows.
         """
-        now = asyncio.get_running_loop().time()
+        notices = (*self._load(self._previous), *self._load(self._current))
         try:
             self._files.make_folder(self._folder)
-            notices = (*self._load(self._previous), *self._load(self._current))
             merged = self._folder / "origins.new"
             self._files.remove(merged)
             self._files.append(merged, _encode(notices))
@@ -62,7 +62,7 @@
             self._files.remove(self._current)
         except OSError as exc:
             emit(NotKept(self._current.name, str(exc)))
-            return ()
+        now = asyncio.get_running_loop().time()
         self._previous_until = now + _longest_keep_s(notices)
         return notices
 
@@ -75,7 +75,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-            await self._write_queued()
+            await self.flush()
             self._files.close()
 
     def append(self, notice: OriginNotice) -> None:
@@ -88,9 +88,10 @@
         while True:
             await self._queued.wait()
             await asyncio.sleep(WRITE_DELAY_S)
-            await self._write_queued()
+            await self.flush()
 
-    async def _write_queued(self) -> None:
+    async def flush(self) -> None:
+        """Write what is queued."""
         notices, self._queue = self._queue, []
         self._queued.clear()
         if not notices:
@@ -98,14 +99,14 @@
         now = asyncio.get_running_loop().time()
         data = _encode(notices)
         replaces = now >= self._previous_until or self._bytes > MAX_FILE_BYTES
+        if replaces:
+            self._previous_until, self._current_until = self._current_until, 0.0
+            self._bytes = 0
         try:
             await asyncio.to_thread(self._write, data, replaces)
         except OSError as exc:
             emit(NotKept(self._current.name, str(exc)))
             return
-        if replaces:
-            self._previous_until, self._current_until = self._current_until, 0.0
-            self._bytes = 0
         self._bytes += len(data)
         keep_s = _longest_keep_s(notices)
         self._current_until = max(self._current_until, now + keep_s)
@@ -114,7 +115,13 @@
         with self._writing:
             if replaces and self._files.exists(self._current):
                 self._files.rename(self._current, self._previous)
-            self._files.append(self._current, data)
+            try:
+                self._files.append(self._current, data)
+            except OSError:
+                # A part of a record would hide those after it.
+                with contextlib.suppress(OSError):
+                    self._files.truncate(self._current, self._bytes)
+                raise
 
     def _load(self, path: Path) -> list[OriginNotice]:
         if not self._files.exists(path):
--- a/gooseberrydale/process/gateway/resumption.py
+++ b/gooseberrydale/process/gateway/resumption.py
@@ -14,7 +14,6 @@
 
 from gooseberrydale.errors import (
     NO_UPSTREAM,
-    SOFTWARE_GONE,
     UNKNOWN_ORIGIN,
     Problem,
     problem,
@@ -27,7 +26,11 @@
     without_upstream_s,
 )
 from gooseberrydale.version.declared import Route
-from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE, StreamOrigin
+from gooseberrydale.version.origins.origin import (
+    UNKNOWN_SOFTWARE,
+    StreamOrigin,
+    software_gone,
+)
 from gooseberrydale.version.origins.store import stream_key
 from gooseberrydale.version.route_table import RouteTable
 
@@ -101,9 +104,7 @@
             await self._wait_until(is_served)
             if is_served():
                 return Ok(origin)
-        return Err(
-            problem(SOFTWARE_GONE, pool=origin.pool, software=origin.software or "-")
-        )
+        return Err(software_gone(origin))
 
     async def _wait_until(self, condition: Callable[[], bool]) -> None:
         """Wait for a condition on the upstreams, of which a new process learns late."""
--- a/gooseberrydale/request/chooser.py
+++ b/gooseberrydale/request/chooser.py
@@ -13,13 +13,17 @@
 from result import Err
 
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.errors import SOFTWARE_GONE, Problem, ProblemError, problem
+from gooseberrydale.errors import Problem, ProblemError
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.job import Job
 from gooseberrydale.request.retry import Cause
 from gooseberrydale.request.routing import Choice, RouteReq
 from gooseberrydale.request.startup_grace import MAX_WAIT_S
-from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE, StreamOrigin
+from gooseberrydale.version.origins.origin import (
+    UNKNOWN_SOFTWARE,
+    StreamOrigin,
+    software_gone,
+)
 
 RESUME_WAIT_S = 3.0
 POLL_INTERVAL_S = 0.05
@@ -112,9 +116,7 @@
         """
         others = frozenset(u.name for u in upstreams if not origin.allows(u))
         if len(others) == len(upstreams):
-            why = problem(
-                SOFTWARE_GONE, pool=origin.pool, software=origin.software or "-"
-            )
+            why = software_gone(origin)
             raise ProblemError(why.with_outcome(False))
         return replace(req, excluded=req.excluded | others)
 
--- a/gooseberrydale/version/origins/origin.py
+++ b/gooseberrydale/version/origins/origin.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.errors import SOFTWARE_GONE, Problem, problem
 
 UNKNOWN_SOFTWARE = "?"
 """The software of an incarnation that has not announced itself yet.  It is not the
@@ -39,3 +40,8 @@
         if self.software == UNKNOWN_SOFTWARE:
             return False
         return (record.pool, record.software) == (self.pool, self.software)
+
+
+def software_gone(origin: StreamOrigin) -> Problem:
+    """Return why a stream can't go on of whose version no upstream serves."""
+    return problem(SOFTWARE_GONE, pool=origin.pool, software=origin.software or "-")
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -156,11 +156,16 @@
 KEEP_S = 0.2
 
 
-class BrokenFiles(OsFiles):
-    """Files on a full disk."""
+class FullDisk(OsFiles):
+    """Files on a disk that takes half of a write while ``full`` is set."""
+
+    full = True
 
     def append(self, path: Path, data: bytes) -> None:
-        raise OSError(28, "no space left")
+        if self.full:
+            super().append(path, data[: len(data) // 2])
+            raise OSError(28, "no space left")
+        super().append(path, data)
 
 
 async def written_to(folder: Path, *notices: OriginNotice, **kwargs: Any) -> OriginFile:
@@ -172,6 +177,12 @@
     return file
 
 
+async def settled(file: OriginFile) -> None:
+    """Wait until what was appended has been written, or failed to be."""
+    await asyncio.sleep(5 * origin_file.WRITE_DELAY_S)
+    await file.flush()
+
+
 def read_from(folder: Path) -> set[OriginNotice]:
     return set(OriginFile(folder).read())
 
@@ -215,6 +226,7 @@
         file = await written_to(tmp_path)
         for number in range(40):
             file.append(notice(f"r{number}", keep_s=KEEP_S))
+            await file.flush()
             await asyncio.sleep(KEEP_S / 5)
         await file.close()
         stored = read_from(tmp_path)
@@ -236,8 +248,19 @@
 
 def test_a_full_disk_loses_only_what_is_stored(tmp_path: Path) -> None:
     async def main() -> None:
-        file = await written_to(tmp_path, notice("r1"), files=BrokenFiles())
+        disk = FullDisk()
+        disk.full = False
+        file = await written_to(tmp_path, notice("r1"), files=disk)
+        await settled(file)
+        disk.full = True
+        file.append(notice("r2"))
+        await settled(file)
+        disk.full = False
+        file.append(notice("r3"))
         await file.close()
-        assert read_from(tmp_path) == set()
+        disk.full = True
+        known = {notice("r1"), notice("r3")}
+        assert set(OriginFile(tmp_path, disk).read()) == known
+        assert read_from(tmp_path) == known
 
     run(main())
