--- a/gooseberrydale/process/gateway/resumption.py
+++ b/gooseberrydale/process/gateway/resumption.py
@@ -54,8 +54,8 @@
     ) -> _Origin:
         """Return the origin of the stream that ``call`` continues.
 
-        None if it continues none, or if its route's upstreams announce no versions.
-        The error says why the stream can't go on; the call has not been sent.
+        None if it continues none.  The error says why the stream can't go on; the call
+        has not been sent.
         """
         if call.last_event_id is None or not route.streamed:
             return Ok(None)
