Log what a pool's retry budget has spent and allows

The lines of failed sends named only what is left, so a budget that starts anew could not be told from one that is divided among too few gateways. No logic is changed.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -80,7 +80,8 @@
     ``next`` is the action that was chosen.  The choice depends on ``others`` (whether
     another upstream remains), ``left_ms`` (time until the request's deadline), ``runs``
     (number of sends that may have run) and ``retries`` (what remains of the budget).
-    ``reason`` says why an answer was lost, empty otherwise.
+    Of the pool's budget at this process, ``retries_spent`` were made in its window and
+    ``retries_allowed`` may be.  ``reason`` says why an answer was lost, empty otherwise.
     """
 
     NAME: ClassVar[str] = "send_ended"
@@ -96,6 +97,8 @@
     retries: float
     digest: str = ""
     reason: str = ""
+    retries_spent: int = 0
+    retries_allowed: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -226,6 +226,8 @@
                 retries=round(self._budget.left, 1),
                 digest=fingerprint_text(self._job.fingerprint),
                 reason=self._sender.lost_reason if end is End.LOST else "",
+                retries_spent=self._budget.spent,
+                retries_allowed=round(self._budget.allowed, 1),
             )
         )
         if isinstance(step, SendAgain):
--- a/gooseberrydale/request/retry_window.py
+++ b/gooseberrydale/request/retry_window.py
@@ -28,7 +28,17 @@
     @property
     def left(self) -> float:
         """Retries left at the last call of ``deposit`` or ``spend``."""
-        return self._allowed() - len(self._retries)
+        return self.allowed - self.spent
+
+    @property
+    def spent(self) -> int:
+        """Retries made in the window, at the last call of ``deposit`` or ``spend``."""
+        return len(self._retries)
+
+    @property
+    def allowed(self) -> float:
+        """Retries that the window allows, at the last call of either."""
+        return self._ratio * len(self._requests) + self._slack
 
     def deposit(self, now: float) -> None:
         """Count one fresh request."""
@@ -42,7 +52,7 @@
         important uses.
         """
         self._drop_expired(now)
-        if len(self._retries) + 1 > self._allowed() * (1.0 - reserved_fraction):
+        if self.spent + 1 > self.allowed * (1.0 - reserved_fraction):
             return False
         self._retries.append(now)
         return True
@@ -51,9 +61,6 @@
         """Change the number of retries allowed in addition to ``ratio``."""
         self._slack = slack
 
-    def _allowed(self) -> float:
-        return self._ratio * len(self._requests) + self._slack
-
     def _drop_expired(self, now: float) -> None:
         oldest = now - self._window_s
         for timestamps in (self._requests, self._retries):
