Divide limits among the gateways seen in the last minute

A gateway that lost control saw itself alone once all announcements had lapsed, and then used an eighth of the retry slack and of an upstream's connections, whatever the size of the fleet: in one of 26 gateways three shares. Rate limits of upstreams already kept their divisors for a minute; retries and connections do now too.

--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -56,7 +56,7 @@
     new_incarnation,
 )
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
-from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
+from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer, SharingGateways
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.origins.owners import OriginKeeping
@@ -237,6 +237,7 @@
             self._gossip.changed,
             self._connections,
         )
+        self._sharing = SharingGateways(own.gateways)
         self._budgets = RetryBudgets(self._cfg, self._count_gateways)
         deps = GatewayDeps(
             declared=self._declared,
@@ -357,10 +358,10 @@
         )
 
     def _count_gateways(self) -> int:
-        """Count the announced gateways; at least the number in the settings."""
+        """Count the gateways that share limits; at least the number in the settings."""
         now = asyncio.get_running_loop().time()
         announced = len(self.directory.ready(GATEWAY_POOL, now))
-        return max(self._cfg.gateways, announced)
+        return self._sharing.count(announced, now)
 
     def _connections(self, pool: Pool) -> int | None:
         """How many connections this gateway may open to one upstream of ``pool``."""
--- a/gooseberrydale/version/gateway_peers.py
+++ b/gooseberrydale/version/gateway_peers.py
@@ -25,6 +25,10 @@
 sends each message to many gateways, which would fill a narrow link and delay the
 prompts of its own callers."""
 
+FLEET_RETENTION_S = 60.0
+"""Time for which gateways that are no longer announced still count when a limit is
+divided: while control is unreachable, all announcements lapse."""
+
 
 @dataclass(frozen=True, slots=True)
 class GatewayPeer:
@@ -84,6 +88,25 @@
         return next((peer.name for peer in order if peer.name in (own, *alive)), own)
 
 
+class SharingGateways:
+    """Counts the gateways among which a limit is divided; at least ``least``.
+
+    The largest number of the last ``FLEET_RETENTION_S`` counts: gateways that no longer
+    see each other still use their shares.
+    """
+
+    def __init__(self, least: int) -> None:
+        self._least = least
+        self._largest = 0
+        self._seen_at = 0.0
+
+    def count(self, announced: int, now: float) -> int:
+        """Return the count, given how many gateways are announced now."""
+        if announced >= self._largest or now >= self._seen_at + FLEET_RETENTION_S:
+            self._largest, self._seen_at = announced, now
+        return max(self._least, self._largest)
+
+
 def relay_order(peers: Collection[GatewayPeer]) -> list[GatewayPeer]:
     """Return the gateways of a zone in the order in which they become its relay.
 
--- a/gooseberrydale/version/upstream_limits.py
+++ b/gooseberrydale/version/upstream_limits.py
@@ -21,7 +21,7 @@
 
 from gooseberrydale.connection.codec import message
 from gooseberrydale.request.start_limiter import BURST_STARTS, MIN_STARTS_PER_S
-from gooseberrydale.version.gateway_peers import Fleet
+from gooseberrydale.version.gateway_peers import FLEET_RETENTION_S, Fleet
 from gooseberrydale.version.stores import first_by_hash
 
 REPORT_INTERVAL_S = 1.0
@@ -40,10 +40,6 @@
 """Time for which the limit of an upstream without an announcement is kept.  A lapsed
 announcement is renewed within this time, and the limit applies in between."""
 
-FLEET_RETENTION_S = 60.0
-"""Time for which a gateway that no longer sees any other gateway still divides limits
-among those that it last saw: while control is unreachable, all announcements lapse."""
-
 
 class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
     """Limit in an answer of ``upstream``, ``age_ms`` ago; None if it named none."""
