--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -100,9 +100,9 @@
     connections.  The process is killed ``grace_s`` seconds after it was asked to stop.
 
     Retries of a pool's requests are limited over all gateways together, within any
-    ten seconds, to ``retry_ratio`` times its requests plus ``retry_slack``.  Each
-    gateway divides ``retry_slack`` by the number of gateways that it has recorded, or
-    by ``gateways`` if that is larger.
+    ``retry_window_s``, to ``retry_ratio`` times its requests plus ``retry_slack``.
+    Each gateway divides ``retry_slack`` by the number of gateways that it has recorded
+    in the last minute, or by ``gateways`` if that is larger.
 
     ``gossip`` receives the datagrams in which other gateways report their work.
     A request may be started on outdated weights for at most ``weights_bound_s`` after
@@ -119,6 +119,7 @@
     grace_s: float = 30.0
     retry_ratio: float = 0.2
     retry_slack: float = 60.0
+    retry_window_s: float = 10.0
     gateways: int = 8
     gossip: str = "127.0.0.1:8083"
     weights_bound_s: float = 8.0
--- a/gooseberrydale/process/gateway/retry_budgets.py
+++ b/gooseberrydale/process/gateway/retry_budgets.py
@@ -1,7 +1,7 @@
 """The retry budgets of a gateway, one per pool.
 
-There is one set of budgets per process.  Over any ten seconds and all gateways, the
-retries of a pool must not exceed a ratio of its requests plus a fixed slack.  Gateways
+There is one set of budgets per process.  Over any window and all gateways, the retries
+of a pool must not exceed a ratio of its requests plus a fixed slack.  Gateways
 don't exchange what they spend, so each applies the ratio to its own requests and uses
 an equal share of the slack.  See ``request/retry_window.py`` for gateways that start.
 """
@@ -14,7 +14,6 @@
 from gooseberrydale.process.cfg import GatewayCfg
 from gooseberrydale.request.retry_window import FRESH_FRACTION, RetryWindow
 
-WINDOW_S = 10.0
 RATIO_FRACTION = 0.96 / (1.0 + FRESH_FRACTION)
 """Fraction of the ratio that is used.  With what is granted after gateways were killed,
 nearly all of it may be spent; the rest covers retries that are on their way."""
@@ -33,6 +32,7 @@
     def __init__(self, cfg: GatewayCfg, gateways: Callable[[], int]) -> None:
         self._ratio = cfg.retry_ratio * RATIO_FRACTION
         self._slack = cfg.retry_slack
+        self._window_s = cfg.retry_window_s
         self._gateways = gateways
         self._started_at = -math.inf
         self._budgets: dict[str, RetryWindow] = {}
@@ -47,7 +47,9 @@
         own_slack = share * SLACK_FRACTION
         budget = self._budgets.get(pool)
         if budget is None:
-            budget = RetryWindow(self._ratio, own_slack, WINDOW_S, self._started_at)
+            budget = RetryWindow(
+                self._ratio, own_slack, self._window_s, self._started_at
+            )
             self._budgets[pool] = budget
         # A stream that breaks just after a start goes on, unless the fleet is so large
         # that not even one retry for each gateway is within the slack.
--- a/tests/builders_retry_fleet.py
+++ b/tests/builders_retry_fleet.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from gooseberrydale.process.cfg import GatewayCfg
-from gooseberrydale.process.gateway.retry_budgets import WINDOW_S, RetryBudgets
+from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 
 STEP_S = 0.02
 DOWN_S = 0.5
@@ -21,6 +21,7 @@
 """Retries of one request at most, if each attempt fails."""
 
 POOL = "p"
+WINDOW_S = GatewayCfg().retry_window_s
 
 Moment = Callable[[float], float]
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -507,6 +507,7 @@
     "{{bounds.graceS}}": "8",
     "{{bounds.budgetRatio}}": "0.2",
     "{{bounds.budgetSlack}}": "62",
+    "{{bounds.budgetWindowS}}": "12",
     "{{bounds.leaseMs}}": "3000",
     "{{bounds.versionMs}}": "8000",
     "{{limits.linkMbps}}": "1000.0",
@@ -526,6 +527,7 @@
     if cfg.gateway is not None:
         assert (cfg.gateway.weights_bound_s, cfg.gateway.retry_slack) == (8.0, 62.0)
         assert (cfg.gateway.start_after_s, cfg.gateway.link_mbps) == (0.35, 1000.0)
+        assert cfg.gateway.retry_window_s == 12.0
     if cfg.control is not None:
         assert (cfg.control.order_pause_s, cfg.control.beat_s) == (3.0, 1.2)
         assert cfg.control.bootstrap and cfg.control.open_group
--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -8,10 +8,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gooseberrydale.process.gateway.retry_budgets import WINDOW_S
+from gooseberrydale.process.cfg import GatewayCfg
 from gooseberrydale.request.retry_window import RetryWindow
 
 RATIO, SLACK = 0.2, 6.0
+WINDOW_S = GatewayCfg().retry_window_s
 
 
 def window_after_traffic(per_s: float, until: float) -> RetryWindow:
