Log the shared parts of prompts that waited at an ended upstream

The digests of whole requests couldn't tell a part that ends its upstreams from upstreams that end of something else. Requests carry digests of the parts that their prompts share with others, on the sidecars' path too; no logic is changed.

--- a/gooseberrydale/connection/messages.py
+++ b/gooseberrydale/connection/messages.py
@@ -55,6 +55,7 @@
     caller has already received and ``first_offset`` the offset of the next event.
     ``record_seq`` is the ``seq`` of the announcement that the dispatch is based on (0:
     not stated); a sidecar refuses a dispatch that is based on a long outdated one.
+    ``parts`` are the digests of the prompt's parts that other requests may share.
     """
 
     request_id: str
@@ -75,6 +76,7 @@
     first_offset: int = 0
     claim_key: str = ""
     record_seq: int = 0
+    parts: tuple[bytes, ...] = ()
 
 
 @message
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -230,7 +230,8 @@
     """An incarnation of an upstream terminated.
 
     The digests of this process's requests that ran there: ``waiting`` had received
-    nothing of their answers, ``answering`` had received a part.
+    nothing of their answers, ``answering`` had received a part.  ``prompts`` has the
+    shared parts of each prompt that waited.
     """
 
     NAME: ClassVar[str] = "upstream_ended"
@@ -240,6 +241,7 @@
     reason: str
     waiting: list[str]
     answering: list[str]
+    prompts: list[str]
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/process/entry/call_handlers.py
+++ b/gooseberrydale/process/entry/call_handlers.py
@@ -29,7 +29,7 @@
 from gooseberrydale.request.event_id import EventId, parse_event_id
 from gooseberrydale.request.job import AnswerSource, Job
 from gooseberrydale.request.keyed import KeyedAnswer
-from gooseberrydale.request.prompt import prompt_pieces
+from gooseberrydale.request.prompt import prompt_parts, prompt_pieces
 from gooseberrydale.request.runner import Runner
 from gooseberrydale.version.declarations import (
     Config,
@@ -117,6 +117,7 @@
             single_text=completion.single_text,
             wants_usage=completion.wants_usage,
             pieces=prompt_pieces(req.url.path, completion.raw),
+            parts=prompt_parts(req.url.path, completion.raw, profile.model),
             max_new_tokens=completion.max_new_tokens,
         )
         await self._run(job, req, send)
--- a/gooseberrydale/process/gateway/routed_request.py
+++ b/gooseberrydale/process/gateway/routed_request.py
@@ -4,9 +4,11 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import cached_property
 
 from gooseberrydale.process.quota_client import QuotaDemand
 from gooseberrydale.request.gateway_call import CallerRequest
+from gooseberrydale.request.prompt_parts import shared_parts
 from gooseberrydale.request.retry_after import REMAINING_TIME_FRACTION
 from gooseberrydale.version.declared import KeyHolder, Pool, Route
 from gooseberrydale.version.origins.origin import StreamOrigin
@@ -15,7 +17,7 @@
 """Added to the time for which a stream's origin is kept, as callers are not exact."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class RoutedRequest:
     """A request with its route, its pool and its workspace.
 
@@ -56,6 +58,11 @@
         holder = self.workspace
         return holder.name if holder is not None and holder.isolated else ""
 
+    @cached_property
+    def parts(self) -> tuple[bytes, ...]:
+        """Digests of the parts that its prompt shares with other requests."""
+        return shared_parts(self.call.prompt)
+
     def left_s(self) -> float:
         """Seconds until the deadline; below 0 once it has passed."""
         return self.deadline_at - asyncio.get_running_loop().time()
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -230,7 +230,7 @@
         conn.send(_request_head(job.call, headers, len(job.body)), job.body)
         self.runs += 1
         self._charge.record_sent()
-        self._run = load.runs.began(job.fingerprint)
+        self._run = load.runs.began(job.fingerprint, job.parts)
         if job.route.streamed:
             # Of other answers nothing arrives before their runs have ended.
             limit.start()
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -23,6 +23,7 @@
 from gooseberrydale.request.gateway_call import Prompt
 from gooseberrydale.request.members import Members
 from gooseberrydale.request.placement import Candidate, Demand, rank_preferred
+from gooseberrydale.request.prompt_parts import parts_text
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
@@ -147,7 +148,8 @@
         if lost or not was_over:
             waiting = [fingerprint_text(run) for run in lost.waiting]
             answering = [fingerprint_text(run) for run in lost.answering]
-            emit(UpstreamEnded(name, reason, waiting, answering))
+            prompts = [parts_text(parts) for parts in lost.prompts]
+            emit(UpstreamEnded(name, reason, waiting, answering, prompts))
 
     def run_ended(
         self, name: str, load: UpstreamLoad, run: Run, now: float, end: RunEnd
--- a/gooseberrydale/process/sidecar/upstream_runs.py
+++ b/gooseberrydale/process/sidecar/upstream_runs.py
@@ -15,6 +15,7 @@
 from gooseberrydale.connection.messages import DispatchReq
 from gooseberrydale.log_events import UpstreamEnded, emit
 from gooseberrydale.request.fingerprint import fingerprint, fingerprint_text
+from gooseberrydale.request.prompt_parts import parts_text
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.open_runs import OpenRuns, Run, RunEnd
 
@@ -63,7 +64,8 @@
             req.workspace, req.method, req.profile, req.path, req.body
         )
         return RunningAttempt(
-            self._upstream_incarnation, self._upstream_incarnation.runs.began(request)
+            self._upstream_incarnation,
+            self._upstream_incarnation.runs.began(request, req.parts),
         )
 
     def record_end(self, running: RunningAttempt, end: RunEnd) -> None:
@@ -105,7 +107,8 @@
             self._ended_incarnations.report(incarnation.name, lost, _now())
         waiting = [fingerprint_text(request) for request in lost.waiting]
         answering = [fingerprint_text(request) for request in lost.answering]
-        emit(UpstreamEnded(incarnation.name, reason, waiting, answering))
+        prompts = [parts_text(parts) for parts in lost.prompts]
+        emit(UpstreamEnded(incarnation.name, reason, waiting, answering, prompts))
 
 
 def _now() -> float:
--- a/gooseberrydale/request/job.py
+++ b/gooseberrydale/request/job.py
@@ -19,7 +19,8 @@
 
     ``single_text`` says that the answer is a single text, which another upstream can
     continue.  ``max_new_tokens`` limits the answer; 0 means that the caller set no
-    limit.  ``wants_usage`` asks for a usage event after the last event of the text.
+    limit.  ``parts`` are the digests of the parts of the prompt that other requests may
+    share.  ``wants_usage`` asks for a usage event after the last event of the text.
     """
 
     request_id: str
@@ -33,6 +34,7 @@
     single_text: bool = True
     wants_usage: bool = False
     pieces: tuple[Piece, ...] = ()
+    parts: tuple[bytes, ...] = ()
     max_new_tokens: int = 0
     idempotency_key: str = ""
 
--- a/gooseberrydale/request/prompt.py
+++ b/gooseberrydale/request/prompt.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from gooseberrydale.connection.messages import Piece
+from gooseberrydale.request.prompt_parts import limit_parts, part_digest
 
 BYTES_PER_TOKEN = 4
 PIECE_TOKENS = 4_000
@@ -54,11 +55,22 @@
     ``path`` is the path of the OpenAI-compatible call.  The result is empty for a body
     without a prompt and for other paths.
     """
-    if path.endswith(CHAT_PATH):
-        return _chain(_chat_segments(body))
-    if path.endswith(COMPLETION_PATH):
-        return _chain(_completion_segments(body.get("prompt")))
-    return ()
+    return _chain(_segments(path, body))
+
+
+def prompt_parts(
+    path: str, body: Mapping[str, object], model: str
+) -> tuple[bytes, ...]:
+    """Return the digests of the prompt's parts, all but the last one.
+
+    A part is what a piece adds to the one before it.
+    """
+    parts = [
+        (name, data[start : start + PIECE_BYTES])
+        for _, name, data in _segments(path, body)
+        for start in range(0, len(data), PIECE_BYTES)
+    ]
+    return limit_parts(part_digest(model, *part) for part in parts[:-1])
 
 
 def cache_root(workspace: str, model: str, weights_version: str) -> bytes:
@@ -74,6 +86,13 @@
     return hashlib.blake2b(chain, key=root, digest_size=CHAIN_BYTES).digest()
 
 
+def _segments(path: str, body: Mapping[str, object]) -> Iterator[Segment]:
+    if path.endswith(CHAT_PATH):
+        yield from _chat_segments(body)
+    elif path.endswith(COMPLETION_PATH):
+        yield from _completion_segments(body.get("prompt"))
+
+
 def _chain(segments: Iterator[Segment]) -> tuple[Piece, ...]:
     """Hash the segments in one pass, and emit a piece at each cut."""
     running_hash = hashlib.blake2b(digest_size=CHAIN_BYTES)
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -300,6 +300,7 @@
             first_offset=first_offset,
             claim_key=self._job.idempotency_key,
             record_seq=self._record_seq,
+            parts=self._job.parts,
         )
         await exchange.dispatch(req, self._frame_deadline())
         self._charge.record_sent()
--- a/gooseberrydale/version/open_runs.py
+++ b/gooseberrydale/version/open_runs.py
@@ -35,11 +35,13 @@
 class Run:
     """One request sent to the upstream.
 
+    ``parts`` are the digests of the parts that its prompt shares with others.
     ``answering`` is True once part of its answer has arrived, ``reported`` once it was
     reported as running when the upstream ended.
     """
 
     request: bytes
+    parts: tuple[bytes, ...] = ()
     answering: bool = False
     reported: bool = False
 
@@ -48,11 +50,13 @@
 class LostRuns:
     """Fingerprints of the requests that ran at an upstream when it ended.
 
-    Those ``waiting`` had received no part of their answers.
+    Those ``waiting`` had received no part of their answers; ``prompts`` are the parts
+    of their prompts.
     """
 
     waiting: tuple[bytes, ...] = ()
     answering: tuple[bytes, ...] = ()
+    prompts: tuple[tuple[bytes, ...], ...] = ()
 
     def __bool__(self) -> bool:
         return bool(self.waiting or self.answering)
@@ -72,9 +76,9 @@
         """Whether the end of the incarnation was detected."""
         return self._has_ended
 
-    def began(self, request: bytes) -> Run:
-        """Record that a request was sent."""
-        run = Run(request)
+    def began(self, request: bytes, parts: tuple[bytes, ...] = ()) -> Run:
+        """Record that a request was sent, with the shared parts of its prompt."""
+        run = Run(request, parts)
         self._open.add(run)
         return run
 
@@ -110,6 +114,9 @@
         return LostRuns(
             waiting=_requests(run for run in new if not run.answering),
             answering=_requests(run for run in new if run.answering),
+            prompts=tuple(
+                sorted({run.parts for run in new if run.parts and not run.answering})
+            ),
         )
 
     def mark_running(self) -> None:
