--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -99,6 +99,16 @@
     return Prompt("m", sum(part.tokens for part in all_parts), new, all_parts)
 
 
+def prompt_of(*parts: str) -> Prompt:
+    """Return a prompt of parts with ten tokens each; the last is the request's own."""
+    return Prompt(
+        model="m",
+        tokens=10 * len(parts),
+        max_new_tokens=5,
+        parts=tuple(PromptPart(part, 10) for part in parts),
+    )
+
+
 class PlainWire:
     """A minimal set of headers, named after the values that they hold."""
 
@@ -109,6 +119,7 @@
         wait = values.get(b"wait")
         last = values.get(b"last-event-id")
         resumes = values.get(b"resumes")
+        parts = values.get(b"parts", b"").decode().split(",")
         return Ok(
             CallerRequest(
                 request_id=values[b"id"].decode(),
@@ -120,6 +131,7 @@
                 wait_s=float(wait) if wait is not None else None,
                 last_event_id=last.decode() if last is not None else None,
                 resumes=resumes.decode() if resumes is not None else None,
+                prompt=prompt_of(*parts) if b"parts" in values else None,
             )
         )
 
