Quarantine parts of prompts that end their upstreams

Callers saw 502 and broken streams while engines ended one after the other under requests of which no two were alike. What a gateway recorded of an end were digests of whole requests, each of which was at one end; the part that they shared was in none. Class: a record keyed by what the reporter could name, not by what can be the cause.

Change: ends carry the parts of the prompts whose connection broke before the first whole event. A part is blamed until an answer to a prompt with it begins anywhere; an end is explained by one part; of parts that always came together a prompt must have all to be refused.

--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -70,6 +70,9 @@
     ``waiting`` are requests to which no part of an answer had arrived, ``answering``
     those with a part of one.  ``cleared`` are requests that are known not to end
     upstreams.  The incarnation ended ``age_s`` seconds before the message was created.
+    Each of ``prompts`` is the fingerprint of a waiting request whose connection broke,
+    and the digests of the parts that its prompt shares with others; ``sound`` are parts
+    that are known not to end upstreams.
     It is encoded without field names, since a starting process receives many of these.
     """
 
@@ -78,6 +81,8 @@
     answering: tuple[bytes, ...] = ()
     cleared: tuple[bytes, ...] = ()
     age_s: float = 0.0
+    prompts: tuple[tuple[bytes, ...], ...] = ()
+    sound: tuple[bytes, ...] = ()
 
 
 class NamedVersion(msgspec.Struct, frozen=True, array_like=True):
--- a/gooseberrydale/connection/sse.py
+++ b/gooseberrydale/connection/sse.py
@@ -120,13 +120,15 @@
 class EventTracker:
     """Follows a byte stream: ``inside`` is whether its last byte is within an event.
 
-    ``started`` is whether any event has started.  Comments outside of events belong to
+    ``started`` is whether any event has started, ``completed`` whether one is complete.
+    Comments outside of events belong to
     none.  No bytes of the stream are stored.
     """
 
     def __init__(self) -> None:
         self.inside = False
         self.started = False
+        self.completed = False
         self._at_line_start = True
         self._after_cr = False
 
@@ -149,6 +151,7 @@
                 self.inside = self.inside or not text.startswith(b":")
                 self.started = self.started or self.inside
             else:
+                self.completed = self.completed or self.inside
                 self.inside = False
         self._at_line_start = ends
 
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -207,6 +207,19 @@
     "The request was sent, and {count} upstreams terminated while they ran it; change"
     " it, or ask your operator about {digest}.",
 )
+PART_ENDS_UPSTREAMS = ErrorKind(
+    "part_ends_upstreams",
+    503,
+    "{count} upstreams terminated while they ran requests with a part of this prompt,"
+    " so it is not sent to another one; change it, or ask your operator about"
+    " {digest}.",
+)
+PART_ENDED_UPSTREAMS = ErrorKind(
+    "part_ended_upstreams",
+    502,
+    "The request was sent, and {count} upstreams terminated while they ran requests"
+    " with a part of this prompt; change it, or ask your operator about {digest}.",
+)
 OVER_QUOTA = ErrorKind(
     "over_quota",
     429,
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -126,8 +126,9 @@
 class RequestQuarantined(LogEvent):
     """A request is sent to no upstream, because earlier ones terminated running it.
 
-    ``ended`` are the incarnations that terminated while they ran it.  ``digest`` is
-    equal for all requests with the same content.
+    ``ended`` are the incarnations that terminated while they ran it, or while they ran
+    others with a part of its prompt.  ``digest`` is equal for all requests with the
+    same content, or names the parts.
     """
 
     NAME: ClassVar[str] = "request_quarantined"
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -15,6 +15,8 @@
     NO_ROOM,
     NO_UPSTREAM,
     OUTCOME_UNKNOWN,
+    PART_ENDED_UPSTREAMS,
+    PART_ENDS_UPSTREAMS,
     SOFTWARE_GONE,
     problem,
 )
@@ -40,8 +42,10 @@
 )
 from gooseberrydale.request.fingerprint import fingerprint_text
 from gooseberrydale.request.placement import Candidate
+from gooseberrydale.request.prompt_parts import parts_text
 from gooseberrydale.request.retry_after import after_no_capacity_s, without_upstream_s
 from gooseberrydale.request.retry_window import RetryWindow
+from gooseberrydale.version.ended_parts import HarmfulParts
 from gooseberrydale.version.origins.origin import software_gone
 
 MOVES_RESERVE_FRACTION = 0.5
@@ -96,8 +100,8 @@
             except NoCapacityError as exc:
                 await self._refuse_no_capacity(exc.permit_s)
                 return
-            except QuarantinedError:
-                await self._refuse_quarantined()
+            except QuarantinedError as exc:
+                await self._refuse_quarantined(exc.harmful)
                 return
             if placement is None:
                 await self._refuse_no_upstream()
@@ -109,13 +113,19 @@
             if not await self._handle_end(end):
                 return
 
-    async def _refuse_quarantined(self) -> None:
+    async def _refuse_quarantined(self, harmful: HarmfulParts | None) -> None:
         """Refuse a quarantined request, which is not sent to any upstream again."""
-        digest = fingerprint_text(self._job.fingerprint)
-        ended = self._upstreams.ended_incarnations.blamed_for(self._job.fingerprint)
+        if harmful is not None:
+            digest, ended = parts_text(sorted(harmful.parts)), harmful.ended
+        else:
+            digest = fingerprint_text(self._job.fingerprint)
+            ended = self._upstreams.ended_incarnations.blamed_for(self._job.fingerprint)
         emit(RequestQuarantined(self._job.call.request_id, digest, list(ended)))
         ran = self._sender.runs > 0
-        kind = ENDED_UPSTREAMS if ran else ENDS_UPSTREAMS
+        if harmful is not None:
+            kind = PART_ENDED_UPSTREAMS if ran else PART_ENDS_UPSTREAMS
+        else:
+            kind = ENDED_UPSTREAMS if ran else ENDS_UPSTREAMS
         self.outcome = kind.code
         if self._answer.started:
             raise BrokenAnswerError
--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -29,6 +29,7 @@
     own_s,
     queue_s,
 )
+from gooseberrydale.version.ended_parts import HarmfulParts
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.origins.origin import StreamOrigin
 from gooseberrydale.version.run_times import RunTimes
@@ -76,7 +77,15 @@
 
 
 class QuarantinedError(Exception):
-    """Earlier runs of the request ended their upstreams, so it is not sent again."""
+    """Earlier runs of the request ended their upstreams, so it is not sent again.
+
+    ``harmful`` are the parts of its prompt that ended upstreams, None if the request
+    itself did.
+    """
+
+    def __init__(self, harmful: HarmfulParts | None = None) -> None:
+        super().__init__()
+        self.harmful = harmful
 
 
 _Candidates = list[tuple[UpstreamRecord, Candidate]]
@@ -208,8 +217,10 @@
         and arrive at any gateway, so the reports of other gateways may quarantine it
         while it waits here.
         """
-        if self._upstreams.ended_incarnations.is_quarantined(self._job.fingerprint):
-            raise QuarantinedError
+        ended, job = self._upstreams.ended_incarnations, self._job
+        harmful = ended.harmful_parts_in(job.parts)
+        if harmful is not None or ended.is_quarantined(job.fingerprint):
+            raise QuarantinedError(harmful)
         return self._candidates()
 
     def has_eligible(self) -> bool:
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -257,6 +257,7 @@
             await self._forward_stream(conn, limit, head, stream, record, load, work)
         else:
             body = await _read_whole(conn)
+            self._note_begun()
             await self._answer.whole(head.status, head.headers, body)
         answered(record.name, load, failed=False)
         self._deps.upstreams.ended_incarnations.answered(job.fingerprint, _now())
@@ -330,6 +331,8 @@
             self._note_first_chunk(load, work)
             stream.feed(data)
             self.inside_event = stream.inside_event
+            if stream.has_begun:
+                self._note_begun()
             if not self._answer.started:
                 await self._answer.start(head.status, headers)
             if splitter is None:
@@ -352,11 +355,16 @@
     def _note_first_chunk(self, load: UpstreamLoad, work: Work) -> None:
         if not self._prefilled:
             self._prefilled = True
-            if self._run is not None:
-                self._run.answering = True
             load.prefill_done(work)
             self._deps.work_changed()
 
+    def _note_begun(self) -> None:
+        """Record that the upstream has begun to answer and did not end by it."""
+        if self._run is not None and not self._run.answering:
+            self._run.answering = True
+            ended = self._deps.upstreams.ended_incarnations
+            ended.begun(self._job.parts, _now())
+
     async def _write_events(
         self, splitter: EventSplitter, data: bytes, record: UpstreamRecord
     ) -> None:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -148,7 +148,7 @@
         if lost or not was_over:
             waiting = [fingerprint_text(run) for run in lost.waiting]
             answering = [fingerprint_text(run) for run in lost.answering]
-            prompts = [parts_text(parts) for parts in lost.prompts]
+            prompts = [parts_text(parts) for _, *parts in lost.prompts]
             emit(UpstreamEnded(name, reason, waiting, answering, prompts))
 
     def run_ended(
--- a/gooseberrydale/process/sidecar/upstream_runs.py
+++ b/gooseberrydale/process/sidecar/upstream_runs.py
@@ -107,7 +107,7 @@
             self._ended_incarnations.report(incarnation.name, lost, _now())
         waiting = [fingerprint_text(request) for request in lost.waiting]
         answering = [fingerprint_text(request) for request in lost.answering]
-        prompts = [parts_text(parts) for parts in lost.prompts]
+        prompts = [parts_text(parts) for _, *parts in lost.prompts]
         emit(UpstreamEnded(incarnation.name, reason, waiting, answering, prompts))
 
 
--- a/gooseberrydale/request/answer_stream.py
+++ b/gooseberrydale/request/answer_stream.py
@@ -32,6 +32,7 @@
         self._tracker = EventTracker() if is_event_stream(headers) else None
         self._framing = framing
         self._continued = continued
+        self._has_data = False
 
     @property
     def has_events(self) -> bool:
@@ -43,8 +44,14 @@
         """Whether the bytes received so far end in the middle of an event."""
         return self._tracker is not None and self._tracker.inside
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the first event is complete, or anything of another body is there."""
+        return self._has_data and (self._tracker is None or self._tracker.completed)
+
     def feed(self, data: bytes) -> None:
         """Take the next bytes of the body."""
+        self._has_data = self._has_data or bool(data)
         if self._tracker is not None:
             self._tracker.feed(data)
 
--- a/gooseberrydale/version/ended_incarnations.py
+++ b/gooseberrydale/version/ended_incarnations.py
@@ -11,6 +11,9 @@
 decide.  A stream that was being answered when its upstream ended is not blamed for an
 end that a quarantined request explains, and a request that was answered completely is
 not blamed for any earlier end.
+
+Requests that share a part of their prompts may end upstreams though none is repeated.
+Their parts are recorded in the same way; ``ended_parts`` decides which are to blame.
 """
 
 from __future__ import annotations
@@ -19,8 +22,12 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import TypeVar
+
+import msgspec
 
 from gooseberrydale.connection.mesh import EndedIncarnation
+from gooseberrydale.version.ended_parts import EndedParts, HarmfulParts, Prompt
 from gooseberrydale.version.open_runs import LostRuns
 
 QUARANTINE_AFTER = 3
@@ -37,6 +44,14 @@
 request that is sent all the time runs at every upstream, and so at each one of a rack
 that is lost."""
 
+BEGUN_RETENTION_S = 1.0
+"""Time after the first event of an answer during which the parts of its prompt are not
+blamed for ends.  Requests of a part that is in steady use wait at each upstream; a part
+that begins to end upstreams while it is in use must be found soon."""
+
+MAX_BEGUN = 16_384
+"""Parts with a first event that are remembered."""
+
 MAX_ANSWERED = 4_096
 """Requests with a complete answer that are remembered; the ones answered longest ago
 are dropped first."""
@@ -55,25 +70,30 @@
 happens rarely."""
 
 Listener = Callable[[], None]
+T = TypeVar("T")
 
 
 @dataclass(slots=True)
 class _Incarnation:
     """Requests that ran at one incarnation when it ended.
 
-    ``cleared`` are requests that are not to blame, ``updates`` what each report added,
-    in order of arrival.
+    ``cleared`` are requests that are not to blame.  ``prompts`` waited for the start of
+    their answers, and their ``sound`` parts are not to blame.  ``updates`` is what each
+    report added, in order of arrival.
     """
 
     ended_at: float
     waiting: set[bytes] = field(default_factory=set)
     answering: set[bytes] = field(default_factory=set)
     cleared: set[bytes] = field(default_factory=set)
+    prompts: set[Prompt] = field(default_factory=set)
+    sound: set[bytes] = field(default_factory=set)
     updates: list[_VersionedUpdate] = field(default_factory=list)
 
     @property
     def size(self) -> int:
-        return len(self.waiting) + len(self.answering) + len(self.cleared)
+        requests = len(self.waiting) + len(self.answering) + len(self.cleared)
+        return requests + len(self.prompts) + len(self.sound)
 
     def blames(self, request: bytes) -> bool:
         """Return whether the request ran here at the end and was not cleared."""
@@ -112,6 +132,9 @@
         # In the order of their first reports.
         self._incarnations: dict[str, _Incarnation] = {}
         self._of_request: dict[bytes, set[str]] = {}
+        self._parts = EndedParts(QUARANTINE_AFTER)
+        # Time of the last first event of an answer to each part, the latest at the end.
+        self._begun: OrderedDict[bytes, float] = OrderedDict()
         # Time of the last complete answer of each request here, the latest at the end.
         self._answered: OrderedDict[bytes, float] = OrderedDict()
         self._size = 0
@@ -136,7 +159,10 @@
         """Record the requests of this process at an incarnation that has ended."""
         if lost:
             reported = EndedIncarnation(
-                incarnation, waiting=lost.waiting, answering=lost.answering
+                incarnation,
+                waiting=lost.waiting,
+                answering=lost.answering,
+                prompts=lost.prompts,
             )
             self.offer(reported, now)
 
@@ -155,6 +181,7 @@
         self._incarnations[reported.incarnation] = incarnation
         self._add(incarnation, new, source)
         self._clear_answered(new, now)
+        self._clear_begun(new, incarnation)
         self._drop_excess()
         for listener in self._listeners:
             listener()
@@ -162,12 +189,17 @@
     def _add(
         self, incarnation: _Incarnation, new: EndedIncarnation, source: object
     ) -> None:
+        size = incarnation.size
         incarnation.waiting.update(new.waiting)
         incarnation.answering.update(new.answering)
         incarnation.cleared.update(new.cleared)
+        incarnation.prompts.update(new.prompts)
+        incarnation.sound.update(new.sound)
+        self._size += incarnation.size - size
         for request in (*new.waiting, *new.answering):
             self._of_request.setdefault(request, set()).add(new.incarnation)
-        self._size += len(new.waiting) + len(new.answering) + len(new.cleared)
+        self._parts.blame(new.incarnation, new.prompts, incarnation.sound)
+        self._parts.clear(new.incarnation, new.sound)
         self._version += 1
         incarnation.updates.append(_VersionedUpdate(self._version, source, new))
 
@@ -187,6 +219,43 @@
         if new is not None:
             self._add(self._incarnations[reported.incarnation], new, None)
 
+    def _clear_begun(
+        self, reported: EndedIncarnation, incarnation: _Incarnation
+    ) -> None:
+        """Clear parts in a report whose answers began here just before the end."""
+        since = incarnation.ended_at - BEGUN_RETENTION_S
+        parts = dict.fromkeys(p for _, *parts in reported.prompts for p in parts)
+        sound = [p for p in parts if self._begun.get(p, -math.inf) > since]
+        new = _additions(
+            incarnation, EndedIncarnation(reported.incarnation, sound=(*sound,))
+        )
+        if new is not None:
+            self._add(incarnation, new, None)
+
+    def begun(self, parts: tuple[bytes, ...], now: float) -> None:
+        """Record the first event of an answer, which shows that its prompt's parts
+        end no upstream."""
+        for part in parts:
+            self._begun[part] = now
+            self._begun.move_to_end(part)
+        while len(self._begun) > MAX_BEGUN:
+            self._begun.popitem(last=False)
+        self.clear_parts(parts, now)
+
+    def clear_parts(self, parts: Iterable[bytes], now: float) -> None:
+        """Stop blaming parts for the incarnations that have ended so far."""
+        for name, sound in sorted(self._parts.ends_of(parts).items()):
+            self.offer(EndedIncarnation(name, sound=(*sound,)), now)
+
+    @property
+    def harmful_parts(self) -> tuple[HarmfulParts, ...]:
+        """All groups of parts that are quarantined."""
+        return self._parts.harmful
+
+    def harmful_parts_in(self, parts: Iterable[bytes]) -> HarmfulParts | None:
+        """Return the parts for which a prompt must not be sent to any upstream."""
+        return self._parts.harmful_in(parts)
+
     def answered(self, request: bytes, now: float) -> None:
         """Record a complete answer, which shows that the request ends no upstream."""
         self._answered[request] = now
@@ -261,7 +330,7 @@
 
     def _is_to_blame(self, request: bytes, name: str) -> bool:
         incarnation = self._incarnations[name]
-        if not incarnation.blames(request):
+        if not incarnation.blames(request) or self._parts.explains(name):
             return False
         if request in incarnation.waiting:
             return True
@@ -278,7 +347,11 @@
         incarnations = self._of_request.get(request, ())
         if len(incarnations) < QUARANTINE_AFTER:
             return False
-        ended = (self._incarnations[name] for name in incarnations)
+        ended = (
+            self._incarnations[name]
+            for name in incarnations
+            if not self._parts.explains(name)
+        )
         waited_at = [i for i in ended if request in i.waiting and i.blames(request)]
         return len(waited_at) >= QUARANTINE_AFTER
 
@@ -289,6 +362,9 @@
         quarantining = {
             name for request in self.quarantined() for name in self.blamed_for(request)
         }
+        quarantining.update(
+            name for group in self.harmful_parts for name in group.ended
+        )
         for name in sorted(self._incarnations, key=quarantining.__contains__):
             if self._fits(TRIM_FRACTION):
                 return
@@ -302,6 +378,7 @@
     def _drop(self, name: str) -> None:
         incarnation = self._incarnations.pop(name)
         self._size -= incarnation.size
+        self._parts.forget(name)
         for request in incarnation.waiting | incarnation.answering:
             incarnations = self._of_request[request]
             incarnations.discard(name)
@@ -321,20 +398,25 @@
     answering = _missing_from(reported.answering, incarnation.answering)[:capacity]
     capacity -= len(answering)
     cleared = _missing_from(reported.cleared, incarnation.cleared)[:capacity]
-    if not (waiting or answering or cleared):
+    capacity -= len(cleared)
+    prompts = _missing_from(reported.prompts, incarnation.prompts)[:capacity]
+    capacity -= len(prompts)
+    sound = _missing_from(reported.sound, incarnation.sound)[:capacity]
+    if not (waiting or answering or cleared or prompts or sound):
         return None
-    return EndedIncarnation(reported.incarnation, waiting, answering, cleared)
+    return EndedIncarnation(
+        reported.incarnation,
+        waiting,
+        answering,
+        cleared,
+        prompts=prompts,
+        sound=sound,
+    )
 
 
-def _missing_from(requests: Iterable[bytes], known: set[bytes]) -> tuple[bytes, ...]:
-    return tuple(dict.fromkeys(req for req in requests if req not in known))
+def _missing_from(reported: Iterable[T], known: set[T]) -> tuple[T, ...]:
+    return tuple(dict.fromkeys(item for item in reported if item not in known))
 
 
 def _with_age(reported: EndedIncarnation, age_s: float) -> EndedIncarnation:
-    return EndedIncarnation(
-        reported.incarnation,
-        reported.waiting,
-        reported.answering,
-        reported.cleared,
-        max(0.0, age_s),
-    )
+    return msgspec.structs.replace(reported, age_s=max(0.0, age_s))
--- a/gooseberrydale/version/open_runs.py
+++ b/gooseberrydale/version/open_runs.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -36,22 +37,24 @@
     """One request sent to the upstream.
 
     ``parts`` are the digests of the parts that its prompt shares with others.
-    ``answering`` is True once part of its answer has arrived, ``reported`` once it was
-    reported as running when the upstream ended.
+    ``answering`` is True once the first event of its answer has arrived, ``reported``
+    once it was reported as running when the upstream ended, ``prompt_reported`` once
+    its prompt was.
     """
 
     request: bytes
     parts: tuple[bytes, ...] = ()
     answering: bool = False
     reported: bool = False
+    prompt_reported: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class LostRuns:
     """Fingerprints of the requests that ran at an upstream when it ended.
 
-    Those ``waiting`` had received no part of their answers; ``prompts`` are the parts
-    of their prompts.
+    Those ``waiting`` had received no part of their answers.  ``prompts`` are those of
+    them whose connection broke then, each with the parts of its prompt.
     """
 
     waiting: tuple[bytes, ...] = ()
@@ -59,7 +62,7 @@
     prompts: tuple[tuple[bytes, ...], ...] = ()
 
     def __bool__(self) -> bool:
-        return bool(self.waiting or self.answering)
+        return bool(self.waiting or self.answering or self.prompts)
 
 
 class OpenRuns:
@@ -67,8 +70,9 @@
 
     def __init__(self) -> None:
         self._open: set[Run] = set()
-        self._broken: deque[tuple[float, Run]] = deque(maxlen=MAX_BROKEN_RUNS)
+        self._broken: deque[tuple[float, Run, RunEnd]] = deque(maxlen=MAX_BROKEN_RUNS)
         self._has_ended = False
+        self._ended_at = math.inf
         self._is_doubtful = False
 
     @property
@@ -86,7 +90,7 @@
         """Record how a run ended."""
         self._open.discard(run)
         if end is not RunEnd.ANSWERED:
-            self._broken.append((now, run))
+            self._broken.append((now, run, end))
         if end is RunEnd.BROKE and not self._has_ended:
             self._is_doubtful = True
 
@@ -105,20 +109,34 @@
 
         Return the requests that ran there and were not returned before.
         """
+        if not self._has_ended:
+            self._ended_at = now
         self._has_ended, self._is_doubtful = True, False
-        recent = [run for at, run in self._broken if now < at + END_DETECTION_S]
+        recent = [item for item in self._broken if now < item[0] + END_DETECTION_S]
         self._broken.clear()
-        new = [run for run in (*self._open, *recent) if not run.reported]
+        ended = (run for _, run, _ in recent)
+        new = [run for run in (*self._open, *ended) if not run.reported]
         for run in new:
             run.reported = True
+        prompts = [run for at, run, end in recent if self._may_explain(run, at, end)]
+        for run in prompts:
+            run.prompt_reported = True
         return LostRuns(
             waiting=_requests(run for run in new if not run.answering),
             answering=_requests(run for run in new if run.answering),
-            prompts=tuple(
-                sorted({run.parts for run in new if run.parts and not run.answering})
-            ),
+            prompts=tuple(sorted({(run.request, *run.parts) for run in prompts})),
         )
 
+    def _may_explain(self, run: Run, broke_at: float, end: RunEnd) -> bool:
+        """Return whether the upstream may have ended because of the run's prompt.
+
+        It then closes the connection as it ends.  An upstream that fell silent leaves
+        many prompts waiting, whose connections break later if at all.
+        """
+        if run.answering or run.prompt_reported or not run.parts:
+            return False
+        return end is RunEnd.BROKE and broke_at < self._ended_at + END_DETECTION_S
+
     def mark_running(self) -> None:
         """Record that the incarnation still runs and was only unreachable."""
         self._has_ended = False
--- a/tests/builders_ending.py
+++ b/tests/builders_ending.py
@@ -39,7 +39,8 @@
     """Upstreams of one pool; each one that a harmful request ends is replaced.
 
     ``ended`` has the time of each end, ``harmful_at`` that of each arrival of a harmful
-    request.  With ``answers_first``, an upstream sends one event before it ends.
+    request.  With ``answers_first``, an upstream sends one event before it ends, with
+    ``breaks_first_event`` the beginning of one.
     """
 
     gateways: list[Gateway] = field(default_factory=list)
@@ -47,6 +48,7 @@
     ended: list[float] = field(default_factory=list)
     harmful_at: list[float] = field(default_factory=list)
     answers_first: bool = False
+    breaks_first_event: bool = False
     _count: int = 0
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -84,8 +86,9 @@
             writer.write(answer_bytes(req["id"], b"done " + body))
 
     async def _end_upstream(self, req: dict[str, str], writer: Writer) -> None:
-        if self.answers_first:
-            writer.write(stream_head(req["id"]) + chunk(event(1)))
+        if self.answers_first or self.breaks_first_event:
+            data = event(1)[:8] if self.breaks_first_event else event(1)
+            writer.write(stream_head(req["id"]) + chunk(data))
             await writer.drain()
         await asyncio.sleep(0.05)
         port = writer.get_extra_info("sockname")[1]
--- a/tests/test_ended_parts.py
+++ b/tests/test_ended_parts.py
@@ -8,11 +8,22 @@
 
 import asyncio
 
-from tests.builders_ending import EXCHANGE_S, HARMFUL, deployment
-from tests.builders_gateway import declared, route
+from gooseberrydale.process.gateway.gateway import Gateway
+from gooseberrydale.version.ended_incarnations import QUARANTINE_AFTER
+from tests.builders_ending import EXCHANGE_S, HARMFUL, SLOW, Deployment, deployment
+from tests.builders_gateway import call, declared, json_body, route
+from tests.builders_mesh import until
 from tests.sidecar_harness import run
 
 CALLS = route(max_runs=2)
+STREAMS = route(
+    path_prefix="/streams/",
+    streamed=True,
+    resumable=True,
+    max_runs=2,
+    name="streams",
+    timeout_s=10.0,
+)
 DELIVERY_BOUND_S = 3.0
 """Time by which all gateways have received the fifth end of an upstream."""
 
@@ -34,3 +45,84 @@
             assert len(late) <= 3
 
     run(main())
+
+
+async def end_three(fleet: Deployment, target: str = "/calls/1") -> None:
+    """Send prompts with the part until they have ended enough upstreams."""
+    number = 0
+    while len(fleet.pool.ended) < QUARANTINE_AFTER:
+        gateway = fleet.gateways[number % len(fleet.gateways)]
+        body = HARMFUL + str(number).encode()
+        await fleet.send(gateway, body, target, extra=f"Parts: a,bad,own{number}")
+        await asyncio.sleep(EXCHANGE_S)
+        number += 1
+
+
+async def wait_harmful(*gateways: Gateway) -> None:
+    """Wait until each of the gateways knows harmful parts."""
+    await until(lambda: all(g.ended_incarnations.harmful_parts for g in gateways))
+
+
+def test_a_prompt_with_a_harmful_part_is_refused_at_once_and_with_the_reason() -> None:
+    async def main() -> None:
+        async with deployment(declared(CALLS)) as fleet:
+            await end_three(fleet)
+            await wait_harmful(*fleet.gateways)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            got = await call(
+                fleet.gateways[0], body=b"new", request_id="n", extra="Parts: a,bad,own"
+            )
+            assert loop.time() - began < 0.2
+            assert got.status == 503 and "retry-after" not in got.headers
+            error = json_body(got)["error"]
+            assert (error["code"], error["not_run"]) == ("part_ends_upstreams", True)
+            assert "3 upstreams" in error["message"] and "part-" in error["message"]
+
+    run(main())
+
+
+def test_a_gateway_that_has_just_started_knows_harmful_parts_and_serves_others() -> (
+    None
+):
+    async def main() -> None:
+        async with deployment(declared(CALLS), gateways=2) as fleet:
+            await end_three(fleet)
+            newcomer = await fleet.add_gateway()
+            await wait_harmful(newcomer)
+            assert await fleet.send(newcomer, HARMFUL, extra="Parts: a,bad,o") == 503
+            for extra in ("Parts: a,b,bad", "Parts: a,b,own", "Parts: bad"):
+                assert await fleet.send(newcomer, b"harmless", extra=extra) == 200
+            assert len(fleet.pool.harmful_at) == QUARANTINE_AFTER
+
+    run(main())
+
+
+def test_a_part_that_ends_upstreams_within_their_first_event_is_found() -> None:
+    async def main() -> None:
+        async with deployment(declared(STREAMS)) as fleet:
+            fleet.pool.breaks_first_event = True
+            await end_three(fleet, "/streams/1")
+            await wait_harmful(*fleet.gateways)
+            sound = "Parts: a,b,own"
+            assert await fleet.send(fleet.gateways[0], SLOW, "/streams/1", sound) == 200
+
+    run(main())
+
+
+def test_streams_that_begin_between_the_ends_clear_their_parts() -> None:
+    """Upstreams that end of something else leave no part quarantined."""
+
+    async def main() -> None:
+        async with deployment(declared(CALLS, STREAMS)) as fleet:
+            for number in range(2 * QUARANTINE_AFTER):
+                gateway = fleet.gateways[number % len(fleet.gateways)]
+                body, extra = HARMFUL + str(number).encode(), f"Parts: a,bad,o{number}"
+                await fleet.send(gateway, body, extra=extra)
+                await asyncio.sleep(EXCHANGE_S)
+                other = fleet.gateways[(number + 1) % len(fleet.gateways)]
+                got = await fleet.send(other, SLOW, "/streams/1", extra)
+                assert got == 200
+            assert not any(g.ended_incarnations.harmful_parts for g in fleet.gateways)
+
+    run(main())
