Quarantine parts of prompts at entries too

Entries now check the parts of a prompt before each attempt and record the first event of an answer; the reason for a refusal has one home for both paths.

--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -10,13 +10,9 @@
 
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import (
-    ENDED_UPSTREAMS,
-    ENDS_UPSTREAMS,
     NO_ROOM,
     NO_UPSTREAM,
     OUTCOME_UNKNOWN,
-    PART_ENDED_UPSTREAMS,
-    PART_ENDS_UPSTREAMS,
     SOFTWARE_GONE,
     problem,
 )
@@ -42,10 +38,9 @@
 )
 from gooseberrydale.request.fingerprint import fingerprint_text
 from gooseberrydale.request.placement import Candidate
-from gooseberrydale.request.prompt_parts import parts_text
+from gooseberrydale.request.quarantine import Quarantine
 from gooseberrydale.request.retry_after import after_no_capacity_s, without_upstream_s
 from gooseberrydale.request.retry_window import RetryWindow
-from gooseberrydale.version.ended_parts import HarmfulParts
 from gooseberrydale.version.origins.origin import software_gone
 
 MOVES_RESERVE_FRACTION = 0.5
@@ -101,7 +96,7 @@
                 await self._refuse_no_capacity(exc.permit_s)
                 return
             except QuarantinedError as exc:
-                await self._refuse_quarantined(exc.harmful)
+                await self._refuse_quarantined(exc.why)
                 return
             if placement is None:
                 await self._refuse_no_upstream()
@@ -113,25 +108,14 @@
             if not await self._handle_end(end):
                 return
 
-    async def _refuse_quarantined(self, harmful: HarmfulParts | None) -> None:
+    async def _refuse_quarantined(self, why: Quarantine) -> None:
         """Refuse a quarantined request, which is not sent to any upstream again."""
-        if harmful is not None:
-            digest, ended = parts_text(sorted(harmful.parts)), harmful.ended
-        else:
-            digest = fingerprint_text(self._job.fingerprint)
-            ended = self._upstreams.ended_incarnations.blamed_for(self._job.fingerprint)
-        emit(RequestQuarantined(self._job.call.request_id, digest, list(ended)))
-        ran = self._sender.runs > 0
-        if harmful is not None:
-            kind = PART_ENDED_UPSTREAMS if ran else PART_ENDS_UPSTREAMS
-        else:
-            kind = ENDED_UPSTREAMS if ran else ENDS_UPSTREAMS
-        self.outcome = kind.code
+        emit(RequestQuarantined(self._job.call.request_id, why.digest, list(why.ended)))
+        refusal = why.problem(None if self._sender.runs > 0 else True)
+        self.outcome = refusal.code
         if self._answer.started:
             raise BrokenAnswerError
-        not_run = None if ran else True
-        why = problem(kind, not_run=not_run, count=len(ended), digest=digest)
-        await self._answer.refuse(why)
+        await self._answer.refuse(refusal)
 
     async def _send(self, record: UpstreamRecord, chosen: Candidate) -> End | None:
         self.choices.append(chosen)
--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -29,7 +29,7 @@
     own_s,
     queue_s,
 )
-from gooseberrydale.version.ended_parts import HarmfulParts
+from gooseberrydale.request.quarantine import Quarantine, quarantine
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.origins.origin import StreamOrigin
 from gooseberrydale.version.run_times import RunTimes
@@ -77,15 +77,11 @@
 
 
 class QuarantinedError(Exception):
-    """Earlier runs of the request ended their upstreams, so it is not sent again.
+    """Earlier runs of the request, or of others like it, ended their upstreams."""
 
-    ``harmful`` are the parts of its prompt that ended upstreams, None if the request
-    itself did.
-    """
-
-    def __init__(self, harmful: HarmfulParts | None = None) -> None:
+    def __init__(self, why: Quarantine) -> None:
         super().__init__()
-        self.harmful = harmful
+        self.why = why
 
 
 _Candidates = list[tuple[UpstreamRecord, Candidate]]
@@ -217,10 +213,10 @@
         and arrive at any gateway, so the reports of other gateways may quarantine it
         while it waits here.
         """
-        ended, job = self._upstreams.ended_incarnations, self._job
-        harmful = ended.harmful_parts_in(job.parts)
-        if harmful is not None or ended.is_quarantined(job.fingerprint):
-            raise QuarantinedError(harmful)
+        job = self._job
+        why = quarantine(self._upstreams.ended_incarnations, job.fingerprint, job.parts)
+        if why is not None:
+            raise QuarantinedError(why)
         return self._candidates()
 
     def has_eligible(self) -> bool:
--- a/gooseberrydale/request/runner.py
+++ b/gooseberrydale/request/runner.py
@@ -24,8 +24,6 @@
 )
 from gooseberrydale.errors import (
     DEADLINE_PASSED,
-    ENDED_UPSTREAMS,
-    ENDS_UPSTREAMS,
     OUTCOME_UNKNOWN,
     Problem,
     ProblemError,
@@ -39,9 +37,9 @@
 from gooseberrydale.request.claim_gate import AttemptGate
 from gooseberrydale.request.deps import Deps
 from gooseberrydale.request.exchange import DeadlinePassed, Exchange, ExchangeLost
-from gooseberrydale.request.fingerprint import fingerprint_text
 from gooseberrydale.request.job import Job, Part, ReaderReplaced
 from gooseberrydale.request.parts import PartBuilder
+from gooseberrydale.request.quarantine import quarantine
 from gooseberrydale.request.reassembly import (
     AttemptFailed,
     Deliver,
@@ -88,6 +86,7 @@
         self._attempt = 0
         self._accepted = False
         self._upstream_answered = False
+        self._has_begun = False
         self._record_seq = 0
         self._may_have_run = False
         self._complete = False
@@ -175,6 +174,7 @@
                 case Deliver():
                     parts += self._parts.deliver(action)
                     self._record_origin()
+                    self._record_begun()
                 case Finished():
                     parts += self._parts.finish()
                     self._complete = True
@@ -190,6 +190,12 @@
         if self._parts.delivered and self._choice is not None:
             self._chooser.began_at(self._choice.record)
 
+    def _record_begun(self) -> None:
+        """Record once that an upstream began to answer and did not end by it."""
+        if self._upstream_answered and not self._has_begun:
+            self._has_begun = True
+            self._deps.ended_incarnations.begun(self._job.parts, self._now())
+
     def _record_answered(self) -> None:
         if self._upstream_answered:
             self._deps.ended_incarnations.answered(self._job.fingerprint, self._now())
@@ -242,30 +248,18 @@
         checked before each attempt, since the same request may also have been sent
         under another request id and through another entry meanwhile.
         """
-        ended_incarnations, request = (
-            self._deps.ended_incarnations,
-            self._job.fingerprint,
-        )
-        if not ended_incarnations.is_quarantined(request):
-            return
-        ended = ended_incarnations.blamed_for(request)
-        emit(
-            RequestQuarantined(
-                self._job.request_id, fingerprint_text(request), list(ended)
-            )
-        )
         not_run = None if self._may_have_run else True
         if self._parts.delivered:
             not_run = False
-        kind = ENDS_UPSTREAMS if not_run else ENDED_UPSTREAMS
-        raise ProblemError(
-            problem(
-                kind,
-                not_run=not_run,
-                count=len(ended),
-                digest=fingerprint_text(request),
-            )
+        why = quarantine(
+            self._deps.ended_incarnations,
+            self._job.fingerprint,
+            self._job.parts,
         )
+        if why is None:
+            return
+        emit(RequestQuarantined(self._job.request_id, why.digest, list(why.ended)))
+        raise ProblemError(why.problem(not_run))
 
     def _newest_record(self, record: UpstreamRecord) -> UpstreamRecord:
         """Return the newest announcement of the same incarnation.
--- a/tests/builders_ending_sidecars.py
+++ b/tests/builders_ending_sidecars.py
@@ -14,7 +14,7 @@
 from gooseberrydale.process.entry import Entry
 from gooseberrydale.process.sidecar import Sidecar
 from tests.builders_ending import HARMFUL, REPLACEMENT_S
-from tests.builders_entry import KEY_A, TOKEN, make_cfg, make_config
+from tests.builders_entry import KEY_A, TOKEN, chat_body, make_cfg, make_config
 from tests.builders_mesh import Member, until
 from tests.builders_sidecar import Request, TinyUpstream, Writer, send_body, sidecar_cfg
 
@@ -29,6 +29,7 @@
     """
 
     names_incarnations: bool = True
+    answer: bytes = b"done"
     incarnations: int = 1
     harmful: int = 0
     upstream: TinyUpstream = field(init=False)
@@ -57,7 +58,7 @@
         try:
             await asyncio.sleep(ANSWER_DELAY_S)
             if HARMFUL not in req.body:
-                await send_body(writer, b"done")
+                await send_body(writer, self.answer)
                 return
             self.harmful += 1
             await self.upstream.close()
@@ -76,10 +77,14 @@
 
 @dataclass
 class Deployment:
-    """Entries, and upstreams with a sidecar each, connected through one control."""
+    """Entries, and upstreams with a sidecar each, connected through one control.
+
+    The upstreams answer ``completions``, or else bids.
+    """
 
     control: Member
     stack: AsyncExitStack
+    completions: bool = False
     upstreams: list[CrashingUpstream] = field(default_factory=list)
     entries: list[Entry] = field(default_factory=list)
 
@@ -93,10 +98,13 @@
     ) -> None:
         """Start another upstream with its sidecar."""
         crashing = CrashingUpstream(names_incarnations)
+        pool, kind = "bidding", "service"
+        if self.completions:
+            crashing.answer, pool, kind = chat_body("done"), "summary", "completion"
         await crashing.upstream.start()
         self.stack.push_async_callback(crashing.close)
         url = crashing.upstream.url
-        cfg = sidecar_cfg(folder, url, pool="bidding", kind="service", drain_s=0.1)
+        cfg = sidecar_cfg(folder, url, pool=pool, kind=kind, model="m1", drain_s=0.1)
         (folder / "token").write_text(TOKEN)
         fleet = replace(cfg.fleet, controls=(self.control.address,))
         node = NodeCfg(f"upstream-{len(self.upstreams)}")
@@ -126,6 +134,16 @@
         async with httpx2.AsyncClient(base_url=base, headers=headers) as client:
             return await client.post("/services/bids/lots/42", content=body)
 
+    async def ask(self, entry: Entry, *messages: str) -> httpx2.Response:
+        """Ask for a completion; the last message is the caller's question."""
+        base = f"http://{entry.addresses['http']}"
+        headers = {"Authorization": f"Bearer {KEY_A}"}
+        content = [{"role": "user", "content": text} for text in messages]
+        async with httpx2.AsyncClient(base_url=base, headers=headers) as client:
+            return await client.post(
+                "/v1/chat/completions", json={"model": "lots", "messages": content}
+            )
+
 
 @asynccontextmanager
 async def deployment(
@@ -134,12 +152,13 @@
     upstreams: int = 4,
     entries: int = 2,
     names_incarnations: bool,
+    completions: bool = False,
 ) -> AsyncIterator[Deployment]:
     """Run a deployment whose entries have records of all upstreams."""
     async with AsyncExitStack() as stack:
         control = await Member("control", "c1", token=TOKEN).start()
         stack.push_async_callback(control.close)
-        fleet = Deployment(control, stack)
+        fleet = Deployment(control, stack, completions)
         for _ in range(upstreams):
             await fleet.add_upstream(folder, names_incarnations=names_incarnations)
         for _ in range(entries):
--- a/tests/test_ended_upstreams_sidecars.py
+++ b/tests/test_ended_upstreams_sidecars.py
@@ -30,11 +30,14 @@
     scenario: Callable[[Deployment], Awaitable[None]],
     *,
     names_incarnations: bool = True,
+    completions: bool = False,
 ) -> None:
     async def main() -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder)
-            async with deployment(path, names_incarnations=names_incarnations) as fleet:
+            async with deployment(
+                path, names_incarnations=names_incarnations, completions=completions
+            ) as fleet:
                 await scenario(fleet)
 
     run(main())
@@ -58,3 +61,27 @@
         assert (await fleet.bid(fleet.entries[0], b"harmless")).status_code == 200
 
     play(scenario, names_incarnations=names_incarnations)
+
+
+def test_entries_refuse_prompts_with_a_part_that_ends_upstreams() -> None:
+    """No two prompts are alike; all have one message that ends what answers them."""
+    harmful = HARMFUL.decode()
+
+    async def scenario(fleet: Deployment) -> None:
+        answers = []
+        for number in range(BIDS):
+            entry = fleet.entries[number % len(fleet.entries)]
+            answers.append(
+                await fleet.ask(entry, "guide", harmful, f"question {number}")
+            )
+            await asyncio.sleep(REPORTED_S)
+            sound = await fleet.ask(entry, "guide", f"lot {number}", "question")
+            assert sound.status_code == 200
+        # The entry itself repeats the first two at all upstreams.
+        assert fleet.harmful <= 2 * len(fleet.upstreams)
+        assert [answer.status_code for answer in answers[2:]] == [503] * (BIDS - 2)
+        error = answers[-1].json()["error"]
+        assert (error["code"], error["not_run"]) == ("part_ends_upstreams", True)
+        assert "retry-after" not in answers[-1].headers
+
+    play(scenario, completions=True)
