--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -47,6 +47,7 @@
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.operator_auth import OperatorTokens
 from gooseberrydale.request.fingerprint import fingerprint_text
+from gooseberrydale.request.prompt_parts import parts_text
 from gooseberrydale.version.acknowledgements import Acknowledgements
 from gooseberrydale.version.change import join_faults
 from gooseberrydale.version.control_state import ControlState
@@ -339,12 +340,22 @@
                 return await self._refuse_and_audit(request, operator, refused)
 
     async def _release(self, operator: str, digest: str) -> Response:
-        """Allow a quarantined request to run again, in all processes."""
-        quarantined = self._ended_incarnations.quarantined()
+        """Allow a quarantined request to run again, in all processes.
+
+        ``digest`` names the request, or parts of prompts.
+        """
+        ended = self._ended_incarnations
         matching = [
-            request for request in quarantined if fingerprint_text(request) == digest
+            request
+            for request in ended.quarantined()
+            if fingerprint_text(request) == digest
+        ]
+        parts = [
+            group.parts
+            for group in ended.harmful_parts
+            if parts_text(sorted(group.parts)) == digest
         ]
-        if not matching:
+        if not (matching or parts):
             what = "quarantined request"
             return problem_response(problem(UNKNOWN_NAME, what=what, name=digest))
         match await self._commit.submit(
@@ -354,7 +365,9 @@
                 return problem_response(refused)
         now = asyncio.get_running_loop().time()
         for request in matching:
-            self._ended_incarnations.clear(request, now)
+            ended.clear(request, now)
+        for group in parts:
+            ended.clear_parts(group, now)
         return json_response({"released": digest})
 
     async def _refuse_and_audit(
--- a/gooseberrydale/process/control/operator_views.py
+++ b/gooseberrydale/process/control/operator_views.py
@@ -12,6 +12,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import Problem
 from gooseberrydale.request.fingerprint import fingerprint_text
+from gooseberrydale.request.prompt_parts import parts_text
 from gooseberrydale.version.acknowledgements import RevisionStatus
 from gooseberrydale.version.declarations import Config, Profile, Workspace
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
@@ -58,14 +59,20 @@
 
 
 def quarantined_tables(ended_incarnations: EndedIncarnations) -> list[Table]:
-    """Return the quarantined requests with the incarnations that ended running them."""
-    return [
-        {
-            "digest": fingerprint_text(request),
-            "ended": list(ended_incarnations.blamed_for(request)),
-        }
+    """Return the quarantined requests and parts of prompts, with the incarnations that
+    ended running them."""
+    requests = [
+        (fingerprint_text(request), ended_incarnations.blamed_for(request))
         for request in sorted(ended_incarnations.quarantined())
     ]
+    parts = [
+        (parts_text(sorted(group.parts)), group.ended)
+        for group in ended_incarnations.harmful_parts
+    ]
+    return [
+        {"digest": digest, "ended": list(ended)}
+        for digest, ended in (*requests, *sorted(parts))
+    ]
 
 
 def upstream_tables(
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -213,6 +213,7 @@
             self._pool.retain(records)
             level.upstreams_known = len(records)
             level.requests_quarantined = len(self.ended_incarnations.quarantined())
+            level.parts_quarantined = len(self.ended_incarnations.harmful_parts)
             level.cfg_revision = self.store.revision
             level.sessions = len(self._mesh.peers())
             level.running = self._middleware.open_requests if self._middleware else 0
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -71,6 +71,10 @@
     "timed_out": "its deadline passed",
     "ends_upstreams": "upstreams had terminated while they ran it, so it was not sent",
     "ended_upstreams": "upstreams terminated while running it; it may have run in part",
+    "part_ends_upstreams": "upstreams had terminated under a part of its prompt, so it"
+    " was not sent",
+    "part_ended_upstreams": "upstreams terminated under a part of its prompt; it may"
+    " have run in part",
     "broken": "its stream was cut and could not continue on another upstream",
     "no_upstream": "the gateway had no record of an upstream that could take it",
     "unknown_origin": "it was not known which software version began its stream",
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -328,6 +328,7 @@
         level.limited = len(self._upstreams.limits)
         level.suspected = self._upstreams.suspected(now)
         level.requests_quarantined = len(self.ended_incarnations.quarantined())
+        level.parts_quarantined = len(self.ended_incarnations.harmful_parts)
         level.origins = len(self._origins)
         views = map(self._stores.view, self._stores.addresses)
         level.stores_up = sum(view is not None and view.up for view in views)
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -70,6 +70,9 @@
     requests_quarantined: int = _measured(
         "1", "Requests that are sent to no upstream, as they end those that run them"
     )
+    parts_quarantined: int = _measured(
+        "1", "Groups of parts of prompts that end the upstreams which answer them"
+    )
     origins: int = _measured("1", "Streams whose origin is known here")
     stores_up: int = _measured("1", "Stores of KV cache that answer")
     log_lines_dropped: int = _measured("1", "Log lines that could not be written")
--- a/gooseberrydale/process/losses.py
+++ b/gooseberrydale/process/losses.py
@@ -78,11 +78,14 @@
     "over_quota": Cause.OVER_QUOTA,
     "ends_upstreams": Cause.QUARANTINED,
     "ended_upstreams": Cause.QUARANTINED,
+    "part_ends_upstreams": Cause.QUARANTINED,
+    "part_ended_upstreams": Cause.QUARANTINED,
 }
 _REFUSALS = frozenset(
     {
         *("not_ready", "shutting_down", "no_upstream", "no_room", "refused"),
-        *("over_quota", "ends_upstreams", "unknown_origin", "software_gone"),
+        *("over_quota", "unknown_origin", "software_gone"),
+        *("ends_upstreams", "part_ends_upstreams"),
     }
 )
 # A value that decided the choice of an upstream, such as "rank=0".
--- a/gooseberrydale/process/operator_cli.py
+++ b/gooseberrydale/process/operator_cli.py
@@ -285,7 +285,8 @@
     def quarantined(self) -> Command:
         """Show quarantined requests, and how many upstreams terminated under each.
 
-        A request in quarantine is sent to no upstream.
+        A request in quarantine is sent to no upstream.  Neither is one whose prompt has
+        all the parts of a line that begins with "part-".
         """
 
         async def act(session: Session) -> None:
@@ -297,7 +298,7 @@
         return Command(self._options, act)
 
     def release(self, digest: str) -> Command:
-        """Let the request with DIGEST run again, once the upstreams are repaired."""
+        """Let the request, or prompts with the parts, named DIGEST run again."""
 
         async def act(session: Session) -> None:
             await session.release(str(digest))
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -22,8 +22,10 @@
     run_command,
 )
 from gooseberrydale.request.fingerprint import fingerprint_text
+from gooseberrydale.request.prompt_parts import part_digest, parts_text
 from gooseberrydale.version.acknowledgements import RevisionStatus
 from gooseberrydale.version.key_index import key_digest
+from gooseberrydale.version.open_runs import LostRuns
 from tests.builders_incarnations import lost, request
 from tests.builders_operators import TOKEN, running_control
 
@@ -274,6 +276,19 @@
     assert run(*nobody, "--timeout-s", "0.1") == OperatorExit.NO_ANSWER
 
 
+def test_quarantined_parts_are_listed_and_released(run, control, capsys):
+    bad = part_digest("m", b"bad")
+    for number in range(3):
+        runs = LostRuns(prompts=((request(number), bad),))
+        control.ended_incarnations.report(f"u{number}", runs, time.monotonic())
+    digest = parts_text([bad])
+    assert run("request", "quarantined") == 0
+    assert capsys.readouterr().out.split() == ["DIGEST", "ENDED", digest, "3"]
+    assert run("request", "release", digest) == 0
+    assert control.ended_incarnations.harmful_parts == ()
+    assert run("request", "release", digest) == OperatorExit.REFUSED
+
+
 def test_quarantined_request_is_listed_and_released(run, control, capsys):
     digest = fingerprint_text(request(1))
     for incarnation in ("u1", "u2", "u3"):
