Close new connections unread that a gateway can't serve

A balancer may send most new connections to one gateway. It took all of them: its callers waited until they gave up, and beyond its descriptors connections hung in the backlog. Now it resets a new connection before anything is read while its descriptors or memory are nearly used up, requests nearly fill its link, or its event loop falls behind; the callers may send any request again elsewhere. Open connections are served on.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -226,6 +226,23 @@
     broken: int
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionsRefused(LogEvent):
+    """New connections were closed unread, as the process could not serve them.
+
+    ``reason`` names what was short: descriptors, memory, link or event loop.
+    ``refused`` connections were closed, beside ``open`` ones that are served.
+    """
+
+    NAME: ClassVar[str] = "connections_refused"
+    TEXT: ClassVar[str] = "connections refused"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    reason: str
+    refused: int
+    open: int
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamEnded(LogEvent):
     """An incarnation of an upstream terminated.
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -110,8 +110,11 @@
     starts to load ``start_after_s`` later: all gateways wait for the document from
     control, and loading both takes 0.9 s of CPU time.  ``link_mbps`` is the bandwidth
     of the node in Mbit/s, 0 if unknown: the gateways with most of it relay the events
-    of KV cache stores to the others.  A gateway with a ``data_dir`` stores there where
-    streams began, so that they can go on after all gateways were killed.
+    of KV cache stores to the others.  ``max_fds`` and ``memory_mb`` are the descriptors
+    and the memory that the process may use, 0 if unknown.  New connections are closed
+    unread while one of these three is nearly used up.  A gateway with a ``data_dir``
+    stores there where streams began, so that they can go on after all gateways were
+    killed.
     """
 
     http: str = "127.0.0.1:8080"
@@ -125,6 +128,8 @@
     weights_bound_s: float = 8.0
     start_after_s: float = 0.0
     link_mbps: float = 0.0
+    max_fds: int = 0
+    memory_mb: float = 0.0
     data_dir: Path | None = None
 
 
--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -42,6 +42,8 @@
     "control.order_pause_s",
     "control.tolerated_losses",
     "gateway.link_mbps",
+    "gateway.max_fds",
+    "gateway.memory_mb",
     "gateway.retry_ratio",
     "gateway.retry_slack",
     "gateway.start_after_s",
--- a/gooseberrydale/process/gateway/front_protocol.py
+++ b/gooseberrydale/process/gateway/front_protocol.py
@@ -6,20 +6,43 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
+from gooseberrydale.process.connection_gate import ConnectionGate
 from gooseberrydale.process.gateway.app import TARGET
 from gooseberrydale.process.http_protocol import BoundedHttpProtocol
 from gooseberrydale.version.declared import CallerLimits
 
 
-def front_protocol(limits: Callable[[], CallerLimits]) -> type[BoundedHttpProtocol]:
-    """Return a protocol class that takes its limits from ``limits``."""
+def front_protocol(
+    limits: Callable[[], CallerLimits], gate: ConnectionGate
+) -> type[BoundedHttpProtocol]:
+    """Return a protocol class that takes its limits from ``limits``.
+
+    Connections that ``gate`` doesn't take are closed unread.
+    """
 
     class FrontProtocol(BoundedHttpProtocol):
         """A bounded protocol with declared limits that exposes the unparsed target."""
 
+        _is_taken = False
+
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            """Take the connection, or reset it before anything is read."""
+            self._is_taken = gate.opened()
+            if self._is_taken:
+                super().connection_made(transport)
+            else:
+                transport.abort()  # type: ignore[attr-defined]
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            """Give the place of a connection that was taken free."""
+            if self._is_taken:
+                gate.closed()
+                super().connection_lost(exc)
+
         @property
         def head_bytes(self) -> int:  # type: ignore[override]
             """Maximum size of a request's head in bytes."""
@@ -44,6 +67,11 @@
         def timeout_keep_alive(self, _value: Any) -> None:
             """Ignore the server's own setting; the declared limit applies."""
 
+        def data_received(self, data: bytes) -> None:
+            """Count the bytes, then parse them."""
+            gate.received(len(data))
+            super().data_received(data)
+
         def on_headers_complete(self) -> None:
             """Store the target as the caller wrote it in the application's scope."""
             self.scope["extensions"] = {TARGET: {TARGET: self.url}}
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -21,6 +21,7 @@
 from gooseberrydale.process import logs
 from gooseberrydale.process.cfg import Cfg, GatewayCfg, NodeCfg, TlsCfg
 from gooseberrydale.process.cfg_file import read_token
+from gooseberrydale.process.connection_gate import ConnectionGate
 from gooseberrydale.process.gateway.app import GatewayApp, GatewayDeps
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
@@ -254,7 +255,8 @@
             rng=self._rng,
         )
         self._app = GatewayApp(deps)
-        protocol = front_protocol(self._limits)
+        self._gate = ConnectionGate(own.max_fds, own.memory_mb, own.link_mbps)
+        protocol = front_protocol(self._limits, self._gate)
         self._front = HttpServer(self._app, self._cfg.http, TlsCfg(), protocol)
         self._ready = HttpServer(self._serve_readiness, self._cfg.ready, TlsCfg())
         self._prober = Prober(self._upstreams, self._gossip.changed)
@@ -285,6 +287,7 @@
         await self._prober.start()
         self._sweep_task = asyncio.create_task(self._sweep())
         await self._ready.start()
+        await self._gate.start()
         await self._front.start()
 
     async def close(self) -> None:
@@ -302,6 +305,7 @@
             max(READY_CLOSE_TIMEOUT_S, drain.abort_at - loop.time())
         )
         emit(Drained(self._app.open_requests))
+        await self._gate.close()
         await self._ready.close(READY_CLOSE_TIMEOUT_S)
         if self._sweep_task is not None:
             self._sweep_task.cancel()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -511,6 +511,8 @@
     "{{bounds.leaseMs}}": "3000",
     "{{bounds.versionMs}}": "8000",
     "{{limits.linkMbps}}": "1000.0",
+    "{{limits.maxFds}}": "4100",
+    "{{limits.memoryMb}}": "150",
 }
 
 
@@ -528,6 +530,7 @@
         assert (cfg.gateway.weights_bound_s, cfg.gateway.retry_slack) == (8.0, 62.0)
         assert (cfg.gateway.start_after_s, cfg.gateway.link_mbps) == (0.35, 1000.0)
         assert cfg.gateway.retry_window_s == 12.0
+        assert (cfg.gateway.max_fds, cfg.gateway.memory_mb) == (4_100, 150.0)
     if cfg.control is not None:
         assert (cfg.control.order_pause_s, cfg.control.beat_s) == (3.0, 1.2)
         assert cfg.control.bootstrap and cfg.control.open_group
