Try quarantined parts again from time to time, at one gateway

Parts that are quarantined by mistake, as several upstreams were lost at once, could not be cleared before their ends expired after 15 minutes: nothing with them was sent. One gateway, chosen by rendezvous hashing, now sends one such request a minute after the last end; each trial that ends its upstream doubles the interval.

--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -56,11 +56,15 @@
     Directory,
     new_incarnation,
 )
-from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.ended_incarnations import (
+    QUARANTINE_AFTER,
+    EndedIncarnations,
+)
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer, SharingGateways
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.origins.owners import OriginKeeping
+from gooseberrydale.version.part_trials import PartTrials
 from gooseberrydale.version.peer_loads import PeerLoads
 from gooseberrydale.version.quotas.quota import Quota
 from gooseberrydale.version.run_times import RunTimes
@@ -175,6 +179,7 @@
             self._stores,
             self.ended_incarnations,
             UpstreamLimits(self._known_fleet, self._cfg.gateways),
+            PartTrials(self._known_fleet, QUARANTINE_AFTER),
         )
         incarnation = new_incarnation(time.time_ns(), self._rng)
         self._mesh = self._make_mesh(cfg, incarnation)
--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -110,6 +110,7 @@
             )
         self._mean_tokens: float | None = None
         self._left_s = 0.0
+        self._tries_parts = False
         self.tried: list[str] = []
         self.origin: StreamOrigin | None = None
 
@@ -215,10 +216,18 @@
         """
         job = self._job
         why = quarantine(self._upstreams.ended_incarnations, job.fingerprint, job.parts)
-        if why is not None:
+        if why is not None and not self._is_trial(why):
             raise QuarantinedError(why)
         return self._candidates()
 
+    def _is_trial(self, why: Quarantine) -> bool:
+        """Whether the request is sent once in spite of its quarantined parts."""
+        if why.harmful is None or self.tried:
+            return False
+        if not self._tries_parts:
+            self._tries_parts = self._upstreams.may_try(why.harmful, _now())
+        return self._tries_parts
+
     def has_eligible(self) -> bool:
         """Whether an announced upstream may take the request, usable now or not."""
         return self._upstreams.has_eligible(self._query(), _now())
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -27,10 +27,12 @@
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.ended_parts import HarmfulParts
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.open_runs import Run, RunEnd
 from gooseberrydale.version.order_marks import is_mark, mark_name
 from gooseberrydale.version.origins.origin import StreamOrigin
+from gooseberrydale.version.part_trials import PartTrials
 from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
 from gooseberrydale.version.stores import Stores
 from gooseberrydale.version.upstream_limits import UpstreamLimits
@@ -84,7 +86,7 @@
     ``weights_bound_s`` is how long work may still start on outdated weights.
     ``stores`` are the KV cache stores, ``limits`` the rate limits that upstreams
     announce.  The runs that an upstream loses when it ends are reported to
-    ``ended_incarnations``.
+    ``ended_incarnations``.  Without ``trials``, no quarantined request is tried.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         stores: Stores,
         ended_incarnations: EndedIncarnations,
         limits: UpstreamLimits,
+        trials: PartTrials | None = None,
     ) -> None:
         self._directory = directory
         self._zone = zone
@@ -109,6 +112,7 @@
         self.stores = stores
         self.ended_incarnations = ended_incarnations
         self.limits = limits
+        self._trials = trials
         self._pools: dict[str, _PoolView] = {}
         self._loads: dict[str, UpstreamLoad] = {}
         # The incarnation of each upstream that its entry in ``_loads`` belongs to.
@@ -132,6 +136,14 @@
                 name, self.load_of(name), now, "another incarnation has its address"
             )
 
+    def may_try(self, harmful: HarmfulParts, now: float) -> bool:
+        """Whether one request with quarantined parts may be sent after all."""
+        if self._trials is None:
+            return False
+        ended = self.ended_incarnations
+        self._trials.retain(ended.harmful_parts)
+        return self._trials.grant(harmful, ended.last_end_at(harmful), now)
+
     def ended(self, name: str, load: UpstreamLoad, now: float, reason: str) -> None:
         """Record that an incarnation of an upstream has ended and its runs are lost.
 
--- a/gooseberrydale/request/quarantine.py
+++ b/gooseberrydale/request/quarantine.py
@@ -14,18 +14,19 @@
 from gooseberrydale.request.fingerprint import fingerprint_text
 from gooseberrydale.request.prompt_parts import parts_text
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.ended_parts import HarmfulParts
 
 
 @dataclass(frozen=True, slots=True)
 class Quarantine:
     """What is quarantined, and the incarnations of upstreams that it ended.
 
-    ``digest`` names the request, or the parts of its prompt if ``is_part``.
+    ``digest`` names the request, or the parts of its prompt that are ``harmful``.
     """
 
     digest: str
     ended: tuple[str, ...]
-    is_part: bool
+    harmful: HarmfulParts | None = None
 
     def problem(self, not_run: bool | None) -> Problem:
         """Return the answer; ``not_run`` is True if the request has not run."""
@@ -35,7 +36,7 @@
         )
 
     def _kind(self, not_run: bool) -> ErrorKind:
-        if self.is_part:
+        if self.harmful is not None:
             return (
                 errors.PART_ENDS_UPSTREAMS if not_run else errors.PART_ENDED_UPSTREAMS
             )
@@ -48,7 +49,7 @@
     """Return why a request with these shared parts must not be sent, if so."""
     harmful = ended.harmful_parts_in(parts)
     if harmful is not None:
-        return Quarantine(parts_text(sorted(harmful.parts)), harmful.ended, True)
+        return Quarantine(parts_text(sorted(harmful.parts)), harmful.ended, harmful)
     if ended.is_quarantined(request):
-        return Quarantine(fingerprint_text(request), ended.blamed_for(request), False)
+        return Quarantine(fingerprint_text(request), ended.blamed_for(request))
     return None
--- a/gooseberrydale/version/ended_incarnations.py
+++ b/gooseberrydale/version/ended_incarnations.py
@@ -252,6 +252,10 @@
         """All groups of parts that are quarantined."""
         return self._parts.harmful
 
+    def last_end_at(self, harmful: HarmfulParts) -> float:
+        """Return when the last of the upstreams ended that ``harmful`` explains."""
+        return max(self._incarnations[name].ended_at for name in harmful.ended)
+
     def harmful_parts_in(self, parts: Iterable[bytes]) -> HarmfulParts | None:
         """Return the parts for which a prompt must not be sent to any upstream."""
         return self._parts.harmful_in(parts)
