--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -36,6 +36,7 @@
     WeightsNamed,
     WeightsOrdered,
 )
+from gooseberrydale.request.prompt_parts import split_parts
 
 BEFORE_REQUEST_S = 15.0
 """Events this long before a request may still affect it: an order to load weights and
@@ -201,12 +202,20 @@
 def _terminated_running(line: Line, digests: set[str]) -> bool:
     """Whether ``line`` logs that an upstream terminated while it ran the request.
 
-    A request with the same digest counts as the same request.
+    A request with the same digest counts as the same request.  So does a prompt with
+    all parts of a digest that names parts.
     """
     if line.event != UpstreamEnded.NAME:
         return False
     ran = (*line.fields.get("waiting", ()), *line.fields.get("answering", ()))
-    return not digests.isdisjoint(map(str, ran))
+    if not digests.isdisjoint(map(str, ran)):
+        return True
+    prompts = [split_parts(str(text)) for text in line.fields.get("prompts", ())]
+    return any(
+        parts <= prompt
+        for parts in filter(None, map(split_parts, digests))
+        for prompt in prompts
+    )
 
 
 def _is_relevant(line: Line, gateways: set[str], upstreams: set[str]) -> bool:
--- a/gooseberrydale/request/prompt_parts.py
+++ b/gooseberrydale/request/prompt_parts.py
@@ -19,6 +19,7 @@
 ones, which many requests share, and the latest."""
 
 LOG_DIGITS = 12
+PREFIX, SEPARATOR = "part-", "+"
 
 
 def part_digest(model: str, *content: bytes) -> bytes:
@@ -51,4 +52,10 @@
 
     The prefix keeps command lines from parsing it as a number.
     """
-    return "+".join(f"part-{part.hex()[:LOG_DIGITS]}" for part in parts)
+    return SEPARATOR.join(PREFIX + part.hex()[:LOG_DIGITS] for part in parts)
+
+
+def split_parts(text: str) -> frozenset[str]:
+    """Return the names of the parts in a formatted text; empty if it names none."""
+    names = text.split(SEPARATOR)
+    return frozenset(names) if names[0].startswith(PREFIX) else frozenset()
--- a/tests/test_control_open.py
+++ b/tests/test_control_open.py
@@ -22,6 +22,7 @@
 from gooseberrydale.version.declarations import Document
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.open_runs import LostRuns
 from tests import builders_incarnations as incarnations
 from tests.builders_files import free_address
 from tests.builders_gateway import record
@@ -234,6 +235,38 @@
     assert asyncio.run(after()) >= 1.0
 
 
+def test_parts_stay_quarantined_after_a_restart_of_all_processes(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "ended"
+    bad, sound = b"bad-part", b"soundone"
+
+    async def before() -> None:
+        table = EndedIncarnations()
+        cache = EndedIncarnationsCache(path, table)
+        await cache.start()
+        now = asyncio.get_running_loop().time()
+        for number in range(3):
+            prompts = (
+                (incarnations.request(number), bad),
+                (incarnations.request(10 + number), sound),
+            )
+            table.report(f"u{number}", LostRuns(prompts=prompts), now)
+        table.begun((sound,), now)
+        await asyncio.sleep(0.3)
+        await cache.close()
+
+    async def after() -> None:
+        table = EndedIncarnations()
+        cache = EndedIncarnationsCache(path, table)
+        await cache.start()
+        assert [group.parts for group in table.harmful_parts] == [{bad}]
+        await cache.close()
+
+    asyncio.run(before())
+    asyncio.run(after())
+
+
 def test_a_request_stays_quarantined_after_a_restart_of_all_processes(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -124,6 +124,34 @@
     assert trace.cause.endswith("(ended: u1, u3)")
 
 
+def test_quarantined_parts_show_the_upstreams_that_ended_under_prompts_with_them() -> (
+    None
+):
+    prompts = {
+        "u1": ["part-g+part-a+part-b"],
+        "u2": ["part-g+part-a"],
+        "u3": ["part-h+part-a", "part-b+part-a"],
+    }
+    texts = [
+        line(
+            *(float(at), "g1", "upstream_ended"),
+            **{"upstream": name, "waiting": [], "answering": [], "prompts": waited},
+        )
+        for at, (name, waited) in enumerate(prompts.items())
+    ]
+    texts.append(
+        line(
+            *(50.0, "g1", "request_quarantined"),
+            **{"request_id": "r1", "digest": "part-a+part-b", "ended": ["u1", "u3"]},
+        )
+    )
+    texts.append(request(50.0, "part_ends_upstreams", status=503, sends=[], digest="r"))
+    trace = trace_request(read_lines(texts), "r1")
+    upstreams = [item.fields.get("upstream") for item in trace.lines[:2]]
+    assert upstreams == ["u1", "u3"]
+    assert trace.cause.startswith("upstreams had terminated under a part")
+
+
 def test_every_end_of_a_send_has_an_outcome_text() -> None:
     ends = {end.name.lower() for end in End} - {"moved"}
     assert ends <= OUTCOME_TEXTS.keys()
