Blame no prompt whose connection its own gateway gave up

When an upstream falls silent and its probes fail, the gateway breaks the connections of the prompts that wait there. These counted as broken by the upstream as it ended, so parts in all prompts could be quarantined after three silent upstreams. Found when reading the change; the test failed before.

--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -111,6 +111,8 @@
         self._charge = charge
         self._prefilled = False
         self._run: Run | None = None
+        # Whether this side broke the connection, as the upstream was silent.
+        self._gave_up_silent = False
         self.runs = 0
         self.failure: tuple[AnswerHead, bytes] | None = None
         self.last_event_id: str | None = job.call.last_event_id
@@ -130,13 +132,15 @@
         load = self._deps.upstreams.load_of(record.name)
         self._prefilled = False
         self._run = None
+        self._gave_up_silent = False
         run_end = RunEnd.LEFT
         load.began(work)
         load.silence.opened(_now())
         self._deps.work_changed()
         try:
             end = await self._exchange_until_deadline(record, terms, load, work)
-            run_end = _RUN_ENDS.get(end, RunEnd.ANSWERED)
+            if not self._gave_up_silent:
+                run_end = _RUN_ENDS.get(end, RunEnd.ANSWERED)
             return end
         finally:
             if self._run is not None:
@@ -173,8 +177,13 @@
             return End.NOT_SENT
         whole = False
         limit = OutdatedAbort(self._deps.upstreams, record, conn.abort)
+
+        def give_up_silent() -> None:
+            self._gave_up_silent = True
+            conn.abort()
+
         if self._job.repeatable:
-            load.silence.watch(conn.abort)
+            load.silence.watch(give_up_silent)
         try:
             end = await self._exchange_on(conn, limit, record, terms, load, work)
             whole = True
@@ -190,7 +199,7 @@
             return End.LOST
         finally:
             limit.close()
-            load.silence.unwatch(conn.abort)
+            load.silence.unwatch(give_up_silent)
             if whole:
                 conns.release(*pool_key, conn, bound)
             else:
--- a/gooseberrydale/version/ended_parts.py
+++ b/gooseberrydale/version/ended_parts.py
@@ -21,7 +21,7 @@
 """The fingerprint of a request, followed by the digests of its prompt's parts."""
 
 MIN_REQUESTS = 2
-"""Different requests with a part from which on it is blamed.  A single one that is
+"""Least number of different requests with a harmful part.  A single one that is
 repeated is quarantined itself, and its parts may be sound."""
 
 
--- a/tests/test_ended_parts.py
+++ b/tests/test_ended_parts.py
@@ -11,7 +11,15 @@
 from gooseberrydale.process.gateway.gateway import Gateway
 from gooseberrydale.version.ended_incarnations import QUARANTINE_AFTER
 from tests.builders_ending import EXCHANGE_S, HARMFUL, SLOW, Deployment, deployment
-from tests.builders_gateway import call, declared, json_body, route
+from tests.builders_gateway import (
+    RawUpstream,
+    Writer,
+    call,
+    declared,
+    json_body,
+    route,
+    running_gateway,
+)
 from tests.builders_mesh import until
 from tests.sidecar_harness import run
 
@@ -110,6 +118,31 @@
     run(main())
 
 
+def test_prompts_at_an_upstream_that_fell_silent_are_not_blamed() -> None:
+    """The gateway gives the connections up itself, once its probes have failed."""
+
+    async def hang(req: dict[str, str], body: bytes, writer: Writer) -> None:
+        await asyncio.sleep(3.0)
+
+    async def main() -> None:
+        upstream = RawUpstream("u1", hang)
+        async with running_gateway(declared(STREAMS), upstream) as gateway:
+            pending = asyncio.create_task(
+                call(gateway, "/streams/1", extra="Parts: a,b,own")
+            )
+            await until(lambda: bool(upstream.requests))
+            load = gateway._upstreams.load_of("u1")
+            now = asyncio.get_running_loop().time()
+            gateway._upstreams.ended("u1", load, now, "two probes failed")
+            load.silence.abort_all()
+            await pending
+            ended = gateway.ended_incarnations.since(0, now).incarnations
+            assert [len(item.waiting) for item in ended] == [1]
+            assert not any(item.prompts for item in ended)
+
+    run(main())
+
+
 def test_streams_that_begin_between_the_ends_clear_their_parts() -> None:
     """Upstreams that end of something else leave no part quarantined."""
 
