--- a/gooseberrydale/process/connection_gate.py
+++ b/gooseberrydale/process/connection_gate.py
@@ -44,11 +44,11 @@
 STATM = Path("/proc/self/statm")
 
 
-LINK_FRACTION = 0.6
-"""Fraction of the link's rate that requests may take.  Each also leaves by the link, to
-its upstream, and the answers share it; packets must not queue."""
+LINK_FRACTION = 0.9
+"""Fraction of the link's rate that requests may take; above it packets queue.  A lower
+bound refuses callers that would have been served."""
 
-LINK_WINDOW_S = 0.5
+LINK_WINDOW_S = 1.0
 BITS_PER_BYTE = 8
 BITS_PER_MBIT = 1_000_000
 
