--- a/gooseberrydale/process/connection_gate.py
+++ b/gooseberrydale/process/connection_gate.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import resource
 from collections import deque
 from pathlib import Path
@@ -43,7 +44,6 @@
 BYTES_PER_MB = 1024 * 1024
 STATM = Path("/proc/self/statm")
 
-
 LINK_FRACTION = 0.9
 """Fraction of the link's rate that requests may take; above it packets queue.  A lower
 bound refuses callers that would have been served."""
@@ -111,8 +111,8 @@
         self, max_fds: int = 0, memory_mb: float = 0.0, link_mbps: float = 0.0
     ) -> None:
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        limits = [limit for limit in (soft, max_fds) if limit > 0]
-        self._max_connections = int(min(limits) * DESCRIPTOR_FRACTION)
+        fds = min((limit for limit in (soft, max_fds) if limit > 0), default=math.inf)
+        self._max_connections = fds * DESCRIPTOR_FRACTION
         self._memory_bytes = memory_mb * BYTES_PER_MB
         self._max_bytes = 0.0
         self._delay = LoopDelay()
@@ -158,7 +158,7 @@
 
     def _reason(self) -> str:
         """Return why no connection is taken now; empty if one is."""
-        if self.open >= self._max_connections:
+        if self.open + 1 > self._max_connections:
             return "descriptors"
         if self._is_memory_short:
             return "memory"
--- a/tests/test_connection_gate.py
+++ b/tests/test_connection_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 import time
 from contextlib import AsyncExitStack
 
@@ -141,6 +142,19 @@
     run_paused(main())
 
 
+def test_without_a_limit_of_descriptors_all_connections_are_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+    monkeypatch.setattr(resource, "getrlimit", lambda _: unlimited)
+
+    async def main() -> None:
+        gate = ConnectionGate()
+        assert all(gate.opened() for _ in range(5_000))
+
+    run_paused(main())
+
+
 def test_a_single_long_callback_is_no_overload() -> None:
     delay = LoopDelay()
     delay.ticked(1.0, 1.0 + 2 * OVERLOADED_AFTER_S)
