--- a/tests/builders_part_pool.py
+++ b/tests/builders_part_pool.py
@@ -121,7 +121,7 @@
             bad = part(name)
             parts = (bad, subject) if self.as_guide else (guide, subject, bad)
         gateway = self.rng.choice([g for g in self.fleet.gateways if g.up])
-        self._send(gateway, request(self._count), parts, name, runs=2)
+        self._send(gateway, request(self._count), parts, name)
 
     def _send(
         self,
@@ -129,7 +129,6 @@
         fingerprint: bytes,
         parts: tuple[bytes, ...],
         harmful: str,
-        runs: int,
     ) -> None:
         table = gateway.table
         refused = table.harmful_parts_in(parts) or table.is_quarantined(fingerprint)
