Log which parts a process quarantines and releases

A refusal named the parts only once a prompt with them arrived; which process knew what, and since when, could not be told from the logs. Two tests share their routes now.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -262,6 +262,35 @@
     prompts: list[str]
 
 
+@dataclass(frozen=True, slots=True)
+class PartsQuarantined(LogEvent):
+    """Prompts with all the parts in ``digest`` are sent to no upstream from now on.
+
+    ``ended`` are the incarnations of upstreams at which they waited when these ended.
+    """
+
+    NAME: ClassVar[str] = "parts_quarantined"
+    TEXT: ClassVar[str] = "parts of prompts quarantined"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    digest: str
+    ended: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class PartsReleased(LogEvent):
+    """Prompts with the parts in ``digest`` may run again.
+
+    An answer to one has begun, a further end pointed to other parts, an operator has
+    released them, or the ends are too old.
+    """
+
+    NAME: ClassVar[str] = "parts_released"
+    TEXT: ClassVar[str] = "parts of prompts released"
+
+    digest: str
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamBack(LogEvent):
     """A suspected upstream answered again, after ``failures`` failed connections."""
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -24,6 +24,7 @@
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh
 from gooseberrydale.process.metrics import Metrics
+from gooseberrydale.process.quarantine_log import QuarantineLog
 from gooseberrydale.process.quota_client import QuotaClient
 from gooseberrydale.process.tls import tls_files
 from gooseberrydale.request.background import Background
@@ -62,6 +63,7 @@
         self.store = ConfigStore()
         self.directory = Directory()
         self.ended_incarnations = EndedIncarnations()
+        self._quarantine_log = QuarantineLog(self.ended_incarnations)
         self._pool = ChannelPool(self._dial)
         self._rng = rng if rng is not None else random.SystemRandom()
         self._rpc = RpcServer(self._cfg.rpc, self._token, self._tls)
@@ -147,6 +149,7 @@
         app = make_app(self._calls, self._metrics.instruments, routes)
         self._middleware = EntryMiddleware(app, self._metrics.instruments, self._rng)
         self._http = HttpServer(self._middleware, self._cfg.http, self._cfg.tls)
+        self._quarantine_log.start()
         await self._rpc.start()
         await self._mesh.start()
         await self.quotas.start()
@@ -184,6 +187,7 @@
         await self.quotas.close()
         await self._quota_link.close()
         await self._mesh.close()
+        self._quarantine_log.close()
         await self._claims.close()
         await self._pool.close()
         self._metrics.close()
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -45,6 +45,7 @@
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.membership import Mesh
+from gooseberrydale.process.quarantine_log import QuarantineLog
 from gooseberrydale.process.quota_client import QuotaClient
 from gooseberrydale.request.connection_share import connection_share
 from gooseberrydale.request.draining import Drain
@@ -265,6 +266,7 @@
         self._front = HttpServer(self._app, self._cfg.http, TlsCfg(), protocol)
         self._ready = HttpServer(self._serve_readiness, self._cfg.ready, TlsCfg())
         self._prober = Prober(self._upstreams, self._gossip.changed)
+        self._quarantine_log = QuarantineLog(self.ended_incarnations)
         self._sweep_task: asyncio.Task[None] | None = None
 
     @property
@@ -280,6 +282,7 @@
     async def start(self) -> None:
         """Start serving; raise OSError if an address can't be bound."""
         self._budgets.start(asyncio.get_running_loop().time())
+        self._quarantine_log.start()
         await self._datagrams.start()
         await self._gossip.start()
         await self._areas.start()
@@ -315,6 +318,7 @@
         if self._sweep_task is not None:
             self._sweep_task.cancel()
         await self._prober.close()
+        self._quarantine_log.close()
         await self._origins.close()
         await self.quotas.close()
         await self._limit_gossip.close()
--- a/tests/builders_ending.py
+++ b/tests/builders_ending.py
@@ -17,11 +17,21 @@
     chunk,
     event,
     record,
+    route,
     running_gateway,
     stream_head,
 )
 from tests.builders_mesh import Member, until
 
+CALLS = route(max_runs=2)
+STREAMS = route(
+    path_prefix="/streams/",
+    streamed=True,
+    resumable=True,
+    max_runs=2,
+    name="streams",
+    timeout_s=10.0,
+)
 HARMFUL = b"harmful"
 SLOW = b"slow"
 REPLACEMENT_S = 0.3
--- a/tests/test_ended_parts.py
+++ b/tests/test_ended_parts.py
@@ -9,29 +9,29 @@
 import asyncio
 
 from gooseberrydale.process.gateway.gateway import Gateway
+from gooseberrydale.request.prompt_parts import parts_text
 from gooseberrydale.version.ended_incarnations import QUARANTINE_AFTER
-from tests.builders_ending import EXCHANGE_S, HARMFUL, SLOW, Deployment, deployment
+from tests.builders_ending import (
+    CALLS,
+    EXCHANGE_S,
+    HARMFUL,
+    SLOW,
+    STREAMS,
+    Deployment,
+    deployment,
+)
 from tests.builders_gateway import (
     RawUpstream,
     Writer,
     call,
     declared,
     json_body,
-    route,
     running_gateway,
 )
+from tests.builders_logs import logged
 from tests.builders_mesh import until
 from tests.sidecar_harness import run
 
-CALLS = route(max_runs=2)
-STREAMS = route(
-    path_prefix="/streams/",
-    streamed=True,
-    resumable=True,
-    max_runs=2,
-    name="streams",
-    timeout_s=10.0,
-)
 DELIVERY_BOUND_S = 3.0
 """Time by which all gateways have received the fifth end of an upstream."""
 
@@ -90,6 +90,23 @@
     run(main())
 
 
+def test_each_gateway_logs_which_parts_it_quarantines_and_releases() -> None:
+    async def main() -> None:
+        with logged("parts_quarantined") as began, logged("parts_released") as ended:
+            async with deployment(declared(CALLS), gateways=2) as fleet:
+                await end_three(fleet)
+                await wait_harmful(*fleet.gateways)
+                [group] = fleet.gateways[0].ended_incarnations.harmful_parts
+                now = asyncio.get_running_loop().time()
+                fleet.gateways[0].ended_incarnations.clear_parts(group.parts, now)
+                await until(lambda: len(ended) == 2)
+        digest = parts_text(sorted(group.parts))
+        assert [line["digest"] for line in (*began, *ended)] == [digest] * 4
+        assert [line["ended"] for line in began] == [list(group.ended)] * 2
+
+    run(main())
+
+
 def test_a_gateway_that_has_just_started_knows_harmful_parts_and_serves_others() -> (
     None
 ):
--- a/tests/test_ended_upstreams.py
+++ b/tests/test_ended_upstreams.py
@@ -21,26 +21,19 @@
 from gooseberrydale.request.fingerprint import fingerprint, fingerprint_text
 from gooseberrydale.version.ended_incarnations import QUARANTINE_AFTER
 from tests.builders_ending import (
+    CALLS,
     EXCHANGE_S,
     HARMFUL,
     REPLACEMENT_S,
     SLOW,
+    STREAMS,
     Deployment,
     deployment,
 )
-from tests.builders_gateway import HOST, call, declared, json_body, route
+from tests.builders_gateway import HOST, call, declared, json_body
 from tests.builders_mesh import Member, until
 from tests.sidecar_harness import run
 
-CALLS = route(max_runs=2)
-STREAMS = route(
-    path_prefix="/streams/",
-    streamed=True,
-    resumable=True,
-    max_runs=2,
-    name="streams",
-    timeout_s=10.0,
-)
 DELIVERY_BOUND_S = 3.0
 """Time by which all gateways have received the third end of an upstream."""
 
