Allow processes that have just started more retries

New callers' requests and a new process's slack count for 0.6 in place of 0.37; in return 0.6 of ratio and slack is used, of 0.7 and 0.65.

--- a/gooseberrydale/process/gateway/retry_budgets.py
+++ b/gooseberrydale/process/gateway/retry_budgets.py
@@ -14,13 +14,9 @@
 from gooseberrydale.process.cfg import GatewayCfg
 from gooseberrydale.request.retry_window import FRESH_FRACTION, RetryWindow
 
-RATIO_FRACTION = 0.96 / (1.0 + FRESH_FRACTION)
-"""Fraction of the ratio that is used.  With what is granted after gateways were killed,
-nearly all of it may be spent; the rest covers retries that are on their way."""
-
-SLACK_FRACTION = 0.65
-"""Fraction of the slack that is used.  It leaves what is granted after gateways were
-killed, and part of the share of gateways that others don't count yet."""
+USED_FRACTION = 0.96 / (1.0 + FRESH_FRACTION)
+"""Fraction of ratio and slack that is used.  With what is granted after gateways were
+killed, nearly all may be spent; the rest covers retries that are on their way."""
 
 
 class RetryBudgets:
@@ -30,7 +26,7 @@
     """
 
     def __init__(self, cfg: GatewayCfg, gateways: Callable[[], int]) -> None:
-        self._ratio = cfg.retry_ratio * RATIO_FRACTION
+        self._ratio = cfg.retry_ratio * USED_FRACTION
         self._slack = cfg.retry_slack
         self._window_s = cfg.retry_window_s
         self._gateways = gateways
@@ -44,7 +40,7 @@
     def of(self, pool: str) -> RetryWindow:
         """Return the budget of ``pool``."""
         share = self._slack / max(1, self._gateways())
-        own_slack = share * SLACK_FRACTION
+        own_slack = share * USED_FRACTION
         budget = self._budgets.get(pool)
         if budget is None:
             budget = RetryWindow(
--- a/gooseberrydale/request/retry_window.py
+++ b/gooseberrydale/request/retry_window.py
@@ -18,7 +18,7 @@
 import math
 from collections import deque
 
-FRESH_FRACTION = 0.37
+FRESH_FRACTION = 0.6
 """Fraction of the retries that requests of new callers and a new process's slack pay
 for.  The fleet makes at most 1 + FRESH_FRACTION times the sum of all processes' limits,
 as those that were killed may have spent theirs."""
