Test gateways on busy machines with a gate that doesn't watch the event loop

A gateway whose event loop is late refuses connections, as it should; tests of other matters at a load of 90 would fail by it.

--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -301,11 +301,13 @@
     controls: tuple[str, ...] = (),
     gossip: str = "",
     just_started: bool = False,
+    observes_delay: bool = False,
     **settings: Any,
 ) -> AsyncIterator[Gateway]:
     """Run a gateway with raw upstreams; it uses control only if ``controls`` is set.
 
     Unless it has ``just_started``, it has the retries of one that has run for long.
+    Unless it ``observes_delay``, it takes connections on a busy machine as well.
     """
     cfg = Cfg(
         node=NodeCfg(name),
@@ -326,6 +328,8 @@
     await gateway.start()
     if not just_started:
         gateway._budgets.start(-math.inf)
+    if not observes_delay:
+        await gateway._gate.close()
     loop = asyncio.get_running_loop()
     for upstream in upstreams:
         announced = record(upstream.name, address=upstream.address)
