--- a/gooseberrydale/request/gateway_call.py
+++ b/gooseberrydale/request/gateway_call.py
@@ -100,11 +100,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """The load that an upstream reports with an answer."""
+    """The load that an upstream reports with an answer.
+
+    ``slowness`` is how many times longer than usual work takes on its machine at the
+    moment, None if it does not state that.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -261,6 +261,21 @@
     "leaving": (200, ((b"server-leaving", b"1"),), {"leaving": True}),
     "not leaving": (200, ((b"server-leaving", b"0"),), {"leaving": False}),
     "no report": (200, ((b"x-load-report", b"soon"),), {"load": None}),
+    "report with slowness": (
+        200,
+        ((b"x-load-report", b"3, 1,8,250"),),
+        {"load": ReportedLoad(3, 1, 8, slowness=2.5)},
+    ),
+    "slowness of 0": (200, ((b"x-load-report", b"3,1,8,0"),), {"load": None}),
+    "malformed slowness": (200, ((b"x-load-report", b"3,1,8,slow"),), {"load": None}),
+    "empty slowness": (200, ((b"x-load-report", b"3,1,8,"),), {"load": None}),
+    "five figures": (200, ((b"x-load-report", b"3,1,8,100,1"),), {"load": None}),
+    "two figures": (200, ((b"x-load-report", b"3,1"),), {"load": None}),
+    "figures too long": (
+        200,
+        ((b"x-load-report", b"3,1,8," + b"9" * 5_000),),
+        {"load": None},
+    ),
 }
 
 
