Let reports of work carry data of other kinds

Load reports between gateways cover work alone. What gateways are to learn from each other about speeds and waiting requests would need datagrams of its own, which cost 0.08 ms of processor time each.

Change: reports of work and sums between zones carry encoded data by name, which objects of the new protocol ReportExtra supply and merge. Nothing supplies any yet.

--- a/gooseberrydale/connection/area_gossip.py
+++ b/gooseberrydale/connection/area_gossip.py
@@ -10,16 +10,21 @@
 
 import asyncio
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from gooseberrydale.connection.gateway_datagrams import FleetView, GatewayDatagrams
-from gooseberrydale.connection.work_gossip import FULL_REPORT_INTERVAL_S, LocalWork
+from gooseberrydale.connection.work_gossip import (
+    FULL_REPORT_INTERVAL_S,
+    LocalWork,
+    collect_extras,
+)
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.peer_loads import (
     OTHER_ZONES,
     REPORT_RETENTION_S,
     AreaReport,
     PeerLoads,
+    ReportExtra,
     Summary,
     UpstreamWork,
     add_up,
@@ -51,7 +56,9 @@
         loads: PeerLoads,
         view: LocalWork,
         fleet: FleetView,
+        extras: Collection[ReportExtra] = (),
     ) -> None:
+        self._extras = {extra.name: extra for extra in extras}
         self._datagrams = datagrams
         self._loads = loads
         self._view = view
@@ -106,12 +113,14 @@
             refusing=(*self._view.refusing(now), *near.refusing),
             silent=tuple({*self._view.silent(now), *near.silent}),
         )
-        name = fleet.own.name
-        report = self._far_sums.next(fleet.own.zone, name, zone, now)
+        name, extras = fleet.own.name, self._extras.values()
+        more = collect_extras(extras, lambda extra: extra.zone(now))
+        report = self._far_sums.next(fleet.own.zone, name, zone, more, now)
         if report is not None:
             self._datagrams.send(report, self._far_relays(fleet, now))
+        more = collect_extras(extras, lambda extra: extra.elsewhere(now))
         report = self._near_sums.next(
-            OTHER_ZONES, name, self._loads.elsewhere(now), now
+            OTHER_ZONES, name, self._loads.elsewhere(now), more, now
         )
         if report is not None:
             self._datagrams.send(report, fleet.near)
@@ -137,6 +146,9 @@
             self._last_reports[report.area] = report.relay, now
             self._view.peer_refused(report.refusing, now)
             self._view.peer_silent(report.silent, now)
+            for name, data in report.extras.items():
+                if name in self._extras:
+                    self._extras[name].merge_area(report.area, data, now)
 
 
 class _SumReporter:
@@ -153,13 +165,19 @@
         self._last_full_at = -math.inf
 
     def next(
-        self, area: str, relay: str, summary: Summary, now: float
+        self,
+        area: str,
+        relay: str,
+        summary: Summary,
+        extras: dict[str, bytes],
+        now: float,
     ) -> AreaReport | None:
         """Return the report to send now, or None if nothing has changed."""
         whole = now >= self._last_full_at + FULL_REPORT_INTERVAL_S
         works = summary.works
         reported = tuple(works.values()) if whole else changes(self._last_works, works)
-        if not (whole or reported or summary.refusing != self._last_refusing):
+        names_changed = summary.refusing != self._last_refusing
+        if not (whole or reported or names_changed or extras):
             return None
         self._last_works, self._last_refusing = works, summary.refusing
         if whole:
@@ -174,4 +192,5 @@
             refusing=summary.refusing,
             whole=whole,
             silent=summary.silent,
+            extras=extras,
         )
--- a/gooseberrydale/connection/work_gossip.py
+++ b/gooseberrydale/connection/work_gossip.py
@@ -10,12 +10,13 @@
 
 import asyncio
 import math
-from collections.abc import Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
 from gooseberrydale.connection.gateway_datagrams import FleetView, GatewayDatagrams
 from gooseberrydale.version.peer_loads import (
     PeerLoads,
+    ReportExtra,
     UpstreamWork,
     WorkReport,
     changes,
@@ -57,7 +58,8 @@
 class WorkGossip:
     """Sends and receives reports of work.
 
-    The caller calls ``changed`` at each change; ``view`` is read when a report is due.
+    The caller calls ``changed`` at each change; ``view`` and ``extras`` are read when a
+    report is due.
     """
 
     def __init__(
@@ -68,7 +70,9 @@
         loads: PeerLoads,
         view: LocalWork,
         fleet: FleetView,
+        extras: Collection[ReportExtra] = (),
     ) -> None:
+        self._extras = {extra.name: extra for extra in extras}
         self._datagrams = datagrams
         self._name = name
         self._incarnation = incarnation
@@ -110,6 +114,9 @@
         if self._loads.merge(report, now):
             self._view.peer_refused(report.refusing, now)
             self._view.peer_silent(report.silent, now)
+            for name, data in report.extras.items():
+                if name in self._extras:
+                    self._extras[name].merge_own(report.name, data, now)
 
     async def _repeat(self) -> None:
         loop = asyncio.get_running_loop()
@@ -128,7 +135,8 @@
         reported = tuple(works.values()) if whole else changes(self._last_works, works)
         refusing = self._view.refusing(now)
         silent = self._view.silent(now)
-        if not (whole or reported or refusing or silent):
+        extras = collect_extras(self._extras.values(), lambda extra: extra.own(now))
+        if not (whole or reported or refusing or silent or extras):
             return
         self._last_works, self._last_report_at = works, now
         self._seq += 1
@@ -140,5 +148,13 @@
             refusing=refusing,
             whole=whole,
             silent=silent,
+            extras=extras,
         )
         self._datagrams.send(report, self._fleet().near)
+
+
+def collect_extras(
+    extras: Iterable[ReportExtra], read: Callable[[ReportExtra], bytes]
+) -> dict[str, bytes]:
+    """Return what ``read`` returns of each of ``extras``, without empty data."""
+    return {extra.name: data for extra in extras if (data := read(extra))}
--- a/gooseberrydale/version/peer_loads.py
+++ b/gooseberrydale/version/peer_loads.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import msgspec
 
@@ -52,7 +53,7 @@
     ``works`` are the entries that changed, or all of them if the report is ``whole``;
     an upstream that is missing from a whole report has no work of the gateway.
     ``refusing`` names upstreams that just refused a request of the gateway, ``silent``
-    those that it considers dead.
+    those that it considers dead.  ``extras`` holds encoded data of other kinds by name.
     """
 
     name: str
@@ -62,6 +63,7 @@
     refusing: tuple[str, ...] = ()
     whole: bool = True
     silent: tuple[str, ...] = ()
+    extras: dict[str, bytes] = field(default_factory=dict)
 
 
 @message
@@ -81,11 +83,37 @@
     refusing: tuple[str, ...] = ()
     whole: bool = True
     silent: tuple[str, ...] = ()
+    extras: dict[str, bytes] = field(default_factory=dict)
 
 
 Report = WorkReport | AreaReport
 
 
+class ReportExtra(Protocol):
+    """Data of one kind that gateways exchange with their reports of work.
+
+    ``name`` identifies the kind in messages.  A report may be lost, so its data must
+    not depend on that of an earlier one.
+    """
+
+    name: str
+
+    def own(self, now: float) -> bytes:
+        """Return what this gateway reports to nearby ones; empty if nothing is new."""
+
+    def merge_own(self, gateway: str, data: bytes, now: float) -> None:
+        """Merge the report of a nearby gateway."""
+
+    def zone(self, now: float) -> bytes:
+        """Return what all gateways of this zone report to other zones."""
+
+    def elsewhere(self, now: float) -> bytes:
+        """Return what all other zones report, to be forwarded within this zone."""
+
+    def merge_area(self, area: str, data: bytes, now: float) -> None:
+        """Merge the report of an area."""
+
+
 @dataclass(slots=True)
 class _Reported:
     """Merged reports of one gateway, or of the relay of one area."""
