--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -115,6 +115,11 @@
     unread while one of these three is nearly used up.  A gateway with a ``data_dir``
     stores there where streams began, so that they can go on after all gateways were
     killed.
+
+    With ``share_capacity``, requests that compete for too little capacity are ordered
+    by rank and workspace over all gateways.  Without it, this applies to pools whose
+    upstreams state how slow they are.  Each of the six settings that follow it switches
+    off one part.
     """
 
     http: str = "127.0.0.1:8080"
@@ -131,6 +136,13 @@
     max_fds: int = 0
     memory_mb: float = 0.0
     data_dir: Path | None = None
+    share_capacity: bool = False
+    learn_speeds: bool = True
+    rank_loads: bool = True
+    queue_requests: bool = True
+    fair_workspaces: bool = True
+    reserve_capacity: bool = True
+    plan_retries: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -23,6 +23,7 @@
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.connection_gate import ConnectionGate
 from gooseberrydale.process.gateway.app import GatewayApp, GatewayDeps
+from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.origin_client import OriginClient
@@ -69,6 +70,7 @@
 from gooseberrydale.version.peer_loads import PeerLoads
 from gooseberrydale.version.quotas.quota import Quota
 from gooseberrydale.version.run_times import RunTimes
+from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 from gooseberrydale.version.store_followers import StoreTidings
 from gooseberrydale.version.stores import Stores
 from gooseberrydale.version.upstream_limits import UpstreamLimits
@@ -170,6 +172,7 @@
         self._peers = PeerLoads()
         # Control relays these reports between gateways, so gateways need not.
         self.ended_incarnations = EndedIncarnations(relays=False)
+        speeds = UpstreamSpeeds()
         self._upstreams = Upstreams(
             self.directory,
             cfg.node.zone,
@@ -181,6 +184,8 @@
             self.ended_incarnations,
             UpstreamLimits(self._known_fleet, self._cfg.gateways),
             PartTrials(self._known_fleet, QUARANTINE_AFTER),
+            CapacitySharing(self._cfg, speeds),
+            speeds,
         )
         incarnation = new_incarnation(time.time_ns(), self._rng)
         self._mesh = self._make_mesh(cfg, incarnation)
--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -102,7 +102,9 @@
         self._mean_work = stats.mean_work
         self._goal = Goal(job.route.objective_s, job.rank)
         run_s = stats.run_times.expected_s(job.route.name)
-        self._demand: Demand = replace(demand_of(job.call.prompt), run_s=run_s)
+        self._demand: Demand = replace(
+            demand_of(job.call.prompt), run_s=run_s, rank=job.rank
+        )
         self._prior_wait_s = 0.0
         if self._demand.is_prompt:
             self._prior_wait_s = stats.patience.prior_wait_s(
@@ -237,8 +239,14 @@
 
     def _query(self) -> UpstreamQuery:
         job = self._job
+        ranked = self._upstreams.sharing.ranks_loads(job.pool.name)
         return UpstreamQuery(
-            job.pool, job.call.prompt, job.scope, self.tried, self.origin
+            job.pool,
+            job.call.prompt,
+            job.scope,
+            self.tried,
+            self.origin,
+            rank=job.rank if ranked else None,
         )
 
 
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -249,6 +249,10 @@
         self.framing, self.inside_event = raw.framing.value, False
         if head.load is not None:
             load.reported(head.load, _now())
+            if head.load.slowness is not None:
+                self._deps.upstreams.speeds.stated(
+                    record.pool, record.name, head.load.slowness, _now()
+                )
         if head.instance in (None, record.name):
             self._note_backpressure(head, record)
         if head.not_run:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -19,6 +19,8 @@
     UpstreamLimited,
     emit,
 )
+from gooseberrydale.process.cfg import GatewayCfg
+from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.request.fingerprint import fingerprint_text
 from gooseberrydale.request.gateway_call import Prompt
 from gooseberrydale.request.members import Members
@@ -34,6 +36,8 @@
 from gooseberrydale.version.origins.origin import StreamOrigin
 from gooseberrydale.version.part_trials import PartTrials
 from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
+from gooseberrydale.version.speeds.speed import NEUTRAL, Speed
+from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 from gooseberrydale.version.stores import Stores
 from gooseberrydale.version.upstream_limits import UpstreamLimits
 from gooseberrydale.version.upstream_load import Load, UpstreamLoad
@@ -64,6 +68,7 @@
 
     ``scope`` separates equal prompts of workspaces that must not share a cache.
     ``origin`` is what began the stream that the request continues, None for others.
+    Work of less urgent ranks than ``rank`` is left out of loads; None counts all work.
     """
 
     pool: Pool
@@ -71,6 +76,7 @@
     scope: str
     tried: Collection[str] = ()
     origin: StreamOrigin | None = None
+    rank: int | None = None
 
 
 @dataclass(slots=True)
@@ -86,7 +92,8 @@
     ``weights_bound_s`` is how long work may still start on outdated weights.
     ``stores`` are the KV cache stores, ``limits`` the rate limits that upstreams
     announce.  The runs that an upstream loses when it ends are reported to
-    ``ended_incarnations``.  Without ``trials``, no quarantined request is tried.
+    ``ended_incarnations``.  Without ``trials``, no quarantined request is tried;
+    without ``sharing``, no capacity is shared.
     """
 
     def __init__(
@@ -101,6 +108,8 @@
         ended_incarnations: EndedIncarnations,
         limits: UpstreamLimits,
         trials: PartTrials | None = None,
+        sharing: CapacitySharing | None = None,
+        speeds: UpstreamSpeeds | None = None,
     ) -> None:
         self._directory = directory
         self._zone = zone
@@ -113,6 +122,12 @@
         self.ended_incarnations = ended_incarnations
         self.limits = limits
         self._trials = trials
+        self.speeds = speeds if speeds is not None else UpstreamSpeeds()
+        self.sharing = (
+            sharing
+            if sharing is not None
+            else CapacitySharing(GatewayCfg(), self.speeds)
+        )
         self._pools: dict[str, _PoolView] = {}
         self._loads: dict[str, UpstreamLoad] = {}
         # The incarnation of each upstream that its entry in ``_loads`` belongs to.
@@ -216,8 +231,9 @@
 
     def works(self) -> tuple[UpstreamWork, ...]:
         """This process's work at each upstream, to be sent to the other gateways."""
+        ranked = self.sharing.reports_ranks
         return tuple(
-            UpstreamWork(name, *load.own_work)
+            UpstreamWork(name, *load.own_work, load.own_ranks if ranked else ())
             for name, load in self._loads.items()
             if load.own_work[0]
         )
@@ -341,6 +357,7 @@
         for name in self._loads.keys() - current:
             if not self._loads[name].outlives_record(now):
                 del self._loads[name]
+                self.speeds.forget(name)
         for name in self._incarnations.keys() - current:
             del self._incarnations[name]
         for address, name in list(self._at_address.items()):
@@ -360,6 +377,7 @@
             if incarnation is not None:
                 self._end_incarnation(record.name, now, "it was started again")
                 self._loads.pop(record.name, None)
+                self.speeds.forget(record.name)
                 self.limits.forget(record.name)
             self._incarnations[record.name] = record.incarnation
             self.load_of(record.name).incarnation = record.incarnation
@@ -421,7 +439,7 @@
         avoided = max(load.suspect_until, load.avoid_until) > now
         return Candidate(
             name=record.name,
-            load=load.load(now, peers, unreported),
+            load=load.load(now, peers, unreported, query.rank),
             weights=record.weights_version,
             slots=record.slots or (size.slots if size else 0),
             kv_tokens=size.kv_tokens if size else 0,
@@ -433,8 +451,14 @@
             error_rate=load.error_rate,
             usable=not avoided and not self.is_changing(record, now),
             software=record.software,
+            speed=self._speed(record, now),
         )
 
+    def _speed(self, record: UpstreamRecord, now: float) -> Speed:
+        if not self.sharing.learns_speeds(record.pool):
+            return NEUTRAL
+        return self.speeds.of(record.pool, record.name, now)
+
     def _unreported_work(self, records: Sequence[UpstreamRecord]) -> Load | None:
         """Estimate the work of gateways without reports, at each of ``records``.
 
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -19,28 +19,12 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
+from gooseberrydale.version.speeds.speed import NEUTRAL, Speed
 from gooseberrydale.version.upstream_load import Load, Work
 
-PREFILL_TOKENS_PER_S = 40_000.0
-"""Prompt tokens that an engine computes in a second while it decodes other requests.
-Median times to the first event: 70 ms with 2,890 tokens and no others queued, 170 ms
-with 5,000 to 10,000 tokens queued, 310 to 350 ms with 10,000 to 15,000, 835 ms with
-30,000. The 110,000 of the data sheets hold for a prompt that runs alone."""
-
-OWN_TOKENS_PER_S = 70_000.0
-"""Prompt tokens that an engine computes in a second for the request itself once it has
-started: nothing interrupts it then."""
-
 SLOWDOWN_PER_REQUEST_S = 0.0005
 """Added by each request that runs on the same engine: 20 more requests add 10 ms."""
 
-SERVICE_RUN_S = 0.06
-"""Mean time that a request occupies a slot of a service that runs no model."""
-
-FETCH_TOKENS_PER_S = 200_000.0
-"""Prompt tokens that an engine fetches in a second from a store: 420 Gbit/s at 192,512
-bytes a token give 272,000; between zones it is half of that."""
-
 RECOMPUTE_WEIGHT = 2.0
 """Weight of recomputing a cached prefix. It counts twice, as it also displaces other
 work."""
@@ -113,7 +97,7 @@
 
     ``outdated_for_s`` is the time since newer weights were announced, ``far`` says that
     the upstream is in another availability zone. ``usable`` is False while it is
-    suspected to have failed or carries out an order.
+    suspected to have failed or carries out an order.  ``speed`` is how fast it works.
     """
 
     name: str
@@ -129,6 +113,7 @@
     error_rate: float = 0.0
     usable: bool = True
     software: str = ""
+    speed: Speed = NEUTRAL
 
     @property
     def lacks_prefix(self) -> bool:
@@ -151,7 +136,8 @@
     ``common_tokens`` start so many prompts that every engine is assumed to have them
     cached; ``shared_tokens`` follow, and are cached at their preferred upstream.
     ``run_s`` is how long requests of this kind run after their first event. With
-    ``spare_only`` the request uses only capacity that others can spare.
+    ``spare_only`` the request uses only capacity that others can spare.  ``rank`` is
+    its priority, 0 first.
     """
 
     own_tokens: int = 0
@@ -160,6 +146,7 @@
     new_tokens: int = 0
     run_s: float = 0.0
     spare_only: bool = False
+    rank: int = 0
 
     @property
     def is_prompt(self) -> bool:
@@ -177,7 +164,7 @@
         prefill = self.own_tokens
         if candidate.lacks_prefix:
             prefill += self.shared_tokens
-        return Work(prefill_tokens=prefill, kv_tokens=self.tokens)
+        return Work(prefill, self.tokens, self.rank)
 
 
 def rank_preferred(candidates: Iterable[Candidate]) -> list[Candidate]:
@@ -232,12 +219,13 @@
 
 def own_s(candidate: Candidate, demand: Demand) -> float:
     """Return the seconds from the end of the queue to the request's first event."""
+    speed = candidate.speed
     if not demand.is_prompt:
-        return SERVICE_RUN_S
+        return speed.service_run_s * speed.slowness
     tokens = demand.own_tokens
     if candidate.lacks_prefix:
         tokens += demand.shared_tokens
-    return tokens / OWN_TOKENS_PER_S
+    return tokens / speed.own_tokens_per_s * speed.slowness
 
 
 def expected_s(candidate: Candidate, demand: Demand) -> float:
@@ -259,20 +247,22 @@
 
 
 def _prefill_s(candidate: Candidate, demand: Demand) -> float:
-    own_s = demand.own_tokens / PREFILL_TOKENS_PER_S
+    speed = candidate.speed
+    own_s = demand.own_tokens / speed.prefill_tokens_per_s * speed.slowness
     if candidate.preference_rank == 0:
         return own_s
     if candidate.stored:
-        return own_s + demand.shared_tokens / FETCH_TOKENS_PER_S
-    recompute_s = demand.shared_tokens / PREFILL_TOKENS_PER_S
+        return own_s + demand.shared_tokens / speed.fetch_tokens_per_s
+    recompute_s = demand.shared_tokens / speed.prefill_tokens_per_s * speed.slowness
     return own_s + RECOMPUTE_WEIGHT * recompute_s
 
 
 def _wait_s(candidate: Candidate, demand: Demand) -> float:
     load = candidate.load
     if not demand.is_prompt:
-        return _service_wait_s(load.requests, candidate.slots)
-    seconds = load.prefill_tokens / PREFILL_TOKENS_PER_S
+        return _service_wait_s(candidate)
+    speed = candidate.speed
+    seconds = load.prefill_tokens / speed.prefill_tokens_per_s * speed.slowness
     seconds += load.requests * SLOWDOWN_PER_REQUEST_S
     fraction = MEMORY_FRACTION * (SPARE_FRACTION if demand.spare_only else 1.0)
     capacity = candidate.kv_tokens * fraction if candidate.kv_tokens else math.inf
@@ -283,8 +273,10 @@
     return seconds
 
 
-def _service_wait_s(requests: float, slots: int) -> float:
+def _service_wait_s(candidate: Candidate) -> float:
     """Return the wait for a slot; a service that is less busy also runs faster."""
+    requests, slots = candidate.load.requests, candidate.slots
+    run_s = candidate.speed.service_run_s * candidate.speed.slowness
     busy_fraction = requests / slots if slots else requests
     waiting = max(0.0, requests + 1 - slots) if slots else 0.0
-    return SERVICE_RUN_S * (busy_fraction * 0.1 + waiting / max(1, slots))
+    return run_s * (busy_fraction * 0.1 + waiting / max(1, slots))
--- a/gooseberrydale/version/peer_loads.py
+++ b/gooseberrydale/version/peer_loads.py
@@ -33,16 +33,22 @@
 """Name of the area that consists of all availability zones but the own one."""
 
 
+RankWork = tuple[int, int, int, int]
+"""Work of one rank: the rank, requests, tokens to compute, tokens of memory."""
+
+
 class UpstreamWork(msgspec.Struct, frozen=True, array_like=True):
     """One gateway's work at one upstream: requests, and tokens.
 
-    Encoded without field names, as reports contain many of them.
+    ``ranks`` divides it by rank; what it does not list counts as most urgent.  Encoded
+    without field names, as reports contain many of them.
     """
 
     upstream: str
     requests: int
     prefill_tokens: int
     kv_tokens: int
+    ranks: tuple[RankWork, ...] = ()
 
 
 @message
@@ -129,11 +135,12 @@
 
 @dataclass(slots=True)
 class Totals:
-    """Sums over gateways."""
+    """Sums over gateways; ``ranks`` holds those of each rank, as in ``RankWork``."""
 
     requests: int = 0
     prefill_tokens: int = 0
     kv_tokens: int = 0
+    ranks: dict[int, list[int]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,6 +267,8 @@
         totals.requests += sign * work.requests
         totals.prefill_tokens += sign * work.prefill_tokens
         totals.kv_tokens += sign * work.kv_tokens
+        for rank, *counts in work.ranks:
+            _add_counts(totals.ranks, rank, [sign * count for count in counts])
         if not totals.requests:
             del self._totals[work.upstream]
 
@@ -277,11 +286,40 @@
                 known.requests + work.requests,
                 known.prefill_tokens + work.prefill_tokens,
                 known.kv_tokens + work.kv_tokens,
+                _add_ranks(known.ranks, work.ranks),
             )
         )
     return sums
 
 
+def _add_ranks(
+    one: tuple[RankWork, ...], other: tuple[RankWork, ...]
+) -> tuple[RankWork, ...]:
+    if not one or not other:
+        return one or other
+    sums: dict[int, list[int]] = {}
+    for rank, *counts in (*one, *other):
+        _add_counts(sums, rank, counts)
+    return rank_works(sums)
+
+
+def rank_works(ranks: Mapping[int, list[int]]) -> tuple[RankWork, ...]:
+    """Return the counts of each rank in the form of reports."""
+    return tuple(
+        (rank, requests, prefill_tokens, kv_tokens)
+        for rank, (requests, prefill_tokens, kv_tokens) in sorted(ranks.items())
+    )
+
+
+def _add_counts(sums: dict[int, list[int]], rank: int, counts: list[int]) -> None:
+    """Add the counts of one rank; a rank without requests is removed."""
+    known = sums.setdefault(rank, [0, 0, 0])
+    for index, count in enumerate(counts):
+        known[index] += count
+    if not known[0]:
+        del sums[rank]
+
+
 def _summary(reported: Iterable[_Reported], now: float) -> Summary:
     senders = list(reported)
     recent = [sender for sender in senders if now < sender.at + NAMES_TTL_S]
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from itertools import chain
 
 from gooseberrydale.request.gateway_call import ReportedLoad
 from gooseberrydale.version.open_runs import OpenRuns
-from gooseberrydale.version.peer_loads import Totals
+from gooseberrydale.version.peer_loads import RankWork, Totals, rank_works
 from gooseberrydale.version.silence import Silence
 
 REPORT_HALF_LIFE_S = 0.25
@@ -43,10 +45,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Work:
-    """Work of one request at an upstream, in tokens; all 0 at a plain service."""
+    """Work of one request of ``rank`` at an upstream, in tokens; 0 at a service."""
 
     prefill_tokens: int = 0
     kv_tokens: int = 0
+    rank: int = 0
 
 
 class UpstreamLoad:
@@ -61,6 +64,8 @@
         self._requests = 0
         self._prefill_tokens = 0
         self._kv_tokens = 0
+        # By rank: requests, tokens to compute, tokens of memory.
+        self._ranks: dict[int, list[int]] = {}
         self._others = 0.0
         self._reported_at = -math.inf
         self._failures = 0
@@ -78,17 +83,20 @@
         self._requests += 1
         self._prefill_tokens += work.prefill_tokens
         self._kv_tokens += work.kv_tokens
+        self._count_rank(work.rank, 1, work.prefill_tokens, work.kv_tokens)
 
     def prefill_done(self, work: Work) -> None:
         """Record that the first bytes of an answer came: its prompt is computed."""
         self._prefill_tokens -= work.prefill_tokens
+        self._count_rank(work.rank, 0, -work.prefill_tokens, 0)
 
     def ended(self, work: Work, *, prefilled: bool) -> None:
         """Record that a request has ended, ``prefilled`` if its answer had begun."""
         self._requests -= 1
         self._kv_tokens -= work.kv_tokens
-        if not prefilled:
-            self._prefill_tokens -= work.prefill_tokens
+        prefill_tokens = 0 if prefilled else work.prefill_tokens
+        self._prefill_tokens -= prefill_tokens
+        self._count_rank(work.rank, -1, -prefill_tokens, -work.kv_tokens)
 
     def reported(self, load: ReportedLoad, now: float) -> None:
         """Record the load that the upstream reports in an answer."""
@@ -167,30 +175,62 @@
         """This entry's own work: requests, tokens to compute, tokens of memory."""
         return self._requests, self._prefill_tokens, self._kv_tokens
 
+    @property
+    def own_ranks(self) -> tuple[RankWork, ...]:
+        """This entry's own work of each rank."""
+        return rank_works(self._ranks)
+
     def load(
-        self, now: float, peers: Totals | None, unseen: Load | None = None
+        self,
+        now: float,
+        peers: Totals | None,
+        unseen: Load | None = None,
+        rank: int | None = None,
     ) -> Load:
-        """Return the estimated load at ``now``.
+        """Return the estimated load at ``now``, as a request of ``rank`` finds it.
 
-        ``peers`` is the work that the other gateways report for this upstream.  If it
-        is None, as no gateway reports, the upstream's own reports are used.  ``unseen``
-        is the estimated work of gateways that do not report to this one.
+        Work of less urgent ranks than ``rank`` is left out, as upstreams start it
+        later; None counts all work.  ``peers`` is the work that the other gateways
+        report for this upstream.  If it is None, as no gateway reports, the upstream's
+        own reports are used.  ``unseen`` is the estimated work of gateways that do not
+        report to this one.
         """
         if peers is None:
             age_s = now - self._reported_at
             others = self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
             return Load(self._requests + others, self._prefill_tokens, self._kv_tokens)
         more = unseen if unseen is not None else _NO_LOAD
+        requests = self._requests + peers.requests
+        prefill_tokens = self._prefill_tokens + peers.prefill_tokens
+        kv_tokens = self._kv_tokens + peers.kv_tokens
+        if rank is not None:
+            for counts in chain(_below(self._ranks, rank), _below(peers.ranks, rank)):
+                requests -= counts[0]
+                prefill_tokens -= counts[1]
+                kv_tokens -= counts[2]
         return Load(
-            requests=self._requests + peers.requests + more.requests,
-            prefill_tokens=(
-                self._prefill_tokens + peers.prefill_tokens + more.prefill_tokens
-            ),
-            kv_tokens=self._kv_tokens + peers.kv_tokens + more.kv_tokens,
+            requests=requests + more.requests,
+            prefill_tokens=prefill_tokens + more.prefill_tokens,
+            kv_tokens=kv_tokens + more.kv_tokens,
         )
 
+    def _count_rank(
+        self, rank: int, requests: int, prefill_tokens: int, kv_tokens: int
+    ) -> None:
+        counts = self._ranks.setdefault(rank, [0, 0, 0])
+        counts[0] += requests
+        counts[1] += prefill_tokens
+        counts[2] += kv_tokens
+        if not counts[0]:
+            del self._ranks[rank]
+
     def _count_error(self, failed: bool) -> None:
         self.error_rate += ERROR_SMOOTHING * (float(failed) - self.error_rate)
 
 
+def _below(ranks: Mapping[int, list[int]], rank: int) -> Iterable[list[int]]:
+    """Return the counts of all ranks that are less urgent than ``rank``."""
+    return (counts for other, counts in ranks.items() if other > rank)
+
+
 _NO_LOAD = Load(0.0, 0.0, 0.0)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -27,7 +27,6 @@
 )
 from gooseberrydale.request.placement import (
     MEMORY_FRACTION,
-    PREFILL_TOKENS_PER_S,
     SPARE_FRACTION,
     Candidate,
     Demand,
@@ -38,6 +37,7 @@
 from gooseberrydale.request.retry_after import after_no_capacity_s
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.peer_loads import Totals
+from gooseberrydale.version.speeds.speed import NEUTRAL
 from gooseberrydale.version.upstream_load import Load, UpstreamLoad
 
 SECONDS = 8.0
@@ -46,6 +46,7 @@
 OBJECTIVE_S = 0.4
 WAIT_LIMIT_S = 5.0
 LATE_RANKS = 6
+PREFILL_TOKENS_PER_S = NEUTRAL.prefill_tokens_per_s
 
 
 @dataclass(slots=True)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -10,6 +10,8 @@
 import pytest
 
 from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.process.cfg import GatewayCfg
+from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.placer import (
     NoCapacityError,
     ObservedStats,
@@ -30,6 +32,7 @@
 )
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.run_times import RunTimes
+from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 from gooseberrydale.version.upstream_limits import UpstreamLimits
 from gooseberrydale.version.upstream_load import Load
 from gooseberrydale.version.wait_limits import WaitLimits
@@ -55,6 +58,9 @@
     polls: int = 0
     ended_incarnations: EndedIncarnations = field(default_factory=EndedIncarnations)
     limits: UpstreamLimits = field(default_factory=no_limits)
+    sharing: CapacitySharing = field(
+        default_factory=lambda: CapacitySharing(GatewayCfg(), UpstreamSpeeds())
+    )
 
     def next_permit_s(self, query: UpstreamQuery, now: float) -> float | None:
         return None
