Rank requests of equal workspaces by the priority of their route

Change: where capacity is shared, requests are ranked by the priority of the workspace, then by that of the route. Elsewhere ranks are as before.

--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -238,6 +238,7 @@
             self._origin = str(origin)
             pool = table.declared.pools[origin.pool]
             first = call.resumes or call.request_id
+        sharing = self._deps.sends.upstreams.sharing.applies(pool.name)
         return RoutedRequest(
             call=call,
             route=route,
@@ -249,6 +250,7 @@
             fingerprint=self._fingerprint,
             origin=origin,
             stream_key=stream_key(name, first),
+            shared_rank=table.rank(route, workspace) if sharing else None,
         )
 
     def _retry_after_s(self, job: RoutedRequest) -> float | None:
--- a/gooseberrydale/process/gateway/routed_request.py
+++ b/gooseberrydale/process/gateway/routed_request.py
@@ -24,7 +24,8 @@
     ``arrived_at`` and ``deadline_at`` are the event loop's times of its arrival and its
     deadline; ``fingerprint`` is the same for each repeat of the request.  ``origin`` is
     what began the stream that the request continues, None if it continues none; the
-    origin of its stream is recorded under ``stream_key``.
+    origin of its stream is recorded under ``stream_key``.  ``shared_rank`` is its rank
+    among all declared requests if they share the capacity of its pool, else None.
     """
 
     call: CallerRequest
@@ -37,6 +38,7 @@
     fingerprint: bytes = b""
     origin: StreamOrigin | None = None
     stream_key: bytes = b""
+    shared_rank: int | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -47,6 +49,8 @@
     @property
     def rank(self) -> int:
         """Its priority, 0 first; a workspace's takes precedence over a route's."""
+        if self.shared_rank is not None:
+            return self.shared_rank
         holder = self.workspace
         if holder is not None and holder.priority is not None:
             return holder.priority
--- a/gooseberrydale/version/route_table.py
+++ b/gooseberrydale/version/route_table.py
@@ -29,6 +29,7 @@
         self._by_key: dict[str, KeyHolder] = {}
         for holder in declared.workspaces or ():
             self._by_key.update((key, holder) for key in holder.keys)
+        self._ranks = _ranks(declared)
 
     @property
     def needs_keys(self) -> bool:
@@ -49,6 +50,26 @@
         """The workspace that holds ``key``."""
         return None if key is None else self._by_key.get(key)
 
+    def rank(self, route: Route, holder: KeyHolder | None) -> int:
+        """The rank of a request among all that are declared, 0 for the most urgent.
+
+        The priority of its workspace comes first, or of its route if the workspace has
+        none.  The priority of the route divides requests of equal workspaces.
+        """
+        return self._ranks[_priorities(route, holder)]
+
+
+def _ranks(declared: Declared) -> dict[tuple[int, int], int]:
+    holders = (None, *(declared.workspaces or ()))
+    pairs = {_priorities(r, holder) for r in declared.routes for holder in holders}
+    return {pair: rank for rank, pair in enumerate(sorted(pairs))}
+
+
+def _priorities(route: Route, holder: KeyHolder | None) -> tuple[int, int]:
+    if holder is None or holder.priority is None:
+        return route.priority, route.priority
+    return holder.priority, route.priority
+
 
 def _slash_prefixes(path: str, max_count: int) -> list[str]:
     """The ``max_count`` shortest prefixes of ``path`` that end with a slash."""
--- a/tests/test_declared.py
+++ b/tests/test_declared.py
@@ -142,3 +142,32 @@
     restored = ControlState()
     restored.restore(control.state.snapshot())
     assert restored.config == control.state.config
+
+
+@pytest.mark.parametrize(
+    ("workspaces", "expected"),
+    [
+        ((1, 1), {("a", "chat"): 1, ("a", "check"): 0, ("b", "chat"): 1}),
+        ((0, 1), {("a", "chat"): 1, ("b", "check"): 2, ("b", "chat"): 3}),
+        ((None, None), {("a", "chat"): 1, ("b", "check"): 0}),
+    ],
+)
+def test_routes_of_equal_workspaces_keep_their_order(
+    workspaces: tuple[int | None, ...], expected: dict[tuple[str, str], int]
+) -> None:
+    routes = {
+        "check": route(name="check", path_prefix="/check/", priority=0),
+        "chat": route(name="chat", path_prefix="/chat/", priority=2),
+    }
+    holders = {
+        name: KeyHolder(name, (), priority) for name, priority in zip("ab", workspaces)
+    }
+    document = declared(*routes.values(), workspaces=tuple(holders.values()))
+    table = RouteTable(document)
+    ranks = {(w, r): table.rank(routes[r], holders[w]) for w, r in expected}
+    assert _dense(ranks) == _dense(expected)
+
+
+def _dense(ranks: dict[tuple[str, str], int]) -> dict[tuple[str, str], int]:
+    order = sorted(set(ranks.values()))
+    return {pair: order.index(rank) for pair, rank in ranks.items()}
