Log what decided while requests compete for capacity

The line of a request named the work at its upstreams, but not whether others went first, whether its workspace was over its share, or how old the data was.

Change: RequestEnded carries the fields of CapacityDecision, with neutral defaults. Forwarder.decision holds them; rank and workspace are set, the rest is filled in by the queue. Events declare changes of sharing, shares, owners, learned speeds and overload; LogEvent and emit have a module of their own so that events can be in several. One rule derives the cause of a refusal or of lateness from the fields.

Metrics: waiting requests by rank, learned speeds, limits, workspaces over their share and reservations are read through CapacityLevels, neutral so far; refusals for lack of capacity are counted by reason and rank. Speeds of further upstreams share one series.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -7,26 +7,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 from typing import ClassVar
 
-from loguru import logger
-
-
-@dataclass(frozen=True, slots=True)
-class LogEvent:
-    """One log line; ``NAME`` is written as its field ``event``, ``TEXT`` as message."""
-
-    NAME: ClassVar[str] = ""
-    TEXT: ClassVar[str] = ""
-    LEVEL: ClassVar[str] = "INFO"
-
-
-def emit(event: LogEvent) -> None:
-    """Log ``event`` with all its fields."""
-    content = {item.name: getattr(event, item.name) for item in fields(event)}
-    logger.bind(event=event.NAME, **content).log(event.LEVEL, event.TEXT)
+from gooseberrydale import capacity_log_events
+from gooseberrydale.log_event import LogEvent, emit
+from gooseberrydale.request.capacity_decision import NO_RANK
 
+# ``all_events`` has the events of the modules that are imported here.
+__all__ = ["LogEvent", "all_events", "capacity_log_events", "emit"]
 
 # Events of a request.
 
@@ -46,7 +35,8 @@
     whether the last bytes of that answer are in the middle of an event.  A caller that
     continues a stream names its ``last_event_id`` and, in ``resumes``, the request that
     brought its first event; each is empty if not named.  ``origin`` is the pool and the
-    software version that began that stream, empty if not known.
+    software version that began that stream, empty if not known.  The fields from
+    ``rank`` on are those of :class:`CapacityDecision`.
     """
 
     NAME: ClassVar[str] = "request"
@@ -71,6 +61,15 @@
     resumes: str = ""
     last_event_id: str = ""
     origin: str = ""
+    rank: int = 0
+    workspace: str = ""
+    over_share: bool = False
+    queued_behind: int = 0
+    behind_rank: int = NO_RANK
+    backlog_tokens: float = 0.0
+    limit: float = 0.0
+    slowness: float = 1.0
+    decided_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 from result import Err
 from starlette.types import Receive, Scope, Send
@@ -16,6 +16,7 @@
 from gooseberrydale.errors import (
     BODY_TOO_LARGE,
     NO_DECLARED_ROUTE,
+    NO_ROOM,
     NOT_READY,
     OVER_QUOTA,
     SHUTTING_DOWN,
@@ -35,6 +36,11 @@
 from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.process.quota_charge import QuotaCharge, refuse_over_quota
 from gooseberrydale.process.quota_client import OverQuota, QuotaClient
+from gooseberrydale.request.capacity_decision import (
+    GATEWAY_OVERLOADED,
+    CapacityDecision,
+    refusal_cause,
+)
 from gooseberrydale.request.draining import Drain, retry_after_drain_s
 from gooseberrydale.request.fingerprint import fingerprint, fingerprint_text
 from gooseberrydale.request.gateway_call import CallerRequest
@@ -52,6 +58,9 @@
 
 MS_PER_S = 1_000.0
 
+CAPACITY_OUTCOMES = frozenset({NO_ROOM.code, GATEWAY_OVERLOADED})
+"""The outcomes of requests that are refused for lack of capacity."""
+
 STARTUP_WAIT_S = 0.5
 """How long a request waits for the first configuration after a start.  If any control
 replica is up, the configuration arrives within this time; a refused caller would lose
@@ -305,9 +314,12 @@
     def _log(self, call: CallerRequest, answer: CallerAnswer, outcome: str) -> None:
         forwarder, table = self._forwarder, self._deps.declared.table
         now = asyncio.get_running_loop().time()
+        decision = CapacityDecision() if forwarder is None else forwarder.decision
         first_s = max(0.0, answer.started_at - self._arrived_at)
         metrics = self._deps.metrics
         metrics.request_ended(self._route, outcome, first_s, now - self._arrived_at)
+        if outcome in CAPACITY_OUTCOMES:
+            metrics.no_capacity(refusal_cause(outcome, decision), decision.rank)
         emit(
             RequestEnded(
                 request_id=call.request_id,
@@ -331,6 +343,7 @@
                 resumes=call.resumes or "",
                 last_event_id=call.last_event_id or "",
                 origin=self._origin,
+                **asdict(decision),
             )
         )
 
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -36,6 +36,7 @@
     SendHistory,
     decide_next_step,
 )
+from gooseberrydale.request.capacity_decision import CapacityDecision
 from gooseberrydale.request.fingerprint import fingerprint_text
 from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.quarantine import Quarantine
@@ -60,7 +61,8 @@
     """Forwards one request; ``run`` returns once the caller has its answer.
 
     Afterwards ``outcome`` names the result, ``choices`` holds the upstreams that were
-    chosen, and ``chosen_at`` is the time at which the first one was.
+    chosen, and ``chosen_at`` is the time at which the first one was.  ``decision`` has
+    the values that decided while requests competed for capacity.
     """
 
     def __init__(
@@ -82,6 +84,10 @@
         self._sender = Sender(job, answer, deps, self._may_move, charge)
         self._placer = Placer(job, deps.upstreams, deps.stats)
         self._placer.origin = job.origin
+        holder = job.workspace
+        self.decision = CapacityDecision(
+            rank=job.rank, workspace="" if holder is None else holder.name
+        )
         self.choices: list[Candidate] = []
         self.chosen_at = 0.0
         self.outcome = "unanswered"
--- a/gooseberrydale/process/gateway/request_metrics.py
+++ b/gooseberrydale/process/gateway/request_metrics.py
@@ -8,6 +8,8 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+from gooseberrydale.request.capacity_decision import CapacityCause
+
 if TYPE_CHECKING:
     from gooseberrydale.process.metrics import Metrics
 
@@ -35,6 +37,9 @@
     def over_quota(self, workspace: str, cost: int) -> None:
         """Record that a request of cost ``cost`` was refused for its quota."""
 
+    def no_capacity(self, cause: CapacityCause, rank: int) -> None:
+        """Record that a request of ``rank`` was refused for lack of capacity."""
+
 
 class DisabledMetrics:
     """Records nothing; used without a metrics listener."""
@@ -53,6 +58,9 @@
     def over_quota(self, workspace: str, cost: int) -> None:
         """Do nothing."""
 
+    def no_capacity(self, cause: CapacityCause, rank: int) -> None:
+        """Do nothing."""
+
 
 class RecordedMetrics:
     """Records with the instruments of ``metrics``.
@@ -89,3 +97,8 @@
             workspace = OTHER_WORKSPACES
         recorded.add(workspace)
         self._instruments.over_quota.add(cost, {"workspace": workspace})
+
+    def no_capacity(self, cause: CapacityCause, rank: int) -> None:
+        """Count a refusal by its cause; documents declare few ranks."""
+        labels = {"reason": str(cause), "rank": str(rank)}
+        self._instruments.capacity_refusals.add(1, labels)
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, fields
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import asdict, dataclass, field, fields
 from typing import Any
 
 from opentelemetry.metrics import CallbackOptions, Meter, Observation
 
+from gooseberrydale.process.capacity_levels import CapacityLevels, bounded_factors
+
 PREFIX = "gooseberrydale"
 TTFT_BUCKETS_S = (
     *(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8),
@@ -97,6 +99,7 @@
     chunk_gap_s: Any
     retries: Any
     over_quota: Any
+    capacity_refusals: Any
     resumes: Any
     attaches: Any
     elections: Any
@@ -106,7 +109,7 @@
     claims_made: Any
     lease_renewals: Any
     cache_resyncs: Any
-    # The observable instruments that read ``tally`` and ``level``.
+    # The observable instruments that read ``tally``, ``level`` and capacity levels.
     _observables: tuple[Any, ...] = field(default=(), repr=False)
 
     def count_request(self, profile: str, outcome: str) -> None:
@@ -122,10 +125,16 @@
         self.ttft_s.record(seconds, {"profile": profile})
 
 
-def make_instruments(meter: Meter) -> Instruments:
-    """Create all instruments on ``meter``."""
+def make_instruments(
+    meter: Meter, capacity: Callable[[], CapacityLevels]
+) -> Instruments:
+    """Create all instruments on ``meter``; each scrape calls ``capacity``."""
     tally, level = Tally(), Level()
-    observables = (*_observe_tally(meter, tally), *_observe_level(meter, level))
+    observables = (
+        *_observe_tally(meter, tally),
+        *_observe_level(meter, level),
+        *_observe_capacity(meter, capacity),
+    )
 
     def counter(name: str, text: str) -> Any:
         return meter.create_counter(f"{PREFIX}.{name}", "1", text)
@@ -162,6 +171,9 @@
         over_quota=counter(
             "over_quota", "What was refused beyond quotas, by workspace"
         ),
+        capacity_refusals=counter(
+            "capacity_refusals", "Refusals for lack of capacity, by reason and rank"
+        ),
         retries=counter("retries", "Attempts after the first, by cause"),
         resumes=counter("resumes", "Streams resumed on another upstream"),
         attaches=counter("attaches", "Streams attached to again, by outcome"),
@@ -196,6 +208,53 @@
         )
 
 
+def _observe_capacity(
+    meter: Meter, capacity: Callable[[], CapacityLevels]
+) -> Iterable[Any]:
+    def gauge(
+        name: str, label: str, text: str, read: Callable[[], Mapping[Any, float]]
+    ) -> Any:
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(v, {label: str(k)}) for k, v in read().items()]
+
+        return meter.create_observable_gauge(f"{PREFIX}.{name}", [observe], "1", text)
+
+    def reservations(_: CallbackOptions) -> Iterable[Observation]:
+        counts = asdict(capacity().reservations())
+        return [Observation(v, {"outcome": k}) for k, v in counts.items()]
+
+    yield gauge(
+        "waiting_requests",
+        "rank",
+        "Requests that wait for capacity, by rank",
+        lambda: capacity().waiting(),
+    )
+    yield gauge(
+        "speed_factor",
+        "upstream",
+        "Learned speed relative to the mean of the pool, by upstream",
+        lambda: bounded_factors(capacity().speed_factors()),
+    )
+    yield gauge(
+        "capacity_limit",
+        "pool",
+        "Learned fraction of declared capacity that upstreams hold, by pool",
+        lambda: capacity().limits(),
+    )
+    yield gauge(
+        "workspaces_over_share",
+        "pool",
+        "Workspaces over their share of a pool's capacity",
+        lambda: capacity().workspaces_over(),
+    )
+    yield meter.create_observable_counter(
+        f"{PREFIX}.reservations",
+        [reservations],
+        "1",
+        "Reservations of capacity, by outcome; asked counts all of them",
+    )
+
+
 def _reader(
     source: Tally | Level, name: str
 ) -> Callable[[CallbackOptions], Iterable[Observation]]:
--- a/gooseberrydale/process/metrics.py
+++ b/gooseberrydale/process/metrics.py
@@ -22,6 +22,10 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from gooseberrydale.process.capacity_levels import (
+    CapacityLevels,
+    NeutralCapacityLevels,
+)
 from gooseberrydale.process.instruments import PREFIX, Level, make_instruments
 
 METRICS_PATH = "/metrics"
@@ -33,6 +37,8 @@
     def __init__(self, role: str, name: str, zone: str = "") -> None:
         # Called before each scrape, for roles that don't update the levels themselves.
         self.before_scrape: Callable[[Level], None] | None = None
+        # Replaced by a gateway that shares capacity, once it has built the parts.
+        self.capacity_levels: CapacityLevels = NeutralCapacityLevels()
         self._registry = CollectorRegistry()
         # Exports CPU time, memory and open files of the process.
         ProcessCollector(registry=self._registry)
@@ -49,7 +55,9 @@
         self._provider = MeterProvider(
             [reader], resource=resource, shutdown_on_exit=False
         )
-        self.instruments = make_instruments(self._provider.get_meter(PREFIX))
+        self.instruments = make_instruments(
+            self._provider.get_meter(PREFIX), lambda: self.capacity_levels
+        )
 
     def render(self) -> bytes:
         """Return all values in Prometheus' text format."""
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -10,9 +10,17 @@
 import pytest
 from starlette.requests import Request
 
+from gooseberrydale.process.capacity_levels import (
+    MAX_UPSTREAM_SERIES,
+    NeutralCapacityLevels,
+    ReservationCounts,
+)
+from gooseberrydale.process.gateway.request_metrics import RecordedMetrics
 from gooseberrydale.process.instruments import Level
 from gooseberrydale.process.metrics import METRICS_PATH, Metrics
 from gooseberrydale.process.observed_role import ObservedRole
+from gooseberrydale.request.capacity_decision import CapacityCause
+from tests.builders_capacity import SampleLevels
 
 
 def values(metrics: Metrics) -> dict[str, float]:
@@ -100,3 +108,61 @@
     role = FakeRole(read_levels=read_levels)
     text = asyncio.run(scrape(role, Metrics("sidecar", "s")))
     assert "gooseberrydale_queued 3.0" in text
+
+
+def capacity_samples(metrics: Metrics) -> dict[str, float]:
+    """Return the samples about capacity sharing."""
+    names = ("waiting_req", "speed_f", "capacity_", "workspaces_over", "reservations")
+    return {
+        key.removeprefix("gooseberrydale_"): value
+        for key, value in values(metrics).items()
+        if key.startswith(tuple(f"gooseberrydale_{name}" for name in names))
+    }
+
+
+def test_scrape_reads_the_capacity_levels_that_were_set_last() -> None:
+    """Guards against instruments that keep the neutral levels of the start."""
+    metrics = Metrics("gateway", "g1")
+    assert set(capacity_samples(metrics).values()) == {0.0}
+    metrics.capacity_levels = SampleLevels()
+    assert capacity_samples(metrics) == {
+        'waiting_requests{rank="0"}': 2.0,
+        'waiting_requests{rank="2"}': 7.0,
+        'speed_factor{upstream="u1"}': 0.55,
+        'capacity_limit{pool="engines"}': 1.25,
+        'workspaces_over_share{pool="engines"}': 1.0,
+        'reservations_total{outcome="asked"}': 9.0,
+        'reservations_total{outcome="granted"}': 6.0,
+        'reservations_total{outcome="refused"}': 2.0,
+        'reservations_total{outcome="unanswered"}': 1.0,
+    }
+
+
+def test_neutral_levels_have_no_series_except_zero_counts() -> None:
+    """Deployments that share no capacity get no series of ranks, pools or upstreams."""
+    levels = NeutralCapacityLevels()
+    assert not levels.waiting() and not levels.limits()
+    assert not levels.speed_factors() and not levels.workspaces_over()
+    assert levels.reservations() == ReservationCounts(0, 0, 0, 0)
+
+
+def test_speeds_of_many_upstreams_share_a_bounded_number_of_series() -> None:
+    """Guards against one series for each of hundreds of upstreams and gateways."""
+    metrics = Metrics("gateway", "g1")
+    extra = {"u-x": 0.5, "u-y": 1.5}
+    factors = {f"u-{n:04}": 1.0 for n in range(MAX_UPSTREAM_SERIES)} | extra
+    metrics.capacity_levels = SampleLevels(factors=factors)
+    samples = capacity_samples(metrics)
+    speeds = {key: v for key, v in samples.items() if key.startswith("speed_factor")}
+    assert len(speeds) == MAX_UPSTREAM_SERIES + 1
+    assert speeds['speed_factor{upstream="#others"}'] == 1.0
+
+
+def test_refusals_for_lack_of_capacity_are_counted_by_reason_and_rank() -> None:
+    metrics = Metrics("gateway", "g1")
+    recorded = RecordedMetrics(metrics)
+    recorded.no_capacity(CapacityCause.OVER_SHARE, 2)
+    recorded.no_capacity(CapacityCause.OVER_SHARE, 2)
+    samples = capacity_samples(metrics)
+    name = 'capacity_refusals_total{rank="2",reason="over_share"}'
+    assert samples[name] == 2.0
