explain and losses: who waited, behind whom, and causes of competition

explain lists the requests of the same gateway and pool that went before one that waited, and the events about its pool's sharing, its workspace's share and its upstreams' learned speeds. losses counts refusals and lateness behind more urgent work, over a workspace's share, at an overloaded gateway and at slowed upstreams; both use the rule of request/capacity_decision.py. Lines without the new fields give the causes that they gave before.

Reading log lines has a module of its own, as both commands and the new analysis of waits use it.

--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -36,7 +36,7 @@
     continues a stream names its ``last_event_id`` and, in ``resumes``, the request that
     brought its first event; each is empty if not named.  ``origin`` is the pool and the
     software version that began that stream, empty if not known.  The fields from
-    ``rank`` on are those of :class:`CapacityDecision`.
+    ``pool`` on are those of :class:`CapacityDecision`.
     """
 
     NAME: ClassVar[str] = "request"
@@ -61,6 +61,7 @@
     resumes: str = ""
     last_event_id: str = ""
     origin: str = ""
+    pool: str = ""
     rank: int = 0
     workspace: str = ""
     over_share: bool = False
--- a/gooseberrydale/process/cli.py
+++ b/gooseberrydale/process/cli.py
@@ -22,7 +22,7 @@
 from gooseberrydale.process.runner import ExitCode, print_faults, run_local, run_process
 
 if TYPE_CHECKING:
-    from gooseberrydale.process.explain import Line
+    from gooseberrydale.process.log_lines import Line
 
 ROLE_COMMANDS = ("entry", "sidecar", "control", "local")
 
@@ -80,7 +80,7 @@
 
 def _read_all(files: Iterable[str]) -> list[Line]:
     """Return the parsed lines of all log files."""
-    from gooseberrydale.process.explain import read_lines
+    from gooseberrydale.process.log_lines import read_lines
 
     lines: list[Line] = []
     for name in files:
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -10,11 +10,15 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from datetime import datetime
 from typing import Any
 
-import msgspec
-
+from gooseberrydale.capacity_log_events import (
+    CapacitySharingChanged,
+    GatewayOverloaded,
+    ReservationOwnerChanged,
+    UpstreamSpeedChanged,
+    WorkspaceShareCrossed,
+)
 from gooseberrydale.log_events import (
     DocumentInForce,
     Drained,
@@ -36,6 +40,17 @@
     WeightsNamed,
     WeightsOrdered,
 )
+from gooseberrydale.process.log_lines import Line
+from gooseberrydale.process.queue_waits import (
+    QueueWait,
+    render_wait,
+    requests_ahead,
+    wait_of,
+)
+from gooseberrydale.request.capacity_decision import (
+    GATEWAY_OVERLOADED,
+    CapacityDecision,
+)
 from gooseberrydale.request.prompt_parts import split_parts
 
 BEFORE_REQUEST_S = 15.0
@@ -52,13 +67,18 @@
         *(StoreFound, StoreLost, WeightsNamed),
         # These explain why no upstream could be chosen for a request.
         *(UpstreamBackoff, UpstreamLeaving, UpstreamLimited),
+        *(CapacitySharingChanged, GatewayOverloaded),
     )
 )
 _UPSTREAM_EVENTS = frozenset(
     event.NAME
     for event in (UpstreamBack, UpstreamRetired, UpstreamSuspected, WeightsOrdered)
 )
-_NOT_SHOWN = frozenset({"time", "level", "message", "module", "role", "name", "event"})
+
+# Each gateway logs these about an upstream; only the request's own gateway matters.
+_OWN_UPSTREAM_EVENTS = frozenset(
+    event.NAME for event in (ReservationOwnerChanged, UpstreamSpeedChanged)
+)
 
 OUTCOME_TEXTS = {
     "answered": "it was answered",
@@ -81,6 +101,8 @@
     "unknown_origin": "it was not known which software version began its stream",
     "software_gone": "no upstream served the software version that began its stream",
     "no_room": "every upstream would have answered too late or accepted no work",
+    GATEWAY_OVERLOADED: "its gateway lacked processor time, memory, descriptors or"
+    " bandwidth and declined it; other gateways may have served it",
     "over_quota": "its workspace was over its quota",
     "not_ready": "the gateway had not received a document yet",
     "shutting_down": "the gateway was shutting down; another one is to run it",
@@ -90,31 +112,20 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Line:
-    """One log line; ``node`` is the name of the process that wrote it."""
-
-    at: datetime
-    node: str
-    event: str
-    message: str
-    fields: dict[str, Any]
-
-    def since_s(self, other: Line) -> float:
-        """Return the seconds from ``other`` to this line."""
-        return (self.at - other.at).total_seconds()
-
-
 @dataclass(frozen=True, slots=True)
 class RequestTrace:
     """The log lines about one request, ordered by time.
 
     ``end`` is the line that records the request's end; None if no process logged it.
+    ``wait`` is how it waited for capacity, if it did, and ``ahead`` are the requests of
+    the same gateway that went before it.
     """
 
     request_id: str
     lines: tuple[Line, ...]
     end: Line | None
+    wait: QueueWait | None = None
+    ahead: tuple[QueueWait, ...] = ()
 
     @property
     def cause(self) -> str:
@@ -140,39 +151,36 @@
                 f"{text} (it costs {quota.get('cost')}, {quota.get('left')} were left"
                 f" as reported by {quota.get('owner')} {quota.get('age_ms')} ms before)"
             )
+        details = [*self._send_details(), *_capacity_details(self.end)]
+        return f"{text} ({'; '.join(details)})" if details else text
+
+    def _send_details(self) -> Iterator[str]:
+        """Yield why the request was not sent again."""
         sends = [line for line in self.lines if line.event == SendEnded.NAME]
         if not sends:
-            return text
+            return
         last = sends[-1].fields
-        details = [f"last send: {last.get('end')} at {last.get('upstream')}"]
+        yield f"last send: {last.get('end')} at {last.get('upstream')}"
         if not last.get("others", True):
-            details.append("no other upstream was left")
+            yield "no other upstream was left"
         if last.get("retries", 1.0) < 1.0:
-            details.append("the retry budget was exhausted")
-        return f"{text} ({'; '.join(details)})"
-
-
-def read_lines(texts: Iterable[str]) -> Iterator[Line]:
-    """Parse log lines, skipping those that are not JSON objects with a time.
-
-    Text before the first brace is ignored, such as a prefix added by a log collector.
-    """
-    for text in texts:
-        _, brace, rest = text.partition("{")
-        if not brace:
-            continue
-        try:
-            content = msgspec.json.decode(brace + rest)
-            at = datetime.fromisoformat(content["time"])
-        except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
-            continue
-        yield Line(
-            at=at,
-            node=str(content.get("name", "")),
-            event=str(content.get("event", "")),
-            message=str(content.get("message", "")),
-            fields={k: v for k, v in content.items() if k not in _NOT_SHOWN},
+            yield "the retry budget was exhausted"
+
+
+def _capacity_details(end: Line) -> Iterator[str]:
+    """Yield what decided about a request that competed for capacity."""
+    decision = CapacityDecision.from_fields(end.fields)
+    if decision.over_share:
+        yield f"workspace {decision.workspace} was over its share"
+    if decision.waited_behind_urgent:
+        yield (
+            f"of rank {decision.rank}, it waited behind {decision.queued_behind}"
+            f" requests, the most urgent of rank {decision.behind_rank}"
         )
+    elif decision.waited:
+        yield f"it waited behind {decision.queued_behind} requests of its rank"
+    if decision.slowed:
+        yield f"its upstream took {decision.slowness:.1f} times as long as usual"
 
 
 def trace_request(lines: Iterable[Line], request_id: str) -> RequestTrace:
@@ -184,6 +192,7 @@
     ends = [line for line in own if line.event == RequestEnded.NAME]
     upstreams = {name for line in own for name in _upstream_names(line)}
     gateways = {line.node for line in own}
+    workspaces = {str(line.fields.get("workspace") or "") for line in own} - {""}
     digests = {str(line.fields.get("digest") or "") for line in own} - {""}
     selected = [
         line
@@ -193,10 +202,19 @@
         or (
             -BEFORE_REQUEST_S <= line.since_s(own[0])
             and line.since_s(own[-1]) <= AFTER_REQUEST_S
-            and _is_relevant(line, gateways, upstreams)
+            and (
+                _is_relevant(line, gateways, upstreams)
+                or _is_about_share(line, gateways, workspaces)
+            )
         )
     ]
-    return RequestTrace(request_id, tuple(selected), ends[-1] if ends else None)
+    end = ends[-1] if ends else None
+    wait = None if end is None else wait_of(end)
+    if wait is None or not wait.decision.waited:
+        # It was held for another reason, such as upstreams that change their weights.
+        return RequestTrace(request_id, tuple(selected), end)
+    ahead = requests_ahead(ordered, wait)
+    return RequestTrace(request_id, tuple(selected), end, wait, ahead)
 
 
 def _terminated_running(line: Line, digests: set[str]) -> bool:
@@ -222,7 +240,19 @@
     """Whether ``line`` is an event of the request's gateway or upstreams."""
     if line.event in _GATEWAY_EVENTS:
         return line.node in gateways
-    return line.event in _UPSTREAM_EVENTS and line.fields.get("upstream") in upstreams
+    if line.event in _OWN_UPSTREAM_EVENTS and line.node not in gateways:
+        return False
+    known = _UPSTREAM_EVENTS | _OWN_UPSTREAM_EVENTS
+    return line.event in known and line.fields.get("upstream") in upstreams
+
+
+def _is_about_share(line: Line, gateways: set[str], workspaces: set[str]) -> bool:
+    """Whether ``line`` says that the request's workspace crossed its share."""
+    return (
+        line.event == WorkspaceShareCrossed.NAME
+        and line.node in gateways
+        and line.fields.get("workspace") in workspaces
+    )
 
 
 def _upstream_names(line: Line) -> Iterator[str]:
@@ -243,6 +273,8 @@
         fields = " ".join(f"{k}={_format(v)}" for k, v in line.fields.items())
         title = line.event or line.message
         yield f"{line.since_s(origin):+9.3f} s  {line.node}  {title}  {fields}"
+    if trace.wait is not None:
+        yield from render_wait(trace.wait, trace.ahead)
     yield f"cause: {trace.cause}"
 
 
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -86,7 +86,9 @@
         self._placer.origin = job.origin
         holder = job.workspace
         self.decision = CapacityDecision(
-            rank=job.rank, workspace="" if holder is None else holder.name
+            pool=job.pool.name,
+            rank=job.rank,
+            workspace="" if holder is None else holder.name,
         )
         self.choices: list[Candidate] = []
         self.chosen_at = 0.0
--- a/gooseberrydale/process/losses.py
+++ b/gooseberrydale/process/losses.py
@@ -16,7 +16,14 @@
 from enum import StrEnum
 
 from gooseberrydale.log_events import RequestEnded, UpstreamSilent, UpstreamSuspected
-from gooseberrydale.process.explain import Line
+from gooseberrydale.process.log_lines import Line
+from gooseberrydale.request.capacity_decision import (
+    GATEWAY_OVERLOADED,
+    CapacityCause,
+    CapacityDecision,
+    lateness_cause,
+    refusal_cause,
+)
 
 WINDOW_S = 2.0
 """Length of one row of the table: long enough for some hundred requests on a small
@@ -44,6 +51,10 @@
     INSTANCE_GONE = "instance gone"
     SERVICE = "the service itself failed"
     OVER_QUOTA = "its workspace was over its quota"
+    OVER_SHARE = "its workspace was over its share"
+    BEHIND_URGENT = "waited behind more urgent work"
+    GATEWAY_OVERLOADED = "its gateway was overloaded"
+    UPSTREAM_SLOWED = "its upstream was slowed down"
     QUARANTINED = "it ends the upstreams that run it"
     STREAM_STRANDED = "nothing could go on with its stream"
     LEFT = "its caller left early"
@@ -72,7 +83,6 @@
     "failed": Cause.SERVICE,
     "invalid": Cause.SERVICE,
     "refused": Cause.CHANGING_WEIGHTS,
-    "no_room": Cause.QUEUED,
     "unknown_origin": Cause.STREAM_STRANDED,
     "software_gone": Cause.STREAM_STRANDED,
     "over_quota": Cause.OVER_QUOTA,
@@ -81,9 +91,20 @@
     "part_ends_upstreams": Cause.QUARANTINED,
     "part_ended_upstreams": Cause.QUARANTINED,
 }
+# Outcomes whose cause is derived from the values that decided.
+_CAPACITY_OUTCOMES = frozenset({"no_room", GATEWAY_OVERLOADED})
+_CAUSE_BY_CAPACITY = {
+    CapacityCause.GATEWAY_OVERLOADED: Cause.GATEWAY_OVERLOADED,
+    CapacityCause.OVER_SHARE: Cause.OVER_SHARE,
+    CapacityCause.BEHIND_URGENT: Cause.BEHIND_URGENT,
+    CapacityCause.UPSTREAM_SLOWED: Cause.UPSTREAM_SLOWED,
+    CapacityCause.QUEUED: Cause.QUEUED,
+    CapacityCause.NO_CAPACITY: Cause.QUEUED,
+}
 _REFUSALS = frozenset(
     {
-        *("not_ready", "shutting_down", "no_upstream", "no_room", "refused"),
+        *_CAPACITY_OUTCOMES,
+        *("not_ready", "shutting_down", "no_upstream", "refused"),
         *("over_quota", "unknown_origin", "software_gone"),
         *("ends_upstreams", "part_ends_upstreams"),
     }
@@ -159,7 +180,12 @@
     else:
         loss = Loss.REFUSED if outcome in _REFUSALS else Loss.FAILED
     arrived = line.at - timedelta(milliseconds=float(fields.get("took_ms", 0.0)))
-    cause = _CAUSE_BY_OUTCOME.get(outcome) or _cause_of_wait(line, arrived, silences)
+    if outcome in _CAPACITY_OUTCOMES:
+        decision = CapacityDecision.from_fields(fields)
+        cause = _CAUSE_BY_CAPACITY[refusal_cause(outcome, decision)]
+    else:
+        known = _CAUSE_BY_OUTCOME.get(outcome)
+        cause = known or _cause_of_wait(line, arrived, silences)
     return LostRequest(str(fields.get("route", "")), arrived, loss, cause)
 
 
@@ -169,7 +195,11 @@
     """Return why a request was answered late or its caller disconnected."""
     fields = line.fields
     sends = [str(send) for send in fields.get("sends", ())]
+    decision = CapacityDecision.from_fields(fields)
     if not sends:
+        waited = lateness_cause(decision, held=True)
+        if waited is not None:
+            return _CAUSE_BY_CAPACITY[waited]
         return Cause.LEFT if fields.get("outcome") == "caller_gone" else Cause.UNKNOWN
     for send in sends:
         detected = silences.get((line.node, send.partition(" ")[0]), ())
@@ -181,12 +211,18 @@
     objective_ms = float(fields.get("objective_ms", 0.0))
     held_ms = float(fields.get("held_ms", 0.0))
     choice = dict(_CHOICE_VALUE.findall(sends[-1]))
-    if held_ms > objective_ms * HELD_FRACTION or choice.get("usable") == "False":
+    is_held = held_ms > objective_ms * HELD_FRACTION
+    if is_held and (waited := lateness_cause(decision, held=True)) is not None:
+        return _CAUSE_BY_CAPACITY[waited]
+    if is_held or choice.get("usable") == "False":
         return Cause.CHANGING_WEIGHTS
     if len(sends) > 1:
         return Cause.INSTANCE_GONE
     if fields.get("outcome") == "caller_gone" and fields.get("status"):
         return Cause.LEFT
+    slowed = lateness_cause(decision, held=False)
+    if slowed is not None:
+        return _CAUSE_BY_CAPACITY[slowed]
     if choice.get("rank", "0") != "0" and choice.get("stored") == "False":
         return Cause.PREFIX_RECOMPUTED
     if float(choice.get("prefill", 0.0)) > 0 or float(choice.get("requests", 0.0)) >= 1:
--- a/gooseberrydale/request/capacity_decision.py
+++ b/gooseberrydale/request/capacity_decision.py
@@ -37,17 +37,20 @@
 class CapacityDecision:
     """The values that decided about a request under competition.
 
-    ``rank`` 0 is the most urgent.  ``workspace`` is empty on public routes.
+    ``rank`` 0 is the most urgent.  ``workspace`` is empty on public routes, ``pool`` if
+    the request was not forwarded.
     ``over_share`` is whether the workspace used more than its share of the pool.
     ``queued_behind`` is the number of requests ahead when this one began to wait, and
     ``behind_rank`` the most urgent rank among them, ``NO_RANK`` if there were none.
     ``backlog_tokens`` is the fleet's waiting work ahead.  ``limit`` is the learned
     fraction of declared capacity that the upstreams hold, 0 if none was applied.
     ``slowness`` is how many times longer than usual the chosen upstream takes, 1 as
-    usual.  ``decided_ms`` is the age of the youngest report from another gateway that
+    usual; for a refused request, the one that could have served it first.
+    ``decided_ms`` is the age of the youngest report from another gateway that
     decided, 0 if none did.
     """
 
+    pool: str = ""
     rank: int = 0
     workspace: str = ""
     over_share: bool = False
@@ -76,6 +79,11 @@
         """Whether more urgent requests were among those ahead."""
         return self.waited and NO_RANK < self.behind_rank < self.rank
 
+    @property
+    def slowed(self) -> bool:
+        """Whether the upstream was considerably slower than usual."""
+        return self.slowness >= SLOWED
+
 
 def refusal_cause(outcome: str, decision: CapacityDecision) -> CapacityCause:
     """Return why a request was refused that ended as ``outcome``."""
@@ -83,25 +91,26 @@
         return CapacityCause.GATEWAY_OVERLOADED
     if decision.over_share:
         return CapacityCause.OVER_SHARE
-    return _cause_of_wait(decision) or CapacityCause.NO_CAPACITY
+    if decision.waited_behind_urgent:
+        return CapacityCause.BEHIND_URGENT
+    if decision.slowed:
+        return CapacityCause.UPSTREAM_SLOWED
+    return CapacityCause.QUEUED if decision.waited else CapacityCause.NO_CAPACITY
 
 
 def lateness_cause(decision: CapacityDecision, *, held: bool) -> CapacityCause | None:
     """Return why a request was answered late; None if competition did not cause it.
 
     ``held`` is whether it waited for a considerable part of its objective.  A request
-    that was sent at once is not late because its workspace is over its share.
+    that was sent at once is not late because its workspace is over its share, and one
+    that waited in the queue is not late because its upstream is slow.
     """
-    if held and decision.waited and decision.over_share:
+    if not held:
+        return CapacityCause.UPSTREAM_SLOWED if decision.slowed else None
+    if not decision.waited:
+        return None
+    if decision.over_share:
         return CapacityCause.OVER_SHARE
-    if held:
-        return _cause_of_wait(decision)
-    return CapacityCause.UPSTREAM_SLOWED if decision.slowness >= SLOWED else None
-
-
-def _cause_of_wait(decision: CapacityDecision) -> CapacityCause | None:
     if decision.waited_behind_urgent:
         return CapacityCause.BEHIND_URGENT
-    if decision.slowness >= SLOWED:
-        return CapacityCause.UPSTREAM_SLOWED
-    return CapacityCause.QUEUED if decision.waited else None
+    return CapacityCause.QUEUED
--- a/tests/test_capacity_decision.py
+++ b/tests/test_capacity_decision.py
@@ -22,6 +22,7 @@
 BEHIND_URGENT = CapacityDecision(rank=2, queued_behind=3, behind_rank=0)
 BEHIND_EQUAL = CapacityDecision(rank=2, queued_behind=3, behind_rank=2)
 SLOW = CapacityDecision(slowness=2.5)
+QUEUED_FOR_SLOW = CapacityDecision(queued_behind=1, behind_rank=0, slowness=2.5)
 BARELY_SLOW = CapacityDecision(slowness=SLOWED - 0.01)
 
 REFUSED: dict[str, tuple[str, CapacityDecision, CapacityCause]] = {
@@ -50,6 +51,12 @@
     "held behind urgent work": (BEHIND_URGENT, True, CapacityCause.BEHIND_URGENT),
     "hardly held behind urgent work": (BEHIND_URGENT, False, None),
     "held behind its own rank": (BEHIND_EQUAL, True, CapacityCause.QUEUED),
+    "held behind its own rank for a slow upstream": (
+        QUEUED_FOR_SLOW,
+        True,
+        CapacityCause.QUEUED,
+    ),
+    "held for something else at a slow upstream": (SLOW, True, None),
     "slow upstream": (SLOW, False, CapacityCause.UPSTREAM_SLOWED),
     "upstream about as usual": (BARELY_SLOW, False, None),
     "held for something else": (NEUTRAL, True, None),
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -19,12 +19,9 @@
 )
 from gooseberrydale.process import logs
 from gooseberrydale.process.cfg import LogCfg
-from gooseberrydale.process.explain import (
-    OUTCOME_TEXTS,
-    read_lines,
-    render,
-    trace_request,
-)
+from gooseberrydale.process.explain import OUTCOME_TEXTS, render, trace_request
+from gooseberrydale.process.log_lines import read_lines
+from gooseberrydale.process.queue_waits import MAX_SHOWN
 from gooseberrydale.request.attempt_end import End
 
 OPERATIONS = Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
@@ -152,6 +149,103 @@
     assert trace.cause.startswith("upstreams had terminated under a part")
 
 
+WAITED = {"pool": "engines", "rank": 2, "workspace": "dealers", "took_ms": 500.0}
+
+
+def test_request_that_waited_shows_those_of_its_gateway_that_went_before_it() -> None:
+    """Guards against a list with requests that did not compete with this one."""
+    texts = [
+        queued(20.1, "urgent", rank=0, took_ms=300.0),
+        queued(20.0, "earlier", took_ms=600.0),
+        queued(19.9, "within-share", took_ms=200.0),
+        queued(20.2, "sent", rank=0, sends=[CHOICE], held_ms=90.0),
+        # None of these went before it.
+        queued(20.2, "later", took_ms=100.0, over_share=True),
+        queued(20.0, "less-urgent", rank=3, took_ms=600.0),
+        queued(19.4, "ended-before", rank=0, took_ms=300.0),
+        queued(20.0, "other-pool", rank=0, pool="services"),
+        queued(20.0, "at-once", rank=0, took_ms=1.0),
+        line(20.0, "g2", "request", request_id="elsewhere", **{**WAITED, "rank": 0}),
+        queued(
+            *(20.0, "r1"),
+            **{
+                "outcome": "no_room",
+                "over_share": True,
+                "queued_behind": 4,
+                "behind_rank": 0,
+                "backlog_tokens": 51_000.0,
+                "decided_ms": 40.0,
+            },
+        ),
+    ]
+    trace = trace_request(read_lines(texts), "r1")
+    ahead = [wait.request_id for wait in trace.ahead]
+    assert ahead == ["sent", "urgent", "earlier", "within-share"]
+    rendered = list(render(trace))
+    assert (
+        "waited 500.0 ms at g1 for pool engines, first behind 4 requests; the fleet"
+        " had 51000 tokens ahead (reported 40 ms before)"
+    ) in rendered
+    assert (
+        "  behind sent  rank 0    dealers within its share  waited 90.0 ms, sent"
+        in rendered
+    )
+    assert "dealers was over its share" in trace.cause
+    assert "of rank 2, it waited behind 4 requests, the most urgent of rank 0" in (
+        trace.cause
+    )
+
+
+def queued(second: float, request_id: str, **fields: Any) -> str:
+    content = {**WAITED, "sends": [], "outcome": "no_room", **fields}
+    return line(second, "g1", "request", request_id=request_id, **content)
+
+
+def test_long_list_of_requests_ahead_is_cut() -> None:
+    ahead = [queued(20.0, f"u{n}", rank=0) for n in range(MAX_SHOWN + 5)]
+    own = queued(20.0, "r1", queued_behind=15, behind_rank=0)
+    rendered = list(render(trace_request(read_lines([*ahead, own]), "r1")))
+    assert sum("  behind u" in text for text in rendered) == MAX_SHOWN
+    assert "  and 5 more" in rendered
+
+
+def test_request_that_was_held_for_another_reason_waited_behind_nobody() -> None:
+    """Guards against blaming competition for a wait for weights."""
+    texts = [
+        queued(20.0, "urgent", rank=0),
+        queued(20.0, "r1", sends=[CHOICE], held_ms=400.0, outcome="answered"),
+    ]
+    trace = trace_request(read_lines(texts), "r1")
+    assert (trace.wait, trace.ahead, trace.cause) == (None, (), "it was answered")
+
+
+def test_events_of_capacity_are_those_of_the_gateway_the_upstream_and_workspace() -> (
+    None
+):
+    texts = [
+        line(18.0, "g1", "capacity_sharing", pool="engines", applies=True),
+        line(18.1, "g1", "gateway_overloaded", reason="link", from_rank=2),
+        line(18.2, "g1", "workspace_share", workspace="dealers", over=True),
+        line(18.3, "g1", "upstream_speed", upstream="u1", factor=0.5),
+        line(18.4, "g1", "reservation_owner", upstream="u1", owner="g2"),
+        line(18.5, "g1", "workspace_share", workspace="other", over=True),
+        line(18.5, "g1", "upstream_speed", upstream="u2", factor=0.5),
+        line(18.5, "g2", "upstream_speed", upstream="u1", factor=0.5),
+        line(18.5, "g2", "reservation_owner", upstream="u1", owner="g2"),
+        line(18.5, "g2", "workspace_share", workspace="dealers", over=True),
+        request(20.0, "answered", workspace="dealers", slowness=2.5),
+    ]
+    trace = trace_request(read_lines(texts), "r1")
+    assert [(item.node, item.event) for item in trace.lines[:-1]] == [
+        ("g1", "capacity_sharing"),
+        ("g1", "gateway_overloaded"),
+        ("g1", "workspace_share"),
+        ("g1", "upstream_speed"),
+        ("g1", "reservation_owner"),
+    ]
+    assert trace.cause.endswith("(its upstream took 2.5 times as long as usual)")
+
+
 def test_every_end_of_a_send_has_an_outcome_text() -> None:
     ends = {end.name.lower() for end in End} - {"moved"}
     assert ends <= OUTCOME_TEXTS.keys()
--- a/tests/test_gateway_capacity.py
+++ b/tests/test_gateway_capacity.py
@@ -10,6 +10,7 @@
 from gooseberrydale.version.declared import KeyHolder
 from tests.builders_gateway import (
     KEY,
+    POOL,
     RawUpstream,
     Writer,
     answer_bytes,
@@ -38,7 +39,7 @@
         with logged("request") as lines:
             async with running_gateway(DOCUMENT, upstream) as gateway:
                 await call(gateway)
-        expected = asdict(CapacityDecision(rank=1, workspace="dealers"))
+        expected = asdict(CapacityDecision(POOL, rank=1, workspace="dealers"))
         assert expected.items() <= lines[0].items()
 
     run(main())
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gooseberrydale.process.explain import read_lines
+from gooseberrydale.process.log_lines import read_lines
 from gooseberrydale.process.losses import Cause, Loss, find_lost, render
 from tests.test_explain import line
 
@@ -18,6 +18,9 @@
 YIELDING = "u1 rank=0 requests=9.0 prefill=0 usable=True stored=True yields=True"
 CHANGING = "u1 rank=0 requests=0.0 prefill=0 usable=False stored=True yields=False"
 
+BEHIND_URGENT = {"rank": 2, "queued_behind": 9, "behind_rank": 0}
+BEHIND_EQUAL = {"rank": 2, "queued_behind": 9, "behind_rank": 2}
+
 
 def ended(outcome: str, first_ms: float = 0.0, **fields: Any) -> str:
     content = {
@@ -76,6 +79,61 @@
         Loss.LATE,
         Cause.INSTANCE_GONE,
     ),
+    "refused without capacity": (
+        ended("no_room", sends=[]),
+        Loss.REFUSED,
+        Cause.QUEUED,
+    ),
+    "refused behind more urgent work": (
+        ended("no_room", sends=[], **BEHIND_URGENT),
+        Loss.REFUSED,
+        Cause.BEHIND_URGENT,
+    ),
+    "refused behind its own rank": (
+        ended("no_room", sends=[], **BEHIND_EQUAL),
+        Loss.REFUSED,
+        Cause.QUEUED,
+    ),
+    "refused over its share": (
+        ended("no_room", sends=[], rank=2, over_share=True),
+        Loss.REFUSED,
+        Cause.OVER_SHARE,
+    ),
+    "declined by its gateway": (
+        ended("gateway_overloaded", sends=[]),
+        Loss.REFUSED,
+        Cause.GATEWAY_OVERLOADED,
+    ),
+    "refused as its upstreams are slow": (
+        ended("no_room", sends=[], slowness=2.5),
+        Loss.REFUSED,
+        Cause.UPSTREAM_SLOWED,
+    ),
+    "late behind more urgent work": (
+        ended("answered", 500.0, held_ms=400.0, **BEHIND_URGENT),
+        Loss.LATE,
+        Cause.BEHIND_URGENT,
+    ),
+    "late as it was over its share": (
+        ended("answered", 500.0, held_ms=400.0, over_share=True, **BEHIND_EQUAL),
+        Loss.LATE,
+        Cause.OVER_SHARE,
+    ),
+    "late though hardly held": (
+        ended("answered", 500.0, held_ms=20.0, **BEHIND_URGENT),
+        Loss.LATE,
+        Cause.UNKNOWN,
+    ),
+    "late at a slow upstream": (
+        ended("answered", 500.0, slowness=2.5),
+        Loss.LATE,
+        Cause.UPSTREAM_SLOWED,
+    ),
+    "caller left while it waited behind more urgent work": (
+        ended("caller_gone", sends=[], **BEHIND_URGENT),
+        Loss.FAILED,
+        Cause.BEHIND_URGENT,
+    ),
     "no document": (ended("not_ready", sends=[]), Loss.REFUSED, Cause.NOT_READY),
     "no upstream": (ended("no_upstream", sends=[]), Loss.REFUSED, Cause.INSTANCE_GONE),
     "service failed": (ended("failed"), Loss.FAILED, Cause.SERVICE),
