Soak: gateways, workspaces that compete, and upstreams that change speed

The soak ran entries and sidecars only. Faults: gateways are killed or suspended, upstreams slow down 2.5 times and state it, and workspaces burst to six times their rate. Checked from outside: no rank is served more often than a more urgent one (three standard deviations), calls that must not run twice run once, what is refused as not run never ran, and no upstream is sent more than its slots and queue hold.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,7 +2,8 @@
 
 ``python -m soak --seeds 5`` runs five random seeds, ``--seed 17`` only that one.
 ``--known`` runs all seeds that ever failed; ``known_seeds.toml`` lists them with their
-causes.  The log folder of a seed that fails is retained.
+causes.  The log folder of a seed that fails is retained.  ``--gateways`` runs gateways
+and callers that compete instead of entries and sidecars.
 """
 
 from __future__ import annotations
@@ -14,10 +15,13 @@
 import sys
 import tempfile
 import tomllib
+from typing import Protocol
 
 import fire
 
+from soak.competition import CompetingCallers, find_broken_promises
 from soak.environment import Environment
+from soak.gateway_environment import GatewayEnvironment
 from soak.guarantees import Callers, find_violations
 from soak.plan import Fault, make_plan
 from tests.callers import BackgroundLoop
@@ -48,7 +52,31 @@
         load.close()
 
 
-async def _inject_all(environment: Environment, plan: tuple[Fault, ...]) -> None:
+def run_gateway_seed(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
+    """Run one seed with gateways and callers that compete; return broken promises."""
+    load = BackgroundLoop()
+    environment = GatewayEnvironment(folder, load)
+    try:
+        plan = make_plan(seed, environment.start(), seconds)
+        callers = CompetingCallers(environment.urls, seed, environment.workspaces)
+        environment.use(callers)
+        sending = load.start(callers.run())
+        load.run(_inject_all(environment, plan))
+        callers.stop()
+        sending.result(120.0)
+        print(f"seed {seed}: {len(plan)} faults, {callers.summary()}", flush=True)
+        broken = find_broken_promises(callers.calls, environment.upstreams)
+        return [*broken, *environment.find_faults()]
+    finally:
+        environment.close()
+        load.close()
+
+
+class _Injector(Protocol):
+    async def inject(self, fault: Fault) -> None: ...
+
+
+async def _inject_all(environment: _Injector, plan: tuple[Fault, ...]) -> None:
     """Inject each fault at its start time; faults may overlap."""
     loop = asyncio.get_running_loop()
     started_at = loop.time()
@@ -59,10 +87,14 @@
     await asyncio.gather(*running)
 
 
-def known_seeds() -> list[int]:
-    """Return the seeds that ever failed."""
+def known_seeds(gateways: bool = False) -> list[int]:
+    """Return the seeds that ever failed, with gateways or with entries."""
     table = tomllib.loads(KNOWN_SEEDS_PATH.read_text())
-    return [int(entry["seed"]) for entry in table.get("seeds", ())]
+    return [
+        int(entry["seed"])
+        for entry in table.get("seeds", ())
+        if entry.get("gateways", False) == gateways
+    ]
 
 
 def soak(
@@ -70,15 +102,20 @@
     seed: int = -1,
     seconds: float = DEFAULT_SECONDS,
     known: bool = False,
+    gateways: bool = False,
 ) -> None:
-    """Run seeds one after the other; exit with 1 if a guarantee was violated."""
-    chosen = known_seeds() if known else [seed]
+    """Run seeds one after the other; exit with 1 if a guarantee was violated.
+
+    With ``gateways``, callers of several workspaces and ranks compete for upstreams.
+    """
+    chosen = known_seeds(gateways) if known else [seed]
     if not known and seed < 0:
         chosen = [random.SystemRandom().randrange(MAX_SEED) for _ in range(seeds)]
+    run = run_gateway_seed if gateways else run_seed
     failed = 0
     for number in chosen:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
-        violations = run_seed(number, seconds, folder)
+        violations = run(number, seconds, folder)
         for line in violations:
             print(f"seed {number}: BROKEN: {line}", flush=True)
         if violations:
--- /dev/null
+++ b/soak/gateway_environment.py
@@ -0,0 +1,261 @@
+"""The processes of a soak run of gateways, their upstreams, and the faults.
+
+Control and the gateways are real processes; the upstreams run in the soak's own
+process, so that they can record what they ran and change their speed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import sys
+from collections.abc import Awaitable, Callable, Iterator
+from functools import partial
+from typing import Any
+
+import httpx2
+
+from soak.competition import (
+    BURST_FACTOR,
+    DEADLINE_S,
+    HOST,
+    ROUTES,
+    CompetingCallers,
+    api_key,
+)
+from soak.limited_upstream import SLOTS, LimitedUpstream
+from soak.plan import Fault, FaultKind, GatewayTargets
+from tests.builders_gateway import free_port
+from tests.callers import BackgroundLoop
+from tests.fleet import ROOT, Process, wait_until
+
+GATEWAYS, UPSTREAMS, WORKSPACES = 3, 2, 4
+POOL = "desk"
+HEARTBEAT_S = 0.4
+SLOWNESS = 2.5
+OBJECTIVE_S = 0.6
+CONTRACTS = "pressure"
+"""The contract of deployments whose callers compete; see ``platform/run.py``."""
+
+SETTINGS = "GOOSEBERRYDALE_CONFIG"
+
+
+class GatewayEnvironment:
+    """One control replica, some gateways, and upstreams with few slots."""
+
+    def __init__(self, folder: pathlib.Path, load: BackgroundLoop) -> None:
+        self._folder = folder
+        self._load = load
+        self._control = f"127.0.0.1:{free_port()}"
+        self._fronts: dict[str, str] = {}
+        self._ready: dict[str, str] = {}
+        self._heartbeats: Any = None
+        self._reserved: set[str] = set()
+        self._callers: CompetingCallers | None = None
+        self.processes: dict[str, Process] = {}
+        self.upstreams = [LimitedUpstream(f"u{n + 1}") for n in range(UPSTREAMS)]
+        self.workspaces = [f"workspace-{n + 1}" for n in range(WORKSPACES)]
+
+    @property
+    def urls(self) -> list[str]:
+        """The addresses at which gateways serve callers."""
+        return [f"http://{address}" for address in self._fronts.values()]
+
+    def start(self) -> GatewayTargets:
+        """Start all processes and upstreams; return the targets of faults."""
+        for upstream in self.upstreams:
+            self._load.run(upstream.start())
+        rpc = f"127.0.0.1:{free_port()}"
+        self._add_control(rpc)
+        for number in range(GATEWAYS):
+            self._add_gateway(f"gateway-{number + 1}", rpc)
+        for process in self.processes.values():
+            process.start()
+        wait_until(self._declare, "control does not take the configuration")
+        self._heartbeats = self._load.start(self._announce())
+        for name in self._fronts:
+            wait_until(partial(self._is_ready, name), f"{name} is not ready")
+        return GatewayTargets(
+            gateways=tuple(self._fronts),
+            upstreams=tuple(upstream.name for upstream in self.upstreams),
+            workspaces=tuple(self.workspaces),
+        )
+
+    def close(self) -> None:
+        """Stop all processes and upstreams."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
+        for process in self.processes.values():
+            if process.running:
+                process.thaw()
+                process.kill()
+        for upstream in self.upstreams:
+            self._load.run(upstream.close())
+
+    def use(self, callers: CompetingCallers) -> None:
+        """Let bursts raise the rates of these callers."""
+        self._callers = callers
+
+    async def inject(self, fault: Fault) -> None:
+        """Inject one fault and undo it; a target of another fault is skipped."""
+        handlers: dict[FaultKind, Callable[[str, float], Awaitable[None]]] = {
+            FaultKind.KILL: self._kill,
+            FaultKind.PAUSE: self._pause,
+            FaultKind.SLOWDOWN: self._slow_down,
+            FaultKind.BURST: self._burst,
+        }
+        [name] = fault.targets
+        if name in self._reserved:
+            return
+        self._reserved.add(name)
+        try:
+            await handlers[fault.kind](name, fault.duration_s)
+        finally:
+            self._reserved.discard(name)
+
+    def find_faults(self) -> Iterator[str]:
+        """Yield what is wrong with the processes after the last fault."""
+        for name in self._fronts:
+            try:
+                wait_until(partial(self._is_ready, name), f"{name} is not ready")
+            except AssertionError as exc:
+                yield str(exc)
+        for name, process in self.processes.items():
+            if not process.running:
+                yield f"{name} ended unexpectedly: {process.output()[-300:]}"
+            if "InvariantError" in process.output():
+                yield f"{name} violated an invariant, see its log"
+
+    # Faults.
+
+    async def _kill(self, name: str, duration_s: float) -> None:
+        await asyncio.to_thread(self.processes[name].kill)
+        await asyncio.sleep(duration_s)
+        self.processes[name].start()
+
+    async def _pause(self, name: str, duration_s: float) -> None:
+        self.processes[name].freeze()
+        await asyncio.sleep(duration_s)
+        self.processes[name].thaw()
+
+    async def _slow_down(self, name: str, duration_s: float) -> None:
+        [upstream] = [item for item in self.upstreams if item.name == name]
+        upstream.slowness = SLOWNESS
+        await asyncio.sleep(duration_s)
+        upstream.slowness = 1.0
+
+    async def _burst(self, name: str, duration_s: float) -> None:
+        assert self._callers is not None
+        self._callers.factors[name] = BURST_FACTOR
+        await asyncio.sleep(duration_s)
+        self._callers.factors[name] = 1.0
+
+    # Processes and their settings.
+
+    def _add_control(self, rpc: str) -> None:
+        self._add(
+            "control",
+            "control",
+            rpc,
+            f'data_dir = "{self._folder / "control"}"\nrpc = "{rpc}"\n'
+            f'http = "{self._control}"\nopen_group = true\nbootstrap = true\n'
+            f"tolerated_losses = 0\nbeat_s = {HEARTBEAT_S}\n",
+        )
+
+    def _add_gateway(self, name: str, rpc: str) -> None:
+        self._fronts[name] = f"127.0.0.1:{free_port()}"
+        self._ready[name] = f"127.0.0.1:{free_port()}"
+        self._add(
+            name,
+            "gateway",
+            rpc,
+            f'http = "{self._fronts[name]}"\nready = "{self._ready[name]}"\n'
+            f'gossip = "127.0.0.1:{free_port()}"\ngateways = {GATEWAYS}\n',
+        )
+
+    def _add(self, name: str, role: str, rpc: str, table: str) -> None:
+        path = self._folder / f"{name}.toml"
+        path.write_text(
+            f'[node]\nname = "{name}"\nzone = "zone-1"\n'
+            f'[log]\nfile = "{self._folder / name}.jsonl"\n'
+            f'[fleet]\ntrust_network = true\ncontrols = ["{rpc}"]\n[{role}]\n{table}'
+        )
+        argv = [sys.executable, str(ROOT / "platform" / "run.py"), role, CONTRACTS]
+        argv = argv if role == "gateway" else argv[:-1]
+        log = self._folder / f"{name}.log"
+        self.processes[name] = Process(name, argv, log, {SETTINGS: str(path)})
+
+    def _declare(self) -> bool:
+        return self._post("/v1/Config.Put", self._document())
+
+    def _document(self) -> dict[str, Any]:
+        return {
+            "version": 1,
+            "routes": [
+                {
+                    "name": route.name,
+                    "host": HOST,
+                    "pathPrefix": f"/{route.name}/",
+                    "kind": "unsafe" if route.once else "safe",
+                    "timeoutMs": DEADLINE_S * 1_000,
+                    "sloMs": OBJECTIVE_S * 1_000,
+                    "priority": route.rank,
+                    "service": POOL,
+                    "attempts": 1 if route.once else 2,
+                }
+                for route in ROUTES
+            ],
+            "services": [{"name": POOL, "maxConns": 120}],
+            "tenants": [
+                {"name": name, "apiKeys": [api_key(name)]} for name in self.workspaces
+            ],
+        }
+
+    async def _announce(self) -> None:
+        """Send the heartbeats of all upstreams until cancelled."""
+        seq = 0
+        while True:
+            seq += 1
+            for upstream in self.upstreams:
+                await asyncio.to_thread(self._beat, upstream, seq)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _beat(self, upstream: LimitedUpstream, seq: int) -> None:
+        beat = {
+            "service": POOL,
+            "address": upstream.address,
+            "zone": "zone-1",
+            "seq": seq,
+            "slots": SLOTS,
+        }
+        self._post(f"/v1/Instances.Heartbeat/{upstream.name}", beat)
+
+    def _post(self, path: str, body: dict[str, Any]) -> bool:
+        try:
+            got = httpx2.post(
+                f"http://{self._control}{path}", json=body, timeout=2.0, trust_env=False
+            )
+        except httpx2.HTTPError:
+            return False
+        return got.status_code == httpx2.codes.OK
+
+    def _is_ready(self, name: str) -> bool:
+        """Whether a gateway is ready and knows upstreams that serve a call."""
+        headers = {
+            "host": HOST,
+            "x-request-id": f"probe-{name}",
+            "x-api-key": api_key(self.workspaces[0]),
+        }
+        try:
+            ready = httpx2.get(
+                f"http://{self._ready[name]}", timeout=2.0, trust_env=False
+            )
+            got = httpx2.get(
+                f"http://{self._fronts[name]}/urgent/1",
+                headers=headers,
+                timeout=DEADLINE_S + 1.0,
+                trust_env=False,
+            )
+        except httpx2.HTTPError:
+            return False
+        return ready.status_code == got.status_code == httpx2.codes.OK
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Protocol
 
 MAX_FAULT_S = 5.0
 """Longer than all leases and silence limits except those of upstreams."""
@@ -23,8 +24,9 @@
 
     MASS_KILL kills most entries together.  RELOAD sends SIGHUP.  WIPE deletes the data
     of a control replica.  CHANGE adds a workspace; RACE adds two concurrently.  SILENT
-    and the kinds after it are faults of links; SILENT_OPEN silences only connections
-    that are already open.
+    to CUT are faults of links; SILENT_OPEN silences only connections that are already
+    open.  SLOWDOWN makes an upstream slower, which it states; BURST raises the rate of
+    a workspace's callers.
     """
 
     KILL = "kill"
@@ -40,6 +42,8 @@
     ONE_WAY = "one_way"
     SLOW = "slow"
     CUT = "cut"
+    SLOWDOWN = "slowdown"
+    BURST = "burst"
 
 
 LINK_FAULTS = frozenset(
@@ -87,6 +91,31 @@
         return targets
 
 
+@dataclass(frozen=True, slots=True)
+class GatewayTargets:
+    """Names of what gets the faults of a soak run of gateways."""
+
+    gateways: tuple[str, ...]
+    upstreams: tuple[str, ...]
+    workspaces: tuple[str, ...]
+
+    def by_kind(self) -> Mapping[FaultKind, Sequence[str]]:
+        """Return the targets by kind of fault."""
+        return {
+            FaultKind.KILL: self.gateways,
+            FaultKind.PAUSE: self.gateways,
+            FaultKind.SLOWDOWN: self.upstreams,
+            FaultKind.BURST: self.workspaces,
+        }
+
+
+class FaultTargets(Protocol):
+    """What a plan chooses the targets of its faults from."""
+
+    def by_kind(self) -> Mapping[FaultKind, Sequence[str]]:
+        """Return the targets by kind of fault; empty if the kind needs none."""
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One fault; ``start_s`` counts from the start of the run."""
@@ -97,7 +126,7 @@
     duration_s: float
 
 
-def make_plan(seed: int, targets: Targets, length_s: float) -> tuple[Fault, ...]:
+def make_plan(seed: int, targets: FaultTargets, length_s: float) -> tuple[Fault, ...]:
     """Return the faults of ``seed`` within ``length_s`` seconds, by start time.
 
     At most one control replica loses its disk, as the product guarantees nothing if
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -18,7 +18,7 @@
 import sys
 import time
 import uuid
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
@@ -44,10 +44,20 @@
 
 
 class Process:
-    """An operating-system process of a fleet, with a log file for its output."""
+    """An operating-system process of a fleet, with a log file for its output.
 
-    def __init__(self, name: str, argv: list[str], log: pathlib.Path) -> None:
+    ``env`` has environment variables that it gets besides those of this process.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        argv: list[str],
+        log: pathlib.Path,
+        env: Mapping[str, str] | None = None,
+    ) -> None:
         self.name = name
+        self._env = {**(env or {}), "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
         self._argv = argv
         self._log = log
         self._popen: subprocess.Popen[bytes] | None = None
@@ -65,7 +75,7 @@
 
     def start(self) -> None:
         """Start the process; append its output to its log file."""
-        env = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+        env = {**os.environ, **self._env}
         with open(self._log, "ab") as log:
             self._popen = subprocess.Popen(
                 self._argv, stdout=log, stderr=log, cwd=ROOT, env=env
