--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -124,6 +124,7 @@
         self._route = ""
         self._fingerprint = b""
         self._origin = ""
+        self._undecided = CapacityDecision()
         self._objective_s = 0.0
         self._arrived_at = asyncio.get_running_loop().time()
 
@@ -178,6 +179,7 @@
             await answer.refuse(origin.err_value)
             return origin.err_value.code
         job = self._route_request(call, route, table, holder, body, origin.ok_value)
+        self._undecided = job.undecided
         retry_after_s = self._retry_after_s(job)
         if retry_after_s is not None:
             stopping = problem(SHUTTING_DOWN, retry_after_s=retry_after_s)
@@ -314,7 +316,7 @@
     def _log(self, call: CallerRequest, answer: CallerAnswer, outcome: str) -> None:
         forwarder, table = self._forwarder, self._deps.declared.table
         now = asyncio.get_running_loop().time()
-        decision = CapacityDecision() if forwarder is None else forwarder.decision
+        decision = self._undecided if forwarder is None else forwarder.decision
         first_s = max(0.0, answer.started_at - self._arrived_at)
         metrics = self._deps.metrics
         metrics.request_ended(self._route, outcome, first_s, now - self._arrived_at)
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -36,7 +36,6 @@
     SendHistory,
     decide_next_step,
 )
-from gooseberrydale.request.capacity_decision import CapacityDecision
 from gooseberrydale.request.fingerprint import fingerprint_text
 from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.quarantine import Quarantine
@@ -84,12 +83,7 @@
         self._sender = Sender(job, answer, deps, self._may_move, charge)
         self._placer = Placer(job, deps.upstreams, deps.stats)
         self._placer.origin = job.origin
-        holder = job.workspace
-        self.decision = CapacityDecision(
-            pool=job.pool.name,
-            rank=job.rank,
-            workspace="" if holder is None else holder.name,
-        )
+        self.decision = job.undecided
         self.choices: list[Candidate] = []
         self.chosen_at = 0.0
         self.outcome = "unanswered"
--- a/gooseberrydale/process/gateway/routed_request.py
+++ b/gooseberrydale/process/gateway/routed_request.py
@@ -7,6 +7,7 @@
 from functools import cached_property
 
 from gooseberrydale.process.quota_client import QuotaDemand
+from gooseberrydale.request.capacity_decision import CapacityDecision
 from gooseberrydale.request.gateway_call import CallerRequest
 from gooseberrydale.request.prompt_parts import shared_parts
 from gooseberrydale.request.retry_after import REMAINING_TIME_FRACTION
@@ -63,6 +64,16 @@
         """Digests of the parts that its prompt shares with other requests."""
         return shared_parts(self.call.prompt)
 
+    @property
+    def undecided(self) -> CapacityDecision:
+        """What is known of a decision about its capacity before anything decides."""
+        holder = self.workspace
+        return CapacityDecision(
+            pool=self.pool.name,
+            rank=self.rank,
+            workspace="" if holder is None else holder.name,
+        )
+
     def left_s(self) -> float:
         """Seconds until the deadline; below 0 once it has passed."""
         return self.deadline_at - asyncio.get_running_loop().time()
--- a/tests/test_gateway_capacity.py
+++ b/tests/test_gateway_capacity.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import asdict
 
 from gooseberrydale.process.cfg import MetricsCfg
 from gooseberrydale.request.capacity_decision import CapacityDecision
+from gooseberrydale.request.draining import Drain
 from gooseberrydale.version.declared import KeyHolder
 from tests.builders_gateway import (
     KEY,
@@ -45,6 +47,24 @@
     run(main())
 
 
+def test_request_that_is_refused_before_it_is_forwarded_has_rank_and_workspace() -> (
+    None
+):
+    """Guards against refusals of any rank that count as those of rank 0."""
+
+    async def main() -> None:
+        with logged("request") as lines:
+            async with running_gateway(DOCUMENT) as gateway:
+                gateway._app.drain = Drain(-math.inf, -math.inf)
+                await call(gateway)
+                gateway._app.drain = None
+        assert lines[0]["outcome"] == "shutting_down"
+        expected = asdict(CapacityDecision(POOL, rank=1, workspace="dealers"))
+        assert expected.items() <= lines[0].items()
+
+    run(main())
+
+
 def test_refusal_for_lack_of_capacity_is_counted_with_its_rank() -> None:
     async def main() -> None:
         upstream = RawUpstream("u1", answer_correctly)
