--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -60,7 +60,8 @@
     """Forwards one request; ``run`` returns once the caller has its answer.
 
     Afterwards ``outcome`` names the result, ``choices`` holds the upstreams that were
-    chosen, and ``chosen_at`` is the time at which the first one was.
+    chosen, and ``chosen_at`` is the time at which the first one was.  ``decision`` has
+    the values that decided while requests competed for capacity.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self._sender = Sender(job, answer, deps, self._may_move, charge)
         self._placer = Placer(job, deps.upstreams, deps.stats)
         self._placer.origin = job.origin
+        self.decision = job.undecided
         self.choices: list[Candidate] = []
         self.chosen_at = 0.0
         self.outcome = "unanswered"
