Learn how much of their declared memory the engines of a pool hold

Reports count a shared prefix once for each request, so the fixed limit of 0.75 refused requests while engines had memory. The limit of a pool rises while engines near it report nothing waiting, and falls when they show that they are overloaded. Tokens that no other request shares are counted apart and never exceed what an engine declares.

--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -33,6 +33,7 @@
     RawHeaders,
     Terms,
 )
+from gooseberrydale.version.capacity.limits import FirstEvent
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.open_runs import Run, RunEnd
 from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE, StreamOrigin
@@ -110,6 +111,7 @@
         self._may_move = may_move
         self._charge = charge
         self._prefilled = False
+        self._first_event: FirstEvent | None = None
         self._run: Run | None = None
         # Whether this side broke the connection, as the upstream was silent.
         self._gave_up_silent = False
@@ -129,7 +131,9 @@
         self, record: UpstreamRecord, terms: Terms, work: Work
     ) -> End | None:
         """Send the request once; return None if the caller has the complete answer."""
-        load = self._deps.upstreams.load_of(record.name)
+        upstreams, pool = self._deps.upstreams, self._job.pool
+        load = upstreams.load_of(record.name)
+        self._first_event = upstreams.expect_first_event(pool, record, work, _now())
         self._prefilled = False
         self._run = None
         self._gave_up_silent = False
@@ -144,7 +148,6 @@
             return end
         finally:
             if self._run is not None:
-                upstreams = self._deps.upstreams
                 upstreams.run_ended(record.name, load, self._run, _now(), run_end)
             load.ended(work, prefilled=self._prefilled)
             load.silence.closed()
@@ -249,6 +252,9 @@
         self.framing, self.inside_event = raw.framing.value, False
         if head.load is not None:
             load.reported(head.load, _now())
+            self._deps.upstreams.note_load_report(
+                self._job.pool, record.name, head.load, _now()
+            )
             if head.load.slowness is not None:
                 self._deps.upstreams.speeds.stated(
                     record.pool, record.name, head.load.slowness, _now()
@@ -369,6 +375,9 @@
         if not self._prefilled:
             self._prefilled = True
             load.prefill_done(work)
+            if self._first_event is not None:
+                capacity = self._deps.upstreams.capacity
+                capacity.first_event(self._first_event, _now())
             self._deps.work_changed()
 
     def _note_begun(self) -> None:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -22,10 +22,15 @@
 from gooseberrydale.process.cfg import GatewayCfg
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.request.fingerprint import fingerprint_text
-from gooseberrydale.request.gateway_call import Prompt
+from gooseberrydale.request.gateway_call import Prompt, ReportedLoad
 from gooseberrydale.request.members import Members
 from gooseberrydale.request.placement import Candidate, Demand, rank_preferred
 from gooseberrydale.request.prompt_parts import parts_text
+from gooseberrydale.version.capacity.limits import (
+    MEMORY_FRACTION,
+    CapacityLimits,
+    FirstEvent,
+)
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
@@ -40,7 +45,7 @@
 from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 from gooseberrydale.version.stores import Stores
 from gooseberrydale.version.upstream_limits import UpstreamLimits
-from gooseberrydale.version.upstream_load import Load, UpstreamLoad
+from gooseberrydale.version.upstream_load import Load, UpstreamLoad, Work
 
 MS_PER_S = 1_000.0
 
@@ -128,6 +133,7 @@
             if sharing is not None
             else CapacitySharing(GatewayCfg(), self.speeds)
         )
+        self.capacity = CapacityLimits()
         self._pools: dict[str, _PoolView] = {}
         self._loads: dict[str, UpstreamLoad] = {}
         # The incarnation of each upstream that its entry in ``_loads`` belongs to.
@@ -229,11 +235,51 @@
             if load.suspect_until <= now and load.silence.report_dead(now):
                 load.avoid(now, REFUSED_AVOID_S, told=True)
 
+    def note_load_report(
+        self, pool: Pool, name: str, report: ReportedLoad, now: float
+    ) -> None:
+        """Learn from a load report how much the upstreams of ``pool`` hold."""
+        if self.sharing.reserves(pool.name):
+            self.capacity.reported(pool.name, self._held(pool, name, now), report, now)
+
+    def expect_first_event(
+        self, pool: Pool, record: UpstreamRecord, work: Work, now: float
+    ) -> FirstEvent | None:
+        """Return when the first event of a request that is sent now is expected.
+
+        None if nothing is learned about the pool.
+        """
+        if pool.engine is None or not self.sharing.reserves(pool.name):
+            return None
+        load, speed = self.load_at(record.name, now, work.rank), self._speed(
+            record, now
+        )
+        seconds = load.prefill_tokens / speed.prefill_tokens_per_s
+        seconds += work.prefill_tokens / speed.own_tokens_per_s
+        held = self._held(pool, record.name, now)
+        return FirstEvent(pool.name, held, now, seconds * speed.slowness)
+
+    def load_at(self, name: str, now: float, rank: int | None = None) -> Load:
+        """Return the load of an upstream as a request of ``rank`` finds it."""
+        peers = self._peers.at(name) if self._peers else None
+        return self.load_of(name).load(now, peers, rank=rank)
+
+    def _held(self, pool: Pool, name: str, now: float) -> float:
+        """Return how much of an upstream's declared memory is calculated to be used."""
+        if pool.engine is None or not pool.engine.kv_tokens:
+            return 0.0
+        return self.load_at(name, now).kv_tokens / pool.engine.kv_tokens
+
     def works(self) -> tuple[UpstreamWork, ...]:
         """This process's work at each upstream, to be sent to the other gateways."""
         ranked = self.sharing.reports_ranks
         return tuple(
-            UpstreamWork(name, *load.own_work, load.own_ranks if ranked else ())
+            UpstreamWork(
+                name,
+                *load.own_work,
+                load.own_ranks if ranked else (),
+                load.unshared_tokens if ranked else 0,
+            )
             for name, load in self._loads.items()
             if load.own_work[0]
         )
@@ -452,8 +498,14 @@
             usable=not avoided and not self.is_changing(record, now),
             software=record.software,
             speed=self._speed(record, now),
+            memory_fraction=self._memory_fraction(record.pool),
         )
 
+    def _memory_fraction(self, pool: str) -> float:
+        if not self.sharing.reserves(pool):
+            return MEMORY_FRACTION
+        return self.capacity.fraction(pool)
+
     def _speed(self, record: UpstreamRecord, now: float) -> Speed:
         if not self.sharing.learns_speeds(record.pool):
             return NEUTRAL
@@ -476,6 +528,7 @@
             requests=per_record * sum(work.requests for work in reported),
             prefill_tokens=per_record * sum(work.prefill_tokens for work in reported),
             kv_tokens=per_record * sum(work.kv_tokens for work in reported),
+            unshared_tokens=per_record * sum(work.unshared_tokens for work in reported),
         )
 
     def is_changing(self, record: UpstreamRecord, now: float) -> bool:
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -13,12 +13,12 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
+from gooseberrydale.version.capacity.limits import MEMORY_FRACTION, unshared_fraction
 from gooseberrydale.version.speeds.speed import NEUTRAL, Speed
 from gooseberrydale.version.upstream_load import Load, Work
 
@@ -59,9 +59,6 @@
 """Penalty of another availability zone: a round trip of two milliseconds, and traffic
 that is charged for."""
 
-MEMORY_FRACTION = 0.75
-"""Above this fraction of an engine's memory requests preempt each other."""
-
 SMALL_POOL_SIZE = 9
 """In a pool up to this size all candidates are compared."""
 
@@ -98,6 +95,7 @@
     ``outdated_for_s`` is the time since newer weights were announced, ``far`` says that
     the upstream is in another availability zone. ``usable`` is False while it is
     suspected to have failed or carries out an order.  ``speed`` is how fast it works.
+    ``memory_fraction`` is how much of its memory it holds, as calculated here.
     """
 
     name: str
@@ -114,6 +112,7 @@
     usable: bool = True
     software: str = ""
     speed: Speed = NEUTRAL
+    memory_fraction: float = MEMORY_FRACTION
 
     @property
     def lacks_prefix(self) -> bool:
@@ -159,12 +158,17 @@
         prompt = self.own_tokens + self.shared_tokens + self.common_tokens
         return prompt + self.new_tokens
 
+    @property
+    def unshared_tokens(self) -> int:
+        """Tokens of KV memory that it shares with no other request."""
+        return self.own_tokens + self.new_tokens
+
     def work_at(self, candidate: Candidate) -> Work:
         """Return the work that the request adds at an upstream."""
         prefill = self.own_tokens
         if candidate.lacks_prefix:
             prefill += self.shared_tokens
-        return Work(prefill, self.tokens, self.rank)
+        return Work(prefill, self.tokens, self.rank, self.unshared_tokens)
 
 
 def rank_preferred(candidates: Iterable[Candidate]) -> list[Candidate]:
@@ -264,15 +268,25 @@
     speed = candidate.speed
     seconds = load.prefill_tokens / speed.prefill_tokens_per_s * speed.slowness
     seconds += load.requests * SLOWDOWN_PER_REQUEST_S
-    fraction = MEMORY_FRACTION * (SPARE_FRACTION if demand.spare_only else 1.0)
-    capacity = candidate.kv_tokens * fraction if candidate.kv_tokens else math.inf
-    if load.kv_tokens + demand.tokens > capacity:
+    if _exceeds_memory(candidate, demand):
         seconds += FULL_PENALTY_S
     if candidate.slots and load.requests >= candidate.slots:
         seconds += FULL_PENALTY_S
     return seconds
 
 
+def _exceeds_memory(candidate: Candidate, demand: Demand) -> bool:
+    if not candidate.kv_tokens:
+        return False
+    load, fraction = candidate.load, candidate.memory_fraction
+    if demand.spare_only:
+        fraction *= SPARE_FRACTION
+    if load.kv_tokens + demand.tokens > candidate.kv_tokens * fraction:
+        return True
+    unshared_limit = candidate.kv_tokens * unshared_fraction(demand.rank)
+    return load.unshared_tokens + demand.unshared_tokens > unshared_limit
+
+
 def _service_wait_s(candidate: Candidate) -> float:
     """Return the wait for a slot; a service that is less busy also runs faster."""
     requests, slots = candidate.load.requests, candidate.slots
--- /dev/null
+++ b/gooseberrydale/version/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""How much upstreams hold, and how gateways divide it by reservations."""
--- a/gooseberrydale/version/peer_loads.py
+++ b/gooseberrydale/version/peer_loads.py
@@ -40,7 +40,8 @@
 class UpstreamWork(msgspec.Struct, frozen=True, array_like=True):
     """One gateway's work at one upstream: requests, and tokens.
 
-    ``ranks`` divides it by rank; what it does not list counts as most urgent.  Encoded
+    ``ranks`` divides it by rank; what it does not list counts as most urgent.
+    ``unshared_tokens`` are the tokens of memory that no other request shares.  Encoded
     without field names, as reports contain many of them.
     """
 
@@ -49,6 +50,7 @@
     prefill_tokens: int
     kv_tokens: int
     ranks: tuple[RankWork, ...] = ()
+    unshared_tokens: int = 0
 
 
 @message
@@ -141,6 +143,7 @@
     prefill_tokens: int = 0
     kv_tokens: int = 0
     ranks: dict[int, list[int]] = field(default_factory=dict)
+    unshared_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -267,6 +270,7 @@
         totals.requests += sign * work.requests
         totals.prefill_tokens += sign * work.prefill_tokens
         totals.kv_tokens += sign * work.kv_tokens
+        totals.unshared_tokens += sign * work.unshared_tokens
         for rank, *counts in work.ranks:
             _add_counts(totals.ranks, rank, [sign * count for count in counts])
         if not totals.requests:
@@ -287,6 +291,7 @@
                 known.prefill_tokens + work.prefill_tokens,
                 known.kv_tokens + work.kv_tokens,
                 _add_ranks(known.ranks, work.ranks),
+                known.unshared_tokens + work.unshared_tokens,
             )
         )
     return sums
--- a/gooseberrydale/version/upstream_load.py
+++ b/gooseberrydale/version/upstream_load.py
@@ -36,11 +36,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """Work at an upstream: requests, prompt tokens still to compute, memory tokens."""
+    """Work at an upstream: requests, prompt tokens still to compute, memory tokens.
+
+    ``unshared_tokens`` are the memory tokens that no other request shares, of all
+    ranks.
+    """
 
     requests: float
     prefill_tokens: float
     kv_tokens: float
+    unshared_tokens: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +55,7 @@
     prefill_tokens: int = 0
     kv_tokens: int = 0
     rank: int = 0
+    unshared_tokens: int = 0
 
 
 class UpstreamLoad:
@@ -64,6 +70,7 @@
         self._requests = 0
         self._prefill_tokens = 0
         self._kv_tokens = 0
+        self.unshared_tokens = 0
         # By rank: requests, tokens to compute, tokens of memory.
         self._ranks: dict[int, list[int]] = {}
         self._others = 0.0
@@ -83,6 +90,7 @@
         self._requests += 1
         self._prefill_tokens += work.prefill_tokens
         self._kv_tokens += work.kv_tokens
+        self.unshared_tokens += work.unshared_tokens
         self._count_rank(work.rank, 1, work.prefill_tokens, work.kv_tokens)
 
     def prefill_done(self, work: Work) -> None:
@@ -94,6 +102,7 @@
         """Record that a request has ended, ``prefilled`` if its answer had begun."""
         self._requests -= 1
         self._kv_tokens -= work.kv_tokens
+        self.unshared_tokens -= work.unshared_tokens
         prefill_tokens = 0 if prefilled else work.prefill_tokens
         self._prefill_tokens -= prefill_tokens
         self._count_rank(work.rank, -1, -prefill_tokens, -work.kv_tokens)
@@ -198,7 +207,12 @@
         if peers is None:
             age_s = now - self._reported_at
             others = self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
-            return Load(self._requests + others, self._prefill_tokens, self._kv_tokens)
+            return Load(
+                self._requests + others,
+                self._prefill_tokens,
+                self._kv_tokens,
+                self.unshared_tokens,
+            )
         more = unseen if unseen is not None else _NO_LOAD
         requests = self._requests + peers.requests
         prefill_tokens = self._prefill_tokens + peers.prefill_tokens
@@ -212,6 +226,9 @@
             requests=requests + more.requests,
             prefill_tokens=prefill_tokens + more.prefill_tokens,
             kv_tokens=kv_tokens + more.kv_tokens,
+            unshared_tokens=self.unshared_tokens
+            + peers.unshared_tokens
+            + more.unshared_tokens,
         )
 
     def _count_rank(
