Plan holds, refusals and retry times from the drain of the fleet

Gateways exchange how many requests begin and which retries they promised. A request is held if the drain clears what is ahead of it soon enough, and is refused at once otherwise, with a retry time at which a slot is free.

--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -51,6 +51,8 @@
 from gooseberrydale.request.connection_share import connection_share
 from gooseberrydale.request.draining import Drain
 from gooseberrydale.request.gateway_call import HeaderCodec
+from gooseberrydale.request.retry_plan.drain import FleetDrain
+from gooseberrydale.request.retry_plan.planner import NoBacklog, RetryPlans
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declared import CallerLimits, Pool
 from gooseberrydale.version.directory import (
@@ -202,6 +204,8 @@
         )
         self._fleet_source: tuple[UpstreamRecord, ...] = ()
         self._datagrams = GatewayDatagrams(own.gossip, self._known_fleet)
+        drain = FleetDrain()
+        self.retry_plan = RetryPlans(NoBacklog(), drain, self._rng)
         self._gossip = WorkGossip(
             self._datagrams,
             self._own_name,
@@ -209,6 +213,7 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
+            extras=(drain,),
         )
         self._areas = AreaGossip(
             self._datagrams,
@@ -216,6 +221,7 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
+            extras=(drain,),
         )
         self._limit_gossip = LimitGossip(self._datagrams, self._upstreams.limits)
         self.quotas = QuotaClient(
--- /dev/null
+++ b/gooseberrydale/request/retry_plan/__init__.py
@@ -0,0 +1,1 @@
+"""Decides who waits for capacity, and when refused callers may retry."""
