Queue requests of shared pools by rank, share and due time

Requests that find no capacity wait in one queue for each pool at their gateway. Only the first ones look for an upstream when capacity may have become free. Gateways report what waits, and capacity goes first to better classes and longer waits elsewhere. Workspaces over their weighted max-min share come last in their rank.

--- a/gooseberrydale/connection/area_gossip.py
+++ b/gooseberrydale/connection/area_gossip.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from gooseberrydale.connection.gateway_datagrams import FleetView, GatewayDatagrams
 from gooseberrydale.connection.work_gossip import (
@@ -46,7 +46,8 @@
 class AreaGossip:
     """Sends sums of work between zones while this gateway is the relay of its zone.
 
-    On other gateways it only merges the sums that the relay forwards.
+    On other gateways it only merges the sums that the relay forwards.  ``merged`` is
+    called after sums are merged.
     """
 
     def __init__(
@@ -57,7 +58,9 @@
         view: LocalWork,
         fleet: FleetView,
         extras: Collection[ReportExtra] = (),
+        merged: Callable[[], None] | None = None,
     ) -> None:
+        self._merged = merged
         self._extras = {extra.name: extra for extra in extras}
         self._datagrams = datagrams
         self._loads = loads
@@ -149,6 +152,8 @@
             for name, data in report.extras.items():
                 if name in self._extras:
                     self._extras[name].merge_area(report.area, data, now)
+            if self._merged is not None:
+                self._merged()
 
 
 class _SumReporter:
--- a/gooseberrydale/connection/work_gossip.py
+++ b/gooseberrydale/connection/work_gossip.py
@@ -59,7 +59,7 @@
     """Sends and receives reports of work.
 
     The caller calls ``changed`` at each change; ``view`` and ``extras`` are read when a
-    report is due.
+    report is due.  ``merged`` is called after the report of another gateway is merged.
     """
 
     def __init__(
@@ -71,7 +71,9 @@
         view: LocalWork,
         fleet: FleetView,
         extras: Collection[ReportExtra] = (),
+        merged: Callable[[], None] | None = None,
     ) -> None:
+        self._merged = merged
         self._extras = {extra.name: extra for extra in extras}
         self._datagrams = datagrams
         self._name = name
@@ -117,6 +119,8 @@
             for name, data in report.extras.items():
                 if name in self._extras:
                     self._extras[name].merge_own(report.name, data, now)
+            if self._merged is not None:
+                self._merged()
 
     async def _repeat(self) -> None:
         loop = asyncio.get_running_loop()
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -93,7 +93,7 @@
             try:
                 placement = await self._placer.place()
             except NoCapacityError as exc:
-                await self._refuse_no_capacity(exc.permit_s)
+                await self._refuse_no_capacity(exc)
                 return
             except QuarantinedError as exc:
                 await self._refuse_quarantined(exc.why)
@@ -177,16 +177,16 @@
             await self._answer.refuse(problem(OUTCOME_UNKNOWN, not_run=None))
         return True
 
-    async def _refuse_no_capacity(self, permit_s: float | None) -> None:
-        """Refuse the request with a time to retry instead of holding it for long.
-
-        ``permit_s`` is the time until a rate-limited upstream takes another
-        request, if known.
-        """
+    async def _refuse_no_capacity(self, exc: NoCapacityError) -> None:
+        """Refuse the request with a time to retry instead of holding it for long."""
         self.outcome = NO_ROOM.code
         if await self._answer_if_sent():
             return
-        after_s = after_no_capacity_s(self._job.left_s(), self._upstreams.rng, permit_s)
+        after_s = exc.after_s
+        if after_s is None:
+            after_s = after_no_capacity_s(
+                self._job.left_s(), self._upstreams.rng, exc.permit_s
+            )
         pool = self._job.pool.name
         await self._answer.refuse(problem(NO_ROOM, pool=pool, retry_after_s=after_s))
 
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -28,12 +28,13 @@
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.origin_client import OriginClient
 from gooseberrydale.process.gateway.origin_file import OriginFile
-from gooseberrydale.process.gateway.placer import ObservedStats
+from gooseberrydale.process.gateway.placer import ObservedStats, SharedCapacity
 from gooseberrydale.process.gateway.prober import Prober
 from gooseberrydale.process.gateway.request_metrics import (
     DisabledMetrics,
     RecordedMetrics,
 )
+from gooseberrydale.process.gateway.request_queue import RequestQueue
 from gooseberrydale.process.gateway.resumption import Resumption
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendDeps
@@ -202,6 +203,11 @@
         )
         self._fleet_source: tuple[UpstreamRecord, ...] = ()
         self._datagrams = GatewayDatagrams(own.gossip, self._known_fleet)
+        self._queue = RequestQueue(
+            lambda: len(self._known_fleet().near), lambda: self._gossip.changed()
+        )
+        self._extras = (*self._queue.extras,)
+        merged = self._queue.capacity_changed
         self._gossip = WorkGossip(
             self._datagrams,
             self._own_name,
@@ -209,6 +215,8 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
+            self._extras,
+            merged,
         )
         self._areas = AreaGossip(
             self._datagrams,
@@ -216,6 +224,8 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
+            self._extras,
+            merged,
         )
         self._limit_gossip = LimitGossip(self._datagrams, self._upstreams.limits)
         self.quotas = QuotaClient(
@@ -244,9 +254,11 @@
             dialect.wire,
             self._upstreams,
             self._conns,
-            ObservedStats(RunTimes(), MeanWork(), WaitLimits()),
+            ObservedStats(
+                RunTimes(), MeanWork(), WaitLimits(), SharedCapacity(self._queue)
+            ),
             self._origins,
-            self._gossip.changed,
+            self._work_changed,
             self._connections,
         )
         self._sharing = SharingGateways(own.gateways)
@@ -329,6 +341,7 @@
         await self._limit_gossip.close()
         await self._areas.close()
         await self._gossip.close()
+        self._queue.close()
         self._datagrams.close()
         await self._store.close()
         await self._declared.close()
@@ -413,6 +426,11 @@
             self._fleet = Fleet(self._fleet.own, peers)
         return self._fleet
 
+    def _work_changed(self) -> None:
+        """Report a change of this gateway's work, and use what it may have freed."""
+        self._gossip.changed()
+        self._queue.capacity_changed()
+
     def _declared_quotas(self) -> Mapping[str, Quota]:
         table = self._declared.table
         return {} if table is None else table.quotas
--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -1,17 +1,27 @@
 """Chooses the upstream that a request is sent to next, and waits for one to be usable.
 
-There is one placer per request.  The rules are in ``request/placement.py`` and
-``request/hold_policy.py``; the placer applies them repeatedly while the request waits.
+There is one placer per request.  The rules are in ``request/placement.py``,
+``request/hold_policy.py`` and ``request/waiting``; the placer applies them repeatedly
+while the request waits.
 """
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
+import math
+from dataclasses import dataclass, field, replace
 
 from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.process.gateway.request_queue import NewTicket, RequestQueue, Visit
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
 from gooseberrydale.process.gateway.upstreams import UpstreamQuery, Upstreams, demand_of
+from gooseberrydale.request.capacity_ports import (
+    Need,
+    Refuse,
+    Reservations,
+    RetryPlan,
+    RetryQuery,
+)
 from gooseberrydale.request.hold_policy import (
     Goal,
     Step,
@@ -30,9 +40,20 @@
     queue_s,
 )
 from gooseberrydale.request.quarantine import Quarantine, quarantine
+from gooseberrydale.request.waiting.neutral import AlwaysHold, NoReservations
+from gooseberrydale.request.waiting.turn import (
+    Prospect,
+    free_at,
+    free_now,
+    has_to_wait,
+    is_late,
+    may_pass,
+)
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.origins.origin import StreamOrigin
+from gooseberrydale.version.quotas.quota import QuotaUnit
 from gooseberrydale.version.run_times import RunTimes
+from gooseberrydale.version.upstream_load import Load
 from gooseberrydale.version.wait_limits import WaitLimits
 
 HOLD_S = 0.8
@@ -46,14 +67,31 @@
 
 HOLD_POLL_INTERVAL_S = 0.02
 
+MIN_LEFT_S = 0.05
+"""A request that waits leaves the queue when it has this much more time left than its
+first event takes.  Its caller would get an answer that was sent later only in part."""
+
+
+@dataclass(frozen=True, slots=True)
+class SharedCapacity:
+    """The parts that decide when a request may use capacity that others want too."""
+
+    queue: RequestQueue
+    reservations: Reservations = field(default_factory=NoReservations)
+    retries: RetryPlan = field(default_factory=AlwaysHold)
+
 
 @dataclass(frozen=True, slots=True)
 class ObservedStats:
-    """Statistics that the process collects about routes and pools."""
+    """Statistics that the process collects about routes and pools.
+
+    Without ``capacity``, no request waits in a queue.
+    """
 
     run_times: RunTimes
     mean_work: MeanWork
     patience: WaitLimits
+    capacity: SharedCapacity | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,12 +106,16 @@
     """Every upstream that was considered would answer too late.
 
     ``permit_s`` is the time in seconds until one of them takes another request,
-    if all of them limit their rate.
+    if all of them limit their rate.  ``after_s`` is the time in seconds after which
+    the caller may retry, None if it is not planned.
     """
 
-    def __init__(self, permit_s: float | None = None) -> None:
+    def __init__(
+        self, permit_s: float | None = None, after_s: float | None = None
+    ) -> None:
         super().__init__()
         self.permit_s = permit_s
+        self.after_s = after_s
 
 
 class QuarantinedError(Exception):
@@ -105,14 +147,18 @@
         self._demand: Demand = replace(
             demand_of(job.call.prompt), run_s=run_s, rank=job.rank
         )
+        queued = upstreams.sharing.queues(job.pool.name)
+        self._capacity = stats.capacity if queued else None
         self._prior_wait_s = 0.0
-        if self._demand.is_prompt:
+        if self._demand.is_prompt or self._capacity is not None:
             self._prior_wait_s = stats.patience.prior_wait_s(
                 job.route.name, job.call.wait_s
             )
         self._mean_tokens: float | None = None
         self._left_s = 0.0
         self._tries_parts = False
+        # Time from the start of the request to its first event, at the last candidate.
+        self._own_s = own_s(Candidate("", Load(0.0, 0.0, 0.0)), self._demand)
         self.tried: list[str] = []
         self.origin: StreamOrigin | None = None
 
@@ -129,6 +175,8 @@
         :class:`QuarantinedError` once this or another gateway has quarantined the
         request, also during the wait.
         """
+        if self._capacity is not None and not self._is_continued():
+            return await self._place_in_turn(self._capacity)
         while True:
             candidates = await self._usable_candidates()
             chosen = self._choose([candidate for _, candidate in candidates])
@@ -137,21 +185,157 @@
                 return None
             match self._next_step(chosen):
                 case Step.SEND:
-                    record = next(r for r, c in candidates if c.name == chosen.name)
-                    self.tried.append(record.name)
-                    self._upstreams.limits.sent(record.name, _now())
-                    return Placement(record, chosen)
+                    return self._placed(candidates, chosen)
                 case Step.REFUSE:
                     raise NoCapacityError
             await asyncio.sleep(poll_delay_s(self._left_s, self._upstreams.rng))
 
+    def _placed(self, candidates: _Candidates, chosen: Candidate) -> Placement:
+        record = next(r for r, c in candidates if c.name == chosen.name)
+        self.tried.append(record.name)
+        self._upstreams.limits.sent(record.name, _now())
+        if self._capacity is not None:
+            job = self._job
+            self._capacity.retries.began(job.pool.name, job.rank, _now())
+        return Placement(record, chosen)
+
+    def _is_continued(self) -> bool:
+        """Whether the request was sent before, by this or another gateway."""
+        resumed = self._job.call.last_event_id is not None
+        return bool(self.tried) or resumed or self.origin is not None
+
+    async def _place_in_turn(self, shared: SharedCapacity) -> Placement | None:
+        """Return the upstream once it is the request's turn in the queue of its pool.
+
+        While no candidate is usable, the request waits for one for a limited time.
+        """
+        job = self._job
+        usable_by = _now() + min(HOLD_S, job.left_s() * HOLD_FRACTION)
+        fair = self._upstreams.sharing.is_fair(job.pool.name)
+        with shared.queue.visit(job.pool.name, self._ticket(), fair=fair) as visit:
+            while True:
+                self._raise_if_quarantined()
+                if visit.is_first():
+                    candidates = self._candidates()
+                    if _any_usable(candidates) or _now() >= usable_by:
+                        chosen = self._choose([c for _, c in candidates])
+                        if chosen is None:
+                            self._raise_if_rate_limited(_now())
+                            return None
+                        if await self._may_send(shared, visit, candidates, chosen):
+                            visit.sent()
+                            return self._placed(candidates, chosen)
+                    elif not candidates:
+                        self._raise_if_rate_limited(usable_by)
+                self._raise_if_hopeless(shared, visit)
+                await visit.wait(job.deadline_at - self._own_s - MIN_LEFT_S)
+
+    def _ticket(self) -> NewTicket:
+        job = self._job
+        since = job.arrived_at - self._prior_wait_s
+        objective_s = self._goal.objective_s
+        due_at = since + objective_s - self._own_s if objective_s else math.inf
+        holder = job.workspace
+        weight = 0
+        if holder is not None and holder.quota is not None:
+            in_tokens = holder.quota.unit is QuotaUnit.TOKENS
+            weight = math.ceil(holder.quota.per_s) if in_tokens else 0
+        return NewTicket(
+            job.rank,
+            "" if holder is None else holder.name,
+            self._demand.tokens,
+            since,
+            due_at,
+            weight,
+        )
+
+    async def _may_send(
+        self,
+        shared: SharedCapacity,
+        visit: Visit,
+        candidates: _Candidates,
+        chosen: Candidate,
+    ) -> bool:
+        """Whether to send a request, the first that waits here, to ``chosen`` now."""
+        job, demand = self._job, self._demand
+        wait = Wait(_now() - job.arrived_at, self._prior_wait_s)
+        self._own_s = own_s(chosen, demand)
+        urgent = visit.more_urgent_waits() or self._lacks_urgent_capacity(shared)
+        small = demand.is_prompt and self._is_small(chosen) and not urgent
+        prospect = Prospect(queue_s(chosen, demand), self._own_s, small)
+        if has_to_wait(prospect, wait, self._goal):
+            return False
+        ahead = visit.ahead_elsewhere()
+        if ahead.requests > 0.0:
+            free = min(
+                shared.reservations.free_requests(job.pool.name, job.rank, _now()),
+                free_now((c for _, c in candidates), demand),
+            )
+            if not may_pass(demand.tokens, free, ahead):
+                return False
+        if not await self._is_reserved(shared, chosen):
+            return False
+        if is_late(self._own_s, wait, self._goal):
+            self._demand = replace(demand, spare_only=True)
+        return True
+
+    def _lacks_urgent_capacity(self, shared: SharedCapacity) -> bool:
+        """Whether a more urgent request of the pool would have to wait now."""
+        pool, rank = self._job.pool.name, self._job.rank
+        free = shared.reservations.free_requests
+        return any(
+            free(pool, urgent, _now()) < 1.0
+            for urgent in shared.queue.ranks(pool)
+            if urgent < rank
+        )
+
+    async def _is_reserved(self, shared: SharedCapacity, chosen: Candidate) -> bool:
+        """Reserve capacity at ``chosen``; return whether it may be used.
+
+        While the reservation was made, ``chosen`` may have become unusable.
+        """
+        job, demand, began = self._job, self._demand, _now()
+        pool = job.pool.name
+        if not self._upstreams.sharing.reserves(pool):
+            return True
+        prefill = demand.work_at(chosen).prefill_tokens
+        need = Need(job.rank, demand.tokens, prefill)
+        free = free_at(chosen, demand)
+        if not await shared.reservations.reserve(pool, chosen.name, need, free):
+            return False
+        if _now() == began:
+            return True
+        return any(c.name == chosen.name and c.usable for _, c in self._candidates())
+
+    def _raise_if_hopeless(self, shared: SharedCapacity, visit: Visit) -> None:
+        """Raise :class:`NoCapacityError` if the request should not wait."""
+        job, now = self._job, _now()
+        left_s = job.left_s()
+        if left_s <= self._own_s + MIN_LEFT_S:
+            raise NoCapacityError
+        if not self._upstreams.sharing.plans_retries(job.pool.name):
+            return
+        query = RetryQuery(
+            pool=job.pool.name,
+            rank=job.rank,
+            over_share=visit.is_over_share(),
+            waited_s=now - job.arrived_at,
+            prior_wait_s=self._prior_wait_s,
+            own_s=self._own_s,
+            objective_s=self._goal.objective_s,
+            deadline_s=left_s,
+        )
+        decision = shared.retries.decide(query, now)
+        if isinstance(decision, Refuse):
+            raise NoCapacityError(after_s=decision.after_s)
+
     def has_others(self) -> bool:
         """Whether an upstream that was not tried may take the request."""
         return bool(self._candidates())
 
     def any_usable(self) -> bool:
         """Whether an upstream that was not tried would take the request now."""
-        return any(candidate.usable for _, candidate in self._candidates())
+        return _any_usable(self._candidates())
 
     def _choose(self, candidates: list[Candidate]) -> Candidate | None:
         return choose(candidates, self._demand, self._upstreams.rng)
@@ -192,7 +376,7 @@
             return []
         until = _now() + min(HOLD_S, self._job.left_s() * HOLD_FRACTION)
         candidates = self._allowed_candidates()
-        while not any(c.usable for _, c in candidates) and _now() < until:
+        while not _any_usable(candidates) and _now() < until:
             if not candidates:
                 self._raise_if_rate_limited(until)
             await asyncio.sleep(HOLD_POLL_INTERVAL_S)
@@ -216,11 +400,14 @@
         and arrive at any gateway, so the reports of other gateways may quarantine it
         while it waits here.
         """
+        self._raise_if_quarantined()
+        return self._candidates()
+
+    def _raise_if_quarantined(self) -> None:
         job = self._job
         why = quarantine(self._upstreams.ended_incarnations, job.fingerprint, job.parts)
         if why is not None and not self._is_trial(why):
             raise QuarantinedError(why)
-        return self._candidates()
 
     def _is_trial(self, why: Quarantine) -> bool:
         """Whether the request is sent once in spite of its quarantined parts."""
@@ -250,5 +437,9 @@
         )
 
 
+def _any_usable(candidates: _Candidates) -> bool:
+    return any(candidate.usable for _, candidate in candidates)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/gooseberrydale/request/fair_queue.py
+++ b/gooseberrydale/request/fair_queue.py
@@ -4,7 +4,7 @@
 tag of its workspace, whichever is greater.  The work with the lowest start tag starts
 first.  Its finish tag is its start tag plus ``tokens / share``.  The virtual time is
 the start tag of the work that started last; each priority has its own virtual time.
-Pure; used by a sidecar's gate.
+Pure.  A sidecar's gate uses the queue; the queues of gateways use its start tags.
 """
 
 from __future__ import annotations
@@ -42,26 +42,40 @@
 
 
 @dataclass(slots=True)
-class _Tags:
+class StartTags:
     """Virtual time of one priority, and the last finish tag of each workspace."""
 
     virtual: float = 0.0
     finish: dict[str, float] = field(default_factory=dict)
 
-    def start_tag(self, workspace: str) -> float:
+    def next_tag(self, workspace: str) -> float:
+        """Return the start tag that the next work of a workspace gets."""
         return max(self.virtual, self.finish.get(workspace, 0.0))
 
-    def prune(self) -> None:
+    def offered(self, workspace: str, cost: float) -> float:
+        """Count work that is offered, and return its start tag."""
+        start = self.next_tag(workspace)
+        self.finish[workspace] = start + cost
+        return start
+
+    def started(self, start_tag: float) -> None:
+        """Advance the virtual time to work that starts; drop idle workspaces."""
+        self.virtual = max(self.virtual, start_tag)
         if len(self.finish) > PRUNE_THRESHOLD_WORKSPACES:
             self.finish = {w: t for w, t in self.finish.items() if t > self.virtual}
 
+    def refund(self, workspace: str, cost: float) -> None:
+        """Take back the cost of work that leaves without starting."""
+        if workspace in self.finish:
+            self.finish[workspace] -= cost
+
 
 class FairQueue:
     """The waiting work of one upstream.  The caller limits its length."""
 
     def __init__(self) -> None:
         self._items: dict[str, QueuedWork] = {}
-        self._tags: dict[int, _Tags] = {}
+        self._tags: dict[int, StartTags] = {}
         self._seq = 0
 
     def __len__(self) -> int:
@@ -80,9 +94,7 @@
 
     def push(self, work: Work, now: float) -> None:
         """Add work at its rank."""
-        tags = self._tags_of(work)
-        start = tags.start_tag(work.workspace)
-        tags.finish[work.workspace] = start + _cost(work)
+        start = self._tags_of(work).offered(work.workspace, _cost(work))
         self._seq += 1
         rank = (-work.priority, start, self._seq)
         self._items[work.id] = QueuedWork(work, now, rank)
@@ -93,16 +105,15 @@
             return None
         first = min(self._items.values(), key=_rank)
         del self._items[first.work.id]
-        tags = self._tags_of(first.work)
-        tags.virtual = max(tags.virtual, first.rank[1])
-        tags.prune()
+        self._tags_of(first.work).started(first.rank[1])
         return first
 
     def remove(self, work_id: str) -> QueuedWork | None:
         """Remove and return the given work, and refund its cost to its workspace."""
         removed = self._items.pop(work_id, None)
         if removed is not None:
-            self._refund(removed)
+            work = removed.work
+            self._tags_of(work).refund(work.workspace, _cost(work))
         return removed
 
     def ahead_of(self, work: Work) -> tuple[int, int]:
@@ -119,17 +130,11 @@
         return last if last.rank > self._rank_of(work) else None
 
     def _rank_of(self, work: Work) -> tuple[int, float, int]:
-        start = self._tags_of(work).start_tag(work.workspace)
+        start = self._tags_of(work).next_tag(work.workspace)
         return -work.priority, start, self._seq + 1
 
-    def _tags_of(self, work: Work) -> _Tags:
-        return self._tags.setdefault(work.priority, _Tags())
-
-    def _refund(self, removed: QueuedWork) -> None:
-        tags = self._tags_of(removed.work)
-        workspace = removed.work.workspace
-        if workspace in tags.finish:
-            tags.finish[workspace] -= _cost(removed.work)
+    def _tags_of(self, work: Work) -> StartTags:
+        return self._tags.setdefault(work.priority, StartTags())
 
 
 def _cost(work: Work) -> float:
--- /dev/null
+++ b/gooseberrydale/request/waiting/backlog.py
@@ -0,0 +1,236 @@
+"""What waits for capacity at all gateways, by pool, rank and class.
+
+One object per process; no I/O.  It is exchanged with the reports of work.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from gooseberrydale.request.capacity_ports import Ahead
+from gooseberrydale.request.waiting.pace import Interval, Pace, name_hash
+from gooseberrydale.request.waiting.queue import WaitClass, Waiting
+from gooseberrydale.version.peer_loads import OTHER_ZONES
+
+REPORT_TTL_S = 0.5
+"""How long a report is used.  No request waits longer than this for a gateway that has
+stopped or can't be reached."""
+
+REPORT_INTERVAL = Interval(min_s=0.05, max_s=0.4, recipients_per_s=100.0)
+"""A request waits for about that long until others know of it, so the minimum is the
+interval of sums between zones.  The maximum is below the time for which a report is
+used."""
+
+MAX_POOLS = 64
+MAX_CLASSES = 64
+MAX_REQUESTS = 100_000
+MAX_TOKENS = 2**40
+MAX_WAIT_S = 600.0
+"""Bounds of what is accepted from another gateway."""
+
+CS_PER_S = 100.0
+CLASSES_PER_RANK = 4
+
+PoolWaiting = Mapping[WaitClass, Waiting]
+
+_Entry = tuple[int, int, int, int]
+"""The number of a class, requests, tokens, oldest wait in hundredths of a second."""
+
+_Report = list[tuple[int, list[_Entry]]]
+"""The hash of a pool's name, and an entry for each class."""
+
+_decoder = msgspec.msgpack.Decoder(_Report)
+
+
+@dataclass(frozen=True, slots=True)
+class _Reported:
+    at: float
+    pools: dict[int, dict[WaitClass, Waiting]]
+
+    def of(self, pool: int, now: float) -> dict[WaitClass, Waiting]:
+        """Return the report about a pool as of now; empty once it is too old."""
+        age_s = now - self.at
+        if age_s >= REPORT_TTL_S:
+            return {}
+        return {
+            key: Waiting(waiting.requests, waiting.tokens, waiting.oldest_s + age_s)
+            for key, waiting in self.pools.get(pool, {}).items()
+        }
+
+
+class FleetBacklog:
+    """The waiting work of this gateway and what the others report of theirs.
+
+    ``own`` returns what waits here, by the name of its pool; ``recipients`` how many
+    gateways receive the reports of this one.
+    """
+
+    name = "backlog"
+
+    def __init__(
+        self,
+        own: Callable[[float], Mapping[str, PoolWaiting]],
+        recipients: Callable[[], int],
+    ) -> None:
+        self._own = own
+        self._recipients = recipients
+        self._gateways: dict[str, _Reported] = {}
+        self._areas: dict[str, _Reported] = {}
+        self._paces = {audience: Pace() for audience in ("own", "zone", "elsewhere")}
+
+    def ahead_of(
+        self, pool: str, rank: int, over_share: bool, waited_s: float, now: float
+    ) -> Ahead:
+        """Return the waiting work that is served before such a request.
+
+        The request is assumed to meet its objective still.
+        """
+        key = WaitClass(rank, over_share)
+        here = self._own(now).get(pool, {})
+        return _ahead([here, *self._elsewhere(pool, now)], key, waited_s)
+
+    def ahead_elsewhere(
+        self, pool: str, key: WaitClass, waited_s: float, now: float
+    ) -> Ahead:
+        """Return the work at other gateways that is served before a request."""
+        return _ahead(self._elsewhere(pool, now), key, waited_s)
+
+    def has_elsewhere(self, pool: str, now: float) -> bool:
+        """Return whether any request waits for a pool at another gateway."""
+        return any(self._elsewhere(pool, now))
+
+    def more_urgent_elsewhere(self, pool: str, rank: int, now: float) -> bool:
+        """Return whether a more urgent request waits at another gateway."""
+        return any(key.rank < rank for r in self._elsewhere(pool, now) for key in r)
+
+    def own(self, now: float) -> bytes:
+        """Return what waits here, once it is due to be reported."""
+        pools = {name_hash(pool): sums for pool, sums in self._own(now).items() if sums}
+        return self._encode("own", pools, now)
+
+    def merge_own(self, gateway: str, data: bytes, now: float) -> None:
+        """Merge the report of a nearby gateway."""
+        pools = _decode(data)
+        if pools is not None:
+            self._gateways[gateway] = _Reported(now, pools)
+        self._expire(now)
+
+    def zone(self, now: float) -> bytes:
+        """Return what waits at the gateways of this zone."""
+        pools = _add_up(self._gateways.values(), now)
+        for pool, sums in self._own(now).items():
+            _add_to(pools.setdefault(name_hash(pool), {}), sums)
+        return self._encode("zone", pools, now)
+
+    def elsewhere(self, now: float) -> bytes:
+        """Return what waits at the gateways of other zones."""
+        return self._encode("elsewhere", _add_up(self._areas.values(), now), now)
+
+    def merge_area(self, area: str, data: bytes, now: float) -> None:
+        """Merge the sums of an area; one of all other zones replaces single ones."""
+        pools = _decode(data)
+        if pools is None:
+            return
+        for known in list(self._areas):
+            if OTHER_ZONES in (area, known) and known != area:
+                del self._areas[known]
+        self._areas[area] = _Reported(now, pools)
+
+    def _elsewhere(self, pool: str, now: float) -> list[dict[WaitClass, Waiting]]:
+        if not self._gateways and not self._areas:
+            return []
+        key = name_hash(pool)
+        reported = (*self._gateways.values(), *self._areas.values())
+        return [sums for report in reported if (sums := report.of(key, now))]
+
+    def _encode(
+        self, audience: str, pools: Mapping[int, PoolWaiting], now: float
+    ) -> bytes:
+        content = {pool: sums for pool, sums in pools.items() if sums}
+        interval_s = REPORT_INTERVAL.of(self._recipients())
+        if not self._paces[audience].is_due(bool(content), interval_s, now):
+            return b""
+        report: _Report = [
+            (pool, [_entry(key, waiting) for key, waiting in sorted(sums.items())])
+            for pool, sums in content.items()
+        ]
+        return msgspec.msgpack.encode(report)
+
+    def _expire(self, now: float) -> None:
+        if any(now >= r.at + REPORT_TTL_S for r in self._gateways.values()):
+            self._gateways = {
+                gateway: report
+                for gateway, report in self._gateways.items()
+                if now < report.at + REPORT_TTL_S
+            }
+
+
+def _ahead(waiting: Iterable[PoolWaiting], key: WaitClass, waited_s: float) -> Ahead:
+    requests = tokens = 0.0
+    for sums in waiting:
+        for other, one in sums.items():
+            part = 1.0 if other < key else 0.0
+            if other == key and one.oldest_s > waited_s:
+                # Waits are assumed to be spread evenly up to the longest one.
+                longer = 1.0 - waited_s / one.oldest_s
+                part = max(longer, 1.0 / max(1, one.requests))
+            requests += part * one.requests
+            tokens += part * one.tokens
+    return Ahead(requests, tokens)
+
+
+def _add_up(
+    reports: Iterable[_Reported], now: float
+) -> dict[int, dict[WaitClass, Waiting]]:
+    pools: dict[int, dict[WaitClass, Waiting]] = {}
+    for report in reports:
+        for pool in report.pools:
+            _add_to(pools.setdefault(pool, {}), report.of(pool, now))
+    return pools
+
+
+def _add_to(sums: dict[WaitClass, Waiting], more: PoolWaiting) -> None:
+    for key, waiting in more.items():
+        sums[key] = sums[key] + waiting if key in sums else waiting
+
+
+def _entry(key: WaitClass, waiting: Waiting) -> _Entry:
+    number = key.rank * CLASSES_PER_RANK + 2 * key.over_share + key.late
+    oldest_cs = int(min(MAX_WAIT_S, waiting.oldest_s) * CS_PER_S)
+    return number, waiting.requests, waiting.tokens, oldest_cs
+
+
+def _decode(data: bytes) -> dict[int, dict[WaitClass, Waiting]] | None:
+    """Return a decoded report; None if it is invalid or out of bounds."""
+    try:
+        report = _decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
+    if len(report) > MAX_POOLS or any(len(rest) > MAX_CLASSES for _, rest in report):
+        return None
+    entries = [entry for _, rest in report for entry in rest]
+    if not all(_is_in_bounds(entry) for entry in entries):
+        return None
+    return {pool: {_class(e[0]): _waiting(e) for e in rest} for pool, rest in report}
+
+
+def _is_in_bounds(entry: _Entry) -> bool:
+    number, requests, tokens, oldest_cs = entry
+    return (
+        number >= 0
+        and 0 < requests <= MAX_REQUESTS
+        and 0 <= tokens <= MAX_TOKENS
+        and 0 <= oldest_cs <= MAX_WAIT_S * CS_PER_S
+    )
+
+
+def _class(number: int) -> WaitClass:
+    rank, bits = divmod(number, CLASSES_PER_RANK)
+    return WaitClass(rank, bits >= 2, bits % 2 == 1)
+
+
+def _waiting(entry: _Entry) -> Waiting:
+    return Waiting(entry[1], entry[2], entry[3] / CS_PER_S)
