--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -28,12 +28,13 @@
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.origin_client import OriginClient
 from gooseberrydale.process.gateway.origin_file import OriginFile
-from gooseberrydale.process.gateway.placer import ObservedStats
+from gooseberrydale.process.gateway.placer import ObservedStats, SharedCapacity
 from gooseberrydale.process.gateway.prober import Prober
 from gooseberrydale.process.gateway.request_metrics import (
     DisabledMetrics,
     RecordedMetrics,
 )
+from gooseberrydale.process.gateway.request_queue import RequestQueue
 from gooseberrydale.process.gateway.resumption import Resumption
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendDeps
@@ -52,7 +53,7 @@
 from gooseberrydale.request.draining import Drain
 from gooseberrydale.request.gateway_call import HeaderCodec
 from gooseberrydale.request.retry_plan.drain import FleetDrain
-from gooseberrydale.request.retry_plan.planner import NoBacklog, RetryPlans
+from gooseberrydale.request.retry_plan.planner import RetryPlans
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declared import CallerLimits, Pool
 from gooseberrydale.version.directory import (
@@ -204,8 +205,13 @@
         )
         self._fleet_source: tuple[UpstreamRecord, ...] = ()
         self._datagrams = GatewayDatagrams(own.gossip, self._known_fleet)
+        self._queue = RequestQueue(
+            lambda: len(self._known_fleet().near), lambda: self._gossip.changed()
+        )
         drain = FleetDrain()
-        self.retry_plan = RetryPlans(NoBacklog(), drain, self._rng)
+        self._retry_plan = RetryPlans(self._queue.backlog, drain, self._rng)
+        self._extras = (*self._queue.extras, drain)
+        merged = self._queue.capacity_changed
         self._gossip = WorkGossip(
             self._datagrams,
             self._own_name,
@@ -213,7 +219,8 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
-            extras=(drain,),
+            self._extras,
+            merged,
         )
         self._areas = AreaGossip(
             self._datagrams,
@@ -221,7 +228,8 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
-            extras=(drain,),
+            self._extras,
+            merged,
         )
         self._limit_gossip = LimitGossip(self._datagrams, self._upstreams.limits)
         self.quotas = QuotaClient(
@@ -250,9 +258,14 @@
             dialect.wire,
             self._upstreams,
             self._conns,
-            ObservedStats(RunTimes(), MeanWork(), WaitLimits()),
+            ObservedStats(
+                RunTimes(),
+                MeanWork(),
+                WaitLimits(),
+                SharedCapacity(self._queue, retries=self._retry_plan),
+            ),
             self._origins,
-            self._gossip.changed,
+            self._work_changed,
             self._connections,
         )
         self._sharing = SharingGateways(own.gateways)
@@ -335,6 +348,7 @@
         await self._limit_gossip.close()
         await self._areas.close()
         await self._gossip.close()
+        self._queue.close()
         self._datagrams.close()
         await self._store.close()
         await self._declared.close()
@@ -419,6 +433,11 @@
             self._fleet = Fleet(self._fleet.own, peers)
         return self._fleet
 
+    def _work_changed(self) -> None:
+        """Report a change of this gateway's work, and use what it may have freed."""
+        self._gossip.changed()
+        self._queue.capacity_changed()
+
     def _declared_quotas(self) -> Mapping[str, Quota]:
         table = self._declared.table
         return {} if table is None else table.quotas
--- a/gooseberrydale/request/retry_plan/planner.py
+++ b/gooseberrydale/request/retry_plan/planner.py
@@ -181,16 +181,6 @@
         self._drain.began(pool, rank, now)
 
 
-class NoBacklog:
-    """The backlog of a fleet whose gateways do not report what waits."""
-
-    def ahead_of(
-        self, pool: str, rank: int, over_share: bool, waited_s: float, now: float
-    ) -> Ahead:
-        """Return that nothing waits."""
-        return Ahead()
-
-
 def is_last_attempt(query: RetryQuery) -> bool:
     """Whether the caller was refused before and waited for its retry time.
 
