--- a/gooseberrydale/request/waiting/turn.py
+++ b/gooseberrydale/request/waiting/turn.py
@@ -19,7 +19,6 @@
 )
 from gooseberrydale.request.placement import (
     FULL_PENALTY_S,
-    MEMORY_FRACTION,
     Candidate,
     Demand,
     queue_s,
@@ -74,7 +73,9 @@
     if candidate.slots:
         fitting = candidate.slots - candidate.load.requests
     if candidate.kv_tokens and demand.tokens:
-        left = candidate.kv_tokens * MEMORY_FRACTION - candidate.load.kv_tokens
+        left = (
+            candidate.kv_tokens * candidate.memory_fraction - candidate.load.kv_tokens
+        )
         fitting = min(fitting, left / demand.tokens)
     return max(0.0, fitting)
 
