--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -130,7 +130,8 @@
             late=self._placer.demand.spare_only,
             last_event_id=self._sender.last_event_id,
         )
-        return await self._sender.send(record, terms, work)
+        prefill = self._placer.demand.prefill_at(chosen)
+        return await self._sender.send(record, terms, work, prefill)
 
     def _may_move(self, record: UpstreamRecord) -> bool:
         """Whether to move a stream off an upstream that carries out an order.
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -70,6 +70,7 @@
 from gooseberrydale.version.peer_loads import PeerLoads
 from gooseberrydale.version.quotas.quota import Quota
 from gooseberrydale.version.run_times import RunTimes
+from gooseberrydale.version.speeds.reports import SpeedReports
 from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 from gooseberrydale.version.store_followers import StoreTidings
 from gooseberrydale.version.stores import Stores
@@ -202,6 +203,7 @@
         )
         self._fleet_source: tuple[UpstreamRecord, ...] = ()
         self._datagrams = GatewayDatagrams(own.gossip, self._known_fleet)
+        extras = [SpeedReports(speeds, self._known_fleet)] if own.learn_speeds else []
         self._gossip = WorkGossip(
             self._datagrams,
             self._own_name,
@@ -209,6 +211,7 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
+            extras,
         )
         self._areas = AreaGossip(
             self._datagrams,
@@ -216,6 +219,7 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
+            extras,
         )
         self._limit_gossip = LimitGossip(self._datagrams, self._upstreams.limits)
         self.quotas = QuotaClient(
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -36,6 +36,7 @@
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.open_runs import Run, RunEnd
 from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE, StreamOrigin
+from gooseberrydale.version.speeds.speed import Prefill
 from gooseberrydale.version.upstream_load import UpstreamLoad, Work
 
 ANSWER_GRACE_S = 0.05
@@ -110,6 +111,10 @@
         self._may_move = may_move
         self._charge = charge
         self._prefilled = False
+        # What the present send computes up to its first event, and when it was sent;
+        # None once that is measured, or if it can't be.
+        self._prefill: Prefill | None = None
+        self._sent_at = 0.0
         self._run: Run | None = None
         # Whether this side broke the connection, as the upstream was silent.
         self._gave_up_silent = False
@@ -126,11 +131,20 @@
         self.inside_event = False
 
     async def send(
-        self, record: UpstreamRecord, terms: Terms, work: Work
+        self,
+        record: UpstreamRecord,
+        terms: Terms,
+        work: Work,
+        prefill: Prefill | None = None,
     ) -> End | None:
-        """Send the request once; return None if the caller has the complete answer."""
+        """Send the request once; return None if the caller has the complete answer.
+
+        ``prefill`` is what its choice assumed to be computed up to the first event.
+        """
         load = self._deps.upstreams.load_of(record.name)
         self._prefilled = False
+        # A resumed stream also computes the events that its caller has.
+        self._prefill = prefill if self.last_event_id is None else None
         self._run = None
         self._gave_up_silent = False
         run_end = RunEnd.LEFT
@@ -237,6 +251,7 @@
         job, wire = self._job, self._deps.wire
         headers = wire.request_headers(job.call, terms)
         conn.send(_request_head(job.call, headers, len(job.body)), job.body)
+        self._sent_at = _now()
         self.runs += 1
         self._charge.record_sent()
         self._run = load.runs.began(job.fingerprint, job.parts)
@@ -249,7 +264,8 @@
         self.framing, self.inside_event = raw.framing.value, False
         if head.load is not None:
             load.reported(head.load, _now())
-            if head.load.slowness is not None:
+            is_own = head.instance in (None, record.name)
+            if head.load.slowness is not None and is_own:
                 self._deps.upstreams.speeds.stated(
                     record.pool, record.name, head.load.slowness, _now()
                 )
@@ -270,6 +286,7 @@
             await self._forward_stream(conn, limit, head, stream, record, load, work)
         else:
             body = await _read_whole(conn)
+            self._measure_service(record)
             self._note_begun()
             await self._answer.whole(head.status, head.headers, body)
         answered(record.name, load, failed=False)
@@ -345,6 +362,7 @@
             stream.feed(data)
             self.inside_event = stream.inside_event
             if stream.has_begun:
+                self._measure_first_event(record)
                 self._note_begun()
             if not self._answer.started:
                 await self._answer.start(head.status, headers)
@@ -371,6 +389,27 @@
             load.prefill_done(work)
             self._deps.work_changed()
 
+    def _measure_first_event(self, record: UpstreamRecord) -> None:
+        """Learn from the time to the first event, once per send."""
+        prefill, self._prefill = self._prefill, None
+        upstreams = self._deps.upstreams
+        if prefill is None or not upstreams.sharing.learns_speeds(record.pool):
+            return
+        now = _now()
+        upstreams.speeds.first_event(
+            record.pool, record.name, prefill, now - self._sent_at, now
+        )
+
+    def _measure_service(self, record: UpstreamRecord) -> None:
+        """Learn from the time of a whole answer that no model generated."""
+        upstreams = self._deps.upstreams
+        is_service = self._job.call.prompt is None
+        if is_service and upstreams.sharing.learns_speeds(record.pool):
+            now = _now()
+            upstreams.speeds.service_ended(
+                record.pool, record.name, now - self._sent_at, now
+            )
+
     def _note_begun(self) -> None:
         """Record that the upstream has begun to answer and did not end by it."""
         if self._run is not None and not self._run.answering:
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -421,7 +421,10 @@
         if prompt is None or not prompt.shared:
             return {}
         key = f"{query.scope}|{prompt.shared[-1].key}".encode()
-        preferred = self._pools[query.pool.name].members.preferred(key)
+        members = self._pools[query.pool.name].members
+        if self.sharing.learns_speeds(query.pool.name):
+            members.weigh(self.speeds.weights(query.pool.name))
+        preferred = members.preferred(key)
         return {name: rank for rank, name in enumerate(preferred)}
 
     def _candidate(
--- a/gooseberrydale/request/members.py
+++ b/gooseberrydale/request/members.py
@@ -2,15 +2,16 @@
 
 Records are renewed all the time, while the set of names seldom changes.  So the records
 are replaced with each new snapshot, while the preferred upstreams of a prefix, found by
-rendezvous hashing, are cached until a name is added or removed.  Pure; part of the
-router's state.
+rendezvous hashing, are cached until a name is added or removed, or a weight changes.
+Pure; part of the router's state.
 """
 
 from __future__ import annotations
 
 import hashlib
+import math
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from itertools import compress
 from operator import is_not
 
@@ -35,6 +36,7 @@
         self._source: tuple[UpstreamRecord, ...] = ()
         self._digests: dict[str, int] = {}
         self._preferred: OrderedDict[bytes, tuple[str, ...]] = OrderedDict()
+        self._weights: Mapping[str, float] = {}
         self.by_name: dict[str, UpstreamRecord] = {}
         self.names: list[str] = []
 
@@ -73,6 +75,17 @@
             self._digests = {name: _digest(name.encode()) for name in self.names}
             self._preferred.clear()
 
+    def weigh(self, weights: Mapping[str, float]) -> None:
+        """Prefer upstreams in proportion to ``weights``; 1 for those not listed.
+
+        Returns at once if the mapping is the same object.
+        """
+        if weights is self._weights:
+            return
+        if weights != self._weights:
+            self._preferred.clear()
+        self._weights = weights
+
     def highest_ranked(self, names: Sequence[str], prefix: bytes) -> str:
         """Return the name with the highest rendezvous weight for ``prefix``."""
         key = _digest(prefix)
@@ -92,6 +105,8 @@
         return names
 
     def _rank(self, prefix: bytes) -> tuple[str, ...]:
+        if self._weights:
+            return self._rank_weighted(prefix)
         # Weights are uniform, so only few members are above this floor, which saves
         # sorting the others.  If there are too few, all members are ranked.
         top_fraction = FLOOR_FACTOR * MAX_PREFERRED / max(1, len(self._digests))
@@ -110,6 +125,22 @@
         ranked.sort(reverse=True)
         return tuple(name for _, name in ranked[:MAX_PREFERRED])
 
+    def _rank_weighted(self, prefix: bytes) -> tuple[str, ...]:
+        """Rank by the logarithm of the hash, divided by the weight.
+
+        The probability of being first is then proportional to the weight, and a changed
+        weight changes no order of others.  Equal weights give the order of the hashes.
+        """
+        key, weights = _digest(prefix), self._weights
+        ranked = []
+        for name, digest in self._digests.items():
+            hashed = ((digest ^ key) * _MIX) & _MASK
+            score = math.log((hashed + 1) / (_MASK + 1)) / weights.get(name, 1.0)
+            # Close hashes have equal scores; their order is that of the hashes.
+            ranked.append((score, hashed, name))
+        ranked.sort(reverse=True)
+        return tuple(name for _, _, name in ranked[:MAX_PREFERRED])
+
     def _eligible(self, record: UpstreamRecord) -> bool:
         if not record.ready or record.leaving or record.pool != self._pool:
             return False
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -19,7 +19,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
-from gooseberrydale.version.speeds.speed import NEUTRAL, Speed
+from gooseberrydale.version.speeds.speed import NEUTRAL, Prefill, Speed
 from gooseberrydale.version.upstream_load import Load, Work
 
 SLOWDOWN_PER_REQUEST_S = 0.0005
@@ -166,6 +166,13 @@
             prefill += self.shared_tokens
         return Work(prefill, self.tokens, self.rank)
 
+    def prefill_at(self, candidate: Candidate) -> Prefill:
+        """Return what an upstream computes and fetches up to the first event."""
+        own = self.work_at(candidate).prefill_tokens
+        fetches = candidate.stored and candidate.preference_rank > 0
+        fetched = self.shared_tokens if fetches else 0
+        return Prefill(own, candidate.load.prefill_tokens, fetched)
+
 
 def rank_preferred(candidates: Iterable[Candidate]) -> list[Candidate]:
     """Rank the candidates among those that can be the preferred upstream now.
@@ -225,7 +232,7 @@
     tokens = demand.own_tokens
     if candidate.lacks_prefix:
         tokens += demand.shared_tokens
-    return tokens / speed.own_tokens_per_s * speed.slowness
+    return (speed.start_s + tokens / speed.own_tokens_per_s) * speed.slowness
 
 
 def expected_s(candidate: Candidate, demand: Demand) -> float:
@@ -248,7 +255,8 @@
 
 def _prefill_s(candidate: Candidate, demand: Demand) -> float:
     speed = candidate.speed
-    own_s = demand.own_tokens / speed.prefill_tokens_per_s * speed.slowness
+    own_s = demand.own_tokens / speed.prefill_tokens_per_s + speed.start_s
+    own_s *= speed.slowness
     if candidate.preference_rank == 0:
         return own_s
     if candidate.stored:
--- a/gooseberrydale/version/speeds/speeds.py
+++ b/gooseberrydale/version/speeds/speeds.py
@@ -5,57 +5,218 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
-from gooseberrydale.version.speeds.speed import NEUTRAL, Speed
-
-
-@dataclass(frozen=True, slots=True)
-class Prefill:
-    """Prompt tokens that an upstream computed up to the first event of an answer.
-
-    ``own`` are those of the request itself, ``ahead`` those queued before it.
-    """
-
-    own: int
-    ahead: float
+import math
+from collections.abc import Iterable, Mapping
+from itertools import islice
+
+from gooseberrydale.version.speeds.messages import (
+    PoolReport,
+    Ratios,
+    Statement,
+    pool_key,
+    upstream_key,
+)
+from gooseberrydale.version.speeds.outbox import Outbox
+from gooseberrydale.version.speeds.pool_rates import (
+    UNKNOWN,
+    Rates,
+    is_duration,
+    median_rates,
+)
+from gooseberrydale.version.speeds.pool_speeds import PoolSpeeds
+from gooseberrydale.version.speeds.speed import NEUTRAL, Prefill, Speed
+from gooseberrydale.version.speeds.stated_slowness import MAX_SLOWNESS, MIN_SLOWNESS
+
+__all__ = ["Prefill", "UpstreamSpeeds"]
+
+MIN_REPORTED_CHANGE = math.log(1.1)
+"""Smallest difference between a statement and what is assumed, as a logarithm, at which
+it is reported; less does not change a choice."""
+
+MAX_PEER_POOLS = 64
+"""Pools of which the reports of others are kept."""
+
+MAX_RATE_REPORTERS = 32
+"""Gateways whose rates of a pool are kept; the median of fewer is as good."""
 
 
 class UpstreamSpeeds:
     """Learns speeds from answers; times are seconds of the event loop's clock.
 
-    A pool is learned about once one of its upstreams has stated how slow it is.
+    A pool is learned about once one of its upstreams has stated how slow it is, here or
+    to another gateway.
     """
 
     def __init__(self) -> None:
-        self._stating: set[str] = set()
+        self._pools: dict[str, PoolSpeeds] = {}
+        # The rates that other gateways report, by the key of the pool and by gateway.
+        self._peer_rates: dict[int, dict[str, Rates]] = {}
+        # Upstreams by their key in reports.
+        self._upstreams: dict[int, tuple[str, str]] = {}
+        self._pool_keys: dict[str, int] = {}
+        self._outboxes: tuple[Outbox, ...] = ()
+
+    def report_to(self, *outboxes: Outbox) -> None:
+        """Report what is observed from now on to ``outboxes``."""
+        self._outboxes = outboxes
 
     def is_on(self, pool: str) -> bool:
         """Whether speeds of ``pool`` are learned and used."""
-        return pool in self._stating
+        if pool in self._pools:
+            return True
+        if self._peer_rates and self._key_of(pool) in self._peer_rates:
+            self._pool(pool)
+            return True
+        return False
 
     @property
     def any_on(self) -> bool:
         """Whether speeds of any pool are learned and used."""
-        return bool(self._stating)
+        return bool(self._pools or self._peer_rates)
 
     def stated(self, pool: str, upstream: str, slowness: float, now: float) -> None:
         """Record how slow an upstream states to be now, 1.0 as usual."""
-        self._stating.add(pool)
+        if not math.isfinite(slowness) or slowness <= 0.0:
+            return
+        key = self._register(pool, upstream)
+        bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+        statement = Statement(key, bounded, now)
+        change = self._state(pool, upstream, statement, now)
+        if change is not None:
+            for outbox in self._outboxes:
+                outbox.add_statement(statement, change)
 
     def first_event(
         self, pool: str, upstream: str, prefill: Prefill, took_s: float, now: float
     ) -> None:
         """Record that a prompt's first event came ``took_s`` after it was sent."""
+        if not self.is_on(pool) or not is_duration(took_s) or not _is_valid(prefill):
+            return
+        key = self._register(pool, upstream)
+        known = self._pool(pool)
+        self._report(key, known.prompt_answered(upstream, prefill, took_s, now))
 
     def service_ended(
         self, pool: str, upstream: str, took_s: float, now: float
     ) -> None:
         """Record that a service without a model answered after ``took_s``."""
+        if not self.is_on(pool) or not is_duration(took_s):
+            return
+        key = self._register(pool, upstream)
+        self._report(key, self._pool(pool).service_answered(upstream, took_s, now))
 
     def forget(self, upstream: str) -> None:
         """Drop what was learned about an incarnation that has ended."""
+        for pool, known in self._pools.items():
+            if known.knows(upstream):
+                known.forget(upstream)
+                key = upstream_key(pool, upstream)
+                self._upstreams.pop(key, None)
+                for outbox in self._outboxes:
+                    outbox.forget(key)
 
     def of(self, pool: str, upstream: str, now: float) -> Speed:
         """Return the speed of an upstream."""
-        return NEUTRAL
+        known = self._pools.get(pool)
+        if known is None:
+            if not self.is_on(pool):
+                return NEUTRAL
+            known = self._pool(pool)
+        if not known.knows(upstream):
+            self._register(pool, upstream)
+        return known.of(upstream, now)
+
+    def weights(self, pool: str) -> Mapping[str, float]:
+        """Return the weights of upstreams that differ from 1.
+
+        The object is the same until a weight changes.
+        """
+        known = self._pools.get(pool)
+        return _NO_WEIGHTS if known is None else known.weights
+
+    def own_rates(self) -> Iterable[PoolReport]:
+        """Return the rates of each pool that this gateway itself observed."""
+        for pool, known in self._pools.items():
+            yield PoolReport(self._key_of(pool), known.own_rates)
+
+    def peer_rates(self, gateway: str, report: PoolReport) -> None:
+        """Record the rates of a pool that another gateway observed."""
+        reporters = self._peer_rates.get(report.key)
+        if reporters is None:
+            if len(self._peer_rates) >= MAX_PEER_POOLS:
+                return
+            reporters = self._peer_rates[report.key] = {}
+        reporters.pop(gateway, None)
+        if report.rates != UNKNOWN:
+            reporters[gateway] = report.rates
+        for oldest in list(
+            islice(reporters, max(0, len(reporters) - MAX_RATE_REPORTERS))
+        ):
+            del reporters[oldest]
+        for pool, known in self._pools.items():
+            if self._key_of(pool) == report.key and known.own_rates == UNKNOWN:
+                known.use_peer_rates(median_rates(reporters.values()))
+
+    def peer_stated(self, statement: Statement, now: float) -> float | None:
+        """Record what an upstream stated to another gateway.
+
+        Return the difference to what was assumed, as a logarithm; None if it is small,
+        older than what is known, or of an upstream that was not met here.
+        """
+        names = self._upstreams.get(statement.key)
+        return None if names is None else self._state(*names, statement, now)
+
+    def peer_ratios(self, ratios: Ratios) -> bool:
+        """Record ratios that others observed; return False if none is used.
+
+        Upstreams become known here with the first request of their pool.
+        """
+        names = self._upstreams.get(ratios.key)
+        if names is None or not ratios.values:
+            return False
+        pool, upstream = names
+        for value in ratios.values:
+            self._pool(pool).add_ratio(upstream, value)
+        return True
+
+    def _state(
+        self, pool: str, upstream: str, statement: Statement, now: float
+    ) -> float | None:
+        known = self._pool(pool)
+        assumed = known.slowness(upstream, now)
+        if not known.state(upstream, statement.slowness, statement.at):
+            return None
+        change = abs(math.log(statement.slowness / assumed))
+        return change if change >= MIN_REPORTED_CHANGE else None
+
+    def _report(self, key: int, ratio: float | None) -> None:
+        if ratio is not None:
+            for outbox in self._outboxes:
+                outbox.add_ratios(key, (ratio,))
+
+    def _pool(self, pool: str) -> PoolSpeeds:
+        known = self._pools.get(pool)
+        if known is None:
+            known = self._pools[pool] = PoolSpeeds()
+            reported = self._peer_rates.get(self._key_of(pool), {})
+            known.use_peer_rates(median_rates(reported.values()))
+        return known
+
+    def _register(self, pool: str, upstream: str) -> int:
+        """Return the key of an upstream, under which reports of others find it."""
+        key = upstream_key(pool, upstream)
+        self._upstreams[key] = pool, upstream
+        return key
+
+    def _key_of(self, pool: str) -> int:
+        key = self._pool_keys.get(pool)
+        if key is None:
+            key = self._pool_keys[pool] = pool_key(pool)
+        return key
+
+
+def _is_valid(prefill: Prefill) -> bool:
+    return prefill.own > 0 and prefill.fetched >= 0 and 0.0 <= prefill.ahead < math.inf
+
+
+_NO_WEIGHTS: Mapping[str, float] = {}
