--- a/gooseberrydale/version/speeds/pool_rates.py
+++ b/gooseberrydale/version/speeds/pool_rates.py
@@ -80,19 +80,25 @@
             run_s if run_s is not None else other.service_run_s,
         )
 
-    def prompt_s(self, prefill: Prefill) -> tuple[float, float] | None:
-        """Return the expected seconds of a prompt itself, and those that it is queued.
-
-        None if the rates are not known.
-        """
+    def prompt_s(self, prefill: Prefill) -> ExpectedTime | None:
+        """Return the expected time of a prompt; None if the rates are not known."""
         if self.own_tokens_per_s is None:
             return None
-        own_s = (self.start_s or 0.0) + prefill.own / self.own_tokens_per_s
-        if prefill.fetched:
-            fetch = self.fetch_tokens_per_s or NEUTRAL.fetch_tokens_per_s
-            own_s += prefill.fetched / fetch
-        queue_rate = self.prefill_tokens_per_s or self.own_tokens_per_s
-        return own_s, prefill.ahead / queue_rate
+        fetch_rate = self.fetch_tokens_per_s or NEUTRAL.fetch_tokens_per_s
+        return ExpectedTime(
+            (self.start_s or 0.0) + prefill.own / self.own_tokens_per_s,
+            prefill.ahead / (self.prefill_tokens_per_s or self.own_tokens_per_s),
+            prefill.fetched / fetch_rate,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedTime:
+    """Seconds for a prompt itself, for those queued ahead, and for its fetch."""
+
+    own_s: float
+    queued_s: float
+    fetch_s: float
 
 
 UNKNOWN = Rates()
@@ -161,27 +167,34 @@
         def scaled(samples: Iterable[_Sample]) -> list[tuple[Prefill, float]]:
             return [
                 (sample.prefill, sample.took_s * factor(sample.upstream))
-                for sample in samples
-                if sample.at > now - MAX_AGE_S
+                for sample in recent(samples)
             ]
 
+        def recent(samples: Iterable[_Sample]) -> Iterable[_Sample]:
+            return (sample for sample in samples if sample.at > now - MAX_AGE_S)
+
         run_s = _median_if_enough(took_s for _, took_s in scaled(self._services))
+        run_s = _bounded(run_s, MIN_RUN_S, MAX_RUN_S)
         queued = scaled(self._queued)
         line = _fit_sizes(map(scaled, self._unqueued.values())) or _fit_queued(queued)
         if line is None:
-            return Rates(service_run_s=_bounded(run_s, MIN_RUN_S, MAX_RUN_S))
-        start_s, own_s = line
+            return Rates(service_run_s=run_s)
+        start_s, token_s = line
+        # The speed of the engine does not change the time of a fetch.
         fetch_s = _median_if_enough(
-            (took_s - start_s - prefill.own * own_s) / prefill.fetched
-            for prefill, took_s in scaled(self._fetched)
+            (
+                sample.took_s
+                - (start_s + sample.prefill.own * token_s) / factor(sample.upstream)
+            )
+            / sample.prefill.fetched
+            for sample in recent(self._fetched)
         )
-        own_rate = 1.0 / own_s
         return Rates(
-            own_rate,
-            _queue_rate(queued, start_s, own_rate),
+            1.0 / token_s,
+            _queue_rate(queued, start_s, 1.0 / token_s),
             None if fetch_s is None else _rate(fetch_s),
             start_s,
-            _bounded(run_s, MIN_RUN_S, MAX_RUN_S),
+            run_s,
         )
 
 
--- a/gooseberrydale/version/speeds/pool_speeds.py
+++ b/gooseberrydale/version/speeds/pool_speeds.py
@@ -4,10 +4,15 @@
 
 import math
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from statistics import fmean, median
 
-from gooseberrydale.version.speeds.pool_rates import UNKNOWN, Rates, RateSamples
+from gooseberrydale.version.speeds.pool_rates import (
+    UNKNOWN,
+    Rates,
+    RateSamples,
+    median_rates,
+)
 from gooseberrydale.version.speeds.speed import NEUTRAL, Prefill, Speed
 from gooseberrydale.version.speeds.stated_slowness import SpellLengths, StatedSlowness
 
@@ -16,10 +21,10 @@
 
 MAX_LOG_RATIO = math.log(MAX_FACTOR)
 
-RATIO_WINDOW = 31
-"""Ratios that a factor is the median of.  A busy upstream answers so often within five
-seconds, which is several times as long as a neighbour that slows it for half a second;
-over half as long, unannounced slow spells fill half of a window now and then."""
+RATIO_WINDOW = 61
+"""Ratios that a factor is the median of.  A busy upstream answers so often in nine
+seconds.  With half as many, a single unannounced slow spell of half a second at times
+fills a third of a window, and adds 15 % to the largest error."""
 
 PRIOR_RATIOS = 2
 """Ratios of 1 that each upstream starts with: three of its own outweigh them, one or
@@ -29,6 +34,16 @@
 """Part of the expected time that may be queueing in an answer that gives a ratio.  The
 queue ahead is an upper bound; with more of it, busy upstreams would seem fast."""
 
+MAX_FETCH_FRACTION = 0.5
+"""Part of the expected time that may be a fetch in an answer that gives a ratio."""
+
+MIN_TIME_FRACTION = 0.1
+"""Part of the time that is left to the engine at least if a fetch was expected to take
+longer than the whole answer."""
+
+OWN_VOTES = 2
+"""How often the own rates of a pool count beside those of each other gateway."""
+
 REFRESH_S = 0.25
 """Interval between two computations of rates and factors.  They change within seconds;
 a computation takes some 0.3 ms of a processor for 23 upstreams."""
@@ -80,7 +95,7 @@
         self._changed: set[_Upstream] = set()
         self._own_rates = UNKNOWN
         self._rates = UNKNOWN
-        self._peer_rates = UNKNOWN
+        self._peer_rates: Collection[Rates] = ()
         self._is_stale = False
         self._refresh_at = -math.inf
         self.weights: Mapping[str, float] = {}
@@ -118,16 +133,20 @@
         self, upstream: str, prefill: Prefill, took_s: float, now: float
     ) -> float | None:
         """Learn from a first event; return the ratio that it gives, as a logarithm."""
-        usual_s = took_s / self.slowness(upstream, now)
-        self._samples.add_prompt(upstream, prefill, usual_s, now)
+        slowness = self.slowness(upstream, now)
+        self._samples.add_prompt(upstream, prefill, took_s / slowness, now)
         self._is_stale = True
         expected = self._rates.prompt_s(prefill)
         if expected is None:
             return None
-        own_s, queued_s = expected
-        if queued_s > MAX_QUEUED_FRACTION * (own_s + queued_s):
+        computed_s = expected.own_s + expected.queued_s
+        if expected.queued_s > MAX_QUEUED_FRACTION * computed_s:
+            return None
+        # How fast an engine computes does not change the time of a fetch.
+        if expected.fetch_s > MAX_FETCH_FRACTION * (computed_s + expected.fetch_s):
             return None
-        return self._observe(upstream, own_s + queued_s, usual_s)
+        usual_s = max(took_s - expected.fetch_s, MIN_TIME_FRACTION * took_s) / slowness
+        return self._observe(upstream, computed_s, usual_s)
 
     def service_answered(
         self, upstream: str, took_s: float, now: float
@@ -155,8 +174,8 @@
         self._changed.add(known)
         self._is_stale = True
 
-    def use_peer_rates(self, rates: Rates) -> None:
-        """Use the rates that other gateways report for those not known here."""
+    def use_peer_rates(self, rates: Collection[Rates]) -> None:
+        """Use the rates that other gateways report together with those seen here."""
         self._peer_rates = rates
         self._is_stale = True
 
@@ -199,7 +218,10 @@
         self._renew_factors()
         # Without recent answers the last rates remain.
         self._own_rates = self._samples.fit(self._factor, now).or_else(self._own_rates)
-        self._rates = self._own_rates.or_else(self._peer_rates)
+        # All gateways then compare with about the same rates.  With two votes for the
+        # own rates, a single wrong reporter does not decide.
+        own_votes = [self._own_rates] * OWN_VOTES
+        self._rates = median_rates([*own_votes, *self._peer_rates])
         for known in self._upstreams.values():
             known.valid_until = -math.inf
 
--- a/gooseberrydale/version/speeds/reports.py
+++ b/gooseberrydale/version/speeds/reports.py
@@ -24,8 +24,8 @@
 Both together are below 2 KB/s, a fifth of what a node may spend on control data."""
 
 RATES_PER_S = 2.0
-"""Reports of rates that a gateway receives in a second; only gateways that have just
-started use them."""
+"""Reports of rates that a gateway receives in a second.  Rates change slowly; one that
+has just started gets the first of them within half a second."""
 
 
 class SpeedReports:
@@ -59,7 +59,7 @@
         """Merge what a nearby gateway observed."""
         report = _decode(data, now)
         for pool in report.pools:
-            self._speeds.peer_rates(gateway, pool)
+            self._speeds.peer_rates(gateway, pool, now)
         self._merge(report, self._zone, now)
 
     def zone(self, now: float) -> bytes:
--- a/gooseberrydale/version/speeds/speeds.py
+++ b/gooseberrydale/version/speeds/speeds.py
@@ -7,7 +7,6 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from itertools import islice
 
 from gooseberrydale.version.speeds.messages import (
     PoolReport,
@@ -21,7 +20,6 @@
     UNKNOWN,
     Rates,
     is_duration,
-    median_rates,
 )
 from gooseberrydale.version.speeds.pool_speeds import PoolSpeeds
 from gooseberrydale.version.speeds.speed import NEUTRAL, Prefill, Speed
@@ -37,7 +35,11 @@
 """Pools of which the reports of others are kept."""
 
 MAX_RATE_REPORTERS = 32
-"""Gateways whose rates of a pool are kept; the median of fewer is as good."""
+"""Gateways whose rates of a pool are kept; the median of more is hardly better."""
+
+PEER_RATES_TTL_S = 120.0
+"""How long the rates of another gateway are kept.  In a zone of 117 gateways each
+reports its rates once a minute."""
 
 
 class UpstreamSpeeds:
@@ -49,8 +51,9 @@
 
     def __init__(self) -> None:
         self._pools: dict[str, PoolSpeeds] = {}
-        # The rates that other gateways report, by the key of the pool and by gateway.
-        self._peer_rates: dict[int, dict[str, Rates]] = {}
+        # What other gateways report and when, by the key of the pool and by gateway,
+        # the newest last.
+        self._peer_rates: dict[int, dict[str, tuple[Rates, float]]] = {}
         # Upstreams by their key in reports.
         self._upstreams: dict[int, tuple[str, str]] = {}
         self._pool_keys: dict[str, int] = {}
@@ -139,7 +142,7 @@
         for pool, known in self._pools.items():
             yield PoolReport(self._key_of(pool), known.own_rates)
 
-    def peer_rates(self, gateway: str, report: PoolReport) -> None:
+    def peer_rates(self, gateway: str, report: PoolReport, now: float) -> None:
         """Record the rates of a pool that another gateway observed."""
         reporters = self._peer_rates.get(report.key)
         if reporters is None:
@@ -148,14 +151,14 @@
             reporters = self._peer_rates[report.key] = {}
         reporters.pop(gateway, None)
         if report.rates != UNKNOWN:
-            reporters[gateway] = report.rates
-        for oldest in list(
-            islice(reporters, max(0, len(reporters) - MAX_RATE_REPORTERS))
-        ):
-            del reporters[oldest]
+            reporters[gateway] = report.rates, now
+        excess = len(reporters) - MAX_RATE_REPORTERS
+        for number, (name, (_, at)) in enumerate(list(reporters.items())):
+            if number < excess or at < now - PEER_RATES_TTL_S:
+                del reporters[name]
         for pool, known in self._pools.items():
-            if self._key_of(pool) == report.key and known.own_rates == UNKNOWN:
-                known.use_peer_rates(median_rates(reporters.values()))
+            if self._key_of(pool) == report.key:
+                known.use_peer_rates([rates for rates, _ in reporters.values()])
 
     def peer_stated(self, statement: Statement, now: float) -> float | None:
         """Record what an upstream stated to another gateway.
@@ -199,7 +202,7 @@
         if known is None:
             known = self._pools[pool] = PoolSpeeds()
             reported = self._peer_rates.get(self._key_of(pool), {})
-            known.use_peer_rates(median_rates(reported.values()))
+            known.use_peer_rates([rates for rates, _ in reported.values()])
         return known
 
     def _register(self, pool: str, upstream: str) -> int:
--- a/gooseberrydale/version/speeds/stated_slowness.py
+++ b/gooseberrydale/version/speeds/stated_slowness.py
@@ -75,7 +75,5 @@
         If spells have a fixed length and a statement is made at any moment of one, the
         probability that it has not ended falls linearly with the statement's age.
         """
-        left = 1.0 - (now - self._at) / spells.usual_s
-        if left <= 0.0:
-            return 1.0
-        return 1.0 + (self._value - 1.0) * min(1.0, left)
+        left = min(1.0, 1.0 - (now - self._at) / spells.usual_s)
+        return self._value * left + (1.0 - left) if left > 0.0 else 1.0
--- a/tests/builders_speeds.py
+++ b/tests/builders_speeds.py
@@ -43,6 +43,7 @@
     free_at: float = 0.0
     tokens: int = 0
     requests: int = 0
+    answers: int = 0
 
 
 @dataclass
@@ -56,10 +57,15 @@
 
 def node(gateways: int = 2) -> Node:
     """Return a gateway in a fleet whose gateways all report to each other."""
+    speeds = UpstreamSpeeds()
+    return Node(speeds, SpeedReports(speeds, fleet_of(gateways)))
+
+
+def fleet_of(gateways: int) -> Callable[[], Fleet]:
+    """Return the view that one gateway has of a zone of ``gateways``."""
     peers = tuple(GatewayPeer(f"g{n}", f"h:{n}", "z") for n in range(gateways))
     fleet = Fleet(peers[0], peers[1:])
-    speeds = UpstreamSpeeds()
-    return Node(speeds, SpeedReports(speeds, lambda: fleet))
+    return lambda: fleet
 
 
 @dataclass
@@ -158,6 +164,7 @@
         def begun() -> None:
             engine.tokens -= prefill.own
             engine.requests -= 1
+            engine.answers += 1
             stated = self.slowness(engine.name) if self.announced else 1.0
             gateway.speeds.stated(POOL, engine.name, stated, self.now)
             took = self.now - sent_at
