--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -73,6 +73,7 @@
 from gooseberrydale.version.peer_loads import PeerLoads
 from gooseberrydale.version.quotas.quota import Quota
 from gooseberrydale.version.run_times import RunTimes
+from gooseberrydale.version.speeds.reports import SpeedReports
 from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 from gooseberrydale.version.store_followers import StoreTidings
 from gooseberrydale.version.stores import Stores
@@ -210,7 +211,12 @@
         )
         drain = FleetDrain()
         self._retry_plan = RetryPlans(self._queue.backlog, drain, self._rng)
-        self._extras = (*self._queue.extras, drain)
+        speed_reports = [SpeedReports(speeds, self._known_fleet)]
+        self._extras = (
+            *self._queue.extras,
+            drain,
+            *(speed_reports if own.learn_speeds else ()),
+        )
         merged = self._queue.capacity_changed
         self._gossip = WorkGossip(
             self._datagrams,
