--- a/soak/gateway_environment.py
+++ b/soak/gateway_environment.py
@@ -102,6 +102,7 @@
             FaultKind.KILL: self._kill,
             FaultKind.PAUSE: self._pause,
             FaultKind.SLOWDOWN: self._slow_down,
+            FaultKind.HIDDEN_SLOWDOWN: self._slow_down_unstated,
             FaultKind.BURST: self._burst,
         }
         [name] = fault.targets
@@ -139,11 +140,20 @@
         self.processes[name].thaw()
 
     async def _slow_down(self, name: str, duration_s: float) -> None:
-        [upstream] = [item for item in self.upstreams if item.name == name]
+        upstream = self._upstream(name)
+        upstream.slowness = upstream.stated = SLOWNESS
+        await asyncio.sleep(duration_s)
+        upstream.slowness = upstream.stated = 1.0
+
+    async def _slow_down_unstated(self, name: str, duration_s: float) -> None:
+        upstream = self._upstream(name)
         upstream.slowness = SLOWNESS
         await asyncio.sleep(duration_s)
         upstream.slowness = 1.0
 
+    def _upstream(self, name: str) -> LimitedUpstream:
+        return next(item for item in self.upstreams if item.name == name)
+
     async def _burst(self, name: str, duration_s: float) -> None:
         assert self._callers is not None
         self._callers.factors[name] = BURST_FACTOR
--- a/soak/limited_upstream.py
+++ b/soak/limited_upstream.py
@@ -1,7 +1,7 @@
 """A plain upstream with few slots that changes its speed, and records what it ran.
 
 It speaks the HTTP of the deployment's upstreams: it refuses what it can't hold as not
-executed, and may state in each answer how slow it is.
+executed, and states in each answer how slow it is.
 """
 
 from __future__ import annotations
@@ -23,13 +23,13 @@
     """Serves on loopback; ``runs`` has the id of each request at its start.
 
     ``bodies`` counts the runs by body.  ``overflows`` counts requests that arrived
-    while ``SLOTS + QUEUE`` were held.  ``slowness`` multiplies the run time, and is
-    stated in answers if ``states`` is set.
+    while ``SLOTS + QUEUE`` were held.  ``slowness`` multiplies the run time; ``stated``
+    is what its answers say of it.
     """
 
     name: str
     slowness: float = 1.0
-    states: bool = True
+    stated: float = 1.0
     runs: list[str] = field(default_factory=list)
     bodies: Counter[str] = field(default_factory=Counter)
     overflows: int = 0
@@ -87,9 +87,8 @@
 
     def _message(self, status: str, request_id: str, *headers: str) -> bytes:
         running = min(self._held, SLOTS)
-        load = f"{running},{self._held - running},{SLOTS}"
-        if self.states:
-            load += f",{round(self.slowness * 100)}"
+        percent = round(self.stated * 100)
+        load = f"{running},{self._held - running},{SLOTS},{percent}"
         lines = (
             f"HTTP/1.1 {status}",
             f"x-request-id: {request_id}",
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -25,8 +25,8 @@
     MASS_KILL kills most entries together.  RELOAD sends SIGHUP.  WIPE deletes the data
     of a control replica.  CHANGE adds a workspace; RACE adds two concurrently.  SILENT
     to CUT are faults of links; SILENT_OPEN silences only connections that are already
-    open.  SLOWDOWN makes an upstream slower, which it states; BURST raises the rate of
-    a workspace's callers.
+    open.  SLOWDOWN makes an upstream slower, which it states; HIDDEN_SLOWDOWN does so
+    without a word.  BURST raises the rate of a workspace's callers.
     """
 
     KILL = "kill"
@@ -43,6 +43,7 @@
     SLOW = "slow"
     CUT = "cut"
     SLOWDOWN = "slowdown"
+    HIDDEN_SLOWDOWN = "hidden_slowdown"
     BURST = "burst"
 
 
@@ -105,6 +106,7 @@
             FaultKind.KILL: self.gateways,
             FaultKind.PAUSE: self.gateways,
             FaultKind.SLOWDOWN: self.upstreams,
+            FaultKind.HIDDEN_SLOWDOWN: self.upstreams,
             FaultKind.BURST: self.workspaces,
         }
 
