--- a/gooseberrydale/request/waiting/backlog.py
+++ b/gooseberrydale/request/waiting/backlog.py
@@ -19,7 +19,7 @@
 """How long a report is used.  No request waits longer than this for a gateway that has
 stopped or can't be reached."""
 
-REPORT_INTERVAL = Interval(min_s=0.05, max_s=0.4, recipients_per_s=100.0)
+REPORT_INTERVAL = Interval(min_s=0.05, max_s=0.4, recipients_per_s=60.0)
 """A request waits for about that long until others know of it, so the minimum is the
 interval of sums between zones.  The maximum is below the time for which a report is
 used."""
--- a/gooseberrydale/request/waiting/shares.py
+++ b/gooseberrydale/request/waiting/shares.py
@@ -28,14 +28,19 @@
 NAMED = 8
 """How many workspaces a gateway reports by name."""
 
-TOLERANCE = 1.2
-"""How far above the level a workspace is over its share.  Sixteen equal workspaces with
-fifteen requests each in the window differ by a quarter by chance."""
+SERVED_FRACTION = 0.8
+"""Fraction of the level from which a workspace that wants more than the level is over
+its share.  It then waits for the others before it has all of its share; with 1.0 it
+would only do so once many requests of the others wait, as these lower the level."""
+
+TOKEN_UNIT = 64
+"""Tokens are reported in this unit, rounded up, which makes numbers shorter.  A request
+without a prompt counts as one unit."""
 
 LEVEL_TTL_S = 0.05
 """How long a computed level is used; reports are not more frequent."""
 
-REPORT_INTERVAL = Interval(min_s=0.25, max_s=4.0, recipients_per_s=30.0)
+REPORT_INTERVAL = Interval(min_s=0.25, max_s=4.0, recipients_per_s=15.0)
 """The minimum is an eighth of the window.  Where it is long, the gateways are many and
 each sends a small part of a workspace's tokens."""
 
@@ -48,11 +53,11 @@
 """Bounds of what is accepted from another gateway."""
 
 _Entry = tuple[int, int, int, int]
-"""The hash of a workspace's name, tokens sent, tokens that wait, weight."""
+"""The hash of a workspace's name, units of tokens sent and waiting, weight."""
 
 _PoolReport = tuple[int, list[_Entry], int, int]
-"""The hash of a pool's name, its largest workspaces; tokens sent and waiting of all
-others."""
+"""The hash of a pool's name, its largest workspaces; units of tokens sent and waiting
+of all others."""
 
 _decoder = msgspec.msgpack.Decoder(list[_PoolReport])
 
@@ -139,12 +144,13 @@
     # What the unnamed workspaces still want is small for each of them, so it is
     # within their shares.
     capacity = sum(one.sent for one in named) - use.rest.waiting
-    limit = level(named, capacity, mean_weight) * TOLERANCE
-    return frozenset(
-        workspace
-        for workspace, one in use.named.items()
-        if one.sent > limit * (one.weight or mean_weight)
-    )
+    limit = level(named, capacity, mean_weight)
+    over = set()
+    for workspace, one in use.named.items():
+        share = limit * (one.weight or mean_weight)
+        if one.demand > share and one.sent > SERVED_FRACTION * share:
+            over.add(workspace)
+    return frozenset(over)
 
 
 class _Window:
@@ -201,7 +207,7 @@
     ) -> None:
         """Record that a request of a workspace was sent; ``weight`` 0 is unknown."""
         window = self._windows.setdefault(pool, _Window())
-        window.add(workspace, max(1, tokens), now)
+        window.add(workspace, max(TOKEN_UNIT, tokens), now)
         window.weights[workspace] = weight
 
     def is_over(self, pool: str, workspace: str, now: float) -> bool:
@@ -304,8 +310,11 @@
 
 
 def _pool_report(pool: int, use: PoolUse) -> _PoolReport:
-    named = [(key, one.sent, one.waiting, one.weight) for key, one in use.named.items()]
-    return pool, named, use.rest.sent, use.rest.waiting
+    named = [
+        (key, _units(one.sent), _units(one.waiting), one.weight)
+        for key, one in use.named.items()
+    ]
+    return pool, named, _units(use.rest.sent), _units(use.rest.waiting)
 
 
 def _decode(data: bytes) -> dict[int, PoolUse] | None:
@@ -317,11 +326,21 @@
     if len(report) > MAX_POOLS or not all(map(_is_in_bounds, report)):
         return None
     return {
-        pool: PoolUse({key: Use(*counts) for key, *counts in named}, Use(sent, waiting))
+        pool: PoolUse(
+            {key: _use(*counts) for key, *counts in named}, _use(sent, waiting)
+        )
         for pool, named, sent, waiting in report
     }
 
 
+def _units(tokens: int) -> int:
+    return -(-tokens // TOKEN_UNIT)
+
+
+def _use(sent: int, waiting: int, weight: int = 0) -> Use:
+    return Use(sent * TOKEN_UNIT, waiting * TOKEN_UNIT, weight)
+
+
 def _is_in_bounds(report: _PoolReport) -> bool:
     _, named, *rest = report
     counts = (*rest, *(count for _, *more in named for count in more))
