--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -81,6 +81,12 @@
 """Expected wait at an engine without free memory or slots: about the run time of a
 request."""
 
+CROWDED_FROM = 0.5
+CROWDED_SLOWDOWN = 0.5
+"""Fraction of its slots from which a service counts as running more slowly, and by how
+much with all of them taken, as a fraction of a run. Both are assumptions; they matter
+only between services of similar speed, where they keep a few slots free at each."""
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -233,6 +239,9 @@
     seconds = _wait_s(candidate, demand)
     if demand.is_prompt:
         seconds += _prefill_s(candidate, demand)
+    else:
+        # Zero without a learned speed.
+        seconds += own_s(candidate, demand) - NEUTRAL.service_run_s
     if candidate.outdated_for_s > 0:
         newer_expected = candidate.outdated_for_s > OLD_WEIGHTS_GRACE_S
         seconds += (
@@ -279,4 +288,9 @@
     run_s = candidate.speed.service_run_s * candidate.speed.slowness
     busy_fraction = requests / slots if slots else requests
     waiting = max(0.0, requests + 1 - slots) if slots else 0.0
-    return run_s * (busy_fraction * 0.1 + waiting / max(1, slots))
+    slower = busy_fraction * 0.1
+    if slots and candidate.speed != NEUTRAL:
+        # Weighed against learned speeds, which may differ by less than this.
+        crowding = (requests + 1) / slots - CROWDED_FROM
+        slower = CROWDED_SLOWDOWN * max(0.0, min(1.0, crowding / (1 - CROWDED_FROM)))
+    return run_s * (slower + waiting / max(1, slots))
