--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -41,8 +41,9 @@
 """Reuse of a connection ends this long before its upstream would close it: the time
 that a request may take to arrive on a busy network."""
 
-HIGH_WATER_BYTES = 256 * 1024
-"""Reading pauses while more body bytes than this are buffered for the caller."""
+HIGH_WATER_BYTES = 64 * 1024
+"""Reading pauses while more body bytes than this are buffered for the caller: a few
+answers.  One read returns up to 256 KB more."""
 
 MAX_HEAD_BYTES = 64 * 1024
 NO_BODY_STATUSES = frozenset({204, 304})
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -226,6 +226,12 @@
     "Workspace {workspace!r} is over its quota, and this request costs {cost}; retry"
     " after the given time, or ask your operator for a higher quota.",
 )
+GATEWAY_BUSY = ErrorKind(
+    "gateway_busy",
+    503,
+    "This gateway has more requests than it can answer in time; send the request to"
+    " another one after the given time.",
+)
 NO_ROOM = ErrorKind(
     "no_room",
     503,
--- a/gooseberrydale/process/connection_gate.py
+++ b/gooseberrydale/process/connection_gate.py
@@ -16,6 +16,7 @@
 import resource
 from collections import deque
 from pathlib import Path
+from typing import Protocol
 
 from gooseberrydale.log_events import ConnectionsRefused, emit
 
@@ -77,6 +78,11 @@
         self._drop_expired(now)
         return bool(self._max_bytes) and self._sum > self._max_bytes
 
+    def fraction(self, now: float) -> float:
+        """Return the used fraction of what requests may take; 0 if it is unknown."""
+        self._drop_expired(now)
+        return self._sum / self._max_bytes if self._max_bytes else 0.0
+
     def _drop_expired(self, now: float) -> None:
         while self._received and self._received[0][0] <= now - LINK_WINDOW_S:
             self._sum -= self._received.popleft()[1]
@@ -99,12 +105,23 @@
         self.is_overloaded = now - self._late_since >= OVERLOADED_AFTER_S
 
 
+class GateObserver(Protocol):
+    """Is told of what a gate observes."""
+
+    def ticked(self, due_at: float, now: float) -> None:
+        """Record a tick of the event loop that was due at ``due_at``."""
+
+    def received(self, size: int, now: float) -> None:
+        """Record bytes that arrived on an open connection."""
+
+
 class ConnectionGate:
     """Counts the open connections of one listener.
 
     ``max_fds`` is the number of descriptors that the process may use, 0 if only the
     operating system limits it; ``memory_mb`` the memory that it may use and
-    ``link_mbps`` the rate of its node's link, 0 if unknown.
+    ``link_mbps`` the rate of its node's link, 0 if unknown.  ``observer`` is told of
+    what is observed here.
     """
 
     def __init__(
@@ -117,12 +134,13 @@
         self._max_bytes = 0.0
         self._delay = LoopDelay()
         self._link = LinkUse(link_mbps)
-        self._is_memory_short = False
+        self._memory_used = 0.0
         self._memory_checked_at = 0.0
         self._refused = 0
         self._refused_for = ""
         self._task: asyncio.Task[None] | None = None
         self.open = 0
+        self.observer: GateObserver | None = None
 
     async def start(self) -> None:
         """Start to observe the event loop and the memory."""
@@ -154,13 +172,21 @@
 
     def received(self, size: int) -> None:
         """Count bytes that arrived on an open connection."""
-        self._link.received(size, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._link.received(size, now)
+        if self.observer is not None:
+            self.observer.received(size, now)
+
+    @property
+    def used_fraction(self) -> float:
+        """The used fraction of descriptors or memory; at 1.0, none is taken."""
+        return max(self.open / self._max_connections, self._memory_used)
 
     def _reason(self) -> str:
         """Return why no connection is taken now; empty if one is."""
         if self.open + 1 > self._max_connections:
             return "descriptors"
-        if self._is_memory_short:
+        if self._memory_used > 1.0:
             return "memory"
         if self._link.is_full(asyncio.get_running_loop().time()):
             return "link"
@@ -173,6 +199,8 @@
             await asyncio.sleep(TICK_S)
             self._delay.ticked(due_at, loop.time())
             self._check_memory(loop.time())
+            if self.observer is not None:
+                self.observer.ticked(due_at, loop.time())
             if self._refused and self._reason() != self._refused_for:
                 emit(ConnectionsRefused(self._refused_for, self._refused, self.open))
                 self._refused = 0
@@ -180,7 +208,7 @@
     def _check_memory(self, now: float) -> None:
         if self._memory_bytes and now >= self._memory_checked_at + MEMORY_CHECK_S:
             self._memory_checked_at = now
-            self._is_memory_short = private_bytes() > self._max_bytes
+            self._memory_used = private_bytes() / self._max_bytes
 
 
 def private_bytes() -> int:
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -81,6 +81,7 @@
     "unknown_origin": "it was not known which software version began its stream",
     "software_gone": "no upstream served the software version that began its stream",
     "no_room": "every upstream would have answered too late or accepted no work",
+    "gateway_busy": "the gateway was overloaded; another one was to serve it",
     "over_quota": "its workspace was over its quota",
     "not_ready": "the gateway had not received a document yet",
     "shutting_down": "the gateway was shutting down; another one is to run it",
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -15,6 +15,7 @@
 
 from gooseberrydale.errors import (
     BODY_TOO_LARGE,
+    GATEWAY_BUSY,
     NO_DECLARED_ROUTE,
     NOT_READY,
     OVER_QUOTA,
@@ -27,6 +28,7 @@
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.declared_store import DeclaredStore
 from gooseberrydale.process.gateway.forward import BrokenAnswerError, Forwarder
+from gooseberrydale.process.gateway.own_capacity import OwnCapacity
 from gooseberrydale.process.gateway.request_metrics import RequestMetrics
 from gooseberrydale.process.gateway.resumption import Resumption
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
@@ -72,6 +74,7 @@
     resumption: Resumption
     budgets: RetryBudgets
     quotas: QuotaClient
+    capacity: OwnCapacity
     metrics: RequestMetrics
     rng: random.Random
 
@@ -109,7 +112,7 @@
         self._deps = deps
         self._scope = scope
         self._receive = receive
-        self._send = send
+        self._send = deps.capacity.counted(send)
         self._drain = drain
         self._forwarder: Forwarder | None = None
         self._route = ""
@@ -175,6 +178,11 @@
             await answer.refuse(stopping, close=True)
             return stopping.code
         self._route, self._objective_s = route.name, route.objective_s
+        after_s = self._deps.capacity.decline_after_s(job)
+        if after_s is not None:
+            busy = problem(GATEWAY_BUSY, retry_after_s=after_s)
+            await answer.refuse(busy, close=True)
+            return busy.code
         charge = QuotaCharge(self._deps.quotas, want_of(job))
         try:
             over = await charge.admit()
--- a/gooseberrydale/process/gateway/front_protocol.py
+++ b/gooseberrydale/process/gateway/front_protocol.py
@@ -12,16 +12,18 @@
 
 from gooseberrydale.process.connection_gate import ConnectionGate
 from gooseberrydale.process.gateway.app import TARGET
+from gooseberrydale.process.gateway.slow_readers import SlowReaders
 from gooseberrydale.process.http_protocol import BoundedHttpProtocol
 from gooseberrydale.version.declared import CallerLimits
 
 
 def front_protocol(
-    limits: Callable[[], CallerLimits], gate: ConnectionGate
+    limits: Callable[[], CallerLimits], gate: ConnectionGate, readers: SlowReaders
 ) -> type[BoundedHttpProtocol]:
     """Return a protocol class that takes its limits from ``limits``.
 
-    Connections that ``gate`` doesn't take are closed unread.
+    Connections that ``gate`` doesn't take are closed unread.  What callers do not read
+    of their answers is watched by ``readers``.
     """
 
     class FrontProtocol(BoundedHttpProtocol):
@@ -33,6 +35,8 @@
             """Take the connection, or reset it before anything is read."""
             self._is_taken = gate.opened()
             if self._is_taken:
+                # With a limit of 0, an answer waits until its last part is read.
+                transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
                 super().connection_made(transport)
             else:
                 transport.abort()  # type: ignore[attr-defined]
@@ -41,8 +45,19 @@
             """Give the place of a connection that was taken free."""
             if self._is_taken:
                 gate.closed()
+                readers.resumed(self.transport)
                 super().connection_lost(exc)
 
+        def pause_writing(self) -> None:
+            """Watch the bytes that the caller has not read."""
+            readers.paused(self.transport)
+            super().pause_writing()
+
+        def resume_writing(self) -> None:
+            """The caller has read everything."""
+            readers.resumed(self.transport)
+            super().resume_writing()
+
         @property
         def head_bytes(self) -> int:  # type: ignore[override]
             """Maximum size of a request's head in bytes."""
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -28,6 +28,7 @@
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.origin_client import OriginClient
 from gooseberrydale.process.gateway.origin_file import OriginFile
+from gooseberrydale.process.gateway.own_capacity import OwnCapacity
 from gooseberrydale.process.gateway.placer import ObservedStats
 from gooseberrydale.process.gateway.prober import Prober
 from gooseberrydale.process.gateway.request_metrics import (
@@ -37,6 +38,7 @@
 from gooseberrydale.process.gateway.resumption import Resumption
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendDeps
+from gooseberrydale.process.gateway.slow_readers import SlowReaders
 from gooseberrydale.process.gateway.store_follower import (
     Peers,
     StoreFeed,
@@ -202,6 +204,16 @@
         )
         self._fleet_source: tuple[UpstreamRecord, ...] = ()
         self._datagrams = GatewayDatagrams(own.gossip, self._known_fleet)
+        self._gate = ConnectionGate(own.max_fds, own.memory_mb, own.link_mbps)
+        self._readers = SlowReaders()
+        capacity = OwnCapacity(
+            self._gate,
+            self._readers,
+            self._upstreams.sharing,
+            self._known_fleet,
+            own.link_mbps,
+        )
+        self._gate.observer = capacity
         self._gossip = WorkGossip(
             self._datagrams,
             self._own_name,
@@ -209,6 +221,7 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
+            (capacity,),
         )
         self._areas = AreaGossip(
             self._datagrams,
@@ -258,6 +271,7 @@
             resumption=Resumption(self._origins, self._upstreams),
             budgets=self._budgets,
             quotas=self.quotas,
+            capacity=capacity,
             metrics=(
                 DisabledMetrics()
                 if self.metrics is None
@@ -266,8 +280,7 @@
             rng=self._rng,
         )
         self._app = GatewayApp(deps)
-        self._gate = ConnectionGate(own.max_fds, own.memory_mb, own.link_mbps)
-        protocol = front_protocol(self._limits, self._gate)
+        protocol = front_protocol(self._limits, self._gate, self._readers)
         self._front = HttpServer(self._app, self._cfg.http, TlsCfg(), protocol)
         self._ready = HttpServer(self._serve_readiness, self._cfg.ready, TlsCfg())
         self._prober = Prober(self._upstreams, self._gossip.changed)
@@ -301,6 +314,7 @@
         self._sweep_task = asyncio.create_task(self._sweep())
         await self._ready.start()
         await self._gate.start()
+        await self._readers.start()
         await self._front.start()
 
     async def close(self) -> None:
@@ -319,6 +333,7 @@
         )
         emit(Drained(self._app.open_requests))
         await self._gate.close()
+        await self._readers.close()
         await self._ready.close(READY_CLOSE_TIMEOUT_S)
         if self._sweep_task is not None:
             self._sweep_task.cancel()
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from gooseberrydale.connection.http_conn import HttpConn, ResponseHead
+from gooseberrydale.connection.http_conn import Framing, HttpConn, ResponseHead
 from gooseberrydale.connection.http_pool import HttpPool, PoolExhaustedError
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.sse import EventSplitter, SseError
@@ -43,9 +43,13 @@
 ends the request at the deadline itself, and its answer may state that a request that
 was still queued did not run."""
 
-MAX_BUFFERED_BYTES = 16 * 1024 * 1024
-"""Limit of an answer that is buffered before it is forwarded; answers of services have
-some kilobytes."""
+MAX_BUFFERED_BYTES = 256 * 1024
+"""Most of an answer without events that is buffered before it is forwarded; answers of
+services have some kilobytes.  A larger one is forwarded as it arrives, so that little
+memory is used for each caller."""
+
+MAX_ERROR_BYTES = 1024 * 1024
+"""Limit of the body of a refusal or a failure, which is buffered as a whole."""
 
 AMBIGUOUS_STATUSES = frozenset({408, 421, 429, 503})
 """Callers read these as "has not run".  Unless the upstream states so as well, the
@@ -269,9 +273,7 @@
             )
             await self._forward_stream(conn, limit, head, stream, record, load, work)
         else:
-            body = await _read_whole(conn)
-            self._note_begun()
-            await self._answer.whole(head.status, head.headers, body)
+            await self._forward_whole(conn, head, raw.framing)
         answered(record.name, load, failed=False)
         self._deps.upstreams.ended_incarnations.answered(job.fingerprint, _now())
         return None
@@ -320,6 +322,33 @@
         await self._answer.whole(head.status, head.headers, body)
         return None
 
+    async def _forward_whole(
+        self, conn: HttpConn, head: AnswerHead, framing: Framing
+    ) -> None:
+        """Forward an answer once it is complete, or as it arrives if it is large."""
+        chunks: list[bytes] = []
+        size = 0
+        async for data in conn.body():
+            chunks.append(data)
+            size += len(data)
+            if size <= MAX_BUFFERED_BYTES:
+                continue
+            if not self._answer.started:
+                self._note_begun()
+                # What was sent to the caller can't be taken back by another send.
+                self.can_resume = False
+                headers = head.headers
+                if framing is not Framing.LENGTH:
+                    headers = tuple(h for h in headers if h[0] != b"content-length")
+                await self._answer.start(head.status, headers)
+            await self._answer.write(b"".join(chunks))
+            chunks.clear()
+        if self._answer.started:
+            await self._answer.end()
+            return
+        self._note_begun()
+        await self._answer.whole(head.status, head.headers, b"".join(chunks))
+
     async def _forward_stream(
         self,
         conn: HttpConn,
@@ -448,9 +477,9 @@
     size = 0
     async for data in conn.body():
         size += len(data)
-        if size > MAX_BUFFERED_BYTES:
+        if size > MAX_ERROR_BYTES:
             raise UpstreamError(
-                f"the answer is larger than {MAX_BUFFERED_BYTES} bytes", sent=True
+                f"the answer is larger than {MAX_ERROR_BYTES} bytes", sent=True
             )
         chunks.append(data)
     return b"".join(chunks)
--- a/gooseberrydale/process/losses.py
+++ b/gooseberrydale/process/losses.py
@@ -43,6 +43,7 @@
     NOT_READY = "no configuration yet"
     INSTANCE_GONE = "instance gone"
     SERVICE = "the service itself failed"
+    GATEWAY_BUSY = "its gateway was overloaded"
     OVER_QUOTA = "its workspace was over its quota"
     QUARANTINED = "it ends the upstreams that run it"
     STREAM_STRANDED = "nothing could go on with its stream"
@@ -75,6 +76,7 @@
     "no_room": Cause.QUEUED,
     "unknown_origin": Cause.STREAM_STRANDED,
     "software_gone": Cause.STREAM_STRANDED,
+    "gateway_busy": Cause.GATEWAY_BUSY,
     "over_quota": Cause.OVER_QUOTA,
     "ends_upstreams": Cause.QUARANTINED,
     "ended_upstreams": Cause.QUARANTINED,
@@ -84,7 +86,7 @@
 _REFUSALS = frozenset(
     {
         *("not_ready", "shutting_down", "no_upstream", "no_room", "refused"),
-        *("over_quota", "unknown_origin", "software_gone"),
+        *("gateway_busy", "over_quota", "unknown_origin", "software_gone"),
         *("ends_upstreams", "part_ends_upstreams"),
     }
 )
--- a/gooseberrydale/version/wait_limits.py
+++ b/gooseberrydale/version/wait_limits.py
@@ -27,9 +27,13 @@
 
 
 class WaitLimits:
-    """The longest wait limit that callers of each route have named."""
+    """The longest wait limit that callers of each route have named.
 
-    def __init__(self) -> None:
+    ``same_tolerance`` is the relative difference up to which two limits are the same.
+    """
+
+    def __init__(self, same_tolerance: float = SAME_LIMIT_TOLERANCE) -> None:
+        self._tolerance = same_tolerance
         self._longest_s: dict[str, float] = {}
         # Fraction of the callers of each route that have the longest wait limit.
         self._same: dict[str, float] = {}
@@ -43,11 +47,11 @@
             return 0.0
         longest_s = self._longest_s.get(route, 0.0)
         rare = self._same.get(route, 0.0) < MIN_LONGEST_FRACTION
-        if rare or wait_s > longest_s * (1.0 + SAME_LIMIT_TOLERANCE):
+        if rare or wait_s > longest_s * (1.0 + self._tolerance):
             if longest_s or len(self._longest_s) < MAX_ROUTES:
                 self._longest_s[route], self._same[route] = wait_s, 1.0
             return 0.0
-        same = wait_s >= longest_s * (1.0 - SAME_LIMIT_TOLERANCE)
+        same = wait_s >= longest_s * (1.0 - self._tolerance)
         known = self._same[route]
         self._same[route] = known + SMOOTHING * (float(same) - known)
         if same or self._same[route] < MIN_COMMON_FRACTION:
