--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -15,6 +15,7 @@
 
 from gooseberrydale.errors import (
     BODY_TOO_LARGE,
+    GATEWAY_OVERLOADED,
     NO_DECLARED_ROUTE,
     NO_ROOM,
     NOT_READY,
@@ -28,6 +29,7 @@
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.declared_store import DeclaredStore
 from gooseberrydale.process.gateway.forward import BrokenAnswerError, Forwarder
+from gooseberrydale.process.gateway.own_capacity import OwnCapacity
 from gooseberrydale.process.gateway.request_metrics import RequestMetrics
 from gooseberrydale.process.gateway.resumption import Resumption
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
@@ -37,7 +39,6 @@
 from gooseberrydale.process.quota_charge import QuotaCharge, refuse_over_quota
 from gooseberrydale.process.quota_client import OverQuota, QuotaClient
 from gooseberrydale.request.capacity_decision import (
-    GATEWAY_OVERLOADED,
     CapacityDecision,
     refusal_cause,
 )
@@ -58,7 +59,7 @@
 
 MS_PER_S = 1_000.0
 
-CAPACITY_OUTCOMES = frozenset({NO_ROOM.code, GATEWAY_OVERLOADED})
+CAPACITY_OUTCOMES = frozenset({NO_ROOM.code, GATEWAY_OVERLOADED.code})
 """The outcomes of requests that are refused for lack of capacity."""
 
 STARTUP_WAIT_S = 0.5
@@ -81,6 +82,7 @@
     resumption: Resumption
     budgets: RetryBudgets
     quotas: QuotaClient
+    capacity: OwnCapacity
     metrics: RequestMetrics
     rng: random.Random
 
@@ -118,7 +120,7 @@
         self._deps = deps
         self._scope = scope
         self._receive = receive
-        self._send = send
+        self._send = deps.capacity.counted(send)
         self._drain = drain
         self._forwarder: Forwarder | None = None
         self._route = ""
@@ -186,6 +188,11 @@
             await answer.refuse(stopping, close=True)
             return stopping.code
         self._route, self._objective_s = route.name, route.objective_s
+        after_s = self._deps.capacity.decline_after_s(job)
+        if after_s is not None:
+            busy = problem(GATEWAY_OVERLOADED, retry_after_s=after_s)
+            await answer.refuse(busy, close=True)
+            return busy.code
         charge = QuotaCharge(self._deps.quotas, want_of(job))
         try:
             over = await charge.admit()
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -28,6 +28,7 @@
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.origin_client import OriginClient
 from gooseberrydale.process.gateway.origin_file import OriginFile
+from gooseberrydale.process.gateway.own_capacity import OwnCapacity
 from gooseberrydale.process.gateway.placer import ObservedStats, SharedCapacity
 from gooseberrydale.process.gateway.prober import Prober
 from gooseberrydale.process.gateway.request_metrics import (
@@ -38,6 +39,7 @@
 from gooseberrydale.process.gateway.resumption import Resumption
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendDeps
+from gooseberrydale.process.gateway.slow_readers import SlowReaders
 from gooseberrydale.process.gateway.store_follower import (
     Peers,
     StoreFeed,
@@ -206,6 +208,16 @@
         )
         self._fleet_source: tuple[UpstreamRecord, ...] = ()
         self._datagrams = GatewayDatagrams(own.gossip, self._known_fleet)
+        self._gate = ConnectionGate(own.max_fds, own.memory_mb, own.link_mbps)
+        self._readers = SlowReaders()
+        capacity = OwnCapacity(
+            self._gate,
+            self._readers,
+            self._upstreams.sharing,
+            self._known_fleet,
+            own.link_mbps,
+        )
+        self._gate.observer = capacity
         self._queue = RequestQueue(
             lambda: len(self._known_fleet().near), lambda: self._gossip.changed()
         )
@@ -215,6 +227,7 @@
         self._extras = (
             *self._queue.extras,
             drain,
+            capacity,
             *(speed_reports if own.learn_speeds else ()),
         )
         merged = self._queue.capacity_changed
@@ -283,6 +296,7 @@
             resumption=Resumption(self._origins, self._upstreams),
             budgets=self._budgets,
             quotas=self.quotas,
+            capacity=capacity,
             metrics=(
                 DisabledMetrics()
                 if self.metrics is None
@@ -291,8 +305,7 @@
             rng=self._rng,
         )
         self._app = GatewayApp(deps)
-        self._gate = ConnectionGate(own.max_fds, own.memory_mb, own.link_mbps)
-        protocol = front_protocol(self._limits, self._gate)
+        protocol = front_protocol(self._limits, self._gate, self._readers)
         self._front = HttpServer(self._app, self._cfg.http, TlsCfg(), protocol)
         self._ready = HttpServer(self._serve_readiness, self._cfg.ready, TlsCfg())
         self._prober = Prober(self._upstreams, self._gossip.changed)
@@ -326,6 +339,7 @@
         self._sweep_task = asyncio.create_task(self._sweep())
         await self._ready.start()
         await self._gate.start()
+        await self._readers.start()
         await self._front.start()
 
     async def close(self) -> None:
@@ -344,6 +358,7 @@
         )
         emit(Drained(self._app.open_requests))
         await self._gate.close()
+        await self._readers.close()
         await self._ready.close(READY_CLOSE_TIMEOUT_S)
         if self._sweep_task is not None:
             self._sweep_task.cancel()
