--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -163,6 +163,7 @@
         queued(20.2, "later", took_ms=100.0, over_share=True),
         queued(20.0, "less-urgent", rank=3, took_ms=600.0),
         queued(19.4, "ended-before", rank=0, took_ms=300.0),
+        queued(20.5, "began-after", rank=0, took_ms=300.0),
         queued(20.0, "other-pool", rank=0, pool="services"),
         queued(20.0, "at-once", rank=0, took_ms=1.0),
         line(20.0, "g2", "request", request_id="elsewhere", **{**WAITED, "rank": 0}),
