--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -426,7 +426,10 @@
 
     def _query(self) -> UpstreamQuery:
         job = self._job
-        ranked = self._upstreams.sharing.ranks_loads(job.pool.name)
+        # Services without a model serve in order of arrival.
+        ranked = self._demand.is_prompt and self._upstreams.sharing.ranks_loads(
+            job.pool.name
+        )
         return UpstreamQuery(
             job.pool,
             job.call.prompt,
