--- a/gooseberrydale/process/gateway/request_queue.py
+++ b/gooseberrydale/process/gateway/request_queue.py
@@ -16,6 +16,7 @@
 
 from gooseberrydale.request.capacity_ports import Ahead
 from gooseberrydale.request.waiting.backlog import FleetBacklog, PoolWaiting
+from gooseberrydale.request.waiting.pace import name_hash
 from gooseberrydale.request.waiting.queue import Ticket, WaitClass, WaitQueue
 from gooseberrydale.request.waiting.shares import WorkspaceShares
 
@@ -141,7 +142,7 @@
 
     def is_over(self, pool: str, workspace: str, now: float) -> bool:
         """Return whether a workspace is over its share of a pool."""
-        return bool(workspace) and self.shares.is_over(pool, workspace, now)
+        return self._over_check(pool, now)(workspace)
 
     def is_first(self, pool: str, ticket: Ticket, now: float) -> bool:
         """Return whether no request that waits here comes before ``ticket``."""
@@ -222,7 +223,8 @@
         return sums
 
     def _over_check(self, pool: str, now: float) -> Callable[[str], bool]:
-        return lambda name: self.is_over(pool, name, now)
+        overs = self.shares.overs(pool, now)
+        return lambda name: bool(overs and name) and name_hash(name) in overs
 
 
 class Visit:
--- a/gooseberrydale/request/waiting/backlog.py
+++ b/gooseberrydale/request/waiting/backlog.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -50,15 +50,13 @@
     at: float
     pools: dict[int, dict[WaitClass, Waiting]]
 
-    def of(self, pool: int, now: float) -> dict[WaitClass, Waiting]:
-        """Return the report about a pool as of now; empty once it is too old."""
-        age_s = now - self.at
-        if age_s >= REPORT_TTL_S:
-            return {}
-        return {
-            key: Waiting(waiting.requests, waiting.tokens, waiting.oldest_s + age_s)
-            for key, waiting in self.pools.get(pool, {}).items()
-        }
+    def age_s(self, now: float) -> float:
+        """Return how long ago the report was received."""
+        return now - self.at
+
+
+_Aged = tuple[float, PoolWaiting]
+"""What waits for a pool, and the time in seconds since it was reported."""
 
 
 class FleetBacklog:
@@ -89,7 +87,7 @@
         The request is assumed to meet its objective still.
         """
         key = WaitClass(rank, over_share)
-        here = self._own(now).get(pool, {})
+        here = 0.0, self._own(now).get(pool, {})
         return _ahead([here, *self._elsewhere(pool, now)], key, waited_s)
 
     def ahead_elsewhere(
@@ -100,11 +98,12 @@
 
     def has_elsewhere(self, pool: str, now: float) -> bool:
         """Return whether any request waits for a pool at another gateway."""
-        return any(self._elsewhere(pool, now))
+        return bool(self._elsewhere(pool, now))
 
     def more_urgent_elsewhere(self, pool: str, rank: int, now: float) -> bool:
         """Return whether a more urgent request waits at another gateway."""
-        return any(key.rank < rank for r in self._elsewhere(pool, now) for key in r)
+        reports = self._elsewhere(pool, now)
+        return any(key.rank < rank for _, sums in reports for key in sums)
 
     def own(self, now: float) -> bytes:
         """Return what waits here, once it is due to be reported."""
@@ -114,8 +113,10 @@
     def merge_own(self, gateway: str, data: bytes, now: float) -> None:
         """Merge the report of a nearby gateway."""
         pools = _decode(data)
-        if pools is not None:
+        if pools:
             self._gateways[gateway] = _Reported(now, pools)
+        elif pools is not None:
+            self._gateways.pop(gateway, None)
         self._expire(now)
 
     def zone(self, now: float) -> bytes:
@@ -139,12 +140,16 @@
                 del self._areas[known]
         self._areas[area] = _Reported(now, pools)
 
-    def _elsewhere(self, pool: str, now: float) -> list[dict[WaitClass, Waiting]]:
+    def _elsewhere(self, pool: str, now: float) -> list[_Aged]:
         if not self._gateways and not self._areas:
             return []
-        key = name_hash(pool)
-        reported = (*self._gateways.values(), *self._areas.values())
-        return [sums for report in reported if (sums := report.of(key, now))]
+        key, since = name_hash(pool), now - REPORT_TTL_S
+        return [
+            (report.age_s(now), report.pools[key])
+            for table in (self._gateways, self._areas)
+            for report in table.values()
+            if report.at > since and key in report.pools
+        ]
 
     def _encode(
         self, audience: str, pools: Mapping[int, PoolWaiting], now: float
@@ -168,15 +173,16 @@
             }
 
 
-def _ahead(waiting: Iterable[PoolWaiting], key: WaitClass, waited_s: float) -> Ahead:
+def _ahead(reports: Iterable[_Aged], key: WaitClass, waited_s: float) -> Ahead:
     requests = tokens = 0.0
-    for sums in waiting:
+    for age_s, sums in reports:
         for other, one in sums.items():
-            part = 1.0 if other < key else 0.0
-            if other == key and one.oldest_s > waited_s:
+            part, oldest_s = 0.0, one.oldest_s + age_s
+            if other < key:
+                part = 1.0
+            elif other == key and oldest_s > waited_s:
                 # Waits are assumed to be spread evenly up to the longest one.
-                longer = 1.0 - waited_s / one.oldest_s
-                part = max(longer, 1.0 / max(1, one.requests))
+                part = max(1.0 - waited_s / oldest_s, 1.0 / one.requests)
             requests += part * one.requests
             tokens += part * one.tokens
     return Ahead(requests, tokens)
@@ -187,8 +193,15 @@
 ) -> dict[int, dict[WaitClass, Waiting]]:
     pools: dict[int, dict[WaitClass, Waiting]] = {}
     for report in reports:
-        for pool in report.pools:
-            _add_to(pools.setdefault(pool, {}), report.of(pool, now))
+        age_s = report.age_s(now)
+        if age_s >= REPORT_TTL_S:
+            continue
+        for pool, sums in report.pools.items():
+            aged = {
+                key: replace(one, oldest_s=one.oldest_s + age_s)
+                for key, one in sums.items()
+            }
+            _add_to(pools.setdefault(pool, {}), aged)
     return pools
 
 
--- a/gooseberrydale/request/waiting/pace.py
+++ b/gooseberrydale/request/waiting/pace.py
@@ -9,12 +9,14 @@
 import math
 import zlib
 from dataclasses import dataclass
+from functools import lru_cache
 
 EMPTY_REPORT_S = 0.5
 """How long empty reports follow the last one with content.  Without one, others use the
 content until it lapses; any of several may be lost."""
 
 
+@lru_cache(maxsize=4_096)
 def name_hash(name: str) -> int:
     """Return 32 bits that identify a pool or workspace in reports.
 
--- a/gooseberrydale/request/waiting/shares.py
+++ b/gooseberrydale/request/waiting/shares.py
@@ -212,13 +212,17 @@
 
     def is_over(self, pool: str, workspace: str, now: float) -> bool:
         """Return whether a workspace has more than its share while others wait."""
+        return name_hash(workspace) in self.overs(pool, now)
+
+    def overs(self, pool: str, now: float) -> frozenset[int]:
+        """Return the workspaces over their share, by the hash of their names."""
         if not self._waiting.any_waits(pool, now):
-            return False
+            return frozenset()
         computed_at, known = self._overs.get(pool, (float("-inf"), frozenset()))
         if now >= computed_at + LEVEL_TTL_S:
             known = overs(self._total(pool, now))
             self._overs[pool] = now, known
-        return name_hash(workspace) in known
+        return known
 
     def mean_weight(self, pool: str) -> float:
         """Return the mean of the known weights of a pool's workspaces; else 1."""
