--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -29,11 +29,13 @@
 from gooseberrydale.process.gateway.origin_client import OriginClient
 from gooseberrydale.process.gateway.origin_file import OriginFile
 from gooseberrydale.process.gateway.placer import ObservedStats
+from gooseberrydale.process.gateway.pool_rooms import PoolRooms
 from gooseberrydale.process.gateway.prober import Prober
 from gooseberrydale.process.gateway.request_metrics import (
     DisabledMetrics,
     RecordedMetrics,
 )
+from gooseberrydale.process.gateway.reservation_client import ReservationClient
 from gooseberrydale.process.gateway.resumption import Resumption
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendDeps
@@ -256,6 +258,13 @@
             self._connections,
         )
         self._sharing = SharingGateways(own.gateways)
+        self.reservations = ReservationClient(
+            self._own_name,
+            self._datagrams,
+            self._known_fleet,
+            PoolRooms(self._upstreams, self._declared_pools, self._known_fleet),
+            self._count_gateways,
+        )
         self._budgets = RetryBudgets(self._cfg, self._count_gateways)
         deps = GatewayDeps(
             declared=self._declared,
@@ -295,6 +304,7 @@
         self._budgets.start(asyncio.get_running_loop().time())
         self._quarantine_log.start()
         await self._datagrams.start()
+        self.reservations.start(asyncio.get_running_loop().time())
         await self._gossip.start()
         await self._areas.start()
         await self._limit_gossip.start()
@@ -419,6 +429,10 @@
             self._fleet = Fleet(self._fleet.own, peers)
         return self._fleet
 
+    def _declared_pools(self) -> Mapping[str, Pool]:
+        table = self._declared.table
+        return {} if table is None else table.declared.pools
+
     def _declared_quotas(self) -> Mapping[str, Quota]:
         table = self._declared.table
         return {} if table is None else table.quotas
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -346,6 +346,25 @@
         """Whether any announced upstream fits the query, usable now or not."""
         return bool(self._eligible_records(query, now))
 
+    def record(self, name: str, now: float) -> UpstreamRecord | None:
+        """Return the record of an upstream; None if it is not announced."""
+        return self._directory.get(name, now)
+
+    def hears(self, gateway: str) -> bool:
+        """Whether reports of a nearby gateway arrive."""
+        return gateway in self._peers.gateways
+
+    @property
+    def hears_areas(self) -> bool:
+        """Whether sums of other zones arrive."""
+        return self._peers.has_areas
+
+    def is_usable(self, record: UpstreamRecord, now: float) -> bool:
+        """Whether an upstream is neither avoided nor carries out an order."""
+        load = self.load_of(record.name)
+        avoided = max(load.suspect_until, load.avoid_until) > now
+        return not avoided and not self.is_changing(record, now)
+
     def software(self, name: str, now: float) -> str | None:
         """Return an upstream's software version; None if it is not announced."""
         record = self._directory.get(name, now)
@@ -482,7 +501,6 @@
         load = self.load_of(record.name)
         size = query.pool.engine
         peers = self._peers.at(record.name) if self._peers else None
-        avoided = max(load.suspect_until, load.avoid_until) > now
         return Candidate(
             name=record.name,
             load=load.load(now, peers, unreported, query.rank),
@@ -495,7 +513,7 @@
             store_reports=stored is not None,
             far=record.zone != self._zone,
             error_rate=load.error_rate,
-            usable=not avoided and not self.is_changing(record, now),
+            usable=self.is_usable(record, now),
             software=record.software,
             speed=self._speed(record, now),
             memory_fraction=self._memory_fraction(record.pool),
--- a/gooseberrydale/request/capacity_ports.py
+++ b/gooseberrydale/request/capacity_ports.py
@@ -13,12 +13,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Need:
-    """What one request needs of an upstream; ``rank`` 0 is the most urgent."""
+    """What one request needs of an upstream; ``rank`` 0 is the most urgent.
+
+    ``unshared_tokens`` are the tokens of memory that no other request shares; None
+    takes those to compute.
+    """
 
     rank: int
     kv_tokens: int
     prefill_tokens: int
     requests: int = 1
+    unshared_tokens: int | None = None
 
 
 class Reservations(Protocol):
--- a/gooseberrydale/request/retry_plan/drain.py
+++ b/gooseberrydale/request/retry_plan/drain.py
@@ -28,6 +28,10 @@
 REFRESH_S = 0.05
 """Interval at which the counts of other gateways are summed up."""
 
+DRAIN_TTL_S = 0.02
+"""Time for which the drain of a pool is used.  Many requests wait at once, and each is
+decided on at about such intervals."""
+
 BUCKET_S = 0.25
 """Length of the intervals by which promised retries are counted."""
 
@@ -137,6 +141,7 @@
         # By the number of the interval in which they are due, counted from time 0.
         self._promised: dict[_Key, Counter[int]] = {}
         self._gateways, self._areas = _Recent(), _Recent()
+        self._drains: dict[_Key, tuple[float, PoolDrain]] = {}
         self._others: list[DrainCount] = []
         self._refresh_at = 0.0
         self._own, self._zone, self._elsewhere = _Interval(), _Interval(), _Interval()
@@ -150,9 +155,17 @@
     def promised(self, pool: str, rank: int, due: float) -> None:
         """Record that a refused caller may retry at ``due``."""
         self._promised.setdefault((pool, rank), Counter())[int(due / BUCKET_S)] += 1
+        self._drains.clear()
 
     def of(self, pool: str, rank: int, now: float) -> PoolDrain:
         """Return the drain of a pool at all gateways, for a request of ``rank``."""
+        at, known = self._drains.get((pool, rank), (0.0, None))
+        if known is None or now >= at + DRAIN_TTL_S:
+            known = self._sum(pool, rank, now)
+            self._drains[pool, rank] = now, known
+        return known
+
+    def _sum(self, pool: str, rank: int, now: float) -> PoolDrain:
         per_s: Counter[int] = Counter()
         promised: list[tuple[int, ...]] = []
         for count in self._all(now):
--- a/gooseberrydale/version/peer_loads.py
+++ b/gooseberrydale/version/peer_loads.py
@@ -172,6 +172,11 @@
         """The gateways that report directly to this one."""
         return self._gateways.keys()
 
+    @property
+    def has_areas(self) -> bool:
+        """Whether sums of other zones were reported."""
+        return bool(self._areas)
+
     @property
     def unreported_ratio(self) -> float:
         """Number of gateways without any report, for each gateway that reports.
