--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -245,3 +245,27 @@
     assert max(took_s) <= 0.0121
     # Owners that did not answer are skipped.
     assert took_s[-1] == 0.0
+
+
+async def _refused() -> tuple[list[bool], int, float]:
+    """Ask for a full upstream three times at once, then after the time it was given."""
+    fleet = ReservingFleet(3)
+    _, node, other = fleet.nodes
+    for upstream in fleet.upstreams:
+        fleet.running[upstream][other.peer.name].add(-0.5, SLOTS)
+    results = [await node.client.reserve(POOL, "u0", NEED, 1.0) for _ in range(3)]
+    sent = fleet.net.sent[node.peer.name]
+    assert node.client.free_requests(POOL, 0, now()) == 0.0
+    fleet.running["u0"][other.peer.name].add(now(), -3)
+    await asyncio.sleep(0.2)
+    results.append(await node.client.reserve(POOL, "u0", NEED, 3.0))
+    return results, sent, node.client.free_requests(POOL, 0, now())
+
+
+def test_a_full_upstream_is_asked_for_again_only_after_the_given_time() -> None:
+    """Guards against datagrams for each request that waits."""
+    results, sent, free = run_paused(_refused())
+    assert results == [False, False, False, True]
+    assert sent == 1
+    # Whole requests that fit: what is granted is not in reports yet.
+    assert free == 3.0
