--- a/gooseberrydale/process/gateway/capacity_sharing.py
+++ b/gooseberrydale/process/gateway/capacity_sharing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from gooseberrydale.process.cfg import GatewayCfg
+from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 
 
@@ -35,9 +36,13 @@
         """Whether reports of work are divided by rank."""
         return self._cfg.rank_loads and self.any_applies
 
-    def ranks_loads(self, pool: str) -> bool:
-        """Whether a request leaves the work of less urgent ranks out of account."""
-        return self._cfg.rank_loads and self.applies(pool)
+    def ranks_loads(self, pool: Pool) -> bool:
+        """Whether a request leaves the work of less urgent ranks out of account.
+
+        Services without a model serve in order of arrival.
+        """
+        is_model = pool.engine is not None
+        return is_model and self._cfg.rank_loads and self.applies(pool.name)
 
     def queues(self, pool: str) -> bool:
         """Whether requests of a pool wait in a queue ordered by rank and workspace."""
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -36,6 +36,7 @@
     SendHistory,
     decide_next_step,
 )
+from gooseberrydale.request.capacity_decision import CapacityDecision
 from gooseberrydale.request.fingerprint import fingerprint_text
 from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.quarantine import Quarantine
@@ -60,8 +61,7 @@
     """Forwards one request; ``run`` returns once the caller has its answer.
 
     Afterwards ``outcome`` names the result, ``choices`` holds the upstreams that were
-    chosen, and ``chosen_at`` is the time at which the first one was.  ``decision`` has
-    the values that decided while requests competed for capacity.
+    chosen, and ``chosen_at`` is the time at which the first one was.
     """
 
     def __init__(
@@ -83,7 +83,6 @@
         self._sender = Sender(job, answer, deps, self._may_move, charge)
         self._placer = Placer(job, deps.upstreams, deps.stats)
         self._placer.origin = job.origin
-        self.decision = job.undecided
         self.choices: list[Candidate] = []
         self.chosen_at = 0.0
         self.outcome = "unanswered"
@@ -241,6 +240,11 @@
                 await self._answer.refuse(why)
         return False
 
+    @property
+    def decision(self) -> CapacityDecision:
+        """The values that decided while requests competed for capacity."""
+        return self._placer.decision
+
     @property
     def framing(self) -> str:
         """What marks the end of the upstream's last answer; empty if there was none."""
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -30,12 +30,14 @@
 from gooseberrydale.process.gateway.origin_file import OriginFile
 from gooseberrydale.process.gateway.own_capacity import OwnCapacity
 from gooseberrydale.process.gateway.placer import ObservedStats, SharedCapacity
+from gooseberrydale.process.gateway.pool_rooms import PoolRooms
 from gooseberrydale.process.gateway.prober import Prober
 from gooseberrydale.process.gateway.request_metrics import (
     DisabledMetrics,
     RecordedMetrics,
 )
 from gooseberrydale.process.gateway.request_queue import RequestQueue
+from gooseberrydale.process.gateway.reservation_client import ReservationClient
 from gooseberrydale.process.gateway.resumption import Resumption
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
 from gooseberrydale.process.gateway.send import SendDeps
@@ -273,6 +275,13 @@
             self._known_fleet,
             None if own.data_dir is None else OriginFile(own.data_dir),
         )
+        self.reservations = ReservationClient(
+            self._own_name,
+            self._datagrams,
+            self._known_fleet,
+            PoolRooms(self._upstreams, self._declared_pools, self._known_fleet),
+            self._count_gateways,
+        )
         sends = SendDeps(
             dialect.wire,
             self._upstreams,
@@ -281,7 +290,7 @@
                 RunTimes(),
                 MeanWork(),
                 WaitLimits(),
-                SharedCapacity(self._queue, retries=self._retry_plan),
+                SharedCapacity(self._queue, self.reservations, self._retry_plan),
             ),
             self._origins,
             self._work_changed,
@@ -327,6 +336,7 @@
         self._budgets.start(asyncio.get_running_loop().time())
         self._quarantine_log.start()
         await self._datagrams.start()
+        self.reservations.start(asyncio.get_running_loop().time())
         await self._gossip.start()
         await self._areas.start()
         await self._limit_gossip.start()
@@ -459,6 +469,10 @@
         self._gossip.changed()
         self._queue.capacity_changed()
 
+    def _declared_pools(self) -> Mapping[str, Pool]:
+        table = self._declared.table
+        return {} if table is None else table.declared.pools
+
     def _declared_quotas(self) -> Mapping[str, Quota]:
         table = self._declared.table
         return {} if table is None else table.quotas
--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -15,6 +15,7 @@
 from gooseberrydale.process.gateway.request_queue import NewTicket, RequestQueue, Visit
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
 from gooseberrydale.process.gateway.upstreams import UpstreamQuery, Upstreams, demand_of
+from gooseberrydale.request.capacity_decision import NO_RANK, CapacityDecision
 from gooseberrydale.request.capacity_ports import (
     Need,
     Refuse,
@@ -40,6 +41,7 @@
     queue_s,
 )
 from gooseberrydale.request.quarantine import Quarantine, quarantine
+from gooseberrydale.request.service_queue import ServiceRequest, decide
 from gooseberrydale.request.waiting.neutral import AlwaysHold, NoReservations
 from gooseberrydale.request.waiting.turn import (
     Prospect,
@@ -133,7 +135,8 @@
     """Chooses the upstream for each send of one request.
 
     ``tried`` holds the names of the upstreams that were chosen so far.  Once ``origin``
-    is set, only upstreams that may continue its stream are chosen.
+    is set, only upstreams that may continue its stream are chosen.  ``decision`` has
+    the values that decided while requests competed for capacity.
     """
 
     def __init__(
@@ -161,6 +164,7 @@
         self._own_s = own_s(Candidate("", Load(0.0, 0.0, 0.0)), self._demand)
         self.tried: list[str] = []
         self.origin: StreamOrigin | None = None
+        self.decision: CapacityDecision = job.undecided
 
     @property
     def demand(self) -> Demand:
@@ -218,18 +222,73 @@
                 if visit.is_first():
                     candidates = self._candidates()
                     if _any_usable(candidates) or _now() >= usable_by:
-                        chosen = self._choose([c for _, c in candidates])
-                        if chosen is None:
-                            self._raise_if_rate_limited(_now())
-                            return None
-                        if await self._may_send(shared, visit, candidates, chosen):
+                        chosen = await self._turn(shared, visit, candidates)
+                        if chosen is not None:
                             visit.sent()
                             return self._placed(candidates, chosen)
+                        if not candidates:
+                            return None
                     elif not candidates:
                         self._raise_if_rate_limited(usable_by)
+                self._note_wait(visit)
                 self._raise_if_hopeless(shared, visit)
                 await visit.wait(job.deadline_at - self._own_s - MIN_LEFT_S)
 
+    async def _turn(
+        self, shared: SharedCapacity, visit: Visit, candidates: _Candidates
+    ) -> Candidate | None:
+        """Return the upstream that the first request here is sent to; None to wait.
+
+        Raises :class:`NoCapacityError` if it should not wait.
+        """
+        if not candidates:
+            self._raise_if_rate_limited(_now())
+            return None
+        if not self._demand.is_prompt:
+            return self._service_turn(visit, [c for _, c in candidates])
+        chosen = self._choose([c for _, c in candidates])
+        if chosen is None:
+            return None
+        self._note_choice(chosen)
+        may_send = await self._may_send(shared, visit, candidates, chosen)
+        return chosen if may_send else None
+
+    def _note_wait(self, visit: Visit) -> None:
+        """Record what is ahead of the request when it begins to wait."""
+        if self.decision.waited or visit.is_waiting:
+            return
+        ahead = visit.ahead()
+        self.decision = replace(
+            self.decision,
+            over_share=visit.is_over_share(),
+            queued_behind=math.ceil(ahead.requests),
+            behind_rank=visit.first_rank() if ahead.requests else NO_RANK,
+            backlog_tokens=ahead.tokens,
+        )
+
+    def _note_choice(self, chosen: Candidate) -> None:
+        self.decision = replace(
+            self.decision,
+            limit=chosen.memory_fraction,
+            slowness=chosen.speed.slowness,
+        )
+
+    def _service_turn(
+        self, visit: Visit, candidates: list[Candidate]
+    ) -> Candidate | None:
+        job = self._job
+        request = ServiceRequest(
+            objective_s=self._goal.objective_s,
+            waited_s=_now() - job.arrived_at,
+            left_s=job.left_s(),
+            ahead=visit.ahead_elsewhere().requests,
+            prior_wait_s=self._prior_wait_s,
+        )
+        decision = decide(candidates, request, self._upstreams.rng)
+        if decision.step is Step.REFUSE:
+            raise NoCapacityError(after_s=decision.after_s)
+        return decision.chosen
+
     def _ticket(self) -> NewTicket:
         job = self._job
         since = job.arrived_at - self._prior_wait_s
@@ -313,6 +372,8 @@
         left_s = job.left_s()
         if left_s <= self._own_s + MIN_LEFT_S:
             raise NoCapacityError
+        if not self._demand.is_prompt:
+            return
         if not self._upstreams.sharing.plans_retries(job.pool.name):
             return
         query = RetryQuery(
@@ -426,10 +487,7 @@
 
     def _query(self) -> UpstreamQuery:
         job = self._job
-        # Services without a model serve in order of arrival.
-        ranked = self._demand.is_prompt and self._upstreams.sharing.ranks_loads(
-            job.pool.name
-        )
+        ranked = self._upstreams.sharing.ranks_loads(job.pool)
         return UpstreamQuery(
             job.pool,
             job.call.prompt,
--- a/gooseberrydale/process/gateway/request_queue.py
+++ b/gooseberrydale/process/gateway/request_queue.py
@@ -151,6 +151,10 @@
             return True
         return queue.is_first(ticket, now, self._over_check(pool, now))
 
+    def holds(self, pool: str, ticket: Ticket) -> bool:
+        """Return whether a request waits here."""
+        return pool in self._pools and ticket in self._pools[pool]
+
     def join(self, pool: str, ticket: Ticket) -> None:
         """Add a request that has to wait."""
         queue = self._pools.setdefault(pool, WaitQueue())
@@ -277,6 +281,23 @@
         backlog = self._queue.backlog
         return backlog.more_urgent_elsewhere(self._pool, self._ticket.rank, _now())
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the request has joined the queue."""
+        return self._queue.holds(self._pool, self._ticket)
+
+    def ahead(self) -> Ahead:
+        """Return what waits at any gateway and is served before this request."""
+        now, ticket = _now(), self._ticket
+        return self._queue.backlog.ahead_of(
+            self._pool, ticket.rank, self.is_over_share(), now - ticket.since, now
+        )
+
+    def first_rank(self) -> int:
+        """Return the most urgent rank that waits at any gateway, or the own one."""
+        first = self._queue.backlog.first_rank(self._pool, _now())
+        return self._ticket.rank if first is None else first
+
     async def wait(self, until: float) -> None:
         """Wait until woken or until ``until``; the request joins the queue."""
         self._queue.join(self._pool, self._ticket)
--- a/gooseberrydale/request/waiting/backlog.py
+++ b/gooseberrydale/request/waiting/backlog.py
@@ -105,6 +105,12 @@
         reports = self._elsewhere(pool, now)
         return any(key.rank < rank for _, sums in reports for key in sums)
 
+    def first_rank(self, pool: str, now: float) -> int | None:
+        """Return the most urgent rank that waits at any gateway; None if none does."""
+        here = {key.rank for key in self._own(now).get(pool, {})}
+        elsewhere = {key.rank for _, _, sums in self._elsewhere(pool, now) for key in sums}
+        return min(here | elsewhere, default=None)
+
     def own(self, now: float) -> bytes:
         """Return what waits here, once it is due to be reported."""
         pools = {name_hash(pool): sums for pool, sums in self._own(now).items() if sums}
--- a/tests/test_queueing_placer.py
+++ b/tests/test_queueing_placer.py
@@ -183,7 +183,7 @@
 
 
 def test_plain_requests_wait_in_the_same_order() -> None:
-    crowded = Load(800.0, 0.0, 0.0)
+    crowded = Load(ENGINE.slots + 4.0, 0.0, 0.0)
     gateway = WaitingGateway(Engines(lambda now: crowded if now < 0.1 else LIGHT))
     play(
         gateway.request("low", None, rank=2),
