--- a/gooseberrydale/version/speeds/pool_rates.py
+++ b/gooseberrydale/version/speeds/pool_rates.py
@@ -33,6 +33,11 @@
 """Tokens ahead, as a fraction of a prompt's own, from which on a prompt teaches the
 queue rate.  With fewer, the noise of its own part exceeds what the queue adds."""
 
+MIN_QUEUED_SAMPLES = 7
+MAX_QUEUED_WEIGHT = 3.0
+"""Queued prompts from which on the queue rate is learned, and the largest weight of one
+relative to the median.  No single prompt then has half of the weight."""
+
 MIN_SIZE_RATIO = 2.0
 """Ratio of the largest to the smallest prompts from which on the start-up time can be
 told from the time of the tokens."""
@@ -234,13 +239,17 @@
 def _queue_rate(
     queued: list[tuple[Prefill, float]], start_s: float, own_rate: float
 ) -> float:
-    if len(queued) < MIN_SAMPLES:
+    if len(queued) < MIN_QUEUED_SAMPLES:
         return own_rate * QUEUED_RATE_RATIO
+    max_weight = MAX_QUEUED_WEIGHT * median(p.ahead for p, _ in queued)
     # Weighted by the tokens ahead: a short queue may have ended before the request
     # arrived, and would teach that queues cost nothing.
     token_s = _weighted_median(
         [
-            ((took_s - start_s - p.own / own_rate) / p.ahead, p.ahead)
+            (
+                (took_s - start_s - p.own / own_rate) / p.ahead,
+                min(max_weight, p.ahead),
+            )
             for p, took_s in queued
         ]
     )
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gooseberrydale.process.cfg import NodeCfg
+from gooseberrydale.process.cfg import GatewayCfg, NodeCfg
+from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.gateway import gateway_record
+from gooseberrydale.process.gateway.upstreams import UpstreamQuery, Upstreams
 from gooseberrydale.request.members import Members
-from gooseberrydale.version.peer_loads import OTHER_ZONES
+from gooseberrydale.version.declared import EngineSize, Pool
+from gooseberrydale.version.directory import Directory
+from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.named_weights import NamedWeights
+from gooseberrydale.version.peer_loads import OTHER_ZONES, PeerLoads
 from gooseberrydale.version.speeds.messages import (
     PoolReport,
     Ratios,
@@ -31,6 +38,7 @@
 )
 from gooseberrydale.version.speeds.speed import NEUTRAL, Prefill
 from gooseberrydale.version.speeds.stated_slowness import DEFAULT_SPELL_S
+from gooseberrydale.version.stores import Stores
 from tests.builders_gateway import POOL as DESK
 from tests.builders_gateway import (
     RawUpstream,
@@ -41,6 +49,8 @@
     declared,
     event,
     free_port,
+    no_limits,
+    prompt,
     record,
     route,
     running_gateway,
@@ -183,6 +193,16 @@
     assert busy.prefill_tokens_per_s == pytest.approx(20_000)
 
 
+def test_one_late_prompt_does_not_teach_the_queue_rate() -> None:
+    samples = RateSamples()
+    for number in range(7):
+        ahead, took_s = (90_000.0, 90.0) if number == 3 else (6_000.0, 0.3)
+        samples.add_prompt("e0", Prefill(3_000, 0.0), 0.1, number)
+        samples.add_prompt("e0", Prefill(3_000, ahead), took_s, number)
+    rates = samples.fit(lambda _: 1.0, 7.0)
+    assert rates.prefill_tokens_per_s == pytest.approx(30_000)
+
+
 def test_fetches_and_services_have_rates_of_their_own() -> None:
     samples = RateSamples()
     for number in range(9):
@@ -393,6 +413,30 @@
     assert slow / len(firsts) == pytest.approx(1 / 3, abs=0.03)
 
 
+@pytest.mark.parametrize("learn", [True, False])
+def test_choices_use_speeds_only_where_they_are_learned(learn: bool) -> None:
+    """Guards against deployments that are served otherwise than they ask for."""
+    directory, known = Directory(), trained(("u0", "u1", "u2"))
+    for name in ("u0", "u1", "u2"):
+        directory.offer(record(name, pool=POOL, model="m", lease_s=99.0), 0.0)
+    for number in range(60):
+        answer(known, "u0", 3_000, 11.0 + number / 100, times=4.0)
+    view = Upstreams(
+        *(directory, "local", random.Random(1), PeerLoads(), NamedWeights(), 8.0),
+        *(Stores(), EndedIncarnations(), no_limits()),
+        sharing=CapacitySharing(GatewayCfg(learn_speeds=learn), known.speeds),
+        speeds=known.speeds,
+    )
+    firsts = []
+    for number in range(200):
+        asked = prompt(("guide", 100), (f"lot {number}", 100))
+        query = UpstreamQuery(Pool(POOL, 10, EngineSize(48, 100_000)), asked, "")
+        candidates = [candidate for _, candidate in view.candidates(query, 20.0)]
+        firsts.append(candidates[0].name)
+        assert all((c.speed is NEUTRAL) is not learn for c in candidates)
+    assert (firsts.count("u0") < 40) is learn
+
+
 def test_gateway_measures_first_events_and_services(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -421,14 +465,14 @@
 
             monkeypatch.setattr(speeds, "first_event", measured)
             monkeypatch.setattr(speeds, "service_ended", measured)
-            prompt = "Parts: guide,lot,own"
-            await call(gateway, "/streams/1", extra=prompt)
+            parts = "Parts: guide,lot,own"
+            await call(gateway, "/streams/1", extra=parts)
             assert not seen
             speeds.stated(DESK, "u1", 1.0, asyncio.get_running_loop().time())
-            await call(gateway, "/streams/1", extra=prompt)
+            await call(gateway, "/streams/1", extra=parts)
             prefill, first_s = seen.pop()
             assert prefill == Prefill(10, 0) and 0.1 <= first_s < 0.3
-            await call(gateway, "/streams/1", extra=f"{prompt}\r\nLast-Event-Id: 1")
+            await call(gateway, "/streams/1", extra=f"{parts}\r\nLast-Event-Id: 1")
             assert not seen
             await call(gateway)
             assert len(seen) == 1 and 0.05 <= seen[0][0] < 0.2
