--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -358,7 +358,9 @@
         if not self._upstreams.sharing.reserves(pool):
             return True
         prefill = demand.work_at(chosen).prefill_tokens
-        need = Need(job.rank, demand.tokens, prefill)
+        need = Need(
+            job.rank, demand.tokens, prefill, unshared_tokens=demand.unshared_tokens
+        )
         free = free_at(chosen, demand)
         if not await shared.reservations.reserve(pool, chosen.name, need, free):
             return False
--- a/gooseberrydale/request/waiting/backlog.py
+++ b/gooseberrydale/request/waiting/backlog.py
@@ -108,7 +108,7 @@
     def first_rank(self, pool: str, now: float) -> int | None:
         """Return the most urgent rank that waits at any gateway; None if none does."""
         here = {key.rank for key in self._own(now).get(pool, {})}
-        elsewhere = {key.rank for _, _, sums in self._elsewhere(pool, now) for key in sums}
+        elsewhere = {key.rank for _, sums in self._elsewhere(pool, now) for key in sums}
         return min(here | elsewhere, default=None)
 
     def own(self, now: float) -> bytes:
--- a/tests/test_queueing_placer.py
+++ b/tests/test_queueing_placer.py
@@ -16,6 +16,7 @@
 from tests.builders_waiting import (
     CHAT,
     DEADLINES_S,
+    ENGINE,
     FULL,
     LIGHT,
     OBJECTIVES_S,
