--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -34,9 +34,12 @@
     poll_delay_s,
 )
 from gooseberrydale.request.placement import (
+    RANDOM_WEIGHED,
+    SHARED_RANDOM_WEIGHED,
     Candidate,
     Demand,
     choose,
+    gap_excess_s,
     own_s,
     queue_s,
 )
@@ -152,6 +155,9 @@
         )
         queued = upstreams.sharing.queues(job.pool.name)
         self._capacity = stats.capacity if queued else None
+        if self._capacity is not None:
+            gap_s = job.route.gap_objective_s
+            self._demand = replace(self._demand, gap_s=gap_s)
         self._prior_wait_s = 0.0
         if self._demand.is_prompt or self._capacity is not None:
             self._prior_wait_s = stats.patience.prior_wait_s(
@@ -321,7 +327,9 @@
         self._own_s = own_s(chosen, demand)
         urgent = visit.more_urgent_waits() or self._lacks_urgent_capacity(shared)
         small = demand.is_prompt and self._is_small(chosen) and not urgent
-        prospect = Prospect(queue_s(chosen, demand), self._own_s, small)
+        prospect = Prospect(
+            queue_s(chosen, demand), self._own_s, gap_excess_s(chosen, demand), small
+        )
         if has_to_wait(prospect, wait, self._goal):
             return False
         ahead = visit.ahead_elsewhere()
@@ -401,7 +409,8 @@
         return _any_usable(self._candidates())
 
     def _choose(self, candidates: list[Candidate]) -> Candidate | None:
-        return choose(candidates, self._demand, self._upstreams.rng)
+        weighed = RANDOM_WEIGHED if self._capacity is None else SHARED_RANDOM_WEIGHED
+        return choose(candidates, self._demand, self._upstreams.rng, weighed)
 
     def _next_step(self, chosen: Candidate) -> Step:
         """Decide whether to send the request to ``chosen``, the best candidate.
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -504,9 +504,15 @@
         load = self.load_of(record.name)
         size = query.pool.engine
         peers = self._peers.at(record.name) if self._peers else None
+        all_work = load.load(now, peers, unreported)
         return Candidate(
             name=record.name,
-            load=load.load(now, peers, unreported, query.rank),
+            load=(
+                all_work
+                if query.rank is None
+                else load.load(now, peers, unreported, query.rank)
+            ),
+            all_prefill_tokens=all_work.prefill_tokens,
             weights=record.weights_version,
             slots=record.slots or (size.slots if size else 0),
             kv_tokens=size.kv_tokens if size else 0,
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -74,6 +74,14 @@
 fraction of what others may use, so that it does not make requests late that arrived
 after it."""
 
+SHARED_RANDOM_WEIGHED = 6
+"""Random upstreams that are compared where capacity is shared: reservations keep
+gateways from all choosing the same one, and a request waits while all are full."""
+
+GAP_FRACTION = 0.7
+"""Fraction of the longest gap between events that prompts queued at an engine may
+cause.  The rest is for the steps between them and for delivery."""
+
 FULL_PENALTY_S = 2.0
 """Expected wait at an engine without free memory or slots: about the run time of a
 request."""
@@ -102,6 +110,7 @@
     the upstream is in another availability zone. ``usable`` is False while it is
     suspected to have failed or carries out an order.  ``speed`` is how fast it works.
     ``memory_fraction`` is how much of its memory it holds, as calculated here.
+    ``all_prefill_tokens`` are the prompt tokens queued there, of all ranks.
     """
 
     name: str
@@ -119,6 +128,7 @@
     software: str = ""
     speed: Speed = NEUTRAL
     memory_fraction: float = MEMORY_FRACTION
+    all_prefill_tokens: float = 0.0
 
     @property
     def lacks_prefix(self) -> bool:
@@ -142,7 +152,8 @@
     cached; ``shared_tokens`` follow, and are cached at their preferred upstream.
     ``run_s`` is how long requests of this kind run after their first event. With
     ``spare_only`` the request uses only capacity that others can spare.  ``rank`` is
-    its priority, 0 first.
+    its priority, 0 first.  ``gap_s`` is the longest gap between events of streams that
+    is in time, 0 if gaps are not considered.
     """
 
     own_tokens: int = 0
@@ -152,6 +163,7 @@
     run_s: float = 0.0
     spare_only: bool = False
     rank: int = 0
+    gap_s: float = 0.0
 
     @property
     def is_prompt(self) -> bool:
@@ -206,26 +218,29 @@
     candidates: Sequence[Candidate],
     demand: Demand,
     rng: random.Random,
+    random_weighed: int = RANDOM_WEIGHED,
 ) -> Candidate | None:
     """Return the candidate with the lowest expected time; None if there is none.
 
+    In a larger pool, the preferred ones and ``random_weighed`` others are compared.
     Candidates that are not usable are considered only if no other is left.
     """
     usable = [c for c in candidates if c.usable]
-    shortlist = _shortlist(usable or candidates, rng)
+    shortlist = _shortlist(usable or candidates, rng, random_weighed)
     if not shortlist:
         return None
     return min(shortlist, key=lambda c: (expected_s(c, demand), c.preference_rank))
 
 
 def _shortlist(
-    candidates: Sequence[Candidate], rng: random.Random
+    candidates: Sequence[Candidate], rng: random.Random, random_weighed: int
 ) -> Sequence[Candidate]:
     """Return the candidates whose expected times are compared."""
     if len(candidates) <= SMALL_POOL_SIZE:
         return candidates
     by_preference = sorted(candidates, key=lambda c: c.preference_rank)
-    others = rng.sample(by_preference[PREFERRED_WEIGHED:], RANDOM_WEIGHED)
+    rest = by_preference[PREFERRED_WEIGHED:]
+    others = rng.sample(rest, min(random_weighed, len(rest)))
     return [*by_preference[:PREFERRED_WEIGHED], *others]
 
 
@@ -261,11 +276,27 @@
         seconds += min(MAX_MOVE_COST_S, MOVE_COST_FRACTION * demand.run_s)
     if candidate.far:
         seconds += OTHER_ZONE_PENALTY_S
+    seconds += gap_excess_s(candidate, demand)
     return seconds + ERROR_PENALTY_S * max(
         0.0, candidate.error_rate - BASELINE_ERROR_RATE
     )
 
 
+def gap_excess_s(candidate: Candidate, demand: Demand) -> float:
+    """Return by how many seconds a prompt would stretch gaps beyond what is in time.
+
+    An engine computes queued prompts between the steps of its streams, whatever their
+    ranks.  While these take longer than the gap between two events may, all streams
+    there are late.  A prompt causes no gap where nothing else runs.
+    """
+    load = candidate.load
+    if not demand.gap_s or not (load.requests or candidate.all_prefill_tokens):
+        return 0.0
+    tokens = candidate.all_prefill_tokens + demand.work_at(candidate).prefill_tokens
+    busy_s = tokens / candidate.speed.own_tokens_per_s * candidate.speed.slowness
+    return max(0.0, busy_s - demand.gap_s * GAP_FRACTION)
+
+
 def _prefill_s(candidate: Candidate, demand: Demand) -> float:
     speed = candidate.speed
     own_s = demand.own_tokens / speed.prefill_tokens_per_s + speed.start_s
--- a/gooseberrydale/request/waiting/turn.py
+++ b/gooseberrydale/request/waiting/turn.py
@@ -33,11 +33,14 @@
 class Prospect:
     """What a request can expect at its best upstream; times in seconds.
 
-    ``small`` is whether it needs little work and nothing more urgent waits.
+    ``gap_excess_s`` is by how much it would stretch gaps of streams there beyond what
+    is in time.  ``small`` is whether it needs little work and nothing more urgent
+    waits.
     """
 
     queue_s: float
     own_s: float
+    gap_excess_s: float = 0.0
     small: bool = False
 
 
@@ -50,6 +53,8 @@
     """Return whether a request should not be sent to its best upstream yet."""
     if prospect.small and prospect.queue_s < FULL_PENALTY_S:
         return False
+    if prospect.gap_excess_s > 0.0 and prospect.queue_s > NEGLIGIBLE_QUEUE_S:
+        return True
     if is_late(prospect.own_s, wait, goal):
         accepted_s = goal.objective_s * goal.target_fraction * LATE_QUEUE_FRACTION
         return prospect.queue_s > max(NEGLIGIBLE_QUEUE_S, accepted_s)
