--- a/gooseberrydale/version/speeds/pool_speeds.py
+++ b/gooseberrydale/version/speeds/pool_speeds.py
@@ -23,8 +23,7 @@
 
 RATIO_WINDOW = 61
 """Ratios that a factor is the median of.  A busy upstream answers so often in nine
-seconds.  With half as many, a few slow spells in a row fill much of a window: the
-largest error among 23 simulated engines was 0.24 instead of 0.16."""
+seconds.  With half as many, a few slow spells in a row fill much of a window."""
 
 PRIOR_RATIOS = 2
 """Ratios of 1 that each upstream starts with: three of its own outweigh them, one or
