--- a/gooseberrydale/request/waiting/backlog.py
+++ b/gooseberrydale/request/waiting/backlog.py
@@ -224,9 +224,10 @@
 
 
 def _entry(key: WaitClass, waiting: Waiting) -> _Entry:
-    number = key.rank * CLASSES_PER_RANK + 2 * key.over_share + key.late
+    number = max(0, key.rank) * CLASSES_PER_RANK + 2 * key.over_share + key.late
     oldest_cs = int(min(MAX_WAIT_S, waiting.oldest_s) * CS_PER_S)
-    return number, waiting.requests, waiting.tokens, oldest_cs
+    requests = min(MAX_REQUESTS, waiting.requests)
+    return number, requests, min(MAX_TOKENS, waiting.tokens), oldest_cs
 
 
 def _decode(data: bytes) -> dict[int, dict[WaitClass, Waiting]] | None:
--- a/gooseberrydale/request/waiting/shares.py
+++ b/gooseberrydale/request/waiting/shares.py
@@ -315,7 +315,7 @@
 
 def _pool_report(pool: int, use: PoolUse) -> _PoolReport:
     named = [
-        (key, _units(one.sent), _units(one.waiting), one.weight)
+        (key, _units(one.sent), _units(one.waiting), min(MAX_TOKENS, one.weight))
         for key, one in use.named.items()
     ]
     return pool, named, _units(use.rest.sent), _units(use.rest.waiting)
@@ -338,7 +338,7 @@
 
 
 def _units(tokens: int) -> int:
-    return -(-tokens // TOKEN_UNIT)
+    return min(MAX_TOKENS, -(-tokens // TOKEN_UNIT))
 
 
 def _use(sent: int, waiting: int, weight: int = 0) -> Use:
--- a/tests/test_waiting_rules.py
+++ b/tests/test_waiting_rules.py
@@ -8,7 +8,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from gooseberrydale.request.hold_policy import Goal, Wait
@@ -268,6 +268,35 @@
     assert not here.shares.is_over(POOL, "w0", NOW + 5.0)
 
 
+rates = st.lists(st.floats(0.05, 1.0), min_size=2, max_size=5)
+
+
+@settings(max_examples=15)
+@given(rates.filter(lambda found: 1.1 <= sum(found) <= 2.5))
+def test_no_workspace_gets_more_than_its_share_while_others_wait(
+    found: list[float],
+) -> None:
+    """Rates are fractions of the capacity; one request can be sent each 20 ms."""
+    gateway, sent = Gateway([]), Counter[str]()
+    queue, shares = gateway.queue, gateway.shares
+    ticks, last = 250, 100
+    for tick in range(ticks):
+        now = NOW + tick * 0.02
+        for number, rate in enumerate(found):
+            for _ in range(int((tick + 1) * rate) - int(tick * rate)):
+                ticket_id = tick * len(found) + number
+                queue.join(Ticket(ticket_id, 0, f"w{number}", TOKENS, now))
+        over = {f"w{n}" for n in range(9) if shares.is_over(POOL, f"w{n}", now)}
+        for first in queue.first(1, now, over.__contains__):
+            queue.leave(first, sent=True)
+            shares.sent(POOL, first.workspace, TOKENS, 0, now)
+            sent[first.workspace] += tick >= ticks - last
+    share = level([Use(round(rate * 10**6)) for rate in found], 10**6, 1.0) / 10**6
+    for number, rate in enumerate(found):
+        assert sent[f"w{number}"] <= 1.2 * last * share + 3
+        assert sent[f"w{number}"] >= 0.8 * last * min(rate, share) - 3
+
+
 GOAL = Goal(1.0, 0)
 PROSPECTS = {
     "no queue": (Prospect(0.0, 0.1), 0.0, False),
