--- a/gooseberrydale/request/waiting/backlog.py
+++ b/gooseberrydale/request/waiting/backlog.py
@@ -5,8 +5,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import msgspec
 
@@ -24,6 +25,10 @@
 interval of sums between zones.  The maximum is below the time for which a report is
 used."""
 
+MAX_ZONE_INTERVAL_S = 0.2
+"""Longest interval of sums for the few relays of other zones.  It adds to the age of
+what they forward."""
+
 MAX_POOLS = 64
 MAX_CLASSES = 64
 MAX_REQUESTS = 100_000
@@ -169,6 +174,8 @@
     ) -> bytes:
         content = {pool: sums for pool, sums in pools.items() if sums}
         interval_s = REPORT_INTERVAL.of(self._recipients())
+        if audience == "zone":
+            interval_s = min(interval_s, MAX_ZONE_INTERVAL_S)
         if not self._paces[audience].is_due(bool(content), interval_s, now):
             return b""
         report: _Report = [
@@ -206,18 +213,30 @@
 ) -> dict[int, dict[WaitClass, Waiting]]:
     pools: dict[int, dict[WaitClass, Waiting]] = {}
     for report in reports:
-        age_s = report.age_s(now)
-        if age_s >= REPORT_TTL_S:
-            continue
         for pool, sums in report.pools.items():
-            aged = {
-                key: replace(one, oldest_s=one.oldest_s + age_s)
-                for key, one in sums.items()
-            }
-            _add_to(pools.setdefault(pool, {}), aged)
+            _add_to(pools.setdefault(pool, {}), _aged(sums, report.age_s(now)))
     return pools
 
 
+def _aged(sums: PoolWaiting, age_s: float) -> dict[WaitClass, Waiting]:
+    """Return what of a report is forwarded, less the older it is.
+
+    A forwarded sum does not show the ages of its parts, so those of a gateway that has
+    stopped must fade.
+    """
+    left = 1.0 - age_s / REPORT_TTL_S
+    if left <= 0.0:
+        return {}
+    return {
+        key: Waiting(
+            math.ceil(one.requests * left),
+            math.ceil(one.tokens * left),
+            one.oldest_s + age_s,
+        )
+        for key, one in sums.items()
+    }
+
+
 def _add_to(sums: dict[WaitClass, Waiting], more: PoolWaiting) -> None:
     for key, waiting in more.items():
         sums[key] = sums[key] + waiting if key in sums else waiting
--- a/tests/test_waiting_rules.py
+++ b/tests/test_waiting_rules.py
@@ -231,6 +231,11 @@
         assert gateway.backlog.more_urgent_elsewhere(POOL, 1, NOW)
         later = NOW + REPORT_TTL_S
         assert not gateway.backlog.ahead_of(POOL, 1, False, 0.0, later).requests
+    for age_s, requests in ((0.5 * REPORT_TTL_S, 2), (REPORT_TTL_S, 1)):
+        # What a gateway reported that has stopped since is not forwarded for ever.
+        far.backlog.merge_area("z1", relay.backlog.zone(NOW + age_s), NOW + age_s)
+        ahead = far.backlog.ahead_of(POOL, 1, False, 0.0, NOW + age_s)
+        assert ahead.requests == requests and ahead.tokens < 2 * TOKENS
 
 
 def test_nothing_is_reported_while_nothing_waits_and_the_end_of_a_wait_is() -> None:
