--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -249,7 +249,7 @@
 class UnreadAnswersCut(LogEvent):
     """Connections were cut whose callers did not read their answers.
 
-    ``cut`` connections had ``bytes`` in their buffers; ``held`` bytes remain in others.
+    The buffers of ``cut`` connections had ``cut_bytes``; others have ``held_bytes``.
     """
 
     NAME: ClassVar[str] = "unread_answers_cut"
@@ -257,8 +257,8 @@
     LEVEL: ClassVar[str] = "WARNING"
 
     cut: int
-    bytes: int
-    held: int
+    cut_bytes: int
+    held_bytes: int
 
 
 @dataclass(frozen=True, slots=True)
