--- a/gooseberrydale/request/self_limit.py
+++ b/gooseberrydale/request/self_limit.py
@@ -16,14 +16,15 @@
 from dataclasses import dataclass
 from statistics import median
 
-LATENESS_WINDOW_S = 0.3
-MIN_TICKS = 3
-"""The median of the ticks within this time counts, and of so many at least: a single
-long callback, such as a new document, is no overload."""
+LATENESS_WINDOW_S = 0.4
+MIN_LATE_TICKS = 3
+"""The ticks within this time count, and no tick as later than the third latest: a
+single long callback, such as a new document, is no overload. A process that may use
+0.3 of a core in each 0.1 s has four late ticks in this time."""
 
-LOOP_PASSES = 4
-"""How often a request waits for the event loop: to be accepted, to be read, for its
-upstream's connection and for the answer."""
+LOOP_PASSES = 3
+"""How often a request waits for the event loop: to be accepted and read, for its
+upstream's connection, and for the answer."""
 
 RETRY_COST_S = 0.1
 """What a retry costs a caller: the shortest retry time, a new connection, and sending
@@ -42,10 +43,10 @@
 """Interval between two changes of the declined fraction. A change takes about that long
 to take effect, as requests that were read before it are still served."""
 
-RAISE = 0.4
+RAISE = 0.6
 LOWER = 0.1
 """Largest change of the declined fraction in one step. It rises within 0.3 s to
-its maximum and falls within one second: too slow a rise makes requests late, too fast
+its maximum and falls within a second: too slow a rise makes requests late, too fast
 a fall brings the overload back before its end is noticed."""
 
 RELEASE_FRACTION = 0.7
@@ -82,22 +83,29 @@
     """How long a request waits for the event loop, from how late its ticks are."""
 
     def __init__(self) -> None:
+        # When each tick came, and how late.
         self._ticks: deque[tuple[float, float]] = deque()
 
     def ticked(self, due_at: float, now: float) -> None:
         """Record a tick that was due at ``due_at``."""
-        self._ticks.append((now, max(0.0, now - due_at)))
-        while (
-            len(self._ticks) > MIN_TICKS and self._ticks[0][0] < now - LATENESS_WINDOW_S
-        ):
-            self._ticks.popleft()
+        ticks = self._ticks
+        ticks.append((now, max(0.0, now - due_at)))
+        while len(ticks) > MIN_LATE_TICKS and ticks[0][0] < now - LATENESS_WINDOW_S:
+            ticks.popleft()
 
     @property
     def delay_s(self) -> float:
-        """The seconds that a request waits in all; 0 before there are enough ticks."""
-        if len(self._ticks) < MIN_TICKS:
+        """The seconds that a request waits in all; 0 before there are enough ticks.
+
+        The more of the time late ticks take, the likelier a request comes in it.
+        """
+        late_s = sorted(late_s for _, late_s in self._ticks)
+        if len(late_s) < MIN_LATE_TICKS:
             return 0.0
-        return LOOP_PASSES * median(late_s for _, late_s in self._ticks)
+        longest_s = late_s[-MIN_LATE_TICKS]
+        (begin, first_s), (end, _) = self._ticks[0], self._ticks[-1]
+        total_s = max(LATENESS_WINDOW_S, end - begin + first_s)
+        return LOOP_PASSES * sum(min(s, longest_s) ** 2 for s in late_s) / total_s
 
 
 class SelfLimit:
