--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gooseberrydale.process.gateway.placer import NoCapacityError, Placement, Placer
 from gooseberrydale.request.hold_policy import Step
 from gooseberrydale.request.placement import Candidate, Demand, expected_s
 from gooseberrydale.request.retry_after import (
@@ -26,6 +27,15 @@
 )
 from gooseberrydale.version.speeds.speed import NEUTRAL
 from gooseberrydale.version.upstream_load import Load
+from tests.builders_gateway import (
+    RawUpstream,
+    Writer,
+    answer_bytes,
+    call,
+    declared,
+    route,
+    running_gateway,
+)
 from tests.builders_services import (
     DEADLINE_S,
     OBJECTIVE_S,
@@ -36,6 +46,7 @@
     service,
     services,
 )
+from tests.sidecar_harness import run
 
 FULL = services(6, 6, 6)
 loads = st.lists(st.integers(0, 2 * SLOTS), min_size=1, max_size=5)
@@ -122,6 +133,21 @@
     assert 20 < chosen.count("s1") < chosen.count("s0")
 
 
+def test_an_upstream_that_fails_as_often_as_usual_is_not_avoided() -> None:
+    """One lookup in seven fails at every upstream; a rate is of few answers."""
+    usual, often = replace(service("a"), error_rate=0.2), service("b", 2)
+    rng = random.Random(1)
+    names = {choose_service([usual, often], rng).name for _ in range(20)}
+    assert "a" in names
+    broken = replace(usual, error_rate=0.8)
+    assert choose_service([broken, often], rng).name == "b"
+
+
+def test_an_upstream_of_unknown_size_always_has_a_free_slot() -> None:
+    unknown = replace(service("a", 9), slots=0)
+    assert decided([unknown, *services(6)], request(ahead=9)).chosen == unknown
+
+
 def test_without_a_learned_speed_services_are_compared_as_before() -> None:
     """Pools that share no capacity are served as before."""
     plain = Candidate("s", Load(3.0, 0.0, 0.0), slots=SLOTS, speed=NEUTRAL)
@@ -149,3 +175,29 @@
 def test_on_a_calm_day_nobody_waits() -> None:
     got = ServiceFleet(54.0, report_s=0.0).run()
     assert (got.late, got.queued, got.refused_after_s) == (0, 0, [])
+
+
+def test_a_refusal_after_a_run_does_not_promise_that_nothing_ran(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Callers repeat what has "not run", so the request would run twice."""
+    place = Placer.place
+
+    async def place_once(placer: Placer) -> Placement | None:
+        if placer.tried:
+            raise NoCapacityError
+        return await place(placer)
+
+    async def fails(req: dict[str, str], body: bytes, writer: Writer) -> None:
+        writer.write(answer_bytes(req["id"], b"broken", "500 Failed"))
+
+    async def main() -> None:
+        monkeypatch.setattr(Placer, "place", place_once)
+        upstreams = RawUpstream("u1", fails), RawUpstream("u2", fails)
+        document = declared(route(repeatable=True, max_runs=2))
+        async with running_gateway(document, *upstreams) as gateway:
+            got = await call(gateway)
+        assert (got.status, got.body) == (500, b"broken")
+        assert sum(len(upstream.requests) for upstream in upstreams) == 1
+
+    run(main())
