--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -180,7 +180,7 @@
         self._peers = PeerLoads()
         # Control relays these reports between gateways, so gateways need not.
         self.ended_incarnations = EndedIncarnations(relays=False)
-        speeds = UpstreamSpeeds()
+        speeds = UpstreamSpeeds(all_pools=self._cfg.share_capacity)
         self._upstreams = Upstreams(
             self.directory,
             cfg.node.zone,
--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -48,8 +48,9 @@
 from gooseberrydale.request.waiting.neutral import AlwaysHold, NoReservations
 from gooseberrydale.request.waiting.turn import (
     Prospect,
+    accepted_queue_s,
     free_at,
-    free_now,
+    free_within,
     has_to_wait,
     is_late,
     may_pass,
@@ -156,6 +157,8 @@
         queued = upstreams.sharing.queues(job.pool.name)
         self._capacity = stats.capacity if queued else None
         if self._capacity is not None:
+            # The queue orders ranks, so all of them use the same part of the objective.
+            self._goal = Goal(job.route.objective_s, 0)
             gap_s = job.route.gap_objective_s
             self._demand = replace(self._demand, gap_s=gap_s)
         self._prior_wait_s = 0.0
@@ -334,9 +337,10 @@
             return False
         ahead = visit.ahead_elsewhere()
         if ahead.requests > 0.0:
+            accepted_s = accepted_queue_s(self._own_s, wait, self._goal)
             free = min(
                 shared.reservations.free_requests(job.pool.name, job.rank, _now()),
-                free_now((c for _, c in candidates), demand),
+                free_within((c for _, c in candidates), demand, accepted_s),
             )
             if not may_pass(demand.tokens, free, ahead):
                 return False
--- a/gooseberrydale/request/waiting/turn.py
+++ b/gooseberrydale/request/waiting/turn.py
@@ -15,7 +15,6 @@
     NEGLIGIBLE_QUEUE_S,
     Goal,
     Wait,
-    would_be_late,
 )
 from gooseberrydale.request.placement import (
     FULL_PENALTY_S,
@@ -24,9 +23,10 @@
     queue_s,
 )
 
-LATE_QUEUE_FRACTION = 0.5
-"""Fraction of the queue time that requests in time accept up to which a late request is
-sent.  It leaves the rest to requests that still arrive and can be in time."""
+LEAST_QUEUE_FRACTION = 0.6
+"""Fraction of the time to its objective that a request accepts as queue time however
+long it has waited.  If requests that have waited accepted less, upstreams would run out
+of work between two reports while many requests wait."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,16 +49,22 @@
     return goal.objective_s > 0.0 and wait.total_s + own_s > goal.objective_s
 
 
+def accepted_queue_s(own_s: float, wait: Wait, goal: Goal) -> float:
+    """Return the queue time up to which a request is sent, in seconds."""
+    if not goal.objective_s:
+        return math.inf
+    target_s = goal.objective_s * goal.target_fraction
+    least_s = max(NEGLIGIBLE_QUEUE_S, target_s * LEAST_QUEUE_FRACTION)
+    return max(least_s, target_s - own_s - wait.total_s)
+
+
 def has_to_wait(prospect: Prospect, wait: Wait, goal: Goal) -> bool:
     """Return whether a request should not be sent to its best upstream yet."""
     if prospect.small and prospect.queue_s < FULL_PENALTY_S:
         return False
     if prospect.gap_excess_s > 0.0 and prospect.queue_s > NEGLIGIBLE_QUEUE_S:
         return True
-    if is_late(prospect.own_s, wait, goal):
-        accepted_s = goal.objective_s * goal.target_fraction * LATE_QUEUE_FRACTION
-        return prospect.queue_s > max(NEGLIGIBLE_QUEUE_S, accepted_s)
-    return would_be_late(prospect.queue_s, prospect.own_s, wait.total_s, goal)
+    return prospect.queue_s > accepted_queue_s(prospect.own_s, wait, goal)
 
 
 def may_pass(tokens: int, free: float, ahead: Ahead) -> bool:
@@ -85,13 +91,18 @@
     return max(0.0, fitting)
 
 
-def free_now(candidates: Iterable[Candidate], demand: Demand) -> float:
-    """Return how many requests like ``demand`` could start now without a queue."""
-    return sum(_startable(c, demand) for c in candidates if c.usable)
+def free_within(
+    candidates: Iterable[Candidate], demand: Demand, accepted_s: float
+) -> float:
+    """Return how many requests like ``demand`` could be sent now.
+
+    ``accepted_s`` is the queue time that they accept.
+    """
+    return sum(_sendable(c, demand, accepted_s) for c in candidates if c.usable)
 
 
-def _startable(candidate: Candidate, demand: Demand) -> float:
-    spare_s = NEGLIGIBLE_QUEUE_S - queue_s(candidate, demand)
+def _sendable(candidate: Candidate, demand: Demand, accepted_s: float) -> float:
+    spare_s = accepted_s - queue_s(candidate, demand)
     if spare_s < 0.0:
         return 0.0
     tokens = demand.work_at(candidate).prefill_tokens
--- a/gooseberrydale/version/route_table.py
+++ b/gooseberrydale/version/route_table.py
@@ -60,8 +60,11 @@
 
 
 def _ranks(declared: Declared) -> dict[tuple[int, int], int]:
-    holders = (None, *(declared.workspaces or ()))
-    pairs = {_priorities(r, holder) for r in declared.routes for holder in holders}
+    pairs = {
+        _priorities(route, holder)
+        for route in declared.routes
+        for holder in (None if route.public else declared.workspaces) or (None,)
+    }
     return {pair: rank for rank, pair in enumerate(sorted(pairs))}
 
 
--- a/gooseberrydale/version/speeds/pool_rates.py
+++ b/gooseberrydale/version/speeds/pool_rates.py
@@ -49,9 +49,16 @@
 QUEUED_RATE_RATIO = NEUTRAL.prefill_tokens_per_s / NEUTRAL.own_tokens_per_s
 """Rate of queued tokens relative to own ones while no queue was observed."""
 
-MIN_QUEUED_RATE_RATIO = 0.05
-"""Smallest rate of queued tokens relative to own ones; a lower one means that prompts
-waited for something else than the tokens ahead."""
+MIN_QUEUED_RATE_RATIO = 0.35
+"""Smallest rate of queued tokens relative to own ones.  A lower one means that prompts
+waited for something else than the tokens ahead, such as memory: taken for the rate, it
+would make gateways send less to upstreams that have capacity."""
+
+BEST_FRACTION = 0.9
+MIN_BEST_RATIO = 0.5
+"""The rate is at least this fraction of the one that this fraction of large prompts
+stay below.  In an overload, or after caches were lost, most prompts take longer for
+other reasons than the speed, and a rate learned from them would prolong it."""
 
 MIN_RATE, MAX_RATE = 100.0, 10_000_000.0
 """Bounds of a rate in tokens per second; real engines are within them."""
@@ -186,6 +193,9 @@
         if line is None:
             return Rates(service_run_s=run_s)
         start_s, token_s = line
+        best_s = _best_token_s(map(scaled, self._unqueued.values()))
+        if best_s is not None:
+            token_s = min(token_s, best_s / MIN_BEST_RATIO)
         # The speed of the engine does not change the time of a fetch.
         fetch_s = _median_if_enough(
             (
@@ -225,6 +235,18 @@
     return min(MAX_START_S, max(0.0, large_s - large * token_s)), token_s
 
 
+def _best_token_s(sizes: Iterable[list[tuple[Prefill, float]]]) -> float | None:
+    """Return the seconds per token of the fastest large prompts; None if not known."""
+    samples = [sample for size in sizes for sample in size]
+    if len(samples) < MIN_SAMPLES:
+        return None
+    least = median(p.own for p, _ in samples)
+    times = sorted(took_s / p.own for p, took_s in samples if p.own >= max(1, least))
+    if not times:
+        return None
+    return times[int(len(times) * (1.0 - BEST_FRACTION))]
+
+
 def _fit_queued(queued: list[tuple[Prefill, float]]) -> tuple[float, float] | None:
     """Return the same from queued prompts only, while none came without a queue.
 
--- a/gooseberrydale/version/speeds/speeds.py
+++ b/gooseberrydale/version/speeds/speeds.py
@@ -46,10 +46,11 @@
     """Learns speeds from answers; times are seconds of the event loop's clock.
 
     A pool is learned about once one of its upstreams has stated how slow it is, here or
-    to another gateway.
+    to another gateway; with ``all_pools``, from the start.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, all_pools: bool = False) -> None:
+        self._all_pools = all_pools
         self._pools: dict[str, PoolSpeeds] = {}
         # What other gateways report and when, by the key of the pool and by gateway,
         # the newest last.
@@ -65,7 +66,7 @@
 
     def is_on(self, pool: str) -> bool:
         """Whether speeds of ``pool`` are learned and used."""
-        if pool in self._pools:
+        if self._all_pools or pool in self._pools:
             return True
         if self._peer_rates and self._key_of(pool) in self._peer_rates:
             self._pool(pool)
@@ -75,7 +76,7 @@
     @property
     def any_on(self) -> bool:
         """Whether speeds of any pool are learned and used."""
-        return bool(self._pools or self._peer_rates)
+        return bool(self._all_pools or self._pools or self._peer_rates)
 
     def stated(self, pool: str, upstream: str, slowness: float, now: float) -> None:
         """Record how slow an upstream states to be now, 1.0 as usual."""
