--- a/gooseberrydale/capacity_log_events.py
+++ b/gooseberrydale/capacity_log_events.py
@@ -84,9 +84,9 @@
 class GatewayOverloaded(LogEvent):
     """This gateway began to decline requests, changed which ones, or ceased to.
 
-    ``reason`` names what is short: descriptors, memory, link or event loop.  ``used``
-    is the fraction of it in use.  Requests of ``from_rank`` and less urgent ones are
-    declined; it is None if none are any more.
+    ``reason`` names what is short: the event loop, or one of link, descriptors and
+    memory.  ``used`` is the largest used fraction of these three.  Requests of
+    ``from_rank`` and less urgent ones are declined; it is None if none are any more.
     """
 
     NAME: ClassVar[str] = "gateway_overloaded"
--- a/gooseberrydale/log_events.py
+++ b/gooseberrydale/log_events.py
@@ -226,25 +226,6 @@
     broken: int
 
 
-@dataclass(frozen=True, slots=True)
-class RequestsDeclined(LogEvent):
-    """This gateway begins or ends to decline new requests, as it is overloaded itself.
-
-    ``declined`` requests were declined before.  A request waits ``delay_ms`` longer for
-    the event loop than at other gateways; ``used`` is the largest used fraction of the
-    link, the descriptors and the memory, 1.0 where no connections are taken.
-    """
-
-    NAME: ClassVar[str] = "requests_declined"
-    TEXT: ClassVar[str] = "requests declined"
-    LEVEL: ClassVar[str] = "WARNING"
-
-    declining: bool
-    declined: int
-    delay_ms: float
-    used: float
-
-
 @dataclass(frozen=True, slots=True)
 class UnreadAnswersCut(LogEvent):
     """Connections were cut whose callers did not read their answers.
--- a/gooseberrydale/process/gateway/own_capacity.py
+++ b/gooseberrydale/process/gateway/own_capacity.py
@@ -12,8 +12,9 @@
 
 from starlette.types import Message, Send
 
+from gooseberrydale.capacity_log_events import GatewayOverloaded
 from gooseberrydale.connection.gateway_datagrams import FleetView
-from gooseberrydale.log_events import RequestsDeclined, emit
+from gooseberrydale.log_events import emit
 from gooseberrydale.process.connection_gate import ConnectionGate, LinkUse
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
@@ -23,6 +24,7 @@
     REMAINING_TIME_FRACTION,
 )
 from gooseberrydale.request.self_limit import (
+    NEARLY_FULL,
     LoopLateness,
     OwnUse,
     SelfLimit,
@@ -45,8 +47,6 @@
 DELAY_UNIT_S = 0.01
 MAX_UNITS = 255
 
-MS_PER_S = 1_000.0
-
 
 class OwnCapacity:
     """Observes the event loop, the link, descriptors and memory of this gateway.
@@ -75,8 +75,7 @@
         # By gateway: the delay it reported, and when.
         self._others: dict[str, tuple[float, float]] = {}
         self._reported_at = 0.0
-        self._declined = 0
-        self._was_limiting = False
+        self._declined_from: int | None = None
 
     # Observations.
 
@@ -131,7 +130,6 @@
             return None
         if not self._limit.declines(job.rank):
             return None
-        self._declined += 1
         return after_s
 
     # Reports to nearby gateways.
@@ -167,13 +165,12 @@
         return [delay_s for delay_s, _ in self._others.values()]
 
     def _log_changes(self, use: OwnUse) -> None:
-        is_limiting = self._limit.is_limiting
-        if is_limiting == self._was_limiting:
+        from_rank = self._limit.first_declined
+        if from_rank == self._declined_from:
             return
-        self._was_limiting = is_limiting
-        delay_ms = round(use.delay_s * MS_PER_S, 1)
-        emit(RequestsDeclined(is_limiting, self._declined, delay_ms, use.used))
-        self._declined = 0
+        self._declined_from = from_rank
+        reason = "event loop" if use.used < NEARLY_FULL else "link, fds or memory"
+        emit(GatewayOverloaded(reason, round(use.used, 2), from_rank))
 
 
 def _now() -> float:
--- a/gooseberrydale/request/self_limit.py
+++ b/gooseberrydale/request/self_limit.py
@@ -128,6 +128,12 @@
         """Whether any request is declined at present."""
         return any(self.fraction(rank) > 0.0 for rank in self._seen)
 
+    @property
+    def first_declined(self) -> int | None:
+        """The most urgent rank of which requests are declined; None if of no rank."""
+        declined = (rank for rank in self._seen if self.fraction(rank) > 0.0)
+        return min(declined, default=None)
+
     def arrived(self, rank: int, objective_s: float, now: float) -> None:
         """Record a request, whether it may be declined or not."""
         self._seen.setdefault(rank, {})[objective_s or math.inf] = now
--- a/tests/test_own_capacity.py
+++ b/tests/test_own_capacity.py
@@ -87,7 +87,7 @@
         assert abs(len(declined) - MAX_DECLINED * 10) <= 1
         assert len(upstream.requests) == served + 10 - len(declined)
         error = json_body(declined[0])["error"]
-        assert (error["code"], error["not_run"]) == ("gateway_busy", True)
+        assert (error["code"], error["not_run"]) == ("gateway_overloaded", True)
         assert 0.0 < float(declined[0].headers["retry-after"]) <= 0.1
         assert declined[0].headers["connection"] == "close"
 
@@ -140,14 +140,14 @@
 
 def test_overload_is_noticed_within_a_second_and_over_a_second_later() -> None:
     tested = capacity()
-    with logged("requests_declined") as lines:
+    with logged("gateway_overloaded") as lines:
         tick(tested, 0.001, 0.0, 1.0)
         assert not tested._limit.is_limiting
         tick(tested, LATE_S, 1.0, 2.0)
         assert tested._limit.is_limiting
         tick(tested, 0.001, 2.0, 3.5)
         assert not tested._limit.is_limiting
-    assert [line["declining"] for line in lines] == [True, False]
+    assert [line["from_rank"] for line in lines] == [2, None]
 
 
 def test_delay_that_the_neighbours_report_as_well_is_no_reason_to_decline() -> None:
