--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -90,6 +90,10 @@
 """Open answers are cut off this long before the process is killed, as closing the other
 components takes about a tenth of a second."""
 
+LAST_REPORT_S = 0.02
+"""Time in which the last report leaves before the socket is closed.  It is sent a
+second time, as the retries that it states would all count as spent if it were lost."""
+
 READY_CLOSE_TIMEOUT_S = 0.1
 RECORD_LEASE_S = 12.0
 """How long the other gateways count one that has died.  Its share of retries and
@@ -202,6 +206,9 @@
         )
         self._fleet_source: tuple[UpstreamRecord, ...] = ()
         self._datagrams = GatewayDatagrams(own.gossip, self._known_fleet)
+        self._sharing = SharingGateways(own.gateways)
+        self._budgets = RetryBudgets(own, self._count_gateways, incarnation)
+        extras = (self._budgets.ledger,)
         self._gossip = WorkGossip(
             self._datagrams,
             self._own_name,
@@ -209,6 +216,7 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
+            extras,
         )
         self._areas = AreaGossip(
             self._datagrams,
@@ -216,6 +224,7 @@
             self._peers,
             self._upstreams,
             self._known_fleet,
+            extras,
         )
         self._limit_gossip = LimitGossip(self._datagrams, self._upstreams.limits)
         self.quotas = QuotaClient(
@@ -249,8 +258,6 @@
             self._gossip.changed,
             self._connections,
         )
-        self._sharing = SharingGateways(own.gateways)
-        self._budgets = RetryBudgets(self._cfg, self._count_gateways)
         deps = GatewayDeps(
             declared=self._declared,
             sends=sends,
@@ -313,11 +320,15 @@
         drain = Drain(now + unready_period_s, now + self._cfg.grace_s - CUT_MARGIN_S)
         self._app.drain = drain
         emit(Draining(self._app.open_requests))
+        self._budgets.drain()
+        self._gossip.changed()
         await asyncio.sleep(unready_period_s)
         await self._front.close(
             max(READY_CLOSE_TIMEOUT_S, drain.abort_at - loop.time())
         )
         emit(Drained(self._app.open_requests))
+        self._budgets.close()
+        self._gossip.changed()
         await self._gate.close()
         await self._ready.close(READY_CLOSE_TIMEOUT_S)
         if self._sweep_task is not None:
@@ -328,6 +339,8 @@
         await self.quotas.close()
         await self._limit_gossip.close()
         await self._areas.close()
+        self._gossip.changed()
+        await asyncio.sleep(LAST_REPORT_S)
         await self._gossip.close()
         self._datagrams.close()
         await self._store.close()
--- a/gooseberrydale/request/retry_window.py
+++ b/gooseberrydale/request/retry_window.py
@@ -1,35 +1,40 @@
 """Limits the retries that a process may make within a sliding window. Pure.
 
-One per process and pool.  The processes of a fleet share a limit but don't exchange
-what they spend, so each keeps to its part of it: a ratio of its own requests, and a
-part of a fixed slack.  When upstreams fail with many open streams, all retries of a
-window may be made at once.
-
-A process that is killed takes along what it has spent.  The process that starts in its
-place, and any other to which the callers move, must not spend the same part again
-within the same window.  So requests of callers that were not here a window ago pay only
-for a fraction of the retries that those of other callers do, and a process that has
-started less than a window ago has the same fraction of its slack, which grows with its
-age.  The limit of the fleet then holds without any message and whatever is killed.
+One per process and pool.  The processes of a fleet share a limit, and each keeps to its
+part of it: a ratio of its own requests, and a part of a fixed slack.  When upstreams
+fail with many open streams, all retries of a window may be made at once.
+
+What of its part a process may use now depends on what the others have spent, see
+``retry_ledger.py``; the window asks for these terms at each retry.
 """
 
 from __future__ import annotations
 
-import math
 from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What a process may use of its part of the limit now.
 
-FRESH_FRACTION = 0.6
-"""Fraction of the retries that requests of new callers and a new process's slack pay
-for.  The fleet makes at most 1 + FRESH_FRACTION times the sum of all processes' limits,
-as those that were killed may have spent theirs."""
+    ``slack`` is its part of the slack.  ``level`` is the fraction of ratio and slack
+    that it may use, ``fresh_fraction`` what requests of callers that were not here a
+    window ago count.  ``least`` is allowed in any case.
+    """
+
+    slack: float
+    level: float = 1.0
+    fresh_fraction: float = 1.0
+    least: float = 0.0
 
 
 class RetryWindow:
     """Counts requests and retries; times are seconds of the loop's clock.
 
-    Within any ``window_s``, retries are limited to ``ratio`` of the requests in it,
-    plus ``slack``, or to ``least`` if that is more.  The process started at
-    ``started_at``.
+    Within any ``window_s``, retries are limited to ``ratio`` of the requests in it plus
+    ``slack``, or to what ``terms`` returns for a time.
     """
 
     def __init__(
@@ -37,18 +42,17 @@
         ratio: float,
         slack: float,
         window_s: float,
-        started_at: float = -math.inf,
+        terms: Callable[[float], Terms] | None = None,
     ) -> None:
         self._ratio = ratio
-        self._slack = slack
         self._window_s = window_s
-        self._started_at = started_at
-        self._now = max(0.0, started_at)
+        steady_terms = Terms(slack)
+        self._terms = terms if terms is not None else lambda now: steady_terms
+        self._now = 0.0
         self._requests: deque[float] = deque()
         # Requests of the window before this one.
         self._earlier: deque[float] = deque()
         self._retries: deque[float] = deque()
-        self._least = 0.0
 
     @property
     def left(self) -> float:
@@ -60,17 +64,26 @@
         """Retries made in the window, at the last call of ``deposit`` or ``spend``."""
         return len(self._retries)
 
+    @property
+    def requests(self) -> int:
+        """Requests in the window, at the last call of ``deposit`` or ``spend``."""
+        return len(self._requests)
+
     @property
     def allowed(self) -> float:
         """Retries that the window allows, at the last call of either."""
+        terms = self._terms(self._now)
+        return max(terms.least, terms.level * self.part(terms))
+
+    def part(self, terms: Terms) -> float:
+        """Return this process's part of the limit, whatever ``level`` it may use."""
         steady = min(len(self._requests), len(self._earlier))
         fresh = len(self._requests) - steady
-        paid = self._ratio * (steady + FRESH_FRACTION * fresh)
-        return max(self._least, paid + self._slack * self._slack_fraction())
+        return self._ratio * (steady + terms.fresh_fraction * fresh) + terms.slack
 
     def deposit(self, now: float) -> None:
         """Count one fresh request."""
-        self._advance(now)
+        self.advance(now)
         self._requests.append(now)
 
     def spend(self, now: float, reserved_fraction: float = 0.0) -> bool:
@@ -79,25 +92,23 @@
         ``reserved_fraction`` of the retries allowed in the window are left for more
         important uses.
         """
-        self._advance(now)
+        self.advance(now)
         if self.spent + 1 > self.allowed * (1.0 - reserved_fraction):
             return False
         self._retries.append(now)
         return True
 
-    def resize(self, slack: float, least: float = 0.0) -> None:
-        """Change the number of retries allowed in addition to ``ratio``, and the
-        number that is allowed in any case."""
-        self._slack, self._least = slack, least
-
-    def _slack_fraction(self) -> float:
-        """Return the fraction of the slack that this process may use by now."""
-        age_s = self._now - self._started_at
-        if age_s >= self._window_s:
-            return 1.0
-        return FRESH_FRACTION * max(0.0, age_s) / self._window_s
-
-    def _advance(self, now: float) -> None:
+    def by_age(self, buckets: int) -> tuple[tuple[int, ...], tuple[int, ...]]:
+        """Return the requests and the retries in each of ``buckets`` equal parts of the
+        window, the latest part first."""
+        width_s = self._window_s / buckets
+        return (
+            _histogram(self._requests, self._now, width_s, buckets),
+            _histogram(self._retries, self._now, width_s, buckets),
+        )
+
+    def advance(self, now: float) -> None:
+        """Drop what has left the window by ``now``."""
         self._now = now
         oldest = now - self._window_s
         while self._requests and self._requests[0] <= oldest:
@@ -108,3 +119,12 @@
         ):
             while timestamps and timestamps[0] <= since:
                 timestamps.popleft()
+
+
+def _histogram(
+    times: Iterable[float], now: float, width_s: float, buckets: int
+) -> tuple[int, ...]:
+    counts = [0] * buckets
+    for at in times:
+        counts[min(buckets - 1, max(0, int((now - at) / width_s)))] += 1
+    return tuple(counts)
