--- a/gooseberrydale/request/retry_ledger.py
+++ b/gooseberrydale/request/retry_ledger.py
@@ -24,7 +24,7 @@
 
 import math
 import zlib
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -129,6 +129,24 @@
         return max(self.spent, level * (self.paid + self.slack))
 
 
+@dataclass(frozen=True, slots=True)
+class _NearSums:
+    """Sums over the gateways that report directly, and those that have ended.
+
+    ``spent`` is that of the ended ones, ``shares`` the number of shares of the slack.
+    """
+
+    paid: float
+    parts: Sequence[Part]
+    spent: int
+    shares: int
+
+    def used(self, step: int) -> float:
+        """Return what is spent if all use the level of a step."""
+        level = step / LEVELS
+        return self.spent + sum(part.used(level) for part in self.parts)
+
+
 @dataclass(frozen=True, slots=True)
 class _Known:
     """The last report of a process that has not ended, and when it came."""
@@ -190,6 +208,7 @@
         self._due_at = -math.inf
         self._zone_due_at = -math.inf
         self._elsewhere_due_at = -math.inf
+        self._expire_at = -math.inf
         self._known: dict[str, _Known] = {}
         self._ended: dict[tuple[str, str], _Ended] = {}
         self._closed_at: dict[str, float] = {}
@@ -228,11 +247,6 @@
         far = sum(area.sums.gateways for area in self._live_areas(now))
         return len(live | closed) + far
 
-    def live(self, now: float) -> int:
-        """Return how many other gateways report."""
-        far = sum(area.sums.gateways for area in self._live_areas(now))
-        return len(self._live(now)) + far
-
     def mean_requests(self, pool: str, own: int, now: float) -> float:
         """Return the mean number of requests of the gateways that report nearby."""
         known = [k.pools.get(pool) for k in self._live(now).values()]
@@ -244,21 +258,11 @@
 
         The slack is divided among ``gateways``.
         """
-        paid, used, shares = self._near_sums(pool, own, now)
-        for area in self._live_areas(now):
-            shares += area.sums.shares
-            sums = area.pools.get(pool)
-            if sums is not None:
-                paid += sums.paid
-                used = [a + b for a, b in zip(used, sums.used, strict=True)]
-            else:
-                share = area.sums.gateways * self._slack()
-                used = [u + k / LEVELS * share for k, u in enumerate(used)]
-            lost_paid, lost_spent = self._lost(area, pool, now)
-            paid += lost_paid
-            used = [u + lost_spent for u in used]
-        limit = paid + min(shares, max(1, gateways)) * self._slack()
-        return _highest_level(used, limit)
+        near = self._near_sums(pool, own, now)
+        far_paid, far_used, far_shares = self._far_sums(pool, now)
+        shares = min(near.shares + far_shares, max(1, gateways))
+        limit = near.paid + far_paid + shares * self._slack()
+        return _highest_level(lambda step: near.used(step) + far_used[step], limit)
 
     def own(self, now: float) -> bytes:
         """Return the report of this gateway; empty if none is due."""
@@ -321,8 +325,10 @@
         sums, shares = [], 1
         for pool in pools:
             part = self._part(own.get(pool))
-            paid, used, shares = self._near_sums(pool, part, now)
-            sums.append(PoolSums(pool, paid, tuple(map(math.ceil, used))))
+            near = self._near_sums(pool, part, now)
+            used = tuple(math.ceil(near.used(step)) for step in range(LEVELS + 1))
+            sums.append(PoolSums(pool, near.paid, used))
+            shares = max(shares, near.shares)
         gateways = 1 + len(self._live(now))
         return _encode_area(gateways, max(gateways, shares), self.vouches(now), sums)
 
@@ -362,25 +368,36 @@
                 merged.ended, merged.ended_at = known.sums, known.at
         self._areas[area] = merged
 
-    def _near_sums(
-        self, pool: str, own: Part, now: float
-    ) -> tuple[float, list[float], int]:
-        """Return, for the gateways that report directly and the ended ones, what their
-        requests pay for, what is used at each level, and their number."""
+    def _near_sums(self, pool: str, own: Part, now: float) -> _NearSums:
+        """Return the sums of the gateways that report directly and the ended ones."""
         live = self._live(now)
         parts = [own, *(self._part(known.pools.get(pool)) for known in live.values())]
-        paid = sum(part.paid for part in parts)
-        used = [sum(p.used(k / LEVELS) for p in parts) for k in range(LEVELS + 1)]
-        names = set(live)
+        paid, spent, names = sum(part.paid for part in parts), 0, set(live)
         for (name, _), ended in self._ended.items():
             counts = ended.pools.get(pool)
             if counts is not None:
-                age_s = now - ended.at
-                paid += self._ratio * self._requests_left(counts, age_s)
-                spent = self._retries_left(counts, age_s)
-                used = [u + spent for u in used]
+                paid += self._ratio * self._requests_left(counts, now - ended.at)
+                spent += self._retries_left(counts, now - ended.at)
                 names.add(name)
-        return paid, used, 1 + len(names)
+        return _NearSums(paid, parts, spent, 1 + len(names))
+
+    def _far_sums(self, pool: str, now: float) -> tuple[float, list[float], int]:
+        """Return, for all other zones, what requests pay for, what is used at each
+        level, and the number of shares of the slack."""
+        paid, used, shares = 0.0, [0.0] * (LEVELS + 1), 0
+        for area in self._live_areas(now):
+            shares += area.sums.shares
+            sums = area.pools.get(pool)
+            if sums is not None:
+                paid += sums.paid
+                used = [a + b for a, b in zip(used, sums.used, strict=True)]
+            else:
+                share = area.sums.shares * self._slack()
+                used = [u + step / LEVELS * share for step, u in enumerate(used)]
+            lost_paid, lost_spent = self._lost(area, pool, now)
+            paid += lost_paid
+            used = [u + lost_spent for u in used]
+        return paid, used, shares
 
     def _part(self, counts: PoolCounts | None) -> Part:
         if counts is None:
@@ -467,6 +484,9 @@
 
     def _expire(self, now: float) -> None:
         """Drop ended processes of which nothing is within the window."""
+        if now < self._expire_at:
+            return
+        self._expire_at = now + REPORT_INTERVAL_S
         self._ended = {
             key: ended
             for key, ended in self._ended.items()
@@ -486,18 +506,20 @@
             del self._known[name]
 
 
-def _highest_level(used: list[float], limit: float) -> float:
+def _highest_level(used: Callable[[int], float], limit: float) -> float:
     """Return the highest level at which at most ``limit`` is used; 0 if there is none.
 
-    ``used`` rises with the level, and ever faster, so between two levels it is at most
-    the value interpolated.
+    ``used`` returns what is used at a step of the levels.  It rises ever faster, so
+    between two steps it is at most the value interpolated.
     """
-    for index in range(LEVELS, -1, -1):
-        if used[index] <= limit + 1e-9:
-            if index == LEVELS:
+    above = math.inf
+    for step in range(LEVELS, -1, -1):
+        here = used(step)
+        if here <= limit + 1e-9:
+            if step == LEVELS:
                 return 1.0
-            step = (limit - used[index]) / (used[index + 1] - used[index])
-            return max(0.0, (index + step) / LEVELS)
+            return max(0.0, (step + (limit - here) / (above - here)) / LEVELS)
+        above = here
     return 0.0
 
 
--- a/gooseberrydale/request/retry_window.py
+++ b/gooseberrydale/request/retry_window.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -124,7 +125,9 @@
 def _histogram(
     times: Iterable[float], now: float, width_s: float, buckets: int
 ) -> tuple[int, ...]:
-    counts = [0] * buckets
-    for at in times:
-        counts[min(buckets - 1, max(0, int((now - at) / width_s)))] += 1
-    return tuple(counts)
+    """Return how many of the rising ``times`` are in each bucket."""
+    ordered = list(times)
+    # The last bucket begins with the first time that is left in the window.
+    starts = [bisect_right(ordered, now - width_s * k) for k in range(1, buckets)]
+    bounds = [len(ordered), *starts, 0]
+    return tuple(end - start for end, start in zip(bounds, bounds[1:], strict=False))
