Don't use sums of a zone that can't know what was spent in it

A relay that started after the zone was killed reports sums without what its processes had spent; other zones took them for room that they may use.

--- a/gooseberrydale/process/gateway/retry_budgets.py
+++ b/gooseberrydale/process/gateway/retry_budgets.py
@@ -89,30 +89,30 @@
             return Terms(0.0, level=0.0)
         budget, gateways = self._budgets[pool], max(1, self._gateways())
         own_slack = self._own_slack()
-        # A stream that breaks just after a start goes on, unless the fleet is so large
-        # that not even one retry for each gateway is within the slack.
-        least = min(1.0, self._cfg.retry_slack / gateways)
-        if self.ledger.age_s(now) < self._window_s:
-            requests = self.ledger.mean_requests(pool, budget.requests, now)
-            least = max(least, self._untold(requests, least, own_slack, now))
         if not self.ledger.vouches(now):
+            requests = self.ledger.mean_requests(pool, budget.requests, now)
+            least = self._untold(requests, gateways, own_slack, now)
             return Terms(own_slack, level=0.0, least=least)
-        terms = Terms(own_slack, 1.0, self._fresh_fraction(gateways, now), least)
+        terms = Terms(own_slack, 1.0, self._fresh_fraction(gateways, now))
         part = Part(budget.part(terms) - own_slack, own_slack, budget.spent)
         level = self.ledger.level(pool, part, gateways, now)
-        return Terms(own_slack, level, terms.fresh_fraction, least)
+        return Terms(own_slack, level, terms.fresh_fraction)
 
     def _untold(
-        self, requests: float, least: float, own_slack: float, now: float
+        self, requests: float, gateways: int, own_slack: float, now: float
     ) -> float:
         """Return how many retries a process may make beside a whole limit that was
         spent before it started."""
-        age = max(0.0, self.ledger.age_s(now)) / self._window_s
-        paid = self._cfg.retry_ratio * requests
-        slack = own_slack / USED_FRACTION
+        # A stream that breaks just after a start goes on, unless the fleet is so large
+        # that not even one retry for each gateway is within the slack.
+        least = min(1.0, self._cfg.retry_slack / gateways)
+        age = self.ledger.age_s(now) / self._window_s
+        if age <= 0.0:
+            return least
         rest = 1.0 - USED_FRACTION
-        at_full_age = paid / age + slack if age > 0.0 else slack
-        return rest * min(least / rest + at_full_age * age, at_full_age)
+        slack = own_slack / USED_FRACTION
+        at_full_age = rest * (self._cfg.retry_ratio * requests / age + slack)
+        return max(least, min(least + at_full_age * age, at_full_age))
 
     def _fresh_fraction(self, gateways: int, now: float) -> float:
         """Return what requests of new callers count for: as much as the unused fraction
--- a/gooseberrydale/request/retry_ledger.py
+++ b/gooseberrydale/request/retry_ledger.py
@@ -25,7 +25,7 @@
 import math
 import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
@@ -107,7 +107,8 @@
     """Sums over the gateways of an area.
 
     ``gateways`` counts those that report, ``shares`` also the ended ones that have no
-    successor.  The sums ``vouch`` if one of the gateways does.
+    successor.  The sums ``vouch`` if their sender knows what was spent in the window;
+    other sums are not used, so an area that was killed counts as not reporting.
     """
 
     gateways: int
@@ -165,15 +166,13 @@
     pools: Mapping[str, PoolCounts]
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Area:
-    """The last sums of an area, and the last ones before all of it was killed."""
+    """The last sums of an area, and when they came."""
 
     at: float
     sums: AreaSums
-    ended: AreaSums | None = None
-    ended_at: float = -math.inf
-    pools: dict[str, PoolSums] = field(default_factory=dict)
+    pools: Mapping[str, PoolSums]
 
 
 _own_decoder = msgspec.msgpack.Decoder(OwnReport)
@@ -311,8 +310,7 @@
     def zone(self, now: float) -> bytes:
         """Return the sums over all gateways of this zone; empty if not due.
 
-        A relay that has just started has not heard all of them yet, and other zones
-        would take its sums for those of a zone that was killed.
+        A relay that has just started may not have heard all of them yet.
         """
         is_new = self.age_s(now) < SILENT_AFTER_S and not self.vouches(now)
         if is_new or now < self._zone_due_at:
@@ -340,13 +338,13 @@
         self._elsewhere_due_at = now + REPORT_INTERVAL_S
         pools: dict[str, PoolSums] = {}
         for area in areas:
-            for sums in self._with_lost(area, now):
+            for sums in area.pools.values():
                 known = pools.get(sums.pool)
                 pools[sums.pool] = sums if known is None else _add(known, sums)
         return _encode_area(
             sum(area.sums.gateways for area in areas),
             sum(area.sums.shares for area in areas),
-            all(area.sums.vouch for area in areas),
+            True,
             pools.values(),
         )
 
@@ -359,14 +357,8 @@
         # A relay receives the sums of single zones, the other gateways their sum.
         for other in [a for a in self._areas if (a == "") != (area == "")]:
             del self._areas[other]
-        valid = [pool for pool in sums.pools if len(pool.used) == LEVELS + 1]
-        known = self._areas.get(area)
-        merged = _Area(now, sums, pools={pool.pool: pool for pool in valid})
-        if known is not None:
-            merged.ended, merged.ended_at = known.ended, known.ended_at
-            if known.sums.vouch and not sums.vouch:
-                merged.ended, merged.ended_at = known.sums, known.at
-        self._areas[area] = merged
+        pools = {p.pool: p for p in sums.pools if len(p.used) == LEVELS + 1}
+        self._areas[area] = _Area(now, sums, pools)
 
     def _near_sums(self, pool: str, own: Part, now: float) -> _NearSums:
         """Return the sums of the gateways that report directly and the ended ones."""
@@ -394,9 +386,6 @@
             else:
                 share = area.sums.shares * self._slack()
                 used = [u + step / LEVELS * share for step, u in enumerate(used)]
-            lost_paid, lost_spent = self._lost(area, pool, now)
-            paid += lost_paid
-            used = [u + lost_spent for u in used]
         return paid, used, shares
 
     def _part(self, counts: PoolCounts | None) -> Part:
@@ -423,25 +412,6 @@
             if age_s + index * width_s < self._window_s
         )
 
-    def _lost(self, area: _Area, pool: str, now: float) -> tuple[float, float]:
-        """Return what requests paid and what was spent, at most, in an area of which
-        all processes have ended."""
-        age_s = now - area.ended_at
-        if area.ended is None or age_s >= self._window_s:
-            return 0.0, 0.0
-        for sums in area.ended.pools:
-            if sums.pool == pool and sums.used:
-                return sums.paid * (1.0 - age_s / self._window_s), sums.used[-1]
-        return 0.0, 0.0
-
-    def _with_lost(self, area: _Area, now: float) -> Iterable[PoolSums]:
-        lost = area.ended.pools if area.ended is not None else ()
-        for pool in {*area.pools, *(sums.pool for sums in lost)}:
-            sums = area.pools.get(pool, PoolSums(pool, 0.0, (0,) * (LEVELS + 1)))
-            paid, spent = self._lost(area, pool, now)
-            used = tuple(math.ceil(u + spent) for u in sums.used)
-            yield PoolSums(pool, sums.paid + paid, used)
-
     def _live(self, now: float) -> Mapping[str, _Known]:
         return {
             name: known
@@ -450,7 +420,12 @@
         }
 
     def _live_areas(self, now: float) -> list[_Area]:
-        return [a for a in self._areas.values() if now < a.at + SILENT_AFTER_S]
+        """Return the areas whose sums are known, and what was spent before them."""
+        return [
+            area
+            for area in self._areas.values()
+            if area.sums.vouch and now < area.at + SILENT_AFTER_S
+        ]
 
     def _end(self, gateway: str, known: _Known) -> None:
         """Record the end of a process that did not report that it closes."""
