--- a/tests/test_retry_fleet.py
+++ b/tests/test_retry_fleet.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gooseberrydale.process.cfg import NodeCfg
+from gooseberrydale.process.gateway.gateway import gateway_record
+from tests.builders_gateway import declared, free_port, running_gateway
 from tests.builders_retry_fleet import WINDOW_S, RetryFleet
+from tests.sidecar_harness import run
 
 QUIET_S = 25.0
 """Requests fail only after this time, when no gateway has spent a retry."""
@@ -328,3 +334,33 @@
         fleet.run(fleet.now + pause_s)
     fleet.run(fleet.now + 8.0)
     assert fleet.excess() <= 1.0
+
+
+def test_a_gateway_that_closes_reports_what_it_spent_as_final() -> None:
+    """Without its last report all of its part would count as spent."""
+
+    async def main() -> None:
+        addresses = {name: f"127.0.0.1:{free_port()}" for name in ("g1", "g2")}
+        async with AsyncExitStack() as stack:
+            survivor = await stack.enter_async_context(
+                running_gateway(declared(), name="g2", gossip=addresses["g2"])
+            )
+            async with running_gateway(
+                declared(), name="g1", gossip=addresses["g1"]
+            ) as closing:
+                now = asyncio.get_running_loop().time()
+                for gateway in (survivor, closing):
+                    for name, address in addresses.items():
+                        known = gateway_record(NodeCfg(name), address, "1")
+                        gateway.directory.offer(known, now)
+                budget = closing._budgets.of("p")
+                for _ in range(10):
+                    budget.deposit(now)
+                assert budget.spend(now)
+            ledger = survivor._budgets.ledger
+            now = asyncio.get_running_loop().time()
+            [ended] = ledger._ended.values()
+            assert ended.exact and sum(ended.pools["p"].retries) == 1
+            assert ledger.reporting(now) == 1
+
+    run(main())
