--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -98,6 +98,10 @@
 """Open answers are cut off this long before the process is killed, as closing the other
 components takes about a tenth of a second."""
 
+LAST_REPORT_S = 0.02
+"""Time in which the last report leaves before the socket is closed.  It is sent a
+second time, as the retries that it states would all count as spent if it were lost."""
+
 READY_CLOSE_TIMEOUT_S = 0.1
 RECORD_LEASE_S = 12.0
 """How long the other gateways count one that has died.  Its share of retries and
@@ -210,6 +214,8 @@
         )
         self._fleet_source: tuple[UpstreamRecord, ...] = ()
         self._datagrams = GatewayDatagrams(own.gossip, self._known_fleet)
+        self._sharing = SharingGateways(own.gateways)
+        self._budgets = RetryBudgets(own, self._count_gateways, incarnation)
         self._gate = ConnectionGate(own.max_fds, own.memory_mb, own.link_mbps)
         self._readers = SlowReaders()
         capacity = OwnCapacity(
@@ -227,6 +233,7 @@
         self._retry_plan = RetryPlans(self._queue.backlog, drain, self._rng)
         speed_reports = [SpeedReports(speeds, self._known_fleet)]
         self._extras = (
+            self._budgets.ledger,
             *self._queue.extras,
             drain,
             capacity,
@@ -296,8 +303,6 @@
             self._work_changed,
             self._connections,
         )
-        self._sharing = SharingGateways(own.gateways)
-        self._budgets = RetryBudgets(self._cfg, self._count_gateways)
         deps = GatewayDeps(
             declared=self._declared,
             sends=sends,
@@ -362,11 +367,15 @@
         drain = Drain(now + unready_period_s, now + self._cfg.grace_s - CUT_MARGIN_S)
         self._app.drain = drain
         emit(Draining(self._app.open_requests))
+        self._budgets.drain()
+        self._gossip.changed()
         await asyncio.sleep(unready_period_s)
         await self._front.close(
             max(READY_CLOSE_TIMEOUT_S, drain.abort_at - loop.time())
         )
         emit(Drained(self._app.open_requests))
+        self._budgets.close()
+        self._gossip.changed()
         await self._gate.close()
         await self._readers.close()
         await self._ready.close(READY_CLOSE_TIMEOUT_S)
@@ -378,6 +387,8 @@
         await self.quotas.close()
         await self._limit_gossip.close()
         await self._areas.close()
+        self._gossip.changed()
+        await asyncio.sleep(LAST_REPORT_S)
         await self._gossip.close()
         self._queue.close()
         self._datagrams.close()
