--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -102,7 +102,8 @@
     Retries of a pool's requests are limited over all gateways together, within any
     ``retry_window_s``, to ``retry_ratio`` times its requests plus ``retry_slack``.
     Each gateway divides ``retry_slack`` by the number of gateways that it has recorded
-    in the last minute, or by ``gateways`` if that is larger.
+    in the last minute, or by ``gateways`` if that is larger; a fleet that is larger
+    than ``gateways`` uses half of it.
 
     ``gossip`` receives the datagrams in which other gateways report their work.
     A request may be started on outdated weights for at most ``weights_bound_s`` after
