--- a/gooseberrydale/version/speeds/pool_rates.py
+++ b/gooseberrydale/version/speeds/pool_rates.py
@@ -195,7 +195,7 @@
         start_s, token_s = line
         best_s = _best_token_s(map(scaled, self._unqueued.values()))
         if best_s is not None:
-            token_s = min(token_s, best_s / MIN_BEST_RATIO)
+            token_s = _token_s(min(token_s, best_s / MIN_BEST_RATIO))
         # The speed of the engine does not change the time of a fetch.
         fetch_s = _median_if_enough(
             (
