Show in the metrics what waits, and what is learned and reserved

The metrics of capacity sharing had neutral values, as no gateway supplied any. GatewayLevels reads them from the queue, the speeds, the limits and the reservations.

--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -26,6 +26,7 @@
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
+from gooseberrydale.process.gateway.gateway_levels import GatewayLevels
 from gooseberrydale.process.gateway.origin_client import OriginClient
 from gooseberrydale.process.gateway.origin_file import OriginFile
 from gooseberrydale.process.gateway.own_capacity import OwnCapacity
@@ -289,6 +290,10 @@
             PoolRooms(self._upstreams, self._declared_pools, self._known_fleet),
             self._count_gateways,
         )
+        if self.metrics is not None:
+            self.metrics.capacity_levels = GatewayLevels(
+                self._upstreams, self._queue, self.reservations
+            )
         sends = SendDeps(
             dialect.wire,
             self._upstreams,
--- a/gooseberrydale/process/gateway/request_queue.py
+++ b/gooseberrydale/process/gateway/request_queue.py
@@ -10,6 +10,7 @@
 import asyncio
 import itertools
 import math
+from collections import Counter
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from types import TracebackType
@@ -128,6 +129,22 @@
         queue = self._pools.get(pool)
         return {} if queue is None else queue.tokens
 
+    def waiting_by_rank(self) -> dict[int, int]:
+        """Return how many requests wait here, of all pools."""
+        waiting: Counter[int] = Counter()
+        for sums in self._classes(_now()).values():
+            for key, one in sums.items():
+                waiting[key.rank] += one.requests
+        return dict(waiting)
+
+    def workspaces_over(self) -> dict[str, int]:
+        """Return by pool how many workspaces that wait here are over their share."""
+        now = _now()
+        return {
+            pool: sum(self.is_over(pool, name, now) for name in queue.tokens)
+            for pool, queue in self._pools.items()
+        }
+
     def any_waits(self, pool: str, now: float) -> bool:
         """Return whether a request of the pool waits at any gateway."""
         return pool in self._pools or self.backlog.has_elsewhere(pool, now)
--- a/gooseberrydale/version/capacity/limits.py
+++ b/gooseberrydale/version/capacity/limits.py
@@ -121,6 +121,10 @@
         limit = self._limits.get(pool)
         return MEMORY_FRACTION if limit is None else limit.fraction
 
+    def fractions(self) -> dict[str, float]:
+        """Return the limit of each pool about which something was learned."""
+        return {pool: limit.fraction for pool, limit in self._limits.items()}
+
     def reported(self, pool: str, held: float, load: ReportedLoad, now: float) -> None:
         """Record a load report of an upstream of ``pool``.
 
--- a/gooseberrydale/version/speeds/pool_speeds.py
+++ b/gooseberrydale/version/speeds/pool_speeds.py
@@ -106,6 +106,14 @@
         """The rates that this gateway itself observed."""
         return self._own_rates
 
+    def factors(self) -> dict[str, float]:
+        """Return the factor of each upstream that was observed."""
+        return {
+            name: known.factor
+            for name, known in self._upstreams.items()
+            if known.is_observed
+        }
+
     def knows(self, upstream: str) -> bool:
         """Whether there is state of an upstream."""
         return upstream in self._upstreams
--- a/gooseberrydale/version/speeds/speeds.py
+++ b/gooseberrydale/version/speeds/speeds.py
@@ -138,6 +138,14 @@
         known = self._pools.get(pool)
         return _NO_WEIGHTS if known is None else known.weights
 
+    def factors(self) -> dict[str, float]:
+        """Return the learned speed of each upstream, relative to its pool's mean."""
+        return {
+            name: factor
+            for pool in self._pools.values()
+            for name, factor in pool.factors().items()
+        }
+
     def own_rates(self) -> Iterable[PoolReport]:
         """Return the rates of each pool that this gateway itself observed."""
         for pool, known in self._pools.items():
--- a/tests/test_gateway_queue.py
+++ b/tests/test_gateway_queue.py
@@ -6,6 +6,7 @@
 
 from gooseberrydale.process.cfg import NodeCfg
 from gooseberrydale.process.gateway.gateway import Gateway, gateway_record
+from gooseberrydale.process.gateway.gateway_levels import GatewayLevels
 from gooseberrydale.version.upstream_load import Work
 from tests.builders_gateway import (
     POOL,
@@ -92,3 +93,25 @@
             assert (await waiting).status == 200
 
     run(main())
+
+
+def test_scrape_shows_what_waits_and_what_is_learned() -> None:
+    async def main() -> None:
+        upstream = RawUpstream("u1", answer)
+        async with running_gateway(
+            declared(), upstream, share_capacity=True
+        ) as gateway:
+            levels = GatewayLevels(
+                gateway._upstreams, gateway._queue, gateway.reservations
+            )
+            assert levels.waiting() == {} and levels.reservations().asked == 0
+            crowd(gateway, "u1")
+            waiting = asyncio.ensure_future(call(gateway))
+            await asyncio.sleep(CROWDED_S / 2)
+            assert levels.waiting() == {0: 1}
+            assert levels.workspaces_over() == {POOL: 0}
+            clear(gateway, "u1")
+            assert (await waiting).status == 200
+            assert levels.waiting() == {} and levels.speed_factors() == {}
+
+    run(main())
