--- a/gooseberrydale/process/gateway/capacity_sharing.py
+++ b/gooseberrydale/process/gateway/capacity_sharing.py
@@ -10,6 +10,16 @@
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 
+PARTS = (
+    "learn_speeds",
+    "rank_loads",
+    "queue_requests",
+    "fair_workspaces",
+    "reserve_capacity",
+    "plan_retries",
+)
+"""The settings that switch off single parts."""
+
 
 class CapacitySharing:
     """The parts that apply, by pool; the settings can switch off each one."""
@@ -27,6 +37,16 @@
         """Whether the capacity of any pool is shared."""
         return self._cfg.share_capacity or self._speeds.any_on
 
+    @property
+    def reason(self) -> str:
+        """Why capacity is shared: ``settings``, or ``slowness`` stated by upstreams."""
+        return "settings" if self._cfg.share_capacity else "slowness"
+
+    def parts(self, pool: str) -> list[str]:
+        """Return the settings of the parts that apply to a pool."""
+        applies = self.applies(pool)
+        return [name for name in PARTS if applies and getattr(self._cfg, name)]
+
     def learns_speeds(self, pool: str) -> bool:
         """Whether the speeds of a pool's upstreams are learned."""
         return self._cfg.learn_speeds and self._speeds.is_on(pool)
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -23,6 +23,7 @@
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.connection_gate import ConnectionGate
 from gooseberrydale.process.gateway.app import GatewayApp, GatewayDeps
+from gooseberrydale.process.gateway.capacity_log import CapacityLog
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
@@ -329,6 +330,9 @@
         self._ready = HttpServer(self._serve_readiness, self._cfg.ready, TlsCfg())
         self._prober = Prober(self._upstreams, self._gossip.changed)
         self._quarantine_log = QuarantineLog(self.ended_incarnations)
+        self._capacity_log = CapacityLog(
+            self._upstreams.sharing, speeds, self._declared_pools
+        )
         self._sweep_task: asyncio.Task[None] | None = None
 
     @property
@@ -498,6 +502,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self._conns.sweep(self._upstreams.sweep(loop.time()))
+            self._capacity_log.check()
 
     def _limits(self) -> CallerLimits:
         table = self._declared.table
--- a/gooseberrydale/version/speeds/pool_speeds.py
+++ b/gooseberrydale/version/speeds/pool_speeds.py
@@ -106,6 +106,11 @@
         """The rates that this gateway itself observed."""
         return self._own_rates
 
+    def samples(self, upstream: str) -> int:
+        """Return how many answers an upstream's factor is learned from."""
+        known = self._upstreams.get(upstream)
+        return 0 if known is None else max(0, len(known.ratios) - PRIOR_RATIOS)
+
     def factors(self) -> dict[str, float]:
         """Return the factor of each upstream that was observed."""
         return {
--- a/gooseberrydale/version/speeds/speeds.py
+++ b/gooseberrydale/version/speeds/speeds.py
@@ -138,6 +138,11 @@
         known = self._pools.get(pool)
         return _NO_WEIGHTS if known is None else known.weights
 
+    def samples(self, pool: str, upstream: str) -> int:
+        """Return how many answers the factor of an upstream is learned from."""
+        known = self._pools.get(pool)
+        return 0 if known is None else known.samples(upstream)
+
     def factors(self) -> dict[str, float]:
         """Return the learned speed of each upstream, relative to its pool's mean."""
         return {
