Start long answers where large prompts would not stretch their gaps

Change: for a long answer, the expected gap is at least that of a large prompt of its pool, so slow engines get fewer of them.

--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -159,8 +159,11 @@
         if self._capacity is not None:
             # The queue orders ranks, so all of them use the same part of the objective.
             self._goal = Goal(job.route.objective_s, 0)
-            gap_s = job.route.gap_objective_s
-            self._demand = replace(self._demand, gap_s=gap_s)
+            self._demand = replace(
+                self._demand,
+                gap_s=job.route.gap_objective_s,
+                mean_prefill_tokens=stats.mean_work.of(job.pool.name),
+            )
         self._prior_wait_s = 0.0
         if self._demand.is_prompt or self._capacity is not None:
             self._prior_wait_s = stats.patience.prior_wait_s(
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -82,6 +82,14 @@
 """Fraction of the longest gap between events that prompts queued at an engine may
 cause.  The rest is for the steps between them and for delivery."""
 
+LONG_ANSWER_FRACTION = 0.02
+"""Fraction of its own tokens from which on an answer is long: such a request spends
+most of its run between events, and meets prompts that arrive later."""
+
+LARGE_PROMPT_RATIO = 5.0
+"""Work of a large prompt relative to the mean of its pool, which short prompts lower.
+While a long answer runs, such a prompt is assumed to be computed between two events."""
+
 FULL_PENALTY_S = 2.0
 """Expected wait at an engine without free memory or slots: about the run time of a
 request."""
@@ -153,7 +161,8 @@
     ``run_s`` is how long requests of this kind run after their first event. With
     ``spare_only`` the request uses only capacity that others can spare.  ``rank`` is
     its priority, 0 first.  ``gap_s`` is the longest gap between events of streams that
-    is in time, 0 if gaps are not considered.
+    is in time, 0 if gaps are not considered; ``mean_prefill_tokens`` is what a mean
+    prompt of its pool has to compute.
     """
 
     own_tokens: int = 0
@@ -164,6 +173,7 @@
     spare_only: bool = False
     rank: int = 0
     gap_s: float = 0.0
+    mean_prefill_tokens: float = 0.0
 
     @property
     def is_prompt(self) -> bool:
@@ -293,6 +303,8 @@
     if not demand.gap_s or not (load.requests or candidate.all_prefill_tokens):
         return 0.0
     tokens = candidate.all_prefill_tokens + demand.work_at(candidate).prefill_tokens
+    if demand.new_tokens > demand.own_tokens * LONG_ANSWER_FRACTION:
+        tokens = max(tokens, LARGE_PROMPT_RATIO * demand.mean_prefill_tokens)
     busy_s = tokens / candidate.speed.own_tokens_per_s * candidate.speed.slowness
     return max(0.0, busy_s - demand.gap_s * GAP_FRACTION)
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -23,7 +23,7 @@
 from gooseberrydale.process.gateway.upstreams import UpstreamQuery
 from gooseberrydale.request.gateway_call import CallerRequest, Prompt
 from gooseberrydale.request.hold_policy import LATE_HOLD_S, POLL_INTERVAL_S
-from gooseberrydale.request.placement import Candidate
+from gooseberrydale.request.placement import Candidate, Demand, gap_excess_s
 from gooseberrydale.request.retry_after import NO_CAPACITY_AFTER_S, after_no_capacity_s
 from gooseberrydale.version.declared import EngineSize, Pool
 from gooseberrydale.version.ended_incarnations import (
@@ -32,6 +32,7 @@
 )
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.run_times import RunTimes
+from gooseberrydale.version.speeds.speed import Speed
 from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 from gooseberrydale.version.upstream_limits import UpstreamLimits
 from gooseberrydale.version.upstream_load import Load
@@ -235,3 +236,27 @@
         patience.prior_wait_s("r", limit_s)
     assert patience.prior_wait_s("r", wait_s) == pytest.approx(expected)
     assert patience.prior_wait_s("r", None) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("slowness", "prefill_tokens", "new_tokens", "late"),
+    [
+        (1.0, 0, 60, False),
+        (2.5, 0, 60, True),  # a large prompt would stop the stream for too long
+        (2.5, 0, 10, False),
+        (1.0, 40_000, 10, True),
+    ],
+)
+def test_streams_avoid_engines_whose_prompts_would_stretch_their_gaps(
+    slowness: float, prefill_tokens: int, new_tokens: int, late: bool
+) -> None:
+    candidate = Candidate(
+        "u1",
+        Load(1.0, 0.0, 0.0),
+        all_prefill_tokens=float(prefill_tokens),
+        speed=Speed(slowness=slowness),
+    )
+    demand = Demand(own_tokens=600, new_tokens=new_tokens, gap_s=0.5)
+    demand = replace(demand, mean_prefill_tokens=2_200.0)
+    assert (gap_excess_s(candidate, demand) > 0.0) == late
+    assert gap_excess_s(candidate, replace(demand, gap_s=0.0)) == 0.0
