--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -54,6 +54,7 @@
     has_to_wait,
     is_late,
     may_pass,
+    patience_s,
 )
 from gooseberrydale.version.mean_work import MeanWork
 from gooseberrydale.version.origins.origin import StreamOrigin
@@ -244,7 +245,7 @@
                         self._raise_if_rate_limited(usable_by)
                 self._note_wait(visit)
                 self._raise_if_hopeless(shared, visit)
-                await visit.wait(job.deadline_at - self._own_s - MIN_LEFT_S)
+                await visit.wait(self._useful_until() - self._own_s - MIN_LEFT_S)
 
     async def _turn(
         self, shared: SharedCapacity, visit: Visit, candidates: _Candidates
@@ -301,6 +302,14 @@
             raise NoCapacityError(after_s=decision.after_s)
         return decision.chosen
 
+    def _useful_until(self) -> float:
+        """Return until when the request's first event is of use to its caller."""
+        job, route = self._job, self._job.route
+        if not route.streamed:
+            return job.deadline_at
+        wait_s = patience_s(route.objective_s, route.gap_objective_s)
+        return min(job.deadline_at, job.arrived_at + wait_s)
+
     def _ticket(self) -> NewTicket:
         job = self._job
         since = job.arrived_at - self._prior_wait_s
@@ -387,7 +396,7 @@
         """Raise :class:`NoCapacityError` if the request should not wait."""
         job, now = self._job, _now()
         left_s = job.left_s()
-        if left_s <= self._own_s + MIN_LEFT_S:
+        if self._useful_until() - now <= self._own_s + MIN_LEFT_S:
             raise NoCapacityError
         if not self._demand.is_prompt:
             return
--- a/gooseberrydale/request/waiting/turn.py
+++ b/gooseberrydale/request/waiting/turn.py
@@ -28,6 +28,12 @@
 long it has waited.  If requests that have waited accepted less, upstreams would run out
 of work between two reports while many requests wait."""
 
+GIVE_UP_S = 2.0
+GIVE_UP_OBJECTIVES = 4.0
+GIVE_UP_GAPS = 8.0
+"""Callers of a stream leave once no event has come for the longest of this time, so
+many objectives, and so many of the longest gaps that are in time."""
+
 
 @dataclass(frozen=True, slots=True)
 class Prospect:
@@ -44,6 +50,13 @@
     small: bool = False
 
 
+def patience_s(objective_s: float, gap_s: float) -> float:
+    """Return how long the caller of a stream waits for its first event, in seconds."""
+    if not objective_s:
+        return math.inf
+    return max(GIVE_UP_S, GIVE_UP_OBJECTIVES * objective_s, GIVE_UP_GAPS * gap_s)
+
+
 def is_late(own_s: float, wait: Wait, goal: Goal) -> bool:
     """Return whether a request misses its objective even if it is sent now."""
     return goal.objective_s > 0.0 and wait.total_s + own_s > goal.objective_s
--- a/tests/test_waiting_rules.py
+++ b/tests/test_waiting_rules.py
@@ -24,7 +24,12 @@
     level,
     overs,
 )
-from gooseberrydale.request.waiting.turn import Prospect, has_to_wait, may_pass
+from gooseberrydale.request.waiting.turn import (
+    Prospect,
+    has_to_wait,
+    may_pass,
+    patience_s,
+)
 from gooseberrydale.version.peer_loads import OTHER_ZONES
 
 NOW = 100.0
@@ -331,3 +336,14 @@
     queue = queue_of([late, lower, in_time])
     assert queue.first(3, NOW, is_over) == [in_time, late, lower]
     assert late.class_at(NOW, is_over) == WaitClass(0, False, True)
+
+
+def test_callers_of_streams_wait_for_objectives_and_gaps_but_two_seconds_at_least() -> (
+    None
+):
+    """Requests were held until their callers had left, 2.4 s after an objective of
+    0.4."""
+    assert patience_s(0.435, 0.3) == pytest.approx(2.4)
+    assert patience_s(1.2, 0.3) == pytest.approx(4.8)
+    assert patience_s(0.1, 0.1) == 2.0
+    assert patience_s(0.0, 0.3) == math.inf
