Split the catalogue of events and the upstreams of a gateway by subject

Change: log_events is a package with a module for each subject; candidates.py builds candidates, upstream_query.py has what a request needs, and send_measurement.py what is learned from one send, which was in send.py too. Nothing that gateways decide or log changes. test_pool_rooms measures through SendMeasurement, with the same checks. Comments that told figures of tuning give their reasons instead.

--- /dev/null
+++ b/gooseberrydale/log_events/__init__.py
@@ -0,0 +1,131 @@
+"""All events that a process logs, with their names, fields and levels.
+
+An event records what an engineer needs afterwards to explain a decision: what was
+decided, from which data, and how old that data was.  docs/OPERATIONS.md has a row for
+each event.
+"""
+
+from __future__ import annotations
+
+from gooseberrydale.log_events.base import LogEvent, emit
+from gooseberrydale.log_events.capacity import (
+    CapacitySharingChanged,
+    GatewayOverloaded,
+    ReservationOwnerChanged,
+    UpstreamSpeedChanged,
+    WorkspaceShareCrossed,
+)
+from gooseberrydale.log_events.connections import (
+    ConnectionsRefused,
+    DatagramFailed,
+    DatagramUnreadable,
+    UnreadAnswersCut,
+)
+from gooseberrydale.log_events.control import (
+    CommitNotNoted,
+    NothingKept,
+    NotKept,
+    OrderUnanswered,
+    ReportMissing,
+    WeightsOrdered,
+)
+from gooseberrydale.log_events.documents import (
+    DocumentInForce,
+    DocumentUnreadable,
+    WeightsNamed,
+)
+from gooseberrydale.log_events.process import (
+    Drained,
+    Draining,
+    Reload,
+    Serving,
+    Stopped,
+)
+from gooseberrydale.log_events.request import (
+    QuotaRefused,
+    RequestEnded,
+    RequestQuarantined,
+    SendEnded,
+    StreamMoved,
+)
+from gooseberrydale.log_events.stores import (
+    StoreBusy,
+    StoreEventsMissed,
+    StoreEventsUnreadable,
+    StoreFound,
+    StoreLost,
+    StoreSilent,
+)
+from gooseberrydale.log_events.upstreams import (
+    AnnouncementUnreadable,
+    EarlierIncarnation,
+    PartsQuarantined,
+    PartsReleased,
+    UpstreamBack,
+    UpstreamBackoff,
+    UpstreamEnded,
+    UpstreamLeaving,
+    UpstreamLimited,
+    UpstreamReborn,
+    UpstreamRetired,
+    UpstreamSilent,
+    UpstreamSuspected,
+)
+
+__all__ = [
+    "AnnouncementUnreadable",
+    "CapacitySharingChanged",
+    "CommitNotNoted",
+    "ConnectionsRefused",
+    "DatagramFailed",
+    "DatagramUnreadable",
+    "DocumentInForce",
+    "DocumentUnreadable",
+    "Drained",
+    "Draining",
+    "EarlierIncarnation",
+    "GatewayOverloaded",
+    "LogEvent",
+    "NotKept",
+    "NothingKept",
+    "OrderUnanswered",
+    "PartsQuarantined",
+    "PartsReleased",
+    "QuotaRefused",
+    "Reload",
+    "ReportMissing",
+    "RequestEnded",
+    "RequestQuarantined",
+    "ReservationOwnerChanged",
+    "SendEnded",
+    "Serving",
+    "Stopped",
+    "StoreBusy",
+    "StoreEventsMissed",
+    "StoreEventsUnreadable",
+    "StoreFound",
+    "StoreLost",
+    "StoreSilent",
+    "StreamMoved",
+    "UnreadAnswersCut",
+    "UpstreamBack",
+    "UpstreamBackoff",
+    "UpstreamEnded",
+    "UpstreamLeaving",
+    "UpstreamLimited",
+    "UpstreamReborn",
+    "UpstreamRetired",
+    "UpstreamSilent",
+    "UpstreamSpeedChanged",
+    "UpstreamSuspected",
+    "WeightsNamed",
+    "WeightsOrdered",
+    "WorkspaceShareCrossed",
+    "all_events",
+    "emit",
+]
+
+
+def all_events() -> dict[str, type[LogEvent]]:
+    """Return the class of every event, by event name."""
+    return {cls.NAME: cls for cls in LogEvent.__subclasses__()}
--- a/gooseberrydale/capacity_log_events.py
+++ b/gooseberrydale/log_events/capacity.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from gooseberrydale.log_event import LogEvent
+from gooseberrydale.log_events.base import LogEvent
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/gooseberrydale/log_events/connections.py
@@ -0,0 +1,67 @@
+"""Events of connections with callers, and of datagrams between gateways."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from gooseberrydale.log_events.base import LogEvent
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadAnswersCut(LogEvent):
+    """Connections were cut whose callers did not read their answers.
+
+    The buffers of ``cut`` connections had ``cut_bytes``; others have ``held_bytes``.
+    """
+
+    NAME: ClassVar[str] = "unread_answers_cut"
+    TEXT: ClassVar[str] = "unread answers cut"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    cut: int
+    cut_bytes: int
+    held_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionsRefused(LogEvent):
+    """New connections were closed unread, as the process could not serve them.
+
+    ``reason`` names what was short: descriptors, memory, link or event loop.
+    ``refused`` connections were closed, beside ``open`` ones that are served.
+    """
+
+    NAME: ClassVar[str] = "connections_refused"
+    TEXT: ClassVar[str] = "connections refused"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    reason: str
+    refused: int
+    open: int
+
+
+@dataclass(frozen=True, slots=True)
+class DatagramUnreadable(LogEvent):
+    """A datagram was not a valid report of another gateway and was dropped."""
+
+    NAME: ClassVar[str] = "bad_datagram"
+    TEXT: ClassVar[str] = "invalid datagram dropped"
+    LEVEL: ClassVar[str] = "DEBUG"
+
+    sender: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class DatagramFailed(LogEvent):
+    """Another gateway's host refused a datagram.
+
+    Nothing is done about it: if the gateway has terminated, its lease expires.
+    """
+
+    NAME: ClassVar[str] = "datagram_error"
+    TEXT: ClassVar[str] = "datagram refused"
+    LEVEL: ClassVar[str] = "DEBUG"
+
+    reason: str
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -12,13 +12,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from gooseberrydale.capacity_log_events import (
-    CapacitySharingChanged,
-    GatewayOverloaded,
-    ReservationOwnerChanged,
-    UpstreamSpeedChanged,
-    WorkspaceShareCrossed,
-)
 from gooseberrydale.log_events import (
     DocumentInForce,
     Drained,
@@ -40,6 +33,13 @@
     WeightsNamed,
     WeightsOrdered,
 )
+from gooseberrydale.log_events.capacity import (
+    CapacitySharingChanged,
+    GatewayOverloaded,
+    ReservationOwnerChanged,
+    UpstreamSpeedChanged,
+    WorkspaceShareCrossed,
+)
 from gooseberrydale.process.log_lines import Line
 from gooseberrydale.process.queue_waits import (
     QueueWait,
--- a/gooseberrydale/process/gateway/capacity_log.py
+++ b/gooseberrydale/process/gateway/capacity_log.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Callable, Iterable
 
-from gooseberrydale.capacity_log_events import (
+from gooseberrydale.log_events import emit
+from gooseberrydale.log_events.capacity import (
     CapacitySharingChanged,
     UpstreamSpeedChanged,
 )
-from gooseberrydale.log_events import emit
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 
--- a/gooseberrydale/process/gateway/own_capacity.py
+++ b/gooseberrydale/process/gateway/own_capacity.py
@@ -12,9 +12,9 @@
 
 from starlette.types import Message, Send
 
-from gooseberrydale.capacity_log_events import GatewayOverloaded
 from gooseberrydale.connection.gateway_datagrams import FleetView
 from gooseberrydale.log_events import emit
+from gooseberrydale.log_events.capacity import GatewayOverloaded
 from gooseberrydale.process.connection_gate import ConnectionGate, LinkUse
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -14,7 +14,8 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.process.gateway.request_queue import NewTicket, RequestQueue, Visit
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
-from gooseberrydale.process.gateway.upstreams import UpstreamQuery, Upstreams, demand_of
+from gooseberrydale.process.gateway.upstream_query import UpstreamQuery, demand_of
+from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.capacity_decision import NO_RANK, CapacityDecision
 from gooseberrydale.request.capacity_ports import (
     Need,
--- a/gooseberrydale/process/gateway/request_queue.py
+++ b/gooseberrydale/process/gateway/request_queue.py
@@ -26,9 +26,9 @@
 next, and the second one replaces a first one that can't use what is free."""
 
 WAKE_INTERVAL_S = 0.03
-"""Least time between two changes that wake requests.  Looking at 23 upstreams takes
-0.5 ms; doing that for each of 400 reports a second would take a fifth of a core, and
-some gateways have 0.3 of one."""
+"""Least time between two changes that wake requests.  Each one compares the upstreams
+of its pool, and reports of other gateways come much more often than capacity is
+freed."""
 
 TIMER_S = 0.05
 """Time after which the first requests are woken without a change, in case that the
--- a/gooseberrydale/process/gateway/resumption.py
+++ b/gooseberrydale/process/gateway/resumption.py
@@ -19,7 +19,8 @@
     problem,
 )
 from gooseberrydale.process.gateway.origin_client import OriginClient
-from gooseberrydale.process.gateway.upstreams import UpstreamQuery, Upstreams
+from gooseberrydale.process.gateway.upstream_query import UpstreamQuery
+from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.gateway_call import CallerRequest
 from gooseberrydale.request.retry_after import (
     after_unknown_origin_s,
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -21,6 +21,7 @@
 from gooseberrydale.process.gateway.outdated_abort import OutdatedAbort
 from gooseberrydale.process.gateway.placer import ObservedStats
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
+from gooseberrydale.process.gateway.send_measurement import SendMeasurement
 from gooseberrydale.process.gateway.upstream_health import answered, suspect
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.quota_charge import QuotaCharge
@@ -33,7 +34,6 @@
     RawHeaders,
     Terms,
 )
-from gooseberrydale.version.capacity.limits import FirstEvent
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.open_runs import Run, RunEnd
 from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE, StreamOrigin
@@ -116,11 +116,7 @@
         self._may_move = may_move
         self._charge = charge
         self._prefilled = False
-        self._first_event: FirstEvent | None = None
-        # What the present send computes up to its first event, and when it was sent;
-        # None once that is measured, or if it can't be.
-        self._prefill: Prefill | None = None
-        self._sent_at = 0.0
+        self._measurement: SendMeasurement | None = None
         self._run: Run | None = None
         # Whether this side broke the connection, as the upstream was silent.
         self._gave_up_silent = False
@@ -149,10 +145,10 @@
         """
         upstreams, pool = self._deps.upstreams, self._job.pool
         load = upstreams.load_of(record.name)
-        self._first_event = upstreams.expect_first_event(pool, record, work, _now())
         self._prefilled = False
         # A resumed stream also computes the events that its caller has.
-        self._prefill = prefill if self.last_event_id is None else None
+        measured = prefill if self.last_event_id is None else None
+        self._measurement = SendMeasurement(upstreams, pool, record, work, measured)
         self._run = None
         self._gave_up_silent = False
         run_end = RunEnd.LEFT
@@ -258,7 +254,8 @@
         job, wire = self._job, self._deps.wire
         headers = wire.request_headers(job.call, terms)
         conn.send(_request_head(job.call, headers, len(job.body)), job.body)
-        self._sent_at = _now()
+        if self._measurement is not None:
+            self._measurement.sent()
         self.runs += 1
         self._charge.record_sent()
         self._run = load.runs.began(job.fingerprint, job.parts)
@@ -271,14 +268,9 @@
         self.framing, self.inside_event = raw.framing.value, False
         if head.load is not None:
             load.reported(head.load, _now())
-            self._deps.upstreams.note_load_report(
-                self._job.pool, record.name, head.load, _now()
-            )
             is_own = head.instance in (None, record.name)
-            if head.load.slowness is not None and is_own:
-                self._deps.upstreams.speeds.stated(
-                    record.pool, record.name, head.load.slowness, _now()
-                )
+            if self._measurement is not None:
+                self._measurement.load_reported(head.load, is_own=is_own)
         if head.instance in (None, record.name):
             self._note_backpressure(head, record)
         if head.not_run:
@@ -295,7 +287,7 @@
             )
             await self._forward_stream(conn, limit, head, stream, record, load, work)
         else:
-            await self._forward_whole(conn, head, raw.framing, record)
+            await self._forward_whole(conn, head, raw.framing)
         answered(record.name, load, failed=False)
         self._deps.upstreams.ended_incarnations.answered(job.fingerprint, _now())
         return None
@@ -345,7 +337,7 @@
         return None
 
     async def _forward_whole(
-        self, conn: HttpConn, head: AnswerHead, framing: Framing, record: UpstreamRecord
+        self, conn: HttpConn, head: AnswerHead, framing: Framing
     ) -> None:
         """Forward an answer once it is complete, or as it arrives if it is large."""
         chunks: list[bytes] = []
@@ -365,7 +357,8 @@
                 await self._answer.start(head.status, headers)
             await self._answer.write(b"".join(chunks))
             chunks.clear()
-        self._measure_service(record)
+        if self._measurement is not None and self._job.call.prompt is None:
+            self._measurement.service_answered()
         if self._answer.started:
             await self._answer.end()
             return
@@ -397,7 +390,8 @@
             stream.feed(data)
             self.inside_event = stream.inside_event
             if stream.has_begun:
-                self._measure_first_event(record)
+                if self._measurement is not None:
+                    self._measurement.first_event()
                 self._note_begun()
             if not self._answer.started:
                 await self._answer.start(head.status, headers)
@@ -422,32 +416,10 @@
         if not self._prefilled:
             self._prefilled = True
             load.prefill_done(work)
-            if self._first_event is not None:
-                capacity = self._deps.upstreams.capacity
-                capacity.first_event(self._first_event, _now())
+            if self._measurement is not None:
+                self._measurement.body_began()
             self._deps.work_changed()
 
-    def _measure_first_event(self, record: UpstreamRecord) -> None:
-        """Learn from the time to the first event, once per send."""
-        prefill, self._prefill = self._prefill, None
-        upstreams = self._deps.upstreams
-        if prefill is None or not upstreams.sharing.learns_speeds(record.pool):
-            return
-        now = _now()
-        upstreams.speeds.first_event(
-            record.pool, record.name, prefill, now - self._sent_at, now
-        )
-
-    def _measure_service(self, record: UpstreamRecord) -> None:
-        """Learn from the time of a whole answer that no model generated."""
-        upstreams = self._deps.upstreams
-        is_service = self._job.call.prompt is None
-        if is_service and upstreams.sharing.learns_speeds(record.pool):
-            now = _now()
-            upstreams.speeds.service_ended(
-                record.pool, record.name, now - self._sent_at, now
-            )
-
     def _note_begun(self) -> None:
         """Record that the upstream has begun to answer and did not end by it."""
         if self._run is not None and not self._run.answering:
--- a/gooseberrydale/process/gateway/terms.py
+++ b/gooseberrydale/process/gateway/terms.py
@@ -12,11 +12,8 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.process.gateway.recent_saves import RecentSaves
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
-from gooseberrydale.process.gateway.upstreams import (
-    Upstreams,
-    cache_salt,
-    weights_version,
-)
+from gooseberrydale.process.gateway.upstream_query import cache_salt, weights_version
+from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.gateway_call import Terms
 
 LOWEST_RANK = 9
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -1,4 +1,4 @@
-"""The upstreams of each pool and their state, as input for choosing one.
+"""The upstreams of each pool and their state.
 
 There is one ``Upstreams`` per process.  Records come from the directory; what this
 process itself observes of an incarnation of an upstream is stored beside its record and
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
@@ -20,32 +20,34 @@
     emit,
 )
 from gooseberrydale.process.cfg import GatewayCfg
+from gooseberrydale.process.gateway.candidates import CandidateBuilder
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
+from gooseberrydale.process.gateway.upstream_query import (
+    UpstreamQuery,
+    serves,
+    weights_version,
+)
 from gooseberrydale.request.fingerprint import fingerprint_text
-from gooseberrydale.request.gateway_call import Prompt, ReportedLoad
 from gooseberrydale.request.members import Members
-from gooseberrydale.request.placement import Candidate, Demand, rank_preferred
+from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.prompt_parts import parts_text
 from gooseberrydale.version.capacity.limits import (
     MEMORY_FRACTION,
     CapacityLimits,
-    FirstEvent,
 )
-from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.ended_parts import HarmfulParts
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.open_runs import Run, RunEnd
 from gooseberrydale.version.order_marks import is_mark, mark_name
-from gooseberrydale.version.origins.origin import StreamOrigin
 from gooseberrydale.version.part_trials import PartTrials
 from gooseberrydale.version.peer_loads import PeerLoads, UpstreamWork
 from gooseberrydale.version.speeds.speed import NEUTRAL, Speed
 from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 from gooseberrydale.version.stores import Stores
 from gooseberrydale.version.upstream_limits import UpstreamLimits
-from gooseberrydale.version.upstream_load import Load, UpstreamLoad, Work
+from gooseberrydale.version.upstream_load import Load, UpstreamLoad
 
 MS_PER_S = 1_000.0
 
@@ -67,23 +69,6 @@
 abort reaches the engine in time."""
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamQuery:
-    """What a request needs: an upstream of ``pool`` that is not in ``tried``.
-
-    ``scope`` separates equal prompts of workspaces that must not share a cache.
-    ``origin`` is what began the stream that the request continues, None for others.
-    Work of less urgent ranks than ``rank`` is left out of loads; None counts all work.
-    """
-
-    pool: Pool
-    prompt: Prompt | None
-    scope: str
-    tried: Collection[str] = ()
-    origin: StreamOrigin | None = None
-    rank: int | None = None
-
-
 @dataclass(slots=True)
 class _PoolView:
     source: tuple[UpstreamRecord, ...]
@@ -117,7 +102,6 @@
         speeds: UpstreamSpeeds | None = None,
     ) -> None:
         self._directory = directory
-        self._zone = zone
         self.rng = rng
         self._peers = peers
         self._weights = weights
@@ -134,6 +118,7 @@
             else CapacitySharing(GatewayCfg(), self.speeds)
         )
         self.capacity = CapacityLimits()
+        self._builder = CandidateBuilder(self, zone, peers, stores, rng)
         self._pools: dict[str, _PoolView] = {}
         self._loads: dict[str, UpstreamLoad] = {}
         # The incarnation of each upstream that its entry in ``_loads`` belongs to.
@@ -235,40 +220,16 @@
             if load.suspect_until <= now and load.silence.report_dead(now):
                 load.avoid(now, REFUSED_AVOID_S, told=True)
 
-    def note_load_report(
-        self, pool: Pool, name: str, report: ReportedLoad, now: float
-    ) -> None:
-        """Learn from a load report how much the upstreams of ``pool`` hold."""
-        if self.sharing.reserves(pool.name):
-            self.capacity.reported(pool.name, self._held(pool, name, now), report, now)
-
-    def expect_first_event(
-        self, pool: Pool, record: UpstreamRecord, work: Work, now: float
-    ) -> FirstEvent | None:
-        """Return when the first event of a request that is sent now is expected.
-
-        None if nothing is learned about the pool.
-        """
-        if pool.engine is None or not self.sharing.reserves(pool.name):
-            return None
-        load, speed = self.load_at(record.name, now, work.rank), self._speed(
-            record, now
-        )
-        seconds = load.prefill_tokens / speed.prefill_tokens_per_s
-        seconds += work.prefill_tokens / speed.own_tokens_per_s
-        held = self._held(pool, record.name, now)
-        return FirstEvent(pool.name, held, now, seconds * speed.slowness)
-
     def load_at(self, name: str, now: float, rank: int | None = None) -> Load:
         """Return the load of an upstream as a request of ``rank`` finds it."""
         peers = self._peers.at(name) if self._peers else None
         return self.load_of(name).load(now, peers, rank=rank)
 
-    def _held(self, pool: Pool, name: str, now: float) -> float:
-        """Return how much of an upstream's declared memory is calculated to be used."""
-        if pool.engine is None or not pool.engine.kv_tokens:
-            return 0.0
-        return self.load_at(name, now).kv_tokens / pool.engine.kv_tokens
+    def speed(self, record: UpstreamRecord, now: float) -> Speed:
+        """Return how fast an upstream works."""
+        if not self.sharing.learns_speeds(record.pool):
+            return NEUTRAL
+        return self.speeds.of(record.pool, record.name, now)
 
     def works(self) -> tuple[UpstreamWork, ...]:
         """This process's work at each upstream, to be sent to the other gateways."""
@@ -316,23 +277,7 @@
             for record in self._eligible_records(query, now)
             if self._permit_wait_s(record, now) <= 0.0
         ]
-        ranks = self._preference_ranks(query)
-        stored = self._stored(records, query)
-        if not ranks:
-            # Otherwise every process would try equal upstreams in the same order.
-            self.rng.shuffle(records)
-        unreported = self._unreported_work(records)
-        candidates = [
-            (record, self._candidate(record, query, ranks, stored, unreported, now))
-            for record in records
-        ]
-        bound_s = self._send_bound_s
-        in_time = [pair for pair in candidates if pair[1].outdated_for_s < bound_s]
-        if not ranks:
-            return in_time
-        by_name = {record.name: record for record, _ in in_time}
-        ranked = rank_preferred(candidate for _, candidate in in_time)
-        return [(by_name[candidate.name], candidate) for candidate in ranked]
+        return self._builder.candidates(query, records, self._send_bound_s, now)
 
     def abort_outdated_at(self, record: UpstreamRecord, now: float) -> float:
         """Return the time until which a request that was sent to ``record`` may start.
@@ -340,7 +285,7 @@
         Engines on the newest weights get the limit that holds if newer ones are named
         now.
         """
-        return now + self._abort_bound_s - self._old_for_s(record, now)
+        return now + self._abort_bound_s - self.outdated_for_s(record, now)
 
     def has_eligible(self, query: UpstreamQuery, now: float) -> bool:
         """Whether any announced upstream fits the query, usable now or not."""
@@ -467,7 +412,7 @@
             record
             for record in self.records(query.pool.name, now)
             if record.name not in query.tried
-            and _serves(record, query.prompt)
+            and serves(record, query.prompt)
             and (query.origin is None or query.origin.allows(record))
             and not self.load_of(record.name).is_leaving
         ]
@@ -481,142 +426,32 @@
         newest = self._directory.get(record.name, now)
         return newest is None or (newest.ready and not newest.leaving)
 
-    def _preference_ranks(self, query: UpstreamQuery) -> dict[str, int]:
-        prompt = query.prompt
-        if prompt is None or not prompt.shared:
-            return {}
-        key = f"{query.scope}|{prompt.shared[-1].key}".encode()
-        members = self._pools[query.pool.name].members
-        if self.sharing.learns_speeds(query.pool.name):
-            members.weigh(self.speeds.weights(query.pool.name))
-        preferred = members.preferred(key)
-        return {name: rank for rank, name in enumerate(preferred)}
-
-    def _candidate(
-        self,
-        record: UpstreamRecord,
-        query: UpstreamQuery,
-        ranks: Mapping[str, int],
-        stored: Collection[str] | None,
-        unreported: Load | None,
-        now: float,
-    ) -> Candidate:
-        load = self.load_of(record.name)
-        size = query.pool.engine
-        peers = self._peers.at(record.name) if self._peers else None
-        all_work = load.load(now, peers, unreported)
-        return Candidate(
-            name=record.name,
-            load=(
-                all_work
-                if query.rank is None
-                else load.load(now, peers, unreported, query.rank)
-            ),
-            all_prefill_tokens=all_work.prefill_tokens,
-            weights=record.weights_version,
-            slots=record.slots or (size.slots if size else 0),
-            kv_tokens=size.kv_tokens if size else 0,
-            preference_rank=ranks.get(record.name, 0),
-            outdated_for_s=self._old_for_s(record, now),
-            stored=stored is not None and record.weights_version in stored,
-            store_reports=stored is not None,
-            far=record.zone != self._zone,
-            error_rate=load.error_rate,
-            usable=self.is_usable(record, now),
-            software=record.software,
-            speed=self._speed(record, now),
-            memory_fraction=self._memory_fraction(record.pool),
-        )
-
-    def _memory_fraction(self, pool: str) -> float:
+    def memory_fraction(self, pool: str) -> float:
+        """Return how much of their declared memory the upstreams of a pool hold."""
         if not self.sharing.reserves(pool):
             return MEMORY_FRACTION
         return self.capacity.fraction(pool)
 
-    def _speed(self, record: UpstreamRecord, now: float) -> Speed:
-        if not self.sharing.learns_speeds(record.pool):
-            return NEUTRAL
-        return self.speeds.of(record.pool, record.name, now)
-
-    def _unreported_work(self, records: Sequence[UpstreamRecord]) -> Load | None:
-        """Estimate the work of gateways without reports, at each of ``records``.
-
-        Unreported gateways are assumed to have as much work each as those that report,
-        spread evenly over the upstreams.  Scaling each engine's own load instead would
-        be wrong by whole prompts: with one prompt in a zone of six gateways, an idle
-        engine would seem full.
-        """
-        unreported_ratio = self._peers.unreported_ratio
-        if not unreported_ratio or not records:
-            return None
-        reported = [self._peers.at(record.name) for record in records]
-        per_record = unreported_ratio / len(records)
-        return Load(
-            requests=per_record * sum(work.requests for work in reported),
-            prefill_tokens=per_record * sum(work.prefill_tokens for work in reported),
-            kv_tokens=per_record * sum(work.kv_tokens for work in reported),
-            unshared_tokens=per_record * sum(work.unshared_tokens for work in reported),
-        )
+    def preferred(self, pool: str, prefix: bytes) -> tuple[str, ...]:
+        """Return the upstreams of a pool in the order of preference for a prefix."""
+        members = self._pools[pool].members
+        if self.sharing.learns_speeds(pool):
+            members.weigh(self.speeds.weights(pool))
+        return members.preferred(prefix)
 
     def is_changing(self, record: UpstreamRecord, now: float) -> bool:
         """Whether an upstream carries out an order and has to become idle for it."""
         mark = self._directory.get(mark_name(record.name), now)
         return mark is not None and mark.ready
 
-    def _old_for_s(self, record: UpstreamRecord, now: float) -> float:
+    def outdated_for_s(self, record: UpstreamRecord, now: float) -> float:
+        """Return the time since newer weights than an upstream's were named."""
         if not record.model:
             return 0.0
         version = weights_version(record)
         return self._weights.outdated_for_s(record.model, version, now)
 
-    def _stored(
-        self, records: Iterable[UpstreamRecord], query: UpstreamQuery
-    ) -> frozenset[str] | None:
-        """Return the weights versions under which a store holds the complete prefix.
-
-        None if no store answers.
-        """
-        shared = () if query.prompt is None else query.prompt.shared
-        store = self.stores.store_for(shared)
-        if store is None:
-            return None
-        salts = {
-            record.weights_version: cache_salt(record, query.scope)
-            for record in records
-            if record.model
-        }
-        return frozenset(v for v, salt in salts.items() if store.holds(salt, shared))
-
 
 def incarnation_name(name: str, incarnation: str) -> str:
     """Return the name of one incarnation of an upstream, the same in every process."""
     return f"{name}@{incarnation}" if incarnation else name
-
-
-def weights_version(record: UpstreamRecord) -> int:
-    """Return the weights version that an upstream serves; 0 if it announced none."""
-    return int(record.weights_version or 0)
-
-
-def cache_salt(record: UpstreamRecord, scope: str) -> str:
-    """Return a salt that separates cache of other weights and isolated workspaces."""
-    parts = [record.model, record.weights_version, *([scope] if scope else [])]
-    return ".".join(parts)
-
-
-def demand_of(prompt: Prompt | None) -> Demand:
-    """Return what a prompt needs.
-
-    Its outermost shared part is assumed to be cached at every upstream.
-    """
-    if prompt is None:
-        return Demand()
-    shared = prompt.shared
-    common = shared[0].tokens if len(shared) > 1 else 0
-    shared_tokens = sum(part.tokens for part in shared) - common
-    own = max(0, prompt.tokens - shared_tokens - common)
-    return Demand(own, shared_tokens, common, prompt.max_new_tokens)
-
-
-def _serves(record: UpstreamRecord, prompt: Prompt | None) -> bool:
-    return prompt is None or not record.model or record.model == prompt.model
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -97,8 +97,8 @@
 CROWDED_FROM = 0.5
 CROWDED_SLOWDOWN = 0.5
 """Fraction of its slots from which a service counts as running more slowly, and by how
-much with all of them taken, as a fraction of a run. Both are assumptions; they matter
-only between services of similar speed, where they keep a few slots free at each."""
+much with all of them taken, as a fraction of a run. Between services of similar speed
+they keep a few slots free at each."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberrydale/request/retry_ledger.py
+++ b/gooseberrydale/request/retry_ledger.py
@@ -40,8 +40,8 @@
 
 BUSY_SILENT_AFTER_S = 0.6
 """The same for a gateway with ``BUSY_REQUESTS`` in the last tenth of the window, which
-reports every 0.25 s; one report may be lost.  With 1.3 s the callers of seven of eight
-gateways paid for a twentieth of the limit again, while the eighth was the only one."""
+reports at each ``REPORT_INTERVAL_S``; one report may be lost.  Callers of a gateway
+that ends pay for retries elsewhere until its end is noticed."""
 
 BUSY_REQUESTS = 4
 """Requests after which a gateway reports without waiting for the next second."""
--- a/gooseberrydale/version/capacity/limits.py
+++ b/gooseberrydale/version/capacity/limits.py
@@ -42,8 +42,8 @@
 disregard the work of other ranks, so more was sent than the limit allows."""
 
 RAISE = 0.03
-"""Added to the limit by an observation without overload.  A gateway with 8 answers a
-second near the limit raises it from 0.75 to 1.1 within 1.5 s."""
+"""Added to the limit by an observation without overload: the limit follows a change of
+what callers share within seconds."""
 
 RAISE_BEYOND = 0.05
 """Most that is added if an upstream holds more than the limit without overload."""
--- a/gooseberrydale/version/speeds/pool_rates.py
+++ b/gooseberrydale/version/speeds/pool_rates.py
@@ -15,12 +15,12 @@
 from gooseberrydale.version.speeds.speed import NEUTRAL, Prefill
 
 MIN_SAMPLES = 3
-"""Answers from which on a rate is learned: one of them may be late.  A gateway of 27
-that waits for five has the rate of large prompts only after eight seconds."""
+"""Answers from which on a rate is learned: one of them may be late.  A gateway in a
+large fleet sees few large prompts, so waiting for more would take long."""
 
 WINDOW = 31
-"""Answers of each kind that a rate is fitted to; with 31 the median of times that
-scatter by a third is accurate to about 8 %."""
+"""Answers of each kind that a rate is fitted to: enough for a steady median, few enough
+to follow a change of load."""
 
 MAX_AGE_S = 60.0
 """Age up to which an answer counts.  Sizes of prompts that no longer occur would
--- a/gooseberrydale/version/speeds/pool_speeds.py
+++ b/gooseberrydale/version/speeds/pool_speeds.py
@@ -46,8 +46,8 @@
 REFRESH_S = 0.25
 REFRESH_PER_UPSTREAM_S = 0.001
 """Interval between two computations of rates and factors, and the least time for each
-upstream.  They change within seconds; a computation takes some 8 microseconds for each
-upstream, so this bounds it to 0.8 % of a processor."""
+upstream, which bounds the processor time that computations take.  Rates and factors
+change within seconds."""
 
 DECAY_STEP_S = 0.02
 """How long a speed with a decaying slowness is reused: it changes by some percent."""
--- a/tests/builders_waiting.py
+++ b/tests/builders_waiting.py
@@ -18,7 +18,7 @@
 )
 from gooseberrydale.process.gateway.request_queue import RequestQueue
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
-from gooseberrydale.process.gateway.upstreams import UpstreamQuery
+from gooseberrydale.process.gateway.upstream_query import UpstreamQuery
 from gooseberrydale.request.capacity_ports import Hold, Need, Refuse, RetryQuery
 from gooseberrydale.request.gateway_call import CallerRequest, Prompt
 from gooseberrydale.request.placement import Candidate
--- a/tests/builders_waiting_fleet.py
+++ b/tests/builders_waiting_fleet.py
@@ -25,7 +25,7 @@
 )
 from gooseberrydale.process.gateway.request_queue import RequestQueue
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
-from gooseberrydale.process.gateway.upstreams import UpstreamQuery
+from gooseberrydale.process.gateway.upstream_query import UpstreamQuery
 from gooseberrydale.request.gateway_call import CallerRequest
 from gooseberrydale.request.placement import Candidate
 from gooseberrydale.request.waiting.queue import Ticket
--- a/tests/builders_weights.py
+++ b/tests/builders_weights.py
@@ -7,7 +7,8 @@
 
 from gooseberrydale.connection.mesh import CONTROL_ROLE, GATEWAY_ROLE
 from gooseberrydale.connection.mesh_node import MeshNode
-from gooseberrydale.process.gateway.upstreams import UpstreamQuery, Upstreams
+from gooseberrydale.process.gateway.upstream_query import UpstreamQuery
+from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.version.declarations import Config
 from gooseberrydale.version.declared import EngineSize, Pool
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
--- a/tests/test_gateway_views.py
+++ b/tests/test_gateway_views.py
@@ -9,7 +9,8 @@
 from gooseberrydale.process.cfg import GatewayCfg
 from gooseberrydale.process.gateway.recent_saves import SAVE_TIMEOUT_S, RecentSaves
 from gooseberrydale.process.gateway.retry_budgets import RetryBudgets
-from gooseberrydale.process.gateway.upstreams import UpstreamQuery, Upstreams, demand_of
+from gooseberrydale.process.gateway.upstream_query import UpstreamQuery, demand_of
+from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.gateway_call import Prompt, PromptPart, ReportedLoad
 from gooseberrydale.request.placement import (
     Candidate,
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -20,7 +20,7 @@
     QuarantinedError,
 )
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
-from gooseberrydale.process.gateway.upstreams import UpstreamQuery
+from gooseberrydale.process.gateway.upstream_query import UpstreamQuery
 from gooseberrydale.request.gateway_call import CallerRequest, Prompt
 from gooseberrydale.request.hold_policy import LATE_HOLD_S, POLL_INTERVAL_S
 from gooseberrydale.request.placement import Candidate, Demand, gap_excess_s
--- a/tests/test_pool_rooms.py
+++ b/tests/test_pool_rooms.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import pytest
@@ -9,7 +10,9 @@
 from gooseberrydale.process.cfg import GatewayCfg
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.pool_rooms import PoolRooms
-from gooseberrydale.process.gateway.upstreams import UpstreamQuery, Upstreams
+from gooseberrydale.process.gateway.send_measurement import SendMeasurement
+from gooseberrydale.process.gateway.upstream_query import UpstreamQuery
+from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.gateway_call import ReportedLoad
 from gooseberrydale.version.declared import EngineSize, Pool
 from gooseberrydale.version.directory import Directory
@@ -21,6 +24,7 @@
 from gooseberrydale.version.stores import Stores
 from gooseberrydale.version.upstream_load import Work
 from tests.builders_gateway import POOL, no_limits, prompt, record
+from tests.clock import run_paused
 
 ENGINE = Pool(POOL, 100, EngineSize(slots=64, kv_tokens=100_000))
 NOW = 1.0
@@ -39,12 +43,14 @@
     )
 
 
-def learn(view: Upstreams) -> None:
+async def learn(view: Upstreams) -> SendMeasurement:
     """Report an engine that holds four fifths of its memory with nothing waiting."""
     view.load_of("u1").began(Work(0, 80_000, 0, 20_000))
-    for n in range(10):
-        report = ReportedLoad(9, 0, 64)
-        view.note_load_report(ENGINE, "u1", report, NOW + 0.1 * n)
+    sent = SendMeasurement(view, ENGINE, record("u1"), Work(100, 100), None)
+    for _ in range(10):
+        sent.load_reported(ReportedLoad(9, 0, 64), is_own=True)
+        await asyncio.sleep(0.1)
+    return sent
 
 
 @pytest.mark.parametrize("shares", [False, True])
@@ -53,12 +59,16 @@
 ) -> None:
     """Guards against a changed limit in deployments that did not ask for it."""
     view = upstreams(shares=shares)
-    learn(view)
+    sent: list[SendMeasurement] = []
+
+    async def main() -> None:
+        sent.append(await learn(view))
+
+    run_paused(main())
     query = UpstreamQuery(ENGINE, prompt(("guide", 100), own=100), "")
     ((_, candidate),) = view.candidates(query, NOW)
     assert (candidate.memory_fraction > 0.75) is shares
-    event = view.expect_first_event(ENGINE, record("u1"), Work(100, 100), NOW)
-    assert (event is not None) is shares
+    assert (sent[0]._expected is not None) is shares
     assert view.works()[0].unshared_tokens == (20_000 if shares else 0)
 
 
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -13,7 +13,8 @@
 from gooseberrydale.process.cfg import GatewayCfg, NodeCfg
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.gateway import gateway_record
-from gooseberrydale.process.gateway.upstreams import UpstreamQuery, Upstreams
+from gooseberrydale.process.gateway.upstream_query import UpstreamQuery
+from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.members import Members
 from gooseberrydale.version.declared import EngineSize, Pool
 from gooseberrydale.version.directory import Directory
