Log crossed shares and changed owners of reservations

Both events were declared and described for operators, but nothing wrote them. An owner counts as silent once two of its answers in a row are missing, so a lost datagram writes no line.

--- a/gooseberrydale/log_events/capacity.py
+++ b/gooseberrydale/log_events/capacity.py
@@ -30,8 +30,8 @@
     """A workspace went over its share of a pool, or back within it.
 
     ``used_per_s`` is what the fleet sent for it and ``level_per_s`` its share, both in
-    tokens per second.  ``age_ms`` is the age of the youngest report from another
-    gateway that counted, 0 if none did.
+    tokens per second; the share is 0 while nothing limits it.  ``age_ms`` is the age of
+    the youngest report from another gateway that counted, 0 if none did.
     """
 
     NAME: ClassVar[str] = "workspace_share"
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -331,7 +331,7 @@
         self._prober = Prober(self._upstreams, self._gossip.changed)
         self._quarantine_log = QuarantineLog(self.ended_incarnations)
         self._capacity_log = CapacityLog(
-            self._upstreams.sharing, speeds, self._declared_pools
+            self._upstreams.sharing, speeds, self._queue.shares, self._declared_pools
         )
         self._sweep_task: asyncio.Task[None] | None = None
 
@@ -501,8 +501,9 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(SWEEP_S)
-            self._conns.sweep(self._upstreams.sweep(loop.time()))
-            self._capacity_log.check()
+            now = loop.time()
+            self._conns.sweep(self._upstreams.sweep(now))
+            self._capacity_log.check(now)
 
     def _limits(self) -> CallerLimits:
         table = self._declared.table
--- a/gooseberrydale/process/gateway/reservation_client.py
+++ b/gooseberrydale/process/gateway/reservation_client.py
@@ -15,6 +15,7 @@
 from typing import Protocol, TypeVar
 
 from gooseberrydale.connection.gateway_datagrams import FleetView
+from gooseberrydale.process.gateway.reservation_owner_log import ReservationOwnerLog
 from gooseberrydale.request.capacity_ports import Need
 from gooseberrydale.version.capacity.ledger import Ledger, Verdict
 from gooseberrydale.version.capacity.messages import Granted, ReserveAsk, Reserved
@@ -134,6 +135,7 @@
         self._view = view
         self._gateways = gateways
         self.owners = CapacityOwners()
+        self._owner_log = ReservationOwnerLog(self.owners)
         self._owned = OwnedLedgers(name, self.owners, view)
         self._seqs = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Verdict]] = {}
@@ -214,9 +216,20 @@
                 wait_s = min(FIRST_TIMEOUT_S, until - _now())
                 verdict = await self._ask(owner, ask, wait_s)
             if verdict is not None:
+                self._note_owner(ask.upstream, owner.name)
                 return verdict
+        self._note_owner(ask.upstream, "")
         return None
 
+    def _note_owner(self, upstream: str, name: str) -> None:
+        """Log that ``name`` decides, unless only one answer of an owner is missing."""
+        for owner in self.owners.of(upstream):
+            if owner.name == name:
+                break
+            if 0 < self._misses.get(owner.name, 0) < MISSES_BEFORE_SKIP:
+                return
+        self._owner_log.note(upstream, name)
+
     def _make_ask(self, pool: str, upstream: str, need: Need) -> ReserveAsk:
         return ReserveAsk(
             self._name,
--- a/gooseberrydale/request/waiting/shares.py
+++ b/gooseberrydale/request/waiting/shares.py
@@ -133,24 +133,44 @@
     return float("inf")
 
 
-def overs(use: PoolUse) -> frozenset[int]:
-    """Return the workspaces over their share, by the hash of their names."""
+def shares_of(use: PoolUse) -> dict[int, float]:
+    """Return the share of each named workspace in tokens; empty if nothing waits."""
     named = use.named.values()
     waiting = use.rest.waiting + sum(one.waiting for one in named)
     if not waiting:
-        return frozenset()
+        return {}
     known = [one.weight for one in named if one.weight]
     mean_weight = sum(known) / len(known) if known else 1.0
     # What the unnamed workspaces still want is small for each of them, so it is
     # within their shares.
     capacity = sum(one.sent for one in named) - use.rest.waiting
     limit = level(named, capacity, mean_weight)
-    over = set()
-    for workspace, one in use.named.items():
-        share = limit * (one.weight or mean_weight)
-        if one.demand > share and one.sent > SERVED_FRACTION * share:
-            over.add(workspace)
-    return frozenset(over)
+    return {
+        workspace: limit * (one.weight or mean_weight)
+        for workspace, one in use.named.items()
+    }
+
+
+def overs(use: PoolUse) -> frozenset[int]:
+    """Return the workspaces over their share, by the hash of their names."""
+    return frozenset(
+        workspace
+        for workspace, share in shares_of(use).items()
+        if use.named[workspace].demand > share
+        and use.named[workspace].sent > SERVED_FRACTION * share
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceUse:
+    """What the fleet sent for a workspace, and its share, in tokens per second.
+
+    ``share_per_s`` is infinite while nothing limits it.
+    """
+
+    over: bool
+    sent_per_s: float
+    share_per_s: float
 
 
 class _Window:
@@ -224,6 +244,37 @@
             self._overs[pool] = now, known
         return known
 
+    def workspaces(self, pool: str, now: float) -> set[str]:
+        """Return the workspaces whose requests were sent or wait at this gateway."""
+        window = self._windows.get(pool)
+        sent = set() if window is None else set(window.sums(now))
+        return sent | set(self._waiting.tokens(pool))
+
+    def uses(
+        self, pool: str, workspaces: Iterable[str], now: float
+    ) -> dict[str, WorkspaceUse]:
+        """Return the use of each workspace over the fleet, by name."""
+        total, over = self._total(pool, now), self.overs(pool, now)
+        shares = shares_of(total) if self._waiting.any_waits(pool, now) else {}
+        found = {}
+        for name in workspaces:
+            key = name_hash(name)
+            sent = total.named.get(key, Use()).sent
+            share = shares.get(key, float("inf"))
+            found[name] = WorkspaceUse(key in over, sent / WINDOW_S, share / WINDOW_S)
+        return found
+
+    def report_age_s(self, pool: str, now: float) -> float:
+        """Return the age of the youngest report of a pool that counts; 0 if none."""
+        key = name_hash(pool)
+        reports = [
+            report
+            for table in (self._gateways, self._areas)
+            for report in self._recent(table, now)
+            if key in report.pools
+        ]
+        return min((now - report.at for report in reports), default=0.0)
+
     def mean_weight(self, pool: str) -> float:
         """Return the mean of the known weights of a pool's workspaces; else 1."""
         window = self._windows.get(pool)
--- a/gooseberrydale/version/capacity/limits.py
+++ b/gooseberrydale/version/capacity/limits.py
@@ -23,8 +23,8 @@
 still gets half of the work that fits into its memory."""
 
 MAX_FRACTION = 2.0
-"""Upper bound of a learned limit.  Prompts share at most about two thirds of their
-tokens in the known deployments."""
+"""Upper bound of a learned limit.  An engine holds more than this in the calculated
+measure only if its requests share more than half of their tokens."""
 
 RANK_RESERVE_FRACTION = 0.05
 """Fraction of declared memory that unshared tokens of each rank leave to the rank
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -22,6 +23,7 @@
     is_near,
 )
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
+from tests.builders_logs import logged
 from tests.builders_reservations import NEED, POOL, SLOTS, ReservingFleet, now
 from tests.clock import run_paused
 
@@ -269,3 +271,61 @@
     assert sent == 1
     # Whole requests that fit: what is granted is not in reports yet.
     assert free == 3.0
+
+
+class ShortDelays(random.Random):
+    """Gives each datagram the shortest delay: two of them never exceed a time-out."""
+
+    def uniform(self, a: float, b: float) -> float:
+        return a
+
+
+async def _owners_seen() -> list[tuple[str, str, str]]:
+    """Return the logged owners while owners of an upstream die and one returns."""
+    fleet = ReservingFleet(4)
+    fleet.net.rng = ShortDelays()
+    for node in fleet.nodes:
+        node.client.owners.update(node.view)
+    order = fleet.nodes[0].client.owners.of("u0")
+    first, second = (next(n for n in fleet.nodes if n.peer == p) for p in order)
+    node = next(n for n in fleet.nodes if n not in (first, second))
+    fleet.running["u0"]["x"].add(-0.5, 20)
+
+    async def ask(count: int) -> None:
+        for _ in range(count):
+            await node.client.reserve(POOL, "u0", NEED, 40.0)
+            await asyncio.sleep(0.3)
+
+    with logged("reservation_owner") as lines:
+        await ask(3)
+        fleet.freeze(first)
+        await ask(1)
+        first.frozen = False
+        # One answer that is missing says nothing about the owner.
+        await ask(1)
+        assert not lines
+        fleet.freeze(first)
+        await ask(4)
+        fleet.freeze(second)
+        await ask(8)
+        fleet.thaw(first)
+        await ask(6)
+        others = tuple(p for p in node.view.others if p is not first.peer)
+        node.view = Fleet(node.peer, others)
+        fleet.thaw(second)
+        await ask(8)
+    names = {first.peer.name: "first", second.peer.name: "second", "": ""}
+    return [
+        (names[line["before"]], names.get(line["owner"], "third"), line["reason"])
+        for line in lines
+    ]
+
+
+def test_owners_are_logged_when_they_fall_silent_return_or_leave() -> None:
+    """Guards against a line for each lost datagram, and against changes without one."""
+    assert run_paused(_owners_seen()) == [
+        ("first", "second", "silent"),
+        ("second", "", "silent"),
+        ("", "first", "back"),
+        ("first", "second", "gone"),
+    ]
