--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -16,6 +16,10 @@
 from deployment import HEARTBEAT_S, dump
 
 
+Served = tuple[int, dict[str, str], bytes]
+"""Status, headers and body of an engine's answer."""
+
+
 @dataclass
 class Answer:
     """``status`` is 0 if the channel gave no complete answer."""
@@ -85,8 +89,9 @@
 class Engine:
     """An engine: registers itself by heartbeats, serves requests, records arrivals.
 
-    ``serve`` returns status, headers and body of a request that it runs.  ``models``
-    is empty for engines of other services.
+    ``serve`` returns status, headers and body of a request that it runs, from its id and
+    headers; ``run_with_body`` does so from its body as well.  ``models`` is empty for
+    engines of other services.
     """
 
     def __init__(
@@ -94,9 +99,10 @@
         ip: str,
         service: str,
         zone: str,
-        serve: Callable[[str, dict[str, str]], tuple[int, dict[str, str], bytes]],
+        serve: Callable[[str, dict[str, str]], Served] | None = None,
         models: list[dict[str, Any]] | None = None,
         slots: int = 48,
+        run_with_body: Callable[[str, dict[str, str], bytes], Served] | None = None,
     ) -> None:
         self.id = "i-" + secrets.token_hex(5)
         self.service, self.zone, self.slots = service, zone, slots
@@ -105,6 +111,7 @@
         self.seq = 0
         self.arrivals: list[Arrival] = []
         self._serve = serve
+        self._run_with_body = run_with_body
         self._lock = threading.Lock()
         self._beating = False
         self._thread: threading.Thread | None = None
@@ -164,7 +171,11 @@
             _send(handler, 421, head, b"")
             return
         with self._lock:
-            status, headers, answer = self._serve(request_id, fields)
+            if self._run_with_body is not None:
+                status, headers, answer = self._run_with_body(request_id, fields, body)
+            else:
+                assert self._serve is not None
+                status, headers, answer = self._serve(request_id, fields)
         self._note(arrived, request_id, fields, status)
         stamp = f"{self.id}.{len(self.arrivals)}"
         head = {
