Follow the members of the control log instead of the listed replicas

Cause: processes opened sessions to the replicas of their settings alone, which are read once at the start.

Change: replicas of an open group publish the committed members with the index of the log entry. Heartbeats of sessions carry them in both directions, and the highest index wins. Replicas contact former members, which may have been replaced while cut off. New events: control_members, control_unreachable, control_reached.

Why it works: whatever replaces the last listed replica was announced by a replica that the process still had a session to, by its disk, by another gateway, or by a replica that remembers it.

--- a/gooseberrydale/connection/control_client.py
+++ b/gooseberrydale/connection/control_client.py
@@ -12,7 +12,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Container, Mapping, Sequence
+from collections.abc import Container, Mapping
 from typing import Any
 
 import grpc
@@ -27,6 +27,7 @@
     Problem,
     problem,
 )
+from gooseberrydale.version.known_controls import KnownControls
 
 CALL_TIMEOUT_S = 1.0
 SILENT_AFTER_S = 0.2
@@ -40,16 +41,16 @@
 
 
 class ControlClient:
-    """Client of the control replicas at ``addresses``."""
+    """Client of the replicas in ``controls``, which may change at any time."""
 
     def __init__(
         self,
-        addresses: Sequence[str],
+        controls: KnownControls,
         token: str,
         tls: TlsFiles | None = None,
         rng: random.Random | None = None,
     ) -> None:
-        self._addresses = list(addresses)
+        self._controls = controls
         self._token = token
         self._tls = tls
         self._rng = rng if rng is not None else random.Random()
@@ -63,7 +64,7 @@
         The error is ``claim_unavailable``: no replica confirmed within ``timeout_s``
         that it committed the request, so whether it was committed is unknown.
         """
-        if not self._addresses:
+        if not self._controls.current:
             return Err(problem(CLAIM_UNAVAILABLE, retry_after_s=RETRY_AFTER_S))
         try:
             async with asyncio.timeout(timeout_s):
@@ -119,8 +120,11 @@
         """Return a replica that has not been asked yet; None if all have been."""
         if self._target and self._target not in calls:
             return self._target
-        others = [address for address in self._addresses if address not in calls]
-        return self._rng.choice(others) if others else None
+        for addresses in (self._controls.current, self._controls.others):
+            uncalled = [address for address in addresses if address not in calls]
+            if uncalled:
+                return self._rng.choice(uncalled)
+        return None
 
     async def _call(self, address: str, req: Any) -> Any:
         channel = self._channels.get(address)
--- a/gooseberrydale/connection/gateway_datagrams.py
+++ b/gooseberrydale/connection/gateway_datagrams.py
@@ -44,6 +44,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._handlers: dict[type[Any], Callable[[Any], None]] = {}
         self._rotation = 0
+        self.last_sender = ""
+        """Address from which the last datagram came; empty before the first."""
 
     async def start(self) -> None:
         """Bind the socket; raise OSError if the address is in use."""
@@ -71,6 +73,13 @@
         """Send a registered message once to each peer, without a retry."""
         self._send(encode(msg), peers)
 
+    def send_to(self, msg: object, addresses: Iterable[str]) -> None:
+        """Send a registered message once to each address, without a retry."""
+        data = encode(msg)
+        if self._transport is not None:
+            for address in addresses:
+                self._transport.sendto(data, _host_port(address))
+
     def broadcast(self, msg: object, relay_index: int = 0) -> None:
         """Send a registered message to all gateways once, by relays if there are many.
 
@@ -92,6 +101,8 @@
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Decode a message of another gateway and call its handler."""
+        if isinstance(addr, tuple):
+            self.last_sender = f"{addr[0]}:{addr[1]}"
         try:
             msg = decode(data)
             if isinstance(msg, HandOn):
--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -19,6 +19,7 @@
 
 from gooseberrydale.connection.codec import message
 from gooseberrydale.version.declarations import Config
+from gooseberrydale.version.known_controls import ControlMembers
 
 CONTROL_ROLE = "control"
 ENTRY_ROLE = "entry"
@@ -180,6 +181,8 @@
 
     ``weights`` are the named versions that the sender knows: all of them in the first
     message of a session and after a change, else only those that were named recently.
+    ``controls`` are the members of the control log that the sender knows, in the first
+    message of a session and after a change.
     """
 
     name: str
@@ -187,6 +190,7 @@
     sent_at: float = 0.0
     echo_at: float | None = None
     weights: tuple[NamedVersion, ...] = ()
+    controls: ControlMembers | None = None
 
 
 MeshMessage = (
--- a/gooseberrydale/connection/mesh_client.py
+++ b/gooseberrydale/connection/mesh_client.py
@@ -25,6 +25,7 @@
     """Opens a session to ``address`` and reopens it whenever it ends.
 
     ``close`` stops this.  It also stops if the address belongs to this process itself.
+    ``backoff_max_s`` replaces the longest delay between two attempts.
     """
 
     def __init__(
@@ -34,13 +35,16 @@
         tls: TlsFiles | None,
         node: MeshNode,
         rng: random.Random,
+        backoff_max_s: float | None = None,
     ) -> None:
         self.address = address
         self._token = token
         self._tls = tls
         self._node = node
         timings = node.timings
-        self._backoff = Backoff(timings.backoff_first_s, timings.backoff_max_s, rng)
+        if backoff_max_s is None:
+            backoff_max_s = timings.backoff_max_s
+        self._backoff = Backoff(timings.backoff_first_s, backoff_max_s, rng)
         self._open_s = timings.open_s
         self._failed = False
         self._session: MeshSession | None = None
--- a/gooseberrydale/connection/mesh_node.py
+++ b/gooseberrydale/connection/mesh_node.py
@@ -1,8 +1,8 @@
 """State that all mesh sessions of one process share.
 
 This is the identity of the process, the directory, the configuration store, the named
-weights, the last report of each peer, and the request for a configuration that is
-pending, if any.
+weights, the known control replicas, the last report of each peer, and the request for a
+configuration that is pending, if any.
 """
 
 from __future__ import annotations
@@ -13,10 +13,11 @@
 from typing import Protocol
 
 from gooseberrydale.connection.mesh import CONTROL_ROLE, Hello, NamedVersion
-from gooseberrydale.log_events import WeightsNamed, emit
+from gooseberrydale.log_events import ControlMembersChanged, WeightsNamed, emit
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.known_controls import ControlMembers, KnownControls
 from gooseberrydale.version.named_weights import NamedWeights
 
 MS_PER_S = 1_000.0
@@ -84,6 +85,9 @@
     def incarnations_ended(self) -> None:
         """Schedule a message, since incarnations of upstreams have ended."""
 
+    def controls_changed(self) -> None:
+        """Schedule a message, since the known members of control have changed."""
+
     def close(self) -> None:
         """End the session, without waiting for it."""
 
@@ -101,8 +105,10 @@
         timings: MeshTimings | None = None,
         ended_incarnations: EndedIncarnations | None = None,
         named_weights: NamedWeights | None = None,
+        controls: KnownControls | None = None,
     ) -> None:
         self.identity = identity
+        self.controls = KnownControls(()) if controls is None else controls
         self.named_weights = NamedWeights() if named_weights is None else named_weights
         self.ended_incarnations = (
             EndedIncarnations() if ended_incarnations is None else ended_incarnations
@@ -124,6 +130,7 @@
         self._unsubscribe = (
             self.directory.subscribe(self._records_changed),
             self.ended_incarnations.subscribe(self._incarnations_ended),
+            self.controls.subscribe(self._controls_changed),
         )
         self._record_weights()
         watch = self._watch_config(self.store.revision)
@@ -205,6 +212,12 @@
         """Record the named versions that a peer reports."""
         self._log_weights(self.named_weights.merge(reported, now), now)
 
+    def offer_controls(self, members: ControlMembers, source: str) -> None:
+        """Record the members of control that the peer ``source`` reports."""
+        if self.controls.offer(members):
+            addresses = list(members.addresses)
+            emit(ControlMembersChanged(members.index, addresses, source))
+
     def _record_weights(self) -> None:
         """Record the versions of the configuration in force."""
         now = asyncio.get_running_loop().time()
@@ -224,6 +237,10 @@
         for session in self._sessions:
             session.incarnations_ended()
 
+    def _controls_changed(self) -> None:
+        for session in self._sessions:
+            session.controls_changed()
+
     async def _watch_config(self, revision: int) -> None:
         while True:
             config = await self.store.wait_newer(revision)
--- a/gooseberrydale/connection/mesh_session.py
+++ b/gooseberrydale/connection/mesh_session.py
@@ -80,6 +80,8 @@
         self._acked_at = 0.0
         # The first message of the session reports all versions.
         self._reported_changes = -1
+        # Index of the members of control that both sides know.
+        self._shared_controls = 0
         self._peer_wants_above: int | None = None
         self._pulled_revision = 0
         self._next_pull_at = 0.0
@@ -105,6 +107,10 @@
         """Schedule a message with the ended incarnations of upstreams."""
         self.records_changed(urgent=True)
 
+    def controls_changed(self) -> None:
+        """Send the new members of control now."""
+        self._alarm.wake_by(self._loop.time())
+
     def config_changed(self) -> None:
         """Send the new revision now."""
         self._alarm.wake_by(self._loop.time())
@@ -190,6 +196,7 @@
         match msg:
             case RevisionAck():
                 self._node.merge_weights(msg.weights, self.received_at)
+                self._merge_controls(msg, self._peer)
                 self._record_revision(self._peer, msg.revision)
             case Announce():
                 self._merge_records(msg, self._peer)
@@ -239,6 +246,11 @@
                     self._records_requested_at + RECORDS_REQUEST_INTERVAL_S
                 )
 
+    def _merge_controls(self, msg: RevisionAck, peer: Hello) -> None:
+        if msg.controls is not None:
+            self._shared_controls = max(self._shared_controls, msg.controls.index)
+            self._node.offer_controls(msg.controls, f"{peer.role} {peer.name}")
+
     def _correct(self, record: UpstreamRecord) -> None:
         """Notify a sidecar that a newer incarnation uses its name."""
         current = self._node.directory.get(record.name, self.received_at)
@@ -269,8 +281,11 @@
     def _pending_ack(self, now: float) -> Iterator[MeshMessage]:
         revision = self._node.store.revision
         due = self._acked_at + self._node.timings.heartbeat_s <= now
-        if revision == self._acked_revision and not due:
+        controls = self._node.controls.members
+        has_new_controls = controls.index > self._shared_controls
+        if revision == self._acked_revision and not (due or has_new_controls):
             return
+        self._shared_controls = max(self._shared_controls, controls.index)
         self._acked_revision = revision
         self._acked_at = now
         yield RevisionAck(
@@ -279,6 +294,7 @@
             sent_at=now,
             echo_at=self._echo_at(now),
             weights=self._weights_to_report(now),
+            controls=controls if has_new_controls else None,
         )
 
     def _weights_to_report(self, now: float) -> tuple[NamedVersion, ...]:
--- a/gooseberrydale/connection/rpc.py
+++ b/gooseberrydale/connection/rpc.py
@@ -86,6 +86,7 @@
 QUOTA = Method("gooseberrydale.Entry", "Quota")
 ORDER = Method("gooseberrydale.Sidecar", "Order")
 PROPOSE = Method("gooseberrydale.Control", "Propose")
+READ_MEMBERS = Method("gooseberrydale.Control", "ReadMembers")
 REPLICATE = Method(
     "gooseberrydale.Control", "Replicate", client_streams=True, server_streams=True
 )
--- a/gooseberrydale/log_events/__init__.py
+++ b/gooseberrydale/log_events/__init__.py
@@ -17,6 +17,9 @@
 )
 from gooseberrydale.log_events.connections import (
     ConnectionsRefused,
+    ControlMembersChanged,
+    ControlReached,
+    ControlUnreachable,
     DatagramFailed,
     DatagramUnreadable,
     UnreadAnswersCut,
@@ -77,6 +80,9 @@
     "CapacitySharingChanged",
     "CommitNotNoted",
     "ConnectionsRefused",
+    "ControlMembersChanged",
+    "ControlReached",
+    "ControlUnreachable",
     "DatagramFailed",
     "DatagramUnreadable",
     "DocumentInForce",
--- a/gooseberrydale/log_events/connections.py
+++ b/gooseberrydale/log_events/connections.py
@@ -1,4 +1,4 @@
-"""Events of connections with callers, and of datagrams between gateways."""
+"""Events of connections with callers and control, and of datagrams between gateways."""
 
 from __future__ import annotations
 
@@ -65,3 +65,44 @@
     LEVEL: ClassVar[str] = "DEBUG"
 
     reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ControlMembersChanged(LogEvent):
+    """This process learned of other members of the control log.
+
+    ``index`` is the log entry after which they are in force, ``source`` the process
+    that reported them.
+    """
+
+    NAME: ClassVar[str] = "control_members"
+    TEXT: ClassVar[str] = "members of control changed"
+
+    index: int
+    members: list[str]
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class ControlUnreachable(LogEvent):
+    """No member of control can be reached, so the configuration may be outdated.
+
+    ``tried`` are all addresses to which sessions are being opened.
+    """
+
+    NAME: ClassVar[str] = "control_unreachable"
+    TEXT: ClassVar[str] = "no session to control"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    tried: list[str]
+    silent_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ControlReached(LogEvent):
+    """A session to a member of control is open again after ``control_unreachable``."""
+
+    NAME: ClassVar[str] = "control_reached"
+    TEXT: ClassVar[str] = "session to control open again"
+
+    index: int
--- a/gooseberrydale/process/control/cache_file.py
+++ b/gooseberrydale/process/cache_file.py
@@ -15,7 +15,7 @@
 
 from gooseberrydale.connection.codec import CodecError, decode, encode
 from gooseberrydale.log_events import NothingKept, NotKept, emit
-from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.version.replication.files import OsFiles
 from gooseberrydale.version.replication.records import frame, scan
 
--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -19,7 +19,7 @@
     UpstreamRetired,
     emit,
 )
-from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.version.directory import MAX_LEASE_S, Directory
 from gooseberrydale.version.origins.origin import UNKNOWN_SOFTWARE
 from gooseberrydale.version.upstream_incarnation import (
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -33,6 +33,7 @@
 from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.machine import PublishingMachine
+from gooseberrydale.process.control.members_reader import serve_members
 from gooseberrydale.process.control.named_weights_cache import NamedWeightsCache
 from gooseberrydale.process.control.operator_api import OperatorApi
 from gooseberrydale.process.control.operator_auth import OperatorTokens, load_operators
@@ -46,13 +47,13 @@
 )
 from gooseberrydale.process.control.replica import Replica
 from gooseberrydale.process.control.signpost import Signpost
-from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.process.control.upkeep import Upkeep
 from gooseberrydale.process.control.upstream_cache import UpstreamCache
 from gooseberrydale.process.control.weights_rollout import WeightsRollout
 from gooseberrydale.process.http_server import HttpServer
-from gooseberrydale.process.membership import Mesh, PeerState
+from gooseberrydale.process.membership import Mesh, PeerState, known_controls
 from gooseberrydale.process.role import Role
+from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.acknowledgements import Acknowledgements, RevisionStatus
 from gooseberrydale.version.config_store import ConfigStore
@@ -126,6 +127,7 @@
         self._data_dir = own.data_dir
         self._own_rpc = own.rpc
         self._seeds = cfg.fleet.control_rpc
+        self._controls = known_controls(cfg)
         # Only seeds create the cluster; all other replicas join it.
         self._bootstrap = own.bootstrap and own.rpc in self._seeds
         self._folder_lock: FolderLock | None = None
@@ -163,6 +165,7 @@
             self._machine, self._proposer, self._commit, self.directory, token, tls
         )
         ProposeService(self._commit, self._proposer).register(self._rpc)
+        serve_members(self._rpc, self._controls)
         self._mesh.register(self._rpc)
         self._api = OperatorApi(
             self.state,
@@ -173,7 +176,7 @@
             self._replica_status,
             self.ended_incarnations,
         )
-        client = ControlClient(cfg.fleet.control_rpc, token, tls)
+        client = ControlClient(self._controls, token, tls)
         self._documents = Documents(self._commit, self._proposer, client)
         self._rollout: WeightsRollout | None = None
         self._announcements: Announcements | None = None
@@ -316,6 +319,7 @@
                 name=own.rpc,
                 tls=tls,
                 raft=open_raft(cfg.fleet.control_rpc, own),
+                controls=self._controls,
             )
         name = cfg.node.name
         alone = own if own.replicas else replace(own, replicas={name: own.rpc})
@@ -348,6 +352,7 @@
             on_ack=self._on_ack,
             ended_incarnations=self.ended_incarnations,
             named_weights=self._named_weights,
+            controls=self._controls,
         )
 
     def _on_ack(self, peer: PeerState) -> None:
--- a/gooseberrydale/process/control/control_metrics.py
+++ b/gooseberrydale/process/control/control_metrics.py
@@ -20,9 +20,9 @@
 from gooseberrydale.errors import Problem
 from gooseberrydale.process.control.proposer import Proposer
 from gooseberrydale.process.control.replica import Replica
-from gooseberrydale.process.control.tasks import spawn, stop
 from gooseberrydale.process.membership import Mesh
 from gooseberrydale.process.metrics import Metrics
+from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.version.control_state import ControlState
 from gooseberrydale.version.directory import Directory
 
--- a/gooseberrydale/process/control/ended_incarnations_cache.py
+++ b/gooseberrydale/process/control/ended_incarnations_cache.py
@@ -12,8 +12,8 @@
 
 from gooseberrydale.connection.codec import message
 from gooseberrydale.connection.mesh import EndedIncarnation
-from gooseberrydale.process.control.cache_file import CacheFile
-from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.process.cache_file import CacheFile
+from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
 
 REWRITE_INTERVAL_S = 60.0
--- a/gooseberrydale/process/control/engine_poller.py
+++ b/gooseberrydale/process/control/engine_poller.py
@@ -13,7 +13,7 @@
 
 from gooseberrydale.connection.engine_orders import EngineOrders
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.version.directory import Directory
 
 POLL_INTERVAL_S = 1.0
--- a/gooseberrydale/process/control/group_commit.py
+++ b/gooseberrydale/process/control/group_commit.py
@@ -25,7 +25,7 @@
     problem,
 )
 from gooseberrydale.process.control.proposer import Proposer
-from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.process.tasks import spawn, stop
 
 MAX_GROUP = 256
 MAX_GROUP_BYTES = 1024 * 1024
--- a/gooseberrydale/process/control/named_weights_cache.py
+++ b/gooseberrydale/process/control/named_weights_cache.py
@@ -13,8 +13,8 @@
 
 from gooseberrydale.connection.codec import message
 from gooseberrydale.connection.mesh import NamedVersion
-from gooseberrydale.process.control.cache_file import CacheFile
-from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.process.cache_file import CacheFile
+from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.version.named_weights import NamedWeights
 
 WRITE_INTERVAL_S = 1.0
--- a/gooseberrydale/process/control/order_sender.py
+++ b/gooseberrydale/process/control/order_sender.py
@@ -22,7 +22,7 @@
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.machine import PublishingMachine
 from gooseberrydale.process.control.proposer import Proposer
-from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.version.directory import Directory
 
 RETRY_S = 0.5
--- a/gooseberrydale/process/control/replica.py
+++ b/gooseberrydale/process/control/replica.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,6 +21,7 @@
 from gooseberrydale.process.cfg import ControlCfg
 from gooseberrydale.process.control.disk import DiskTask
 from gooseberrydale.process.control.peers import PeerLink
+from gooseberrydale.version.known_controls import KnownControls
 from gooseberrydale.version.replication import actions as act
 from gooseberrydale.version.replication.core import RaftCfg, Role
 from gooseberrydale.version.replication.file_storage import FileStorage
@@ -78,6 +79,9 @@
 
     Create it before ``rpc_server`` starts, as it registers its method there. A replica
     whose folder is empty joins the cluster of the other replicas by itself.
+
+    In an open group, ``controls`` receives the members of the log, and those that it
+    gets from elsewhere are used to join.
     """
 
     def __init__(
@@ -92,8 +96,10 @@
         rng: random.Random | None = None,
         files: Files | None = None,
         raft: RaftCfg | None = None,
+        controls: KnownControls | None = None,
     ) -> None:
         self._cfg = cfg
+        self._controls = controls
         self._name = name
         self._machine = machine
         self._rng = rng or random.SystemRandom()
@@ -104,6 +110,7 @@
         self._token = token
         self._tls = tls
         self._links: dict[str, PeerLink] = {}
+        self._closing_links: set[asyncio.Task[None]] = set()
         self._inbox: asyncio.Queue[act.Event | _Written] = asyncio.Queue()
         self._disk = DiskTask(self._storage, self._on_written)
         self._queued_writes: list[act.Write | act.Send] = []
@@ -115,6 +122,7 @@
         self._node: RaftNode | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._unsubscribe: Callable[[], None] | None = None
         rpc_server.streaming(REPLICATE, self._on_stream)
 
     # Start and stop.
@@ -130,6 +138,10 @@
         )
         for action in self._node.begin():
             self._execute(action)
+        self._publish_members()
+        if self._controls is not None:
+            self._unsubscribe = self._controls.subscribe(self._on_members)
+            self._on_members()
         self._tasks = [
             asyncio.create_task(self._process_events()),
             asyncio.create_task(self._disk.run()),
@@ -140,10 +152,14 @@
         """Stop; open proposals get an answer with an unknown outcome."""
         if self._timer is not None:
             self._timer.cancel()
+        if self._unsubscribe is not None:
+            self._unsubscribe()
+            self._unsubscribe = None
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await asyncio.gather(*(link.close() for link in self._links.values()))
+        links = (link.close() for link in self._links.values())
+        await asyncio.gather(*links, *self._closing_links)
         self._fail_open_proposals()
         await asyncio.to_thread(self._storage.close)
 
@@ -279,18 +295,37 @@
                     self._apply(entry)
             case act.Restore(snapshot):
                 self._machine.restore(snapshot.data)
+                self._publish_members()
             case act.TakeSnapshot(index):
                 self._handle(act.SnapshotTaken(index, self._machine.snapshot()))
             case act.Accepted(number, index, term):
                 self._open_proposals[index] = _OpenProposal(number, term)
             case act.NotLeader(number, leader):
                 self._resolve(number, Err(self._not_leader(leader)))
-            case act.MembersCommitted(membership):
+            case act.MembersCommitted(index, membership):
                 names = [member.name for member in membership.members]
                 logger.info("committed members of the control log: {}", names)
+                if self._controls is not None:
+                    self._controls.commit(index, names)
             case _:
                 self._queued_writes.append(action)
 
+    def _publish_members(self) -> None:
+        """Publish the members in force, which may be older than the last entries."""
+        if self._controls is not None:
+            members = self._started.committed_membership.members
+            names = [member.name for member in members]
+            self._controls.commit(self._started.commit, names)
+
+    def _on_members(self) -> None:
+        """Join through the known members, and drop the links to former ones."""
+        assert self._controls is not None
+        self._started.report_names(self._controls.current)
+        for name in self._links.keys() & set(self._controls.former):
+            closing = asyncio.create_task(self._links.pop(name).close())
+            self._closing_links.add(closing)
+            closing.add_done_callback(self._closing_links.discard)
+
     def _send_in_order(self, action: act.Send) -> None:
         if not action.after_sync or not (self._queued_writes or self._writing):
             self._send(action)
--- a/gooseberrydale/process/control/signpost.py
+++ b/gooseberrydale/process/control/signpost.py
@@ -1,8 +1,8 @@
 """Redirects control requests to a replica, from an instance that has no disk.
 
 A replica must store what it acknowledges on its own disk, so an instance without a disk
-holds no replica of the log. Callers that reach it anyway are redirected to a listed
-replica that answers. The setting ``control.signpost`` enables this.
+holds no replica of the log. Callers that reach it anyway are redirected to a member of
+the log that answers. The setting ``control.signpost`` enables this.
 """
 
 from __future__ import annotations
@@ -15,7 +15,11 @@
 from starlette.types import Receive, Scope, Send
 
 from gooseberrydale.process.cfg import Cfg, TlsCfg
+from gooseberrydale.process.cfg_file import read_token
+from gooseberrydale.process.control.members_reader import MembersReader
 from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.membership import known_controls
+from gooseberrydale.process.tls import tls_files
 
 CHECK_VALIDITY_S = 0.5
 """Time for which the result of a check is reused; callers wait a second for a silent
@@ -32,14 +36,20 @@
 
     Replicas are checked only when a request arrives, and at most twice a second. If
     every process checked continuously, the replicas of a fleet of three hundred would
-    accept hundreds of connections a second that carry no request.
+    accept hundreds of connections a second that carry no request. The addresses of the
+    replicas are read every few seconds, so that they are known when a request arrives.
     """
 
     def __init__(self, cfg: Cfg) -> None:
         if cfg.control is None:
             raise ValueError("the settings have no [control] table; add one")
         own = cfg.control.http
-        self._replicas = [address for address in cfg.fleet.controls if address != own]
+        self.controls = known_controls(cfg)
+        self._listed = [address for address in cfg.fleet.controls if address != own]
+        # All replicas serve operators on the same port.
+        self._port = own.rpartition(":")[2]
+        token = read_token(cfg.fleet.token_file)
+        self._reader = MembersReader(self.controls, token, tls_files(cfg.fleet.tls))
         self._answering: Sequence[str] = ()
         self._checked_at = -math.inf
         self._check_lock = asyncio.Lock()
@@ -54,19 +64,29 @@
     async def start(self) -> None:
         """Serve; raises OSError if the address can't be bound."""
         await self._http.start()
+        await self._reader.start()
 
     async def close(self) -> None:
         """Stop serving."""
+        await self._reader.close()
         await self._http.close(CLOSE_GRACE_S)
 
+    def replicas(self) -> list[str]:
+        """Return the HTTP addresses of the members, or the listed ones before these."""
+        members = self.controls.members.addresses
+        if not members:
+            return self._listed
+        return [f"{member.rpartition(':')[0]}:{self._port}" for member in members]
+
     async def _check_replicas(self) -> None:
         """Check which replicas answer, unless a recent result is still valid."""
         loop = asyncio.get_running_loop()
         async with self._check_lock:
             if loop.time() < self._checked_at + CHECK_VALIDITY_S:
                 return
-            results = await asyncio.gather(*map(_answers, self._replicas))
-            pairs = zip(self._replicas, results, strict=True)
+            replicas = self.replicas()
+            results = await asyncio.gather(*map(_answers, replicas))
+            pairs = zip(replicas, results, strict=True)
             self._answering = [address for address, answers in pairs if answers]
             self._checked_at = loop.time()
 
--- a/gooseberrydale/process/control/upkeep.py
+++ b/gooseberrydale/process/control/upkeep.py
@@ -12,7 +12,7 @@
 from gooseberrydale.connection.control_messages import Limits, SetLimitsReq, TickReq
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.proposer import Proposer
-from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.version.control_state import ControlState
 
 INTERVAL_S = 0.5
--- a/gooseberrydale/process/control/upstream_cache.py
+++ b/gooseberrydale/process/control/upstream_cache.py
@@ -13,7 +13,7 @@
 
 from gooseberrydale.connection.codec import message
 from gooseberrydale.connection.mesh import GATEWAY_ROLE, UpstreamRecord
-from gooseberrydale.process.control.cache_file import CacheFile
+from gooseberrydale.process.cache_file import CacheFile
 from gooseberrydale.version.directory import Directory
 
 RESTORED_LEASE_S = 6.0
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -23,7 +23,7 @@
 from gooseberrydale.process.control.engine_poller import EnginePoller
 from gooseberrydale.process.control.machine import PublishingMachine
 from gooseberrydale.process.control.replica import Replica
-from gooseberrydale.process.control.tasks import spawn, stop
+from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import is_mark, mark
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -99,7 +99,7 @@
         self._has_metrics_listener = bool(cfg.metrics.http)
         self._metrics = Metrics(ENTRY_ROLE, cfg.node.name, cfg.node.zone)
         self._claims = ControlClient(
-            cfg.fleet.controls, self._token, self._tls, self._rng
+            self._mesh.controls, self._token, self._tls, self._rng
         )
         self._calls: CallHandlers | None = None
         self._middleware: EntryMiddleware | None = None
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -22,9 +22,11 @@
 from gooseberrydale.process.cfg import Cfg, GatewayCfg, NodeCfg, TlsCfg
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.connection_gate import ConnectionGate
+from gooseberrydale.process.control_members_file import ControlMembersFile
 from gooseberrydale.process.gateway.app import GatewayApp, GatewayDeps
 from gooseberrydale.process.gateway.capacity_log import CapacityLog
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
+from gooseberrydale.process.gateway.control_finder import ControlFinder
 from gooseberrydale.process.gateway.declared_store import DeclaredStore, DecodeDocument
 from gooseberrydale.process.gateway.front_protocol import front_protocol
 from gooseberrydale.process.gateway.gateway_levels import GatewayLevels
@@ -262,6 +264,12 @@
             merged,
         )
         self._limit_gossip = LimitGossip(self._datagrams, self._upstreams.limits)
+        self._control_finder = self._make_control_finder(cfg)
+        self._control_file = (
+            None
+            if own.data_dir is None
+            else ControlMembersFile(own.data_dir / "controls", self._mesh.controls)
+        )
         self.quotas = QuotaClient(
             self._own_name,
             incarnation,
@@ -358,7 +366,11 @@
         await self._origins.start()
         await self._declared.start()
         await self._store.start()
+        if self._control_file is not None:
+            await self._control_file.start()
         await self._mesh.start()
+        if self._control_finder is not None:
+            await self._control_finder.start()
         await self._prober.start()
         self._sweep_task = asyncio.create_task(self._sweep())
         await self._ready.start()
@@ -403,7 +415,11 @@
         self._datagrams.close()
         await self._store.close()
         await self._declared.close()
+        if self._control_finder is not None:
+            await self._control_finder.close()
         await self._mesh.close()
+        if self._control_file is not None:
+            await self._control_file.close()
         self._conns.close()
 
     def read_levels(self, level: Level) -> None:
@@ -447,6 +463,24 @@
             named_weights=self._named_weights,
         )
 
+    def _make_control_finder(self, cfg: Cfg) -> ControlFinder | None:
+        """Return what finds control through other gateways.
+
+        Datagrams are not authenticated, so that members of control are taken from them
+        only where the network is trusted.
+        """
+        if not cfg.fleet.trust_network:
+            return None
+        return ControlFinder(
+            self._cfg.gossip,
+            self._datagrams,
+            self._known_fleet,
+            self._mesh.controls,
+            lambda: self._mesh.control_connected,
+            self._mesh.offer_controls,
+            self._rng,
+        )
+
     def _count_gateways(self) -> int:
         """Count the gateways that share limits; at least the number in the settings."""
         now = asyncio.get_running_loop().time()
--- a/gooseberrydale/process/membership.py
+++ b/gooseberrydale/process/membership.py
@@ -33,15 +33,17 @@
 from gooseberrydale.connection.rpc import RpcServer
 from gooseberrydale.errors import REPLACED_INCARNATION, problem
 from gooseberrydale.process.cfg import Cfg
+from gooseberrydale.process.control_sessions import ControlSessions
 from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
+from gooseberrydale.version.known_controls import ControlMembers, KnownControls
 from gooseberrydale.version.named_weights import NamedWeights
 from gooseberrydale.version.order_marks import is_mark_name
 from gooseberrydale.version.session_targets import EntryPoint, session_targets
 
-__all__ = ["Mesh", "OwnRecord", "PeerState"]
+__all__ = ["Mesh", "OwnRecord", "PeerState", "known_controls"]
 
 SIDECAR_ENTRY_SESSIONS = 8
 """Maximum number of entries that a sidecar holds sessions to."""
@@ -64,6 +66,8 @@
     ``seq`` itself. ``ended_incarnations`` are sent to all peers but sidecars.
     ``named_weights`` receives the versions of the configuration and those that peers
     report.
+    ``controls`` are the control replicas, by default those that the settings list; the
+    mesh keeps them up to date.
     ``on_ack`` is called with a :class:`PeerState` whenever a process reports its
     revision.
     """
@@ -83,7 +87,9 @@
         rng: random.Random | None = None,
         ended_incarnations: EndedIncarnations | None = None,
         named_weights: NamedWeights | None = None,
+        controls: KnownControls | None = None,
     ) -> None:
+        self.controls = known_controls(cfg) if controls is None else controls
         self._rng = rng if rng is not None else random.Random()
         identity = Identity(
             role=role, name=cfg.node.name, incarnation=incarnation, zone=cfg.node.zone
@@ -96,12 +102,22 @@
             timings=timings,
             ended_incarnations=ended_incarnations,
             named_weights=named_weights,
+            controls=self.controls,
         )
         self._server = MeshServer(self._node)
         tls = tls_files(cfg.fleet.tls)
-        self._clients = tuple(
-            MeshClient(address, token, tls, self._node, self._rng)
-            for address in _targets(cfg, role)
+
+        def make_client(address: str, backoff_max_s: float | None) -> MeshClient:
+            return MeshClient(address, token, tls, self._node, self._rng, backoff_max_s)
+
+        self._entry_sessions = tuple(
+            make_client(address, None) for address in _entry_targets(cfg, role)
+        )
+        self._control_sessions = ControlSessions(
+            self.controls if _opens_control_sessions(cfg, role) else KnownControls(()),
+            make_client,
+            self._rng,
+            finds_former=role == CONTROL_ROLE,
         )
         self._announcer = _Announcer(own_record, directory, self._rng)
         self._tasks: list[asyncio.Task[None]] = []
@@ -122,7 +138,8 @@
             asyncio.create_task(self._announcer.run()),
             asyncio.create_task(self._expire_leases()),
         ]
-        for client in self._clients:
+        await self._control_sessions.start()
+        for client in self._entry_sessions:
             await client.start()
 
     async def close(self) -> None:
@@ -134,10 +151,15 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tasks = []
-        await asyncio.gather(*(client.close() for client in self._clients))
+        await self._control_sessions.close()
+        await asyncio.gather(*(client.close() for client in self._entry_sessions))
         self._server.close()
         await self._node.close()
 
+    def offer_controls(self, members: ControlMembers, source: str) -> None:
+        """Record members of control that ``source`` reported outside of sessions."""
+        self._node.offer_controls(members, source)
+
     def merge_weights(self, stored: Iterable[NamedVersion], now: float) -> None:
         """Record named versions that an earlier incarnation of this process stored."""
         self._node.merge_weights(stored, now)
@@ -151,6 +173,11 @@
         """Whether any session is open whose peer has sent a message."""
         return bool(self._node.peers())
 
+    @property
+    def control_connected(self) -> bool:
+        """Whether a session to a member of control is open."""
+        return self._control_sessions.connected
+
     @property
     def behind(self) -> bool:
         """Whether a peer has reported a higher revision than is in force here."""
@@ -236,12 +263,25 @@
         logger.error("{}", reason.message)
 
 
-def _targets(cfg: Cfg, role: str) -> tuple[str, ...]:
-    """Return the addresses to open sessions to: control replicas and some entries."""
+def known_controls(cfg: Cfg) -> KnownControls:
+    """Return the control replicas that the settings list."""
+    own = cfg.control
+    return KnownControls(cfg.fleet.control_rpc, "" if own is None else own.rpc)
+
+
+def _opens_control_sessions(cfg: Cfg, role: str) -> bool:
+    """Whether the process opens sessions to control replicas.
+
+    Replicas of an open group send each other the records of upstreams; no other process
+    has a list of all replicas, to open sessions to them.
+    """
+    return role != CONTROL_ROLE or (cfg.control is not None and cfg.control.open_group)
+
+
+def _entry_targets(cfg: Cfg, role: str) -> tuple[str, ...]:
+    """Return the addresses of the entries to open sessions to."""
     if role == CONTROL_ROLE:
-        # Replicas of an open group send each other the records of upstreams. Other
-        # processes open no sessions to them, as they have no list of all replicas.
-        return cfg.fleet.control_rpc if cfg.control and cfg.control.open_group else ()
+        return ()
     entries = [EntryPoint(address) for address in cfg.fleet.entries]
     max_sessions = SIDECAR_ENTRY_SESSIONS
     if role == ENTRY_ROLE:
@@ -253,5 +293,4 @@
         # for that.
         max_sessions += len(others) == len(entries)
         entries = others
-    chosen = session_targets(cfg.node.name, cfg.node.zone, entries, max_sessions)
-    return cfg.fleet.control_rpc + chosen
+    return session_targets(cfg.node.name, cfg.node.zone, entries, max_sessions)
--- a/gooseberrydale/process/sidecar/role.py
+++ b/gooseberrydale/process/sidecar/role.py
@@ -101,7 +101,7 @@
             ended_incarnations=self._ended_incarnations,
         )
         self._control = ControlClient(
-            cfg.fleet.controls, token, tls_files(cfg.fleet.tls), rng
+            self._mesh.controls, token, tls_files(cfg.fleet.tls), rng
         )
         self._orders = OrderExecutor(
             cfg.node.name,
--- a/gooseberrydale/process/control/tasks.py
+++ b/gooseberrydale/process/tasks.py
@@ -1,4 +1,4 @@
-"""Starts and stops background tasks of the control role, and reports their failures."""
+"""Starts and stops background tasks, and reports their failures."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
         return
     task.get_loop().call_exception_handler(
         {
-            "message": "a background task of the control role failed",
+            "message": "a background task failed",
             "exception": task.exception(),
         }
     )
--- a/gooseberrydale/version/replication/actions.py
+++ b/gooseberrydale/version/replication/actions.py
@@ -137,8 +137,9 @@
 
 @dataclass(frozen=True, slots=True)
 class MembersCommitted:
-    """This membership is committed."""
+    """This membership is committed; the entry ``index`` of the log set it."""
 
+    index: int
     membership: Membership
 
 
--- a/gooseberrydale/version/replication/core.py
+++ b/gooseberrydale/version/replication/core.py
@@ -133,6 +133,7 @@
         self.leader_contact_at = now
         self.election_at = now
         self.defer_election(now)
+        self.reported_names: frozenset[str] = frozenset()
         self.out: list[Action] = []
 
     def may_join(self, name: str) -> bool:
@@ -141,9 +142,10 @@
 
     @property
     def known_names(self) -> frozenset[str]:
-        """The names of configured replicas and of the members in the own log."""
+        """The names of configured replicas, of the members in the own log, and of the
+        members that other processes have reported."""
         members = (member.name for member in self.log.membership.members)
-        return self.cfg.names.union(members)
+        return self.cfg.names.union(members, self.reported_names)
 
     @property
     def is_voter(self) -> bool:
@@ -238,7 +240,7 @@
     def _report_members(self, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             if entry.membership is not None:
-                self.out.append(MembersCommitted(entry.membership))
+                self.out.append(MembersCommitted(entry.index, entry.membership))
 
     def make_snapshot(self, index: int, data: bytes) -> Snapshot:
         """Return a snapshot at ``index`` from the encoded state machine."""
--- a/gooseberrydale/version/replication/raft.py
+++ b/gooseberrydale/version/replication/raft.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from gooseberrydale.version.replication import election, follower, joining, leader
@@ -161,6 +162,19 @@
             return core.log.term_at(core.commit) == core.state.term
         return core.caught_up
 
+    @property
+    def committed_membership(self) -> Membership:
+        """The membership in force after the last committed entry."""
+        return self._core.log.membership_at(self.commit)
+
+    def report_names(self, names: Iterable[str]) -> None:
+        """Record members that other processes have reported.
+
+        A replica that was replaced while it was cut off finds none of the members in
+        its own log.  It then joins through these.
+        """
+        self._core.reported_names = frozenset(names)
+
     def repairs(self, now: float) -> tuple[Repair, ...]:
         """The state of each known replica name; empty unless leading."""
         return joining.repairs(self._core, now)
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -25,6 +25,7 @@
 from gooseberrydale.process.control import Control
 from gooseberrydale.process.control.order_sender import RETRY_S
 from gooseberrydale.process.control.proposer import InMemoryProposer
+from gooseberrydale.version.known_controls import ControlMembers, KnownControls
 from tests.builders_control import claim, order
 from tests.builders_operators import ANY_PORT, FLEET_TOKEN, running_control
 from tests.relay import Relay, RelayMode
@@ -147,7 +148,7 @@
         address = await leader.start()
         not_leader = problem(NOT_LEADER, leader=address)
         follower = FakeReplica(ClaimReply(problem=not_leader, leader=address))
-        client = ControlClient([await follower.start()], FLEET_TOKEN)
+        client = ControlClient(KnownControls([await follower.start()]), FLEET_TOKEN)
         for _ in range(3):
             assert (await client.ask(claim(), TIMEOUT_S)).unwrap().granted
         assert (follower.requests, leader.requests) == (1, 3)
@@ -164,7 +165,9 @@
         leader = FakeReplica(ClaimReply(granted=True))
         addresses = [UNREACHABLE, await cut_off.start(), await leader.start()]
         for seed in range(4):
-            client = ControlClient(addresses, FLEET_TOKEN, rng=random.Random(seed))
+            client = ControlClient(
+                KnownControls(addresses), FLEET_TOKEN, rng=random.Random(seed)
+            )
             assert (await client.ask(claim(), TIMEOUT_S)).unwrap().granted
             await client.close()
         assert cut_off.requests
@@ -177,7 +180,7 @@
 def test_a_call_that_times_out_does_not_fail_concurrent_calls():
     async def main() -> None:
         replica = FakeReplica(ClaimReply(granted=True))
-        client = ControlClient([await replica.start()], FLEET_TOKEN)
+        client = ControlClient(KnownControls([await replica.start()]), FLEET_TOKEN)
         replica.delays_s = [3 * CALL_TIMEOUT_S, 0.8 * CALL_TIMEOUT_S]
         first = asyncio.create_task(client.ask(claim("k1"), TIMEOUT_S))
         await asyncio.sleep(0.5 * CALL_TIMEOUT_S)
@@ -203,13 +206,13 @@
         relay = Relay(silent.server.port)
         await relay.start()
         for seed in range(6):
-            client = ControlClient(
-                [relay.address], FLEET_TOKEN, rng=random.Random(seed)
-            )
+            controls = KnownControls([relay.address])
+            client = ControlClient(controls, FLEET_TOKEN, rng=random.Random(seed))
             if open_first:
                 assert (await client.ask(claim(), TIMEOUT_S)).unwrap().granted
             await relay.set_mode(RelayMode.SILENT)
-            client._addresses.append(await other.start_once())
+            members = (relay.address, await other.start_once())
+            controls.offer(ControlMembers(1, members))
             assert (await client.ask(claim(), ASK_S)).unwrap().granted
             await client.close()
             await relay.set_mode(RelayMode.FORWARD)
@@ -229,7 +232,7 @@
         not_leader = problem(NOT_LEADER, leader=address)
         follower = FakeReplica(ClaimReply(problem=not_leader, leader=address))
         addresses = [address, await follower.start()]
-        client = ControlClient(addresses, FLEET_TOKEN)
+        client = ControlClient(KnownControls(addresses), FLEET_TOKEN)
         assert (await client.ask(claim(), ASK_S)).unwrap().granted
         assert slow.requests == 1 and follower.requests
         await client.close()
@@ -241,7 +244,7 @@
 
 def test_client_reports_that_no_replica_can_commit():
     async def main() -> None:
-        client = ControlClient([UNREACHABLE], FLEET_TOKEN)
+        client = ControlClient(KnownControls([UNREACHABLE]), FLEET_TOKEN)
         refused = (await client.ask(claim(), 0.3)).unwrap_err()
         assert (refused.code, refused.retry_after_s) == ("claim_unavailable", 1.0)
         await client.close()
@@ -252,7 +255,7 @@
 def test_a_permanent_refusal_is_returned_without_a_retry():
     async def main() -> None:
         replica = FakeReplica(Ack(problem=problem(INTERNAL)))  # type: ignore[arg-type]
-        client = ControlClient([await replica.start()], FLEET_TOKEN)
+        client = ControlClient(KnownControls([await replica.start()]), FLEET_TOKEN)
         reply = (await client.ask(claim(), TIMEOUT_S)).unwrap()
         assert reply.problem.code == "internal" and replica.requests == 1
         await client.close()
--- a/tests/test_control_open.py
+++ b/tests/test_control_open.py
@@ -4,99 +4,22 @@
 
 import asyncio
 import pathlib
-from collections.abc import Callable
-from typing import Any
 
 import pytest
-from starlette.applications import Starlette
 
-from gooseberrydale.process.cfg import Cfg, ControlCfg, FleetCfg, NodeCfg
 from gooseberrydale.process.control import ended_incarnations_cache
 from gooseberrydale.process.control.announcements import Announcements
-from gooseberrydale.process.control.control import Control, DeploymentInterface
-from gooseberrydale.process.control.documents import Documents
 from gooseberrydale.process.control.ended_incarnations_cache import (
     EndedIncarnationsCache,
 )
 from gooseberrydale.process.control.upstream_cache import UpstreamCache
-from gooseberrydale.version.declarations import Document
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.open_runs import LostRuns
 from tests import builders_incarnations as incarnations
 from tests.builders_files import free_address
 from tests.builders_gateway import record
-
-TIMEOUT_S = 60.0
-
-
-class NoEngines:
-    """Engine interface through which no engine answers."""
-
-    async def report(self, _engine: Any) -> None:
-        return None
-
-    async def order(self, _engine: Any, _order: Any) -> Any:
-        raise AssertionError("no weights are named, so no order is expected")
-
-
-class Replica:
-    """A control process with the objects that its operators' interface receives."""
-
-    def __init__(
-        self, folder: pathlib.Path, address: str, seeds: tuple[str, ...], first: bool
-    ) -> None:
-        self.documents: Documents | None = None
-        self.announcements: Announcements | None = None
-        cfg = Cfg(
-            node=NodeCfg(address),
-            fleet=FleetCfg(trust_network=True, controls=seeds),
-            control=ControlCfg(
-                folder / address.replace(":", "-"),
-                rpc=address,
-                http="127.0.0.1:0",
-                open_group=True,
-                bootstrap=first,
-                snapshot_entries=8,
-            ),
-        )
-        interface = DeploymentInterface(self._make_app, NoEngines())
-        self.control = Control(cfg, interface=interface)
-
-    def _make_app(
-        self, documents: Documents, announcements: Announcements
-    ) -> Starlette:
-        self.documents, self.announcements = documents, announcements
-        return Starlette()
-
-    async def declare_document(self, number: int) -> bool:
-        """Declare a document; return whether it was acknowledged."""
-        assert self.documents is not None
-        body = b"document %d" % number
-        return (await self.documents.declare(Document(number, body))).is_ok()
-
-    async def number(self) -> int | None:
-        """Return the number of the document read; None if it can't be confirmed."""
-        assert self.documents is not None
-        result = await self.documents.read()
-        if result.is_err() or result.unwrap() is None:
-            return None
-        return result.unwrap().number
-
-    async def start(self) -> Replica:
-        await self.control.start()
-        return self
-
-
-async def until(condition: Callable[[], Any]) -> None:
-    async with asyncio.timeout(TIMEOUT_S):
-        while True:
-            result = condition()
-            if asyncio.iscoroutine(result):
-                result = await result
-            if result:
-                return
-            await asyncio.sleep(0.05)
+from tests.builders_open_group import Replica, status_of, until
 
 
 def test_any_replica_serves_documents_and_they_survive_a_full_restart(
@@ -163,9 +86,7 @@
 
 
 def is_member(replica: Replica) -> bool:
-    raft_replica = replica.control._replica
-    assert raft_replica is not None
-    status = raft_replica.status
+    status = status_of(replica)
     identities = {member.identity for member in status.members}
     return status.identity in identities and status.caught_up
 
--- a/tests/test_control_replicated.py
+++ b/tests/test_control_replicated.py
@@ -9,6 +9,7 @@
 from gooseberrydale.connection.control_client import ControlClient
 from gooseberrydale.process.control.first_start import init_folder, recover_folder
 from gooseberrydale.version.control_state import NUMBERS_SKIPPED_AFTER_RECOVERY
+from gooseberrydale.version.known_controls import KnownControls
 from tests.builders_control import claim, finish, holder
 from tests.builders_operators import FLEET_TOKEN, Cluster
 
@@ -96,7 +97,8 @@
 def test_a_claim_is_granted_once_across_replicas(tmp_path):
     async def steps(cluster: Cluster) -> None:
         clients = [
-            ControlClient([address], FLEET_TOKEN) for address in cluster.rpc.values()
+            ControlClient(KnownControls([address]), FLEET_TOKEN)
+            for address in cluster.rpc.values()
         ]
         calls = [
             client.ask(claim(by=holder(f"r{number}")), TIMEOUT_S)
