Bound what a caller sends without completing a field

What was seen: a caller's header, chunk size or trailer without end was held until the time limit of the head, or for as long as the body took.

Cause: the size of a head was the sum of its complete fields, and nothing counted the framing of a body.

Change: a listener counts the bytes of reads of which the parser reports nothing and refuses the request once they exceed the size of a head.

Tests: test_endless_requests, 5 of its 7 cases failed on the code before; the endless target and header lines were bounded already.

--- a/gooseberrydale/process/http_protocol.py
+++ b/gooseberrydale/process/http_protocol.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import uuid
+from enum import IntEnum
 from functools import partial
 from typing import Any
 
@@ -35,12 +36,21 @@
 STATUS_TEXTS = {400: "Bad Request", 408: "Request Timeout", 431: "Head Too Large"}
 
 
+class _Reading(IntEnum):
+    """What of a request is being read."""
+
+    NOTHING = 0
+    HEAD = 1
+    BODY = 2
+
+
 class BoundedHttpProtocol(HttpToolsProtocol):
     """uvicorn's protocol with limits on the head of each request.
 
-    A head may have ``head_bytes`` and take ``head_timeout_s`` seconds; the first byte
-    on a new connection may take ``first_byte_s`` seconds.  Subclasses may override them
-    with properties whose values change.
+    A head, and what frames a body, may have ``head_bytes`` each.  A head may take
+    ``head_timeout_s`` seconds; the first byte on a new connection may take
+    ``first_byte_s`` seconds.  Subclasses may override them with properties whose values
+    change.
     """
 
     head_bytes: int = MAX_HEAD_BYTES
@@ -50,6 +60,9 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._received_head_bytes = 0
+        self._reading = _Reading.NOTHING
+        self._read_body = False
+        self._unreported_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -69,12 +82,17 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse ``data`` unless the connection is being closed after a refusal."""
-        if not self.transport.is_closing():
-            super().data_received(data)
+        if self.transport.is_closing():
+            return
+        before = self._reading
+        self._read_body = False
+        super().data_received(data)
+        self._count_unreported(len(data), before)
 
     def on_message_begin(self) -> None:
         """Start the timer and the byte count of a new head."""
         super().on_message_begin()
+        self._reading = _Reading.HEAD
         self._start_head_timer()
 
     def on_url(self, url: bytes) -> None:
@@ -90,9 +108,20 @@
     def on_headers_complete(self) -> None:
         """Cancel the timer and pass the complete request on, unless it was refused."""
         self._stop_timer()
+        self._reading = _Reading.BODY
         if not self.transport.is_closing():
             super().on_headers_complete()
 
+    def on_body(self, body: bytes) -> None:
+        """Note that a part of the body has arrived."""
+        self._read_body = True
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Note that the request has been read."""
+        self._reading = _Reading.NOTHING
+        super().on_message_complete()
+
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         if cycle.scope["http_version"] == HTTP_1_0:
             app = partial(serve_http_1_0, app, cycle)
@@ -134,6 +163,18 @@
         ):
             self._refuse(problem(HEAD_TOO_LARGE, limit=self.head_bytes))
 
+    def _count_unreported(self, size: int, before: _Reading) -> None:
+        """Count bytes of which the parser has reported nothing.
+
+        It reports a field once it is complete, and the framing of a body not at all.
+        """
+        if self._reading is not before or self._read_body or not before:
+            self._unreported_bytes = 0
+            return
+        self._unreported_bytes += size
+        if self._unreported_bytes > self.head_bytes and not self.transport.is_closing():
+            self._refuse(problem(HEAD_TOO_LARGE, limit=self.head_bytes))
+
     def _refuse(self, reason: Problem) -> None:
         """Answer the current request with an error and close the connection."""
         self._stop_timer()
