Bound every part of a response as its bytes arrive

Cause: a field was counted once it was complete, chunk framing never, and bodies read into memory had one bound of 64 MB a call whatever the call.

Change: ResponseBounds counts the bytes of heads, framing and trailers as they arrive; both HTTP clients reset the connection as soon as a bound is passed. Bodies read into memory have a bound for each call and 32 MB for the process. At most 64 KB are parsed at once, and sections of a body are queued once for each read. The sidecar's client also catches an overlong status line, which raised LimitOverrunError, and refuses huge chunks. New event: response_too_long.

Why it works: a request fails on the bytes themselves, as an invalid answer that may have run, and what is held until then is a read and the bound.

Not there yet: a counter by call in the metrics, and the soak.

--- a/gooseberrydale/connection/http_call.py
+++ b/gooseberrydale/connection/http_call.py
@@ -7,11 +7,11 @@
 
 import asyncio
 
+from gooseberrydale.connection.http_conn import request_line
 from gooseberrydale.connection.http_pool import HttpPool
+from gooseberrydale.connection.reply_limits import read_reply
 from gooseberrydale.connection.upstream_reply import Headers, Reply, UpstreamError
 
-MAX_REPLY_BYTES = 64 * 1024 * 1024
-
 
 async def pooled_call(
     pool: HttpPool,
@@ -21,9 +21,10 @@
     headers: Headers = (),
     body: bytes = b"",
     *,
+    max_bytes: int,
     timeout_s: float,
 ) -> Reply:
-    """Make one call and return its response.
+    """Make one call and return its response, whose body has at most ``max_bytes``.
 
     Raises :class:`UpstreamError` if no complete response arrives within ``timeout_s``.
     """
@@ -34,28 +35,25 @@
     head = "\r\n".join((*lines, "", "")).encode("latin-1")
     try:
         async with asyncio.timeout(timeout_s):
-            return await _call(pool, address, head, body)
+            return await _call(pool, address, head, body, max_bytes)
     except TimeoutError as exc:
         raise UpstreamError(
             f"no complete response within {timeout_s:g} s", sent=True
         ) from exc
 
 
-async def _call(pool: HttpPool, address: str, head: bytes, body: bytes) -> Reply:
+async def _call(
+    pool: HttpPool, address: str, head: bytes, body: bytes, max_bytes: int
+) -> Reply:
     conn = await pool.acquire(address, address, must_not_resend=False)
     complete = False
     try:
-        conn.send(head, body)
+        conn.send(head, body, max_bytes)
         response = await conn.head(lambda _: True)
-        chunks: list[bytes] = []
-        size = 0
-        async for data in conn.body():
-            chunks.append(data)
-            size += len(data)
-            if size > MAX_REPLY_BYTES:
-                raise UpstreamError("the response exceeds MAX_REPLY_BYTES", sent=True)
+        call = request_line(head)
+        data = await read_reply(call, conn.body(), max_bytes)
         complete = True
-        return Reply(response.status, b"".join(chunks))
+        return Reply(response.status, data)
     finally:
         if complete:
             pool.release(address, address, conn)
--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -17,6 +17,7 @@
 
 import httptools
 
+from gooseberrydale.connection.response_bounds import ResponseBounds
 from gooseberrydale.connection.tcp import (
     enable_keepalive,
     has_failed,
@@ -45,7 +46,9 @@
 """Reading pauses while more body bytes than this are buffered for the caller: a few
 answers.  One read returns up to 256 KB more."""
 
-MAX_HEAD_BYTES = 64 * 1024
+PARSED_BYTES = 64 * 1024
+"""Most bytes that are parsed before the bounds are checked again."""
+
 NO_BODY_STATUSES = frozenset({204, 304})
 MAX_SKIPPED_RESPONSES = 4
 """How many responses to other requests are skipped before the connection fails."""
@@ -94,7 +97,9 @@
         self._unusable = False
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
-        self._head_bytes = 0
+        self._bounds = ResponseBounds("")
+        self._sections: list[bytes] = []
+        self._parsed_body = 0
         self._framing = Framing.LENGTH
         self._keep_alive = False
         self._idle_s = DEFAULT_IDLE_S
@@ -119,12 +124,17 @@
 
     # Calls of the request.
 
-    def send(self, head: bytes, body: bytes) -> None:
-        """Send a request; from now on the upstream may run it."""
+    def send(self, head: bytes, body: bytes, max_body_bytes: int | None = None) -> None:
+        """Send a request; from now on the upstream may run it.
+
+        The connection is reset once the body of the response has more than
+        ``max_body_bytes``, if set.
+        """
         if self._transport is None or self._busy or self._closed:
             raise UpstreamError("the connection is closed or in use", sent=False)
         self._busy = True
         self._parser = httptools.HttpResponseParser(self)
+        self._bounds = ResponseBounds(request_line(head), max_body_bytes)
         self.sent = True
         self._transport.write(head + body if body else head)
 
@@ -207,7 +217,8 @@
             self._add_buffered(-len(item))
         return item
 
-    def _put(self, item: _Item) -> None:
+    def _put(self, item: ResponseHead | _End) -> None:
+        self._queue_body()
         self._items.append(item)
         self._wakeup.set()
 
@@ -221,6 +232,15 @@
         elif self._buffered <= HIGH_WATER_BYTES < before:
             self._transport.resume_reading()
 
+    def _fail_response(self, reason: str) -> None:
+        """Fail the response and free what arrived of it."""
+        self._unusable = True
+        self._sections = []
+        self._items = deque(i for i in self._items if not isinstance(i, bytes))
+        self._buffered = 0
+        self._fail(reason)
+        self.abort()
+
     def _fail(self, reason: str) -> None:
         if self._failure is None:
             self._failure = reason
@@ -242,12 +262,41 @@
             self._unusable = True
             self.abort()
             return
+        for start in range(0, len(data), PARSED_BYTES):
+            self._parse(data[start : start + PARSED_BYTES])
+            if self._failure is not None:
+                return
+
+    def _parse(self, data: bytes) -> None:
+        self._parsed_body = 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            self._unusable = True
-            self._fail(f"invalid HTTP response: {type(exc).__name__}")
-            self.abort()
+            excess = self._bounds.excess
+            self._fail_response(
+                f"invalid HTTP response: {type(exc).__name__}"
+                if excess is None
+                else excess
+            )
+            return
+        body_bytes = self._queue_body()
+        if not self._bounds.add_read(len(data), body_bytes):
+            assert self._bounds.excess is not None
+            self._fail_response(self._bounds.excess)
+
+    def _queue_body(self) -> int:
+        """Queue the sections of the body that the parser returned, as one section.
+
+        Return the bytes of the body in the section that is being parsed.
+        """
+        if self._sections:
+            data = b"".join(self._sections)
+            self._sections = []
+            self._parsed_body += len(data)
+            self._items.append(data)
+            self._wakeup.set()
+            self._add_buffered(len(data))
+        return self._parsed_body
 
     def eof_received(self) -> bool:
         """Handle the end of the stream, which also ends a body without a length."""
@@ -268,14 +317,13 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
         self._headers = []
-        self._head_bytes = 0
         self._framing = Framing.LENGTH
+        self._bounds.head_began()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header of the response."""
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise ValueError("the response head exceeds MAX_HEAD_BYTES")
+        if not self._bounds.add_field(len(name) + len(value)):
+            raise ValueError("the fields of the response are too long")
         self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
@@ -284,6 +332,7 @@
         self._status = status
         if status < 200:
             return
+        self._bounds.head_ended()
         self._keep_alive = self._parser.should_keep_alive()
         fields = dict(self._headers)
         self._framing = _framing(status, fields)
@@ -291,9 +340,8 @@
         self._put(ResponseHead(status, tuple(self._headers), self._framing))
 
     def on_body(self, data: bytes) -> None:
-        """Queue a section of the body."""
-        self._put(data)
-        self._add_buffered(len(data))
+        """Collect a section of the body."""
+        self._sections.append(data)
 
     def on_message_complete(self) -> None:
         """Queue the end of the response, unless it is an interim one."""
@@ -301,6 +349,11 @@
             self._put(_End())
 
 
+def request_line(head: bytes) -> str:
+    """Return method and target of a request's head."""
+    return head.partition(b"\r\n")[0].decode("latin-1").removesuffix(" HTTP/1.1")
+
+
 def _framing(status: int, fields: dict[bytes, bytes]) -> Framing:
     if b"transfer-encoding" in fields:
         return Framing.CHUNKED
--- a/gooseberrydale/connection/upstream_api.py
+++ b/gooseberrydale/connection/upstream_api.py
@@ -13,11 +13,11 @@
 
 import msgspec
 
+from gooseberrydale.connection.reply_limits import read_reply
 from gooseberrydale.connection.upstream_http import UpstreamCall
 from gooseberrydale.connection.upstream_reply import Headers, Reply, UpstreamError
 
 CALL_TIMEOUT_S = 2.0
-MAX_REPLY_BYTES = 64 * 1024 * 1024
 LIMIT_HEADER = "x-limit-per-s"
 RETRY_AFTER = "retry-after"
 STATUS_UNAVAILABLE = 503
@@ -104,32 +104,25 @@
     body: Any = None,
     *,
     headers: Headers = (),
+    max_bytes: int,
     timeout_s: float = CALL_TIMEOUT_S,
 ) -> Reply:
-    """Make one call with a JSON body; raise :class:`UpstreamError` on failure."""
+    """Make one call with a JSON body; raise :class:`UpstreamError` on failure.
+
+    The body of the response has at most ``max_bytes``.
+    """
     http = UpstreamCall(base_url)
     data = b"" if body is None else msgspec.json.encode(body)
     try:
         async with asyncio.timeout(timeout_s):
             sent = (*headers, *JSON_HEADERS) if data else headers
             await http.open(method, target, sent, data)
-            return Reply(http.status, await _read(http))
+            name = f"{method} {target}"
+            reply = await read_reply(name, http.chunks(), max_bytes)
+            return Reply(http.status, reply)
     except TimeoutError as exc:
         raise UpstreamError(
             f"no complete response within {timeout_s:g} s", sent=http.sent
         ) from exc
     finally:
         await http.close()
-
-
-async def _read(http: UpstreamCall) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    async for data in http.chunks():
-        size += len(data)
-        if size > MAX_REPLY_BYTES:
-            raise UpstreamError(
-                f"the response exceeds {MAX_REPLY_BYTES} bytes", sent=True
-            )
-        chunks.append(data)
-    return b"".join(chunks)
--- a/gooseberrydale/connection/upstream_http.py
+++ b/gooseberrydale/connection/upstream_http.py
@@ -23,12 +23,19 @@
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
+from gooseberrydale.connection.response_bounds import ResponseBounds, report_excess
 from gooseberrydale.connection.tcp import enable_keepalive, has_failed
 from gooseberrydale.connection.upstream_reply import Headers, UpstreamError
 
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 64 * 1024
 
+LINES_PER_TURN = 64
+"""Lines of a response after which other tasks get a turn."""
+
+MAX_CHUNK_BYTES = 4 * 1024 * 1024
+"""Most bytes of one chunk of a body, which is held as a whole."""
+
 # Hop-by-hop headers, and in requests those that the client library sets itself.
 _DROPPED_OUT = frozenset(
     "connection keep-alive proxy-authenticate proxy-authorization proxy-connection te"
@@ -39,6 +46,7 @@
     " trailer transfer-encoding upgrade".split()
 )
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+_FAILURES = (AiosonicError, OSError, EOFError, ValueError, asyncio.LimitOverrunError)
 _METHOD = re.compile(r"[A-Z]{1,32}")
 _NO_BODY_STATUS = frozenset({204, 304})
 
@@ -50,6 +58,8 @@
         super().__init__(pool)
         self._call = call
         self._head_ended = False
+        self._bounds = ResponseBounds(call.name)
+        self._lines = 0
         call.connections.append(self)
 
     def reuse(self, urlparsed: Any, verify: bool) -> bool:
@@ -66,14 +76,40 @@
         # The library takes any line without a colon for the end of the head, also one
         # that the end of the connection cut.
         line: bytes = await super().readline()
+        self._count(len(line), 0)
+        self._lines += 1
+        if self._lines % LINES_PER_TURN == 0:
+            # Lines that have already arrived are read without giving others a turn.
+            await asyncio.sleep(0)
         if not line.endswith(b"\n"):
             raise EOFError("the connection ended inside a line of the response")
         if not self._head_ended and b":" not in line:
             if line.strip(b"\r\n"):
                 raise ValueError("a header line of the response has no colon")
             self._head_ended = True
+            self._bounds.head_ended()
+        elif not self._head_ended:
+            self._bounds.add_field(len(line))
         return line
 
+    async def read(self, size: int = -1) -> bytes:
+        data: bytes = await super().read(size)
+        self._count(len(data), len(data))
+        return data
+
+    async def readexactly(self, size: int) -> bytes:
+        # The library reads each chunk of a body as a whole.
+        if size > MAX_CHUNK_BYTES:
+            reason = report_excess(self._call.name, "chunk", MAX_CHUNK_BYTES, size)
+            raise ValueError(reason)
+        data: bytes = await super().readexactly(size)
+        self._count(len(data), len(data))
+        return data
+
+    def _count(self, received: int, body: int) -> None:
+        if not self._bounds.add_read(received, body):
+            raise ValueError(self._bounds.excess)
+
     async def read_until_end(self) -> AsyncGenerator[bytes, None]:
         """Yield what arrives until the upstream ends the connection."""
         while data := await self.read(READ_BYTES):
@@ -112,6 +148,7 @@
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
         self.sent = False
+        self.name = ""
         self.connections: list[_SingleUse] = []
         self.status = 0
         self.headers: Headers = ()
@@ -136,6 +173,7 @@
 
         ``target`` is the path with its query.  Raises :class:`UpstreamError`.
         """
+        self.name = f"{method} {target}"
         try:
             if not _METHOD.fullmatch(method):
                 raise ValueError(f"method {method!r} is not valid")
@@ -149,7 +187,7 @@
                 stream=True,
             )
             self._read_head(method, self._response)
-        except (AiosonicError, OSError, EOFError, ValueError) as exc:
+        except _FAILURES as exc:
             await self.close()
             _raise_if_cancelled()
             raise UpstreamError(_describe(exc), sent=self.sent) from exc
@@ -180,7 +218,7 @@
             elif self._response._has_pending_body():
                 async for data in self._response.read_chunks():
                     yield data
-        except (AiosonicError, OSError, EOFError, ValueError) as exc:
+        except _FAILURES as exc:
             raise UpstreamError(_describe(exc), sent=True) from exc
 
     def abort(self) -> None:
--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -189,6 +189,11 @@
     "The upstream's answer was invalid or incomplete ({reason}); the request may have"
     " run.",
 )
+RESPONSE_TOO_LONG = ErrorKind(
+    "response_too_long",
+    502,
+    "The {part} of the response exceeds {limit} bytes; repair the upstream.",
+)
 UPSTREAMS_REFUSE = ErrorKind(
     "upstreams_refuse",
     503,
--- a/gooseberrydale/log_events/__init__.py
+++ b/gooseberrydale/log_events/__init__.py
@@ -22,6 +22,7 @@
     ControlUnreachable,
     DatagramFailed,
     DatagramUnreadable,
+    ResponseTooLong,
     UnreadAnswersCut,
 )
 from gooseberrydale.log_events.control import (
@@ -103,6 +104,7 @@
     "RequestEnded",
     "RequestQuarantined",
     "ReservationOwnerChanged",
+    "ResponseTooLong",
     "SendEnded",
     "Serving",
     "Stopped",
--- a/gooseberrydale/log_events/connections.py
+++ b/gooseberrydale/log_events/connections.py
@@ -106,3 +106,21 @@
     TEXT: ClassVar[str] = "session to control open again"
 
     index: int
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseTooLong(LogEvent):
+    """The connection of a response was reset that exceeds a bound.
+
+    ``call`` is the request line, or the call that it belongs to; ``part`` is the part
+    of the response: head, framing, body, or all bodies that the process holds.
+    """
+
+    NAME: ClassVar[str] = "response_too_long"
+    TEXT: ClassVar[str] = "response exceeds a bound"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    call: str
+    part: str
+    limit_bytes: int
+    received_bytes: int
--- a/gooseberrydale/process/sidecar/cache_follower.py
+++ b/gooseberrydale/process/sidecar/cache_follower.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from gooseberrydale.connection import upstream_api
+from gooseberrydale.connection.reply_limits import MAX_CONTENT_BYTES
 from gooseberrydale.connection.sse import SseError, SseParser
 from gooseberrydale.connection.upstream_api import CacheEvent, CacheSnapshot
 from gooseberrydale.connection.upstream_http import UpstreamCall
@@ -94,7 +95,9 @@
 
     async def _load_snapshot(self) -> None:
         events, seq = self._events, self._view.seq
-        reply = await upstream_api.call(self._base_url, "GET", "/cache/snapshot")
+        reply = await upstream_api.call(
+            self._base_url, "GET", "/cache/snapshot", max_bytes=MAX_CONTENT_BYTES
+        )
         if reply.status != OK:
             raise UpstreamError(f"status {reply.status}", sent=True)
         snapshot = reply.decode(CacheSnapshot)
--- a/gooseberrydale/process/sidecar/kv_transfer.py
+++ b/gooseberrydale/process/sidecar/kv_transfer.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from gooseberrydale.connection import upstream_api
+from gooseberrydale.connection.reply_limits import MAX_ORDER_BYTES
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.version.kv_use import KvPiece, KvUse
 
@@ -95,7 +96,11 @@
         target = f"/kv/{piece.root}/{piece.key}"
         try:
             reply = await upstream_api.call(
-                self._store, "HEAD", target, timeout_s=LOOKUP_TIMEOUT_S
+                self._store,
+                "HEAD",
+                target,
+                max_bytes=MAX_ORDER_BYTES,
+                timeout_s=LOOKUP_TIMEOUT_S,
             )
         except UpstreamError as exc:
             logger.debug("the KV store did not answer: {}", exc)
@@ -129,7 +134,12 @@
     async def _send_order(self, path: str, piece: KvPiece, timeout_s: float) -> bool:
         try:
             reply = await upstream_api.call(
-                self._upstream, "POST", path, piece, timeout_s=timeout_s
+                self._upstream,
+                "POST",
+                path,
+                piece,
+                max_bytes=MAX_ORDER_BYTES,
+                timeout_s=timeout_s,
             )
         except UpstreamError as exc:
             logger.debug("{} of piece {} failed: {}", path, piece.key, exc)
--- a/gooseberrydale/process/sidecar/orders.py
+++ b/gooseberrydale/process/sidecar/orders.py
@@ -19,6 +19,7 @@
     OrderReq,
     ReadFenceReq,
 )
+from gooseberrydale.connection.reply_limits import MAX_ORDER_BYTES
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.errors import ORDER_REFUSED, UNKNOWN_NAME, Problem, problem
 from gooseberrydale.version.fencing import Fence, OrderDecision
@@ -146,7 +147,12 @@
             "version": req.version,
         }
         reply = await upstream_api.call(
-            self._base_url, "POST", "/orders", body, timeout_s=ORDER_TIMEOUT_S
+            self._base_url,
+            "POST",
+            "/orders",
+            body,
+            max_bytes=MAX_ORDER_BYTES,
+            timeout_s=ORDER_TIMEOUT_S,
         )
         logger.info(
             "order {}: the upstream answered with status {}", req.number, reply.status
--- a/gooseberrydale/process/sidecar/upstream_watch.py
+++ b/gooseberrydale/process/sidecar/upstream_watch.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from gooseberrydale.connection import upstream_api
+from gooseberrydale.connection.reply_limits import MAX_HEALTH_BYTES, MAX_LOAD_BYTES
 from gooseberrydale.connection.upstream_api import HealthReply, LoadReply
 from gooseberrydale.connection.upstream_reply import Reply, UpstreamError
 from gooseberrydale.process.cfg import SidecarCfg
@@ -88,7 +89,9 @@
     async def alive(self) -> bool:
         """Whether the upstream answers on a new connection, with any status."""
         try:
-            await upstream_api.call(self._base_url, "GET", "/health")
+            await upstream_api.call(
+                self._base_url, "GET", "/health", max_bytes=MAX_HEALTH_BYTES
+            )
         except UpstreamError:
             return False
         return True
@@ -110,7 +113,9 @@
         if not self._has_load:
             return await self.alive()
         try:
-            reply = await upstream_api.call(self._base_url, "GET", "/load")
+            reply = await upstream_api.call(
+                self._base_url, "GET", "/load", max_bytes=MAX_LOAD_BYTES
+            )
             if reply.status != OK:
                 return True
             load = reply.decode(LoadReply)
@@ -148,7 +153,9 @@
                 await self._poll_load()
 
     async def _health(self) -> UpstreamState:
-        reply = await upstream_api.call(self._base_url, "GET", "/health")
+        reply = await upstream_api.call(
+            self._base_url, "GET", "/health", max_bytes=MAX_HEALTH_BYTES
+        )
         if reply.status in NO_HEALTH_CHECK_STATUSES:
             return UpstreamState(ready=True)
         if reply.status != OK:
@@ -166,7 +173,9 @@
 
     async def _poll_load(self) -> None:
         try:
-            reply = await upstream_api.call(self._base_url, "GET", "/load")
+            reply = await upstream_api.call(
+                self._base_url, "GET", "/load", max_bytes=MAX_LOAD_BYTES
+            )
             if reply.status == OK:
                 load = reply.decode(LoadReply)
                 self._lists_requests = load.requests is not None
--- a/soak/gateway_environment.py
+++ b/soak/gateway_environment.py
@@ -45,7 +45,7 @@
 
     def __init__(self, folder: pathlib.Path, load: BackgroundLoop) -> None:
         self._folder = folder
-        self._load = load
+        self.load = load
         self._control = f"127.0.0.1:{free_port()}"
         self._fronts: dict[str, str] = {}
         self._ready: dict[str, str] = {}
@@ -64,7 +64,7 @@
     def start(self) -> GatewayTargets:
         """Start all processes and upstreams; return the targets of faults."""
         for upstream in self.upstreams:
-            self._load.run(upstream.start())
+            self.load.run(upstream.start())
         rpc = f"127.0.0.1:{free_port()}"
         self._add_control(rpc)
         for number in range(GATEWAYS):
@@ -72,7 +72,7 @@
         for process in self.processes.values():
             process.start()
         wait_until(self._declare, "control does not take the configuration")
-        self._heartbeats = self._load.start(self._announce())
+        self._heartbeats = self.load.start(self._announce())
         for name in self._fronts:
             wait_until(partial(self._is_ready, name), f"{name} is not ready")
         return GatewayTargets(
@@ -90,7 +90,7 @@
                 process.thaw()
                 process.kill()
         for upstream in self.upstreams:
-            self._load.run(upstream.close())
+            self.load.run(upstream.close())
 
     def use(self, callers: CompetingCallers) -> None:
         """Let bursts raise the rates of these callers."""
@@ -196,9 +196,10 @@
         self.processes[name] = Process(name, argv, log, {SETTINGS: str(path)})
 
     def _declare(self) -> bool:
-        return self._post("/v1/Config.Put", self._document())
+        return self.post("/v1/Config.Put", self.document())
 
-    def _document(self) -> dict[str, Any]:
+    def document(self) -> dict[str, Any]:
+        """Return the document that is declared at the start."""
         return {
             "version": 1,
             "routes": [
@@ -226,10 +227,14 @@
         seq = 0
         while True:
             seq += 1
-            for upstream in self.upstreams:
-                await asyncio.to_thread(self._beat, upstream, seq)
+            await asyncio.to_thread(self.beat_all, seq)
             await asyncio.sleep(HEARTBEAT_S)
 
+    def beat_all(self, seq: int) -> None:
+        """Send the heartbeats of all upstreams."""
+        for upstream in self.upstreams:
+            self._beat(upstream, seq)
+
     def _beat(self, upstream: LimitedUpstream, seq: int) -> None:
         beat = {
             "service": POOL,
@@ -238,9 +243,10 @@
             "seq": seq,
             "slots": SLOTS,
         }
-        self._post(f"/v1/Instances.Heartbeat/{upstream.name}", beat)
+        self.post(f"/v1/Instances.Heartbeat/{upstream.name}", beat)
 
-    def _post(self, path: str, body: dict[str, Any]) -> bool:
+    def post(self, path: str, body: dict[str, Any]) -> bool:
+        """Send a request to control; return whether it was acknowledged."""
         try:
             got = httpx2.post(
                 f"http://{self._control}{path}", json=body, timeout=2.0, trust_env=False
--- a/tests/test_sidecar_engine.py
+++ b/tests/test_sidecar_engine.py
@@ -13,6 +13,7 @@
 
 from gooseberrydale.connection import upstream_api
 from gooseberrydale.connection.messages import Accepted, End
+from gooseberrydale.connection.reply_limits import MAX_CONTENT_BYTES, MAX_ORDER_BYTES
 from gooseberrydale.example.app_server import AppServer
 from gooseberrydale.example.cache_feed import FeedCfg
 from gooseberrydale.example.engine import EngineCfg
@@ -64,7 +65,7 @@
 
 async def record_of(url: str) -> Any:
     """The record that the app at ``url`` keeps of its requests or pieces."""
-    reply = await upstream_api.call(url, "GET", "/record")
+    reply = await upstream_api.call(url, "GET", "/record", max_bytes=MAX_CONTENT_BYTES)
     return msgspec.json.decode(reply.body)
 
 
@@ -115,7 +116,9 @@
         ):
             await ask(harness, 1)
             await wait_until_cached(harness)
-            await upstream_api.call(url, "POST", "/orders", order)
+            await upstream_api.call(
+                url, "POST", "/orders", order, max_bytes=MAX_ORDER_BYTES
+            )
             while harness.sidecar.upstream_state.weights_version != "2":
                 await asyncio.sleep(0.01)
             assert await ask(harness, 2) == 0
