Deliver what arrived before the broken part of a response

Found when reading the change: a failed response dropped sections of the body that nobody had read yet, also events of a stream. Only a call that reads a bounded body into memory drops them now, as it fails as a whole.

Test: test_what_arrived_before_the_broken_part_is_delivered.

--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -98,6 +98,7 @@
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._bounds = ResponseBounds("")
+        self._is_body_bounded = False
         self._sections: list[bytes] = []
         self._parsed_body = 0
         self._framing = Framing.LENGTH
@@ -135,6 +136,7 @@
         self._busy = True
         self._parser = httptools.HttpResponseParser(self)
         self._bounds = ResponseBounds(request_line(head), max_body_bytes)
+        self._is_body_bounded = max_body_bytes is not None
         self.sent = True
         self._transport.write(head + body if body else head)
 
@@ -233,11 +235,12 @@
             self._transport.resume_reading()
 
     def _fail_response(self, reason: str) -> None:
-        """Fail the response and free what arrived of it."""
+        """Fail the response; what arrived before can still be read."""
         self._unusable = True
-        self._sections = []
-        self._items = deque(i for i in self._items if not isinstance(i, bytes))
-        self._buffered = 0
+        self._queue_body()
+        if self._is_body_bounded:
+            # The call fails as a whole, so that nobody needs what arrived.
+            self._items.clear()
         self._fail(reason)
         self.abort()
 
@@ -272,12 +275,8 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            excess = self._bounds.excess
-            self._fail_response(
-                f"invalid HTTP response: {type(exc).__name__}"
-                if excess is None
-                else excess
-            )
+            invalid = f"invalid HTTP response: {type(exc).__name__}"
+            self._fail_response(self._bounds.excess or invalid)
             return
         body_bytes = self._queue_body()
         if not self._bounds.add_read(len(data), body_bytes):
--- a/gooseberrydale/process/gateway/control_finder.py
+++ b/gooseberrydale/process/gateway/control_finder.py
@@ -19,6 +19,9 @@
 
 CHECK_INTERVAL_S = 0.5
 
+REPORT_INTERVAL_S = 3.0
+"""Interval between two reports to gateways that are no longer announced."""
+
 ASKED_AT_ONCE = 3
 """Number of gateways that are asked at a time, as some of them may be cut off too."""
 
@@ -67,6 +70,7 @@
         self._offer = offer
         self._rng = rng
         self._remembered: dict[str, None] = {}
+        self._next_report_at = 0.0
         self._task: asyncio.Task[None] | None = None
         datagrams.on(ControlsWanted, self._answer)
         datagrams.on(ControlsReport, self._merge)
@@ -100,8 +104,10 @@
         self._datagrams.send_to(ControlsWanted(self._own), asked)
 
     def _report_to_lapsed(self, announced: set[str]) -> None:
+        now = asyncio.get_running_loop().time()
         lapsed = [a for a in self._remembered if a not in announced]
-        if lapsed and self._controls.members.index:
+        if lapsed and self._controls.members.index and now >= self._next_report_at:
+            self._next_report_at = now + REPORT_INTERVAL_S
             report = ControlsReport(self._controls.members)
             self._datagrams.send_to(report, [self._rng.choice(lapsed)])
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -165,6 +165,24 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("broken", [b"no size\r\n", b"0" * 3 * MAX_FRAMING_BYTES])
+def test_what_arrived_before_the_broken_part_is_delivered(broken: bytes) -> None:
+    """Guards against events that are lost with the connection that brought them."""
+
+    async def main() -> None:
+        conn, transport = connected()
+        conn.data_received(CHUNKED + b"5\r\nwords\r\n" + broken)
+        assert transport.aborted
+        await conn.head(lambda _: True)
+        body: list[bytes] = []
+        with pytest.raises(UpstreamError):
+            async for part in conn.body():
+                body.append(part)
+        assert b"".join(body) == b"wordwords"
+
+    asyncio.run(main())
+
+
 def test_tiny_chunks_with_long_extensions_are_bounded() -> None:
     """Guards against framing without end that a few bytes of body are mixed into."""
 
