--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,7 +3,8 @@
 ``python -m soak --seeds 5`` runs five random seeds, ``--seed 17`` only that one.
 ``--known`` runs all seeds that ever failed; ``known_seeds.toml`` lists them with their
 causes.  The log folder of a seed that fails is retained.  ``--gateways`` runs gateways
-and callers that compete instead of entries and sidecars.
+and callers that compete instead of entries and sidecars, ``--controls`` gateways while
+all control replicas are replaced.
 """
 
 from __future__ import annotations
@@ -24,6 +25,7 @@
 from soak.gateway_environment import GatewayEnvironment
 from soak.guarantees import Callers, find_violations
 from soak.plan import Fault, make_plan
+from soak.replaced_controls import run_controls_seed
 from tests.callers import BackgroundLoop
 
 KNOWN_SEEDS_PATH = pathlib.Path(__file__).parent / "known_seeds.toml"
@@ -103,15 +105,19 @@
     seconds: float = DEFAULT_SECONDS,
     known: bool = False,
     gateways: bool = False,
+    controls: bool = False,
 ) -> None:
     """Run seeds one after the other; exit with 1 if a guarantee was violated.
 
-    With ``gateways``, callers of several workspaces and ranks compete for upstreams.
+    With ``gateways``, callers of several workspaces and ranks compete for upstreams;
+    with ``controls``, all control replicas are replaced.
     """
     chosen = known_seeds(gateways) if known else [seed]
     if not known and seed < 0:
         chosen = [random.SystemRandom().randrange(MAX_SEED) for _ in range(seeds)]
     run = run_gateway_seed if gateways else run_seed
+    if controls:
+        run = run_controls_seed
     failed = 0
     for number in chosen:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
--- a/soak/gateway_environment.py
+++ b/soak/gateway_environment.py
@@ -56,6 +56,16 @@
         self.upstreams = [LimitedUpstream(f"u{n + 1}") for n in range(UPSTREAMS)]
         self.workspaces = [f"workspace-{n + 1}" for n in range(WORKSPACES)]
 
+    @property
+    def gateways(self) -> tuple[str, ...]:
+        """The names of the gateways."""
+        return tuple(self._fronts)
+
+    @property
+    def seeds(self) -> list[str]:
+        """The control replicas in the settings of gateways."""
+        return [self._rpc]
+
     @property
     def urls(self) -> list[str]:
         """The addresses at which gateways serve callers."""
@@ -66,9 +76,9 @@
         for upstream in self.upstreams:
             self.load.run(upstream.start())
         rpc = f"127.0.0.1:{free_port()}"
-        self._add_control(rpc)
+        self.add_controls(rpc)
         for number in range(GATEWAYS):
-            self._add_gateway(f"gateway-{number + 1}", rpc)
+            self._add_gateway(number, self.seeds)
         for process in self.processes.values():
             process.start()
         wait_until(self._declare, "control does not take the configuration")
@@ -162,33 +172,42 @@
 
     # Processes and their settings.
 
-    def _add_control(self, rpc: str) -> None:
+    def add_controls(self, rpc: str) -> None:
+        """Add the only control replica, at the gRPC address ``rpc``."""
+        self._rpc = rpc
         self._add(
             "control",
             "control",
-            rpc,
+            [rpc],
             f'data_dir = "{self._folder / "control"}"\nrpc = "{rpc}"\n'
             f'http = "{self._control}"\nopen_group = true\nbootstrap = true\n'
             f"tolerated_losses = 0\nbeat_s = {HEARTBEAT_S}\n",
         )
 
-    def _add_gateway(self, name: str, rpc: str) -> None:
+    def settings_of_gateway(self, number: int) -> str:
+        """Return further settings of a gateway."""
+        return ""
+
+    def _add_gateway(self, number: int, seeds: list[str]) -> None:
+        name = f"gateway-{number + 1}"
         self._fronts[name] = f"127.0.0.1:{free_port()}"
         self._ready[name] = f"127.0.0.1:{free_port()}"
         self._add(
             name,
             "gateway",
-            rpc,
+            seeds,
             f'http = "{self._fronts[name]}"\nready = "{self._ready[name]}"\n'
-            f'gossip = "127.0.0.1:{free_port()}"\ngateways = {GATEWAYS}\n',
+            f'gossip = "127.0.0.1:{free_port()}"\ngateways = {GATEWAYS}\n'
+            + self.settings_of_gateway(number),
         )
 
-    def _add(self, name: str, role: str, rpc: str, table: str) -> None:
+    def _add(self, name: str, role: str, seeds: list[str], table: str) -> None:
+        listed = ", ".join(f'"{seed}"' for seed in seeds)
         path = self._folder / f"{name}.toml"
         path.write_text(
             f'[node]\nname = "{name}"\nzone = "zone-1"\n'
             f'[log]\nfile = "{self._folder / name}.jsonl"\n'
-            f'[fleet]\ntrust_network = true\ncontrols = ["{rpc}"]\n[{role}]\n{table}'
+            f"[fleet]\ntrust_network = true\ncontrols = [{listed}]\n[{role}]\n{table}"
         )
         argv = [sys.executable, str(ROOT / "platform" / "run.py"), role, CONTRACTS]
         argv = argv if role == "gateway" else argv[:-1]
--- /dev/null
+++ b/soak/replaced_controls.py
@@ -0,0 +1,238 @@
+"""Control replicas are replaced in series, beside faults of gateways that overlap.
+
+``python -m soak --controls --seeds 5`` runs this with real processes.  Each replica of
+an open group is replaced by an empty one at another address, by a kill or as planned.
+Gateways are suspended, or killed and started again with the settings of the first
+start, whose replicas are gone by the end.  Callers keep their connections open.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import sys
+from collections.abc import Iterator
+from typing import Any
+
+import httpx2
+
+from soak.competition import DEADLINE_S, HOST, api_key
+from soak.gateway_environment import HEARTBEAT_S, SETTINGS, GatewayEnvironment
+from tests.builders_gateway import free_port
+from tests.callers import BackgroundLoop
+from tests.fleet import ROOT, Process, wait_until
+
+CONTROLS = 4
+REPLACEMENTS = 4
+CATCH_UP_S = 5.0
+"""A replacement counts as lost until it has had this time."""
+
+TOUCH_S = 3.0
+"""Gateways are in touch this long after the last fault."""
+
+APPLY_S = 2.5
+"""A document is in force at all gateways in touch within this time."""
+
+CALL_INTERVAL_S = 0.05
+
+
+class ControlsEnvironment(GatewayEnvironment):
+    """An open group of control replicas, gateways, and upstreams that announce."""
+
+    def __init__(
+        self, folder: pathlib.Path, load: BackgroundLoop, rng: random.Random
+    ) -> None:
+        super().__init__(folder, load)
+        self._rng = rng
+        # HTTP and gRPC addresses by name; the oldest replica is first.
+        self.controls: dict[str, tuple[str, str]] = {}
+        self._started = 0
+        self._version = 1
+        self._faulted: set[str] = set()
+        self.sent = 0
+        self.failures: list[str] = []
+
+    def add_controls(self, rpc: str) -> None:
+        """Add the first replicas instead of a single one."""
+        addresses = [rpc, *(self._address() for _ in range(CONTROLS - 1))]
+        self._seeds = addresses[:3]
+        for address in addresses:
+            self._add_replica(address, self._seeds, bootstrap=True)
+
+    @property
+    def seeds(self) -> list[str]:
+        """The replicas in the settings of gateways, which never change."""
+        return self._seeds
+
+    def settings_of_gateway(self, number: int) -> str:
+        """Let the first gateway have a disk."""
+        if number:
+            return ""
+        return f'data_dir = "{self._folder / "gateway-disk"}"\n'
+
+    async def replace(self) -> None:
+        """Replace the oldest replica."""
+        gone, planned = next(iter(self.controls)), self._rng.random() < 0.5
+        if not planned:
+            self._retire(gone, terminate=False)
+            await asyncio.sleep(1.0)
+        seeds = [rpc for _, rpc in list(self.controls.values())[-3:]]
+        name = self._add_replica(self._address(), seeds, bootstrap=False)
+        self.processes[name].start()
+        if planned:
+            await asyncio.sleep(1.0)
+            self._retire(gone, terminate=True)
+        await asyncio.sleep(CATCH_UP_S)
+
+    async def disturb(self, name: str) -> None:
+        """Suspend a gateway, or start it again with its first settings."""
+        await asyncio.sleep(self._rng.uniform(0.0, 4.0))
+        self._faulted.add(name)
+        process = self.processes[name]
+        if self._rng.random() < 0.5:
+            process.freeze()
+            await asyncio.sleep(self._rng.uniform(0.5, 15.0))
+            process.thaw()
+        else:
+            await asyncio.to_thread(process.kill)
+            await asyncio.sleep(self._rng.uniform(0.0, 6.0))
+            process.start()
+        # Connections that were open are lost, and the announcements have lapsed.
+        await asyncio.sleep(TOUCH_S)
+        self._faulted.discard(name)
+
+    async def call(self, name: str, stop: asyncio.Event) -> None:
+        """Send requests on one connection until ``stop``."""
+        sent = 0
+        async with httpx2.AsyncClient(timeout=DEADLINE_S, trust_env=False) as client:
+            while not stop.is_set():
+                disturbed = name in self._faulted
+                status = await self._send(client, name, f"kept-{sent}")
+                sent += 1
+                self.sent += 1
+                if status != httpx2.codes.OK and not disturbed | (
+                    name in self._faulted
+                ):
+                    self.failures.append(f"{name} answered {status} undisturbed")
+                await asyncio.sleep(CALL_INTERVAL_S)
+
+    async def find_outdated(self) -> list[str]:
+        """Declare another document; return the gateways that don't act by it."""
+        self._version += 1
+        await asyncio.to_thread(
+            wait_until, self._declare, "no replica takes a document"
+        )
+        await asyncio.sleep(APPLY_S)
+        async with httpx2.AsyncClient(timeout=DEADLINE_S, trust_env=False) as client:
+            path = f"new-{self._version}/1"
+            statuses = {
+                name: await self._send(client, name, path, prefix="")
+                for name in self._fronts
+            }
+        return [
+            f"{name} answered {status} on a route of document {self._version}"
+            for name, status in statuses.items()
+            if status != httpx2.codes.OK
+        ]
+
+    def document(self) -> dict[str, Any]:
+        """Return the document with a route that names its version."""
+        document = super().document()
+        route, name = document["routes"][0], f"new-{self._version}"
+        added = {**route, "name": name, "pathPrefix": f"/{name}/"}
+        document["routes"].append(added)
+        return document | {"version": self._version}
+
+    def post(self, path: str, body: dict[str, Any]) -> bool:
+        """Send a request to the replicas in turn until one acknowledges it."""
+        for http, _ in list(self.controls.values())[::-1]:
+            self._control = http
+            if super().post(path, body):
+                return True
+        return False
+
+    def find_faults(self) -> Iterator[str]:
+        """Yield what is wrong with the processes that are to run."""
+        for name in list(self.processes):
+            if name not in self._fronts and name not in self.controls:
+                del self.processes[name]
+        yield from super().find_faults()
+        yield from self.failures[:5]
+
+    async def _send(
+        self, client: httpx2.AsyncClient, name: str, path: str, prefix: str = "urgent/"
+    ) -> int | str:
+        headers = {"host": HOST, "x-api-key": api_key(self.workspaces[0])}
+        headers["x-request-id"] = f"{name}-{path}-{self._rng.random()}".replace(
+            "/", "-"
+        )
+        try:
+            url = f"http://{self._fronts[name]}/{prefix}{path}"
+            return (await client.get(url, headers=headers)).status_code
+        except httpx2.HTTPError as exc:
+            return type(exc).__name__
+
+    def _retire(self, name: str, *, terminate: bool) -> None:
+        del self.controls[name]
+        if terminate:
+            self.processes[name].terminate()
+        else:
+            self.processes[name].kill()
+
+    def _add_replica(self, rpc: str, seeds: list[str], *, bootstrap: bool) -> str:
+        self._started += 1
+        name, http = f"control-{self._started}", self._address()
+        self.controls[name] = http, rpc
+        path = self._folder / f"{name}.toml"
+        listed = ", ".join(f'"{seed}"' for seed in seeds)
+        path.write_text(
+            f'[node]\nname = "{name}"\nzone = "zone-1"\n'
+            f"[fleet]\ntrust_network = true\ncontrols = [{listed}]\n[control]\n"
+            f'data_dir = "{self._folder / name}"\nrpc = "{rpc}"\nhttp = "{http}"\n'
+            f"open_group = true\nbootstrap = {str(bootstrap).lower()}\n"
+            f"tolerated_losses = 1\nbeat_s = {HEARTBEAT_S}\n"
+        )
+        argv = [sys.executable, str(ROOT / "platform" / "run.py"), "control"]
+        log = self._folder / f"{name}.log"
+        self.processes[name] = Process(name, argv, log, {SETTINGS: str(path)})
+        return name
+
+    @staticmethod
+    def _address() -> str:
+        return f"127.0.0.1:{free_port()}"
+
+
+async def run_faults(environment: ControlsEnvironment, rng: random.Random) -> list[str]:
+    """Replace all replicas beside faults of gateways; return what broke."""
+    stop = asyncio.Event()
+    names = list(environment.gateways)
+    calls = [asyncio.create_task(environment.call(name, stop)) for name in names]
+    try:
+        for _ in range(REPLACEMENTS):
+            disturbed = rng.sample(names, rng.randint(0, len(names) - 1))
+            await asyncio.gather(
+                environment.replace(), *map(environment.disturb, disturbed)
+            )
+        await asyncio.sleep(TOUCH_S)
+        return await environment.find_outdated()
+    finally:
+        stop.set()
+        await asyncio.gather(*calls)
+
+
+def run_controls_seed(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
+    """Run one seed; its faults take as long as the replacements, not ``seconds``."""
+    rng = random.Random(seed)
+    load = BackgroundLoop()
+    environment = ControlsEnvironment(folder, load, rng)
+    try:
+        environment.start()
+        running = load.start(run_faults(environment, rng))
+        outdated = running.result(300.0)
+        replaced = f"{REPLACEMENTS} replicas replaced"
+        print(f"seed {seed}: {environment.sent} requests, {replaced}", flush=True)
+        return [*outdated, *environment.find_faults()]
+    finally:
+        environment.close()
+        load.close()
