--- a/soak/replaced_controls.py
+++ b/soak/replaced_controls.py
@@ -13,6 +13,7 @@
 import random
 import sys
 from collections.abc import Iterator
+from functools import partial
 from typing import Any
 
 import httpx2
@@ -31,6 +32,9 @@
 TOUCH_S = 3.0
 """Gateways are in touch this long after the last fault."""
 
+READY_S = 12.0
+"""A gateway that is started finds control, whatever its settings, within this time."""
+
 APPLY_S = 2.5
 """A document is in force at all gateways in touch within this time."""
 
@@ -98,10 +102,19 @@
             await asyncio.to_thread(process.kill)
             await asyncio.sleep(self._rng.uniform(0.0, 6.0))
             process.start()
+            await self._wait_ready(name)
         # Connections that were open are lost, and the announcements have lapsed.
         await asyncio.sleep(TOUCH_S)
         self._faulted.discard(name)
 
+    async def _wait_ready(self, name: str) -> None:
+        """Wait until a started gateway has a document; it refuses requests before."""
+        ready = partial(self._is_ready, name)
+        try:
+            await asyncio.to_thread(wait_until, ready, f"{name} not ready", READY_S)
+        except AssertionError as exc:
+            self.failures.append(str(exc))
+
     async def call(self, name: str, stop: asyncio.Event) -> None:
         """Send requests on one connection until ``stop``."""
         sent = 0
