Read the members of control every 3 s where no session reports them

Its log shows the four replicas replaced within 12 s; two reads 4 to 6 s apart fell on either side of the replacement of all that the process knew, and it can't find others then.

Change: the interval is 3 s instead of 5, so that fewer than three members are replaced within it at that pace.

Tests: test_replaced_controls and test_signpost pass (27 tests).

--- a/gooseberrydale/process/control/members_reader.py
+++ b/gooseberrydale/process/control/members_reader.py
@@ -18,9 +18,9 @@
     ReadMembersReq,
 )
 
-INTERVAL_S = 5.0
-"""A replaced member has to be reported before all others are replaced, and each takes
-seconds to catch up."""
+INTERVAL_S = 3.0
+"""Fewer than three members are replaced within it, as each takes seconds to catch up.
+A process that knows only replaced members can't read the current ones."""
 
 TIMEOUT_S = 1.0
 
