--- a/gooseberrydale/process/control/members_reader.py
+++ b/gooseberrydale/process/control/members_reader.py
@@ -19,8 +19,8 @@
 )
 
 INTERVAL_S = 3.0
-"""Fewer than three members are replaced within it, as each takes seconds to catch up.
-A process that knows only replaced members can't read the current ones."""
+"""A process whose known members are all replaced within it can't read the current ones.
+Between the removal of a member and the addition of its successor these are only two."""
 
 TIMEOUT_S = 1.0
 
