Close only the sending side after an answer that precedes its request

Cause: the listener wrote the refusal and closed the socket while bytes of the request were unread or on their way. The kernel then resets the connection, and the client loses what it has not read (RFC 9112, section 9.6). The test passed whenever its 240 KB had arrived before the first read.

Evidence: test_refused_while_sending sends the rest of each request after the answer.

Change: the sending side is closed first; what arrives is discarded for at most 2 s and 1 MiB, and never parsed.

--- a/gooseberrydale/process/http_protocol.py
+++ b/gooseberrydale/process/http_protocol.py
@@ -26,6 +26,7 @@
     Problem,
     problem,
 )
+from gooseberrydale.process.draining_close import AnswerTransport, DrainingClose
 from gooseberrydale.process.error_body import error_object
 from gooseberrydale.process.http_1_0 import HTTP_1_0, end_normally, serve_http_1_0
 
@@ -64,6 +65,7 @@
         self._read_body = False
         self._unreported_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
+        self._draining: DrainingClose
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer for the first byte.
@@ -71,18 +73,21 @@
         It runs longer than that of a head, as clients may open connections in advance.
         """
         super().connection_made(transport)  # type: ignore[arg-type]
+        self._draining = DrainingClose(transport)
         self._head_timer = self.loop.call_later(self.first_byte_s, transport.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer; let a complete answer without a length end normally."""
         self._stop_timer()
+        self._draining.lost()
         if exc is None and self._has_answered_http_1_0():
             end_normally(self.transport)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parse ``data`` unless the connection is being closed after a refusal."""
-        if self.transport.is_closing():
+        """Parse ``data`` unless the connection is being closed."""
+        if self._draining.has_begun:
+            self._draining.received(len(data))
             return
         before = self._reading
         self._read_body = False
@@ -92,6 +97,8 @@
     def on_message_begin(self) -> None:
         """Start the timer and the byte count of a new head."""
         super().on_message_begin()
+        if self._draining.has_begun:
+            return
         self._reading = _Reading.HEAD
         self._start_head_timer()
 
@@ -109,20 +116,32 @@
         """Cancel the timer and pass the complete request on, unless it was refused."""
         self._stop_timer()
         self._reading = _Reading.BODY
-        if not self.transport.is_closing():
+        if not self._draining.has_begun:
             super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
         """Note that a part of the body has arrived."""
         self._read_body = True
-        super().on_body(body)
+        if not self._draining.has_begun:
+            super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Note that the request has been read."""
         self._reading = _Reading.NOTHING
-        super().on_message_complete()
+        if not self._draining.has_begun:
+            super().on_message_complete()
+
+    def on_response_complete(self) -> None:
+        """Read on, unless this was the connection's last answer."""
+        if self._draining.has_begun:
+            self.server_state.total_requests += 1
+        else:
+            super().on_response_complete()
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        cycle.transport = AnswerTransport(  # type: ignore[assignment]
+            self.transport, self._draining, cycle
+        )
         if cycle.scope["http_version"] == HTTP_1_0:
             app = partial(serve_http_1_0, app, cycle)
         super()._start_asgi_task(cycle, app)
@@ -157,10 +176,7 @@
 
     def _count_head_bytes(self, size: int) -> None:
         self._received_head_bytes += size
-        if (
-            self._received_head_bytes > self.head_bytes
-            and not self.transport.is_closing()
-        ):
+        if self._received_head_bytes > self.head_bytes:
             self._refuse(problem(HEAD_TOO_LARGE, limit=self.head_bytes))
 
     def _count_unreported(self, size: int, before: _Reading) -> None:
@@ -172,18 +188,21 @@
             self._unreported_bytes = 0
             return
         self._unreported_bytes += size
-        if self._unreported_bytes > self.head_bytes and not self.transport.is_closing():
+        if self._unreported_bytes > self.head_bytes:
             self._refuse(problem(HEAD_TOO_LARGE, limit=self.head_bytes))
 
     def _refuse(self, reason: Problem) -> None:
         """Answer the current request with an error and close the connection."""
         self._stop_timer()
+        if self._draining.has_begun:
+            return
         if self.cycle is not None and not self.cycle.response_complete:
             if not self._fails_in_body():
                 # An error can't be inserted into an answer that is being sent.
                 self.transport.close()
                 return
             self.cycle.disconnected = True
+            self.cycle.waiting_for_100_continue = False
             self.cycle.message_event.set()
         request_id = uuid.uuid4().hex
         body = msgspec.json.encode(error_object(reason, request_id))
@@ -195,4 +214,4 @@
             "connection: close\r\n\r\n"
         )
         self.transport.write(head.encode() + body)
-        self.transport.close()
+        self._draining.begin()
