Read the body of a request that offers to upgrade its connection

Cause: llhttp ends a message at a head that offers another protocol, and reports the offset of the rest. The server ignored the report, and the next segment was fed to the parser as a new request.

Evidence: test_request_framing draws 600 heads with bodies that hold another request. On the code before it failed, as did its cases for four of seven offers. It also found CONNECT, codings that no application decodes, chunks in HTTP/1.0 and unknown versions, which were served as something else than the caller had sent.

Change: a head with an offer is parsed again without it, before the bytes that were skipped (RFC 9110, section 7.8). Heads whose body can't be told are refused with 400 before an application sees them. All HTTP listeners share the class.

--- a/gooseberrydale/process/http_protocol.py
+++ b/gooseberrydale/process/http_protocol.py
@@ -13,6 +13,7 @@
 from functools import partial
 from typing import Any
 
+import httptools
 import msgspec
 from uvicorn.protocols.http.httptools_impl import (
     HttpToolsProtocol,
@@ -29,6 +30,11 @@
 from gooseberrydale.process.draining_close import AnswerTransport, DrainingClose
 from gooseberrydale.process.error_body import error_object
 from gooseberrydale.process.http_1_0 import HTTP_1_0, end_normally, serve_http_1_0
+from gooseberrydale.process.request_framing import (
+    head_without_upgrade,
+    is_readable,
+    make_parser,
+)
 
 MAX_HEAD_BYTES = 64 * 1024
 HEAD_TIMEOUT_S = 10.0
@@ -91,7 +97,8 @@
             return
         before = self._reading
         self._read_body = False
-        super().data_received(data)
+        self._unset_keepalive_if_required()
+        self._parse(data)
         self._count_unreported(len(data), before)
 
     def on_message_begin(self) -> None:
@@ -116,7 +123,13 @@
         """Cancel the timer and pass the complete request on, unless it was refused."""
         self._stop_timer()
         self._reading = _Reading.BODY
-        if not self._draining.has_begun:
+        if self._draining.has_begun:
+            return
+        parser = self.parser
+        method, version = parser.get_method(), parser.get_http_version()
+        if not is_readable(method, version, self.headers):
+            self._refuse(problem(INVALID_HTTP))
+        elif not parser.should_upgrade():
             super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
@@ -128,7 +141,7 @@
     def on_message_complete(self) -> None:
         """Note that the request has been read."""
         self._reading = _Reading.NOTHING
-        if not self._draining.has_begun:
+        if not self._draining.has_begun and not self.parser.should_upgrade():
             super().on_message_complete()
 
     def on_response_complete(self) -> None:
@@ -146,9 +159,23 @@
             app = partial(serve_http_1_0, app, cycle)
         super()._start_asgi_task(cycle, app)
 
-    def send_400_response(self, msg: str) -> None:
-        """Answer invalid HTTP with a JSON error."""
-        self._refuse(problem(INVALID_HTTP))
+    def _parse(self, data: bytes) -> None:
+        """Parse ``data``; heads that offer another protocol are parsed once more."""
+        parts: list[bytes | memoryview] = [memoryview(data)]
+        while parts and not self._draining.has_begun:
+            part = parts.pop(0)
+            try:
+                self.parser.feed_data(part)
+            except httptools.HttpParserUpgrade as exc:
+                # The parser has skipped the head's body and whatever follows it.
+                parts[:0] = [self._head_without_upgrade(), part[exc.args[0] :]]
+                self.parser = make_parser(self)
+            except httptools.HttpParserError:
+                self._refuse(problem(INVALID_HTTP))
+
+    def _head_without_upgrade(self) -> bytes:
+        method, version = self.parser.get_method(), self.parser.get_http_version()
+        return head_without_upgrade(method, self.url, version, self.headers)
 
     def _has_answered_http_1_0(self) -> bool:
         cycle = self.cycle
