Follow the members of control from a process without sessions

Cause: it read the members every 3 s, for the first time 3 s after its start. All that it knew could be gone by the next reading; read between a removal and an addition, that is two members.

Change: the first reading is at the start. A replica holds the question and answers once its members change, or after 3 s; the reader goes on to another replica if that one ends, has left the members or knows older ones, and after ten questions. As many questions a second as before. An instance whose settings have no port for gRPC asks nobody, as its listed addresses are those of HTTP listeners.

--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -33,7 +33,7 @@
 from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.machine import PublishingMachine
-from gooseberrydale.process.control.members_reader import serve_members
+from gooseberrydale.process.control.members_reader import MembersService
 from gooseberrydale.process.control.named_weights_cache import NamedWeightsCache
 from gooseberrydale.process.control.operator_api import OperatorApi
 from gooseberrydale.process.control.operator_auth import OperatorTokens, load_operators
@@ -165,7 +165,8 @@
             self._machine, self._proposer, self._commit, self.directory, token, tls
         )
         ProposeService(self._commit, self._proposer).register(self._rpc)
-        serve_members(self._rpc, self._controls)
+        self._members_service = MembersService(self._controls)
+        self._members_service.register(self._rpc)
         self._mesh.register(self._rpc)
         self._api = OperatorApi(
             self.state,
@@ -265,6 +266,7 @@
         await stop(self._tasks)
         if self._replica is not None:
             await self._replica.close()
+        self._members_service.close()
         await self._rpc.close(RPC_GRACE_S)
         if self._folder_lock is not None:
             self._folder_lock.release()
--- a/gooseberrydale/process/control/members_reader.py
+++ b/gooseberrydale/process/control/members_reader.py
@@ -1,10 +1,16 @@
-"""Reads the members of the control log for a process that holds no sessions."""
+"""Reads the members of the control log for a process that holds no sessions.
+
+A replica answers as soon as its members change. A process that only asked every few
+seconds would lose the group if all members that it knows were replaced in between;
+between the removal of a member and the addition of its successor it knows only two.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
-from typing import Any
+from collections.abc import Iterator
 
 import grpc
 from loguru import logger
@@ -18,15 +24,23 @@
     ReadMembersReq,
 )
 
-INTERVAL_S = 3.0
-"""A process whose known members are all replaced within it can't read the current ones.
-Between the removal of a member and the addition of its successor these are only two."""
+HOLD_S = 3.0
+"""Seconds for which a replica holds a question whose answer hasn't changed.  All
+processes without sessions ask the same few replicas."""
 
 TIMEOUT_S = 1.0
+"""Seconds that an answer may take beyond the time for which the question is held."""
+
+PAUSE_S = 0.1
+"""Seconds between an answer and the next question."""
+
+MAX_QUESTIONS = 10
+"""Number of questions before another replica is asked.  A replica that has been cut off
+from the others still answers, but learns of no changes."""
 
 
 class MembersReader:
-    """Reads the members every few seconds into ``controls``."""
+    """Keeps ``controls`` up to date through a connection to one of the members."""
 
     def __init__(
         self, controls: KnownControls, token: str, tls: TlsFiles | None
@@ -35,6 +49,7 @@
         self._token = token
         self._tls = tls
         self._channel: RpcChannel | None = None
+        self._questions = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -47,32 +62,75 @@
         await self._close_channel()
 
     async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(INTERVAL_S * random.uniform(0.8, 1.2))
-            await self._read()
-
-    async def _read(self) -> None:
-        """Ask the last replica again; if it doesn't answer, ask the others."""
-        if self._channel is not None and await self._ask(self._channel):
-            return
-        for address in (*self._controls.current, *self._controls.others):
+            begin = loop.time()
+            has_changed = await self._read()
+            # A replica of an earlier release holds no questions.
+            held_s = 0.0 if has_changed else HOLD_S - (loop.time() - begin)
+            await asyncio.sleep(max(held_s, PAUSE_S))
+
+    async def _read(self) -> bool:
+        """Ask the last replica again, or another one; return whether members changed.
+
+        A replica that is asked for the first time has to answer at once.
+        """
+        if self._channel is not None and self._may_ask_again(self._channel.address):
+            self._questions += 1
+            index = self._controls.members.index
+            reply = await self._ask(self._channel, index, HOLD_S + TIMEOUT_S)
+            if self._is_current(reply):
+                return self._take(reply)
+        for address in self._next_addresses():
             await self._close_channel()
             self._channel = RpcChannel(address, self._token, self._tls)
-            if await self._ask(self._channel):
-                return
-
-    async def _ask(self, channel: RpcChannel) -> bool:
+            self._questions = 1
+            reply = await self._ask(self._channel, 0, TIMEOUT_S)
+            if self._is_current(reply):
+                return self._take(reply)
+        return False
+
+    def _may_ask_again(self, address: str) -> bool:
+        return self._questions < MAX_QUESTIONS and address in self._controls.current
+
+    def _next_addresses(self) -> Iterator[str]:
+        """Yield each known replica once, beginning after the one asked last."""
+        members = list(self._controls.current)
+        if self._channel is not None and self._channel.address in members:
+            begin = members.index(self._channel.address) + 1
+            members = members[begin:] + members[:begin]
+        else:
+            random.shuffle(members)
+        others = (*self._controls.others, *self._controls.former)
+        yield from dict.fromkeys((*members, *others))
+
+    async def _ask(
+        self, channel: RpcChannel, index: int, timeout_s: float
+    ) -> ControlMembers:
+        """Return the reply; without members if there is none."""
+        req = ReadMembersReq(index)
         try:
-            reply = await channel.call(
-                READ_MEMBERS, ReadMembersReq(), timeout_s=TIMEOUT_S
+            reply: ControlMembers = await channel.call(
+                READ_MEMBERS, req, timeout_s=timeout_s
             )
         except grpc.aio.AioRpcError as exc:
-            logger.debug("a control replica sent no members: {}", exc.code().name)
-            return False
-        if self._controls.offer(reply):
+            logger.debug(
+                "control replica {} sent no members: {}",
+                channel.address,
+                exc.code().name,
+            )
+            return ControlMembers()
+        return reply
+
+    def _is_current(self, reply: ControlMembers) -> bool:
+        return bool(reply.addresses) and reply.index >= self._controls.members.index
+
+    def _take(self, reply: ControlMembers) -> bool:
+        has_changed = self._controls.offer(reply)
+        if has_changed:
             addresses = list(reply.addresses)
             emit(ControlMembersChanged(reply.index, addresses, "control"))
-        return True
+        return has_changed
 
     async def _close_channel(self) -> None:
         if self._channel is not None:
@@ -80,10 +138,34 @@
             self._channel = None
 
 
-def serve_members(rpc_server: RpcServer, controls: KnownControls) -> None:
-    """Answer readers on ``rpc_server``; call this before its ``start``."""
+class MembersService:
+    """Answers readers with the members in ``controls``."""
 
-    async def answer(_req: Any) -> ControlMembers:
-        return controls.members
-
-    rpc_server.unary(READ_MEMBERS, answer)
+    def __init__(self, controls: KnownControls) -> None:
+        self._controls = controls
+        self._changed = asyncio.Event()
+        self._unsubscribe = controls.subscribe(self._answer_held)
+        self._is_closed = False
+
+    def register(self, rpc_server: RpcServer) -> None:
+        """Answer on ``rpc_server``; call this before its ``start``."""
+        rpc_server.unary(READ_MEMBERS, self._answer)
+
+    def close(self) -> None:
+        """Answer the questions that are held, and hold no more."""
+        if not self._is_closed:
+            self._is_closed = True
+            self._unsubscribe()
+            self._answer_held()
+
+    async def _answer(self, req: ReadMembersReq) -> ControlMembers:
+        is_known = req.index and req.index == self._controls.members.index
+        if is_known and not self._is_closed:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HOLD_S):
+                    await self._changed.wait()
+        return self._controls.members
+
+    def _answer_held(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- a/gooseberrydale/process/control/signpost.py
+++ b/gooseberrydale/process/control/signpost.py
@@ -37,7 +37,7 @@
     Replicas are checked only when a request arrives, and at most twice a second. If
     every process checked continuously, the replicas of a fleet of three hundred would
     accept hundreds of connections a second that carry no request. The addresses of the
-    replicas are read every few seconds, so that they are known when a request arrives.
+    replicas are read all the time, so that they are known when a request arrives.
     """
 
     def __init__(self, cfg: Cfg) -> None:
@@ -48,6 +48,7 @@
         self._listed = [address for address in cfg.fleet.controls if address != own]
         # All replicas serve operators on the same port.
         self._port = own.rpartition(":")[2]
+        self._reads_members = bool(cfg.fleet.control_rpc_port)
         token = read_token(cfg.fleet.token_file)
         self._reader = MembersReader(self.controls, token, tls_files(cfg.fleet.tls))
         self._answering: Sequence[str] = ()
@@ -64,7 +65,9 @@
     async def start(self) -> None:
         """Serve; raises OSError if the address can't be bound."""
         await self._http.start()
-        await self._reader.start()
+        # Without this port the listed addresses are those of HTTP listeners alone.
+        if self._reads_members:
+            await self._reader.start()
 
     async def close(self) -> None:
         """Stop serving."""
--- a/gooseberrydale/version/known_controls.py
+++ b/gooseberrydale/version/known_controls.py
@@ -38,7 +38,13 @@
 @message
 @dataclass(frozen=True, slots=True)
 class ReadMembersReq:
-    """Asks a replica for the :class:`ControlMembers` that it knows."""
+    """Asks a replica for the :class:`ControlMembers` that it knows.
+
+    If these are the ones of ``index``, it answers once they change, or after
+    :data:`~gooseberrydale.process.control.members_reader.HOLD_S`.
+    """
+
+    index: int = 0
 
 
 class KnownControls:
