Refuse heartbeats that an upstream itself does not send

One without "state" turned a draining upstream into a ready one.

Cause: fields that all upstreams send had defaults, and these replaced the stored record. Independently, an upstream without a model was chosen for any prompt.

Evidence: a trial that prints heartbeats shows which fields each kind of upstream sends. Six of the new cases of test_a_malformed_announcement... and test_an_upstream_keeps_its_model_within_an_incarnation failed on the code before.

Change: a heartbeat that lacks what all have, or has a stage without models, or none though its incarnation has named a model, is refused and logged. In a pool declared to hold models a prompt is sent to no upstream without one; the send itself checks salt and version, and logs prompt_terms_missing.

Builders of tests and the soak's upstreams left out fields that every upstream sends; they send them now. Upstreams of gateway tests that are in a pool of engines announce their model, as such engines do; the checks of these tests are unchanged.

--- a/gooseberrydale/log_events/__init__.py
+++ b/gooseberrydale/log_events/__init__.py
@@ -46,6 +46,7 @@
     Stopped,
 )
 from gooseberrydale.log_events.request import (
+    PromptTermsMissing,
     QuotaRefused,
     RequestEnded,
     RequestQuarantined,
@@ -102,6 +103,7 @@
     "Reload",
     "ReportMissing",
     "RequestEnded",
+    "PromptTermsMissing",
     "RequestQuarantined",
     "ReservationOwnerChanged",
     "ResponseTooLong",
--- a/gooseberrydale/log_events/request.py
+++ b/gooseberrydale/log_events/request.py
@@ -111,6 +111,22 @@
     after_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class PromptTermsMissing(LogEvent):
+    """A prompt was not sent to an upstream, for lack of a salt or a weights version.
+
+    Choices of upstreams leave out those without a model, so this shows a defect.
+    """
+
+    NAME: ClassVar[str] = "prompt_terms_missing"
+    TEXT: ClassVar[str] = "prompt not sent without cache salt and weights version"
+    LEVEL: ClassVar[str] = "ERROR"
+
+    request_id: str
+    upstream: str
+    pool: str
+
+
 @dataclass(frozen=True, slots=True)
 class RequestQuarantined(LogEvent):
     """A request is sent to no upstream, because earlier ones terminated running it.
--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -59,10 +59,18 @@
         """Cancel the running checks."""
         await stop(list(self._checks.values()))
 
-    def renew(self, record: UpstreamRecord, born: int | None = None) -> None:
+    def renew(
+        self,
+        record: UpstreamRecord,
+        born: int | None = None,
+        *,
+        names_models: bool = True,
+    ) -> bool:
         """Store an announcement unless the stored record is newer.
 
-        ``born`` is the start of the announcing incarnation, in Unix milliseconds.
+        ``born`` is the start of the announcing incarnation, in Unix milliseconds.  An
+        announcement that doesn't say which models its upstream holds is not stored if
+        the incarnation has named one; then False is returned.
         """
         seq = record.seq * SEQS_PER_HEARTBEAT
         record = replace(record, seq=seq, lease_s=self._lease_s)
@@ -71,11 +79,14 @@
         if incarnation is None:
             emit(EarlierIncarnation(record.name, born or 0, born_ms(newest) or 0))
             self._check_clock(record, born)
-            return
+            return True
+        if not names_models and self._has_model(record.name, incarnation):
+            return False
         if newest and incarnation != newest:
             emit(UpstreamReborn(record.name, born or 0, born_ms(newest) or 0))
         self._offer(replace(record, incarnation=incarnation))
         self._check_predecessors(record, incarnation)
+        return True
 
     def retire(self, name: str) -> None:
         """Mark the current incarnation of the upstream ``name`` as leaving for good.
@@ -122,6 +133,12 @@
         elif record.weights_version != version:
             self._offer(replace(record, seq=record.seq + 1, weights_version=version))
 
+    def _has_model(self, name: str, incarnation: str) -> bool:
+        stored = self._directory.get(name, asyncio.get_running_loop().time())
+        if stored is None or stored.incarnation != incarnation:
+            return False
+        return bool(stored.model)
+
     def _check_predecessors(self, record: UpstreamRecord, incarnation: str) -> None:
         """Retire dead upstreams that started earlier at the same address.
 
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -16,6 +16,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.connection.sse import EventSplitter, SseError
 from gooseberrydale.connection.upstream_reply import UpstreamError
+from gooseberrydale.log_events import PromptTermsMissing, emit
 from gooseberrydale.process.gateway.answer import HOP_BY_HOP_HEADERS, CallerAnswer
 from gooseberrydale.process.gateway.origin_client import OriginClient
 from gooseberrydale.process.gateway.outdated_abort import OutdatedAbort
@@ -23,6 +24,7 @@
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
 from gooseberrydale.process.gateway.send_measurement import SendMeasurement
 from gooseberrydale.process.gateway.upstream_health import answered, suspect
+from gooseberrydale.process.gateway.upstream_query import lacks_cache_terms
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.process.quota_charge import QuotaCharge
 from gooseberrydale.request.answer_stream import AnswerStream
@@ -144,6 +146,9 @@
         ``prefill`` is what its choice assumed to be computed up to the first event.
         """
         upstreams, pool = self._deps.upstreams, self._job.pool
+        if lacks_cache_terms(pool, self._job.call.prompt, terms):
+            emit(PromptTermsMissing(self._job.call.request_id, record.name, pool.name))
+            return End.NOT_SENT
         load = upstreams.load_of(record.name)
         self._prefilled = False
         # A resumed stream also computes the events that its caller has.
--- a/gooseberrydale/process/gateway/upstream_query.py
+++ b/gooseberrydale/process/gateway/upstream_query.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.request.gateway_call import Prompt
+from gooseberrydale.request.gateway_call import Prompt, Terms
 from gooseberrydale.request.placement import Demand
 from gooseberrydale.version.declared import Pool
 from gooseberrydale.version.origins.origin import StreamOrigin
@@ -54,6 +54,23 @@
     return Demand(own, shared_tokens, common, prompt.max_new_tokens)
 
 
-def serves(record: UpstreamRecord, prompt: Prompt | None) -> bool:
-    """Whether an upstream has the model of a prompt."""
-    return prompt is None or not record.model or record.model == prompt.model
+def serves(record: UpstreamRecord, pool: Pool, prompt: Prompt | None) -> bool:
+    """Whether an upstream of ``pool`` may be sent a prompt.
+
+    Upstreams without a model get prompts only in pools that hold no models.
+    """
+    if prompt is None:
+        return True
+    if not record.model:
+        return pool.engine is None
+    return record.model == prompt.model
+
+
+def lacks_cache_terms(pool: Pool, prompt: Prompt | None, terms: Terms) -> bool:
+    """Whether a prompt would use a model without a cache salt or a weights version.
+
+    Its cached prefixes would be shared by all workspaces and versions.
+    """
+    if pool.engine is None or prompt is None:
+        return False
+    return not terms.cache_salt or terms.weights_version is None
--- a/gooseberrydale/process/gateway/upstreams.py
+++ b/gooseberrydale/process/gateway/upstreams.py
@@ -412,7 +412,7 @@
             record
             for record in self.records(query.pool.name, now)
             if record.name not in query.tried
-            and serves(record, query.prompt)
+            and serves(record, query.pool, query.prompt)
             and (query.origin is None or query.origin.allows(record))
             and not self.load_of(record.name).is_leaving
         ]
--- a/soak/gateway_environment.py
+++ b/soak/gateway_environment.py
@@ -260,7 +260,10 @@
             "address": upstream.address,
             "zone": "zone-1",
             "seq": seq,
+            "version": "v1",
             "slots": SLOTS,
+            "state": "ready",
+            "coldLeftMs": 0,
         }
         self.post(f"/v1/Instances.Heartbeat/{upstream.name}", beat)
 
--- a/tests/builders_ending.py
+++ b/tests/builders_ending.py
@@ -10,6 +10,7 @@
 from gooseberrydale.process.gateway.gateway import Gateway
 from gooseberrydale.version.declared import Declared
 from tests.builders_gateway import (
+    MODEL,
     RawUpstream,
     Writer,
     answer_bytes,
@@ -75,7 +76,7 @@
         """Announce all running upstreams to a gateway."""
         now = asyncio.get_running_loop().time()
         for upstream in self.upstreams:
-            announced = record(upstream.name, address=upstream.address)
+            announced = record(upstream.name, address=upstream.address, **MODEL)
             gateway.directory.offer(announced, now)
 
     async def close(self) -> None:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -76,6 +76,10 @@
     return Declared(**{**defaults, **fields})
 
 
+MODEL = {"kind": "completion", "model": "m", "weights_version": "1"}
+"""What an upstream announces that holds the model of the prompts below."""
+
+
 def record(name: str = "u1", **fields: Any) -> UpstreamRecord:
     """Return the record of an announced upstream."""
     defaults: dict[str, Any] = {
@@ -332,7 +336,7 @@
         await gateway._gate.close()
     loop = asyncio.get_running_loop()
     for upstream in upstreams:
-        announced = record(upstream.name, address=upstream.address)
+        announced = record(upstream.name, address=upstream.address, **MODEL)
         gateway.directory.offer(announced, loop.time())
     if document is not None:
         gateway.store.offer(Config(revision=1, document=Document(1, b"{}")))
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -63,6 +63,19 @@
     return json.dumps(table(**fields)).encode()
 
 
+BEAT_FIELDS = (
+    "service",
+    "address",
+    "zone",
+    "version",
+    "slots",
+    "state",
+    "coldLeftMs",
+    "seq",
+)
+"""Fields that every heartbeat of an upstream has."""
+
+
 def beat(seq: Any, **fields: Any) -> dict[str, Any]:
     """Return an engine's heartbeat; fields that are None are left out."""
     defaults: dict[str, Any] = {
--- a/tests/test_endless_processes.py
+++ b/tests/test_endless_processes.py
@@ -66,6 +66,7 @@
         super().beat_all(seq)
         for name, server in tuple(self.broken.items()):
             beat = {"address": server.address, "zone": "zone-1", "seq": seq, "slots": 6}
+            beat |= {"version": "v1", "state": "ready", "coldLeftMs": 0}
             plain = beat | {"service": BROKEN}
             engine = beat | {
                 "service": WATCHED,
--- a/tests/test_upstream_incarnations.py
+++ b/tests/test_upstream_incarnations.py
@@ -181,7 +181,9 @@
 
 
 MALFORMED = {
-    "a field is missing": {"address": None},
+    **{f"no {field}": {field: None} for field in wire.BEAT_FIELDS},
+    "no models at a stage": {"models": None, "stage": "colocated"},
+    "a model without a version": {"models": [{"name": "m"}]},
     "an unknown state": {"state": "dancing"},
     "a number as text": {"seq": "seven"},
     "a number that is none": {"seq": -4},
@@ -207,6 +209,24 @@
     play(scenario)
 
 
+def test_an_upstream_keeps_its_model_within_an_incarnation() -> None:
+    """Guards against another writer that turns a model upstream into a plain one."""
+
+    async def scenario(fleet: Fleet) -> None:
+        assert await fleet.beat(3, born=BORN) == 200
+        assert await fleet.beat(4, born=BORN, models=None) == 400
+        assert (fleet.known().model, fleet.known().kind) == ("m", "completion")
+        assert await fleet.beat(5, born=BORN, state="draining") == 200
+        assert fleet.known().leaving
+        # Another service may start at its name; plain services name no models.
+        assert await fleet.beat(1, born=BORN + 1, models=None, service="p") == 200
+        assert (fleet.known().model, fleet.known().kind) == ("", "service")
+        assert await fleet.beat(1, name="plain", models=None) == 200
+        assert await fleet.beat(2, name="plain", models=None) == 200
+
+    play(scenario, born=BORN + 1)
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
     lambda values: st.lists(values, max_size=3)
