Treat an upstream's port out of range as unreachable

Cause: the pattern of announced addresses allows any five digits, and connecting raises OverflowError for such a port, which HttpConn.open did not turn into UpstreamError.

--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -117,7 +117,7 @@
                 _, conn = await loop.create_connection(cls, host, int(port))
         except TimeoutError as exc:
             raise UpstreamError("connecting timed out", sent=False) from exc
-        except (OSError, ValueError) as exc:
+        except (OSError, ValueError, OverflowError) as exc:
             refused = isinstance(exc, ConnectionRefusedError)
             reason = f"cannot connect: {exc}"
             raise UpstreamError(reason, sent=False, refused=refused) from exc
--- a/tests/test_http_conn.py
+++ b/tests/test_http_conn.py
@@ -35,6 +35,18 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1:-1", "h..h:1", "x"])
+def test_an_address_that_no_upstream_can_have_is_unreachable(address: str) -> None:
+    """Guards against answers of 500 for an upstream's malformed address."""
+
+    async def scenario() -> None:
+        with pytest.raises(UpstreamError, match="cannot connect") as caught:
+            await HttpConn.open(address)
+        assert not caught.value.sent
+
+    asyncio.run(scenario())
+
+
 def test_connecting_to_an_upstream_with_a_full_backlog_times_out() -> None:
     """The accept queue is full, so the kernel drops further connection attempts."""
 
--- a/tests/test_upstream_incarnations.py
+++ b/tests/test_upstream_incarnations.py
@@ -184,6 +184,8 @@
     **{f"no {field}": {field: None} for field in wire.BEAT_FIELDS},
     "no models at a stage": {"models": None, "stage": "colocated"},
     "a model without a version": {"models": [{"name": "m"}]},
+    "a port out of range": {"address": "10.0.0.9:99999"},
+    "port 0": {"address": "10.0.0.9:0"},
     "an unknown state": {"state": "dancing"},
     "a number as text": {"seq": "seven"},
     "a number that is none": {"seq": -4},
