Count responses that are too long, by call

Requests of callers count as "forwarded", as their targets are without number; own calls by method and path.

--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -17,7 +17,7 @@
 
 import httptools
 
-from gooseberrydale.connection.response_bounds import ResponseBounds
+from gooseberrydale.connection.response_bounds import FORWARDED, ResponseBounds
 from gooseberrydale.connection.tcp import (
     enable_keepalive,
     has_failed,
@@ -135,7 +135,8 @@
             raise UpstreamError("the connection is closed or in use", sent=False)
         self._busy = True
         self._parser = httptools.HttpResponseParser(self)
-        self._bounds = ResponseBounds(request_line(head), max_body_bytes)
+        kind = FORWARDED if max_body_bytes is None else ""
+        self._bounds = ResponseBounds(request_line(head), max_body_bytes, kind)
         self._is_body_bounded = max_body_bytes is not None
         self.sent = True
         self._transport.write(head + body if body else head)
--- a/gooseberrydale/connection/response_bounds.py
+++ b/gooseberrydale/connection/response_bounds.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Mapping
+
 from gooseberrydale.errors import RESPONSE_TOO_LONG, problem
 from gooseberrydale.log_events import ResponseTooLong, emit
 
@@ -26,6 +29,12 @@
 byte has five bytes of framing."""
 
 
+FORWARDED = "forwarded"
+"""The kind of all requests of callers, whose targets are without number."""
+
+_counts: Counter[str] = Counter()
+
+
 class ResponseBounds:
     """Counts the bytes that answer one request to ``call``.
 
@@ -34,8 +43,12 @@
     connection has to be reset; it is None while all bounds hold.
     """
 
-    def __init__(self, call: str, max_body_bytes: int | None = None) -> None:
+    def __init__(
+        self, call: str, max_body_bytes: int | None = None, kind: str = ""
+    ) -> None:
+        """``kind`` is what responses that are too long are counted by."""
         self._call = call
+        self._kind = kind
         self._max_body_bytes = max_body_bytes
         self._head_bytes = 0
         self._field_bytes = 0
@@ -82,10 +95,21 @@
 
     def _check(self, part: str, limit: int, received: int) -> None:
         if received > limit and self.excess is None:
-            self.excess = report_excess(self._call, part, limit, received)
+            self.excess = report_excess(self._call, part, limit, received, self._kind)
 
 
-def report_excess(call: str, part: str, limit: int, received: int) -> str:
-    """Log that a part of a response is longer than its bound; return the reason."""
+def report_excess(
+    call: str, part: str, limit: int, received: int, kind: str = ""
+) -> str:
+    """Log and count that a part of a response is longer than its bound.
+
+    It is counted by ``kind``, or by ``call`` without its query. Returns the reason.
+    """
+    _counts[kind or call.partition("?")[0]] += 1
     emit(ResponseTooLong(call, part, limit, received))
     return problem(RESPONSE_TOO_LONG, part=part, limit=limit).message
+
+
+def responses_too_long() -> Mapping[str, int]:
+    """How many responses to each kind of call this process has reset."""
+    return _counts
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -13,6 +13,7 @@
 
 from opentelemetry.metrics import CallbackOptions, Meter, Observation
 
+from gooseberrydale.connection.response_bounds import responses_too_long
 from gooseberrydale.process.capacity_levels import CapacityLevels, bounded_factors
 
 PREFIX = "gooseberrydale"
@@ -134,6 +135,7 @@
         *_observe_tally(meter, tally),
         *_observe_level(meter, level),
         *_observe_capacity(meter, capacity),
+        _observe_long_responses(meter),
     )
 
     def counter(name: str, text: str) -> Any:
@@ -255,6 +257,19 @@
     )
 
 
+def _observe_long_responses(meter: Meter) -> Any:
+    def observe(_: CallbackOptions) -> Iterable[Observation]:
+        counts = responses_too_long().items()
+        return [Observation(count, {"call": call}) for call, count in counts]
+
+    return meter.create_observable_counter(
+        f"{PREFIX}.responses_too_long",
+        [observe],
+        "1",
+        "Responses reset because a part exceeds its bound, by call; of the process",
+    )
+
+
 def _reader(
     source: Tally | Level, name: str
 ) -> Callable[[CallbackOptions], Iterable[Observation]]:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import tracemalloc
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
@@ -22,10 +23,13 @@
     read_reply,
 )
 from gooseberrydale.connection.response_bounds import (
+    FORWARDED,
     FRAMING_BYTES_PER_BODY_BYTE,
     MAX_FRAMING_BYTES,
+    responses_too_long,
 )
 from gooseberrydale.connection.upstream_reply import UpstreamError
+from gooseberrydale.process.metrics import Metrics
 from tests.builders_endless import (
     CHUNKED,
     ENDLESS_BODY,
@@ -282,3 +286,26 @@
         assert await read_reply("GET /r", body(30), each, memory) == b"x" * 30
 
     asyncio.run(main())
+
+
+def test_responses_that_are_too_long_are_counted_by_call() -> None:
+    """Guards against a label for each target that a caller asks for."""
+
+    async def main() -> None:
+        metrics = Metrics("gateway", "g1")
+        before = dict(responses_too_long())
+        begin, repeated = ENDLESS_FRAMING["header value"]
+        conn, transport = connected()
+        while not transport.aborted:
+            conn.data_received(begin + repeated * READ_BYTES)
+        conn, transport = HttpConn(), FakeTransport()
+        conn._transport = transport
+        conn.send(b"GET /v1/kv-events?since=7 HTTP/1.1\r\n\r\n", b"", 100)
+        while not transport.aborted:
+            conn.data_received(begin + repeated * READ_BYTES)
+        grown = Counter(responses_too_long()) - Counter(before)
+        assert grown == {FORWARDED: 1, "GET /v1/kv-events": 1}
+        text = metrics.render().decode()
+        assert 'gooseberrydale_responses_too_long_total{call="forwarded"}' in text
+
+    asyncio.run(main())
