Let upstreams of the gateways' soak answer without end

Times and upstreams are drawn apart from the other faults, so that known seeds keep theirs; the part is drawn from all that are not a body. After the run the peak memory of each process is compared with 128 MiB.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import tomllib
+from functools import partial
 from typing import Protocol
 
 import fire
@@ -24,7 +25,7 @@
 from soak.environment import Environment
 from soak.gateway_environment import GatewayEnvironment
 from soak.guarantees import Callers, find_violations
-from soak.plan import Fault, make_plan
+from soak.plan import Fault, add_endless_answers, make_plan
 from soak.replaced_controls import run_controls_seed
 from tests.callers import BackgroundLoop
 
@@ -54,12 +55,20 @@
         load.close()
 
 
-def run_gateway_seed(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
-    """Run one seed with gateways and callers that compete; return broken promises."""
+def run_gateway_seed(
+    seed: int, seconds: float, folder: pathlib.Path, endless: bool = True
+) -> list[str]:
+    """Run one seed with gateways and callers that compete; return broken promises.
+
+    With ``endless``, upstreams also answer without end at times.
+    """
     load = BackgroundLoop()
     environment = GatewayEnvironment(folder, load)
     try:
-        plan = make_plan(seed, environment.start(), seconds)
+        targets = environment.start()
+        plan = make_plan(seed, targets, seconds)
+        if endless:
+            plan = add_endless_answers(plan, seed, targets.upstreams, seconds)
         callers = CompetingCallers(environment.urls, seed, environment.workspaces)
         environment.use(callers)
         sending = load.start(callers.run())
@@ -89,13 +98,17 @@
     await asyncio.gather(*running)
 
 
-def known_seeds(gateways: bool = False) -> list[int]:
-    """Return the seeds that ever failed, with gateways or with entries."""
+def known_seeds(gateways: bool = False, endless: bool = False) -> list[int]:
+    """Return the seeds that ever failed, with gateways or with entries.
+
+    With ``endless``, only those with upstreams that answered without end.
+    """
     table = tomllib.loads(KNOWN_SEEDS_PATH.read_text())
     return [
         int(entry["seed"])
         for entry in table.get("seeds", ())
         if entry.get("gateways", False) == gateways
+        and (entry.get("endless", False) or not endless)
     ]
 
 
@@ -115,11 +128,15 @@
     chosen = known_seeds(gateways) if known else [seed]
     if not known and seed < 0:
         chosen = [random.SystemRandom().randrange(MAX_SEED) for _ in range(seeds)]
-    run = run_gateway_seed if gateways else run_seed
-    if controls:
-        run = run_controls_seed
     failed = 0
     for number in chosen:
+        run = run_seed
+        if gateways:
+            # Known seeds keep the faults with which they failed.
+            endless = not known or number in known_seeds(gateways, endless=True)
+            run = partial(run_gateway_seed, endless=endless)
+        if controls:
+            run = run_controls_seed
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
         violations = run(number, seconds, folder)
         for line in violations:
--- a/soak/gateway_environment.py
+++ b/soak/gateway_environment.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import pathlib
+import random
+import re
 import sys
 from collections.abc import Awaitable, Callable, Iterator
 from functools import partial
@@ -25,6 +27,7 @@
 )
 from soak.limited_upstream import SLOTS, LimitedUpstream
 from soak.plan import Fault, FaultKind, GatewayTargets
+from tests.builders_endless import ENDLESS_FRAMING
 from tests.builders_gateway import free_port
 from tests.callers import BackgroundLoop
 from tests.fleet import ROOT, Process, wait_until
@@ -38,6 +41,9 @@
 """The contract of deployments whose callers compete; see ``platform/run.py``."""
 
 SETTINGS = "GOOSEBERRYDALE_CONFIG"
+KIB_PER_MIB = 1024
+MAX_MEMORY_MIB = 128
+"""The memory that control may use on a node; a gateway is held to the same here."""
 
 
 class GatewayEnvironment:
@@ -51,6 +57,7 @@
         self._ready: dict[str, str] = {}
         self._heartbeats: Any = None
         self._reserved: set[str] = set()
+        self._rng = random.Random(folder.name)
         self._callers: CompetingCallers | None = None
         self.processes: dict[str, Process] = {}
         self.upstreams = [LimitedUpstream(f"u{n + 1}") for n in range(UPSTREAMS)]
@@ -114,6 +121,7 @@
             FaultKind.SLOWDOWN: self._slow_down,
             FaultKind.HIDDEN_SLOWDOWN: self._slow_down_unstated,
             FaultKind.BURST: self._burst,
+            FaultKind.ENDLESS: self._answer_endlessly,
         }
         [name] = fault.targets
         if name in self._reserved:
@@ -136,6 +144,8 @@
                 yield f"{name} ended unexpectedly: {process.output()[-300:]}"
             if "InvariantError" in process.output():
                 yield f"{name} violated an invariant, see its log"
+            if process.running and (peak := peak_mib(process.pid)) > MAX_MEMORY_MIB:
+                yield f"{name} used {peak:.0f} MiB, more than {MAX_MEMORY_MIB}"
 
     # Faults.
 
@@ -161,6 +171,13 @@
         await asyncio.sleep(duration_s)
         upstream.slowness = 1.0
 
+    async def _answer_endlessly(self, name: str, duration_s: float) -> None:
+        upstream = self._upstream(name)
+        part = self._rng.choice(sorted(ENDLESS_FRAMING))
+        upstream.endless = ENDLESS_FRAMING[part]
+        await asyncio.sleep(duration_s)
+        upstream.endless = None
+
     def _upstream(self, name: str) -> LimitedUpstream:
         return next(item for item in self.upstreams if item.name == name)
 
@@ -297,3 +314,11 @@
         except httpx2.HTTPError:
             return False
         return ready.status_code == got.status_code == httpx2.codes.OK
+
+
+def peak_mib(pid: int) -> float:
+    """Return the peak resident memory of a process in MiB."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    found = re.search(r"VmHWM:\s+(\d+) kB", status)
+    assert found is not None
+    return int(found.group(1)) / KIB_PER_MIB
--- a/soak/limited_upstream.py
+++ b/soak/limited_upstream.py
@@ -10,11 +10,15 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from tests.builders_endless import OWN_ID
+
 SLOTS = 6
 QUEUE = 24
 RUN_S = 0.15
 """Long enough that the callers of a soak run, on a busy machine, fill all slots."""
 
+SECTION_BYTES = 16_384
+
 Head = dict[str, str]
 
 
@@ -24,7 +28,8 @@
 
     ``bodies`` counts the runs by body.  ``overflows`` counts requests that arrived
     while ``SLOTS + QUEUE`` were held.  ``slowness`` multiplies the run time; ``stated``
-    is what its answers say of it.
+    is what its answers say of it.  ``endless`` is what its answers begin with and what
+    then follows without end, if set; such a request counts as one that ran.
     """
 
     name: str
@@ -33,6 +38,7 @@
     runs: list[str] = field(default_factory=list)
     bodies: Counter[str] = field(default_factory=Counter)
     overflows: int = 0
+    endless: tuple[bytes, bytes] | None = None
     address: str = ""
 
     def __post_init__(self) -> None:
@@ -60,6 +66,9 @@
                 pairs = (line.partition(":") for line in lines)
                 fields = {name.lower(): value.strip() for name, _, value in pairs}
                 body = await reader.readexactly(int(fields.get("content-length", "0")))
+                if self.endless is not None:
+                    await self._answer_endlessly(fields, body.decode(), writer)
+                    return
                 writer.write(await self._answer(first, fields, body.decode()))
                 await writer.drain()
         except (OSError, EOFError):
@@ -67,6 +76,21 @@
         finally:
             writer.close()
 
+    async def _answer_endlessly(
+        self, fields: Head, body: str, writer: asyncio.StreamWriter
+    ) -> None:
+        assert self.endless is not None
+        begin, repeated = self.endless
+        request_id = fields.get("x-request-id", "")
+        if request_id:
+            self.runs.append(request_id)
+            self.bodies[body] += 1
+        writer.write(begin.replace(OWN_ID, request_id.encode()))
+        data = repeated * (SECTION_BYTES // len(repeated))
+        while self.endless is not None:
+            writer.write(data)
+            await writer.drain()
+
     async def _answer(self, first: str, fields: Head, body: str) -> bytes:
         request_id = fields.get("x-request-id", "")
         if "/v1/report" in first or not request_id:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,6 +15,9 @@
 MEAN_GAP_S = 1.2
 """Mean time between the starts of two faults; short enough that some overlap."""
 
+MEAN_ENDLESS_GAP_S = 5.0
+"""Mean time between two upstreams that begin to answer without end."""
+
 MASS_KILL_FRACTION = 0.6
 """Fraction of the entries that a mass kill ends."""
 
@@ -26,7 +29,8 @@
     of a control replica.  CHANGE adds a workspace; RACE adds two concurrently.  SILENT
     to CUT are faults of links; SILENT_OPEN silences only connections that are already
     open.  SLOWDOWN makes an upstream slower, which it states; HIDDEN_SLOWDOWN does so
-    without a word.  BURST raises the rate of a workspace's callers.
+    without a word.  BURST raises the rate of a workspace's callers.  ENDLESS makes an
+    upstream answer with a part that never ends.
     """
 
     KILL = "kill"
@@ -45,6 +49,7 @@
     SLOWDOWN = "slowdown"
     HIDDEN_SLOWDOWN = "hidden_slowdown"
     BURST = "burst"
+    ENDLESS = "endless"
 
 
 LINK_FAULTS = frozenset(
@@ -149,6 +154,25 @@
     return tuple(faults)
 
 
+def add_endless_answers(
+    plan: tuple[Fault, ...], seed: int, upstreams: Sequence[str], length_s: float
+) -> tuple[Fault, ...]:
+    """Return ``plan`` with upstreams that answer without end at times.
+
+    They are drawn apart, so that a seed keeps its other faults.
+    """
+    rng = random.Random(f"endless {seed}")
+    faults = list(plan)
+    start_s = rng.expovariate(1.0 / MEAN_ENDLESS_GAP_S)
+    while start_s < length_s:
+        duration_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        chosen = (rng.choice(upstreams),)
+        kind = FaultKind.ENDLESS
+        faults.append(Fault(round(start_s, 2), kind, chosen, round(duration_s, 2)))
+        start_s += rng.expovariate(1.0 / MEAN_ENDLESS_GAP_S)
+    return tuple(sorted(faults, key=lambda fault: fault.start_s))
+
+
 def _choose(
     rng: random.Random, kind: FaultKind, names: Sequence[str]
 ) -> tuple[str, ...]:
--- a/tests/test_endless_processes.py
+++ b/tests/test_endless_processes.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import pathlib
-import re
 import uuid
 from collections.abc import Iterator
 from typing import Any
@@ -13,7 +12,12 @@
 import pytest
 
 from soak.competition import DEADLINE_S, HOST, api_key
-from soak.gateway_environment import HEARTBEAT_S, GatewayEnvironment
+from soak.gateway_environment import (
+    HEARTBEAT_S,
+    MAX_MEMORY_MIB,
+    GatewayEnvironment,
+    peak_mib,
+)
 from soak.plan import GatewayTargets
 from tests.builders_endless import ENDLESS_BODY, ENDLESS_FRAMING, EndlessServer
 from tests.callers import BackgroundLoop
@@ -24,9 +28,6 @@
 SERVERS = 12
 AT_ONCE = 6
 ASKING_S = 2.0
-KIB_PER_MIB = 1024
-MAX_MEMORY_MIB = 128
-"""The memory that control may use on a node; a gateway is held to the same here."""
 
 OTHERS_BOUND_S = 0.6
 """The objective of the other callers' route."""
@@ -80,14 +81,6 @@
         return {name: peak_mib(p.pid) for name, p in self.processes.items()}
 
 
-def peak_mib(pid: int) -> float:
-    """Return the peak resident memory of a process in MiB."""
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    found = re.search(r"VmHWM:\s+(\d+) kB", status)
-    assert found is not None
-    return int(found.group(1)) / KIB_PER_MIB
-
-
 @pytest.fixture(scope="module")
 def environment(
     tmp_path_factory: pytest.TempPathFactory,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,14 @@
 
 from soak.__main__ import known_seeds, run_gateway_seed, run_seed
 from soak.competition import find_broken_promises
-from soak.plan import MAX_FAULT_S, FaultKind, GatewayTargets, Targets, make_plan
+from soak.plan import (
+    MAX_FAULT_S,
+    FaultKind,
+    GatewayTargets,
+    Targets,
+    add_endless_answers,
+    make_plan,
+)
 from tests.builders_competition import call, calls, ran_as_answered, upstream
 
 TARGETS = Targets(
@@ -51,9 +58,15 @@
     gateway_plans = [make_plan(seed, GATEWAY_TARGETS, 60.0) for seed in range(10)]
     kinds = {fault.kind for plan in plans for fault in plan}
     gateway_kinds = {fault.kind for plan in gateway_plans for fault in plan}
+    endless = [
+        add_endless_answers(plan, seed, GATEWAY_TARGETS.upstreams, 60.0)
+        for seed, plan in enumerate(gateway_plans)
+    ]
+    endless_kinds = {fault.kind for plan in endless for fault in plan}
     assert kinds == set(TARGETS.by_kind())
     assert gateway_kinds == set(GATEWAY_TARGETS.by_kind())
-    assert kinds | gateway_kinds == set(FaultKind)
+    assert endless_kinds == {*gateway_kinds, FaultKind.ENDLESS}
+    assert kinds | endless_kinds == set(FaultKind)
     pairs = [pair for plan in plans for pair in zip(plan, plan[1:])]
     assert any(
         first.start_s + first.duration_s > second.start_s for first, second in pairs
