--- a/soak/gateway_environment.py
+++ b/soak/gateway_environment.py
@@ -57,7 +57,6 @@
         self._ready: dict[str, str] = {}
         self._heartbeats: Any = None
         self._reserved: set[str] = set()
-        self._rng = random.Random(folder.name)
         self._callers: CompetingCallers | None = None
         self.processes: dict[str, Process] = {}
         self.upstreams = [LimitedUpstream(f"u{n + 1}") for n in range(UPSTREAMS)]
@@ -173,7 +172,9 @@
 
     async def _answer_endlessly(self, name: str, duration_s: float) -> None:
         upstream = self._upstream(name)
-        part = self._rng.choice(sorted(ENDLESS_FRAMING))
+        # The plan alone decides, so that a seed can be played again.
+        rng = random.Random(f"{name} {duration_s}")
+        part = rng.choice(sorted(ENDLESS_FRAMING))
         upstream.endless = ENDLESS_FRAMING[part]
         await asyncio.sleep(duration_s)
         upstream.endless = None
