Usual terms for the polls of control's members

From reading the diff: a reader polls, and replicas hold its polls (long polling); one place logs a change of members; a docstring's lines were broken. No change of behaviour.

--- a/gooseberrydale/connection/mesh_node.py
+++ b/gooseberrydale/connection/mesh_node.py
@@ -214,9 +214,7 @@
 
     def offer_controls(self, members: ControlMembers, source: str) -> None:
         """Record the members of control that the peer ``source`` reports."""
-        if self.controls.offer(members):
-            addresses = list(members.addresses)
-            emit(ControlMembersChanged(members.index, addresses, source))
+        offer_members(self.controls, members, source)
 
     def _record_weights(self) -> None:
         """Record the versions of the configuration in force."""
@@ -248,3 +246,14 @@
             self._record_weights()
             for session in tuple(self._sessions):
                 session.config_changed()
+
+
+def offer_members(
+    controls: KnownControls, members: ControlMembers, source: str
+) -> bool:
+    """Record members that ``source`` reports; log and return whether they changed."""
+    has_changed = controls.offer(members)
+    if has_changed:
+        addresses = list(members.addresses)
+        emit(ControlMembersChanged(members.index, addresses, source))
+    return has_changed
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -37,10 +37,10 @@
     ``controls`` and ``entries`` are gRPC addresses.  Upstreams are not listed, as they
     announce themselves.  If ``control_rpc_port`` is set, the gRPC listeners of the
     control replicas use that port on the hosts of ``controls``.  Of an open group, the
-    members replace the listed replicas once the process has reached one.  Processes
-    authenticate
-    with the secret in ``token_file``; with ``trust_network`` they accept connections
-    from everybody who can reach their listeners.
+    members replace the listed replicas once the process has reached one.
+
+    Processes authenticate with the secret in ``token_file``; with ``trust_network``
+    they accept connections from everybody who can reach their listeners.
     """
 
     token_file: Path | None = None
--- a/gooseberrydale/process/control/members_reader.py
+++ b/gooseberrydale/process/control/members_reader.py
@@ -1,8 +1,8 @@
 """Reads the members of the control log for a process that holds no sessions.
 
-A replica answers as soon as its members change. A process that only asked every few
-seconds would lose the group if all members that it knows were replaced in between;
-between the removal of a member and the addition of its successor it knows only two.
+A replica answers a poll once its members change (long polling). At fixed intervals, a
+process would lose the group if all members that it knows were replaced between two
+polls; between the removal of a member and the addition of its successor these are two.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 import grpc
 from loguru import logger
 
+from gooseberrydale.connection.mesh_node import offer_members
 from gooseberrydale.connection.rpc import READ_MEMBERS, RpcChannel, RpcServer, TlsFiles
-from gooseberrydale.log_events import ControlMembersChanged, emit
 from gooseberrydale.process.tasks import spawn, stop
 from gooseberrydale.version.known_controls import (
     ControlMembers,
@@ -25,18 +25,18 @@
 )
 
 HOLD_S = 3.0
-"""Seconds for which a replica holds a question whose answer hasn't changed.  All
-processes without sessions ask the same few replicas."""
+"""Seconds for which a replica holds a poll while its members don't change.  All
+processes without sessions poll the same few replicas."""
 
 TIMEOUT_S = 1.0
-"""Seconds that an answer may take beyond the time for which the question is held."""
+"""Seconds that a reply may take beyond the time for which the poll is held."""
 
 PAUSE_S = 0.1
-"""Seconds between an answer and the next question."""
+"""Seconds between a reply and the next poll."""
 
-MAX_QUESTIONS = 10
-"""Number of questions before another replica is asked.  A replica that has been cut off
-from the others still answers, but learns of no changes."""
+MAX_POLLS = 10
+"""Number of polls before another replica is polled.  A replica that is cut off from the
+others still replies, but learns of no changes."""
 
 
 class MembersReader:
@@ -49,7 +49,7 @@
         self._token = token
         self._tls = tls
         self._channel: RpcChannel | None = None
-        self._questions = 0
+        self._polls = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -66,35 +66,35 @@
         while True:
             begin = loop.time()
             has_changed = await self._read()
-            # A replica of an earlier release holds no questions.
+            # A replica of an earlier release holds no polls.
             held_s = 0.0 if has_changed else HOLD_S - (loop.time() - begin)
             await asyncio.sleep(max(held_s, PAUSE_S))
 
     async def _read(self) -> bool:
-        """Ask the last replica again, or another one; return whether members changed.
+        """Poll the last replica again, or another one; return whether members changed.
 
-        A replica that is asked for the first time has to answer at once.
+        The first poll of a replica isn't held.
         """
-        if self._channel is not None and self._may_ask_again(self._channel.address):
-            self._questions += 1
+        if self._channel is not None and self._may_poll_again(self._channel.address):
+            self._polls += 1
             index = self._controls.members.index
-            reply = await self._ask(self._channel, index, HOLD_S + TIMEOUT_S)
+            reply = await self._poll(self._channel, index, HOLD_S + TIMEOUT_S)
             if self._is_current(reply):
                 return self._take(reply)
         for address in self._next_addresses():
             await self._close_channel()
             self._channel = RpcChannel(address, self._token, self._tls)
-            self._questions = 1
-            reply = await self._ask(self._channel, 0, TIMEOUT_S)
+            self._polls = 1
+            reply = await self._poll(self._channel, 0, TIMEOUT_S)
             if self._is_current(reply):
                 return self._take(reply)
         return False
 
-    def _may_ask_again(self, address: str) -> bool:
-        return self._questions < MAX_QUESTIONS and address in self._controls.current
+    def _may_poll_again(self, address: str) -> bool:
+        return self._polls < MAX_POLLS and address in self._controls.current
 
     def _next_addresses(self) -> Iterator[str]:
-        """Yield each known replica once, beginning after the one asked last."""
+        """Yield each known replica once, beginning after the one polled last."""
         members = list(self._controls.current)
         if self._channel is not None and self._channel.address in members:
             begin = members.index(self._channel.address) + 1
@@ -104,7 +104,7 @@
         others = (*self._controls.others, *self._controls.former)
         yield from dict.fromkeys((*members, *others))
 
-    async def _ask(
+    async def _poll(
         self, channel: RpcChannel, index: int, timeout_s: float
     ) -> ControlMembers:
         """Return the reply; without members if there is none."""
@@ -126,11 +126,7 @@
         return bool(reply.addresses) and reply.index >= self._controls.members.index
 
     def _take(self, reply: ControlMembers) -> bool:
-        has_changed = self._controls.offer(reply)
-        if has_changed:
-            addresses = list(reply.addresses)
-            emit(ControlMembersChanged(reply.index, addresses, "control"))
-        return has_changed
+        return offer_members(self._controls, reply, "control")
 
     async def _close_channel(self) -> None:
         if self._channel is not None:
@@ -152,7 +148,7 @@
         rpc_server.unary(READ_MEMBERS, self._answer)
 
     def close(self) -> None:
-        """Answer the questions that are held, and hold no more."""
+        """Answer the polls that are held, and hold no more."""
         if not self._is_closed:
             self._is_closed = True
             self._unsubscribe()
--- a/gooseberrydale/process/draining_close.py
+++ b/gooseberrydale/process/draining_close.py
@@ -31,7 +31,7 @@
         return self._timer is not None or self._transport.is_closing()
 
     def begin(self) -> None:
-        """Close the sending side; a connection with TLS has no sides to close."""
+        """Close the sending side; a TLS connection can't be half-closed."""
         if self.has_begun:
             return
         loop = asyncio.get_running_loop()
--- a/gooseberrydale/version/known_controls.py
+++ b/gooseberrydale/version/known_controls.py
@@ -40,8 +40,8 @@
 class ReadMembersReq:
     """Asks a replica for the :class:`ControlMembers` that it knows.
 
-    If these are the ones of ``index``, it answers once they change, or after
-    :data:`~gooseberrydale.process.control.members_reader.HOLD_S`.
+    If these are the ones of ``index``, it answers once they change, or after some
+    seconds (long polling).
     """
 
     index: int = 0
--- a/tests/test_members_reader.py
+++ b/tests/test_members_reader.py
@@ -21,7 +21,7 @@
 from tests.builders_open_group import until
 
 PROMPT_S = 0.5
-"""A change has to be known within this time; far less than a question is held."""
+"""A change has to be known within this time; far less than a poll is held."""
 
 
 class Member:
@@ -119,14 +119,14 @@
         members.cut_off.add(next(iter(members.running)))
         known, reader = await start_reader(members)
         await members.add()
-        limit_s = members_reader.HOLD_S * members_reader.MAX_QUESTIONS + PROMPT_S
+        limit_s = members_reader.HOLD_S * members_reader.MAX_POLLS + PROMPT_S
         await until(lambda: known.members.index == members.index, limit_s)
         await reader.close()
 
     run(scenario)
 
 
-def test_a_replica_that_holds_no_questions_is_not_asked_without_pause() -> None:
+def test_a_replica_that_holds_no_polls_is_not_asked_without_pause() -> None:
     """Guards against load on replicas of an earlier release."""
 
     async def main() -> None:
@@ -144,14 +144,14 @@
         reader = MembersReader(KnownControls((address,)), "", None)
         await reader.start()
         await asyncio.sleep(1.5)
-        assert asked == 2  # The second question follows the first news at once.
+        assert asked == 2  # The second poll follows the first news at once.
         await reader.close()
         await rpc.close()
 
     asyncio.run(main())
 
 
-def test_a_replica_that_closes_holds_no_questions() -> None:
+def test_a_replica_that_closes_holds_no_polls() -> None:
     """Guards against a stop that waits for readers."""
 
     async def main() -> None:
