--- a/gooseberrydale/connection/reply_limits.py
+++ b/gooseberrydale/connection/reply_limits.py
@@ -64,10 +64,12 @@
     body: AsyncIterator[bytes],
     max_bytes: int,
     memory: ReplyMemory = PROCESS_MEMORY,
+    kind: str = "",
 ) -> bytes:
     """Return a body of at most ``max_bytes``; raise :class:`UpstreamError` otherwise.
 
-    The caller resets the connection after an error.
+    One that is too long is counted by ``kind``, or by ``call`` without its query.  The
+    caller resets the connection after an error.
     """
     chunks: list[bytes] = []
     size = 0
@@ -75,11 +77,11 @@
         async for data in body:
             added = len(data) + CHUNK_OVERHEAD_BYTES
             if size + added > max_bytes:
-                reason = report_excess(call, "body", max_bytes, size + added)
+                reason = report_excess(call, "body", max_bytes, size + added, kind)
                 raise UpstreamError(reason, sent=True)
             if not memory.take(added):
                 reason = report_excess(
-                    call, "bodies", memory.limit, memory.held + added
+                    call, "bodies", memory.limit, memory.held + added, kind
                 )
                 raise UpstreamError(reason, sent=True)
             size += added
--- a/gooseberrydale/connection/response_bounds.py
+++ b/gooseberrydale/connection/response_bounds.py
@@ -28,7 +28,6 @@
 """Most framing for each byte of the body, beyond ``MAX_FRAMING_BYTES``.  A chunk of one
 byte has five bytes of framing."""
 
-
 FORWARDED = "forwarded"
 """The kind of all requests of callers, whose targets are without number."""
 
@@ -46,7 +45,10 @@
     def __init__(
         self, call: str, max_body_bytes: int | None = None, kind: str = ""
     ) -> None:
-        """``kind`` is what responses that are too long are counted by."""
+        """``kind`` is what a response that is too long is counted by.
+
+        By default this is the call without its query.
+        """
         self._call = call
         self._kind = kind
         self._max_body_bytes = max_body_bytes
--- a/gooseberrydale/connection/upstream_api.py
+++ b/gooseberrydale/connection/upstream_api.py
@@ -106,19 +106,21 @@
     headers: Headers = (),
     max_bytes: int,
     timeout_s: float = CALL_TIMEOUT_S,
+    kind: str = "",
 ) -> Reply:
     """Make one call with a JSON body; raise :class:`UpstreamError` on failure.
 
-    The body of the response has at most ``max_bytes``.
+    The body of the response has at most ``max_bytes``.  Targets without number need a
+    ``kind``, see :class:`UpstreamCall`.
     """
-    http = UpstreamCall(base_url)
+    http = UpstreamCall(base_url, kind)
     data = b"" if body is None else msgspec.json.encode(body)
     try:
         async with asyncio.timeout(timeout_s):
             sent = (*headers, *JSON_HEADERS) if data else headers
             await http.open(method, target, sent, data)
             name = f"{method} {target}"
-            reply = await read_reply(name, http.chunks(), max_bytes)
+            reply = await read_reply(name, http.chunks(), max_bytes, kind=kind)
             return Reply(http.status, reply)
     except TimeoutError as exc:
         raise UpstreamError(
--- a/gooseberrydale/connection/upstream_http.py
+++ b/gooseberrydale/connection/upstream_http.py
@@ -12,7 +12,7 @@
 import asyncio
 import re
 from collections.abc import AsyncGenerator
-from functools import partial
+from functools import cached_property, partial
 from typing import Any
 from urllib.parse import quote
 
@@ -23,7 +23,11 @@
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
-from gooseberrydale.connection.response_bounds import ResponseBounds, report_excess
+from gooseberrydale.connection.response_bounds import (
+    FORWARDED,
+    ResponseBounds,
+    report_excess,
+)
 from gooseberrydale.connection.tcp import enable_keepalive, has_failed
 from gooseberrydale.connection.upstream_reply import Headers, UpstreamError
 
@@ -58,10 +62,14 @@
         super().__init__(pool)
         self._call = call
         self._head_ended = False
-        self._bounds = ResponseBounds(call.name)
         self._lines = 0
         call.connections.append(self)
 
+    @cached_property
+    def _bounds(self) -> ResponseBounds:
+        # The library makes its connections before the call has a name.
+        return ResponseBounds(self._call.name, kind=self._call.kind)
+
     def reuse(self, urlparsed: Any, verify: bool) -> bool:
         return False
 
@@ -100,7 +108,8 @@
     async def readexactly(self, size: int) -> bytes:
         # The library reads each chunk of a body as a whole.
         if size > MAX_CHUNK_BYTES:
-            reason = report_excess(self._call.name, "chunk", MAX_CHUNK_BYTES, size)
+            call = self._call
+            reason = report_excess(call.name, "chunk", MAX_CHUNK_BYTES, size, call.kind)
             raise ValueError(reason)
         data: bytes = await super().readexactly(size)
         self._count(len(data), len(data))
@@ -143,9 +152,12 @@
     """One HTTP call: ``open`` sends it, ``chunks`` reads the body, ``close`` ends it.
 
     ``sent`` is True once anything was written, so the upstream may run the request.
+    ``kind`` is what responses that are too long are counted by, as in
+    :class:`ResponseBounds`.
     """
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(self, base_url: str, kind: str = FORWARDED) -> None:
+        self.kind = kind
         self._base_url = base_url.rstrip("/")
         self.sent = False
         self.name = ""
--- a/gooseberrydale/process/sidecar/cache_follower.py
+++ b/gooseberrydale/process/sidecar/cache_follower.py
@@ -63,7 +63,7 @@
             await asyncio.sleep(RECONNECT_DELAY_S)
 
     async def _read_stream(self) -> None:
-        stream = self._stream = UpstreamCall(self._base_url)
+        stream = self._stream = UpstreamCall(self._base_url, kind="")
         decoder = msgspec.json.Decoder(CacheEvent)
         parser = SseParser()
         try:
--- a/gooseberrydale/process/sidecar/kv_transfer.py
+++ b/gooseberrydale/process/sidecar/kv_transfer.py
@@ -101,6 +101,7 @@
                 target,
                 max_bytes=MAX_ORDER_BYTES,
                 timeout_s=LOOKUP_TIMEOUT_S,
+                kind="HEAD /kv",
             )
         except UpstreamError as exc:
             logger.debug("the KV store did not answer: {}", exc)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -28,6 +28,7 @@
     MAX_FRAMING_BYTES,
     responses_too_long,
 )
+from gooseberrydale.connection.upstream_http import UpstreamCall
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.process.metrics import Metrics
 from tests.builders_endless import (
@@ -309,3 +310,28 @@
         assert 'gooseberrydale_responses_too_long_total{call="forwarded"}' in text
 
     asyncio.run(main())
+
+
+def test_a_sidecar_counts_targets_without_number_together() -> None:
+    """Guards against a label for each request of a caller or each stored block."""
+
+    async def main() -> None:
+        before = dict(responses_too_long())
+        server = await EndlessServer(*ENDLESS_FRAMING["header lines"]).start()
+        url = f"http://{server.address}"
+        for number in range(3):
+            forwarded = UpstreamCall(url)
+            with pytest.raises(UpstreamError):
+                await forwarded.open("POST", f"/services/bids/{number}", (), b"{}")
+            await forwarded.close()
+            for kind in ("GET /kv", ""):
+                target = f"/kv/root/{number}" if kind else f"/state?since={number}"
+                with pytest.raises(UpstreamError):
+                    await upstream_api.call(
+                        url, "GET", target, max_bytes=MAX_REPORT_BYTES, kind=kind
+                    )
+        await server.close()
+        grown = Counter(responses_too_long()) - Counter(before)
+        assert grown == {FORWARDED: 3, "GET /kv": 3, "GET /state": 3}
+
+    asyncio.run(main())
