Pass on how recently the configuration was known to be the newest

The logs could not tell apart why a gateway answers 401 or 404: an old document of a running process, an old one that a starting process received, a change on its way, or a refusal that has nothing to do with documents.

The leader of control knows the newest revision while its lease holds. The heartbeats of sessions now say for how long the sender has known that no newer revision was committed; every process dates that by the bound of the message's age and passes it on. Lines of requests have confirmed_ms, the metrics a gauge config_confirmed; config_received names the peer that a configuration came from, and head_refused logs what the HTTP protocol refuses (400, 408, 431). Nothing is decided by it yet.

Tests: random confirmations in any order never make an old revision current; a gateway of real sessions knows within 2 s, also after all replicas were replaced, and no longer once they are gone.

--- a/gooseberrydale/connection/mesh.py
+++ b/gooseberrydale/connection/mesh.py
@@ -182,7 +182,9 @@
     ``weights`` are the named versions that the sender knows: all of them in the first
     message of a session and after a change, else only those that were named recently.
     ``controls`` are the members of the control log that the sender knows, in the first
-    message of a session and after a change.
+    message of a session and after a change.  No revision above ``revision`` was
+    committed ``confirmed_age_s`` seconds before the message was created; None if the
+    sender doesn't know that of any time.
     """
 
     name: str
@@ -191,6 +193,7 @@
     echo_at: float | None = None
     weights: tuple[NamedVersion, ...] = ()
     controls: ControlMembers | None = None
+    confirmed_age_s: float | None = None
 
 
 MeshMessage = (
--- a/gooseberrydale/connection/mesh_node.py
+++ b/gooseberrydale/connection/mesh_node.py
@@ -1,13 +1,15 @@
 """State that all mesh sessions of one process share.
 
 This is the identity of the process, the directory, the configuration store, the named
-weights, the known control replicas, the last report of each peer, and the request for a
-configuration that is pending, if any.
+weights, the known control replicas, the last report of each peer, how recently the
+configuration was known to be the newest, and the request for a configuration that is
+pending, if any.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
@@ -15,6 +17,7 @@
 from gooseberrydale.connection.mesh import CONTROL_ROLE, Hello, NamedVersion
 from gooseberrydale.log_events import ControlMembersChanged, WeightsNamed, emit
 from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.confirmed_revision import ConfirmedRevision
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.known_controls import ControlMembers, KnownControls
@@ -93,7 +96,11 @@
 
 
 class MeshNode:
-    """Shared state of the sessions; call ``start`` before opening sessions."""
+    """Shared state of the sessions; call ``start`` before opening sessions.
+
+    ``leads`` is whether this process leads control now, so that it knows the newest
+    revision.
+    """
 
     def __init__(
         self,
@@ -106,8 +113,12 @@
         ended_incarnations: EndedIncarnations | None = None,
         named_weights: NamedWeights | None = None,
         controls: KnownControls | None = None,
+        confirmed: ConfirmedRevision | None = None,
+        leads: Callable[[], bool] = lambda: False,
     ) -> None:
         self.identity = identity
+        self.confirmed = ConfirmedRevision() if confirmed is None else confirmed
+        self._leads = leads
         self.controls = KnownControls(()) if controls is None else controls
         self.named_weights = NamedWeights() if named_weights is None else named_weights
         self.ended_incarnations = (
@@ -185,6 +196,7 @@
         if session in self._sessions:
             self._sessions[session] = peer
         self.highest_revision = max(self.highest_revision, revision)
+        self.confirmed.report(revision)
         if hello.role == CONTROL_ROLE:
             self.control_received_at = now
         if self._on_ack is not None:
@@ -194,6 +206,17 @@
         """Return the peers of the open sessions, once per session."""
         return tuple(peer for peer in self._sessions.values() if peer is not None)
 
+    def confirmed_age_s(self, now: float) -> float | None:
+        """Seconds since the revision in force here was known to be the newest.
+
+        None if that was never known, or if a newer revision is known.
+        """
+        revision = self.store.revision
+        if self._leads():
+            self.confirmed.confirm(revision, now)
+        age_s = self.confirmed.age_s(revision, now)
+        return age_s if math.isfinite(age_s) else None
+
     def claim_pull(self, revision: int, now: float) -> float | None:
         """Let one session at a time request a configuration.
 
--- a/gooseberrydale/connection/mesh_session.py
+++ b/gooseberrydale/connection/mesh_session.py
@@ -30,6 +30,7 @@
 from gooseberrydale.connection.mesh_node import MeshNode
 from gooseberrydale.connection.message_age import MessageAgeBound
 from gooseberrydale.errors import MESH_NO_HELLO, ProblemError, problem
+from gooseberrydale.log_events import ConfigReceived, emit
 
 MAX_RECORDS_PER_MESSAGE = 256
 """Most records in one message."""
@@ -197,6 +198,7 @@
             case RevisionAck():
                 self._node.merge_weights(msg.weights, self.received_at)
                 self._merge_controls(msg, self._peer)
+                self._merge_confirmation(msg)
                 self._record_revision(self._peer, msg.revision)
             case Announce():
                 self._merge_records(msg, self._peer)
@@ -207,7 +209,9 @@
                 self._peer_wants_above = msg.above_revision
                 self._alarm.wake_by(self._loop.time())
             case ConfigOffer():
-                self._node.store.offer(msg.config)
+                if self._node.store.offer(msg.config):
+                    source = f"{self._peer.role} {self._peer.name}"
+                    emit(ConfigReceived(msg.config.revision, source))
 
     def _handle_hello(self, hello: Hello) -> None:
         if hello.incarnation == self._node.identity.incarnation:
@@ -251,6 +255,13 @@
             self._shared_controls = max(self._shared_controls, msg.controls.index)
             self._node.offer_controls(msg.controls, f"{peer.role} {peer.name}")
 
+    def _merge_confirmation(self, msg: RevisionAck) -> None:
+        if msg.confirmed_age_s is None:
+            return
+        age_s = self._message_age.age_s(msg.sent_at, self.received_at)
+        confirmed_at = self.received_at - age_s - msg.confirmed_age_s
+        self._node.confirmed.confirm(msg.revision, confirmed_at)
+
     def _correct(self, record: UpstreamRecord) -> None:
         """Notify a sidecar that a newer incarnation uses its name."""
         current = self._node.directory.get(record.name, self.received_at)
@@ -295,6 +306,7 @@
             echo_at=self._echo_at(now),
             weights=self._weights_to_report(now),
             controls=controls if has_new_controls else None,
+            confirmed_age_s=self._node.confirmed_age_s(now),
         )
 
     def _weights_to_report(self, now: float) -> tuple[NamedVersion, ...]:
--- a/gooseberrydale/log_events/__init__.py
+++ b/gooseberrydale/log_events/__init__.py
@@ -22,6 +22,7 @@
     ControlUnreachable,
     DatagramFailed,
     DatagramUnreadable,
+    HeadRefused,
     ResponseTooLong,
     UnreadAnswersCut,
 )
@@ -34,6 +35,7 @@
     WeightsOrdered,
 )
 from gooseberrydale.log_events.documents import (
+    ConfigReceived,
     DocumentInForce,
     DocumentUnreadable,
     WeightsNamed,
@@ -81,6 +83,7 @@
     "AnnouncementUnreadable",
     "CapacitySharingChanged",
     "CommitNotNoted",
+    "ConfigReceived",
     "ConnectionsRefused",
     "ControlMembersChanged",
     "ControlReached",
@@ -93,6 +96,7 @@
     "Draining",
     "EarlierIncarnation",
     "GatewayOverloaded",
+    "HeadRefused",
     "LogEvent",
     "NotKept",
     "NothingKept",
--- a/gooseberrydale/log_events/connections.py
+++ b/gooseberrydale/log_events/connections.py
@@ -41,6 +41,20 @@
     open: int
 
 
+@dataclass(frozen=True, slots=True)
+class HeadRefused(LogEvent):
+    """The HTTP protocol refused a request before its head was complete or valid.
+
+    ``outcome`` is the code of the error that was answered, with ``status``.
+    """
+
+    NAME: ClassVar[str] = "head_refused"
+    TEXT: ClassVar[str] = "request refused by the HTTP protocol"
+
+    outcome: str
+    status: int
+
+
 @dataclass(frozen=True, slots=True)
 class DatagramUnreadable(LogEvent):
     """A datagram was not a valid report of another gateway and was dropped."""
--- a/gooseberrydale/log_events/documents.py
+++ b/gooseberrydale/log_events/documents.py
@@ -19,6 +19,17 @@
     before: int
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigReceived(LogEvent):
+    """This process received the configuration ``revision`` from the peer ``source``."""
+
+    NAME: ClassVar[str] = "config_received"
+    TEXT: ClassVar[str] = "configuration received"
+
+    revision: int
+    source: str
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentUnreadable(LogEvent):
     """A document is invalid and was skipped; the previous one stays in force."""
--- a/gooseberrydale/log_events/request.py
+++ b/gooseberrydale/log_events/request.py
@@ -8,6 +8,8 @@
 from gooseberrydale.log_events.base import LogEvent
 from gooseberrydale.request.capacity_decision import NO_RANK
 
+NOT_CONFIRMED_MS = -1.0
+
 
 @dataclass(frozen=True, slots=True)
 class RequestEnded(LogEvent):
@@ -19,13 +21,15 @@
     number of the document in force at that time.  ``objective_ms`` is what ``route``
     declares as objective for the first event, 0 if it declares none.  ``digest`` is the
     same for all requests with the same content, and empty if the body was not read.
-    ``whole`` is whether the answer was complete.  ``framing`` names what marks the end
-    of the upstream's last answer (length, chunked, connection), and ``inside_event`` is
-    whether the last bytes of that answer are in the middle of an event.  A caller that
-    continues a stream names its ``last_event_id`` and, in ``resumes``, the request that
-    brought its first event; each is empty if not named.  ``origin`` is the pool and the
-    software version that began that stream, empty if not known.  The fields from
-    ``pool`` on are those of :class:`CapacityDecision`.
+    The document in force was known to be the newest ``confirmed_ms`` before the end, -1
+    if that is not known.  ``whole`` is whether the answer was complete.  ``framing``
+    names what marks the end of the upstream's last answer (length, chunked,
+    connection), and ``inside_event`` is whether the last bytes of that answer are in
+    the middle of an event.  A caller that continues a stream names its
+    ``last_event_id`` and, in ``resumes``, the request that brought its first event;
+    each is empty if not named.  ``origin`` is the pool and the software version that
+    began that stream, empty if not known.  The fields from ``pool`` on are those of
+    :class:`CapacityDecision`.
     """
 
     NAME: ClassVar[str] = "request"
@@ -44,6 +48,7 @@
     first_ms: float
     took_ms: float
     table: int
+    confirmed_ms: float = NOT_CONFIRMED_MS
     digest: str = ""
     framing: str = ""
     inside_event: bool = False
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -355,6 +355,7 @@
             ended_incarnations=self.ended_incarnations,
             named_weights=self._named_weights,
             controls=self._controls,
+            leads=lambda: self._proposer.leads,
         )
 
     def _on_ack(self, peer: PeerState) -> None:
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from dataclasses import asdict, dataclass
 
@@ -26,6 +27,7 @@
     problem,
 )
 from gooseberrydale.log_events import RequestEnded, emit
+from gooseberrydale.log_events.request import NOT_CONFIRMED_MS
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.declared_store import DeclaredStore
 from gooseberrydale.process.gateway.forward import BrokenAnswerError, Forwarder
@@ -348,6 +350,7 @@
                 first_ms=self._since_ms(answer.started_at),
                 took_ms=self._since_ms(now),
                 table=0 if table is None else table.declared.number,
+                confirmed_ms=self._confirmed_ms(),
                 digest=fingerprint_text(self._fingerprint),
                 framing="" if forwarder is None else forwarder.framing,
                 inside_event=forwarder is not None and forwarder.inside_event,
@@ -358,6 +361,10 @@
             )
         )
 
+    def _confirmed_ms(self) -> float:
+        age_s = self._deps.declared.confirmed_age_s
+        return round(age_s * MS_PER_S, 1) if math.isfinite(age_s) else NOT_CONFIRMED_MS
+
     def _since_ms(self, moment: float) -> float:
         """Milliseconds from the arrival to ``moment``; 0 if that was not reached."""
         return max(0.0, round((moment - self._arrived_at) * MS_PER_S, 1))
--- a/gooseberrydale/process/gateway/declared_store.py
+++ b/gooseberrydale/process/gateway/declared_store.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from result import Err, Result
@@ -15,6 +16,7 @@
 from gooseberrydale.errors import Problem
 from gooseberrydale.log_events import DocumentInForce, DocumentUnreadable, emit
 from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.confirmed_revision import ConfirmedRevision
 from gooseberrydale.version.declared import Declared
 from gooseberrydale.version.route_table import RouteTable
 
@@ -24,14 +26,29 @@
 class DeclaredStore:
     """Follows the configuration; ``table`` is None until the first document arrives."""
 
-    def __init__(self, store: ConfigStore, decode: DecodeDocument) -> None:
+    def __init__(
+        self, store: ConfigStore, decode: DecodeDocument, confirmed: ConfirmedRevision
+    ) -> None:
         self._store = store
+        self._confirmed = confirmed
         self._decode = decode
         self._number = 0
         self._task: asyncio.Task[None] | None = None
         self.table: RouteTable | None = None
         self._arrived = asyncio.Event()
 
+    @property
+    def confirmed_age_s(self) -> float:
+        """Seconds since the document in force was known to be the newest.
+
+        Infinite if that was never known, or if a newer one is known.
+        """
+        config = self._store.config
+        if config.document is not None and config.document.number != self._number:
+            return math.inf
+        now = asyncio.get_running_loop().time()
+        return self._confirmed.age_s(config.revision, now)
+
     async def wait(self, timeout_s: float) -> RouteTable | None:
         """Return the declarations; wait up to ``timeout_s`` if none have arrived."""
         try:
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -63,6 +63,7 @@
 from gooseberrydale.request.retry_plan.drain import FleetDrain
 from gooseberrydale.request.retry_plan.planner import RetryPlans
 from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.confirmed_revision import ConfirmedRevision
 from gooseberrydale.version.declared import CallerLimits, Pool
 from gooseberrydale.version.directory import (
     RENEWAL_PROPAGATION_FRACTION,
@@ -181,7 +182,10 @@
         self.directory = Directory(
             propagation_fraction=RENEWAL_PROPAGATION_FRACTION, relays_renewals=False
         )
-        self._declared = DeclaredStore(self.store, dialect.decode_document)
+        self.confirmed = ConfirmedRevision()
+        self._declared = DeclaredStore(
+            self.store, dialect.decode_document, self.confirmed
+        )
         self._named_weights = NamedWeights()
         self._conns = HttpPool()
         self._stores = Stores()
@@ -427,6 +431,7 @@
         now = asyncio.get_running_loop().time()
         table = self._declared.table
         level.documents = 0 if table is None else table.declared.number
+        level.config_confirmed = self._declared.confirmed_age_s
         level.running = self._app.open_requests
         level.gateways = len(self._gateway_links())
         level.upstreams_known = self._upstreams.count(now)
@@ -461,6 +466,7 @@
             rng=self._rng,
             ended_incarnations=self.ended_incarnations,
             named_weights=self._named_weights,
+            confirmed=self.confirmed,
         )
 
     def _make_control_finder(self, cfg: Cfg) -> ControlFinder | None:
--- a/gooseberrydale/process/http_protocol.py
+++ b/gooseberrydale/process/http_protocol.py
@@ -27,6 +27,7 @@
     Problem,
     problem,
 )
+from gooseberrydale.log_events import HeadRefused, emit
 from gooseberrydale.process.draining_close import AnswerTransport, DrainingClose
 from gooseberrydale.process.error_body import error_object
 from gooseberrydale.process.http_1_0 import HTTP_1_0, end_normally, serve_http_1_0
@@ -231,6 +232,7 @@
             self.cycle.disconnected = True
             self.cycle.waiting_for_100_continue = False
             self.cycle.message_event.set()
+        emit(HeadRefused(reason.code, reason.status))
         request_id = uuid.uuid4().hex
         body = msgspec.json.encode(error_object(reason, request_id))
         head = (
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -58,6 +58,9 @@
     """Current values (gauges), set by the role and read by the meter on each scrape."""
 
     cfg_revision: int = _measured("1", "Revision of the configuration in force")
+    config_confirmed: float = _measured(
+        "s", "Time since the configuration in force was known to be the newest"
+    )
     running: int = _measured("1", "Requests that run")
     queued: int = _measured("1", "Requests that wait for their start")
     queue_wait: float = _measured("s", "Expected wait of a new request")
--- a/gooseberrydale/process/membership.py
+++ b/gooseberrydale/process/membership.py
@@ -36,6 +36,7 @@
 from gooseberrydale.process.control_sessions import ControlSessions
 from gooseberrydale.process.tls import tls_files
 from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.confirmed_revision import ConfirmedRevision
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.known_controls import ControlMembers, KnownControls
@@ -68,6 +69,8 @@
     report.
     ``controls`` are the control replicas, by default those that the settings list; the
     mesh keeps them up to date.
+    ``confirmed`` receives how recently the configuration in force was known to be the
+    newest; ``leads`` is whether this process leads control, and therefore knows that.
     ``on_ack`` is called with a :class:`PeerState` whenever a process reports its
     revision.
     """
@@ -88,6 +91,8 @@
         ended_incarnations: EndedIncarnations | None = None,
         named_weights: NamedWeights | None = None,
         controls: KnownControls | None = None,
+        confirmed: ConfirmedRevision | None = None,
+        leads: Callable[[], bool] = lambda: False,
     ) -> None:
         self.controls = known_controls(cfg) if controls is None else controls
         self._rng = rng if rng is not None else random.Random()
@@ -103,6 +108,8 @@
             ended_incarnations=ended_incarnations,
             named_weights=named_weights,
             controls=self.controls,
+            confirmed=confirmed,
+            leads=leads,
         )
         self._server = MeshServer(self._node)
         tls = tls_files(cfg.fleet.tls)
--- a/tests/builders_open_group.py
+++ b/tests/builders_open_group.py
@@ -17,6 +17,7 @@
 from gooseberrydale.process.control.replica import ReplicaStatus
 from gooseberrydale.process.membership import Mesh
 from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.confirmed_revision import ConfirmedRevision
 from gooseberrydale.version.declarations import Document
 from gooseberrydale.version.directory import Directory
 from tests.builders_files import free_address
@@ -157,7 +158,17 @@
         self.store = ConfigStore()
         cfg = Cfg(NodeCfg(name), FleetCfg(trust_network=True, controls=controls))
         directory = Directory()
-        self.mesh = Mesh(cfg, role, directory, self.store, None, "", f"{name}-0001")
+        self.confirmed = ConfirmedRevision()
+        self.mesh = Mesh(
+            cfg,
+            role,
+            directory,
+            self.store,
+            None,
+            "",
+            f"{name}-0001",
+            confirmed=self.confirmed,
+        )
 
     @property
     def number(self) -> int:
@@ -165,6 +176,11 @@
         document = self.store.config.document
         return 0 if document is None else document.number
 
+    def confirmed_age_s(self) -> float:
+        """Seconds since the configuration in force here was known to be the newest."""
+        now = asyncio.get_running_loop().time()
+        return self.confirmed.age_s(self.store.revision, now)
+
     async def start(self) -> Observer:
         """Open the sessions."""
         await self.mesh.start()
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -19,6 +19,7 @@
 )
 from gooseberrydale.request.gateway_call import PromptPart
 from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.confirmed_revision import ConfirmedRevision
 from gooseberrydale.version.declared import KvStoreDecl
 from gooseberrydale.version.route_table import RouteTable
 from gooseberrydale.version.store_followers import (
@@ -86,7 +87,9 @@
         self.followers: list[StoreFollower] = []
         self.muted: set[str] = set()
         for name, stores in zip(self.names, self.stores, strict=True):
-            source = DeclaredStore(ConfigStore(), lambda body: None)  # type: ignore
+            source = DeclaredStore(  # type: ignore
+                ConfigStore(), lambda body: None, ConfirmedRevision()
+            )
             source.table = table
             peers = Peers(
                 name,
