KNOWN-RED: processes that may be out of date deny proper requests

Tests for each way to a denial, which fail on this code: a gateway that lost control (404, 401), one that starts with the document of a replica that has not caught up (404, 401), a document that is known to be on its way (404, 401), limits of no document or of one that may be outdated (431, 431, 413), and an entry that doesn't know whether its configuration is the newest (401, 404, 400).

--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -34,6 +34,7 @@
 from gooseberrydale.request.retry import RetryBudget
 from gooseberrydale.request.startup_grace import TICK_S, StartupGrace
 from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.confirmed_revision import ConfirmedRevision
 from gooseberrydale.version.directory import Directory, new_incarnation
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.quotas.quota import Quota
@@ -68,6 +69,7 @@
         self._rng = rng if rng is not None else random.SystemRandom()
         self._rpc = RpcServer(self._cfg.rpc, self._token, self._tls)
         incarnation = new_incarnation(time.time_ns(), self._rng)
+        self.confirmed = ConfirmedRevision()
         self._mesh = Mesh(
             cfg,
             ENTRY_ROLE,
@@ -78,6 +80,7 @@
             incarnation,
             rng=self._rng,
             ended_incarnations=self.ended_incarnations,
+            confirmed=self.confirmed,
         )
         self._mesh.register(self._rpc)
         self._quotas_config = self.store.config
--- a/tests/builders_entry.py
+++ b/tests/builders_entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import pathlib
 import random
 import tempfile
@@ -290,15 +291,23 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    *fakes: FakeSidecar, config: Config | None = None, **entry: Any
+    *fakes: FakeSidecar,
+    config: Config | None = None,
+    is_current: bool = True,
+    **entry: Any,
 ) -> AsyncIterator[Entry]:
-    """Run an entry that has the records of ``fakes``, and the fakes."""
+    """Run an entry that has the records of ``fakes``, and the fakes.
+
+    Unless it ``is_current``, it doesn't know whether ``config`` is the newest.
+    """
     for fake in fakes:
         await fake.start()
     started = Entry(make_cfg(**entry), random.Random(next(_seeds)))
     await started.start()
     try:
         started.store.offer(config if config is not None else make_config())
+        if is_current:
+            started.confirmed.confirm(started.store.revision, math.inf)
         announce(started, *fakes)
         yield started
     finally:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -19,6 +19,7 @@
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import Problem
 from gooseberrydale.process.cfg import Cfg, FleetCfg, GatewayCfg, MetricsCfg, NodeCfg
+from gooseberrydale.process.gateway.declared_store import DecodeDocument
 from gooseberrydale.process.gateway.gateway import Dialect, Gateway
 from gooseberrydale.process.gateway.store_follower import FollowReply
 from gooseberrydale.request.gateway_call import (
@@ -306,12 +307,16 @@
     gossip: str = "",
     just_started: bool = False,
     observes_delay: bool = False,
+    decode: DecodeDocument | None = None,
+    is_current: bool = True,
     **settings: Any,
 ) -> AsyncIterator[Gateway]:
     """Run a gateway with raw upstreams; it uses control only if ``controls`` is set.
 
     Unless it has ``just_started``, it has the retries of one that has run for long.
     Unless it ``observes_delay``, it takes connections on a busy machine as well.
+    ``decode`` is for documents other than ``document``.  Unless it ``is_current``, the
+    gateway doesn't know whether ``document`` is the newest.
     """
     cfg = Cfg(
         node=NodeCfg(name),
@@ -325,7 +330,8 @@
             **settings,
         ),
     )
-    dialect = Dialect(PlainWire(), lambda _: Ok(document or declared()), NoStore())
+    decode = decode or (lambda _: Ok(document or declared()))
+    dialect = Dialect(PlainWire(), decode, NoStore())
     gateway = Gateway(cfg, dialect)
     for upstream in upstreams:
         await upstream.start()
@@ -340,6 +346,8 @@
         gateway.directory.offer(announced, loop.time())
     if document is not None:
         gateway.store.offer(Config(revision=1, document=Document(1, b"{}")))
+        if is_current:
+            gateway.confirmed.confirm(1, math.inf)
         await asyncio.sleep(0.01)
     try:
         yield gateway
--- a/tests/builders_open_group.py
+++ b/tests/builders_open_group.py
@@ -124,6 +124,15 @@
         await self._add(address, tuple(self.replicas)[-3:], first=False)
         await until(lambda: gone not in self.voters() and self.newest_is_caught_up())
 
+    async def stop(self, *addresses: str) -> None:
+        """Stop replicas; their disks are kept."""
+        for address in addresses:
+            await self.replicas.pop(address).control.close()
+
+    async def restart(self, address: str) -> None:
+        """Start a replica that was stopped, with its disk."""
+        await self._add(address, self.seeds, first=False)
+
     def voters(self) -> set[str]:
         """The names of the voters, as the newest replica knows them."""
         return {member.name for member in status_of(self.newest).members}
--- /dev/null
+++ b/tests/test_proper_requests.py
@@ -0,0 +1,218 @@
+"""Proper requests are not turned away by a process that may be out of date.
+
+The documents of these tests declare one more route and one more key with each number.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import pathlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import httpx2
+import pytest
+from result import Ok, Result
+
+from gooseberrydale.errors import Problem
+from gooseberrydale.process.gateway.gateway import Gateway
+from gooseberrydale.version.declarations import Config, Document
+from gooseberrydale.version.declared import CallerLimits, Declared, KeyHolder
+from tests.builders_entry import KEY_A, KEY_B, running
+from tests.builders_gateway import (
+    RawUpstream,
+    ReceivedAnswer,
+    Writer,
+    answer_bytes,
+    call,
+    declared,
+    json_body,
+    route,
+    running_gateway,
+)
+from tests.builders_open_group import OpenGroup, until
+from tests.sidecar_harness import run
+
+OUTDATED_AFTER_S = 4.5
+"""A change is in force everywhere within 4 s; what is older may be out of date."""
+
+
+def decode(body: bytes) -> Result[Declared, Problem]:
+    """Return the document whose number ends ``body``."""
+    number = int(body.split()[-1])
+    numbers = range(1, number + 1)
+    return Ok(
+        declared(
+            *(route(name=f"r{n}", path_prefix=f"/r{n}/") for n in numbers),
+            number=number,
+            workspaces=(KeyHolder("a", tuple(f"key-{n}" for n in numbers)),),
+        )
+    )
+
+
+async def answer(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    writer.write(answer_bytes(req["id"], b"done"))
+
+
+@asynccontextmanager
+async def gateway_of(group: OpenGroup) -> AsyncIterator[Gateway]:
+    """Run a gateway whose settings list the first replicas of ``group``."""
+    upstream = RawUpstream("u1", answer)
+    async with running_gateway(
+        None, upstream, controls=group.seeds, decode=decode
+    ) as gateway:
+        yield gateway
+
+
+def document_of(gateway: Gateway) -> int:
+    document = gateway.store.config.document
+    return 0 if document is None else document.number
+
+
+Send = Callable[[Gateway, int], Awaitable[ReceivedAnswer]]
+
+
+async def ask(gateway: Gateway, number: int) -> ReceivedAnswer:
+    """Send a request on the route and with the key of document ``number``."""
+    return await call(gateway, f"/r{number}/1", key=f"key-{number}")
+
+
+async def ask_with_new_key(gateway: Gateway, number: int) -> ReceivedAnswer:
+    """Send a request on an old route, with the key of document ``number``."""
+    return await call(gateway, "/r1/1", key=f"key-{number}")
+
+
+def assert_to_be_sent_elsewhere(got: ReceivedAnswer) -> None:
+    """Check that the answer says that the request has not run, and when to retry."""
+    assert got.status == 503
+    assert json_body(got)["error"]["not_run"] is True
+    assert float(got.headers["retry-after"]) > 0
+
+
+@pytest.mark.parametrize("send", [ask, ask_with_new_key])
+def test_a_gateway_that_is_out_of_date_does_not_deny_new_routes_and_keys(
+    tmp_path: pathlib.Path, send: Send
+) -> None:
+    """Guards against denials by a process that has no session to a replica."""
+
+    async def main() -> None:
+        group = await OpenGroup.start(tmp_path, 3)
+        async with gateway_of(group) as gateway:
+            await until(lambda: group.newest.declare_document(1))
+            await until(lambda: document_of(gateway) == 1)
+            assert (await ask(gateway, 1)).status == 200
+            await group.close()
+            await asyncio.sleep(OUTDATED_AFTER_S)
+            assert_to_be_sent_elsewhere(await send(gateway, 2))
+            # What the last document allows is still served.
+            assert (await ask(gateway, 1)).status == 200
+
+    run(main())
+
+
+@pytest.mark.parametrize("send", [ask, ask_with_new_key])
+def test_a_gateway_that_starts_with_an_old_document_does_not_deny_what_is_newer(
+    tmp_path: pathlib.Path, send: Send
+) -> None:
+    """Guards against denials by the document of a replica that has not caught up."""
+
+    async def main() -> None:
+        group = await OpenGroup.start(tmp_path, 3)
+        await until(lambda: group.newest.declare_document(1))
+        behind, *others = group.seeds
+        await group.stop(behind)
+        await until(lambda: group.newest.declare_document(2))
+        await group.stop(*others)
+        await group.restart(behind)
+        async with gateway_of(group) as gateway:
+            await until(lambda: document_of(gateway) == 1)
+            assert_to_be_sent_elsewhere(await send(gateway, 2))
+            await group.restart(others[0])
+            await until(lambda: document_of(gateway) == 2)
+            assert (await send(gateway, 2)).status == 200
+        await group.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("send", [ask, ask_with_new_key])
+def test_a_request_waits_for_the_document_that_declares_its_route_or_key(
+    send: Send,
+) -> None:
+    """Guards against denials while a document is known to be on its way."""
+
+    async def main() -> None:
+        upstream = RawUpstream("u1", answer)
+        async with running_gateway(None, upstream, decode=decode) as gateway:
+            gateway.store.offer(Config(revision=2, document=Document(2, b"2")))
+            gateway.confirmed.confirm(2, math.inf)
+            await until(lambda: document_of(gateway) == 2)
+            gateway.confirmed.report(3)
+            sent = asyncio.create_task(send(gateway, 3))
+            await asyncio.sleep(0.1)
+            gateway.store.offer(Config(revision=3, document=Document(3, b"3")))
+            assert (await sent).status == 200
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    ("document", "body", "extra"),
+    [
+        (None, b"", "X-Long: " + "x" * 20_000),
+        (
+            declared(limits=CallerLimits(head_bytes=1_000)),
+            b"",
+            "X-Long: " + "x" * 2_000,
+        ),
+        (declared(limits=CallerLimits(body_bytes=1_000)), b"x" * 2_000, ""),
+    ],
+    ids=["head without a document", "head", "body"],
+)
+def test_limits_that_may_be_out_of_date_deny_nothing(
+    document: Declared | None, body: bytes, extra: str
+) -> None:
+    """Guards against denials of heads and bodies by default or outdated limits."""
+
+    async def main() -> None:
+        async with running_gateway(document, is_current=False) as gateway:
+            got = await call(gateway, body=body, extra=extra)
+            assert_to_be_sent_elsewhere(got)
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "model"),
+    [
+        ("/v1/chat/completions", "new-key", "lots"),
+        ("/v1/chat/completions", KEY_A, "new-profile"),
+        ("/v1/chat/completions", KEY_A, "bids"),
+        ("/services/new-profile/x", KEY_A, ""),
+        ("/services/bids/x", KEY_B, ""),
+        ("/v1/models/new-profile", KEY_A, None),
+    ],
+)
+def test_an_entry_that_may_be_out_of_date_does_not_deny_what_it_does_not_know(
+    path: str, key: str, model: str | None
+) -> None:
+    """Guards against denials by a configuration that came from a peer or long ago."""
+
+    async def main() -> None:
+        async with running(is_current=False) as entry:
+            async with httpx2.AsyncClient(trust_env=False) as client:
+                got = await client.request(
+                    "GET" if model is None else "POST",
+                    f"http://{entry.addresses['http']}{path}",
+                    headers={"authorization": f"Bearer {key}"},
+                    json={
+                        "model": model,
+                        "messages": [{"role": "user", "content": "?"}],
+                    },
+                )
+                assert got.status_code == 503
+                assert got.json()["error"]["not_run"] is True
+                assert float(got.headers["retry-after"]) > 0
+
+    run(main())
