Deny a request only by a configuration that is known to be current

What callers saw: proper requests answered 404, 401, 400, 413 or 431 by processes whose configuration was out of date, so that clients gave up instead of sending them elsewhere.

Cause: a gateway or an entry denied what its configuration doesn't allow, also if it could not know that this was the newest one: it had lost control, its document came from a replica that had not caught up, a newer one was known and on its way, or it had none and applied default limits.

Change: a denial that the configuration decides needs a confirmation that is no older than config_bound_s, the time in which a change is in force everywhere. Without one, a request with a deadline waits up to 0.5 s while a session to control is open, and is served if a newer document allows it; else it is answered 503 config_unconfirmed, not run, to be retried. This holds for routes, keys, and limits on heads and bodies at gateways, and for keys and profiles at entries. What the configuration allows is served as before.

Why it works: the confirmation is dated by the bound of the message's age, so that a delayed message, a frozen process or a replica that is cut off from its leader can't renew it.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -142,6 +142,12 @@
     503,
     "This entry has no configuration yet; retry after the given time.",
 )
+CONFIG_UNCONFIRMED = ErrorKind(
+    "config_unconfirmed",
+    503,
+    "The configuration in force here doesn't allow this request, but it may be out of"
+    " date; send the request again after the given time, or to another process.",
+)
 STREAM_HANDED_OVER = ErrorKind(
     "stream_handed_over",
     503,
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -81,7 +81,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryCfg:
-    """Listeners and limits of an entry."""
+    """Listeners and limits of an entry.
+
+    A request that the configuration doesn't allow is denied only if that was known to
+    be the newest one within the last ``config_bound_s``.
+    """
 
     http: str = "127.0.0.1:8080"
     rpc: str = "127.0.0.1:8081"
@@ -92,6 +96,7 @@
     silence_s: float = 3.0
     retry_ratio: float = 0.2
     policy: str = "affinity"
+    config_bound_s: float = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,15 +114,17 @@
 
     ``gossip`` receives the datagrams in which other gateways report their work.
     A request may be started on outdated weights for at most ``weights_bound_s`` after
-    newer ones were named.  If a control replica runs on the same machine, the process
-    starts to load ``start_after_s`` later: all gateways wait for the document from
-    control, and loading both takes 0.9 s of CPU time.  ``link_mbps`` is the bandwidth
-    of the node in Mbit/s, 0 if unknown: the gateways with most of it relay the events
-    of KV cache stores to the others.  ``max_fds`` and ``memory_mb`` are the descriptors
-    and the memory that the process may use, 0 if unknown.  New connections are closed
-    unread while one of these three is nearly used up.  A gateway with a ``data_dir``
-    stores there where streams began, so that they can go on after all gateways were
-    killed.
+    newer ones were named.  A change of the configuration is in force within
+    ``config_bound_s``: a request that the document doesn't allow is denied only if that
+    was known to be the newest one within this time.  If a control replica runs on the
+    same machine, the process starts to load ``start_after_s`` later: all gateways wait
+    for the document from control, and loading both takes 0.9 s of CPU time.
+    ``link_mbps`` is the bandwidth of the node in Mbit/s, 0 if unknown: the gateways
+    with most of it relay the events of KV cache stores to the others.  ``max_fds`` and
+    ``memory_mb`` are the descriptors and the memory that the process may use, 0 if
+    unknown.  New connections are closed unread while one of these three is nearly used
+    up.  A gateway with a ``data_dir`` stores there where streams began, so that they
+    can go on after all gateways were killed.
 
     With ``share_capacity``, requests that compete for too little capacity are ordered
     by rank and workspace over all gateways.  Without it, this applies to pools whose
@@ -134,6 +141,7 @@
     gateways: int = 8
     gossip: str = "127.0.0.1:8083"
     weights_bound_s: float = 8.0
+    config_bound_s: float = 4.0
     start_after_s: float = 0.0
     link_mbps: float = 0.0
     max_fds: int = 0
--- a/gooseberrydale/process/entry/app.py
+++ b/gooseberrydale/process/entry/app.py
@@ -76,7 +76,7 @@
             if profile.name == profile_name:
                 await _send_json(req, send, _model_object(profile))
                 return
-        raise ProblemError(problem(UNKNOWN_PROFILE, profile=profile_name))
+        raise calls.denied(problem(UNKNOWN_PROFILE, profile=profile_name))
 
     def endpoint(handler: Handler) -> _HandlerEndpoint:
         return _HandlerEndpoint(handler, instruments)
--- a/gooseberrydale/process/entry/call_handlers.py
+++ b/gooseberrydale/process/entry/call_handlers.py
@@ -13,6 +13,8 @@
 from starlette.types import Send
 
 from gooseberrydale.errors import (
+    CONFIG_UNCONFIRMED,
+    INVALID_KEY,
     NOT_READY,
     UNKNOWN_PROFILE,
     UNKNOWN_STREAM,
@@ -90,7 +92,22 @@
             raise ProblemError(problem(NOT_READY, retry_after_s=RETRY_AFTER_S))
         if self._keys.config is not self.config:
             self._keys = KeyIndex(self.config)
-        return _unwrap(self._keys.workspace(req.headers.get("authorization", "")))
+        workspace = self._keys.workspace(req.headers.get("authorization", ""))
+        if isinstance(workspace, Err) and workspace.err_value.code == INVALID_KEY.code:
+            raise self.denied(workspace.err_value)
+        return _unwrap(workspace)
+
+    def denied(self, refused: Problem) -> ProblemError:
+        """Return the error to raise if the configuration doesn't allow a request.
+
+        It is ``refused`` if that is known to be the newest configuration.  Otherwise a
+        newer one may allow the request.
+        """
+        age_s = self._deps.confirmed.age_s(self.config.revision, _now())
+        if age_s <= self._deps.cfg.config_bound_s:
+            return ProblemError(refused)
+        unconfirmed = problem(CONFIG_UNCONFIRMED, retry_after_s=RETRY_AFTER_S)
+        return ProblemError(unconfirmed)
 
     async def completion(self, req: Request, send: Send) -> None:
         """Run a chat or text completion.
@@ -201,11 +218,11 @@
     def _profile(self, workspace: Workspace, name: str, kind: ProfileKind) -> Profile:
         profile = self.config.profiles.get(name)
         if profile is None or not may_call(workspace, profile):
-            raise ProblemError(problem(UNKNOWN_PROFILE, profile=name))
+            raise self.denied(problem(UNKNOWN_PROFILE, profile=name))
         if profile.kind is not kind:
             is_service = profile.kind is ProfileKind.SERVICE
             path = f"/services/{name}/PATH" if is_service else CHAT_PATH
-            raise ProblemError(
+            raise self.denied(
                 problem(
                     WRONG_PROFILE_KIND, profile=name, kind=profile.kind.value, path=path
                 )
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -134,6 +134,7 @@
             node=self._node,
             fleet=self._fleet,
             store=self.store,
+            confirmed=self.confirmed,
             directory=self.directory,
             pool=self._pool,
             policy=make_policy(self._cfg.policy, self._rng),
--- a/gooseberrydale/process/explain.py
+++ b/gooseberrydale/process/explain.py
@@ -105,6 +105,8 @@
     " bandwidth and declined it; other gateways may have served it",
     "over_quota": "its workspace was over its quota",
     "not_ready": "the gateway had not received a document yet",
+    "config_unconfirmed": "the document in force didn't allow it, and the gateway could"
+    " not tell whether that was the newest one",
     "shutting_down": "the gateway was shutting down; another one is to run it",
     "no_declared_route": "the document in force has no route for it",
     "unknown_caller_key": "the document in force does not list its key",
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -9,13 +9,15 @@
 import asyncio
 import math
 import random
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
 
-from result import Err
+from result import Err, Ok, Result
 from starlette.types import Receive, Scope, Send
 
 from gooseberrydale.errors import (
     BODY_TOO_LARGE,
+    CONFIG_UNCONFIRMED,
     GATEWAY_OVERLOADED,
     NO_DECLARED_ROUTE,
     NO_ROOM,
@@ -69,6 +71,10 @@
 replica is up, the configuration arrives within this time; a refused caller would lose
 more."""
 
+CONFIRMATION_WAIT_S = 0.5
+"""How long a request waits until the document in force is known to be the newest.  Each
+session with control brings a confirmation every second."""
+
 
 class CallerDisconnectedError(Exception):
     """The caller has closed its connection before the answer was complete."""
@@ -86,6 +92,7 @@
     quotas: QuotaClient
     capacity: OwnCapacity
     metrics: RequestMetrics
+    control_connected: Callable[[], bool]
     rng: random.Random
 
 
@@ -163,17 +170,15 @@
             why = problem(NOT_READY, retry_after_s=NOT_READY_AFTER_S)
             await answer.refuse(why)
             return why.code
-        route = table.route(call.host, call.path)
-        holder = table.workspace(call.key)
-        refused = _refusal(table, call, route, holder)
-        if refused is not None:
-            await answer.refuse(refused)
-            return refused.code
-        assert route is not None
+        admitted = await self._admit(call, table)
+        if isinstance(admitted, Err):
+            await answer.refuse(admitted.err_value)
+            return admitted.err_value.code
+        table, route, holder = admitted.ok_value
         limit = table.declared.limits.body_bytes
         body = await self._read_body(limit)
         if body is None:
-            too_large = problem(BODY_TOO_LARGE, limit=limit)
+            too_large = self._denial(problem(BODY_TOO_LARGE, limit=limit))
             await answer.refuse(too_large, close=True)
             return too_large.code
         workspace = "" if route.public or holder is None else holder.name
@@ -234,8 +239,42 @@
         table = self._deps.declared.table
         if table is not None:
             return table
-        max_wait_s = (call.wait_s or 0.0) * REMAINING_TIME_FRACTION
-        return await self._deps.declared.wait(min(STARTUP_WAIT_S, max_wait_s))
+        return await self._deps.declared.wait(min(STARTUP_WAIT_S, _max_wait_s(call)))
+
+    async def _admit(
+        self, call: CallerRequest, table: RouteTable
+    ) -> Result[tuple[RouteTable, Route, KeyHolder | None], Problem]:
+        """Return the table that allows the request, with its route and workspace.
+
+        A request that the document in force doesn't allow waits briefly until that is
+        known to be the newest, or until a newer one allows it.
+        """
+        declared = self._deps.declared
+        loop = asyncio.get_running_loop()
+        wait_until = loop.time() + min(CONFIRMATION_WAIT_S, _max_wait_s(call))
+        while True:
+            route = table.route(call.host, call.path)
+            holder = table.workspace(call.key)
+            refused = _refusal(table, call, route, holder)
+            if refused is None:
+                assert route is not None
+                return Ok((table, route, holder))
+            left_s = wait_until - loop.time()
+            if (
+                declared.is_current
+                or left_s <= 0.0
+                or not self._deps.control_connected()
+                or not await declared.wait_change(left_s)
+            ):
+                return Err(self._denial(refused))
+            assert declared.table is not None
+            table = declared.table
+
+    def _denial(self, refused: Problem) -> Problem:
+        """Return ``refused`` if the document that decided it is known to be current."""
+        if self._deps.declared.is_current:
+            return refused
+        return problem(CONFIG_UNCONFIRMED, retry_after_s=NOT_READY_AFTER_S)
 
     def _route_request(
         self,
@@ -370,6 +409,11 @@
         return max(0.0, round((moment - self._arrived_at) * MS_PER_S, 1))
 
 
+def _max_wait_s(call: CallerRequest) -> float:
+    """How long a request may wait for the configuration; 0 if it has no deadline."""
+    return (call.wait_s or 0.0) * REMAINING_TIME_FRACTION
+
+
 def _refusal(
     table: RouteTable,
     call: CallerRequest,
--- a/gooseberrydale/process/gateway/declared_store.py
+++ b/gooseberrydale/process/gateway/declared_store.py
@@ -27,15 +27,22 @@
     """Follows the configuration; ``table`` is None until the first document arrives."""
 
     def __init__(
-        self, store: ConfigStore, decode: DecodeDocument, confirmed: ConfirmedRevision
+        self,
+        store: ConfigStore,
+        decode: DecodeDocument,
+        confirmed: ConfirmedRevision,
+        bound_s: float,
     ) -> None:
         self._store = store
         self._confirmed = confirmed
+        self._bound_s = bound_s
         self._decode = decode
         self._number = 0
         self._task: asyncio.Task[None] | None = None
         self.table: RouteTable | None = None
         self._arrived = asyncio.Event()
+        self._changed = asyncio.Event()
+        confirmed.subscribe(self._notify)
 
     @property
     def confirmed_age_s(self) -> float:
@@ -49,6 +56,24 @@
         now = asyncio.get_running_loop().time()
         return self._confirmed.age_s(config.revision, now)
 
+    @property
+    def is_current(self) -> bool:
+        """Whether nothing newer than the document in force can bind this process.
+
+        A newer one may have been committed since the last confirmation, but is not yet
+        due to be in force everywhere.
+        """
+        return self.confirmed_age_s <= self._bound_s
+
+    async def wait_change(self, timeout_s: float) -> bool:
+        """Wait for a document or a confirmation; return False after ``timeout_s``."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def wait(self, timeout_s: float) -> RouteTable | None:
         """Return the declarations; wait up to ``timeout_s`` if none have arrived."""
         try:
@@ -84,4 +109,9 @@
                 previous, self._number = self._number, number
                 self.table = RouteTable(declared.unwrap())
                 self._arrived.set()
+                self._notify()
                 emit(DocumentInForce(number, previous))
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- a/gooseberrydale/process/gateway/front_protocol.py
+++ b/gooseberrydale/process/gateway/front_protocol.py
@@ -10,18 +10,25 @@
 from collections.abc import Callable
 from typing import Any
 
+from gooseberrydale.errors import CONFIG_UNCONFIRMED, Problem, problem
 from gooseberrydale.process.connection_gate import ConnectionGate
 from gooseberrydale.process.gateway.app import TARGET
 from gooseberrydale.process.gateway.slow_readers import SlowReaders
 from gooseberrydale.process.http_protocol import BoundedHttpProtocol
+from gooseberrydale.request.retry_after import NOT_READY_AFTER_S
 from gooseberrydale.version.declared import CallerLimits
 
 
 def front_protocol(
-    limits: Callable[[], CallerLimits], gate: ConnectionGate, readers: SlowReaders
+    limits: Callable[[], CallerLimits],
+    is_current: Callable[[], bool],
+    gate: ConnectionGate,
+    readers: SlowReaders,
 ) -> type[BoundedHttpProtocol]:
     """Return a protocol class that takes its limits from ``limits``.
 
+    ``is_current`` is whether these are known to be the newest ones that are declared.
+
     Connections that ``gate`` doesn't take are closed unread.  What callers do not read
     of their answers is watched by ``readers``.
     """
@@ -63,6 +70,12 @@
             """Maximum size of a request's head in bytes."""
             return limits().head_bytes
 
+        def head_too_large(self) -> Problem:
+            """Return the error for a head over the limit, which may be outdated."""
+            if is_current():
+                return super().head_too_large()
+            return problem(CONFIG_UNCONFIRMED, retry_after_s=NOT_READY_AFTER_S)
+
         @property
         def head_timeout_s(self) -> float:  # type: ignore[override]
             """Maximum seconds for receiving a head."""
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -184,7 +184,10 @@
         )
         self.confirmed = ConfirmedRevision()
         self._declared = DeclaredStore(
-            self.store, dialect.decode_document, self.confirmed
+            self.store,
+            dialect.decode_document,
+            self.confirmed,
+            cfg.gateway.config_bound_s,
         )
         self._named_weights = NamedWeights()
         self._conns = HttpPool()
@@ -334,10 +337,16 @@
                 if self.metrics is None
                 else RecordedMetrics(self.metrics)
             ),
+            control_connected=lambda: self._mesh.control_connected,
             rng=self._rng,
         )
         self._app = GatewayApp(deps)
-        protocol = front_protocol(self._limits, self._gate, self._readers)
+        protocol = front_protocol(
+            self._limits,
+            lambda: self._declared.is_current,
+            self._gate,
+            self._readers,
+        )
         self._front = HttpServer(self._app, self._cfg.http, TlsCfg(), protocol)
         self._ready = HttpServer(self._serve_readiness, self._cfg.ready, TlsCfg())
         self._prober = Prober(self._upstreams, self._gossip.changed)
--- a/gooseberrydale/process/http_protocol.py
+++ b/gooseberrydale/process/http_protocol.py
@@ -41,7 +41,12 @@
 HEAD_TIMEOUT_S = 10.0
 FIRST_BYTE_TIMEOUT_S = 75.0
 
-STATUS_TEXTS = {400: "Bad Request", 408: "Request Timeout", 431: "Head Too Large"}
+STATUS_TEXTS = {
+    400: "Bad Request",
+    408: "Request Timeout",
+    431: "Head Too Large",
+    503: "Service Unavailable",
+}
 
 
 class _Reading(IntEnum):
@@ -102,6 +107,10 @@
         self._parse(data)
         self._count_unreported(len(data), before)
 
+    def head_too_large(self) -> Problem:
+        """Return the error for a head over the limit."""
+        return problem(HEAD_TOO_LARGE, limit=self.head_bytes)
+
     def on_message_begin(self) -> None:
         """Start the timer and the byte count of a new head."""
         super().on_message_begin()
@@ -205,7 +214,7 @@
     def _count_head_bytes(self, size: int) -> None:
         self._received_head_bytes += size
         if self._received_head_bytes > self.head_bytes:
-            self._refuse(problem(HEAD_TOO_LARGE, limit=self.head_bytes))
+            self._refuse(self.head_too_large())
 
     def _count_unreported(self, size: int, before: _Reading) -> None:
         """Count bytes of which the parser has reported nothing.
@@ -217,7 +226,7 @@
             return
         self._unreported_bytes += size
         if self._unreported_bytes > self.head_bytes:
-            self._refuse(problem(HEAD_TOO_LARGE, limit=self.head_bytes))
+            self._refuse(self.head_too_large())
 
     def _refuse(self, reason: Problem) -> None:
         """Answer the current request with an error and close the connection."""
@@ -235,12 +244,15 @@
         emit(HeadRefused(reason.code, reason.status))
         request_id = uuid.uuid4().hex
         body = msgspec.json.encode(error_object(reason, request_id))
-        head = (
-            f"HTTP/1.1 {reason.status} {STATUS_TEXTS[reason.status]}\r\n"
-            "content-type: application/json\r\n"
-            f"content-length: {len(body)}\r\n"
-            f"x-request-id: {request_id}\r\n"
-            "connection: close\r\n\r\n"
-        )
+        lines = [
+            f"HTTP/1.1 {reason.status} {STATUS_TEXTS[reason.status]}",
+            "content-type: application/json",
+            f"content-length: {len(body)}",
+            f"x-request-id: {request_id}",
+            "connection: close",
+        ]
+        if reason.retry_after_s is not None:
+            lines.append(f"retry-after: {reason.retry_after_s:.3f}")
+        head = "\r\n".join((*lines, "", ""))
         self.transport.write(head.encode() + body)
         self._draining.begin()
--- a/gooseberrydale/process/losses.py
+++ b/gooseberrydale/process/losses.py
@@ -48,6 +48,7 @@
     QUEUED = "queued behind others"
     PREFIX_RECOMPUTED = "prefix computed anew"
     NOT_READY = "no configuration yet"
+    CONFIG_UNCONFIRMED = "its configuration might have been out of date"
     INSTANCE_GONE = "instance gone"
     SERVICE = "the service itself failed"
     OVER_QUOTA = "its workspace was over its quota"
@@ -75,6 +76,7 @@
 )
 _CAUSE_BY_OUTCOME = {
     "not_ready": Cause.NOT_READY,
+    "config_unconfirmed": Cause.CONFIG_UNCONFIRMED,
     "shutting_down": Cause.INSTANCE_GONE,
     "no_upstream": Cause.INSTANCE_GONE,
     "not_sent": Cause.INSTANCE_GONE,
@@ -104,7 +106,7 @@
 _REFUSALS = frozenset(
     {
         *_CAPACITY_OUTCOMES,
-        *("not_ready", "shutting_down", "no_upstream", "refused"),
+        *("not_ready", "config_unconfirmed", "shutting_down", "no_upstream", "refused"),
         *("over_quota", "unknown_origin", "software_gone"),
         *("ends_upstreams", "part_ends_upstreams"),
     }
--- a/gooseberrydale/request/deps.py
+++ b/gooseberrydale/request/deps.py
@@ -14,6 +14,7 @@
 from gooseberrydale.request.routing import Policy
 from gooseberrydale.request.startup_grace import StartupGrace
 from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.confirmed_revision import ConfirmedRevision
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
 
@@ -30,6 +31,7 @@
     node: NodeCfg
     fleet: FleetCfg
     store: ConfigStore
+    confirmed: ConfirmedRevision
     directory: Directory
     pool: ChannelPool
     policy: Policy
--- a/tests/builders_memory_roles.py
+++ b/tests/builders_memory_roles.py
@@ -42,6 +42,7 @@
 from gooseberrydale.request.runner import Runner
 from gooseberrydale.request.startup_grace import StartupGrace
 from gooseberrydale.version.config_store import ConfigStore
+from gooseberrydale.version.confirmed_revision import ConfirmedRevision
 from gooseberrydale.version.control_state import ControlState
 from gooseberrydale.version.directory import Directory
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
@@ -235,6 +236,7 @@
             node=NodeCfg(name),
             fleet=FleetCfg(Path("unused")),
             store=self.store,
+            confirmed=ConfirmedRevision(),
             directory=self.directory,
             pool=pool,
             policy=make_policy("affinity", random.Random(net.rng.random())),
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -135,6 +135,11 @@
         Cause.BEHIND_URGENT,
     ),
     "no document": (ended("not_ready", sends=[]), Loss.REFUSED, Cause.NOT_READY),
+    "configuration unconfirmed": (
+        ended("config_unconfirmed", sends=[]),
+        Loss.REFUSED,
+        Cause.CONFIG_UNCONFIRMED,
+    ),
     "no upstream": (ended("no_upstream", sends=[]), Loss.REFUSED, Cause.INSTANCE_GONE),
     "service failed": (ended("failed"), Loss.FAILED, Cause.SERVICE),
     "stream cut": (ended("broken", 50.0), Loss.FAILED, Cause.INSTANCE_GONE),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -524,6 +524,7 @@
     "{{bounds.budgetSlack}}": "62",
     "{{bounds.budgetWindowS}}": "12",
     "{{bounds.leaseMs}}": "3000",
+    "{{bounds.configApplyMs}}": "2000",
     "{{bounds.versionMs}}": "8000",
     "{{limits.linkMbps}}": "1000.0",
     "{{limits.maxFds}}": "4100",
--- a/tests/test_proper_requests.py
+++ b/tests/test_proper_requests.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import pathlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -17,9 +16,9 @@
 
 from gooseberrydale.errors import Problem
 from gooseberrydale.process.gateway.gateway import Gateway
-from gooseberrydale.version.declarations import Config, Document
 from gooseberrydale.version.declared import CallerLimits, Declared, KeyHolder
 from tests.builders_entry import KEY_A, KEY_B, running
+from tests.builders_files import free_address
 from tests.builders_gateway import (
     RawUpstream,
     ReceivedAnswer,
@@ -31,11 +30,14 @@
     route,
     running_gateway,
 )
-from tests.builders_open_group import OpenGroup, until
+from tests.builders_open_group import TIMEOUT_S, OpenGroup, until
 from tests.sidecar_harness import run
 
-OUTDATED_AFTER_S = 4.5
-"""A change is in force everywhere within 4 s; what is older may be out of date."""
+IN_FORCE_S = 4.0
+"""A change is in force everywhere within this time."""
+
+OUTDATED_AFTER_S = IN_FORCE_S + 0.5
+"""A process that has heard of no change for this long may be out of date."""
 
 
 def decode(body: bytes) -> Result[Declared, Problem]:
@@ -75,12 +77,12 @@
 
 async def ask(gateway: Gateway, number: int) -> ReceivedAnswer:
     """Send a request on the route and with the key of document ``number``."""
-    return await call(gateway, f"/r{number}/1", key=f"key-{number}")
+    return await call(gateway, f"/r{number}/1", key=f"key-{number}", extra="Wait: 2")
 
 
 async def ask_with_new_key(gateway: Gateway, number: int) -> ReceivedAnswer:
     """Send a request on an old route, with the key of document ``number``."""
-    return await call(gateway, "/r1/1", key=f"key-{number}")
+    return await call(gateway, "/r1/1", key=f"key-{number}", extra="Wait: 2")
 
 
 def assert_to_be_sent_elsewhere(got: ReceivedAnswer) -> None:
@@ -108,7 +110,28 @@
             # What the last document allows is still served.
             assert (await ask(gateway, 1)).status == 200
 
-    run(main())
+    run(main(), TIMEOUT_S)
+
+
+@pytest.mark.parametrize("send", [ask, ask_with_new_key])
+def test_new_routes_and_keys_are_served_after_all_controls_were_replaced(
+    tmp_path: pathlib.Path, send: Send
+) -> None:
+    """Guards against denials by a process that knows only the first replicas."""
+
+    async def main() -> None:
+        group = await OpenGroup.start(tmp_path, 4)
+        async with gateway_of(group) as gateway:
+            await until(lambda: group.newest.declare_document(1))
+            await until(lambda: document_of(gateway) == 1)
+            for _ in range(4):
+                await group.replace_oldest(free_address())
+            await until(lambda: group.newest.declare_document(2))
+            await asyncio.sleep(IN_FORCE_S)
+            assert (await send(gateway, 2)).status == 200
+        await group.close()
+
+    run(main(), TIMEOUT_S)
 
 
 @pytest.mark.parametrize("send", [ask, ask_with_new_key])
@@ -133,28 +156,28 @@
             assert (await send(gateway, 2)).status == 200
         await group.close()
 
-    run(main())
+    run(main(), TIMEOUT_S)
 
 
 @pytest.mark.parametrize("send", [ask, ask_with_new_key])
 def test_a_request_waits_for_the_document_that_declares_its_route_or_key(
-    send: Send,
+    tmp_path: pathlib.Path, send: Send
 ) -> None:
     """Guards against denials while a document is known to be on its way."""
 
     async def main() -> None:
-        upstream = RawUpstream("u1", answer)
-        async with running_gateway(None, upstream, decode=decode) as gateway:
-            gateway.store.offer(Config(revision=2, document=Document(2, b"2")))
-            gateway.confirmed.confirm(2, math.inf)
-            await until(lambda: document_of(gateway) == 2)
-            gateway.confirmed.report(3)
-            sent = asyncio.create_task(send(gateway, 3))
+        group = await OpenGroup.start(tmp_path, 3)
+        async with gateway_of(group) as gateway:
+            await until(lambda: group.newest.declare_document(1))
+            await until(lambda: document_of(gateway) == 1)
+            gateway.confirmed.report(gateway.store.revision + 1)
+            sent = asyncio.create_task(send(gateway, 2))
             await asyncio.sleep(0.1)
-            gateway.store.offer(Config(revision=3, document=Document(3, b"3")))
+            assert await group.newest.declare_document(2)
             assert (await sent).status == 200
+        await group.close()
 
-    run(main())
+    run(main(), TIMEOUT_S)
 
 
 @pytest.mark.parametrize(
@@ -180,7 +203,7 @@
             got = await call(gateway, body=body, extra=extra)
             assert_to_be_sent_elsewhere(got)
 
-    run(main())
+    run(main(), TIMEOUT_S)
 
 
 @pytest.mark.parametrize(
@@ -215,4 +238,4 @@
                 assert got.json()["error"]["not_run"] is True
                 assert float(got.headers["retry-after"]) > 0
 
-    run(main())
+    run(main(), TIMEOUT_S)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -88,7 +88,7 @@
         self.muted: set[str] = set()
         for name, stores in zip(self.names, self.stores, strict=True):
             source = DeclaredStore(  # type: ignore
-                ConfigStore(), lambda body: None, ConfirmedRevision()
+                ConfigStore(), lambda body: None, ConfirmedRevision(), 4.0
             )
             source.table = table
             peers = Peers(
