Let requests that are sent again to services take their turn

What callers saw: 502 for requests that a full upstream had refused as not executed, because their first send may have run.

Cause: a request that had failed at one upstream was sent to another one at once. While one upstream failed everything, the other one got all of it, beyond its slots and its queue.

Change: requests to services wait in the queue of their pool each time. Prompts that were sent before don't, as their callers may be reading the answer.

--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -193,7 +193,7 @@
         :class:`QuarantinedError` once this or another gateway has quarantined the
         request, also during the wait.
         """
-        if self._capacity is not None and not self._is_continued():
+        if self._capacity is not None and self._takes_turn():
             return await self._place_in_turn(self._capacity)
         while True:
             candidates = await self._usable_candidates()
@@ -217,10 +217,17 @@
             self._capacity.retries.began(job.pool.name, job.rank, _now())
         return Placement(record, chosen)
 
-    def _is_continued(self) -> bool:
-        """Whether the request was sent before, by this or another gateway."""
+    def _takes_turn(self) -> bool:
+        """Whether the request waits for its turn in the queue of its pool.
+
+        A prompt that was sent before, by this or another gateway, is sent without
+        waiting, as its caller may be reading the answer.  A service has no more slots
+        for requests that failed elsewhere.
+        """
+        if not self._demand.is_prompt:
+            return True
         resumed = self._job.call.last_event_id is not None
-        return bool(self.tried) or resumed or self.origin is not None
+        return not (self.tried or resumed or self.origin is not None)
 
     async def _place_in_turn(self, shared: SharedCapacity) -> Placement | None:
         """Return the upstream once it is the request's turn in the queue of its pool.
--- a/tests/test_broken_upstreams.py
+++ b/tests/test_broken_upstreams.py
@@ -5,6 +5,8 @@
 import asyncio
 import itertools
 
+import pytest
+
 from gooseberrydale.version.upstream_load import UpstreamLoad
 from tests.builders_endless import ENDLESS_FRAMING, OWN_ID
 from tests.builders_gateway import (
@@ -14,6 +16,7 @@
     answer_bytes,
     call,
     declared,
+    reset,
     route,
     running_gateway,
 )
@@ -21,6 +24,10 @@
 from tests.sidecar_harness import run
 
 SAFE = route(path_prefix="/safe/", repeatable=True, max_runs=2, name="safe")
+SLOTS = 6
+"""What the builder's records announce."""
+
+REQUESTS = 60
 SENT_EVERY_S = 0.01
 RUN_S = 0.2
 CALLERS = 8
@@ -34,6 +41,10 @@
         await writer.drain()
 
 
+async def break_off(req: dict[str, str], body: bytes, writer: Writer) -> None:
+    reset(writer)
+
+
 class Counted:
     """An upstream that counts how many requests it holds at the same time."""
 
@@ -100,3 +111,30 @@
                     await asyncio.sleep(SENT_EVERY_S)
 
     run(main(), 60.0)
+
+
+@pytest.mark.parametrize("script", [break_off, answer_endlessly])
+def test_requests_sent_again_wait_for_a_slot_as_others_do(script: Script) -> None:
+    """Guards against a sound upstream that gets all requests which failed elsewhere."""
+
+    async def main() -> None:
+        bad, counted = RawUpstream("u1", script), Counted()
+        sound = RawUpstream("u2", counted.answer)
+        async with running_gateway(
+            declared(SAFE), bad, sound, share_capacity=True
+        ) as gateway:
+
+            async def send(number: int) -> int:
+                await asyncio.sleep(number * SENT_EVERY_S)
+                got = await call(
+                    gateway, "/safe/1", request_id=f"r{number}", extra="Wait: 2"
+                )
+                return got.status
+
+            statuses = await asyncio.gather(*map(send, range(REQUESTS)))
+        assert counted.most <= SLOTS
+        # The slots are in use while requests arrive.
+        arrival_s = REQUESTS * SENT_EVERY_S
+        assert statuses.count(200) >= SLOTS / RUN_S * arrival_s
+
+    run(main(), 60.0)
