Soak: declare documents while control is replaced, and note denials

The soak of replaced controls declared one document, after the last fault, and asked only gateways in touch. It now declares one after another, each with a new route and a new key, and no gateway may deny a request of the newest one, whatever faults it has.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -98,8 +98,11 @@
     await asyncio.gather(*running)
 
 
-def known_seeds(gateways: bool = False, endless: bool = False) -> list[int]:
-    """Return the seeds that ever failed, with gateways or with entries.
+def known_seeds(
+    gateways: bool = False, endless: bool = False, controls: bool = False
+) -> list[int]:
+    """Return the seeds that ever failed, with gateways, with entries, or with
+    ``controls`` that are replaced.
 
     With ``endless``, only those with upstreams that answered without end.
     """
@@ -108,6 +111,7 @@
         int(entry["seed"])
         for entry in table.get("seeds", ())
         if entry.get("gateways", False) == gateways
+        and entry.get("controls", False) == controls
         and (entry.get("endless", False) or not endless)
     ]
 
@@ -125,7 +129,7 @@
     With ``gateways``, callers of several workspaces and ranks compete for upstreams;
     with ``controls``, all control replicas are replaced.
     """
-    chosen = known_seeds(gateways) if known else [seed]
+    chosen = known_seeds(gateways, controls=controls) if known else [seed]
     if not known and seed < 0:
         chosen = [random.SystemRandom().randrange(MAX_SEED) for _ in range(seeds)]
     failed = 0
--- a/soak/replaced_controls.py
+++ b/soak/replaced_controls.py
@@ -4,6 +4,8 @@
 an open group is replaced by an empty one at another address, by a kill or as planned.
 Gateways are suspended, or killed and started again with the settings of the first
 start, whose replicas are gone by the end.  Callers keep their connections open.
+Documents that add a route and a key are declared all the while: no gateway may deny a
+request that the newest one allows, whatever faults it has.
 """
 
 from __future__ import annotations
@@ -40,6 +42,12 @@
 
 CALL_INTERVAL_S = 0.05
 
+CHANGE_INTERVAL_S = 1.0
+"""Pause between two documents that are declared while there are faults."""
+
+DENIALS = frozenset({400, 401, 403, 404, 413, 431})
+"""Statuses that say that the request itself is wrong."""
+
 
 class ControlsEnvironment(GatewayEnvironment):
     """An open group of control replicas, gateways, and upstreams that announce."""
@@ -55,6 +63,7 @@
         self._version = 1
         self._faulted: set[str] = set()
         self.sent = 0
+        self.changes = 0
         self.failures: list[str] = []
 
     def add_controls(self, rpc: str) -> None:
@@ -71,9 +80,10 @@
 
     def settings_of_gateway(self, number: int) -> str:
         """Let the first gateway have a disk."""
+        bound = f"config_bound_s = {APPLY_S}\n"
         if number:
-            return ""
-        return f'data_dir = "{self._folder / "gateway-disk"}"\n'
+            return bound
+        return bound + f'data_dir = "{self._folder / "gateway-disk"}"\n'
 
     async def replace(self) -> None:
         """Replace the oldest replica."""
@@ -130,31 +140,51 @@
                     self.failures.append(f"{name} answered {status} undisturbed")
                 await asyncio.sleep(CALL_INTERVAL_S)
 
+    async def change_documents(self, stop: asyncio.Event) -> None:
+        """Declare documents until ``stop``; note requests that are then denied."""
+        while not stop.is_set():
+            statuses = await self._ask_by_new_document()
+            self.failures += [
+                f"{name} denied a request of document {self._version}: {status}"
+                for name, status in statuses.items()
+                if status in DENIALS
+            ]
+            self.changes += 1
+            await asyncio.sleep(CHANGE_INTERVAL_S)
+
     async def find_outdated(self) -> list[str]:
         """Declare another document; return the gateways that don't act by it."""
+        statuses = await self._ask_by_new_document()
+        return [
+            f"{name} answered {status} on a route of document {self._version}"
+            for name, status in statuses.items()
+            if status != httpx2.codes.OK
+        ]
+
+    async def _ask_by_new_document(self) -> dict[str, int | str]:
+        """Declare a document; return how gateways answer what only it allows."""
         self._version += 1
         await asyncio.to_thread(
             wait_until, self._declare, "no replica takes a document"
         )
         await asyncio.sleep(APPLY_S)
+        path, key = f"new-{self._version}/1", self._new_key()
         async with httpx2.AsyncClient(timeout=DEADLINE_S, trust_env=False) as client:
-            path = f"new-{self._version}/1"
-            statuses = {
-                name: await self._send(client, name, path, prefix="")
-                for name in self._fronts
-            }
-        return [
-            f"{name} answered {status} on a route of document {self._version}"
-            for name, status in statuses.items()
-            if status != httpx2.codes.OK
-        ]
+            answers = await asyncio.gather(
+                *(self._send(client, name, path, "", key) for name in self._fronts)
+            )
+        return dict(zip(self._fronts, answers, strict=True))
+
+    def _new_key(self) -> str:
+        return f"key-of-document-{self._version}"
 
     def document(self) -> dict[str, Any]:
-        """Return the document with a route that names its version."""
+        """Return the document with a route and a key that name its version."""
         document = super().document()
         route, name = document["routes"][0], f"new-{self._version}"
         added = {**route, "name": name, "pathPrefix": f"/{name}/"}
         document["routes"].append(added)
+        document["tenants"][0]["apiKeys"].append(self._new_key())
         return document | {"version": self._version}
 
     def post(self, path: str, body: dict[str, Any]) -> bool:
@@ -174,9 +204,15 @@
         yield from self.failures[:5]
 
     async def _send(
-        self, client: httpx2.AsyncClient, name: str, path: str, prefix: str = "urgent/"
+        self,
+        client: httpx2.AsyncClient,
+        name: str,
+        path: str,
+        prefix: str = "urgent/",
+        key: str = "",
     ) -> int | str:
-        headers = {"host": HOST, "x-api-key": api_key(self.workspaces[0])}
+        key = key or api_key(self.workspaces[0])
+        headers = {"host": HOST, "x-api-key": key}
         headers["x-request-id"] = f"{name}-{path}-{self._rng.random()}".replace(
             "/", "-"
         )
@@ -218,8 +254,9 @@
 
 async def run_faults(environment: ControlsEnvironment, rng: random.Random) -> list[str]:
     """Replace all replicas beside faults of gateways; return what broke."""
-    stop = asyncio.Event()
+    stop, settled = asyncio.Event(), asyncio.Event()
     names = list(environment.gateways)
+    changes = asyncio.create_task(environment.change_documents(settled))
     calls = [asyncio.create_task(environment.call(name, stop)) for name in names]
     try:
         for _ in range(REPLACEMENTS):
@@ -227,11 +264,14 @@
             await asyncio.gather(
                 environment.replace(), *map(environment.disturb, disturbed)
             )
+        settled.set()
+        await changes
         await asyncio.sleep(TOUCH_S)
         return await environment.find_outdated()
     finally:
         stop.set()
-        await asyncio.gather(*calls)
+        settled.set()
+        await asyncio.gather(changes, *calls)
 
 
 def run_controls_seed(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
@@ -244,7 +284,8 @@
         running = load.start(run_faults(environment, rng))
         outdated = running.result(300.0)
         replaced = f"{REPLACEMENTS} replicas replaced"
-        print(f"seed {seed}: {environment.sent} requests, {replaced}", flush=True)
+        sent = f"{environment.sent} requests, {environment.changes} documents"
+        print(f"seed {seed}: {sent}, {replaced}", flush=True)
         return [*outdated, *environment.find_faults()]
     finally:
         environment.close()
