Let only the leader of control say that a name does not exist

Operators that asked a replica which lacked the newest change for a profile or a workspace got 404 for one that had just been declared. A replica that doesn't lead now answers not_leader, and the operators' client asks the next one, as it does for changes.

Test: followers answered unknown_name before.

--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -203,7 +203,7 @@
 
     async def _profile(self, request: Request, _operator: str) -> Response:
         profile = self._state.config.profiles.get(request.path_params["name"])
-        return _lookup_response("profile", request, profile)
+        return self._lookup_response("profile", request, profile)
 
     async def _workspaces(self, _request: Request, _operator: str) -> Response:
         config = self._state.config
@@ -212,7 +212,16 @@
 
     async def _workspace(self, request: Request, _operator: str) -> Response:
         workspace = self._state.config.workspaces.get(request.path_params["name"])
-        return _lookup_response("workspace", request, workspace)
+        return self._lookup_response("workspace", request, workspace)
+
+    def _lookup_response(self, what: str, request: Request, value: Any) -> Response:
+        """Return what was found; only the leader knows that a name doesn't exist."""
+        if value is not None:
+            return json_response(views.to_builtins(value))
+        refused = self._commit.refuse_if_not_leading()
+        name = request.path_params["name"]
+        unknown = problem(UNKNOWN_NAME, what=what, name=name)
+        return problem_response(unknown if refused is None else refused)
 
     async def _list_upstreams(self, _request: Request, _operator: str) -> Response:
         leaving = self._state.config.leaving
@@ -434,13 +443,6 @@
     return json_response({"revision": reply.revision, "dry_run": dry_run})
 
 
-def _lookup_response(what: str, request: Request, value: Any) -> Response:
-    if value is None:
-        name = request.path_params["name"]
-        return problem_response(problem(UNKNOWN_NAME, what=what, name=name))
-    return json_response(views.to_builtins(value))
-
-
 async def _read_body(request: Request, body_type: type[T]) -> Result[T, Problem]:
     """Parse the body as an instance of ``body_type``; the problem names every fault."""
     data = bytearray()
--- a/tests/test_control_replicated.py
+++ b/tests/test_control_replicated.py
@@ -12,6 +12,7 @@
 from gooseberrydale.version.known_controls import KnownControls
 from tests.builders_control import claim, finish, holder
 from tests.builders_operators import FLEET_TOKEN, Cluster
+from tests.builders_operators import client as client_of
 
 TIMEOUT_S = 60.0
 PROFILE = {"name": "summary", "kind": "completion", "pool": "engines", "model": "m1"}
@@ -81,6 +82,22 @@
     run(tmp_path, steps)
 
 
+def test_only_the_leader_says_that_a_name_does_not_exist(tmp_path):
+    """Guards against denials by a replica that lacks the newest change."""
+
+    async def steps(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        codes = {}
+        for name, control in cluster.running.items():
+            async with client_of(control) as operator:
+                reply = await operator.get("/v1/profiles/missing")
+                codes[name] = reply.json()["code"]
+        assert codes.pop(leader) == "unknown_name"
+        assert set(codes.values()) == {"not_leader"}
+
+    run(tmp_path, steps)
+
+
 def test_a_malformed_order_is_audited_once_though_a_follower_gets_it_first(tmp_path):
     async def steps(cluster: Cluster) -> None:
         leader = await cluster.leader()
