--- a/gooseberrydale/connection/mesh_node.py
+++ b/gooseberrydale/connection/mesh_node.py
@@ -209,7 +209,8 @@
     def confirmed_age_s(self, now: float) -> float | None:
         """Seconds since the revision in force here was known to be the newest.
 
-        None if that was never known, or if a newer revision is known.
+        A process that leads control knows it now.  None if that was never known, or if
+        a newer revision is known.
         """
         revision = self.store.revision
         if self._leads():
