Give each process of a test a port that no other one of it has

Cause: free_port took the worker's numbers from pid modulo 1,000 to the end and then began there again. With a pid that ends in 991 to 999 a test of eleven ports got some of them twice, so control could not listen. The fixture belongs to a module, so one failed start fails all its cases.

Evidence: with 9 ports left the fixture fails with the same message, and control's log says "cannot listen on 127.0.0.1:12991: Address already in use"; with 10 left it passes.

So that the next failure can be traced: a start that fails reports the exit code and the last lines of all processes, the soak's check for broken invariants also reads the log files that the settings name, and the tests' last lines give the messages of failures.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -35,6 +35,9 @@
 TIMEOUT_EXIT_CODE = 124
 """Exit code reported for a suite that was killed after its time limit."""
 
+MAX_MESSAGES, MAX_MESSAGE_CHARS = 3, 800
+"""What is printed at the end of how tests failed; a reader may have the end alone."""
+
 _print_lock = threading.Lock()
 
 
@@ -74,6 +77,18 @@
     return passed
 
 
+def failure_messages(report_dir: pathlib.Path) -> dict[str, str]:
+    """Map each failed test to the message of its failure or error."""
+    messages: dict[str, str] = {}
+    for path in sorted(report_dir.rglob("*.xml")):
+        for case in ElementTree.parse(path).iter("testcase"):
+            for kind in ("failure", "error"):
+                if (found := case.find(kind)) is not None:
+                    name = f"{case.get('classname')} {case.get('name')}"
+                    messages[name] = found.get("message") or found.text or ""
+    return messages
+
+
 def features_in_groups() -> list[list[str]]:
     """Split the feature files into groups that run in parallel."""
     names = sorted(str(path) for path in (ROOT / "features").glob("*.feature"))
@@ -130,9 +145,14 @@
         with concurrent.futures.ThreadPoolExecutor(len(suites)) as pool:
             codes = list(pool.map(run_suite, suites.values(), suites))
         reports = [outcomes(folder) for folder in suites]
+        messages = dict(m for s in suites for m in failure_messages(s).items())
     failed = [name for report in reports for name, ok in report.items() if not ok]
     passed = sum(len(report) for report in reports) - len(failed)
     unlisted = [name for name in failed if name not in red]
+    # Tests that share a fixture fail with the same message.
+    distinct = dict.fromkeys(messages[name] for name in unlisted if name in messages)
+    for message in list(distinct)[:MAX_MESSAGES]:
+        print(f"failure: {message[:MAX_MESSAGE_CHARS]}")
     for name in failed:
         print("known red:" if name in red else "FAILED:", name)
     abnormal = any(ended_abnormally(c, r) for c, r in zip(codes, reports, strict=True))
--- a/soak/gateway_environment.py
+++ b/soak/gateway_environment.py
@@ -28,9 +28,9 @@
 from soak.limited_upstream import SLOTS, LimitedUpstream
 from soak.plan import Fault, FaultKind, GatewayTargets
 from tests.builders_endless import ENDLESS_FRAMING
-from tests.builders_gateway import free_port
 from tests.callers import BackgroundLoop
-from tests.fleet import ROOT, Process, wait_until
+from tests.fleet import ROOT, Process, describe_ends, wait_until
+from tests.free_ports import free_port
 
 GATEWAYS, UPSTREAMS, WORKSPACES = 3, 2, 4
 POOL = "desk"
@@ -87,10 +87,10 @@
             self._add_gateway(number, self.seeds)
         for process in self.processes.values():
             process.start()
-        wait_until(self._declare, "control does not take the configuration")
+        self._await_start(self._declare, "control does not take the configuration")
         self._heartbeats = self.load.start(self._announce())
         for name in self._fronts:
-            wait_until(partial(self._is_ready, name), f"{name} is not ready")
+            self._await_start(partial(self._is_ready, name), f"{name} is not ready")
         return GatewayTargets(
             gateways=tuple(self._fronts),
             upstreams=tuple(upstream.name for upstream in self.upstreams),
@@ -190,6 +190,13 @@
 
     # Processes and their settings.
 
+    def _await_start(self, condition: Callable[[], bool], fault: str) -> None:
+        """Wait until ``condition`` holds; report all processes if it doesn't."""
+        try:
+            wait_until(condition, fault)
+        except AssertionError as exc:
+            raise AssertionError(f"{exc}\n{describe_ends(self.processes)}") from None
+
     def add_controls(self, rpc: str) -> None:
         """Add the only control replica, at the gRPC address ``rpc``."""
         self._rpc = rpc
@@ -229,8 +236,11 @@
         )
         argv = [sys.executable, str(ROOT / "platform" / "run.py"), role, CONTRACTS]
         argv = argv if role == "gateway" else argv[:-1]
-        log = self._folder / f"{name}.log"
-        self.processes[name] = Process(name, argv, log, {SETTINGS: str(path)})
+        self.processes[name] = self._process(name, argv, path)
+
+    def _process(self, name: str, argv: list[str], cfg: pathlib.Path) -> Process:
+        log, own_log = (self._folder / f"{name}.{end}" for end in ("log", "jsonl"))
+        return Process(name, argv, log, {SETTINGS: str(cfg)}, own_log)
 
     def _declare(self) -> bool:
         return self.post("/v1/Config.Put", self.document())
--- a/soak/replaced_controls.py
+++ b/soak/replaced_controls.py
@@ -21,10 +21,10 @@
 import httpx2
 
 from soak.competition import DEADLINE_S, HOST, api_key
-from soak.gateway_environment import HEARTBEAT_S, SETTINGS, GatewayEnvironment
-from tests.builders_gateway import free_port
+from soak.gateway_environment import HEARTBEAT_S, GatewayEnvironment
 from tests.callers import BackgroundLoop
-from tests.fleet import ROOT, Process, wait_until
+from tests.fleet import ROOT, wait_until
+from tests.free_ports import free_port
 
 CONTROLS = 4
 REPLACEMENTS = 4
@@ -243,8 +243,7 @@
             f"tolerated_losses = 1\nbeat_s = {HEARTBEAT_S}\n"
         )
         argv = [sys.executable, str(ROOT / "platform" / "run.py"), "control"]
-        log = self._folder / f"{name}.log"
-        self.processes[name] = Process(name, argv, log, {SETTINGS: str(path)})
+        self.processes[name] = self._process(name, argv, path)
         return name
 
     @staticmethod
--- a/tests/builders_files.py
+++ b/tests/builders_files.py
@@ -1,7 +1,6 @@
 """In-memory files that simulate kills, power loss and disk errors."""
 
 import errno
-import socket
 from pathlib import Path
 
 
@@ -115,10 +114,3 @@
 
 
 FOLDER = Path("/not/there")
-
-
-def free_address():
-    """A loopback address whose port is currently free."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import itertools
 import json
 import math
-import os
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -42,10 +39,7 @@
 )
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.upstream_limits import UpstreamLimits
-
-FIRST_PORT = 12_000
-PORTS_PER_WORKER = 1_000
-_port_offsets = itertools.cycle(range(os.getpid() % PORTS_PER_WORKER, PORTS_PER_WORKER))
+from tests.free_ports import free_port
 
 HOST = "shop.example"
 KEY = "a-key"
@@ -283,20 +277,6 @@
     writer.transport.abort()
 
 
-def free_port() -> int:
-    """Return a port that was free when it was checked.
-
-    It is not one that the system assigns to connections: another test could get it
-    before it is used.  Each of the parallel workers has a range of its own.
-    """
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-    while True:
-        port = FIRST_PORT + worker * PORTS_PER_WORKER + next(_port_offsets)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-
-
 @asynccontextmanager
 async def running_gateway(
     document: Declared | None,
--- a/tests/builders_open_group.py
+++ b/tests/builders_open_group.py
@@ -20,7 +20,7 @@
 from gooseberrydale.version.confirmed_revision import ConfirmedRevision
 from gooseberrydale.version.declarations import Document
 from gooseberrydale.version.directory import Directory
-from tests.builders_files import free_address
+from tests.free_ports import free_address
 
 TIMEOUT_S = 60.0
 
--- a/tests/builders_operators.py
+++ b/tests/builders_operators.py
@@ -6,7 +6,6 @@
 import contextlib
 import hashlib
 import pathlib
-import socket
 import tempfile
 from collections.abc import AsyncIterator
 from typing import Any
@@ -20,6 +19,7 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.declarations import Config
 from gooseberrydale.version.directory import Directory
+from tests.free_ports import free_address
 
 FLEET_TOKEN = "fleet-token-of-this-test"
 TOKEN = "operator-token-of-this-test"
@@ -132,14 +132,3 @@
                 if len(status["members"]) == len(self.names) and all(done) and done:
                     return
             await asyncio.sleep(0.05)
-
-
-def free_address() -> str:
-    """Return an address that was free a moment ago.
-
-    Replicas are configured with each other's addresses before they start, so they
-    can't choose a port when they listen.
-    """
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -21,13 +21,13 @@
     call,
     declared,
     event,
-    free_port,
     record,
     reset,
     route,
     running_gateway,
 )
 from tests.builders_streams import EVENT_STREAM, HEAD
+from tests.free_ports import free_port
 
 EVENTS = 4
 TARGET = "/resumable/1"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -41,12 +41,14 @@
 MAX_HOSTS = 40
 METRICS_HTTP_PORT = 9100
 CLOSED_PORT = 1
+TAIL_LINES = 5
 
 
 class Process:
     """An operating-system process of a fleet, with a log file for its output.
 
-    ``env`` has environment variables that it gets besides those of this process.
+    ``env`` has environment variables that it gets besides those of this process;
+    ``own_log`` is the file to which it logs by its settings, if not to its output.
     """
 
     def __init__(
@@ -55,8 +57,10 @@
         argv: list[str],
         log: pathlib.Path,
         env: Mapping[str, str] | None = None,
+        own_log: pathlib.Path | None = None,
     ) -> None:
         self.name = name
+        self._own_log = own_log
         self._env = {**(env or {}), "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
         self._argv = argv
         self._log = log
@@ -73,6 +77,11 @@
         """Whether the process has not exited; a suspended one counts as running."""
         return self._popen is not None and self._popen.poll() is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """The exit code, negative for a signal; None if the process has not exited."""
+        return None if self._popen is None else self._popen.poll()
+
     def start(self) -> None:
         """Start the process; append its output to its log file."""
         env = {**os.environ, **self._env}
@@ -113,8 +122,9 @@
         return self._popen.wait(bound_s)
 
     def output(self) -> str:
-        """Return everything that the process has written to its log file."""
-        return self._log.read_text(errors="replace") if self._log.exists() else ""
+        """Return everything that the process has logged and written to its output."""
+        paths = filter(None, (self._own_log, self._log))
+        return "".join(p.read_text(errors="replace") for p in paths if p.exists())
 
 
 @dataclass
@@ -467,6 +477,15 @@
         time.sleep(POLL_S)
 
 
+def describe_ends(processes: Mapping[str, Process]) -> str:
+    """Return each process's exit code and the end of what it has logged."""
+    lines = []
+    for name, process in processes.items():
+        state = "running" if process.running else f"exited with {process.exit_code}"
+        lines += [f"{name}: {state}", *process.output().splitlines()[-TAIL_LINES:]]
+    return "\n".join(lines)
+
+
 def key_digest(key: str) -> str:
     """Return the digest of an API key as a workspace declares it."""
     return hashlib.sha256(key.encode()).hexdigest()
--- a/tests/test_confirmed_revision.py
+++ b/tests/test_confirmed_revision.py
@@ -10,8 +10,8 @@
 import pytest
 
 from gooseberrydale.version.confirmed_revision import ConfirmedRevision
-from tests.builders_files import free_address
 from tests.builders_open_group import Observer, OpenGroup, until
+from tests.free_ports import free_address
 
 FRESH_S = 2.0
 
--- a/tests/test_control_open.py
+++ b/tests/test_control_open.py
@@ -17,9 +17,9 @@
 from gooseberrydale.version.ended_incarnations import EndedIncarnations
 from gooseberrydale.version.open_runs import LostRuns
 from tests import builders_incarnations as incarnations
-from tests.builders_files import free_address
 from tests.builders_gateway import record
 from tests.builders_open_group import Replica, status_of, until
+from tests.free_ports import free_address
 
 
 def test_any_replica_serves_documents_and_they_survive_a_full_restart(
--- a/tests/test_entry_quota.py
+++ b/tests/test_entry_quota.py
@@ -31,7 +31,7 @@
     run,
     running,
 )
-from tests.builders_gateway import free_port
+from tests.free_ports import free_port
 
 
 def config_with_quota(quota: Quota) -> Any:
--- a/tests/test_gateway_queue.py
+++ b/tests/test_gateway_queue.py
@@ -15,9 +15,9 @@
     answer_bytes,
     call,
     declared,
-    free_port,
     running_gateway,
 )
+from tests.free_ports import free_port
 from tests.sidecar_harness import run
 
 # Of an upstream with 6 slots: a request waits, as one will be free soon enough.
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -11,7 +11,7 @@
 from gooseberrydale.process.cfg import TlsCfg
 from gooseberrydale.process.http_server import HttpServer
 from gooseberrydale.process.listeners import listen, listen_early
-from tests.builders_files import free_address
+from tests.free_ports import free_address
 
 
 async def answer(_scope: Scope, _receive: Receive, send: Send) -> None:
--- a/tests/test_members_reader.py
+++ b/tests/test_members_reader.py
@@ -17,8 +17,8 @@
     KnownControls,
     ReadMembersReq,
 )
-from tests.builders_files import free_address
 from tests.builders_open_group import until
+from tests.free_ports import free_address
 
 PROMPT_S = 0.5
 """A change has to be known within this time; far less than a poll is held."""
--- a/tests/test_proper_requests.py
+++ b/tests/test_proper_requests.py
@@ -18,7 +18,6 @@
 from gooseberrydale.process.gateway.gateway import Gateway
 from gooseberrydale.version.declared import CallerLimits, Declared, KeyHolder
 from tests.builders_entry import KEY_A, KEY_B, running
-from tests.builders_files import free_address
 from tests.builders_gateway import (
     RawUpstream,
     ReceivedAnswer,
@@ -31,6 +30,7 @@
     running_gateway,
 )
 from tests.builders_open_group import TIMEOUT_S, OpenGroup, until
+from tests.free_ports import free_address
 from tests.sidecar_harness import run
 
 IN_FORCE_S = 4.0
--- a/tests/test_replaced_controls.py
+++ b/tests/test_replaced_controls.py
@@ -18,8 +18,8 @@
 from gooseberrydale.process.gateway.control_finder import ControlFinder
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.known_controls import ControlMembers, KnownControls
-from tests.builders_files import free_address
 from tests.builders_open_group import Observer, OpenGroup, until
+from tests.free_ports import free_address
 
 IN_FORCE_S = 4.0
 """A document has to be in force everywhere within this time."""
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -16,7 +16,7 @@
 from gooseberrydale.version.replication.files import OsFiles
 from gooseberrydale.version.replication.messages import Envelope, JoinReq, Member
 from gooseberrydale.version.replication.storage import StorageError
-from tests.builders_files import free_address
+from tests.free_ports import free_address
 from tests.relay import Relay
 
 TOKEN = "fleet"
--- a/tests/test_retry_fleet.py
+++ b/tests/test_retry_fleet.py
@@ -13,8 +13,9 @@
 
 from gooseberrydale.process.cfg import NodeCfg
 from gooseberrydale.process.gateway.gateway import gateway_record
-from tests.builders_gateway import declared, free_port, running_gateway
+from tests.builders_gateway import declared, running_gateway
 from tests.builders_retry_fleet import WINDOW_S, RetryFleet
+from tests.free_ports import free_port
 from tests.sidecar_harness import run
 
 QUIET_S = 25.0
--- a/tests/test_run_tests.py
+++ b/tests/test_run_tests.py
@@ -11,6 +11,7 @@
     KNOWN_RED,
     TIMEOUT_EXIT_CODE,
     ended_abnormally,
+    failure_messages,
     listed_tests,
     run_suite,
 )
@@ -74,3 +75,14 @@
 def test_an_incomplete_entry_is_refused(line):
     with pytest.raises(ValueError):
         listed_tests(line)
+
+
+def test_the_message_of_each_failure_is_read_from_the_report(tmp_path):
+    """Guards against failures in CI whose reason is in the part that is cut off."""
+    (tmp_path / "units.xml").write_text(
+        '<testsuite><testcase classname="a" name="b"><error message="no port"/>'
+        '</testcase><testcase classname="a" name="c"/>'
+        '<testcase classname="a" name="d"><failure>a trace</failure></testcase>'
+        "</testsuite>"
+    )
+    assert failure_messages(tmp_path) == {"a b": "no port", "a d": "a trace"}
--- a/tests/test_signpost.py
+++ b/tests/test_signpost.py
@@ -7,7 +7,8 @@
 
 from gooseberrydale.process.cfg import Cfg, ControlCfg, FleetCfg, NodeCfg
 from gooseberrydale.process.control.signpost import CHECK_VALIDITY_S, Signpost
-from tests.builders_gateway import ReceivedAnswer, free_port, read_answer
+from tests.builders_gateway import ReceivedAnswer, read_answer
+from tests.free_ports import free_port
 from tests.sidecar_harness import run
 
 
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -49,7 +49,6 @@
     chunk,
     declared,
     event,
-    free_port,
     no_limits,
     prompt,
     record,
@@ -67,6 +66,7 @@
     neutral,
     node,
 )
+from tests.free_ports import free_port
 from tests.sidecar_harness import run
 
 NAMES = tuple(f"e{number}" for number in range(4))
--- a/tests/test_weights_age.py
+++ b/tests/test_weights_age.py
@@ -17,10 +17,10 @@
     NamedWeightsCache,
 )
 from gooseberrydale.version.named_weights import MAX_VERSIONS_PER_MODEL, NamedWeights
-from tests.builders_files import free_address
 from tests.builders_logs import logged
 from tests.builders_weights import BOUND_S, MODEL, WeightsControl, WeightsGateway
 from tests.clock import run_paused
+from tests.free_ports import free_address
 from tests.test_control_open import Replica, until
 
 SETTLE_S = 2.0
--- a/tests/test_work_gossip.py
+++ b/tests/test_work_gossip.py
@@ -18,7 +18,7 @@
     UpstreamWork,
     WorkReport,
 )
-from tests.builders_gateway import free_port
+from tests.free_ports import free_port
 from tests.sidecar_harness import run
 
 PLAY_S = 0.8
