Claim a key anew whose claim was released while it is taken over

What callers saw: 404 unknown_claim for a proper call with an Idempotency-Key.

Cause: a resend that joins another request confirms that its attempt never runs, then moves the claim. If that request's entry releases the claim in between, as it does after a refusal, control answers that there is none, and this went to the caller.

Change: the key is claimed anew, as a first call would do. This is as safe: the attempt that held it is confirmed never to run, and any other attempt would have a claim of its own, which the new one meets.

Evidence: the new test of test_entry_claims gets 404 unknown_claim before the change and 201 after it, with one run.

--- a/gooseberrydale/request/claim_gate.py
+++ b/gooseberrydale/request/claim_gate.py
@@ -21,7 +21,7 @@
     ReleaseReq,
 )
 from gooseberrydale.connection.mesh import UpstreamRecord
-from gooseberrydale.errors import Problem, ProblemError
+from gooseberrydale.errors import UNKNOWN_CLAIM, Problem, ProblemError
 from gooseberrydale.request.background import Background
 
 CLAIM_TIMEOUT_S = 3.0
@@ -91,7 +91,7 @@
         """Claim the key for this attempt.
 
         If ``holder`` is set, its attempt is confirmed never to run, and the claim is
-        moved from it.
+        moved from it.  If that claim is gone by then, the key is claimed anew.
         """
         new = Holder(
             request_id=self._request_id,
@@ -101,12 +101,11 @@
             incarnation=record.incarnation,
             record_seq=record.seq,
         )
-        result = await self._store.ask(self._request_for(new), CLAIM_TIMEOUT_S)
-        if isinstance(result, Err):
-            # The claim may have been committed, but this attempt is never dispatched.
-            self._release_in_background(new)
-            raise ProblemError(result.err_value)
-        reply: ClaimReply = result.ok_value
+        reply = await self._claim(new)
+        if reply.problem is not None and reply.problem.code == UNKNOWN_CLAIM.code:
+            # The holder's own entry has released the claim meanwhile.
+            self.holder = None
+            reply = await self._claim(new)
         if reply.granted:
             self.holder = new
         elif reply.record is not None:
@@ -115,6 +114,15 @@
             assert reply.problem is not None
             raise ProblemError(reply.problem)
 
+    async def _claim(self, new: Holder) -> ClaimReply:
+        result = await self._store.ask(self._request_for(new), CLAIM_TIMEOUT_S)
+        if isinstance(result, Err):
+            # The claim may have been committed, but this attempt is never dispatched.
+            self._release_in_background(new)
+            raise ProblemError(result.err_value)
+        reply: ClaimReply = result.ok_value
+        return reply
+
     async def look_up(self, holder: Holder) -> ClaimRecord | None:
         """Return the committed record of the key; None if control does not answer."""
         req = ClaimReq(self._workspace, self._key, self._digest, holder)
--- a/tests/test_entry_claims.py
+++ b/tests/test_entry_claims.py
@@ -12,10 +12,13 @@
 import pytest
 
 from gooseberrydale.connection.control_messages import (
+    ClaimReply,
     ClaimReq,
     ClaimState,
     FinishReq,
     Limits,
+    MoveReq,
+    ReleaseReq,
 )
 from gooseberrydale.connection.messages import CancelReply, DispatchReq
 from gooseberrydale.errors import QUEUE_FULL, problem
@@ -191,6 +194,35 @@
     run(scenario())
 
 
+def test_a_call_whose_claim_is_released_while_it_takes_it_over_is_not_denied() -> None:
+    """Guards against 404 unknown_claim for a proper request."""
+
+    async def scenario() -> None:
+        fake, refused = service(), service("s2")
+        refused.cancel_reply = CancelReply(not_run=True)
+        await refused.start()
+        async with fleet(fake) as (entry, leader):
+            answer = await bid(entry, key="other")
+            digest = leader.table.records[0].digest
+            held = ClaimReq("a", KEY, digest, holder_at(refused, "refused"))
+            leader.table.claim(held, asyncio.get_running_loop().time(), Limits())
+            move = leader.table.move
+
+            def release_first(req: MoveReq, now_s: float, limits: Limits) -> ClaimReply:
+                leader.table.release(ReleaseReq("a", KEY, req.old, tombstone=True))
+                return move(req, now_s, limits)
+
+            leader.table.move = release_first
+            answer = await bid(entry)
+            record = leader.table.records[-1]
+        await refused.close()
+        assert answer.status_code == 201, answer.text
+        assert len(fake.dispatched) == 2 and refused.dispatched == []
+        assert record.holder.request_id == fake.dispatched[1].request_id
+
+    run(scenario())
+
+
 def test_answer_is_recorded_after_the_caller_disconnected() -> None:
     async def scenario() -> None:
         fake = service(script=answer_bid_late)
