Let an entry out of touch with control not deny the streams it doesn't know

What callers saw: 404 unknown_stream at an entry that lacks the announcement of the stream's upstream, or has an old one, while the upstream still has the stream.

Change: without a confirmation of the configuration within config_bound_s, which the same sessions with control bring, the answer is 503 stream_unconfirmed with a time to retry after.

Evidence: two cases of test_proper_requests get 404 before the change and 503 after it.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -336,6 +336,12 @@
     "Stream {request_id} is not stored here at offset {offset}; send the request again"
     " if it may be repeated.",
 )
+STREAM_UNCONFIRMED = ErrorKind(
+    "stream_unconfirmed",
+    503,
+    "The upstream of stream {request_id} is not known here, but this process may be out"
+    " of touch with control; attach again after the given time, or at another process.",
+)
 SHUTTING_DOWN = ErrorKind(
     "shutting_down",
     503,
--- a/gooseberrydale/process/entry/call_handlers.py
+++ b/gooseberrydale/process/entry/call_handlers.py
@@ -16,6 +16,7 @@
     CONFIG_UNCONFIRMED,
     INVALID_KEY,
     NOT_READY,
+    STREAM_UNCONFIRMED,
     UNKNOWN_PROFILE,
     UNKNOWN_STREAM,
     WRONG_PROFILE_KIND,
@@ -103,12 +104,35 @@
         It is ``refused`` if that is known to be the newest configuration.  Otherwise a
         newer one may allow the request.
         """
-        age_s = self._deps.confirmed.age_s(self.config.revision, _now())
-        if age_s <= self._deps.cfg.config_bound_s:
+        if self._is_current():
             return ProblemError(refused)
         unconfirmed = problem(CONFIG_UNCONFIRMED, retry_after_s=RETRY_AFTER_S)
         return ProblemError(unconfirmed)
 
+    def _is_current(self) -> bool:
+        """Whether nothing newer than this entry's configuration can bind it."""
+        age_s = self._deps.confirmed.age_s(self.config.revision, _now())
+        return age_s <= self._deps.cfg.config_bound_s
+
+    def _unknown_stream(self, event: EventId) -> ProblemError:
+        """Return the error to raise if a stream's upstream is not known.
+
+        Announcements come from control as confirmations do: an entry that has received
+        none of late may lack the upstream.
+        """
+        kind, retry_after_s = UNKNOWN_STREAM, None
+        if not self._is_current():
+            kind, retry_after_s = STREAM_UNCONFIRMED, RETRY_AFTER_S
+        return ProblemError(
+            problem(
+                kind,
+                not_run=None,
+                retry_after_s=retry_after_s,
+                request_id=event.request_id,
+                offset=event.offset + 1,
+            )
+        )
+
     async def completion(self, req: Request, send: Send) -> None:
         """Run a chat or text completion.
 
@@ -171,14 +195,7 @@
         )
         record = self._deps.directory.get(last_event.upstream, _now())
         if record is None or record.incarnation != last_event.incarnation:
-            raise ProblemError(
-                problem(
-                    UNKNOWN_STREAM,
-                    not_run=None,
-                    request_id=last_event.request_id,
-                    offset=last_event.offset + 1,
-                )
-            )
+            raise self._unknown_stream(last_event)
         name = profile.name if profile else self._only_profile(workspace, record.pool)
         target = AttachTarget(
             endpoint=record,
--- a/tests/test_proper_requests.py
+++ b/tests/test_proper_requests.py
@@ -17,7 +17,7 @@
 from gooseberrydale.errors import Problem
 from gooseberrydale.process.gateway.gateway import Gateway
 from gooseberrydale.version.declared import CallerLimits, Declared, KeyHolder
-from tests.builders_entry import KEY_A, KEY_B, running
+from tests.builders_entry import KEY_A, KEY_B, FakeSidecar, running
 from tests.builders_gateway import (
     RawUpstream,
     ReceivedAnswer,
@@ -239,3 +239,29 @@
                 assert float(got.headers["retry-after"]) > 0
 
     run(main(), TIMEOUT_S)
+
+
+@pytest.mark.parametrize("known", [None, "inc-old"], ids=["unknown", "outdated"])
+def test_an_entry_that_may_be_out_of_date_does_not_deny_a_stream_it_does_not_know(
+    known: str | None,
+) -> None:
+    """Guards against 404 unknown_stream while the upstream still has the stream."""
+
+    async def main() -> None:
+        upstream = FakeSidecar("u1")
+        upstream.incarnation = known or upstream.incarnation
+        async with (
+            running(*([upstream] if known else []), is_current=False) as entry,
+            httpx2.AsyncClient(trust_env=False) as client,
+        ):
+            got = await client.get(
+                f"http://{entry.addresses['http']}/v1/streams",
+                headers={
+                    "authorization": f"Bearer {KEY_A}",
+                    "last-event-id": "u1/inc-u1/a-request/3",
+                },
+            )
+            assert got.status_code == 503
+            assert float(got.headers["retry-after"]) > 0
+
+    run(main(), TIMEOUT_S)
