Answer 503 if sidecars refuse an entry whose announcements are old

What callers saw: 409 stale_dispatch, wrong_incarnation or tombstoned for a proper request at an entry whose announcements of upstreams are old: at once for stale_dispatch, otherwise after all attempts.

Cause: these refusals are about what the entry knows, not about the request, but the last one was passed on to the caller, and stale_dispatch wasn't tried elsewhere.

Change: all three are tried on another upstream, and the caller gets 503 upstream_unreachable with a time to retry after. not_run is that of the refusals, so requests that may have run are treated as before.

--- a/gooseberrydale/request/retry.py
+++ b/gooseberrydale/request/retry.py
@@ -22,7 +22,12 @@
 # when it fails.
 MAX_RETRY_BURST = 32.0
 RETRYABLE_STATUS = frozenset({429, 502, 503, 504})
-RETRYABLE_CODES = frozenset({errors.WRONG_INCARNATION.code, errors.TOMBSTONED.code})
+OUTDATED_CODES = frozenset(
+    kind.code
+    for kind in (errors.WRONG_INCARNATION, errors.STALE_DISPATCH, errors.TOMBSTONED)
+)
+"""Refusals of an attempt because this process knew too little of the upstream or of
+the attempt.  They say nothing about the request itself."""
 
 
 class RetryBudget:
@@ -235,14 +240,19 @@
 
 
 def _may_succeed_elsewhere(refusal: Problem) -> bool:
-    return refusal.status in RETRYABLE_STATUS or refusal.code in RETRYABLE_CODES
+    return refusal.status in RETRYABLE_STATUS or refusal.code in OUTDATED_CODES
 
 
 def _reason(outcome: Outcome, attempt_ran: bool) -> Problem:
-    if outcome.problem is not None:
-        return outcome.problem
-    kind = errors.UPSTREAM_FAILED if attempt_ran else errors.UPSTREAM_UNREACHABLE
-    return problem(kind, retry_after_s=RETRY_AFTER_S)
+    """Return what the caller is told if no further attempt is made."""
+    refusal = outcome.problem
+    if refusal is not None and refusal.code not in OUTDATED_CODES:
+        return refusal
+    kind = errors.UPSTREAM_UNREACHABLE
+    if attempt_ran and refusal is None:
+        kind = errors.UPSTREAM_FAILED
+    why = problem(kind, retry_after_s=RETRY_AFTER_S)
+    return why if refusal is None else why.with_outcome(refusal.not_run)
 
 
 def _with_outcome(why: Problem, outcome: Outcome, attempt_ran: bool) -> Problem:
--- a/tests/test_proper_requests.py
+++ b/tests/test_proper_requests.py
@@ -9,15 +9,19 @@
 import pathlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from typing import Any
 
 import httpx2
 import pytest
 from result import Ok, Result
 
-from gooseberrydale.errors import Problem
+from gooseberrydale import errors
+from gooseberrydale.connection.messages import DispatchReq
+from gooseberrydale.errors import Problem, problem
 from gooseberrydale.process.gateway.gateway import Gateway
+from gooseberrydale.request.retry import MAX_ATTEMPTS
 from gooseberrydale.version.declared import CallerLimits, Declared, KeyHolder
-from tests.builders_entry import KEY_A, KEY_B, FakeSidecar, running
+from tests.builders_entry import ASK, KEY_A, KEY_B, FakeSidecar, running
 from tests.builders_gateway import (
     RawUpstream,
     ReceivedAnswer,
@@ -265,3 +269,41 @@
             assert float(got.headers["retry-after"]) > 0
 
     run(main(), TIMEOUT_S)
+
+
+@pytest.mark.parametrize(
+    "refusal",
+    [
+        problem(errors.STALE_DISPATCH, seq=1, limit_s=3.0),
+        problem(errors.WRONG_INCARNATION, actual="i2", wanted="i1"),
+        problem(errors.TOMBSTONED, attempt=1, request_id="r"),
+    ],
+    ids=lambda refusal: refusal.code,
+)
+def test_refusals_of_an_entry_with_outdated_announcements_are_not_passed_on(
+    refusal: Problem,
+) -> None:
+    """Guards against 409 for a proper request that all sidecars refuse an entry."""
+
+    async def refuse(fake: FakeSidecar, req: DispatchReq) -> AsyncIterator[Any]:
+        yield fake.refused(req, refusal)
+
+    async def main() -> None:
+        fakes = [FakeSidecar(f"u{n}") for n in range(MAX_ATTEMPTS + 1)]
+        for fake in fakes:
+            fake.script = refuse
+        async with (
+            running(*fakes) as entry,
+            httpx2.AsyncClient(trust_env=False) as client,
+        ):
+            got = await client.post(
+                f"http://{entry.addresses['http']}/v1/chat/completions",
+                headers={"authorization": f"Bearer {KEY_A}"},
+                json={"model": "lots", "messages": ASK},
+            )
+            assert got.status_code == 503, got.text
+            assert got.json()["error"]["not_run"] is True
+            assert float(got.headers["retry-after"]) > 0
+        assert sum(len(fake.dispatched) for fake in fakes) == MAX_ATTEMPTS
+
+    run(main(), TIMEOUT_S)
