Play the soak of replaced controls with more gateways

--size sets their number. Their calls are spread so that the two upstreams get no more requests in all, and failures name the error code.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,7 +23,7 @@
 
 from soak.competition import CompetingCallers, find_broken_promises
 from soak.environment import Environment
-from soak.gateway_environment import GatewayEnvironment
+from soak.gateway_environment import GATEWAYS, GatewayEnvironment
 from soak.guarantees import Callers, find_violations
 from soak.plan import Fault, add_endless_answers, make_plan
 from soak.replaced_controls import run_controls_seed
@@ -123,11 +123,12 @@
     known: bool = False,
     gateways: bool = False,
     controls: bool = False,
+    size: int = GATEWAYS,
 ) -> None:
     """Run seeds one after the other; exit with 1 if a guarantee was violated.
 
     With ``gateways``, callers of several workspaces and ranks compete for upstreams;
-    with ``controls``, all control replicas are replaced.
+    with ``controls``, all control replicas are replaced beside ``size`` gateways.
     """
     chosen = known_seeds(gateways, controls=controls) if known else [seed]
     if not known and seed < 0:
@@ -140,7 +141,7 @@
             endless = not known or number in known_seeds(gateways, endless=True)
             run = partial(run_gateway_seed, endless=endless)
         if controls:
-            run = run_controls_seed
+            run = partial(run_controls_seed, gateways=size)
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
         violations = run(number, seconds, folder)
         for line in violations:
--- a/soak/gateway_environment.py
+++ b/soak/gateway_environment.py
@@ -49,8 +49,11 @@
 class GatewayEnvironment:
     """One control replica, some gateways, and upstreams with few slots."""
 
-    def __init__(self, folder: pathlib.Path, load: BackgroundLoop) -> None:
+    def __init__(
+        self, folder: pathlib.Path, load: BackgroundLoop, gateways: int = GATEWAYS
+    ) -> None:
         self._folder = folder
+        self._gateway_count = gateways
         self.load = load
         self._control = f"127.0.0.1:{free_port()}"
         self._fronts: dict[str, str] = {}
@@ -83,7 +86,7 @@
             self.load.run(upstream.start())
         rpc = f"127.0.0.1:{free_port()}"
         self.add_controls(rpc)
-        for number in range(GATEWAYS):
+        for number in range(self._gateway_count):
             self._add_gateway(number, self.seeds)
         for process in self.processes.values():
             process.start()
@@ -222,7 +225,7 @@
             "gateway",
             seeds,
             f'http = "{self._fronts[name]}"\nready = "{self._ready[name]}"\n'
-            f'gossip = "127.0.0.1:{free_port()}"\ngateways = {GATEWAYS}\n'
+            f'gossip = "127.0.0.1:{free_port()}"\ngateways = {self._gateway_count}\n'
             + self.settings_of_gateway(number),
         )
 
--- a/soak/replaced_controls.py
+++ b/soak/replaced_controls.py
@@ -13,6 +13,7 @@
 import asyncio
 import pathlib
 import random
+import re
 import sys
 from collections.abc import Iterator
 from functools import partial
@@ -21,7 +22,13 @@
 import httpx2
 
 from soak.competition import DEADLINE_S, HOST, api_key
-from soak.gateway_environment import HEARTBEAT_S, GatewayEnvironment
+from soak.gateway_environment import (
+    GATEWAYS,
+    HEARTBEAT_S,
+    UPSTREAMS,
+    GatewayEnvironment,
+)
+from soak.limited_upstream import SLOTS
 from tests.callers import BackgroundLoop
 from tests.fleet import ROOT, wait_until
 from tests.free_ports import free_port
@@ -41,10 +48,14 @@
 """A document is in force at all gateways in touch within this time."""
 
 CALL_INTERVAL_S = 0.05
+"""Pause between two requests to a gateway, if there are ``GATEWAYS`` of them; with more
+the upstreams get no more requests in all."""
 
 CHANGE_INTERVAL_S = 1.0
 """Pause between two documents that are declared while there are faults."""
 
+CODE = re.compile(r'"code":"(\w+)"')
+
 DENIALS = frozenset({400, 401, 403, 404, 413, 431})
 """Statuses that say that the request itself is wrong."""
 
@@ -53,9 +64,13 @@
     """An open group of control replicas, gateways, and upstreams that announce."""
 
     def __init__(
-        self, folder: pathlib.Path, load: BackgroundLoop, rng: random.Random
+        self,
+        folder: pathlib.Path,
+        load: BackgroundLoop,
+        rng: random.Random,
+        gateways: int = GATEWAYS,
     ) -> None:
-        super().__init__(folder, load)
+        super().__init__(folder, load, gateways)
         self._rng = rng
         # HTTP and gRPC addresses by name; the oldest replica is first.
         self.controls: dict[str, tuple[str, str]] = {}
@@ -65,6 +80,8 @@
         self.sent = 0
         self.changes = 0
         self.failures: list[str] = []
+        # The error code of each gateway's last answer, empty for a success.
+        self._codes: dict[str, str] = {}
 
     def add_controls(self, rpc: str) -> None:
         """Add the first replicas instead of a single one."""
@@ -137,8 +154,9 @@
                 if status != httpx2.codes.OK and not disturbed | (
                     name in self._faulted
                 ):
-                    self.failures.append(f"{name} answered {status} undisturbed")
-                await asyncio.sleep(CALL_INTERVAL_S)
+                    why = f"{status} {self._codes[name]}"
+                    self.failures.append(f"{name} answered {why} undisturbed")
+                await asyncio.sleep(CALL_INTERVAL_S * len(self._fronts) / GATEWAYS)
 
     async def change_documents(self, stop: asyncio.Event) -> None:
         """Declare documents until ``stop``; note requests that are then denied."""
@@ -156,7 +174,8 @@
         """Declare another document; return the gateways that don't act by it."""
         statuses = await self._ask_by_new_document()
         return [
-            f"{name} answered {status} on a route of document {self._version}"
+            f"{name} answered {status} {self._codes[name]} on a route of document"
+            f" {self._version}"
             for name, status in statuses.items()
             if status != httpx2.codes.OK
         ]
@@ -169,10 +188,14 @@
         )
         await asyncio.sleep(APPLY_S)
         path, key = f"new-{self._version}/1", self._new_key()
+        at_once = asyncio.Semaphore(SLOTS * UPSTREAMS)
+
+        async def ask(name: str) -> int | str:
+            async with at_once:
+                return await self._send(client, name, path, "", key)
+
         async with httpx2.AsyncClient(timeout=DEADLINE_S, trust_env=False) as client:
-            answers = await asyncio.gather(
-                *(self._send(client, name, path, "", key) for name in self._fronts)
-            )
+            answers = await asyncio.gather(*map(ask, self._fronts))
         return dict(zip(self._fronts, answers, strict=True))
 
     def _new_key(self) -> str:
@@ -218,9 +241,13 @@
         )
         try:
             url = f"http://{self._fronts[name]}/{prefix}{path}"
-            return (await client.get(url, headers=headers)).status_code
+            got = await client.get(url, headers=headers)
         except httpx2.HTTPError as exc:
+            self._codes[name] = "no answer"
             return type(exc).__name__
+        found = CODE.search(got.text)
+        self._codes[name] = "" if found is None else found.group(1)
+        return got.status_code
 
     def _retire(self, name: str, *, terminate: bool) -> None:
         del self.controls[name]
@@ -273,11 +300,13 @@
         await asyncio.gather(changes, *calls)
 
 
-def run_controls_seed(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
+def run_controls_seed(
+    seed: int, seconds: float, folder: pathlib.Path, gateways: int = GATEWAYS
+) -> list[str]:
     """Run one seed; its faults take as long as the replacements, not ``seconds``."""
     rng = random.Random(seed)
     load = BackgroundLoop()
-    environment = ControlsEnvironment(folder, load, rng)
+    environment = ControlsEnvironment(folder, load, rng, gateways)
     try:
         environment.start()
         running = load.start(run_faults(environment, rng))
