Take the voters of control from tolerated zones as well, and spread them

What operators saw in the review: where zones may be lost instead of machines, the configuration could not be read anywhere after the second lost disk.

Cause: the deploy template took the number of voters from machines alone, so it was one, and nothing knew the zones of voters.

Change: 2 * max(tolerated_losses, tolerated_zones) + 1 voters. Where zones may be lost, followers name their zone in replies and the leader spreads the voters: it adds a standby of a zone that has at least two voters less than another one, then removes one of that zone, so that a loss is tolerated meanwhile.

Without tolerated zones the only difference is an empty field in replies.

--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -197,7 +197,8 @@
 
     With ``open_group`` instead of ``replicas`` any replica may join through those in
     ``fleet.controls``, and there are as many voters as are needed to tolerate
-    ``tolerated_losses`` at the same time.  ``bootstrap`` may be true only for the very
+    ``tolerated_losses`` of them, or ``tolerated_zones`` availability zones, at the same
+    time.  ``bootstrap`` may be true only for the very
     first start: the listed replicas with empty folders then create a new cluster.
 
     A new leader waits ``order_pause_s`` before it sends orders to upstreams, so that
@@ -214,6 +215,7 @@
     replicas: dict[str, str] = field(default_factory=dict)
     open_group: bool = False
     tolerated_losses: int = 1
+    tolerated_zones: int = 0
     bootstrap: bool = False
     order_pause_s: float = 3.0
     weights_bound_s: float = 8.0
--- a/gooseberrydale/process/cfg_checks.py
+++ b/gooseberrydale/process/cfg_checks.py
@@ -41,6 +41,7 @@
 _MAY_BE_ZERO = (
     "control.order_pause_s",
     "control.tolerated_losses",
+    "control.tolerated_zones",
     "gateway.link_mbps",
     "gateway.max_fds",
     "gateway.memory_mb",
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -320,7 +320,7 @@
                 self._rpc,
                 name=own.rpc,
                 tls=tls,
-                raft=open_raft(cfg.fleet.control_rpc, own),
+                raft=open_raft(cfg.fleet.control_rpc, own, cfg.node.zone),
                 controls=self._controls,
             )
         name = cfg.node.name
@@ -402,8 +402,12 @@
     )
 
 
-def open_raft(seeds: tuple[str, ...], cfg: ControlCfg) -> RaftCfg:
-    """Return the Raft settings of an open group whose seeds are ``seeds``."""
+def open_raft(seeds: tuple[str, ...], cfg: ControlCfg, zone: str) -> RaftCfg:
+    """Return the Raft settings of a replica in ``zone`` of an open group.
+
+    Each majority remains after the loss of any tolerated replicas or zones: voters are
+    spread over zones if zones may be lost.
+    """
     return RaftCfg(
         frozenset(seeds),
         heartbeat_s=OPEN_HEARTBEAT_S,
@@ -412,7 +416,8 @@
         lease_s=OPEN_LEASE_S,
         snapshot_entries=cfg.snapshot_entries,
         keep_entries=cfg.snapshot_entries,
-        max_voters=2 * cfg.tolerated_losses + 1,
+        max_voters=2 * max(cfg.tolerated_losses, cfg.tolerated_zones) + 1,
+        zone=zone if cfg.tolerated_zones else "",
     )
 
 
--- a/gooseberrydale/version/replication/core.py
+++ b/gooseberrydale/version/replication/core.py
@@ -51,7 +51,8 @@
     With ``max_voters`` above 0 the group is open: any replica may become a member, its
     name is its address, ``names`` are the replicas to send join requests to, and no
     more than ``max_voters`` replicas vote.  The others receive the log without a vote;
-    one of them replaces a voter that has been silent for ``replace_after_s``.
+    one of them replaces a voter that has been silent for ``replace_after_s``.  With a
+    ``zone``, which is that of this replica, the voters are spread evenly over zones.
     """
 
     names: frozenset[str]
@@ -65,6 +66,7 @@
     keep_entries: int = 200
     max_voters: int = 0
     replace_after_s: float = 2.5
+    zone: str = ""
 
     def __post_init__(self) -> None:
         if not self.heartbeat_s < self.lease_s < self.election_min_s:
@@ -83,6 +85,7 @@
     ``joined_at`` when it last asked to join, and ``snapshot_at`` when a snapshot was
     sent that is not answered yet.  While ``probing``, one batch is sent at a time to
     find the last common entry of the logs; ``probed_at`` is when the last was sent.
+    ``zone`` is the replica's availability zone, empty while it is not known.
     """
 
     member: Member
@@ -94,6 +97,7 @@
     snapshot_at: float | None = None
     probing: bool = True
     probed_at: float = float("-inf")
+    zone: str = ""
 
 
 class Core:
--- a/gooseberrydale/version/replication/follower.py
+++ b/gooseberrydale/version/replication/follower.py
@@ -29,19 +29,19 @@
     match = req.prev_index + len(req.entries)
     if not _matches_log(core, req):
         hint = _last_possible_match(core, req.prev_index)
-        core.send(source, AppendReply(core.state.term, False, hint, req.sent_at))
+        core.send(source, _reply(core, False, hint, req.sent_at))
         return
     _store(core, req.entries)
     core.advance_commit(max(core.commit, min(req.commit, match)))
     core.caught_up = core.caught_up or core.commit >= req.commit
-    core.send(source, AppendReply(core.state.term, True, match, req.sent_at))
+    core.send(source, _reply(core, True, match, req.sent_at))
 
 
 def _accept_leader(
     core: Core, source: Member, term: int, sent_at: float, now: float
 ) -> bool:
     if term < core.state.term:
-        core.send(source, AppendReply(core.state.term, False, 0, sent_at))
+        core.send(source, _reply(core, False, 0, sent_at))
         return False
     core.follow(term, source)
     core.leader_contact_at = now
@@ -110,7 +110,7 @@
         core.applied = snapshot.index
         core.out.append(Restore(snapshot))
         core.out.append(SaveSnapshot(snapshot, core.state, suffix))
-    reply = AppendReply(core.state.term, True, snapshot.index, req.sent_at)
+    reply = _reply(core, True, snapshot.index, req.sent_at)
     core.send(source, reply)
 
 
@@ -119,3 +119,7 @@
     if log.term_at(index) != term:
         return ()
     return log.slice(index + 1, log.last_index - index)
+
+
+def _reply(core: Core, ok: bool, index: int, sent_at: float) -> AppendReply:
+    return AppendReply(core.state.term, ok, index, sent_at, core.cfg.zone)
--- a/gooseberrydale/version/replication/joining.py
+++ b/gooseberrydale/version/replication/joining.py
@@ -8,10 +8,14 @@
 
 In an open group (``RaftCfg.open_to``) a replica with a new name becomes a member while
 there are fewer voters than allowed, or replaces a voter that was silent for too long.
+If voters are to be spread over zones, it also joins in place of a voter of a zone that
+has at least two more of them than its own: it is added before that one is removed, so
+that the group tolerates a loss meanwhile.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -108,7 +112,11 @@
     learners = [
         p for p in core.progress.values() if not membership.has(p.member.identity)
     ]
-    return sorted(learners, key=lambda p: (p.member.name, p.member.identity))
+    zones = _zones_of_voters(core)
+    counts = Counter(zones.values())
+    return sorted(
+        learners, key=lambda p: (counts[p.zone], p.member.name, p.member.identity)
+    )
 
 
 def _drop_inactive_learners(core: Core, now: float) -> None:
@@ -121,6 +129,10 @@
     committed = core.log.membership_index <= core.commit
     if not committed or core.log.term_at(core.commit) != core.state.term:
         return
+    surplus = _surplus_voter(core)
+    if surplus is not None:
+        leader.change_members(core, core.log.membership.without(surplus), now)
+        return
     for progress in _learners(core):
         membership = _next_membership(core, progress, now)
         if membership is not None:
@@ -140,7 +152,40 @@
     if not core.cfg.max_voters or len(membership.members) < core.cfg.max_voters:
         return membership.with_member(progress.member)
     silent = _longest_silent(core, now)
-    return None if silent is None else membership.without(silent)
+    if silent is not None:
+        return membership.without(silent)
+    if _spreads_voters(core, progress):
+        return membership.with_member(progress.member)
+    return None
+
+
+def _zones_of_voters(core: Core) -> dict[str, str]:
+    """Map the identity of each voter to its zone, which may be unknown (empty)."""
+    zones = {core.me.identity: core.cfg.zone}
+    for member in core.log.membership.members:
+        if member != core.me:
+            zones[member.identity] = core.progress[member.identity].zone
+    return zones
+
+
+def _spreads_voters(core: Core, learner: Progress) -> bool:
+    """Whether the learner's zone has at least two voters less than another one."""
+    zones = _zones_of_voters(core).values()
+    if not core.cfg.zone or not learner.zone or "" in zones:
+        return False
+    counts = Counter(zones)
+    return max(counts.values()) - counts[learner.zone] >= 2
+
+
+def _surplus_voter(core: Core) -> Member | None:
+    """A voter of the zone with the most voters, if there are more than allowed."""
+    members = core.log.membership.members
+    if not core.cfg.zone or len(members) <= core.cfg.max_voters:
+        return None
+    zones = _zones_of_voters(core)
+    counts = Counter(zones.values())
+    others = [member for member in members if member != core.me]
+    return max(others, key=lambda member: (counts[zones[member.identity]], member.name))
 
 
 def _longest_silent(core: Core, now: float) -> Member | None:
--- a/gooseberrydale/version/replication/leader.py
+++ b/gooseberrydale/version/replication/leader.py
@@ -200,6 +200,7 @@
         return
     progress.promised_at = max(progress.promised_at, reply.sent_at)
     progress.replied_at = now
+    progress.zone = reply.zone
     if reply.ok:
         _record_match(core, progress, reply.index)
         replicate(core, progress, now)
--- a/gooseberrydale/version/replication/messages.py
+++ b/gooseberrydale/version/replication/messages.py
@@ -144,13 +144,15 @@
     """Answer to an :class:`AppendReq` or a :class:`SnapshotReq`.
 
     If ``ok``, the follower's log is synced and equal to the leader's up to ``index``;
-    if not, the leader should try again with entries after ``index``.
+    if not, the leader should try again with entries after ``index``.  ``zone`` is the
+    follower's availability zone, empty if voters need not be spread over zones.
     """
 
     term: int
     ok: bool
     index: int
     sent_at: float
+    zone: str = ""
 
 
 @message
--- a/tests/builders_replication.py
+++ b/tests/builders_replication.py
@@ -1,6 +1,7 @@
 """A cluster of Raft nodes in memory, with disks that lose unsynced writes."""
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field, replace
 
 from gooseberrydale.version.replication import actions as act
@@ -15,7 +16,8 @@
 
 STEP_S = 0.05
 NAMES = ("c1", "c2", "c3", "c4", "c5")
-RATES = (1.0, 1.05, 0.95, 1.0, 1.05)  # of the replicas' clocks
+OPEN_NAMES = (*NAMES, "c6", "c7", "c8")
+RATES = (1.0, 1.05, 0.95, 1.0, 1.05, 0.95, 1.0, 1.05)  # of the replicas' clocks
 
 
 def small_cfg(names):
@@ -78,10 +80,12 @@
     Safety rules are checked at each step.
     """
 
-    def __init__(self, size, seed=0):
+    def __init__(self, size, seed=0, names=NAMES):
+        assert size <= len(names)
         self.rng = random.Random(seed)
-        self.names = NAMES[:size]
+        self.names = names[:size]
         self.cfg = small_cfg(self.names)
+        self.zones = {}
         self.now = 0.0
         self.cuts = set()
         self.frozen = set()
@@ -118,7 +122,8 @@
     def restart(self, replica):
         stored = replica.stored
         rng = random.Random(self.rng.random())
-        replica.node = RaftNode(self.cfg, replica.me, stored, rng, self.clock(replica))
+        cfg = replace(self.cfg, zone=self.zones.get(replica.name, ""))
+        replica.node = RaftNode(cfg, replica.me, stored, rng, self.clock(replica))
         replica.machine = (0, 0)
         if stored.snapshot.index:
             self._restore(replica, stored.snapshot)
@@ -343,10 +348,12 @@
     Names are addresses, so a replica can reach any other whose name it receives.
     """
 
-    def __init__(self, size, seed=0, seeds=3):
-        super().__init__(size, seed)
+    def __init__(self, size, seed=0, seeds=3, zones=(), max_voters=3):
+        """Create the group; ``zones`` has the zones of the replicas, if they matter."""
+        super().__init__(size, seed, OPEN_NAMES)
         names = self.names[:seeds]
-        self.cfg = replace(small_cfg(names), max_voters=3)
+        self.cfg = replace(small_cfg(names), max_voters=max_voters)
+        self.zones = dict(zip(self.names, zones))
         self.wire = []
         for replica in self.replicas.values():
             self.crash(replica)
@@ -362,6 +369,10 @@
         members = leader.node.membership.members if leader else ()
         return {member.name for member in members}
 
+    def voters_by_zone(self):
+        """Number of voters in each zone, as the leader knows them."""
+        return Counter(self.zones[name] for name in self.voters())
+
     def commit(self):
         """Propose to the leader; wait until all running replicas have applied it."""
         self.run_until(lambda: self.leader() is not None)
--- a/tests/test_control_open.py
+++ b/tests/test_control_open.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from gooseberrydale.process.cfg import ControlCfg
 from gooseberrydale.process.control import ended_incarnations_cache
 from gooseberrydale.process.control.announcements import Announcements
+from gooseberrydale.process.control.control import open_raft
 from gooseberrydale.process.control.ended_incarnations_cache import (
     EndedIncarnationsCache,
 )
@@ -215,3 +217,16 @@
     asyncio.run(after((incarnations.request(1),)))
     path.write_bytes(b"no record")
     asyncio.run(after(()))
+
+
+@pytest.mark.parametrize(
+    ("replicas", "zones", "voters"), [(1, 0, 3), (2, 0, 5), (0, 1, 3), (2, 1, 5)]
+)
+def test_voters_follow_from_the_replicas_and_the_zones_that_may_be_lost(
+    tmp_path: pathlib.Path, replicas: int, zones: int, voters: int
+) -> None:
+    """Guards against a single voter where zones are tolerated instead of replicas."""
+    cfg = ControlCfg(tmp_path, tolerated_losses=replicas, tolerated_zones=zones)
+    raft = open_raft(("10.0.0.1:83",), cfg, "zone-1")
+    assert raft.max_voters == voters
+    assert raft.zone == ("zone-1" if zones else "")
--- a/tests/test_open_group.py
+++ b/tests/test_open_group.py
@@ -151,3 +151,59 @@
         assert replica.machine[0] >= index
         assert not replica.node.caught_up
     cluster.commit()
+
+
+SPREAD = {"a": 1, "b": 1, "c": 1}
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize(
+    ("zones", "max_voters", "spread"),
+    [
+        (("a", "a", "a", "b", "c"), 3, SPREAD),
+        (("a", "a", "b", "c", "c"), 3, SPREAD),
+        (("a", "a", "a", "a", "b", "b", "c", "c"), 5, {"a": 2, "b": 2, "c": 1}),
+        (("a", "a", "a", "b"), 3, {"a": 2, "b": 1}),
+    ],
+)
+def test_voters_are_spread_over_zones(zones, max_voters, spread, seed):
+    """Guards against a zone whose loss takes the majority."""
+    cluster = OpenCluster(len(zones), seed, zones=zones, max_voters=max_voters)
+
+    def counts():
+        return sorted(cluster.voters_by_zone().values())
+
+    cluster.run_until(lambda: counts() == sorted(spread.values()))
+    voters = cluster.voters()
+    cluster.commit()
+    cluster.run(10.0)
+    assert cluster.voters() == voters
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("wiped", [False, True], ids=["disks kept", "disks lost"])
+def test_group_survives_the_loss_of_each_zone_in_turn(wiped, seed):
+    """Guards against a group that shrinks if zones are lost instead of replicas."""
+    zones = ("a", "b", "c", "a", "b", "c")
+    cluster = OpenCluster(6, seed, zones=zones)
+    cluster.commit()
+    for zone in "abcabc":
+        lost = [r for r in cluster.replicas.values() if cluster.zones[r.name] == zone]
+        for replica in lost:
+            if wiped:
+                cluster.wipe(replica)
+            else:
+                cluster.crash(replica)
+        cluster.run(6.0)
+        cluster.commit()
+        for replica in lost:
+            cluster.restart(replica)
+        cluster.run_until(lambda: cluster.voters_by_zone() == SPREAD)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_voters_are_not_moved_if_zones_are_not_tolerated(seed):
+    cluster = OpenCluster(5, seed)
+    cluster.commit()
+    cluster.run(10.0)
+    assert cluster.voters() == SEEDS
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -518,6 +518,7 @@
     "{{dataDir}}": "/data/control",
     "{{bootstrap}}": "true",
     "{{faultTolerance.machines}}": "1",
+    "{{faultTolerance.zones}}": "0",
     "{{heartbeatMs}}": "1200",
     "{{bounds.graceS}}": "8",
     "{{bounds.budgetRatio}}": "0.2",
