--- a/gooseberrydale/version/replication/core.py
+++ b/gooseberrydale/version/replication/core.py
@@ -40,9 +40,16 @@
     LEADER = "leader"
 
 
+MIB = 1024 * 1024
+
+
 @dataclass(frozen=True, slots=True)
 class RaftCfg:
-    """Times in seconds, sizes in entries.
+    """Times in seconds, sizes in entries unless they are called bytes.
+
+    A snapshot is taken after ``snapshot_entries`` applied entries, or once their data
+    has ``snapshot_bytes``.  Of the entries before a snapshot ``keep_entries`` remain
+    for replicas that are behind, with ``keep_bytes`` of data at most.
 
     ``names`` are the replica names that may become members.  ``lease_s`` must be below
     ``election_min_s``, so a leader stops before another can be elected, even if the
@@ -64,6 +71,8 @@
     inflight_entries: int = 1024
     snapshot_entries: int = 1_000
     keep_entries: int = 200
+    snapshot_bytes: int = 4 * MIB
+    keep_bytes: int = 4 * MIB
     max_voters: int = 0
     replace_after_s: float = 2.5
     zone: str = ""
@@ -103,7 +112,8 @@
 class Core:
     """The Raft state of one replica; ``me`` is its name and identity.
 
-    ``synced`` is the index up to which the own log is on disk.
+    ``synced`` is the index up to which the own log is on disk, ``applied_bytes`` the
+    size of the data applied since the last snapshot.
     """
 
     def __init__(
@@ -122,6 +132,7 @@
         self.rng = rng
         self.commit = log.snapshot.index
         self.applied = log.snapshot.index
+        self.applied_bytes = 0
         self.caught_up = False
         self.role = Role.FOLLOWER
         self.leader: Member | None = None
@@ -238,7 +249,11 @@
         self.out.append(Apply(entries))
         self.out.append(NoteCommit(index))
         self._report_members(entries)
-        if index - self.log.snapshot.index >= self.cfg.snapshot_entries:
+        self.applied_bytes += sum(len(entry.data) for entry in entries)
+        if (
+            index - self.log.snapshot.index >= self.cfg.snapshot_entries
+            or self.applied_bytes >= self.cfg.snapshot_bytes
+        ):
             self.out.append(TakeSnapshot(index))
 
     def _report_members(self, entries: tuple[Entry, ...]) -> None:
--- a/gooseberrydale/version/replication/follower.py
+++ b/gooseberrydale/version/replication/follower.py
@@ -108,6 +108,7 @@
             core.log.append(entry)
         core.commit = snapshot.index
         core.applied = snapshot.index
+        core.applied_bytes = 0
         core.out.append(Restore(snapshot))
         core.out.append(SaveSnapshot(snapshot, core.state, suffix))
     reply = _reply(core, True, snapshot.index, req.sent_at)
--- a/gooseberrydale/version/replication/log.py
+++ b/gooseberrydale/version/replication/log.py
@@ -72,6 +72,10 @@
         start = first - self.base_index - 1
         return tuple(self._entries[start : start + count])
 
+    def data_bytes(self, first: int, last: int) -> int:
+        """Size of the data of the entries ``first`` to ``last``."""
+        return sum(len(entry.data) for entry in self.slice(first, last - first + 1))
+
     def append(self, entry: Entry) -> None:
         """Add the next entry."""
         if entry.index != self.last_index + 1:
@@ -96,8 +100,11 @@
         while self._memberships[-1][0] >= index:
             self._memberships.pop()
 
-    def compact(self, snapshot: Snapshot, keep: int) -> None:
-        """Use a newer snapshot; retain ``keep`` entries up to its index."""
+    def compact(self, snapshot: Snapshot, keep: int, keep_bytes: int) -> None:
+        """Use a newer snapshot; retain up to ``keep`` entries up to its index.
+
+        Their data has at most ``keep_bytes``.
+        """
         if snapshot.index <= self.snapshot.index:
             raise InvariantError(
                 f"snapshot {snapshot.index} is not newer than the current one"
@@ -108,6 +115,10 @@
             )
         self.snapshot = snapshot
         base = max(self.base_index, snapshot.index - keep)
+        kept_bytes = self.data_bytes(base + 1, snapshot.index)
+        while kept_bytes > keep_bytes:
+            base += 1
+            kept_bytes -= self.data_bytes(base, base)
         base_term = self.term_at(base)
         assert base_term is not None
         del self._entries[: base - self.base_index]
--- a/gooseberrydale/version/replication/raft.py
+++ b/gooseberrydale/version/replication/raft.py
@@ -187,7 +187,8 @@
     def _compact(self, index: int, data: bytes) -> None:
         core = self._core
         snapshot = core.make_snapshot(index, data)
-        core.log.compact(snapshot, core.cfg.keep_entries)
+        core.log.compact(snapshot, core.cfg.keep_entries, core.cfg.keep_bytes)
+        core.applied_bytes = core.log.data_bytes(index + 1, core.applied)
         entries = core.log.slice(index + 1, core.log.last_index - index)
         core.out.append(SaveSnapshot(snapshot, core.state, entries))
 
--- a/tests/builders_replication.py
+++ b/tests/builders_replication.py
@@ -210,9 +210,9 @@
 
     _delay_s = 0.02
 
-    def propose(self, replica):
+    def propose(self, replica, padding=b""):
         self.numbers += 1
-        command = b"%d" % self.numbers
+        command = b"%d%s" % (self.numbers, padding)
         self.step(replica, act.Propose(((self.numbers, command),)))
 
     # Actions.
