--- a/soak/gateway_environment.py
+++ b/soak/gateway_environment.py
@@ -33,6 +33,9 @@
 from tests.free_ports import free_port
 
 GATEWAYS, UPSTREAMS, WORKSPACES = 3, 2, 4
+GATEWAYS_PER_UPSTREAM = 5
+"""With more gateways than usual there are more upstreams, as each sees less of them."""
+
 POOL = "desk"
 HEARTBEAT_S = 0.4
 SLOWNESS = 2.5
@@ -62,7 +65,8 @@
         self._reserved: set[str] = set()
         self._callers: CompetingCallers | None = None
         self.processes: dict[str, Process] = {}
-        self.upstreams = [LimitedUpstream(f"u{n + 1}") for n in range(UPSTREAMS)]
+        count = max(UPSTREAMS, gateways // GATEWAYS_PER_UPSTREAM)
+        self.upstreams = [LimitedUpstream(f"u{n + 1}") for n in range(count)]
         self.workspaces = [f"workspace-{n + 1}" for n in range(WORKSPACES)]
 
     @property
