Let tests replace a voter only once the last one has been replaced

Change: it waits for all voters, as the platform counts a machine as lost until its successor has caught up.

--- a/tests/builders_open_group.py
+++ b/tests/builders_open_group.py
@@ -118,11 +118,17 @@
         return list(self.replicas.values())[-1]
 
     async def replace_oldest(self, address: str) -> None:
-        """Remove the oldest replica; return once a new one has taken its place."""
+        """Remove the oldest replica; return once the group tolerates another loss."""
         gone = next(iter(self.replicas))
         await self.replicas.pop(gone).control.close()
         await self._add(address, tuple(self.replicas)[-3:], first=False)
-        await until(lambda: gone not in self.voters() and self.newest_is_caught_up())
+
+        def is_repaired() -> bool:
+            # While the lost voter is removed and none added yet, all others are needed.
+            voters = self.voters() - {gone}
+            return len(voters) == len(self.seeds) and self.newest_is_caught_up()
+
+        await until(is_repaired)
 
     async def stop(self, *addresses: str) -> None:
         """Stop replicas; their disks are kept."""
