--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -198,8 +198,8 @@
     With ``open_group`` instead of ``replicas`` any replica may join through those in
     ``fleet.controls``, and there are as many voters as are needed to tolerate
     ``tolerated_losses`` of them, or ``tolerated_zones`` availability zones, at the same
-    time.  ``bootstrap`` may be true only for the very
-    first start: the listed replicas with empty folders then create a new cluster.
+    time.  ``bootstrap`` may be true only for the very first start: the listed replicas
+    with empty folders then create a new cluster.
 
     A new leader waits ``order_pause_s`` before it sends orders to upstreams, so that
     the orders of its predecessor have arrived.  Work may be started on outdated weights
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -36,7 +36,7 @@
 """Exit code reported for a suite that was killed after its time limit."""
 
 MAX_MESSAGES, MAX_MESSAGE_CHARS = 3, 800
-"""What is printed at the end of how tests failed; a reader may have the end alone."""
+"""Limits of the messages printed last; CI may show only the end of the output."""
 
 _print_lock = threading.Lock()
 
