Move what serves HTTP in processes to a package

Framing, connection gate, listeners and closing were seven modules of process/ that only make sense together, and bounds on what clients send will join them. process/http/ holds them now.

Verified: format, lint, types; the tests of entry refusals, gate, listeners, refusals while sending, framing, endless requests, HTTP/1.0 and own capacity.

--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -50,7 +50,7 @@
 from gooseberrydale.process.control.upkeep import Upkeep
 from gooseberrydale.process.control.upstream_cache import UpstreamCache
 from gooseberrydale.process.control.weights_rollout import WeightsRollout
-from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.http.server import HttpServer
 from gooseberrydale.process.membership import Mesh, PeerState, known_controls
 from gooseberrydale.process.role import Role
 from gooseberrydale.process.tasks import spawn, stop
--- a/gooseberrydale/process/control/signpost.py
+++ b/gooseberrydale/process/control/signpost.py
@@ -17,7 +17,7 @@
 from gooseberrydale.process.cfg import Cfg, TlsCfg
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.control.members_reader import MembersReader
-from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.http.server import HttpServer
 from gooseberrydale.process.membership import known_controls
 from gooseberrydale.process.tls import tls_files
 
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -21,7 +21,7 @@
 from gooseberrydale.process.entry.call_handlers import CallHandlers
 from gooseberrydale.process.entry.middleware import EntryMiddleware, Phase
 from gooseberrydale.process.entry.quota_link import QuotaLink, entry_fleet
-from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.http.server import HttpServer
 from gooseberrydale.process.membership import Mesh
 from gooseberrydale.process.metrics import Metrics
 from gooseberrydale.process.quarantine_log import QuarantineLog
--- a/gooseberrydale/process/gateway/front_protocol.py
+++ b/gooseberrydale/process/gateway/front_protocol.py
@@ -11,10 +11,10 @@
 from typing import Any
 
 from gooseberrydale.errors import CONFIG_UNCONFIRMED, Problem, problem
-from gooseberrydale.process.connection_gate import ConnectionGate
 from gooseberrydale.process.gateway.app import TARGET
 from gooseberrydale.process.gateway.slow_readers import SlowReaders
-from gooseberrydale.process.http_protocol import BoundedHttpProtocol
+from gooseberrydale.process.http.connection_gate import ConnectionGate
+from gooseberrydale.process.http.protocol import BoundedHttpProtocol
 from gooseberrydale.request.retry_after import NOT_READY_AFTER_S
 from gooseberrydale.version.declared import CallerLimits
 
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -21,7 +21,6 @@
 from gooseberrydale.process import logs
 from gooseberrydale.process.cfg import Cfg, GatewayCfg, NodeCfg, TlsCfg
 from gooseberrydale.process.cfg_file import read_token
-from gooseberrydale.process.connection_gate import ConnectionGate
 from gooseberrydale.process.control_members_file import ControlMembersFile
 from gooseberrydale.process.gateway.app import GatewayApp, GatewayDeps
 from gooseberrydale.process.gateway.capacity_log import CapacityLog
@@ -53,7 +52,8 @@
 )
 from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.process.gateway.upstreams import Upstreams
-from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.http.connection_gate import ConnectionGate
+from gooseberrydale.process.http.server import HttpServer
 from gooseberrydale.process.membership import Mesh
 from gooseberrydale.process.quarantine_log import QuarantineLog
 from gooseberrydale.process.quota_client import QuotaClient
--- a/gooseberrydale/process/gateway/own_capacity.py
+++ b/gooseberrydale/process/gateway/own_capacity.py
@@ -15,10 +15,10 @@
 from gooseberrydale.connection.gateway_datagrams import FleetView
 from gooseberrydale.log_events import emit
 from gooseberrydale.log_events.capacity import GatewayOverloaded
-from gooseberrydale.process.connection_gate import ConnectionGate, LinkUse
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.routed_request import RoutedRequest
 from gooseberrydale.process.gateway.slow_readers import MAX_HELD_BYTES, SlowReaders
+from gooseberrydale.process.http.connection_gate import ConnectionGate, LinkUse
 from gooseberrydale.request.retry_after import (
     MIN_RETRY_AFTER_S,
     REMAINING_TIME_FRACTION,
--- /dev/null
+++ b/gooseberrydale/process/http/__init__.py
@@ -0,0 +1,1 @@
+"""Serves HTTP: listeners, connections, and the limits on what clients send."""
--- a/gooseberrydale/process/http_protocol.py
+++ b/gooseberrydale/process/http/protocol.py
@@ -28,10 +28,10 @@
     problem,
 )
 from gooseberrydale.log_events import HeadRefused, emit
-from gooseberrydale.process.draining_close import AnswerTransport, DrainingClose
 from gooseberrydale.process.error_body import error_object
-from gooseberrydale.process.http_1_0 import HTTP_1_0, end_normally, serve_http_1_0
-from gooseberrydale.process.request_framing import (
+from gooseberrydale.process.http.draining_close import AnswerTransport, DrainingClose
+from gooseberrydale.process.http.http_1_0 import HTTP_1_0, end_normally, serve_http_1_0
+from gooseberrydale.process.http.request_framing import (
     head_without_upgrade,
     is_readable,
     make_parser,
--- a/gooseberrydale/process/http_server.py
+++ b/gooseberrydale/process/http/server.py
@@ -10,8 +10,8 @@
 from starlette.types import ASGIApp
 
 from gooseberrydale.process.cfg import TlsCfg
-from gooseberrydale.process.http_protocol import BoundedHttpProtocol
-from gooseberrydale.process.listeners import listen
+from gooseberrydale.process.http.listeners import listen
+from gooseberrydale.process.http.protocol import BoundedHttpProtocol
 
 # Longer than clients and load balancers keep idle connections open, so that they close
 # them first; otherwise a request could be sent on a connection that is being closed.
--- a/gooseberrydale/process/observed_role.py
+++ b/gooseberrydale/process/observed_role.py
@@ -12,7 +12,7 @@
 from starlette.applications import Starlette
 
 from gooseberrydale.process.cfg import TlsCfg
-from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.http.server import HttpServer
 from gooseberrydale.process.instruments import Level
 from gooseberrydale.process.metrics import Metrics
 from gooseberrydale.process.role import Role
--- a/tests/test_connection_gate.py
+++ b/tests/test_connection_gate.py
@@ -9,15 +9,15 @@
 
 import pytest
 
-from gooseberrydale.process import connection_gate
-from gooseberrydale.process.connection_gate import (
+from gooseberrydale.process.gateway.gateway import Gateway
+from gooseberrydale.process.http import connection_gate
+from gooseberrydale.process.http.connection_gate import (
     DESCRIPTOR_FRACTION,
     LATE_S,
     OVERLOADED_AFTER_S,
     ConnectionGate,
     LoopDelay,
 )
-from gooseberrydale.process.gateway.gateway import Gateway
 from tests.builders_gateway import (
     RawUpstream,
     Writer,
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -9,8 +9,8 @@
 import pytest
 
 from gooseberrydale.process.cfg import TlsCfg
-from gooseberrydale.process.http_protocol import MAX_HEAD_BYTES, BoundedHttpProtocol
-from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.http.protocol import MAX_HEAD_BYTES, BoundedHttpProtocol
+from gooseberrydale.process.http.server import HttpServer
 
 GET = b"GET /r HTTP/1.1\r\nhost: h\r\n"
 POST = b"POST /r HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n4\r\nword\r\n"
--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -10,7 +10,7 @@
 import httpx2
 import pytest
 
-from gooseberrydale.process import http_protocol
+from gooseberrydale.process.http import protocol as http_protocol
 from gooseberrydale.version.declarations import Config
 from tests.builders_entry import KEY_A, KEY_B, FakeSidecar, run, running
 
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -9,8 +9,8 @@
 from starlette.types import Receive, Scope, Send
 
 from gooseberrydale.process.cfg import TlsCfg
-from gooseberrydale.process.http_server import HttpServer
-from gooseberrydale.process.listeners import listen, listen_early
+from gooseberrydale.process.http.listeners import listen, listen_early
+from gooseberrydale.process.http.server import HttpServer
 from tests.free_ports import free_address
 
 
--- a/tests/test_own_capacity.py
+++ b/tests/test_own_capacity.py
@@ -10,7 +10,6 @@
 import pytest
 
 from gooseberrydale.process.cfg import GatewayCfg, NodeCfg
-from gooseberrydale.process.connection_gate import ConnectionGate
 from gooseberrydale.process.gateway.capacity_sharing import CapacitySharing
 from gooseberrydale.process.gateway.gateway import Gateway, gateway_record
 from gooseberrydale.process.gateway.own_capacity import (
@@ -21,6 +20,7 @@
     OwnCapacity,
 )
 from gooseberrydale.process.gateway.slow_readers import SlowReaders
+from gooseberrydale.process.http.connection_gate import ConnectionGate
 from gooseberrydale.request.self_limit import MAX_DECLINED, RETRY_COST_S, OwnUse
 from gooseberrydale.version.gateway_peers import Fleet, GatewayPeer
 from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
--- a/tests/test_refused_while_sending.py
+++ b/tests/test_refused_while_sending.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from gooseberrydale.process import draining_close
 from gooseberrydale.process.cfg import TlsCfg
-from gooseberrydale.process.http_protocol import MAX_HEAD_BYTES, BoundedHttpProtocol
-from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.http import draining_close
+from gooseberrydale.process.http.protocol import MAX_HEAD_BYTES, BoundedHttpProtocol
+from gooseberrydale.process.http.server import HttpServer
 
 HOST = b"host: h\r\n"
 POST = b"POST /r HTTP/1.1\r\n" + HOST
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -13,8 +13,8 @@
 from hypothesis import strategies as st
 
 from gooseberrydale.process.cfg import TlsCfg
-from gooseberrydale.process.http_protocol import BoundedHttpProtocol
-from gooseberrydale.process.http_server import HttpServer
+from gooseberrydale.process.http.protocol import BoundedHttpProtocol
+from gooseberrydale.process.http.server import HttpServer
 
 SMUGGLED = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
 ANSWER_S = 5.0
