Add crowds of clients that misbehave, at all HTTP listeners

It checks that the process lives, stays within the memory of its machine (150 MB for a gateway, 128 for control and for a sidecar, 200 for an entry; bytes unread in the kernel count), within its descriptors, and that an ordinary caller is answered beside the crowd and after it, and a body of the full size in calm. No times and no shares.

The tests run after all others, one by one, as they need the machine for themselves.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,8 +1,8 @@
 """Run every test suite and print one closing line, ``N passed, N failed``.
 
 Runs pytest (unit tests and randomised state machines) and behave (features with real
-processes) in parallel, and reads their reports.  Fails if any test fails that
-KNOWN-RED.txt doesn't list.
+processes) in parallel, then the tests with crowds of clients one by one, and reads
+their reports.  Fails if any test fails that KNOWN-RED.txt doesn't list.
 """
 
 from __future__ import annotations
@@ -24,6 +24,9 @@
 )
 """A line of KNOWN-RED.txt: test, command and seed, what was seen, open issue."""
 
+CROWD_TESTS = "tests/crowd"
+"""Tests whose load would disturb others and be disturbed by them."""
+
 FEATURE_GROUPS = 3
 UNIT_WORKERS = 4
 """Unit tests wait most of their time, so they run in several processes."""
@@ -96,11 +99,11 @@
 
 
 def commands(reports: pathlib.Path) -> dict[pathlib.Path, list[str]]:
-    """Return the command of each suite by the folder of its report."""
+    """Return the command of each suite that runs beside others, by its report."""
     python, units = sys.executable, reports / "units"
     parallel = ["-n", str(UNIT_WORKERS), "--dist", "worksteal"]
     pytest = [python, "-m", "pytest", f"--junitxml={units}/units.xml", *parallel]
-    suites = {units: pytest}
+    suites = {units: [*pytest, f"--ignore={CROWD_TESTS}"]}
     behave = [python, "-m", "behave", "-f", "progress", "--no-capture", "--junit"]
     for number, files in enumerate(features_in_groups()):
         folder = reports / f"features-{number}"
@@ -108,6 +111,13 @@
     return suites
 
 
+def crowd_commands(reports: pathlib.Path) -> dict[pathlib.Path, list[str]]:
+    """Return the command of the suite that runs alone, by its report."""
+    folder = reports / "crowd"
+    report = f"--junitxml={folder}/crowd.xml"
+    return {folder: [sys.executable, "-m", "pytest", report, "-rP", CROWD_TESTS]}
+
+
 def run_suite(
     command: list[str], folder: pathlib.Path, bound_s: float = SUITE_BOUND_S
 ) -> int:
@@ -144,6 +154,9 @@
         suites = commands(pathlib.Path(tmp))
         with concurrent.futures.ThreadPoolExecutor(len(suites)) as pool:
             codes = list(pool.map(run_suite, suites.values(), suites))
+        for folder, command in crowd_commands(pathlib.Path(tmp)).items():
+            codes.append(run_suite(command, folder))
+            suites[folder] = command
         reports = [outcomes(folder) for folder in suites]
         messages = dict(m for s in suites for m in failure_messages(s).items())
     failed = [name for report in reports for name, ok in report.items() if not ok]
--- /dev/null
+++ b/tests/builders_crowd_fleet.py
@@ -0,0 +1,241 @@
+"""Real processes for tests with crowds: listeners, and ordinary calls to them."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import httpx2
+
+from soak.competition import HOST, api_key
+from soak.gateway_environment import GatewayEnvironment
+from tests.builders_crowd import FORMS, MAX_BODY_BYTES, MIB, Crowd, ProcessUse
+from tests.callers import BackgroundLoop
+from tests.fleet import Process, wait_until
+from tests.free_ports import free_port
+
+MEMORY_MB = 150
+"""Memory of a gateway's machine."""
+
+CONTROL_MEMORY_MB = 128
+"""Memory that control may use on a node."""
+
+WORKSPACES = 1_800
+"""Workspaces that are declared, as many as the product is designed for."""
+
+MAX_FDS = 4_100
+FILE_FDS = 200
+"""Descriptors that a machine keeps for files."""
+
+CALM_S = 1.0
+TRIES = 6
+TRY_TIMEOUT_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Listener:
+    """A listener of one process, what crowds ask there, and an ordinary call.
+
+    ``path`` and ``headers`` are those of a crowd's requests.  The ordinary call has
+    ``call``'s method and path and gets ``status``; with ``full`` it is sent once more
+    with a body of the full size.
+    """
+
+    process: str
+    address: str
+    memory_mb: int
+    path: str
+    call: tuple[str, str] = ("GET", "/")
+    headers: Mapping[str, str] = field(default_factory=dict)
+    method: str = "POST"
+    status: int = 200
+    body: bytes | None = None
+    full: bool = False
+
+    def target(self, number: int) -> bytes:
+        """Return the start of a crowd's request."""
+        lines = [f"{self.method} {self.path}?n={number} HTTP/1.1"]
+        headers = {"host": HOST, "x-request-id": uuid.uuid4().hex, **self.headers}
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        return "\r\n".join((*lines, "")).encode()
+
+    async def ordinary_status(self, *, full: bool = False) -> int:
+        """Send an ordinary call until it is answered; return the last status.
+
+        It is 0 if no connection was answered.
+        """
+        status = 0
+        for number in range(TRIES):
+            async with httpx2.AsyncClient(
+                timeout=TRY_TIMEOUT_S, trust_env=False
+            ) as client:
+                try:
+                    got = await self._send(client, number, full)
+                    status = got.status_code
+                except httpx2.HTTPError:
+                    status = 0
+            if status == self.status:
+                break
+            await asyncio.sleep(0.2)
+        return status
+
+    async def _send(
+        self, client: httpx2.AsyncClient, number: int, full: bool
+    ) -> httpx2.Response:
+        method, path = self.call
+        headers = {"host": HOST, "x-request-id": uuid.uuid4().hex, **self.headers}
+        body = self.body
+        if full:
+            method, body = "POST", (body or b"").ljust(MAX_BODY_BYTES)
+        url = f"http://{self.address}{path}"
+        return await client.request(method, url, headers=headers, content=body)
+
+
+class CrowdEnvironment(GatewayEnvironment):
+    """One gateway, control and a signpost, with a document of the planned size."""
+
+    def __init__(
+        self, folder: pathlib.Path, load: BackgroundLoop, max_fds: int = MAX_FDS
+    ) -> None:
+        super().__init__(folder, load, gateways=1)
+        self._max_fds = max_fds
+        self._metrics = f"127.0.0.1:{free_port()}"
+        self._signpost = f"127.0.0.1:{free_port()}"
+
+    def document(self) -> dict[str, Any]:
+        """Return the document with the planned number of workspaces."""
+        document = super().document()
+        document["limits"] = {
+            "maxHeaderBytes": 16 * 1024,
+            "maxBodyBytes": MAX_BODY_BYTES,
+            "headerTimeoutMs": 10_000,
+            "idleTimeoutMs": 75_000,
+        }
+        document["tenants"] += [
+            {"name": f"other-workspace-{n}", "apiKeys": [uuid.uuid4().hex]}
+            for n in range(WORKSPACES - len(self.workspaces))
+        ]
+        return document
+
+    def settings_of_gateway(self, number: int) -> str:
+        """Return the limits of the gateway's machine, and a metrics listener."""
+        return (
+            f"memory_mb = {MEMORY_MB}\nmax_fds = {self._max_fds}\n"
+            f'[metrics]\nhttp = "{self._metrics}"\n'
+        )
+
+    def add_controls(self, rpc: str) -> None:
+        """Add the control replica and an instance that redirects to it."""
+        super().add_controls(rpc)
+        self._add(
+            "signpost",
+            "control",
+            [rpc],
+            f'data_dir = "{self._folder / "signpost"}"\n'
+            f'rpc = "127.0.0.1:{free_port()}"\nhttp = "{self._signpost}"\n'
+            "open_group = true\nsignpost = true\n",
+        )
+
+    def listener(self, name: str) -> Listener:
+        """Return a listener by its name."""
+        gateway = partial(Listener, "gateway-1", memory_mb=MEMORY_MB)
+        control = partial(
+            Listener, memory_mb=CONTROL_MEMORY_MB, call=("GET", "/v1/Config.Get")
+        )
+        listeners = {
+            "gateway": lambda: gateway(
+                self._fronts["gateway-1"],
+                path="/urgent/crowd",
+                call=("GET", "/urgent/1"),
+                headers={"x-api-key": api_key(self.workspaces[0])},
+                full=True,
+            ),
+            "gateway without a key": lambda: gateway(
+                self._fronts["gateway-1"],
+                path="/urgent/crowd",
+                call=("GET", "/urgent/1"),
+                headers={"x-api-key": "unknown"},
+                status=401,
+            ),
+            "readiness": lambda: gateway(self._ready["gateway-1"], path="/v1/ready"),
+            "metrics": lambda: gateway(
+                self._metrics, path="/metrics", call=("GET", "/metrics"), method="GET"
+            ),
+            "control": lambda: control("control", self._control, path="/v1/Config.Put"),
+            "control's reads": lambda: control(
+                "control", self._control, path="/v1/Config.Get", method="GET"
+            ),
+            "heartbeats": lambda: control(
+                "control", self._control, path="/v1/Instances.Heartbeat/crowd"
+            ),
+            "signpost": lambda: control(
+                "signpost", self._signpost, path="/v1/Config.Put", status=307
+            ),
+        }
+        return listeners[name]()
+
+
+def check_crowd(
+    processes: Mapping[str, Process],
+    load: BackgroundLoop,
+    listener: Listener,
+    form: str,
+    max_fds: int = MAX_FDS - FILE_FDS,
+) -> None:
+    """Check what must hold while a crowd is there, and after it has gone.
+
+    The process lives within its memory and descriptors, and ordinary callers get
+    answers.  A process that fails is started again, so that each crowd meets a sound
+    one.
+    """
+    process = processes[listener.process]
+    try:
+        load.run(_check_crowd(process, listener, form, max_fds))
+    except BaseException:
+        process.kill()
+        process.start()
+        wait_until(
+            lambda: load.run(listener.ordinary_status()) == listener.status,
+            f"{listener.process} does not serve after its restart",
+        )
+        raise
+
+
+async def _check_crowd(
+    process: Process, listener: Listener, form: str, max_fds: int
+) -> None:
+    port = int(listener.address.rpartition(":")[2])
+    use = ProcessUse(process.pid, [port])
+    use.reset_peak()
+    assert await listener.ordinary_status() == listener.status, "not served before"
+    crowd = Crowd(listener.address, FORMS[form], listener.target)
+    await use.start()
+    try:
+        await crowd.start()
+        beside = await listener.ordinary_status()
+        await crowd.close()
+        after = await listener.ordinary_status()
+        await asyncio.sleep(CALM_S)
+        full = await listener.ordinary_status(full=True) if listener.full else 0
+    finally:
+        await crowd.close()
+        if process.running:
+            await use.close()
+    print(
+        f"{form} at {listener.address}: {crowd.connected} connections,"
+        f" {use.peak_bytes / MIB:.0f} MiB, {use.peak_unread_bytes / MIB:.0f} MiB unread"
+        f" at most, {use.peak_fds} descriptors;"
+        f" {beside} beside, {after} after, {full} for a body of the full size"
+    )
+    assert process.running, f"{process.name} ended: {process.output()[-500:]}"
+    assert use.peak_bytes <= listener.memory_mb * MIB, f"{use.peak_bytes / MIB:.0f} MiB"
+    assert use.peak_fds <= max_fds
+    assert beside == listener.status, "an ordinary caller is not served beside it"
+    assert after == listener.status, "an ordinary caller is not served afterwards"
+    if listener.full:
+        assert full == listener.status, "a body of the full size is not served in calm"
--- /dev/null
+++ b/tests/crowd/test_entry_crowds.py
@@ -0,0 +1,117 @@
+"""Crowds at the listeners of an entry, of operators and of a sidecar's metrics."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from functools import partial
+
+import pytest
+
+from gooseberrydale.version.declarations import Profile, ProfileKind, Workspace
+from tests.builders_crowd import FORMS, MAX_BODY_BYTES
+from tests.builders_crowd_fleet import CONTROL_MEMORY_MB, Listener, check_crowd
+from tests.callers import BackgroundLoop
+from tests.fleet import (
+    CONTROL_HTTP_PORT,
+    ENTRY_HTTP_PORT,
+    METRICS_HTTP_PORT,
+    OPERATOR_TOKEN,
+    Fleet,
+    UpstreamSpec,
+    key_digest,
+)
+
+KEY = "key-of-the-crowd"
+ENTRY_MEMORY_MB = 200
+BODIES = tuple(name for name in FORMS if "bodies" in name)
+CHAT = {"model": "chat", "messages": [{"role": "user", "content": "Hello"}]}
+
+CASES = [
+    *(("entry", form) for form in BODIES),
+    ("entry", "requests ahead"),
+    ("entry", "heads without their end"),
+    ("entry's models", "requests ahead"),
+    ("operators", "bodies without their last byte"),
+    ("operators", "bodies in tiny chunks"),
+    ("operators", "requests ahead"),
+    ("sidecar's metrics", "requests ahead"),
+    ("sidecar's metrics", "requests with bodies ahead"),
+]
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    fleet = Fleet(tmp_path_factory.mktemp("crowds"), ("zone-1",))
+    try:
+        fleet.add_controls(1)
+        fleet.add_entries(1, max_body_bytes=MAX_BODY_BYTES)
+        fleet.add_upstream(
+            UpstreamSpec("engine-1", "chat", flags=("--model", "model-a"), metrics=True)
+        )
+        fleet.start()
+        fleet.declare(
+            [
+                Profile(
+                    name="chat",
+                    pool="chat",
+                    kind=ProfileKind.COMPLETION,
+                    model="model-a",
+                )
+            ],
+            [Workspace(name="w", key_digests=(key_digest(KEY),))],
+        )
+        fleet.wait_ready(1)
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def listener_of(fleet: Fleet, name: str) -> Listener:
+    """Return a listener by its name."""
+    entry = f"{fleet.host('entry-1')}:{ENTRY_HTTP_PORT}"
+    control = f"{fleet.host('control-1')}:{CONTROL_HTTP_PORT}"
+    sidecar = f"{fleet.host('sidecar-engine-1')}:{METRICS_HTTP_PORT}"
+    chat = partial(
+        Listener,
+        "entry-1",
+        entry,
+        ENTRY_MEMORY_MB,
+        headers={"authorization": f"Bearer {KEY}"},
+    )
+    path = "/v1/chat/completions"
+    listeners = {
+        "entry": chat(
+            path, call=("POST", path), body=json.dumps(CHAT).encode(), full=True
+        ),
+        "entry's models": chat("/v1/models", call=("GET", "/v1/models"), method="GET"),
+        "operators": Listener(
+            "control-1",
+            control,
+            CONTROL_MEMORY_MB,
+            "/v1/changes",
+            call=("GET", "/v1/config"),
+            headers={"authorization": f"Bearer {OPERATOR_TOKEN}"},
+        ),
+        "sidecar's metrics": Listener(
+            "sidecar-engine-1",
+            sidecar,
+            CONTROL_MEMORY_MB,
+            "/metrics",
+            call=("GET", "/metrics"),
+            method="GET",
+        ),
+    }
+    return listeners[name]
+
+
+@pytest.mark.parametrize(("listener", "form"), CASES)
+def test_crowd_leaves_the_process_and_ordinary_callers_alone(
+    fleet: Fleet, listener: str, form: str
+) -> None:
+    """Guards against clients that fill the memory of a process."""
+    load = BackgroundLoop()
+    try:
+        check_crowd(fleet.processes, load, listener_of(fleet, listener), form)
+    finally:
+        load.close()
