Bound the bodies that control reads from the deployment's calls

Cause: ControlHttp read whole bodies of any size; a client that disconnected within one raised through the application and left a traceback in the log. An announced body is refused unread. 413 is final for operators, as such a document is taken nowhere; other refusals stay 503.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,7 +25,11 @@
 from tests.builders_gateway import RawUpstream, Writer, record
 from tests.sidecar_harness import run
 
-from control_http import ControlHttp  # isort: skip
+from control_http import (  # isort: skip
+    MAX_DOCUMENT_BYTES,
+    MAX_HEARTBEAT_BYTES,
+    ControlHttp,
+)
 from document_json import decode_document  # isort: skip
 from engine_http import PlatformEngines  # isort: skip
 from http_wire import PlatformWire  # isort: skip
@@ -352,6 +356,28 @@
     assert client.get("/v1/Config.Get").content == sent
 
 
+BODIES_OVER_THE_LIMIT = {
+    "/v1/Config.Put": (MAX_DOCUMENT_BYTES, 413),
+    "/v1/version-put": (MAX_HEARTBEAT_BYTES, 413),
+    "/v1/Instances.Heartbeat/i-1": (MAX_HEARTBEAT_BYTES, 413),
+}
+
+
+@pytest.mark.parametrize("path", BODIES_OVER_THE_LIMIT)
+@pytest.mark.parametrize("announced", [True, False])
+def test_a_call_with_a_body_over_its_limit_is_refused(
+    path: str, announced: bool
+) -> None:
+    """Guards against bodies that fill the memory of control."""
+    limit, status = BODIES_OVER_THE_LIMIT[path]
+    documents = FakeDocuments()
+    content = b" " * (limit + 1)
+    pieces = iter([content[:limit], content[limit:]])
+    client = control(documents, Directory())
+    answer = client.post(path, content=content if announced else pieces)
+    assert (answer.status_code, documents.held) == (status, None)
+
+
 def test_every_call_gets_503_without_a_quorum() -> None:
     documents = FakeDocuments()
     documents.problem = problem(NO_QUORUM, not_run=None)
