--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -49,6 +49,9 @@
 PARSED_BYTES = 64 * 1024
 """Most bytes that are parsed before the bounds are checked again."""
 
+LARGE_BODY_BYTES = 64 * 1024
+"""A body over this size is written apart from its head, as joining them copies it."""
+
 NO_BODY_STATUSES = frozenset({204, 304})
 MAX_SKIPPED_RESPONSES = 4
 """How many responses to other requests are skipped before the connection fails."""
@@ -139,7 +142,11 @@
         self._bounds = ResponseBounds(request_line(head), max_body_bytes, kind)
         self._is_body_bounded = max_body_bytes is not None
         self.sent = True
-        self._transport.write(head + body if body else head)
+        if len(body) > LARGE_BODY_BYTES:
+            self._transport.write(head)
+            self._transport.write(body)
+        else:
+            self._transport.write(head + body if body else head)
 
     async def head(self, is_mine: Callable[[ResponseHead], bool]) -> ResponseHead:
         """Return the head of the response; skip responses that ``is_mine`` rejects.
