Account for what all clients of a process hold, and read one request at a time

Causes: every connection was bounded by itself at most. The server library reads requests that are sent ahead without limit and makes a task's objects of each; the kernel takes megabytes for each connection that is not read; header fields take far more than their bytes; a cycle that was answered early keeps the body until garbage is collected; asyncio accepts the whole backlog at once.

Change: one ClientAccount in each process, for all of its HTTP listeners. - held_bytes, a pure rule: heads with their fields, bodies twice, requests ahead, unread answers, and what may wait in the kernel of a body or a paused connection. Beyond max_held_bytes (32 MiB, control 16, at most a fifth of a gateway's memory) who has held most bytes for longest is refused: 503, not run, once a second in the log. A request that the application may have passed on is answered; only what was sent ahead of its answer is dropped. Holdings over 64 KiB may use three quarters, so small requests find room, and a single large one may exceed the limit. A body that is announced and can't fit is refused unread. - message_ends: the parser gets sections that end where a request may end, so that one request of a connection exists at a time; up to 64 KiB ahead are kept. - Receive buffers of 16 KiB, 128 for a connection on which a large body is read; 64 KiB are read at once, less where they make many pieces, such as tiny chunks; 16 connections are accepted at once. - With 65 % of the descriptors in use, connections that have sent no request for five seconds make room. - Closing a connection that its client has reset raised OSError into whatever refused it, and ended that connection instead.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -243,6 +243,12 @@
     "This gateway has more requests than it can answer in time; send the request to"
     " another one after the given time.",
 )
+CLIENTS_HOLD_TOO_MUCH = ErrorKind(
+    "clients_hold_too_much",
+    503,
+    "This process holds too many bytes of unfinished requests to read this one; send it"
+    " again after the given time, whole and without pauses.",
+)
 NO_ROOM = ErrorKind(
     "no_room",
     503,
--- a/gooseberrydale/log_events/__init__.py
+++ b/gooseberrydale/log_events/__init__.py
@@ -16,6 +16,7 @@
     WorkspaceShareCrossed,
 )
 from gooseberrydale.log_events.connections import (
+    ClientsRefused,
     ConnectionsRefused,
     ControlMembersChanged,
     ControlReached,
@@ -84,6 +85,7 @@
     "CapacitySharingChanged",
     "CommitNotNoted",
     "ConfigReceived",
+    "ClientsRefused",
     "ConnectionsRefused",
     "ControlMembersChanged",
     "ControlReached",
--- a/gooseberrydale/log_events/connections.py
+++ b/gooseberrydale/log_events/connections.py
@@ -41,6 +41,25 @@
     open: int
 
 
+@dataclass(frozen=True, slots=True)
+class ClientsRefused(LogEvent):
+    """Clients held too much, so requests were refused or connections were closed.
+
+    ``reason`` is what was short: memory or descriptors.  It is logged once a second.
+    ``refused`` requests or connections were affected; ``connections`` are open and hold
+    ``held_bytes``.
+    """
+
+    NAME: ClassVar[str] = "clients_refused"
+    TEXT: ClassVar[str] = "clients refused that hold too much"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    reason: str
+    refused: int
+    held_bytes: int
+    connections: int
+
+
 @dataclass(frozen=True, slots=True)
 class HeadRefused(LogEvent):
     """The HTTP protocol refused a request before its head was complete or valid.
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -11,6 +11,13 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+MAX_HELD_BYTES = 32 * 1024 * 1024
+"""A fifth to a quarter of the memory of the smallest nodes: several bodies of the
+largest size, or heads and bodies of some thousand usual requests."""
+
+MAX_HELD_CONTROL_BYTES = 16 * 1024 * 1024
+"""The same for control, whose calls are small but for documents, one at a time."""
+
 
 @dataclass(frozen=True, slots=True)
 class NodeCfg:
@@ -84,7 +91,9 @@
     """Listeners and limits of an entry.
 
     A request that the configuration doesn't allow is denied only if that was known to
-    be the newest one within the last ``config_bound_s``.
+    be the newest one within the last ``config_bound_s``.  Callers may make the process
+    hold ``max_held_bytes`` of requests and unread answers; beyond that the largest
+    unfinished requests are refused.  A body counts twice.
     """
 
     http: str = "127.0.0.1:8080"
@@ -97,6 +106,7 @@
     retry_ratio: float = 0.2
     policy: str = "affinity"
     config_bound_s: float = 4.0
+    max_held_bytes: int = MAX_HELD_BYTES
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,8 +133,9 @@
     with most of it relay the events of KV cache stores to the others.  ``max_fds`` and
     ``memory_mb`` are the descriptors and the memory that the process may use, 0 if
     unknown.  New connections are closed unread while one of these three is nearly used
-    up.  A gateway with a ``data_dir`` stores there where streams began, so that they
-    can go on after all gateways were killed.
+    up.  Callers may make it hold ``max_held_bytes``, as with an entry, and no more than
+    a fifth of ``memory_mb``.  A gateway with a ``data_dir`` stores there where
+    streams began, so that they can go on after all gateways were killed.
 
     With ``share_capacity``, requests that compete for too little capacity are ordered
     by rank and workspace over all gateways.  Without it, this applies to pools whose
@@ -146,6 +157,7 @@
     link_mbps: float = 0.0
     max_fds: int = 0
     memory_mb: float = 0.0
+    max_held_bytes: int = MAX_HELD_BYTES
     data_dir: Path | None = None
     share_capacity: bool = False
     learn_speeds: bool = True
@@ -204,7 +216,8 @@
     A new leader waits ``order_pause_s`` before it sends orders to upstreams, so that
     the orders of its predecessor have arrived.  Work may be started on outdated weights
     for ``weights_bound_s``.  Upstreams without a sidecar announce themselves every
-    ``beat_s``.  A ``signpost`` is a replica without a disk: it stores nothing and
+    ``beat_s``.  Operators and upstreams may make it hold ``max_held_bytes``, as callers
+    of an entry.  A ``signpost`` is a replica without a disk: it stores nothing and
     redirects its callers to the listed replicas.
     """
 
@@ -220,6 +233,7 @@
     order_pause_s: float = 3.0
     weights_bound_s: float = 8.0
     beat_s: float = 1.2
+    max_held_bytes: int = MAX_HELD_CONTROL_BYTES
     signpost: bool = False
     operators_file: Path | None = None
     loads_at_once: int = 2
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -50,6 +50,7 @@
 from gooseberrydale.process.control.upkeep import Upkeep
 from gooseberrydale.process.control.upstream_cache import UpstreamCache
 from gooseberrydale.process.control.weights_rollout import WeightsRollout
+from gooseberrydale.process.http.client_account import ClientAccount
 from gooseberrydale.process.http.server import HttpServer
 from gooseberrydale.process.membership import Mesh, PeerState, known_controls
 from gooseberrydale.process.role import Role
@@ -198,7 +199,8 @@
                 own.weights_bound_s,
                 self._mesh.merge_weights,
             )
-        self._http = HttpServer(app, own.http, own.tls)
+        self.clients = ClientAccount(own.max_held_bytes)
+        self._http = HttpServer(app, own.http, own.tls, clients=self.clients)
 
     @property
     def addresses(self) -> dict[str, str]:
--- a/gooseberrydale/process/control/signpost.py
+++ b/gooseberrydale/process/control/signpost.py
@@ -17,6 +17,7 @@
 from gooseberrydale.process.cfg import Cfg, TlsCfg
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.control.members_reader import MembersReader
+from gooseberrydale.process.http.client_account import ClientAccount
 from gooseberrydale.process.http.server import HttpServer
 from gooseberrydale.process.membership import known_controls
 from gooseberrydale.process.tls import tls_files
@@ -55,7 +56,8 @@
         self._checked_at = -math.inf
         self._check_lock = asyncio.Lock()
         self._next_index = itertools.count()
-        self._http = HttpServer(self._answer, own, TlsCfg())
+        self.clients = ClientAccount(cfg.control.max_held_bytes)
+        self._http = HttpServer(self._answer, own, TlsCfg(), clients=self.clients)
 
     @property
     def addresses(self) -> Mapping[str, str]:
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -21,6 +21,7 @@
 from gooseberrydale.process.entry.call_handlers import CallHandlers
 from gooseberrydale.process.entry.middleware import EntryMiddleware, Phase
 from gooseberrydale.process.entry.quota_link import QuotaLink, entry_fleet
+from gooseberrydale.process.http.client_account import ClientAccount
 from gooseberrydale.process.http.server import HttpServer
 from gooseberrydale.process.membership import Mesh
 from gooseberrydale.process.metrics import Metrics
@@ -61,6 +62,7 @@
         self._fleet = cfg.fleet
         self._token = read_token(cfg.fleet.token_file)
         self._tls = tls_files(cfg.fleet.tls)
+        self.clients = ClientAccount(self._cfg.max_held_bytes)
         self.store = ConfigStore()
         self.directory = Directory()
         self.ended_incarnations = EndedIncarnations()
@@ -152,7 +154,9 @@
             routes.append(self._metrics.route())
         app = make_app(self._calls, self._metrics.instruments, routes)
         self._middleware = EntryMiddleware(app, self._metrics.instruments, self._rng)
-        self._http = HttpServer(self._middleware, self._cfg.http, self._cfg.tls)
+        self._http = HttpServer(
+            self._middleware, self._cfg.http, self._cfg.tls, clients=self.clients
+        )
         self._quarantine_log.start()
         await self._rpc.start()
         await self._mesh.start()
--- a/gooseberrydale/process/gateway/front_protocol.py
+++ b/gooseberrydale/process/gateway/front_protocol.py
@@ -40,10 +40,9 @@
 
         def connection_made(self, transport: asyncio.BaseTransport) -> None:
             """Take the connection, or reset it before anything is read."""
+            self._clients.make_room()
             self._is_taken = gate.opened()
             if self._is_taken:
-                # With a limit of 0, an answer waits until its last part is read.
-                transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
                 super().connection_made(transport)
             else:
                 transport.abort()  # type: ignore[attr-defined]
@@ -76,6 +75,11 @@
                 return super().head_too_large()
             return problem(CONFIG_UNCONFIRMED, retry_after_s=NOT_READY_AFTER_S)
 
+        @property
+        def largest_body(self) -> int:
+            """Most bytes of a body by the document in force."""
+            return limits().body_bytes
+
         @property
         def head_timeout_s(self) -> float:  # type: ignore[override]
             """Maximum seconds for receiving a head."""
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -52,7 +52,8 @@
 )
 from gooseberrydale.process.gateway.terms import TermsMaker
 from gooseberrydale.process.gateway.upstreams import Upstreams
-from gooseberrydale.process.http.connection_gate import ConnectionGate
+from gooseberrydale.process.http.client_account import ClientAccount
+from gooseberrydale.process.http.connection_gate import BYTES_PER_MB, ConnectionGate
 from gooseberrydale.process.http.server import HttpServer
 from gooseberrydale.process.membership import Mesh
 from gooseberrydale.process.quarantine_log import QuarantineLog
@@ -107,6 +108,10 @@
 """Time in which the last report leaves before the socket is closed.  It is sent a
 second time, as the retries that it states would all count as spent if it were lost."""
 
+HELD_FRACTION = 0.2
+"""Fraction of the memory that callers may make the process hold: it needs half for
+itself, and what each connection takes and what waits unread come on top."""
+
 READY_CLOSE_TIMEOUT_S = 0.1
 RECORD_LEASE_S = 12.0
 """How long the other gateways count one that has died.  Its share of retries and
@@ -140,6 +145,13 @@
     return f"{GATEWAY_ROLE}/{node.name}"
 
 
+def _max_held_bytes(cfg: GatewayCfg) -> int:
+    if not cfg.memory_mb:
+        return cfg.max_held_bytes
+    memory_bytes = cfg.memory_mb * BYTES_PER_MB
+    return min(cfg.max_held_bytes, int(memory_bytes * HELD_FRACTION))
+
+
 def _origin_keeping(cfg: GatewayCfg) -> OriginKeeping:
     return OriginKeeping.MEMORY if cfg.data_dir is None else OriginKeeping.DISK
 
@@ -228,6 +240,7 @@
         self._sharing = SharingGateways(own.gateways)
         self._budgets = RetryBudgets(own, self._count_gateways, incarnation)
         self._gate = ConnectionGate(own.max_fds, own.memory_mb, own.link_mbps)
+        self.clients = ClientAccount(_max_held_bytes(own), own.max_fds)
         self._readers = SlowReaders()
         capacity = OwnCapacity(
             self._gate,
@@ -347,8 +360,12 @@
             self._gate,
             self._readers,
         )
-        self._front = HttpServer(self._app, self._cfg.http, TlsCfg(), protocol)
-        self._ready = HttpServer(self._serve_readiness, self._cfg.ready, TlsCfg())
+        self._front = HttpServer(
+            self._app, self._cfg.http, TlsCfg(), protocol, self.clients
+        )
+        self._ready = HttpServer(
+            self._serve_readiness, self._cfg.ready, TlsCfg(), clients=self.clients
+        )
         self._prober = Prober(self._upstreams, self._gossip.changed)
         self._quarantine_log = QuarantineLog(self.ended_incarnations)
         self._capacity_log = CapacityLog(
--- a/gooseberrydale/process/http/draining_close.py
+++ b/gooseberrydale/process/http/draining_close.py
@@ -24,6 +24,8 @@
         self._transport = transport
         self._timer: asyncio.TimerHandle | None = None
         self._discarded_bytes = 0
+        self.has_dropped = False
+        """Whether received bytes were dropped, so that no other request is read."""
 
     @property
     def has_begun(self) -> bool:
@@ -37,8 +39,13 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(DISCARD_S, self._transport.close)
         self._transport.resume_reading()
-        if self._transport.can_write_eof():
+        if not self._transport.can_write_eof():
+            return
+        try:
             self._transport.write_eof()
+        except OSError:
+            # The client has reset the connection, which has not been noticed yet.
+            self._transport.abort()
 
     def received(self, size: int) -> None:
         """Count ``size`` discarded bytes; close if they exceed the limit."""
@@ -55,7 +62,7 @@
 class AnswerTransport:
     """The transport that an answer is written to.
 
-    Closing it before the request has been read begins ``draining``.
+    Closing it before all that was sent has been read begins ``draining``.
     """
 
     def __init__(self, transport: Any, draining: DrainingClose, cycle: Any) -> None:
@@ -74,7 +81,9 @@
 
     def close(self) -> None:
         """Close the connection after what has been written."""
-        if self._cycle.response_complete and self._cycle.more_body:
+        if self._cycle.response_complete and (
+            self._cycle.more_body or self._draining.has_dropped
+        ):
             self._draining.begin()
         else:
             self._transport.close()
--- a/gooseberrydale/process/http/listeners.py
+++ b/gooseberrydale/process/http/listeners.py
@@ -9,9 +9,34 @@
 from __future__ import annotations
 
 import socket
+from typing import Any
 
 BACKLOG = 1024
 
+RECEIVE_BUFFER_BYTES = 16 * 1024
+"""Most bytes that wait unread in the kernel for a connection, as they count as memory
+of the process.  Without a bound the kernel takes several megabytes for each."""
+
+LARGE_RECEIVE_BUFFER_BYTES = 128 * 1024
+"""The same for a connection on which a large body is read, so that it arrives in few
+round trips."""
+
+KERNEL_FACTOR = 1.5
+"""How many bytes the kernel takes for each that a socket's receive buffer is set to: it
+sets twice as many and uses some of them for its own data (socket(7))."""
+
+ACCEPTS_AT_ONCE = 16
+"""Most connections that are accepted before any is looked at: all of them take a
+descriptor, also those that are closed unread."""
+
+
+class _ListeningSocket(socket.socket):
+    """A socket whose backlog is not lowered to what asyncio accepts at once."""
+
+    def listen(self, backlog: int = BACKLOG, /) -> None:
+        super().listen(max(backlog, BACKLOG))
+
+
 _early_sockets: dict[str, socket.socket] = {}
 
 
@@ -36,13 +61,24 @@
     return _bind(address) if sock is None else sock
 
 
+def enlarge_receive_buffer(sock: Any) -> None:
+    """Let more bytes wait unread for a connection that sends a large body."""
+    _set_receive_buffer(sock, LARGE_RECEIVE_BUFFER_BYTES)
+
+
+def _set_receive_buffer(sock: Any, size: int) -> None:
+    size = int(size / KERNEL_FACTOR)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def _bind(address: str) -> socket.socket:
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock = _ListeningSocket(family, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _set_receive_buffer(sock, RECEIVE_BUFFER_BYTES)
         sock.bind((host, int(port)))
         sock.listen(BACKLOG)
         sock.setblocking(False)
--- a/gooseberrydale/process/http/server.py
+++ b/gooseberrydale/process/http/server.py
@@ -5,12 +5,14 @@
 import asyncio
 import contextlib
 from collections.abc import Iterator
+from functools import partial
 
 import uvicorn
 from starlette.types import ASGIApp
 
 from gooseberrydale.process.cfg import TlsCfg
-from gooseberrydale.process.http.listeners import listen
+from gooseberrydale.process.http.client_account import ClientAccount
+from gooseberrydale.process.http.listeners import ACCEPTS_AT_ONCE, listen
 from gooseberrydale.process.http.protocol import BoundedHttpProtocol
 
 # Longer than clients and load balancers keep idle connections open, so that they close
@@ -28,7 +30,10 @@
 
 
 class HttpServer:
-    """An HTTP listener; ``close`` stops listening and waits for open responses."""
+    """An HTTP listener; ``close`` stops listening and waits for open responses.
+
+    ``clients`` accounts for what clients of all listeners of the process hold.
+    """
 
     def __init__(
         self,
@@ -36,9 +41,11 @@
         address: str,
         tls: TlsCfg,
         protocol: type[BoundedHttpProtocol] = BoundedHttpProtocol,
+        clients: ClientAccount | None = None,
     ) -> None:
         self._app = app
         self._protocol = protocol
+        self._clients = ClientAccount() if clients is None else clients
         self._requested_address = address
         self._tls = tls
         self._server: _Server | None = None
@@ -52,8 +59,9 @@
         self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         config = uvicorn.Config(
             self._app,
-            http=self._protocol,
+            http=partial(self._protocol, clients=self._clients),  # type: ignore
             timeout_keep_alive=KEEP_ALIVE_S,
+            backlog=ACCEPTS_AT_ONCE,
             ws="none",
             loop="asyncio",
             lifespan="off",
--- a/gooseberrydale/process/instruments.py
+++ b/gooseberrydale/process/instruments.py
@@ -15,6 +15,7 @@
 
 from gooseberrydale.connection.response_bounds import responses_too_long
 from gooseberrydale.process.capacity_levels import CapacityLevels, bounded_factors
+from gooseberrydale.process.http.client_account import clients_refused
 
 PREFIX = "gooseberrydale"
 TTFT_BUCKETS_S = (
@@ -139,6 +140,7 @@
         *_observe_level(meter, level),
         *_observe_capacity(meter, capacity),
         _observe_long_responses(meter),
+        _observe_refused_clients(meter),
     )
 
     def counter(name: str, text: str) -> Any:
@@ -273,6 +275,19 @@
     )
 
 
+def _observe_refused_clients(meter: Meter) -> Any:
+    def observe(_: CallbackOptions) -> Iterable[Observation]:
+        counts = clients_refused().items()
+        return [Observation(count, {"reason": reason}) for reason, count in counts]
+
+    return meter.create_observable_counter(
+        f"{PREFIX}.clients_refused",
+        [observe],
+        "1",
+        "Requests refused and connections closed as clients hold too much, by reason",
+    )
+
+
 def _reader(
     source: Tally | Level, name: str
 ) -> Callable[[CallbackOptions], Iterable[Observation]]:
--- a/gooseberrydale/process/observed_role.py
+++ b/gooseberrydale/process/observed_role.py
@@ -12,6 +12,7 @@
 from starlette.applications import Starlette
 
 from gooseberrydale.process.cfg import TlsCfg
+from gooseberrydale.process.http.client_account import ClientAccount
 from gooseberrydale.process.http.server import HttpServer
 from gooseberrydale.process.instruments import Level
 from gooseberrydale.process.metrics import Metrics
@@ -29,6 +30,15 @@
         """The instruments of the role, if it has any."""
 
 
+@runtime_checkable
+class HasClients(Protocol):
+    """A role that accounts for what its clients hold."""
+
+    @property
+    def clients(self) -> ClientAccount:
+        """The account of the process."""
+
+
 @runtime_checkable
 class HasLevels(Protocol):
     """A role that updates its levels on request."""
@@ -48,7 +58,8 @@
         if isinstance(role, HasLevels):
             metrics.before_scrape = role.read_levels
         app = Starlette(routes=[metrics.route()])
-        self._server = HttpServer(app, address, TlsCfg())
+        clients = role.clients if isinstance(role, HasClients) else None
+        self._server = HttpServer(app, address, TlsCfg(), clients=clients)
 
     @property
     def addresses(self) -> Mapping[str, str]:
