Refuse bodies that a gateway can't pass on in time, or knows to be too large

Seen: a body that stops short of its end was held until its client left, however long the request's own time was; one that was announced over the limit was read up to it; a body in pieces was held twice when they were joined, with an object each. Change: a body that is announced over the limit is refused unread, by the same rule for a document that may be out of date; one that isn't whole when the time of its request is over gets 408, as nobody could be answered any more and nothing has run; pieces are written into one buffer, which is returned without a copy. Evidence: test_caller_bodies; its cases of an announced body and of 408 failed on the code before.

--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -7,15 +7,17 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import math
 import random
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 
 from result import Err, Ok, Result
-from starlette.types import Receive, Scope, Send
+from starlette.types import Message, Receive, Scope, Send
 
 from gooseberrydale.errors import (
+    BODY_TIMEOUT,
     BODY_TOO_LARGE,
     CONFIG_UNCONFIRMED,
     GATEWAY_OVERLOADED,
@@ -40,6 +42,7 @@
 from gooseberrydale.process.gateway.routed_request import RoutedRequest, want_of
 from gooseberrydale.process.gateway.send import SendDeps
 from gooseberrydale.process.gateway.terms import TermsMaker
+from gooseberrydale.process.http.message_ends import CONTENT_LENGTH
 from gooseberrydale.process.quota_charge import QuotaCharge, refuse_over_quota
 from gooseberrydale.process.quota_client import OverQuota, QuotaClient
 from gooseberrydale.request.capacity_decision import (
@@ -175,12 +178,11 @@
             await answer.refuse(admitted.err_value)
             return admitted.err_value.code
         table, route, holder = admitted.ok_value
-        limit = table.declared.limits.body_bytes
-        body = await self._read_body(limit)
-        if body is None:
-            too_large = self._denial(problem(BODY_TOO_LARGE, limit=limit))
-            await answer.refuse(too_large, close=True)
-            return too_large.code
+        read = await self._read_body(table.declared.limits.body_bytes, call, route)
+        if isinstance(read, Err):
+            await answer.refuse(read.err_value, close=True)
+            return read.err_value.code
+        body = read.ok_value
         workspace = "" if route.public or holder is None else holder.name
         resumption = self._deps.resumption
         origin = await resumption.origin(call, route, table, workspace)
@@ -285,9 +287,6 @@
         body: bytes,
         origin: StreamOrigin | None,
     ) -> RoutedRequest:
-        wait_s = route.timeout_s
-        if call.wait_s is not None:
-            wait_s = min(wait_s, call.wait_s)
         workspace = None if route.public else holder
         name = "" if workspace is None else workspace.name
         self._fingerprint = fingerprint(name, call.method, call.host, call.target, body)
@@ -304,7 +303,7 @@
             pool=pool,
             body=body,
             arrived_at=self._arrived_at,
-            deadline_at=self._arrived_at + wait_s,
+            deadline_at=self._arrived_at + _answer_wait_s(call, route),
             workspace=workspace,
             fingerprint=self._fingerprint,
             origin=origin,
@@ -348,20 +347,53 @@
         while (await self._receive())["type"] != "http.disconnect":
             continue
 
-    async def _read_body(self, limit: int) -> bytes | None:
+    async def _read_body(
+        self, limit: int, call: CallerRequest, route: Route
+    ) -> Result[bytes, Problem]:
+        """Read the complete body, of at most ``limit`` bytes.
+
+        A body that is announced to be larger is refused unread, and one that takes as
+        long as the request may take can't be served any more.
+        """
+        too_large = problem(BODY_TOO_LARGE, limit=limit)
+        if self._announced_bytes() > limit:
+            return Err(self._denial(too_large))
+        wait_s = _answer_wait_s(call, route)
+        try:
+            async with asyncio.timeout_at(self._arrived_at + wait_s):
+                body = await self._read_at_most(limit)
+        except TimeoutError:
+            return Err(problem(BODY_TIMEOUT, limit_s=wait_s))
+        return Err(self._denial(too_large)) if body is None else Ok(body)
+
+    async def _read_at_most(self, limit: int) -> bytes | None:
         """Read the complete body; return None if it is larger than ``limit`` bytes."""
-        chunks: list[bytes] = []
-        size = 0
+        message = await self._receive_body()
+        if not message["more_body"]:
+            return message["body"] if len(message["body"]) <= limit else None
+        # A buffer takes a body in small pieces without an object for each, and returns
+        # it without a copy.
+        body = io.BytesIO()
         while True:
-            message = await self._receive()
-            if message["type"] != "http.request":
-                raise CallerDisconnectedError
-            chunks.append(message["body"])
-            size += len(message["body"])
-            if size > limit:
+            if body.tell() + len(message["body"]) > limit:
                 return None
+            body.write(message["body"])
             if not message["more_body"]:
-                return b"".join(chunks)
+                return body.getvalue()
+            message = await self._receive_body()
+
+    async def _receive_body(self) -> Message:
+        message = await self._receive()
+        if message["type"] != "http.request":
+            raise CallerDisconnectedError
+        return message
+
+    def _announced_bytes(self) -> int:
+        """Return the announced length of the body; 0 if there is none."""
+        for name, value in self._scope["headers"]:
+            if name == CONTENT_LENGTH and value.isdigit():
+                return int(value)
+        return 0
 
     def _log(self, call: CallerRequest, answer: CallerAnswer, outcome: str) -> None:
         forwarder, table = self._forwarder, self._deps.declared.table
@@ -409,6 +441,11 @@
         return max(0.0, round((moment - self._arrived_at) * MS_PER_S, 1))
 
 
+def _answer_wait_s(call: CallerRequest, route: Route) -> float:
+    """How long the caller and the route allow a request to wait for its answer."""
+    return route.timeout_s if call.wait_s is None else min(route.timeout_s, call.wait_s)
+
+
 def _max_wait_s(call: CallerRequest) -> float:
     """How long a request may wait for the configuration; 0 if it has no deadline."""
     return (call.wait_s or 0.0) * REMAINING_TIME_FRACTION
