Send no second answer on a connection whose body still arrives

Seen: behind an answer that was sent before its request's body had arrived, an invalid chunk brought a 400, and a refusal for lack of memory a 503: bytes that a client may take for the answer to its next request. Cause: the protocol refused without asking whether the request was answered. Change: it only closes the connection then.

--- a/gooseberrydale/process/http/protocol.py
+++ b/gooseberrydale/process/http/protocol.py
@@ -92,7 +92,8 @@
 class BoundedHttpProtocol(HttpToolsProtocol):
     """uvicorn's protocol with limits on the head of each request.
 
-    A head, and what frames a body, may have ``head_bytes`` each.  A head may take
+    It reads one request at a time and reports to ``clients`` what it holds.  A head,
+    and what frames a body, may have ``head_bytes`` each.  A head may take
     ``head_timeout_s`` seconds; the first byte on a new connection may take
     ``first_byte_s`` seconds.  Subclasses may override them with properties whose values
     change.
@@ -239,7 +240,7 @@
         self._read_body = True
         if self._draining.has_begun:
             return
-        if self.cycle.response_complete:
+        if self._has_answer:
             self._discard(len(body))
             return
         self._pieces += 1
@@ -282,6 +283,11 @@
             app = partial(serve_http_1_0, app, cycle)
         super()._start_asgi_task(cycle, app)
 
+    @property
+    def _has_answer(self) -> bool:
+        """Whether the last request is answered, also if its body still arrives."""
+        return self.cycle is not None and bool(self.cycle.response_complete)
+
     @property
     def _is_answering(self) -> bool:
         """Whether a whole request has been read that is not yet answered."""
@@ -409,10 +415,7 @@
         return head_without_upgrade(method, self.url, version, self.headers)
 
     def _has_answered_http_1_0(self) -> bool:
-        cycle = self.cycle
-        if cycle is None or cycle.scope["http_version"] != HTTP_1_0:
-            return False
-        return bool(cycle.response_complete)
+        return self._has_answer and self.cycle.scope["http_version"] == HTTP_1_0
 
     def _fails_in_body(self) -> bool:
         """Whether the only open request is still being read and not yet answered."""
@@ -454,6 +457,11 @@
         self._stop_timer()
         if self._draining.has_begun:
             return
+        if self._has_answer and self._reading is _Reading.BODY:
+            # Another answer would belong to no request.
+            self._draining.begin()
+            self._report_held()
+            return
         if self.cycle is not None and not self.cycle.response_complete:
             if not self._fails_in_body():
                 # An error can't be inserted into an answer that is being sent.
