Let listeners with TLS send answers again

Cause: over TLS asyncio pauses writing at once if its limit is 0, also with an empty buffer, here before the connection was ready to report what it holds. Change: the limit is one byte there, and it is set once the connection is ready. Evidence: security.feature (2 of 2 scenarios), and test_large_answers_are_sent_whole_with_and_without_tls, which failed before with TLS.

--- a/gooseberrydale/process/http/protocol.py
+++ b/gooseberrydale/process/http/protocol.py
@@ -128,10 +128,12 @@
         """
         super().connection_made(transport)  # type: ignore[arg-type]
         self.flow = ReadingFlow(self.transport)
-        # Whatever remains of an answer is counted: its client doesn't read it.
-        self.transport.set_write_buffer_limits(high=0)
-        self._read_at_most(READ_BYTES)
         self._draining = DrainingClose(transport)
+        # Whatever remains of an answer is counted: its client doesn't read it.  Over
+        # TLS a limit of 0 would also pause with an empty buffer.
+        high = int(self.scheme == "https")
+        self.transport.set_write_buffer_limits(high=high, low=0)
+        self._read_at_most(READ_BYTES)
         self._head_timer = self.loop.call_later(self.first_byte_s, transport.close)
         self._clients.make_room()
         self._clients.opened(self)
--- a/tests/test_client_account.py
+++ b/tests/test_client_account.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import pathlib
+import ssl
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -18,6 +20,7 @@
 from gooseberrydale.process.http.server import HttpServer
 from tests.builders_logs import logged
 from tests.builders_mesh import until
+from tests.certificates import write_certificates
 from tests.sidecar_harness import run
 
 KIB = 1024
@@ -263,6 +266,40 @@
     run(main())
 
 
+@pytest.mark.parametrize("secure", [False, True])
+def test_large_answers_are_sent_whole_with_and_without_tls(
+    secure: bool, tmp_path: pathlib.Path
+) -> None:
+    """Guards against listeners that stall while their client reads."""
+    size = 3_000_000
+    cfg, context = TlsCfg(), None
+    if secure:
+        files = write_certificates(tmp_path, ["127.0.0.1"])
+        cfg = TlsCfg(**files)
+        context = ssl.create_default_context(cafile=files["ca_file"])
+
+    async def answer(scope: Scope, receive: Receive, send: Send) -> None:
+        headers = [(b"content-length", b"%d" % size)]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        for last in range(3):
+            part = b"x" * (size // 3)
+            message = {"type": "http.response.body", "body": part}
+            await send({**message, "more_body": last < 2})
+
+    async def main() -> None:
+        http = HttpServer(answer, "127.0.0.1:0", cfg, LimitedProtocol)
+        await http.start()
+        host, _, port = http.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port), ssl=context)
+        writer.write(GET % 1 + GET % 2)
+        for _ in range(2):
+            assert await read_status(reader) == 200
+        writer.close()
+        await http.close(0.1)
+
+    run(main())
+
+
 @pytest.mark.parametrize("waited_s", [0.0, 1.0])
 def test_idle_connections_make_room_for_others(
     waited_s: float, monkeypatch: pytest.MonkeyPatch
