Free the body of an answered request at once

Cause: a forwarder holds its sender, which held a bound method of the forwarder. The cycle kept the request with its body until garbage is collected, and that is decided by the number of objects: with the collector off, all of 11 requests were alive. Change: the sender gets a function that refers weakly to the forwarder. Evidence: test_the_body_of_an_answered_request_is_freed_at_once; with the collector off none is alive.

--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import (
@@ -80,7 +81,12 @@
         self._upstreams = deps.upstreams
         self._terms = terms
         self._budget = budget
-        self._sender = Sender(job, answer, deps, self._may_move, charge)
+        # With a bound method, a reference cycle would keep the body of an answered
+        # request until garbage is collected.
+        own = weakref.proxy(self)
+        self._sender = Sender(
+            job, answer, deps, lambda record: own._may_move(record), charge
+        )
         self._placer = Placer(job, deps.upstreams, deps.stats)
         self._placer.origin = job.origin
         self.choices: list[Candidate] = []
--- a/tests/test_caller_bodies.py
+++ b/tests/test_caller_bodies.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 
 import pytest
 
 from gooseberrydale.process.gateway.gateway import Gateway
+from gooseberrydale.process.gateway.routed_request import RoutedRequest
 from tests.builders_gateway import (
     HOST,
     KEY,
@@ -83,3 +85,24 @@
         assert (got.status, upstream.requests) == (408, [])
 
     run(main())
+
+
+def test_the_body_of_an_answered_request_is_freed_at_once() -> None:
+    """Guards against reference cycles: garbage is collected by number, not by size."""
+
+    async def main() -> None:
+        upstream = RawUpstream("u1", echo)
+        async with running_gateway(declared(route()), upstream) as gateway:
+            gc.collect()
+            gc.disable()
+            try:
+                for _ in range(3):
+                    got = await send(gateway, "Content-Length: 900", b"x" * 900)
+                    assert got.status == 200
+                await asyncio.sleep(0.1)
+                kept = [o for o in gc.get_objects() if isinstance(o, RoutedRequest)]
+                assert not kept
+            finally:
+                gc.enable()
+
+    run(main())
