Read no message of a peer without the fleet token

Seen: 40 connections that each send 16 MiB of a gRPC message without its end, with a wrong token, took control, an entry and a sidecar to 710 to 715 MiB. Cause: a call with a wrong token got a handler of single messages, and grpcio reads the message, of up to 64 MiB, before it calls such a handler. Change: it gets a handler of streams, which is called before anything is read, and refuses.

Crowds also print resident memory before and after them.

--- a/gooseberrydale/connection/rpc.py
+++ b/gooseberrydale/connection/rpc.py
@@ -116,10 +116,12 @@
         sent = str(metadata.get(TOKEN_KEY, "")).encode()
         if hmac.compare_digest(sent, self._token):
             return await continuation(details)
-        return grpc.unary_unary_rpc_method_handler(_refuse_token)
+        # A handler of streams gets no message before it asks for one, so nothing that a
+        # stranger sends is read.
+        return grpc.stream_stream_rpc_method_handler(_refuse_token)
 
 
-async def _refuse_token(_req: Any, ctx: Any) -> Any:
+async def _refuse_token(_messages: Any, ctx: Any) -> None:
     await ctx.abort(
         grpc.StatusCode.UNAUTHENTICATED,
         "fleet token missing or wrong; set the same fleet_token_file in all processes",
--- a/tests/builders_crowd.py
+++ b/tests/builders_crowd.py
@@ -239,6 +239,10 @@
         """Let the kernel's peak begin anew; see proc(5), ``clear_refs``."""
         (self._proc / "clear_refs").write_text(RESET_PEAK)
 
+    def resident_bytes(self) -> int:
+        """Return the resident memory of the process."""
+        return int((self._proc / "statm").read_text().split()[1]) * PAGE_BYTES
+
     async def start(self) -> None:
         """Start to sample."""
         self._task = asyncio.create_task(self._observe())
@@ -255,7 +259,7 @@
 
     async def _observe(self) -> None:
         while True:
-            resident = int((self._proc / "statm").read_text().split()[1]) * PAGE_BYTES
+            resident = self.resident_bytes()
             unread = unread_bytes(self._ports)
             self.peak_bytes = max(self.peak_bytes, resident + unread)
             self.peak_unread_bytes = max(self.peak_unread_bytes, unread)
--- a/tests/builders_crowd_fleet.py
+++ b/tests/builders_crowd_fleet.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 import httpx2
 
@@ -41,9 +41,10 @@
 class Listener:
     """A listener of one process, what crowds ask there, and an ordinary call.
 
-    ``path`` and ``headers`` are those of a crowd's requests.  The ordinary call has
-    ``call``'s method and path and gets ``status``; with ``full`` it is sent once more
-    with a body of the full size.
+    ``path`` and ``headers`` are those of a crowd's requests.  A crowd connects to
+    ``crowded`` if that is another address than that of ordinary calls.  The ordinary
+    call has ``call``'s method and path and gets ``status``; with ``full`` it is sent
+    once more with a body of the full size.
     """
 
     process: str
@@ -53,10 +54,20 @@
     call: tuple[str, str] = ("GET", "/")
     headers: Mapping[str, str] = field(default_factory=dict)
     method: str = "POST"
+    crowded: str = ""
     status: int = 200
     body: bytes | None = None
     full: bool = False
 
+    @property
+    def crowd_address(self) -> str:
+        """The address to which crowds connect."""
+        return self.crowded or self.address
+
+    def make_crowd(self, form: str) -> Crowd:
+        """Return a crowd that sends HTTP/1.1 of a form to this listener."""
+        return Crowd(self.crowd_address, FORMS[form], self.target)
+
     def target(self, number: int) -> bytes:
         """Return the start of a crowd's request."""
         lines = [f"{self.method} {self.path}?n={number} HTTP/1.1"]
@@ -96,14 +107,31 @@
         return await client.request(method, url, headers=headers, content=body)
 
 
+class AnyCrowd(Protocol):
+    """Clients that misbehave; ``connected`` counts their connections."""
+
+    connected: int
+
+    async def start(self) -> None:
+        """Connect, and send for a while."""
+
+    async def close(self) -> None:
+        """End all connections."""
+
+
 class CrowdEnvironment(GatewayEnvironment):
     """One gateway, control and a signpost, with a document of the planned size."""
 
     def __init__(
-        self, folder: pathlib.Path, load: BackgroundLoop, max_fds: int = MAX_FDS
+        self,
+        folder: pathlib.Path,
+        load: BackgroundLoop,
+        max_fds: int = MAX_FDS,
+        settings: str = "",
     ) -> None:
         super().__init__(folder, load, gateways=1)
         self._max_fds = max_fds
+        self._settings = settings
         self._metrics = f"127.0.0.1:{free_port()}"
         self._signpost = f"127.0.0.1:{free_port()}"
 
@@ -125,7 +153,7 @@
     def settings_of_gateway(self, number: int) -> str:
         """Return the limits of the gateway's machine, and a metrics listener."""
         return (
-            f"memory_mb = {MEMORY_MB}\nmax_fds = {self._max_fds}\n"
+            f"memory_mb = {MEMORY_MB}\nmax_fds = {self._max_fds}\n{self._settings}"
             f'[metrics]\nhttp = "{self._metrics}"\n'
         )
 
@@ -184,7 +212,7 @@
     processes: Mapping[str, Process],
     load: BackgroundLoop,
     listener: Listener,
-    form: str,
+    crowd: AnyCrowd,
     max_fds: int = MAX_FDS - FILE_FDS,
 ) -> None:
     """Check what must hold while a crowd is there, and after it has gone.
@@ -195,7 +223,7 @@
     """
     process = processes[listener.process]
     try:
-        load.run(_check_crowd(process, listener, form, max_fds))
+        load.run(_check_crowd(process, listener, crowd, max_fds))
     except BaseException:
         process.kill()
         process.start()
@@ -207,13 +235,13 @@
 
 
 async def _check_crowd(
-    process: Process, listener: Listener, form: str, max_fds: int
+    process: Process, listener: Listener, crowd: AnyCrowd, max_fds: int
 ) -> None:
-    port = int(listener.address.rpartition(":")[2])
+    port = int(listener.crowd_address.rpartition(":")[2])
     use = ProcessUse(process.pid, [port])
     use.reset_peak()
     assert await listener.ordinary_status() == listener.status, "not served before"
-    crowd = Crowd(listener.address, FORMS[form], listener.target)
+    before = use.resident_bytes()
     await use.start()
     try:
         await crowd.start()
@@ -226,8 +254,10 @@
         await crowd.close()
         if process.running:
             await use.close()
+    left = use.resident_bytes() if process.running else 0
     print(
-        f"{form} at {listener.address}: {crowd.connected} connections,"
+        f"{listener.crowd_address}: {crowd.connected} connections,"
+        f" {before / MIB:.0f} MiB before, {left / MIB:.0f} MiB resident after;"
         f" {use.peak_bytes / MIB:.0f} MiB, {use.peak_unread_bytes / MIB:.0f} MiB unread"
         f" at most, {use.peak_fds} descriptors;"
         f" {beside} beside, {after} after, {full} for a body of the full size"
--- a/tests/crowd/test_entry_crowds.py
+++ b/tests/crowd/test_entry_crowds.py
@@ -4,19 +4,26 @@
 
 import json
 from collections.abc import Iterator
+from dataclasses import replace
 from functools import partial
 
 import pytest
 
+from gooseberrydale.connection.rpc import DISPATCH, PROPOSE, QUOTA
 from gooseberrydale.version.declarations import Profile, ProfileKind, Workspace
 from tests.builders_crowd import FORMS, MAX_BODY_BYTES
 from tests.builders_crowd_fleet import CONTROL_MEMORY_MB, Listener, check_crowd
+from tests.builders_crowd_rpc import RpcCrowd
 from tests.callers import BackgroundLoop
 from tests.fleet import (
     CONTROL_HTTP_PORT,
+    CONTROL_RPC_PORT,
     ENTRY_HTTP_PORT,
+    ENTRY_RPC_PORT,
+    FLEET_TOKEN,
     METRICS_HTTP_PORT,
     OPERATOR_TOKEN,
+    SIDECAR_RPC_PORT,
     Fleet,
     UpstreamSpec,
     key_digest,
@@ -113,6 +120,40 @@
     """Guards against clients that fill the memory of a process."""
     load = BackgroundLoop()
     try:
-        check_crowd(fleet.processes, load, listener_of(fleet, listener), form)
+        found = listener_of(fleet, listener)
+        check_crowd(fleet.processes, load, found, found.make_crowd(form))
+    finally:
+        load.close()
+
+
+RPC_CASES = [
+    (listener, token)
+    for listener in ("control", "entry", "sidecar")
+    for token in ("wrong", FLEET_TOKEN)
+]
+RPC_MEMBERS = 40
+
+
+@pytest.mark.parametrize(("listener", "token"), RPC_CASES)
+def test_peers_that_do_not_end_their_messages_leave_the_process_alone(
+    fleet: Fleet, listener: str, token: str
+) -> None:
+    """Guards against messages that fill the memory, also of strangers."""
+    load = BackgroundLoop()
+    chat, operators = (listener_of(fleet, name) for name in ("entry", "operators"))
+    found, port, method = {
+        "control": (operators, CONTROL_RPC_PORT, PROPOSE),
+        "entry": (chat, ENTRY_RPC_PORT, QUOTA),
+        "sidecar": (chat, SIDECAR_RPC_PORT, DISPATCH),
+    }[listener]
+    process = {"sidecar": "sidecar-engine-1"}.get(listener, f"{listener}-1")
+    memory_mb = ENTRY_MEMORY_MB if listener == "entry" else CONTROL_MEMORY_MB
+    address = f"{fleet.host(process)}:{port}"
+    found = replace(
+        found, process=process, crowded=address, memory_mb=memory_mb, full=False
+    )
+    try:
+        crowd = RpcCrowd(address, RPC_MEMBERS, method, token)
+        check_crowd(fleet.processes, load, found, crowd)
     finally:
         load.close()
--- a/tests/crowd/test_gateway_crowds.py
+++ b/tests/crowd/test_gateway_crowds.py
@@ -2,19 +2,38 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import pathlib
+import uuid
+from collections import Counter
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 import pytest
 
-from tests.builders_crowd import FORMS
-from tests.builders_crowd_fleet import CrowdEnvironment, check_crowd
+from soak.competition import HOST, NOT_RUN
+from tests.builders_crowd import FORMS, MIB
+from tests.builders_crowd_fleet import CrowdEnvironment, Listener, check_crowd
 from tests.callers import BackgroundLoop
 
 BODIES = tuple(name for name in FORMS if "bodies" in name)
 FEW = ("bodies over the limit", "requests ahead", "requests with bodies ahead")
 HEADS = "heads without their end"
 
+SENDERS = 60
+PAUSE_S = 1.0
+ANSWER_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """One request and the status of its answer, 0 if none arrived."""
+
+    request_id: str
+    status: int
+
+
 CASES = [
     *(("gateway", form) for form in (*BODIES, "requests ahead", HEADS)),
     ("gateway", "nothing at all"),
@@ -50,12 +69,64 @@
     environment: CrowdEnvironment, listener: str, form: str
 ) -> None:
     """Guards against clients that fill the memory of a process."""
-    check_crowd(
-        environment.processes,
-        environment.load,
-        environment.listener(listener),
-        form,
-    )
+    found = environment.listener(listener)
+    crowd = found.make_crowd(form)
+    check_crowd(environment.processes, environment.load, found, crowd)
+
+
+async def send_once(address: str, listener: Listener, *, pauses: bool) -> Sent:
+    """Send a request that must not run twice; with ``pauses`` stop before its end."""
+    request_id = uuid.uuid4().hex
+    headers = {**listener.headers, "host": HOST, "x-request-id": request_id}
+    lines = [f"POST /confirm/{request_id} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join((*lines, f"content-length: {MIB}", "", "")).encode()
+    host, _, port = address.rpartition(":")
+    status = 0
+    with contextlib.suppress(OSError, EOFError, TimeoutError):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(head + b" " * (MIB - 1))
+            if pauses:
+                await asyncio.sleep(PAUSE_S)
+            writer.write(b" ")
+            async with asyncio.timeout(ANSWER_S):
+                status = int((await reader.readline()).split()[1])
+        finally:
+            writer.close()
+    return Sent(request_id, status)
+
+
+def test_what_is_refused_as_not_run_has_not_run(tmp_path: pathlib.Path) -> None:
+    """Guards against refusals of requests that an upstream gets all the same."""
+    load = BackgroundLoop()
+    settings = f"max_held_bytes = {8 * MIB}\n"
+    environment = CrowdEnvironment(tmp_path, load, settings=settings)
+
+    async def main() -> list[Sent]:
+        listener = environment.listener("gateway")
+        sends = (
+            send_once(listener.address, listener, pauses=bool(number % 2))
+            for number in range(SENDERS)
+        )
+        sent = await asyncio.gather(*sends)
+        await asyncio.sleep(PAUSE_S)
+        return list(sent)
+
+    try:
+        environment.start()
+        sent = load.run(main())
+        runs = Counter(run for item in environment.upstreams for run in item.runs)
+        print(sorted(Counter(item.status for item in sent).items()))
+        refused = {item.request_id for item in sent if item.status in NOT_RUN}
+        assert refused, "nothing was refused"
+        assert not refused & set(runs)
+        assert [item for item in sent if runs[item.request_id] > 1] == []
+        answered = [item for item in sent if item.status == 200]
+        assert all(runs[item.request_id] == 1 for item in answered)
+    finally:
+        environment.close()
+        load.close()
 
 
 def test_idle_connections_make_room_for_ordinary_callers(
@@ -67,7 +138,8 @@
     try:
         environment.start()
         listener = environment.listener("gateway")
-        check_crowd(environment.processes, load, listener, "nothing at all", 800)
+        crowd = listener.make_crowd("nothing at all")
+        check_crowd(environment.processes, load, listener, crowd, 800)
     finally:
         environment.close()
         load.close()
