Make the limit of bodies at control a setting, log and count what it refuses

The limit was a constant in two places, and a refusal left no trace but its answer. control.max_body_bytes applies to operators and to the deployment's calls; the event body_refused and the counter clients_refused, with reason body, report refusals of the latter, as refusals of operators are in the audit.

--- a/gooseberrydale/log_events/__init__.py
+++ b/gooseberrydale/log_events/__init__.py
@@ -16,6 +16,7 @@
     WorkspaceShareCrossed,
 )
 from gooseberrydale.log_events.connections import (
+    BodyRefused,
     ClientsRefused,
     ConnectionsRefused,
     ControlMembersChanged,
@@ -82,10 +83,11 @@
 
 __all__ = [
     "AnnouncementUnreadable",
+    "BodyRefused",
     "CapacitySharingChanged",
+    "ClientsRefused",
     "CommitNotNoted",
     "ConfigReceived",
-    "ClientsRefused",
     "ConnectionsRefused",
     "ControlMembersChanged",
     "ControlReached",
--- a/gooseberrydale/log_events/connections.py
+++ b/gooseberrydale/log_events/connections.py
@@ -60,6 +60,21 @@
     connections: int
 
 
+@dataclass(frozen=True, slots=True)
+class BodyRefused(LogEvent):
+    """A call to control had a body that is too large, or that did not arrive in time.
+
+    ``path`` is that of the call, ``outcome`` the code of the error.
+    """
+
+    NAME: ClassVar[str] = "body_refused"
+    TEXT: ClassVar[str] = "body of a call refused"
+    LEVEL: ClassVar[str] = "WARNING"
+
+    path: str
+    outcome: str
+
+
 @dataclass(frozen=True, slots=True)
 class HeadRefused(LogEvent):
     """The HTTP protocol refused a request before its head was complete or valid.
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -18,6 +18,9 @@
 MAX_HELD_CONTROL_BYTES = 16 * 1024 * 1024
 """The same for control, whose calls are small but for documents, one at a time."""
 
+MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
+"""A document with 1,800 workspaces has a tenth of it."""
+
 
 @dataclass(frozen=True, slots=True)
 class NodeCfg:
@@ -217,8 +220,8 @@
     the orders of its predecessor have arrived.  Work may be started on outdated weights
     for ``weights_bound_s``.  Upstreams without a sidecar announce themselves every
     ``beat_s``.  Operators and upstreams may make it hold ``max_held_bytes``, as callers
-    of an entry.  A ``signpost`` is a replica without a disk: it stores nothing and
-    redirects its callers to the listed replicas.
+    of an entry, and send bodies of ``max_body_bytes``.  A ``signpost`` is a replica
+    without a disk: it stores nothing and redirects its callers to the listed replicas.
     """
 
     data_dir: Path
@@ -234,6 +237,7 @@
     weights_bound_s: float = 8.0
     beat_s: float = 1.2
     max_held_bytes: int = MAX_HELD_CONTROL_BYTES
+    max_body_bytes: int = MAX_CONTROL_BODY_BYTES
     signpost: bool = False
     operators_file: Path | None = None
     loads_at_once: int = 2
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -177,6 +177,7 @@
             self._upstream_records,
             self._replica_status,
             self.ended_incarnations,
+            own.max_body_bytes,
         )
         client = ControlClient(self._controls, token, tls)
         self._documents = Documents(self._commit, self._proposer, client)
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -43,6 +43,7 @@
     Problem,
     problem,
 )
+from gooseberrydale.process.cfg import MAX_CONTROL_BODY_BYTES
 from gooseberrydale.process.control import operator_views as views
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.operator_auth import OperatorTokens
@@ -58,7 +59,6 @@
 
 STATUS_PATH = "/v1/status"
 CATCH_UP_RETRY_AFTER_S = 1.0
-MAX_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_AUDIT_COUNT = 100
 INVALID_CHANGE_ID = problem(
     INVALID_FIELD, reason="change_id: use letters, digits and ._:/- (128 at most)"
@@ -130,6 +130,7 @@
         upstreams: Callable[[], tuple[UpstreamRecord, ...]],
         replica_status: Callable[[], dict[str, Any]],
         ended_incarnations: EndedIncarnations,
+        max_body_bytes: int = MAX_CONTROL_BODY_BYTES,
     ) -> None:
         self._state = state
         self._commit = commit
@@ -138,6 +139,7 @@
         self._upstreams = upstreams
         self._replica_status = replica_status
         self._ended_incarnations = ended_incarnations
+        self._max_body_bytes = max_body_bytes
         self._audited_at = float("-inf")
         self._unaudited_attempts = 0
         self._audit_tasks: set[asyncio.Task[Any]] = set()
@@ -267,17 +269,37 @@
         }
         return json_response(table)
 
+    async def _read_body(
+        self, request: Request, body_type: type[T]
+    ) -> Result[T, Problem]:
+        """Parse the body as a ``body_type``; the problem names every fault."""
+        data = bytearray()
+        try:
+            async for chunk in request.stream():
+                data += chunk
+                if len(data) > self._max_body_bytes:
+                    return Err(problem(BODY_TOO_LARGE, limit=self._max_body_bytes))
+            table = msgspec.json.decode(data)
+        except (msgspec.MsgspecError, ClientDisconnect) as exc:
+            return Err(problem(INVALID_JSON, reason=exc))
+        match structure(table, body_type):
+            case Ok(body):
+                return Ok(body)
+            case Err(faults):
+                reason = join_faults([str(fault) for fault in faults])
+                return Err(problem(INVALID_FIELD, reason=reason))
+
     # Handlers of changes.
 
     async def _post_change(self, request: Request, operator: str) -> Response:
-        match await _read_body(request, ChangeBody):
+        match await self._read_body(request, ChangeBody):
             case Ok(body):
                 return await self._change(request, operator, body)
             case Err(refused):
                 return await self._refuse_and_audit(request, operator, refused)
 
     async def _post_profile(self, request: Request, operator: str) -> Response:
-        match await _read_body(request, ProfileBody):
+        match await self._read_body(request, ProfileBody):
             case Ok(body):
                 edit = Edit(EditKind.APPLY_PROFILE, profile=body.profile)
                 change = ChangeBody(body.change_id, body.base, (edit,), body.dry_run)
@@ -286,7 +308,7 @@
                 return await self._refuse_and_audit(request, operator, refused)
 
     async def _post_workspace(self, request: Request, operator: str) -> Response:
-        match await _read_body(request, WorkspaceBody):
+        match await self._read_body(request, WorkspaceBody):
             case Ok(body):
                 edit = Edit(EditKind.APPLY_WORKSPACE, workspace=body.workspace)
                 change = ChangeBody(body.change_id, body.base, (edit,), body.dry_run)
@@ -311,7 +333,7 @@
                 return problem_response(refused)
 
     async def _post_order(self, request: Request, operator: str) -> Response:
-        match await _read_body(request, OrderBody):
+        match await self._read_body(request, OrderBody):
             case Ok(body):
                 return await self._order(request, operator, body)
             case Err(refused):
@@ -342,7 +364,7 @@
                 return problem_response(refused)
 
     async def _post_release(self, request: Request, operator: str) -> Response:
-        match await _read_body(request, ReleaseBody):
+        match await self._read_body(request, ReleaseBody):
             case Ok(body):
                 return await self._release(operator, body.digest)
             case Err(refused):
@@ -441,22 +463,3 @@
     if reply.problem is not None:
         return problem_response(reply.problem)
     return json_response({"revision": reply.revision, "dry_run": dry_run})
-
-
-async def _read_body(request: Request, body_type: type[T]) -> Result[T, Problem]:
-    """Parse the body as an instance of ``body_type``; the problem names every fault."""
-    data = bytearray()
-    try:
-        async for chunk in request.stream():
-            data += chunk
-            if len(data) > MAX_BODY_BYTES:
-                return Err(problem(BODY_TOO_LARGE, limit=MAX_BODY_BYTES))
-        table = msgspec.json.decode(data)
-    except (msgspec.MsgspecError, ClientDisconnect) as exc:
-        return Err(problem(INVALID_JSON, reason=exc))
-    match structure(table, body_type):
-        case Ok(body):
-            return Ok(body)
-        case Err(faults):
-            reason = join_faults([str(fault) for fault in faults])
-            return Err(problem(INVALID_FIELD, reason=reason))
--- a/gooseberrydale/process/http/client_account.py
+++ b/gooseberrydale/process/http/client_account.py
@@ -15,7 +15,8 @@
 from collections.abc import Hashable
 from typing import Protocol
 
-from gooseberrydale.log_events import ClientsRefused, emit
+from gooseberrydale.errors import Problem
+from gooseberrydale.log_events import BodyRefused, ClientsRefused, emit
 from gooseberrydale.process.cfg import MAX_HELD_BYTES
 from gooseberrydale.process.http.held_bytes import HeldBytes
 
@@ -36,6 +37,7 @@
 
 REFUSED_HELD = "memory"
 REFUSED_IDLE = "descriptors"
+REFUSED_BODY = "body"
 
 _refused: Counter[str] = Counter()
 
@@ -150,6 +152,12 @@
         self._unlogged.clear()
 
 
+def body_refused(path: str, why: Problem) -> None:
+    """Count and log a call to control whose body was refused."""
+    _refused[REFUSED_BODY] += 1
+    emit(BodyRefused(path, why.code))
+
+
 def clients_refused() -> Counter[str]:
     """How many requests and connections this process has refused, by reason."""
     return _refused
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,8 +14,10 @@
 
 from gooseberrydale.connection.engine_orders import OrderAnswer, WeightsOrder
 from gooseberrydale.errors import NO_QUORUM, Problem, problem
+from gooseberrydale.process.cfg import MAX_CONTROL_BODY_BYTES
 from gooseberrydale.process.cfg_file import load
 from gooseberrydale.process.control.announcements import Announcements
+from gooseberrydale.process.http.client_account import clients_refused
 from gooseberrydale.request.gateway_call import ReportedLoad, Terms
 from gooseberrydale.version.declarations import Document
 from gooseberrydale.version.declared import CallerLimits, EngineSize, KeyHolder, Share
@@ -23,13 +25,10 @@
 from gooseberrydale.version.quotas.quota import Quota, QuotaUnit
 from tests import builders_platform as wire
 from tests.builders_gateway import RawUpstream, Writer, record
+from tests.builders_logs import logged
 from tests.sidecar_harness import run
 
-from control_http import (  # isort: skip
-    MAX_DOCUMENT_BYTES,
-    MAX_HEARTBEAT_BYTES,
-    ControlHttp,
-)
+from control_http import MAX_HEARTBEAT_BYTES, ControlHttp  # isort: skip
 from document_json import decode_document  # isort: skip
 from engine_http import PlatformEngines  # isort: skip
 from http_wire import PlatformWire  # isort: skip
@@ -357,7 +356,7 @@
 
 
 BODIES_OVER_THE_LIMIT = {
-    "/v1/Config.Put": (MAX_DOCUMENT_BYTES, 413),
+    "/v1/Config.Put": (MAX_CONTROL_BODY_BYTES, 413),
     "/v1/version-put": (MAX_HEARTBEAT_BYTES, 413),
     "/v1/Instances.Heartbeat/i-1": (MAX_HEARTBEAT_BYTES, 413),
 }
@@ -374,8 +373,12 @@
     content = b" " * (limit + 1)
     pieces = iter([content[:limit], content[limit:]])
     client = control(documents, Directory())
-    answer = client.post(path, content=content if announced else pieces)
+    before = clients_refused()["body"]
+    with logged("body_refused") as lines:
+        answer = client.post(path, content=content if announced else pieces)
     assert (answer.status_code, documents.held) == (status, None)
+    assert [line["path"] for line in lines] == [path]
+    assert clients_refused()["body"] == before + 1
 
 
 def test_every_call_gets_503_without_a_quorum() -> None:
