--- a/gooseberrydale/process/gateway/front_protocol.py
+++ b/gooseberrydale/process/gateway/front_protocol.py
@@ -40,11 +40,12 @@
 
         def connection_made(self, transport: asyncio.BaseTransport) -> None:
             """Take the connection, or reset it before anything is read."""
-            self._clients.make_room()
             self._is_taken = gate.opened()
             if self._is_taken:
                 super().connection_made(transport)
             else:
+                # The next connection may find room.
+                self._clients.make_room()
                 transport.abort()  # type: ignore[attr-defined]
 
         def connection_lost(self, exc: Exception | None) -> None:
--- a/gooseberrydale/process/http/client_account.py
+++ b/gooseberrydale/process/http/client_account.py
@@ -25,7 +25,8 @@
 closed.  It is below the one at which new connections are not taken."""
 
 RELIEF_FRACTION = 0.9
-"""Fraction of these down to which idle connections are closed."""
+"""Fraction of these connections down to which idle ones are closed, so that they are
+not looked through for each new connection."""
 
 MIN_WAIT_S = 5.0
 """Connections that have waited less than this for a request are not closed: clients
@@ -91,7 +92,8 @@
             conn.close_waiting()
 
     def opened(self, conn: Connection) -> None:
-        """Count a connection."""
+        """Count a connection, and make room for it."""
+        self.make_room()
         self.connections += 1
         self._waiting[conn] = _now()
 
--- a/gooseberrydale/process/http/protocol.py
+++ b/gooseberrydale/process/http/protocol.py
@@ -59,8 +59,8 @@
 """Most bytes that are read from a socket at once, and kept of requests sent ahead."""
 
 PIECES_AT_ONCE = 128
-"""Most chunks and header fields that are read at once, about 0.2 ms of work: less is
-read at a time from a connection whose bytes make more of them."""
+"""Most chunks and header fields that are read at once, as each takes far more time than
+its bytes: less is read at a time from a connection that sends more of them."""
 
 MIN_READ_BYTES = 256
 
@@ -135,7 +135,6 @@
         self.transport.set_write_buffer_limits(high=high, low=0)
         self._read_at_most(READ_BYTES)
         self._head_timer = self.loop.call_later(self.first_byte_s, transport.close)
-        self._clients.make_room()
         self._clients.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
