Keep the window of calls small that no handler has read yet

Cause: gRPC estimates how much a connection carries and widens the windows of all its streams with it, also of calls whose messages nobody has asked for. While the event loop is busy, no handler refuses these calls, and each connection of the crowd may send some 8 MiB. Change: the server doesn't widen its windows so. A message that a handler reads may still exceed them, as gRPC opens the window for the rest of it. Evidence: test_a_busy_server_does_not_take_more_of_a_message_that_it_has_not_asked_for: four connections could send 33,554,412 bytes before, and 0.5 MiB is the bound that holds now.

--- a/gooseberrydale/connection/rpc.py
+++ b/gooseberrydale/connection/rpc.py
@@ -52,6 +52,9 @@
     ("grpc.http2.max_ping_strikes", 0),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    # Otherwise the window in which a client may send before anything is read grows with
+    # the speed of its connection, to megabytes.  A message that is read may exceed it.
+    ("grpc.http2.bdp_probe", 0),
     ("grpc.so_reuseport", 0),
 ]
 _FAILED_STATES = (
--- a/tests/builders_crowd_rpc.py
+++ b/tests/builders_crowd_rpc.py
@@ -22,6 +22,7 @@
     """Clients that each begin a call of ``method`` with a message that does not end.
 
     They obey the flow control of HTTP/2, without which the server would end them.
+    ``sent_bytes`` is what it allowed all of them together.
     """
 
     def __init__(self, address: str, members: int, method: Method, token: str) -> None:
@@ -32,6 +33,7 @@
         self._member_count = members
         self._members: list[asyncio.Task[None]] = []
         self.connected = 0
+        self.sent_bytes = 0
 
     async def start(self) -> None:
         """Connect and send until all is sent, or ``SENDING_S`` have passed."""
@@ -59,7 +61,9 @@
                 events = conn.receive_data(data)
                 if any(isinstance(event, h2.events.StreamEnded) for event in events):
                     break
-                left -= self._send_allowed(conn, left)
+                sent = self._send_allowed(conn, left)
+                left -= sent
+                self.sent_bytes += sent
                 writer.write(conn.data_to_send())
         except (OSError, h2.exceptions.ProtocolError):
             return
