Poll a replica again at once after a first poll without news

Cause: the first poll of a replica isn't held. If it brought no news the reader paused as if it had been held, for up to 3 s, and heard of no change in that time. Change: only a poll that should have been held is followed by that pause. Evidence: test_a_change_just_after_a_poll_without_news_is_followed failed before.

--- a/gooseberrydale/process/control/members_reader.py
+++ b/gooseberrydale/process/control/members_reader.py
@@ -65,15 +65,16 @@
         loop = asyncio.get_running_loop()
         while True:
             begin = loop.time()
-            has_changed = await self._read()
+            may_poll = await self._read()
             # A replica of an earlier release holds no polls.
-            held_s = 0.0 if has_changed else HOLD_S - (loop.time() - begin)
+            held_s = 0.0 if may_poll else HOLD_S - (loop.time() - begin)
             await asyncio.sleep(max(held_s, PAUSE_S))
 
     async def _read(self) -> bool:
-        """Poll the last replica again, or another one; return whether members changed.
+        """Poll the last replica again, or another one.
 
-        The first poll of a replica isn't held.
+        Returns whether to poll again at once: members have changed, or the poll was the
+        first one of a replica, which isn't held.
         """
         if self._channel is not None and self._may_poll_again(self._channel.address):
             self._polls += 1
@@ -87,7 +88,8 @@
             self._polls = 1
             reply = await self._poll(self._channel, 0, TIMEOUT_S)
             if self._is_current(reply):
-                return self._take(reply)
+                self._take(reply)
+                return True
         return False
 
     def _may_poll_again(self, address: str) -> bool:
--- a/tests/test_members_reader.py
+++ b/tests/test_members_reader.py
@@ -112,6 +112,22 @@
     run(scenario)
 
 
+def test_a_change_just_after_a_poll_without_news_is_followed() -> None:
+    """Guards against a pause in which all members that the reader knows go."""
+
+    async def scenario(members: Members) -> None:
+        known = KnownControls(tuple(members.running))
+        known.offer(ControlMembers(members.index, tuple(members.running)))
+        reader = MembersReader(known, "", None)
+        await reader.start()
+        await asyncio.sleep(PROMPT_S)
+        await members.add()
+        await until(lambda: known.members.index == members.index, PROMPT_S)
+        await reader.close()
+
+    run(scenario)
+
+
 def test_a_replica_that_is_cut_off_is_left() -> None:
     """Guards against a reader that stays with a replica that learns of nothing."""
 
