Close gRPC connections that don't finish their handshake in time

Seen: 2,500 connections that send nothing took a descriptor each at a gRPC listener and kept them (trial server: 2,513 open descriptors while they were watched, 8 s). Cause: gRPC waits two minutes for the first frames of a client. Change: five seconds, which is longer than clients of this system wait.

--- a/gooseberrydale/connection/rpc.py
+++ b/gooseberrydale/connection/rpc.py
@@ -26,6 +26,10 @@
 """Longer than a handshake takes over a slow path or while the process is busy; callers
 that can use another process wait for less."""
 
+HANDSHAKE_TIMEOUT_MS = 5_000
+"""The time for TLS and the first frames, without which a connection takes a descriptor
+for two minutes.  Clients give up sooner."""
+
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 CHANNEL_OPTIONS: list[tuple[str, Any]] = [
@@ -55,6 +59,7 @@
     # Otherwise the window in which a client may send before anything is read grows with
     # the speed of its connection, to megabytes.  A message that is read may exceed it.
     ("grpc.http2.bdp_probe", 0),
+    ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
     ("grpc.so_reuseport", 0),
 ]
 _FAILED_STATES = (
