Crowds: TLS, values in prompts, connections alone, departures, what stands behind

Forms that earlier crowds left out: connections that don't finish a TLS handshake, or finish it and send nothing; crowds over TLS; prompts of many small parts or of tokens; trailers without end, offers of upgrades ahead, departures of many upstreams; answers of a gateway and connections without a byte at more listeners. Crowds at an entry also check the memory of the sidecar and of control behind it.

--- a/tests/builders_crowd.py
+++ b/tests/builders_crowd.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import functools
 import itertools
 import os
 import pathlib
 import re
 import socket
+import ssl
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -29,6 +32,12 @@
 )
 """The body of a completion request with a field that is passed on as it is."""
 
+PARTS = b'{"model": "chat", "messages": [{"role": "user", "content": [%s]}]}'
+"""The body of a completion request whose message has parts."""
+
+TOKENS = b'{"model": "chat", "prompt": [%s]}'
+"""The body of a completion request whose prompt is a list of tokens."""
+
 PAGE_BYTES = os.sysconf("SC_PAGESIZE")
 BYTES_PER_KIB = 1024
 LISTEN = "0A"
@@ -39,6 +48,9 @@
 CONNECTS = 3
 """How often a member of a crowd connects if it is disconnected."""
 
+AHEAD = 1_000
+"""How many requests are sent at once."""
+
 SENDING_S = 4.0
 """Time after which a member stops sending; it then keeps its connection open."""
 
@@ -47,17 +59,22 @@
 
 Parts = Iterable[bytes]
 
+_first_numbers = itertools.count(0, 1_000_000)
+"""The number of the first of a member's distinct requests."""
+
 
 @dataclass(frozen=True, slots=True)
 class Form:
     """What each member of a crowd sends; ``members`` connect at the same time.
 
-    All connections then stay open for ``hold_s`` before others are looked at.
+    All connections then stay open for ``hold_s`` before others are looked at.  Members
+    connect ``at_once`` at the same time.
     """
 
     members: int
     parts: Callable[[Target], Parts]
     hold_s: float = 0.0
+    at_once: int = 10_000
 
 
 def _framed(target: Target, framing: bytes, number: int = 0) -> bytes:
@@ -103,10 +120,63 @@
     yield _with_length(target, len(body)) + body
 
 
+def _many_parts(target: Target) -> Parts:
+    parts = b",".join([b"{}"] * (MAX_BODY_BYTES // 3 - len(PARTS)))
+    body = PARTS % parts
+    yield _with_length(target, len(body)) + body
+
+
+def _tokens(target: Target) -> Parts:
+    body = TOKENS % b",".join([b"7"] * ((MAX_BODY_BYTES - len(TOKENS)) // 2))
+    yield _with_length(target, len(body)) + body
+
+
+def _line_breaks(target: Target) -> Parts:
+    yield _framed(target, b"transfer-encoding: chunked")
+    yield (b"10000\r\n" + b"\n" * 0x10000 + b"\r\n") * (MAX_BODY_BYTES // 0x10000 - 1)
+
+
+def _expected_body(target: Target) -> Parts:
+    yield _framed(
+        target, b"expect: 100-continue\r\ncontent-length: %d" % MAX_BODY_BYTES
+    )
+    yield _spaces(MAX_BODY_BYTES - 1)
+
+
+def _trailers(target: Target) -> Parts:
+    yield _framed(target, b"transfer-encoding: chunked") + b"1\r\n \r\n0\r\n"
+    yield from itertools.repeat(b"x-trailer: x\r\n" * 1_000, 300)
+
+
+def _upgrades_ahead(target: Target) -> Parts:
+    offer = b"connection: upgrade\r\nupgrade: h2c\r\ncontent-length: 1"
+    requests = (_framed(target, offer, number) + b" " for number in range(1_000))
+    yield from itertools.repeat(b"".join(requests), 200)
+
+
 def _nothing(_: Target) -> Parts:
     return ()
 
 
+def _unfinished_handshake(_: Target) -> Parts:
+    yield client_hello()[:-1]
+
+
+def _handshake_without_reply(_: Target) -> Parts:
+    yield client_hello()
+
+
+@functools.cache
+def client_hello() -> bytes:
+    """Return the first bytes of a TLS connection."""
+    ctx = ssl.create_default_context()
+    outgoing = ssl.MemoryBIO()
+    conn = ctx.wrap_bio(ssl.MemoryBIO(), outgoing, server_hostname="crowd")
+    with contextlib.suppress(ssl.SSLWantReadError):
+        conn.do_handshake()
+    return outgoing.read()
+
+
 def _slow_pieces(target: Target) -> Parts:
     yield _with_length(target, MAX_BODY_BYTES)
     for _ in range(MAX_BODY_BYTES // 32768 - 1):
@@ -129,6 +199,13 @@
     yield from itertools.repeat(b"".join(requests), 200)
 
 
+def _distinct_requests_ahead(target: Target) -> Parts:
+    numbers = range(next(_first_numbers), 2**60)
+    for start in numbers[: 200 * AHEAD : AHEAD]:
+        batch = range(start, start + AHEAD)
+        yield b"".join(_with_length(target, 0, number) for number in batch)
+
+
 def _bodies_ahead(target: Target) -> Parts:
     body = _spaces(MIB)
     for number in range(64):
@@ -159,23 +236,45 @@
     "small bodies": Form(1_500, _small_body),
     "small bodies without their last byte": Form(1_500, _unfinished_small_body),
     "values in each body": Form(8, _many_values),
+    "parts in each body": Form(8, _many_parts),
+    "tokens in each body": Form(8, _tokens),
+    "line breaks in bodies": Form(60, _line_breaks),
+    "bodies after an expectation": Form(60, _expected_body),
+    "trailers without their end": Form(60, _trailers),
+    "offers of upgrades ahead": Form(6, _upgrades_ahead),
     "requests ahead": Form(6, _requests_ahead),
+    "distinct requests ahead": Form(6, _distinct_requests_ahead),
     "requests with bodies ahead": Form(60, _bodies_ahead),
     "heads without their end": Form(1_500, _unfinished_head),
     "unread answers": Form(400, _one_request),
     "nothing at all": Form(2_500, _nothing, 6.0),
+    "nothing in series": Form(10_000, _nothing, at_once=64),
+    "handshakes without their end": Form(1_500, _unfinished_handshake),
+    "handshakes without a reply": Form(1_500, _handshake_without_reply),
 }
 """What the members of a crowd send, by name."""
 
 
 class Crowd:
-    """Clients of one listener that send and never read, until ``close``."""
+    """Clients of one listener that send and never read, until ``close``.
+
+    With ``tls`` they send it over TLS.
+    """
 
-    def __init__(self, address: str, form: Form, target: Target) -> None:
+    def __init__(
+        self,
+        address: str,
+        form: Form,
+        target: Target,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         host, _, port = address.rpartition(":")
         self._address = host, int(port)
         self._form = form
         self._target = target
+        self._tls = tls
+        self._connecting = asyncio.Semaphore(form.at_once)
+        self._writers: list[asyncio.StreamWriter] = []
         self._socks: set[socket.socket] = set()
         self._members: list[asyncio.Task[None]] = []
         self.connected = 0
@@ -192,6 +291,8 @@
         for member in self._members:
             member.cancel()
         await asyncio.gather(*self._members, return_exceptions=True)
+        for writer in self._writers:
+            writer.transport.abort()
         for sock in self._socks:
             sock.close()
 
@@ -210,7 +311,11 @@
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CLIENT_BUFFER_BYTES)
         try:
-            await loop.sock_connect(sock, self._address)
+            if self._tls is not None:
+                await self._send_over_tls(sock, self._tls)
+                return
+            async with self._connecting:
+                await loop.sock_connect(sock, self._address)
             self.connected += 1
             for part in self._form.parts(self._target):
                 await loop.sock_sendall(sock, part)
@@ -219,6 +324,20 @@
             sock.close()
             raise
 
+    async def _send_over_tls(self, sock: socket.socket, tls: ssl.SSLContext) -> None:
+        loop = asyncio.get_running_loop()
+        async with self._connecting:
+            await loop.sock_connect(sock, self._address)
+            _, writer = await asyncio.open_connection(
+                sock=sock, ssl=tls, server_hostname=self._address[0]
+            )
+        self.connected += 1
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        self._writers.append(writer)
+        for part in self._form.parts(self._target):
+            writer.write(part)
+            await writer.drain()
+
 
 class ProcessUse:
     """Samples the memory and the descriptors that a process uses.
@@ -252,10 +371,13 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        self.peak_bytes = max(self.peak_bytes, self.kernel_peak_bytes())
+
+    def kernel_peak_bytes(self) -> int:
+        """Return the peak of resident memory that the kernel has recorded."""
         found = re.search(r"VmHWM:\s+(\d+) kB", (self._proc / "status").read_text())
         assert found is not None
-        kernel_peak_bytes = int(found.group(1)) * BYTES_PER_KIB
-        self.peak_bytes = max(self.peak_bytes, kernel_peak_bytes)
+        return int(found.group(1)) * BYTES_PER_KIB
 
     async def _observe(self) -> None:
         while True:
--- a/tests/builders_crowd_fleet.py
+++ b/tests/builders_crowd_fleet.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import pathlib
+import ssl
 import uuid
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import partial
+from types import MappingProxyType
 from typing import Any, Protocol
 
 import httpx2
@@ -41,10 +43,12 @@
 class Listener:
     """A listener of one process, what crowds ask there, and an ordinary call.
 
-    ``path`` and ``headers`` are those of a crowd's requests.  A crowd connects to
+    ``path`` and ``headers`` are those of a crowd's requests; ``path`` may contain the
+    ``{number}`` of the request.  A crowd connects to
     ``crowded`` if that is another address than that of ordinary calls.  The ordinary
     call has ``call``'s method and path and gets ``status``; with ``full`` it is sent
-    once more with a body of the full size.
+    once more with a body of the full size.  With ``tls`` it is
+    sent over TLS.
     """
 
     process: str
@@ -58,19 +62,22 @@
     status: int = 200
     body: bytes | None = None
     full: bool = False
+    tls: ssl.SSLContext | None = None
 
     @property
     def crowd_address(self) -> str:
         """The address to which crowds connect."""
         return self.crowded or self.address
 
-    def make_crowd(self, form: str) -> Crowd:
+    def make_crowd(self, form: str, *, over_tls: bool = False) -> Crowd:
         """Return a crowd that sends HTTP/1.1 of a form to this listener."""
-        return Crowd(self.crowd_address, FORMS[form], self.target)
+        tls = self.tls if over_tls else None
+        return Crowd(self.crowd_address, FORMS[form], self.target, tls)
 
     def target(self, number: int) -> bytes:
         """Return the start of a crowd's request."""
-        lines = [f"{self.method} {self.path}?n={number} HTTP/1.1"]
+        path = self.path.format(number=number)
+        lines = [f"{self.method} {path}?n={number} HTTP/1.1"]
         headers = {"host": HOST, "x-request-id": uuid.uuid4().hex, **self.headers}
         lines += [f"{name}: {value}" for name, value in headers.items()]
         return "\r\n".join((*lines, "")).encode()
@@ -83,7 +90,7 @@
         status = 0
         for number in range(TRIES):
             async with httpx2.AsyncClient(
-                timeout=TRY_TIMEOUT_S, trust_env=False
+                timeout=TRY_TIMEOUT_S, trust_env=False, verify=self.tls or False
             ) as client:
                 try:
                     got = await self._send(client, number, full)
@@ -103,7 +110,8 @@
         body = self.body
         if full:
             method, body = "POST", (body or b"").ljust(MAX_BODY_BYTES)
-        url = f"http://{self.address}{path}"
+        scheme = "http" if self.tls is None else "https"
+        url = f"{scheme}://{self.address}{path}"
         return await client.request(method, url, headers=headers, content=body)
 
 
@@ -201,6 +209,9 @@
             "heartbeats": lambda: control(
                 "control", self._control, path="/v1/Instances.Heartbeat/crowd"
             ),
+            "departures": lambda: control(
+                "control", self._control, path="/v1/Instances.Deregister/{number}"
+            ),
             "signpost": lambda: control(
                 "signpost", self._signpost, path="/v1/Config.Put", status=307
             ),
@@ -214,16 +225,24 @@
     listener: Listener,
     crowd: AnyCrowd,
     max_fds: int = MAX_FDS - FILE_FDS,
+    behind: Mapping[str, int] = MappingProxyType({}),
 ) -> None:
     """Check what must hold while a crowd is there, and after it has gone.
 
     The process lives within its memory and descriptors, and ordinary callers get
     answers.  A process that fails is started again, so that each crowd meets a sound
-    one.
+    one.  ``behind`` are processes that get what it passes on, and their memory in MB.
     """
     process = processes[listener.process]
+    uses = {name: ProcessUse(processes[name].pid, ()) for name in behind}
+    for use in uses.values():
+        use.reset_peak()
     try:
         load.run(_check_crowd(process, listener, crowd, max_fds))
+        for name, memory_mb in behind.items():
+            peak_mib = uses[name].kernel_peak_bytes() / MIB
+            print(f"{name}: {peak_mib:.0f} MiB")
+            assert peak_mib <= memory_mb, f"{name}: {peak_mib:.0f} MiB"
     except BaseException:
         process.kill()
         process.start()
--- a/tests/crowd/test_entry_crowds.py
+++ b/tests/crowd/test_entry_crowds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import pathlib
 from collections.abc import Iterator
 from dataclasses import replace
 from functools import partial
@@ -31,26 +32,54 @@
 
 KEY = "key-of-the-crowd"
 ENTRY_MEMORY_MB = 200
+SIDECAR_MEMORY_MB = 128
+TEXT_PATH = "/v1/completions"
 BODIES = tuple(name for name in FORMS if "bodies" in name)
 CHAT = {"model": "chat", "messages": [{"role": "user", "content": "Hello"}]}
 
 CASES = [
     *(("entry", form) for form in BODIES),
     ("entry", "values in each body"),
+    ("entry", "parts in each body"),
+    ("entry's texts", "tokens in each body"),
     ("entry", "requests ahead"),
+    ("entry", "nothing at all"),
     ("entry", "heads without their end"),
     ("entry's models", "requests ahead"),
     ("operators", "bodies without their last byte"),
     ("operators", "bodies in tiny chunks"),
     ("operators", "requests ahead"),
+    ("operators", "nothing at all"),
+    ("operators", "nothing in series"),
     ("sidecar's metrics", "requests ahead"),
     ("sidecar's metrics", "requests with bodies ahead"),
 ]
 
 
+TLS_CASES = [
+    (listener, form)
+    for listener in ("entry", "operators")
+    for form in (
+        "nothing at all",
+        "handshakes without their end",
+        "handshakes without a reply",
+    )
+]
+
+
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
-    fleet = Fleet(tmp_path_factory.mktemp("crowds"), ("zone-1",))
+    yield from started_fleet(tmp_path_factory.mktemp("crowds"), tls=False)
+
+
+@pytest.fixture(scope="module")
+def fleet_with_tls(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    yield from started_fleet(tmp_path_factory.mktemp("crowds"), tls=True)
+
+
+def started_fleet(folder: pathlib.Path, *, tls: bool) -> Iterator[Fleet]:
+    """Yield a fleet with one process of each role, which serves ``CHAT``."""
+    fleet = Fleet(folder, ("zone-1",), tls=tls)
     try:
         fleet.add_controls(1)
         fleet.add_entries(1, max_body_bytes=MAX_BODY_BYTES)
@@ -87,11 +116,15 @@
         ENTRY_MEMORY_MB,
         headers={"authorization": f"Bearer {KEY}"},
     )
+    tls = fleet.verify if fleet.tls else None
     path = "/v1/chat/completions"
     listeners = {
         "entry": chat(
             path, call=("POST", path), body=json.dumps(CHAT).encode(), full=True
         ),
+        "entry's texts": chat(
+            TEXT_PATH, call=("POST", path), body=json.dumps(CHAT).encode()
+        ),
         "entry's models": chat("/v1/models", call=("GET", "/v1/models"), method="GET"),
         "operators": Listener(
             "control-1",
@@ -110,7 +143,7 @@
             method="GET",
         ),
     }
-    return listeners[name]
+    return replace(listeners[name], tls=tls)
 
 
 @pytest.mark.parametrize(("listener", "form"), CASES)
@@ -121,7 +154,51 @@
     load = BackgroundLoop()
     try:
         found = listener_of(fleet, listener)
-        check_crowd(fleet.processes, load, found, found.make_crowd(form))
+        crowd = found.make_crowd(form)
+        others = {"sidecar-engine-1": SIDECAR_MEMORY_MB, "control-1": CONTROL_MEMORY_MB}
+        behind = others if found.process == "entry-1" else {}
+        check_crowd(fleet.processes, load, found, crowd, behind=behind)
+    finally:
+        load.close()
+
+
+@pytest.mark.parametrize(("listener", "form"), TLS_CASES)
+def test_crowd_without_handshakes_leaves_the_process_and_ordinary_callers_alone(
+    fleet_with_tls: Fleet, listener: str, form: str
+) -> None:
+    """Guards against clients that hold a connection before it is known to anybody."""
+    load = BackgroundLoop()
+    try:
+        found = listener_of(fleet_with_tls, listener)
+        crowd = found.make_crowd(form)
+        check_crowd(fleet_with_tls.processes, load, found, crowd)
+    finally:
+        load.close()
+
+
+OVER_TLS_CASES = [
+    ("entry", "bodies without their last byte"),
+    ("entry", "bodies in tiny chunks"),
+    ("entry", "small bodies without their last byte"),
+    ("entry", "requests ahead"),
+    ("entry", "nothing at all"),
+    ("entry", "nothing in series"),
+    ("operators", "requests ahead"),
+    ("operators", "nothing at all"),
+    ("operators", "nothing in series"),
+]
+
+
+@pytest.mark.parametrize(("listener", "form"), OVER_TLS_CASES)
+def test_crowd_over_tls_leaves_the_process_and_ordinary_callers_alone(
+    fleet_with_tls: Fleet, listener: str, form: str
+) -> None:
+    """Guards against what connections with TLS take beyond others."""
+    load = BackgroundLoop()
+    try:
+        found = listener_of(fleet_with_tls, listener)
+        crowd = found.make_crowd(form, over_tls=True)
+        check_crowd(fleet_with_tls.processes, load, found, crowd)
     finally:
         load.close()
 
--- a/tests/crowd/test_gateway_crowds.py
+++ b/tests/crowd/test_gateway_crowds.py
@@ -36,15 +36,21 @@
 
 CASES = [
     *(("gateway", form) for form in (*BODIES, "requests ahead", HEADS)),
+    ("gateway", "trailers without their end"),
+    ("gateway", "offers of upgrades ahead"),
+    ("gateway", "unread answers"),
     ("gateway", "nothing at all"),
     ("gateway without a key", "whole bodies"),
     ("gateway without a key", "requests ahead"),
     *(("control", form) for form in (*BODIES, "requests ahead", HEADS)),
+    ("control", "nothing at all"),
     ("control's reads", "requests ahead"),
     ("control's reads", "unread answers"),
     ("heartbeats", "bodies without their last byte"),
+    ("departures", "distinct requests ahead"),
     *(("signpost", form) for form in FEW),
     *(("readiness", form) for form in FEW),
+    ("readiness", "nothing at all"),
     ("metrics", "requests ahead"),
     ("metrics", "unread answers"),
 ]
