Render metrics once for scrapes at the same time

Cause: each scrape renders all series, milliseconds in which the process serves nobody. Change: scrapes within half a second get the same text.

--- a/gooseberrydale/process/metrics.py
+++ b/gooseberrydale/process/metrics.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 from collections.abc import Callable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -30,6 +32,10 @@
 
 METRICS_PATH = "/metrics"
 
+SHARED_S = 0.5
+"""Seconds for which scrapes get the same text: rendering takes milliseconds, in which
+the process serves nobody."""
+
 
 class Metrics:
     """The instruments of one role and their export in Prometheus' text format."""
@@ -39,6 +45,8 @@
         self.before_scrape: Callable[[Level], None] | None = None
         # Replaced by a gateway that shares capacity, once it has built the parts.
         self.capacity_levels: CapacityLevels = NeutralCapacityLevels()
+        self._rendered = b""
+        self._rendered_at = -math.inf
         self._registry = CollectorRegistry()
         # Exports CPU time, memory and open files of the process.
         ProcessCollector(registry=self._registry)
@@ -69,7 +77,10 @@
         """Return a starlette route that answers scrapes at ``/metrics``."""
 
         async def scrape(_: Request) -> Response:
-            return Response(self.render(), media_type=CONTENT_TYPE_LATEST)
+            now = asyncio.get_running_loop().time()
+            if now >= self._rendered_at + SHARED_S:
+                self._rendered, self._rendered_at = self.render(), now
+            return Response(self._rendered, media_type=CONTENT_TYPE_LATEST)
 
         return Route(METRICS_PATH, scrape, methods=["GET"])
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -10,6 +10,7 @@
 import pytest
 from starlette.requests import Request
 
+import gooseberrydale.process.metrics
 from gooseberrydale.process.capacity_levels import (
     MAX_UPSTREAM_SERIES,
     NeutralCapacityLevels,
@@ -65,6 +66,32 @@
     assert b"gooseberrydale_term 0.0" in answer.body
 
 
+def test_scrapes_at_the_same_time_are_rendered_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against clients that keep a process busy with scrapes."""
+    monkeypatch.setattr(gooseberrydale.process.metrics, "SHARED_S", 0.05)
+    metrics = Metrics("control", "c")
+    endpoint = metrics.route().endpoint
+    rendered = 0
+
+    def count(_: Level) -> None:
+        nonlocal rendered
+        rendered += 1
+
+    metrics.before_scrape = count
+
+    async def main() -> None:
+        scope = {"type": "http", "method": "GET", "path": METRICS_PATH, "headers": []}
+        for _ in range(2):
+            for _ in range(3):
+                await endpoint(Request(scope))
+            await asyncio.sleep(0.1)
+
+    asyncio.run(main())
+    assert rendered == 2
+
+
 class FakeRole(SimpleNamespace):
     """A role with one listener at a fixed address."""
 
