Refuse prompts of very many values, and hash tokens without an object each

Seen: eight bodies of 4 MiB took an entry to 546 MiB and nobody was served beside them, as each prompt had 1.4 million parts; eight prompts of two million tokens took it to 375. Cause: each value that is decoded takes some hundred bytes, each part of a prompt became a piece with a hash, and each token an object before it was hashed. Change: a decoded field may have max_prompt_values strings, objects and arrays, which are counted in its text; more get 400 too_many_values. A prompt has 4,096 pieces at most. Tokens are hashed from one array; the hashes stay the same. Evidence: test_prompts_of_many_small_values_are_refused_before_they_are_decoded and test_tokens_take_no_object_each; values are counted as they are decoded, 50 draws.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -104,6 +104,12 @@
 INVALID_FIELD = ErrorKind(
     "invalid_field", 400, "The body does not match the interface: {reason}; correct it."
 )
+TOO_MANY_VALUES = ErrorKind(
+    "too_many_values",
+    400,
+    "The field {field} has over {limit} strings, objects and arrays; join them, or send"
+    " a shorter prompt.",
+)
 BODY_TOO_LARGE = ErrorKind(
     "body_too_large",
     413,
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -21,6 +21,10 @@
 MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
 """A document with 1,800 workspaces has a tenth of it."""
 
+MAX_PROMPT_VALUES = 100_000
+"""Ten times as many as in a conversation of a thousand messages with calls of tools.
+Decoded, each takes about 100 bytes."""
+
 
 @dataclass(frozen=True, slots=True)
 class NodeCfg:
@@ -96,13 +100,15 @@
     A request that the configuration doesn't allow is denied only if that was known to
     be the newest one within the last ``config_bound_s``.  Callers may make the process
     hold ``max_held_bytes`` of requests and unread answers; beyond that the largest
-    unfinished requests are refused.  A body counts twice.
+    unfinished requests are refused.  A body counts twice.  A field of a prompt may have
+    ``max_prompt_values`` strings, objects and arrays.
     """
 
     http: str = "127.0.0.1:8080"
     rpc: str = "127.0.0.1:8081"
     tls: TlsCfg = field(default_factory=TlsCfg)
     max_body_bytes: int = 8 * 1024 * 1024
+    max_prompt_values: int = MAX_PROMPT_VALUES
     body_timeout_s: float = 10.0
     drain_s: float = 30.0
     silence_s: float = 3.0
--- a/gooseberrydale/process/entry/call_handlers.py
+++ b/gooseberrydale/process/entry/call_handlers.py
@@ -145,7 +145,8 @@
         """
         workspace = await self.authenticate(req)
         body = await self._read_body(req)
-        completion = _unwrap(parse_completion(req.url.path, body))
+        max_values = self._deps.cfg.max_prompt_values
+        completion = _unwrap(parse_completion(req.url.path, body, max_values))
         profile = self._profile(workspace, completion.model, ProfileKind.COMPLETION)
         if LAST_EVENT_ID in req.headers:
             await self._attach(req, send, workspace, profile)
--- a/gooseberrydale/request/prompt.py
+++ b/gooseberrydale/request/prompt.py
@@ -11,7 +11,9 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterator, Mapping
+import sys
+from array import array
+from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
 
@@ -19,8 +21,14 @@
 from gooseberrydale.request.prompt_parts import limit_parts, part_digest
 
 BYTES_PER_TOKEN = 4
+TOKEN_TYPE = "I"
+"""The type of ``array`` with that size."""
+
 PIECE_TOKENS = 4_000
 PIECE_BYTES = PIECE_TOKENS * BYTES_PER_TOKEN
+MAX_PIECES = 4_096
+"""Pieces of one prompt: with more messages, all beyond them are one piece."""
+
 CHAIN_BYTES = 16
 ROOT_BYTES = 32
 
@@ -96,14 +104,20 @@
 def _chain(segments: Iterator[Segment]) -> tuple[Piece, ...]:
     """Hash the segments in one pass, and emit a piece at each cut."""
     running_hash = hashlib.blake2b(digest_size=CHAIN_BYTES)
-    pieces = []
+    pieces: list[Piece] = []
+    last_tokens = 0
     for tag, name, data in segments:
         for start in range(0, max(len(data), 1), PIECE_BYTES):
             part = data[start : start + PIECE_BYTES]
             running_hash.update(_CONTINUED if start else tag + _length_prefixed(name))
             running_hash.update(_length_prefixed(part))
             tokens = max(1, -(-len(part) // BYTES_PER_TOKEN))
-            pieces.append(Piece(chain=running_hash.copy().digest(), tokens=tokens))
+            if len(pieces) < MAX_PIECES - 1:
+                pieces.append(Piece(chain=running_hash.copy().digest(), tokens=tokens))
+            else:
+                last_tokens += tokens
+    if last_tokens:
+        pieces.append(Piece(chain=running_hash.digest(), tokens=last_tokens))
     return tuple(pieces)
 
 
@@ -150,16 +164,20 @@
     if not isinstance(prompt, list | tuple) or not prompt:
         return
     if isinstance(prompt[0], int):
-        yield _TOKENS, b"", b"".join(_token_bytes(token) for token in prompt)
+        yield _TOKENS, b"", _token_bytes(prompt)
         return
     # A batch: only the first prompt gets the same hashes as when it is sent alone.
     for item in prompt:
         yield from _completion_segments(item)
 
 
-def _token_bytes(token: object) -> bytes:
-    number = token if isinstance(token, int) else 0
-    return (number & 0xFFFFFFFF).to_bytes(BYTES_PER_TOKEN, "big")
+def _token_bytes(tokens: Iterable[object]) -> bytes:
+    """Return the tokens as big-endian numbers, without an object for each."""
+    numbers = (token if isinstance(token, int) else 0 for token in tokens)
+    data = array(TOKEN_TYPE, (number & 0xFFFFFFFF for number in numbers))
+    if sys.byteorder == "little":
+        data.byteswap()
+    return data.tobytes()
 
 
 def _text(content: object) -> bytes:
--- a/tests/test_prompt.py
+++ b/tests/test_prompt.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from gooseberrydale.connection.messages import Piece
 from gooseberrydale.request.prompt import (
+    BYTES_PER_TOKEN,
     CHAT_PATH,
     COMPLETION_PATH,
+    MAX_PIECES,
     PIECE_BYTES,
     PIECE_TOKENS,
     cache_root,
@@ -137,3 +141,26 @@
     second = chat(*(message(content, role) for role, content in other))
     common = {piece.chain for piece in first} & {piece.chain for piece in second}
     assert len(common) == shared
+
+
+def test_prompts_of_many_messages_have_a_limited_number_of_pieces() -> None:
+    messages = [message(str(number)) for number in range(MAX_PIECES + 5)]
+    pieces = chat(*messages)
+    assert len(pieces) == MAX_PIECES
+    assert sum(piece.tokens for piece in pieces) == MAX_PIECES + 5
+    assert pieces[:-1] == chat(*messages[: MAX_PIECES - 1])
+    assert pieces[-1] != chat(*messages[:-1])[-1]
+
+
+def test_tokens_take_no_object_each() -> None:
+    """Guards against prompts of numbers that take many times their size."""
+    tokens = [7] * 500_000
+    tracemalloc.start()
+    try:
+        pieces = text(tokens)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert sum(piece.tokens for piece in pieces) == len(tokens)
+    assert peak < 4 * BYTES_PER_TOKEN * len(tokens)
+    assert text([1, 2**32 + 1, "a"]) == text([1, 1, 0])
--- a/tests/test_prompt_fields.py
+++ b/tests/test_prompt_fields.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import json
+import random
 import tracemalloc
+from typing import Any
 
 import pytest
 
 from gooseberrydale.request.body import CHAT_PATH, parse_completion
+from gooseberrydale.request.json_values import has_more_values
 
 VALUES = 200_000
 BODY = {
@@ -53,3 +56,55 @@
 )
 def test_bodies_that_are_no_request_are_refused(body: bytes, code: str) -> None:
     assert parse_completion(CHAT_PATH, body).unwrap_err().code == code
+
+
+@pytest.mark.parametrize(
+    "value", ["[" + ", ".join(["{}"] * VALUES) + "]", '["a"' + ', ""' * VALUES + "]"]
+)
+def test_prompts_of_many_small_values_are_refused_before_they_are_decoded(
+    value: str,
+) -> None:
+    """Guards against bodies of legal size that take many times their size."""
+    body = b'{"model": "m", "messages": [{"role": "user", "content": %s}]}'
+    body %= value.encode()
+    tracemalloc.start()
+    try:
+        refused = parse_completion(CHAT_PATH, body).unwrap_err()
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert refused.code == "too_many_values"
+    assert peak < 4 * len(body)
+
+
+def count(value: Any) -> int:
+    """Return how many strings, objects and arrays a value has."""
+    if isinstance(value, dict):
+        return 1 + sum(1 + count(item) for item in value.values())
+    if isinstance(value, list):
+        return 1 + sum(map(count, value))
+    return int(isinstance(value, str))
+
+
+def draw(rng: random.Random, depth: int = 0) -> Any:
+    """Draw a value, with characters in its strings that JSON escapes or uses."""
+    kind = rng.randrange(5 if depth < 5 else 3)
+    if kind == 3:
+        return [draw(rng, depth + 1) for _ in range(rng.randrange(5))]
+    if kind == 4:
+        items = range(rng.randrange(5))
+        return {text(rng): draw(rng, depth + 1) for _ in items}
+    return text(rng) if kind else rng.choice([None, True, 7, -1.5e3])
+
+
+def text(rng: random.Random) -> str:
+    return "".join(rng.choices('a"\\[{]},:\n\té', k=rng.randrange(8)))
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_values_are_counted_as_they_are_decoded(seed: int) -> None:
+    rng = random.Random(seed)
+    value = [draw(rng) for _ in range(20)]
+    for data in (json.dumps(value), json.dumps(value, ensure_ascii=False)):
+        assert not has_more_values(data.encode(), count(value))
+        assert has_more_values(data.encode(), count(value) - 1)
