Bound TLS handshakes, and the memory of connections by themselves

Seen: 2,500 connections that sent nothing took a listener with TLS to 823 MiB, 1,500 with a part of a handshake to 529, and as many that had finished it and sent nothing to 799. Without TLS 10,000 connections took 10,002 descriptors and 123 of control's 128 MiB. Cause: no protocol of this system saw a connection before its handshake was complete, for which asyncio allows a minute; asyncio's TLS has a buffer of 256 KiB for each connection; the account knew what connections hold, not what they are. Connections may take max_held_bytes by themselves; beyond that those that have waited longest for a request are closed. clients_refused names both, as reasons handshakes and connections.

--- a/gooseberrydale/log_events/connections.py
+++ b/gooseberrydale/log_events/connections.py
@@ -45,7 +45,8 @@
 class ClientsRefused(LogEvent):
     """Clients held too much, so requests were refused or connections were closed.
 
-    ``reason`` is what was short: memory or descriptors.  It is logged once a second.
+    ``reason`` is what was short: memory or descriptors, or what there were too many of:
+    connections, or unfinished TLS handshakes.  It is logged once a second.
     ``refused`` requests or connections were affected; ``connections`` are open and hold
     ``held_bytes``.
     """
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -25,6 +25,10 @@
 """Ten times as many as in a conversation of a thousand messages with calls of tools.
 Decoded, each takes about 100 bytes."""
 
+MAX_HANDSHAKES = 256
+"""A handshake takes a round trip or two, so thousands of clients may connect within a
+second."""
+
 
 @dataclass(frozen=True, slots=True)
 class NodeCfg:
@@ -101,7 +105,8 @@
     be the newest one within the last ``config_bound_s``.  Callers may make the process
     hold ``max_held_bytes`` of requests and unread answers; beyond that the largest
     unfinished requests are refused.  A body counts twice.  A field of a prompt may have
-    ``max_prompt_values`` strings, objects and arrays.
+    ``max_prompt_values`` strings, objects and arrays.  At most ``max_handshakes``
+    connections may be in their TLS handshake.
     """
 
     http: str = "127.0.0.1:8080"
@@ -116,6 +121,7 @@
     policy: str = "affinity"
     config_bound_s: float = 4.0
     max_held_bytes: int = MAX_HELD_BYTES
+    max_handshakes: int = MAX_HANDSHAKES
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,9 +231,10 @@
     A new leader waits ``order_pause_s`` before it sends orders to upstreams, so that
     the orders of its predecessor have arrived.  Work may be started on outdated weights
     for ``weights_bound_s``.  Upstreams without a sidecar announce themselves every
-    ``beat_s``.  Operators and upstreams may make it hold ``max_held_bytes``, as callers
-    of an entry, and send bodies of ``max_body_bytes``.  A ``signpost`` is a replica
-    without a disk: it stores nothing and redirects its callers to the listed replicas.
+    ``beat_s``.  Operators and upstreams may make it hold ``max_held_bytes`` and have
+    ``max_handshakes`` open, as callers of an entry, and send bodies of
+    ``max_body_bytes``.  A ``signpost`` is a replica without a disk: it stores nothing
+    and redirects its callers to the listed replicas.
     """
 
     data_dir: Path
@@ -244,6 +251,7 @@
     beat_s: float = 1.2
     max_held_bytes: int = MAX_HELD_CONTROL_BYTES
     max_body_bytes: int = MAX_CONTROL_BODY_BYTES
+    max_handshakes: int = MAX_HANDSHAKES
     signpost: bool = False
     operators_file: Path | None = None
     loads_at_once: int = 2
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -201,7 +201,13 @@
                 self._mesh.merge_weights,
             )
         self.clients = ClientAccount(own.max_held_bytes)
-        self._http = HttpServer(app, own.http, own.tls, clients=self.clients)
+        self._http = HttpServer(
+            app,
+            own.http,
+            own.tls,
+            clients=self.clients,
+            max_handshakes=own.max_handshakes,
+        )
 
     @property
     def addresses(self) -> dict[str, str]:
--- a/gooseberrydale/process/entry/entry.py
+++ b/gooseberrydale/process/entry/entry.py
@@ -155,7 +155,11 @@
         app = make_app(self._calls, self._metrics.instruments, routes)
         self._middleware = EntryMiddleware(app, self._metrics.instruments, self._rng)
         self._http = HttpServer(
-            self._middleware, self._cfg.http, self._cfg.tls, clients=self.clients
+            self._middleware,
+            self._cfg.http,
+            self._cfg.tls,
+            clients=self.clients,
+            max_handshakes=self._cfg.max_handshakes,
         )
         self._quarantine_log.start()
         await self._rpc.start()
--- a/gooseberrydale/process/http/client_account.py
+++ b/gooseberrydale/process/http/client_account.py
@@ -2,8 +2,8 @@
 
 There is one :class:`ClientAccount` per process, for all of its HTTP listeners.  It has
 the bytes that connections hold, by the rule in ``held_bytes``, and the connections that
-wait for a request: while there are too many connections, those that have waited longest
-are closed.
+wait for a request: while connections take too many descriptors or too much memory by
+themselves, those that have waited longest are closed.
 """
 
 from __future__ import annotations
@@ -38,6 +38,8 @@
 
 REFUSED_HELD = "memory"
 REFUSED_IDLE = "descriptors"
+REFUSED_CONNECTIONS = "connections"
+REFUSED_HANDSHAKES = "handshakes"
 REFUSED_BODY = "body"
 
 _refused: Counter[str] = Counter()
@@ -56,8 +58,9 @@
 class ClientAccount:
     """Counts bytes and connections of the clients of one process.
 
-    Connections may hold ``max_bytes``.  ``max_fds`` is the number of descriptors that
-    the process may use, 0 if only the operating system limits it.
+    Connections may hold ``max_bytes``, and take as much by themselves.  ``max_fds`` is
+    the number of descriptors that the process may use, 0 if only the operating system
+    limits it.
     """
 
     def __init__(self, max_bytes: int = MAX_HELD_BYTES, max_fds: int = 0) -> None:
@@ -65,6 +68,10 @@
         fds = min((limit for limit in (soft, max_fds) if limit > 0), default=math.inf)
         self._max_connections = fds * CONNECTION_FRACTION
         self._held: HeldBytes[Connection] = HeldBytes(max_bytes)
+        self._max_bytes = max_bytes
+        # What each open connection takes by itself.
+        self._taken: dict[Connection, int] = {}
+        self._taken_bytes = 0
         # Since when each waits, in this order.
         self._waiting: dict[Connection, float] = {}
         self._is_refusing = False
@@ -91,17 +98,26 @@
             self._refused(REFUSED_IDLE)
             conn.close_waiting()
 
-    def opened(self, conn: Connection) -> None:
-        """Count a connection, and make room for it."""
+    def opened(self, conn: Connection, size: int) -> None:
+        """Count a connection that takes ``size`` bytes, and make room for it."""
         self.make_room()
         self.connections += 1
         self._waiting[conn] = _now()
+        self._taken[conn] = size
+        self._taken_bytes += size
+        while self._taken_bytes > self._max_bytes and self._waiting:
+            longest = next(iter(self._waiting))
+            del self._waiting[longest]
+            self._forget_taken(longest)
+            self._refused(REFUSED_CONNECTIONS)
+            longest.close_waiting()
 
     def closed(self, conn: Connection) -> None:
         """Forget a connection."""
         self.connections -= 1
         self._waiting.pop(conn, None)
         self._held.release(conn)
+        self._forget_taken(conn)
 
     def waits(self, conn: Connection) -> None:
         """Note that a connection waits for a request, as all others are answered."""
@@ -136,6 +152,13 @@
         self._refused(REFUSED_HELD)
         return False
 
+    def _forget_taken(self, conn: Connection) -> None:
+        self._taken_bytes -= self._taken.pop(conn, 0)
+
+    def refused_handshake(self) -> None:
+        """Count a connection that was closed since too many had no TLS handshake."""
+        self._refused(REFUSED_HANDSHAKES)
+
     def _refused(self, reason: str) -> None:
         _refused[reason] += 1
         self._unlogged[reason] += 1
--- a/gooseberrydale/process/http/protocol.py
+++ b/gooseberrydale/process/http/protocol.py
@@ -70,6 +70,12 @@
 REQUEST_BYTES = 4 * 1024
 """Memory of the objects of a request."""
 
+CONNECTION_BYTES = 12 * 1024
+"""Memory of the objects of a connection."""
+
+TLS_CONNECTION_BYTES = 64 * 1024
+"""The same with TLS, which has buffers of its own."""
+
 BODY_COPIES = 2
 """A body is held as it was read, and in the buffer from which it is passed on."""
 
@@ -135,7 +141,9 @@
         self.transport.set_write_buffer_limits(high=high, low=0)
         self._read_at_most(READ_BYTES)
         self._head_timer = self.loop.call_later(self.first_byte_s, transport.close)
-        self._clients.opened(self)
+        is_secure = self.scheme == "https"
+        size = TLS_CONNECTION_BYTES if is_secure else CONNECTION_BYTES
+        self._clients.opened(self, size)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer; let a complete answer without a length end normally."""
@@ -183,10 +191,13 @@
 
     def close_waiting(self) -> None:
         """Close the connection; a request that is being read is refused."""
-        if self._reading is _Reading.NOTHING:
-            self.transport.close()
-        else:
+        if self._reading is not _Reading.NOTHING:
             self._refuse(self._held_too_much())
+        elif self.scheme == "https" and not self.transport.get_write_buffer_size():
+            # A close would wait for the client.
+            self.transport.abort()
+        else:
+            self.transport.close()
 
     @property
     def largest_body(self) -> int:
--- a/gooseberrydale/process/http/server.py
+++ b/gooseberrydale/process/http/server.py
@@ -6,14 +6,16 @@
 import contextlib
 from collections.abc import Iterator
 from functools import partial
+from typing import Any
 
 import uvicorn
 from starlette.types import ASGIApp
 
-from gooseberrydale.process.cfg import TlsCfg
+from gooseberrydale.process.cfg import MAX_HANDSHAKES, TlsCfg
 from gooseberrydale.process.http.client_account import ClientAccount
 from gooseberrydale.process.http.listeners import ACCEPTS_AT_ONCE, listen
 from gooseberrydale.process.http.protocol import BoundedHttpProtocol
+from gooseberrydale.process.http.tls_handshakes import TlsHandshakes
 
 # Longer than clients and load balancers keep idle connections open, so that they close
 # them first; otherwise a request could be sent on a connection that is being closed.
@@ -32,7 +34,8 @@
 class HttpServer:
     """An HTTP listener; ``close`` stops listening and waits for open responses.
 
-    ``clients`` accounts for what clients of all listeners of the process hold.
+    ``clients`` accounts for what clients of all listeners of the process hold.  With
+    TLS at most ``max_handshakes`` connections are in their handshake.
     """
 
     def __init__(
@@ -42,12 +45,15 @@
         tls: TlsCfg,
         protocol: type[BoundedHttpProtocol] = BoundedHttpProtocol,
         clients: ClientAccount | None = None,
+        max_handshakes: int = MAX_HANDSHAKES,
     ) -> None:
         self._app = app
         self._protocol = protocol
         self._clients = ClientAccount() if clients is None else clients
         self._requested_address = address
         self._tls = tls
+        self._max_handshakes = max_handshakes
+        self._handshakes: TlsHandshakes | None = None
         self._server: _Server | None = None
         self._task: asyncio.Task[None] | None = None
         self.address = address
@@ -57,9 +63,15 @@
         sock = listen(self._requested_address)
         host, port = sock.getsockname()[:2]
         self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        protocol: Any = partial(self._protocol, clients=self._clients)
+        if self._tls.cert_file:
+            self._handshakes = TlsHandshakes(
+                self._tls, self._max_handshakes, self._clients
+            )
+            protocol = partial(self._handshakes.protocol, protocol)
         config = uvicorn.Config(
             self._app,
-            http=partial(self._protocol, clients=self._clients),  # type: ignore
+            http=protocol,
             timeout_keep_alive=KEEP_ALIVE_S,
             backlog=ACCEPTS_AT_ONCE,
             ws="none",
@@ -70,8 +82,6 @@
             access_log=False,
             server_header=False,
             proxy_headers=False,
-            ssl_certfile=self._tls.cert_file or None,
-            ssl_keyfile=self._tls.key_file or None,
         )
         self._server = _Server(config)
         self._task = asyncio.create_task(self._server.serve(sockets=[sock]))
@@ -86,5 +96,7 @@
             return
         self._server.config.timeout_graceful_shutdown = grace_s  # type: ignore
         self._server.should_exit = True
+        if self._handshakes is not None:
+            self._handshakes.close()
         await asyncio.wait({self._task})
         self._server = None
--- a/tests/test_client_account.py
+++ b/tests/test_client_account.py
@@ -16,7 +16,12 @@
 from gooseberrydale.process.http import client_account
 from gooseberrydale.process.http.client_account import ClientAccount
 from gooseberrydale.process.http.draining_close import DISCARD_BYTES, DrainingClose
-from gooseberrydale.process.http.protocol import READ_BYTES, BoundedHttpProtocol
+from gooseberrydale.process.http.protocol import (
+    CONNECTION_BYTES,
+    READ_BYTES,
+    TLS_CONNECTION_BYTES,
+    BoundedHttpProtocol,
+)
 from gooseberrydale.process.http.server import HttpServer
 from tests.builders_logs import logged
 from tests.builders_mesh import until
@@ -319,3 +324,45 @@
             assert not idle[-1].at_eof()
 
     run(main())
+
+
+@pytest.mark.parametrize("secure", [False, True])
+def test_connections_that_have_waited_longest_make_room_for_the_memory_of_others(
+    secure: bool, tmp_path: pathlib.Path
+) -> None:
+    """Guards against connections without requests, which hold nothing else."""
+    cfg, ctx = TlsCfg(), None
+    if secure:
+        files = write_certificates(tmp_path, ["127.0.0.1"])
+        cfg, ctx = TlsCfg(**files), ssl.create_default_context(cafile=files["ca_file"])
+    size = TLS_CONNECTION_BYTES if secure else CONNECTION_BYTES
+    app = Application()
+
+    async def main() -> None:
+        clients = ClientAccount(5 * size)
+        http = HttpServer(app, "127.0.0.1:0", cfg, LimitedProtocol, clients)
+        await http.start()
+        host, _, port = http.address.rpartition(":")
+        app.released.clear()
+        conns = []
+        for number in range(7):
+            conns.append(await asyncio.open_connection(host, int(port), ssl=ctx))
+            if number == 0:
+                conns[0][1].write(GET % 0)
+            await until(lambda: bool(app.started))
+            await asyncio.sleep(0.05)
+        app.released.set()
+        # The first one has a request and is kept.
+        assert await read_status(conns[0][0]) == 200
+        for reader, _ in conns[1:3]:
+            with contextlib.suppress(ConnectionError):
+                assert await asyncio.wait_for(reader.read(), 5.0) == b""
+        conns[-1][1].write(GET % 6)
+        assert await read_status(conns[-1][0]) == 200
+        for _, writer in conns:
+            writer.close()
+        await http.close(0.1)
+
+    with logged("clients_refused") as lines:
+        run(main())
+    assert {line["reason"] for line in lines} == {"connections"}
