Count the values of a whole body, and of operators' bodies too

Cause: the bound of a prompt's values left out the fields of the body itself, each of which is an object too, and the bodies of operators, which control decodes whole. Change: max_body_values of [entry] and [control] bounds the strings, objects and arrays of a body, before it is decoded.

--- a/gooseberrydale/errors.py
+++ b/gooseberrydale/errors.py
@@ -107,8 +107,7 @@
 TOO_MANY_VALUES = ErrorKind(
     "too_many_values",
     400,
-    "The field {field} has over {limit} strings, objects and arrays; join them, or send"
-    " a shorter prompt.",
+    "The body has over {limit} strings, objects and arrays; send fewer, or join them.",
 )
 BODY_TOO_LARGE = ErrorKind(
     "body_too_large",
--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -21,9 +21,9 @@
 MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
 """A document with 1,800 workspaces has a tenth of it."""
 
-MAX_PROMPT_VALUES = 100_000
-"""Ten times as many as in a conversation of a thousand messages with calls of tools.
-Decoded, each takes about 100 bytes."""
+MAX_BODY_VALUES = 100_000
+"""Several times as many as in a conversation of a thousand messages with calls of
+tools, or in a change of 1,800 workspaces.  Decoded, each takes about 100 bytes."""
 
 MAX_HANDSHAKES = 256
 """A handshake takes a round trip or two, so thousands of clients may connect within a
@@ -104,16 +104,16 @@
     A request that the configuration doesn't allow is denied only if that was known to
     be the newest one within the last ``config_bound_s``.  Callers may make the process
     hold ``max_held_bytes`` of requests and unread answers; beyond that the largest
-    unfinished requests are refused.  A body counts twice.  A field of a prompt may have
-    ``max_prompt_values`` strings, objects and arrays.  At most ``max_handshakes``
-    connections may be in their TLS handshake.
+    unfinished requests are refused.  A body counts twice; what is decoded of
+    it may have ``max_body_values`` strings, objects and arrays.  At most
+    ``max_handshakes`` connections may be in their TLS handshake.
     """
 
     http: str = "127.0.0.1:8080"
     rpc: str = "127.0.0.1:8081"
     tls: TlsCfg = field(default_factory=TlsCfg)
     max_body_bytes: int = 8 * 1024 * 1024
-    max_prompt_values: int = MAX_PROMPT_VALUES
+    max_body_values: int = MAX_BODY_VALUES
     body_timeout_s: float = 10.0
     drain_s: float = 30.0
     silence_s: float = 3.0
@@ -233,8 +233,8 @@
     for ``weights_bound_s``.  Upstreams without a sidecar announce themselves every
     ``beat_s``.  Operators and upstreams may make it hold ``max_held_bytes`` and have
     ``max_handshakes`` open, as callers of an entry, and send bodies of
-    ``max_body_bytes``.  A ``signpost`` is a replica without a disk: it stores nothing
-    and redirects its callers to the listed replicas.
+    ``max_body_bytes``, operators with ``max_body_values``.  A ``signpost`` is a replica
+    without a disk: it stores nothing and redirects its callers to the listed replicas.
     """
 
     data_dir: Path
@@ -251,6 +251,7 @@
     beat_s: float = 1.2
     max_held_bytes: int = MAX_HELD_CONTROL_BYTES
     max_body_bytes: int = MAX_CONTROL_BODY_BYTES
+    max_body_values: int = MAX_BODY_VALUES
     max_handshakes: int = MAX_HANDSHAKES
     signpost: bool = False
     operators_file: Path | None = None
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -178,6 +178,7 @@
             self._replica_status,
             self.ended_incarnations,
             own.max_body_bytes,
+            own.max_body_values,
         )
         client = ControlClient(self._controls, token, tls)
         self._documents = Documents(self._commit, self._proposer, client)
--- a/gooseberrydale/process/control/operator_api.py
+++ b/gooseberrydale/process/control/operator_api.py
@@ -38,16 +38,18 @@
     INVALID_JSON,
     NOT_LEADER,
     SHUTTING_DOWN,
+    TOO_MANY_VALUES,
     UNKNOWN_NAME,
     WRONG_OPERATOR_TOKEN,
     Problem,
     problem,
 )
-from gooseberrydale.process.cfg import MAX_CONTROL_BODY_BYTES
+from gooseberrydale.process.cfg import MAX_BODY_VALUES, MAX_CONTROL_BODY_BYTES
 from gooseberrydale.process.control import operator_views as views
 from gooseberrydale.process.control.group_commit import GroupCommit
 from gooseberrydale.process.control.operator_auth import OperatorTokens
 from gooseberrydale.request.fingerprint import fingerprint_text
+from gooseberrydale.request.json_values import has_more_values
 from gooseberrydale.request.prompt_parts import parts_text
 from gooseberrydale.version.acknowledgements import Acknowledgements
 from gooseberrydale.version.change import join_faults
@@ -131,6 +133,7 @@
         replica_status: Callable[[], dict[str, Any]],
         ended_incarnations: EndedIncarnations,
         max_body_bytes: int = MAX_CONTROL_BODY_BYTES,
+        max_body_values: int = MAX_BODY_VALUES,
     ) -> None:
         self._state = state
         self._commit = commit
@@ -140,6 +143,7 @@
         self._replica_status = replica_status
         self._ended_incarnations = ended_incarnations
         self._max_body_bytes = max_body_bytes
+        self._max_body_values = max_body_values
         self._audited_at = float("-inf")
         self._unaudited_attempts = 0
         self._audit_tasks: set[asyncio.Task[Any]] = set()
@@ -279,6 +283,9 @@
                 data += chunk
                 if len(data) > self._max_body_bytes:
                     return Err(problem(BODY_TOO_LARGE, limit=self._max_body_bytes))
+            msgspec.json.decode(data, type=msgspec.Raw)
+            if has_more_values(data, self._max_body_values):
+                return Err(problem(TOO_MANY_VALUES, limit=self._max_body_values))
             table = msgspec.json.decode(data)
         except (msgspec.MsgspecError, ClientDisconnect) as exc:
             return Err(problem(INVALID_JSON, reason=exc))
--- a/gooseberrydale/process/entry/call_handlers.py
+++ b/gooseberrydale/process/entry/call_handlers.py
@@ -145,7 +145,7 @@
         """
         workspace = await self.authenticate(req)
         body = await self._read_body(req)
-        max_values = self._deps.cfg.max_prompt_values
+        max_values = self._deps.cfg.max_body_values
         completion = _unwrap(parse_completion(req.url.path, body, max_values))
         profile = self._profile(workspace, completion.model, ProfileKind.COMPLETION)
         if LAST_EVENT_ID in req.headers:
--- a/gooseberrydale/process/http/client_account.py
+++ b/gooseberrydale/process/http/client_account.py
@@ -152,13 +152,13 @@
         self._refused(REFUSED_HELD)
         return False
 
-    def _forget_taken(self, conn: Connection) -> None:
-        self._taken_bytes -= self._taken.pop(conn, 0)
-
     def refused_handshake(self) -> None:
-        """Count a connection that was closed since too many had no TLS handshake."""
+        """Count a connection that was closed as too many were in their handshake."""
         self._refused(REFUSED_HANDSHAKES)
 
+    def _forget_taken(self, conn: Connection) -> None:
+        self._taken_bytes -= self._taken.pop(conn, 0)
+
     def _refused(self, reason: str) -> None:
         _refused[reason] += 1
         self._unlogged[reason] += 1
--- a/gooseberrydale/request/body.py
+++ b/gooseberrydale/request/body.py
@@ -22,7 +22,7 @@
     Problem,
     problem,
 )
-from gooseberrydale.process.cfg import MAX_PROMPT_VALUES
+from gooseberrydale.process.cfg import MAX_BODY_VALUES
 from gooseberrydale.request.json_values import has_more_values
 
 CHAT_PATH = "/v1/chat/completions"
@@ -122,20 +122,18 @@
 
 
 def parse_completion(
-    path: str, body: bytes, max_values: int = MAX_PROMPT_VALUES
+    path: str, body: bytes, max_values: int = MAX_BODY_VALUES
 ) -> Result[CompletionBody, Problem]:
     """Validate the body of a completion request.
 
-    A field that is decoded may have ``max_values`` strings, objects and arrays.
+    It may have ``max_values`` strings, objects and arrays.
     """
     try:
         # Whether it is JSON at all is found out first, whatever its type.
         msgspec.json.decode(body, type=msgspec.Raw)
+        if has_more_values(body, max_values):
+            return Err(problem(TOO_MANY_VALUES, limit=max_values))
         fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-        for name in _FIELDS & fields.keys():
-            if has_more_values(bytes(fields[name]), max_values):
-                why = problem(TOO_MANY_VALUES, field=name, limit=max_values)
-                return Err(why)
         raw = {
             name: msgspec.json.decode(value) if name in _FIELDS else value
             for name, value in fields.items()
--- a/gooseberrydale/request/json_values.py
+++ b/gooseberrydale/request/json_values.py
@@ -12,7 +12,7 @@
 """A string, or the start of an array or object."""
 
 
-def has_more_values(data: bytes, limit: int) -> bool:
+def has_more_values(data: bytes | bytearray, limit: int) -> bool:
     """Whether valid JSON has more than ``limit`` strings, objects and arrays."""
     # Quotes and brackets within strings count here too.
     most = data.count(b'"') // 2 + data.count(b"{") + data.count(b"[")
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -62,6 +62,7 @@
         ("/v1/workspaces", BODY, 400, "workspace"),
         ("/v1/changes", BODY, 400, "edits"),
         ("/v1/changes", {"change_id": "c", "base": 0, "edits": [{}]}, 400, "kind"),
+        ("/v1/changes", {"edits": [[]] * 150_000}, 400, "too_many_values"),
         ("/v1/orders", ORDER | {"kind": "explode"}, 400, "load_weights"),
         ("/v1/orders", ORDER | {"model": ""}, 422, "model"),
     ],
