--- a/tests/test_message_ends.py
+++ b/tests/test_message_ends.py
@@ -18,6 +18,9 @@
     "with a body of empty lines": HEAD + b"content-length: 8\r\n\r\n" + b"\r\n" * 4,
     "in chunks": CHUNKED + b"4\r\nword\r\n8\r\n\r\n\r\n\r\n\r\n\r\n0\r\n\r\n",
     "in chunks with trailers": CHUNKED + b"4\r\nword\r\n0\r\nx: y\r\nz: 1\r\n\r\n",
+    "in chunks of zeros": CHUNKED + b"6\r\n\r\n0\r\n\r\r\n00\r\n\r\n",
+    "in chunks that look like ends": CHUNKED
+    + b"c\r\n\n0\r\n\r\n0\n0\r\n\r\r\n05\r\n0\r\n\r\n\r\n0;a=b\r\nx: 0\r\n\r\n",
     "after empty lines": b"\r\n\r\n" + HEAD + b"\r\n",
 }
 
@@ -96,3 +99,13 @@
         reader.parser.feed_data(view[parsed : parsed + size])
         parsed += size
     assert parsed == len(first)
+
+
+def test_empty_lines_within_a_chunk_end_no_section() -> None:
+    """Guards against bodies that are read in sections of two bytes."""
+    ends = MessageEnds()
+    head = CHUNKED % 1
+    assert ends.section(memoryview(head)) == len(head)
+    ends.head_complete([(b"transfer-encoding", b"chunked")])
+    chunk = b"100\r\n" + b"\n" * 256 + b"\r\n"
+    assert ends.section(memoryview(chunk)) == len(chunk)
