Hold less of long answers that callers don't read, and count it

Cause: asyncio reads 256 KiB at once from an upstream, its connection queues 64 KiB more and the kernel any number behind that, while the account knew only what was left of the write to the caller. Change: 16 KiB are read at once and queued, the kernel keeps 64 KiB of an upstream's connection, and the account counts six times what a client left unread.

--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -21,6 +21,7 @@
 from gooseberrydale.connection.tcp import (
     enable_keepalive,
     has_failed,
+    limit_receive_buffer,
     set_unacked_timeout,
 )
 from gooseberrydale.connection.upstream_reply import UpstreamError
@@ -42,9 +43,15 @@
 """Reuse of a connection ends this long before its upstream would close it: the time
 that a request may take to arrive on a busy network."""
 
-HIGH_WATER_BYTES = 64 * 1024
+HIGH_WATER_BYTES = 16 * 1024
 """Reading pauses while more body bytes than this are buffered for the caller: a few
-answers.  One read returns up to 256 KB more."""
+answers."""
+
+READ_BYTES = 16 * 1024
+"""Most bytes that are read at once, also beyond the mark; asyncio reads 256 KiB."""
+
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Most bytes that wait unread in the kernel while reading pauses."""
 
 PARSED_BYTES = 64 * 1024
 """Most bytes that are parsed before the bounds are checked again."""
@@ -267,6 +274,8 @@
         sock = transport.get_extra_info("socket")
         enable_keepalive(sock)
         set_unacked_timeout(sock)
+        limit_receive_buffer(sock, RECEIVE_BUFFER_BYTES)
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; abort the connection if no request is open."""
--- a/gooseberrydale/connection/tcp.py
+++ b/gooseberrydale/connection/tcp.py
@@ -11,6 +11,10 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
+KERNEL_FACTOR = 1.5
+"""How many bytes the kernel takes for each that a socket's receive buffer is set to: it
+sets twice as many and uses some of them for its own data (socket(7))."""
+
 UNACKED_TIMEOUT_MS = 3_000
 """Longest time that sent bytes may stay unacknowledged: some hundred round trips."""
 
@@ -36,6 +40,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
 
 
+def limit_receive_buffer(sock: Any, size: int) -> None:
+    """Let the kernel keep ``size`` bytes that are not read; it would take megabytes."""
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, int(size / KERNEL_FACTOR))
+
+
 def has_failed(sock: socket.socket) -> bool:
     """Whether the connection has failed, such as by a reset after its stream's end.
 
--- a/gooseberrydale/process/http/listeners.py
+++ b/gooseberrydale/process/http/listeners.py
@@ -11,6 +11,8 @@
 import socket
 from typing import Any
 
+from gooseberrydale.connection.tcp import limit_receive_buffer
+
 BACKLOG = 1024
 
 RECEIVE_BUFFER_BYTES = 16 * 1024
@@ -21,10 +23,6 @@
 """The same for a connection on which a large body is read, so that it arrives in few
 round trips."""
 
-KERNEL_FACTOR = 1.5
-"""How many bytes the kernel takes for each that a socket's receive buffer is set to: it
-sets twice as many and uses some of them for its own data (socket(7))."""
-
 ACCEPTS_AT_ONCE = 16
 """Most connections that are accepted before any is looked at: all of them take a
 descriptor, also those that are closed unread."""
@@ -63,12 +61,7 @@
 
 def enlarge_receive_buffer(sock: Any) -> None:
     """Let more bytes wait unread for a connection that sends a large body."""
-    _set_receive_buffer(sock, LARGE_RECEIVE_BUFFER_BYTES)
-
-
-def _set_receive_buffer(sock: Any, size: int) -> None:
-    size = int(size / KERNEL_FACTOR)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+    limit_receive_buffer(sock, LARGE_RECEIVE_BUFFER_BYTES)
 
 
 def _bind(address: str) -> socket.socket:
@@ -78,7 +71,7 @@
     sock = _ListeningSocket(family, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        _set_receive_buffer(sock, RECEIVE_BUFFER_BYTES)
+        limit_receive_buffer(sock, RECEIVE_BUFFER_BYTES)
         sock.bind((host, int(port)))
         sock.listen(BACKLOG)
         sock.setblocking(False)
--- a/gooseberrydale/process/http/protocol.py
+++ b/gooseberrydale/process/http/protocol.py
@@ -79,6 +79,10 @@
 BODY_COPIES = 2
 """A body is held as it was read, and in the buffer from which it is passed on."""
 
+UNREAD_COPIES = 6
+"""While a client doesn't read, twice as much as it left waits in the queue of the
+upstream's connection, and three times as much in the kernel behind that."""
+
 STATUS_TEXTS = {
     400: "Bad Request",
     408: "Request Timeout",
@@ -407,7 +411,9 @@
         if self._draining.has_begun:
             self._clients.hold(self, 0, 0)
             return
-        unread = self.transport.get_write_buffer_size() if self.flow.write_paused else 0
+        unread = 0
+        if self.flow.write_paused:
+            unread = self.transport.get_write_buffer_size() * UNREAD_COPIES
         is_paused = self.flow.read_paused or self._reading is _Reading.BODY
         waiting = self._receive_buffer if is_paused else 0
         request = self._received_head_bytes + self._head_cost
