--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -27,7 +27,12 @@
 CROWD_TESTS = "tests/crowd"
 """Tests whose load would disturb others and be disturbed by them."""
 
-FEATURE_GROUPS = 3
+FEATURE_GROUPS = 2
+"""Groups of the features beside the slowest one."""
+
+SLOWEST_FEATURE = "durable_state.feature"
+"""Takes longer than half of the others together, as a replica is frozen in it."""
+
 UNIT_WORKERS = 6
 """Unit tests wait most of their time, so they run in several processes."""
 
@@ -95,7 +100,10 @@
 def features_in_groups() -> list[list[str]]:
     """Split the feature files into groups that run in parallel."""
     names = sorted(str(path) for path in (ROOT / "features").glob("*.feature"))
-    return [names[start::FEATURE_GROUPS] for start in range(FEATURE_GROUPS)]
+    slowest = [name for name in names if name.endswith(SLOWEST_FEATURE)]
+    others = [name for name in names if name not in slowest]
+    groups = [others[start::FEATURE_GROUPS] for start in range(FEATURE_GROUPS)]
+    return [slowest, *groups]
 
 
 def commands(reports: pathlib.Path) -> dict[pathlib.Path, list[str]]:
