Crowds and bounds: one place for what their tests share

The lists of bodies, the check of a crowd at an entry, the application that answers early and the traced parsing each stood twice in tests.

--- a/gooseberrydale/request/body.py
+++ b/gooseberrydale/request/body.py
@@ -62,7 +62,7 @@
 
 _FIELDS = frozenset(_ChatBody.__struct_fields__ + _TextBody.__struct_fields__)
 """Fields that are decoded.  Others are passed on as they are: decoded, a body of many
-small values takes twenty times its size."""
+small values takes many times its size."""
 
 
 class CompletionBody(msgspec.Struct, frozen=True):
--- a/tests/builders_crowd.py
+++ b/tests/builders_crowd.py
@@ -254,6 +254,11 @@
 }
 """What the members of a crowd send, by name."""
 
+UNUSUAL_BODIES = ("line breaks in bodies", "bodies after an expectation")
+BODIES = tuple(
+    name for name in FORMS if "bodies" in name and name not in UNUSUAL_BODIES
+)
+
 
 class Crowd:
     """Clients of one listener that send and never read, until ``close``.
--- a/tests/crowd/test_entry_crowds.py
+++ b/tests/crowd/test_entry_crowds.py
@@ -4,16 +4,23 @@
 
 import json
 import pathlib
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import replace
 from functools import partial
+from types import MappingProxyType
 
 import pytest
 
 from gooseberrydale.connection.rpc import DISPATCH, PROPOSE, QUOTA
 from gooseberrydale.version.declarations import Profile, ProfileKind, Workspace
-from tests.builders_crowd import FORMS, MAX_BODY_BYTES
-from tests.builders_crowd_fleet import CONTROL_MEMORY_MB, Listener, cases, check_crowd
+from tests.builders_crowd import BODIES, MAX_BODY_BYTES, UNUSUAL_BODIES
+from tests.builders_crowd_fleet import (
+    CONTROL_MEMORY_MB,
+    AnyCrowd,
+    Listener,
+    cases,
+    check_crowd,
+)
 from tests.builders_crowd_rpc import RpcCrowd
 from tests.callers import BackgroundLoop
 from tests.fleet import (
@@ -34,8 +41,6 @@
 ENTRY_MEMORY_MB = 200
 SIDECAR_MEMORY_MB = 128
 TEXT_PATH = "/v1/completions"
-UNUSUAL = ("line breaks in bodies", "bodies after an expectation")
-BODIES = tuple(name for name in FORMS if "bodies" in name and name not in UNUSUAL)
 CHAT = {"model": "chat", "messages": [{"role": "user", "content": "Hello"}]}
 
 CASES = [
@@ -55,10 +60,8 @@
     ("sidecar's metrics", "requests ahead"),
     ("sidecar's metrics", "requests with bodies ahead"),
 ]
-
-
 BY_HAND_CASES = [
-    *(("entry", form) for form in UNUSUAL),
+    *(("entry", form) for form in UNUSUAL_BODIES),
     ("operators", "values in each body"),
     ("operators", "nothing at all"),
 ]
@@ -154,34 +157,38 @@
     return replace(listeners[name], tls=tls)
 
 
-@pytest.mark.parametrize(("listener", "form"), cases(CASES, BY_HAND_CASES))
-def test_crowd_leaves_the_process_and_ordinary_callers_alone(
-    fleet: Fleet, listener: str, form: str
+def check(
+    fleet: Fleet,
+    listener: Listener,
+    crowd: AnyCrowd,
+    behind: Mapping[str, int] = MappingProxyType({}),
 ) -> None:
-    """Guards against clients that fill the memory of a process."""
+    """Check what must hold while a crowd is at a listener; see ``check_crowd``."""
     load = BackgroundLoop()
     try:
-        found = listener_of(fleet, listener)
-        crowd = found.make_crowd(form)
-        others = {"sidecar-engine-1": SIDECAR_MEMORY_MB, "control-1": CONTROL_MEMORY_MB}
-        behind = others if found.process == "entry-1" else {}
-        check_crowd(fleet.processes, load, found, crowd, behind=behind)
+        check_crowd(fleet.processes, load, listener, crowd, behind=behind)
     finally:
         load.close()
 
 
+@pytest.mark.parametrize(("listener", "form"), cases(CASES, BY_HAND_CASES))
+def test_crowd_leaves_the_process_and_ordinary_callers_alone(
+    fleet: Fleet, listener: str, form: str
+) -> None:
+    """Guards against clients that fill the memory of a process."""
+    found = listener_of(fleet, listener)
+    others = {"sidecar-engine-1": SIDECAR_MEMORY_MB, "control-1": CONTROL_MEMORY_MB}
+    behind = others if found.process == "entry-1" else {}
+    check(fleet, found, found.make_crowd(form), behind)
+
+
 @pytest.mark.parametrize(("listener", "form"), cases(TLS_CASES, BY_HAND_TLS_CASES))
 def test_crowd_without_handshakes_leaves_the_process_and_ordinary_callers_alone(
     fleet_with_tls: Fleet, listener: str, form: str
 ) -> None:
     """Guards against clients that hold a connection before it is known to anybody."""
-    load = BackgroundLoop()
-    try:
-        found = listener_of(fleet_with_tls, listener)
-        crowd = found.make_crowd(form)
-        check_crowd(fleet_with_tls.processes, load, found, crowd)
-    finally:
-        load.close()
+    found = listener_of(fleet_with_tls, listener)
+    check(fleet_with_tls, found, found.make_crowd(form))
 
 
 OVER_TLS_CASES = [
@@ -206,13 +213,8 @@
     fleet_with_tls: Fleet, listener: str, form: str
 ) -> None:
     """Guards against what connections with TLS take beyond others."""
-    load = BackgroundLoop()
-    try:
-        found = listener_of(fleet_with_tls, listener)
-        crowd = found.make_crowd(form, over_tls=True)
-        check_crowd(fleet_with_tls.processes, load, found, crowd)
-    finally:
-        load.close()
+    found = listener_of(fleet_with_tls, listener)
+    check(fleet_with_tls, found, found.make_crowd(form, over_tls=True))
 
 
 RPC_CASES = [
@@ -228,7 +230,6 @@
     fleet: Fleet, listener: str, token: str
 ) -> None:
     """Guards against messages that fill the memory, also of strangers."""
-    load = BackgroundLoop()
     chat, operators = (listener_of(fleet, name) for name in ("entry", "operators"))
     found, port, method = {
         "control": (operators, CONTROL_RPC_PORT, PROPOSE),
@@ -241,8 +242,4 @@
     found = replace(
         found, process=process, crowded=address, memory_mb=memory_mb, full=False
     )
-    try:
-        crowd = RpcCrowd(address, RPC_MEMBERS, method, token)
-        check_crowd(fleet.processes, load, found, crowd)
-    finally:
-        load.close()
+    check(fleet, found, RpcCrowd(address, RPC_MEMBERS, method, token))
--- a/tests/crowd/test_gateway_crowds.py
+++ b/tests/crowd/test_gateway_crowds.py
@@ -13,12 +13,10 @@
 import pytest
 
 from soak.competition import HOST, NOT_RUN
-from tests.builders_crowd import FORMS, MIB
+from tests.builders_crowd import BODIES, MIB, UNUSUAL_BODIES
 from tests.builders_crowd_fleet import CrowdEnvironment, Listener, cases, check_crowd
 from tests.callers import BackgroundLoop
 
-UNUSUAL = ("line breaks in bodies", "bodies after an expectation")
-BODIES = tuple(name for name in FORMS if "bodies" in name and name not in UNUSUAL)
 FEW = ("bodies over the limit", "requests ahead", "requests with bodies ahead")
 HEADS = "heads without their end"
 
@@ -36,7 +34,10 @@
 
 
 CASES = [
-    *(("gateway", form) for form in (*BODIES, *UNUSUAL, "requests ahead", HEADS)),
+    *(
+        ("gateway", form)
+        for form in (*BODIES, *UNUSUAL_BODIES, "requests ahead", HEADS)
+    ),
     ("gateway", "trailers without their end"),
     ("gateway", "offers of upgrades ahead"),
     ("gateway", "unread answers"),
@@ -56,7 +57,7 @@
     ("metrics", "unread answers"),
 ]
 BY_HAND_CASES = [
-    *(("control", form) for form in UNUSUAL),
+    *(("control", form) for form in UNUSUAL_BODIES),
     ("readiness", "nothing at all"),
 ]
 
--- a/tests/test_client_account.py
+++ b/tests/test_client_account.py
@@ -231,15 +231,16 @@
     run(main())
 
 
+async def answer_early(scope: Scope, receive: Receive, send: Send) -> None:
+    headers = [(b"content-length", b"0")]
+    await send({"type": "http.response.start", "status": 401, "headers": headers})
+    await send({"type": "http.response.body", "body": b""})
+
+
 @pytest.mark.parametrize("chunk", [b"zz\r\n", b"1\r\nx"])
 def test_no_second_answer_follows_one_whose_body_still_arrives(chunk: bytes) -> None:
     """Guards against an answer that a client takes for that of its next request."""
 
-    async def answer_early(scope: Scope, receive: Receive, send: Send) -> None:
-        headers = [(b"content-length", b"0")]
-        await send({"type": "http.response.start", "status": 401, "headers": headers})
-        await send({"type": "http.response.body", "body": b""})
-
     async def main() -> None:
         async with listening(answer_early) as listener:
             head = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -255,11 +256,6 @@
 
 
 def test_a_body_behind_its_answer_is_not_read_without_end() -> None:
-    async def answer_early(scope: Scope, receive: Receive, send: Send) -> None:
-        headers = [(b"content-length", b"0")]
-        await send({"type": "http.response.start", "status": 401, "headers": headers})
-        await send({"type": "http.response.body", "body": b""})
-
     async def main() -> None:
         async with listening(answer_early) as listener:
             reader = await listener.send(POST % (1, 10) + b"x" * 10 + POST % (2, 2**30))
--- a/tests/test_prompt_fields.py
+++ b/tests/test_prompt_fields.py
@@ -8,8 +8,10 @@
 from typing import Any
 
 import pytest
+from result import Result
 
-from gooseberrydale.request.body import CHAT_PATH, parse_completion
+from gooseberrydale.errors import Problem
+from gooseberrydale.request.body import CHAT_PATH, CompletionBody, parse_completion
 from gooseberrydale.request.json_values import has_more_values
 
 VALUES = 90_000
@@ -32,17 +34,23 @@
     assert (completion.max_new_tokens, completion.single_text) == (5, True)
 
 
-def test_fields_that_are_passed_on_take_no_more_than_their_text() -> None:
-    """Guards against small bodies that take many times their size in memory."""
-    values = b"[" + b",".join([b"[]"] * VALUES) + b"]"
-    body = json.dumps(BODY).encode()[:-1] + b', "other": ' + values + b"}"
+def parse_and_trace(body: bytes) -> tuple[Result[CompletionBody, Problem], int]:
+    """Parse a body; return the result and the most memory that it took, in bytes."""
     tracemalloc.start()
     try:
-        completion = parse_completion(CHAT_PATH, body).unwrap()
-        _, peak = tracemalloc.get_traced_memory()
+        parsed = parse_completion(CHAT_PATH, body)
+        return parsed, tracemalloc.get_traced_memory()[1]
     finally:
         tracemalloc.stop()
+
+
+def test_fields_that_are_passed_on_take_no_more_than_their_text() -> None:
+    """Guards against small bodies that take many times their size in memory."""
+    values = b"[" + b",".join([b"[]"] * VALUES) + b"]"
+    body = json.dumps(BODY).encode()[:-1] + b', "other": ' + values + b"}"
+    parsed, peak = parse_and_trace(body)
     assert peak < 2 * len(body)
+    completion = parsed.unwrap()
     assert values in completion.for_model("")
 
 
@@ -74,13 +82,8 @@
     """Guards against bodies of legal size that take many times their size."""
     body = b'{"model": "m", "messages": [{"role": "user", "content": %s}]}'
     body %= value.encode()
-    tracemalloc.start()
-    try:
-        refused = parse_completion(CHAT_PATH, body).unwrap_err()
-        _, peak = tracemalloc.get_traced_memory()
-    finally:
-        tracemalloc.stop()
-    assert refused.code == "too_many_values"
+    parsed, peak = parse_and_trace(body)
+    assert parsed.unwrap_err().code == "too_many_values"
     assert peak < 4 * len(body)
 
 
