Add review case 5: moved streams are cut though their engines are sound

Gateways move streams off engines that are to change their weights also while the others are full, and close the channel once these refuse. The cases on the cache wall and on moved runs become 6 and 7.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,6 @@
-"""New weights are named while resumable streams run; one engine keeps on when left.
+"""A tenant becomes isolated by a change of the config; what it cached before is shared.
 
-``TROUBLE=0`` runs the same without naming new weights.
+``TROUBLE=0`` runs the same with the tenant isolated from the first config on.
 """
 
 from __future__ import annotations
@@ -14,33 +14,31 @@
 sys.path.insert(0, str(HERE.parent / "stand_ins_2"))
 
 from case import BROKEN, HELD, TROUBLE, CannotRunError, Record, main  # noqa: E402
-from fleet import Fleet  # noqa: E402
-from http_calls import Answer, call, call_json, put_until_acked  # noqa: E402
-from stream_engine import Run, StreamEngine  # noqa: E402
+from engine import Engine  # noqa: E402
+from fleet import BOUNDS, Fleet  # noqa: E402
+from http_calls import call, put_until_acked  # noqa: E402
 
 MODEL, SERVICE, HOST = "model-a", "llm", "llm.example"
-ENGINES = 5
-EVENTS = 180
-"""At 50 ms each a stream takes 9 s; the site's longest has 192 tokens."""
-STREAMS = 20
-ENGINE_STOPS_WITHIN_S = 0.4
+KEYS = {"tenant-a": "key-of-a", "tenant-b": "key-of-b"}
+REQUESTS = 6
+"""Requests of each tenant before the change, and of the other one after it."""
 
 
-def config() -> dict[str, Any]:
+def config(version: int, isolated: bool) -> dict[str, Any]:
     return {
-        "version": 1,
+        "version": version,
         "routes": [
             {
-                "name": "lot-question",
+                "name": "summary",
                 "host": HOST,
-                "pathPrefix": "/question/",
+                "pathPrefix": "/summary/",
                 "kind": "streaming",
-                "timeoutMs": 15000,
-                "sloMs": 300,
-                "priority": 0,
+                "timeoutMs": 6000,
+                "sloMs": 400,
+                "priority": 1,
                 "service": SERVICE,
                 "attempts": 2,
-                "public": True,
+                "public": False,
                 "sticky": True,
                 "resumable": True,
                 "gapSloMs": 250,
@@ -68,89 +66,89 @@
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
+        "tenants": [
+            {
+                "name": "tenant-a",
+                "apiKeys": [KEYS["tenant-a"]],
+                "priority": 1,
+                "isolated": isolated,
+            },
+            {
+                "name": "tenant-b",
+                "apiKeys": [KEYS["tenant-b"]],
+                "priority": 1,
+                "isolated": False,
+            },
+        ],
     }
 
 
-async def ask(front: str, name: str, number: int, record: Record) -> Answer:
-    """Read one stream to its end."""
+async def ask(front: str, tenant: str, name: str, record: Record) -> int:
+    """Send one request; its last part is its own, the others are shared by all."""
+    own = f"{abs(hash(name)) % 2**32:08x}"
     headers = {
         "Host": HOST,
         "X-Request-Id": name,
         "X-Model": MODEL,
-        "X-Token-Usage": f"826,{EVENTS}",
-        "X-Prefix-Hash": f"{number % 5:08x}:119,{number:08x}:707",
-        "X-Deadline-Ms": "15000",
+        "X-Token-Usage": "1460,20",
+        "X-Prefix-Hash": f"5c1e07a2:800,91bd3f06:410,{own}:250",
+        "X-Deadline-Ms": "6000",
+        "X-Api-Key": KEYS[tenant],
+        "Content-Type": "application/json",
     }
-    answer = await call(front, "POST", "/question/1", headers, b"{}", timeout_s=16.0)
-    events = answer.body.count(b"data: ")
-    record(f"{front} answers {name}: {answer.status}, {events} events")
-    return answer
-
-
-def doubled(runs: list[Run]) -> list[tuple[Run, Run]]:
-    """Return the runs of one request that went on 400 ms after the next one began."""
-    ordered = sorted(runs, key=lambda run: run.began)
-    return [
-        (before, after)
-        for before, after in zip(ordered, ordered[1:])
-        if before.ended is None or before.ended > after.began + ENGINE_STOPS_WITHIN_S
-    ]
+    answer = await call(front, "POST", "/summary/1", headers, b'{"prompt": "..."}')
+    record(f"{front} answers {name} of {tenant}: {answer.status}")
+    return answer.status
 
 
 async def run(fleet: Fleet, record: Record) -> int:
     engines = [
-        StreamEngine(
-            f"i-{n:08x}",
-            SERVICE,
-            f"zone-{n % 4 + 1}",
-            fleet.controls,
-            record,
-            MODEL,
-            EVENTS,
-            drops=n > 1,
-        )
-        for n in range(1, ENGINES + 1)
+        Engine(f"i-{n:08x}", SERVICE, f"zone-{n}", fleet.controls, record, MODEL)
+        for n in (1, 2)
     ]
-    for number, engine in enumerate(engines):
-        await engine.start(f"{fleet.net}.{101 + number}")
-    await put_until_acked(fleet.controls, "/v1/Config.Put", config())
-    named = {"model": MODEL, "version": 1}
-    await put_until_acked(fleet.controls, "/v1/version-put", named)
-    # The machines have been in touch for `contactMs`, and the leader may send orders.
-    await asyncio.sleep(5.0)
-    asked = []
-    for number in range(STREAMS):
-        front = fleet.fronts[number % len(fleet.fronts)]
-        asked.append(
-            asyncio.create_task(ask(front, f"s-{number}", 100 + number, record))
+    try:
+        for number, engine in enumerate(engines):
+            await engine.start(f"{fleet.net}.{101 + number}")
+        first = config(1, isolated=not TROUBLE)
+        at = await put_until_acked(fleet.controls, "/v1/Config.Put", first)
+        record(f"{at} acknowledged config 1: tenant-a isolated is {not TROUBLE}")
+        for front in fleet.fronts:
+            async with asyncio.timeout(15.0):
+                while await ask(front, "tenant-b", f"warm-{front}", record) != 200:
+                    await asyncio.sleep(0.2)
+        # What the requests above cached is not looked at.
+        for engine in engines:
+            engine.parts.clear()
+            engine.runs.clear()
+        for number in range(REQUESTS):
+            front = fleet.fronts[number % len(fleet.fronts)]
+            if await ask(front, "tenant-a", f"a-{number}", record) != 200:
+                raise CannotRunError("a request was not served")
+        at = await put_until_acked(
+            fleet.controls, "/v1/Config.Put", config(2, isolated=True)
         )
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(0.5)
-    if TROUBLE:
-        named = {"model": MODEL, "version": 2}
-        at = await put_until_acked(fleet.controls, "/v1/version-put", named)
-        record(f"{at} acknowledged version 2 of {MODEL}")
-    # The gateways reach each engine all the while.
-    checks = [await call_json(engine.address, "GET", "/v1/report", {}) for engine in engines]
-    answers = await asyncio.gather(*asked)
-    await asyncio.sleep(EVENTS * 0.05 + 1.0)
-    whole = sum(a.complete and a.body.count(b"data: ") == EVENTS for a in answers)
-    record(f"{whole} of {STREAMS} streams were complete")
-    if whole < STREAMS / 2 or any(check.status != 200 for check in checks):
-        raise CannotRunError("less than half of the streams were complete")
-    broken = 0
-    for number in range(STREAMS):
-        runs = [r for e in engines for r in e.runs if r.request == f"s-{number}"]
-        for before, after in doubled(runs):
-            broken += 1
-            assert before.ended is not None
-            record(
-                f"TWICE: {before.request} went on at {after.engine} while"
-                f" {before.engine} worked on it for {before.ended - after.began:.1f} s"
-            )
-    for engine in engines:
-        await engine.close()
-    return BROKEN if broken else HELD
+        record(f"{at} acknowledged config 2: tenant-a isolated is True")
+        await asyncio.sleep(BOUNDS["configApplyMs"] / 1000 + BOUNDS["contactMs"] / 1000)
+        for number in range(REQUESTS):
+            front = fleet.fronts[number % len(fleet.fronts)]
+            for tenant, name in (("tenant-b", f"b-{number}"), ("tenant-a", f"c-{number}")):
+                if await ask(front, tenant, name, record) != 200:
+                    raise CannotRunError("a request was not served")
+        broken = [
+            f"{run.request} of {run.tenant} used a part that {made.request} of"
+            f" {made.tenant} made"
+            for engine in engines
+            for run in engine.runs
+            for made in run.reused
+            if made.tenant != run.tenant
+        ]
+        for line in broken:
+            record(f"WALL: {line}")
+        record(f"{len(broken)} parts were used across the wall")
+        return BROKEN if broken else HELD
+    finally:
+        for engine in engines:
+            await engine.close()
 
 
 if __name__ == "__main__":
--- a/review/stand_ins_2/http_calls.py
+++ b/review/stand_ins_2/http_calls.py
@@ -8,6 +8,10 @@
 from typing import Any
 
 
+PAUSE_S = 2.0
+"""Consumers abandon a stream after such a gap between two events."""
+
+
 @dataclass
 class Answer:
     """What a caller saw; ``status`` is 0 if no whole head arrived."""
@@ -16,24 +20,28 @@
     headers: dict[str, str]
     body: bytes
     complete: bool
+    end: str = ""
 
     @property
     def json(self) -> Any:
         return json.loads(self.body)
 
 
-async def read_answer(reader: asyncio.StreamReader) -> Answer:
-    """Read one answer; ``complete`` is False if it is cut off."""
+async def read_answer(
+    reader: asyncio.StreamReader, answer: Answer | None = None
+) -> Answer:
+    """Read one answer into ``answer``; ``complete`` is False if it is cut off."""
+    answer = Answer(0, {}, b"", False) if answer is None else answer
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (OSError, EOFError):
-        return Answer(0, {}, b"", False)
+        return answer
     first, *lines = head.decode("latin-1").strip().split("\r\n")
-    headers = {}
+    headers = answer.headers
     for line in lines:
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
-    answer = Answer(int(first.split()[1]), headers, b"", False)
+    answer.status = int(first.split()[1])
     try:
         if headers.get("transfer-encoding") == "chunked":
             while size := int((await reader.readline()).split(b";")[0] or b"", 16):
@@ -57,11 +65,16 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the channel was used before and is still open."""
+        return self._reader is not None and not self._reader.at_eof()
+
     async def call(
         self, method: str, target: str, headers: dict[str, str], body: bytes = b""
     ) -> Answer:
         """Send one request; an answer of status 0 means that none arrived."""
-        if self._reader is None or self._writer is None or self._reader.at_eof():
+        if self._reader is None or self._writer is None or not self.is_open:
             self.close()
             host, _, port = self._address.rpartition(":")
             self._reader, self._writer = await asyncio.open_connection(host, int(port))
@@ -75,6 +88,32 @@
             self.close()
         return answer
 
+    async def stream(
+        self, method: str, target: str, headers: dict[str, str], body: bytes = b""
+    ) -> Answer:
+        """Send one request and read its answer; leave after a pause of ``PAUSE_S``.
+
+        ``end`` of the answer is "whole", "left", or "cut" if the channel was closed.
+        """
+        if self._reader is None or self._writer is None or not self.is_open:
+            self.close()
+            host, _, port = self._address.rpartition(":")
+            self._reader, self._writer = await asyncio.open_connection(host, int(port))
+        self._writer.write(request_bytes(method, target, headers, body))
+        answer = Answer(0, {}, b"", False)
+        task = asyncio.create_task(read_answer(self._reader, answer))
+        size, left = 0, False
+        while not task.done() and not left:
+            await asyncio.wait({task}, timeout=PAUSE_S)
+            left = not task.done() and len(answer.body) == size
+            size = len(answer.body)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        answer.end = "whole" if answer.complete else "left" if left else "cut"
+        if not answer.complete or answer.headers.get("connection") == "close":
+            self.close()
+        return answer
+
     def close(self) -> None:
         """Close the channel."""
         if self._writer is not None:
--- a/review/stand_ins_2/stream_engine.py
+++ b/review/stand_ins_2/stream_engine.py
@@ -44,9 +44,14 @@
         model: str,
         events: int,
         drops: bool = True,
+        slots: int = 48,
+        queue: int = 144,
     ) -> None:
         self.name, self.service, self.zone, self.model = name, service, zone, model
         self.events, self.drops = events, drops
+        self.slots, self.queue = slots, queue
+        self._slots = asyncio.Semaphore(slots)
+        self.waiting = 0
         self.version = 1
         self.runs: list[Run] = []
         self.address = ""
@@ -86,7 +91,7 @@
                 "address": self.address,
                 "zone": self.zone,
                 "version": "v1",
-                "slots": 48,
+                "slots": self.slots,
                 "state": "ready",
                 "coldLeftMs": 0,
                 "seq": self._seq,
@@ -137,7 +142,7 @@
                 "models": self._models(),
                 "busy": self._busy,
                 "seq": self._orders,
-                "queued": 0,
+                "queued": self.waiting,
                 "active": self.active,
                 "kvUsed": 0,
                 "kvTotal": 122994,
@@ -150,10 +155,10 @@
             self._send(writer, fields, 400, b"{}", not_run)
         elif fields.get("x-expect-version", str(self.version)) != str(self.version):
             self._send(writer, fields, 421, b"{}", not_run)
-        elif self._busy:
+        elif self._busy or self.waiting >= self.queue:
             self._send(writer, fields, 503, b"{}", not_run)
         else:
-            await self._run(fields, reader, writer)
+            await self._wait_and_run(fields, reader, writer)
 
     def _order(self, order: dict[str, Any]) -> int:
         if self._busy or order.get("precondition", self._orders) != self._orders:
@@ -174,6 +179,31 @@
         self._busy = False
         self._record(f"{self.name} serves version {self.version}")
 
+    async def _wait_and_run(
+        self,
+        fields: dict[str, str],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Run a request once there is a slot; leave it if its channel closes before."""
+        self.waiting += 1
+        try:
+            while self._slots.locked():
+                await asyncio.sleep(0.01)
+                if reader.at_eof():
+                    raise EOFError
+                if self._busy:
+                    refused = {"X-Not-Executed": "1"}
+                    self._send(writer, fields, 503, b"{}", refused)
+                    return
+            await self._slots.acquire()
+        finally:
+            self.waiting -= 1
+        try:
+            await self._run(fields, reader, writer)
+        finally:
+            self._slots.release()
+
     async def _run(
         self,
         fields: dict[str, str],
@@ -224,7 +254,7 @@
         """Send a head, and a body of known length unless it is None."""
         headers = {
             "X-Instance-Id": self.name,
-            "X-Load-Report": f"{self.active},0,48",
+            "X-Load-Report": f"{self.active},{self.waiting},{self.slots}",
             **(extra or {}),
         }
         if body is not None:
