--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,12 +1,13 @@
-"""New weights are named while resumable streams run; one engine keeps on when left.
+"""A machine loses its processes right after it has acknowledged that an engine is gone.
 
-``TROUBLE=0`` runs the same without naming new weights.
+``TROUBLE=0`` runs the same without the kill.
 """
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
+import signal
 import sys
 from typing import Any
 
@@ -14,16 +15,21 @@
 sys.path.insert(0, str(HERE.parent / "stand_ins_2"))
 
 from case import BROKEN, HELD, TROUBLE, CannotRunError, Record, main  # noqa: E402
-from fleet import Fleet  # noqa: E402
-from http_calls import Answer, call, call_json, put_until_acked  # noqa: E402
-from stream_engine import Run, StreamEngine  # noqa: E402
-
-MODEL, SERVICE, HOST = "model-a", "llm", "llm.example"
-ENGINES = 5
-EVENTS = 180
-"""At 50 ms each a stream takes 9 s; the site's longest has 192 tokens."""
-STREAMS = 20
-ENGINE_STOPS_WITHIN_S = 0.4
+from fleet import BOUNDS, Fleet  # noqa: E402
+from http_calls import Channel, call, call_json, put_until_acked  # noqa: E402
+from service import Service  # noqa: E402
+
+SERVICE, HOST = "desk", "desk.example"
+ENGINES = 4
+KILLED = 1
+"""Number of the machine that acknowledges and is killed; it is back after ``DOWN_S``."""
+DOWN_S = 0.5
+CONTACT_S = BOUNDS["contactMs"] / 1000
+DRAIN_S = BOUNDS["drainMs"] / 1000
+SERVES_ON_S = 10.0
+"""How long the engine serves on after the ack: "at times many seconds"."""
+TIGHT_S = 0.004
+"""Within this time of its ack the machine is killed, as `after_ack_kill` does."""
 
 
 def config() -> dict[str, Any]:
@@ -31,35 +37,27 @@
         "version": 1,
         "routes": [
             {
-                "name": "lot-question",
+                "name": "bid-post",
                 "host": HOST,
-                "pathPrefix": "/question/",
-                "kind": "streaming",
-                "timeoutMs": 15000,
-                "sloMs": 300,
-                "priority": 0,
+                "pathPrefix": "/bid/",
+                "kind": "safe",
+                "timeoutMs": 2500,
+                "sloMs": 200,
+                "priority": 2,
                 "service": SERVICE,
                 "attempts": 2,
                 "public": True,
-                "sticky": True,
-                "resumable": True,
-                "gapSloMs": 250,
+                "sticky": False,
+                "resumable": False,
             }
         ],
         "services": [
             {
                 "name": SERVICE,
                 "healthPath": "/health",
-                "maxConns": 320,
+                "maxConns": 130,
                 "protocol": "h1",
                 "tls": False,
-                "engine": {
-                    "slots": 48,
-                    "kvCapacity": 122994,
-                    "kvBytes": 192512,
-                    "linkMbps": 740000.0,
-                    "models": [{"name": MODEL}],
-                },
             }
         ],
         "limits": {
@@ -71,86 +69,99 @@
     }
 
 
-async def ask(front: str, name: str, number: int, record: Record) -> Answer:
-    """Read one stream to its end."""
-    headers = {
-        "Host": HOST,
-        "X-Request-Id": name,
-        "X-Model": MODEL,
-        "X-Token-Usage": f"826,{EVENTS}",
-        "X-Prefix-Hash": f"{number % 5:08x}:119,{number:08x}:707",
-        "X-Deadline-Ms": "15000",
-    }
-    answer = await call(front, "POST", "/question/1", headers, b"{}", timeout_s=16.0)
-    events = answer.body.count(b"data: ")
-    record(f"{front} answers {name}: {answer.status}, {events} events")
-    return answer
-
-
-def doubled(runs: list[Run]) -> list[tuple[Run, Run]]:
-    """Return the runs of one request that went on 400 ms after the next one began."""
-    ordered = sorted(runs, key=lambda run: run.began)
-    return [
-        (before, after)
-        for before, after in zip(ordered, ordered[1:])
-        if before.ended is None or before.ended > after.began + ENGINE_STOPS_WITHIN_S
-    ]
+def fields(request: str) -> dict[str, str]:
+    return {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "2500"}
+
+
+async def consume(front: str, name: str, stop: asyncio.Event, record: Record) -> None:
+    """Send requests one after the other; the consumers of a killed machine wait."""
+    channel = Channel(front)
+    number = 0
+    while not stop.is_set():
+        request = f"{name}-{number}"
+        number += 1
+        try:
+            answer = await channel.call("POST", "/bid/1", fields(request), b"{}")
+        except OSError:
+            channel.close()
+            await asyncio.sleep(0.2)
+            continue
+        if answer.status != 200:
+            record(f"{front} answers {request}: {answer.status}")
+        await asyncio.sleep(0.03)
+    channel.close()
 
 
 async def run(fleet: Fleet, record: Record) -> int:
     engines = [
-        StreamEngine(
-            f"i-{n:08x}",
-            SERVICE,
-            f"zone-{n % 4 + 1}",
-            fleet.controls,
-            record,
-            MODEL,
-            EVENTS,
-            drops=n > 1,
-        )
+        Service(f"i-{n:08x}", SERVICE, f"zone-{n}", fleet.controls, record)
         for n in range(1, ENGINES + 1)
     ]
     for number, engine in enumerate(engines):
         await engine.start(f"{fleet.net}.{101 + number}")
     await put_until_acked(fleet.controls, "/v1/Config.Put", config())
-    named = {"model": MODEL, "version": 1}
-    await put_until_acked(fleet.controls, "/v1/version-put", named)
-    # The machines have been in touch for `contactMs`, and the leader may send orders.
-    await asyncio.sleep(5.0)
-    asked = []
-    for number in range(STREAMS):
-        front = fleet.fronts[number % len(fleet.fronts)]
-        asked.append(
-            asyncio.create_task(ask(front, f"s-{number}", 100 + number, record))
-        )
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(0.5)
+    for front in fleet.fronts:
+        for attempt in range(100):
+            warm = fields(f"warm-{front}-{attempt}")
+            if (await call(front, "POST", "/bid/1", warm)).status == 200:
+                break
+            await asyncio.sleep(0.1)
+        else:
+            raise CannotRunError(f"{front} serves nothing")
+    await asyncio.sleep(2 * CONTACT_S)
+    stop = asyncio.Event()
+    consumers = [
+        asyncio.create_task(consume(front, f"r-{node}-{n}", stop, record))
+        for node, front in enumerate(fleet.fronts)
+        for n in range(2)
+    ]
+    await asyncio.sleep(1.0)
+    leaving = engines[0]
+    leaving.stop_announcing()
+    loop = asyncio.get_running_loop()
+    control = fleet.controls[KILLED]
+    target = f"/v1/Instances.Deregister/{leaving.name}"
+    answer = await call_json(control, "POST", target, {})
+    acked_at = loop.time()
+    if TROUBLE:
+        processes = [
+            fleet.processes[f"{role}-{KILLED + 1}"] for role in ("control", "gateway")
+        ]
+        for process in processes:
+            process.signal(signal.SIGKILL)
+        took_s = loop.time() - acked_at
+        for process in processes:
+            process.kill()
+        record(f"machine {KILLED + 1} was killed {took_s * 1000:.1f} ms after its ack")
+        if took_s > TIGHT_S:
+            raise CannotRunError("the kill came later than the pages allow")
+    record(f"{control} answered Deregister of {leaving.name}: {answer.status}")
+    if answer.status != 200:
+        raise CannotRunError("Deregister was not acknowledged")
+    await asyncio.sleep(DOWN_S)
     if TROUBLE:
-        named = {"model": MODEL, "version": 2}
-        at = await put_until_acked(fleet.controls, "/v1/version-put", named)
-        record(f"{at} acknowledged version 2 of {MODEL}")
-    # The gateways reach each engine all the while.
-    checks = [await call_json(engine.address, "GET", "/v1/report", {}) for engine in engines]
-    answers = await asyncio.gather(*asked)
-    await asyncio.sleep(EVENTS * 0.05 + 1.0)
-    whole = sum(a.complete and a.body.count(b"data: ") == EVENTS for a in answers)
-    record(f"{whole} of {STREAMS} streams were complete")
-    if whole < STREAMS / 2 or any(check.status != 200 for check in checks):
-        raise CannotRunError("less than half of the streams were complete")
-    broken = 0
-    for number in range(STREAMS):
-        runs = [r for e in engines for r in e.runs if r.request == f"s-{number}"]
-        for before, after in doubled(runs):
-            broken += 1
-            assert before.ended is not None
-            record(
-                f"TWICE: {before.request} went on at {after.engine} while"
-                f" {before.engine} worked on it for {before.ended - after.began:.1f} s"
-            )
+        for role in ("control", "gateway"):
+            fleet.processes[f"{role}-{KILLED + 1}"].start()
+    back_at = loop.time()
+    await asyncio.sleep(SERVES_ON_S - DOWN_S)
+    stop.set()
+    await asyncio.gather(*consumers)
+    # Machines are in touch again `contactMs` after the machine is back; what its own
+    # gateway took and sent is left out.
+    counted_from = max(acked_at + DRAIN_S, back_at + CONTACT_S)
+    late = [
+        (request, at)
+        for request, at in leaving.began.items()
+        if at > counted_from and not request.startswith(f"r-{KILLED}-")
+    ]
+    for request, at in late:
+        record(
+            f"DRAIN: {request} reached {leaving.name} {at - acked_at:.2f} s after the ack"
+        )
+    record(f"{len(late)} requests reached {leaving.name} late")
     for engine in engines:
         await engine.close()
-    return BROKEN if broken else HELD
+    return BROKEN if late else HELD
 
 
 if __name__ == "__main__":
--- a/review/stand_ins_2/service.py
+++ b/review/stand_ins_2/service.py
@@ -34,6 +34,8 @@
     ) -> None:
         self.name, self.service, self.zone = name, service, zone
         self.runs: Counter[str] = Counter()
+        # When each request began to run, by the event loop's clock.
+        self.began: dict[str, float] = {}
         self.address = ""
         # After every answer whose number is a multiple of this, 0 for none.
         self.spoil_every = 0
@@ -53,9 +55,13 @@
         self.address = f"{ip}:{port}"
         self._beats = asyncio.create_task(self._beat())
 
-    async def close(self) -> None:
+    def stop_announcing(self) -> None:
+        """Send no more heartbeats; the engine serves on."""
         if self._beats is not None:
             self._beats.cancel()
+
+    async def close(self) -> None:
+        self.stop_announcing()
         if self._server is not None:
             self._server.close()
 
@@ -125,6 +131,7 @@
         try:
             async with self._slots:
                 self.runs[request] += 1
+                self.began[request] = asyncio.get_running_loop().time()
                 self._record(f"{self.name} runs {request}")
                 await asyncio.sleep(WORK_S)
         finally:
