Streams stay at engines that change their weights

Cause: gateways closed the connections of resumable streams to make an engine idle for its order, whether or not another engine had room. Refusals of full engines counted as tries, and after three the answer was cut. Some engines don't drop a run when its connection closes; nobody looked.

Change: no stream is moved. An engine drains for up to a second; the runs that are left continue under the new weights, where so far the engine had to finish them all. Reserving retries from moves is gone with the moves, and so is its test.

--- a/gooseberrydale/log_events/__init__.py
+++ b/gooseberrydale/log_events/__init__.py
@@ -55,7 +55,6 @@
     RequestEnded,
     RequestQuarantined,
     SendEnded,
-    StreamMoved,
 )
 from gooseberrydale.log_events.stores import (
     StoreBusy,
@@ -124,7 +123,6 @@
     "StoreFound",
     "StoreLost",
     "StoreSilent",
-    "StreamMoved",
     "UnreadAnswersCut",
     "UpstreamBack",
     "UpstreamBackoff",
--- a/gooseberrydale/log_events/request.py
+++ b/gooseberrydale/log_events/request.py
@@ -148,18 +148,3 @@
     request_id: str
     digest: str
     ended: list[str]
-
-
-@dataclass(frozen=True, slots=True)
-class StreamMoved(LogEvent):
-    """A stream was moved away from an upstream that must be idle to execute an order.
-
-    ``last_event_id`` is where another upstream resumes it.
-    """
-
-    NAME: ClassVar[str] = "stream_moved"
-    TEXT: ClassVar[str] = "stream moved"
-
-    request_id: str
-    upstream: str
-    last_event_id: str
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -46,14 +46,14 @@
 
 MAX_KEPT_RUNS = 2
 """An engine with at most this many runs doesn't wait for them; they continue with the
-new weights. The remaining runs are the longest streams, which have been moved before
-and may not be moved again. Waiting for one or two of them kept an engine out of service
-for two of the three seconds of a change. With two of six engines changing at a time,
-that is a third of the capacity."""
+new weights. The remaining runs are the longest streams. Waiting for one or two of them
+kept an engine out of service for two of the three seconds of a change. With two of six
+engines changing at a time, that is a third of the capacity."""
 
 MAX_DRAIN_S = 1.0
-"""Longest wait for an engine to drain to that many runs; most of its streams have been
-moved or have ended after 0.7 s."""
+"""Longest wait for an engine to drain to that many runs. The runs that are left then
+continue with the new weights: they may last for as long as their routes allow, and with
+two engines changing at a time no rollout would end within its bound."""
 
 DRAIN_POLL_S = 0.2
 """Interval between polls of a draining engine; its report lags by as much."""
@@ -274,7 +274,7 @@
             holder=self._name,
             number=self._term,
             after=report.accepted,
-            keep_runs=0 < report.running <= MAX_KEPT_RUNS,
+            keep_runs=report.running > 0,
         )
         answer = await self._engines.order(engine, order)
         outcome = answer.name.lower()
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import weakref
 
 from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import (
@@ -17,7 +16,7 @@
     SOFTWARE_GONE,
     problem,
 )
-from gooseberrydale.log_events import RequestQuarantined, SendEnded, StreamMoved, emit
+from gooseberrydale.log_events import RequestQuarantined, SendEnded, emit
 from gooseberrydale.process.gateway.answer import CallerAnswer
 from gooseberrydale.process.gateway.placer import (
     NoCapacityError,
@@ -45,12 +44,6 @@
 from gooseberrydale.request.retry_window import RetryWindow
 from gooseberrydale.version.origins.origin import software_gone
 
-MOVES_RESERVE_FRACTION = 0.5
-"""Fraction of the retry budget that is reserved for requests that fail without a retry;
-streams that move to free their upstream may spend only the rest.  Two dead engines of
-six end some hundred streams at once, and a change of weights may have moved as many in
-the seconds before."""
-
 MS_PER_S = 1_000.0
 
 
@@ -81,12 +74,7 @@
         self._upstreams = deps.upstreams
         self._terms = terms
         self._budget = budget
-        # With a bound method, a reference cycle would keep the body of an answered
-        # request until garbage is collected.
-        own = weakref.proxy(self)
-        self._sender = Sender(
-            job, answer, deps, lambda record: own._may_move(record), charge
-        )
+        self._sender = Sender(job, answer, deps, charge)
         self._placer = Placer(job, deps.upstreams, deps.stats)
         self._placer.origin = job.origin
         self.choices: list[Candidate] = []
@@ -140,20 +128,6 @@
         prefill = self._placer.demand.prefill_at(chosen)
         return await self._sender.send(record, terms, work, prefill)
 
-    def _may_move(self, record: UpstreamRecord) -> bool:
-        """Whether to move a stream off an upstream that carries out an order.
-
-        The order waits until the upstream has no runs left.  A move spends a retry.
-        """
-        if self._sender.runs >= self._job.route.max_runs:
-            return False
-        if not self._upstreams.is_changing(record, _now()):
-            return False
-        self._placer.origin = self._sender.origin
-        if not self._placer.any_usable():
-            return False
-        return self._budget.spend(_now(), reserved_fraction=MOVES_RESERVE_FRACTION)
-
     async def _refuse_no_upstream(self) -> None:
         self.outcome = "no_upstream"
         if await self._answer_if_sent():
@@ -201,10 +175,6 @@
     async def _handle_end(self, end: End) -> bool:
         """Handle a send that ended without an answer; return whether to send again."""
         self._placer.origin = self._sender.origin
-        if end is End.MOVED:
-            last = self._sender.last_event_id or ""
-            emit(StreamMoved(self._job.call.request_id, self._placer.tried[-1], last))
-            return True
         others = self._placer.has_others()
         step = decide_next_step(
             SendHistory(len(self._placer.tried), self._sender.runs, end),
--- a/gooseberrydale/process/gateway/placer.py
+++ b/gooseberrydale/process/gateway/placer.py
@@ -428,10 +428,6 @@
         """Whether an upstream that was not tried may take the request."""
         return bool(self._candidates())
 
-    def any_usable(self) -> bool:
-        """Whether an upstream that was not tried would take the request now."""
-        return _any_usable(self._candidates())
-
     def _choose(self, candidates: list[Candidate]) -> Candidate | None:
         weighed = RANDOM_WEIGHED if self._capacity is None else SHARED_RANDOM_WEIGHED
         return choose(candidates, self._demand, self._upstreams.rng, weighed)
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -69,10 +69,6 @@
 """Results of a send after which the upstream may have ended."""
 
 
-class _MoveStreamError(Exception):
-    """The stream continues at another upstream, because this one has to become idle."""
-
-
 @dataclass(frozen=True, slots=True)
 class SendDeps:
     """Objects that all sends of the process share.
@@ -94,9 +90,8 @@
 class Sender:
     """Sends one request, possibly several times.
 
-    ``may_move`` is called after each chunk of a resumable stream; if it returns True
-    the stream continues at another upstream.  ``runs`` counts the sends that may have
-    run; ``failure`` is the last failure that an upstream itself answered with.
+    ``runs`` counts the sends that may have run; ``failure`` is the last failure that an
+    upstream itself answered with.
     ``can_resume`` is whether another upstream can continue what the caller has, and
     ``origin`` what brought its first event, None before that.
     ``lost_reason`` says why the last send that was lost ended.
@@ -109,13 +104,11 @@
         job: RoutedRequest,
         answer: CallerAnswer,
         deps: SendDeps,
-        may_move: Callable[[UpstreamRecord], bool],
         charge: QuotaCharge,
     ) -> None:
         self._job = job
         self._answer = answer
         self._deps = deps
-        self._may_move = may_move
         self._charge = charge
         self._prefilled = False
         self._measurement: SendMeasurement | None = None
@@ -180,8 +173,6 @@
                 return await self._exchange(record, terms, load, work)
         except TimeoutError:
             return End.TIMED_OUT
-        except _MoveStreamError:
-            return End.MOVED
 
     async def _exchange(
         self, record: UpstreamRecord, terms: Terms, load: UpstreamLoad, work: Work
@@ -406,9 +397,6 @@
                 await self._answer.write(data)
             else:
                 await self._write_events(splitter, data, record)
-                has_resume_point = self.last_event_id is not None and self.can_resume
-                if has_resume_point and self._may_move(record):
-                    raise _MoveStreamError
         stream.check_end()
         if not self._answer.started:
             await self._answer.start(head.status, headers)
--- a/gooseberrydale/request/attempt_end.py
+++ b/gooseberrydale/request/attempt_end.py
@@ -49,8 +49,6 @@
     """Its upstream's weights became too old before it started; it may have run."""
     TIMED_OUT = auto()
     """The deadline of the request passed."""
-    MOVED = auto()
-    """The router moved a resumable stream away from its upstream."""
 
 
 _NOT_RUN = frozenset({End.NOT_SENT, End.REFUSED})
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -40,13 +40,13 @@
 OLD_WEIGHTS_GRACE_S = 1.5
 """Time after the announcement of new weights from which callers expect them."""
 
-MOVE_COST_FRACTION = 0.25
-MAX_MOVE_COST_S = 0.4
-"""Cost of having to move a request, as a fraction of its expected run time, and its
-upper bound. An engine with outdated weights is drained within seconds to load the new
-ones. A request still running there is moved, which costs a retry and computing its
-prompt again, or it delays the change. Longer runs are more likely to be hit: a run of
-1.6 s costs 0.4 s, one of 0.2 s almost nothing."""
+CHANGE_COST_FRACTION = 0.25
+MAX_CHANGE_COST_S = 0.4
+"""Cost of running while the engine changes its weights, as a fraction of the expected
+run time, and its upper bound. An engine with outdated weights is drained within seconds
+to load the new ones. A request still running there delays the change, or its answer
+ends under other weights than it began with. Longer runs are more likely to be hit: a
+run of 1.6 s costs 0.4 s, one of 0.2 s almost nothing."""
 
 ERROR_PENALTY_S = 0.6
 """Penalty of an error rate of 1. A failed attempt costs the request a second one,
@@ -283,7 +283,7 @@
         seconds += (
             OLD_WEIGHTS_PENALTY_S if newer_expected else JUST_REPLACED_WEIGHTS_PENALTY_S
         )
-        seconds += min(MAX_MOVE_COST_S, MOVE_COST_FRACTION * demand.run_s)
+        seconds += min(MAX_CHANGE_COST_S, CHANGE_COST_FRACTION * demand.run_s)
     if candidate.far:
         seconds += OTHER_ZONE_PENALTY_S
     seconds += gap_excess_s(candidate, demand)
--- a/gooseberrydale/request/retry_window.py
+++ b/gooseberrydale/request/retry_window.py
@@ -87,14 +87,10 @@
         self.advance(now)
         self._requests.append(now)
 
-    def spend(self, now: float, reserved_fraction: float = 0.0) -> bool:
-        """Take one retry; return False if none may be made now.
-
-        ``reserved_fraction`` of the retries allowed in the window are left for more
-        important uses.
-        """
+    def spend(self, now: float) -> bool:
+        """Take one retry; return False if none may be made now."""
         self.advance(now)
-        if self.spent + 1 > self.allowed * (1.0 - reserved_fraction):
+        if self.spent + 1 > self.allowed:
             return False
         self._retries.append(now)
         return True
