Departures of upstreams are committed before they are acknowledged

Cause: an acknowledged departure was in the memory of one process only; sessions send it on after 10 ms and the file is written after 100 ms. An engine that was acknowledged does not say it again.

Change: the two calls that acknowledge a departure commit it to the replicated log first, through the leader; every replica offers committed departures to its directory, also after a restart. They are kept for as long as directories remember an upstream. Requests that replicas forward to the leader have a class of their own now, which documents use as well.

--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -14,6 +14,7 @@
 from enum import StrEnum
 
 from gooseberrydale.connection.codec import message
+from gooseberrydale.connection.mesh import UpstreamRecord
 from gooseberrydale.errors import Problem
 from gooseberrydale.version.declarations import Document, Profile, Workspace
 
@@ -123,6 +124,14 @@
     version: int
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class DepartReq:
+    """Records that the upstream of ``record``, which says so, leaves."""
+
+    record: UpstreamRecord
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class ReadDocumentReq:
--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -1,7 +1,8 @@
 """Accepts the announcements of upstreams that have no sidecar.
 
 Records are stored in the directory, and mesh sessions propagate them to all other
-processes, so an upstream may announce itself to any control replica.
+processes, so an upstream may announce itself to any control replica.  That an upstream
+leaves is committed before it is acknowledged: it may not announce it again.
 """
 
 from __future__ import annotations
@@ -9,11 +10,15 @@
 import asyncio
 from collections.abc import Coroutine
 from dataclasses import replace
-from typing import Any
+from typing import Any, Protocol
+
+from result import Err, Ok, Result
 
 from gooseberrydale.connection.engine_orders import EngineOrders
 from gooseberrydale.connection.mesh import UpstreamRecord
+from gooseberrydale.errors import INVALID_DOCUMENT, Problem, problem
 from gooseberrydale.log_events import (
+    AnnouncementUnreadable,
     EarlierIncarnation,
     UpstreamReborn,
     UpstreamRetired,
@@ -43,22 +48,76 @@
 """Higher than the sequence number of any announcement; marks an ended incarnation."""
 
 
+class CommittedDepartures(Protocol):
+    """The departures that a quorum of replicas has stored."""
+
+    def knows(self, record: UpstreamRecord) -> bool:
+        """Whether a departure of this incarnation of an upstream is committed."""
+
+    async def commit(self, record: UpstreamRecord) -> Result[None, Problem]:
+        """Commit that the upstream of ``record`` leaves."""
+
+
 class Announcements:
     """Writes the records of upstreams to the directory."""
 
     def __init__(
-        self, directory: Directory, beat_s: float, engines: EngineOrders | None = None
+        self,
+        directory: Directory,
+        beat_s: float,
+        engines: EngineOrders | None = None,
+        departures: CommittedDepartures | None = None,
     ) -> None:
-        """``engines`` are polled to find the newer one of two incarnations."""
+        """``engines`` are polled to find the newer one of two incarnations.
+
+        Without ``departures`` there is no log, and departures are only propagated.
+        """
         self._directory = directory
         self._lease_s = beat_s * HEARTBEATS_PER_LEASE
         self._engines = engines
+        self._departures = departures
         self._checks: dict[str, asyncio.Task[None]] = {}
 
     async def close(self) -> None:
         """Cancel the running checks."""
         await stop(list(self._checks.values()))
 
+    async def announce(
+        self, record: UpstreamRecord, born: int | None, *, names_models: bool
+    ) -> Result[None, Problem]:
+        """Store an announcement; Ok means that it may be acknowledged.
+
+        See :meth:`renew` for the arguments.
+        """
+        before = self._directory.get(record.name, asyncio.get_running_loop().time())
+        if not self.renew(record, born, names_models=names_models):
+            reason = "no models, unlike earlier ones of this upstream"
+            emit(AnnouncementUnreadable(record.name, reason))
+            return Err(problem(INVALID_DOCUMENT, reason=reason))
+        if not record.leaving:
+            return Ok(None)
+        return await self._commit_departure(record.name, before)
+
+    async def depart(self, name: str) -> Result[None, Problem]:
+        """Retire the upstream ``name``; Ok means that it may be acknowledged."""
+        self.retire(name)
+        return await self._commit_departure(name, None)
+
+    async def _commit_departure(
+        self, name: str, before: UpstreamRecord | None
+    ) -> Result[None, Problem]:
+        """Commit what the directory holds of an upstream, if that is its departure.
+
+        ``before`` is the record that the announcement may have replaced.
+        """
+        record = self._directory.get(name, asyncio.get_running_loop().time())
+        if record is None or not record.leaving or self._departures is None:
+            return Ok(None)
+        has_announced = before is not None and before.leaving
+        if has_announced and self._departures.knows(record):
+            return Ok(None)
+        return await self._departures.commit(record)
+
     def renew(
         self,
         record: UpstreamRecord,
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -25,6 +25,7 @@
 from gooseberrydale.process.cfg import Cfg, ControlCfg
 from gooseberrydale.process.cfg_file import read_token
 from gooseberrydale.process.control.announcements import Announcements
+from gooseberrydale.process.control.departures import Departures
 from gooseberrydale.process.control.documents import Documents
 from gooseberrydale.process.control.ended_incarnations_cache import (
     EndedIncarnationsCache,
@@ -32,6 +33,7 @@
 from gooseberrydale.process.control.first_start import init_shared_log
 from gooseberrydale.process.control.folder_lock import FolderLock
 from gooseberrydale.process.control.group_commit import GroupCommit
+from gooseberrydale.process.control.leader_requests import LeaderRequests
 from gooseberrydale.process.control.machine import PublishingMachine
 from gooseberrydale.process.control.members_reader import MembersService
 from gooseberrydale.process.control.named_weights_cache import NamedWeightsCache
@@ -181,7 +183,9 @@
             own.max_body_values,
         )
         client = ControlClient(self._controls, token, tls)
-        self._documents = Documents(self._commit, self._proposer, client)
+        self._requests = LeaderRequests(self._commit, self._proposer, client)
+        self._documents = Documents(self._requests)
+        self._departures = Departures(self._machine, self.directory, self._requests)
         self._rollout: WeightsRollout | None = None
         self._announcements: Announcements | None = None
         self._upstream_cache: UpstreamCache | None = None
@@ -189,7 +193,7 @@
         app: ASGIApp = self._api.app
         if interface is not None:
             announcements = self._announcements = Announcements(
-                self.directory, own.beat_s, interface.engines
+                self.directory, own.beat_s, interface.engines, self._departures
             )
             app = interface.make_app(self._documents, announcements)
             self._rollout = self._make_rollout(cfg, own, announcements, interface)
@@ -229,6 +233,7 @@
         Raises StorageError if the data folder is in use or damaged.
         """
         self._acknowledgements.start(asyncio.get_running_loop().time())
+        self._departures.start()
         if self._replica is not None:
             self._folder_lock = FolderLock(self._data_dir)
             if self._bootstrap:
@@ -269,6 +274,7 @@
         if self._ended_cache is not None:
             await self._ended_cache.close()
         await self._documents.close()
+        await self._requests.close()
         await self._orders.close()
         await self._upkeep.close()
         await self._mesh.close()
--- a/gooseberrydale/process/control/machine.py
+++ b/gooseberrydale/process/control/machine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.control_state import ControlState
@@ -19,8 +20,13 @@
         self.state = state
         self._store = store
         self._changed = asyncio.Event()
+        self._listeners: list[Callable[[], None]] = []
         self._publish()
 
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change of the state; it must not raise."""
+        self._listeners.append(listener)
+
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply a committed entry; see :class:`ControlState`."""
         answer = self.state.apply(index, command)
@@ -48,5 +54,7 @@
         # After a restart the log may be replayed when a peer has already sent a newer
         # configuration; the store retains the newer one.
         self._store.offer(self.state.config)
+        for listener in self._listeners:
+            listener()
         self._changed.set()
         self._changed = asyncio.Event()
--- a/gooseberrydale/process/control/propose_service.py
+++ b/gooseberrydale/process/control/propose_service.py
@@ -1,8 +1,9 @@
 """gRPC service for requests of other processes that need a commit.
 
 Configuration changes and orders of operators are refused here; only the operators'
-interface, which authenticates them, may propose them. Documents are accepted, because
-the replica that an operator reached forwards them to the leader.
+interface, which authenticates them, may propose them. Documents and departures are
+accepted, because the replica that an operator or upstream reached forwards them to the
+leader.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
     ClaimReply,
     ClaimReq,
     DeclareReq,
+    DepartReq,
     DocumentReply,
     FenceReply,
     FinishReq,
@@ -40,6 +42,7 @@
     ReportOrderReq: Ack,
     DeclareReq: Ack,
     NameWeightsReq: Ack,
+    DepartReq: Ack,
     ReadDocumentReq: DocumentReply,
 }
 
--- a/gooseberrydale/version/control_state.py
+++ b/gooseberrydale/version/control_state.py
@@ -24,6 +24,7 @@
     Command,
     CommandReply,
     DeclareReq,
+    DepartReq,
     DocumentReply,
     FenceReply,
     FinishReq,
@@ -55,6 +56,7 @@
 )
 from gooseberrydale.version.claims import ClaimTable
 from gooseberrydale.version.declarations import Config, Document, Profile, Workspace
+from gooseberrydale.version.departed import Departed, Departure
 from gooseberrydale.version.orders import OrderTable
 
 NUMBERS_SKIPPED_AFTER_RECOVERY = 1_000_000
@@ -83,10 +85,11 @@
     cluster: str = ""
     document: Document | None = None
     weights: dict[str, int] = field(default_factory=dict)
+    departures: tuple[Departure, ...] = ()
 
 
 class ControlState:
-    """The committed declarations, orders, claims and audit trail."""
+    """The committed declarations, departures, orders, claims and audit trail."""
 
     def __init__(
         self, config: Config | None = None, limits: Limits | None = None
@@ -99,11 +102,13 @@
         self.audit = AuditTrail()
         self.orders = OrderTable()
         self.claims = ClaimTable()
+        self.departed = Departed()
         self.cluster = ""
         self._handlers: dict[type[Any], Callable[[Any], Any]] = {
             ChangeReq: self._change,
             DeclareReq: self._declare,
             NameWeightsReq: self._name_weights,
+            DepartReq: self._depart,
             ReadDocumentReq: self._read_document,
             PlaceOrderReq: self._place_order,
             ReportOrderReq: self._report_order,
@@ -132,6 +137,7 @@
         self._skip_numbers_after_recovery(entry.cluster)
         self.claims.expire(self.now_s)
         self.orders.advance(self.now_s, self.limits)
+        self.departed = self.departed.expire(self.now_s)
         replies = tuple(encode(self._handle(req)) for req in requests)
         return encode(CommandReply(replies))
 
@@ -157,6 +163,7 @@
                 cluster=self.cluster,
                 document=self.config.document,
                 weights=self.config.weights,
+                departures=self.departed.departures,
             )
         )
 
@@ -184,6 +191,7 @@
             snapshot.fences,
         )
         self.claims = ClaimTable(snapshot.claims)
+        self.departed = Departed(snapshot.departures)
         self.cluster = snapshot.cluster
 
     def preview(self, req: ChangeReq) -> ChangeReply:
@@ -256,6 +264,10 @@
         self._audit_declared("name_weights", f"{req.model} {req.version}")
         return Ack()
 
+    def _depart(self, req: DepartReq) -> Ack:
+        self.departed = self.departed.add(req.record, self.now_s)
+        return Ack()
+
     def _read_document(self, _req: ReadDocumentReq) -> DocumentReply:
         return DocumentReply(document=self.config.document)
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -9,6 +9,7 @@
 
 from gooseberrydale.connection.control_messages import DocumentReply
 from gooseberrydale.process.control.documents import Documents
+from gooseberrydale.process.control.leader_requests import LeaderRequests
 from gooseberrydale.version.declarations import Document
 from tests.clock import run_paused
 
@@ -36,7 +37,7 @@
 
 
 def make_documents(log: SlowLog) -> Documents:
-    return Documents(log, log, None)  # type: ignore[arg-type]
+    return Documents(LeaderRequests(log, log, None))  # type: ignore[arg-type]
 
 
 def test_many_reads_at_once_bring_few_copies_of_the_document() -> None:
