A workspace that becomes isolated takes its cached prefixes along

Cause: all workspaces that aren't isolated share one cache salt, in which nothing changes when one of them becomes isolated. A request that waited during the change kept the scope of its arrival.

Change: the salt of shared prefixes has an epoch, which begins anew only with a document that isolates a workspace that shared before. It is part of the replicated state, as a process that has just started doesn't know who shared, and travels with the document. The scope of a request is decided at each send.

--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -110,9 +110,15 @@
 @message
 @dataclass(frozen=True, slots=True)
 class DeclareReq:
-    """Activates a document unless the current one has the same or a higher number."""
+    """Activates a document unless the current one has the same or a higher number.
+
+    ``isolated`` and ``sharing`` are the workspaces in it by whether they share cached
+    prefixes with others.
+    """
 
     document: Document
+    isolated: tuple[str, ...] = ()
+    sharing: tuple[str, ...] = ()
 
 
 @message
--- a/gooseberrydale/process/control/documents.py
+++ b/gooseberrydale/process/control/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from result import Result
 
@@ -14,6 +15,7 @@
 from gooseberrydale.errors import Problem
 from gooseberrydale.process.control.leader_requests import LeaderRequests
 from gooseberrydale.version.declarations import Document
+from gooseberrydale.version.declared import KeyHolder
 
 _ReadResult = Result[Document | None, Problem]
 
@@ -33,12 +35,21 @@
             task.cancel()
         await asyncio.gather(*reads, return_exceptions=True)
 
-    async def declare(self, document: Document) -> Result[None, Problem]:
+    async def declare(
+        self, document: Document, workspaces: Iterable[KeyHolder] = ()
+    ) -> Result[None, Problem]:
         """Put ``document`` in force if its number is higher than the current one's.
 
-        Ok means that a quorum has stored this document, or a newer one, on disk.
+        ``workspaces`` are those in it.  Ok means that a quorum has stored this
+        document, or a newer one, on disk.
         """
-        return (await self._requests.ask(DeclareReq(document))).map(lambda _: None)
+        isolated: list[str] = []
+        sharing: list[str] = []
+        for workspace in workspaces:
+            names = isolated if workspace.isolated else sharing
+            names.append(workspace.name)
+        req = DeclareReq(document, tuple(isolated), tuple(sharing))
+        return (await self._requests.ask(req)).map(lambda _: None)
 
     async def name_weights(self, model: str, version: int) -> Result[None, Problem]:
         """Have ``model`` served with ``version`` unless a newer version was named."""
--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -305,6 +305,7 @@
             arrived_at=self._arrived_at,
             deadline_at=self._arrived_at + _answer_wait_s(call, route),
             workspace=workspace,
+            cache_scopes=self._deps.declared.cache_scope,
             fingerprint=self._fingerprint,
             origin=origin,
             stream_key=stream_key(name, first),
--- a/gooseberrydale/process/gateway/declared_store.py
+++ b/gooseberrydale/process/gateway/declared_store.py
@@ -13,11 +13,12 @@
 
 from result import Err, Result
 
-from gooseberrydale.errors import Problem
+from gooseberrydale.errors import InvariantError, Problem
 from gooseberrydale.log_events import DocumentInForce, DocumentUnreadable, emit
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.confirmed_revision import ConfirmedRevision
-from gooseberrydale.version.declared import Declared
+from gooseberrydale.version.declarations import Document
+from gooseberrydale.version.declared import Declared, KeyHolder
 from gooseberrydale.version.route_table import RouteTable
 
 DecodeDocument = Callable[[bytes], Result[Declared, Problem]]
@@ -65,6 +66,13 @@
         """
         return self.confirmed_age_s <= self._bound_s
 
+    def cache_scope(self, holder: KeyHolder | None) -> str:
+        """Return the scope of cached prefixes that a workspace may use now."""
+        table = self.table
+        if table is None:
+            raise InvariantError("a request was routed without a document")
+        return table.cache_scope(holder)
+
     async def wait_change(self, timeout_s: float) -> bool:
         """Wait for a document or a confirmation; return False after ``timeout_s``."""
         try:
@@ -99,15 +107,16 @@
             config = await self._store.wait_newer(revision)
             revision = config.revision
             if config.document is not None and config.document.number > self._number:
-                self._take(config.document.number, config.document.body)
+                self._take(config.document)
 
-    def _take(self, number: int, body: bytes) -> None:
-        match self._decode(body):
+    def _take(self, document: Document) -> None:
+        number = document.number
+        match self._decode(document.body):
             case Err(why):
                 emit(DocumentUnreadable(number, why.message))
             case declared:
                 previous, self._number = self._number, number
-                self.table = RouteTable(declared.unwrap())
+                self.table = RouteTable(declared.unwrap(), document.cache_epoch)
                 self._arrived.set()
                 self._notify()
                 emit(DocumentInForce(number, previous))
--- a/gooseberrydale/process/gateway/routed_request.py
+++ b/gooseberrydale/process/gateway/routed_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import cached_property
 
@@ -27,6 +28,7 @@
     what began the stream that the request continues, None if it continues none; the
     origin of its stream is recorded under ``stream_key``.  ``shared_rank`` is its rank
     among all declared requests if they share the capacity of its pool, else None.
+    ``cache_scopes`` returns the scope of a workspace under the newest document.
     """
 
     call: CallerRequest
@@ -36,6 +38,7 @@
     arrived_at: float
     deadline_at: float
     workspace: KeyHolder | None
+    cache_scopes: Callable[[KeyHolder | None], str]
     fingerprint: bytes = b""
     origin: StreamOrigin | None = None
     stream_key: bytes = b""
@@ -59,9 +62,11 @@
 
     @property
     def scope(self) -> str:
-        """Name of the workspace if it is isolated and shares no cache, else empty."""
-        holder = self.workspace
-        return holder.name if holder is not None and holder.isolated else ""
+        """What separates the cached prefixes that the request may use now.
+
+        It changes while the request waits if a newer document isolates a workspace.
+        """
+        return self.cache_scopes(self.workspace)
 
     @cached_property
     def parts(self) -> tuple[bytes, ...]:
--- a/gooseberrydale/process/gateway/upstream_query.py
+++ b/gooseberrydale/process/gateway/upstream_query.py
@@ -16,7 +16,7 @@
 class UpstreamQuery:
     """What a request needs: an upstream of ``pool`` that is not in ``tried``.
 
-    ``scope`` separates equal prompts of workspaces that must not share a cache.
+    ``scope`` separates equal prompts that must not share cached prefixes.
     ``origin`` is what began the stream that the request continues, None for others.
     Work of less urgent ranks than ``rank`` is left out of loads; None counts all work.
     """
@@ -35,9 +35,8 @@
 
 
 def cache_salt(record: UpstreamRecord, scope: str) -> str:
-    """Return a salt that separates cache of other weights and isolated workspaces."""
-    parts = [record.model, record.weights_version, *([scope] if scope else [])]
-    return ".".join(parts)
+    """Return a salt that separates cache of other weights and of other scopes."""
+    return f"{record.model}.{record.weights_version}{scope}"
 
 
 def demand_of(prompt: Prompt | None) -> Demand:
--- a/gooseberrydale/version/control_state.py
+++ b/gooseberrydale/version/control_state.py
@@ -44,6 +44,7 @@
 )
 from gooseberrydale.errors import CHANGE_ID_REUSED, InvariantError, Problem, problem
 from gooseberrydale.version.audit import ACCEPTED, RESENT, AuditEntry, AuditTrail
+from gooseberrydale.version.cache_epoch import CacheEpoch
 from gooseberrydale.version.change import (
     Remembered,
     ReplyCache,
@@ -86,6 +87,8 @@
     document: Document | None = None
     weights: dict[str, int] = field(default_factory=dict)
     departures: tuple[Departure, ...] = ()
+    # None in snapshots of releases that had no epochs.
+    cache_sharing: tuple[str, ...] | None = None
 
 
 class ControlState:
@@ -103,6 +106,7 @@
         self.orders = OrderTable()
         self.claims = ClaimTable()
         self.departed = Departed()
+        self.cache_epoch = CacheEpoch()
         self.cluster = ""
         self._handlers: dict[type[Any], Callable[[Any], Any]] = {
             ChangeReq: self._change,
@@ -164,6 +168,7 @@
                 document=self.config.document,
                 weights=self.config.weights,
                 departures=self.departed.departures,
+                cache_sharing=_sorted_or_none(self.cache_epoch.sharing),
             )
         )
 
@@ -192,6 +197,7 @@
         )
         self.claims = ClaimTable(snapshot.claims)
         self.departed = Departed(snapshot.departures)
+        self.cache_epoch = _snapshot_epoch(snapshot)
         self.cluster = snapshot.cluster
 
     def preview(self, req: ChangeReq) -> ChangeReply:
@@ -251,7 +257,11 @@
         current = self.config.document
         if current is not None and req.document.number <= current.number:
             return Ack()
-        self._commit_next_revision(document=req.document)
+        self.cache_epoch = self.cache_epoch.after(
+            req.isolated, req.sharing, self.config.revision + 1
+        )
+        document = replace(req.document, cache_epoch=self.cache_epoch.number)
+        self._commit_next_revision(document=document)
         self._audit_declared("declare", f"document {req.document.number}")
         return Ack()
 
@@ -414,6 +424,18 @@
     )
 
 
+def _sorted_or_none(names: frozenset[str] | None) -> tuple[str, ...] | None:
+    return None if names is None else tuple(sorted(names))
+
+
+def _snapshot_epoch(snapshot: ControlSnapshot) -> CacheEpoch:
+    if snapshot.document is None:
+        return CacheEpoch()
+    names = snapshot.cache_sharing
+    sharing = None if names is None else frozenset(names)
+    return CacheEpoch(snapshot.document.cache_epoch, sharing)
+
+
 def _decode_command(index: int, data: bytes) -> Command:
     entry = _decode_request(index, data)
     if not isinstance(entry, Command):
--- a/gooseberrydale/version/declarations.py
+++ b/gooseberrydale/version/declarations.py
@@ -71,11 +71,14 @@
     """A complete configuration as its operator wrote it.
 
     Operators number their documents; the highest number is in force.  ``body`` is
-    stored as it was sent, so it can be read back unchanged.
+    stored as it was sent, so it can be read back unchanged.  ``cache_epoch`` is the
+    epoch of cached prefixes that is shared while it is in force; it is set when the
+    document is committed.
     """
 
     number: int
     body: bytes
+    cache_epoch: int = 0
 
 
 @message
--- a/gooseberrydale/version/route_table.py
+++ b/gooseberrydale/version/route_table.py
@@ -10,10 +10,16 @@
 
 
 class RouteTable:
-    """Routes of one document by host and path prefix, and workspaces by key."""
+    """Routes of one document by host and path prefix, and workspaces by key.
 
-    def __init__(self, declared: Declared) -> None:
+    ``cache_epoch`` is the epoch of the prefixes that workspaces share.
+    """
+
+    def __init__(self, declared: Declared, cache_epoch: int = 0) -> None:
         self.declared = declared
+        # Not what an isolated workspace gets, whatever its name.
+        self._shared_scope = f"/{cache_epoch}" if cache_epoch else ""
+        self._by_name = {holder.name: holder for holder in declared.workspaces or ()}
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in declared.routes:
             by_prefix = self._by_host.setdefault(route.host, {})
@@ -50,6 +56,15 @@
         """The workspace that holds ``key``."""
         return None if key is None else self._by_key.get(key)
 
+    def cache_scope(self, holder: KeyHolder | None) -> str:
+        """Return what separates the cached prefixes that a workspace may use.
+
+        A workspace that was removed since ``holder`` was read is as isolated as before.
+        """
+        if holder is not None and self._by_name.get(holder.name, holder).isolated:
+            return f".{holder.name}"
+        return self._shared_scope
+
     def rank(self, route: Route, holder: KeyHolder | None) -> int:
         """The rank of a request among all that are declared, 0 for the most urgent.
 
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -157,6 +157,11 @@
         )
 
 
+def no_scope(_holder: KeyHolder | None) -> str:
+    """Return the scope of cached prefixes where all workspaces share them."""
+    return ""
+
+
 class NoStore:
     """A store that never answers."""
 
--- a/tests/builders_machines.py
+++ b/tests/builders_machines.py
@@ -190,7 +190,8 @@
     """An upstream that announces itself, and records when requests reach it.
 
     Streams have ``events`` events, ``gap_s`` apart, which name the ``software`` that
-    wrote them.  ``reached`` has the loop's time of each request by its id.
+    wrote them.  ``reached`` has the loop's time of each request by its id, ``salts``
+    the cache salt that it came with.  Only one with a ``model`` gets prompts.
     """
 
     name: str
@@ -201,8 +202,10 @@
     gap_s: float = 0.05
     run_s: float = 0.02
     pool: str = POOL
+    model: str = ""
     state: str = "ready"
     reached: dict[str, float] = field(default_factory=dict)
+    salts: dict[str, str] = field(default_factory=dict)
     address: str = ""
 
     def __post_init__(self) -> None:
@@ -248,6 +251,9 @@
             "state": self.state,
             "coldLeftMs": 0,
         }
+        if self.model:
+            models = [{"name": self.model, "version": 1, "adapters": []}]
+            heartbeat |= {"stage": "colocated", "models": models}
         return await post(control, f"/v1/Instances.Heartbeat/{self.name}", heartbeat)
 
     async def deregister(self, control: str) -> int:
@@ -274,6 +280,7 @@
                 await reader.readexactly(int(fields.get("content-length", "0")))
                 request_id = fields.get("x-request-id", "")
                 self.reached[request_id] = asyncio.get_running_loop().time()
+                self.salts[request_id] = fields.get("x-cache-salt", "")
                 if "/streams/" in first:
                     await self._stream(request_id, fields, writer)
                 else:
@@ -394,14 +401,17 @@
 
 @asynccontextmanager
 async def running_machines(
-    folder: pathlib.Path, *upstreams: str, document: dict[str, Any] | None = None
+    folder: pathlib.Path,
+    *upstreams: str,
+    document: dict[str, Any] | None = None,
+    model: str = "",
 ) -> AsyncIterator[tuple[Machines, list[MachineUpstream]]]:
     """Run machines and upstreams with these software versions; wait until all serve."""
     machines = Machines(folder)
     machines.start()
     served = [
         await MachineUpstream(
-            f"u{n + 1}", machines.ip(100 + n), machines.controls, software
+            f"u{n + 1}", machines.ip(100 + n), machines.controls, software, model=model
         ).start()
         for n, software in enumerate(upstreams)
     ]
--- a/tests/builders_waiting.py
+++ b/tests/builders_waiting.py
@@ -31,7 +31,7 @@
 from gooseberrydale.version.upstream_limits import UpstreamLimits
 from gooseberrydale.version.upstream_load import Load
 from gooseberrydale.version.wait_limits import WaitLimits
-from tests.builders_gateway import no_limits, prompt, record, route
+from tests.builders_gateway import no_limits, no_scope, prompt, record, route
 
 ENGINE = EngineSize(slots=24, kv_tokens=70_000)
 POOL = "p"
@@ -191,4 +191,4 @@
     )
     holder = KeyHolder(workspace, ("key",))
     pool = Pool(POOL, 100, ENGINE)
-    return RoutedRequest(call, declared, pool, b"", now, now + left_s, holder)
+    return RoutedRequest(call, declared, pool, b"", now, now + left_s, holder, no_scope)
--- a/tests/builders_waiting_fleet.py
+++ b/tests/builders_waiting_fleet.py
@@ -37,7 +37,7 @@
 from gooseberrydale.version.speeds.speeds import UpstreamSpeeds
 from gooseberrydale.version.upstream_load import Load
 from gooseberrydale.version.wait_limits import WaitLimits
-from tests.builders_gateway import no_limits, prompt, record, route
+from tests.builders_gateway import no_limits, no_scope, prompt, record, route
 
 POOL = Pool("p", 100, EngineSize(slots=8, kv_tokens=0))
 ENGINES = 8
@@ -347,4 +347,6 @@
         priority=caller.rank,
     )
     holder = KeyHolder(caller.workspace, ("key",))
-    return RoutedRequest(call, declared, POOL, b"", caller.at, now + left_s, holder)
+    return RoutedRequest(
+        call, declared, POOL, b"", caller.at, now + left_s, holder, no_scope
+    )
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -38,7 +38,7 @@
 from gooseberrydale.version.upstream_load import Load
 from gooseberrydale.version.wait_limits import WaitLimits
 from tests import builders_incarnations as incarnations
-from tests.builders_gateway import no_limits, prompt, record, route
+from tests.builders_gateway import no_limits, no_scope, prompt, record, route
 from tests.clock import run_paused
 
 OBJECTIVE_S = 0.4
@@ -84,7 +84,7 @@
     )
     declared = replace(route(), objective_s=OBJECTIVE_S, timeout_s=TIMEOUT_S)
     pool = Pool("p", 100, ENGINE)
-    return RoutedRequest(call, declared, pool, b"", now, now + left_s, None)
+    return RoutedRequest(call, declared, pool, b"", now, now + left_s, None, no_scope)
 
 
 def observed_stats() -> ObservedStats:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import pathlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import pytest
@@ -297,7 +297,9 @@
         self.held: Document | None = None
         self.named: list[tuple[str, int]] = []
 
-    async def declare(self, document: Document) -> Result[None, Problem]:
+    async def declare(
+        self, document: Document, workspaces: Iterable[KeyHolder] = ()
+    ) -> Result[None, Problem]:
         if self.problem is not None:
             return Err(self.problem)
         self.held = document
