Documents of an earlier release's leader begin no cache epoch

Replicas of both releases would otherwise have different configurations under one revision, which a store takes for a broken invariant. The first document that names its workspaces begins an epoch instead.

--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -113,11 +113,11 @@
     """Activates a document unless the current one has the same or a higher number.
 
     ``isolated`` and ``sharing`` are the workspaces in it by whether they share cached
-    prefixes with others.
+    prefixes with others; proposers of releases without cache epochs leave them out.
     """
 
     document: Document
-    isolated: tuple[str, ...] = ()
+    isolated: tuple[str, ...] | None = None
     sharing: tuple[str, ...] = ()
 
 
--- a/gooseberrydale/version/cache_epoch.py
+++ b/gooseberrydale/version/cache_epoch.py
@@ -30,14 +30,18 @@
     sharing: frozenset[str] | None = frozenset()
 
     def after(
-        self, isolated: Iterable[str], sharing: Iterable[str], revision: int
+        self, isolated: Iterable[str] | None, sharing: Iterable[str], revision: int
     ) -> CacheEpoch:
         """Return the epoch once these workspaces are isolated, and these are not.
 
+        ``isolated`` is None if that is unknown.
+
         Only a workspace that shared before and becomes isolated begins a new epoch.
         One that is isolated from the start has made nothing that others use, and one
         that is isolated no more shares only what it makes from then on.
         """
+        if isolated is None:
+            return CacheEpoch(self.number, None)
         now = frozenset(sharing)
         if self.sharing is None or not self.sharing.isdisjoint(isolated):
             return CacheEpoch(revision, now)
--- a/tests/test_cache_epoch.py
+++ b/tests/test_cache_epoch.py
@@ -149,8 +149,14 @@
     fields = decode(state.snapshot())
     restored = ControlState()
     restored.restore(encode(type(fields)(**_without_sharing(fields))))
-    table = declare(restored, 2, {"a": True})
+    # Replicas of the earlier release have the same configuration as long as they lead.
+    earlier = DeclareReq(Document(2, b""))
+    for each in (state, restored):
+        apply(each, earlier)
+    assert state.config == restored.config
+    table = declare(restored, 3, {"a": True})
     assert table.cache_scope(holder("b", False)) != ""
+    assert declare(state, 3, {"a": True}).cache_scope(None) == table.cache_scope(None)
 
 
 def _without_sharing(snapshot: Any) -> dict[str, Any]:
