A stream goes on without a record only where a single version is certain

After all gateways were killed, callers that named no first request got the rest of their stream from another software version of the upstreams than its beginning.

Cause: such a stream went on if the process knew a single version. Records that replicas restore from their disks lapse after six seconds, and with them every process forgot the version whose upstreams had left.

Change: the versions that the upstreams of each pool run, or ran until a minute ago, are committed before an upstream is put in service. A gateway goes on without a record only if its configuration is known to be the newest and lists one version, and its own records have no other.

Gateways of tests get the list that control would send; test_software_versions asks that a single known version is not enough.

--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -138,6 +138,16 @@
     record: UpstreamRecord
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class ServeSoftwareReq:
+    """Records that upstreams of ``pool`` run a software version, or no longer do."""
+
+    pool: str
+    software: str
+    in_service: bool = True
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class ReadDocumentReq:
--- a/gooseberrydale/log_events/__init__.py
+++ b/gooseberrydale/log_events/__init__.py
@@ -34,6 +34,7 @@
     NotKept,
     OrderUnanswered,
     ReportMissing,
+    SoftwareServed,
     WeightsOrdered,
 )
 from gooseberrydale.log_events.documents import (
@@ -116,6 +117,7 @@
     "ResponseTooLong",
     "SendEnded",
     "Serving",
+    "SoftwareServed",
     "Stopped",
     "StoreBusy",
     "StoreEventsMissed",
--- a/gooseberrydale/log_events/control.py
+++ b/gooseberrydale/log_events/control.py
@@ -48,6 +48,18 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class SoftwareServed(LogEvent):
+    """Upstreams of a pool run a software version, or have not for long."""
+
+    NAME: ClassVar[str] = "software_served"
+    TEXT: ClassVar[str] = "software version of a pool"
+
+    pool: str
+    software: str
+    in_service: bool
+
+
 @dataclass(frozen=True, slots=True)
 class NotKept(LogEvent):
     """A cache file could not be written.
--- a/gooseberrydale/process/control/announcements.py
+++ b/gooseberrydale/process/control/announcements.py
@@ -58,6 +58,13 @@
         """Commit that the upstream of ``record`` leaves."""
 
 
+class CommittedSoftware(Protocol):
+    """The software versions that upstreams may run while they are in service."""
+
+    async def commit(self, pool: str, software: str) -> Result[None, Problem]:
+        """Commit that upstreams of a pool run a version."""
+
+
 class Announcements:
     """Writes the records of upstreams to the directory."""
 
@@ -67,15 +74,18 @@
         beat_s: float,
         engines: EngineOrders | None = None,
         departures: CommittedDepartures | None = None,
+        software: CommittedSoftware | None = None,
     ) -> None:
         """``engines`` are polled to find the newer one of two incarnations.
 
-        Without ``departures`` there is no log, and departures are only propagated.
+        Without ``departures`` and ``software`` there is no log; announcements are only
+        propagated.
         """
         self._directory = directory
         self._lease_s = beat_s * HEARTBEATS_PER_LEASE
         self._engines = engines
         self._departures = departures
+        self._software = software
         self._checks: dict[str, asyncio.Task[None]] = {}
 
     async def close(self) -> None:
@@ -89,6 +99,11 @@
 
         See :meth:`renew` for the arguments.
         """
+        if self._software is not None and not record.leaving:
+            # Streams that it begins could not be told from those of other versions.
+            listed = await self._software.commit(record.pool, record.software)
+            if listed.is_err():
+                return listed
         before = self._directory.get(record.name, asyncio.get_running_loop().time())
         if not self.renew(record, born, names_models=names_models):
             reason = "no models, unlike earlier ones of this upstream"
--- a/gooseberrydale/process/control/control.py
+++ b/gooseberrydale/process/control/control.py
@@ -49,6 +49,7 @@
 )
 from gooseberrydale.process.control.replica import Replica
 from gooseberrydale.process.control.signpost import Signpost
+from gooseberrydale.process.control.software_versions import SoftwareVersions
 from gooseberrydale.process.control.upkeep import Upkeep
 from gooseberrydale.process.control.upstream_cache import UpstreamCache
 from gooseberrydale.process.control.weights_rollout import WeightsRollout
@@ -186,6 +187,9 @@
         self._requests = LeaderRequests(self._commit, self._proposer, client)
         self._documents = Documents(self._requests)
         self._departures = Departures(self._machine, self.directory, self._requests)
+        self._software = SoftwareVersions(
+            self._machine, self.directory, self._requests, self._proposer
+        )
         self._rollout: WeightsRollout | None = None
         self._announcements: Announcements | None = None
         self._upstream_cache: UpstreamCache | None = None
@@ -193,7 +197,11 @@
         app: ASGIApp = self._api.app
         if interface is not None:
             announcements = self._announcements = Announcements(
-                self.directory, own.beat_s, interface.engines, self._departures
+                self.directory,
+                own.beat_s,
+                interface.engines,
+                self._departures,
+                self._software,
             )
             app = interface.make_app(self._documents, announcements)
             self._rollout = self._make_rollout(cfg, own, announcements, interface)
@@ -252,6 +260,7 @@
         await self._http.start()
         await self._upkeep.start()
         await self._orders.start()
+        await self._software.start()
         if self._rollout is not None:
             await self._rollout.start()
         if self._metrics is not None:
@@ -274,6 +283,7 @@
         if self._ended_cache is not None:
             await self._ended_cache.close()
         await self._documents.close()
+        await self._software.close()
         await self._requests.close()
         await self._orders.close()
         await self._upkeep.close()
--- a/gooseberrydale/process/control/propose_service.py
+++ b/gooseberrydale/process/control/propose_service.py
@@ -1,9 +1,9 @@
 """gRPC service for requests of other processes that need a commit.
 
 Configuration changes and orders of operators are refused here; only the operators'
-interface, which authenticates them, may propose them. Documents and departures are
-accepted, because the replica that an operator or upstream reached forwards them to the
-leader.
+interface, which authenticates them, may propose them. Documents, departures and
+software versions are accepted, because the replica that an operator or upstream reached
+forwards them to the leader.
 """
 
 from __future__ import annotations
@@ -27,6 +27,7 @@
     ReadFenceReq,
     ReleaseReq,
     ReportOrderReq,
+    ServeSoftwareReq,
 )
 from gooseberrydale.connection.rpc import PROPOSE, RpcServer
 from gooseberrydale.errors import NOT_PROPOSABLE, problem
@@ -43,6 +44,7 @@
     DeclareReq: Ack,
     NameWeightsReq: Ack,
     DepartReq: Ack,
+    ServeSoftwareReq: Ack,
     ReadDocumentReq: DocumentReply,
 }
 
--- a/gooseberrydale/process/gateway/declared_store.py
+++ b/gooseberrydale/process/gateway/declared_store.py
@@ -20,6 +20,7 @@
 from gooseberrydale.version.declarations import Document
 from gooseberrydale.version.declared import Declared, KeyHolder
 from gooseberrydale.version.route_table import RouteTable
+from gooseberrydale.version.served_software import Served
 
 DecodeDocument = Callable[[bytes], Result[Declared, Problem]]
 
@@ -66,6 +67,11 @@
         """
         return self.confirmed_age_s <= self._bound_s
 
+    @property
+    def software(self) -> Served:
+        """The software versions of each pool in the configuration."""
+        return self._store.config.software
+
     def cache_scope(self, holder: KeyHolder | None) -> str:
         """Return the scope of cached prefixes that a workspace may use now."""
         table = self.table
--- a/gooseberrydale/process/gateway/gateway.py
+++ b/gooseberrydale/process/gateway/gateway.py
@@ -341,7 +341,7 @@
             declared=self._declared,
             sends=sends,
             terms=TermsMaker(self._upstreams),
-            resumption=Resumption(self._origins, self._upstreams),
+            resumption=Resumption(self._origins, self._upstreams, self._declared),
             budgets=self._budgets,
             quotas=self.quotas,
             capacity=capacity,
--- a/gooseberrydale/process/gateway/resumption.py
+++ b/gooseberrydale/process/gateway/resumption.py
@@ -3,12 +3,17 @@
 The gateway that began the stream may have ended since, or be out of reach.  A stream
 whose origin is not known is refused: an upstream of another software version would
 write events that don't fit to those that the caller has.
+
+Without a record, the origin is certain only if the configuration, which has each
+version before any upstream of it is in service, lists a single one.  What this process
+knows of upstreams is no proof: it may have started since, and others may have left.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -19,10 +24,12 @@
     problem,
 )
 from gooseberrydale.process.gateway.origin_client import OriginClient
+from gooseberrydale.process.gateway.routed_request import ORIGIN_MARGIN_S
 from gooseberrydale.process.gateway.upstream_query import UpstreamQuery
 from gooseberrydale.process.gateway.upstreams import Upstreams
 from gooseberrydale.request.gateway_call import CallerRequest
 from gooseberrydale.request.retry_after import (
+    REMAINING_TIME_FRACTION,
     after_unknown_origin_s,
     without_upstream_s,
 )
@@ -34,21 +41,41 @@
 )
 from gooseberrydale.version.origins.store import stream_key
 from gooseberrydale.version.route_table import RouteTable
+from gooseberrydale.version.served_software import KEPT_S, Served
 
 STARTUP_WAIT_S = 0.5
 """How long a process that has just started waits for the records of upstreams."""
 
 POLL_INTERVAL_S = 0.02
 
+CONFIRMATION_WAIT_S = 1.0
+"""How long a call waits until the configuration is known to be the newest.  After all
+processes were restarted, a leader is elected first."""
+
 _Origin = Result[StreamOrigin | None, Problem]
 
 
+class ServedSoftware(Protocol):
+    """The software versions in the configuration."""
+
+    @property
+    def software(self) -> Served:
+        """Versions that upstreams run, or ran until recently, by pool."""
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the configuration is known to be the newest."""
+
+
 class Resumption:
     """Decides for each call whether and where its stream may go on."""
 
-    def __init__(self, origins: OriginClient, upstreams: Upstreams) -> None:
+    def __init__(
+        self, origins: OriginClient, upstreams: Upstreams, served: ServedSoftware
+    ) -> None:
         self._origins = origins
         self._upstreams = upstreams
+        self._served = served
 
     async def origin(
         self, call: CallerRequest, route: Route, table: RouteTable, workspace: str
@@ -66,19 +93,43 @@
             after_s = without_upstream_s(call.wait_s or route.timeout_s)
             pool = route.shares[0].pool
             return Err(problem(NO_UPSTREAM, pool=pool, retry_after_s=after_s))
-        only = possible.pop() if len(possible) == 1 else None
         if call.resumes is None:
             # Without the name of the first request, only a single version is certain.
-            return self._unknown(call, complete=True) if only is None else Ok(only)
-        if only is not None and not only.software:
-            return Ok(only)
+            return await self._single_origin(call, route)
+        if not any(origin.software for origin in possible):
+            # Origins of upstreams that announce no version are not recorded.
+            single = await self._single_origin(call, route)
+            if isinstance(single, Err) or not single.ok_value.software:
+                return single
         lookup = await self._origins.find(stream_key(workspace, call.resumes))
         if lookup.origin is None or lookup.origin.software == UNKNOWN_SOFTWARE:
             return self._unknown(call, complete=lookup.complete)
         return await self._if_served(lookup.origin, call, route, table)
 
+    async def _single_origin(
+        self, call: CallerRequest, route: Route
+    ) -> Result[StreamOrigin, Problem]:
+        """Return what must have begun any stream of ``route`` that may go on now."""
+        wait_s = CONFIRMATION_WAIT_S
+        if call.wait_s is not None:
+            wait_s = min(wait_s, call.wait_s * REMAINING_TIME_FRACTION)
+        if not self._served.is_current:
+            await self._poll(lambda: self._served.is_current, wait_s)
+        if not self._served.is_current:
+            return self._unknown(call, complete=False)
+        longest_s = max(route.timeout_s, call.wait_s or 0.0) + ORIGIN_MARGIN_S
+        origins = self._possible_origins(route)
+        for share in route.shares:
+            versions = self._served.software.get(share.pool, ())
+            if not versions or longest_s > KEPT_S:
+                return self._unknown(call, complete=True)
+            origins |= {StreamOrigin(share.pool, version) for version in versions}
+        if len(origins) != 1:
+            return self._unknown(call, complete=True)
+        return Ok(origins.pop())
+
     def _possible_origins(self, route: Route) -> set[StreamOrigin]:
-        """Return all that may have begun streams of ``route``."""
+        """Return all of ``route`` that this process knows."""
         now = asyncio.get_running_loop().time()
         return {
             StreamOrigin(share.pool, software)
@@ -109,12 +160,17 @@
 
     async def _wait_until(self, condition: Callable[[], bool]) -> None:
         """Wait for a condition on the upstreams, of which a new process learns late."""
+        now = asyncio.get_running_loop().time()
+        until_s = min(self._origins.young_until - now, STARTUP_WAIT_S)
+        await self._poll(condition, until_s)
+
+    async def _poll(self, condition: Callable[[], bool], wait_s: float) -> None:
         loop = asyncio.get_running_loop()
-        until = min(self._origins.young_until, loop.time() + STARTUP_WAIT_S)
+        until = loop.time() + wait_s
         while not condition() and loop.time() < until:
             await asyncio.sleep(POLL_INTERVAL_S)
 
-    def _unknown(self, call: CallerRequest, *, complete: bool) -> _Origin:
+    def _unknown(self, call: CallerRequest, *, complete: bool) -> Err[Problem]:
         """Refuse the call; it may try again if a gateway did not answer."""
         after_s = None if complete else after_unknown_origin_s(call.wait_s)
         return Err(problem(UNKNOWN_ORIGIN, retry_after_s=after_s))
--- a/gooseberrydale/version/control_state.py
+++ b/gooseberrydale/version/control_state.py
@@ -39,6 +39,7 @@
     ReadFenceReq,
     ReleaseReq,
     ReportOrderReq,
+    ServeSoftwareReq,
     SetLimitsReq,
     TickReq,
 )
@@ -59,6 +60,7 @@
 from gooseberrydale.version.declarations import Config, Document, Profile, Workspace
 from gooseberrydale.version.departed import Departed, Departure
 from gooseberrydale.version.orders import OrderTable
+from gooseberrydale.version.served_software import with_version, without_version
 
 NUMBERS_SKIPPED_AFTER_RECOVERY = 1_000_000
 
@@ -89,6 +91,7 @@
     departures: tuple[Departure, ...] = ()
     # None in snapshots of releases that had no epochs.
     cache_sharing: tuple[str, ...] | None = None
+    software: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
 
 class ControlState:
@@ -113,6 +116,7 @@
             DeclareReq: self._declare,
             NameWeightsReq: self._name_weights,
             DepartReq: self._depart,
+            ServeSoftwareReq: self._serve_software,
             ReadDocumentReq: self._read_document,
             PlaceOrderReq: self._place_order,
             ReportOrderReq: self._report_order,
@@ -169,6 +173,7 @@
                 weights=self.config.weights,
                 departures=self.departed.departures,
                 cache_sharing=_sorted_or_none(self.cache_epoch.sharing),
+                software=self.config.software,
             )
         )
 
@@ -278,6 +283,13 @@
         self.departed = self.departed.add(req.record, self.now_s)
         return Ack()
 
+    def _serve_software(self, req: ServeSoftwareReq) -> Ack:
+        edit = with_version if req.in_service else without_version
+        software = edit(self.config.software, req.pool, req.software)
+        if software != self.config.software:
+            self._commit_next_revision(software=software)
+        return Ack()
+
     def _read_document(self, _req: ReadDocumentReq) -> DocumentReply:
         return DocumentReply(document=self.config.document)
 
@@ -421,6 +433,7 @@
         leaving=frozenset(snapshot.leaving),
         document=snapshot.document,
         weights=snapshot.weights,
+        software=snapshot.software,
     )
 
 
--- a/gooseberrydale/version/declarations.py
+++ b/gooseberrydale/version/declarations.py
@@ -88,6 +88,8 @@
 
     ``weights`` maps each model to the version of its weights that engines should
     serve.  ``leaving`` names the upstreams that are to receive no new work.
+    ``software`` maps each pool to the software versions that its upstreams run, or ran
+    until recently; a pool whose upstreams don't announce themselves is not in it.
     """
 
     revision: int = 0
@@ -96,6 +98,7 @@
     leaving: frozenset[str] = frozenset()
     document: Document | None = None
     weights: dict[str, int] = field(default_factory=dict)
+    software: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     @property
     def quotas(self) -> dict[str, Quota]:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -294,6 +294,7 @@
     observes_delay: bool = False,
     decode: DecodeDocument | None = None,
     is_current: bool = True,
+    software: tuple[str, ...] = ("",),
     **settings: Any,
 ) -> AsyncIterator[Gateway]:
     """Run a gateway with raw upstreams; it uses control only if ``controls`` is set.
@@ -301,7 +302,8 @@
     Unless it has ``just_started``, it has the retries of one that has run for long.
     Unless it ``observes_delay``, it takes connections on a busy machine as well.
     ``decode`` is for documents other than ``document``.  Unless it ``is_current``, the
-    gateway doesn't know whether ``document`` is the newest.
+    gateway doesn't know whether ``document`` is the newest.  ``software`` are the
+    versions of upstreams that the configuration lists.
     """
     cfg = Cfg(
         node=NodeCfg(name),
@@ -330,7 +332,9 @@
         announced = record(upstream.name, address=upstream.address, **MODEL)
         gateway.directory.offer(announced, loop.time())
     if document is not None:
-        gateway.store.offer(Config(revision=1, document=Document(1, b"{}")))
+        gateway.store.offer(
+            Config(revision=1, document=Document(1, b"{}"), software={POOL: software})
+        )
         if is_current:
             gateway.confirmed.confirm(1, math.inf)
         await asyncio.sleep(0.01)
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -158,10 +158,12 @@
     count: int = 1,
     document: Declared | None = None,
     data_dir: Path | None = None,
+    software: tuple[str, ...] | None = None,
     **settings: Any,
 ) -> AsyncIterator[Fleet]:
     """Run ``count`` gateways, and the upstreams without announcing them.
 
+    The configuration lists the versions ``software``, or else those of all upstreams.
     If ``data_dir`` is set, each gateway stores data in a folder of its own below it.
     """
     async with AsyncExitStack() as stack:
@@ -169,12 +171,19 @@
             await item.start()
             stack.push_async_callback(item.close)
         gateways, records = [], []
+        listed = software
+        if listed is None:
+            listed = tuple(dict.fromkeys(item.software for item in upstreams))
         for number in range(count):
             name, gossip = f"g{number}", f"127.0.0.1:{free_port()}"
             if data_dir is not None:
                 settings["data_dir"] = data_dir / name
             running = running_gateway(
-                document or declared(RESUMABLE), name=name, gossip=gossip, **settings
+                document or declared(RESUMABLE),
+                name=name,
+                gossip=gossip,
+                software=listed,
+                **settings,
             )
             gateways.append(await stack.enter_async_context(running))
             records.append(gateway_record(NodeCfg(name), gossip, "1"))
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -214,6 +214,34 @@
     run(main())
 
 
+UNCERTAIN: dict[str, tuple[tuple[str, ...], bool]] = {
+    "an earlier version has left": (("v0", "v1"), True),
+    "no version is listed": ((), True),
+    "the configuration may be old": (("v1",), False),
+}
+
+
+@pytest.mark.parametrize("case", UNCERTAIN)
+def test_unnamed_stream_is_refused_where_a_single_version_is_known_but_not_certain(
+    case: str,
+) -> None:
+    """Guards against a process that takes the one version it knows for the only one."""
+    listed, is_current = UNCERTAIN[case]
+
+    async def main() -> None:
+        upstreams = [upstream(f"u{number}", "v1") for number in range(2)]
+        async with running_fleet(
+            *upstreams, software=listed, is_current=is_current
+        ) as fleet:
+            fleet.announce(*upstreams)
+            got = await fleet.take_up(after=2, resumes=None)
+        assert (got.status, json_body(got)["error"]["code"]) == (503, "unknown_origin")
+        assert ("retry-after" in got.headers) != is_current
+        assert not any(item.requests for item in upstreams)
+
+    run(main())
+
+
 def test_stream_of_another_workspace_is_not_found() -> None:
     async def main() -> None:
         begun, rest = upstream("begun", "v1", breaks_after=2), others()
