An answer whose status is none is no answer

An upstream's answer with a status of 000 to 099 let callers wait for a 504 at the deadline; one of 600 to 999 closed their connection without an answer.

Cause: nothing checked that a status is one; below 200 it counted as an interim response.

Change: such a response fails its connection, as bytes that are no HTTP do.

--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -18,6 +18,7 @@
 import httptools
 
 from gooseberrydale.connection.response_bounds import FORWARDED, ResponseBounds
+from gooseberrydale.connection.response_status import is_status
 from gooseberrydale.connection.tcp import (
     enable_keepalive,
     has_failed,
@@ -347,6 +348,8 @@
         """Queue the complete head, but not that of an interim (1xx) response."""
         status = self._parser.get_status_code()
         self._status = status
+        if not is_status(status):
+            raise ValueError(f"{status} is no status")
         if status < 200:
             return
         self._bounds.head_ended()
--- a/gooseberrydale/connection/upstream_http.py
+++ b/gooseberrydale/connection/upstream_http.py
@@ -28,6 +28,7 @@
     ResponseBounds,
     report_excess,
 )
+from gooseberrydale.connection.response_status import is_status
 from gooseberrydale.connection.tcp import enable_keepalive, has_failed
 from gooseberrydale.connection.upstream_reply import Headers, UpstreamError
 
@@ -206,6 +207,8 @@
 
     def _read_head(self, method: str, response: HttpResponse) -> None:
         self.status = response.status_code
+        if not is_status(self.status):
+            raise ValueError(f"{self.status} is no status")
         if self.status < 200:
             raise ValueError(f"interim status {self.status} is not supported")
         self.headers = tuple(
