An answer that ends while its request is being sent is not complete

A caller got a part of an answer as all of it, from an upstream that answered a long upload at once, without a length, ended its stream and reset the connection later.

Cause: the end of the stream ends an answer without a length, also while the request was still in the write buffer.

Change: the end counts only if the whole request was written.

--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -207,11 +207,17 @@
         return self._failure is not None
 
     @property
-    def _was_reset(self) -> bool:
-        """Whether the connection failed, though the end of its stream was received."""
+    def _has_ended(self) -> bool:
+        """Whether the end of the stream is that of a response without a length.
+
+        It is not if the connection has failed, or if the upstream can't have read the
+        whole request.
+        """
         if self._failure is not None or self._transport is None:
-            return True
-        return has_failed(self._transport.get_extra_info("socket"))
+            return False
+        if self._transport.get_write_buffer_size():
+            return False
+        return not has_failed(self._transport.get_extra_info("socket"))
 
     def _finish(self) -> None:
         """Record the end of a response and whether the connection can be reused."""
@@ -318,7 +324,7 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the stream, which also ends a body without a length."""
-        if self._busy and self._framing is Framing.CONNECTION and not self._was_reset:
+        if self._busy and self._framing is Framing.CONNECTION and self._has_ended:
             self._keep_alive = False
             self._put(_End())
         self._fail("the upstream closed the connection")
--- a/gooseberrydale/connection/upstream_http.py
+++ b/gooseberrydale/connection/upstream_http.py
@@ -126,6 +126,8 @@
             yield data
         if self.writer is None or has_failed(self.writer.get_extra_info("socket")):
             raise EOFError("the connection failed before its end")
+        if self.writer.transport.get_write_buffer_size():
+            raise EOFError("the connection ended before the request was sent")
 
     def write(self, data: bytes) -> None:
         # Nothing may be sent for a call that has been cancelled.
