A request that the end of a gateway interrupts gets an answer that says so

Callers whose requests were still running at the end of a planned stop got 500 as plain text, which says neither whether the request ran nor what to do.

Cause: the HTTP library cancels open requests then, and answers by itself.

Change: 502 outcome_unknown if the request was sent, 503 shutting_down if it was not.

--- a/gooseberrydale/process/gateway/app.py
+++ b/gooseberrydale/process/gateway/app.py
@@ -24,6 +24,7 @@
     NO_DECLARED_ROUTE,
     NO_ROOM,
     NOT_READY,
+    OUTCOME_UNKNOWN,
     OVER_QUOTA,
     SHUTTING_DOWN,
     UNKNOWN_CALLER_KEY,
@@ -49,7 +50,11 @@
     CapacityDecision,
     refusal_cause,
 )
-from gooseberrydale.request.draining import Drain, retry_after_drain_s
+from gooseberrydale.request.draining import (
+    RETRY_MARGIN_S,
+    Drain,
+    retry_after_drain_s,
+)
 from gooseberrydale.request.fingerprint import fingerprint, fingerprint_text
 from gooseberrydale.request.gateway_call import CallerRequest
 from gooseberrydale.request.retry_after import (
@@ -164,9 +169,22 @@
             pass
         except BrokenAnswerError:
             outcome = "broken"
+        except asyncio.CancelledError:
+            # The process ends; what was begun can't be completed.
+            if answer.started:
+                raise
+            why = self._interrupted()
+            outcome = why.code
+            await answer.refuse(why, close=True)
         finally:
             self._log(call, answer, outcome)
 
+    def _interrupted(self) -> Problem:
+        """Return the final answer of a request that the end of the process ends."""
+        if self._forwarder is not None and self._forwarder.may_have_run:
+            return problem(OUTCOME_UNKNOWN, not_run=None)
+        return problem(SHUTTING_DOWN, retry_after_s=RETRY_MARGIN_S)
+
     async def _serve(self, call: CallerRequest, answer: CallerAnswer) -> str:
         table = await self._table(call)
         if table is None:
--- a/gooseberrydale/process/gateway/forward.py
+++ b/gooseberrydale/process/gateway/forward.py
@@ -216,6 +216,11 @@
                 await self._answer.refuse(why)
         return False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request."""
+        return self._sender.runs > 0
+
     @property
     def decision(self) -> CapacityDecision:
         """The values that decided while requests competed for capacity."""
