An answer without an id on a reused connection is not that of the request

Cause: bytes that a faulty upstream sent in addition to an answer, a refusal without a request id, were taken for the answer to the next request on the connection, which the upstream was running.

Change: an answer without an id counts only on a connection that has carried no other request; otherwise it is skipped, as one with another id is.

--- a/gooseberrydale/connection/http_conn.py
+++ b/gooseberrydale/connection/http_conn.py
@@ -95,6 +95,7 @@
     """A connection: ``open`` it once, then ``send``, ``head`` and ``body`` per request.
 
     ``sent`` is True once a request has been written, so it may run on the upstream.
+    ``is_reused`` is whether it has carried another request before.
     """
 
     def __init__(self) -> None:
@@ -116,6 +117,7 @@
         self._keep_alive = False
         self._idle_s = DEFAULT_IDLE_S
         self._idle_since = 0.0
+        self._sends = 0
         self.sent = False
 
     @classmethod
@@ -145,6 +147,7 @@
         if self._transport is None or self._busy or self._closed:
             raise UpstreamError("the connection is closed or in use", sent=False)
         self._busy = True
+        self._sends += 1
         self._parser = httptools.HttpResponseParser(self)
         kind = FORWARDED if max_body_bytes is None else ""
         self._bounds = ResponseBounds(request_line(head), max_body_bytes, kind)
@@ -197,6 +200,11 @@
             return False
         return now < self._idle_since + self._idle_s * idle_fraction
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether another request was sent before the last one."""
+        return self._sends > 1
+
     def abort(self) -> None:
         """Reset the connection, which makes the upstream cancel unfinished work."""
         if self._transport is not None:
--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -259,7 +259,7 @@
         if job.route.streamed:
             # Of other answers nothing arrives before their runs have ended.
             limit.start()
-        raw = await conn.head(self._is_own_answer)
+        raw = await conn.head(lambda head: self._is_own_answer(head, conn))
         load.silence.note_received(_now())
         head = wire.read_answer(raw.status, raw.headers)
         self.framing, self.inside_event = raw.framing.value, False
@@ -298,11 +298,16 @@
         if head.leaving:
             upstreams.leaving(record.name, _now())
 
-    def _is_own_answer(self, raw: ResponseHead) -> bool:
+    def _is_own_answer(self, raw: ResponseHead, conn: HttpConn) -> bool:
+        """Whether an answer is to this request, by the id that upstreams echo.
+
+        An upstream that could not parse the request answers without an id.  After an
+        earlier answer such a one may be what a faulty upstream sent in addition to it,
+        and says nothing of this request, which may run.
+        """
         head = self._deps.wire.read_answer(raw.status, raw.headers)
         if head.request_id is None:
-            # An upstream that could not parse the request answers without its id.
-            return not head.ok
+            return not head.ok and not conn.is_reused
         return head.request_id == self._job.call.request_id
 
     async def _handle_refusal(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -299,6 +299,38 @@
     run(main())
 
 
+ADDITIONAL = {
+    "not run": "HTTP/1.1 400 Bad Request\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n",
+    "failed": "HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("case", ADDITIONAL)
+def test_additional_answer_without_an_id_says_nothing_of_the_next_request(
+    case: str,
+) -> None:
+    """Guards against a request that runs twice, as it is believed not to have run."""
+
+    async def main() -> None:
+        async def faulty(req: dict[str, str], _body: bytes, writer: Writer) -> None:
+            if len(first.requests) > 1:
+                writer.write(ADDITIONAL[case].encode())
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            writer.write(answer_bytes(req["id"], b"done"))
+
+        first, other = RawUpstream("u1", faulty), RawUpstream("u2", answer_correctly)
+        async with running_gateway(ALL_ROUTES, first, other) as gateway:
+            gateway._upstreams.load_of("u2").error_rate = 0.9
+            for number in range(2):
+                got = await call(gateway, request_id=f"r{number}")
+                assert (got.status, got.body) == (200, b"done")
+        assert (len(first.requests), len(other.requests)) == (2, 0)
+        assert first.connections == 1
+
+    run(main())
+
+
 @pytest.mark.parametrize("other_refuses", [False, True])
 def test_stream_ends_where_it_runs_while_its_upstream_carries_out_an_order(
     other_refuses: bool,
