--- a/gooseberrydale/process/control/software_versions.py
+++ b/gooseberrydale/process/control/software_versions.py
@@ -25,7 +25,7 @@
 from gooseberrydale.version.order_marks import is_mark
 from gooseberrydale.version.served_software import KEPT_S, Served, knows
 
-CHECK_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 2.0
 """Interval at which the leader checks which versions are still in service."""
 
 _Version = tuple[str, str]
--- a/gooseberrydale/version/served_software.py
+++ b/gooseberrydale/version/served_software.py
@@ -17,13 +17,18 @@
 """Most versions of a pool that are told apart. With as many, the version of a stream
 does not follow from its pool anyway."""
 
+MAX_POOLS = 256
+"""Most pools that are listed.  Streams of others go on only by their records."""
+
 Served = Mapping[str, tuple[str, ...]]
 """Versions by pool, in the order in which they were first announced."""
 
 
 def knows(served: Served, pool: str, software: str) -> bool:
     """Whether an upstream of this version may be put in service."""
-    versions = served.get(pool, ())
+    if pool not in served:
+        return len(served) >= MAX_POOLS
+    versions = served[pool]
     return software in versions or len(versions) >= MAX_VERSIONS
 
 
--- a/tests/test_served_software.py
+++ b/tests/test_served_software.py
@@ -15,7 +15,7 @@
 from gooseberrydale.version.config_store import ConfigStore
 from gooseberrydale.version.control_state import ControlState
 from gooseberrydale.version.directory import Directory
-from gooseberrydale.version.served_software import KEPT_S, MAX_VERSIONS
+from gooseberrydale.version.served_software import KEPT_S, MAX_POOLS, MAX_VERSIONS
 from tests.builders_control import run as apply
 from tests.builders_gateway import POOL, record
 from tests.clock import run_paused
@@ -128,7 +128,10 @@
     state = ControlState()
     for number in range(MAX_VERSIONS + 3):
         apply(state, ServeSoftwareReq(POOL, f"v{number}"))
+    for number in range(MAX_POOLS + 3):
+        apply(state, ServeSoftwareReq(f"pool-{number}", "v1"))
     restored = ControlState()
     restored.restore(state.snapshot())
     assert restored.config == state.config
     assert len(restored.config.software[POOL]) == MAX_VERSIONS
+    assert len(restored.config.software) == MAX_POOLS
