--- a/gooseberrydale/process/gateway/resumption.py
+++ b/gooseberrydale/process/gateway/resumption.py
@@ -117,16 +117,19 @@
             await self._poll(lambda: self._served.is_current, wait_s)
         if not self._served.is_current:
             return self._unknown(call, complete=False)
-        longest_s = max(route.timeout_s, call.wait_s or 0.0) + ORIGIN_MARGIN_S
         origins = self._possible_origins(route)
         for share in route.shares:
             versions = self._served.software.get(share.pool, ())
-            if not versions or longest_s > KEPT_S:
+            if not versions:
                 return self._unknown(call, complete=True)
             origins |= {StreamOrigin(share.pool, version) for version in versions}
-        if len(origins) != 1:
+        origin = origins.pop()
+        longest_s = max(route.timeout_s, call.wait_s or 0.0) + ORIGIN_MARGIN_S
+        # Earlier versions may have been dropped from the list.
+        is_forgotten = longest_s > KEPT_S and bool(origin.software)
+        if origins or is_forgotten:
             return self._unknown(call, complete=True)
-        return Ok(origins.pop())
+        return Ok(origin)
 
     def _possible_origins(self, route: Route) -> set[StreamOrigin]:
         """Return all of ``route`` that this process knows."""
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -12,6 +12,7 @@
 from gooseberrydale.process.gateway.origin_client import FIND_S
 from gooseberrydale.process.gateway.placer import HOLD_S
 from gooseberrydale.version.declared import KeyHolder, Pool, Share
+from gooseberrydale.version.served_software import KEPT_S
 from tests.builders_gateway import KEY, POOL, call, declared, json_body
 from tests.builders_versions import (
     RESUMABLE,
@@ -242,6 +243,24 @@
     run(main())
 
 
+@pytest.mark.parametrize("case", SINGLE_VERSIONS)
+def test_unnamed_stream_that_outlasts_the_list_of_versions_is_refused(
+    case: str,
+) -> None:
+    """Its version may have been dropped; without versions there is nothing to tell."""
+    software = SINGLE_VERSIONS[case]
+    long = replace(RESUMABLE, timeout_s=KEPT_S)
+
+    async def main() -> None:
+        upstreams = [upstream(f"u{number}", software) for number in range(2)]
+        async with running_fleet(*upstreams, document=declared(long)) as fleet:
+            fleet.announce(*upstreams)
+            got = await fleet.take_up(after=2, resumes=None)
+        assert got.status == (503 if software else 200)
+
+    run(main())
+
+
 def test_stream_of_another_workspace_is_not_found() -> None:
     async def main() -> None:
         begun, rest = upstream("begun", "v1", breaks_after=2), others()
