What a gateway holds of answers before it forwards them is bounded

Cause: an answer without events is held up to 256 KiB before anything is passed on, and nothing bounded all of them together.

Change: they hold 16 MiB together; beyond that an answer is forwarded as it arrives.

--- a/gooseberrydale/process/gateway/send.py
+++ b/gooseberrydale/process/gateway/send.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from gooseberrydale.connection.http_conn import Framing, HttpConn, ResponseHead
 from gooseberrydale.connection.http_pool import HttpPool, PoolExhaustedError
@@ -18,6 +18,7 @@
 from gooseberrydale.connection.upstream_reply import UpstreamError
 from gooseberrydale.log_events import PromptTermsMissing, emit
 from gooseberrydale.process.gateway.answer import HOP_BY_HOP_HEADERS, CallerAnswer
+from gooseberrydale.process.gateway.buffered_answers import BufferedAnswers
 from gooseberrydale.process.gateway.origin_client import OriginClient
 from gooseberrydale.process.gateway.outdated_abort import OutdatedAbort
 from gooseberrydale.process.gateway.placer import ObservedStats
@@ -47,11 +48,6 @@
 ends the request at the deadline itself, and its answer may state that a request that
 was still queued did not run."""
 
-MAX_BUFFERED_BYTES = 256 * 1024
-"""Most of an answer without events that is buffered before it is forwarded; answers of
-services have some kilobytes.  A larger one is forwarded as it arrives, so that little
-memory is used for each caller."""
-
 MAX_ERROR_BYTES = 1024 * 1024
 """Limit of the body of a refusal or a failure, which is buffered as a whole."""
 
@@ -75,7 +71,8 @@
 
     ``origins`` records what begins each stream.
     ``work_changed`` is called whenever this gateway's work at an upstream changes;
-    ``connections`` returns how many connections to one upstream of a pool may be open.
+    ``connections`` returns how many connections to one upstream of a pool may be open;
+    ``buffered`` bounds what is held of answers that are not forwarded yet.
     """
 
     wire: HeaderCodec
@@ -85,6 +82,7 @@
     origins: OriginClient
     work_changed: Callable[[], None]
     connections: Callable[[Pool], int | None]
+    buffered: BufferedAnswers = field(default_factory=BufferedAnswers)
 
 
 class Sender:
@@ -341,31 +339,37 @@
     async def _forward_whole(
         self, conn: HttpConn, head: AnswerHead, framing: Framing
     ) -> None:
-        """Forward an answer once it is complete, or as it arrives if it is large."""
-        chunks: list[bytes] = []
-        size = 0
-        async for data in conn.body():
-            chunks.append(data)
-            size += len(data)
-            if size <= MAX_BUFFERED_BYTES:
-                continue
-            if not self._answer.started:
-                self._note_begun()
-                # What was sent to the caller can't be taken back by another send.
-                self.can_resume = False
-                headers = head.headers
-                if framing is not Framing.LENGTH:
-                    headers = tuple(h for h in headers if h[0] != b"content-length")
-                await self._answer.start(head.status, headers)
-            await self._answer.write(b"".join(chunks))
-            chunks.clear()
-        if self._measurement is not None and self._job.call.prompt is None:
-            self._measurement.service_answered()
-        if self._answer.started:
-            await self._answer.end()
-            return
+        """Forward an answer once it is complete, or as it arrives if it is large.
+
+        It is also forwarded as it arrives while the process holds much of others.
+        """
+        buffered = self._deps.buffered.begin()
+        try:
+            async for data in conn.body():
+                if self._answer.started:
+                    await self._answer.write(data)
+                elif not buffered.add(data):
+                    await self._start_unframed(head, framing)
+                    await self._answer.write(buffered.take_all())
+            if self._measurement is not None and self._job.call.prompt is None:
+                self._measurement.service_answered()
+            if self._answer.started:
+                await self._answer.end()
+                return
+            self._note_begun()
+            await self._answer.whole(head.status, head.headers, buffered.take_all())
+        finally:
+            buffered.close()
+
+    async def _start_unframed(self, head: AnswerHead, framing: Framing) -> None:
+        """Begin to forward an answer that has not arrived as a whole."""
         self._note_begun()
-        await self._answer.whole(head.status, head.headers, b"".join(chunks))
+        # What was sent to the caller can't be taken back by another send.
+        self.can_resume = False
+        headers = head.headers
+        if framing is not Framing.LENGTH:
+            headers = tuple(h for h in headers if h[0] != b"content-length")
+        await self._answer.start(head.status, headers)
 
     async def _forward_stream(
         self,
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -11,8 +11,8 @@
 import pytest
 
 from gooseberrydale.process.gateway import slow_readers
+from gooseberrydale.process.gateway.buffered_answers import MAX_ANSWER_BYTES
 from gooseberrydale.process.gateway.gateway import Gateway
-from gooseberrydale.process.gateway.send import MAX_BUFFERED_BYTES
 from gooseberrydale.process.gateway.slow_readers import (
     UNREAD_S,
     Unread,
@@ -105,7 +105,7 @@
                 # A buffer that is not empty is always watched.
                 assert buffer.get_write_buffer_limits() == (0, 0)
                 await asyncio.sleep(1.0)
-                assert gateway._readers.held_bytes <= MAX_BUFFERED_BYTES + ONE_READ
+                assert gateway._readers.held_bytes <= MAX_ANSWER_BYTES + ONE_READ
                 if target == "/calls/1":
                     # The upstream is not read faster than the caller reads.
                     assert unsent(upstream) > len(LARGE) - KERNEL_BYTES
