--- a/tests/builders_machines.py
+++ b/tests/builders_machines.py
@@ -203,6 +203,7 @@
     run_s: float = 0.02
     pool: str = POOL
     model: str = ""
+    status: str = "200 OK"
     state: str = "ready"
     reached: dict[str, float] = field(default_factory=dict)
     salts: dict[str, str] = field(default_factory=dict)
@@ -315,7 +316,7 @@
 
     def _head(self, request_id: str, *lines: str) -> bytes:
         every = (
-            "HTTP/1.1 200 OK",
+            f"HTTP/1.1 {self.status}",
             f"x-request-id: {request_id}",
             f"x-instance-id: {self.name}",
             "x-response-stamp: 1",
--- a/tests/test_answer_statuses.py
+++ b/tests/test_answer_statuses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 
 import pytest
 
@@ -18,6 +19,8 @@
     route,
     running_gateway,
 )
+from tests.builders_machines import call as call_machine
+from tests.builders_machines import running_machines
 from tests.sidecar_harness import run
 
 SAFE = route(path_prefix="/safe/", repeatable=True, max_runs=2, name="safe")
@@ -74,3 +77,25 @@
         await upstream.close()
 
     run(main())
+
+
+def test_callers_of_real_processes_get_no_answer_whose_status_is_none(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The same beside a sound upstream, at all gateways of some machines."""
+
+    async def main() -> None:
+        async with running_machines(tmp_path, "v1", "v1") as (machines, upstreams):
+            for status in NO_STATUSES:
+                upstreams[0].status = f"{status} Status"
+                for number, front in enumerate(machines.fronts):
+                    for path in ("/safe/1", "/unsafe/1"):
+                        request_id = f"{status}-{number}-{path[1]}"
+                        async with asyncio.timeout(AT_ONCE_S):
+                            got = await call_machine(front, path, request_id)
+                        reached = request_id in upstreams[0].reached
+                        once = path == "/unsafe/1"
+                        assert got.status == (502 if reached and once else 200)
+            assert len(upstreams[0].reached) > len(NO_STATUSES)
+
+    asyncio.run(main())
