Tests that a busy machine failed: limits of heads, and streams that begin late

The limit is set for the slow head only. Streams of test_joined_versions had 1.5 s to begin; it waits until each has five events. Their checks are as before.

--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -197,7 +197,9 @@
 ) -> None:
     async def scenario() -> None:
         protocol = http_protocol.BoundedHttpProtocol
-        monkeypatch.setattr(protocol, "head_timeout_s", 0.3)
+        if case[2] == b"408 ":
+            # The limits on size hold whatever the time.
+            monkeypatch.setattr(protocol, "head_timeout_s", 0.3)
         monkeypatch.setattr(protocol, "first_byte_s", 0.3)
         async with running() as entry:
             assert await raw_request(entry.addresses["http"]) == b""
--- a/tests/test_joined_versions.py
+++ b/tests/test_joined_versions.py
@@ -23,9 +23,9 @@
 )
 
 STREAMS = 12
-EVENTS, GAP_S = 60, 0.1
-BEGUN_S = 1.5
-"""Streams run this long before they are broken off."""
+EVENTS, GAP_S = 100, 0.1
+BEGUN_EVENTS = 5
+"""Streams have so many events at least when they are broken off."""
 
 RESTORED_S = 8.0
 """Records that a replica restores from its disk expire within this time."""
@@ -54,8 +54,9 @@
         front = machines.fronts[stream.number % machines.count]
         name = f"begun-{stream.number}"
         asyncio.create_task(call(front, "/streams/1", name, into=stream.begun))
-    await asyncio.sleep(BEGUN_S)
-    assert all(stream.last for stream in streams)
+    async with asyncio.timeout(EVENTS * GAP_S / 2):
+        while min(stream.last for stream in streams) < BEGUN_EVENTS:
+            await asyncio.sleep(GAP_S)
     return streams
 
 
