--- a/tests/builders_machines.py
+++ b/tests/builders_machines.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import itertools
-import json
 import os
 import pathlib
 import shutil
@@ -28,7 +27,6 @@
 HTTP_PORT, READY_PORT, CONTROL_PORT, RPC_PORT = 8782, 8789, 8783, 7340
 HOST = "shop.example"
 POOL = "desk"
-MODEL = "model-a"
 HEARTBEAT_S = 0.4
 DRAIN_S = 2.0
 """A departure is in force everywhere this long after its acknowledgement."""
@@ -424,11 +422,3 @@
         for upstream in served:
             await upstream.close()
         machines.close()
-
-
-def describe(body: bytes) -> Any:
-    """Return a JSON body, or the text if it is none."""
-    try:
-        return json.loads(body)
-    except ValueError:
-        return body.decode(errors="replace")
--- a/tests/test_joined_versions.py
+++ b/tests/test_joined_versions.py
@@ -40,6 +40,7 @@
 
     number: int
     begun: Received
+    reading: asyncio.Task[Received] | None = None
 
     @property
     def last(self) -> int:
@@ -53,7 +54,8 @@
     for stream in streams:
         front = machines.fronts[stream.number % machines.count]
         name = f"begun-{stream.number}"
-        asyncio.create_task(call(front, "/streams/1", name, into=stream.begun))
+        reading = call(front, "/streams/1", name, into=stream.begun)
+        stream.reading = asyncio.create_task(reading)
     async with asyncio.timeout(EVENTS * GAP_S / 2):
         while min(stream.last for stream in streams) < BEGUN_EVENTS:
             await asyncio.sleep(GAP_S)
