--- a/tests/test_joined_versions.py
+++ b/tests/test_joined_versions.py
@@ -109,6 +109,11 @@
     return [pair for found in await asyncio.gather(*turns) for pair in found]
 
 
+def ends(answers: list[tuple[Stream, Received]]) -> list[tuple[int, bool, bytes]]:
+    """Describe how the answers ended, to explain a failure."""
+    return [(got.status, got.whole, got.body[-200:]) for _, got in answers]
+
+
 def slow(upstreams: list[MachineUpstream]) -> None:
     """Let their streams last for some seconds."""
     for upstream in upstreams:
@@ -145,7 +150,7 @@
             if named and old_serves_on:
                 # The origins are known, so these streams go on.
                 went_on = [got.status == OK and got.whole for _, got in answers]
-                assert all(went_on[-STREAMS:])
+                assert all(went_on[-STREAMS:]), ends(answers)
                 assert sum(went_on) > len(went_on) / 2
 
     asyncio.run(main())
@@ -166,7 +171,7 @@
             answers = await all_take_ups(machines, streams, named=named)
             assert all(joined(stream, got) == {"v1"} for stream, got in answers)
             went_on = [got.status == OK and got.whole for _, got in answers]
-            assert all(went_on[-STREAMS:])
+            assert all(went_on[-STREAMS:]), ends(answers)
             assert sum(went_on) > len(went_on) / 2
 
     asyncio.run(main())
