--- a/gooseberrydale/connection/control_messages.py
+++ b/gooseberrydale/connection/control_messages.py
@@ -133,7 +133,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class DepartReq:
-    """Records that the upstream of ``record``, which says so, leaves."""
+    """Records that an upstream leaves; ``record`` is its announcement of that."""
 
     record: UpstreamRecord
 
@@ -141,7 +141,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class ServeSoftwareReq:
-    """Records that upstreams of ``pool`` run a software version, or no longer do."""
+    """Lists a software version that upstreams of ``pool`` run, or removes it."""
 
     pool: str
     software: str
--- a/gooseberrydale/log_events/control.py
+++ b/gooseberrydale/log_events/control.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SoftwareServed(LogEvent):
-    """Upstreams of a pool run a software version, or have not for long."""
+    """A software version was put into service in a pool, or taken out of it."""
 
     NAME: ClassVar[str] = "software_served"
     TEXT: ClassVar[str] = "software version of a pool"
--- a/gooseberrydale/process/control/weights_rollout.py
+++ b/gooseberrydale/process/control/weights_rollout.py
@@ -46,14 +46,13 @@
 
 MAX_KEPT_RUNS = 2
 """An engine with at most this many runs doesn't wait for them; they continue with the
-new weights. The remaining runs are the longest streams. Waiting for one or two of them
-kept an engine out of service for two of the three seconds of a change. With two of six
-engines changing at a time, that is a third of the capacity."""
+new weights. Waiting for the longest streams would keep the whole engine out of service
+for one or two callers."""
 
 MAX_DRAIN_S = 1.0
 """Longest wait for an engine to drain to that many runs. The runs that are left then
-continue with the new weights: they may last for as long as their routes allow, and with
-two engines changing at a time no rollout would end within its bound."""
+continue with the new weights: they may last for as long as their routes allow, which
+may be longer than the whole rollout may take."""
 
 DRAIN_POLL_S = 0.2
 """Interval between polls of a draining engine; its report lags by as much."""
--- a/gooseberrydale/process/gateway/buffered_answers.py
+++ b/gooseberrydale/process/gateway/buffered_answers.py
@@ -10,9 +10,8 @@
 """Most of one answer that is held; answers of services have some kilobytes."""
 
 MAX_BYTES = 16 * 1024 * 1024
-"""Most of all answers: what thousands of services' answers have, and an eighth of the
-memory of the smallest node.  Without it, answers that arrive at once may hold more than
-a node has, as each caller that reads nothing gets as much."""
+"""Most of all answers together: enough for thousands of ordinary ones, and a fraction
+of the memory of the smallest node."""
 
 
 class BufferedAnswers:
@@ -57,7 +56,7 @@
         return True
 
     def take_all(self) -> bytes:
-        """Return what is held, and hold it no longer."""
+        """Return what is held and drop it."""
         data = b"".join(self._chunks)
         self.close()
         return data
--- a/gooseberrydale/request/placement.py
+++ b/gooseberrydale/request/placement.py
@@ -43,10 +43,10 @@
 CHANGE_COST_FRACTION = 0.25
 MAX_CHANGE_COST_S = 0.4
 """Cost of running while the engine changes its weights, as a fraction of the expected
-run time, and its upper bound. An engine with outdated weights is drained within seconds
-to load the new ones. A request still running there delays the change, or its answer
-ends under other weights than it began with. Longer runs are more likely to be hit: a
-run of 1.6 s costs 0.4 s, one of 0.2 s almost nothing."""
+run time, and its upper bound in seconds. An engine with outdated weights is drained
+within seconds to load the new ones. A request still running there delays the change, or
+its answer ends under other weights than it began with, which is likelier for longer
+runs."""
 
 ERROR_PENALTY_S = 0.6
 """Penalty of an error rate of 1. A failed attempt costs the request a second one,
--- a/gooseberrydale/version/cache_epoch.py
+++ b/gooseberrydale/version/cache_epoch.py
@@ -32,9 +32,9 @@
     def after(
         self, isolated: Iterable[str] | None, sharing: Iterable[str], revision: int
     ) -> CacheEpoch:
-        """Return the epoch once these workspaces are isolated, and these are not.
+        """Return the epoch of a document with these isolated and sharing workspaces.
 
-        ``isolated`` is None if that is unknown.
+        ``isolated`` is None if that is unknown; ``revision`` is the document's.
 
         Only a workspace that shared before and becomes isolated begins a new epoch.
         One that is isolated from the start has made nothing that others use, and one
--- a/gooseberrydale/version/departed.py
+++ b/gooseberrydale/version/departed.py
@@ -26,7 +26,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Departure:
-    """An upstream leaves; ``record`` says so, and is kept until ``until_s``."""
+    """An upstream's announcement that it leaves, kept until ``until_s``."""
 
     record: UpstreamRecord
     until_s: float
