--- a/tests/test_joined_versions.py
+++ b/tests/test_joined_versions.py
@@ -181,6 +181,7 @@
             assert all(joined(stream, got) == {"v1"} for stream, got in answers)
             if named and old_serves_on:
                 # Their origins are on disks.
+                assert share_that_goes_on(answers[-STREAMS:]) == 1.0, ends(answers)
                 assert share_that_goes_on(answers) > 0.5, ends(answers)
 
     asyncio.run(main())
@@ -200,8 +201,6 @@
             await start_again(machines)
             answers = await all_take_ups(machines, streams, named=named)
             assert all(joined(stream, got) == {"v1"} for stream, got in answers)
-            share = share_that_goes_on(answers)
-            # A record that was lost with its process leaves a named stream unknown.
-            assert share > 0.5 if named else share == 1.0, ends(answers)
+            assert share_that_goes_on(answers) == 1.0, ends(answers)
 
     asyncio.run(main())
