Answers without a status: the test's gateways know what retries were spent

Which upstream is chosen first depends on the load of the machine. The answers that it asks for are the same.

--- a/tests/builders_machines.py
+++ b/tests/builders_machines.py
@@ -90,10 +90,16 @@
 
 
 class Machines:
-    """``count`` machines, of which the first ``disks`` have a disk and a replica."""
+    """``count`` machines, of which the first ``disks`` have a disk and a replica.
 
-    def __init__(self, folder: pathlib.Path, count: int = 4, disks: int = 3) -> None:
+    ``settings`` are further lines of the gateways' configuration files.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, count: int = 4, disks: int = 3, settings: str = ""
+    ) -> None:
         self.folder = folder
+        self._settings = settings
         self.net = _free_net()
         self.count, self.disks = count, disks
         self.processes: dict[str, Process] = {}
@@ -179,6 +185,7 @@
                 f'http = "{ip}:{HTTP_PORT}"\nready = "{ip}:{READY_PORT}"',
                 f'gossip = "{ip}:{RPC_PORT}"\ngrace_s = 8',
                 disk if number < self.disks else "",
+                self._settings,
             ]
         path = self.folder / f"{name}.toml"
         path.write_text("\n".join(lines))
@@ -413,9 +420,10 @@
     *upstreams: str,
     document: dict[str, Any] | None = None,
     model: str = "",
+    settings: str = "",
 ) -> AsyncIterator[tuple[Machines, list[MachineUpstream]]]:
     """Run machines and upstreams with these software versions; wait until all serve."""
-    machines = Machines(folder)
+    machines = Machines(folder, settings=settings)
     machines.start()
     served = [
         await MachineUpstream(
--- a/tests/test_answer_statuses.py
+++ b/tests/test_answer_statuses.py
@@ -29,6 +29,10 @@
 AT_ONCE_S = 0.8
 """Well before the deadline of these routes, which is two seconds."""
 
+RETRY_WINDOW_S = 0.5
+"""Processes that have all just started limit their retries for one window, as what was
+spent before is unknown."""
+
 NO_STATUSES = ("000", "007", "099", "600", "742", "999")
 
 
@@ -85,7 +89,10 @@
     """The same beside a sound upstream, at all gateways of some machines."""
 
     async def main() -> None:
-        async with running_machines(tmp_path, "v1", "v1") as (machines, upstreams):
+        async with running_machines(
+            tmp_path, "v1", "v1", settings=f"retry_window_s = {RETRY_WINDOW_S}"
+        ) as (machines, upstreams):
+            await asyncio.sleep(2 * RETRY_WINDOW_S)
             for status in NO_STATUSES:
                 upstreams[0].status = f"{status} Status"
                 for number, front in enumerate(machines.fronts):
