--- a/tests/test_reassembly.py
+++ b/tests/test_reassembly.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from gooseberrydale.connection.messages import Frame, Heartbeat, Load
+from gooseberrydale.request.answer_memory import AnswerMemory
 from gooseberrydale.request.reassembly import (
     Action,
     AttemptFailed,
@@ -19,11 +20,12 @@
 )
 from tests.builders_request import Frames, event
 
+MAX_BYTES = 1024 * 1024
 ONE, TWO = Frames(1, "i1"), Frames(2, "i2")
 
 
 def feed_frames(*frames: Frame) -> tuple[Reassembly, list[Action]]:
-    answer = Reassembly("r")
+    answer = Reassembly("r", held=AnswerMemory(MAX_BYTES, MAX_BYTES).begin())
     answer.begin(1, "i1")
     actions = [action for frame in frames for action in answer.feed(frame)]
     return answer, actions
@@ -143,7 +145,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.answer = Reassembly("r")
+        self.answer = Reassembly("r", held=AnswerMemory(MAX_BYTES, MAX_BYTES).begin())
         self.attempt = 1
         self.answer.begin(1, "i1")
         self.delivered: list[bytes] = []
