--- a/gooseberrydale/process/cfg.py
+++ b/gooseberrydale/process/cfg.py
@@ -12,10 +12,13 @@
 from pathlib import Path
 
 MAX_HELD_BYTES = 32 * 1024 * 1024
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """A fifth to a quarter of the memory of the smallest nodes: several bodies of the
 largest size, or heads and bodies of some thousand usual requests."""
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Twice the largest request; a process that holds one takes about three times as much
+while it sends it."""
+
 MAX_HELD_CONTROL_BYTES = 16 * 1024 * 1024
 """The same for control, whose calls are small but for documents, one at a time."""
 
--- a/gooseberrydale/request/parts.py
+++ b/gooseberrydale/request/parts.py
@@ -2,7 +2,7 @@
 
 There is one builder per request, used by all its attempts.  Events of a stream are
 delivered at once.  Any other answer is buffered until it is complete, so another
-attempt can still replace it; it may be as large as the process can hold.
+attempt can still replace it, as far as the process can hold it.
 """
 
 from __future__ import annotations
